Fix the shared types of the foundation

Cause: every package of the foundation exchanges resources, engine messages, tasks and views; they must be fixed before the packages are built side by side. Change: api/v1 and api/enginev1 (public types), internal/cluster (view), internal/dispatch (task), internal/leadership, internal/rpc (gob frames over long-lived TCP), settings types, log prefixes.

--- /dev/null
+++ b/internal/cluster/view.go
@@ -0,0 +1,69 @@
+// Package cluster holds the immutable view that a node acts on: the resources in force and the
+// engines and nodes known. Whoever decides takes a View as a snapshot and never changes it.
+package cluster
+
+import (
+	"slices"
+
+	v1 "github.com/covelink/covelink/api/v1"
+)
+
+// Node is one covelinkd process.
+type Node struct {
+	Name string
+	Zone string
+	// Address is the host:port of the internal protocol.
+	Address string
+	// HasDisk tells whether the node keeps a data folder.
+	HasDisk bool
+}
+
+// Engine is one model engine as the zone's coordinator knows it.
+type Engine struct {
+	Name string
+	// URL is the base URL of the engine, without a trailing slash.
+	URL string
+	// Incarnation changes whenever the engine restarts. Empty until first observed.
+	Incarnation string
+	Pool        string
+	Zone        string
+	// Leaving engines receive no new work.
+	Leaving bool
+	// ActiveVersion is the weight version last observed; PreparedVersions are loaded beside it.
+	ActiveVersion    int64
+	PreparedVersions []int64
+	MaxRunning       int
+}
+
+// View is one consistent state. Maps and slices must not be changed.
+type View struct {
+	// Revision is the store revision of the resources. It only grows.
+	Revision     uint64
+	Zones        map[string]*v1.Zone
+	Pools        map[string]*v1.Pool
+	Trainers     map[string]*v1.Trainer
+	Applications map[string]*v1.Application
+	// Engines is sorted by name.
+	Engines []Engine
+	// Nodes is sorted by name.
+	Nodes []Node
+	// Serving is false while this node must take no new work: it has not yet held its zone's
+	// revision, or has lost its zone coordinator for a lease length.
+	Serving bool
+	// NotServingReason explains Serving == false in a short sentence.
+	NotServingReason string
+}
+
+// Permitted reports whether the pool's data may be in the zone. An unknown pool is permitted nowhere.
+func (v *View) Permitted(pool, zone string) bool {
+	p, ok := v.Pools[pool]
+	return ok && slices.Contains(p.Spec.PermittedZones, zone)
+}
+
+// Source gives the current view and tells of new ones.
+type Source interface {
+	// Current returns the newest view, never nil.
+	Current() *View
+	// Changed returns a channel that is closed when a newer view than the current one exists.
+	Changed() <-chan struct{}
+}
--- /dev/null
+++ b/internal/leadership/static.go
@@ -0,0 +1,54 @@
+package leadership
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/covelink/covelink/internal/cluster"
+)
+
+// staticToken is the fencing token of every term of a Static elector.
+const staticToken = 1
+
+// Static is an Elector whose holders follow from a fixed list of nodes: the node of the zones that ranks highest for the
+// name by rendezvous hashing. It is for a single node and for tests: it does not move a lease when the holder dies.
+type Static struct {
+	self  string
+	nodes []cluster.Node
+	zones map[string][]string
+}
+
+// NewStatic returns the elector of the node self among nodes. zones gives the electorate of a lease name, which Holder needs.
+func NewStatic(self string, nodes []cluster.Node, zones map[string][]string) *Static {
+	return &Static{self: self, nodes: nodes, zones: zones}
+}
+
+// Holder implements Elector. A name without a known electorate is held by any node.
+func (s *Static) Holder(name string) (cluster.Node, bool) {
+	return s.highest(name, s.zones[name])
+}
+
+// Campaign implements Elector.
+func (s *Static) Campaign(ctx context.Context, name string, zones []string, lead func(ctx context.Context, term Term)) {
+	holder, ok := s.highest(name, zones)
+	if ok && holder.Name == s.self {
+		lead(ctx, Term{Name: name, Token: staticToken})
+	}
+	<-ctx.Done()
+}
+
+func (s *Static) highest(name string, zones []string) (best cluster.Node, found bool) {
+	var bestScore uint64
+	for _, node := range s.nodes {
+		if len(zones) > 0 && !slices.Contains(zones, node.Zone) {
+			continue
+		}
+		score := xxhash.Sum64String(name + "\x00" + node.Name)
+		if !found || score > bestScore {
+			best, bestScore, found = node, score, true
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/internal/rpc/client.go
@@ -0,0 +1,302 @@
+package rpc
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	v1 "github.com/covelink/covelink/api/v1"
+)
+
+const defaultDialTimeout = 2 * time.Second
+
+// DialFunc opens a connection to a node's internal address.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Client calls other nodes over one long-lived connection per address.
+type Client struct {
+	// MaxFrameBytes bounds a frame; zero means DefaultMaxFrameBytes.
+	MaxFrameBytes int
+	// Observer may be nil.
+	Observer Observer
+
+	self Peer
+	dial DialFunc
+
+	mu     sync.Mutex
+	links  map[string]*link
+	closed bool
+}
+
+// NewClient returns a Client that introduces itself as self. A nil dial means plain TCP.
+func NewClient(self Peer, dial DialFunc) *Client {
+	if dial == nil {
+		dialer := &net.Dialer{Timeout: defaultDialTimeout}
+		dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	return &Client{self: self, dial: dial, links: make(map[string]*link)}
+}
+
+// Call sends the request to the node at address and returns its reply.
+//
+// Errors: one that wraps ErrNotSent when no byte of the request was written; one that wraps ErrLost when it may have been
+// received but no reply came, the end of ctx included; a *v1.Error when the handler refused or failed.
+func Call[Req, Resp any](ctx context.Context, c *Client, address string, request Req) (Resp, error) {
+	var response Resp
+	l, err := c.link(ctx, address)
+	if err != nil {
+		return response, fmt.Errorf("%w: %s: %w", ErrNotSent, address, err)
+	}
+	err = l.call(ctx, methodOf[Req](), request, &response)
+	return response, err
+}
+
+// Close ends every connection; calls in flight return ErrLost.
+func (c *Client) Close() {
+	c.mu.Lock()
+	links := c.links
+	c.links = make(map[string]*link)
+	c.closed = true
+	c.mu.Unlock()
+	for _, l := range links {
+		l.fail(net.ErrClosed)
+	}
+}
+
+func (c *Client) frameLimit() int {
+	if c.MaxFrameBytes > 0 {
+		return c.MaxFrameBytes
+	}
+	return DefaultMaxFrameBytes
+}
+
+// link returns the connection to address, opening it if there is none. Concurrent callers share one dial.
+func (c *Client) link(ctx context.Context, address string) (*link, error) {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return nil, net.ErrClosed
+	}
+	l, ok := c.links[address]
+	if !ok {
+		l = &link{client: c, address: address, ready: make(chan struct{}), pending: make(map[uint64]*call)}
+		c.links[address] = l
+		go l.open()
+	}
+	c.mu.Unlock()
+	select {
+	case <-l.ready:
+		return l, l.openErr
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (c *Client) forget(l *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.links[l.address] == l {
+		delete(c.links, l.address)
+	}
+}
+
+func (c *Client) observe(method string, sent bool, bytes int) {
+	if c.Observer != nil {
+		c.Observer.Frame(method, sent, bytes)
+	}
+}
+
+// call is one request that waits for its reply.
+type call struct {
+	method   string
+	response any
+	done     chan error // buffered, receives exactly once
+}
+
+// link is one connection of a client.
+type link struct {
+	client  *Client
+	address string
+	ready   chan struct{} // closed when open has finished
+	openErr error
+	conn    net.Conn
+	writer  *frameWriter
+
+	mu      sync.Mutex
+	nextID  uint64
+	pending map[uint64]*call
+	failed  error
+}
+
+// open dials and says hello.
+func (l *link) open() {
+	defer close(l.ready)
+	ctx, cancel := context.WithTimeout(context.Background(), defaultDialTimeout)
+	defer cancel()
+	conn, err := l.client.dial(ctx, l.address)
+	if err != nil {
+		l.openErr = err
+		l.client.forget(l)
+		return
+	}
+	l.mu.Lock()
+	closed := l.failed
+	l.conn = conn
+	l.mu.Unlock()
+	if closed != nil {
+		conn.Close()
+		l.openErr = closed
+		return
+	}
+	l.writer = newFrameWriter(conn, l.client.frameLimit())
+	if err := l.greet(); err != nil {
+		l.openErr = err
+		l.fail(err)
+		return
+	}
+	go l.receive(newFrameReader(conn, l.client.frameLimit()))
+}
+
+func (l *link) greet() error {
+	if _, err := io.WriteString(l.conn, preamble); err != nil {
+		return err
+	}
+	_, _, err := l.writer.write(header{}, hello{Peer: l.client.self})
+	return err
+}
+
+func (l *link) call(ctx context.Context, method string, request, response any) error {
+	id, waiting, err := l.register(method, response)
+	if err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrNotSent, l.address, err)
+	}
+	head := header{ID: id, Method: method}
+	if deadline, ok := ctx.Deadline(); ok {
+		head.Timeout = time.Until(deadline)
+		if head.Timeout <= 0 {
+			l.unregister(id)
+			return fmt.Errorf("%w: %w", ErrNotSent, context.DeadlineExceeded)
+		}
+	}
+	size, sent, err := l.writer.write(head, request)
+	if err != nil {
+		l.fail(err)
+		if !sent {
+			return fmt.Errorf("%w: %s: %w", ErrNotSent, l.address, err)
+		}
+		return fmt.Errorf("%w: %s: %w", ErrLost, l.address, err)
+	}
+	l.client.observe(method, true, size)
+	return l.await(ctx, id, waiting)
+}
+
+func (l *link) await(ctx context.Context, id uint64, waiting *call) error {
+	select {
+	case err := <-waiting.done:
+		return err
+	case <-ctx.Done():
+	}
+	if !l.unregister(id) {
+		// The reply has arrived in the meantime and is being decoded into the caller's response.
+		return <-waiting.done
+	}
+	l.writer.write(header{ID: id, Cancel: true}, empty{})
+	return fmt.Errorf("%w: %s: %w", ErrLost, l.address, ctx.Err())
+}
+
+func (l *link) register(method string, response any) (uint64, *call, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failed != nil {
+		return 0, nil, l.failed
+	}
+	l.nextID++
+	waiting := &call{method: method, response: response, done: make(chan error, 1)}
+	l.pending[l.nextID] = waiting
+	return l.nextID, waiting, nil
+}
+
+// unregister reports whether the call was still waiting.
+func (l *link) unregister(id uint64) bool {
+	return l.take(id) != nil
+}
+
+func (l *link) take(id uint64) *call {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	waiting := l.pending[id]
+	delete(l.pending, id)
+	return waiting
+}
+
+// receive hands replies to their callers until the connection fails.
+func (l *link) receive(reader *frameReader) {
+	for {
+		head, size, err := reader.next()
+		if err != nil {
+			l.fail(err)
+			return
+		}
+		l.client.observe("", false, size)
+		if err := l.deliver(reader, head); err != nil {
+			l.fail(err)
+			return
+		}
+	}
+}
+
+// deliver decodes one reply. Replies to calls that have been given up are dropped.
+func (l *link) deliver(reader *frameReader, head header) error {
+	waiting := l.take(head.ID)
+	if waiting == nil || head.Failure != nil {
+		if err := reader.body(nil); err != nil {
+			l.finish(waiting, fmt.Errorf("%w: %w", ErrLost, err))
+			return err
+		}
+		l.finish(waiting, failureOf(head.Failure))
+		return nil
+	}
+	if err := reader.body(waiting.response); err != nil {
+		l.finish(waiting, fmt.Errorf("%w: %w", ErrLost, err))
+		return err
+	}
+	l.finish(waiting, nil)
+	return nil
+}
+
+func (l *link) finish(waiting *call, err error) {
+	if waiting != nil {
+		waiting.done <- err
+	}
+}
+
+func failureOf(failure *v1.Error) error {
+	if failure == nil {
+		return nil
+	}
+	return failure
+}
+
+// fail closes the connection; every waiting call returns ErrLost.
+func (l *link) fail(err error) {
+	l.client.forget(l)
+	l.mu.Lock()
+	pending := l.pending
+	l.pending = make(map[uint64]*call)
+	if l.failed == nil {
+		l.failed = err
+	}
+	conn := l.conn
+	l.mu.Unlock()
+	if conn != nil {
+		conn.Close()
+	}
+	for _, waiting := range pending {
+		waiting.done <- fmt.Errorf("%w: %s: %w", ErrLost, l.address, err)
+	}
+}
