--- /dev/null
+++ b/internal/dispatch/metrics.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	v1 "github.com/covelink/covelink/api/v1"
+)
+
+// The reasons that refusals are counted by, besides those of the queue.
+const (
+	reasonDraining   = "draining"
+	reasonNotServing = "not_serving"
+	reasonPool       = "pool"
+	reasonDeadline   = "deadline"
+	reasonCancelled  = "cancelled"
+	reasonNoEngine   = "no_engine"
+	reasonInvalid    = "invalid"
+	reasonBroken     = "broken"
+	reasonLost       = "lost"
+	reasonBudget     = "retry_budget"
+)
+
+// String returns the class as metrics and logs name it.
+func (c Class) String() string {
+	if c == ClassInteractive {
+		return "interactive"
+	}
+	return "rollout"
+}
+
+// EngineObservation is what the Manager knows of one engine besides the view.
+type EngineObservation struct {
+	Name     string
+	InFlight int
+	Version  int64
+	// Usable is false while the engine gets no new requests because of its own failures or refusals.
+	Usable bool
+}
+
+// Observations is a reading of a Manager.
+type Observations struct {
+	InFlightInteractive int
+	InFlightRollout     int
+	QueuedInteractive   int
+	QueuedRollout       int
+	// QueuedTokens is the expected number of tokens of the waiting tasks.
+	QueuedTokens int64
+	Engines      []EngineObservation
+}
+
+// Observations returns a reading of the present state.
+func (m *Manager) Observations() Observations {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.params.Now()
+	reading := Observations{
+		InFlightInteractive: m.inFlight[ClassInteractive],
+		InFlightRollout:     m.inFlight[ClassRollout],
+		QueuedInteractive:   m.queue.Len(true),
+		QueuedRollout:       m.queue.Len(false),
+		QueuedTokens:        m.queue.Tokens(),
+	}
+	for index, state := range m.snapshot.States {
+		reading.Engines = append(reading.Engines, EngineObservation{
+			Name:     m.snapshot.View.Engines[index].Name,
+			InFlight: state.InFlight,
+			Version:  state.Version,
+			Usable:   state.Usable(now),
+		})
+	}
+	return reading
+}
+
+type metrics struct {
+	attempts  *prometheus.CounterVec
+	refusals  *prometheus.CounterVec
+	durations *prometheus.HistogramVec
+	waits     *prometheus.HistogramVec
+}
+
+func newMetrics(m *Manager, registerer prometheus.Registerer) *metrics {
+	buckets := prometheus.ExponentialBuckets(0.001, 2, 20)
+	created := &metrics{
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "covelink_dispatch_attempts_total", Help: "Attempts on engines by outcome.",
+		}, []string{"outcome"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "covelink_dispatch_refusals_total", Help: "Tasks that did not complete by reason.",
+		}, []string{"reason"}),
+		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "covelink_dispatch_duration_seconds", Help: "Time from arrival to result.", Buckets: buckets,
+		}, []string{"class", "outcome"}),
+		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "covelink_dispatch_wait_seconds", Help: "Time from arrival in the queue to placement.", Buckets: buckets,
+		}, []string{"class"}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(created.attempts, created.refusals, created.durations, created.waits)
+		registerer.MustRegister(gauges(m)...)
+	}
+	return created
+}
+
+func gauges(m *Manager) []prometheus.Collector {
+	return []prometheus.Collector{
+		gauge("covelink_dispatch_in_flight", "Tasks on engines.", ClassInteractive,
+			func() float64 { return float64(m.count(func() int { return m.inFlight[ClassInteractive] })) }),
+		gauge("covelink_dispatch_in_flight", "Tasks on engines.", ClassRollout,
+			func() float64 { return float64(m.count(func() int { return m.inFlight[ClassRollout] })) }),
+		gauge("covelink_dispatch_queue_length", "Tasks that wait.", ClassInteractive,
+			func() float64 { return float64(m.count(func() int { return m.queue.Len(true) })) }),
+		gauge("covelink_dispatch_queue_length", "Tasks that wait.", ClassRollout,
+			func() float64 { return float64(m.count(func() int { return m.queue.Len(false) })) }),
+	}
+}
+
+func gauge(name, help string, class Class, read func() float64) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: name, Help: help, ConstLabels: prometheus.Labels{"class": class.String()},
+	}, read)
+}
+
+func (m *Manager) count(read func() int) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return read()
+}
+
+func (m *metrics) attempted(outcome v1.Outcome) { m.attempts.WithLabelValues(string(outcome)).Inc() }
+
+func (m *metrics) refused(reason string) { m.refusals.WithLabelValues(reason).Inc() }
+
+func (m *metrics) waited(class Class, wait time.Duration) {
+	m.waits.WithLabelValues(class.String()).Observe(wait.Seconds())
+}
+
+func (m *metrics) finished(class Class, outcome v1.Outcome, duration time.Duration) {
+	m.durations.WithLabelValues(class.String(), string(outcome)).Observe(duration.Seconds())
+}
--- a/internal/scheduler/lane.go
+++ b/internal/scheduler/lane.go
@@ -122,8 +122,8 @@
 
 // compareEntries orders a flow: rollouts longest first, else by arrival.
 func compareEntries(a, b *entry, interactive bool) int {
-	if !interactive && a.item.Tokens != b.item.Tokens {
-		return cmp.Compare(b.item.Tokens, a.item.Tokens)
+	if !interactive && a.item.cost() != b.item.cost() {
+		return cmp.Compare(b.item.cost(), a.item.cost())
 	}
 	return cmp.Compare(a.sequence, b.sequence)
 }
--- a/internal/scheduler/placer.go
+++ b/internal/scheduler/placer.go
@@ -57,7 +57,7 @@
 	Refuse Kind = iota
 	// Wait: an engine could take the request later.
 	Wait
-	// Placed: Engine is to run the request; Reserve has counted it.
+	// Placed: Engine is to run the request.
 	Placed
 )
 
@@ -119,6 +119,15 @@
 
 // Place decides where the request runs and counts it as in flight there when it is placed.
 func (p *Placer) Place(now time.Time, snapshot *Snapshot, request *Request) Decision {
+	decision := p.Evaluate(now, snapshot, request)
+	if decision.Kind == Placed {
+		snapshot.States[decision.Engine].Reserve(now, request.Interactive)
+	}
+	return decision
+}
+
+// Evaluate decides as Place does and reserves nothing.
+func (p *Placer) Evaluate(now time.Time, snapshot *Snapshot, request *Request) Decision {
 	decision := Decision{Engine: -1, Reason: FilterPool}
 	pool, ok := snapshot.View.Pools[request.Pool]
 	if !ok {
@@ -131,7 +140,6 @@
 	}
 	decision.Kind = Placed
 	decision.Engine = p.best(now, snapshot, request, pool.Spec.MaxConcurrent)
-	snapshot.States[decision.Engine].Reserve(now, request.Interactive)
 	return decision
 }
 
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -81,6 +81,8 @@
 	View *cluster.View
 	// States stands beside View.Engines.
 	States []*EngineState
+	// departed holds the states of engines that left the view with requests in flight, by name.
+	departed map[string]*EngineState
 }
 
 // NewSnapshot returns the snapshot of a view for a node in selfZone. States of engines that previous holds are carried
@@ -99,10 +101,23 @@
 		old.state.Distance = distance(view, selfZone, engine.Zone)
 		old.state.SpecDraining = draining(view, engine)
 		next.States[index] = old.state
+		delete(known, engine.Name)
 	}
+	next.departed = inFlight(known)
 	return next
 }
 
+// inFlight keeps the states that still count requests, in case their engines come back.
+func inFlight(known map[string]knownState) map[string]*EngineState {
+	departed := make(map[string]*EngineState)
+	for name, left := range known {
+		if left.state.InFlight > 0 {
+			departed[name] = left.state
+		}
+	}
+	return departed
+}
+
 // Find returns the index of the engine of that name, or -1.
 func (s *Snapshot) Find(name string) int {
 	index, found := slices.BinarySearchFunc(s.View.Engines, name, func(engine cluster.Engine, target string) int {
@@ -124,6 +139,9 @@
 	if s == nil {
 		return known
 	}
+	for name, state := range s.departed {
+		known[name] = knownState{state: state}
+	}
 	for index := range s.View.Engines {
 		engine := &s.View.Engines[index]
 		known[engine.Name] = knownState{state: s.States[index], engine: engine}
@@ -175,3 +193,8 @@
 	}
 	return DistanceOther
 }
+
+// Usable reports whether the engine's own failures and refusals let a request start at now.
+func (s *EngineState) Usable(now time.Time) bool {
+	return !s.Unusable && !now.Before(s.DrainingUntil) && !now.Before(s.HoldUntil) && s.Breaker.Ready(now)
+}
