--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -69,7 +69,13 @@
 // index maps token hashes, in lower-case hex, to callers, as of one view.
 type index struct {
 	view    *cluster.View
-	callers map[string]Identities
+	entries map[string]*entry
+}
+
+// entry is one known token hash and whom it stands for.
+type entry struct {
+	hash    string
+	callers Identities
 }
 
 // New returns an Authenticator over the resources of the source and the operators of the settings.
@@ -82,12 +88,11 @@
 	if token == "" {
 		return nil
 	}
-	hash := v1.HashToken(token)
-	callers, found := a.index().callers[hash]
-	if !found || !v1.TokenMatches(token, []string{hash}) {
+	found := a.index().entries[v1.HashToken(token)]
+	if found == nil || !v1.TokenMatches(token, []string{found.hash}) {
 		return nil
 	}
-	return callers
+	return found.callers
 }
 
 // index returns the index of the current view.
@@ -108,7 +113,7 @@
 }
 
 func (a *Authenticator) build(view *cluster.View) *index {
-	built := &index{view: view, callers: make(map[string]Identities)}
+	built := &index{view: view, entries: make(map[string]*entry)}
 	for name, trainer := range view.Trainers {
 		built.add(trainer.Spec.TokenHashes, Identity{Kind: KindTrainer, Name: name})
 	}
@@ -123,9 +128,13 @@
 
 func (x *index) add(hashes []string, id Identity) {
 	for _, hash := range hashes {
-		key := strings.ToLower(hash)
-		if !x.callers[key].Has(id.Kind, id.Name) {
-			x.callers[key] = append(x.callers[key], id)
+		hash = strings.ToLower(hash)
+		if x.entries[hash] == nil {
+			x.entries[hash] = &entry{hash: hash}
+		}
+		known := x.entries[hash]
+		if !known.callers.Has(id.Kind, id.Name) {
+			known.callers = append(known.callers, id)
 		}
 	}
 }
