--- a/api/enginev1/enginev1.go
+++ b/api/enginev1/enginev1.go
@@ -134,7 +134,10 @@
 	Zone        string `json:"zone"`
 	Model       string `json:"model"`
 	Draining    bool   `json:"draining"`
-	Role        string `json:"role"`
+	// DrainFence is the fence of the drain order in effect; 0 while the engine drains by itself or not at all.
+	// It lets a later coordinator undo an order without overruling the engine.
+	DrainFence uint64 `json:"drain_fence,omitempty"`
+	Role       string `json:"role"`
 	// ActiveVersion serves now; PreparedVersions are loaded beside it; Preparing is being loaded (0: none).
 	ActiveVersion    int64   `json:"active_version"`
 	PreparedVersions []int64 `json:"prepared_versions"`
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -29,6 +29,9 @@
 	Zone        string
 	// Leaving engines receive no new work.
 	Leaving bool
+	// DrainWanted is true while the machine list or the operator wants the engine to take no new work.
+	// It implies Leaving, which also follows from the engine's own signal and from failed probes.
+	DrainWanted bool
 	// ActiveVersion is the weight version last observed; PreparedVersions are loaded beside it.
 	ActiveVersion    int64
 	PreparedVersions []int64
