--- /dev/null
+++ b/internal/lab/faultproxy/proxy.go
@@ -0,0 +1,199 @@
+package faultproxy
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/covelink/covelink/internal/telemetry"
+)
+
+// dialTimeout bounds the connection to the target.
+const dialTimeout = 5 * time.Second
+
+// Config describes one link.
+type Config struct {
+	// Listen is the loopback address to listen on; empty means a free port.
+	Listen string `yaml:"listen"`
+	// Target is the host:port that connections are carried to.
+	Target string `yaml:"target"`
+	// Delay is the one-way latency of both directions at the start.
+	Delay time.Duration `yaml:"delay"`
+}
+
+// Proxy carries TCP connections to one target.
+type Proxy struct {
+	config   Config
+	logger   log.Logger
+	faults   [directions]*faultState
+	listener net.Listener
+	running  sync.WaitGroup
+	stopped  chan struct{}
+
+	mu      sync.Mutex
+	refused bool
+	closing bool
+	links   map[*link]struct{}
+}
+
+// New returns a proxy that is not started.
+func New(config Config, logger log.Logger) *Proxy {
+	if config.Listen == "" {
+		config.Listen = "127.0.0.1:0"
+	}
+	p := &Proxy{
+		config:  config,
+		logger:  telemetry.For(logger, telemetry.PartLab),
+		stopped: make(chan struct{}),
+		links:   map[*link]struct{}{},
+	}
+	for direction := range p.faults {
+		p.faults[direction] = newFaultState(Faults{Delay: config.Delay})
+	}
+	return p
+}
+
+// Start listens and carries connections until Stop.
+func (p *Proxy) Start() error {
+	listener, err := net.Listen("tcp", p.config.Listen)
+	if err != nil {
+		return fmt.Errorf("fault proxy to %s: %w", p.config.Target, err)
+	}
+	p.listener = listener
+	p.running.Go(p.accept)
+	return nil
+}
+
+// Address returns the host:port the proxy listens on.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// SetFaults replaces the faults of one direction, for connections that are open and those to come.
+func (p *Proxy) SetFaults(direction Direction, faults Faults) { p.faults[direction].set(faults) }
+
+// Faults returns the faults of one direction.
+func (p *Proxy) Faults(direction Direction) Faults {
+	faults, _ := p.faults[direction].get()
+	return faults
+}
+
+// Refuse makes the proxy reset new connections, or take them again.
+func (p *Proxy) Refuse(refuse bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refused = refuse
+}
+
+// Cut resets every open connection.
+func (p *Proxy) Cut() {
+	for _, link := range p.openLinks() {
+		link.reset()
+	}
+}
+
+// Heal ends every fault; the latency of the configuration stays.
+func (p *Proxy) Heal() {
+	p.Refuse(false)
+	for direction := range p.faults {
+		p.faults[direction].set(Faults{Delay: p.config.Delay})
+	}
+}
+
+// Stop closes the listener and every connection and waits until nothing of the proxy runs or ctx ends.
+func (p *Proxy) Stop(ctx context.Context) {
+	p.mu.Lock()
+	first := !p.closing
+	p.closing = true
+	p.mu.Unlock()
+	if p.listener == nil {
+		return
+	}
+	if first {
+		close(p.stopped)
+		_ = p.listener.Close()
+		p.Cut()
+	}
+	done := make(chan struct{})
+	go func() {
+		p.running.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+func (p *Proxy) openLinks() []*link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	links := make([]*link, 0, len(p.links))
+	for link := range p.links {
+		links = append(links, link)
+	}
+	return links
+}
+
+func (p *Proxy) accept() {
+	for {
+		client, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.refuses() {
+			abort(client)
+			continue
+		}
+		p.running.Go(func() { p.carry(client) })
+	}
+}
+
+func (p *Proxy) refuses() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused || p.closing
+}
+
+func (p *Proxy) carry(client net.Conn) {
+	target, err := net.DialTimeout("tcp", p.config.Target, dialTimeout)
+	if err != nil {
+		_ = level.Debug(p.logger).Log("msg", "target refused", "target", p.config.Target, "err", err)
+		abort(client)
+		return
+	}
+	link := newLink(client, target)
+	if !p.register(link) {
+		link.reset()
+		return
+	}
+	defer p.unregister(link)
+	link.run(p.faults)
+}
+
+func (p *Proxy) register(link *link) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closing {
+		return false
+	}
+	p.links[link] = struct{}{}
+	return true
+}
+
+func (p *Proxy) unregister(link *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.links, link)
+}
+
+// abort closes a connection with a reset instead of an orderly end.
+func abort(connection net.Conn) {
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = connection.Close()
+}
