--- a/api/enginev1/enginev1.go
+++ b/api/enginev1/enginev1.go
@@ -14,6 +14,9 @@
 	PathCancel      = "/covelink/v1/cancel"
 	PathExport      = "/covelink/v1/kv/export"
 	PathImport      = "/covelink/v1/kv/import"
+	// PathWeights, followed by "/" and a version in decimal, answers GET with the bytes of weights that the
+	// engine loaded by order and still holds, so that another engine can copy them (Order.Source); else 404.
+	PathWeights = "/covelink/v1/weights"
 )
 
 // Priority orders requests within an engine; a higher value is served first.
