--- a/internal/lab/trainer/config.go
+++ b/internal/lab/trainer/config.go
@@ -13,7 +13,7 @@
 
 // Config are the settings of one trainer.
 type Config struct {
-	Trainer string `yaml:"trainer" validate:"required"`
+	Trainer string `yaml:"name" validate:"required"`
 	// URLs are the base URLs of the nodes that the trainer may ask.
 	URLs  []string `yaml:"urls" validate:"required,min=1,dive,http_url"`
 	Token string   `yaml:"token" validate:"required"`
