lab/engine: reset connections before the handlers of a lost life end

Cause: on a restart a handler could return first and end its stream like a whole one. Change: connections are reset first.

--- a/internal/lab/engine/engine.go
+++ b/internal/lab/engine/engine.go
@@ -160,14 +160,15 @@
 	level.Info(e.logger).Log("msg", "engine restarted")
 }
 
-// endLife loses all work in flight.
+// endLife loses all work in flight. Connections are reset before the handlers learn of the end, since a
+// handler that returns would end its stream like a whole one.
 func (e *Engine) endLife(now time.Time) {
-	e.life.end()
 	for _, current := range e.life.streams {
 		current.execution.end(now, FinishLost)
 		resetConnection(current.connection)
 	}
 	clear(e.life.streams)
+	e.life.end()
 }
 
 // Stop lets the streams in progress end, at most until ctx ends, and stops the engine.
