--- a/internal/lab/engine/executions.go
+++ b/internal/lab/engine/executions.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/covelink/covelink/api/enginev1"
@@ -29,6 +30,10 @@
 	// Resumed counts the tokens that the request came with, and Tokens those produced here.
 	Resumed int `json:"resumed"`
 	Tokens  int `json:"tokens"`
+	// Seed is the seed of the request.
+	Seed int64 `json:"seed"`
+	// Spans names the version of each token produced here, in order.
+	Spans []Span `json:"spans"`
 	// Finish is the finish reason or FinishLost; empty while the execution goes on.
 	Finish string `json:"finish"`
 }
@@ -43,6 +48,7 @@
 		Incarnation: identity.Incarnation,
 		Started:     now,
 		Resumed:     len(request.Resume),
+		Seed:        request.Seed,
 	}
 }
 
@@ -51,6 +57,7 @@
 	if len(event.Tokens) > 0 {
 		x.Tokens += len(event.Tokens)
 		x.LastVersion = event.Version
+		x.Spans = appendSpan(x.Spans, event)
 	}
 	if x.FirstVersion == 0 {
 		x.FirstVersion = x.LastVersion
@@ -82,7 +89,9 @@
 	newest := l.entries[max(0, len(l.entries)-l.limit):]
 	executions := make([]Execution, 0, len(newest))
 	for _, entry := range newest {
-		executions = append(executions, *entry)
+		copied := *entry
+		copied.Spans = slices.Clone(entry.Spans)
+		executions = append(executions, copied)
 	}
 	return executions
 }
