configsync: leave out resources a node holds already

A push repeated every resource with each acknowledgement or engine change. It now carries them only to nodes at another revision. An object whose references do not exist waits for every zone instead of none, and a node may send heartbeats for itself only.

--- a/internal/configsync/backend.go
+++ b/internal/configsync/backend.go
@@ -102,16 +102,16 @@
 
 // forward sends a write to the zone's coordinator. Its errors are *v1.Error.
 func (m *Manager) forward(ctx context.Context, request writeRequest) (writeReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.Timing.RequestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.params.Timing.RequestTimeout)
 	defer cancel()
-	holder, ok := m.Elector.Holder(leadership.ZoneLease(m.self.Zone))
+	holder, ok := m.params.Elector.Holder(leadership.ZoneLease(m.self.Zone))
 	if !ok {
 		return writeReply{}, v1.NotRun(v1.CodeUnavailable, retryAfterUnavailable, "zone %s has no coordinator", m.self.Zone)
 	}
 	if holder.Name == m.self.Name {
 		return m.serveWrite(ctx, rpc.Peer{Name: m.self.Name, Zone: m.self.Zone}, request)
 	}
-	reply, err := rpc.Call[writeRequest, writeReply](ctx, m.Client, holder.Address, request)
+	reply, err := rpc.Call[writeRequest, writeReply](ctx, m.params.Client, holder.Address, request)
 	if err == nil {
 		return reply, nil
 	}
@@ -149,18 +149,18 @@
 	case operationCreate:
 		object.Metadata.Generation = 1
 		object.Metadata.ResourceVersion = ""
-		return m.Store.Create(ctx, object)
+		return m.params.Store.Create(ctx, object)
 	case operationUpdate:
 		return m.update(ctx, object)
 	case operationDelete:
-		return v1.RawObject{}, m.Store.Delete(ctx, object.Kind, object.Metadata.Name, object.Metadata.ResourceVersion)
+		return v1.RawObject{}, m.params.Store.Delete(ctx, object.Kind, object.Metadata.Name, object.Metadata.ResourceVersion)
 	}
 	return v1.RawObject{}, objectapi.ErrInvalid
 }
 
 // update reads the current object for its generation; the store refuses the write if it has changed since.
 func (m *Manager) update(ctx context.Context, object v1.RawObject) (v1.RawObject, error) {
-	current, err := m.Store.Get(ctx, object.Kind, object.Metadata.Name)
+	current, err := m.params.Store.Get(ctx, object.Kind, object.Metadata.Name)
 	if err != nil {
 		return v1.RawObject{}, err
 	}
@@ -171,7 +171,7 @@
 	if !sameSpec(current, object) {
 		object.Metadata.Generation++
 	}
-	return m.Store.Update(ctx, object)
+	return m.params.Store.Update(ctx, object)
 }
 
 // sameSpec compares the specs as this program encodes them, since the store may keep another spelling.
--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -194,7 +194,7 @@
 }
 
 func (n *testNode) serves(revision uint64) bool {
-	view := n.Holder.Current()
+	view := n.params.Holder.Current()
 	return view.Serving && view.Revision >= revision
 }
 
--- a/internal/configsync/core_test.go
+++ b/internal/configsync/core_test.go
@@ -289,6 +289,15 @@
 			So(pending.Message, ShouldEndWith, ": y")
 		})
 
+		Convey("a trainer of a pool that does not exist waits for every zone", func() {
+			state.Objects = append(state.Objects, v1.RawObject{
+				Kind:     v1.KindTrainer,
+				Metadata: v1.ObjectMeta{Name: "t", ResourceVersion: "2"},
+				Spec:     []byte(`{"pool":"none"}`),
+			})
+			So(condition(v1.KindTrainer, "t").Message, ShouldEndWith, ": y")
+		})
+
 		Convey("what was accepted stays so when the scope grows, until it is written again", func() {
 			So(condition(v1.KindZone, "y").Status, ShouldEqual, v1.ConditionTrue)
 			state.Objects = append(state.Objects, rawZone("x", 4))
--- a/internal/configsync/disseminate.go
+++ b/internal/configsync/disseminate.go
@@ -13,7 +13,7 @@
 
 // disseminate spreads the term's state until ctx ends: on every change, and again at every tick to whom it hasn't reached.
 func (m *Manager) disseminate(ctx context.Context, t *term) {
-	ticker := time.NewTicker(m.Timing.LeaseLength / tickFraction)
+	ticker := time.NewTicker(m.params.Timing.LeaseLength / tickFraction)
 	defer ticker.Stop()
 	for {
 		select {
@@ -76,7 +76,7 @@
 	}
 	t.busy[address] = true
 	t.calls.Go(func() {
-		ctx, cancel := context.WithTimeout(ctx, m.Timing.LeaseLength)
+		ctx, cancel := context.WithTimeout(ctx, m.params.Timing.LeaseLength)
 		defer cancel()
 		err := call(ctx)
 		m.mu.Lock()
@@ -102,7 +102,14 @@
 }
 
 func (m *Manager) push(ctx context.Context, t *term, node cluster.Node, state State) error {
-	report, err := rpc.Call[pushRequest, NodeReport](ctx, m.Client, node.Address, pushRequest{State: state})
+	request := pushRequest{State: state}
+	m.mu.Lock()
+	if held := t.held[node.Name]; held.Revision > 0 && held.Revision == state.Revision {
+		request.ObjectsOmitted = true
+		request.State.Objects = nil
+	}
+	m.mu.Unlock()
+	report, err := rpc.Call[pushRequest, NodeReport](ctx, m.params.Client, node.Address, request)
 	m.metrics.pushed(err)
 	if err != nil {
 		return err
@@ -116,7 +123,7 @@
 
 func (m *Manager) exchange(ctx context.Context, t *term, zone string, coordinator cluster.Node, state State) error {
 	request := exchangeRequest{Report: state.Report()}
-	report, err := rpc.Call[exchangeRequest, Report](ctx, m.Client, coordinator.Address, request)
+	report, err := rpc.Call[exchangeRequest, Report](ctx, m.params.Client, coordinator.Address, request)
 	if err != nil {
 		return err
 	}
@@ -129,7 +136,7 @@
 }
 
 func (m *Manager) adoptFrom(ctx context.Context, node cluster.Node) error {
-	reply, err := rpc.Call[fetchRequest, fetchReply](ctx, m.Client, node.Address, fetchRequest{Zone: m.self.Zone})
+	reply, err := rpc.Call[fetchRequest, fetchReply](ctx, m.params.Client, node.Address, fetchRequest{Zone: m.self.Zone})
 	if err != nil {
 		return err
 	}
--- a/internal/configsync/manager.go
+++ b/internal/configsync/manager.go
@@ -42,7 +42,7 @@
 
 // Manager is a node's part in the configuration: it keeps the node's view and, while Lead runs, coordinates the zone.
 type Manager struct {
-	Params
+	params      Params
 	self        cluster.Node
 	logger      log.Logger
 	metrics     *metrics
@@ -72,7 +72,7 @@
 // New returns a Manager; its node does not serve until Run has got it a lease and the zone's revision.
 func New(params Params) *Manager {
 	return &Manager{
-		Params:      params,
+		params:      params,
 		self:        params.Self,
 		logger:      telemetry.For(params.Logger, telemetry.PartConfigSync),
 		metrics:     newMetrics(params.Registerer),
@@ -95,8 +95,8 @@
 // CatchUp waits until the node serves, that is until it holds its zone's revision and a lease, or ctx ends.
 func (m *Manager) CatchUp(ctx context.Context) error {
 	for {
-		changed := m.Holder.Changed()
-		if m.Holder.Current().Serving {
+		changed := m.params.Holder.Changed()
+		if m.params.Holder.Current().Serving {
 			return nil
 		}
 		select {
@@ -151,29 +151,29 @@
 		pending = retryFraction
 		failed  = tickFraction
 	)
-	holder, ok := m.Elector.Holder(leadership.ZoneLease(m.self.Zone))
+	holder, ok := m.params.Elector.Holder(leadership.ZoneLease(m.self.Zone))
 	if !ok {
-		return m.Timing.LeaseLength / failed
+		return m.params.Timing.LeaseLength / failed
 	}
-	ctx, cancel := context.WithTimeout(ctx, m.Timing.LeaseLength)
+	ctx, cancel := context.WithTimeout(ctx, m.params.Timing.LeaseLength)
 	defer cancel()
 	sentAt := m.now()
 	grant, err := m.askGrant(ctx, holder)
 	if err != nil {
 		level.Debug(m.logger).Log("msg", "heartbeat failed", "coordinator", holder.Name, "err", err)
-		return m.Timing.LeaseLength / failed
+		return m.params.Timing.LeaseLength / failed
 	}
 	if m.takeGrant(grant, sentAt) {
 		if grant.Granted {
-			return m.Timing.LeaseLength / renewed
+			return m.params.Timing.LeaseLength / renewed
 		}
-		return m.Timing.LeaseLength / pending
+		return m.params.Timing.LeaseLength / pending
 	}
 	if err := m.pull(ctx, holder); err != nil {
 		level.Warn(m.logger).Log("msg", "state not pulled", "coordinator", holder.Name, "err", err)
-		return m.Timing.LeaseLength / failed
+		return m.params.Timing.LeaseLength / failed
 	}
-	return m.Timing.LeaseLength / pending
+	return m.params.Timing.LeaseLength / pending
 }
 
 func (m *Manager) askGrant(ctx context.Context, holder cluster.Node) (Grant, error) {
@@ -183,14 +183,14 @@
 	if holder.Name == m.self.Name {
 		return m.heartbeatLocal(request)
 	}
-	return rpc.Call[heartbeatRequest, Grant](ctx, m.Client, holder.Address, request)
+	return rpc.Call[heartbeatRequest, Grant](ctx, m.params.Client, holder.Address, request)
 }
 
 // takeGrant applies the answer to a heartbeat and reports whether the node holds the coordinator's state.
 func (m *Manager) takeGrant(grant Grant, sentAt time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if grant.Granted && m.replica.Renew(grant.Version.Token, sentAt, m.Timing.NodeLeaseLength) {
+	if grant.Granted && m.replica.Renew(grant.Version.Token, sentAt, m.params.Timing.NodeLeaseLength) {
 		notify(m.renewed)
 		m.publishLocked(false)
 	}
@@ -199,7 +199,7 @@
 
 // pull fetches the coordinator's state.
 func (m *Manager) pull(ctx context.Context, holder cluster.Node) error {
-	reply, err := rpc.Call[fetchRequest, fetchReply](ctx, m.Client, holder.Address, fetchRequest{Zone: m.self.Zone})
+	reply, err := rpc.Call[fetchRequest, fetchReply](ctx, m.params.Client, holder.Address, fetchRequest{Zone: m.self.Zone})
 	if err != nil {
 		return err
 	}
--- a/internal/configsync/manager_test.go
+++ b/internal/configsync/manager_test.go
@@ -50,7 +50,7 @@
 		c := newTestCluster(map[string]string{"na": "a", "nb": "b", "nc": "c"})
 		Reset(c.stop)
 		na, nb, nc := c.nodes["na"], c.nodes["nb"], c.nodes["nc"]
-		So(na.Holder.Current().Serving, ShouldBeFalse)
+		So(na.params.Holder.Current().Serving, ShouldBeFalse)
 		for _, zone := range []string{"a", "b", "c"} {
 			var created v1.Object
 			eventually("create zone "+zone, func() (done bool) {
@@ -63,18 +63,18 @@
 		for _, node := range c.nodes {
 			So(node.CatchUp(ctx), ShouldBeNil)
 			eventually("accepted", node.accepted(ctx, "c"))
-			So(node.Holder.Current().Zones, ShouldHaveLength, 3)
+			So(node.params.Holder.Current().Zones, ShouldHaveLength, 3)
 		}
 
 		Convey("only coordinators watch the store, and engines of every zone are known everywhere", func() {
 			So(c.store.Counts().OpenWatches, ShouldEqual, 3)
 			na.SetEngines([]cluster.Engine{{Name: "ea", Zone: "a"}})
 			nb.SetEngines([]cluster.Engine{{Name: "eb", Zone: "b"}})
-			eventually("engines", func() bool { return len(nc.Holder.Current().Engines) == 2 })
+			eventually("engines", func() bool { return len(nc.params.Holder.Current().Engines) == 2 })
 		})
 
 		Convey("two operators that race on one resource get one conflict and lose nothing", func() {
-			eventually("seen", func() bool { return len(nb.Holder.Current().Zones) == 3 })
+			eventually("seen", func() bool { return len(nb.params.Holder.Current().Zones) == 3 })
 			left, err := na.Get(ctx, v1.KindZone, "a")
 			So(err, ShouldBeNil)
 			right, err := nb.Get(ctx, v1.KindZone, "a")
@@ -141,7 +141,7 @@
 				So(err, ShouldBeNil)
 				restarted := c.start(nc.node, listener)
 				So(restarted.CatchUp(ctx), ShouldBeNil)
-				So(restarted.Holder.Current().Zones, ShouldHaveLength, 3)
+				So(restarted.params.Holder.Current().Zones, ShouldHaveLength, 3)
 			})
 		})
 	})
@@ -159,7 +159,7 @@
 		}
 		var leader, follower, other *testNode
 		for _, node := range c.nodes {
-			holder, _ := node.Elector.Holder("zone/z")
+			holder, _ := node.params.Elector.Holder("zone/z")
 			switch {
 			case holder.Name == node.node.Name:
 				leader = node
@@ -193,7 +193,7 @@
 				seen, err := leader.Get(ctx, v1.KindZone, "z")
 				return err == nil && seen.Meta().ResourceVersion == "2" && leader.accepted(ctx, "z")()
 			})
-			view := follower.Holder.Current()
+			view := follower.params.Holder.Current()
 			So(view.Serving, ShouldBeFalse)
 			So(view.NotServingReason, ShouldEqual, reasonLeaseExpired)
 			c.setCut(follower.node.Address, false)
@@ -209,19 +209,19 @@
 			So(err, ShouldBeNil)
 			restarted := c.start(follower.node, listener)
 			So(restarted.CatchUp(ctx), ShouldBeNil)
-			So(restarted.Holder.Current().Revision, ShouldEqual, 2)
+			So(restarted.params.Holder.Current().Revision, ShouldEqual, 2)
 		})
 
 		Convey("a coordinator that starts anew goes on where its zone is", func() {
 			leader.SetEngines([]cluster.Engine{{Name: "old", Zone: "z"}})
-			eventually("engines", func() bool { return len(follower.Holder.Current().Engines) == 1 })
+			eventually("engines", func() bool { return len(follower.params.Holder.Current().Engines) == 1 })
 			leader.kill()
 			listener, err := net.Listen("tcp", leader.node.Address)
 			So(err, ShouldBeNil)
 			restarted := c.start(leader.node, listener)
 			restarted.SetEngines([]cluster.Engine{{Name: "new", Zone: "z"}})
 			eventually("engines", func() bool {
-				engines := follower.Holder.Current().Engines
+				engines := follower.params.Holder.Current().Engines
 				return len(engines) == 1 && engines[0].Name == "new"
 			})
 			So(restarted.CatchUp(ctx), ShouldBeNil)
@@ -278,7 +278,7 @@
 			restarted := c.start(leader.node, listener)
 			So(restarted.CatchUp(ctx), ShouldBeNil)
 			for _, node := range []*testNode{restarted, follower, other} {
-				So(node.Holder.Current().Revision, ShouldEqual, 2)
+				So(node.params.Holder.Current().Revision, ShouldEqual, 2)
 			}
 		})
 	})
--- a/internal/configsync/messages.go
+++ b/internal/configsync/messages.go
@@ -18,7 +18,11 @@
 		Report NodeReport
 	}
 	// pushRequest gives a node the state of its zone; NodeReport answers it.
-	pushRequest struct{ State State }
+	pushRequest struct {
+		State State
+		// ObjectsOmitted says that the node is believed to hold the resources of the state's revision already.
+		ObjectsOmitted bool
+	}
 	// fetchRequest asks any node for the state it holds.
 	fetchRequest struct{ Zone string }
 	fetchReply   struct {
@@ -82,6 +86,9 @@
 	if err := m.checkZone(peer); err != nil {
 		return Grant{}, err
 	}
+	if peer.Name != request.Node.Name || peer.Name != request.Report.Node {
+		return Grant{}, v1.NotRun(v1.CodeForbidden, 0, "node %s may not speak for another", peer.Name)
+	}
 	return m.heartbeatLocal(request)
 }
 
@@ -105,7 +112,15 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.offerLocked(request.State)
+	state := request.State
+	if request.ObjectsOmitted {
+		held := m.replica.State()
+		if held.Revision != state.Revision {
+			return m.reportLocked(), nil
+		}
+		state.Objects = held.Objects
+	}
+	m.offerLocked(state)
 	return m.reportLocked(), nil
 }
 
--- a/internal/configsync/scope.go
+++ b/internal/configsync/scope.go
@@ -33,7 +33,7 @@
 }
 
 // scope returns the zones, sorted, whose acknowledgement accepts the object: a pool's permitted zones, those of the pools
-// that a trainer or an application names, and every zone for a zone.
+// that a trainer or an application names, and every zone for a zone or where the resources named don't exist.
 func (i objectIndex) scope(object v1.Object) []string {
 	zones := make(map[string]struct{})
 	add := func(names []string) {
@@ -53,6 +53,9 @@
 			add(i.permitted(pool))
 		}
 	}
+	if len(zones) == 0 {
+		add(i.zones())
+	}
 	return slices.Sorted(maps.Keys(zones))
 }
 
@@ -74,6 +77,11 @@
 	return found.Spec.PermittedZones
 }
 
+// accepted reports whether every zone in scope, and at least one, has acknowledged the object's resourceVersion.
+func (i objectIndex) accepted(object v1.Object, acks map[string]uint64) bool {
+	return len(i.scope(object)) > 0 && len(i.missing(object, acks)) == 0
+}
+
 // missing returns the zones in scope, sorted, that have not acknowledged the object's resourceVersion.
 func (i objectIndex) missing(object v1.Object, acks map[string]uint64) []string {
 	version := objectapi.ParseRevision(object.Meta().ResourceVersion)
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -136,7 +136,7 @@
 	for key, object := range index.objects {
 		version := objectapi.ParseRevision(object.Meta().ResourceVersion)
 		switch {
-		case s.Accepted[key] >= version || len(index.missing(object, s.Acks)) == 0:
+		case s.Accepted[key] >= version || index.accepted(object, s.Acks):
 			accepted[key] = max(s.Accepted[key], version)
 		case s.Accepted[key] > 0:
 			accepted[key] = s.Accepted[key]
--- a/internal/configsync/term.go
+++ b/internal/configsync/term.go
@@ -57,7 +57,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	core := NewCoordinator(m.self.Zone, held.Token, m.replica.State(), now, m.Timing.NodeLeaseLength)
+	core := NewCoordinator(m.self.Zone, held.Token, m.replica.State(), now, m.params.Timing.NodeLeaseLength)
 	core.SetNodes(m.zoneNodeNames())
 	if m.engines != nil {
 		core.SetEngines(m.engines, now)
@@ -114,7 +114,7 @@
 	m.mu.Lock()
 	since := t.core.State().Revision
 	m.mu.Unlock()
-	err := m.Store.Follow(ctx, since, &storeSink{manager: m, objects: make(map[ObjectKey]v1.RawObject)})
+	err := m.params.Store.Follow(ctx, since, &storeSink{manager: m, objects: make(map[ObjectKey]v1.RawObject)})
 	level.Debug(m.logger).Log("msg", "store no longer followed", "err", err)
 }
 
@@ -149,9 +149,9 @@
 
 // keepInforming repeats inform until it succeeds or the leases of earlier terms have lapsed.
 func (m *Manager) keepInforming(ctx context.Context, t *term) {
-	deadline := time.NewTimer(m.Timing.NodeLeaseLength)
+	deadline := time.NewTimer(m.params.Timing.NodeLeaseLength)
 	defer deadline.Stop()
-	ticker := time.NewTicker(m.Timing.LeaseLength / tickFraction)
+	ticker := time.NewTicker(m.params.Timing.LeaseLength / tickFraction)
 	defer ticker.Stop()
 	for {
 		select {
@@ -173,12 +173,12 @@
 	m.mu.Lock()
 	targets, complete := m.informants()
 	m.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, m.Timing.LeaseLength)
+	ctx, cancel := context.WithTimeout(ctx, m.params.Timing.LeaseLength)
 	defer cancel()
 	replies := make(chan informantReply, len(targets))
 	for _, target := range targets {
 		go func() {
-			reply, err := rpc.Call[fetchRequest, fetchReply](ctx, m.Client, target.Address, fetchRequest{Zone: m.self.Zone})
+			reply, err := rpc.Call[fetchRequest, fetchReply](ctx, m.params.Client, target.Address, fetchRequest{Zone: m.self.Zone})
 			replies <- informantReply{node: target, fetchReply: reply, err: err}
 		}()
 	}
@@ -232,7 +232,7 @@
 func (m *Manager) otherCoordinators() map[string]cluster.Node {
 	coordinators := make(map[string]cluster.Node)
 	for zone := range m.otherZones() {
-		if holder, ok := m.Elector.Holder(leadership.ZoneLease(zone)); ok {
+		if holder, ok := m.params.Elector.Holder(leadership.ZoneLease(zone)); ok {
 			coordinators[zone] = holder
 		}
 	}
--- a/internal/configsync/view.go
+++ b/internal/configsync/view.go
@@ -26,7 +26,7 @@
 	view := buildView(state, m.index, m.nodes)
 	view.Serving = serving
 	view.NotServingReason = reason
-	m.Holder.Update(func(*cluster.View) *cluster.View { return view })
+	m.params.Holder.Update(func(*cluster.View) *cluster.View { return view })
 }
 
 func buildView(state State, index objectIndex, nodes []cluster.Node) *cluster.View {
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -86,7 +86,7 @@
 func (w *watcher) run(ctx context.Context) {
 	defer close(w.events)
 	for {
-		changed := w.manager.Holder.Changed()
+		changed := w.manager.params.Holder.Changed()
 		if !w.catchUp(ctx) {
 			return
 		}
