node, daemon: wire the parts of a process; run, check-config, version

Cause: the parts need one place that starts them, gives the coordinator parts their lease and stops all in order. Change: internal/node on fx (listeners bound first, planned stop: no new work, hand batches over, drain, close); internal/daemon is covelinkd's command line with exit codes 0, 1, 2.

--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,158 @@
+// Package daemon is the command line of covelinkd: run, check-config and version.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/go-kit/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/covelink/covelink/internal/node"
+	"github.com/covelink/covelink/internal/settings"
+	"github.com/covelink/covelink/internal/telemetry"
+)
+
+// The exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitBadInput = 2
+)
+
+const (
+	flagConfig = "config"
+	flagSet    = "set"
+)
+
+// settingFlags maps the flags that set one setting to its key path.
+var settingFlags = map[string]string{
+	"node-name":       "node.name",
+	"zone":            "node.zone",
+	"data-dir":        "node.dataDir",
+	"listen-http":     "listen.http",
+	"listen-internal": "listen.internal",
+	"log-level":       "log.level",
+	"log-format":      "log.format",
+}
+
+// command holds what the subcommands share.
+type command struct {
+	environment []string
+	out         io.Writer
+	errOut      io.Writer
+}
+
+// Main runs the command line and returns the exit code: 0, 1 for a failure, 2 for bad input.
+func Main(arguments, environment []string, out, errOut io.Writer) int {
+	c := &command{environment: environment, out: out, errOut: errOut}
+	err := c.root().Run(context.Background(), arguments)
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(errOut, "covelinkd:", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	var coder cli.ExitCoder
+	if errors.As(err, &coder) {
+		return coder.ExitCode()
+	}
+	return exitBadInput
+}
+
+func (c *command) root() *cli.Command {
+	return &cli.Command{
+		Name:           "covelinkd",
+		Usage:          "the covelink daemon",
+		Writer:         c.out,
+		ErrWriter:      io.Discard,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError:   func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err },
+		Commands: []*cli.Command{
+			{Name: "run", Usage: "run a node until SIGTERM, which drains it", Flags: flags(), Action: c.run},
+			{Name: "check-config", Usage: "check the settings and exit", Flags: flags(), Action: c.checkConfig},
+			{Name: "version", Usage: "print the version", Action: c.version},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Present() {
+				return fmt.Errorf("unknown command %q", cmd.Args().First())
+			}
+			return cli.ShowRootCommandHelp(cmd)
+		},
+	}
+}
+
+func flags() []cli.Flag {
+	list := []cli.Flag{
+		&cli.StringFlag{Name: flagConfig, Usage: "settings `FILE` (YAML)"},
+		&cli.StringSliceFlag{Name: flagSet, Usage: "`KEY=VALUE` sets any setting, as in timing.leaseLength=2s; may be repeated"},
+	}
+	for name, key := range settingFlags {
+		list = append(list, &cli.StringFlag{Name: name, Usage: "sets " + key})
+	}
+	return list
+}
+
+func (c *command) load(cmd *cli.Command) (settings.Settings, error) {
+	overrides := make(map[string]any)
+	for _, assignment := range cmd.StringSlice(flagSet) {
+		key, value, found := strings.Cut(assignment, "=")
+		if !found || key == "" {
+			return settings.Settings{}, &settings.Error{Field: "--" + flagSet, Message: fmt.Sprintf("must be KEY=VALUE, is %q", assignment)}
+		}
+		overrides[key] = value
+	}
+	for name, key := range settingFlags {
+		if cmd.IsSet(name) {
+			overrides[key] = cmd.String(name)
+		}
+	}
+	return settings.Load(cmd.String(flagConfig), c.environment, overrides)
+}
+
+func (c *command) checkConfig(_ context.Context, cmd *cli.Command) error {
+	config, err := c.load(cmd)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.out, "settings of node %s in zone %s are good\n", config.Node.Name, config.Node.Zone)
+	return nil
+}
+
+func (c *command) version(context.Context, *cli.Command) error {
+	fmt.Fprintln(c.out, "covelinkd", telemetry.Version())
+	return nil
+}
+
+// run serves until the first SIGTERM or SIGINT, then drains. A second signal cuts the drain short.
+func (c *command) run(ctx context.Context, cmd *cli.Command) error {
+	config, err := c.load(cmd)
+	if err != nil {
+		return err
+	}
+	logger := telemetry.NewLogger(c.errOut, config.Log.Level, config.Log.Format)
+	process, err := node.New(config, log.With(logger, "node", config.Node.Name), node.Options{})
+	if err != nil {
+		return cli.Exit(err.Error(), exitFailed)
+	}
+	stopped, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if err := process.Start(ctx); err != nil {
+		return cli.Exit(err.Error(), exitFailed)
+	}
+	<-stopped.Done()
+	cancel()
+	forced, cancelForced := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancelForced()
+	if err := process.Stop(forced); err != nil {
+		return cli.Exit(fmt.Sprintf("stop: %s", err), exitFailed)
+	}
+	return nil
+}
--- a/internal/leadership/static.go
+++ b/internal/leadership/static.go
@@ -17,17 +17,20 @@
 type Static struct {
 	self  string
 	nodes []cluster.Node
-	zones map[string][]string
+	zones Electorate
 }
 
+// Electorate returns the zones whose nodes may hold the lease of a name; none means every zone.
+type Electorate func(name string) []string
+
 // NewStatic returns the elector of the node self among nodes. zones gives the electorate of a lease name, which Holder needs.
-func NewStatic(self string, nodes []cluster.Node, zones map[string][]string) *Static {
+func NewStatic(self string, nodes []cluster.Node, zones Electorate) *Static {
 	return &Static{self: self, nodes: nodes, zones: zones}
 }
 
 // Holder implements Elector. A name without a known electorate is held by any node.
 func (s *Static) Holder(name string) (cluster.Node, bool) {
-	return s.highest(name, s.zones[name])
+	return s.highest(name, s.zones(name))
 }
 
 // Campaign implements Elector.
--- /dev/null
+++ b/internal/node/lifecycle.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"github.com/covelink/covelink/internal/cluster"
+	"github.com/covelink/covelink/internal/configsync"
+	"github.com/covelink/covelink/internal/dispatch"
+	"github.com/covelink/covelink/internal/engine"
+	"github.com/covelink/covelink/internal/gateway"
+	"github.com/covelink/covelink/internal/inventory"
+	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/resourceapi"
+	"github.com/covelink/covelink/internal/rollout"
+	"github.com/covelink/covelink/internal/rpc"
+	"github.com/covelink/covelink/internal/settings"
+	"github.com/covelink/covelink/internal/telemetry"
+	"github.com/covelink/covelink/internal/weights"
+)
+
+const (
+	startTimeout = 15 * time.Second
+	// stopMargin is what a planned stop may take beyond the drain.
+	stopMargin = 15 * time.Second
+	// closeTimeout bounds the end of idle connections after the drain.
+	closeTimeout = 5 * time.Second
+)
+
+// lifecycleParams are the parts that a node's life acts on.
+type lifecycleParams struct {
+	fx.In
+
+	Settings  settings.Settings
+	Self      cluster.Node
+	Logger    log.Logger
+	Listeners listeners
+	Server    *rpc.Server
+	Client    *rpc.Client
+	Elector   leadership.Elector
+	Sync      *configsync.Manager
+	Engines   *engine.Client
+	Inventory *inventory.Inventory
+	Weights   *weights.Manager
+	Dispatch  *dispatch.Manager
+	Rollout   *rollout.Manager
+	Gateway   *gateway.Gateway
+	HTTP      *http.Server
+}
+
+// lifecycle runs the parts of a node and stops them in order.
+type lifecycle struct {
+	lifecycleParams
+	logger log.Logger
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+}
+
+func registerLifecycle(hooks fx.Lifecycle, params lifecycleParams) {
+	l := &lifecycle{lifecycleParams: params, logger: telemetry.For(params.Logger, telemetry.PartNode)}
+	hooks.Append(fx.Hook{OnStart: l.start, OnStop: l.stop})
+}
+
+// start launches every part. Order matters only in that handlers are registered before the listener serves.
+func (l *lifecycle) start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	l.cancel = cancel
+	l.Sync.Register(l.Server)
+	l.Weights.Register(l.Server)
+	l.Rollout.Register(l.Server)
+	l.run(func() { l.report("internal listener ended", l.Server.Serve(l.Listeners.internal)) })
+	l.run(func() { l.report("http listener ended", l.HTTP.Serve(l.Listeners.http)) })
+	l.run(func() { l.report("config sync ended", l.Sync.Run(ctx)) })
+	l.run(func() { l.Weights.Run(ctx) })
+	l.run(func() { l.Dispatch.Run(ctx) })
+	l.run(func() { l.report("rollout ended", l.Rollout.Run(ctx)) })
+	l.run(func() { l.coordinate(ctx) })
+	l.Gateway.SetReady(true, "")
+	level.Info(l.logger).Log("msg", "started", "node", l.Self.Name, "zone", l.Self.Zone,
+		"http", l.Listeners.http.Addr(), "internal", l.Listeners.internal.Addr())
+	return nil
+}
+
+// coordinate campaigns for the coordinator lease of the zone and runs the coordinator parts while it is held.
+func (l *lifecycle) coordinate(ctx context.Context) {
+	name := leadership.ZoneLease(l.Self.Zone)
+	l.Elector.Campaign(ctx, name, []string{l.Self.Zone}, func(ctx context.Context, term leadership.Term) {
+		level.Info(l.logger).Log("msg", "coordinating the zone", "zone", l.Self.Zone, "token", term.Token)
+		var leading sync.WaitGroup
+		leading.Go(func() { l.Sync.Lead(ctx, term) })
+		leading.Go(func() { l.Inventory.Lead(ctx, term) })
+		leading.Go(func() { l.Weights.Lead(ctx, term) })
+		leading.Wait()
+		level.Info(l.logger).Log("msg", "no longer coordinating", "zone", l.Self.Zone, "token", term.Token)
+	})
+}
+
+// stop is the planned stop: no new work, batches handed over, requests in flight finished, then everything closed.
+func (l *lifecycle) stop(ctx context.Context) error {
+	drainCtx, cancel := context.WithTimeout(ctx, l.Settings.Timing.DrainTimeout)
+	defer cancel()
+	level.Info(l.logger).Log("msg", "draining")
+	l.Gateway.SetReady(false, "draining")
+	err := errors.Join(
+		l.Rollout.HandOver(drainCtx),
+		l.Gateway.Drain(drainCtx),
+		l.Dispatch.Drain(drainCtx),
+	)
+	l.cancel()
+	err = errors.Join(err, l.Server.Drain(drainCtx))
+	l.close()
+	l.tasks.Wait()
+	level.Info(l.logger).Log("msg", "stopped", "err", err)
+	return err
+}
+
+// close ends every connection; requests were drained before.
+func (l *lifecycle) close() {
+	closeCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := l.HTTP.Shutdown(closeCtx); err != nil {
+		l.HTTP.Close()
+	}
+	l.Listeners.internal.Close()
+	l.Server.Close()
+	l.Client.Close()
+}
+
+func (l *lifecycle) run(task func()) { l.tasks.Go(task) }
+
+func (l *lifecycle) report(msg string, err error) {
+	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) {
+		return
+	}
+	level.Error(l.logger).Log("msg", msg, "err", err)
+}
+
+// newHTTPServer serves callers, operators and metrics on one listener.
+func newHTTPServer(config settings.Settings, callers *gateway.Gateway, operators *resourceapi.API, registry *prometheus.Registry) *http.Server {
+	gin.SetMode(gin.ReleaseMode)
+	router := gin.New()
+	router.Use(gin.Recovery())
+	callers.Routes(router)
+	operators.Routes(router)
+	router.GET("/metrics", gin.WrapH(telemetry.Handler(registry)))
+	return gateway.NewHTTPServer(router, config.Limits)
+}
--- /dev/null
+++ b/internal/node/wiring.go
@@ -0,0 +1,197 @@
+package node
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"github.com/covelink/covelink/internal/auth"
+	"github.com/covelink/covelink/internal/cluster"
+	"github.com/covelink/covelink/internal/configsync"
+	"github.com/covelink/covelink/internal/dispatch"
+	"github.com/covelink/covelink/internal/engine"
+	"github.com/covelink/covelink/internal/gateway"
+	"github.com/covelink/covelink/internal/inventory"
+	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/objectapi"
+	"github.com/covelink/covelink/internal/resourceapi"
+	"github.com/covelink/covelink/internal/rollout"
+	"github.com/covelink/covelink/internal/rpc"
+	"github.com/covelink/covelink/internal/settings"
+	"github.com/covelink/covelink/internal/telemetry"
+	"github.com/covelink/covelink/internal/weights"
+)
+
+const platformTimeout = 5 * time.Second
+
+// parts provides every part of a node.
+var parts = fx.Options(
+	fx.Provide(
+		telemetry.NewRegistry,
+		func(registry *prometheus.Registry) prometheus.Registerer { return registry },
+		telemetry.NewRPCMetrics,
+		newRPCServer,
+		newRPCClient,
+		cluster.NewHolder,
+		func(holder *cluster.Holder) cluster.Source { return holder },
+		newElector,
+		newStore,
+		newConfigSync,
+		newEngineClient,
+		newInventory,
+		newWeights,
+		newDispatch,
+		newRollout,
+		newAuthenticator,
+		newGateway,
+		newResourceAPI,
+		newHTTPServer,
+	),
+)
+
+func newRPCServer(config settings.Settings, logger log.Logger, observer *telemetry.RPCMetrics) *rpc.Server {
+	server := rpc.NewServer(telemetry.For(logger, telemetry.PartRPC))
+	server.MaxFrameBytes = config.Limits.MaxFrameBytes
+	server.Observer = observer
+	return server
+}
+
+func newRPCClient(config settings.Settings, self cluster.Node, options Options, observer *telemetry.RPCMetrics) *rpc.Client {
+	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, options.Dial)
+	client.MaxFrameBytes = config.Limits.MaxFrameBytes
+	client.Observer = observer
+	return client
+}
+
+// newElector returns the elector over the nodes of the settings.
+func newElector(config settings.Settings, self cluster.Node, source cluster.Source) leadership.Elector {
+	return leadership.NewStatic(self.Name, seeds(config), func(name string) []string {
+		return electorate(source.Current(), name)
+	})
+}
+
+// electorate returns the zones whose nodes may hold a lease.
+func electorate(view *cluster.View, lease string) []string {
+	if zone, ok := strings.CutPrefix(lease, leadership.ZoneLease("")); ok {
+		return []string{zone}
+	}
+	name, _ := strings.CutPrefix(lease, leadership.TrainerLease(""))
+	trainer, ok := view.Trainers[name]
+	if !ok {
+		return nil
+	}
+	pool, ok := view.Pools[trainer.Spec.Pool]
+	if !ok {
+		return nil
+	}
+	return pool.Spec.PermittedZones
+}
+
+func newStore(config settings.Settings) *objectapi.Client {
+	return objectapi.NewClient(objectapi.Config{BaseURL: config.Platform.ObjectAPI})
+}
+
+func newConfigSync(config settings.Settings, self cluster.Node, store *objectapi.Client, elector leadership.Elector,
+	client *rpc.Client, holder *cluster.Holder, logger log.Logger, registerer prometheus.Registerer) *configsync.Manager {
+	return configsync.New(configsync.Params{
+		Self:       self,
+		Seeds:      seeds(config),
+		Store:      store,
+		Elector:    elector,
+		Client:     client,
+		Holder:     holder,
+		Timing:     config.Timing,
+		Logger:     telemetry.For(logger, telemetry.PartConfigSync),
+		Registerer: registerer,
+	})
+}
+
+func newEngineClient() *engine.Client { return engine.New(engine.Config{}) }
+
+func newInventory(config settings.Settings, self cluster.Node, engines *engine.Client, source cluster.Source,
+	sync *configsync.Manager, logger log.Logger, registerer prometheus.Registerer) *inventory.Inventory {
+	return inventory.New(inventory.Params{
+		Zone:       self.Zone,
+		Machines:   inventory.NewHTTPMachineLister(config.Platform.MachineList, &http.Client{Timeout: platformTimeout}),
+		Engines:    engines,
+		Source:     source,
+		Timing:     config.Timing,
+		Publish:    sync.SetEngines,
+		Logger:     telemetry.For(logger, telemetry.PartInventory),
+		Registerer: registerer,
+	})
+}
+
+func newWeights(self cluster.Node, source cluster.Source, engines *engine.Client, elector leadership.Elector, client *rpc.Client,
+	engineInventory *inventory.Inventory, logger log.Logger, registerer prometheus.Registerer) *weights.Manager {
+	return weights.New(weights.Params{
+		Self:       self,
+		Source:     source,
+		Orders:     engineOrders{engines},
+		Elector:    elector,
+		Client:     client,
+		Observe:    engineInventory.Observe,
+		Logger:     telemetry.For(logger, telemetry.PartWeights),
+		Registerer: registerer,
+	})
+}
+
+func newDispatch(config settings.Settings, self cluster.Node, source cluster.Source, engines *engine.Client,
+	logger log.Logger, registerer prometheus.Registerer) *dispatch.Manager {
+	return dispatch.New(dispatch.Params{
+		Source:     source,
+		Self:       self,
+		Engines:    engines,
+		Limits:     config.Limits,
+		Logger:     telemetry.For(logger, telemetry.PartDispatch),
+		Registerer: registerer,
+	})
+}
+
+func newRollout(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *dispatch.Manager, elector leadership.Elector,
+	client *rpc.Client, publisher *weights.Manager, logger log.Logger, registerer prometheus.Registerer) *rollout.Manager {
+	return rollout.New(rollout.Params{
+		Self:       self,
+		Source:     source,
+		Dispatcher: dispatcher,
+		Elector:    elector,
+		Client:     client,
+		Publisher:  publisher,
+		Logs:       rollout.NewMemoryLogs(),
+		Scorer:     rollout.HTTPScorer{Client: &http.Client{Timeout: config.Timing.RequestTimeout}},
+		Limits:     config.Limits,
+		Logger:     telemetry.For(logger, telemetry.PartRollout),
+		Registerer: registerer,
+	})
+}
+
+func newAuthenticator(config settings.Settings, source cluster.Source) *auth.Authenticator {
+	return auth.New(source, config.Operators)
+}
+
+func newGateway(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *dispatch.Manager, rollouts *rollout.Manager,
+	authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
+	return gateway.New(gateway.Params{
+		Self:       self,
+		Source:     source,
+		Dispatcher: dispatcher,
+		Rollouts:   rollouts.Service(),
+		Auth:       authenticator,
+		Limits:     config.Limits,
+		Timing:     config.Timing,
+		Logger:     telemetry.For(logger, telemetry.PartGateway),
+		Registerer: registerer,
+	})
+}
+
+func newResourceAPI(backend *configsync.Manager, authenticator *auth.Authenticator, logger log.Logger) *resourceapi.API {
+	return resourceapi.New(resourceapi.Params{
+		Backend:      backend,
+		Authenticate: operatorRole(authenticator),
+		Logger:       telemetry.For(logger, telemetry.PartResourceAPI),
+	})
+}
