--- a/coord/rendezvous/rendezvous.go
+++ b/coord/rendezvous/rendezvous.go
@@ -23,6 +23,9 @@
 	Load int
 }
 
+// scoreBits is the number of bits of a hash that a score is made from; they fit a float64.
+const scoreBits = 52
+
 // Hash returns the hash of a name, for Member.ID and for keys.
 func Hash(name string) uint64 {
 	return xxhash.Sum64String(name)
@@ -38,8 +41,7 @@
 
 // Score returns the member's score for the key; the highest score ranks first. It is positive.
 func Score(key uint64, member Member) float64 {
-	const bits = 53
-	uniform := (float64(Mix(key, member.ID)>>(64-bits)) + 0.5) / (1 << bits)
+	uniform := (float64(Mix(key, member.ID)>>(64-scoreBits)) + 0.5) / (1 << scoreBits)
 	return -weightOf(member) / math.Log(uniform)
 }
 
@@ -63,11 +65,14 @@
 // A member's bound is factor times its fair share of the total load with the new key counted in, rounded up; with
 // factor > 1 some member is always below its bound. A factor of zero or less sets no bound. Pick does not allocate.
 func Pick(key uint64, members []Member, factor float64) int {
-	totalLoad, totalWeight := totals(members)
+	sum := sumOf(members)
+	if sum.uniform {
+		return pickUniform(key, members, sum.bound(1, factor))
+	}
 	best := -1
 	var bestScore float64
 	for index, member := range members {
-		if factor > 0 && member.Load >= bound(member, factor, totalLoad, totalWeight) {
+		if member.Load >= sum.bound(weightOf(member), factor) {
 			continue
 		}
 		score := Score(key, member)
@@ -78,16 +83,49 @@
 	return best
 }
 
-func totals(members []Member) (load int, weight float64) {
-	for _, member := range members {
-		load += member.Load
-		weight += weightOf(member)
+// pickUniform picks among members of equal weight. Score grows with Mix, so the logarithm can be left out.
+func pickUniform(key uint64, members []Member, bound int) int {
+	best := -1
+	var bestMix uint64
+	for index := range members {
+		if members[index].Load >= bound {
+			continue
+		}
+		mixed := Mix(key, members[index].ID) >> (64 - scoreBits)
+		if best < 0 || mixed > bestMix || (mixed == bestMix && members[index].ID < members[best].ID) {
+			best, bestMix = index, mixed
+		}
+	}
+	return best
+}
+
+// sums are what the bounds of a set of members follow from. Weights are relative to the first member's when uniform.
+type sums struct {
+	load    int
+	weight  float64
+	uniform bool
+}
+
+func sumOf(members []Member) sums {
+	sum := sums{uniform: true}
+	for index := range members {
+		weight := weightOf(members[index])
+		sum.load += members[index].Load
+		sum.weight += weight
+		sum.uniform = sum.uniform && weight == weightOf(members[0])
 	}
-	return load, weight
+	if sum.uniform {
+		sum.weight = float64(len(members))
+	}
+	return sum
 }
 
-func bound(member Member, factor float64, totalLoad int, totalWeight float64) int {
-	return int(math.Ceil(factor * float64(totalLoad+1) * weightOf(member) / totalWeight))
+// bound returns the load that a member of the weight must stay below.
+func (s *sums) bound(weight, factor float64) int {
+	if factor <= 0 || s.weight == 0 {
+		return math.MaxInt
+	}
+	return int(math.Ceil(factor * float64(s.load+1) * weight / s.weight))
 }
 
 func weightOf(member Member) float64 {
--- a/internal/scheduler/placer.go
+++ b/internal/scheduler/placer.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/covelink/covelink/coord/rendezvous"
-	"github.com/covelink/covelink/internal/cluster"
 )
 
 // DefaultMaxConcurrent is the bound on an engine's requests in flight for a pool that states none.
@@ -113,7 +112,7 @@
 
 // Placer makes decisions. It keeps its buffers, so that a decision allocates nothing. It is not safe for concurrent use.
 type Placer struct {
-	candidates []int
+	candidates []*row
 	members    []rendezvous.Member
 }
 
@@ -134,12 +133,12 @@
 		return refuse(decision)
 	}
 	limit := SlotLimit(pool.Spec.MaxConcurrent, pool.Spec.InteractiveReserve, request.Interactive)
-	p.filter(now, snapshot, request, pool.Spec.PermittedZones, limit, &decision.Explanation)
+	p.filter(now, snapshot, request, limit, &decision.Explanation)
 	if len(p.candidates) == 0 {
 		return undecided(decision)
 	}
 	decision.Kind = Placed
-	decision.Engine = p.best(now, snapshot, request, pool.Spec.MaxConcurrent)
+	decision.Engine = p.best(now, request, pool.Spec.MaxConcurrent)
 	return decision
 }
 
@@ -155,37 +154,32 @@
 	return limit - max(interactiveReserve, 0)
 }
 
-func (p *Placer) filter(
-	now time.Time, snapshot *Snapshot, request *Request, permitted []string, limit int, explanation *Explanation,
-) {
+func (p *Placer) filter(now time.Time, snapshot *Snapshot, request *Request, limit int, explanation *Explanation) {
 	p.candidates = p.candidates[:0]
+	rows := snapshot.pools[request.Pool]
 	explanation.Engines = len(snapshot.View.Engines)
-	for index := range snapshot.View.Engines {
-		removed := check(now, &snapshot.View.Engines[index], snapshot.States[index], request, permitted, limit)
+	explanation.Removed[FilterPool] = explanation.Engines - len(rows)
+	for index := range rows {
+		removed := check(now, &rows[index], request, limit)
 		if removed != filterCount {
 			explanation.Removed[removed]++
 			continue
 		}
-		p.candidates = append(p.candidates, index)
+		p.candidates = append(p.candidates, &rows[index])
 	}
 }
 
 // check returns the first filter that removes the engine, or filterCount.
-func check(
-	now time.Time, engine *cluster.Engine, state *EngineState, request *Request, permitted []string, limit int,
-) Filter {
+func check(now time.Time, row *row, request *Request, limit int) Filter {
+	state := row.state
 	switch {
-	case engine.Pool != request.Pool:
-		return FilterPool
-	case !slices.Contains(permitted, engine.Zone):
-		return FilterZone
-	case state.Cordoned:
-		return FilterCordoned
-	case engine.Leaving || state.SpecDraining || now.Before(state.DrainingUntil):
+	case row.removed < FilterAvoided:
+		return row.removed
+	case now.Before(state.DrainingUntil):
 		return FilterLeaving
-	case slices.Contains(request.Avoid, engine.Name):
+	case len(request.Avoid) > 0 && slices.Contains(request.Avoid, row.name):
 		return FilterAvoided
-	case engine.Incarnation == "" || state.Unusable:
+	case row.removed == FilterIncarnation || state.Unusable:
 		return FilterIncarnation
 	case state.Version < request.MinVersion:
 		return FilterVersion
@@ -218,40 +212,41 @@
 	return decision
 }
 
-func (p *Placer) best(now time.Time, snapshot *Snapshot, request *Request, maxConcurrent int) int {
+func (p *Placer) best(now time.Time, request *Request, maxConcurrent int) int {
 	if maxConcurrent <= 0 {
 		maxConcurrent = DefaultMaxConcurrent
 	}
-	preferred := p.preferred(snapshot, request)
-	best := -1
+	preferred := p.preferred(request)
+	var best *row
 	var bestScore float64
-	var bestTie uint64
-	for _, index := range p.candidates {
-		state := snapshot.States[index]
-		score := score(now, state, request, maxConcurrent)
-		if index == preferred {
+	for _, candidate := range p.candidates {
+		score := score(now, candidate.state, request, maxConcurrent)
+		if candidate == preferred {
 			score += weightAffinity
 		}
-		if snapshot.View.Engines[index].Name == request.Last {
+		if request.Last != "" && candidate.name == request.Last {
 			score -= weightLast
 		}
-		tie := rendezvous.Mix(request.TieKey, state.Hash)
-		if best < 0 || score > bestScore || (score == bestScore && tie > bestTie) {
-			best, bestScore, bestTie = index, score, tie
+		if best == nil || score > bestScore || (score == bestScore && wins(request.TieKey, candidate, best)) {
+			best, bestScore = candidate, score
 		}
 	}
-	return best
+	return best.index
 }
 
-// preferred returns the engine that the prompt's prefix prefers, or -1.
-func (p *Placer) preferred(snapshot *Snapshot, request *Request) int {
+// wins breaks a tie, so that requests spread over engines of the same score.
+func wins(key uint64, challenger, best *row) bool {
+	return rendezvous.Mix(key, challenger.state.Hash) > rendezvous.Mix(key, best.state.Hash)
+}
+
+// preferred returns the engine that the prompt's prefix prefers, or nil.
+func (p *Placer) preferred(request *Request) *row {
 	if request.PrefixKey == 0 {
-		return -1
+		return nil
 	}
 	p.members = p.members[:0]
-	for _, index := range p.candidates {
-		state := snapshot.States[index]
-		p.members = append(p.members, rendezvous.Member{ID: state.Hash, Load: state.InFlight})
+	for _, candidate := range p.candidates {
+		p.members = append(p.members, rendezvous.Member{ID: candidate.state.Hash, Load: candidate.state.InFlight})
 	}
 	return p.candidates[rendezvous.Pick(request.PrefixKey, p.members, boundedLoadFactor)]
 }
--- /dev/null
+++ b/internal/scheduler/queue_test.go
@@ -0,0 +1,181 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/covelink/covelink/internal/scheduler"
+)
+
+var wide = scheduler.QueueLimits{Requests: 1 << 20, Tokens: 1 << 40}
+
+// takeOne takes the first item of the queue.
+func takeOne(queue *scheduler.Queue, now time.Time) (taken scheduler.Item, ok bool) {
+	queue.Scan(now, func(item *scheduler.Item) scheduler.Verdict {
+		if ok {
+			return scheduler.Stop
+		}
+		taken, ok = *item, true
+		return scheduler.Take
+	})
+	return taken, ok
+}
+
+func TestOrder(t *testing.T) {
+	push := func(queue *scheduler.Queue, items ...scheduler.Item) {
+		for _, item := range items {
+			So(queue.Push(epoch, item), ShouldBeNil)
+		}
+	}
+	drain := func(queue *scheduler.Queue) (ids []uint64) {
+		for {
+			item, ok := takeOne(queue, epoch)
+			if !ok {
+				return ids
+			}
+			ids = append(ids, item.ID)
+		}
+	}
+	Convey("Interactive first in order of arrival, then rollouts longest first", t, func() {
+		queue := scheduler.NewQueue(wide)
+		push(queue,
+			scheduler.Item{ID: 1, Tokens: 10}, scheduler.Item{ID: 2, Tokens: 90}, scheduler.Item{ID: 3, Tokens: 50},
+			scheduler.Item{ID: 4, Interactive: true, Tokens: 5}, scheduler.Item{ID: 5, Interactive: true, Tokens: 50})
+		So(drain(queue), ShouldResemble, []uint64{4, 5, 2, 3, 1})
+		So(queue.Tokens(), ShouldEqual, 0)
+	})
+	Convey("A skipped item holds up neither its caller nor another pool, and is offered once a scan", t, func() {
+		queue := scheduler.NewQueue(wide)
+		push(queue, scheduler.Item{ID: 1, Tokens: 9}, scheduler.Item{ID: 2, Tokens: 1}, scheduler.Item{ID: 3, Pool: "other"})
+		offers := map[uint64]int{}
+		queue.Scan(epoch, func(item *scheduler.Item) scheduler.Verdict {
+			offers[item.ID]++
+			if item.ID == 1 {
+				return scheduler.Skip
+			}
+			return scheduler.Take
+		})
+		So(offers, ShouldResemble, map[uint64]int{1: 1, 2: 1, 3: 1})
+		So(queue.Len(false), ShouldEqual, 1)
+	})
+	Convey("Removed items are never offered", t, func() {
+		queue := scheduler.NewQueue(wide)
+		push(queue, scheduler.Item{ID: 1}, scheduler.Item{ID: 2})
+		So(queue.Remove(1), ShouldBeTrue)
+		So(queue.Remove(1), ShouldBeFalse)
+		So(drain(queue), ShouldResemble, []uint64{2})
+	})
+}
+
+func TestBounds(t *testing.T) {
+	Convey("Requests are bounded by class, tokens over both", t, func() {
+		queue := scheduler.NewQueue(scheduler.QueueLimits{Requests: 1, Tokens: 100})
+		So(queue.Push(epoch, scheduler.Item{ID: 1, Tokens: 40}), ShouldBeNil)
+		rejection := queue.Push(epoch, scheduler.Item{ID: 2, Tokens: 40})
+		So(rejection.Reason, ShouldEqual, scheduler.RejectedRequests)
+		So(rejection.RetryAfter, ShouldBeGreaterThan, 0)
+		So(queue.Push(epoch, scheduler.Item{ID: 3, Tokens: 61, Interactive: true}).Reason, ShouldEqual, scheduler.RejectedTokens)
+		So(queue.Push(epoch, scheduler.Item{ID: 4, Tokens: 60, Interactive: true}), ShouldBeNil)
+		So(queue.Push(epoch, scheduler.Item{ID: 5, Tokens: 40, Readmitted: true}), ShouldBeNil)
+	})
+	Convey("A deadline that the measured drain rate cannot meet is refused early", t, func() {
+		queue := scheduler.NewQueue(wide)
+		now := epoch
+		for id := range uint64(40) {
+			So(queue.Push(now, scheduler.Item{ID: id, Tokens: 100}), ShouldBeNil)
+		}
+		for range 20 {
+			now = now.Add(time.Second)
+			_, ok := takeOne(queue, now)
+			So(ok, ShouldBeTrue)
+		}
+		So(queue.Wait(now, false, ""), ShouldBeBetween, 19*time.Second, 21*time.Second)
+		late := scheduler.Item{ID: 100, Tokens: 100, Deadline: now.Add(5 * time.Second)}
+		rejection := queue.Push(now, late)
+		So(rejection.Reason, ShouldEqual, scheduler.RejectedDeadline)
+		So(rejection.RetryAfter, ShouldBeBetween, 19*time.Second, 21*time.Second)
+		late.Deadline = now.Add(time.Minute)
+		So(queue.Push(now, late), ShouldBeNil)
+	})
+}
+
+// TestFairness checks the bound of start-time fair queueing: while two callers wait, the tokens they were served,
+// divided by their weights, differ by at most one greatest request of each.
+func TestFairness(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const greatest = 200
+		queue := scheduler.NewQueue(wide)
+		weights := map[string]int{"a": rapid.IntRange(1, 5).Draw(t, "a"), "b": rapid.IntRange(1, 5).Draw(t, "b")}
+		waiting := map[string]int{}
+		for id := range uint64(rapid.IntRange(2, 120).Draw(t, "items")) {
+			caller := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "caller")
+			tokens := rapid.IntRange(1, greatest).Draw(t, "tokens")
+			queue.Push(epoch, scheduler.Item{ID: id, Caller: caller, Weight: weights[caller], Tokens: tokens})
+			waiting[caller]++
+		}
+		served := map[string]float64{}
+		for waiting["a"] > 0 && waiting["b"] > 0 {
+			item, _ := takeOne(queue, epoch)
+			waiting[item.Caller]--
+			served[item.Caller] += float64(item.Tokens) / float64(weights[item.Caller])
+			bound := float64(greatest)/float64(weights["a"]) + float64(greatest)/float64(weights["b"])
+			if difference := served["a"] - served["b"]; difference > bound || -difference > bound {
+				t.Fatalf("shares %v differ by more than %v", served, bound)
+			}
+		}
+	})
+}
+
+func TestRetryBudget(t *testing.T) {
+	Convey("Retries are a fraction of the successes once the burst is spent", t, func() {
+		budget := scheduler.NewRetryBudget(0.25, 2)
+		So(budget.Withdraw(), ShouldBeTrue)
+		So(budget.Withdraw(), ShouldBeTrue)
+		So(budget.Withdraw(), ShouldBeFalse)
+		granted := 0
+		for range 100 {
+			budget.Succeed()
+			if budget.Withdraw() {
+				granted++
+			}
+		}
+		So(granted, ShouldEqual, 25)
+	})
+}
+
+func TestBreaker(t *testing.T) {
+	Convey("It opens after consecutive failures, lets one probe pass and grows its backoff", t, func() {
+		var breaker scheduler.Breaker
+		breaker.Fail(epoch, 0.5)
+		breaker.Fail(epoch, 0.5)
+		breaker.Succeed()
+		breaker.Fail(epoch, 0.5)
+		breaker.Fail(epoch, 0.5)
+		So(breaker.Ready(epoch), ShouldBeTrue)
+		breaker.Fail(epoch, 0.5)
+		So(breaker.State(epoch), ShouldEqual, scheduler.BreakerOpen)
+		So(breaker.Ready(epoch.Add(99*time.Millisecond)), ShouldBeFalse)
+		probe := epoch.Add(100 * time.Millisecond)
+		So(breaker.Ready(probe), ShouldBeTrue)
+		breaker.Start(probe)
+		So(breaker.Ready(probe), ShouldBeFalse)
+		breaker.Fail(probe, 0.5)
+		So(breaker.Ready(probe.Add(199*time.Millisecond)), ShouldBeFalse)
+		second := probe.Add(200 * time.Millisecond)
+		So(breaker.Ready(second), ShouldBeTrue)
+		breaker.Start(second)
+		breaker.Abandon()
+		So(breaker.Ready(second), ShouldBeTrue)
+		breaker.Start(second)
+		breaker.Succeed()
+		So(breaker.State(second), ShouldEqual, scheduler.BreakerClosed)
+	})
+	Convey("Full jitter stays below the doubled base and the limit", t, func() {
+		So(scheduler.FullJitter(time.Second, time.Minute, 3, 0), ShouldEqual, 0)
+		So(scheduler.FullJitter(time.Second, time.Minute, 3, 0.5), ShouldEqual, 4*time.Second)
+		So(scheduler.FullJitter(time.Second, time.Minute, 100, 0.5), ShouldEqual, 30*time.Second)
+	})
+}
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -18,15 +18,13 @@
 
 // EngineState is what this node knows of an engine besides the view. The fields above InFlight follow from the view.
 type EngineState struct {
-	Hash     uint64
+	Hash uint64
+	// Distance is that between this node's zone and the engine's.
 	Distance int
-	Cordoned bool
 	// Version is the higher of the view's and the observed weight version of the engine's incarnation.
 	Version int64
 	// Incarnation is the one that the observed fields belong to.
 	Incarnation string
-	// SpecDraining is set while the pool's spec names the engine as draining.
-	SpecDraining bool
 	// Unusable is set when the engine refuses the view's incarnation. It holds until the view's entry of the engine changes.
 	Unusable bool
 	// DrainingUntil keeps new requests off after the engine itself refused one as draining; the view may lag behind it.
@@ -81,15 +79,25 @@
 	View *cluster.View
 	// States stands beside View.Engines.
 	States []*EngineState
+	// pools holds the engines of each pool, with what the view alone decides about them.
+	pools map[string][]row
 	// departed holds the states of engines that left the view with requests in flight, by name.
 	departed map[string]*EngineState
 }
 
+// row is one engine of a pool. removed is the filter by which the view alone removes it, or filterCount.
+type row struct {
+	index   int
+	removed Filter
+	name    string
+	state   *EngineState
+}
+
 // NewSnapshot returns the snapshot of a view for a node in selfZone. States of engines that previous holds are carried
 // over; what was observed of another incarnation is dropped. previous may be nil.
 func NewSnapshot(view *cluster.View, selfZone string, previous *Snapshot) *Snapshot {
 	known := previous.byName()
-	next := &Snapshot{View: view, States: make([]*EngineState, len(view.Engines))}
+	next := &Snapshot{View: view, States: make([]*EngineState, len(view.Engines)), pools: make(map[string][]row)}
 	for index := range view.Engines {
 		engine := &view.Engines[index]
 		old, found := known[engine.Name]
@@ -97,10 +105,11 @@
 			old = knownState{state: &EngineState{Hash: rendezvous.Hash(engine.Name)}}
 		}
 		refresh(old, engine)
-		old.state.Cordoned = cordoned(view, engine.Zone)
 		old.state.Distance = distance(view, selfZone, engine.Zone)
-		old.state.SpecDraining = draining(view, engine)
 		next.States[index] = old.state
+		next.pools[engine.Pool] = append(next.pools[engine.Pool], row{
+			index: index, removed: removedByView(view, engine), name: engine.Name, state: old.state,
+		})
 		delete(known, engine.Name)
 	}
 	next.departed = inFlight(known)
@@ -172,6 +181,21 @@
 	return a.Incarnation == b.Incarnation && a.URL == b.URL && a.Zone == b.Zone && a.Leaving == b.Leaving
 }
 
+// removedByView returns the first filter by which the view alone removes the engine from its pool, or filterCount.
+func removedByView(view *cluster.View, engine *cluster.Engine) Filter {
+	switch {
+	case !view.Permitted(engine.Pool, engine.Zone):
+		return FilterZone
+	case cordoned(view, engine.Zone):
+		return FilterCordoned
+	case engine.Leaving || draining(view, engine):
+		return FilterLeaving
+	case engine.Incarnation == "":
+		return FilterIncarnation
+	}
+	return filterCount
+}
+
 func cordoned(view *cluster.View, zone string) bool {
 	z, ok := view.Zones[zone]
 	return ok && z.Spec.Cordoned
