--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -118,23 +118,12 @@
 		failure = unknown(v1.CodeInternal, "the answer is shorter than its stream")
 	}
 	if failure != nil {
-		log.end(failureOfStream(failure, sent))
+		log.end(failure)
 		return
 	}
 	log.end(appendRest(log, call, answer, sent))
 }
 
-// failureOfStream corrects a failure that claims that nothing was executed although tokens came.
-func failureOfStream(failure *v1.Error, sent int) *v1.Error {
-	if sent == 0 || failure.Outcome == v1.OutcomeUnknown {
-		return failure
-	}
-	corrected := *failure
-	corrected.Outcome = v1.OutcomeUnknown
-	corrected.RetryAfter = 0
-	return &corrected
-}
-
 // appendRest adds the tokens not yet streamed and the closing chunks.
 func appendRest(log *eventLog, call *completionCall, answer *StoredAnswer, sent int) *v1.Error {
 	shape := call.shape.answered(answer)
@@ -199,9 +188,17 @@
 
 // dispatch runs the call on an engine.
 func (g *Gateway) dispatch(ctx context.Context, call *completionCall, progress func(dispatch.Progress) error) (*StoredAnswer, *v1.Error) {
-	result := g.params.Dispatcher.Dispatch(ctx, call.task(), progress)
+	produced := false
+	noted := progress
+	if progress != nil {
+		noted = func(run dispatch.Progress) error {
+			produced = true
+			return progress(run)
+		}
+	}
+	result := g.params.Dispatcher.Dispatch(ctx, call.task(), noted)
 	if result.Outcome != v1.OutcomeCompleted {
-		failure := failureOf(result)
+		failure := failureOf(result, produced || len(result.Tokens) > 0)
 		level.Info(g.logger).Log("msg", "request failed", "request", call.requestID, "pool", call.request.pool,
 			"outcome", failure.Outcome, "code", failure.Code, "attempts", result.Attempts)
 		return nil, failure
@@ -215,15 +212,17 @@
 	}, nil
 }
 
-// failureOf returns the error of a result, which states the result's outcome.
-func failureOf(result dispatch.Result) *v1.Error {
+// failureOf returns the error of a result, which states the result's outcome. What has produced tokens is never
+// stated as not run.
+func failureOf(result dispatch.Result, produced bool) *v1.Error {
 	failure := v1.Error{Code: v1.CodeInternal, Message: "the request failed"}
 	if result.Err != nil {
 		failure = *result.Err
 	}
-	failure.Outcome = v1.OutcomeUnknown
-	if result.Outcome == v1.OutcomeNotRun {
-		failure.Outcome = v1.OutcomeNotRun
+	failure.Outcome = v1.OutcomeNotRun
+	if produced || result.Outcome != v1.OutcomeNotRun {
+		failure.Outcome = v1.OutcomeUnknown
+		failure.RetryAfter = 0
 	}
 	return &failure
 }
