resourceapi: judge each write by the writes before it, and end watches on stop

A backend may write to the store and read from what its node holds, which follows later: a pool created right after its zone was refused. Deletes without a version are tried again after a conflict. Stop ends watches, which would otherwise keep a server from shutting down.

--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	maxWriteTries     = 8
+	maxWriteTries     = 10
 	firstRetryDelay   = 50 * time.Millisecond
 	longestRetryDelay = 2 * time.Second
 	defaultWait       = time.Minute
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -34,16 +35,29 @@
 	if err != nil {
 		return err
 	}
+	answer, err := askEach(ctx, client, explainPath+url.PathEscape(given[0]))
+	if err != nil {
+		return fmt.Errorf("%s: %w", given[0], err)
+	}
+	return writeLines(out, answer)
+}
+
+// askEach returns the first answer of a server that has one. Each node remembers its own decisions: one that does not
+// know the request is no reason to stop. If none has an answer, what a server said goes before what could not be reached.
+func askEach(ctx context.Context, client *client, path string) (json.RawMessage, error) {
 	var answer json.RawMessage
-	// Each node remembers its own decisions: one that does not know the request is no reason to stop.
 	var failed error
 	for _, server := range client.servers {
-		failed = client.callServer(ctx, server, http.MethodGet, explainPath+url.PathEscape(given[0]), nil, &answer)
-		if failed == nil {
-			return writeLines(out, answer)
+		err := client.callServer(ctx, server, http.MethodGet, path, nil, &answer)
+		if err == nil {
+			return answer, nil
+		}
+		var refused *serverError
+		if failed == nil || errors.As(err, &refused) {
+			failed = err
 		}
 	}
-	return fmt.Errorf("%s: %w", given[0], failed)
+	return nil, failed
 }
 
 // writeLines prints a JSON text as one "path: value" line for each scalar, in the order of the text.
--- a/internal/resourceapi/api.go
+++ b/internal/resourceapi/api.go
@@ -1,6 +1,7 @@
 package resourceapi
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -34,6 +35,9 @@
 	authenticate Authenticator
 	logger       log.Logger
 	now          func() time.Time
+	// stopping ends when Stop is called.
+	stopping context.Context
+	stop     context.CancelFunc
 }
 
 // New returns an API.
@@ -42,14 +46,21 @@
 	if now == nil {
 		now = time.Now
 	}
+	stopping, stop := context.WithCancel(context.Background())
 	return &API{
 		backend:      params.Backend,
 		authenticate: params.Authenticate,
 		logger:       telemetry.For(params.Logger, telemetry.PartResourceAPI),
 		now:          now,
+		stopping:     stopping,
+		stop:         stop,
 	}
 }
 
+// Stop ends every watch, now and from now on, so that a server that waits for its requests can stop. Other requests
+// are served as before.
+func (a *API) Stop() { a.stop() }
+
 // Routes adds the routes of every kind.
 func (a *API) Routes(router gin.IRouter) {
 	group := router.Group(BasePath, a.identify)
--- a/internal/resourceapi/plan.go
+++ b/internal/resourceapi/plan.go
@@ -75,9 +75,14 @@
 	return planned, r.checkHarm(resources, resources.without(r.kind, planned.name))
 }
 
-// current returns the resource as it is, or a conflict if it is not at the version; empty matches any.
+// current returns the resource as it is, or a conflict if it is not at the version; empty matches any. Reads that are
+// behind the version are waited for.
 func (a *API) current(ctx context.Context, kind v1.Kind, name, version string) (v1.Object, error) {
 	object, err := a.backend.Get(ctx, kind, name)
+	if isNotFound(err) && version != "" || err == nil && isOlder(object.Meta().ResourceVersion, version) {
+		a.settleWrite(ctx, kind, name, version)
+		object, err = a.backend.Get(ctx, kind, name)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -100,7 +105,11 @@
 	return &confirmationError{message: strings.Join(harm, "; ") + "; repeat with confirm=true to change it all the same"}
 }
 
-func isNotFound(err error) bool {
+func isNotFound(err error) bool { return hasCode(err, v1.CodeNotFound) }
+
+func isConflict(err error) bool { return hasCode(err, v1.CodeConflict) }
+
+func hasCode(err error, code v1.ErrorCode) bool {
 	var typed *v1.Error
-	return errors.As(err, &typed) && typed.Code == v1.CodeNotFound
+	return errors.As(err, &typed) && typed.Code == code
 }
--- a/internal/resourceapi/watch.go
+++ b/internal/resourceapi/watch.go
@@ -19,11 +19,12 @@
 }
 
 // watch sends every change after the stated revision, one JSON object a line. Without a revision it first sends
-// every resource as added. The body ends when the client leaves, the timeout passes or the backend drops the
-// watch; the client then watches again from the last resourceVersion it saw.
+// every resource as added. The body ends when the client leaves, the timeout passes, Stop is called or the
+// backend drops the watch; the client then watches again from the last resourceVersion it saw.
 func (a *API) watch(r *request) error {
 	ctx, cancel := watchContext(r)
 	defer cancel()
+	defer context.AfterFunc(a.stopping, cancel)()
 	var existing []v1.Object
 	after := r.options.revision
 	if r.options.resourceVersion == "" {
--- a/internal/resourceapi/write.go
+++ b/internal/resourceapi/write.go
@@ -32,6 +32,7 @@
 		return a.failedWrite(r, change, err)
 	}
 	a.audit(r, change, stored.Meta().ResourceVersion)
+	a.settleWrite(r.Request.Context(), r.kind, change.name, stored.Meta().ResourceVersion)
 	r.object(http.StatusCreated, stored)
 	return nil
 }
@@ -60,27 +61,44 @@
 		return a.failedWrite(r, change, err)
 	}
 	a.audit(r, change, stored.Meta().ResourceVersion)
+	a.settleWrite(r.Request.Context(), r.kind, change.name, stored.Meta().ResourceVersion)
 	r.object(http.StatusOK, stored)
 	return nil
 }
 
 func (a *API) remove(r *request) error {
-	change, err := a.planDelete(r)
+	var err error
+	for range maxDeleteTries {
+		err = a.tryRemove(r)
+		if !isConflict(err) || r.options.resourceVersion != "" {
+			break
+		}
+	}
 	if err != nil {
 		return err
 	}
-	if !r.options.dryRun {
-		// The version that the checks saw is the one to delete: a change in between is a conflict.
-		err := a.backend.Delete(r.Request.Context(), r.kind, change.name, change.resourceVersion)
-		if err != nil {
-			return a.failedWrite(r, change, err)
-		}
-		a.audit(r, change, change.resourceVersion)
-	}
 	r.JSON(http.StatusOK, success())
 	return nil
 }
 
+// maxDeleteTries bounds the tries of a delete that states no version.
+const maxDeleteTries = 5
+
+// tryRemove deletes the version that its checks saw: a change in between is a conflict.
+func (a *API) tryRemove(r *request) error {
+	ctx := r.Request.Context()
+	change, err := a.planDelete(r)
+	if err != nil || r.options.dryRun {
+		return err
+	}
+	if err := a.backend.Delete(ctx, r.kind, change.name, change.resourceVersion); err != nil {
+		return a.failedWrite(r, change, err)
+	}
+	a.audit(r, change, change.resourceVersion)
+	a.settleDelete(ctx, r.kind, change.name, change.resourceVersion)
+	return nil
+}
+
 // readObject decodes, defaults and validates the body. What operators cannot write is dropped.
 func (r *request) readObject() (v1.Object, error) {
 	data, err := io.ReadAll(http.MaxBytesReader(r.Writer, r.Request.Body, maxResourceBytes))
