--- a/internal/rollout/delivery.go
+++ b/internal/rollout/delivery.go
@@ -9,24 +9,24 @@
 
 // The contract of delivery, as a trainer sees it.
 //
-// A sample is handed over at a position, which is logged before the bytes are sent. What takes a sample over is the
-// acknowledgement: an acknowledged sample is final and never comes again, under any position. A sample that was received but not
-// acknowledged still belongs to the system:
+// A sample is handed over at a position, which is logged before the bytes are sent. A trainer keeps a cursor with its own
+// durable state: the position up to which it has consumed samples. It moves the cursor in the same step that makes the
+// consumption durable, and acknowledges it. An acknowledged sample is final: it never comes again under any position.
 //
-//   - A trainer fetches with the cursor of what it has safely received, one fetch at a time per batch. If the reply is
-//     lost, or the trainer crashes before it acknowledges, it fetches again with its last cursor (0 if it has none) and
-//     must discard whatever it received above that cursor: those samples come again. They keep their positions and bytes,
-//     save those that have since gone stale. Such a sample's position is tombstoned, for good and without a
-//     sample; its rerun has the same identity (trainer, batch, index) under a new position.
-//   - So a trainer that keeps consumed samples above its cursor would take an identity twice; one that acknowledges what
-//     it consumes, or discards what it did not acknowledge, takes each identity exactly once.
-//   - Acknowledging a position says that every live sample up to it was received. A tombstoned position counts for nothing: its
-//     identity is still to come. Positions may therefore be skipped in a reply; Next covers the skipped ones.
+//   - A trainer fetches with its cursor, one fetch at a time per batch. If the reply is lost, or the trainer crashes before
+//     it has moved its cursor, it fetches again with the same cursor and must discard whatever it received above it: those
+//     samples come again. They keep their positions and bytes, save those that have since gone stale. The position of such a
+//     sample is tombstoned for good; its rerun has the same identity (trainer, batch, index) under a new position.
+//   - So each identity is consumed exactly once by a trainer that discards what lies above its cursor. One that keeps such
+//     samples, fetched and not acknowledged, may meet their identities a second time: those are its own to discard.
+//   - A lost acknowledgement is sent again; a lower or equal one changes nothing. An acknowledgement that covers a tombstoned
+//     position counts nothing for it: its identity is still to come. A trainer that is set back below what it
+//     acknowledged does not get those samples again.
+//   - Positions may be missing in a reply; Next covers the missing ones.
 //   - Staleness is judged at hand-over and at each re-read against the highest version the trainer has ever stated, this fetch
-//     included. A fetch that states a lower version than the highest is either a late copy of an old request or a trainer
-//     set back. It gets fresh samples as any other, but never tombstones an offered one, since the trainer may hold
-//     it: it is refused as a conflict and the trainer fetches again, stating the highest version. So is version 0, which states none.
-//   - A lost acknowledgement is sent again; a lower or equal one changes nothing.
+//     included. A fetch that states a lower version than the highest (0 states none) is either a late copy of an old
+//     request or a trainer set back. It gets fresh samples as any other, but never tombstones an offered one, since the trainer
+//     may have consumed it: it is refused as a conflict, and the trainer fetches again stating the highest version.
 
 const defaultFetchLimit = 256
 
--- a/internal/rollout/term.go
+++ b/internal/rollout/term.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-		"fmt"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
