--- a/internal/rollout/crash_test.go
+++ b/internal/rollout/crash_test.go
@@ -35,6 +35,7 @@
 	token  uint64
 
 	running []Start // attempts on engines, those of crashed owners included
+	started map[attemptKey]bool
 
 	version  int64
 	cursor   int64
@@ -94,6 +95,11 @@
 				return s.crash()
 			}
 		case Start:
+			key := attemptKey{identity: a.Identity, number: a.Attempt}
+			if s.started[key] {
+				s.t.Fatalf("attempt %d of %s was started before", a.Attempt, a.Identity)
+			}
+			s.started[key] = true
 			s.running = append(s.running, a)
 		}
 	}
@@ -297,7 +303,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := &sim{
 				t: t, random: rand.New(rand.NewPCG(seed, 7)), logs: NewMemoryLogs(),
-				now: time.Unix(1000, 0), version: 1, consumed: make(map[int]int),
+				now: time.Unix(1000, 0), version: 1, consumed: make(map[int]int), started: make(map[attemptKey]bool),
 			}
 			s.run()
 			crashes += s.crashes
