--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -137,16 +137,23 @@
 		return
 	}
 	known.failures = 0
-	if known.observed && known.load.Incarnation == load.Incarnation && s.outweighed(known, started) {
+	if known.observed && s.outweighed(known, load.Incarnation, started) {
 		return
 	}
 	known.load = load
 	known.observed = true
 }
 
-// outweighed reports whether a load report may show the engine as it was before an order's answer.
-func (s *state) outweighed(known *record, started time.Time) bool {
-	return !known.directAt.IsZero() && started.Before(known.directAt.Add(s.thresholds.ReportLag))
+// outweighed reports whether a report may show the engine as it was before an order's answer. A report of another
+// incarnation does so only if it was asked for before that answer, since an engine forgets its reports as it restarts.
+func (s *state) outweighed(known *record, incarnation string, started time.Time) bool {
+	if known.directAt.IsZero() {
+		return false
+	}
+	if known.load.Incarnation != incarnation {
+		return started.Before(known.directAt)
+	}
+	return started.Before(known.directAt.Add(s.thresholds.ReportLag))
 }
 
 // applyDirect takes in a load that an order's answer told: it does not lag.
--- a/internal/inventory/state_test.go
+++ b/internal/inventory/state_test.go
@@ -99,6 +99,11 @@
 			So(current().ActiveVersion, ShouldEqual, 1)
 			So(current().PreparedVersions, ShouldBeEmpty)
 		})
+		Convey("a probe sent to the incarnation before does not bring it back", func() {
+			s.applyDirect(start.Add(time.Second), "e1", enginev1.Load{Incarnation: "i2", ActiveVersion: 1})
+			report(start, "i1", 4)
+			So(current().Incarnation, ShouldEqual, "i2")
+		})
 		Convey("an answer from an earlier address says nothing of the engine", func() {
 			moved := machine("e1", machinesv1.StateLive)
 			moved.URL = "http://elsewhere"
