--- a/internal/weights/target.go
+++ b/internal/weights/target.go
@@ -8,6 +8,8 @@
 )
 
 // Target is the weight version that a pool is to run. A higher version replaces a lower one; an equal one changes nothing.
+// A pool's targets must come from one publisher at a time: zones cut off from each other can't tell that two publishers
+// used one version for different weights.
 type Target struct {
 	Pool    string
 	Weights v1.WeightVersion
