--- a/internal/lab/enginesim/cache_test.go
+++ b/internal/lab/enginesim/cache_test.go
@@ -34,6 +34,25 @@
 		So(firstStep(engine, request("a")), ShouldEqual, oneToken+40*config.StepPerPrefillToken)
 		So(engine.Load(engine.now).CachedTokens, ShouldBeLessThanOrEqualTo, config.CacheTokens)
 	})
+	Convey("The least recently used prefix is evicted first", t, func() {
+		engine := newBench(config)
+		for _, id := range []string{"a", "b", "a", "c"} {
+			firstStep(engine, request(id))
+		}
+		So(firstStep(engine, request("a")), ShouldEqual, oneToken+8*config.StepPerPrefillToken)
+		So(firstStep(engine, request("b")), ShouldEqual, oneToken+40*config.StepPerPrefillToken)
+	})
+	Convey("Other weights can't use the cache or an imported KV state", t, func() {
+		engine := newBench(config)
+		firstStep(engine, request("a"))
+		imported := enginev1.KVState{RequestID: "a", Version: 1, Prompt: request("a").Prompt, Seed: request("a").Seed}
+		So(engine.Import(engine.now, imported), ShouldBeNil)
+		engine.must(order(enginev1.OrderPrepare, 1, 2))
+		engine.run()
+		engine.must(order(enginev1.OrderActivate, 1, 2))
+		So(engine.Load(engine.now).CachedTokens, ShouldEqual, 0)
+		So(firstStep(engine, request("a")), ShouldEqual, oneToken+40*config.StepPerPrefillToken)
+	})
 	Convey("Cache events give the content of the cache", t, func() {
 		engine := newBench(config)
 		for i := range 6 {
--- a/internal/lab/enginesim/orders.go
+++ b/internal/lab/enginesim/orders.go
@@ -216,14 +216,13 @@
 	return nil, ErrActivateFailed
 }
 
-// switchVersion drops the active version for a prepared one. KV states of other weights are of no use any
-// more, so the prefix cache and the imports go; running sequences keep theirs.
+// switchVersion drops the active version for a prepared one. The prefix cache of other weights is of no use
+// any more; running sequences keep their KV state.
 func (e *Engine) switchVersion(now time.Time, version int64) {
 	e.versions.active = version
 	e.versions.activeDigest = e.versions.prepared[version]
 	delete(e.versions.prepared, version)
 	e.cache.clear(now)
-	e.imports.states = nil
 }
 
 // unload drops a prepared version; one that is not held changes nothing.
