--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -26,26 +27,38 @@
 	self Peer
 	dial DialFunc
 
-	mu     sync.Mutex
-	links  map[string]*link
-	closed bool
+	// ctx ends with Close.
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu      sync.Mutex
+	links   map[string]*link
+	closed  bool
+	running sync.WaitGroup // grows only while not closed
 }
 
 // NewClient returns a Client that introduces itself as self. A nil dial means plain TCP.
 func NewClient(self Peer, dial DialFunc) *Client {
 	if dial == nil {
-		dialer := &net.Dialer{Timeout: defaultDialTimeout}
-		dial = func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		}
+		dial = dialTCP
 	}
-	return &Client{self: self, dial: dial, links: make(map[string]*link)}
+	c := &Client{self: self, dial: dial, links: make(map[string]*link)}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
+}
+
+// dialTCP opens a plain connection.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: defaultDialTimeout, Control: setUserTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // Call sends the request to the node at address and returns its reply.
 //
 // Errors: one that wraps ErrNotSent when no byte of the request was written; one that wraps ErrLost when it may have been
-// received but no reply came, the end of ctx included; a *v1.Error when the handler refused or failed.
+// received but no reply came, the end of ctx included; a *v1.Error when the handler refused or failed. A request too large
+// for a frame is ErrNotSent and ErrFrameTooLarge. Call returns soon after ctx ends; the one call that is writing to a peer
+// that does not read may take two seconds longer.
 func Call[Req, Resp any](ctx context.Context, c *Client, address string, request Req) (Resp, error) {
 	var response Resp
 	l, err := c.link(ctx, address)
@@ -56,16 +69,29 @@
 	return response, err
 }
 
-// Close ends every connection; calls in flight return ErrLost.
+// Close ends every connection and waits for the client's goroutines; calls in flight return ErrLost.
 func (c *Client) Close() {
 	c.mu.Lock()
 	links := c.links
 	c.links = make(map[string]*link)
 	c.closed = true
 	c.mu.Unlock()
+	c.cancel()
 	for _, l := range links {
 		l.fail(net.ErrClosed)
 	}
+	c.running.Wait()
+}
+
+// spawn runs the function in a goroutine that Close waits for. It reports false once the client is closed.
+func (c *Client) spawn(run func()) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.running.Go(run)
+	return true
 }
 
 func (c *Client) frameLimit() int {
@@ -86,7 +112,7 @@
 	if !ok {
 		l = &link{client: c, address: address, ready: make(chan struct{}), pending: make(map[uint64]*call)}
 		c.links[address] = l
-		go l.open()
+		c.running.Go(l.open)
 	}
 	c.mu.Unlock()
 	select {
@@ -136,7 +162,7 @@
 // open dials and says hello.
 func (l *link) open() {
 	defer close(l.ready)
-	ctx, cancel := context.WithTimeout(context.Background(), defaultDialTimeout)
+	ctx, cancel := context.WithTimeout(l.client.ctx, defaultDialTimeout)
 	defer cancel()
 	conn, err := l.client.dial(ctx, l.address)
 	if err != nil {
@@ -154,19 +180,24 @@
 		return
 	}
 	l.writer = newFrameWriter(conn, l.client.frameLimit())
-	if err := l.greet(); err != nil {
+	err = l.greet(ctx, conn)
+	if err == nil && !l.client.spawn(func() { l.receive(newFrameReader(conn, l.client.frameLimit())) }) {
+		err = net.ErrClosed
+	}
+	if err != nil {
 		l.openErr = err
 		l.fail(err)
-		return
 	}
-	go l.receive(newFrameReader(conn, l.client.frameLimit()))
 }
 
-func (l *link) greet() error {
-	if _, err := io.WriteString(l.conn, preamble); err != nil {
+func (l *link) greet(ctx context.Context, conn net.Conn) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if _, err := io.WriteString(conn, preamble); err != nil {
 		return err
 	}
-	_, _, err := l.writer.write(header{}, hello{Peer: l.client.self})
+	_, _, err := l.writer.write(ctx, header{}, hello{Peer: l.client.self})
 	return err
 }
 
@@ -183,18 +214,27 @@
 			return fmt.Errorf("%w: %w", ErrNotSent, context.DeadlineExceeded)
 		}
 	}
-	size, sent, err := l.writer.write(head, request)
+	size, sent, err := l.writer.write(ctx, head, request)
 	if err != nil {
-		l.fail(err)
-		if !sent {
-			return fmt.Errorf("%w: %s: %w", ErrNotSent, l.address, err)
-		}
-		return fmt.Errorf("%w: %s: %w", ErrLost, l.address, err)
+		return l.notWritten(id, sent, err)
 	}
 	l.client.observe(method, true, size)
 	return l.await(ctx, id, waiting)
 }
 
+// notWritten ends a call whose frame was not wholly written.
+func (l *link) notWritten(id uint64, sent bool, err error) error {
+	l.unregister(id)
+	harmless := errors.Is(err, errEncode) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+	if !harmless {
+		l.fail(err)
+	}
+	if sent {
+		return fmt.Errorf("%w: %s: %w", ErrLost, l.address, err)
+	}
+	return fmt.Errorf("%w: %s: %w", ErrNotSent, l.address, err)
+}
+
 func (l *link) await(ctx context.Context, id uint64, waiting *call) error {
 	select {
 	case err := <-waiting.done:
@@ -205,10 +245,18 @@
 		// The reply has arrived in the meantime and is being decoded into the caller's response.
 		return <-waiting.done
 	}
-	l.writer.write(header{ID: id, Cancel: true}, empty{})
+	l.client.spawn(func() { l.sendCancel(id) })
 	return fmt.Errorf("%w: %s: %w", ErrLost, l.address, ctx.Err())
 }
 
+// sendCancel tells the server that nobody waits for the reply any more.
+func (l *link) sendCancel(id uint64) {
+	_, _, err := l.writer.write(l.client.ctx, header{ID: id, Cancel: true}, empty{})
+	if err != nil {
+		l.fail(err)
+	}
+}
+
 func (l *link) register(method string, response any) (uint64, *call, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"encoding/gob"
+	"errors"
 	"fmt"
 	"io"
-	"sync"
+	"net"
 	"time"
 
 	v1 "github.com/covelink/covelink/api/v1"
@@ -17,6 +19,10 @@
 	frameLengthBytes  = 4
 	readChunkBytes    = 64 << 10
 	retainBufferBytes = 1 << 20
+	// resetFlag in the length of a frame says that a new gob stream starts with it.
+	resetFlag = 1 << 31
+	// writeTimeout bounds the time one frame may take to enter the socket; a peer that does not read for so long is cut off.
+	writeTimeout = 2 * time.Second
 )
 
 // DefaultMaxFrameBytes bounds a frame unless the settings say otherwise.
@@ -40,59 +46,90 @@
 
 // frameWriter writes frames. It is safe for concurrent use.
 type frameWriter struct {
-	mu     sync.Mutex
-	out    io.Writer
+	out    net.Conn
 	limit  int
 	buffer bytes.Buffer
 	enc    *gob.Encoder
-	broken bool
+	// reset is true when the next frame starts a new gob stream.
+	reset  bool
+	broken error
+	// turn holds one token, taken by whoever writes.
+	turn chan struct{}
 }
 
-func newFrameWriter(out io.Writer, limit int) *frameWriter {
-	w := &frameWriter{out: out, limit: limit}
-	w.enc = gob.NewEncoder(&w.buffer)
+func newFrameWriter(out net.Conn, limit int) *frameWriter {
+	w := &frameWriter{out: out, limit: limit, turn: make(chan struct{}, 1)}
+	w.restart()
 	return w
 }
 
-// write sends one frame and returns its size. sent is false when no byte was written. After an error the writer is broken,
-// since the gob stream may have lost a type description.
-func (w *frameWriter) write(head header, body any) (size int, sent bool, err error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.broken {
-		return 0, false, io.ErrClosedPipe
+// restart begins a new gob stream, after a value that could not be encoded or sent may have cost a type description.
+func (w *frameWriter) restart() {
+	w.buffer = bytes.Buffer{}
+	w.enc = gob.NewEncoder(&w.buffer)
+	w.reset = true
+}
+
+// errEncode wraps the errors of a body that cannot be sent; they leave the writer usable.
+var errEncode = errors.New("rpc: cannot encode")
+
+// write sends one frame and returns its size. sent is false when no byte was written. After an error that does not wrap
+// errEncode or ctx's own, the connection is of no more use. Once begun, a frame is written whatever becomes of ctx.
+func (w *frameWriter) write(ctx context.Context, head header, body any) (size int, sent bool, err error) {
+	select {
+	case w.turn <- struct{}{}:
+	case <-ctx.Done():
+		return 0, false, ctx.Err()
 	}
-	w.buffer.Reset()
-	w.buffer.Write(make([]byte, frameLengthBytes))
-	if err := w.encode(head, body); err != nil {
-		w.broken = true
-		return 0, false, err
+	defer func() { <-w.turn }()
+	if w.broken != nil {
+		return 0, false, w.broken
 	}
-	frame := w.buffer.Bytes()
-	binary.BigEndian.PutUint32(frame, uint32(len(frame)-frameLengthBytes))
-	written, err := w.out.Write(frame)
+	frame, err := w.encode(head, body)
 	if err != nil {
-		w.broken = true
-		return written, written > 0, err
+		w.restart()
+		return 0, false, fmt.Errorf("%w: %w", errEncode, err)
 	}
-	size = len(frame)
+	written, err := w.send(frame)
+	if err != nil {
+		w.broken = fmt.Errorf("rpc: write: %w", err)
+		return written, written > 0, w.broken
+	}
+	w.reset = false
 	if w.buffer.Cap() > retainBufferBytes {
 		w.buffer = bytes.Buffer{}
 	}
-	return size, true, nil
+	return written, true, nil
+}
+
+func (w *frameWriter) send(frame []byte) (int, error) {
+	if err := w.out.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return w.out.Write(frame)
 }
 
-func (w *frameWriter) encode(head header, body any) error {
+// encode returns the frame, which stands in the writer's buffer.
+func (w *frameWriter) encode(head header, body any) ([]byte, error) {
+	w.buffer.Reset()
+	w.buffer.Write(make([]byte, frameLengthBytes))
 	if err := w.enc.Encode(head); err != nil {
-		return fmt.Errorf("rpc: encode header: %w", err)
+		return nil, err
 	}
 	if err := w.enc.Encode(body); err != nil {
-		return fmt.Errorf("rpc: encode body: %w", err)
+		return nil, err
 	}
-	if w.buffer.Len()-frameLengthBytes > w.limit {
-		return ErrFrameTooLarge
+	frame := w.buffer.Bytes()
+	length := len(frame) - frameLengthBytes
+	if length > w.limit {
+		return nil, ErrFrameTooLarge
 	}
-	return nil
+	prefix := uint32(length)
+	if w.reset {
+		prefix |= resetFlag
+	}
+	binary.BigEndian.PutUint32(frame, prefix)
+	return frame, nil
 }
 
 // frameReader reads frames. It is for one goroutine.
@@ -116,12 +153,19 @@
 		return header{}, 0, err
 	}
 	length := binary.BigEndian.Uint32(prefix[:])
+	if length&resetFlag != 0 {
+		length &^= resetFlag
+		r.dec = gob.NewDecoder(&r.buffer)
+	}
 	if uint64(length) > uint64(r.limit) {
 		return header{}, 0, ErrFrameTooLarge
 	}
 	if err := r.fill(int(length)); err != nil {
 		return header{}, 0, err
 	}
+	if err := checkMessages(r.buffer.Bytes()); err != nil {
+		return header{}, 0, err
+	}
 	if err := r.dec.Decode(&head); err != nil {
 		return header{}, 0, fmt.Errorf("rpc: decode header: %w", err)
 	}
@@ -130,10 +174,16 @@
 
 // fill reads length bytes in chunks, so that a false length costs no memory.
 func (r *frameReader) fill(length int) error {
+	if r.buffer.Cap() > retainBufferBytes {
+		r.buffer = bytes.Buffer{}
+	}
 	r.buffer.Reset()
 	for length > 0 {
 		chunk := int64(min(length, readChunkBytes))
 		if _, err := io.CopyN(&r.buffer, r.in, chunk); err != nil {
+			if errors.Is(err, io.EOF) {
+				return io.ErrUnexpectedEOF
+			}
 			return err
 		}
 		length -= int(chunk)
@@ -146,5 +196,39 @@
 	if err := r.dec.Decode(target); err != nil {
 		return fmt.Errorf("rpc: decode body: %w", err)
 	}
+	if r.buffer.Len() > 0 {
+		return fmt.Errorf("%w: bytes after the body", ErrBadFrame)
+	}
+	return nil
+}
+
+// checkMessages checks that the gob messages of a frame end where the frame does. The decoder allocates a message's
+// stated length before it reads it, so a false one must not reach it.
+func checkMessages(frame []byte) error {
+	for len(frame) > 0 {
+		length, prefix := gobUint(frame)
+		if prefix == 0 || length > uint64(len(frame)-prefix) {
+			return fmt.Errorf("%w: a message leaves the frame", ErrBadFrame)
+		}
+		frame = frame[prefix+int(length):]
+	}
 	return nil
 }
+
+// gobUint decodes gob's unsigned integer: one byte below 128, else the negated count of the big-endian bytes that
+// follow. It returns the bytes it takes up, 0 if it is not whole.
+func gobUint(data []byte) (value uint64, size int) {
+	const maxOneByte = 0x7f
+	const maxCount = 8
+	if data[0] <= maxOneByte {
+		return uint64(data[0]), 1
+	}
+	count := -int(int8(data[0]))
+	if count > maxCount || len(data) < 1+count {
+		return 0, 0
+	}
+	for _, digit := range data[1 : 1+count] {
+		value = value<<8 | uint64(digit)
+	}
+	return value, 1 + count
+}
--- /dev/null
+++ b/internal/rpc/frame_test.go
@@ -0,0 +1,143 @@
+package rpc
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// recorder is a connection that keeps what is written; of net.Conn it has only what a frameWriter uses.
+type recorder struct {
+	net.Conn
+	kept bytes.Buffer
+}
+
+func (r *recorder) Write(p []byte) (int, error) { return r.kept.Write(p) }
+
+func (r *recorder) SetWriteDeadline(time.Time) error { return nil }
+
+// framed returns the payload with its length, or with a false one.
+func framed(length uint32, payload ...byte) []byte {
+	return append(binary.BigEndian.AppendUint32(nil, length), payload...)
+}
+
+// readAll reads frames until an error.
+func readAll(data []byte) error {
+	reader := newFrameReader(bytes.NewReader(data), testLimit)
+	for {
+		head, _, err := reader.next()
+		if err != nil {
+			return err
+		}
+		var target any = new(echoRequest)
+		if head.Cancel {
+			target = nil
+		}
+		if err := reader.body(target); err != nil {
+			return err
+		}
+	}
+}
+
+// allocated returns the bytes that the function allocates, as measured.
+func allocated(run func()) uint64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	run()
+	runtime.ReadMemStats(&after)
+	return after.TotalAlloc - before.TotalAlloc
+}
+
+func TestFrames(t *testing.T) {
+	Convey("Frames survive a value that could not be sent", t, func() {
+		out := &recorder{}
+		writer := newFrameWriter(out, testLimit)
+		ctx := context.Background()
+		for range 2 {
+			_, _, err := writer.write(ctx, header{ID: 1, Method: "m"}, echoRequest{Text: "ok"})
+			So(err, ShouldBeNil)
+			_, sent, err := writer.write(ctx, header{ID: 2}, echoRequest{Text: string(make([]byte, testLimit))})
+			So(errors.Is(err, ErrFrameTooLarge), ShouldBeTrue)
+			So(sent, ShouldBeFalse)
+			_, _, err = writer.write(ctx, header{ID: 3}, func() {})
+			So(errors.Is(err, errEncode), ShouldBeTrue)
+		}
+		reader := newFrameReader(&out.kept, testLimit)
+		for range 2 {
+			head, _, err := reader.next()
+			So(err, ShouldBeNil)
+			So(head.Method, ShouldEqual, "m")
+			var got echoRequest
+			So(reader.body(&got), ShouldBeNil)
+			So(got.Text, ShouldEqual, "ok")
+		}
+	})
+	Convey("Bad frames are refused and cost little memory", t, func() {
+		const claim = 9 << 20 // a gob message of nine megabytes, which the frame does not hold
+		const allowance = 512 << 10
+		cases := map[string]struct {
+			data []byte
+			want error
+		}{
+			"above the limit":            {framed(testLimit + 1), ErrFrameTooLarge},
+			"length of all ones":         {framed(0xffffffff), ErrFrameTooLarge},
+			"cut short":                  {framed(100, 1, 2), io.ErrUnexpectedEOF},
+			"message leaves the frame":   {framed(5, 0xfc, 0x00, claim>>16, 0, 0), ErrBadFrame},
+			"count of nine bytes":        {framed(2, 0xf7, 1), ErrBadFrame},
+			"length prefix of a message": {framed(1, 0xfc), ErrBadFrame},
+		}
+		for name, test := range cases {
+			Convey(name, func() {
+				var err error
+				used := allocated(func() { err = readAll(test.data) })
+				So(errors.Is(err, test.want), ShouldBeTrue)
+				So(used, ShouldBeLessThan, allowance)
+			})
+		}
+		Convey("bytes after the body", func() {
+			out := &recorder{}
+			_, _, err := newFrameWriter(out, testLimit).write(context.Background(), header{}, echoRequest{Text: "x"})
+			So(err, ShouldBeNil)
+			data := append(out.kept.Bytes(), 1, 0)
+			binary.BigEndian.PutUint32(data, binary.BigEndian.Uint32(data)+2)
+			So(errors.Is(readAll(data), ErrBadFrame), ShouldBeTrue)
+		})
+	})
+}
+
+func FuzzFrameReader(f *testing.F) {
+	out := &recorder{}
+	writer := newFrameWriter(out, testLimit)
+	for _, head := range []header{{ID: 1, Method: "m"}, {ID: 2}} {
+		if _, _, err := writer.write(context.Background(), head, echoRequest{Text: "seed"}); err != nil {
+			f.Fatal(err)
+		}
+	}
+	f.Add(out.kept.Bytes())
+	f.Add(framed(3, 1, 2, 3))
+	f.Add(framed(resetFlag|2, 1, 0))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		// Whatever the bytes are, the reader ends with an error and reads no frame above the limit.
+		reader := newFrameReader(bytes.NewReader(data), testLimit)
+		for {
+			_, size, err := reader.next()
+			if err != nil {
+				return
+			}
+			if size > testLimit+frameLengthBytes || size > len(data) {
+				t.Fatalf("a frame of %d bytes out of %d", size, len(data))
+			}
+			if reader.body(nil) != nil {
+				return
+			}
+		}
+	})
+}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"reflect"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -19,6 +20,10 @@
 const (
 	helloTimeout          = 5 * time.Second
 	defaultMaxConcurrency = 1024
+	acceptRetryDelay      = 50 * time.Millisecond
+	overloadedRetryAfter  = 100 * time.Millisecond
+	// maxHelloBytes bounds the first frame, which is read before the peer is known.
+	maxHelloBytes = 4 << 10
 )
 
 // Peer names the node at the other end of a connection.
@@ -52,7 +57,8 @@
 	handlers map[string]handler
 	conns    map[net.Conn]struct{}
 	closed   bool
-	requests sync.WaitGroup
+	requests int             // being served
+	idle     []chan struct{} // closed when requests falls to zero
 	running  sync.WaitGroup
 }
 
@@ -79,15 +85,30 @@
 
 func methodOf[Req any]() string { return reflect.TypeFor[Req]().String() }
 
-// Serve accepts connections until the listener fails or Close is called.
+// temporary reports whether a later Accept may succeed.
+func temporary(err error) bool {
+	for _, passing := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, passing) {
+			return true
+		}
+	}
+	return false
+}
+
+// Serve accepts connections until the listener fails, which is an error, or is closed or Close is called, which is none.
 func (s *Server) Serve(listener net.Listener) error {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
-			if s.isClosed() {
+			if s.isClosed() || errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			return err
+			if !temporary(err) {
+				return err
+			}
+			level.Warn(s.Logger).Log("msg", "connection not accepted", "err", err)
+			time.Sleep(acceptRetryDelay)
+			continue
 		}
 		if !s.track(conn) {
 			conn.Close()
@@ -101,21 +122,44 @@
 	}
 }
 
-// Drain waits until every request being served has been answered, or ctx ends.
+// Drain waits until no request is being served, each having been answered, or ctx ends. Requests that arrive in the
+// meantime are served.
 func (s *Server) Drain(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		s.requests.Wait()
-		close(done)
-	}()
+	s.mu.Lock()
+	if s.requests == 0 {
+		s.mu.Unlock()
+		return nil
+	}
+	idle := make(chan struct{})
+	s.idle = append(s.idle, idle)
+	s.mu.Unlock()
 	select {
-	case <-done:
+	case <-idle:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
+func (s *Server) beginRequest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests++
+}
+
+func (s *Server) endRequest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests--
+	if s.requests > 0 {
+		return
+	}
+	for _, idle := range s.idle {
+		close(idle)
+	}
+	s.idle = nil
+}
+
 // Close ends every connection and waits for the handlers to return. The caller closes the listener.
 func (s *Server) Close() {
 	s.mu.Lock()
@@ -173,14 +217,16 @@
 
 // serveConn runs one connection until it fails.
 func (s *Server) serveConn(conn net.Conn) {
-	reader := newFrameReader(conn, s.frameLimit())
+	reader := newFrameReader(conn, maxHelloBytes)
 	peer, err := s.receiveHello(conn, reader)
 	if err != nil {
 		level.Warn(s.Logger).Log("msg", "connection refused", "remote", conn.RemoteAddr(), "err", err)
 		return
 	}
+	reader.limit = s.frameLimit()
 	session := &session{
 		server:  s,
+		conn:    conn,
 		peer:    peer,
 		reader:  reader,
 		writer:  newFrameWriter(conn, s.frameLimit()),
@@ -193,8 +239,8 @@
 }
 
 func (s *Server) receiveHello(conn net.Conn, reader *frameReader) (Peer, error) {
-	conn.SetReadDeadline(time.Now().Add(helloTimeout))
-	defer conn.SetReadDeadline(time.Time{})
+	conn.SetDeadline(time.Now().Add(helloTimeout))
+	defer conn.SetDeadline(time.Time{})
 	got := make([]byte, len(preamble))
 	if _, err := io.ReadFull(conn, got); err != nil {
 		return Peer{}, err
@@ -228,6 +274,7 @@
 // session is one connection being served.
 type session struct {
 	server *Server
+	conn   net.Conn
 	peer   Peer
 	reader *frameReader
 	writer *frameWriter
@@ -277,11 +324,16 @@
 	if err := c.reader.body(request); err != nil {
 		return err
 	}
+	select {
+	case c.slots <- struct{}{}:
+	default:
+		c.reply(head.ID, nil, v1.NotRun(v1.CodeOverloaded, overloadedRetryAfter, "too many requests on the connection"))
+		return nil
+	}
 	callCtx, cancel := c.callContext(ctx, head)
-	c.slots <- struct{}{}
-	c.server.requests.Add(1)
+	c.server.beginRequest()
 	active.Go(func() {
-		defer c.server.requests.Done()
+		defer c.server.endRequest()
 		defer func() { <-c.slots }()
 		defer c.finish(head.ID, cancel)
 		response, err := handler.serve(callCtx, c.peer, request)
@@ -290,10 +342,11 @@
 	return nil
 }
 
-func (c *session) callContext(ctx context.Context, head header) (context.Context, context.CancelFunc) {
-	callCtx, cancel := context.WithCancel(ctx)
+func (c *session) callContext(ctx context.Context, head header) (callCtx context.Context, cancel context.CancelFunc) {
 	if head.Timeout > 0 {
 		callCtx, cancel = context.WithTimeout(ctx, head.Timeout)
+	} else {
+		callCtx, cancel = context.WithCancel(ctx)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -316,15 +369,29 @@
 	}
 }
 
+// reply answers a request. When the answer cannot be encoded or is too large, the caller is told so; when it cannot be
+// written, the connection is closed, so that the caller does not wait for it.
 func (c *session) reply(id uint64, response any, err error) {
 	head := header{ID: id, Failure: toError(err)}
 	if head.Failure != nil {
 		response = empty{}
 	}
-	size, _, err := c.writer.write(head, response)
+	size, _, err := c.writer.write(context.Background(), head, response)
+	if errors.Is(err, errEncode) {
+		head.Failure = unsendable(err)
+		size, _, err = c.writer.write(context.Background(), head, empty{})
+	}
 	if err != nil {
-		level.Warn(c.server.Logger).Log("msg", "reply not sent", "peer", c.peer.Name, "err", err)
+		level.Info(c.server.Logger).Log("msg", "reply not sent", "peer", c.peer.Name, "err", err)
+		c.conn.Close()
 		return
 	}
 	c.server.observe("", true, size)
 }
+
+// unsendable returns the failure that stands for an answer that exists but cannot be sent.
+func unsendable(err error) *v1.Error {
+	failure := v1.Errorf(v1.CodeInternal, "the reply cannot be sent: %s", err)
+	failure.Outcome = v1.OutcomeUnknown
+	return failure
+}
