weights, inventory: leave dying engines out of waves, distrust foreign reports

Cause: an engine that died in its activation kept its place in the wave; an address that changed hands, or a list wrong about the zone, would have put another engine's report into the inventory. Change: the wave bound counts engines that are not leaving; a report that names another engine or zone is a failed probe; an order is given 2 s.

--- a/internal/inventory/state.go
+++ b/internal/inventory/state.go
@@ -130,12 +130,17 @@
 	}
 }
 
-// applyReport takes in a load report that was asked for at started from the engine at url.
+// applyReport takes in a load report that was asked for at started from the engine at url. A report of another engine
+// or zone counts as a failed probe: the address has changed hands, or the list is wrong about the zone.
 func (s *state) applyReport(started time.Time, name, url string, load enginev1.Load) {
 	known, ok := s.records[name]
 	if !ok || known.machine.URL != url {
 		return
 	}
+	if s.foreign(name, load) {
+		known.failures++
+		return
+	}
 	known.failures = 0
 	if known.observed && s.outweighed(known, load.Incarnation, started) {
 		return
@@ -144,6 +149,11 @@
 	known.observed = true
 }
 
+// foreign reports whether a load names another engine or zone than the one asked.
+func (s *state) foreign(name string, load enginev1.Load) bool {
+	return (load.Name != "" && load.Name != name) || (load.Zone != "" && load.Zone != s.zone)
+}
+
 // outweighed reports whether a report may show the engine as it was before an order's answer. A report of another
 // incarnation does so only if it was asked for before that answer, since an engine forgets its reports as it restarts.
 func (s *state) outweighed(known *record, incarnation string, started time.Time) bool {
@@ -159,7 +169,7 @@
 // applyDirect takes in a load that an order's answer told: it does not lag.
 func (s *state) applyDirect(now time.Time, name string, load enginev1.Load) {
 	known, ok := s.records[name]
-	if !ok {
+	if !ok || s.foreign(name, load) {
 		return
 	}
 	known.failures = 0
--- a/internal/inventory/state_test.go
+++ b/internal/inventory/state_test.go
@@ -111,6 +111,15 @@
 			report(start, "i1", 4)
 			So(current().Incarnation, ShouldBeEmpty)
 		})
+		Convey("reports of another engine or zone are failed probes", func() {
+			for _, load := range []enginev1.Load{{Name: "e2"}, {Zone: "z2"}, {Name: "e2", Zone: "z1"}} {
+				load.Incarnation = "foreign"
+				s.applyReport(start, "e1", "http://e1", load)
+				s.applyDirect(start, "e1", load)
+			}
+			So(current().Leaving, ShouldBeTrue)
+			So(current().Incarnation, ShouldEqual, "i1")
+		})
 		Convey("a gone engine is dropped only when it is absent for long and does not answer", func() {
 			s.applyList(start, nil)
 			s.applyList(start.Add(time.Hour), nil)
--- a/internal/weights/limits.go
+++ b/internal/weights/limits.go
@@ -8,7 +8,8 @@
 	StorePrepares int
 	// CopiesPerHolder bounds the engines that copy from one engine at once.
 	CopiesPerHolder int
-	// ActivateShare is the largest share of a pool's engines in the zone that activate at once; at least one may.
+	// ActivateShare is the largest share of a pool's engines in the zone that activate at once, those leaving aside; at
+	// least one may.
 	ActivateShare float64
 	// Orders bounds the orders in flight.
 	Orders int
@@ -35,7 +36,7 @@
 		CopiesPerHolder: 2,
 		ActivateShare:   0.25,
 		Orders:          128,
-		OrderTimeout:    5 * time.Second,
+		OrderTimeout:    2 * time.Second,
 		PollTimeout:     2 * time.Second,
 		PrepareTimeout:  5 * time.Minute,
 		PollInterval:    250 * time.Millisecond,
--- a/internal/weights/plan.go
+++ b/internal/weights/plan.go
@@ -113,12 +113,13 @@
 	if engine.Busy {
 		p.inFlight++
 	}
-	if engine.Activating {
-		p.activating[engine.Pool]++
-	}
 	if !engine.Leaving {
 		p.serving[engine.Pool]++
 	}
+	if engine.Activating && !engine.Leaving {
+		// An engine that takes no new work must not hold up the others, for example one that died in its activation.
+		p.activating[engine.Pool]++
+	}
 	if engine.Copy != nil {
 		p.countCopy(engine.Copy.Source)
 	}
--- a/internal/weights/plan_test.go
+++ b/internal/weights/plan_test.go
@@ -95,6 +95,9 @@
 				e.Activating = true
 				e.RetryAt = start.Add(1)
 			}), engineState("b", 4, 5)), nil},
+		{"a leaving engine's activation does not hold up the others",
+			snapshotOf(5, engineState("a", 4, 5).with(func(e *EngineState) { e.Activating, e.Leaving, e.Busy = true, true, true }),
+				engineState("b", 4, 5)), []string{"b activate 5"}},
 		{"older versions are unloaded", snapshotOf(5, engineState("a", 5, 4)), []string{"a unload 4"}},
 		{"a version that was passed over is unloaded first", snapshotOf(6, engineState("a", 4, 5)), []string{"a unload 5"}},
 		{"an engine that waits after a failure gets nothing",
--- a/internal/weights/sim_test.go
+++ b/internal/weights/sim_test.go
@@ -179,13 +179,14 @@
 func (s *simulation) checkOrders(snapshot Snapshot, orders []Order) {
 	activating, serving, ordered := 0, 0, 0
 	for _, engine := range snapshot.Engines {
+		if engine.Leaving {
+			continue
+		}
+		serving++
 		known := s.tracker.records[engine.Name]
 		if known.flight != nil && known.flight.order.Kind == enginev1.OrderActivate {
 			activating++
 		}
-		if !engine.Leaving {
-			serving++
-		}
 	}
 	for _, order := range orders {
 		if order.Fence != s.token || order.Incarnation == "" {
--- a/internal/weights/tracker_test.go
+++ b/internal/weights/tracker_test.go
@@ -47,6 +47,9 @@
 			So(tracker.finish(start, "a", id, done), ShouldBeFalse)
 			So(state(start).ActiveVersion, ShouldEqual, 1)
 			So(state(start).Observed, ShouldBeFalse)
+			tracker.begin(start, order)
+			So(tracker.finish(start, "a", id, done), ShouldBeFalse)
+			So(state(start).Busy, ShouldBeTrue)
 		})
 		Convey("a new address voids it", func() {
 			moved := viewOf("i1", 4)
