--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -16,6 +16,7 @@
 	PartDispatch    = "dispatch"
 	PartRollout     = "rollout"
 	PartConfigSync  = "configsync"
+	PartInventory   = "inventory"
 	PartWeights     = "weights"
 	PartLease       = "lease"
 	PartMembership  = "membership"
