--- a/internal/inventory/state_test.go
+++ b/internal/inventory/state_test.go
@@ -99,6 +99,11 @@
 			So(current().ActiveVersion, ShouldEqual, 1)
 			So(current().PreparedVersions, ShouldBeEmpty)
 		})
+		Convey("a probe sent to the incarnation before does not bring it back", func() {
+			s.applyDirect(start.Add(time.Second), "e1", enginev1.Load{Incarnation: "i2", ActiveVersion: 1})
+			report(start, "i1", 4)
+			So(current().Incarnation, ShouldEqual, "i2")
+		})
 		Convey("an answer from an earlier address says nothing of the engine", func() {
 			moved := machine("e1", machinesv1.StateLive)
 			moved.URL = "http://elsewhere"
@@ -106,6 +111,15 @@
 			report(start, "i1", 4)
 			So(current().Incarnation, ShouldBeEmpty)
 		})
+		Convey("reports of another engine or zone are failed probes", func() {
+			for _, load := range []enginev1.Load{{Name: "e2"}, {Zone: "z2"}, {Name: "e2", Zone: "z1"}} {
+				load.Incarnation = "foreign"
+				s.applyReport(start, "e1", "http://e1", load)
+				s.applyDirect(start, "e1", load)
+			}
+			So(current().Leaving, ShouldBeTrue)
+			So(current().Incarnation, ShouldEqual, "i1")
+		})
 		Convey("a gone engine is dropped only when it is absent for long and does not answer", func() {
 			s.applyList(start, nil)
 			s.applyList(start.Add(time.Hour), nil)
--- a/internal/resourceapi/write.go
+++ b/internal/resourceapi/write.go
@@ -32,6 +32,7 @@
 		return a.failedWrite(r, change, err)
 	}
 	a.audit(r, change, stored.Meta().ResourceVersion)
+	a.settleWrite(r.Request.Context(), r.kind, change.name, stored.Meta().ResourceVersion)
 	r.object(http.StatusCreated, stored)
 	return nil
 }
@@ -60,27 +61,44 @@
 		return a.failedWrite(r, change, err)
 	}
 	a.audit(r, change, stored.Meta().ResourceVersion)
+	a.settleWrite(r.Request.Context(), r.kind, change.name, stored.Meta().ResourceVersion)
 	r.object(http.StatusOK, stored)
 	return nil
 }
 
 func (a *API) remove(r *request) error {
-	change, err := a.planDelete(r)
+	var err error
+	for range maxDeleteTries {
+		err = a.tryRemove(r)
+		if !isConflict(err) || r.options.resourceVersion != "" {
+			break
+		}
+	}
 	if err != nil {
 		return err
 	}
-	if !r.options.dryRun {
-		// The version that the checks saw is the one to delete: a change in between is a conflict.
-		err := a.backend.Delete(r.Request.Context(), r.kind, change.name, change.resourceVersion)
-		if err != nil {
-			return a.failedWrite(r, change, err)
-		}
-		a.audit(r, change, change.resourceVersion)
-	}
 	r.JSON(http.StatusOK, success())
 	return nil
 }
 
+// maxDeleteTries bounds the tries of a delete that states no version.
+const maxDeleteTries = 5
+
+// tryRemove deletes the version that its checks saw: a change in between is a conflict.
+func (a *API) tryRemove(r *request) error {
+	ctx := r.Request.Context()
+	change, err := a.planDelete(r)
+	if err != nil || r.options.dryRun {
+		return err
+	}
+	if err := a.backend.Delete(ctx, r.kind, change.name, change.resourceVersion); err != nil {
+		return a.failedWrite(r, change, err)
+	}
+	a.audit(r, change, change.resourceVersion)
+	a.settleDelete(ctx, r.kind, change.name, change.resourceVersion)
+	return nil
+}
+
 // readObject decodes, defaults and validates the body. What operators cannot write is dropped.
 func (r *request) readObject() (v1.Object, error) {
 	data, err := io.ReadAll(http.MaxBytesReader(r.Writer, r.Request.Body, maxResourceBytes))
@@ -117,7 +135,7 @@
 
 // audit logs a change that the store has taken.
 func (a *API) audit(r *request, change change, revision string) {
-	level.Info(a.logger).Log("msg", "resource changed", "operator", r.identity.Name, "verb", change.verb, "kind", r.kind,
+	level.Info(a.logger).Log("msg", "resource changed", "operator", r.operator.Name, "verb", change.verb, "kind", r.kind,
 		"name", change.name, "revision", revision, "confirmed", r.options.confirm, "at", a.now().UTC().Format(time.RFC3339Nano))
 }
 
@@ -125,7 +143,7 @@
 func (a *API) failedWrite(r *request, change change, err error) error {
 	var typed *v1.Error
 	if errors.As(err, &typed) && typed.Outcome == v1.OutcomeUnknown {
-		level.Warn(a.logger).Log("msg", "resource change has unknown outcome", "operator", r.identity.Name,
+		level.Warn(a.logger).Log("msg", "resource change has unknown outcome", "operator", r.operator.Name,
 			"verb", change.verb, "kind", r.kind, "name", change.name)
 	}
 	return err
