resourceapi, auth: one authenticator for every surface

Cause: the operator API kept its own table of operator tokens beside internal/auth, and answered a trainer's token with 401 instead of 403; NewObject stood twice in api/v1.

--- a/api/v1/codec.go
+++ b/api/v1/codec.go
@@ -6,22 +6,6 @@
 	"maps"
 )
 
-// NewObject returns an empty resource of the kind, or nil for an unknown kind.
-func NewObject(kind Kind) Object {
-	meta := TypeMeta{APIVersion: APIVersion, Kind: kind}
-	switch kind {
-	case KindZone:
-		return &Zone{TypeMeta: meta}
-	case KindPool:
-		return &Pool{TypeMeta: meta}
-	case KindTrainer:
-		return &Trainer{TypeMeta: meta}
-	case KindApplication:
-		return &Application{TypeMeta: meta}
-	}
-	return nil
-}
-
 // specOf returns a pointer to the spec of a resource, or nil for an unknown type.
 func specOf(object Object) any {
 	switch typed := object.(type) {
--- a/internal/auth/middleware.go
+++ b/internal/auth/middleware.go
@@ -18,7 +18,7 @@
 // Authenticate refuses a request without a known token with 401 and notes the callers of the others.
 func (a *Authenticator) Authenticate() gin.HandlerFunc {
 	return func(c *gin.Context) {
-		callers := a.Identify(bearerToken(c.GetHeader("Authorization")))
+		callers := a.Identify(BearerToken(c.GetHeader("Authorization")))
 		if len(callers) == 0 {
 			c.Header(headerChallenge, bearerScheme)
 			httperr.Write(c, v1.NotRun(v1.CodeUnauthenticated, 0, "no or unknown bearer token"))
@@ -71,8 +71,8 @@
 	}
 }
 
-// bearerToken returns the token of an Authorization header, or an empty string.
-func bearerToken(header string) string {
+// BearerToken returns the token of an Authorization header, or an empty string.
+func BearerToken(header string) string {
 	scheme, token, found := strings.Cut(header, " ")
 	if !found || !strings.EqualFold(scheme, bearerScheme) {
 		return ""
--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -141,7 +141,7 @@
 		server:   rpc.NewServer(discard),
 		client:   rpc.NewClient(peer, c.dialer(self.Address)),
 	}
-	elector := leadership.NewStatic(self.Name, c.seeds, c.zones)
+	elector := leadership.NewStatic(self.Name, c.seeds, leadership.FixedElectorate(c.zones))
 	n.Manager = New(Params{
 		Self:    self,
 		Seeds:   c.seeds,
--- a/internal/ctl/fixture_test.go
+++ b/internal/ctl/fixture_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"github.com/covelink/covelink/internal/auth"
+	"github.com/covelink/covelink/internal/cluster"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -37,9 +39,9 @@
 	f := &fixture{backend: backendtest.New(), folder: t.TempDir()}
 	operators := []settings.Operator{{Name: "demo", TokenHash: v1.HashToken(token), Role: settings.RoleOperator}}
 	api := resourceapi.New(resourceapi.Params{
-		Backend:      f.backend,
-		Authenticate: resourceapi.NewTokenAuthenticator(operators),
-		Logger:       log.NewNopLogger(),
+		Backend:    f.backend,
+		Identifier: auth.New(cluster.NewHolder(), operators),
+		Logger:     log.NewNopLogger(),
 	})
 	router := gin.New()
 	api.Routes(router)
--- a/internal/leadership/static.go
+++ b/internal/leadership/static.go
@@ -23,6 +23,11 @@
 // Electorate returns the zones whose nodes may hold the lease of a name; none means every zone.
 type Electorate func(name string) []string
 
+// FixedElectorate returns an Electorate that looks the name up in a table.
+func FixedElectorate(zones map[string][]string) Electorate {
+	return func(name string) []string { return zones[name] }
+}
+
 // NewStatic returns the elector of the node self among nodes. zones gives the electorate of a lease name, which Holder needs.
 func NewStatic(self string, nodes []cluster.Node, zones Electorate) *Static {
 	return &Static{self: self, nodes: nodes, zones: zones}
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -190,8 +190,8 @@
 
 func newResourceAPI(backend *configsync.Manager, authenticator *auth.Authenticator, logger log.Logger) *resourceapi.API {
 	return resourceapi.New(resourceapi.Params{
-		Backend:      backend,
-		Authenticate: operatorRole(authenticator),
-		Logger:       telemetry.For(logger, telemetry.PartResourceAPI),
+		Backend:    backend,
+		Identifier: authenticator,
+		Logger:     telemetry.For(logger, telemetry.PartResourceAPI),
 	})
 }
--- a/internal/resourceapi/api.go
+++ b/internal/resourceapi/api.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/auth"
 	"github.com/covelink/covelink/internal/telemetry"
 )
 
@@ -21,9 +22,9 @@
 // Params are what an API is built from.
 type Params struct {
 	Backend Backend
-	// Authenticate tells who holds the bearer token of a request.
-	Authenticate Authenticator
-	Logger       log.Logger
+	// Identifier tells who holds the bearer token of a request.
+	Identifier Identifier
+	Logger     log.Logger
 	// Now is the clock of the audit lines. Default time.Now.
 	Now func() time.Time
 }
@@ -31,10 +32,10 @@
 // API serves resources by the conventions of the Kubernetes API. It holds no state of its own: every check reads
 // the backend, and conflicts are decided by the backend's conditional writes.
 type API struct {
-	backend      Backend
-	authenticate Authenticator
-	logger       log.Logger
-	now          func() time.Time
+	backend    Backend
+	identifier Identifier
+	logger     log.Logger
+	now        func() time.Time
 	// stopping ends when Stop is called.
 	stopping context.Context
 	stop     context.CancelFunc
@@ -48,12 +49,12 @@
 	}
 	stopping, stop := context.WithCancel(context.Background())
 	return &API{
-		backend:      params.Backend,
-		authenticate: params.Authenticate,
-		logger:       telemetry.For(params.Logger, telemetry.PartResourceAPI),
-		now:          now,
-		stopping:     stopping,
-		stop:         stop,
+		backend:    params.Backend,
+		identifier: params.Identifier,
+		logger:     telemetry.For(params.Logger, telemetry.PartResourceAPI),
+		now:        now,
+		stopping:   stopping,
+		stop:       stop,
 	}
 }
 
@@ -79,16 +80,16 @@
 type request struct {
 	*gin.Context
 	kind     v1.Kind
-	identity Identity
+	operator auth.Identity
 	options  options
 }
 
 // handle adapts a handler: it checks the query and the role, and answers the handler's error with a Status.
 func (a *API) handle(kind v1.Kind, allowed parameters, handler func(*request) error) gin.HandlerFunc {
 	return func(c *gin.Context) {
-		identity := c.MustGet(identityKey).(Identity)
-		if !mayUse(identity.Role, c.Request.Method) {
-			a.fail(c, v1.Errorf(v1.CodeForbidden, "operator %s may only read", identity.Name))
+		operator := c.MustGet(operatorKey).(auth.Identity)
+		if !mayUse(operator, c.Request.Method) {
+			a.fail(c, v1.Errorf(v1.CodeForbidden, "operator %s may only read", operator.Name))
 			return
 		}
 		options, err := parseOptions(c.Request.URL.Query(), allowed)
@@ -96,7 +97,7 @@
 			a.fail(c, err)
 			return
 		}
-		if err := handler(&request{Context: c, kind: kind, identity: identity, options: options}); err != nil {
+		if err := handler(&request{Context: c, kind: kind, operator: operator, options: options}); err != nil {
 			a.fail(c, err)
 		}
 	}
--- a/internal/resourceapi/api_test.go
+++ b/internal/resourceapi/api_test.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"github.com/covelink/covelink/internal/auth"
+	"github.com/covelink/covelink/internal/cluster"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -47,10 +49,10 @@
 		{Name: "rae", TokenHash: v1.HashToken(readerToken), Role: settings.RoleReadOnly},
 	}
 	api := resourceapi.New(resourceapi.Params{
-		Backend:      f.backend,
-		Authenticate: resourceapi.NewTokenAuthenticator(operators),
-		Logger:       log.NewLogfmtLogger(log.NewSyncWriter(f.log)),
-		Now:          func() time.Time { return time.Unix(1, 0) },
+		Backend:    f.backend,
+		Identifier: auth.New(cluster.NewHolder(), operators),
+		Logger:     log.NewLogfmtLogger(log.NewSyncWriter(f.log)),
+		Now:        func() time.Time { return time.Unix(1, 0) },
 	})
 	router := gin.New()
 	api.Routes(router)
--- a/internal/resourceapi/auth.go
+++ b/internal/resourceapi/auth.go
@@ -2,87 +2,52 @@
 
 import (
 	"net/http"
-	"strings"
 
 	"github.com/gin-gonic/gin"
 
 	v1 "github.com/covelink/covelink/api/v1"
-	"github.com/covelink/covelink/internal/settings"
+	"github.com/covelink/covelink/internal/auth"
 )
 
 const (
-	identityKey  = "resourceapi.identity"
-	bearerScheme = "bearer"
+	operatorKey     = "resourceapi.operator"
+	challengeHeader = "WWW-Authenticate"
+	bearerScheme    = "Bearer"
 )
 
-// Identity is an operator.
-type Identity struct {
-	Name string
-	Role settings.Role
+// Identifier tells who holds a bearer token.
+type Identifier interface {
+	// Identify returns the callers that the token stands for, none if it is not known.
+	Identify(token string) auth.Identities
 }
 
-// Authenticator tells who holds a bearer token.
-type Authenticator interface {
-	// Authenticate returns the operator that the token stands for; false if there is none.
-	Authenticate(token string) (Identity, bool)
-}
-
-// TokenAuthenticator knows the operators of a settings file.
-type TokenAuthenticator struct {
-	operators []settings.Operator
-}
-
-// NewTokenAuthenticator returns an Authenticator over the operators' hashed tokens.
-func NewTokenAuthenticator(operators []settings.Operator) *TokenAuthenticator {
-	normalized := make([]settings.Operator, 0, len(operators))
-	for _, operator := range operators {
-		operator.TokenHash = strings.ToLower(operator.TokenHash)
-		normalized = append(normalized, operator)
-	}
-	return &TokenAuthenticator{operators: normalized}
-}
-
-// Authenticate implements Authenticator. Its time does not depend on which hash matches.
-func (t *TokenAuthenticator) Authenticate(token string) (Identity, bool) {
-	var found Identity
-	matched := false
-	for _, operator := range t.operators {
-		if v1.TokenMatches(token, []string{operator.TokenHash}) && !matched {
-			found = Identity{Name: operator.Name, Role: operator.Role}
-			matched = true
-		}
-	}
-	return found, matched
-}
-
-// identify refuses requests without a known bearer token.
+// identify refuses requests without a known bearer token with 401 and those of other callers than operators with 403.
 func (a *API) identify(c *gin.Context) {
-	identity, known := a.authenticate.Authenticate(bearerToken(c.GetHeader("Authorization")))
-	if !known {
-		c.Header("WWW-Authenticate", "Bearer")
+	callers := a.identifier.Identify(auth.BearerToken(c.GetHeader("Authorization")))
+	if len(callers) == 0 {
+		c.Header(challengeHeader, bearerScheme)
 		a.fail(c, v1.Errorf(v1.CodeUnauthenticated, "a valid operator token is required"))
 		return
 	}
-	c.Set(identityKey, identity)
+	operator, found := operatorOf(callers)
+	if !found {
+		a.fail(c, v1.Errorf(v1.CodeForbidden, "the token is not an operator's"))
+		return
+	}
+	c.Set(operatorKey, operator)
 }
 
-// bearerToken returns the token of an Authorization header, or "" if it has none.
-func bearerToken(header string) string {
-	scheme, token, _ := strings.Cut(header, " ")
-	if !strings.EqualFold(scheme, bearerScheme) {
-		return ""
+// operatorOf returns the operator among the callers, one that may write before one that may only read.
+func operatorOf(callers auth.Identities) (auth.Identity, bool) {
+	for _, kind := range []auth.Kind{auth.KindOperator, auth.KindReadOnlyOperator} {
+		if names := callers.Names(kind); len(names) > 0 {
+			return auth.Identity{Kind: kind, Name: names[0]}, true
+		}
 	}
-	return strings.TrimSpace(token)
+	return auth.Identity{}, false
 }
 
-// mayUse reports whether the role allows requests with the method.
-func mayUse(role settings.Role, method string) bool {
-	switch role {
-	case settings.RoleOperator:
-		return true
-	case settings.RoleReadOnly:
-		return method == http.MethodGet
-	default:
-		return false
-	}
+// mayUse reports whether the operator may send requests with the method.
+func mayUse(operator auth.Identity, method string) bool {
+	return operator.Kind == auth.KindOperator || method == http.MethodGet
 }
--- a/internal/resourceapi/lag_test.go
+++ b/internal/resourceapi/lag_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"github.com/covelink/covelink/internal/auth"
+	"github.com/covelink/covelink/internal/cluster"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -60,9 +62,9 @@
 	operators := []settings.Operator{{Name: "olga", TokenHash: v1.HashToken(operatorToken), Role: settings.RoleOperator}}
 	router := gin.New()
 	resourceapi.New(resourceapi.Params{
-		Backend:      backend,
-		Authenticate: resourceapi.NewTokenAuthenticator(operators),
-		Logger:       log.NewNopLogger(),
+		Backend:    backend,
+		Identifier: auth.New(cluster.NewHolder(), operators),
+		Logger:     log.NewNopLogger(),
 	}).Routes(router)
 	return router
 }
@@ -126,9 +128,9 @@
 	Convey("Stop ends open watches, so that a server can shut down", t, func() {
 		gin.SetMode(gin.ReleaseMode)
 		api := resourceapi.New(resourceapi.Params{
-			Backend:      backendtest.New(),
-			Authenticate: resourceapi.NewTokenAuthenticator([]settings.Operator{{Name: "o", TokenHash: v1.HashToken(operatorToken), Role: settings.RoleOperator}}),
-			Logger:       log.NewNopLogger(),
+			Backend:    backendtest.New(),
+			Identifier: auth.New(cluster.NewHolder(), []settings.Operator{{Name: "o", TokenHash: v1.HashToken(operatorToken), Role: settings.RoleOperator}}),
+			Logger:     log.NewNopLogger(),
 		})
 		router := gin.New()
 		api.Routes(router)
--- a/internal/resourceapi/write.go
+++ b/internal/resourceapi/write.go
@@ -135,7 +135,7 @@
 
 // audit logs a change that the store has taken.
 func (a *API) audit(r *request, change change, revision string) {
-	level.Info(a.logger).Log("msg", "resource changed", "operator", r.identity.Name, "verb", change.verb, "kind", r.kind,
+	level.Info(a.logger).Log("msg", "resource changed", "operator", r.operator.Name, "verb", change.verb, "kind", r.kind,
 		"name", change.name, "revision", revision, "confirmed", r.options.confirm, "at", a.now().UTC().Format(time.RFC3339Nano))
 }
 
@@ -143,7 +143,7 @@
 func (a *API) failedWrite(r *request, change change, err error) error {
 	var typed *v1.Error
 	if errors.As(err, &typed) && typed.Outcome == v1.OutcomeUnknown {
-		level.Warn(a.logger).Log("msg", "resource change has unknown outcome", "operator", r.identity.Name,
+		level.Warn(a.logger).Log("msg", "resource change has unknown outcome", "operator", r.operator.Name,
 			"verb", change.verb, "kind", r.kind, "name", change.name)
 	}
 	return err
--- a/internal/weights/manager_test.go
+++ b/internal/weights/manager_test.go
@@ -134,7 +134,7 @@
 		client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, dial)
 		node.manager = New(Params{
 			Self: self, Source: node.holder, Orders: node.engines, Client: client, Logger: log.NewNopLogger(),
-			Elector: leadership.NewStatic(self.Name, nodes, electorate),
+			Elector: leadership.NewStatic(self.Name, nodes, leadership.FixedElectorate(electorate)),
 		})
 		server := rpc.NewServer(log.NewNopLogger())
 		node.manager.Register(server)
