--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -249,6 +249,33 @@
 	return listener.Addr().String()
 }
 
+// cutConn is a connection that fails after a number of bytes more.
+type cutConn struct {
+	net.Conn
+	mu      sync.Mutex
+	isCut   bool
+	allowed int
+}
+
+func (c *cutConn) cut(allowed int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isCut, c.allowed = true, allowed
+}
+
+func (c *cutConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isCut {
+		return c.Conn.Write(p)
+	}
+	written, err := c.Conn.Write(p[:min(c.allowed, len(p))])
+	if err == nil {
+		err = net.ErrClosed
+	}
+	return written, err
+}
+
 func TestFate(t *testing.T) {
 	Convey("The error tells whether a request may have been received", t, func() {
 		client := NewClient(Peer{Name: "caller"}, nil)
@@ -263,24 +290,36 @@
 			listener.Close()
 			So(errors.Is(call(listener.Addr().String()), ErrNotSent), ShouldBeTrue)
 		})
-		Convey("lost when the connection is cut before the reply", func() {
-			address := scripted(func(conn net.Conn) {
-				reader := newFrameReader(conn, testLimit)
-				io.ReadFull(conn, make([]byte, len(preamble)))
-				reader.next()
-				reader.body(nil)
-				reader.next()
-			})
-			So(errors.Is(call(address), ErrLost), ShouldBeTrue)
-		})
-		Convey("lost when the reply is cut in mid-frame, or is garbage", func() {
-			for _, answer := range [][]byte{{0, 0, 1, 0, 9, 9}, {0xff, 0xff, 0xff, 0xff}, {0, 0, 0, 2, 0xf8, 0xff}} {
+		Convey("lost when the connection is cut before the reply, the reply is cut in mid-frame, or is garbage", func() {
+			for _, answer := range [][]byte{nil, {0, 0, 1, 0, 9, 9}, {0xff, 0xff, 0xff, 0xff}, {0, 0, 0, 2, 0xf8, 0xff}} {
 				address := scripted(func(conn net.Conn) {
+					reader := newFrameReader(conn, testLimit)
+					io.ReadFull(conn, make([]byte, len(preamble)))
+					for range 2 { // the hello and the request
+						reader.next()
+						reader.body(nil)
+					}
 					conn.Write(answer)
-					io.CopyN(io.Discard, conn, int64(len(preamble))+100)
 				})
 				err := call(address)
-				So(errors.Is(err, ErrLost) || errors.Is(err, ErrNotSent), ShouldBeTrue)
+				So(errors.Is(err, ErrLost), ShouldBeTrue)
+				So(errors.Is(err, ErrNotSent), ShouldBeFalse)
+			}
+		})
+		Convey("not sent when no byte of the request could be written, lost when some were", func() {
+			for allowed, want := range map[int]error{0: ErrNotSent, 1: ErrLost} {
+				n := newNode(nil)
+				var conn *cutConn
+				n.client.dial = func(ctx context.Context, address string) (net.Conn, error) {
+					inner, err := dialTCP(ctx, address)
+					conn = &cutConn{Conn: inner}
+					return conn, err
+				}
+				_, err := n.echo("whole")
+				So(err, ShouldBeNil)
+				conn.cut(allowed)
+				_, err = n.echo("cut")
+				So(errors.Is(err, want), ShouldBeTrue)
 			}
 		})
 		Convey("the next call opens a new connection", func() {
