gateway: bound slow callers, count background work apart

Cause: a caller that sends or reads slowly could hold up a drain without bound, and streams counted twice as in flight. Change: deadlines for a body's arrival and for each write of a stream, cleared afterwards; background work counted apart. Conclusion: go test -race -count=2 passes.

--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -86,9 +86,9 @@
 		g.replays.start(call.replayKey(), log)
 	}
 	ctx, cancel := call.context(c.Request.Context())
-	g.work.extend()
+	g.work.beginBackground()
 	go func() {
-		defer g.work.end()
+		defer g.work.endBackground()
 		defer release()
 		defer cancel()
 		g.executeStream(ctx, call, log)
@@ -145,7 +145,7 @@
 
 // resumeStream serves what follows an event of a stream that this gateway still holds.
 func (g *Gateway) resumeStream(c *gin.Context, application *v1.Application, lastID string, chat bool) {
-	request, err := decodeCompletion(c.Request.Body, chat)
+	request, err := g.readCompletion(c, chat)
 	if err == nil {
 		err = g.checkPool(request, application, g.params.Source.Current())
 	}
--- a/internal/gateway/completion_call.go
+++ b/internal/gateway/completion_call.go
@@ -44,7 +44,7 @@
 
 // prepare checks everything of a call that can be checked before it takes up a place.
 func (g *Gateway) prepare(c *gin.Context, application *v1.Application, view *cluster.View, chat bool) (*completionCall, error) {
-	request, err := decodeCompletion(c.Request.Body, chat)
+	request, err := g.readCompletion(c, chat)
 	if err != nil {
 		return nil, err
 	}
@@ -62,6 +62,15 @@
 	return call, g.setClaim(call, c.Request.Header)
 }
 
+// readCompletion reads and checks the body of a completion route.
+func (g *Gateway) readCompletion(c *gin.Context, chat bool) (*completionRequest, error) {
+	body, err := g.readBody(c)
+	if err != nil {
+		return nil, err
+	}
+	return decodeCompletion(body, chat)
+}
+
 // applicationOf returns the application of the caller. A token that several applications share stands for the first by name.
 func applicationOf(c *gin.Context, view *cluster.View) (*v1.Application, error) {
 	names := auth.CallersOf(c).Names(auth.KindApplication)
--- a/internal/gateway/completion_test.go
+++ b/internal/gateway/completion_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -284,3 +285,35 @@
 		So(remaining(), ShouldEqual, 20*time.Minute)
 	})
 }
+
+// deadlineRecorder notes the deadlines that a handler sets on its connection.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	read, write []time.Time
+}
+
+func (r *deadlineRecorder) SetReadDeadline(deadline time.Time) error {
+	r.read = append(r.read, deadline)
+	return nil
+}
+
+func (r *deadlineRecorder) SetWriteDeadline(deadline time.Time) error {
+	r.write = append(r.write, deadline)
+	return nil
+}
+
+func TestConnectionDeadlines(t *testing.T) {
+	Convey("A slow caller is bounded while it sends and reads, and the connection is left without deadlines", t, func() {
+		b := newBench(t, nil)
+		recorder := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+		request := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(streamBody))
+		request.Header.Set("Authorization", "Bearer "+applicationToken)
+		b.handler.ServeHTTP(recorder, request)
+		So(recorder.Body.String(), ShouldEndWith, "data: [DONE]\n\n")
+		for _, deadlines := range [][]time.Time{recorder.read, recorder.write} {
+			So(len(deadlines), ShouldBeGreaterThan, 1)
+			So(deadlines[0].IsZero(), ShouldBeFalse)
+			So(deadlines[len(deadlines)-1].IsZero(), ShouldBeTrue)
+		}
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -25,6 +28,7 @@
 	notServingRetryAfter = time.Second
 	readHeaderTimeout    = 10 * time.Second
 	idleTimeout          = 2 * time.Minute
+	bodyTimeout          = 30 * time.Second
 )
 
 // Params are what a Gateway is built from. Claims may be nil; Now defaults to time.Now.
@@ -70,7 +74,7 @@
 		admission: newAdmission(params.Now),
 		replays:   newReplayStore(params.Now),
 	}
-	g.metrics = newMetrics(params.Registerer, g.work.count)
+	g.metrics = newMetrics(params.Registerer, g.work.counts)
 	g.SetReady(false, "starting")
 	return g
 }
@@ -93,11 +97,11 @@
 
 	callers := router.Group("/v1", g.observe, g.params.Auth.Authenticate())
 	callers.GET("/models", auth.RequireApplication(), g.models)
-	applications := callers.Group("", auth.RequireApplication(), g.admit, g.limitBody)
+	applications := callers.Group("", auth.RequireApplication(), g.admit)
 	applications.POST("/completions", g.completions)
 	applications.POST("/chat/completions", g.chatCompletions)
 
-	trainer := callers.Group("/trainers/:trainer", auth.RequireTrainer("trainer"), g.admit, g.requirePermittedZone, g.limitBody)
+	trainer := callers.Group("/trainers/:trainer", auth.RequireTrainer("trainer"), g.admit, g.requirePermittedZone)
 	trainer.PUT("/version", g.requireServing, g.putVersion)
 	trainer.PUT("/batches/:batch", g.requireServing, g.putBatch)
 	trainer.GET("/batches/:batch", g.getBatch)
@@ -140,7 +144,29 @@
 	return v1.NotRun(v1.CodeUnavailable, notServingRetryAfter, "the node takes no new work: %s", view.NotServingReason)
 }
 
-// limitBody bounds the body of the request.
-func (g *Gateway) limitBody(c *gin.Context) {
-	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, g.params.Limits.MaxBodyBytes)
+// readBody returns the body, which is bounded in size and in the time that it may take to arrive.
+func (g *Gateway) readBody(c *gin.Context) (io.Reader, error) {
+	control := http.NewResponseController(c.Writer)
+	// A writer without deadlines, as in a test of a handler alone, has no connection to guard.
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, g.params.Limits.MaxBodyBytes))
+	// The deadline must not outlast the body: the server reads on to see whether the caller is still there.
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, v1.NotRun(v1.CodeTooLarge, 0, "the body is larger than %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, invalid("", "the body was not received whole")
+	}
+	return bytes.NewReader(body), nil
+}
+
+// decodeBody reads the JSON body into target and refuses unknown fields.
+func (g *Gateway) decodeBody(c *gin.Context, target any) error {
+	body, err := g.readBody(c)
+	if err != nil {
+		return err
+	}
+	return decodeJSON(body, target, true)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -134,6 +134,7 @@
 	rollouts   *fakeRollouts
 	source     *cluster.Holder
 	url        string
+	handler    http.Handler
 	logs       *lockedBuffer
 }
 
@@ -209,6 +210,7 @@
 	b.gateway.SetReady(true, "")
 	router := gin.New()
 	b.gateway.Routes(router)
+	b.handler = router
 	server := httptest.NewServer(router)
 	t.Cleanup(server.Close)
 	b.url = server.URL
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,7 +13,7 @@
 	latency  *prometheus.HistogramVec
 }
 
-func newMetrics(registerer prometheus.Registerer, inFlight func() int) *metrics {
+func newMetrics(registerer prometheus.Registerer, inFlight func() (requests, background int)) *metrics {
 	m := &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "covelink_gateway_requests_total",
@@ -28,7 +28,10 @@
 	gauge := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "covelink_gateway_requests_in_flight",
 		Help: "Requests in flight.",
-	}, func() float64 { return float64(inFlight()) })
+	}, func() float64 {
+		requests, _ := inFlight()
+		return float64(requests)
+	})
 	if registerer != nil {
 		registerer.MustRegister(m.requests, m.latency, gauge)
 	}
--- a/internal/gateway/openai_request.go
+++ b/internal/gateway/openai_request.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"slices"
 	"strings"
 
@@ -18,6 +17,8 @@
 	defaultMaxTokens = 4096
 	// prefixBytes is how much of a prompt decides which prompts are taken to share a cached prefix.
 	prefixBytes = 256
+	// maxFieldBytes bounds the name of an unknown field in an error.
+	maxFieldBytes = 64
 )
 
 // chatRoles are the roles a chat message may have.
@@ -99,10 +100,6 @@
 }
 
 func decodeError(err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return v1.NotRun(v1.CodeTooLarge, 0, "the body is larger than %d bytes", tooLarge.Limit)
-	}
 	var wrongType *json.UnmarshalTypeError
 	if errors.As(err, &wrongType) {
 		return invalid(wrongType.Field, "wrong type: want %s", wrongType.Type)
@@ -119,10 +116,11 @@
 	if !found {
 		return "", false
 	}
-	return strings.Trim(quoted, `"`), true
+	name := strings.Trim(quoted, `"`)
+	return name[:min(len(name), maxFieldBytes)], true
 }
 
-// decodeCompletion reads and checks the body of a completion route.
+// decodeCompletion decodes and checks the body of a completion route.
 func decodeCompletion(body io.Reader, chat bool) (*completionRequest, error) {
 	var raw openAIRequest
 	if err := decodeJSON(body, &raw, false); err != nil {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -17,8 +17,10 @@
 	NotReadyReason   string `json:"notReadyReason,omitempty"`
 	Draining         bool   `json:"draining"`
 	InFlight         int    `json:"inFlight"`
-	Engines          int    `json:"engines"`
-	Nodes            int    `json:"nodes"`
+	// Background counts the streams that engines produce, with or without their callers.
+	Background int `json:"background"`
+	Engines    int `json:"engines"`
+	Nodes      int `json:"nodes"`
 }
 
 func (g *Gateway) health(c *gin.Context) {
@@ -50,6 +52,7 @@
 func (g *Gateway) status(c *gin.Context) {
 	view := g.params.Source.Current()
 	reason := g.notReadyReason()
+	requests, background := g.work.counts()
 	c.JSON(http.StatusOK, StatusReport{
 		Node:             g.params.Self.Name,
 		Zone:             g.params.Self.Zone,
@@ -59,7 +62,8 @@
 		Ready:            reason == "",
 		NotReadyReason:   reason,
 		Draining:         g.work.isDraining(),
-		InFlight:         g.work.count(),
+		InFlight:         requests,
+		Background:       background,
 		Engines:          len(view.Engines),
 		Nodes:            len(view.Nodes),
 	})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,9 +4,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/gin-gonic/gin"
 
@@ -18,6 +20,8 @@
 	doneData       = "[DONE]"
 	headerLastID   = "Last-Event-ID"
 	contentTypeSSE = "text/event-stream"
+	// streamWriteTimeout bounds how long a caller may take to read what there is of its stream.
+	streamWriteTimeout = 30 * time.Second
 )
 
 // eventLog holds the events of one stream. One goroutine appends; any number of readers follow it, each from
@@ -129,6 +133,9 @@
 // A failure before the first event is answered as a plain error with its status.
 func serveStream(c *gin.Context, l *eventLog, n int) {
 	ctx := c.Request.Context()
+	control := http.NewResponseController(c.Writer)
+	// The deadline must not outlast the stream: the connection may carry further requests.
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	started := false
 	for {
 		seen, err := l.await(ctx, n)
@@ -143,6 +150,8 @@
 			startStream(c)
 			started = true
 		}
+		// A caller that does not read is cut off, so that it cannot hold up a drain.
+		_ = control.SetWriteDeadline(time.Now().Add(streamWriteTimeout))
 		for _, data := range seen.events {
 			n++
 			if _, err := fmt.Fprintf(c.Writer, "id: %s\ndata: %s\n\n", l.eventID(n), data); err != nil {
--- a/internal/gateway/trainers.go
+++ b/internal/gateway/trainers.go
@@ -45,7 +45,7 @@
 
 func (g *Gateway) putBatch(c *gin.Context) {
 	var spec v1.BatchSpec
-	if err := decodeJSON(c.Request.Body, &spec, true); err != nil {
+	if err := g.decodeBody(c, &spec); err != nil {
 		httperr.Write(c, err)
 		return
 	}
@@ -163,7 +163,7 @@
 
 func (g *Gateway) ackSamples(c *gin.Context) {
 	var request v1.AckRequest
-	if err := decodeJSON(c.Request.Body, &request, true); err != nil {
+	if err := g.decodeBody(c, &request); err != nil {
 		httperr.Write(c, err)
 		return
 	}
@@ -179,7 +179,7 @@
 
 func (g *Gateway) putVersion(c *gin.Context) {
 	var version v1.WeightVersion
-	if err := decodeJSON(c.Request.Body, &version, true); err != nil {
+	if err := g.decodeBody(c, &version); err != nil {
 		httperr.Write(c, err)
 		return
 	}
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -5,47 +5,56 @@
 	"sync"
 )
 
-// workTracker counts the work in flight and, once draining, takes no more.
+// workTracker counts the work in flight and, once draining, takes no more requests.
 type workTracker struct {
-	mu       sync.Mutex
-	inFlight int
-	draining bool
-	idle     chan struct{} // closed once draining and nothing is in flight
+	mu         sync.Mutex
+	requests   int
+	background int
+	draining   bool
+	idle       chan struct{} // closed once draining and nothing is in flight
 }
 
 func newWorkTracker() *workTracker {
 	return &workTracker{idle: make(chan struct{})}
 }
 
-// begin takes in one piece of work; it reports false while draining.
+// begin takes in one request; it reports false while draining.
 func (w *workTracker) begin() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.draining {
 		return false
 	}
-	w.inFlight++
+	w.requests++
 	return true
 }
 
-// extend takes in a further piece of work on behalf of one that is in flight, draining or not.
-func (w *workTracker) extend() {
+func (w *workTracker) end() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.inFlight++
+	w.requests--
+	w.signalIdle()
 }
 
-func (w *workTracker) end() {
+// beginBackground takes in work on behalf of a request that is in flight, draining or not.
+func (w *workTracker) beginBackground() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.background++
+}
+
+func (w *workTracker) endBackground() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.inFlight--
+	w.background--
 	w.signalIdle()
 }
 
-func (w *workTracker) count() int {
+// counts returns the requests in flight and the background work.
+func (w *workTracker) counts() (requests, background int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.inFlight
+	return w.requests, w.background
 }
 
 func (w *workTracker) isDraining() bool {
@@ -69,7 +78,7 @@
 
 // signalIdle must be called with the lock held.
 func (w *workTracker) signalIdle() {
-	if !w.draining || w.inFlight > 0 {
+	if !w.draining || w.requests+w.background > 0 {
 		return
 	}
 	select {
