configsync: grant no renewal on the strength of an earlier term's lease

A node's second heartbeat in a term counted as a renewal though the term had granted it nothing, so after a change of coordinator it could be let in below a revision the zone had acknowledged.

--- a/internal/configsync/coordinator.go
+++ b/internal/configsync/coordinator.go
@@ -32,6 +32,8 @@
 	applied     uint64
 	// until is when the node must have stopped serving unless it renews.
 	until time.Time
+	// granted says that this term has granted a lease to this start of the node; else until only allows for an earlier term.
+	granted bool
 }
 
 // Coordinator is one term of a zone's coordinator. It is pure state: the caller passes the time.
@@ -82,23 +84,26 @@
 	return informed && c.state.Revision > 0
 }
 
-// Heartbeat renews a node's lease. A node with a valid lease keeps it as long as it applies what the zone has
-// acknowledged; a node without one gets it once it applies the newest revision.
+// Heartbeat renews a node's lease. A node with a valid lease of this term keeps it as long as it applies what the zone has
+// acknowledged; a node without one gets it once it applies the newest revision, which covers what earlier terms acknowledged.
 func (c *Coordinator) Heartbeat(report NodeReport, now time.Time) Grant {
 	lease, known := c.leases[report.Node]
 	if !known {
 		lease = &nodeLease{until: c.started.Add(c.length)}
 		c.leases[report.Node] = lease
 	}
-	restarted := lease.incarnation != report.Incarnation
+	if lease.incarnation != report.Incarnation || !now.Before(lease.until) {
+		lease.granted = false
+	}
 	lease.incarnation = report.Incarnation
 	lease.applied = report.Applied.Revision
 	required := c.state.Acks[c.zone]
-	if restarted || !now.Before(lease.until) {
+	if !lease.granted {
 		required = max(required, c.state.Revision)
 	}
 	granted := c.Ready(now) && report.Applied.Revision >= required
 	if granted {
+		lease.granted = true
 		lease.until = now.Add(c.length)
 	}
 	c.settle(now, c.outrun(report.Applied))
--- a/internal/configsync/manager_test.go
+++ b/internal/configsync/manager_test.go
@@ -14,6 +14,7 @@
 	lab "github.com/covelink/covelink/internal/lab/objectapi"
 	"github.com/covelink/covelink/internal/objectapi"
 	"github.com/covelink/covelink/internal/resourceapi"
+	"github.com/covelink/covelink/internal/settings"
 )
 
 // acceptedAt returns the Accepted condition of a zone resource as the node sees it.
@@ -44,6 +45,16 @@
 	return typed.Code
 }
 
+func TestLeaseCountsFromTheRequest(t *testing.T) {
+	Convey("A lease granted to a heartbeat lasts from before the heartbeat was sent", t, func() {
+		timing := settings.Default().Timing
+		m := New(Params{Holder: cluster.NewHolder(), Timing: timing, Logger: discard})
+		sentAt := time.Now().Add(-timing.NodeLeaseLength / 2)
+		m.takeGrant(Grant{Granted: true, Version: Version{Token: 1, Sequence: 1, Revision: 1}}, sentAt)
+		So(m.replica.LeaseUntil(), ShouldEqual, sentAt.Add(timing.NodeLeaseLength))
+	})
+}
+
 func TestThreeZones(t *testing.T) {
 	Convey("Given three nodes in three zones with a resource for each", t, func() {
 		ctx := t.Context()
