--- a/internal/configsync/core_test.go
+++ b/internal/configsync/core_test.go
@@ -117,6 +117,16 @@
 				So(beat(c, "a", 4, testStart).Granted, ShouldBeFalse)
 			})
 
+			Convey("a node that restarts, or whose lease lapsed, needs the newest revision, not just the acknowledged one", func() {
+				beat(c, "a", 5, testStart)
+				beat(c, "b", 5, testStart)
+				c.ApplyResources([]v1.RawObject{rawZone("z", 6)}, 6, testStart)
+				So(beat(c, "a", 5, testStart).Granted, ShouldBeTrue)
+				restarted := NodeReport{Node: "a", Incarnation: "a again", Applied: Version{Revision: 5}}
+				So(c.Heartbeat(restarted, testStart).Granted, ShouldBeFalse)
+				So(beat(c, "b", 5, testStart.Add(testLease)).Granted, ShouldBeFalse)
+			})
+
 			Convey("a silent node holds the acknowledgement back until its lease must have lapsed", func() {
 				beat(c, "a", 5, testStart)
 				So(c.State().Acks["z"], ShouldEqual, 0)
