--- a/internal/dispatch/accounting.go
+++ b/internal/dispatch/accounting.go
@@ -91,7 +91,7 @@
 }
 
 // cancelAttempt tells the engine of an attempt that was given up, in the background: the result does not wait for it.
-// A lost connection has cancelled the attempt already.
+// A stream that the engine ended itself needs no cancel.
 func (m *Manager) cancelAttempt(held *grant, request *enginev1.CompletionRequest, result *engine.StreamResult) {
 	if result.Outcome != v1.OutcomeUnknown || errors.Is(result.Err, engine.ErrTruncated) {
 		return
