--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"maps"
 	"net"
 	"net/http"
@@ -239,6 +241,22 @@
 			So(requests.Load(), ShouldEqual, 0)
 		})
 	}
+	Convey("Over TLS the bytes are seen too: whole, lost, and not sent to a certificate that is not trusted", t, func() {
+		var crash atomic.Bool
+		server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if crash.Load() {
+				panic(http.ErrAbortHandler)
+			}
+			write(w, events(answer(3), 0))
+		}))
+		server.Config.ErrorLog = log.New(io.Discard, "", 0)
+		defer server.Close()
+		trusting := server.Client().Transport.(*http.Transport).TLSClientConfig
+		So(run(engine.New(engine.Config{TLS: trusting}), server.URL, completion()).Outcome, ShouldEqual, v1.OutcomeCompleted)
+		So(run(engine.New(engine.Config{}), server.URL, completion()).Outcome, ShouldEqual, v1.OutcomeNotRun)
+		crash.Store(true)
+		So(run(engine.New(engine.Config{TLS: trusting}), server.URL, completion()).Outcome, ShouldEqual, v1.OutcomeUnknown)
+	})
 	Convey("A request is never sent twice, not even when a kept connection turns out to be closed", t, func() {
 		var posts atomic.Int32
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
