rollout: save what has arrived when a planned stop begins

Cause: the term chose between the stop and waiting inputs at random, so tokens that had arrived could be left unsaved. Conclusion: a planned stop loses no token that the dispatcher has reported.

--- a/internal/rollout/term.go
+++ b/internal/rollout/term.go
@@ -102,8 +102,7 @@
 		case <-t.ctx.Done():
 			return nil
 		case <-t.manager.draining:
-			t.owner.Suspend()
-			return t.commit()
+			return t.suspend()
 		case <-ticker.C:
 			t.tick()
 		case first := <-t.inputs:
@@ -119,20 +118,30 @@
 }
 
 // takeGroup handles an input and those that wait behind it.
-func (t *term) takeGroup(next input) {
-	for count := 1; ; count++ {
-		next(t.now())
-		if count == maxGroup {
-			return
-		}
+func (t *term) takeGroup(first input) {
+	first(t.now())
+	t.takeWaiting(maxGroup - 1)
+}
+
+// takeWaiting handles the inputs that wait, at most limit.
+func (t *term) takeWaiting(limit int) {
+	for range limit {
 		select {
-		case next = <-t.inputs:
+		case next := <-t.inputs:
+			next(t.now())
 		default:
 			return
 		}
 	}
 }
 
+// suspend ends the term for a planned stop: what has arrived is still taken in, so that its tokens are saved.
+func (t *term) suspend() error {
+	t.takeWaiting(inputQueue)
+	t.owner.Suspend()
+	return t.commit()
+}
+
 // tick brings the owner to the resources in force.
 func (t *term) tick() {
 	if config, ok := t.manager.config(t.trainer, t.store); ok {
