lease: diskless majority leases, and an elector over them

Cause: the coordinator of a zone and the owner of a batch followed from a fixed list and did not move when a node died.

--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -46,7 +46,7 @@
 	Listeners listeners
 	Server    *rpc.Server
 	Client    *rpc.Client
-	Elector   leadership.Elector
+	Elector   *leadership.LeaseElector
 	Sync      *configsync.Manager
 	Engines   *engine.Client
 	Inventory *inventory.Inventory
@@ -63,6 +63,9 @@
 	logger log.Logger
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
+	// campaigns are the tasks that may hold leases; the elector outlasts them, so that they release what they hold.
+	campaigns     sync.WaitGroup
+	cancelElector context.CancelFunc
 }
 
 func registerLifecycle(hooks fx.Lifecycle, params lifecycleParams) {
@@ -74,16 +77,20 @@
 func (l *lifecycle) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
+	electorCtx, cancelElector := context.WithCancel(context.Background())
+	l.cancelElector = cancelElector
+	l.Elector.Register(l.Server)
 	l.Sync.Register(l.Server)
 	l.Weights.Register(l.Server)
 	l.Rollout.Register(l.Server)
 	l.run(func() { l.report("internal listener ended", l.Server.Serve(l.Listeners.internal)) })
 	l.run(func() { l.report("http listener ended", l.HTTP.Serve(l.Listeners.http)) })
+	l.run(func() { l.report("elector ended", l.Elector.Run(electorCtx)) })
 	l.run(func() { l.report("config sync ended", l.Sync.Run(ctx)) })
 	l.run(func() { l.Weights.Run(ctx) })
 	l.run(func() { l.Dispatch.Run(ctx) })
-	l.run(func() { l.report("rollout ended", l.Rollout.Run(ctx)) })
-	l.run(func() { l.coordinate(ctx) })
+	l.campaigns.Go(func() { l.report("rollout ended", l.Rollout.Run(ctx)) })
+	l.campaigns.Go(func() { l.coordinate(ctx) })
 	l.Gateway.SetReady(true, "")
 	level.Info(l.logger).Log("msg", "started", "node", l.Self.Name, "zone", l.Self.Zone,
 		"http", l.Listeners.http.Addr(), "internal", l.Listeners.internal.Addr())
@@ -116,7 +123,9 @@
 		l.Dispatch.Drain(drainCtx),
 	)
 	l.cancel()
+	l.campaigns.Wait()
 	err = errors.Join(err, l.Server.Drain(drainCtx))
+	l.cancelElector()
 	l.close()
 	l.tasks.Wait()
 	level.Info(l.logger).Log("msg", "stopped", "err", err)
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -39,6 +39,7 @@
 		cluster.NewHolder,
 		func(holder *cluster.Holder) cluster.Source { return holder },
 		newElector,
+		func(elector *leadership.LeaseElector) leadership.Elector { return elector },
 		newStore,
 		newConfigSync,
 		newEngineClient,
@@ -67,10 +68,17 @@
 	return client
 }
 
-// newElector returns the elector over the nodes of the settings.
-func newElector(config settings.Settings, self cluster.Node, source cluster.Source) leadership.Elector {
-	return leadership.NewStatic(self.Name, seeds(config), func(name string) []string {
-		return electorate(source.Current(), name)
+// newElector returns the elector whose voters are the nodes of the settings.
+func newElector(config settings.Settings, self cluster.Node, source cluster.Source, client *rpc.Client,
+	logger log.Logger, registerer prometheus.Registerer) *leadership.LeaseElector {
+	return leadership.New(leadership.Params{
+		Self:       self,
+		Seeds:      seeds(config),
+		Electorate: func(name string) []string { return electorate(source.Current(), name) },
+		Client:     client,
+		Timing:     config.Timing,
+		Logger:     telemetry.For(logger, telemetry.PartLease),
+		Registerer: registerer,
 	})
 }
 
@@ -126,7 +134,7 @@
 	})
 }
 
-func newWeights(self cluster.Node, source cluster.Source, engines *engine.Client, elector leadership.Elector, client *rpc.Client,
+func newWeights(self cluster.Node, source cluster.Source, engines *engine.Client, elector *leadership.LeaseElector, client *rpc.Client,
 	engineInventory *inventory.Inventory, logger log.Logger, registerer prometheus.Registerer) *weights.Manager {
 	return weights.New(weights.Params{
 		Self:       self,
@@ -135,6 +143,7 @@
 		Elector:    elector,
 		Client:     client,
 		Observe:    engineInventory.Observe,
+		Fenced:     elector.ObserveToken,
 		Logger:     telemetry.For(logger, telemetry.PartWeights),
 		Registerer: registerer,
 	})
--- a/internal/weights/lead.go
+++ b/internal/weights/lead.go
@@ -147,6 +147,7 @@
 	if refusal.Reason == enginev1.RefusedFence {
 		level.Warn(r.manager.params.Logger).Log("msg", "engine has seen a higher term", "engine", order.Engine,
 			"term", r.term.Token, "highest", refusal.HighestFence)
+		r.manager.params.Fenced(r.term.Name, refusal.HighestFence)
 	}
 	if refusal.Load != nil {
 		r.manager.params.Observe(order.Engine, *refusal.Load)
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -33,6 +33,8 @@
 	Client  *rpc.Client
 	// Observe is told of each load that an engine told in the answer to an order. It may be nil.
 	Observe func(name string, load enginev1.Load)
+	// Fenced is told when an engine refuses an order of the named term because it has seen a higher token. It may be nil.
+	Fenced func(term string, seen uint64)
 	// Limits may be zero: the defaults.
 	Limits     Limits
 	Logger     log.Logger
@@ -71,6 +73,9 @@
 	if params.Observe == nil {
 		params.Observe = func(string, enginev1.Load) {}
 	}
+	if params.Fenced == nil {
+		params.Fenced = func(string, uint64) {}
+	}
 	return &Manager{
 		params:  params,
 		metrics: newMetrics(params.Registerer),
