--- /dev/null
+++ b/cmd/covelink-lab/main.go
@@ -0,0 +1,12 @@
+// Command covelink-lab runs stand-ins for covelink's surroundings, and a demo of a whole deployment.
+package main
+
+import (
+	"os"
+
+	"github.com/covelink/covelink/internal/lab/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(os.Args, cli.Streams{Out: os.Stdout, Err: os.Stderr}))
+}
--- a/internal/lab/configfile/configfile.go
+++ b/internal/lab/configfile/configfile.go
@@ -6,6 +6,7 @@
 	"errors"
 	"os"
 	"reflect"
+	"regexp"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -38,7 +39,7 @@
 // *settings.Error.
 func Decode(file string, content []byte, config any) error {
 	if err := yaml.UnmarshalWithOptions(content, config, yaml.Strict()); err != nil {
-		return decodeError(file, err)
+		return decodeError(file, content, err)
 	}
 	return Check(file, config)
 }
@@ -61,7 +62,7 @@
 	return &settings.Error{File: file, Field: field, Message: "does not meet " + rule}
 }
 
-func decodeError(file string, err error) error {
+func decodeError(file string, content []byte, err error) error {
 	fault := &settings.Error{File: file, Message: oneLine(err.Error())}
 	var positioned yaml.Error
 	if errors.As(err, &positioned) {
@@ -70,7 +71,28 @@
 			fault.Line = token.Position.Line
 		}
 	}
+	if fault.Line == 0 {
+		fault.Line = lineOfQuoted(content, fault.Message)
+	}
 	return fault
 }
 
+// quoted finds the value that a message of a parser quotes, as in: invalid duration "soon".
+var quoted = regexp.MustCompile(`"([^"]+)"`)
+
+// lineOfQuoted returns the first line that holds the value quoted in a message, or 0. The parsers of durations and
+// numbers do not tell where a value stands.
+func lineOfQuoted(content []byte, message string) int {
+	found := quoted.FindStringSubmatch(message)
+	if found == nil {
+		return 0
+	}
+	for number, line := range strings.Split(string(content), "\n") {
+		if strings.Contains(line, found[1]) {
+			return number + 1
+		}
+	}
+	return 0
+}
+
 func oneLine(text string) string { return strings.Join(strings.Fields(text), " ") }
--- a/internal/lab/configfile/configfile_test.go
+++ b/internal/lab/configfile/configfile_test.go
@@ -35,6 +35,7 @@
 		}{
 			{"name: a\nother: 1\n", "f.yaml:2"},
 			{"name: a\ninner:\n  count: many\n", "f.yaml:3"},
+			{"name: a\ninner:\n  wait: soon\n", "f.yaml:3"},
 			{"name: [\n", "f.yaml"},
 			{"inner:\n  wait: 1s\n", "name"},
 			{"name: a\ninner:\n  wait: 0s\n", "inner.wait"},
--- a/internal/lab/deployment/platform.go
+++ b/internal/lab/deployment/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 
 	"github.com/go-kit/log"
 
@@ -73,15 +74,21 @@
 	return p, nil
 }
 
+// stop stops every stand-in, all at the same time.
 func (p *platform) stop(ctx context.Context) error {
-	var failed []error
+	stops := []func(context.Context) error{p.machines.Stop}
 	for _, engine := range p.engines {
-		failed = append(failed, engine.Stop(ctx))
+		stops = append(stops, engine.Stop)
 	}
 	if p.weights != nil {
-		failed = append(failed, p.weights.Stop(ctx))
+		stops = append(stops, p.weights.Stop)
+	}
+	failed := make([]error, len(stops))
+	var stopping sync.WaitGroup
+	for i, stop := range stops {
+		stopping.Go(func() { failed[i] = stop(ctx) })
 	}
-	failed = append(failed, p.machines.Stop(ctx))
 	p.objects.Stop()
+	stopping.Wait()
 	return errors.Join(failed...)
 }
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -112,7 +112,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), l.config.Timeout)
 	defer cancel()
 	result := ask(ctx, l.clients[number%len(l.clients)], l.config, question)
-	l.meter.add(result, due)
+	l.meter.add(question, result, due)
 	l.recorder.Called(invariant.Call{
 		Request:       question.key,
 		Pool:          l.config.Pool,
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -84,6 +84,18 @@
 			}
 			So(report.Whole.TotalCount(), ShouldEqual, report.Completed)
 			So(report.Completed+report.NotRun+report.Unknown, ShouldEqual, 20)
+			marked := 0
+			for _, call := range calls {
+				if call.NotRepeatable {
+					marked++
+				}
+			}
+			So(report.NotRepeatable, ShouldEqual, marked)
+			if c.outcome == v1.OutcomeCompleted {
+				So(report.NotRepeatableCompleted, ShouldEqual, marked)
+			} else {
+				So(report.NotRepeatableCompleted, ShouldEqual, 0)
+			}
 		})
 	}
 }
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -19,6 +19,9 @@
 // Report is what a load measured. Latencies count from the moment a request was due, in microseconds.
 type Report struct {
 	Sent, Completed, NotRun, Unknown int
+	// NotRepeatable counts the requests sent that were marked as not repeatable, and NotRepeatableCompleted those of
+	// them that were completed.
+	NotRepeatable, NotRepeatableCompleted int
 	// Shed counts arrivals that were not sent because too many requests were in flight.
 	Shed int
 	// FirstToken and Whole are the latencies of completed requests to their first token and to their end.
@@ -44,10 +47,11 @@
 	m.report.Shed++
 }
 
-func (m *meter) add(answer answer, due time.Time) {
+func (m *meter) add(question question, answer answer, due time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.report.Sent++
+	m.countNotRepeatable(question, answer)
 	switch answer.outcome {
 	case v1.OutcomeCompleted:
 		m.report.Completed++
@@ -60,6 +64,16 @@
 	}
 }
 
+func (m *meter) countNotRepeatable(question question, answer answer) {
+	if !question.notRepeatable {
+		return
+	}
+	m.report.NotRepeatable++
+	if answer.outcome == v1.OutcomeCompleted {
+		m.report.NotRepeatableCompleted++
+	}
+}
+
 func record(histogram *hdrhistogram.Histogram, latency time.Duration) {
 	_ = histogram.RecordValue(max(1, min(latency, maxLatency).Microseconds()))
 }
