--- a/internal/lab/cli/up.go
+++ b/internal/lab/cli/up.go
@@ -133,14 +133,15 @@
 
 func (p upPrinter) print(processes []deployment.Process) {
 	p.line("go build -o bin/ ./cmd/...")
+	p.line("export COVELINK_SERVER=%s", p.plan.NodeURLs()[0])
+	p.line("export COVELINK_TOKEN=%s", p.plan.Description.Operator.Token)
 	for _, process := range processes {
 		if !process.Ends {
 			p.line("bin/%s &", process.Command)
 		}
 	}
 	if p.resources != "" {
-		p.line("COVELINK_TOKEN=%s bin/covelinkctl --server %s apply -f %s --wait",
-			p.plan.Description.Operator.Token, p.plan.NodeURLs()[0], p.resources)
+		p.line("bin/covelinkctl apply -f %s --wait", p.resources)
 	}
 	for _, process := range processes {
 		if process.Ends {
