configsync: count node leases with a margin

A node's timer stops it a little after its lease ends, and clocks run at different rates; the coordinator now counts a lease for an eighth longer than the node holds it.

--- a/internal/configsync/term.go
+++ b/internal/configsync/term.go
@@ -57,7 +57,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	core := NewCoordinator(m.self.Zone, held.Token, m.replica.State(), now, m.params.Timing.NodeLeaseLength)
+	core := NewCoordinator(m.self.Zone, held.Token, m.replica.State(), now, m.countedLease())
 	core.SetNodes(m.zoneNodeNames())
 	if m.engines != nil {
 		core.SetEngines(m.engines, now)
@@ -78,6 +78,14 @@
 	return m.term
 }
 
+// countedLease returns how long a coordinator counts a lease: longer than the node holds it by a margin for clocks that
+// run at different rates and for the time a node's timer takes to stop it.
+func (m *Manager) countedLease() time.Duration {
+	const marginFraction = 8
+	length := m.params.Timing.NodeLeaseLength
+	return length + length/marginFraction
+}
+
 func (m *Manager) endTerm() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -149,7 +157,7 @@
 
 // keepInforming repeats inform until it succeeds or the leases of earlier terms have lapsed.
 func (m *Manager) keepInforming(ctx context.Context, t *term) {
-	deadline := time.NewTimer(m.params.Timing.NodeLeaseLength)
+	deadline := time.NewTimer(m.countedLease())
 	defer deadline.Stop()
 	ticker := time.NewTicker(m.params.Timing.LeaseLength / tickFraction)
 	defer ticker.Stop()
