rollout: ask for no version that no engine can run

Cause: the lowest version of a start could be one that a fetch had stated and nobody had published, and was predicted from a guessed speed before any answer had finished. Change: the prediction needs observed speed and interval, and is capped at the published weights unless the bound asks for more. Conclusion: starts wait only for versions that exist.

--- a/internal/rollout/attempts.go
+++ b/internal/rollout/attempts.go
@@ -82,11 +82,12 @@
 	return o.predictor.length(o.request(id).Group, o.tokenLimit(id))
 }
 
-// minVersion returns the lowest version that is expected to be fresh still when the tokens have been produced. It is never
-// above the version the trainer is at, since no engine can run a later one.
+// minVersion returns the lowest version that is expected to be fresh still when the tokens have been produced. It asks for no
+// version above the weights published, since no engine can run one, unless the bound itself does.
 func (o *Owner) minVersion(tokens int) int64 {
-	moves := o.predictor.versions(o.predictor.duration(tokens))
-	return max(0, min(o.ledger.Version(), o.oldestAllowed()+moves))
+	allowed := max(0, o.oldestAllowed())
+	moves := o.predictor.versions(tokens)
+	return max(allowed, min(o.ledger.Weights().Version, allowed+moves))
 }
 
 // start runs a new attempt; first is the attempt it hedges, if any.
--- a/internal/rollout/owner_test.go
+++ b/internal/rollout/owner_test.go
@@ -244,6 +244,39 @@
 	})
 }
 
+func TestOwnerMinVersion(t *testing.T) {
+	Convey("Given a trainer with bound 4 that moves on every 10 s and answers of 100 tokens at 10 tokens a second", t, func() {
+		config := benchConfig()
+		config.Bound = 4
+		b := newBench(config)
+		for version := int64(11); version <= 15; version++ {
+			b.time = b.time.Add(10 * time.Second)
+			b.state(version)
+		}
+		b.put("a", v1.SampleRequest{})
+		starts, _ := b.act()
+		So(starts[0].Task.MinVersion, ShouldEqual, 11)
+		b.progress(starts[0], 15, "e", 1)
+		b.time = b.time.Add(10 * time.Second)
+		b.finish(starts[0], 15, 100)
+		Convey("the next answer must start one version above the oldest allowed", func() {
+			b.put("b", v1.SampleRequest{})
+			starts, _ := b.act()
+			So(starts[0].Task.MinVersion, ShouldEqual, 12)
+		})
+		Convey("no version is asked for that is not published, save by the bound itself", func() {
+			_, _, err := b.Fetch(b.time, "a", v1.FetchRequest{Version: 19})
+			So(err, ShouldBeNil)
+			b.put("b", v1.SampleRequest{})
+			starts, _ := b.act()
+			So(starts[0].Task.MinVersion, ShouldEqual, 15)
+			_, _, err = b.Fetch(b.time, "a", v1.FetchRequest{Version: 30})
+			So(err, ShouldBeNil)
+			So(b.minVersion(1), ShouldEqual, 26)
+		})
+	})
+}
+
 func TestOwnerRequests(t *testing.T) {
 	Convey("Given an owner with a batch", t, func() {
 		b := newBench(benchConfig())
--- a/internal/rollout/predictor.go
+++ b/internal/rollout/predictor.go
@@ -90,10 +90,11 @@
 	return time.Duration(float64(tokens) / speed * float64(time.Second))
 }
 
-// versions returns how many versions the trainer is expected to move on within the time.
-func (p *predictor) versions(within time.Duration) int64 {
-	if !p.interval.known || p.interval.mean <= 0 {
+// versions returns how many versions the trainer is expected to move on while the tokens are produced: 0 until both the
+// speed and the interval have been observed.
+func (p *predictor) versions(tokens int) int64 {
+	if !p.speed.known || !p.interval.known || p.interval.mean <= 0 {
 		return 0
 	}
-	return int64(within.Seconds() / p.interval.mean)
+	return int64(p.duration(tokens).Seconds() / p.interval.mean)
 }
