--- a/internal/lab/cli/up.go
+++ b/internal/lab/cli/up.go
@@ -133,14 +133,16 @@
 
 func (p upPrinter) print(processes []deployment.Process) {
 	p.line("go build -o bin/ ./cmd/...")
-	p.line("export COVELINK_SERVER=%s", p.plan.NodeURLs()[0])
-	p.line("export COVELINK_TOKEN=%s", p.plan.Description.Operator.Token)
 	for _, process := range processes {
 		if !process.Ends {
 			p.line("bin/%s &", process.Command)
 		}
 	}
+	// The nodes read every COVELINK_ variable as a setting, so these come after them.
+	p.line("export COVELINK_SERVER=%s", p.plan.NodeURLs()[0])
+	p.line("export COVELINK_TOKEN=%s", p.plan.Description.Operator.Token)
 	if p.resources != "" {
+		p.line("until bin/covelinkctl get zones >/dev/null 2>&1; do sleep 0.2; done")
 		p.line("bin/covelinkctl apply -f %s --wait", p.resources)
 	}
 	for _, process := range processes {
