lab: one HTTP listener for every stand-in

Cause: five stand-ins wrote listen, serve, stop and URL again, each a little differently; the weight store counted bytes after a reader could already hold them, so that its test failed once under load (327680 of 393216 bytes counted). Change: internal/lab/httpserver serves all five and can be started again; bytes are counted before they are written. Conclusion: the test was right and stays as strict.

--- a/internal/lab/engine/engine.go
+++ b/internal/lab/engine/engine.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -15,18 +13,16 @@
 
 	"github.com/covelink/covelink/api/enginev1"
 	"github.com/covelink/covelink/internal/lab/enginesim"
+	"github.com/covelink/covelink/internal/lab/httpserver"
 	"github.com/covelink/covelink/internal/telemetry"
 )
 
-const readHeaderTimeout = 10 * time.Second
-
 // Engine is one emulated engine. Make it with New; it is safe for concurrent use.
 type Engine struct {
-	config   Config
-	logger   log.Logger
-	client   *http.Client
-	server   *http.Server
-	listener net.Listener
+	config Config
+	logger log.Logger
+	client *http.Client
+	server *httpserver.Server
 	// stopped ends the driver; tasks counts the goroutines of the engine, handlers apart.
 	stopped context.Context
 	stop    context.CancelFunc
@@ -71,12 +67,9 @@
 	}
 	engine.stopped, engine.stop = context.WithCancel(context.Background())
 	engine.life = engine.newLife(time.Now())
-	engine.server = &http.Server{
-		Handler:           engine.handler(),
-		ReadHeaderTimeout: readHeaderTimeout,
-		ConnContext:       withConnection,
-		ConnState:         engine.trackConnection,
-	}
+	engine.server = httpserver.New("engine "+config.Name, config.Listen, engine.handler(), engine.logger)
+	engine.server.ConnContext = withConnection
+	engine.server.ConnState = engine.trackConnection
 	return engine, nil
 }
 
@@ -105,24 +98,15 @@
 
 // Start listens and serves until Stop or Kill.
 func (e *Engine) Start() error {
-	listener, err := net.Listen("tcp", e.config.Listen)
-	if err != nil {
-		return fmt.Errorf("engine %s: %w", e.config.Name, err)
+	if err := e.server.Start(); err != nil {
+		return err
 	}
-	e.listener = listener
-	e.tasks.Go(e.serve)
 	e.tasks.Go(e.drive)
 	return nil
 }
 
-func (e *Engine) serve() {
-	if err := e.server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
-		level.Error(e.logger).Log("msg", "engine stopped", "err", err)
-	}
-}
-
-// URL returns the base URL without a trailing slash. The engine must have been started.
-func (e *Engine) URL() string { return "http://" + e.listener.Addr().String() }
+// URL returns the base URL without a trailing slash, or "" before Start.
+func (e *Engine) URL() string { return e.server.URL() }
 
 // Incarnation returns the incarnation of the engine's present life.
 func (e *Engine) Incarnation() string {
@@ -173,29 +157,20 @@
 
 // Stop lets the streams in progress end, at most until ctx ends, and stops the engine.
 func (e *Engine) Stop(ctx context.Context) error {
-	if e.listener == nil {
-		return nil
-	}
-	err := e.server.Shutdown(ctx)
-	if err != nil {
-		err = errors.Join(err, e.server.Close())
-	}
+	err := e.server.Stop(ctx)
 	e.release()
 	return err
 }
 
 // Kill stops the engine like a crash of its machine: connections are reset and work in flight is lost.
 func (e *Engine) Kill() {
-	if e.listener == nil {
-		return
-	}
 	e.mutex.Lock()
 	e.endLife(time.Now())
 	for connection := range e.connections {
 		resetConnection(connection)
 	}
 	e.mutex.Unlock()
-	_ = e.server.Close()
+	e.server.Close()
 	e.release()
 }
 
--- a/internal/lab/machines/machines.go
+++ b/internal/lab/machines/machines.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -15,12 +13,12 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/covelink/covelink/api/machinesv1"
+	"github.com/covelink/covelink/internal/lab/httpserver"
 )
 
 const (
-	defaultKeep       = 10 * time.Minute
-	maxBodyBytes      = 64 << 10
-	readHeaderTimeout = 5 * time.Second
+	defaultKeep  = 10 * time.Minute
+	maxBodyBytes = 64 << 10
 )
 
 // Config configures a Server.
@@ -40,15 +38,13 @@
 // Server is the stand-in.
 type Server struct {
 	logger log.Logger
-	listen string
 	now    func() time.Time
-	http   *http.Server
+	http   *httpserver.Server
 
-	mu       sync.Mutex
-	history  *history
-	lag      time.Duration
-	outage   bool
-	listener net.Listener
+	mu      sync.Mutex
+	history *history
+	lag     time.Duration
+	outage  bool
 }
 
 // New returns a Server that does not listen yet.
@@ -64,47 +60,22 @@
 	}
 	server := &Server{
 		logger:  logger,
-		listen:  config.Listen,
 		now:     config.Now,
 		history: newHistory(config.Now(), config.Keep, config.Machines),
 		lag:     config.Lag,
 	}
-	server.http = &http.Server{Handler: server.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	server.http = httpserver.New("machine list", config.Listen, server.Handler(), logger)
 	return server
 }
 
 // Start listens and serves until Stop.
-func (s *Server) Start() error {
-	listener, err := net.Listen("tcp", s.listen)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	s.listener = listener
-	s.mu.Unlock()
-	go s.serve(listener)
-	return nil
-}
-
-func (s *Server) serve(listener net.Listener) {
-	err := s.http.Serve(listener)
-	if !errors.Is(err, http.ErrServerClosed) {
-		level.Error(s.logger).Log("msg", "machine list stopped", "err", err)
-	}
-}
+func (s *Server) Start() error { return s.http.Start() }
 
 // URL returns the base URL, or "" before Start.
-func (s *Server) URL() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.listener == nil {
-		return ""
-	}
-	return "http://" + s.listener.Addr().String()
-}
+func (s *Server) URL() string { return s.http.URL() }
 
 // Stop ends the server after the requests in flight, or when ctx ends.
-func (s *Server) Stop(ctx context.Context) error { return s.http.Shutdown(ctx) }
+func (s *Server) Stop(ctx context.Context) error { return s.http.Stop(ctx) }
 
 // SetLag changes how old answers are.
 func (s *Server) SetLag(lag time.Duration) {
--- a/internal/lab/objectapi/server.go
+++ b/internal/lab/objectapi/server.go
@@ -1,11 +1,8 @@
 package objectapi
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -16,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/lab/httpserver"
 	"github.com/covelink/covelink/internal/objectapi"
 	"github.com/covelink/covelink/internal/telemetry"
 )
@@ -73,14 +71,11 @@
 	config Config
 	logger log.Logger
 
-	mu       sync.Mutex
-	faults   Faults
-	faulted  chan struct{} // closed when the faults change
-	counts   Counts
-	address  string
-	http     *http.Server
-	stopped  context.CancelFunc
-	finished chan struct{}
+	mu      sync.Mutex
+	faults  Faults
+	faulted chan struct{} // closed when the faults change
+	counts  Counts
+	http    *httpserver.Server
 }
 
 // New returns a Server that does not listen yet.
@@ -88,61 +83,24 @@
 	if config.BookmarkInterval <= 0 {
 		config.BookmarkInterval = defaultBookmarkInterval
 	}
-	return &Server{
+	server := &Server{
 		Store:   NewStore(config.History, nil),
 		config:  config,
 		logger:  telemetry.For(logger, telemetry.PartLab),
 		faulted: make(chan struct{}),
-		address: config.Listen,
 	}
+	server.http = httpserver.New("object API", config.Listen, server.routes(), server.logger)
+	return server
 }
 
 // Start listens and serves. After a Stop it listens on the same address again, with the same state.
-func (s *Server) Start() error {
-	listener, err := net.Listen("tcp", s.address)
-	if err != nil {
-		return fmt.Errorf("object API: %w", err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	server := &http.Server{
-		Handler:           s.routes(),
-		ReadHeaderTimeout: headerTimeout,
-		BaseContext:       func(net.Listener) context.Context { return ctx },
-	}
-	finished := make(chan struct{})
-	s.mu.Lock()
-	s.address = listener.Addr().String()
-	s.http, s.stopped, s.finished = server, cancel, finished
-	s.mu.Unlock()
-	go func() {
-		defer close(finished)
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			level.Error(s.logger).Log("msg", "object API ended", "err", err)
-		}
-	}()
-	return nil
-}
+func (s *Server) Start() error { return s.http.Start() }
 
-// URL returns the base URL.
-func (s *Server) URL() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return "http://" + s.address
-}
+// URL returns the base URL, or "" before the first Start.
+func (s *Server) URL() string { return s.http.URL() }
 
 // Stop closes the listener and every connection: callers are refused until the next Start.
-func (s *Server) Stop() {
-	s.mu.Lock()
-	server, cancel, finished := s.http, s.stopped, s.finished
-	s.http = nil
-	s.mu.Unlock()
-	if server == nil {
-		return
-	}
-	cancel()
-	server.Close()
-	<-finished
-}
+func (s *Server) Stop() { s.http.Close() }
 
 // SetFaults replaces the faults in force.
 func (s *Server) SetFaults(faults Faults) {
--- a/internal/lab/scorer/scorer.go
+++ b/internal/lab/scorer/scorer.go
@@ -4,10 +4,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -15,10 +13,10 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gin-gonic/gin"
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/go-playground/validator/v10"
 
 	"github.com/covelink/covelink/api/scorerv1"
+	"github.com/covelink/covelink/internal/lab/httpserver"
 	"github.com/covelink/covelink/internal/telemetry"
 )
 
@@ -28,8 +26,6 @@
 // PathFaults takes POST with Faults.
 const PathFaults = "/lab/faults"
 
-const readHeaderTimeout = 10 * time.Second
-
 // Config holds the settings of a scoring service.
 type Config struct {
 	// Listen is the host:port; port 0 takes a free one. Default 127.0.0.1:0.
@@ -70,11 +66,9 @@
 
 // Scorer is a scoring service. Make it with New; it is safe for concurrent use.
 type Scorer struct {
-	config   Config
-	logger   log.Logger
-	server   *http.Server
-	listener net.Listener
-	served   chan struct{}
+	config Config
+	logger log.Logger
+	server *httpserver.Server
 
 	mutex  sync.Mutex
 	faults Faults
@@ -89,46 +83,20 @@
 	scorer := &Scorer{
 		config: config,
 		logger: telemetry.For(logger, telemetry.PartLab),
-		served: make(chan struct{}),
 		calls:  map[string]Calls{},
 	}
-	scorer.server = &http.Server{Handler: scorer.handler(), ReadHeaderTimeout: readHeaderTimeout}
+	scorer.server = httpserver.New("scorer", config.Listen, scorer.handler(), scorer.logger)
 	return scorer, nil
 }
 
 // Start listens and serves until Stop.
-func (s *Scorer) Start() error {
-	listener, err := net.Listen("tcp", s.config.Listen)
-	if err != nil {
-		return fmt.Errorf("scorer: %w", err)
-	}
-	s.listener = listener
-	go s.serve()
-	return nil
-}
+func (s *Scorer) Start() error { return s.server.Start() }
 
-func (s *Scorer) serve() {
-	defer close(s.served)
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		level.Error(s.logger).Log("msg", "scorer stopped", "err", err)
-	}
-}
+// URL returns the base URL without a trailing slash, or "" before Start.
+func (s *Scorer) URL() string { return s.server.URL() }
 
-// URL returns the base URL without a trailing slash. The scorer must have been started.
-func (s *Scorer) URL() string { return "http://" + s.listener.Addr().String() }
-
-// Stop ends the scorer once calls in progress are done, or at the end of ctx.
-func (s *Scorer) Stop(ctx context.Context) error {
-	if s.listener == nil {
-		return nil
-	}
-	err := s.server.Shutdown(ctx)
-	if err != nil {
-		err = errors.Join(err, s.server.Close())
-	}
-	<-s.served
-	return err
-}
+// Stop ends the scorer once requests in progress are done, or at the end of ctx.
+func (s *Scorer) Stop(ctx context.Context) error { return s.server.Stop(ctx) }
 
 // Inject replaces the failures in force; the zero value ends them all.
 func (s *Scorer) Inject(faults Faults) {
--- a/internal/lab/weightstore/weightstore.go
+++ b/internal/lab/weightstore/weightstore.go
@@ -4,20 +4,17 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/go-playground/validator/v10"
 	"golang.org/x/time/rate"
 
+	"github.com/covelink/covelink/internal/lab/httpserver"
 	"github.com/covelink/covelink/internal/telemetry"
 )
 
@@ -33,8 +30,6 @@
 // chunkBytes is the size of one write to a reader, and the burst of the rate limit.
 const chunkBytes = 64 << 10
 
-const readHeaderTimeout = 10 * time.Second
-
 // Config holds the settings of a weight store.
 type Config struct {
 	// Listen is the host:port; port 0 takes a free one. Default 127.0.0.1:0.
@@ -67,19 +62,17 @@
 	Reading int `json:"reading"`
 	// MaxReading is the highest Reading so far.
 	MaxReading int `json:"max_reading"`
-	// BytesRead counts the bytes sent to readers.
+	// BytesRead counts the bytes handed to the connections of readers.
 	BytesRead int64 `json:"bytes_read"`
 	Writes    int   `json:"writes"`
 }
 
 // Store is a weight store. Make it with New; it is safe for concurrent use.
 type Store struct {
-	config   Config
-	logger   log.Logger
-	limiter  *rate.Limiter
-	server   *http.Server
-	listener net.Listener
-	served   chan struct{}
+	config  Config
+	logger  log.Logger
+	limiter *rate.Limiter
+	server  *httpserver.Server
 
 	mutex  sync.Mutex
 	files  map[string][]byte
@@ -97,45 +90,19 @@
 		logger:  telemetry.For(logger, telemetry.PartLab),
 		limiter: rate.NewLimiter(rate.Limit(config.BytesPerSecond), chunkBytes),
 		files:   map[string][]byte{},
-		served:  make(chan struct{}),
 	}
-	store.server = &http.Server{Handler: store.handler(), ReadHeaderTimeout: readHeaderTimeout}
+	store.server = httpserver.New("weight store", config.Listen, store.handler(), store.logger)
 	return store, nil
 }
 
 // Start listens and serves until Stop.
-func (s *Store) Start() error {
-	listener, err := net.Listen("tcp", s.config.Listen)
-	if err != nil {
-		return fmt.Errorf("weight store: %w", err)
-	}
-	s.listener = listener
-	go s.serve()
-	return nil
-}
-
-func (s *Store) serve() {
-	defer close(s.served)
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
-		level.Error(s.logger).Log("msg", "weight store stopped", "err", err)
-	}
-}
+func (s *Store) Start() error { return s.server.Start() }
 
-// URL returns the base URL without a trailing slash. The store must have been started.
-func (s *Store) URL() string { return "http://" + s.listener.Addr().String() }
+// URL returns the base URL without a trailing slash, or "" before Start.
+func (s *Store) URL() string { return s.server.URL() }
 
-// Stop ends the store once requests in progress are done, or at the end of ctx.
-func (s *Store) Stop(ctx context.Context) error {
-	if s.listener == nil {
-		return nil
-	}
-	err := s.server.Shutdown(ctx)
-	if err != nil {
-		err = errors.Join(err, s.server.Close())
-	}
-	<-s.served
-	return err
-}
+// Stop ends the weight store once requests in progress are done, or at the end of ctx.
+func (s *Store) Stop(ctx context.Context) error { return s.server.Stop(ctx) }
 
 // Inject replaces the failures in force; the zero value ends them all.
 func (s *Store) Inject(faults Faults) {
@@ -229,9 +196,9 @@
 		if err := s.limiter.WaitN(c.Request.Context(), len(chunk)); err != nil {
 			return
 		}
-		written, err := c.Writer.Write(chunk)
-		s.countBytes(written)
-		if err != nil {
+		// Counted first, so that a reader never holds bytes that the statistics lack.
+		s.countBytes(len(chunk))
+		if _, err := c.Writer.Write(chunk); err != nil {
 			return
 		}
 		weights = weights[len(chunk):]
