commandline: one way to run a command line

Cause: covelinkd, covelinkctl and covelink-lab each had their own exit codes, usage errors and one-line error printing. Conclusion: bad input is one line and exit 2 in each program.

--- a/cmd/covelink-lab/main.go
+++ b/cmd/covelink-lab/main.go
@@ -4,9 +4,10 @@
 import (
 	"os"
 
+	"github.com/covelink/covelink/internal/commandline"
 	"github.com/covelink/covelink/internal/lab/cli"
 )
 
 func main() {
-	os.Exit(cli.Main(os.Args, cli.Streams{Out: os.Stdout, Err: os.Stderr}))
+	os.Exit(cli.Main(os.Args, commandline.Streams{Out: os.Stdout, Err: os.Stderr}))
 }
--- a/cmd/covelinkd/main.go
+++ b/cmd/covelinkd/main.go
@@ -4,9 +4,10 @@
 import (
 	"os"
 
+	"github.com/covelink/covelink/internal/commandline"
 	"github.com/covelink/covelink/internal/daemon"
 )
 
 func main() {
-	os.Exit(daemon.Main(os.Args, os.Environ(), os.Stdout, os.Stderr))
+	os.Exit(daemon.Main(os.Args, os.Environ(), commandline.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}))
 }
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/commandline"
 	"github.com/covelink/covelink/internal/resourceapi"
 )
 
@@ -23,7 +24,7 @@
 	defaultWait       = time.Minute
 )
 
-func applyCommand(streams Streams) *cli.Command {
+func applyCommand(streams commandline.Streams) *cli.Command {
 	flags := append(writeFlags(),
 		&cli.StringSliceFlag{Name: flagFile, Aliases: []string{"f"}, Usage: "file or folder of resources, or - for the standard input"},
 		&cli.BoolFlag{Name: flagWait, Usage: "wait until every resource is Accepted and InForce"},
@@ -40,16 +41,16 @@
 	}
 }
 
-func apply(ctx context.Context, command *cli.Command, streams Streams) error {
-	if _, err := arguments(command, 0, 0); err != nil {
+func apply(ctx context.Context, command *cli.Command, streams commandline.Streams) error {
+	if _, err := commandline.Arguments(command, 0, 0); err != nil {
 		return err
 	}
 	paths := command.StringSlice(flagFile)
 	if len(paths) == 0 {
-		return usageErrorf("usage: covelinkctl apply -f FILE|DIR|-")
+		return commandline.UsageErrorf("usage: covelinkctl apply -f FILE|DIR|-")
 	}
 	if command.Duration(flagTimeout) <= 0 {
-		return usageErrorf("--timeout: must be above 0")
+		return commandline.UsageErrorf("--timeout: must be above 0")
 	}
 	items, err := loadItems(paths, streams.In)
 	if err != nil {
--- a/internal/ctl/apply_test.go
+++ b/internal/ctl/apply_test.go
@@ -11,7 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	v1 "github.com/covelink/covelink/api/v1"
-	"github.com/covelink/covelink/internal/ctl"
+	"github.com/covelink/covelink/internal/commandline"
 )
 
 func TestApply(t *testing.T) {
@@ -57,10 +57,10 @@
 				if want == "no resources" {
 					files = []string{"apply", "-f", bad}
 				}
-				So(f.run(files...), ShouldResemble, result{code: ctl.ExitUsage, err: "covelinkctl: " + bad + ": " + want + "\n"})
+				So(f.run(files...), ShouldResemble, result{code: commandline.ExitUsage, err: "covelinkctl: " + bad + ": " + want + "\n"})
 			}
 			missing := filepath.Join(f.folder, "missing.yaml")
-			So(f.run("apply", "-f", missing).code, ShouldEqual, ctl.ExitUsage)
+			So(f.run("apply", "-f", missing).code, ShouldEqual, commandline.ExitUsage)
 			So(f.revision(), ShouldEqual, 0)
 		})
 
@@ -68,15 +68,15 @@
 			first := f.write("1.yaml", base())
 			second := f.write("2.yaml", zone("c")+"---\n"+pool("p", "b"))
 			want := "covelinkctl: " + second + ": line 8: pool/p is already stated in " + first + ", line 1\n"
-			So(f.run("apply", "-f", f.folder), ShouldResemble, result{code: ctl.ExitUsage, err: want})
+			So(f.run("apply", "-f", f.folder), ShouldResemble, result{code: commandline.ExitUsage, err: want})
 			So(f.revision(), ShouldEqual, 0)
 		})
 
 		Convey("taking a pool's last zone away is refused with exit 1 unless confirmed, and nothing of the set is written", func() {
-			So(f.run("apply", "-f", f.write("all.yaml", base())).code, ShouldEqual, ctl.ExitOK)
+			So(f.run("apply", "-f", f.write("all.yaml", base())).code, ShouldEqual, commandline.ExitOK)
 			file := f.write("cordon.yaml", zone("c")+"---\n"+zone("a")+"  cordoned: true\n")
 			want := "covelinkctl: " + file + `: line 8: zone/a: pool "p" would be left without a zone that takes work; repeat with confirm=true to change it all the same` + "\n"
-			So(f.run("apply", "-f", file), ShouldResemble, result{code: ctl.ExitFailed, err: want})
+			So(f.run("apply", "-f", file), ShouldResemble, result{code: commandline.ExitFailed, err: want})
 			So(f.revision(), ShouldEqual, 3)
 			So(f.run("apply", "-f", file, "--confirm").out, ShouldEqual, "zone/c created\nzone/a configured\n")
 		})
@@ -87,7 +87,7 @@
 	Convey("Given stored resources", t, func() {
 		f := newFixture(t)
 		defer f.server.Close()
-		So(f.run("apply", "-f", f.write("all.yaml", base())).code, ShouldEqual, ctl.ExitOK)
+		So(f.run("apply", "-f", f.write("all.yaml", base())).code, ShouldEqual, commandline.ExitOK)
 		changed := pool("p", "a, b")
 		var updates atomic.Int32
 		conflictTwice := func(call string) error {
@@ -107,12 +107,12 @@
 			stated := strings.Replace(changed, "name: p\n", "name: p\n  resourceVersion: \"3\"\n", 1)
 			f.backend.FailWith(conflictTwice)
 			done := f.runWith(t.Context(), stated, "apply", "-f", "-")
-			So(done, ShouldResemble, result{code: ctl.ExitFailed, err: "covelinkctl: -: line 1: pool/p: pool has changed (0 of 1 resources are applied)\n"})
+			So(done, ShouldResemble, result{code: commandline.ExitFailed, err: "covelinkctl: -: line 1: pool/p: pool has changed (0 of 1 resources are applied)\n"})
 			So(updates.Load(), ShouldEqual, 1)
 			stale := strings.Replace(stated, `"3"`, `"2"`, 1)
 			So(f.runWith(t.Context(), stale, "apply", "-f", "-").err, ShouldContainSubstring, "is at resourceVersion 3, not 2")
 			gone := strings.Replace(stated, "name: p\n", "name: q\n", 1)
-			So(f.runWith(t.Context(), gone, "apply", "-f", "-").code, ShouldEqual, ctl.ExitFailed)
+			So(f.runWith(t.Context(), gone, "apply", "-f", "-").code, ShouldEqual, commandline.ExitFailed)
 			So(f.revision(), ShouldEqual, 3)
 		})
 
@@ -134,11 +134,11 @@
 			closed := httptest.NewServer(nil)
 			closed.Close()
 			done := runPlain(t.Context(), "", "--server", closed.URL+","+f.server.URL, "--token", token, "get", "zones")
-			So(done.code, ShouldEqual, ctl.ExitOK)
+			So(done.code, ShouldEqual, commandline.ExitOK)
 			done = runPlain(t.Context(), changed, "--server", closed.URL, "--server", f.server.URL, "--token", token, "apply", "-f", "-")
 			So(done, ShouldResemble, result{out: "pool/p configured\n"})
 			done = runPlain(t.Context(), "", "--server", closed.URL, "--token", token, "get", "zones")
-			So(done.code, ShouldEqual, ctl.ExitFailed)
+			So(done.code, ShouldEqual, commandline.ExitFailed)
 			So(done.err, ShouldStartWith, "covelinkctl: "+closed.URL+": ")
 		})
 	})
@@ -151,7 +151,7 @@
 		apply := func(args ...string) result {
 			return f.runWith(t.Context(), zone("a"), append([]string{"apply", "-f", "-"}, args...)...)
 		}
-		So(apply().code, ShouldEqual, ctl.ExitOK)
+		So(apply().code, ShouldEqual, commandline.ExitOK)
 		accepted := v1.Condition{Type: v1.ConditionAccepted, Status: v1.ConditionTrue}
 		inForce := v1.Condition{Type: v1.ConditionInForce, Status: v1.ConditionTrue}
 
@@ -177,7 +177,7 @@
 			cutOff := v1.Condition{Type: v1.ConditionAccepted, Status: v1.ConditionFalse, Reason: "Pending", Message: "waiting for zone bne-kgr"}
 			f.backend.SetConditions(v1.KindZone, "a", cutOff)
 			done := apply("--wait", "--timeout", "50ms")
-			So(done.code, ShouldEqual, ctl.ExitFailed)
+			So(done.code, ShouldEqual, commandline.ExitFailed)
 			So(done.err, ShouldEqual, "covelinkctl: zone/a: not in force after 50ms: Accepted is False: Pending waiting for zone bne-kgr\n")
 		})
 	})
@@ -189,7 +189,7 @@
 			f := newFixture(t)
 			done := f.run("apply", "-f", filepath.Join("..", "..", "examples", name, "resources.yaml"))
 			So(done.err, ShouldEqual, "")
-			So(done.code, ShouldEqual, ctl.ExitOK)
+			So(done.code, ShouldEqual, commandline.ExitOK)
 			So(strings.Count(done.out, " created\n"), ShouldEqual, resources)
 			f.server.Close()
 		}
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/commandline"
 	"github.com/covelink/covelink/internal/resourceapi"
 )
 
@@ -191,7 +192,7 @@
 func (c *client) open(ctx context.Context, server, method, path string, data []byte) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, method, server+path, bytes.NewReader(data))
 	if err != nil {
-		return nil, usageErrorf("server %q: %s", server, err)
+		return nil, commandline.UsageErrorf("server %q: %s", server, err)
 	}
 	if c.token != "" {
 		request.Header.Set("Authorization", "Bearer "+c.token)
--- a/internal/ctl/commands_test.go
+++ b/internal/ctl/commands_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/commandline"
 	"github.com/covelink/covelink/internal/ctl"
 )
 
@@ -18,7 +19,7 @@
 	Convey("Given stored resources", t, func() {
 		f := newFixture(t)
 		defer f.server.Close()
-		So(f.run("apply", "-f", f.write("all.yaml", base())).code, ShouldEqual, ctl.ExitOK)
+		So(f.run("apply", "-f", f.write("all.yaml", base())).code, ShouldEqual, commandline.ExitOK)
 		f.backend.SetConditions(v1.KindPool, "p",
 			v1.Condition{Type: v1.ConditionAccepted, Status: v1.ConditionTrue},
 			v1.Condition{Type: v1.ConditionInForce, Status: v1.ConditionFalse, Reason: "Applying", Message: "1 of 2 nodes"})
@@ -30,13 +31,13 @@
 			So(f.run("get", "Zone", "b").out, ShouldEqual, strings.Join([]string{
 				"NAME   ACCEPTED   INFORCE   DEGRADED   REGION   CORDONED   NODES   ENGINES",
 				"b      -          -         -          bne      false      0       0", ""}, "\n"))
-			So(f.run("get", "pool", "q"), ShouldResemble, result{code: ctl.ExitFailed, err: "covelinkctl: pool/q not found\n"})
+			So(f.run("get", "pool", "q"), ShouldResemble, result{code: commandline.ExitFailed, err: "covelinkctl: pool/q not found\n"})
 		})
 
 		Convey("what get prints as YAML or JSON can be applied again", func() {
 			for _, format := range []string{"yaml", "json"} {
 				shown := f.run("get", "pool", "p", "-o", format)
-				So(shown.code, ShouldEqual, ctl.ExitOK)
+				So(shown.code, ShouldEqual, commandline.ExitOK)
 				So(f.runWith(t.Context(), shown.out, "apply", "-f", "-"), ShouldResemble, result{out: "pool/p unchanged\n"})
 			}
 			zones := f.run("get", "zones", "-o", "yaml")
@@ -45,17 +46,17 @@
 
 		Convey("delete asks for confirmation where it does harm", func() {
 			done := f.run("delete", "zone", "a")
-			So(done.code, ShouldEqual, ctl.ExitFailed)
+			So(done.code, ShouldEqual, commandline.ExitFailed)
 			So(done.err, ShouldStartWith, `covelinkctl: zone/a: pool "p" permits zone "a"; `)
 			So(f.run("delete", "zone", "b", "--dry-run").out, ShouldEqual, "zone/b deleted (dry run)\n")
 			So(f.run("delete", "zone", "b").out, ShouldEqual, "zone/b deleted\n")
-			So(f.run("delete", "zone", "b").code, ShouldEqual, ctl.ExitFailed)
+			So(f.run("delete", "zone", "b").code, ShouldEqual, commandline.ExitFailed)
 			So(f.run("delete", "zone", "a", "--confirm").out, ShouldEqual, "zone/a deleted\n")
 		})
 
 		Convey("status shows servers, zones, pools and what is not as it should be", func() {
 			done := f.run("status")
-			So(done.code, ShouldEqual, ctl.ExitOK)
+			So(done.code, ShouldEqual, commandline.ExitOK)
 			words := strings.Join(strings.Fields(done.out), " ")
 			So(words, ShouldContainSubstring, "SERVER READY "+f.server.URL+" True ZONES")
 			So(words, ShouldContainSubstring, "pool/p InForce False Applying 1 of 2 nodes")
@@ -80,7 +81,7 @@
 				{"--token-file", "/nonexistent", "status"}, {"--ca-file", "/dev/null", "status"},
 			} {
 				done := f.run(args...)
-				So(done.code, ShouldEqual, ctl.ExitUsage)
+				So(done.code, ShouldEqual, commandline.ExitUsage)
 				So(strings.Count(done.err, "\n"), ShouldEqual, 1)
 				So(done.out, ShouldEqual, "")
 			}
@@ -88,9 +89,9 @@
 
 		Convey("a wrong token is refused with exit 1", func() {
 			done := f.run("--token", "wrong", "get", "zones")
-			So(done, ShouldResemble, result{code: ctl.ExitFailed, err: "covelinkctl: a valid operator token is required\n"})
+			So(done, ShouldResemble, result{code: commandline.ExitFailed, err: "covelinkctl: a valid operator token is required\n"})
 			file := f.write("token", token+"\n")
-			So(f.run("--token-file", file, "get", "zones").code, ShouldEqual, ctl.ExitOK)
+			So(f.run("--token-file", file, "get", "zones").code, ShouldEqual, commandline.ExitOK)
 		})
 	})
 }
@@ -127,7 +128,9 @@
 	Convey("watch shows changes, goes on after a lost connection and a forgotten revision, and ends when interrupted", t, func() {
 		f := newFixture(t)
 		defer f.server.Close()
-		apply := func(text string) { So(f.runWith(t.Context(), text, "apply", "-f", "-").code, ShouldEqual, ctl.ExitOK) }
+		apply := func(text string) {
+			So(f.runWith(t.Context(), text, "apply", "-f", "-").code, ShouldEqual, commandline.ExitOK)
+		}
 		apply(zone("a"))
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -135,7 +138,7 @@
 		ended := make(chan int, 1)
 		go func() {
 			args := []string{"covelinkctl", "--server", f.server.URL, "--token", token, "watch", "zones"}
-			ended <- ctl.Run(ctx, args, ctl.Streams{Out: out, Err: out})
+			ended <- ctl.Run(ctx, args, commandline.Streams{Out: out, Err: out})
 		}()
 		So(out.waitFor("ADDED    zone/a resourceVersion=1 Accepted=- InForce=- Degraded=-\n"), ShouldBeTrue)
 		apply(zone("b"))
@@ -145,6 +148,6 @@
 		So(out.waitFor("ADDED    zone/c resourceVersion=3 "), ShouldBeTrue)
 		So(strings.Count(out.String(), "zone/a"), ShouldEqual, 1)
 		cancel()
-		So(<-ended, ShouldEqual, ctl.ExitOK)
+		So(<-ended, ShouldEqual, commandline.ExitOK)
 	})
 }
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -11,11 +11,13 @@
 	"net/url"
 
 	"github.com/urfave/cli/v3"
+
+	"github.com/covelink/covelink/internal/commandline"
 )
 
 const explainPath = "/debug/explain/"
 
-func explainCommand(streams Streams) *cli.Command {
+func explainCommand(streams commandline.Streams) *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
 		Usage:     "tell why a request or sample was placed, waited or was refused",
@@ -27,7 +29,7 @@
 }
 
 func explain(ctx context.Context, command *cli.Command, out io.Writer) error {
-	given, err := arguments(command, 1, 1)
+	given, err := commandline.Arguments(command, 1, 1)
 	if err != nil {
 		return err
 	}
--- a/internal/ctl/fixture_test.go
+++ b/internal/ctl/fixture_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"github.com/covelink/covelink/internal/auth"
 	"github.com/covelink/covelink/internal/cluster"
+	"github.com/covelink/covelink/internal/commandline"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -79,7 +80,7 @@
 // runPlain runs a command with no other flags than the stated ones.
 func runPlain(ctx context.Context, stdin string, args ...string) result {
 	var out, errors bytes.Buffer
-	streams := ctl.Streams{In: strings.NewReader(stdin), Out: &out, Err: &errors}
+	streams := commandline.Streams{In: strings.NewReader(stdin), Out: &out, Err: &errors}
 	code := ctl.Run(ctx, append([]string{"covelinkctl"}, args...), streams)
 	return result{code: code, out: out.String(), err: errors.String()}
 }
--- a/internal/ctl/flags.go
+++ b/internal/ctl/flags.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/commandline"
 )
 
 // The names of the flags.
@@ -76,12 +77,12 @@
 		value = strings.TrimRight(strings.TrimSpace(value), "/")
 		parsed, err := url.Parse(value)
 		if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
-			return nil, usageErrorf("--server %q: must be an http or https URL", value)
+			return nil, commandline.UsageErrorf("--server %q: must be an http or https URL", value)
 		}
 		servers = append(servers, value)
 	}
 	if len(servers) == 0 {
-		return nil, usageErrorf("--server: must name at least one")
+		return nil, commandline.UsageErrorf("--server: must name at least one")
 	}
 	return servers, nil
 }
@@ -93,11 +94,11 @@
 	}
 	content, err := os.ReadFile(file)
 	if err != nil {
-		return "", usageErrorf("--token-file: %s", err)
+		return "", commandline.UsageErrorf("--token-file: %s", err)
 	}
 	token := strings.TrimSpace(string(content))
 	if token == "" || strings.ContainsAny(token, "\r\n") {
-		return "", usageErrorf("--token-file: %s: must hold one line with the token", file)
+		return "", commandline.UsageErrorf("--token-file: %s: must hold one line with the token", file)
 	}
 	return token, nil
 }
@@ -105,11 +106,11 @@
 func readRoots(file string) (*x509.CertPool, error) {
 	content, err := os.ReadFile(file)
 	if err != nil {
-		return nil, usageErrorf("--ca-file: %s", err)
+		return nil, commandline.UsageErrorf("--ca-file: %s", err)
 	}
 	roots := x509.NewCertPool()
 	if !roots.AppendCertsFromPEM(content) {
-		return nil, usageErrorf("--ca-file: %s: holds no PEM certificate", file)
+		return nil, commandline.UsageErrorf("--ca-file: %s: holds no PEM certificate", file)
 	}
 	return roots, nil
 }
@@ -117,7 +118,7 @@
 func parseKind(text string) (v1.Kind, error) {
 	kind, known := v1.ParseKind(text)
 	if !known {
-		return "", usageErrorf("unknown kind %q: one of zones, pools, trainers, applications", text)
+		return "", commandline.UsageErrorf("unknown kind %q: one of zones, pools, trainers, applications", text)
 	}
 	return kind, nil
 }
--- a/internal/ctl/get.go
+++ b/internal/ctl/get.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/commandline"
 )
 
 // The output formats.
@@ -19,7 +20,7 @@
 	outputJSON  = "json"
 )
 
-func getCommand(streams Streams) *cli.Command {
+func getCommand(streams commandline.Streams) *cli.Command {
 	return &cli.Command{
 		Name:      "get",
 		Usage:     "show resources",
@@ -34,7 +35,7 @@
 }
 
 func get(ctx context.Context, command *cli.Command, out io.Writer) error {
-	given, err := arguments(command, 1, 2)
+	given, err := commandline.Arguments(command, 1, 2)
 	if err != nil {
 		return err
 	}
@@ -83,7 +84,7 @@
 	case outputJSON:
 		return writeJSON, nil
 	default:
-		return nil, usageErrorf("--output %q: must be table, yaml or json", format)
+		return nil, commandline.UsageErrorf("--output %q: must be table, yaml or json", format)
 	}
 }
 
@@ -121,7 +122,7 @@
 	return nil
 }
 
-func deleteCommand(streams Streams) *cli.Command {
+func deleteCommand(streams commandline.Streams) *cli.Command {
 	return &cli.Command{
 		Name:      "delete",
 		Usage:     "delete a resource",
@@ -134,7 +135,7 @@
 }
 
 func remove(ctx context.Context, command *cli.Command, out io.Writer) error {
-	given, err := arguments(command, 2, 2)
+	given, err := commandline.Arguments(command, 2, 2)
 	if err != nil {
 		return err
 	}
--- a/internal/ctl/load.go
+++ b/internal/ctl/load.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/commandline"
 )
 
 const (
@@ -38,7 +39,7 @@
 	if len(faults) > 1 {
 		more = fmt.Sprintf(" (and %d more)", len(faults)-1)
 	}
-	return usageErrorf("%s: line %d: %s: %s%s", i.file, i.document.LineOf(faults[0].Path), i.id(), faults[0], more)
+	return commandline.UsageErrorf("%s: line %d: %s: %s%s", i.file, i.document.LineOf(faults[0].Path), i.id(), faults[0], more)
 }
 
 // loadItems reads the resources of files and folders, sets defaults and checks each by itself.
@@ -57,7 +58,7 @@
 		items = append(items, found...)
 	}
 	if len(items) == 0 {
-		return nil, usageErrorf("%s: no resources", strings.Join(paths, ", "))
+		return nil, commandline.UsageErrorf("%s: no resources", strings.Join(paths, ", "))
 	}
 	if err := checkRepeats(items); err != nil {
 		return nil, err
@@ -78,7 +79,7 @@
 		}
 		info, err := os.Stat(path)
 		if err != nil {
-			return nil, usageErrorf("%s", err)
+			return nil, commandline.UsageErrorf("%s", err)
 		}
 		if !info.IsDir() {
 			files = append(files, path)
@@ -96,7 +97,7 @@
 func resourceFiles(folder string) ([]string, error) {
 	entries, err := os.ReadDir(folder)
 	if err != nil {
-		return nil, usageErrorf("%s", err)
+		return nil, commandline.UsageErrorf("%s", err)
 	}
 	var files []string
 	for _, entry := range entries {
@@ -106,7 +107,7 @@
 		}
 	}
 	if len(files) == 0 {
-		return nil, usageErrorf("%s: no .yaml, .yml or .json file", folder)
+		return nil, commandline.UsageErrorf("%s: no .yaml, .yml or .json file", folder)
 	}
 	return files, nil
 }
@@ -119,7 +120,7 @@
 	// JSON is read as YAML: that names the line of a fault.
 	documents, err := v1.DecodeDocuments(content)
 	if err != nil {
-		return nil, usageErrorf("%s: %s", file, err)
+		return nil, commandline.UsageErrorf("%s: %s", file, err)
 	}
 	items := make([]item, 0, len(documents))
 	for _, document := range documents {
@@ -138,17 +139,17 @@
 	if file != stdinName {
 		opened, err := os.Open(file)
 		if err != nil {
-			return nil, usageErrorf("%s", err)
+			return nil, commandline.UsageErrorf("%s", err)
 		}
 		defer func() { _ = opened.Close() }()
 		source = opened
 	}
 	content, err := io.ReadAll(io.LimitReader(source, maxFileBytes+1))
 	if err != nil {
-		return nil, usageErrorf("%s: %s", file, cause(err))
+		return nil, commandline.UsageErrorf("%s: %s", file, cause(err))
 	}
 	if len(content) > maxFileBytes {
-		return nil, usageErrorf("%s: has more than %d bytes", file, maxFileBytes)
+		return nil, commandline.UsageErrorf("%s: has more than %d bytes", file, maxFileBytes)
 	}
 	return content, nil
 }
@@ -168,7 +169,7 @@
 	for _, current := range items {
 		earlier, found := first[current.id()]
 		if found {
-			return usageErrorf("%s: line %d: %s is already stated in %s, line %d",
+			return commandline.UsageErrorf("%s: line %d: %s is already stated in %s, line %d",
 				current.file, current.document.Line, current.id(), earlier.file, earlier.document.Line)
 		}
 		first[current.id()] = current
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -10,11 +10,12 @@
 	"github.com/urfave/cli/v3"
 
 	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/commandline"
 )
 
 const readyPath = "/readyz"
 
-func statusCommand(streams Streams) *cli.Command {
+func statusCommand(streams commandline.Streams) *cli.Command {
 	return &cli.Command{
 		Name:  "status",
 		Usage: "show nodes, zones and conditions at a glance",
@@ -25,7 +26,7 @@
 }
 
 func status(ctx context.Context, command *cli.Command, out io.Writer) error {
-	if _, err := arguments(command, 0, 0); err != nil {
+	if _, err := commandline.Arguments(command, 0, 0); err != nil {
 		return err
 	}
 	client, err := newClient(command)
--- a/internal/ctl/watch.go
+++ b/internal/ctl/watch.go
@@ -13,13 +13,14 @@
 	"github.com/urfave/cli/v3"
 
 	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/commandline"
 	"github.com/covelink/covelink/internal/resourceapi"
 )
 
 // rewatchDelay is the time between the end of a watch and the next.
 const rewatchDelay = 500 * time.Millisecond
 
-func watchCommand(streams Streams) *cli.Command {
+func watchCommand(streams commandline.Streams) *cli.Command {
 	return &cli.Command{
 		Name:      "watch",
 		Usage:     "show each change of the resources of a kind until interrupted",
@@ -34,7 +35,7 @@
 }
 
 func watch(ctx context.Context, command *cli.Command, out io.Writer) error {
-	given, err := arguments(command, 1, 1)
+	given, err := commandline.Arguments(command, 1, 1)
 	if err != nil {
 		return err
 	}
@@ -44,7 +45,7 @@
 	}
 	format := command.String(flagOutput)
 	if format != outputTable && format != outputJSON {
-		return usageErrorf("--output %q: must be table or json", format)
+		return commandline.UsageErrorf("--output %q: must be table or json", format)
 	}
 	client, err := newClient(command)
 	if err != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os/signal"
@@ -13,18 +12,12 @@
 	"github.com/go-kit/log"
 	"github.com/urfave/cli/v3"
 
+	"github.com/covelink/covelink/internal/commandline"
 	"github.com/covelink/covelink/internal/node"
 	"github.com/covelink/covelink/internal/settings"
 	"github.com/covelink/covelink/internal/telemetry"
 )
 
-// The exit codes.
-const (
-	exitOK       = 0
-	exitFailed   = 1
-	exitBadInput = 2
-)
-
 const (
 	flagConfig = "config"
 	flagSet    = "set"
@@ -48,44 +41,21 @@
 	errOut      io.Writer
 }
 
-// Main runs the command line and returns the exit code: 0, 1 for a failure, 2 for bad input.
-func Main(arguments, environment []string, out, errOut io.Writer) int {
-	c := &command{environment: environment, out: out, errOut: errOut}
-	err := c.root().Run(context.Background(), arguments)
-	if err == nil {
-		return exitOK
-	}
-	fmt.Fprintln(errOut, "covelinkd:", err)
-	return exitCode(err)
-}
-
-func exitCode(err error) int {
-	var coder cli.ExitCoder
-	if errors.As(err, &coder) {
-		return coder.ExitCode()
-	}
-	return exitBadInput
+// Main runs the command line and returns the exit code.
+func Main(arguments, environment []string, streams commandline.Streams) int {
+	c := &command{environment: environment, out: streams.Out, errOut: streams.Err}
+	return commandline.Run(context.Background(), c.root(), arguments, streams)
 }
 
 func (c *command) root() *cli.Command {
 	return &cli.Command{
-		Name:           "covelinkd",
-		Usage:          "the covelink daemon",
-		Writer:         c.out,
-		ErrWriter:      io.Discard,
-		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		OnUsageError:   func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err },
+		Name:  "covelinkd",
+		Usage: "the covelink daemon",
 		Commands: []*cli.Command{
 			{Name: "run", Usage: "run a node until SIGTERM, which drains it", Flags: flags(), Action: c.run},
 			{Name: "check-config", Usage: "check the settings and exit", Flags: flags(), Action: c.checkConfig},
 			{Name: "version", Usage: "print the version", Action: c.version},
 		},
-		Action: func(_ context.Context, cmd *cli.Command) error {
-			if cmd.Args().Present() {
-				return fmt.Errorf("unknown command %q", cmd.Args().First())
-			}
-			return cli.ShowRootCommandHelp(cmd)
-		},
 	}
 }
 
@@ -140,19 +110,19 @@
 	logger := telemetry.NewLogger(c.errOut, config.Log.Level, config.Log.Format)
 	process, err := node.New(config, log.With(logger, "node", config.Node.Name), node.Options{})
 	if err != nil {
-		return cli.Exit(err.Error(), exitFailed)
+		return err
 	}
 	stopped, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	if err := process.Start(ctx); err != nil {
-		return cli.Exit(err.Error(), exitFailed)
+		return err
 	}
 	<-stopped.Done()
 	cancel()
 	forced, cancelForced := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancelForced()
 	if err := process.Stop(forced); err != nil {
-		return cli.Exit(fmt.Sprintf("stop: %s", err), exitFailed)
+		return fmt.Errorf("stop: %w", err)
 	}
 	return nil
 }
--- a/internal/lab/cli/cli_test.go
+++ b/internal/lab/cli/cli_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/commandline"
 )
 
 const patience = 20 * time.Second
@@ -40,7 +42,7 @@
 // lab runs a command line to its end.
 func lab(arguments ...string) (code int, out, failure string) {
 	var output, errors buffer
-	code = Run(context.Background(), append([]string{programName}, arguments...), Streams{Out: &output, Err: &errors})
+	code = Run(context.Background(), append([]string{programName}, arguments...), commandline.Streams{Out: &output, Err: &errors})
 	return code, output.String(), errors.String()
 }
 
@@ -80,7 +82,7 @@
 			{"load --config " + missing, "missing.yaml"},
 		} {
 			code, out, failure := lab(strings.Fields(c.arguments)...)
-			So(code, ShouldEqual, exitBadInput)
+			So(code, ShouldEqual, commandline.ExitUsage)
 			So(out, ShouldBeEmpty)
 			So(failure, ShouldContainSubstring, c.want)
 			So(strings.Count(failure, "\n"), ShouldEqual, 1)
@@ -88,7 +90,7 @@
 	})
 	Convey("Without a command the help is shown", t, func() {
 		code, out, _ := lab()
-		So(code, ShouldEqual, exitOK)
+		So(code, ShouldEqual, commandline.ExitOK)
 		So(out, ShouldContainSubstring, "demo")
 	})
 }
@@ -98,7 +100,7 @@
 		folder := filepath.Join(t.TempDir(), "lab")
 		code, out, failure := lab("up", "--example", "cairnpath", "--dir", folder)
 		So(failure, ShouldBeEmpty)
-		So(code, ShouldEqual, exitOK)
+		So(code, ShouldEqual, commandline.ExitOK)
 		lines := strings.Split(strings.TrimSpace(out), "\n")
 		So(lines[0], ShouldStartWith, "go build")
 		So(lines[1], ShouldStartWith, "export COVELINK_SERVER=http://127.0.0.1:")
@@ -130,14 +132,14 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			code := make(chan int, 1)
 			go func() {
-				code <- Run(ctx, []string{programName, command, "--config", file}, Streams{Out: &output, Err: &failure})
+				code <- Run(ctx, []string{programName, command, "--config", file}, commandline.Streams{Out: &output, Err: &failure})
 			}()
 			url := waitURL(&failure)
 			response, err := http.Get(url)
 			So(err, ShouldBeNil)
 			So(response.Body.Close(), ShouldBeNil)
 			cancel()
-			So(<-code, ShouldEqual, exitOK)
+			So(<-code, ShouldEqual, commandline.ExitOK)
 			So(failure.String(), ShouldContainSubstring, "msg=stopped")
 			_, err = http.Get(url)
 			So(err, ShouldNotBeNil)
@@ -167,7 +169,7 @@
 		file := writeFile(t.TempDir(), "load.yaml", "urls: ["+server.URL+"]\ntoken: t\npool: p\nrequests: 5\nrequestsPerSecond: 1000\n")
 		code, out, failure := lab("load", "--config", file)
 		So(failure, ShouldBeEmpty)
-		So(code, ShouldEqual, exitOK)
+		So(code, ShouldEqual, commandline.ExitOK)
 		So(out, ShouldContainSubstring, "5 sent, 0 completed, 5 not run, 0 unknown")
 	})
 }
@@ -180,8 +182,8 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
 		var output, failure buffer
-		code := Run(ctx, []string{programName, "trainer", "--config", file}, Streams{Out: &output, Err: &failure})
-		So(code, ShouldEqual, exitOK)
+		code := Run(ctx, []string{programName, "trainer", "--config", file}, commandline.Streams{Out: &output, Err: &failure})
+		So(code, ShouldEqual, commandline.ExitOK)
 		So(output.String(), ShouldContainSubstring, "0 in 0 batches")
 	})
 }
--- a/internal/lab/cli/demo.go
+++ b/internal/lab/cli/demo.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/urfave/cli/v3"
 
+	"github.com/covelink/covelink/internal/commandline"
 	"github.com/covelink/covelink/internal/lab/demo"
 	"github.com/covelink/covelink/internal/lab/deployment"
 	"github.com/covelink/covelink/internal/node"
@@ -31,7 +32,7 @@
 // errBroken reports that a promise was broken; the report names it.
 var errBroken = errors.New("a promise was broken")
 
-func demoCommand(streams Streams) *cli.Command {
+func demoCommand(streams commandline.Streams) *cli.Command {
 	return &cli.Command{
 		Name:  "demo",
 		Usage: "run a whole deployment in this process, with a trainer and applications, and check every promise",
@@ -54,13 +55,13 @@
 	}
 }
 
-func runDemo(ctx context.Context, command *cli.Command, streams Streams, logger log.Logger) error {
+func runDemo(ctx context.Context, command *cli.Command, streams commandline.Streams, logger log.Logger) error {
 	chosen, err := readExample(command.String(flagExample))
 	if err != nil {
 		return err
 	}
 	if command.Int(flagSamples) < 1 {
-		return usageErrorf("--%s: must be above 0", flagSamples)
+		return commandline.UsageErrorf("--%s: must be above 0", flagSamples)
 	}
 	dataRoot, err := os.MkdirTemp("", "covelink-demo-")
 	if err != nil {
--- a/internal/lab/cli/process.go
+++ b/internal/lab/cli/process.go
@@ -10,6 +10,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/covelink/covelink/client"
+	"github.com/covelink/covelink/internal/commandline"
 	"github.com/covelink/covelink/internal/lab/configfile"
 	"github.com/covelink/covelink/internal/lab/deployment"
 	"github.com/covelink/covelink/internal/lab/engine"
@@ -35,7 +36,7 @@
 	Stop(ctx context.Context) error
 }
 
-func processCommands(streams Streams) []*cli.Command {
+func processCommands(streams commandline.Streams) []*cli.Command {
 	return []*cli.Command{
 		processCommand(streams, "engine", "run a stand-in of an engine", runEngine),
 		processCommand(streams, "objectapi", "run a stand-in of the platform's store", runObjectAPI),
@@ -51,13 +52,13 @@
 type process struct {
 	file    string
 	logger  log.Logger
-	streams Streams
+	streams commandline.Streams
 }
 
 // read reads the settings into config, which holds the defaults.
 func (p process) read(config any) error { return configfile.Load(p.file, config) }
 
-func processCommand(streams Streams, name, usage string, run func(context.Context, process) error) *cli.Command {
+func processCommand(streams commandline.Streams, name, usage string, run func(context.Context, process) error) *cli.Command {
 	return &cli.Command{
 		Name:  name,
 		Usage: usage,
@@ -67,7 +68,7 @@
 				return err
 			}
 			if command.String(flagConfig) == "" {
-				return usageErrorf("--%s: must name the settings file", flagConfig)
+				return commandline.UsageErrorf("--%s: must name the settings file", flagConfig)
 			}
 			logger, err := newLogger(command, streams)
 			if err != nil {
@@ -82,10 +83,10 @@
 	return &cli.StringFlag{Name: flagLogLevel, Usage: "debug, info, warn or error", Value: value}
 }
 
-func newLogger(command *cli.Command, streams Streams) (log.Logger, error) {
+func newLogger(command *cli.Command, streams commandline.Streams) (log.Logger, error) {
 	name := command.String(flagLogLevel)
 	if _, err := level.Parse(name); err != nil {
-		return nil, usageErrorf("--%s %q: must be debug, info, warn or error", flagLogLevel, name)
+		return nil, commandline.UsageErrorf("--%s %q: must be debug, info, warn or error", flagLogLevel, name)
 	}
 	return telemetry.NewLogger(streams.Err, name, "logfmt"), nil
 }
--- a/internal/lab/cli/up.go
+++ b/internal/lab/cli/up.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/covelink/covelink/examples"
+	"github.com/covelink/covelink/internal/commandline"
 	"github.com/covelink/covelink/internal/lab/deployment"
 )
 
@@ -52,7 +53,7 @@
 func readExample(name string) (example, error) {
 	lab, err := examples.Files.ReadFile(name + "/" + examples.LabFile)
 	if err != nil {
-		return example{}, usageErrorf("--%s %q: must be %s", flagExample, name, strings.Join(exampleNames(), " or "))
+		return example{}, commandline.UsageErrorf("--%s %q: must be %s", flagExample, name, strings.Join(exampleNames(), " or "))
 	}
 	description, err := deployment.Parse(name+"/"+examples.LabFile, lab)
 	if err != nil {
@@ -65,7 +66,7 @@
 	return example{description: description, resources: resources}, nil
 }
 
-func upCommand(streams Streams) *cli.Command {
+func upCommand(streams commandline.Streams) *cli.Command {
 	return &cli.Command{
 		Name:  "up",
 		Usage: "write the settings of every process of a deployment and print the commands that start them",
@@ -79,14 +80,14 @@
 				return err
 			}
 			if command.String(flagDir) == "" {
-				return usageErrorf("--%s: must name a folder", flagDir)
+				return commandline.UsageErrorf("--%s: must name a folder", flagDir)
 			}
 			return up(command, streams)
 		},
 	}
 }
 
-func up(command *cli.Command, streams Streams) error {
+func up(command *cli.Command, streams commandline.Streams) error {
 	chosen, err := readExample(command.String(flagExample))
 	if file := command.String(flagDescription); file != "" {
 		chosen, err = readDescription(file)
@@ -117,7 +118,7 @@
 func readDescription(file string) (example, error) {
 	content, err := os.ReadFile(file)
 	if err != nil {
-		return example{}, usageErrorf("%s", err)
+		return example{}, commandline.UsageErrorf("%s", err)
 	}
 	description, err := deployment.Parse(file, content)
 	return example{description: description}, err
@@ -125,7 +126,7 @@
 
 // upPrinter prints the commands that start a deployment.
 type upPrinter struct {
-	streams Streams
+	streams commandline.Streams
 	plan    *deployment.Plan
 	// resources is the file of the resources; empty if there is none.
 	resources string
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -15,6 +15,7 @@
 
 	v1 "github.com/covelink/covelink/api/v1"
 	"github.com/covelink/covelink/client"
+	"github.com/covelink/covelink/internal/commandline"
 	"github.com/covelink/covelink/internal/ctl"
 	"github.com/covelink/covelink/internal/lab/deployment"
 	"github.com/covelink/covelink/internal/lab/invariant"
@@ -128,8 +129,8 @@
 		arguments = append(arguments, "--server", url)
 	}
 	arguments = append(arguments, "apply", "-f", "-", "--wait", "--timeout", applyWait.String())
-	streams := ctl.Streams{In: bytes.NewReader(r.config.Resources), Out: &output, Err: &failure}
-	if code := ctl.Run(ctx, arguments, streams); code != ctl.ExitOK {
+	streams := commandline.Streams{In: bytes.NewReader(r.config.Resources), Out: &output, Err: &failure}
+	if code := ctl.Run(ctx, arguments, streams); code != commandline.ExitOK {
 		return fmt.Errorf("apply: %s", strings.TrimSpace(failure.String()))
 	}
 	return nil
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -46,6 +46,9 @@
 	return strings.Join(parts, ": ")
 }
 
+// BadInput marks the error as one of the input.
+func (e *Error) BadInput() {}
+
 // Load reads and checks settings: defaults, then the YAML file (if file is not empty), then the environment, then overrides,
 // which maps key paths such as node.name to values, as flags give them. Every error is an *Error.
 func Load(file string, environment []string, overrides map[string]any) (Settings, error) {
