cluster, configsync, node: act by a fresh clock, read lost writes back, secure listeners

A paused process resumed with a view whose Serving flag had not been cleared yet; a forwarded write whose reply was lost had an unknown outcome although the store could tell; log lines had two parts; a drain waited for watches; certificates named in the settings were not used. ServingAt takes a fresh time, forward reads back by write ID, each package names its own part, the drain ends watches, and listeners and dials use the files.

--- a/internal/cluster/holder.go
+++ b/internal/cluster/holder.go
@@ -1,6 +1,9 @@
 package cluster
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Holder is a Source whose view is set by its owner.
 type Holder struct {
@@ -44,3 +47,12 @@
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
+
+// Extend moves the end of serving of the present view without waking anyone: nothing waits for a lease that goes on.
+func (h *Holder) Extend(until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next := *h.view
+	next.ServingUntil = until
+	h.view = &next
+}
--- a/internal/cluster/view.go
+++ b/internal/cluster/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"time"
 
 	v1 "github.com/covelink/covelink/api/v1"
 )
@@ -53,10 +54,29 @@
 	// Serving is false while this node must take no new work: it has not yet held its zone's
 	// revision, or has lost its zone coordinator for a lease length.
 	Serving bool
+	// ServingUntil is when Serving ends by itself, by the monotonic clock; the zero time means never. A process that
+	// resumes from a pause may act before anything has cleared Serving, so whoever starts work asks ServingAt.
+	ServingUntil time.Time
 	// NotServingReason explains Serving == false in a short sentence.
 	NotServingReason string
 }
 
+// reasonLapsed explains a view whose ServingUntil has passed.
+const reasonLapsed = "lease from the zone's coordinator has expired"
+
+// ServingAt reports whether this node may take new work at a time that the caller has just read from its clock.
+func (v *View) ServingAt(now time.Time) bool {
+	return v.Serving && (v.ServingUntil.IsZero() || now.Before(v.ServingUntil))
+}
+
+// WhyNotServing explains in a short sentence why ServingAt is false.
+func (v *View) WhyNotServing() string {
+	if v.Serving {
+		return reasonLapsed
+	}
+	return v.NotServingReason
+}
+
 // Permitted reports whether the pool's data may be in the zone. An unknown pool is permitted nowhere.
 func (v *View) Permitted(pool, zone string) bool {
 	p, ok := v.Pools[pool]
--- a/internal/configsync/backend.go
+++ b/internal/configsync/backend.go
@@ -7,7 +7,6 @@
 	"errors"
 
 	v1 "github.com/covelink/covelink/api/v1"
-	"github.com/covelink/covelink/internal/leadership"
 	"github.com/covelink/covelink/internal/objectapi"
 	"github.com/covelink/covelink/internal/resourceapi"
 	"github.com/covelink/covelink/internal/rpc"
@@ -100,40 +99,12 @@
 	return m.observe().fill(stored), nil
 }
 
-// forward sends a write to the zone's coordinator. Its errors are *v1.Error.
-func (m *Manager) forward(ctx context.Context, request writeRequest) (writeReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.params.Timing.RequestTimeout)
-	defer cancel()
-	holder, ok := m.params.Elector.Holder(leadership.ZoneLease(m.self.Zone))
-	if !ok {
-		return writeReply{}, v1.NotRun(v1.CodeUnavailable, retryAfterUnavailable, "zone %s has no coordinator", m.self.Zone)
-	}
-	if holder.Name == m.self.Name {
-		return m.serveWrite(ctx, rpc.Peer{Name: m.self.Name, Zone: m.self.Zone}, request)
-	}
-	reply, err := rpc.Call[writeRequest, writeReply](ctx, m.params.Client, holder.Address, request)
-	if err == nil {
-		return reply, nil
-	}
-	var typed *v1.Error
-	switch {
-	case errors.As(err, &typed):
-		return writeReply{}, typed
-	case errors.Is(err, rpc.ErrNotSent):
-		return writeReply{}, v1.NotRun(v1.CodeUnavailable, retryAfterUnavailable, "coordinator %s cannot be reached", holder.Name)
-	}
-	return writeReply{}, unknownOutcome("coordinator " + holder.Name + " did not answer")
-}
-
 // serveWrite executes a write on the coordinator.
 func (m *Manager) serveWrite(ctx context.Context, peer rpc.Peer, request writeRequest) (writeReply, error) {
 	if err := m.checkZone(peer); err != nil {
 		return writeReply{}, err
 	}
-	m.mu.Lock()
-	leading := m.term != nil
-	m.mu.Unlock()
-	if !leading {
+	if !m.leading() {
 		return writeReply{}, m.errNotCoordinator()
 	}
 	stored, err := m.execute(ctx, request)
--- /dev/null
+++ b/internal/configsync/forward.go
@@ -0,0 +1,130 @@
+package configsync
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/google/uuid"
+
+	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/objectapi"
+	"github.com/covelink/covelink/internal/rpc"
+)
+
+// forward sends a write to the zone's coordinator. Its errors are *v1.Error. A write whose reply is lost is read back by its
+// write ID, through whichever node then coordinates, until its fate is known or ctx ends.
+func (m *Manager) forward(ctx context.Context, request writeRequest) (writeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.params.Timing.RequestTimeout)
+	defer cancel()
+	holder, ok := m.params.Elector.Holder(leadership.ZoneLease(m.self.Zone))
+	if !ok {
+		return writeReply{}, v1.NotRun(v1.CodeUnavailable, retryAfterUnavailable, "zone %s has no coordinator", m.self.Zone)
+	}
+	request.Object.Metadata.WriteID = uuid.NewString()
+	if holder.Name == m.self.Name {
+		return m.serveWrite(ctx, rpc.Peer{Name: m.self.Name, Zone: m.self.Zone}, request)
+	}
+	reply, err := rpc.Call[writeRequest, writeReply](ctx, m.params.Client, holder.Address, request)
+	if err == nil {
+		return reply, nil
+	}
+	var typed *v1.Error
+	switch {
+	case errors.As(err, &typed) && typed.Outcome != v1.OutcomeUnknown:
+		return writeReply{}, typed
+	case errors.Is(err, rpc.ErrNotSent):
+		return writeReply{}, v1.NotRun(v1.CodeUnavailable, retryAfterUnavailable, "coordinator %s cannot be reached", holder.Name)
+	}
+	return m.readBack(ctx, request)
+}
+
+// readBack asks for the object of a write until it tells the write's fate.
+func (m *Manager) readBack(ctx context.Context, request writeRequest) (writeReply, error) {
+	for {
+		current, err := m.askReadBack(ctx, request)
+		if err == nil {
+			switch judge(request, current) {
+			case fateDone:
+				return writeReply{Object: current.Object}, nil
+			case fateUnknown:
+				return writeReply{}, unknownOutcome("the coordinator's answer was lost, and the resource has been written by another since")
+			}
+		}
+		timer := time.NewTimer(m.params.Timing.LeaseLength / tickFraction)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return writeReply{}, unknownOutcome("the coordinator's answer was lost, and the write could not be read back")
+		}
+	}
+}
+
+func (m *Manager) askReadBack(ctx context.Context, request writeRequest) (readBackReply, error) {
+	holder, ok := m.params.Elector.Holder(leadership.ZoneLease(m.self.Zone))
+	if !ok {
+		return readBackReply{}, m.errNotCoordinator()
+	}
+	// A coordinator that has died must not hold the question for as long as the caller waits.
+	ctx, cancel := context.WithTimeout(ctx, m.params.Timing.LeaseLength)
+	defer cancel()
+	question := readBackRequest{Key: keyOf(request.Object)}
+	if holder.Name == m.self.Name {
+		return m.serveReadBack(ctx, rpc.Peer{Name: m.self.Name, Zone: m.self.Zone}, question)
+	}
+	return rpc.Call[readBackRequest, readBackReply](ctx, m.params.Client, holder.Address, question)
+}
+
+// fate is what reading an object back tells of a write.
+type fate int
+
+const (
+	// fateOpen: the write has not taken effect, but may yet.
+	fateOpen fate = iota
+	fateDone
+	// fateUnknown: another write has covered what this one did, if it did anything.
+	fateUnknown
+)
+
+// judge tells the fate of a write whose reply was lost. A create that is not there may yet be stored, or be deleted already.
+func judge(request writeRequest, current readBackReply) fate {
+	written := request.Object.Metadata
+	unchanged := current.Found && current.Object.Metadata.ResourceVersion == written.ResourceVersion
+	switch {
+	case request.Operation == operationDelete && !current.Found:
+		return fateDone
+	case request.Operation == operationDelete && (unchanged || written.ResourceVersion == ""):
+		return fateOpen
+	case current.Found && current.Object.Metadata.WriteID == written.WriteID:
+		return fateDone
+	case unchanged, request.Operation == operationCreate && !current.Found:
+		return fateOpen
+	}
+	return fateUnknown
+}
+
+// serveReadBack reads an object from the store on the coordinator.
+func (m *Manager) serveReadBack(ctx context.Context, peer rpc.Peer, request readBackRequest) (readBackReply, error) {
+	if err := m.checkZone(peer); err != nil {
+		return readBackReply{}, err
+	}
+	if !m.leading() {
+		return readBackReply{}, m.errNotCoordinator()
+	}
+	object, err := m.params.Store.Get(ctx, request.Key.Kind, request.Key.Name)
+	switch {
+	case err == nil:
+		return readBackReply{Found: true, Object: object}, nil
+	case errors.Is(err, objectapi.ErrNotFound):
+		return readBackReply{}, nil
+	}
+	return readBackReply{}, storeError(err, v1.RawObject{Kind: request.Key.Kind, Metadata: v1.ObjectMeta{Name: request.Key.Name}})
+}
+
+func (m *Manager) leading() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.term != nil
+}
--- a/internal/configsync/manager.go
+++ b/internal/configsync/manager.go
@@ -60,6 +60,8 @@
 	index     objectIndex
 	deletions deletionLog
 	published publication
+	// servingUntil is the end of the lease as published.
+	servingUntil time.Time
 }
 
 // publication is what decides whether the view has to be built anew.
@@ -96,7 +98,7 @@
 func (m *Manager) CatchUp(ctx context.Context) error {
 	for {
 		changed := m.params.Holder.Changed()
-		if m.params.Holder.Current().Serving {
+		if m.params.Holder.Current().ServingAt(m.now()) {
 			return nil
 		}
 		select {
--- a/internal/configsync/messages.go
+++ b/internal/configsync/messages.go
@@ -38,6 +38,12 @@
 		Object    v1.RawObject
 	}
 	writeReply struct{ Object v1.RawObject }
+	// readBackRequest asks a coordinator for an object as the store has it; readBackReply answers it.
+	readBackRequest struct{ Key ObjectKey }
+	readBackReply   struct {
+		Found  bool
+		Object v1.RawObject
+	}
 )
 
 // operation is a kind of write.
@@ -68,6 +74,7 @@
 	rpc.Handle(server, m.serveFetch)
 	rpc.Handle(server, m.serveExchange)
 	rpc.Handle(server, m.serveWrite)
+	rpc.Handle(server, m.serveReadBack)
 }
 
 // errNotCoordinator answers requests that only a coordinator takes.
--- a/internal/configsync/view.go
+++ b/internal/configsync/view.go
@@ -15,7 +15,10 @@
 	state := m.replica.State()
 	serving, reason := m.replica.Serving(m.now())
 	next := publication{version: state.Version, serving: serving, reason: reason}
-	if next == m.published && !force {
+	until, before := m.replica.LeaseUntil(), m.servingUntil
+	m.servingUntil = until
+	if next == m.published && !force && (until.Equal(before) || m.now().Before(before)) {
+		m.params.Holder.Extend(until)
 		return
 	}
 	if serving != m.published.serving {
@@ -25,6 +28,7 @@
 	m.metrics.observe(m.self.Zone, state, serving)
 	view := buildView(state, m.index, m.nodes)
 	view.Serving = serving
+	view.ServingUntil = until
 	view.NotServingReason = reason
 	m.params.Holder.Update(func(*cluster.View) *cluster.View { return view })
 }
--- a/internal/dispatch/manager.go
+++ b/internal/dispatch/manager.go
@@ -211,7 +211,7 @@
 	switch {
 	case m.draining || m.stopped:
 		return refuse(reasonDraining, v1.CodeUnavailable, unavailableRetryAfter, errStopped.Error())
-	case !view.Serving:
+	case !view.ServingAt(now):
 		return notServing(view)
 	case view.Pools[task.Pool] == nil:
 		return refuse(reasonPool, v1.CodeNotFound, 0, "no such pool")
@@ -223,7 +223,7 @@
 }
 
 func notServing(view *cluster.View) *refusal {
-	return refuse(reasonNotServing, v1.CodeUnavailable, unavailableRetryAfter, "node takes no new work: "+view.NotServingReason)
+	return refuse(reasonNotServing, v1.CodeUnavailable, unavailableRetryAfter, "node takes no new work: "+view.WhyNotServing())
 }
 
 // shutdown ends every task. Waiting ones are refused before the streams are cut.
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -116,11 +116,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.refresh()
-	if !m.snapshot.View.Serving {
+	now := m.params.Now()
+	if !m.snapshot.View.ServingAt(now) {
 		m.refuseWaiting(notServing(m.snapshot.View))
 		return
 	}
-	now := m.params.Now()
 	m.queue.Scan(now, func(item *scheduler.Item) scheduler.Verdict { return m.tryPlace(now, item) })
 }
 
@@ -204,7 +204,7 @@
 func (m *Manager) permitted(task *Task, held *grant) ([]string, bool) {
 	view := m.params.Source.Current()
 	pool, ok := view.Pools[task.Pool]
-	if !ok || !view.Serving || !slices.Contains(pool.Spec.PermittedZones, held.engine.Zone) {
+	if !ok || !view.ServingAt(m.params.Now()) || !slices.Contains(pool.Spec.PermittedZones, held.engine.Zone) {
 		return nil, false
 	}
 	if zone, found := view.Zones[held.engine.Zone]; found && zone.Spec.Cordoned {
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -36,7 +36,7 @@
 		g.resumeStream(c, application, lastID, chat)
 		return
 	}
-	if err := serving(view); err != nil {
+	if err := g.serving(view); err != nil {
 		httperr.Write(c, err)
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,16 +132,16 @@
 
 // requireServing refuses new work while the node may not take any.
 func (g *Gateway) requireServing(c *gin.Context) {
-	if err := serving(g.params.Source.Current()); err != nil {
+	if err := g.serving(g.params.Source.Current()); err != nil {
 		httperr.Write(c, err)
 	}
 }
 
-func serving(view *cluster.View) error {
-	if view.Serving {
+func (g *Gateway) serving(view *cluster.View) error {
+	if view.ServingAt(g.params.Now()) {
 		return nil
 	}
-	return v1.NotRun(v1.CodeUnavailable, notServingRetryAfter, "the node takes no new work: %s", view.NotServingReason)
+	return v1.NotRun(v1.CodeUnavailable, notServingRetryAfter, "the node takes no new work: %s", view.WhyNotServing())
 }
 
 // readBody returns the body, which is bounded in size and in the time that it may take to arrive.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/gin-gonic/gin"
+
+	"github.com/covelink/covelink/internal/cluster"
 )
 
 // StatusReport is the answer of GET /debug/status.
@@ -43,8 +46,8 @@
 	if state := g.readiness.Load(); !state.ready {
 		return orDefault(state.reason, "not ready")
 	}
-	if view := g.params.Source.Current(); !view.Serving {
-		return orDefault(view.NotServingReason, "not serving")
+	if view := g.params.Source.Current(); !view.ServingAt(g.params.Now()) {
+		return orDefault(view.WhyNotServing(), "not serving")
 	}
 	return ""
 }
@@ -57,8 +60,8 @@
 		Node:             g.params.Self.Name,
 		Zone:             g.params.Self.Zone,
 		Revision:         view.Revision,
-		Serving:          view.Serving,
-		NotServingReason: view.NotServingReason,
+		Serving:          view.ServingAt(g.params.Now()),
+		NotServingReason: notServingReason(view, g.params.Now()),
 		Ready:            reason == "",
 		NotReadyReason:   reason,
 		Draining:         g.work.isDraining(),
@@ -69,6 +72,13 @@
 	})
 }
 
+func notServingReason(view *cluster.View, now time.Time) string {
+	if view.ServingAt(now) {
+		return ""
+	}
+	return view.WhyNotServing()
+}
+
 func orDefault(value, otherwise string) string {
 	if value != "" {
 		return value
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -23,6 +23,7 @@
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/leadership"
 	"github.com/covelink/covelink/internal/settings"
+	"github.com/covelink/covelink/internal/telemetry"
 )
 
 const (
@@ -72,6 +73,7 @@
 	if params.Thresholds == (Thresholds{}) {
 		params.Thresholds = DefaultThresholds()
 	}
+	params.Logger = telemetry.For(params.Logger, telemetry.PartInventory)
 	return &Inventory{params: params, metrics: newMetrics(params.Registerer)}
 }
 
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -44,6 +44,7 @@
 	Self      cluster.Node
 	Logger    log.Logger
 	Listeners listeners
+	TLS       certificates
 	Server    *rpc.Server
 	Client    *rpc.Client
 	Elector   leadership.Elector
@@ -54,6 +55,7 @@
 	Dispatch  *dispatch.Manager
 	Rollout   *rollout.Manager
 	Gateway   *gateway.Gateway
+	Resources *resourceapi.API
 	HTTP      *http.Server
 }
 
@@ -77,8 +79,8 @@
 	l.Sync.Register(l.Server)
 	l.Weights.Register(l.Server)
 	l.Rollout.Register(l.Server)
-	l.run(func() { l.report("internal listener ended", l.Server.Serve(l.Listeners.internal)) })
-	l.run(func() { l.report("http listener ended", l.HTTP.Serve(l.Listeners.http)) })
+	l.run(func() { l.report("internal listener ended", l.Server.Serve(secure(l.Listeners.internal, l.TLS.internal))) })
+	l.run(func() { l.report("http listener ended", l.HTTP.Serve(secure(l.Listeners.http, l.TLS.callers))) })
 	l.run(func() { l.report("config sync ended", l.Sync.Run(ctx)) })
 	l.run(func() { l.Weights.Run(ctx) })
 	l.run(func() { l.Dispatch.Run(ctx) })
@@ -110,6 +112,7 @@
 	defer cancel()
 	level.Info(l.logger).Log("msg", "draining")
 	l.Gateway.SetReady(false, "draining")
+	l.Resources.Stop()
 	err := errors.Join(
 		l.Rollout.HandOver(drainCtx),
 		l.Gateway.Drain(drainCtx),
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -34,6 +34,7 @@
 		telemetry.NewRegistry,
 		func(registry *prometheus.Registry) prometheus.Registerer { return registry },
 		telemetry.NewRPCMetrics,
+		newCertificates,
 		newRPCServer,
 		newRPCClient,
 		cluster.NewHolder,
@@ -54,14 +55,19 @@
 )
 
 func newRPCServer(config settings.Settings, logger log.Logger, observer *telemetry.RPCMetrics) *rpc.Server {
-	server := rpc.NewServer(telemetry.For(logger, telemetry.PartRPC))
+	server := rpc.NewServer(logger)
 	server.MaxFrameBytes = config.Limits.MaxFrameBytes
 	server.Observer = observer
 	return server
 }
 
-func newRPCClient(config settings.Settings, self cluster.Node, options Options, observer *telemetry.RPCMetrics) *rpc.Client {
-	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, options.Dial)
+func newRPCClient(config settings.Settings, self cluster.Node, options Options, loaded certificates,
+	observer *telemetry.RPCMetrics) *rpc.Client {
+	dial := options.Dial
+	if dial == nil {
+		dial = loaded.dial()
+	}
+	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, dial)
 	client.MaxFrameBytes = config.Limits.MaxFrameBytes
 	client.Observer = observer
 	return client
@@ -105,7 +111,7 @@
 		Client:     client,
 		Holder:     holder,
 		Timing:     config.Timing,
-		Logger:     telemetry.For(logger, telemetry.PartConfigSync),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -121,7 +127,7 @@
 		Source:     source,
 		Timing:     config.Timing,
 		Publish:    sync.SetEngines,
-		Logger:     telemetry.For(logger, telemetry.PartInventory),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -135,7 +141,7 @@
 		Elector:    elector,
 		Client:     client,
 		Observe:    engineInventory.Observe,
-		Logger:     telemetry.For(logger, telemetry.PartWeights),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -147,7 +153,7 @@
 		Self:       self,
 		Engines:    engines,
 		Limits:     config.Limits,
-		Logger:     telemetry.For(logger, telemetry.PartDispatch),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -164,7 +170,7 @@
 		Logs:       rollout.NewMemoryLogs(),
 		Scorer:     rollout.HTTPScorer{Client: &http.Client{Timeout: config.Timing.RequestTimeout}},
 		Limits:     config.Limits,
-		Logger:     telemetry.For(logger, telemetry.PartRollout),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -183,7 +189,7 @@
 		Auth:       authenticator,
 		Limits:     config.Limits,
 		Timing:     config.Timing,
-		Logger:     telemetry.For(logger, telemetry.PartGateway),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -192,6 +198,6 @@
 	return resourceapi.New(resourceapi.Params{
 		Backend:    backend,
 		Identifier: authenticator,
-		Logger:     telemetry.For(logger, telemetry.PartResourceAPI),
+		Logger:     logger,
 	})
 }
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -82,25 +82,32 @@
 	return list, err
 }
 
-// Create stores a new object under a fresh write ID and returns it as stored. It retries until ctx ends.
+// Create stores a new object under its write ID, a fresh one if it has none, and returns it as stored. It retries until ctx ends.
 // ErrUnknown: the reply was lost and the object isn't there to tell; it may yet appear, or be deleted already.
 func (c *Client) Create(ctx context.Context, object v1.RawObject) (v1.RawObject, error) {
-	object.Metadata.WriteID = uuid.NewString()
+	object.Metadata.WriteID = writeID(object)
 	return c.write(ctx, http.MethodPost, PathObjects, object, func() error {
 		return fmt.Errorf("%w: create not found on reading back", ErrUnknown)
 	})
 }
 
-// Update replaces the object of the stated resourceVersion under a fresh write ID. It retries until ctx ends: at most
+// Update replaces the object of the stated resourceVersion under its write ID, a fresh one if it has none. It retries until ctx ends: at most
 // one attempt can take effect, since each is conditional on the same resourceVersion.
 func (c *Client) Update(ctx context.Context, object v1.RawObject) (v1.RawObject, error) {
-	object.Metadata.WriteID = uuid.NewString()
+	object.Metadata.WriteID = writeID(object)
 	path := objectPath(object.Kind, object.Metadata.Name)
 	return c.write(ctx, http.MethodPut, path, object, func() error {
 		return fmt.Errorf("%w: updated object was deleted meanwhile", ErrUnknown)
 	})
 }
 
+func writeID(object v1.RawObject) string {
+	if object.Metadata.WriteID != "" {
+		return object.Metadata.WriteID
+	}
+	return uuid.NewString()
+}
+
 // write sends a conditional write until its outcome is known. absent gives the outcome when a lost write reads back as no object.
 func (c *Client) write(ctx context.Context, method, path string, object v1.RawObject, absent func() error) (v1.RawObject, error) {
 	var stored v1.RawObject
--- a/internal/rollout/forward.go
+++ b/internal/rollout/forward.go
@@ -90,6 +90,9 @@
 }
 
 func (m *Manager) putBatch(ctx context.Context, r putBatchRequest) (reply[v1.BatchStatus], error) {
+	if err := m.checkServing(); err != nil {
+		return reply[v1.BatchStatus]{}, err
+	}
 	return m.askStatus(ctx, r.Trainer, func(o *Owner, now time.Time) (v1.BatchStatus, error) { return o.PutBatch(now, r.Batch, r.Spec) })
 }
 
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -321,6 +321,15 @@
 	return nil
 }
 
+// checkServing refuses new work while this node may take none.
+func (m *Manager) checkServing() error {
+	view := m.params.Source.Current()
+	if view.ServingAt(m.params.Now()) {
+		return nil
+	}
+	return v1.NotRun(v1.CodeUnavailable, retryAfter, "owner %s takes no new work: %s", m.params.Self.Name, view.WhyNotServing())
+}
+
 func newBackOff() *backoff.ExponentialBackOff {
 	wait := backoff.NewExponentialBackOff()
 	wait.InitialInterval = minRetryInterval
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -14,6 +14,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/covelink/covelink/internal/telemetry"
+
 	v1 "github.com/covelink/covelink/api/v1"
 )
 
@@ -64,7 +66,7 @@
 
 // NewServer returns a Server without handlers.
 func NewServer(logger log.Logger) *Server {
-	return &Server{Logger: logger, handlers: make(map[string]handler), conns: make(map[net.Conn]struct{})}
+	return &Server{Logger: telemetry.For(logger, telemetry.PartRPC), handlers: make(map[string]handler), conns: make(map[net.Conn]struct{})}
 }
 
 // Handle makes serve answer every request of type Req. It must be called before Serve and once per type.
--- a/internal/rpc/tls.go
+++ b/internal/rpc/tls.go
@@ -53,7 +53,13 @@
 	return f, nil
 }
 
-// Listener returns a listener that lets in only callers with a certificate of the authority.
+// LoadServerTLSFiles reads the files of a server that asks its callers for no certificate.
+func LoadServerTLSFiles(certFile, keyFile string) (*TLSFiles, error) {
+	return LoadTLSFiles(certFile, keyFile, "")
+}
+
+// Listener returns a listener that lets in only callers with a certificate of the authority, or, without an authority, every
+// caller.
 func (f *TLSFiles) Listener(inner net.Listener) net.Listener {
 	return tls.NewListener(inner, &tls.Config{
 		MinVersion: tls.VersionTLS13,
@@ -103,14 +109,17 @@
 
 func (f *TLSFiles) serverConfig() *tls.Config {
 	material := f.current()
-	return &tls.Config{
+	config := &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{material.certificate},
-		ClientCAs:    material.roots,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}
+	if f.caFile != "" {
+		config.ClientCAs = material.roots
+		config.ClientAuth = tls.RequireAndVerifyClientCert
 		// A resumed session would not be held against a changed authority.
-		SessionTicketsDisabled: true,
+		config.SessionTicketsDisabled = true
 	}
+	return config
 }
 
 func (f *TLSFiles) clientConfig(host string) *tls.Config {
@@ -147,6 +156,9 @@
 func (f *TLSFiles) read() (*tlsMaterial, error) {
 	material := &tlsMaterial{}
 	for index, name := range []string{f.certFile, f.keyFile, f.caFile} {
+		if name == "" {
+			continue
+		}
 		content, err := os.ReadFile(name)
 		if err != nil {
 			return nil, err
@@ -161,6 +173,9 @@
 		return nil, fmt.Errorf("rpc: %s and %s: %w", f.certFile, f.keyFile, err)
 	}
 	material.certificate = certificate
+	if f.caFile == "" {
+		return material, nil
+	}
 	material.roots = x509.NewCertPool()
 	if !material.roots.AppendCertsFromPEM(material.raw[2]) {
 		return nil, fmt.Errorf("%w: %s", ErrNoCertificate, f.caFile)
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -13,6 +13,7 @@
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/leadership"
 	"github.com/covelink/covelink/internal/rpc"
+	"github.com/covelink/covelink/internal/telemetry"
 )
 
 // Orders sends orders to engines.
@@ -71,6 +72,7 @@
 	if params.Observe == nil {
 		params.Observe = func(string, enginev1.Load) {}
 	}
+	params.Logger = telemetry.For(params.Logger, telemetry.PartWeights)
 	return &Manager{
 		params:  params,
 		metrics: newMetrics(params.Registerer),
