configsync, resourceapi: times of transitions, tests of access by callers' tokens

LastTransitionTime was never set; a node now keeps when it saw each condition take its status. InForce is documented to follow Accepted. The resource API is tested to refuse trainers' and applications' tokens with 403.

--- a/api/v1/resources.go
+++ b/api/v1/resources.go
@@ -51,7 +51,8 @@
 const (
 	// ConditionAccepted is true once every zone in scope has acknowledged that all its live nodes apply the revision.
 	ConditionAccepted ConditionType = "Accepted"
-	// ConditionInForce is true once every reachable node of every zone in scope applies the revision.
+	// ConditionInForce is true once every node that may serve in every zone in scope applies the revision. It follows
+	// Accepted: a node that cannot be reached counts until its lease has lapsed, and serves nothing from then on.
 	ConditionInForce ConditionType = "InForce"
 	// ConditionDegraded is true while the resource is served with less than its spec asks.
 	ConditionDegraded ConditionType = "Degraded"
@@ -74,7 +75,8 @@
 	Reason             string          `json:"reason,omitempty" yaml:"reason,omitempty"`
 	Message            string          `json:"message,omitempty" yaml:"message,omitempty"`
 	ObservedGeneration int64           `json:"observedGeneration,omitempty" yaml:"observedGeneration,omitempty"`
-	LastTransitionTime time.Time       `json:"lastTransitionTime,omitzero" yaml:"lastTransitionTime,omitempty"`
+	// LastTransitionTime is when the node that answers saw the status taken; a node that has started anew counts from then.
+	LastTransitionTime time.Time `json:"lastTransitionTime,omitzero" yaml:"lastTransitionTime,omitempty"`
 }
 
 // Status is what the system reports of a resource. Operators cannot write it.
--- a/internal/configsync/backend.go
+++ b/internal/configsync/backend.go
@@ -23,7 +23,7 @@
 
 func (m *Manager) observeLocked() observation {
 	state := m.replica.State()
-	return observation{state: state, index: m.index, engines: enginesOf(state.Inventories), nodes: m.nodes}
+	return observation{state: state, index: m.index, engines: enginesOf(state.Inventories), nodes: m.nodes, since: m.since}
 }
 
 // read returns the objects of a kind with their statuses, sorted by name. The caller owns them.
--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -129,6 +129,10 @@
 
 // start runs a node on the listener.
 func (c *testCluster) start(self cluster.Node, listener net.Listener) *testNode {
+	return c.startWith(self, listener, newStoreClient(c.store.URL()))
+}
+
+func (c *testCluster) startWith(self cluster.Node, listener net.Listener, store Store) *testNode {
 	timing := settings.Default().Timing
 	timing.LeaseLength = 200 * time.Millisecond
 	timing.NodeLeaseLength = time.Second
@@ -145,7 +149,7 @@
 	n.Manager = New(Params{
 		Self:    self,
 		Seeds:   c.seeds,
-		Store:   newStoreClient(c.store.URL()),
+		Store:   store,
 		Elector: elector,
 		Client:  n.client,
 		Holder:  cluster.NewHolder(),
--- a/internal/configsync/manager.go
+++ b/internal/configsync/manager.go
@@ -59,6 +59,7 @@
 	engines   []cluster.Engine
 	index     objectIndex
 	deletions deletionLog
+	since     transitions
 	published publication
 	// servingUntil is the end of the lease as published.
 	servingUntil time.Time
--- a/internal/configsync/status.go
+++ b/internal/configsync/status.go
@@ -23,25 +23,41 @@
 	index   objectIndex
 	engines []cluster.Engine
 	nodes   []cluster.Node
+	// since holds when the node saw each condition take its status.
+	since transitions
 }
 
 // fill sets the status of an object that the caller owns.
 func (o observation) fill(object v1.Object) v1.Object {
 	status := object.ObjectStatus()
 	*status = v1.Status{ObservedGeneration: object.Meta().Generation}
-	accepted := o.accepted(object)
-	status.Conditions = append(status.Conditions, accepted)
-	accepted.Type = v1.ConditionInForce
-	status.Conditions = append(status.Conditions, accepted)
 	switch typed := object.(type) {
 	case *v1.Zone:
 		o.fillZone(typed)
 	case *v1.Pool:
 		o.fillPool(typed)
 	}
+	status.Conditions = o.conditions(object)
+	for i := range status.Conditions {
+		status.Conditions[i].LastTransitionTime = o.since.at(object, status.Conditions[i])
+	}
 	return object
 }
 
+// conditions returns the conditions of an object, without the times of their transitions. InForce follows Accepted: a node that
+// cannot be reached either counts, as long as it holds a lease, or serves nothing, so that nothing less strict is worth
+// telling apart.
+func (o observation) conditions(object v1.Object) []v1.Condition {
+	accepted := o.accepted(object)
+	inForce := accepted
+	inForce.Type = v1.ConditionInForce
+	conditions := []v1.Condition{accepted, inForce}
+	if pool, ok := object.(*v1.Pool); ok {
+		conditions = append(conditions, o.degraded(pool))
+	}
+	return conditions
+}
+
 func (o observation) accepted(object v1.Object) v1.Condition {
 	condition := v1.Condition{
 		Type:               v1.ConditionAccepted,
@@ -92,7 +108,6 @@
 		}
 		pool.Status.Versions[engine.ActiveVersion]++
 	}
-	pool.Status.Conditions = append(pool.Status.Conditions, degraded(pool))
 }
 
 // usable reports whether the engine may take work of the pool.
@@ -104,14 +119,15 @@
 		!slices.Contains(pool.Spec.DrainingEngines, engine.Name)
 }
 
-func degraded(pool *v1.Pool) v1.Condition {
+func (o observation) degraded(pool *v1.Pool) v1.Condition {
 	condition := v1.Condition{
 		Type:               v1.ConditionDegraded,
 		Status:             v1.ConditionFalse,
 		Reason:             reasonEnginesReady,
 		ObservedGeneration: pool.Metadata.Generation,
 	}
-	if pool.Status.Engines == 0 {
+	takesWork := func(engine cluster.Engine) bool { return usable(pool, engine) }
+	if !slices.ContainsFunc(o.engines, takesWork) {
 		condition.Status = v1.ConditionTrue
 		condition.Reason = reasonNoEngines
 		condition.Message = "no engine in the permitted zones takes work"
--- a/internal/configsync/view.go
+++ b/internal/configsync/view.go
@@ -25,6 +25,7 @@
 		level.Info(m.logger).Log("msg", "serving changed", "serving", serving, "reason", reason, "revision", state.Revision)
 	}
 	m.published = next
+	m.since = m.since.next(m.observeLocked(), m.now().UTC().Round(0))
 	m.metrics.observe(m.self.Zone, state, serving)
 	view := buildView(state, m.index, m.nodes)
 	view.Serving = serving
--- a/internal/dispatch/permitted_test.go
+++ b/internal/dispatch/permitted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -29,6 +30,8 @@
 		{"engine restarted", func(v *cluster.View) { v.Engines[0].Incarnation = "2" }, false},
 		{"engine in another zone", func(v *cluster.View) { v.Engines[0].Zone = "b" }, false},
 		{"engine in another pool", func(v *cluster.View) { v.Engines[0].Pool = "other" }, false},
+		{"lease still held", func(v *cluster.View) { v.ServingUntil = time.Now().Add(time.Hour) }, true},
+		{"lease lapsed in a pause", func(v *cluster.View) { v.ServingUntil = time.Now().Add(-time.Nanosecond) }, false},
 		{"node not serving", func(v *cluster.View) { v.Serving = false }, false},
 	}
 	for _, c := range cases {
--- a/internal/gateway/completion_test.go
+++ b/internal/gateway/completion_test.go
@@ -217,16 +217,21 @@
 	})
 	Convey("A node that may not serve refuses new work as not run", t, func() {
 		b := newBench(t, nil)
-		b.source.Update(func(old *cluster.View) *cluster.View {
-			next := *old
-			next.Serving = false
-			return &next
-		})
-		got := b.complete(simpleBody)
-		So(got.failure().Outcome, ShouldEqual, v1.OutcomeNotRun)
-		So(got.header.Get("Retry-After"), ShouldEqual, "1")
-		So(b.send(http.MethodGet, "/readyz", "", "").status, ShouldEqual, http.StatusServiceUnavailable)
-		So(b.dispatcher.seen(), ShouldBeEmpty)
+		for _, change := range []func(*cluster.View){
+			func(v *cluster.View) { v.Serving = false },
+			func(v *cluster.View) { v.Serving, v.ServingUntil = true, time.Now().Add(-time.Nanosecond) },
+		} {
+			b.source.Update(func(old *cluster.View) *cluster.View {
+				next := *old
+				change(&next)
+				return &next
+			})
+			got := b.complete(simpleBody)
+			So(got.failure().Outcome, ShouldEqual, v1.OutcomeNotRun)
+			So(got.header.Get("Retry-After"), ShouldEqual, "1")
+			So(b.send(http.MethodGet, "/readyz", "", "").status, ShouldEqual, http.StatusServiceUnavailable)
+			So(b.dispatcher.seen(), ShouldBeEmpty)
+		}
 	})
 }
 
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -79,7 +79,9 @@
 	l.Sync.Register(l.Server)
 	l.Weights.Register(l.Server)
 	l.Rollout.Register(l.Server)
-	l.run(func() { l.report("internal listener ended", l.Server.Serve(secure(l.Listeners.internal, l.TLS.internal))) })
+	l.run(func() {
+		l.report("internal listener ended", l.Server.Serve(secure(l.Listeners.internal, l.TLS.internal)))
+	})
 	l.run(func() { l.report("http listener ended", l.HTTP.Serve(secure(l.Listeners.http, l.TLS.callers))) })
 	l.run(func() { l.report("config sync ended", l.Sync.Run(ctx)) })
 	l.run(func() { l.Weights.Run(ctx) })
--- a/internal/resourceapi/api_test.go
+++ b/internal/resourceapi/api_test.go
@@ -27,8 +27,10 @@
 )
 
 const (
-	operatorToken = "operator-token"
-	readerToken   = "reader-token"
+	operatorToken    = "operator-token"
+	readerToken      = "reader-token"
+	trainerToken     = "trainer-token"
+	applicationToken = "application-token"
 	// waitLimit bounds waits for what happens soon.
 	waitLimit = 30 * time.Second
 )
@@ -50,7 +52,7 @@
 	}
 	api := resourceapi.New(resourceapi.Params{
 		Backend:    f.backend,
-		Identifier: auth.New(cluster.NewHolder(), operators),
+		Identifier: auth.New(callers(), operators),
 		Logger:     log.NewLogfmtLogger(log.NewSyncWriter(f.log)),
 		Now:        func() time.Time { return time.Unix(1, 0) },
 	})
@@ -65,6 +67,18 @@
 	return f
 }
 
+// callers returns a view with a trainer and an application, whose tokens are no operators'.
+func callers() cluster.Source {
+	holder := cluster.NewHolder()
+	holder.Update(func(*cluster.View) *cluster.View {
+		return &cluster.View{
+			Trainers:     map[string]*v1.Trainer{"t": {Spec: v1.TrainerSpec{TokenHashes: []string{v1.HashToken(trainerToken)}}}},
+			Applications: map[string]*v1.Application{"x": {Spec: v1.ApplicationSpec{TokenHashes: []string{v1.HashToken(applicationToken)}}}},
+		}
+	})
+	return holder
+}
+
 func (f *fixture) close() {
 	f.client.CloseIdleConnections()
 	f.server.Close()
@@ -143,6 +157,14 @@
 			So(code, ShouldEqual, 401)
 			So(answer["reason"], ShouldEqual, "Unauthorized")
 		}
+		for _, token := range []string{trainerToken, applicationToken} {
+			for _, method := range []string{http.MethodGet, http.MethodPut, http.MethodDelete} {
+				code, answer := f.do(method, "zones/b", token, zoneBody("b", version("2")))
+				So(code, ShouldEqual, 403)
+				So(answer["reason"], ShouldEqual, "Forbidden")
+				So(answer, ShouldNotContainKey, "spec")
+			}
+		}
 		for _, method := range []string{http.MethodPost, http.MethodPut, http.MethodDelete} {
 			path := "zones/b"
 			if method == http.MethodPost {
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -14,9 +14,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
-	"github.com/covelink/covelink/internal/telemetry"
-
 	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/telemetry"
 )
 
 const (
