configsync, objectapi: move decisions out of goroutines into pure state

Whom to call, when to beat, whether a term is informed, the reader's position, the fate of a lost write and the delivery to the coordinator's own node were decided inside goroutines, out of reach of virtual time. They are now Spread, HeartbeatResult, Inquiry, Position, Objects, JudgeLost and Deliver; the runtime calls them. Resources are decoded once per version and no longer at every change of an acknowledgement.

--- a/internal/configsync/backend.go
+++ b/internal/configsync/backend.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 
@@ -40,10 +39,6 @@
 	return objects
 }
 
-func compareObjects(a, b v1.RawObject) int {
-	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Metadata.Name, b.Metadata.Name))
-}
-
 // List implements resourceapi.Backend from the node's view.
 func (m *Manager) List(_ context.Context, kind v1.Kind) ([]v1.Object, uint64, error) {
 	seen := m.observe()
--- a/internal/configsync/core_test.go
+++ b/internal/configsync/core_test.go
@@ -224,7 +224,7 @@
 		}
 		condition := func(kind v1.Kind, name string) v1.Condition {
 			state.refreshAccepted()
-			seen := observation{state: state, index: indexObjects(state.Objects)}
+			seen := observation{state: state, index: state.indexed()}
 			for _, object := range seen.read(kind) {
 				if object.Meta().Name == name {
 					return object.ObjectStatus().Conditions[0]
--- a/internal/configsync/disseminate.go
+++ b/internal/configsync/disseminate.go
@@ -13,7 +13,7 @@
 
 // disseminate spreads the term's state until ctx ends: on every change, and again at every tick to whom it hasn't reached.
 func (m *Manager) disseminate(ctx context.Context, t *term) {
-	ticker := time.NewTicker(m.params.Timing.LeaseLength / tickFraction)
+	ticker := time.NewTicker(TickInterval(m.params.Timing.LeaseLength))
 	defer ticker.Stop()
 	for {
 		select {
@@ -35,13 +35,13 @@
 	defer m.mu.Unlock()
 	state := t.core.State()
 	for name, node := range m.zoneNodes(t) {
-		if name == m.self.Name || t.held[name].Covers(state.Version) {
+		if name == m.self.Name || !t.spread.Lacks(name, state.Version) {
 			continue
 		}
 		m.start(ctx, t, node.Address, func(ctx context.Context) error { return m.push(ctx, t, node, state) })
 	}
 	for zone, coordinator := range m.otherCoordinators() {
-		if t.told[zone] == state.Sequence {
+		if !t.spread.Untold(zone, state.Sequence) {
 			continue
 		}
 		m.start(ctx, t, coordinator.Address, func(ctx context.Context) error {
@@ -57,12 +57,12 @@
 	defer m.mu.Unlock()
 	revision := t.core.State().Revision
 	for name, node := range m.zoneNodes(t) {
-		if t.held[name].Revision > revision {
+		if t.spread.NodeAhead(name, revision) {
 			m.start(ctx, t, node.Address, func(ctx context.Context) error { return m.adoptFrom(ctx, node) })
 		}
 	}
 	for zone, coordinator := range m.otherCoordinators() {
-		if t.revisions[zone] > revision {
+		if t.spread.ZoneAhead(zone, revision) {
 			m.start(ctx, t, coordinator.Address, func(ctx context.Context) error { return m.adoptFrom(ctx, coordinator) })
 		}
 	}
@@ -71,17 +71,16 @@
 // start runs a bounded call unless one to the address is under way. After a call that succeeded spread looks again; one that
 // failed is repeated at the next tick.
 func (m *Manager) start(ctx context.Context, t *term, address string, call func(ctx context.Context) error) {
-	if t.busy[address] {
+	if !t.spread.Begin(address) {
 		return
 	}
-	t.busy[address] = true
 	t.calls.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, m.params.Timing.LeaseLength)
 		defer cancel()
 		err := call(ctx)
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		delete(t.busy, address)
+		t.spread.End(address)
 		if err == nil {
 			t.wakeUp()
 			return
@@ -104,7 +103,7 @@
 func (m *Manager) push(ctx context.Context, t *term, node cluster.Node, state State) error {
 	request := pushRequest{State: state}
 	m.mu.Lock()
-	if held := t.held[node.Name]; held.Revision > 0 && held.Revision == state.Revision {
+	if held := t.spread.Held(node.Name); held.Revision > 0 && held.Revision == state.Revision {
 		request.ObjectsOmitted = true
 		request.State.Objects = nil
 	}
@@ -116,7 +115,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	t.held[node.Name] = report.Applied
+	t.spread.Holds(node.Name, report.Applied)
 	m.changeLocked(func(c *Coordinator, now time.Time) { c.Acknowledge(report, now) })
 	return nil
 }
@@ -129,8 +128,8 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	t.told[zone] = state.Sequence
-	t.noteReport(zone, report)
+	t.spread.Told(zone, state.Sequence)
+	t.spread.Reported(zone, report.Revision)
 	m.changeLocked(func(c *Coordinator, now time.Time) { c.Merge(report, now) })
 	return nil
 }
--- a/internal/configsync/forward.go
+++ b/internal/configsync/forward.go
@@ -46,9 +46,9 @@
 		current, err := m.askReadBack(ctx, request)
 		if err == nil {
 			switch judge(request, current) {
-			case fateDone:
+			case FateDone:
 				return writeReply{Object: current.Object}, nil
-			case fateUnknown:
+			case FateUnknown:
 				return writeReply{}, unknownOutcome("the coordinator's answer was lost, and the resource has been written by another since")
 			}
 		}
@@ -77,32 +77,32 @@
 	return rpc.Call[readBackRequest, readBackReply](ctx, m.params.Client, holder.Address, question)
 }
 
-// fate is what reading an object back tells of a write.
-type fate int
+// Fate is what reading an object back tells of a write.
+type Fate int
 
 const (
-	// fateOpen: the write has not taken effect, but may yet.
-	fateOpen fate = iota
-	fateDone
-	// fateUnknown: another write has covered what this one did, if it did anything.
-	fateUnknown
+	// FateOpen: the write has not taken effect, but may yet.
+	FateOpen Fate = iota
+	FateDone
+	// FateUnknown: another write has covered what this one did, if it did anything.
+	FateUnknown
 )
 
 // judge tells the fate of a write whose reply was lost. A create that is not there may yet be stored, or be deleted already.
-func judge(request writeRequest, current readBackReply) fate {
+func judge(request writeRequest, current readBackReply) Fate {
 	written := request.Object.Metadata
 	unchanged := current.Found && current.Object.Metadata.ResourceVersion == written.ResourceVersion
 	switch {
 	case request.Operation == operationDelete && !current.Found:
-		return fateDone
+		return FateDone
 	case request.Operation == operationDelete && (unchanged || written.ResourceVersion == ""):
-		return fateOpen
+		return FateOpen
 	case current.Found && current.Object.Metadata.WriteID == written.WriteID:
-		return fateDone
+		return FateDone
 	case unchanged, request.Operation == operationCreate && !current.Found:
-		return fateOpen
+		return FateOpen
 	}
-	return fateUnknown
+	return FateUnknown
 }
 
 // serveReadBack reads an object from the store on the coordinator.
--- a/internal/configsync/forward_test.go
+++ b/internal/configsync/forward_test.go
@@ -139,18 +139,18 @@
 		name    string
 		request writeRequest
 		current readBackReply
-		want    fate
+		want    Fate
 	}{
-		{"create stored", writeRequest{operationCreate, object("", "mine")}, there("4", "mine"), fateDone},
-		{"create not there", writeRequest{operationCreate, object("", "mine")}, readBackReply{}, fateOpen},
-		{"create of another", writeRequest{operationCreate, object("", "mine")}, there("4", "theirs"), fateUnknown},
-		{"update stored", writeRequest{operationUpdate, object("3", "mine")}, there("4", "mine"), fateDone},
-		{"update not stored", writeRequest{operationUpdate, object("3", "mine")}, there("3", "older"), fateOpen},
-		{"update covered", writeRequest{operationUpdate, object("3", "mine")}, there("5", "theirs"), fateUnknown},
-		{"updated object deleted", writeRequest{operationUpdate, object("3", "mine")}, readBackReply{}, fateUnknown},
-		{"delete done", writeRequest{operationDelete, object("3", "mine")}, readBackReply{}, fateDone},
-		{"delete not done", writeRequest{operationDelete, object("3", "mine")}, there("3", "older"), fateOpen},
-		{"delete covered", writeRequest{operationDelete, object("3", "mine")}, there("5", "theirs"), fateUnknown},
+		{"create stored", writeRequest{operationCreate, object("", "mine")}, there("4", "mine"), FateDone},
+		{"create not there", writeRequest{operationCreate, object("", "mine")}, readBackReply{}, FateOpen},
+		{"create of another", writeRequest{operationCreate, object("", "mine")}, there("4", "theirs"), FateUnknown},
+		{"update stored", writeRequest{operationUpdate, object("3", "mine")}, there("4", "mine"), FateDone},
+		{"update not stored", writeRequest{operationUpdate, object("3", "mine")}, there("3", "older"), FateOpen},
+		{"update covered", writeRequest{operationUpdate, object("3", "mine")}, there("5", "theirs"), FateUnknown},
+		{"updated object deleted", writeRequest{operationUpdate, object("3", "mine")}, readBackReply{}, FateUnknown},
+		{"delete done", writeRequest{operationDelete, object("3", "mine")}, readBackReply{}, FateDone},
+		{"delete not done", writeRequest{operationDelete, object("3", "mine")}, there("3", "older"), FateOpen},
+		{"delete covered", writeRequest{operationDelete, object("3", "mine")}, there("5", "theirs"), FateUnknown},
 	} {
 		Convey("Read back: "+c.name, t, func() { So(judge(c.request, c.current), ShouldEqual, c.want) })
 	}
--- a/internal/configsync/manager.go
+++ b/internal/configsync/manager.go
@@ -19,13 +19,6 @@
 	"github.com/covelink/covelink/internal/telemetry"
 )
 
-// The parts of LeaseLength between two attempts.
-const (
-	heartbeatFraction = 2
-	retryFraction     = 20
-	tickFraction      = 4
-)
-
 // Params are what a Manager needs.
 type Params struct {
 	Self cluster.Node
@@ -149,14 +142,9 @@
 
 // heartbeat renews the lease and pulls a state that was missed. It returns the time to wait before the next one.
 func (m *Manager) heartbeat(ctx context.Context) time.Duration {
-	const (
-		renewed = heartbeatFraction
-		pending = retryFraction
-		failed  = tickFraction
-	)
 	holder, ok := m.params.Elector.Holder(leadership.ZoneLease(m.self.Zone))
 	if !ok {
-		return m.params.Timing.LeaseLength / failed
+		return HeartbeatFailed.Pause(m.params.Timing.LeaseLength)
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.params.Timing.LeaseLength)
 	defer cancel()
@@ -164,19 +152,19 @@
 	grant, err := m.askGrant(ctx, holder)
 	if err != nil {
 		level.Debug(m.logger).Log("msg", "heartbeat failed", "coordinator", holder.Name, "err", err)
-		return m.params.Timing.LeaseLength / failed
+		return HeartbeatFailed.Pause(m.params.Timing.LeaseLength)
 	}
 	if m.takeGrant(grant, sentAt) {
 		if grant.Granted {
-			return m.params.Timing.LeaseLength / renewed
+			return HeartbeatRenewed.Pause(m.params.Timing.LeaseLength)
 		}
-		return m.params.Timing.LeaseLength / pending
+		return HeartbeatPending.Pause(m.params.Timing.LeaseLength)
 	}
 	if err := m.pull(ctx, holder); err != nil {
 		level.Warn(m.logger).Log("msg", "state not pulled", "coordinator", holder.Name, "err", err)
-		return m.params.Timing.LeaseLength / failed
+		return HeartbeatFailed.Pause(m.params.Timing.LeaseLength)
 	}
-	return m.params.Timing.LeaseLength / pending
+	return HeartbeatPending.Pause(m.params.Timing.LeaseLength)
 }
 
 func (m *Manager) askGrant(ctx context.Context, holder cluster.Node) (Grant, error) {
@@ -253,7 +241,7 @@
 // reindexLocked decodes the resources of a new revision.
 func (m *Manager) reindexLocked(before uint64) {
 	state := m.replica.State()
-	next := indexObjects(state.Objects)
+	next := state.indexed()
 	for _, key := range next.invalid {
 		level.Error(m.logger).Log("msg", "resource not decoded", "kind", key.Kind, "name", key.Name)
 	}
--- a/internal/configsync/messages.go
+++ b/internal/configsync/messages.go
@@ -148,7 +148,7 @@
 	if m.term == nil {
 		return Report{}, m.errNotCoordinator()
 	}
-	m.term.noteReport(peer.Zone, request.Report)
+	m.term.spread.Reported(peer.Zone, request.Report.Revision)
 	m.changeLocked(func(c *Coordinator, now time.Time) { c.Merge(request.Report, now) })
 	return m.term.core.State().Report(), nil
 }
--- a/internal/configsync/replica.go
+++ b/internal/configsync/replica.go
@@ -29,6 +29,9 @@
 		return false
 	}
 	held := r.state
+	if offered.index == nil {
+		offered.index = held.index
+	}
 	r.token = offered.Token
 	r.state = offered
 	r.state.merge(held.Report())
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -14,7 +14,6 @@
 
 	v1 "github.com/covelink/covelink/api/v1"
 	"github.com/covelink/covelink/internal/cluster"
-	"github.com/covelink/covelink/internal/objectapi"
 )
 
 // Version orders the states that one zone's coordinators spread.
@@ -65,6 +64,21 @@
 	Acks map[string]uint64
 	// Accepted is the resourceVersion at which each object was last accepted.
 	Accepted map[ObjectKey]uint64
+	// index is that of Objects, or of earlier ones; it stays on the node.
+	index *objectIndex
+}
+
+// indexed returns the index of the objects.
+func (s *State) indexed() objectIndex {
+	previous := objectIndex{}
+	if s.index != nil {
+		previous = *s.index
+	}
+	if s.index == nil || !previous.isOf(s.Objects) {
+		built := indexObjects(s.Objects, previous)
+		s.index = &built
+	}
+	return *s.index
 }
 
 // Report is what coordinators tell each other: State without the resources.
@@ -131,12 +145,12 @@
 
 // refreshAccepted records the objects that are now accepted, drops those that are gone, and reports whether anything changed.
 func (s *State) refreshAccepted() bool {
-	index := indexObjects(s.Objects)
+	index := s.indexed()
 	accepted := make(map[ObjectKey]uint64, len(s.Accepted))
-	for key, object := range index.objects {
-		version := objectapi.ParseRevision(object.Meta().ResourceVersion)
+	for key := range index.objects {
+		version := index.entries[key].version
 		switch {
-		case s.Accepted[key] >= version || index.accepted(object, s.Acks):
+		case s.Accepted[key] >= version || index.accepted(key, s.Acks):
 			accepted[key] = max(s.Accepted[key], version)
 		case s.Accepted[key] > 0:
 			accepted[key] = s.Accepted[key]
--- a/internal/configsync/term.go
+++ b/internal/configsync/term.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-kit/log/level"
 
-	v1 "github.com/covelink/covelink/api/v1"
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/leadership"
 	"github.com/covelink/covelink/internal/objectapi"
@@ -20,26 +19,19 @@
 type term struct {
 	core *Coordinator
 	wake chan struct{}
-	// nodes are the zone's nodes that have sent a heartbeat; held is the state each is known to hold.
-	nodes map[string]cluster.Node
-	held  map[string]Version
-	// revisions is the revision each other coordinator last reported; told is the sequence last told to it.
-	revisions map[string]uint64
-	told      map[string]uint64
-	// busy holds the addresses that a call is under way to; one call at a time each.
-	busy  map[string]bool
-	calls sync.WaitGroup
+	// nodes are the zone's nodes that have sent a heartbeat.
+	nodes  map[string]cluster.Node
+	spread *Spread
+	calls  sync.WaitGroup
 }
 
 func (t *term) wakeUp() { notify(t.wake) }
 
 func (t *term) noteNode(request heartbeatRequest) {
 	t.nodes[request.Node.Name] = request.Node
-	t.held[request.Node.Name] = request.Report.Applied
+	t.spread.Holds(request.Node.Name, request.Report.Applied)
 }
 
-func (t *term) noteReport(zone string, report Report) { t.revisions[zone] = report.Revision }
-
 // Lead coordinates the zone under the term until ctx ends.
 func (m *Manager) Lead(ctx context.Context, held leadership.Term) {
 	t := m.beginTerm(held)
@@ -57,35 +49,21 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	core := NewCoordinator(m.self.Zone, held.Token, m.replica.State(), now, m.countedLease())
-	core.SetNodes(m.zoneNodeNames())
+	leased, _ := m.replica.Serving(now)
+	core := BeginTerm(m.self.Zone, held.Token, m.replica.State(), leased, m.zoneNodeNames(), now, m.params.Timing.NodeLeaseLength)
 	if m.engines != nil {
 		core.SetEngines(m.engines, now)
 	}
-	if leased, _ := m.replica.Serving(now); leased {
-		core.SetInformed()
-	}
 	m.term = &term{
-		core:      core,
-		wake:      make(chan struct{}, 1),
-		nodes:     make(map[string]cluster.Node),
-		held:      make(map[string]Version),
-		revisions: make(map[string]uint64),
-		told:      make(map[string]uint64),
-		busy:      make(map[string]bool),
+		core:   core,
+		wake:   make(chan struct{}, 1),
+		nodes:  make(map[string]cluster.Node),
+		spread: NewSpread(),
 	}
 	notify(m.wakeNode)
 	return m.term
 }
 
-// countedLease returns how long a coordinator counts a lease: longer than the node holds it by a margin for clocks that
-// run at different rates and for the time a node's timer takes to stop it.
-func (m *Manager) countedLease() time.Duration {
-	const marginFraction = 8
-	length := m.params.Timing.NodeLeaseLength
-	return length + length/marginFraction
-}
-
 func (m *Manager) endTerm() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -104,9 +82,10 @@
 	core := m.term.core
 	before := core.State().Version
 	apply(core, m.now())
-	for !m.replica.State().Covers(core.State().Version) && m.offerLocked(core.State()) {
-		core.Acknowledge(m.reportLocked(), m.now())
-	}
+	core.Deliver(m.replica.State().Version, m.now(), func(state State) (NodeReport, bool) {
+		taken := m.offerLocked(state)
+		return m.reportLocked(), taken
+	})
 	if core.State().Version != before {
 		m.term.wakeUp()
 	}
@@ -122,42 +101,36 @@
 	m.mu.Lock()
 	since := t.core.State().Revision
 	m.mu.Unlock()
-	err := m.params.Store.Follow(ctx, since, &storeSink{manager: m, objects: make(map[ObjectKey]v1.RawObject)})
+	err := m.params.Store.Follow(ctx, since, &storeSink{manager: m, objects: objectapi.NewObjects()})
 	level.Debug(m.logger).Log("msg", "store no longer followed", "err", err)
 }
 
 // storeSink keeps the objects of the store and hands each revision to the term.
 type storeSink struct {
 	manager *Manager
-	objects map[ObjectKey]v1.RawObject
+	objects *objectapi.Objects
 }
 
 // Replace implements objectapi.Sink.
 func (s *storeSink) Replace(list objectapi.List) {
-	clear(s.objects)
-	for _, object := range list.Items {
-		s.objects[keyOf(object)] = object
-	}
-	s.apply(list.Revision)
+	s.objects.Replace(list)
+	s.apply()
 }
 
 // Apply implements objectapi.Sink.
 func (s *storeSink) Apply(event objectapi.Event) {
-	s.objects[keyOf(event.Object)] = event.Object
-	if event.Type == objectapi.EventDeleted {
-		delete(s.objects, keyOf(event.Object))
-	}
-	s.apply(event.Revision)
+	s.objects.Apply(event)
+	s.apply()
 }
 
-func (s *storeSink) apply(revision uint64) {
-	objects := slices.SortedFunc(maps.Values(s.objects), compareObjects)
+func (s *storeSink) apply() {
+	objects, revision := s.objects.All()
 	s.manager.change(func(c *Coordinator, now time.Time) { c.ApplyResources(objects, revision, now) })
 }
 
 // keepInforming repeats inform until it succeeds or the leases of earlier terms have lapsed.
 func (m *Manager) keepInforming(ctx context.Context, t *term) {
-	deadline := time.NewTimer(m.countedLease())
+	deadline := time.NewTimer(CountedLease(m.params.Timing.NodeLeaseLength))
 	defer deadline.Stop()
 	ticker := time.NewTicker(m.params.Timing.LeaseLength / tickFraction)
 	defer ticker.Stop()
@@ -190,17 +163,17 @@
 			replies <- informantReply{node: target, fetchReply: reply, err: err}
 		}()
 	}
-	leased := false
+	inquiry := NewInquiry(m.self.Zone, complete)
 	for range targets {
 		reply := <-replies
 		if reply.err != nil {
-			complete = false
+			inquiry.Failed()
 			continue
 		}
-		leased = leased || reply.Leased && reply.node.Zone == m.self.Zone
+		inquiry.Answered(reply.node.Zone, reply.Leased)
 		m.change(func(c *Coordinator, now time.Time) { c.Adopt(reply.State, now) })
 	}
-	if !leased && !complete {
+	if !inquiry.Informed() {
 		return false
 	}
 	m.change(func(c *Coordinator, _ time.Time) { c.SetInformed() })
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -132,13 +132,24 @@
 func (c *Client) readBack(ctx context.Context, written v1.RawObject, stored *v1.RawObject, absent func() error) error {
 	var current v1.RawObject
 	err := c.do(ctx, http.MethodGet, objectPath(written.Kind, written.Metadata.Name), nil, &current)
-	switch {
-	case errors.Is(err, ErrNotFound):
+	if errors.Is(err, ErrNotFound) {
 		return absent()
-	case err != nil:
+	}
+	if err != nil {
 		return fmt.Errorf("%w: read back: %w", ErrUnavailable, err)
+	}
+	if err := JudgeLost(written, current); err != nil {
+		return err
+	}
+	*stored = current
+	return nil
+}
+
+// JudgeLost tells the fate of a conditional write whose reply was lost from the object as it is now: nil when the write stands,
+// ErrUnavailable when it has not taken effect, ErrUnknown when another write has covered what it did, if it did anything.
+func JudgeLost(written, current v1.RawObject) error {
+	switch {
 	case current.Metadata.WriteID == written.Metadata.WriteID:
-		*stored = current
 		return nil
 	case current.Metadata.ResourceVersion == written.Metadata.ResourceVersion:
 		return fmt.Errorf("%w: write has not taken effect", ErrUnavailable)
--- a/internal/objectapi/follow.go
+++ b/internal/objectapi/follow.go
@@ -20,11 +20,11 @@
 // Follow lists and then watches until ctx ends, and returns its error. The sink never sees a lower revision than since or
 // than one it has seen: older answers, as of a lagging cache, are refused and asked for again.
 func (c *Client) Follow(ctx context.Context, since uint64, sink Sink) error {
-	follower := &follower{client: c, sink: sink, revision: since}
+	follower := &follower{client: c, sink: sink, position: Position{Revision: since}}
 	for failures := 0; ctx.Err() == nil; {
 		progressed, err := follower.step(ctx)
 		if errors.Is(err, ErrGone) {
-			follower.listed = false
+			follower.position.Relist()
 			continue
 		}
 		if progressed {
@@ -42,37 +42,30 @@
 type follower struct {
 	client   *Client
 	sink     Sink
-	revision uint64
-	listed   bool
+	position Position
 }
 
 // step makes one list or one watch.
 func (f *follower) step(ctx context.Context) (progressed bool, err error) {
-	if f.listed {
-		before := f.revision
-		err := f.client.Watch(ctx, f.revision, f.take)
-		return f.revision > before, err
+	if f.position.Listed {
+		before := f.position.Revision
+		err := f.client.Watch(ctx, f.position.Revision, f.take)
+		return f.position.Revision > before, err
 	}
 	list, err := f.client.List(ctx)
 	if err != nil {
 		return false, err
 	}
-	if list.Revision < f.revision {
-		return false, fmt.Errorf("%w: list of revision %d after %d", ErrStale, list.Revision, f.revision)
+	if err := f.position.TakeList(list); err != nil {
+		return false, err
 	}
-	f.revision = list.Revision
-	f.listed = true
 	f.sink.Replace(list)
 	return true, nil
 }
 
 // take drops what has been seen and hands on the rest.
 func (f *follower) take(event Event) {
-	if event.Revision <= f.revision {
-		return
-	}
-	f.revision = event.Revision
-	if event.Type != EventBookmark {
+	if f.position.TakeEvent(event) {
 		f.sink.Apply(event)
 	}
 }
