--- a/internal/configsync/view.go
+++ b/internal/configsync/view.go
@@ -15,16 +15,21 @@
 	state := m.replica.State()
 	serving, reason := m.replica.Serving(m.now())
 	next := publication{version: state.Version, serving: serving, reason: reason}
-	if next == m.published && !force {
+	until, before := m.replica.LeaseUntil(), m.servingUntil
+	m.servingUntil = until
+	if next == m.published && !force && (until.Equal(before) || m.now().Before(before)) {
+		m.params.Holder.Extend(until)
 		return
 	}
 	if serving != m.published.serving {
 		level.Info(m.logger).Log("msg", "serving changed", "serving", serving, "reason", reason, "revision", state.Revision)
 	}
 	m.published = next
+	m.since = m.since.next(m.observeLocked(), m.now().UTC().Round(0))
 	m.metrics.observe(m.self.Zone, state, serving)
 	view := buildView(state, m.index, m.nodes)
 	view.Serving = serving
+	view.ServingUntil = until
 	view.NotServingReason = reason
 	m.params.Holder.Update(func(*cluster.View) *cluster.View { return view })
 }
