dispatch: move the decisions into a pure core

The simulator is to run the same decision code in virtual time. The Manager keeps locks, contexts and streams. The one change to a test is the new name of the type of a slot.

--- a/internal/dispatch/manager.go
+++ b/internal/dispatch/manager.go
@@ -79,14 +79,9 @@
 	background sync.WaitGroup
 
 	mu       sync.Mutex
-	snapshot *scheduler.Snapshot
-	placer   scheduler.Placer
-	queue    *scheduler.Queue
-	waiters  map[uint64]*waiter
-	running  map[*grant]context.CancelCauseFunc
-	budgets  map[string]*scheduler.RetryBudget
-	inFlight map[Class]int
-	nextID   uint64
+	core     *Core
+	waiters  map[uint64]chan Placement
+	running  map[*Grant]context.CancelCauseFunc
 	draining bool
 	stopped  bool
 }
@@ -105,20 +100,17 @@
 		params.Logger = log.NewNopLogger()
 	}
 	m := &Manager{
-		params:   params,
-		logger:   telemetry.For(params.Logger, telemetry.PartDispatch),
-		wake:     make(chan struct{}, 1),
-		waiters:  make(map[uint64]*waiter),
-		running:  make(map[*grant]context.CancelCauseFunc),
-		budgets:  make(map[string]*scheduler.RetryBudget),
-		inFlight: make(map[Class]int),
-		queue: scheduler.NewQueue(scheduler.QueueLimits{
+		params:  params,
+		logger:  telemetry.For(params.Logger, telemetry.PartDispatch),
+		wake:    make(chan struct{}, 1),
+		waiters: make(map[uint64]chan Placement),
+		running: make(map[*Grant]context.CancelCauseFunc),
+		core: NewCore(params.Source.Current(), params.Self.Zone, scheduler.QueueLimits{
 			Requests: params.Limits.MaxQueued,
 			Tokens:   params.Limits.MaxQueuedTokens,
 		}),
 	}
 	m.base, m.stop = context.WithCancelCause(context.Background())
-	m.snapshot = scheduler.NewSnapshot(params.Source.Current(), params.Self.Zone, nil)
 	m.metrics = newMetrics(m, params.Registerer)
 	return m
 }
@@ -165,15 +157,15 @@
 func (m *Manager) Dispatch(ctx context.Context, task Task, progress func(Progress) error) Result {
 	started := m.params.Now()
 	if refusal := m.enter(task, started); refusal != nil {
-		m.metrics.refused(refusal.reason)
-		result := Result{Outcome: v1.OutcomeNotRun, Tokens: task.Resume, Segments: task.ResumeSegments, Err: refusal.err}
+		m.metrics.refused(refusal.Reason)
+		result := Result{Outcome: v1.OutcomeNotRun, Tokens: task.Resume, Segments: task.ResumeSegments, Err: refusal.Err}
 		m.metrics.finished(task.Class, result.Outcome, m.params.Now().Sub(started))
 		return result
 	}
 	defer m.active.Done()
 	ctx, cancel := m.taskContext(ctx, task, started)
 	defer cancel()
-	result := newExecution(m, task, progress).run(ctx)
+	result := newExecution(m, task, progress).complete(ctx)
 	m.metrics.finished(task.Class, result.Outcome, m.params.Now().Sub(started))
 	return result
 }
@@ -193,18 +185,8 @@
 	}
 }
 
-// refusal is a *v1.Error with the reason that the metrics count it by.
-type refusal struct {
-	reason string
-	err    *v1.Error
-}
-
-func refuse(reason string, code v1.ErrorCode, retryAfter time.Duration, message string) *refusal {
-	return &refusal{reason: reason, err: v1.NotRun(code, retryAfter, "%s", message)}
-}
-
 // enter counts a task as active, or refuses it.
-func (m *Manager) enter(task Task, now time.Time) *refusal {
+func (m *Manager) enter(task Task, now time.Time) *Refusal {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	view := m.params.Source.Current()
@@ -222,7 +204,7 @@
 	return nil
 }
 
-func notServing(view *cluster.View) *refusal {
+func notServing(view *cluster.View) *Refusal {
 	return refuse(reasonNotServing, v1.CodeUnavailable, unavailableRetryAfter, "node takes no new work: "+view.NotServingReason)
 }
 
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -56,15 +56,15 @@
 	defer m.mu.Unlock()
 	now := m.params.Now()
 	reading := Observations{
-		InFlightInteractive: m.inFlight[ClassInteractive],
-		InFlightRollout:     m.inFlight[ClassRollout],
-		QueuedInteractive:   m.queue.Len(true),
-		QueuedRollout:       m.queue.Len(false),
-		QueuedTokens:        m.queue.Tokens(),
+		InFlightInteractive: m.core.inFlight[ClassInteractive],
+		InFlightRollout:     m.core.inFlight[ClassRollout],
+		QueuedInteractive:   m.core.queue.Len(true),
+		QueuedRollout:       m.core.queue.Len(false),
+		QueuedTokens:        m.core.queue.Tokens(),
 	}
-	for index, state := range m.snapshot.States {
+	for index, state := range m.core.snapshot.States {
 		reading.Engines = append(reading.Engines, EngineObservation{
-			Name:     m.snapshot.View.Engines[index].Name,
+			Name:     m.core.snapshot.View.Engines[index].Name,
 			InFlight: state.InFlight,
 			Version:  state.Version,
 			Usable:   state.Usable(now),
@@ -106,13 +106,13 @@
 func gauges(m *Manager) []prometheus.Collector {
 	return []prometheus.Collector{
 		gauge("covelink_dispatch_in_flight", "Tasks on engines.", ClassInteractive,
-			func() float64 { return float64(m.count(func() int { return m.inFlight[ClassInteractive] })) }),
+			func() float64 { return float64(m.count(func() int { return m.core.inFlight[ClassInteractive] })) }),
 		gauge("covelink_dispatch_in_flight", "Tasks on engines.", ClassRollout,
-			func() float64 { return float64(m.count(func() int { return m.inFlight[ClassRollout] })) }),
+			func() float64 { return float64(m.count(func() int { return m.core.inFlight[ClassRollout] })) }),
 		gauge("covelink_dispatch_queue_length", "Tasks that wait.", ClassInteractive,
-			func() float64 { return float64(m.count(func() int { return m.queue.Len(true) })) }),
+			func() float64 { return float64(m.count(func() int { return m.core.queue.Len(true) })) }),
 		gauge("covelink_dispatch_queue_length", "Tasks that wait.", ClassRollout,
-			func() float64 { return float64(m.count(func() int { return m.queue.Len(false) })) }),
+			func() float64 { return float64(m.count(func() int { return m.core.queue.Len(false) })) }),
 	}
 }
 
--- a/internal/dispatch/permitted_test.go
+++ b/internal/dispatch/permitted_test.go
@@ -12,7 +12,7 @@
 
 // TestPermittedJustBeforeSending checks the second look at the rules, which covers views that changed after a placement.
 func TestPermittedJustBeforeSending(t *testing.T) {
-	held := &grant{engine: cluster.Engine{Name: "e", URL: "u", Pool: "pool", Zone: "a", Incarnation: "1"}}
+	held := &Grant{engine: cluster.Engine{Name: "e", URL: "u", Pool: "pool", Zone: "a", Incarnation: "1"}}
 	cases := []struct {
 		name   string
 		change func(*cluster.View)
