--- a/internal/engine/assembly.go
+++ b/internal/engine/assembly.go
@@ -105,6 +105,9 @@
 	return a.final
 }
 
+// Result returns the outcome of a stream that was read until err; nil means that the final event was read.
+func (a *Assembly) Result(err error) StreamResult { return conclude(a, err) }
+
 // Tokens returns the verified tokens, resumed ones included.
 func (a *Assembly) Tokens() []string { return a.tokens }
 
--- a/internal/lab/enginesim/engine.go
+++ b/internal/lab/enginesim/engine.go
@@ -197,10 +197,7 @@
 	if len(e.running) == 0 {
 		return
 	}
-	duration := e.config.StepBase
-	duration += time.Duration(len(e.running)) * e.config.StepPerSequence
-	duration += time.Duration(prefill) * e.config.StepPerPrefillToken
-	e.step = &step{end: now.Add(duration), version: e.versions.active}
+	e.step = &step{end: now.Add(e.stepDuration(len(e.running), prefill)), version: e.versions.active}
 }
 
 // admit moves waiting sequences to the batch and returns the tokens whose KV cache must be computed.
--- a/internal/rollout/attempts.go
+++ b/internal/rollout/attempts.go
@@ -56,7 +56,7 @@
 	if o.suspended {
 		return
 	}
-	o.waiting.sort(now, o.expectedTokens)
+	o.waiting.sort(now, o.startOrder)
 	for o.inFlight < o.config.MaxInFlight {
 		id, ok := o.waiting.take(now)
 		if !ok {
@@ -67,6 +67,14 @@
 	o.hedge(now)
 }
 
+// startOrder returns the key by which the waiting samples of a batch are started, the highest first.
+func (o *Owner) startOrder(id Identity) int {
+	if o.config.Without.LongestFirst {
+		return 0
+	}
+	return o.expectedTokens(id)
+}
+
 func (o *Owner) request(id Identity) v1.SampleRequest {
 	return o.ledger.batch(id.Batch).Spec.Samples[id.Index]
 }
@@ -85,6 +93,9 @@
 // minVersion returns the lowest version that is expected to be fresh still when the tokens have been produced. It asks for no
 // version above the weights published, since no engine can run one, unless the bound itself does.
 func (o *Owner) minVersion(tokens int) int64 {
+	if o.config.Without.StaleStart {
+		return 0
+	}
 	allowed := max(0, o.oldestAllowed())
 	moves := o.predictor.versions(tokens)
 	return max(allowed, min(o.ledger.Weights().Version, allowed+moves))
@@ -119,7 +130,7 @@
 // prefix returns the longest verified prefix that can still meet the bound once the rest is produced.
 func (o *Owner) prefix(id Identity, first *attempt) PartialSaved {
 	_, s, err := o.ledger.sample(id)
-	if err != nil || o.history(id).fromStart {
+	if err != nil || o.history(id).fromStart || o.config.Without.Resume {
 		return PartialSaved{}
 	}
 	best := s.Partial
@@ -301,6 +312,9 @@
 
 // cancelStale cancels the attempts of an identity that can no longer meet the bound.
 func (o *Owner) cancelStale(now time.Time, id Identity) {
+	if o.config.Without.StaleCancel {
+		return
+	}
 	for _, a := range slices.Clone(o.attempts[id]) {
 		if len(a.segments) > 0 && !o.fresh(a.segments) {
 			o.cancel(a)
@@ -311,7 +325,7 @@
 
 // hedge starts a second attempt of each straggler of a batch of which nothing waits.
 func (o *Owner) hedge(now time.Time) {
-	if now.Sub(o.lastHedge) < hedgeInterval {
+	if o.config.Without.Hedges || now.Sub(o.lastHedge) < hedgeInterval {
 		return
 	}
 	o.lastHedge = now
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -64,6 +64,23 @@
 	MaxFetchBytes int
 	// Replicas names the nodes that keep the ledger.
 	Replicas []string
+	// Without switches mechanisms off; the zero value runs all of them.
+	Without Mechanisms
+}
+
+// Mechanisms names the parts of the owner's decisions that can be switched off, so that an experiment can tell what each
+// is worth. None of them is needed for a promise.
+type Mechanisms struct {
+	// LongestFirst starts the samples that are expected to be long before the short ones of a batch.
+	LongestFirst bool
+	// Hedges runs a second attempt of a straggler.
+	Hedges bool
+	// Resume continues a failed attempt from its verified prefix.
+	Resume bool
+	// StaleStart keeps work off engines whose version will be too old by the time the answer is done.
+	StaleStart bool
+	// StaleCancel cancels running work as soon as it can no longer meet the bound.
+	StaleCancel bool
 }
 
 // Owner decides what runs and what is handed over, for all batches of one trainer. It has no clock and no I/O, and is
