sim: simulator of a whole deployment in virtual time

The scheduler, the dispatch core, the batch owners with their ledgers and the weight planner are the product's own; network, views, leases, callers and faults are simulated.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -18,7 +18,7 @@
 type Core struct {
 	zone     string
 	snapshot *scheduler.Snapshot
-	placer   scheduler.Placer
+	placer   Placer
 	queue    *scheduler.Queue
 	waiting  map[uint64]waitingTask
 	budgets  map[string]*scheduler.RetryBudget
@@ -26,6 +26,14 @@
 	nextID   uint64
 }
 
+// Placer chooses the engine of a request; the product's is *scheduler.Placer, whose contract this is.
+type Placer interface {
+	// Place decides and counts the request as in flight on the engine it is placed on.
+	Place(now time.Time, snapshot *scheduler.Snapshot, request *scheduler.Request) scheduler.Decision
+	// Evaluate decides as Place does and counts nothing.
+	Evaluate(now time.Time, snapshot *scheduler.Snapshot, request *scheduler.Request) scheduler.Decision
+}
+
 // waitingTask is a task that waits for a placement.
 type waitingTask struct {
 	request scheduler.Request
@@ -63,6 +71,7 @@
 	return &Core{
 		zone:     zone,
 		snapshot: scheduler.NewSnapshot(view, zone, nil),
+		placer:   &scheduler.Placer{},
 		queue:    scheduler.NewQueue(limits),
 		waiting:  make(map[uint64]waitingTask),
 		budgets:  make(map[string]*scheduler.RetryBudget),
@@ -70,6 +79,9 @@
 	}
 }
 
+// UsePlacer replaces the product's placer, so that an experiment can compare.
+func (c *Core) UsePlacer(placer Placer) { c.placer = placer }
+
 // Enqueue admits a task to the queue and returns its number there, or refuses it.
 func (c *Core) Enqueue(now time.Time, item scheduler.Item, request scheduler.Request, class Class) (uint64, *Refusal) {
 	c.nextID++
--- a/internal/lab/sim/scenario.go
+++ b/internal/lab/sim/scenario.go
@@ -72,7 +72,7 @@
 	InteractiveReserve int      `yaml:"interactiveReserve"`
 }
 
-// EngineGroup is a number of engines of a pool in a zone, named POOL-ZONE-N from N = 1.
+// EngineGroup is a number of engines of a pool in a zone, named POOL-ZONE-NNN from 001.
 type EngineGroup struct {
 	Pool  string `yaml:"pool"`
 	Zone  string `yaml:"zone"`
@@ -142,7 +142,8 @@
 	Zone              string        `yaml:"zone"`
 	RequestsPerSecond float64       `yaml:"requestsPerSecond"`
 	Start             time.Duration `yaml:"start"`
-	// End is when the last request may arrive; 0 means the end of the simulation.
+	// End is when the last request may arrive; 0 means when the trainers have all their batches, or without any the end of
+	// the simulation.
 	End time.Duration `yaml:"end"`
 	// A burst multiplies the rate by BurstFactor for BurstLength, every BurstEvery.
 	BurstEvery         time.Duration `yaml:"burstEvery"`
@@ -257,6 +258,11 @@
 
 // withDefaults fills in the fields of the work for which zero has no meaning.
 func (s Scenario) withDefaults() Scenario {
+	s.Pools = slices.Clone(s.Pools)
+	for index := range s.Pools {
+		fill(&s.Pools[index].MaxConcurrent, 16)
+		fill(&s.Pools[index].MaxTokens, s.Engine.MaxTokens)
+	}
 	s.Trainers = slices.Clone(s.Trainers)
 	for index := range s.Trainers {
 		t := &s.Trainers[index]
@@ -271,7 +277,6 @@
 	s.Applications = slices.Clone(s.Applications)
 	for index := range s.Applications {
 		a := &s.Applications[index]
-		fill(&a.End, s.Duration)
 		fill(&a.PromptWords, 24)
 		fill(&a.Timeout, 30*time.Second)
 		fill(&a.BurstFactor, 1)
