--- a/internal/lab/sim/callers.go
+++ b/internal/lab/sim/callers.go
@@ -91,6 +91,9 @@
 		}
 	}
 	a.callers.sim.at(moment, func() {
+		if !a.bounded && a.callers.sim.working == 0 {
+			return
+		}
 		a.callers.arrive(a.request())
 		a.next(moment)
 	})
--- a/internal/lab/sim/scenario.go
+++ b/internal/lab/sim/scenario.go
@@ -122,6 +122,8 @@
 	Batches int `yaml:"batches"`
 	Samples int `yaml:"samples"`
 	Ahead   int `yaml:"ahead"`
+	// WholeBatch trainers learn from a batch only once they hold all of it.
+	WholeBatch bool `yaml:"wholeBatch"`
 	// GroupSize samples share a prompt of PromptWords words.
 	GroupSize      int           `yaml:"groupSize"`
 	PromptWords    int           `yaml:"promptWords"`
--- a/internal/lab/sim/trainer.go
+++ b/internal/lab/sim/trainer.go
@@ -34,6 +34,7 @@
 	version   int64
 	cursor    int64
 	learnt    int
+	held      int // samples of the batch that is consumed, not yet learnt from
 	started   time.Time
 	// busyUntil is when the trainer has learnt from all that it holds; idle is the time it had nothing before that.
 	busyUntil time.Time
@@ -302,6 +303,9 @@
 		t.fetchWhenNeeded()
 		return
 	}
+	for ; t.held > 0; t.held-- {
+		t.learn()
+	}
 	t.result.Batches++
 	t.awaited--
 	t.consume = t.consume[1:]
@@ -318,16 +322,14 @@
 // fetchWhenNeeded fetches once the trainer holds no more than half a fetch.
 func (t *trainerHost) fetchWhenNeeded() {
 	half := time.Duration(t.spec.FetchLimit/2) * t.spec.LearnPerSample
+	if t.spec.WholeBatch {
+		half = t.busyUntil.Sub(t.sim.now) // the next batch is collected meanwhile
+	}
 	t.sim.at(t.busyUntil.Add(-half), t.fetch)
 }
 
 func (t *trainerHost) take(sample v1.Sample, request v1.FetchRequest, began time.Time) {
 	now := t.sim.now
-	if now.After(t.busyUntil) {
-		t.idle += now.Sub(t.busyUntil)
-		t.busyUntil = now
-	}
-	t.busyUntil = t.busyUntil.Add(t.spec.LearnPerSample)
 	t.result.Samples++
 	t.sim.result.DeliveredTokens += int64(sample.Tokens)
 	age := request.Version - sample.OldestVersion()
@@ -350,11 +352,20 @@
 			Sample: sample, After: request.After, StatedVersion: request.Version, FetchedAt: began,
 		})
 	}
+	if t.spec.WholeBatch {
+		t.held++
+		return
+	}
 	t.learn()
 }
 
-// learn publishes the next version when enough samples will have been learnt from.
+// learn takes the time to learn from a sample, and publishes the next version when enough will have been learnt from.
 func (t *trainerHost) learn() {
+	if t.sim.now.After(t.busyUntil) {
+		t.idle += t.sim.now.Sub(t.busyUntil)
+		t.busyUntil = t.sim.now
+	}
+	t.busyUntil = t.busyUntil.Add(t.spec.LearnPerSample)
 	t.learnt++
 	every := t.spec.PublishEverySamples
 	if every > 0 && t.learnt%every == 0 {
