--- a/internal/lab/trace/check.go
+++ b/internal/lab/trace/check.go
@@ -125,7 +125,7 @@
 		c.regions = append(c.regions, zone.Region)
 	}
 	for i := range zone.Nodes {
-		c.nodes[NodeName(zone.Name, i)] = true
+		c.nodes[NodeName(zone.Name, i+1)] = true
 	}
 }
 
@@ -142,7 +142,7 @@
 		c.known(c.zones, zone, path+".engines", "zone")
 		c.within(count, 0, maxEnginesPerZone, path+".engines."+zone)
 		for i := range count {
-			c.engines[EngineName(pool.Name, zone, i)] = true
+			c.engines[EngineName(pool.Name, zone, i+1)] = true
 		}
 	}
 }
@@ -174,10 +174,10 @@
 	}
 }
 
-// NodeName returns the name of a node of a zone.
-func NodeName(zone string, index int) string { return zone + "-node-" + strconv.Itoa(index) }
+// NodeName returns the name of a node of a zone; numbers start at 1.
+func NodeName(zone string, number int) string { return zone + "-node-" + strconv.Itoa(number) }
 
-// EngineName returns the name of an engine of a pool in a zone.
-func EngineName(pool, zone string, index int) string {
-	return strings.Join([]string{pool, zone, strconv.Itoa(index)}, "-")
+// EngineName returns the name of an engine of a pool in a zone; numbers start at 1.
+func EngineName(pool, zone string, number int) string {
+	return strings.Join([]string{pool, zone, strconv.Itoa(number)}, "-")
 }
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -95,7 +95,7 @@
 	Timing       Timing        `json:"timing,omitzero"`
 }
 
-// Zone is a zone and the number of its nodes, named ZONE-node-0 and so on.
+// Zone is a zone and the number of its nodes, named ZONE-node-1 and so on.
 type Zone struct {
 	Name   string `json:"name"`
 	Region string `json:"region"`
@@ -111,7 +111,7 @@
 	Client Duration `json:"client"`
 }
 
-// Pool is a model pool with its engines, named POOL-ZONE-0 and so on.
+// Pool is a model pool with its engines, named POOL-ZONE-1 and so on.
 type Pool struct {
 	Name string `json:"name"`
 	// Permitted are the zones where the pool's data may be processed.
