recorder: remember requests without their text, and explain them

GET /debug/trace hands out what a node was asked, how it was decided and what became of it; GET /debug/explain/{id} tells of one request or sample. Both need an operator's token. Prompts are kept as hashes under a key of the process.

--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -78,7 +78,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError:   onUsageError,
 		Action:         rootAction,
-		Commands:       []*cli.Command{demoCommand(streams), upCommand(streams)},
+		Commands:       []*cli.Command{demoCommand(streams), upCommand(streams), replayCommand(streams)},
 	}
 	root.Commands = append(root.Commands, processCommands(streams)...)
 	for _, command := range root.Commands {
--- a/internal/lab/trace/check.go
+++ b/internal/lab/trace/check.go
@@ -6,7 +6,6 @@
 	"regexp"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 )
 
@@ -150,6 +149,8 @@
 func (c *checker) trainer(path string, trainer Trainer) {
 	c.declare(&c.trainers, trainer.Name, path+".name")
 	c.known(c.pools, trainer.Pool, path+".pool", "pool")
+	c.known(c.zones, trainer.Zone, path+".zone", "zone")
+	c.notNegative(trainer.LearnPerSample, path+".learnPerSample")
 	c.require(trainer.StalenessBound >= 0, path+".stalenessBound", "must not be negative")
 	c.within(trainer.MaxInFlight, 0, maxSamples, path+".maxInFlight")
 }
@@ -179,5 +180,5 @@
 
 // EngineName returns the name of an engine of a pool in a zone; numbers start at 1.
 func EngineName(pool, zone string, number int) string {
-	return strings.Join([]string{pool, zone, strconv.Itoa(number)}, "-")
+	return fmt.Sprintf("%s-%s-%03d", pool, zone, number)
 }
--- a/internal/lab/trace/check_records.go
+++ b/internal/lab/trace/check_records.go
@@ -254,7 +254,7 @@
 		name  string
 		value *Range
 	}{
-		{"violations", e.Violations}, {"executions", e.Executions}, {"completed", e.Completed}, {"notRun", e.NotRun},
+		{"violations", e.Violations}, {"attempts", e.Attempts}, {"completed", e.Completed}, {"notRun", e.NotRun},
 		{"unknown", e.Unknown}, {"delivered", e.Delivered}, {"staleness", e.Staleness},
 	} {
 		if bound.value != nil {
--- a/internal/lab/trace/expect.go
+++ b/internal/lab/trace/expect.go
@@ -90,8 +90,8 @@
 	Violations *Range `json:"violations,omitempty"`
 	// Outcomes are those that a request may have.
 	Outcomes []string `json:"outcomes,omitempty"`
-	// Executions bounds how often engines began to run a request.
-	Executions *Range `json:"executions,omitempty"`
+	// Attempts bounds how often a request was written to an engine.
+	Attempts *Range `json:"attempts,omitempty"`
 	// Elapsed bounds the time to a request's outcome, to a batch's last hand-over, or to a write's being in force.
 	Elapsed *DurationRange `json:"elapsed,omitempty"`
 	// Completed, NotRun and Unknown bound the requests of a load by outcome.
@@ -122,7 +122,7 @@
 func (e *Expect) subjects() []subject {
 	all := []subject{
 		{"promise", e.Promise, []string{"violations"}},
-		{"request", e.Request, []string{"outcomes", "executions", "elapsed"}},
+		{"request", e.Request, []string{"outcomes", "attempts", "elapsed"}},
 		{"load", e.Load, []string{"completed", "notRun", "unknown", "p99"}},
 		{"sample", e.Sample, []string{"delivered", "staleness"}},
 		{"batch", e.Batch, []string{"delivered", "elapsed"}},
@@ -148,7 +148,7 @@
 	}
 	add("violations", e.Violations != nil)
 	add("outcomes", e.Outcomes != nil)
-	add("executions", e.Executions != nil)
+	add("attempts", e.Attempts != nil)
 	add("elapsed", e.Elapsed != nil)
 	add("completed", e.Completed != nil)
 	add("notRun", e.NotRun != nil)
--- a/internal/lab/trace/judge.go
+++ b/internal/lab/trace/judge.go
@@ -114,7 +114,7 @@
 	if e.Outcomes != nil && !slices.Contains(e.Outcomes, seen.Outcome) {
 		j.fail("outcome "+strings.Join(e.Outcomes, " or "), "%s", seen.Outcome)
 	}
-	j.number("executions", e.Executions, seen.Executions)
+	j.number("attempts", e.Attempts, seen.Attempts)
 	j.length("elapsed", e.Elapsed, seen.Elapsed)
 }
 
--- a/internal/lab/trace/outcome.go
+++ b/internal/lab/trace/outcome.go
@@ -29,12 +29,12 @@
 	Detail  string
 }
 
-// RequestOutcome is what became of a request. Where an ID was asked several times, it is that of the last call; Executions
+// RequestOutcome is what became of a request. Where an ID was asked several times, it is that of the last call; Attempts
 // counts over all of them.
 type RequestOutcome struct {
-	Outcome    string
-	Executions int64
-	Elapsed    time.Duration
+	Outcome  string
+	Attempts int64
+	Elapsed  time.Duration
 }
 
 // LoadOutcome counts the requests of a load.
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -111,7 +111,7 @@
 	Client Duration `json:"client"`
 }
 
-// Pool is a model pool with its engines, named POOL-ZONE-1 and so on.
+// Pool is a model pool with its engines, named POOL-ZONE-001 and so on.
 type Pool struct {
 	Name string `json:"name"`
 	// Permitted are the zones where the pool's data may be processed.
@@ -126,11 +126,15 @@
 
 // Trainer is a trainer: it fetches, acknowledges and learns.
 type Trainer struct {
-	Name           string `json:"name"`
-	Pool           string `json:"pool"`
+	Name string `json:"name"`
+	Pool string `json:"pool"`
+	// Zone is the zone whose nodes it calls.
+	Zone           string `json:"zone"`
 	StalenessBound int64  `json:"stalenessBound"`
 	// MaxInFlight bounds its samples in flight; 0 means the default.
 	MaxInFlight int `json:"maxInFlight,omitempty"`
+	// LearnPerSample is how long it learns from a sample.
+	LearnPerSample Duration `json:"learnPerSample,omitempty"`
 }
 
 // Application is a client of interactive requests.
--- a/internal/lab/trace/trace_test.go
+++ b/internal/lab/trace/trace_test.go
@@ -14,7 +14,7 @@
 	`"zones":[{"name":"a","region":"r","nodes":1},{"name":"b","region":"r","nodes":1}],` +
 	`"latency":{"zone":"1ms","client":"1ms"},` +
 	`"pools":[{"name":"lm","permitted":["a","b"],"engines":{"a":1,"b":1}},{"name":"desk","permitted":["a"],"engines":{"a":1}}],` +
-	`"trainers":[{"name":"t","pool":"lm","stalenessBound":2}],` +
+	`"trainers":[{"name":"t","pool":"lm","zone":"a","stalenessBound":2}],` +
 	`"applications":[{"name":"app","pools":["lm"]}]}`
 
 var goodLines = []string{
@@ -26,7 +26,7 @@
 	`{"type":"write","at":"2s","id":"w","zone":"a","action":"update","kind":"Pool","name":"lm","spec":{"model":"lm","permittedZones":["a"]}}`,
 	`{"type":"fault","at":"2.5s","fault":"zone-cut","target":"b","for":"3s"}`,
 	`{"type":"expect","promise":"all"}`,
-	`{"type":"expect","request":"q","outcomes":["completed"],"executions":{"max":1},"elapsed":{"max":"2s"}}`,
+	`{"type":"expect","request":"q","outcomes":["completed"],"attempts":{"max":1},"elapsed":{"max":"2s"}}`,
 	`{"type":"expect","load":"l","completed":{"min":1},"p99":{"max":"1s"}}`,
 	`{"type":"expect","sample":"t/b1/1","delivered":{"min":1,"max":1}}`,
 	`{"type":"expect","batch":"t/b1","delivered":{"min":2},"elapsed":{"max":"10s"}}`,
@@ -91,7 +91,7 @@
 		{"a write with an unknown field", event(`{"type":"write","at":"0s","id":"w","zone":"a","action":"update","kind":"Zone","name":"a","spec":{"regions":"r"}}`), `x.jsonl:2: spec.regions: `},
 		{"a write without a spec", event(`{"type":"write","at":"0s","id":"w","zone":"a","action":"update","kind":"Zone","name":"a"}`), `x.jsonl:2: spec: must be given`},
 		{"an unknown fault", event(`{"type":"fault","at":"0s","fault":"bad-luck"}`), `x.jsonl:2: fault: unknown fault "bad-luck"`},
-		{"a fault of an unknown engine", event(`{"type":"fault","at":"0s","fault":"engine-crash","target":"lm-a-7"}`), `x.jsonl:2: target: unknown engine "lm-a-7"`},
+		{"a fault of an unknown engine", event(`{"type":"fault","at":"0s","fault":"engine-crash","target":"lm-a-007"}`), `x.jsonl:2: target: unknown engine "lm-a-007"`},
 		{"a loss without an end", event(`{"type":"fault","at":"0s","fault":"loss","from":"a"}`), `x.jsonl:2: from: from and to must be given`},
 		{"a partition from itself", event(`{"type":"fault","at":"0s","fault":"partition","from":"a","to":"a"}`), `x.jsonl:2: to: is the same zone`},
 		{"a slow store without a delay", event(`{"type":"fault","at":"0s","fault":"store-slow"}`), `x.jsonl:2: delay: must be above 0`},
@@ -117,7 +117,7 @@
 
 func goodOutcome() *Outcome {
 	return &Outcome{
-		Requests: map[string]RequestOutcome{"q": {Outcome: OutcomeCompleted, Executions: 1, Elapsed: time.Second}},
+		Requests: map[string]RequestOutcome{"q": {Outcome: OutcomeCompleted, Attempts: 1, Elapsed: time.Second}},
 		Loads:    map[string]LoadOutcome{"l": {Completed: 3, Latencies: []time.Duration{3, 1, 2}}},
 		Samples:  map[string]SampleOutcome{"t/b1/1": {Delivered: 1}},
 		Batches:  map[string]BatchOutcome{"t/b1": {Delivered: 2, Complete: true, Elapsed: 9 * time.Second}},
@@ -140,11 +140,11 @@
 		{"a broken promise", func(o *Outcome) { o.Violations = []Violation{{PromiseOnce, "t/b1/0", "twice"}} },
 			"x.jsonl:8: promise all: violations max 0 not met: 1, first once: t/b1/0: twice"},
 		{"another outcome", func(o *Outcome) {
-			o.Requests["q"] = RequestOutcome{Outcome: OutcomeUnknown, Executions: 1}
+			o.Requests["q"] = RequestOutcome{Outcome: OutcomeUnknown, Attempts: 1}
 		}, "x.jsonl:9: request q: outcome completed not met: unknown"},
-		{"two executions", func(o *Outcome) {
-			o.Requests["q"] = RequestOutcome{Outcome: OutcomeCompleted, Executions: 2}
-		}, "x.jsonl:9: request q: executions max 1 not met: 2"},
+		{"two attempts", func(o *Outcome) {
+			o.Requests["q"] = RequestOutcome{Outcome: OutcomeCompleted, Attempts: 2}
+		}, "x.jsonl:9: request q: attempts max 1 not met: 2"},
 		{"a slow request", func(o *Outcome) {
 			o.Requests["q"] = RequestOutcome{Outcome: OutcomeCompleted, Elapsed: 3 * time.Second}
 		}, "x.jsonl:9: request q: elapsed max 2s not met: 3s"},
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"github.com/covelink/covelink/internal/auth"
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/configsync"
 	"github.com/covelink/covelink/internal/dispatch"
@@ -20,6 +21,7 @@
 	"github.com/covelink/covelink/internal/gateway"
 	"github.com/covelink/covelink/internal/inventory"
 	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
 	"github.com/covelink/covelink/internal/rollout"
 	"github.com/covelink/covelink/internal/rpc"
@@ -145,12 +147,14 @@
 }
 
 // newHTTPServer serves callers, operators and metrics on one listener.
-func newHTTPServer(config settings.Settings, callers *gateway.Gateway, operators *resourceapi.API, registry *prometheus.Registry) *http.Server {
+func newHTTPServer(config settings.Settings, self cluster.Node, source cluster.Source, callers *gateway.Gateway, operators *resourceapi.API,
+	recorded *recorder.Recorder, authenticator *auth.Authenticator, registry *prometheus.Registry) *http.Server {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
 	router.Use(gin.Recovery())
 	callers.Routes(router)
 	operators.Routes(router)
+	recorder.Handlers{Recorder: recorded, Self: self, Source: source}.Routes(router, authenticator.Authenticate(), auth.RequireOperatorRead())
 	router.GET("/metrics", gin.WrapH(telemetry.Handler(registry)))
 	return gateway.NewHTTPServer(router, config.Limits)
 }
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -18,6 +18,7 @@
 	"github.com/covelink/covelink/internal/inventory"
 	"github.com/covelink/covelink/internal/leadership"
 	"github.com/covelink/covelink/internal/objectapi"
+	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
 	"github.com/covelink/covelink/internal/rollout"
 	"github.com/covelink/covelink/internal/rpc"
@@ -45,6 +46,8 @@
 		newInventory,
 		newWeights,
 		newDispatch,
+		newRecorder,
+		newRecordedDispatcher,
 		newRollout,
 		newAuthenticator,
 		newGateway,
@@ -152,7 +155,13 @@
 	})
 }
 
-func newRollout(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *dispatch.Manager, elector leadership.Elector,
+func newRecorder() *recorder.Recorder { return recorder.New(nil) }
+
+func newRecordedDispatcher(recorded *recorder.Recorder, manager *dispatch.Manager) *recorder.Dispatcher {
+	return recorder.NewDispatcher(recorded, manager, manager)
+}
+
+func newRollout(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *recorder.Dispatcher, elector leadership.Elector,
 	client *rpc.Client, publisher *weights.Manager, logger log.Logger, registerer prometheus.Registerer) *rollout.Manager {
 	return rollout.New(rollout.Params{
 		Self:       self,
@@ -173,13 +182,13 @@
 	return auth.New(source, config.Operators)
 }
 
-func newGateway(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *dispatch.Manager, rollouts *rollout.Manager,
-	authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
+func newGateway(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *recorder.Dispatcher, rollouts *rollout.Manager,
+	recorded *recorder.Recorder, authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
 	return gateway.New(gateway.Params{
 		Self:       self,
 		Source:     source,
 		Dispatcher: dispatcher,
-		Rollouts:   rollouts.Service(),
+		Rollouts:   recorder.NewService(recorded, rollouts.Service()),
 		Auth:       authenticator,
 		Limits:     config.Limits,
 		Timing:     config.Timing,
