--- a/internal/lab/cli/replay.go
+++ b/internal/lab/cli/replay.go
@@ -8,13 +8,19 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/covelink/covelink/internal/commandline"
 	"github.com/covelink/covelink/internal/lab/replay"
 	"github.com/covelink/covelink/internal/lab/trace"
 )
 
 const flagAll = "all"
 
-func replayCommand(streams Streams) *cli.Command {
+// traceCommands replay, generate and record traces.
+func traceCommands(streams commandline.Streams) []*cli.Command {
+	return []*cli.Command{replayCommand(streams), generateCommand(streams), recordCommand(streams)}
+}
+
+func replayCommand(streams commandline.Streams) *cli.Command {
 	return &cli.Command{
 		Name:      "replay",
 		Usage:     "replay traces in virtual time and compare what happens with the outcomes that they state",
@@ -35,7 +41,7 @@
 // readTraces reads every trace before any is replayed.
 func readTraces(files []string) ([]*trace.Trace, error) {
 	if len(files) == 0 {
-		return nil, usageErrorf("no trace file given")
+		return nil, commandline.UsageErrorf("no trace file given")
 	}
 	traces := make([]*trace.Trace, 0, len(files))
 	for _, file := range files {
@@ -58,13 +64,13 @@
 	var unfit *trace.Error
 	var path *fs.PathError
 	if errors.As(err, &unfit) || errors.As(err, &path) {
-		return usageErrorf("%s", err)
+		return commandline.UsageErrorf("%s", err)
 	}
 	return err
 }
 
 // replayTraces prints one line for each trace.
-func replayTraces(traces []*trace.Trace, all bool, streams Streams) error {
+func replayTraces(traces []*trace.Trace, all bool, streams commandline.Streams) error {
 	unmet := 0
 	for _, read := range traces {
 		result, err := replay.Run(read)
--- a/internal/lab/trace/check.go
+++ b/internal/lab/trace/check.go
@@ -12,6 +12,9 @@
 // namePattern is what the names of resources look like.
 var namePattern = regexp.MustCompile(`^[a-z0-9]([-a-z0-9]{0,61}[a-z0-9])?$`)
 
+// batchPattern is what the names of batches look like.
+var batchPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
 func validName(name string) bool { return namePattern.MatchString(name) }
 
 // The bounds of a trace, which keep a replay short.
@@ -150,6 +153,8 @@
 	c.declare(&c.trainers, trainer.Name, path+".name")
 	c.known(c.pools, trainer.Pool, path+".pool", "pool")
 	c.known(c.zones, trainer.Zone, path+".zone", "zone")
+	c.require(trainer.FirstVersion >= 0, path+".firstVersion", "must not be negative")
+	c.versions[trainer.Name] = max(trainer.FirstVersion, 1)
 	c.notNegative(trainer.LearnPerSample, path+".learnPerSample")
 	c.require(trainer.StalenessBound >= 0, path+".stalenessBound", "must not be negative")
 	c.within(trainer.MaxInFlight, 0, maxSamples, path+".maxInFlight")
--- a/internal/lab/trace/records.go
+++ b/internal/lab/trace/records.go
@@ -54,7 +54,7 @@
 	// Samples is the number of samples; MaxTokens bounds each.
 	Samples   int `json:"samples"`
 	MaxTokens int `json:"maxTokens,omitempty"`
-	// Tokens gives the bound of each sample instead of MaxTokens; its length is Samples.
+	// Tokens gives the bound of each sample instead of MaxTokens; its length is Samples. 0 means the engines' bound.
 	Tokens []int `json:"tokens,omitempty"`
 }
 
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -133,6 +133,8 @@
 	StalenessBound int64  `json:"stalenessBound"`
 	// MaxInFlight bounds its samples in flight; 0 means the default.
 	MaxInFlight int `json:"maxInFlight,omitempty"`
+	// FirstVersion is the weight version at the start; 0 means 1.
+	FirstVersion int64 `json:"firstVersion,omitempty"`
 	// LearnPerSample is how long it learns from a sample.
 	LearnPerSample Duration `json:"learnPerSample,omitempty"`
 }
