--- a/internal/lab/sim/callers.go
+++ b/internal/lab/sim/callers.go
@@ -161,6 +161,7 @@
 		o.end(dispatch.Result{Outcome: v1.OutcomeNotRun, Err: v1.NotRun(v1.CodeUnavailable, time.Second, "no node")})
 		return
 	}
+	o.result().Node = n.name
 	work := dispatch.Task{
 		RequestID: o.request.ID, Attempt: 1, Class: dispatch.ClassInteractive, Pool: o.request.Pool,
 		Caller: o.request.Application, Prompt: o.request.Prompt, MaxTokens: o.request.MaxTokens, Seed: o.request.Seed,
--- a/internal/lab/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -20,6 +20,8 @@
 		s.loseZone(fault)
 	case FaultMessageLoss:
 		s.loseMessages(fault)
+	case FaultOwnerPause, FaultCommitLost:
+		s.inflictOwner(fault)
 	case FaultOwnerCrash:
 		if owner := s.owners[fault.Target]; owner != nil {
 			owner.crash()
@@ -52,6 +54,11 @@
 		host.freeze(s.now.Add(fault.For))
 	case FaultEngineLeave:
 		host.leave(fault.For)
+	case FaultStreamCut:
+		for _, open := range host.openStreams() {
+			host.drop(open)
+			open.reset()
+		}
 	case FaultSwapFails:
 		if host.engine != nil {
 			host.engine.FailNextActivate(fault.TakesEffect)
@@ -128,7 +135,7 @@
 }
 
 func (s *simulation) loseMessages(fault Fault) {
-	added := loss{a: fault.Target, b: fault.Other, share: fault.Share}
+	added := loss{a: fault.Target, b: fault.Other, share: fault.Share, oneWay: fault.OneWay}
 	s.network.losses = append(s.network.losses, added)
 	if fault.For <= 0 {
 		return
--- a/internal/lab/sim/network.go
+++ b/internal/lab/sim/network.go
@@ -18,6 +18,8 @@
 type loss struct {
 	a, b  string
 	share float64
+	// oneWay leaves the messages from b to a alone.
+	oneWay bool
 }
 
 func (n *network) init(s *simulation) {
@@ -74,7 +76,7 @@
 	if l.a == "" || (l.b == "" && (l.a == from || l.a == to)) {
 		return true
 	}
-	return (l.a == from && l.b == to) || (l.a == to && l.b == from)
+	return (l.a == from && l.b == to) || (!l.oneWay && l.a == to && l.b == from)
 }
 
 // setCut adds delta to the cuts between two zones.
--- a/internal/lab/sim/owner.go
+++ b/internal/lab/sim/owner.go
@@ -23,6 +23,7 @@
 type ownerHost struct {
 	sim     *simulation
 	trainer *trainerHost
+	term    uint64
 	node    *node
 	owner   *rollout.Owner
 	inputs  []func(time.Time)
@@ -30,10 +31,13 @@
 	busy    bool
 	planned bool
 	ended   bool
-	replies []func()
-	waiters []*fetchWaiter
-	running map[ownerAttempt]*task
-	target  v1.WeightVersion
+	// paused is true while the owner's process stands still; commitLost counts the commits whose answer is to be lost.
+	paused     bool
+	commitLost int
+	replies    []func()
+	waiters    []*fetchWaiter
+	running    map[ownerAttempt]*task
+	target     v1.WeightVersion
 	// lost holds what to do for the calls in progress when the owner is lost.
 	lost   map[uint64]func()
 	nextID uint64
@@ -68,7 +72,7 @@
 	}
 	trainer.terms++
 	h := &ownerHost{
-		sim: s, trainer: trainer, node: at, running: make(map[ownerAttempt]*task), lost: make(map[uint64]func()),
+		sim: s, trainer: trainer, node: at, term: trainer.terms, running: make(map[ownerAttempt]*task), lost: make(map[uint64]func()),
 	}
 	owner, err := rollout.NewOwner(s.now, ledger, trainer.terms, h.config(), trainer)
 	if err != nil {
@@ -115,13 +119,13 @@
 }
 
 func (h *ownerHost) turnSoon() {
-	if h.busy || h.planned {
+	if h.busy || h.planned || h.paused {
 		return
 	}
 	h.planned = true
 	h.sim.after(0, func() {
 		h.planned = false
-		if !h.ended && !h.busy {
+		if !h.ended && !h.busy && !h.paused {
 			h.turn()
 		}
 	})
@@ -153,13 +157,28 @@
 		if h.ended {
 			return
 		}
-		h.trainer.keep(group.Entries)
-		h.busy = false
-		h.act(actions[1:], replies)
-		h.turnSoon()
+		h.whenAwake(func() { h.committed(group.Entries, actions[1:], replies) })
 	})
 }
 
+// committed makes entries durable and carries out what waited for it. An owner that another has superseded, or that
+// cannot tell whether its entries were kept, ends its term.
+func (h *ownerHost) committed(entries []rollout.Entry, actions []rollout.Action, replies []func()) {
+	if h.superseded() {
+		h.retire()
+		return
+	}
+	h.trainer.keep(entries)
+	if h.commitLost > 0 {
+		h.commitLost--
+		h.finish(h.sim.scenario.System.CommitTime)
+		return
+	}
+	h.busy = false
+	h.act(actions, replies)
+	h.turnSoon()
+}
+
 func (h *ownerHost) act(actions []rollout.Action, replies []func()) {
 	for _, reply := range replies {
 		reply()
@@ -253,7 +272,7 @@
 	h.inputs = nil
 	h.owner.Suspend()
 	for _, action := range h.owner.Actions() {
-		if group, ok := action.(rollout.Append); ok {
+		if group, ok := action.(rollout.Append); ok && !h.superseded() {
 			h.trainer.keep(group.Entries)
 		}
 	}
@@ -271,7 +290,10 @@
 		return
 	}
 	h.ended = true
-	delete(h.sim.owners, h.trainer.spec.Name)
+	current := !h.superseded()
+	if current {
+		delete(h.sim.owners, h.trainer.spec.Name)
+	}
 	for _, running := range sortedRunning(h.running) {
 		running.cancel()
 	}
@@ -280,5 +302,7 @@
 			lost()
 		}
 	}
-	h.sim.after(pause, h.trainer.elect)
+	if current {
+		h.sim.after(pause, h.trainer.elect)
+	}
 }
--- a/internal/lab/sim/result.go
+++ b/internal/lab/sim/result.go
@@ -34,6 +34,8 @@
 	Events int64
 	// Report tells whether every promise was kept, unless the scenario skips it.
 	Report invariant.Report
+	// History is what the report was made of, for further checks; nil where the scenario skips it.
+	History *invariant.History `json:"-"`
 }
 
 // TrainerResult is what a trainer measured.
@@ -94,6 +96,8 @@
 	Tokens     int
 	Attempts   int
 	Engine     string
+	// Node is the node that took the request in; empty if none did.
+	Node string
 }
 
 // InteractiveResult sums up the interactive requests.
--- a/internal/lab/sim/scenario.go
+++ b/internal/lab/sim/scenario.go
@@ -211,22 +211,32 @@
 	FaultNodeStop FaultKind = "node-stop"
 	// FaultNodeCrash: the node dies, and starts again after For; 0 means never.
 	FaultNodeCrash FaultKind = "node-crash"
+	// FaultOwnerPause: the trainer's owner stands still for For and then goes on, not knowing that another may have taken over.
+	FaultOwnerPause FaultKind = "owner-pause"
+	// FaultCommitLost: the answers to the owner's next Count commits are lost after they took effect.
+	FaultCommitLost FaultKind = "commit-lost"
+	// FaultStreamCut: the connections of the attempts on the engine break.
+	FaultStreamCut FaultKind = "stream-cut"
 )
 
 var faultKinds = []FaultKind{
 	FaultEngineCrash, FaultEngineFreeze, FaultEngineLeave, FaultZoneCut, FaultZoneLoss, FaultMessageLoss,
 	FaultSwapFails, FaultPrepareFails, FaultOwnerCrash, FaultNodeStop, FaultNodeCrash,
+	FaultOwnerPause, FaultCommitLost, FaultStreamCut,
 }
 
 // Fault is something that goes wrong at a time.
 type Fault struct {
-	At          time.Duration `yaml:"at"`
-	For         time.Duration `yaml:"for"`
-	Kind        FaultKind     `yaml:"kind"`
-	Target      string        `yaml:"target"`
-	Other       string        `yaml:"other"`
-	Share       float64       `yaml:"share"`
-	TakesEffect bool          `yaml:"takesEffect"`
+	At     time.Duration `yaml:"at"`
+	For    time.Duration `yaml:"for"`
+	Kind   FaultKind     `yaml:"kind"`
+	Target string        `yaml:"target"`
+	Other  string        `yaml:"other"`
+	Share  float64       `yaml:"share"`
+	// OneWay loses only the messages from Target to Other.
+	OneWay      bool `yaml:"oneWay"`
+	Count       int  `yaml:"count"`
+	TakesEffect bool `yaml:"takesEffect"`
 }
 
 // DefaultScenario returns the settings that hold where a scenario says nothing. It has no zones, pools or work.
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -158,6 +158,7 @@
 	s.callers.conclude(result)
 	if !s.scenario.SkipInvariants {
 		result.Report = invariant.Check(&s.history)
+		result.History = &s.history
 	}
 	return result
 }
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -42,6 +42,7 @@
 		FaultEngineLeave: {"model-a-003"}, FaultZoneCut: {"a", "b", "c"}, FaultZoneLoss: {"a", "b"}, FaultMessageLoss: {"", "a"},
 		FaultSwapFails: {"model-a-001", "model-b-001"}, FaultPrepareFails: {"model-a-002"}, FaultOwnerCrash: {"trainer"},
 		FaultNodeStop: {"a-node-1", "b-node-1"}, FaultNodeCrash: {"a-node-2", "c-node-1"},
+		FaultOwnerPause: {"trainer"}, FaultCommitLost: {"trainer"}, FaultStreamCut: {"model-a-001", "other-c-001"},
 	}
 	for range 8 {
 		kind := faultKinds[random.IntN(len(faultKinds))]
@@ -49,7 +50,7 @@
 		s.Faults = append(s.Faults, Fault{
 			Kind: kind, At: time.Duration(random.IntN(12_000)) * time.Millisecond,
 			For: time.Duration(500+random.IntN(6_000)) * time.Millisecond, Target: of[random.IntN(len(of))],
-			Share: 0.05 * random.Float64(), TakesEffect: random.IntN(2) == 0,
+			Share: 0.05 * random.Float64(), TakesEffect: random.IntN(2) == 0, Count: 1 + random.IntN(3),
 		})
 	}
 }
