--- a/internal/lab/replay/replay.go
+++ b/internal/lab/replay/replay.go
@@ -39,9 +39,11 @@
 
 // Run replays a trace. The same trace gives the same result. An error says that the trace cannot be replayed: it is a
 // *trace.Error.
-func Run(t *trace.Trace) (*Result, error) {
+func Run(t *trace.Trace) (*Result, error) { return run(t, options{}) }
+
+func run(t *trace.Trace, broken options) (*Result, error) {
 	outcome := &trace.Outcome{}
-	if err := runWork(t, outcome); err != nil {
+	if err := runWork(t, outcome, broken); err != nil {
 		return nil, err
 	}
 	controlsim.Run(t, outcome)
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -33,7 +33,9 @@
 	streamOwners
 )
 
-// epoch is the virtual time at which simulations start.
+// Epoch is the virtual time at which simulations start.
+var Epoch = epoch
+
 var epoch = time.Date(2000, time.January, 1, 0, 0, 0, 0, time.UTC)
 
 // event is something that happens at a time; events of one time happen in the order in which they were planned.
--- a/internal/lab/trace/check_records.go
+++ b/internal/lab/trace/check_records.go
@@ -130,55 +130,59 @@
 	return object, nil
 }
 
-// faultShape says what a kind of fault needs.
-type faultShape struct {
-	target string // what Target names; empty for none
-	pair   bool   // From and To name zones
-	delay  bool
-	count  bool
+// FaultShape says which fields a kind of fault has beside its times.
+type FaultShape struct {
+	// Target is what the fault's target names: engine, node, trainer, zone or region; empty for none.
+	Target string
+	// Pair says that From and To name zones.
+	Pair         bool
+	Delay, Count bool
 }
 
-var faultShapes = map[FaultKind]faultShape{
-	FaultEngineCrash:      {target: "engine"},
-	FaultEngineFreeze:     {target: "engine"},
-	FaultEngineRestart:    {target: "engine"},
-	FaultEngineLeave:      {target: "engine"},
-	FaultSwapFail:         {target: "engine", count: true},
-	FaultNodeCrash:        {target: "node"},
-	FaultNodePause:        {target: "node"},
-	FaultNodeStop:         {target: "node"},
-	FaultOwnerCrash:       {target: "trainer"},
-	FaultOwnerPause:       {target: "trainer"},
-	FaultCoordinatorCrash: {target: "zone"},
-	FaultCoordinatorPause: {target: "zone"},
-	FaultZoneCut:          {target: "zone"},
-	FaultZoneLoss:         {target: "zone"},
-	FaultSwitchLoss:       {target: "zone"},
-	FaultRegionCut:        {target: "region"},
-	FaultPartition:        {pair: true},
-	FaultLoss:             {pair: true},
-	FaultStoreSlow:        {delay: true},
+// ShapeOf returns the shape of a kind of fault; the zero value for an unknown one.
+func ShapeOf(kind FaultKind) FaultShape { return faultShapes[kind] }
+
+var faultShapes = map[FaultKind]FaultShape{
+	FaultEngineCrash:      {Target: "engine"},
+	FaultEngineFreeze:     {Target: "engine"},
+	FaultEngineRestart:    {Target: "engine"},
+	FaultEngineLeave:      {Target: "engine"},
+	FaultSwapFail:         {Target: "engine", Count: true},
+	FaultNodeCrash:        {Target: "node"},
+	FaultNodePause:        {Target: "node"},
+	FaultNodeStop:         {Target: "node"},
+	FaultOwnerCrash:       {Target: "trainer"},
+	FaultOwnerPause:       {Target: "trainer"},
+	FaultCoordinatorCrash: {Target: "zone"},
+	FaultCoordinatorPause: {Target: "zone"},
+	FaultZoneCut:          {Target: "zone"},
+	FaultZoneLoss:         {Target: "zone"},
+	FaultSwitchLoss:       {Target: "zone"},
+	FaultRegionCut:        {Target: "region"},
+	FaultPartition:        {Pair: true},
+	FaultLoss:             {Pair: true},
+	FaultStoreSlow:        {Delay: true},
 	FaultStoreOutage:      {},
-	FaultStoreLostReply:   {count: true},
-	FaultStoreStale:       {count: true},
-	FaultMachineListLag:   {delay: true},
-	FaultLostReply:        {target: "trainer", count: true},
-	FaultStreamCut:        {target: "engine"},
+	FaultStoreLostReply:   {Count: true},
+	FaultStoreStale:       {Count: true},
+	FaultMachineListLag:   {Delay: true},
+	FaultLostReply:        {Target: "trainer", Count: true},
+	FaultStreamCut:        {Target: "engine"},
 }
 
 func (r *Fault) check(c *checker) {
 	shape, known := faultShapes[r.Fault]
 	c.require(known, "fault", "unknown fault %q", r.Fault)
-	c.faultTarget(r.Target, shape.target)
-	c.require(shape.pair == (r.From != "") && shape.pair == (r.To != ""), "from", "from and to must be given for a partition or a loss, and only there")
-	if shape.pair {
+	c.faultTarget(r.Target, shape.Target)
+	c.require(shape.Pair == (r.From != "") && shape.Pair == (r.To != ""), "from", "from and to must be given for a partition or a loss, and only there")
+	if shape.Pair {
 		c.known(c.zones, r.From, "from", "zone")
 		c.known(c.zones, r.To, "to", "zone")
 		c.require(r.From != r.To, "to", "is the same zone as from")
 	}
 	c.notNegative(r.For, "for")
-	c.require(shape.delay == (r.Delay > 0) && r.Delay >= 0, "delay", "must be above 0 for a slow store or a lagging list, and given only there")
-	c.require(shape.count == (r.Count > 0) && r.Count >= 0, "count", "must be above 0 for lost replies, a stale store and failed swaps, and given only there")
+	c.require(shape.Delay == (r.Delay > 0) && r.Delay >= 0, "delay", "must be above 0 for a slow store or a lagging list, and given only there")
+	c.require(shape.Count == (r.Count > 0) && r.Count >= 0, "count", "must be above 0 for lost replies, a stale store and failed swaps, and given only there")
 	c.require(!r.TakesEffect || r.Fault == FaultSwapFail, "takesEffect", "applies to failed swaps only")
 }
 
