--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -33,6 +33,7 @@
 		Usage:    "stand-ins for covelink's surroundings, and a demo",
 		Commands: []*cli.Command{demoCommand(streams), upCommand(streams)},
 	}
+	root.Commands = append(root.Commands, traceCommands(streams)...)
 	root.Commands = append(root.Commands, processCommands(streams)...)
 	return root
 }
