--- a/coord/quorumlog/doc.go
+++ b/coord/quorumlog/doc.go
@@ -30,6 +30,9 @@
 	ErrLost = errors.New("quorumlog: log lost by a majority of its members")
 	// ErrUnavailable reports that too few replicas answered in time.
 	ErrUnavailable = errors.New("quorumlog: majority not reached")
+	// ErrDiverged reports a replica that knows more entries to be committed than the writer recovered: a storage, or the
+	// epochs given to the writers, did not keep what they promise.
+	ErrDiverged = errors.New("quorumlog: replica is ahead of the recovered log")
 	// ErrNotFound reports that no replica keeps the log and that it was not to be created.
 	ErrNotFound = errors.New("quorumlog: no such log")
 )
--- a/coord/quorumlog/writer_change.go
+++ b/coord/quorumlog/writer_change.go
@@ -10,7 +10,7 @@
 
 // Replace begins to replace the member out by the replica in, which first catches up with the log. Both may be the same
 // name: the member lost its storage and rejoins. An empty out adds a member, an empty in removes one. Changing reports
-// whether the change is still under way. ErrBusy, ErrNotMember, ErrNotServing, or Err.
+// whether the change is still under way: until then the set bears no further loss. ErrBusy, ErrNotMember, ErrNotServing, or Err.
 func (w *Writer) Replace(now time.Time, out, in string) error {
 	if err := w.ready(); err != nil {
 		return err
@@ -49,9 +49,7 @@
 		return
 	}
 	if w.change.logged {
-		if w.membersIndex <= w.commit {
-			w.change = change{}
-		}
+		w.endChange()
 		return
 	}
 	added := Member{}
@@ -65,6 +63,15 @@
 	w.logChange(added)
 }
 
+// endChange ends a change once a majority of the new members knows it to be committed: from then on the old set is not
+// asked any more, so that the loss of one more member can be borne.
+func (w *Writer) endChange() {
+	told := w.majority(w.members, func(p *peer) bool { return p.commit >= w.membersIndex })
+	if w.membersIndex <= w.commit && told {
+		w.change = change{}
+	}
+}
+
 func (w *Writer) logChange(added Member) {
 	members := slices.DeleteFunc(slices.Clone(w.members), func(m Member) bool { return m.Name == w.change.out })
 	if added.Name != "" {
--- a/coord/quorumlog/writer_open.go
+++ b/coord/quorumlog/writer_open.go
@@ -66,7 +66,7 @@
 	w.members = best.reply.Members
 	w.previous = best.reply.Previous
 	w.membersIndex = best.reply.MembersIndex
-	w.commit = best.reply.Commit
+	w.commit = w.knownCommit()
 	for _, member := range slices.Concat(w.members, w.previous) {
 		if _, ok := w.peers[member.Name]; !ok {
 			w.addPeer(member.Name)
@@ -82,6 +82,17 @@
 	}
 }
 
+// knownCommit returns the highest index that a replica knows to be committed.
+func (w *Writer) knownCommit() uint64 {
+	commit := uint64(0)
+	for _, p := range w.peers {
+		if p.answered && p.reply.Phase == PhaseEstablished {
+			commit = max(commit, p.reply.Commit)
+		}
+	}
+	return commit
+}
+
 // lost reports whether so many members lost their storage that the others are no majority.
 func (w *Writer) lost() bool {
 	return w.lostSet(w.members) || w.membersIndex > w.commit && w.lostSet(w.previous)
@@ -154,6 +165,10 @@
 	if len(w.snapshot.Data) < w.snapshot.Size || w.Last() < source.reply.LastIndex {
 		return
 	}
+	if w.commit > w.Last() {
+		w.fail(ErrDiverged)
+		return
+	}
 	w.replicate(now)
 }
 
@@ -184,7 +199,7 @@
 // locate guesses where a replica's log parts from the writer's. It is the same up to the entry at which both have the
 // same epoch, and at least up to what the replica knows to be committed.
 func (w *Writer) locate(p *peer) {
-	p.next = p.reply.Commit + 1
+	w.moveTo(p, p.reply.Commit+1)
 	last := p.reply.LastIndex
 	if last >= w.snapshot.Index && last <= w.Last() && w.epochAt(last) == p.reply.LastEpoch {
 		p.next = max(p.next, last+1)
@@ -192,6 +207,15 @@
 	p.installs = p.reply.Phase != PhaseEstablished || !w.isMember(p)
 }
 
+// moveTo makes next the first entry to send. The replica holds the writer's log up to there, since it is committed.
+func (w *Writer) moveTo(p *peer, next uint64) {
+	if next > w.Last()+1 {
+		w.fail(ErrDiverged)
+		return
+	}
+	p.next = next
+}
+
 // create proposes the log to the first candidates that answered. All of them must take it: then a replica that holds
 // only a proposal proves that no entry was ever appended.
 func (w *Writer) create(now time.Time) {
--- a/coord/quorumlog/writer_peer.go
+++ b/coord/quorumlog/writer_peer.go
@@ -125,7 +125,7 @@
 	}
 	fresh := p.next <= w.Last()
 	// An idle replica hears of commits late, so that an append costs one message to each replica.
-	untold := p.commit < w.commit && now.Sub(p.sentAt) >= w.config.RetryAfter/2
+	untold := p.commit < w.commit && (w.change.logged || now.Sub(p.sentAt) >= w.config.RetryAfter/2)
 	if !fresh && !untold && p.match >= p.next-1 {
 		return Request{}, false
 	}
@@ -162,7 +162,7 @@
 	}
 	*p = peer{
 		name: p.name, answered: true, known: reply.Status == StatusOK, reply: reply, incarnation: reply.Incarnation,
-		snapshot: reply.Snapshot.Index, sentAt: p.sentAt, heardAt: p.heardAt,
+		commit: reply.Commit, snapshot: reply.Snapshot.Index, sentAt: p.sentAt, heardAt: p.heardAt,
 	}
 	switch w.stage {
 	case stageDiscovering:
@@ -176,15 +176,15 @@
 func (w *Writer) takeReplication(now time.Time, p *peer, reply Reply) {
 	switch reply.Status {
 	case StatusOK:
+		p.commit = reply.Commit
 		if p.request.Op == OpInstall {
 			w.installed(p, reply)
 		} else {
 			p.match = max(p.match, p.request.PrevIndex+uint64(len(p.request.Entries)))
 			p.next = p.match + 1
-			p.commit = p.request.Commit
 		}
 	case StatusMismatch:
-		p.next = reply.Commit + 1
+		w.moveTo(p, reply.Commit+1)
 	case StatusUnknown:
 		*p = peer{name: p.name, sentAt: p.sentAt, heardAt: p.heardAt} // it lost its storage: ask for its state
 		return
