--- a/coord/quorumlog/replica.go
+++ b/coord/quorumlog/replica.go
@@ -24,7 +24,7 @@
 	noFencing bool
 	// halfQuorum takes half of the members for a majority.
 	halfQuorum bool
-	// countEmpty takes a replica without storage for a member with an empty log.
+	// countEmpty takes a replica that lost its storage for a member with an empty log.
 	countEmpty bool
 }
 
@@ -68,7 +68,7 @@
 	if request.Epoch.Compare(r.stored.State.Promised) < 0 && !r.weakened.noFencing {
 		return StatusFenced, fetched{}
 	}
-	if request.Op != OpPrepare && request.Incarnation != r.stored.State.Incarnation && !r.weakened.countEmpty {
+	if request.Op != OpPrepare && request.Incarnation != r.stored.State.Incarnation {
 		return StatusUnknown, fetched{}
 	}
 	switch request.Op {
@@ -92,9 +92,6 @@
 // more, but says that it is unknown.
 func (r *Replica) prepare(request Request) Status {
 	state := r.promise(request.Epoch)
-	if r.weakened.countEmpty {
-		state.Phase = PhaseEstablished
-	}
 	if state != r.stored.State {
 		if status := r.write(Update{State: state, CutAfter: KeepAll}); status != StatusOK {
 			return status
--- a/coord/quorumlog/writer_open.go
+++ b/coord/quorumlog/writer_open.go
@@ -182,6 +182,8 @@
 		}
 	}
 	w.truncated = w.snapshot.Index
+	// A change that an earlier writer logged is over once a majority knows its commit.
+	w.change = change{active: w.membersIndex > 0, logged: w.membersIndex > 0}
 	w.push(Entry{Kind: KindBarrier})
 	w.recovered = w.Last()
 }
--- a/coord/quorumlog/writer_peer.go
+++ b/coord/quorumlog/writer_peer.go
@@ -161,7 +161,7 @@
 		return
 	}
 	*p = peer{
-		name: p.name, answered: true, known: reply.Status == StatusOK, reply: reply, incarnation: reply.Incarnation,
+		name: p.name, answered: true, known: reply.Status == StatusOK || w.config.weakened.countEmpty, reply: reply, incarnation: reply.Incarnation,
 		commit: reply.Commit, snapshot: reply.Snapshot.Index, sentAt: p.sentAt, heardAt: p.heardAt,
 	}
 	switch w.stage {
@@ -184,6 +184,10 @@
 			p.next = p.match + 1
 		}
 	case StatusMismatch:
+		if p.request.PrevIndex <= reply.Commit {
+			w.fail(ErrDiverged)
+			return
+		}
 		w.moveTo(p, reply.Commit+1)
 	case StatusUnknown:
 		*p = peer{name: p.name, sentAt: p.sentAt, heardAt: p.heardAt} // it lost its storage: ask for its state
