--- a/coord/quorumlog/replica.go
+++ b/coord/quorumlog/replica.go
@@ -56,6 +56,9 @@
 // Broken reports that the storage failed: the copy must be discarded.
 func (r *Replica) Broken() bool { return r.broken }
 
+// Promised returns the highest epoch promised.
+func (r *Replica) Promised() Epoch { return r.stored.State.Promised }
+
 type fetched struct {
 	entries []Entry
 	chunk   []byte
--- /dev/null
+++ b/internal/keeper/commit.go
@@ -0,0 +1,137 @@
+package keeper
+
+import (
+	"errors"
+	"fmt"
+	"syscall"
+
+	"go.etcd.io/bbolt"
+
+	"github.com/covelink/covelink/coord/quorumlog"
+)
+
+const (
+	// maxGroup bounds the updates that one transaction makes durable.
+	maxGroup = 256
+	// pageShare is how many bytes of the file a byte of an update may take, pages half full.
+	pageShare = 2
+	// updateOverhead is what an update takes beyond its size: pages on the path to it are written anew.
+	updateOverhead = 16 << 10
+	// reserveShare of the limit is left to updates that add no data.
+	reserveShare = 16
+)
+
+// update is a change of one log on its way to disk.
+type update struct {
+	log     string
+	content quorumlog.Update
+	remove  bool
+	done    chan error
+}
+
+// commit makes an update durable together with those that wait beside it.
+func (d *Disk) commit(u *update) error {
+	u.done = make(chan error, 1)
+	select {
+	case d.updates <- u:
+	case <-d.closing:
+		return ErrClosed
+	}
+	select {
+	case err := <-u.done:
+		return err
+	case <-d.ended:
+	}
+	select {
+	case err := <-u.done:
+		return err
+	default:
+		return ErrClosed
+	}
+}
+
+// commitGroups writes updates until the disk is closed: all that wait, in one transaction and one sync.
+func (d *Disk) commitGroups() {
+	defer close(d.ended)
+	for {
+		select {
+		case first := <-d.updates:
+			d.commitGroup(d.group(first))
+		case <-d.closing:
+			return
+		}
+	}
+}
+
+func (d *Disk) group(first *update) []*update {
+	group := []*update{first}
+	for len(group) < maxGroup {
+		select {
+		case next := <-d.updates:
+			group = append(group, next)
+		default:
+			return group
+		}
+	}
+	return group
+}
+
+// commitGroup answers the updates that don't fit with ErrFull, and all others with the outcome of their transaction.
+func (d *Disk) commitGroup(group []*update) {
+	var taken []*update
+	if d.failed {
+		for _, u := range group {
+			u.done <- fmt.Errorf("%w: database failed before", quorumlog.ErrCorrupt)
+		}
+		return
+	}
+	err := protect(func() error {
+		return d.db.Update(func(tx *bbolt.Tx) error {
+			used := d.used(tx)
+			for _, u := range group {
+				if !d.fits(u, used) {
+					u.done <- quorumlog.ErrFull
+					continue
+				}
+				used += u.cost()
+				taken = append(taken, u)
+				if err := u.apply(tx); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	})
+	if errors.Is(err, syscall.ENOSPC) {
+		err = fmt.Errorf("%w: %w", quorumlog.ErrFull, err) // rolled back
+	}
+	d.failed = errors.Is(err, quorumlog.ErrCorrupt)
+	for _, u := range taken {
+		u.done <- err
+	}
+}
+
+func (u *update) cost() int64 {
+	size := 0
+	if u.content.Snapshot != nil {
+		size += len(u.content.Snapshot.Data)
+	}
+	for _, entry := range u.content.Entries {
+		size += entry.Size()
+	}
+	return int64(size) * pageShare
+}
+
+// fits reports whether the update may be written. Those that add no data have a reserve, and so has a snapshot, since it
+// frees the entries before it.
+func (d *Disk) fits(u *update, used int64) bool {
+	cost := u.cost()
+	if cost == 0 {
+		return true
+	}
+	limit := d.limit
+	if u.content.Snapshot == nil {
+		limit -= d.limit / reserveShare
+	}
+	return used+cost+updateOverhead <= limit
+}
