gateway: a drain ends waiting fetches at once

Cause: a planned stop waited up to 60 s for a trainer's long poll that had nothing to hand over. Change: the wait ends when the drain begins, with no samples and the same cursor; the trainer asks another node, which reads the same samples again. Conclusion: nothing is cut off; a test holds a 60 s fetch and drains without waiting for it.

--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -227,6 +227,22 @@
 	})
 }
 
+func TestDrainEndsWaitingFetch(t *testing.T) {
+	Convey("A drain ends a fetch that waits, with no samples and the same cursor", t, func() {
+		b := newBench(t, nil)
+		b.rollouts.hold = true
+		fetched := make(chan reply, 1)
+		go func() {
+			fetched <- b.send(http.MethodGet, "/v1/trainers/trainer/batches/b-1/samples?after=3&version=9&wait=60s", trainerToken, "")
+		}()
+		So(eventually(func() bool { return b.rollouts.count() == 1 }), ShouldBeTrue)
+		So(b.gateway.Drain(context.Background()), ShouldBeNil)
+		got := <-fetched
+		So(got.status, ShouldEqual, http.StatusOK)
+		So(got.body, ShouldEqual, `{"samples":[],"next":3,"done":false}`)
+	})
+}
+
 func TestTrainerRoutes(t *testing.T) {
 	Convey("The trainer's routes", t, func() {
 		b := newBench(t, nil)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -83,6 +83,8 @@
 	calls []string
 	fetch v1.FetchRequest
 	err   error
+	// hold makes a fetch wait until its context ends.
+	hold bool
 }
 
 func (r *fakeRollouts) note(call string) (v1.BatchStatus, error) {
@@ -110,8 +112,12 @@
 	return r.note("cancel " + trainer + "/" + batch)
 }
 
-func (r *fakeRollouts) Fetch(_ context.Context, trainer, batch string, request v1.FetchRequest) (v1.FetchResponse, error) {
+func (r *fakeRollouts) Fetch(ctx context.Context, trainer, batch string, request v1.FetchRequest) (v1.FetchResponse, error) {
 	_, err := r.note("fetch " + trainer + "/" + batch)
+	if r.hold {
+		<-ctx.Done()
+		return v1.FetchResponse{}, v1.Errorf(v1.CodeDeadlineExceeded, "the wait has ended")
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.fetch = request
--- a/internal/gateway/trainers.go
+++ b/internal/gateway/trainers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"net/http"
 	"regexp"
@@ -108,7 +109,13 @@
 	}
 	ctx, cancel := g.requestContext(c, request.Wait)
 	defer cancel()
+	ctx, endWait := g.work.untilDraining(ctx)
+	defer endWait()
 	response, err := g.params.Rollouts.Fetch(ctx, c.Param("trainer"), c.Param("batch"), request)
+	if err != nil && errors.Is(context.Cause(ctx), errDraining) {
+		// The trainer asks another node with the same cursor, which reads the same samples again.
+		response, err = v1.FetchResponse{Next: request.After}, nil
+	}
 	if response.Samples == nil {
 		response.Samples = []v1.Sample{}
 	}
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -2,20 +2,25 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 )
 
+// errDraining is the cause that ends a wait because the node is being stopped.
+var errDraining = errors.New("gateway: draining")
+
 // workTracker counts the work in flight and, once draining, takes no more requests.
 type workTracker struct {
 	mu         sync.Mutex
 	requests   int
 	background int
 	draining   bool
+	started    chan struct{} // closed once draining
 	idle       chan struct{} // closed once draining and nothing is in flight
 }
 
 func newWorkTracker() *workTracker {
-	return &workTracker{idle: make(chan struct{})}
+	return &workTracker{started: make(chan struct{}), idle: make(chan struct{})}
 }
 
 // begin takes in one request; it reports false while draining.
@@ -64,10 +69,7 @@
 }
 
 func (w *workTracker) drain(ctx context.Context) error {
-	w.mu.Lock()
-	w.draining = true
-	w.signalIdle()
-	w.mu.Unlock()
+	w.startDraining()
 	select {
 	case <-w.idle:
 		return nil
@@ -76,6 +78,29 @@
 	}
 }
 
+func (w *workTracker) startDraining() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.draining {
+		close(w.started)
+	}
+	w.draining = true
+	w.signalIdle()
+}
+
+// untilDraining returns a context that also ends, with the cause errDraining, when the drain begins.
+func (w *workTracker) untilDraining(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	go func() {
+		select {
+		case <-w.started:
+			cancel(errDraining)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(context.Canceled) }
+}
+
 // signalIdle must be called with the lock held.
 func (w *workTracker) signalIdle() {
 	if !w.draining || w.requests+w.background > 0 {
