settings: environment variables start with COVELINKD_

Cause: covelinkd refused to start in a shell that exports COVELINK_SERVER for covelinkctl (unknown key 'server').

--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -17,7 +17,7 @@
 
 const (
 	keyDelimiter      = "."
-	environmentPrefix = "COVELINK_"
+	environmentPrefix = "COVELINKD_"
 )
 
 // Error reports settings that cannot be used. Its text is one line.
@@ -94,7 +94,7 @@
 	return failure
 }
 
-// environmentProvider maps COVELINK_NODE_NAME to node.name. Environment names carry no case, so they are matched
+// environmentProvider maps COVELINKD_NODE_NAME to node.name. Environment names carry no case, so they are matched
 // with the known keys without regard to it; names that match no key are errors, as in the file.
 func environmentProvider(environment []string) *env.Env {
 	known := knownKeys()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,5 +1,5 @@
 // Package settings reads a node's settings from a YAML file, the environment and flags, and checks them in
-// one place. The later source wins: defaults, file, environment (COVELINK_NODE_NAME for node.name), flags.
+// one place. The later source wins: defaults, file, environment (COVELINKD_NODE_NAME for node.name), flags.
 package settings
 
 import "time"
