--- a/internal/dispatch/permitted_test.go
+++ b/internal/dispatch/permitted_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -12,7 +13,7 @@
 
 // TestPermittedJustBeforeSending checks the second look at the rules, which covers views that changed after a placement.
 func TestPermittedJustBeforeSending(t *testing.T) {
-	held := &grant{engine: cluster.Engine{Name: "e", URL: "u", Pool: "pool", Zone: "a", Incarnation: "1"}}
+	held := &Grant{engine: cluster.Engine{Name: "e", URL: "u", Pool: "pool", Zone: "a", Incarnation: "1"}}
 	cases := []struct {
 		name   string
 		change func(*cluster.View)
@@ -29,6 +30,8 @@
 		{"engine restarted", func(v *cluster.View) { v.Engines[0].Incarnation = "2" }, false},
 		{"engine in another zone", func(v *cluster.View) { v.Engines[0].Zone = "b" }, false},
 		{"engine in another pool", func(v *cluster.View) { v.Engines[0].Pool = "other" }, false},
+		{"lease still held", func(v *cluster.View) { v.ServingUntil = time.Now().Add(time.Hour) }, true},
+		{"lease lapsed in a pause", func(v *cluster.View) { v.ServingUntil = time.Now().Add(-time.Nanosecond) }, false},
 		{"node not serving", func(v *cluster.View) { v.Serving = false }, false},
 	}
 	for _, c := range cases {
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -14,6 +14,7 @@
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
+	"github.com/covelink/covelink/internal/telemetry"
 )
 
 // Params are what a LeaseElector is made of.
@@ -65,7 +66,7 @@
 	}
 	e := &LeaseElector{
 		params:      params,
-		logger:      params.Logger,
+		logger:      telemetry.For(params.Logger, telemetry.PartLease),
 		metrics:     newMetrics(params.Registerer),
 		started:     params.Now(),
 		incarnation: params.Rand.Uint64(),
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -18,6 +18,7 @@
 	"github.com/covelink/covelink/internal/inventory"
 	"github.com/covelink/covelink/internal/leadership"
 	"github.com/covelink/covelink/internal/objectapi"
+	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
 	"github.com/covelink/covelink/internal/rollout"
 	"github.com/covelink/covelink/internal/rpc"
@@ -34,6 +35,7 @@
 		telemetry.NewRegistry,
 		func(registry *prometheus.Registry) prometheus.Registerer { return registry },
 		telemetry.NewRPCMetrics,
+		newCertificates,
 		newRPCServer,
 		newRPCClient,
 		cluster.NewHolder,
@@ -46,6 +48,8 @@
 		newInventory,
 		newWeights,
 		newDispatch,
+		newRecorder,
+		newRecordedDispatcher,
 		newRollout,
 		newAuthenticator,
 		newGateway,
@@ -55,14 +59,19 @@
 )
 
 func newRPCServer(config settings.Settings, logger log.Logger, observer *telemetry.RPCMetrics) *rpc.Server {
-	server := rpc.NewServer(telemetry.For(logger, telemetry.PartRPC))
+	server := rpc.NewServer(logger)
 	server.MaxFrameBytes = config.Limits.MaxFrameBytes
 	server.Observer = observer
 	return server
 }
 
-func newRPCClient(config settings.Settings, self cluster.Node, options Options, observer *telemetry.RPCMetrics) *rpc.Client {
-	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, options.Dial)
+func newRPCClient(config settings.Settings, self cluster.Node, options Options, loaded certificates,
+	observer *telemetry.RPCMetrics) *rpc.Client {
+	dial := options.Dial
+	if dial == nil {
+		dial = loaded.dial()
+	}
+	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, dial)
 	client.MaxFrameBytes = config.Limits.MaxFrameBytes
 	client.Observer = observer
 	return client
@@ -77,7 +86,7 @@
 		Electorate: func(name string) []string { return electorate(source.Current(), name) },
 		Client:     client,
 		Timing:     config.Timing,
-		Logger:     telemetry.For(logger, telemetry.PartLease),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -113,7 +122,7 @@
 		Client:     client,
 		Holder:     holder,
 		Timing:     config.Timing,
-		Logger:     telemetry.For(logger, telemetry.PartConfigSync),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -129,7 +138,7 @@
 		Source:     source,
 		Timing:     config.Timing,
 		Publish:    sync.SetEngines,
-		Logger:     telemetry.For(logger, telemetry.PartInventory),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -144,7 +153,7 @@
 		Client:     client,
 		Observe:    engineInventory.Observe,
 		Fenced:     elector.ObserveToken,
-		Logger:     telemetry.For(logger, telemetry.PartWeights),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -156,12 +165,18 @@
 		Self:       self,
 		Engines:    engines,
 		Limits:     config.Limits,
-		Logger:     telemetry.For(logger, telemetry.PartDispatch),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
 
-func newRollout(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *dispatch.Manager, elector leadership.Elector,
+func newRecorder() *recorder.Recorder { return recorder.New(nil) }
+
+func newRecordedDispatcher(recorded *recorder.Recorder, manager *dispatch.Manager) *recorder.Dispatcher {
+	return recorder.NewDispatcher(recorded, manager, manager)
+}
+
+func newRollout(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *recorder.Dispatcher, elector leadership.Elector,
 	client *rpc.Client, publisher *weights.Manager, logger log.Logger, registerer prometheus.Registerer) *rollout.Manager {
 	return rollout.New(rollout.Params{
 		Self:       self,
@@ -173,7 +188,7 @@
 		Logs:       rollout.NewMemoryLogs(),
 		Scorer:     rollout.HTTPScorer{Client: &http.Client{Timeout: config.Timing.RequestTimeout}},
 		Limits:     config.Limits,
-		Logger:     telemetry.For(logger, telemetry.PartRollout),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -182,17 +197,17 @@
 	return auth.New(source, config.Operators)
 }
 
-func newGateway(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *dispatch.Manager, rollouts *rollout.Manager,
-	authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
+func newGateway(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *recorder.Dispatcher, rollouts *rollout.Manager,
+	recorded *recorder.Recorder, authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
 	return gateway.New(gateway.Params{
 		Self:       self,
 		Source:     source,
 		Dispatcher: dispatcher,
-		Rollouts:   rollouts.Service(),
+		Rollouts:   recorder.NewService(recorded, rollouts.Service()),
 		Auth:       authenticator,
 		Limits:     config.Limits,
 		Timing:     config.Timing,
-		Logger:     telemetry.For(logger, telemetry.PartGateway),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -201,6 +216,6 @@
 	return resourceapi.New(resourceapi.Params{
 		Backend:    backend,
 		Identifier: authenticator,
-		Logger:     telemetry.For(logger, telemetry.PartResourceAPI),
+		Logger:     logger,
 	})
 }
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -13,6 +13,7 @@
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/leadership"
 	"github.com/covelink/covelink/internal/rpc"
+	"github.com/covelink/covelink/internal/telemetry"
 )
 
 // Orders sends orders to engines.
@@ -76,6 +77,7 @@
 	if params.Fenced == nil {
 		params.Fenced = func(string, uint64) {}
 	}
+	params.Logger = telemetry.For(params.Logger, telemetry.PartWeights)
 	return &Manager{
 		params:  params,
 		metrics: newMetrics(params.Registerer),
