lease: a failed attempt's release no longer bars the holder's renewals

Change: only the release of the voter's own grant closes its token. The elector's loop no longer wakes itself.

--- a/coord/lease/voter.go
+++ b/coord/lease/voter.go
@@ -26,7 +26,8 @@
 
 // record is what a voter knows of one lease.
 type record struct {
-	// heard is the highest token of any ask, granted the highest of any grant, closed the highest released.
+	// heard is the highest token of any ask or release, granted the highest of any grant, closed that of the last grant
+	// released: a repeated renewal under it must not bring the grant back.
 	heard, granted, closed Token
 	// holder has the grant under token until expires.
 	holder      string
@@ -150,12 +151,12 @@
 		return
 	}
 	known.heard = max(known.heard, release.Token)
-	known.closed = max(known.closed, release.Token)
 	own := known.holder == message.From && known.incarnation == message.Incarnation
 	if !own || known.token > release.Token {
 		return
 	}
 	known.expires = 0
+	known.closed = release.Token
 	if release.Successor != "" {
 		known.wait(release.Successor)
 	}
--- a/internal/leadership/group.go
+++ b/internal/leadership/group.go
@@ -164,7 +164,6 @@
 			c.term.deadline.Store(&deadline)
 		}
 	}
-	e.wakeUp()
 }
 
 // lookUp returns a node by name.
--- a/internal/leadership/transport.go
+++ b/internal/leadership/transport.go
@@ -41,6 +41,7 @@
 	if g == nil {
 		return exchangeReply{}, v1.Errorf(v1.CodeInvalid, "no seed of these zones is known")
 	}
+	defer e.wakeUp()
 	e.learn(request.From)
 	message := request.Message
 	message.To = e.params.Self.Name
@@ -123,6 +124,7 @@
 	for _, named := range reply.Nodes {
 		e.learn(named)
 	}
+	defer e.wakeUp()
 	now := e.now()
 	for _, message := range reply.Messages {
 		if message.From == node && message.To == e.params.Self.Name {
