--- a/api/v1/resources.go
+++ b/api/v1/resources.go
@@ -40,7 +40,10 @@
 	Labels     map[string]string `json:"labels,omitempty" yaml:"labels,omitempty"`
 	// WriteID identifies the write that stored this revision, so that a writer whose
 	// reply was lost can tell by reading back whether its write took effect.
-	WriteID           string    `json:"writeID,omitempty" yaml:"writeID,omitempty"`
+	WriteID string `json:"writeID,omitempty" yaml:"writeID,omitempty"`
+	// FormerZones are zones out of the scope of this revision in which an earlier one, not known to be out of force, applied.
+	// They have to acknowledge this revision too. Only the system sets them.
+	FormerZones       []string  `json:"formerZones,omitempty" yaml:"formerZones,omitempty"`
 	CreationTimestamp time.Time `json:"creationTimestamp,omitzero" yaml:"creationTimestamp,omitempty"`
 }
 
--- a/internal/configsync/backend.go
+++ b/internal/configsync/backend.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"time"
 
 	v1 "github.com/covelink/covelink/api/v1"
 	"github.com/covelink/covelink/internal/objectapi"
@@ -63,22 +64,22 @@
 
 // Create implements resourceapi.Backend through the zone's coordinator.
 func (m *Manager) Create(ctx context.Context, object v1.Object) (v1.Object, error) {
-	return m.writeObject(ctx, operationCreate, object)
+	return m.writeObject(ctx, OperationCreate, object)
 }
 
 // Update implements resourceapi.Backend through the zone's coordinator.
 func (m *Manager) Update(ctx context.Context, object v1.Object) (v1.Object, error) {
-	return m.writeObject(ctx, operationUpdate, object)
+	return m.writeObject(ctx, OperationUpdate, object)
 }
 
 // Delete implements resourceapi.Backend through the zone's coordinator.
 func (m *Manager) Delete(ctx context.Context, kind v1.Kind, name, resourceVersion string) error {
 	object := v1.RawObject{Kind: kind, Metadata: v1.ObjectMeta{Name: name, ResourceVersion: resourceVersion}}
-	_, err := m.forward(ctx, writeRequest{Operation: operationDelete, Object: object})
+	_, err := m.forward(ctx, writeRequest{Operation: OperationDelete, Object: object})
 	return err
 }
 
-func (m *Manager) writeObject(ctx context.Context, op operation, object v1.Object) (v1.Object, error) {
+func (m *Manager) writeObject(ctx context.Context, op Operation, object v1.Object) (v1.Object, error) {
 	raw, err := v1.EncodeRaw(object)
 	if err != nil {
 		return nil, v1.NotRun(v1.CodeInvalid, 0, "resource cannot be encoded")
@@ -102,6 +103,11 @@
 	if !m.leading() {
 		return writeReply{}, m.errNotCoordinator()
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, StoreTimeout(time.Until(deadline)))
+		defer cancel()
+	}
 	stored, err := m.execute(ctx, request)
 	if err != nil {
 		return writeReply{}, storeError(err, request.Object)
@@ -112,13 +118,14 @@
 func (m *Manager) execute(ctx context.Context, request writeRequest) (v1.RawObject, error) {
 	object := request.Object
 	switch request.Operation {
-	case operationCreate:
+	case OperationCreate:
 		object.Metadata.Generation = 1
+		object.Metadata.FormerZones = nil
 		object.Metadata.ResourceVersion = ""
 		return m.params.Store.Create(ctx, object)
-	case operationUpdate:
+	case OperationUpdate:
 		return m.update(ctx, object)
-	case operationDelete:
+	case OperationDelete:
 		return v1.RawObject{}, m.params.Store.Delete(ctx, object.Kind, object.Metadata.Name, object.Metadata.ResourceVersion)
 	}
 	return v1.RawObject{}, objectapi.ErrInvalid
@@ -133,11 +140,7 @@
 	if current.Metadata.ResourceVersion != object.Metadata.ResourceVersion {
 		return v1.RawObject{}, objectapi.ErrConflict
 	}
-	object.Metadata.Generation = current.Metadata.Generation
-	if !sameSpec(current, object) {
-		object.Metadata.Generation++
-	}
-	return m.params.Store.Update(ctx, object)
+	return m.params.Store.Update(ctx, PrepareUpdate(m.observe().state, current, object))
 }
 
 // sameSpec compares the specs as this program encodes them, since the store may keep another spelling.
--- a/internal/configsync/forward.go
+++ b/internal/configsync/forward.go
@@ -26,7 +26,9 @@
 	if holder.Name == m.self.Name {
 		return m.serveWrite(ctx, rpc.Peer{Name: m.self.Name, Zone: m.self.Zone}, request)
 	}
-	reply, err := rpc.Call[writeRequest, writeReply](ctx, m.params.Client, holder.Address, request)
+	calling, cancelCall := context.WithTimeout(ctx, ForwardTimeout(m.params.Timing.RequestTimeout))
+	defer cancelCall()
+	reply, err := rpc.Call[writeRequest, writeReply](calling, m.params.Client, holder.Address, request)
 	if err == nil {
 		return reply, nil
 	}
@@ -45,7 +47,7 @@
 	for {
 		current, err := m.askReadBack(ctx, request)
 		if err == nil {
-			switch judge(request, current) {
+			switch JudgeWrite(request.Operation, request.Object, current.Object, current.Found) {
 			case FateDone:
 				return writeReply{Object: current.Object}, nil
 			case FateUnknown:
@@ -88,18 +90,19 @@
 	FateUnknown
 )
 
-// judge tells the fate of a write whose reply was lost. A create that is not there may yet be stored, or be deleted already.
-func judge(request writeRequest, current readBackReply) Fate {
-	written := request.Object.Metadata
-	unchanged := current.Found && current.Object.Metadata.ResourceVersion == written.ResourceVersion
+// JudgeWrite tells the fate of a write whose reply was lost from the object as the store has it, if it is there. A create that
+// is not there may yet be stored, or be deleted already.
+func JudgeWrite(operation Operation, written, current v1.RawObject, found bool) Fate {
+	version, id := written.Metadata.ResourceVersion, written.Metadata.WriteID
+	unchanged := found && current.Metadata.ResourceVersion == version
 	switch {
-	case request.Operation == operationDelete && !current.Found:
+	case operation == OperationDelete && !found:
 		return FateDone
-	case request.Operation == operationDelete && (unchanged || written.ResourceVersion == ""):
+	case operation == OperationDelete && (unchanged || version == ""):
 		return FateOpen
-	case current.Found && current.Object.Metadata.WriteID == written.WriteID:
+	case found && current.Metadata.WriteID == id:
 		return FateDone
-	case unchanged, request.Operation == operationCreate && !current.Found:
+	case unchanged, operation == OperationCreate && !found:
 		return FateOpen
 	}
 	return FateUnknown
--- a/internal/configsync/forward_test.go
+++ b/internal/configsync/forward_test.go
@@ -141,17 +141,19 @@
 		current readBackReply
 		want    Fate
 	}{
-		{"create stored", writeRequest{operationCreate, object("", "mine")}, there("4", "mine"), FateDone},
-		{"create not there", writeRequest{operationCreate, object("", "mine")}, readBackReply{}, FateOpen},
-		{"create of another", writeRequest{operationCreate, object("", "mine")}, there("4", "theirs"), FateUnknown},
-		{"update stored", writeRequest{operationUpdate, object("3", "mine")}, there("4", "mine"), FateDone},
-		{"update not stored", writeRequest{operationUpdate, object("3", "mine")}, there("3", "older"), FateOpen},
-		{"update covered", writeRequest{operationUpdate, object("3", "mine")}, there("5", "theirs"), FateUnknown},
-		{"updated object deleted", writeRequest{operationUpdate, object("3", "mine")}, readBackReply{}, FateUnknown},
-		{"delete done", writeRequest{operationDelete, object("3", "mine")}, readBackReply{}, FateDone},
-		{"delete not done", writeRequest{operationDelete, object("3", "mine")}, there("3", "older"), FateOpen},
-		{"delete covered", writeRequest{operationDelete, object("3", "mine")}, there("5", "theirs"), FateUnknown},
+		{"create stored", writeRequest{OperationCreate, object("", "mine")}, there("4", "mine"), FateDone},
+		{"create not there", writeRequest{OperationCreate, object("", "mine")}, readBackReply{}, FateOpen},
+		{"create of another", writeRequest{OperationCreate, object("", "mine")}, there("4", "theirs"), FateUnknown},
+		{"update stored", writeRequest{OperationUpdate, object("3", "mine")}, there("4", "mine"), FateDone},
+		{"update not stored", writeRequest{OperationUpdate, object("3", "mine")}, there("3", "older"), FateOpen},
+		{"update covered", writeRequest{OperationUpdate, object("3", "mine")}, there("5", "theirs"), FateUnknown},
+		{"updated object deleted", writeRequest{OperationUpdate, object("3", "mine")}, readBackReply{}, FateUnknown},
+		{"delete done", writeRequest{OperationDelete, object("3", "mine")}, readBackReply{}, FateDone},
+		{"delete not done", writeRequest{OperationDelete, object("3", "mine")}, there("3", "older"), FateOpen},
+		{"delete covered", writeRequest{OperationDelete, object("3", "mine")}, there("5", "theirs"), FateUnknown},
 	} {
-		Convey("Read back: "+c.name, t, func() { So(judge(c.request, c.current), ShouldEqual, c.want) })
+		Convey("Read back: "+c.name, t, func() {
+			So(JudgeWrite(c.request.Operation, c.request.Object, c.current.Object, c.current.Found), ShouldEqual, c.want)
+		})
 	}
 }
--- a/internal/configsync/messages.go
+++ b/internal/configsync/messages.go
@@ -34,7 +34,7 @@
 	exchangeRequest struct{ Report Report }
 	// writeRequest asks a coordinator to write to the store; writeReply answers it.
 	writeRequest struct {
-		Operation operation
+		Operation Operation
 		Object    v1.RawObject
 	}
 	writeReply struct{ Object v1.RawObject }
@@ -46,13 +46,14 @@
 	}
 )
 
-// operation is a kind of write.
-type operation string
+// Operation is a kind of write.
+type Operation string
 
+// The operations.
 const (
-	operationCreate operation = "create"
-	operationUpdate operation = "update"
-	operationDelete operation = "delete"
+	OperationCreate Operation = "create"
+	OperationUpdate Operation = "update"
+	OperationDelete Operation = "delete"
 )
 
 // retryAfterUnavailable is the advice to a caller whose write was not executed.
--- a/internal/configsync/pace.go
+++ b/internal/configsync/pace.go
@@ -66,3 +66,10 @@
 		held = report.Applied
 	}
 }
+
+// ForwardTimeout returns how much of a write's time is spent on the coordinator's answer; the rest is for reading back.
+func ForwardTimeout(writeTimeout time.Duration) time.Duration { return writeTimeout / 2 }
+
+// StoreTimeout returns how long a coordinator that has to answer within a time tries to reach the store, so that its answer
+// arrives before whoever waits gives up.
+func StoreTimeout(answerTimeout time.Duration) time.Duration { return answerTimeout * 3 / 4 }
--- a/internal/configsync/scope.go
+++ b/internal/configsync/scope.go
@@ -73,9 +73,16 @@
 	return ObjectKey{Kind: raw.Kind, Name: raw.Metadata.Name}
 }
 
-// scope returns the zones, sorted, whose acknowledgement accepts the object: a pool's permitted zones, those of the pools
-// that a trainer or an application names, and every zone for a zone or where the resources named don't exist.
+// scope returns the zones, sorted, whose acknowledgement accepts the object: those that it concerns and its former zones.
 func (i objectIndex) scope(object v1.Object) []string {
+	zones := append(i.concerned(object), object.Meta().FormerZones...)
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+// concerned returns the zones that the object itself concerns: a pool's permitted zones, those of the pools that a trainer or
+// an application names, and every zone for a zone or where the resources named don't exist.
+func (i objectIndex) concerned(object v1.Object) []string {
 	zones := make(map[string]struct{})
 	add := func(names []string) {
 		for _, name := range names {
@@ -118,11 +125,19 @@
 	return found.Spec.PermittedZones
 }
 
-// accepted reports whether every zone in scope, and at least one, has acknowledged the object of the key.
-func (i objectIndex) accepted(key ObjectKey, acks map[string]uint64) bool {
+// acceptedThrough returns the revision, at most the object's own, up to which every change of the object has been acknowledged
+// by all zones in scope. The scope holds those of all earlier versions that may be in force, so that a version that is replaced
+// before every zone has acknowledged it still counts; else an object that is written again and again would never be accepted.
+func (i objectIndex) acceptedThrough(key ObjectKey, acks map[string]uint64) uint64 {
 	entry := i.entries[key]
-	lacks := func(zone string) bool { return acks[zone] < entry.version }
-	return len(entry.scope) > 0 && !slices.ContainsFunc(entry.scope, lacks)
+	if len(entry.scope) == 0 {
+		return 0
+	}
+	through := entry.version
+	for _, zone := range entry.scope {
+		through = min(through, acks[zone])
+	}
+	return through
 }
 
 // missing returns the zones in scope, sorted, that have not acknowledged the object's resourceVersion.
@@ -130,3 +145,31 @@
 	version := objectapi.ParseRevision(object.Meta().ResourceVersion)
 	return slices.DeleteFunc(i.scope(object), func(zone string) bool { return acks[zone] >= version })
 }
+
+// PrepareUpdate returns the object as it is to be stored in place of current, by what a coordinator with the state knows: its
+// generation, and the zones where a version that may still be in force applies and the new one doesn't.
+func PrepareUpdate(state State, current, object v1.RawObject) v1.RawObject {
+	object.Metadata.Generation = current.Metadata.Generation
+	if !sameSpec(current, object) {
+		object.Metadata.Generation++
+	}
+	object.Metadata.FormerZones = formerZones(state, current, object)
+	return object
+}
+
+func formerZones(state State, current, object v1.RawObject) []string {
+	before, beforeErr := v1.DecodeRaw(current)
+	after, afterErr := v1.DecodeRaw(object)
+	if beforeErr != nil || afterErr != nil {
+		return nil
+	}
+	index := state.indexed()
+	zones := index.concerned(before)
+	if state.Accepted[keyOf(current)] < objectapi.ParseRevision(current.Metadata.ResourceVersion) {
+		zones = append(zones, current.Metadata.FormerZones...)
+	}
+	still := index.concerned(after)
+	zones = slices.DeleteFunc(zones, func(zone string) bool { return slices.Contains(still, zone) })
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -62,7 +62,8 @@
 	Inventories map[string]Inventory
 	// Acks is the revision each zone has acknowledged.
 	Acks map[string]uint64
-	// Accepted is the resourceVersion at which each object was last accepted.
+	// Accepted is the revision up to which the changes of each object are accepted; an object is accepted when that is its
+	// resourceVersion.
 	Accepted map[ObjectKey]uint64
 	// index is that of Objects, or of earlier ones; it stays on the node.
 	index *objectIndex
@@ -148,12 +149,8 @@
 	index := s.indexed()
 	accepted := make(map[ObjectKey]uint64, len(s.Accepted))
 	for key := range index.objects {
-		version := index.entries[key].version
-		switch {
-		case s.Accepted[key] >= version || index.accepted(key, s.Acks):
-			accepted[key] = max(s.Accepted[key], version)
-		case s.Accepted[key] > 0:
-			accepted[key] = s.Accepted[key]
+		if through := max(s.Accepted[key], index.acceptedThrough(key, s.Acks)); through > 0 {
+			accepted[key] = through
 		}
 	}
 	changed := !maps.Equal(accepted, s.Accepted)
--- a/internal/resourceapi/write.go
+++ b/internal/resourceapi/write.go
@@ -130,6 +130,7 @@
 	meta := object.Meta()
 	meta.Generation = 0
 	meta.WriteID = ""
+	meta.FormerZones = nil
 	meta.CreationTimestamp = time.Time{}
 }
 
