--- a/internal/configsync/coordinator.go
+++ b/internal/configsync/coordinator.go
@@ -190,8 +190,11 @@
 func (c *Coordinator) settle(now time.Time, changed bool) {
 	changed = c.restoreEngines() || changed
 	if revision, counted := c.applied(now); counted {
-		acked := map[string]uint64{c.zone: min(revision, c.state.Revision)}
-		changed = mergeHighest(&c.state.Acks, acked) || changed
+		if acked := min(revision, c.state.Revision); acked > c.state.Acks[c.zone] {
+			c.state.Acks = cloneOrMake(c.state.Acks)
+			c.state.Acks[c.zone] = acked
+			changed = true
+		}
 	}
 	if !changed {
 		return
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -98,62 +98,75 @@
 // merge takes over what is newer in the report and reports whether anything was. Acknowledgements only grow; acceptances of
 // objects that the state doesn't have are left out, or a peer that lags would bring them back again and again.
 func (s *State) merge(report Report) bool {
-	accepted := make(map[ObjectKey]uint64, len(report.Accepted))
-	for _, object := range s.Objects {
-		if version, ok := report.Accepted[keyOf(object)]; ok {
-			accepted[keyOf(object)] = version
-		}
-	}
-	changed := mergeHighest(&s.Acks, report.Acks)
-	changed = mergeHighest(&s.Accepted, accepted) || changed
-	return s.mergeInventories(report.Inventories) || changed
+	known := s.indexed().objects
+	changed := mergeHighest(&s.Acks, report.Acks, func(string) bool { return true })
+	accepted := mergeHighest(&s.Accepted, report.Accepted, func(key ObjectKey) bool {
+		_, found := known[key]
+		return found
+	})
+	return s.mergeInventories(report.Inventories) || changed || accepted
 }
 
 func (s *State) mergeInventories(theirs map[string]Inventory) bool {
-	merged := maps.Clone(s.Inventories)
 	changed := false
 	for zone, inventory := range theirs {
-		if !inventory.newer(merged[zone]) {
+		if !inventory.newer(s.Inventories[zone]) {
 			continue
 		}
-		if merged == nil {
-			merged = make(map[string]Inventory)
+		if !changed {
+			s.Inventories = cloneOrMake(s.Inventories)
+			changed = true
 		}
-		merged[zone] = inventory
-		changed = true
+		s.Inventories[zone] = inventory
 	}
-	s.Inventories = merged
 	return changed
 }
 
-// mergeHighest replaces *mine by a map that holds the higher value of each key.
-func mergeHighest[K comparable](mine *map[K]uint64, theirs map[K]uint64) bool {
-	merged := maps.Clone(*mine)
+// mergeHighest replaces *mine, if anything changes, by a map that holds the higher value of each key that is taken.
+func mergeHighest[K comparable](mine *map[K]uint64, theirs map[K]uint64, take func(K) bool) bool {
 	changed := false
 	for key, value := range theirs {
-		if value <= merged[key] {
+		if value <= (*mine)[key] || !take(key) {
 			continue
 		}
-		if merged == nil {
-			merged = make(map[K]uint64)
+		if !changed {
+			*mine = cloneOrMake(*mine)
+			changed = true
 		}
-		merged[key] = value
-		changed = true
+		(*mine)[key] = value
 	}
-	*mine = merged
 	return changed
 }
 
+// cloneOrMake returns a map that may be changed.
+func cloneOrMake[K comparable, V any](held map[K]V) map[K]V {
+	if held == nil {
+		return make(map[K]V)
+	}
+	return maps.Clone(held)
+}
+
 // refreshAccepted records the objects that are now accepted, drops those that are gone, and reports whether anything changed.
 func (s *State) refreshAccepted() bool {
 	index := s.indexed()
-	accepted := make(map[ObjectKey]uint64, len(s.Accepted))
+	changed := false
+	change := func(key ObjectKey, through uint64) {
+		if !changed {
+			s.Accepted = cloneOrMake(s.Accepted)
+			changed = true
+		}
+		s.Accepted[key] = through
+	}
 	for key := range index.objects {
-		if through := max(s.Accepted[key], index.acceptedThrough(key, s.Acks)); through > 0 {
-			accepted[key] = through
+		if through := index.acceptedThrough(key, s.Acks); through > s.Accepted[key] {
+			change(key, through)
+		}
+	}
+	for key := range s.Accepted {
+		if _, found := index.objects[key]; !found {
+			change(key, 0)
+			delete(s.Accepted, key)
 		}
 	}
-	changed := !maps.Equal(accepted, s.Accepted)
-	s.Accepted = accepted
 	return changed
 }
