scheduler: start the older batch's samples before longer ones of a later batch

The queue ordered all rollouts of a caller by length alone. With a second batch submitted ahead, its long samples overtook the rest of the first batch, for which the trainer waits. Tasks now carry a rank, the batch's place in order of opening.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -66,6 +66,7 @@
 		Pool:        r.Task.Pool,
 		Caller:      r.Task.Caller,
 		Weight:      r.Task.Weight,
+		Rank:        r.Task.Rank,
 		Tokens:      max(r.Task.ExpectedTokens-len(r.tokens), 0),
 		Deadline:    r.Task.Deadline,
 		Readmitted:  r.admitted,
--- a/internal/dispatch/task.go
+++ b/internal/dispatch/task.go
@@ -45,6 +45,8 @@
 	// Repeatable tasks may be run again after an unknown outcome. A task that is not repeatable
 	// is written to at most one engine, except after that engine's own refusal.
 	Repeatable bool
+	// Rank orders the rollouts of a caller: a lower one goes first, whatever its length.
+	Rank int64
 	// ExpectedTokens predicts the length for longest-first order; 0 means unknown.
 	ExpectedTokens int
 	// Deadline bounds the whole task; a task that cannot start before it is refused as not run.
--- a/internal/lab/sim/placers.go
+++ b/internal/lab/sim/placers.go
@@ -17,6 +17,7 @@
 		item.Interactive = false
 		item.Caller = ""
 		item.Weight = 1
+		item.Rank = 0
 		item.Tokens = 1
 	}
 }
--- a/internal/rollout/attempts.go
+++ b/internal/rollout/attempts.go
@@ -117,7 +117,7 @@
 		Prompt: request.Prompt, MaxTokens: o.tokenLimit(id), Seed: request.Seed, PrefixKey: prefixKey(request),
 		Resume: prefix.Tokens, ResumeSegments: prefix.Segments,
 		MinVersion: o.minVersion(expected), PreferVersion: o.ledger.Version(),
-		Repeatable: true, ExpectedTokens: expected,
+		Repeatable: true, Rank: o.waiting.order(id.Batch), ExpectedTokens: expected,
 	}
 	if first != nil && first.engine != "" {
 		task.AvoidEngines = []string{first.engine}
--- a/internal/rollout/waiting.go
+++ b/internal/rollout/waiting.go
@@ -70,6 +70,9 @@
 	return Identity{}, false
 }
 
+// order returns the number of a batch in the order of first addition.
+func (w *waitingList) order(batch string) int64 { return int64(w.orders[batch]) }
+
 // waits reports whether anything of the batch waits.
 func (w *waitingList) waits(batch string) bool { return w.counts[batch] > 0 }
 
--- a/internal/scheduler/lane.go
+++ b/internal/scheduler/lane.go
@@ -120,12 +120,16 @@
 	}
 }
 
-// compareEntries orders a flow: rollouts longest first, else by arrival.
+// compareEntries orders a flow: rollouts by rank and then longest first, else by arrival.
 func compareEntries(a, b *entry, interactive bool) int {
-	if !interactive && a.item.cost() != b.item.cost() {
-		return cmp.Compare(b.item.cost(), a.item.cost())
+	if interactive {
+		return cmp.Compare(a.sequence, b.sequence)
 	}
-	return cmp.Compare(a.sequence, b.sequence)
+	return cmp.Or(
+		cmp.Compare(a.item.Rank, b.item.Rank),
+		cmp.Compare(b.item.cost(), a.item.cost()),
+		cmp.Compare(a.sequence, b.sequence),
+	)
 }
 
 // drainRate measures how fast a lane that has waiting items starts them.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -21,6 +21,8 @@
 	// Caller is the flow that shares are counted by, and Weight its share; zero or less means 1.
 	Caller string
 	Weight int
+	// Rank orders the rollouts of one caller: a lower one goes first, whatever its length.
+	Rank int64
 	// Tokens is the expected length of the answer; zero or less means unknown.
 	Tokens   int
 	Deadline time.Time
@@ -80,7 +82,8 @@
 // Queue holds the requests that wait for an engine.
 //
 // Interactive requests go before rollouts. Within a class and pool, callers share by start-time fair queueing on
-// expected tokens; within one caller, interactive requests go in order of arrival and rollouts longest first.
+// expected tokens; within one caller, interactive requests go in order of arrival, and rollouts by rank and then longest
+// first.
 // It is not safe for concurrent use.
 type Queue struct {
 	limits   QueueLimits
--- a/internal/scheduler/queue_test.go
+++ b/internal/scheduler/queue_test.go
@@ -179,3 +179,23 @@
 		So(scheduler.FullJitter(time.Second, time.Minute, 100, 0.5), ShouldEqual, 30*time.Second)
 	})
 }
+
+func TestRolloutsGoByRankBeforeLength(t *testing.T) {
+	Convey("Rollouts of one caller go by rank, and only within a rank longest first", t, func() {
+		queue := scheduler.NewQueue(scheduler.QueueLimits{Requests: 10, Tokens: 10_000})
+		now := time.Unix(0, 0)
+		for _, item := range []scheduler.Item{
+			{ID: 1, Pool: "p", Caller: "t", Rank: 2, Tokens: 900},
+			{ID: 2, Pool: "p", Caller: "t", Rank: 1, Tokens: 10},
+			{ID: 3, Pool: "p", Caller: "t", Rank: 1, Tokens: 20},
+		} {
+			So(queue.Push(now, item), ShouldBeNil)
+		}
+		var order []uint64
+		queue.Scan(now, func(item *scheduler.Item) scheduler.Verdict {
+			order = append(order, item.ID)
+			return scheduler.Take
+		})
+		So(order, ShouldResemble, []uint64{3, 2, 1})
+	})
+}
