--- a/internal/lab/sim/trainer.go
+++ b/internal/lab/sim/trainer.go
@@ -122,8 +122,19 @@
 	})
 }
 
-// keep makes entries durable.
+// takesOver are the faults after which an owner is recovered from its log.
+var takesOver = []FaultKind{FaultOwnerCrash, FaultNodeStop, FaultNodeCrash, FaultZoneLoss}
+
+// needsLog reports whether the log of a batch owner can ever be read.
+func (s *Scenario) needsLog() bool {
+	return slices.ContainsFunc(s.Faults, func(fault Fault) bool { return slices.Contains(takesOver, fault.Kind) })
+}
+
+// keep makes entries durable. A log that nobody can read is not kept.
 func (t *trainerHost) keep(entries []rollout.Entry) {
+	if !t.sim.scenario.needsLog() {
+		return
+	}
 	data, err := rollout.EncodeEntries(entries)
 	if err != nil {
 		panic("sim: entries cannot be encoded: " + err.Error())
@@ -140,12 +151,14 @@
 // submitOwn keeps as many own batches submitted as the trainer wants ahead.
 func (t *trainerHost) submitOwn() {
 	for t.submitted < t.spec.Batches && t.submitted <= t.result.Batches+t.spec.Ahead {
-		name := fmt.Sprintf("step-%04d", t.submitted)
+		name := batchName(t.submitted)
 		t.submitted++
 		t.submit(name, t.batch(name))
 	}
 }
 
+func batchName(number int) string { return fmt.Sprintf("step-%04d", number) }
+
 func (t *trainerHost) batch(name string) v1.BatchSpec {
 	var spec v1.BatchSpec
 	for index := range t.spec.Samples {
