--- a/internal/lab/compare/bound.go
+++ b/internal/lab/compare/bound.go
@@ -30,7 +30,7 @@
 
 func idleBound(scenario sim.Scenario, trainer sim.Trainer) time.Duration {
 	perSecond := capacity(scenario, trainer.Pool)
-	var work, longestWhole time.Duration
+	var work time.Duration
 	var learnt, learning time.Duration
 	whole := make([]time.Duration, trainer.Batches)
 	for number, lengths := range sim.BatchLengths(scenario, trainer) {
@@ -44,8 +44,7 @@
 		if before := number - 1 - trainer.Ahead; before >= 0 {
 			submitted = whole[before]
 		}
-		longestWhole = submitted + time.Duration(longest)*fastestStep(scenario)
-		whole[number] = max(work, longestWhole)
+		whole[number] = max(work, submitted+time.Duration(longest)*fastestStep(scenario))
 		own := time.Duration(len(lengths)) * trainer.LearnPerSample
 		learning += own
 		if trainer.WholeBatch {
--- a/internal/lab/sim/lengths.go
+++ b/internal/lab/sim/lengths.go
@@ -8,7 +8,9 @@
 
 // BatchLengths yields the lengths in tokens of the answers to a trainer's own batches, by the number of the batch.
 func BatchLengths(scenario Scenario, trainer Trainer) iter.Seq2[int, []int] {
+	scenario.Trainers = []Trainer{trainer}
 	scenario = scenario.withDefaults()
+	trainer = scenario.Trainers[0]
 	host := &trainerHost{sim: &simulation{scenario: scenario}, spec: trainer}
 	return func(yield func(int, []int) bool) {
 		for number := range trainer.Batches {
