--- a/internal/lab/cli/replay.go
+++ b/internal/lab/cli/replay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -13,7 +14,10 @@
 	"github.com/covelink/covelink/internal/lab/trace"
 )
 
-const flagAll = "all"
+const (
+	flagAll     = "all"
+	flagOutcome = "outcome"
+)
 
 // traceCommands replay, generate and record traces.
 func traceCommands(streams commandline.Streams) []*cli.Command {
@@ -27,13 +31,14 @@
 		ArgsUsage: "FILE...",
 		Flags: []cli.Flag{
 			&cli.BoolFlag{Name: flagAll, Usage: "print every outcome that is not met, not only the first of a trace"},
+			&cli.BoolFlag{Name: flagOutcome, Usage: "print everything that each trace showed as JSON too, to state outcomes by"},
 		},
 		Action: func(_ context.Context, command *cli.Command) error {
 			traces, err := readTraces(command.Args().Slice())
 			if err != nil {
 				return err
 			}
-			return replayTraces(traces, command.Bool(flagAll), streams)
+			return replayTraces(traces, replayOutput{all: command.Bool(flagAll), outcome: command.Bool(flagOutcome), streams: streams})
 		},
 	}
 }
@@ -69,23 +74,39 @@
 	return err
 }
 
+// replayOutput is what is printed beside the line of a trace.
+type replayOutput struct {
+	all, outcome bool
+	streams      commandline.Streams
+}
+
+// print prints the result of one trace.
+func (o replayOutput) print(result *replay.Result) error {
+	_, _ = fmt.Fprintln(o.streams.Out, result)
+	if o.all && !result.Met() {
+		for _, unmet := range result.Unmet {
+			_, _ = fmt.Fprintln(o.streams.Out, "     ", unmet)
+		}
+	}
+	if !o.outcome {
+		return nil
+	}
+	return json.NewEncoder(o.streams.Out).Encode(result.Outcome)
+}
+
 // replayTraces prints one line for each trace.
-func replayTraces(traces []*trace.Trace, all bool, streams commandline.Streams) error {
+func replayTraces(traces []*trace.Trace, output replayOutput) error {
 	unmet := 0
 	for _, read := range traces {
 		result, err := replay.Run(read)
 		if err != nil {
 			return badTrace(err)
 		}
-		_, _ = fmt.Fprintln(streams.Out, result)
-		if result.Met() {
-			continue
+		if err := output.print(result); err != nil {
+			return err
 		}
-		unmet++
-		if all {
-			for _, outcome := range result.Unmet {
-				_, _ = fmt.Fprintln(streams.Out, "     ", outcome)
-			}
+		if !result.Met() {
+			unmet++
 		}
 	}
 	if unmet > 0 {
--- a/internal/lab/controlsim/node.go
+++ b/internal/lab/controlsim/node.go
@@ -169,19 +169,22 @@
 func (n *node) serveFetch() (fetchReply, bool) {
 	leased, _ := n.replica.Serving(n.simulation.now())
 	reply := fetchReply{state: n.replica.State(), leased: leased}
-	if n.term != nil {
+	if n.leads() {
 		reply.state = n.term.core.State()
 	}
 	return reply, true
 }
 
+// leads reports whether the node coordinates its zone now.
+func (n *node) leads() bool { return n.term != nil && n.term.leads() }
+
 func (n *node) servePush(state configsync.State) (configsync.NodeReport, bool) {
 	n.replica.Offer(state)
 	return n.report(), true
 }
 
 func (n *node) serveHeartbeat(report configsync.NodeReport) (configsync.Grant, bool) {
-	if n.term == nil {
+	if !n.leads() {
 		return configsync.Grant{}, false
 	}
 	var grant configsync.Grant
@@ -192,7 +195,7 @@
 }
 
 func (n *node) serveExchange(from string, report configsync.Report) (configsync.Report, bool) {
-	if n.term == nil {
+	if !n.leads() {
 		return configsync.Report{}, false
 	}
 	n.term.revisions[from] = report.Revision
--- a/internal/lab/controlsim/operator.go
+++ b/internal/lab/controlsim/operator.go
@@ -118,7 +118,7 @@
 
 // serveWrite executes a write on the coordinator.
 func (s *Simulation) serveWrite(holder *node, w *write, answer func(result string)) {
-	if holder.term == nil || !holder.term.leads() {
+	if !holder.leads() {
 		answer(trace.ResultRefused)
 		return
 	}
--- a/internal/lab/controlsim/sim.go
+++ b/internal/lab/controlsim/sim.go
@@ -139,11 +139,9 @@
 	holder := z.coordinator
 	// A set of one votes for itself; a larger one needs the zone's links.
 	votes := len(z.nodes) == 1 || s.network.passes(z, z)
-	if holder != nil && holder.up && !holder.paused && votes {
+	if holder != nil && holder.leads() && !holder.paused && votes {
 		z.leaseUntil = s.clock.Now() + s.timing.LeaseLength
-		if holder.term != nil {
-			return
-		}
+		return
 	}
 	if s.clock.Now() < z.leaseUntil || !votes {
 		return
--- a/internal/lab/controlsim/sim_test.go
+++ b/internal/lab/controlsim/sim_test.go
@@ -79,6 +79,18 @@
 	})
 }
 
+func TestLapsedCoordinator(t *testing.T) {
+	Convey("A coordinator whose lease lapsed while nobody could take it over answers nothing, and leads again later", t, func() {
+		outcome, s := run(header("40s"), `{"type":"fault","at":"5s","fault":"coordinator-pause","target":"c","for":"6s"}`,
+			`{"type":"fault","at":"5s","fault":"switch-loss","target":"b","for":"6s"}`, writeLine("w", "20s", "a", "lm", `"a","b"`))
+		So(outcome.Violations, ShouldBeEmpty)
+		So(outcome.Writes["w"].Result, ShouldEqual, trace.ResultAccepted)
+		for _, n := range s.nodes {
+			So(n.serving(), ShouldBeTrue)
+		}
+	})
+}
+
 func TestChecksNoticeABrokenGuard(t *testing.T) {
 	Convey("A node that serves without a lease is caught serving by an older revision", t, func() {
 		read, err := trace.Parse("t", strings.NewReader(strings.Join([]string{header("40s"),
