claims: claim requests that are not repeatable at a majority of keepers

A request marked as not repeatable was refused, since nothing kept claims. Add the register of one keeper, its file, the manager that claims at the keepers of a pool's home, and the wiring into the node. The tests run three nodes over loopback: races, partitions, restarts with and without the table, zones that are left.

--- /dev/null
+++ b/internal/claims/kit_test.go
@@ -0,0 +1,225 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+
+	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/cluster"
+	"github.com/covelink/covelink/internal/gateway"
+	"github.com/covelink/covelink/internal/rpc"
+)
+
+const (
+	testPool      = "relay"
+	testRetention = 10 * time.Minute
+	waitLimit     = 20 * time.Second
+)
+
+// fakeClock is moved by hand.
+type fakeClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func newClock() *fakeClock { return &fakeClock{now: time.Unix(1_700_000_000, 0)} }
+
+func (c *fakeClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *fakeClock) advance(by time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(by)
+}
+
+// viewOf returns a view in which the pool's data may be in the zones, all of one region.
+func viewOf(zones ...string) *cluster.View {
+	view := &cluster.View{
+		Revision: 1,
+		Serving:  true,
+		Zones:    make(map[string]*v1.Zone),
+		Pools:    map[string]*v1.Pool{testPool: {Spec: v1.PoolSpec{PermittedZones: zones}}},
+	}
+	for _, zone := range zones {
+		view.Zones[zone] = &v1.Zone{Spec: v1.ZoneSpec{Region: "region-1"}}
+	}
+	return view
+}
+
+// links cuts connections between nodes, by address.
+type links struct {
+	mu    sync.Mutex
+	cut   map[string]bool
+	conns map[string][]net.Conn
+}
+
+func newLinks() *links {
+	return &links{cut: make(map[string]bool), conns: make(map[string][]net.Conn)}
+}
+
+// dialer returns a dial that fails to addresses that are cut.
+func (l *links) dialer() rpc.DialFunc {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.cut[address] {
+			return nil, fmt.Errorf("%s is cut off", address)
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err == nil {
+			l.conns[address] = append(l.conns[address], conn)
+		}
+		return conn, err
+	}
+}
+
+func (l *links) isolate(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut[address] = true
+	for _, conn := range l.conns[address] {
+		conn.Close()
+	}
+	delete(l.conns, address)
+}
+
+func (l *links) heal(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.cut, address)
+}
+
+// member is one node of a test cluster.
+type member struct {
+	node    cluster.Node
+	manager *Manager
+	source  *cluster.Holder
+	dataDir string
+	stop    func()
+}
+
+// testCluster is a set of nodes over loopback.
+type testCluster struct {
+	t       testing.TB
+	clock   *fakeClock
+	links   *links
+	members []*member
+	seeds   []cluster.Node
+	bound   []net.Listener
+}
+
+// newCluster starts one node in each of the zones; disks tells which have a data folder.
+func newCluster(t testing.TB, zones []string, disks bool) *testCluster {
+	c := &testCluster{t: t, clock: newClock(), links: newLinks()}
+	for index, zone := range zones {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.bound = append(c.bound, listener)
+		c.seeds = append(c.seeds, cluster.Node{Name: fmt.Sprintf("node-%d", index+1), Zone: zone,
+			Address: listener.Addr().String(), HasDisk: disks})
+	}
+	for index := range zones {
+		m := &member{node: c.seeds[index], source: cluster.NewHolder()}
+		if disks {
+			m.dataDir = t.TempDir()
+		}
+		m.source.Update(func(*cluster.View) *cluster.View { return viewOf(zones...) })
+		c.members = append(c.members, m)
+		c.start(index)
+	}
+	t.Cleanup(func() {
+		for _, m := range c.members {
+			m.stop()
+		}
+	})
+	return c
+}
+
+// start runs the node at index, on the address that it had.
+func (c *testCluster) start(index int) {
+	m := c.members[index]
+	server := rpc.NewServer(log.NewNopLogger())
+	client := rpc.NewClient(rpc.Peer{Name: m.node.Name, Zone: m.node.Zone}, c.links.dialer())
+	manager, err := New(Params{Self: m.node, Source: m.source, Client: client, Seeds: c.seeds, DataDir: m.dataDir,
+		Retention: testRetention, Registerer: prometheus.NewRegistry(), Now: c.clock.Now})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	manager.Register(server)
+	listener := c.bound[index]
+	if listener == nil {
+		if listener, err = net.Listen("tcp", m.node.Address); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	c.bound[index] = nil
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { server.Serve(listener) })
+	running.Go(func() { manager.Run(ctx) })
+	m.manager = manager
+	m.stop = sync.OnceFunc(func() {
+		cancel()
+		listener.Close()
+		server.Close()
+		client.Close()
+		running.Wait()
+	})
+}
+
+// restart ends the node and starts it again.
+func (c *testCluster) restart(index int) {
+	c.members[index].stop()
+	c.start(index)
+}
+
+// open waits until every keeper grants.
+func (c *testCluster) open() *testCluster {
+	c.eventually("every keeper grants", func() bool {
+		for _, m := range c.members {
+			if !m.manager.keeper.isOpen() {
+				return false
+			}
+		}
+		return true
+	})
+	return c
+}
+
+func (c *testCluster) eventually(what string, condition func() bool) {
+	c.t.Helper()
+	if !eventually(condition) {
+		c.t.Fatalf("never: %s", what)
+	}
+}
+
+func eventually(condition func() bool) bool {
+	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(2 * time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return false
+}
+
+func requestOf(key string) gateway.ClaimRequest {
+	return gateway.ClaimRequest{Key: key, Caller: "app", Pool: testPool, ID: uuid.NewString(), Fingerprint: 7}
+}
+
+func completedWith(text string) gateway.StoredOutcome {
+	return gateway.StoredOutcome{Outcome: v1.OutcomeCompleted, Answer: &gateway.StoredAnswer{Tokens: []string{text}}}
+}
--- /dev/null
+++ b/internal/claims/manager_test.go
@@ -0,0 +1,285 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/cluster"
+	"github.com/covelink/covelink/internal/gateway"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var threeZones = []string{"zone-1", "zone-2", "zone-3"}
+
+// claimAt claims at the node at index.
+func (c *testCluster) claimAt(index int, request gateway.ClaimRequest) (gateway.ClaimResult, error) {
+	return c.members[index].manager.Claim(context.Background(), request)
+}
+
+func (c *testCluster) finishAt(index int, request gateway.ClaimRequest, stored gateway.StoredOutcome) error {
+	return c.members[index].manager.Finish(context.Background(), request, stored)
+}
+
+// mustClaim claims and expects the grant.
+func (c *testCluster) mustClaim(index int, request gateway.ClaimRequest) {
+	result, err := c.claimAt(index, request)
+	So(err, ShouldBeNil)
+	So(result.State, ShouldEqual, gateway.ClaimGranted)
+}
+
+func refusalOf(err error) *v1.Error {
+	var typed *v1.Error
+	So(errors.As(err, &typed), ShouldBeTrue)
+	So(typed.Outcome, ShouldEqual, v1.OutcomeNotRun)
+	So(typed.RetryAfter, ShouldBeGreaterThan, 0)
+	return typed
+}
+
+func TestClaim(t *testing.T) {
+	Convey("Three keepers in three zones", t, func() {
+		c := newCluster(t, threeZones, true).open()
+		first := requestOf("k")
+		c.mustClaim(0, first)
+		Convey("another gateway learns that the outcome is not known while the request runs", func() {
+			result, err := c.claimAt(1, requestOf("k"))
+			So(err, ShouldBeNil)
+			So(result.State, ShouldEqual, gateway.ClaimExisting)
+			So(result.Stored.Outcome, ShouldEqual, v1.OutcomeUnknown)
+			So(result.Fingerprint, ShouldEqual, 7)
+		})
+		Convey("another key, caller or pool is another request", func() {
+			c.mustClaim(1, requestOf("k2"))
+			other := requestOf("k")
+			other.Caller = "app-2"
+			c.mustClaim(1, other)
+		})
+		Convey("a completed request gives its answer at every gateway, also with one keeper gone", func() {
+			So(c.finishAt(0, first, completedWith("minutes")), ShouldBeNil)
+			c.links.isolate(c.seeds[0].Address)
+			for index := 1; index < 3; index++ {
+				result, err := c.claimAt(index, requestOf("k"))
+				So(err, ShouldBeNil)
+				So(result.Stored.Outcome, ShouldEqual, v1.OutcomeCompleted)
+				So(result.Stored.Answer.Tokens, ShouldResemble, []string{"minutes"})
+			}
+		})
+		Convey("a request that was not run frees its key", func() {
+			So(c.finishAt(0, first, gateway.StoredOutcome{Outcome: v1.OutcomeNotRun}), ShouldBeNil)
+			c.eventually("the key is free", func() bool {
+				return c.members[2].manager.keeper.recordOf(first) == nil
+			})
+			c.mustClaim(2, requestOf("k"))
+		})
+		Convey("a finish of a claim that is not this gateway's changes nothing", func() {
+			So(c.finishAt(1, first, completedWith("forged")), ShouldBeNil)
+			result, err := c.claimAt(2, requestOf("k"))
+			So(err, ShouldBeNil)
+			So(result.Stored.Outcome, ShouldEqual, v1.OutcomeUnknown)
+		})
+		Convey("the gateway's death leaves the key claimed, for the retention time", func() {
+			c.members[0].stop()
+			result, err := c.claimAt(1, requestOf("k"))
+			So(err, ShouldBeNil)
+			So(result.State, ShouldEqual, gateway.ClaimExisting)
+			c.clock.advance(testRetention - time.Second)
+			result, err = c.claimAt(2, requestOf("k"))
+			So(err, ShouldBeNil)
+			So(result.State, ShouldEqual, gateway.ClaimExisting)
+		})
+		Convey("all keepers may restart and still know", func() {
+			for index := range c.members {
+				c.restart(index)
+			}
+			result, err := c.claimAt(2, requestOf("k"))
+			So(err, ShouldBeNil)
+			So(result.State, ShouldEqual, gateway.ClaimExisting)
+		})
+	})
+}
+
+// recordOf returns what the keeper holds for the request's key.
+func (k *keeper) recordOf(request gateway.ClaimRequest) *Record {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	record, ok := k.register.lookup(k.now(), Key{Caller: request.Caller, Pool: request.Pool, Key: request.Key})
+	if !ok {
+		return nil
+	}
+	return record
+}
+
+func TestRace(t *testing.T) {
+	Convey("Of many claims of one key at gateways in three zones at once, at most one is granted", t, func() {
+		c := newCluster(t, threeZones, true).open()
+		const rounds, each = 20, 2
+		total := 0
+		for round := range rounds {
+			key := string(rune('a' + round))
+			granted := 0
+			var mu sync.Mutex
+			var claiming sync.WaitGroup
+			for index := range len(threeZones) * each {
+				claiming.Go(func() {
+					request := requestOf(key)
+					result, err := c.claimAt(index%len(threeZones), request)
+					if err != nil {
+						c.finishAt(index%len(threeZones), request, gateway.StoredOutcome{Outcome: v1.OutcomeNotRun})
+						return
+					}
+					if result.State == gateway.ClaimGranted {
+						mu.Lock()
+						granted++
+						mu.Unlock()
+					}
+				})
+			}
+			claiming.Wait()
+			So(granted, ShouldBeLessThanOrEqualTo, 1)
+			total += granted
+		}
+		So(total, ShouldBeGreaterThan, 0)
+	})
+}
+
+func TestPartition(t *testing.T) {
+	Convey("Without a majority a claim is refused as not run and leaves nothing", t, func() {
+		c := newCluster(t, threeZones, true).open()
+		c.links.isolate(c.seeds[1].Address)
+		c.links.isolate(c.seeds[2].Address)
+		request := requestOf("k")
+		_, err := c.claimAt(0, request)
+		So(refusalOf(err).Code, ShouldEqual, v1.CodeUnavailable)
+		So(c.finishAt(0, request, gateway.StoredOutcome{Outcome: v1.OutcomeNotRun}), ShouldBeNil)
+		c.links.heal(c.seeds[1].Address)
+		c.links.heal(c.seeds[2].Address)
+		c.eventually("the key can be claimed", func() bool {
+			again := requestOf("k")
+			result, err := c.claimAt(1, again)
+			return err == nil && result.State == gateway.ClaimGranted
+		})
+	})
+	Convey("One keeper of three may be cut off, and learns the outcome when it is back", t, func() {
+		c := newCluster(t, threeZones, true).open()
+		c.links.isolate(c.seeds[2].Address)
+		request := requestOf("k")
+		c.mustClaim(0, request)
+		So(c.finishAt(0, request, completedWith("minutes")), ShouldBeNil)
+		So(c.members[2].manager.keeper.recordOf(request), ShouldBeNil)
+		c.links.heal(c.seeds[2].Address)
+		c.eventually("the third keeper knows", func() bool {
+			record := c.members[2].manager.keeper.recordOf(request)
+			return record != nil && record.State == StateFinished
+		})
+	})
+	Convey("A caller that goes away while its claim is asked for is refused as not run", t, func() {
+		c := newCluster(t, threeZones, true).open()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		c.links.isolate(c.seeds[1].Address)
+		c.links.isolate(c.seeds[2].Address)
+		_, err := c.members[0].manager.Claim(ctx, requestOf("k"))
+		refusalOf(err)
+	})
+}
+
+func TestAbstaining(t *testing.T) {
+	Convey("Keepers in memory refuse for one retention time after their start", t, func() {
+		c := newCluster(t, threeZones, false)
+		_, err := c.claimAt(0, requestOf("k"))
+		So(refusalOf(err).Message, ShouldContainSubstring, "abstain")
+		c.clock.advance(testRetention)
+		c.open()
+		running := requestOf("running")
+		c.mustClaim(0, running)
+		Convey("and one of them that restarts does so again, but learns of running claims", func() {
+			c.restart(1)
+			So(c.members[1].manager.keeper.isOpen(), ShouldBeFalse)
+			c.members[0].manager.renew()
+			c.eventually("the claim is known again", func() bool {
+				return c.members[1].manager.keeper.recordOf(running) != nil
+			})
+			c.links.isolate(c.seeds[2].Address)
+			_, err := c.claimAt(0, requestOf("k"))
+			So(refusalOf(err).Message, ShouldContainSubstring, "abstain")
+		})
+	})
+	Convey("A keeper that lost its disk does not count as new beside one that has granted", t, func() {
+		c := newCluster(t, threeZones, true).open()
+		c.mustClaim(0, requestOf("k"))
+		c.members[1].stop()
+		So(os.Remove(filepath.Join(c.members[1].dataDir, storeFile)), ShouldBeNil)
+		c.start(1)
+		c.members[1].manager.firstStart(context.Background())
+		So(c.members[1].manager.keeper.isOpen(), ShouldBeFalse)
+		c.links.isolate(c.seeds[0].Address)
+		// Two keepers are left: one knows the claim, the other has forgotten it and abstains.
+		for index := 1; index < 3; index++ {
+			result, err := c.claimAt(index, requestOf("k"))
+			So(err, ShouldBeNil)
+			So(result.State, ShouldEqual, gateway.ClaimExisting)
+		}
+		c.clock.advance(testRetention)
+		c.eventually("it grants after the retention time", c.members[1].manager.keeper.isOpen)
+	})
+	Convey("A single node with a disk grants from the start, one without waits", t, func() {
+		withDisk := newCluster(t, threeZones[:1], true).open()
+		withDisk.mustClaim(0, requestOf("k"))
+		without := newCluster(t, threeZones[:1], false)
+		_, err := without.claimAt(0, requestOf("k"))
+		refusalOf(err)
+		without.clock.advance(testRetention)
+		without.open().mustClaim(0, requestOf("k"))
+	})
+}
+
+func TestZones(t *testing.T) {
+	Convey("A claim of a pool that is not permitted in the gateway's zone is refused", t, func() {
+		c := newCluster(t, threeZones, true).open()
+		c.members[0].source.Update(func(*cluster.View) *cluster.View { return viewOf(threeZones[1:]...) })
+		_, err := c.claimAt(0, requestOf("k"))
+		So(refusalOf(err).Message, ShouldContainSubstring, "not permitted")
+	})
+	Convey("A gateway with another view of the home follows the keepers", t, func() {
+		c := newCluster(t, threeZones, true).open()
+		c.members[0].manager.params.Seeds = c.seeds[:2]
+		c.mustClaim(0, requestOf("k"))
+		So(c.members[2].manager.keeper.recordOf(requestOf("k")), ShouldNotBeNil)
+	})
+	Convey("Keepers refuse what their own view does not permit, and drop stored answers of a zone that is left", t, func() {
+		c := newCluster(t, threeZones, true).open()
+		request := requestOf("k")
+		c.mustClaim(0, request)
+		So(c.finishAt(0, request, completedWith("minutes")), ShouldBeNil)
+		keeper := c.members[2].manager.keeper
+		c.eventually("the third keeper has the answer", func() bool {
+			record := keeper.recordOf(request)
+			return record != nil && record.Stored.Answer != nil
+		})
+		c.members[2].source.Update(func(*cluster.View) *cluster.View {
+			view := viewOf(threeZones[:2]...)
+			view.Revision = 2
+			return view
+		})
+		c.eventually("the answer is dropped", func() bool { return keeper.recordOf(request).Stored.Answer == nil })
+		So(keeper.learn(learnMessage{Key: Key{Pool: testPool}, Record: heldRecord("x", 1)}, "zone-1").Forbidden, ShouldBeTrue)
+		reply := keeper.claim(claimMessage{Key: Key{Pool: testPool, Key: "n"}, ID: "x", Members: names(c.seeds)}, "zone-1")
+		So(reply.Verdict, ShouldEqual, verdictForbidden)
+	})
+	Convey("A full table refuses as not run", t, func() {
+		c := newCluster(t, threeZones[:1], true).open()
+		c.members[0].manager.keeper.register.limits.MaxEntries = 1
+		c.mustClaim(0, requestOf("k"))
+		_, err := c.claimAt(0, requestOf("k2"))
+		So(refusalOf(err).Code, ShouldEqual, v1.CodeOverloaded)
+	})
+}
--- /dev/null
+++ b/internal/claims/store.go
@@ -0,0 +1,342 @@
+package claims
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
+)
+
+const (
+	// storeFile is the file in the data folder.
+	storeFile = "claims.db"
+	// storeFormat is the version of the file's format.
+	storeFormat = 1
+	storeMode   = 0o600
+	folderMode  = 0o700
+	// lockTimeout bounds the wait for a file that another process has open.
+	lockTimeout   = 2 * time.Second
+	checksumBytes = 8
+)
+
+var (
+	bucketMeta       = []byte("meta")
+	bucketRecords    = []byte("records")
+	bucketTombstones = []byte("tombstones")
+
+	keyFormat  = []byte("format")
+	keyOpened  = []byte("opened")
+	keyHistory = []byte("homes")
+
+	allBuckets = [][]byte{bucketMeta, bucketRecords, bucketTombstones}
+)
+
+// The errors of a store.
+var (
+	// ErrCorrupt: a checksum or an entry of the file does not hold.
+	ErrCorrupt = errors.New("claims: the file is damaged")
+	// ErrFormat: the file was written by another version of the program.
+	ErrFormat = errors.New("claims: the file has another format")
+	// ErrStoreFailed: an earlier write failed, so the file may not hold what was promised.
+	ErrStoreFailed = errors.New("claims: the file cannot be written")
+	errStoreClosed = errors.New("claims: the file is closed")
+)
+
+// diskRecord is a record with its key, as the file holds it.
+type diskRecord struct {
+	Key    Key
+	Record Record
+}
+
+// loaded is what a file held.
+type loaded struct {
+	changes []change
+	history homeHistory
+	// opened tells that the keeper has once been cleared to grant, so that the table is complete.
+	opened bool
+}
+
+// store keeps a Register in a file. Writes are committed in the order of enqueue, many to one sync.
+type store struct {
+	db *bolt.DB
+
+	mu      sync.Mutex
+	pending []write
+	failed  error
+	closed  bool
+	wake    chan struct{}
+	done    chan struct{}
+}
+
+// write is a batch of changes that must be durable together.
+type write struct {
+	changes []change
+	history homeHistory
+	opened  bool
+	result  chan error // buffered, receives exactly once
+}
+
+// openStore opens or creates the file in the folder and reads it.
+func openStore(folder string) (opened *store, content loaded, err error) {
+	defer func() {
+		// bbolt panics on pages that contradict each other.
+		if fault := recover(); fault != nil {
+			opened, err = nil, fmt.Errorf("%w: %v", ErrCorrupt, fault)
+		}
+	}()
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, loaded{}, fmt.Errorf("claims: %w", err)
+	}
+	path := filepath.Join(folder, storeFile)
+	db, err := bolt.Open(path, storeMode, &bolt.Options{Timeout: lockTimeout})
+	if err != nil {
+		return nil, loaded{}, openError(err)
+	}
+	content, err = load(db)
+	if err != nil {
+		return nil, loaded{}, errors.Join(err, db.Close())
+	}
+	s := &store{db: db, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	go s.run()
+	return s, content, nil
+}
+
+// openError tells a damaged file from one that cannot be opened now.
+func openError(err error) error {
+	for _, damage := range []error{bolterrors.ErrInvalid, bolterrors.ErrChecksum, bolterrors.ErrVersionMismatch} {
+		if errors.Is(err, damage) {
+			return fmt.Errorf("%w: %w", ErrCorrupt, err)
+		}
+	}
+	return fmt.Errorf("claims: open %s: %w", storeFile, err)
+}
+
+// setAside renames a damaged file, so that it can be looked at, and makes room for a new one.
+func setAside(folder string, now time.Time) error {
+	path := filepath.Join(folder, storeFile)
+	return os.Rename(path, fmt.Sprintf("%s.damaged-%d", path, now.UnixNano()))
+}
+
+func load(db *bolt.DB) (loaded, error) {
+	content := loaded{history: make(homeHistory)}
+	err := db.Update(func(tx *bolt.Tx) error {
+		for _, name := range allBuckets {
+			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
+				return err
+			}
+		}
+		return loadMeta(tx.Bucket(bucketMeta), &content)
+	})
+	if err != nil {
+		return content, err
+	}
+	return content, db.View(func(tx *bolt.Tx) error { return loadTable(tx, &content) })
+}
+
+func loadMeta(meta *bolt.Bucket, content *loaded) error {
+	format := meta.Get(keyFormat)
+	if format == nil {
+		return meta.Put(keyFormat, []byte{storeFormat})
+	}
+	if !bytes.Equal(format, []byte{storeFormat}) {
+		return ErrFormat
+	}
+	content.opened = meta.Get(keyOpened) != nil
+	if history := meta.Get(keyHistory); history != nil {
+		return unseal(history, &content.history)
+	}
+	return nil
+}
+
+func loadTable(tx *bolt.Tx, content *loaded) error {
+	err := tx.Bucket(bucketRecords).ForEach(func(_, value []byte) error {
+		var entry diskRecord
+		if err := unseal(value, &entry); err != nil {
+			return err
+		}
+		content.changes = append(content.changes, change{key: entry.Key, record: &entry.Record})
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return tx.Bucket(bucketTombstones).ForEach(func(id, value []byte) error {
+		var until time.Time
+		if err := unseal(value, &until); err != nil {
+			return err
+		}
+		content.changes = append(content.changes, change{tombstone: string(id), until: until})
+		return nil
+	})
+}
+
+// enqueue takes changes to be written after all those taken before. The channel receives once they are durable, or
+// cannot be. Callers that must keep an order call enqueue in it.
+func (s *store) enqueue(w write) <-chan error {
+	w.result = make(chan error, 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.failed != nil:
+		w.result <- s.failed
+	case s.closed:
+		w.result <- errStoreClosed
+	default:
+		s.pending = append(s.pending, w)
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
+	}
+	return w.result
+}
+
+// run commits what is pending until the store is closed.
+func (s *store) run() {
+	defer close(s.done)
+	for range s.wake {
+		s.mu.Lock()
+		batch := s.pending
+		s.pending = nil
+		failed := s.failed
+		closed := s.closed
+		s.mu.Unlock()
+		s.commit(batch, failed)
+		if closed {
+			return
+		}
+	}
+}
+
+// commit writes a batch with one sync. A failure is final: the file may lack what the table holds.
+func (s *store) commit(batch []write, failed error) {
+	if len(batch) == 0 {
+		return
+	}
+	if failed == nil {
+		if err := s.db.Update(func(tx *bolt.Tx) error { return writeAll(tx, batch) }); err != nil {
+			failed = fmt.Errorf("%w: %w", ErrStoreFailed, err)
+			s.mu.Lock()
+			s.failed = failed
+			s.mu.Unlock()
+		}
+	}
+	for _, w := range batch {
+		w.result <- failed
+	}
+}
+
+func writeAll(tx *bolt.Tx, batch []write) error {
+	for _, w := range batch {
+		for _, c := range w.changes {
+			if err := writeChange(tx, c); err != nil {
+				return err
+			}
+		}
+		if err := writeMeta(tx.Bucket(bucketMeta), w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeMeta(meta *bolt.Bucket, w write) error {
+	if w.opened {
+		if err := meta.Put(keyOpened, []byte{1}); err != nil {
+			return err
+		}
+	}
+	if w.history == nil {
+		return nil
+	}
+	sealed, err := seal(w.history)
+	if err != nil {
+		return err
+	}
+	return meta.Put(keyHistory, sealed)
+}
+
+func writeChange(tx *bolt.Tx, c change) error {
+	if c.tombstone != "" {
+		return writeTombstone(tx.Bucket(bucketTombstones), c)
+	}
+	records := tx.Bucket(bucketRecords)
+	if c.record == nil {
+		return records.Delete(diskKey(c.key))
+	}
+	sealed, err := seal(diskRecord{Key: c.key, Record: *c.record})
+	if err != nil {
+		return err
+	}
+	return records.Put(diskKey(c.key), sealed)
+}
+
+func writeTombstone(tombstones *bolt.Bucket, c change) error {
+	if c.until.IsZero() {
+		return tombstones.Delete([]byte(c.tombstone))
+	}
+	sealed, err := seal(c.until)
+	if err != nil {
+		return err
+	}
+	return tombstones.Put([]byte(c.tombstone), sealed)
+}
+
+// close commits what is pending and closes the file.
+func (s *store) close() error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil
+	}
+	s.closed = true
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	<-s.done
+	return s.db.Close()
+}
+
+// diskKey is of one length, whatever the key.
+func diskKey(key Key) []byte {
+	sum := sha256.Sum256([]byte(key.Caller + "\x00" + key.Pool + "\x00" + key.Key))
+	return sum[:]
+}
+
+// seal encodes a value behind its checksum.
+func seal(value any) ([]byte, error) {
+	var buffer bytes.Buffer
+	buffer.Write(make([]byte, checksumBytes))
+	if err := gob.NewEncoder(&buffer).Encode(value); err != nil {
+		return nil, err
+	}
+	sealed := buffer.Bytes()
+	binary.BigEndian.PutUint64(sealed, xxhash.Sum64(sealed[checksumBytes:]))
+	return sealed, nil
+}
+
+// unseal checks and decodes what seal returned.
+func unseal(sealed []byte, value any) error {
+	if len(sealed) < checksumBytes {
+		return ErrCorrupt
+	}
+	if binary.BigEndian.Uint64(sealed) != xxhash.Sum64(sealed[checksumBytes:]) {
+		return ErrCorrupt
+	}
+	if err := gob.NewDecoder(bytes.NewReader(sealed[checksumBytes:])).Decode(value); err != nil {
+		return fmt.Errorf("%w: %w", ErrCorrupt, err)
+	}
+	return nil
+}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"github.com/covelink/covelink/internal/claims"
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/configsync"
 	"github.com/covelink/covelink/internal/dispatch"
@@ -53,6 +54,7 @@
 	Weights   *weights.Manager
 	Dispatch  *dispatch.Manager
 	Rollout   *rollout.Manager
+	Claims    *claims.Manager
 	Gateway   *gateway.Gateway
 	HTTP      *http.Server
 }
@@ -77,12 +79,14 @@
 	l.Sync.Register(l.Server)
 	l.Weights.Register(l.Server)
 	l.Rollout.Register(l.Server)
+	l.Claims.Register(l.Server)
 	l.run(func() { l.report("internal listener ended", l.Server.Serve(l.Listeners.internal)) })
 	l.run(func() { l.report("http listener ended", l.HTTP.Serve(l.Listeners.http)) })
 	l.run(func() { l.report("config sync ended", l.Sync.Run(ctx)) })
 	l.run(func() { l.Weights.Run(ctx) })
 	l.run(func() { l.Dispatch.Run(ctx) })
 	l.run(func() { l.report("rollout ended", l.Rollout.Run(ctx)) })
+	l.run(func() { l.report("claims ended", l.Claims.Run(ctx)) })
 	l.run(func() { l.coordinate(ctx) })
 	l.Gateway.SetReady(true, "")
 	level.Info(l.logger).Log("msg", "started", "node", l.Self.Name, "zone", l.Self.Zone,
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 
 	"github.com/covelink/covelink/internal/auth"
+	"github.com/covelink/covelink/internal/claims"
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/configsync"
 	"github.com/covelink/covelink/internal/dispatch"
@@ -46,6 +47,7 @@
 		newWeights,
 		newDispatch,
 		newRollout,
+		newClaims,
 		newAuthenticator,
 		newGateway,
 		newResourceAPI,
@@ -169,17 +171,32 @@
 	})
 }
 
+func newClaims(config settings.Settings, self cluster.Node, source cluster.Source, client *rpc.Client,
+	logger log.Logger, registerer prometheus.Registerer) (*claims.Manager, error) {
+	return claims.New(claims.Params{
+		Self:       self,
+		Source:     source,
+		Client:     client,
+		Seeds:      seeds(config),
+		DataDir:    config.Node.DataDir,
+		Retention:  config.Timing.ClaimRetention,
+		Logger:     telemetry.For(logger, telemetry.PartClaims),
+		Registerer: registerer,
+	})
+}
+
 func newAuthenticator(config settings.Settings, source cluster.Source) *auth.Authenticator {
 	return auth.New(source, config.Operators)
 }
 
 func newGateway(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *dispatch.Manager, rollouts *rollout.Manager,
-	authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
+	claimed *claims.Manager, authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
 	return gateway.New(gateway.Params{
 		Self:       self,
 		Source:     source,
 		Dispatcher: dispatcher,
 		Rollouts:   rollouts.Service(),
+		Claims:     claimed,
 		Auth:       authenticator,
 		Limits:     config.Limits,
 		Timing:     config.Timing,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,9 @@
 	DrainTimeout time.Duration `koanf:"drainTimeout" validate:"gt=0"`
 	// RequestTimeout is the deadline of a request that has no other. Default 30s.
 	RequestTimeout time.Duration `koanf:"requestTimeout" validate:"gt=0"`
+	// ClaimRetention is how long the claim of a request that is not repeatable, and its outcome, are kept. A node that
+	// may have forgotten claims keeps none for so long. Default 10m.
+	ClaimRetention time.Duration `koanf:"claimRetention" validate:"gte=10s,lte=24h"`
 }
 
 // Limits bounds what a process takes in.
@@ -136,6 +139,7 @@
 			EnginePollInterval:  500 * time.Millisecond,
 			DrainTimeout:        10 * time.Minute,
 			RequestTimeout:      30 * time.Second,
+			ClaimRetention:      10 * time.Minute,
 		},
 		Limits: Limits{
 			MaxBodyBytes:    32 << 20,
