--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -25,7 +25,7 @@
 const (
 	// maxMemory bounds the logs of a node without a data folder, in bytes.
 	maxMemory = 256 << 20
-	// retention is how long a log is kept after its trainer left the configuration.
+	// retention is how long a log is kept that the configuration does not permit here any more.
 	retention     = 10 * time.Minute
 	sweepInterval = time.Minute
 )
@@ -71,7 +71,7 @@
 
 	mu   sync.Mutex
 	logs map[string]*keptLog
-	gone map[string]time.Time // since when the log's trainer is not in the configuration
+	gone map[string]time.Time // since when the log is not permitted here
 }
 
 // keptLog is one replica. Its lock is held while a message is handled and made durable.
@@ -116,7 +116,7 @@
 	rpc.Handle(server, func(_ context.Context, _ rpc.Peer, request Discard) (Discarded, error) { return k.discard(request) })
 }
 
-// Run deletes the logs of trainers that left the configuration, until ctx ends.
+// Run deletes the logs that the configuration has ceased to permit here, until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
@@ -242,20 +242,21 @@
 	return k.remove(name)
 }
 
-// sweep deletes the logs whose trainers have been gone for the retention. A node without a configuration deletes none.
+// sweep deletes the logs that were not permitted here for the retention: their trainer is gone, or its pool was moved to
+// other zones. A node without a configuration deletes none.
 func (k *Keeper) sweep(now time.Time) {
 	view := k.params.Source.Current()
 	if view.Revision == 0 || !view.Serving {
 		return
 	}
 	for _, name := range k.names() {
-		trainer, _ := strings.CutPrefix(name, leadership.TrainerLease(""))
-		if _, ok := view.Trainers[trainer]; ok {
+		if k.permitted(name, []string{k.params.Self.Zone}) {
 			k.setGone(name, time.Time{})
 			continue
 		}
 		if since := k.setGone(name, now); now.Sub(since) >= retention {
 			k.sweepLog(name)
+			k.setGone(name, time.Time{})
 		}
 	}
 }
@@ -268,12 +269,7 @@
 		level.Warn(k.logger).Log("msg", "log not deleted", "log", name, "err", err)
 		return
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	delete(k.logs, name)
-	delete(k.gone, name)
-	k.metrics.logs.Set(float64(len(k.logs)))
-	level.Info(k.logger).Log("msg", "deleted the log of a trainer that is gone", "log", name)
+	level.Info(k.logger).Log("msg", "deleted a log that is not permitted here any more", "log", name)
 }
 
 // names returns the logs in memory and in the data folder.
@@ -291,7 +287,7 @@
 	return slices.Compact(names)
 }
 
-// setGone notes since when a trainer is gone; the zero time says that it is there. It returns the first such time.
+// setGone notes since when a log is not permitted; the zero time says that it is. It returns the first such time.
 func (k *Keeper) setGone(name string, now time.Time) time.Time {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -20,7 +20,9 @@
 	"github.com/covelink/covelink/internal/engine"
 	"github.com/covelink/covelink/internal/gateway"
 	"github.com/covelink/covelink/internal/inventory"
+	"github.com/covelink/covelink/internal/keeper"
 	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/ledgerlog"
 	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
 	"github.com/covelink/covelink/internal/rollout"
@@ -55,6 +57,8 @@
 	Inventory *inventory.Inventory
 	Weights   *weights.Manager
 	Dispatch  *dispatch.Manager
+	Keeper    *keeper.Keeper
+	Logs      *ledgerlog.Opener
 	Rollout   *rollout.Manager
 	Gateway   *gateway.Gateway
 	Resources *resourceapi.API
@@ -80,6 +84,7 @@
 	l.cancel = cancel
 	l.Sync.Register(l.Server)
 	l.Weights.Register(l.Server)
+	l.Keeper.Register(l.Server)
 	l.Rollout.Register(l.Server)
 	l.run(func() {
 		l.report("internal listener ended", l.Server.Serve(secure(l.Listeners.internal, l.TLS.internal)))
@@ -88,6 +93,7 @@
 	l.run(func() { l.report("config sync ended", l.Sync.Run(ctx)) })
 	l.run(func() { l.Weights.Run(ctx) })
 	l.run(func() { l.Dispatch.Run(ctx) })
+	l.run(func() { l.Keeper.Run(ctx) })
 	l.run(func() { l.report("rollout ended", l.Rollout.Run(ctx)) })
 	l.run(func() { l.coordinate(ctx) })
 	l.Gateway.SetReady(true, "")
@@ -126,6 +132,9 @@
 	err = errors.Join(err, l.Server.Drain(drainCtx))
 	l.close()
 	l.tasks.Wait()
+	// Last: this node's replicas serve other nodes' ledgers until no request is left.
+	l.Logs.Close()
+	err = errors.Join(err, l.Keeper.Close())
 	level.Info(l.logger).Log("msg", "stopped", "err", err)
 	return err
 }
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -16,7 +16,9 @@
 	"github.com/covelink/covelink/internal/engine"
 	"github.com/covelink/covelink/internal/gateway"
 	"github.com/covelink/covelink/internal/inventory"
+	"github.com/covelink/covelink/internal/keeper"
 	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/ledgerlog"
 	"github.com/covelink/covelink/internal/objectapi"
 	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
@@ -49,6 +51,8 @@
 		newDispatch,
 		newRecorder,
 		newRecordedDispatcher,
+		newKeeper,
+		newLogs,
 		newRollout,
 		newAuthenticator,
 		newGateway,
@@ -167,8 +171,31 @@
 	return recorder.NewDispatcher(recorded, manager, manager)
 }
 
+func newKeeper(config settings.Settings, self cluster.Node, source cluster.Source, logger log.Logger,
+	registerer prometheus.Registerer) (*keeper.Keeper, error) {
+	return keeper.New(keeper.Params{
+		Self:       self,
+		Source:     source,
+		Node:       config.Node,
+		Logger:     telemetry.For(logger, telemetry.PartKeeper),
+		Registerer: registerer,
+	})
+}
+
+func newLogs(config settings.Settings, self cluster.Node, source cluster.Source, client *rpc.Client, local *keeper.Keeper,
+	logger log.Logger) *ledgerlog.Opener {
+	return ledgerlog.New(ledgerlog.Params{
+		Self:   self,
+		Source: source,
+		Seeds:  seeds(config),
+		Client: client,
+		Local:  local,
+		Logger: telemetry.For(logger, telemetry.PartKeeper),
+	})
+}
+
 func newRollout(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *recorder.Dispatcher, elector leadership.Elector,
-	client *rpc.Client, publisher *weights.Manager, logger log.Logger, registerer prometheus.Registerer) *rollout.Manager {
+	client *rpc.Client, publisher *weights.Manager, logs *ledgerlog.Opener, logger log.Logger, registerer prometheus.Registerer) *rollout.Manager {
 	return rollout.New(rollout.Params{
 		Self:       self,
 		Source:     source,
@@ -176,7 +203,7 @@
 		Elector:    elector,
 		Client:     client,
 		Publisher:  publisher,
-		Logs:       rollout.NewMemoryLogs(),
+		Logs:       logs,
 		Scorer:     rollout.HTTPScorer{Client: &http.Client{Timeout: config.Timing.RequestTimeout}},
 		Limits:     config.Limits,
 		Logger:     logger,
