--- a/internal/keeper/commit.go
+++ b/internal/keeper/commit.go
@@ -87,13 +87,12 @@
 	}
 	err := protect(func() error {
 		return d.db.Update(func(tx *bbolt.Tx) error {
-			used := d.used(tx)
+			room := d.room(tx)
 			for _, u := range group {
-				if !d.fits(u, used) {
+				if !room.take(u) {
 					u.done <- quorumlog.ErrFull
 					continue
 				}
-				used += u.cost()
 				taken = append(taken, u)
 				if err := u.apply(tx); err != nil {
 					return err
@@ -122,16 +121,42 @@
 	return int64(size) * pageShare
 }
 
-// fits reports whether the update may be written. Those that add no data have a reserve, and so has a snapshot, since it
-// frees the entries before it.
-func (d *Disk) fits(u *update, used int64) bool {
+// room is what a transaction may write, in bytes.
+type room struct {
+	growth  int64 // by which the file may grow
+	reserve int64 // of the growth, for updates that free more than they take
+	free    int64 // in free pages
+}
+
+// room keeps one step of the file's growth back, which the database takes at once.
+func (d *Disk) room(tx *bbolt.Tx) *room {
+	return &room{
+		growth:  d.limit - tx.Size() - int64(d.db.AllocSize),
+		reserve: d.limit / reserveShare,
+		free:    int64(d.db.Stats().FreePageN) * int64(d.db.Info().PageSize),
+	}
+}
+
+// take reports whether the update may be written, and counts it. Free pages are counted at half, since a write may need
+// some beside each other. Updates that add no data always fit. A snapshot may use the reserve: it frees the entries
+// before it.
+func (r *room) take(u *update) bool {
 	cost := u.cost()
 	if cost == 0 {
 		return true
 	}
-	limit := d.limit
+	cost += updateOverhead
+	growth := r.growth
 	if u.content.Snapshot == nil {
-		limit -= d.limit / reserveShare
+		growth -= r.reserve
+	}
+	switch {
+	case cost <= r.free/2:
+		r.free -= 2 * cost
+	case cost <= growth:
+		r.growth -= cost
+	default:
+		return false
 	}
-	return used+cost+updateOverhead <= limit
+	return true
 }
--- a/internal/keeper/disk.go
+++ b/internal/keeper/disk.go
@@ -22,7 +22,7 @@
 	folderMode    = 0o700
 	lockTimeout   = 2 * time.Second
 	// allocation is the step in which the file grows, in bytes.
-	allocation = 256 << 10
+	allocation = 64 << 10
 )
 
 // format is the version of the layout that this code writes.
@@ -177,9 +177,3 @@
 	})
 	return names, err
 }
-
-// used returns the bytes of the file that hold something.
-func (d *Disk) used(tx *bbolt.Tx) int64 {
-	stats := d.db.Stats()
-	return tx.Size() - int64(stats.FreePageN+stats.PendingPageN)*int64(d.db.Info().PageSize)
-}
