--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -21,7 +21,9 @@
 	"github.com/covelink/covelink/internal/engine"
 	"github.com/covelink/covelink/internal/gateway"
 	"github.com/covelink/covelink/internal/inventory"
+	"github.com/covelink/covelink/internal/keeper"
 	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/ledgerlog"
 	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
 	"github.com/covelink/covelink/internal/rollout"
@@ -56,6 +58,8 @@
 	Inventory *inventory.Inventory
 	Weights   *weights.Manager
 	Dispatch  *dispatch.Manager
+	Keeper    *keeper.Keeper
+	Logs      *ledgerlog.Opener
 	Rollout   *rollout.Manager
 	Claims    *claims.Manager
 	Gateway   *gateway.Gateway
@@ -88,6 +92,7 @@
 	l.Elector.Register(l.Server)
 	l.Sync.Register(l.Server)
 	l.Weights.Register(l.Server)
+	l.Keeper.Register(l.Server)
 	l.Rollout.Register(l.Server)
 	l.Claims.Register(l.Server)
 	l.run(func() {
@@ -98,6 +103,7 @@
 	l.run(func() { l.report("config sync ended", l.Sync.Run(ctx)) })
 	l.run(func() { l.Weights.Run(ctx) })
 	l.run(func() { l.Dispatch.Run(ctx) })
+	l.run(func() { l.Keeper.Run(ctx) })
 	l.run(func() { l.report("claims ended", l.Claims.Run(ctx)) })
 	l.campaigns.Go(func() { l.report("rollout ended", l.Rollout.Run(ctx)) })
 	l.campaigns.Go(func() { l.coordinate(ctx) })
@@ -139,6 +145,9 @@
 	l.cancelElector()
 	l.close()
 	l.tasks.Wait()
+	// Last: this node's replicas serve other nodes' ledgers until no request is left.
+	l.Logs.Close()
+	err = errors.Join(err, l.Keeper.Close())
 	level.Info(l.logger).Log("msg", "stopped", "err", err)
 	return err
 }
