--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"github.com/covelink/covelink/internal/auth"
 	"github.com/covelink/covelink/internal/claims"
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/configsync"
@@ -21,6 +22,7 @@
 	"github.com/covelink/covelink/internal/gateway"
 	"github.com/covelink/covelink/internal/inventory"
 	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
 	"github.com/covelink/covelink/internal/rollout"
 	"github.com/covelink/covelink/internal/rpc"
@@ -45,9 +47,10 @@
 	Self      cluster.Node
 	Logger    log.Logger
 	Listeners listeners
+	TLS       certificates
 	Server    *rpc.Server
 	Client    *rpc.Client
-	Elector   leadership.Elector
+	Elector   *leadership.LeaseElector
 	Sync      *configsync.Manager
 	Engines   *engine.Client
 	Inventory *inventory.Inventory
@@ -56,6 +59,7 @@
 	Rollout   *rollout.Manager
 	Claims    *claims.Manager
 	Gateway   *gateway.Gateway
+	Resources *resourceapi.API
 	HTTP      *http.Server
 }
 
@@ -65,6 +69,9 @@
 	logger log.Logger
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
+	// campaigns are the tasks that may hold leases; the elector outlasts them, so that they release what they hold.
+	campaigns     sync.WaitGroup
+	cancelElector context.CancelFunc
 }
 
 func registerLifecycle(hooks fx.Lifecycle, params lifecycleParams) {
@@ -76,18 +83,24 @@
 func (l *lifecycle) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
+	electorCtx, cancelElector := context.WithCancel(context.Background())
+	l.cancelElector = cancelElector
+	l.Elector.Register(l.Server)
 	l.Sync.Register(l.Server)
 	l.Weights.Register(l.Server)
 	l.Rollout.Register(l.Server)
 	l.Claims.Register(l.Server)
-	l.run(func() { l.report("internal listener ended", l.Server.Serve(l.Listeners.internal)) })
-	l.run(func() { l.report("http listener ended", l.HTTP.Serve(l.Listeners.http)) })
+	l.run(func() {
+		l.report("internal listener ended", l.Server.Serve(secure(l.Listeners.internal, l.TLS.internal)))
+	})
+	l.run(func() { l.report("http listener ended", l.HTTP.Serve(secure(l.Listeners.http, l.TLS.callers))) })
+	l.run(func() { l.report("elector ended", l.Elector.Run(electorCtx)) })
 	l.run(func() { l.report("config sync ended", l.Sync.Run(ctx)) })
 	l.run(func() { l.Weights.Run(ctx) })
 	l.run(func() { l.Dispatch.Run(ctx) })
-	l.run(func() { l.report("rollout ended", l.Rollout.Run(ctx)) })
 	l.run(func() { l.report("claims ended", l.Claims.Run(ctx)) })
-	l.run(func() { l.coordinate(ctx) })
+	l.campaigns.Go(func() { l.report("rollout ended", l.Rollout.Run(ctx)) })
+	l.campaigns.Go(func() { l.coordinate(ctx) })
 	l.Gateway.SetReady(true, "")
 	level.Info(l.logger).Log("msg", "started", "node", l.Self.Name, "zone", l.Self.Zone,
 		"http", l.Listeners.http.Addr(), "internal", l.Listeners.internal.Addr())
@@ -114,13 +127,16 @@
 	defer cancel()
 	level.Info(l.logger).Log("msg", "draining")
 	l.Gateway.SetReady(false, "draining")
+	l.Resources.Stop()
 	err := errors.Join(
 		l.Rollout.HandOver(drainCtx),
 		l.Gateway.Drain(drainCtx),
 		l.Dispatch.Drain(drainCtx),
 	)
 	l.cancel()
+	l.campaigns.Wait()
 	err = errors.Join(err, l.Server.Drain(drainCtx))
+	l.cancelElector()
 	l.close()
 	l.tasks.Wait()
 	level.Info(l.logger).Log("msg", "stopped", "err", err)
@@ -149,12 +165,14 @@
 }
 
 // newHTTPServer serves callers, operators and metrics on one listener.
-func newHTTPServer(config settings.Settings, callers *gateway.Gateway, operators *resourceapi.API, registry *prometheus.Registry) *http.Server {
+func newHTTPServer(config settings.Settings, self cluster.Node, source cluster.Source, callers *gateway.Gateway, operators *resourceapi.API,
+	recorded *recorder.Recorder, authenticator *auth.Authenticator, registry *prometheus.Registry) *http.Server {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
 	router.Use(gin.Recovery())
 	callers.Routes(router)
 	operators.Routes(router)
+	recorder.Handlers{Recorder: recorded, Self: self, Source: source}.Routes(router, authenticator.Authenticate(), auth.RequireOperatorRead())
 	router.GET("/metrics", gin.WrapH(telemetry.Handler(registry)))
 	return gateway.NewHTTPServer(router, config.Limits)
 }
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -19,6 +19,7 @@
 	"github.com/covelink/covelink/internal/inventory"
 	"github.com/covelink/covelink/internal/leadership"
 	"github.com/covelink/covelink/internal/objectapi"
+	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
 	"github.com/covelink/covelink/internal/rollout"
 	"github.com/covelink/covelink/internal/rpc"
@@ -35,17 +36,21 @@
 		telemetry.NewRegistry,
 		func(registry *prometheus.Registry) prometheus.Registerer { return registry },
 		telemetry.NewRPCMetrics,
+		newCertificates,
 		newRPCServer,
 		newRPCClient,
 		cluster.NewHolder,
 		func(holder *cluster.Holder) cluster.Source { return holder },
 		newElector,
+		func(elector *leadership.LeaseElector) leadership.Elector { return elector },
 		newStore,
 		newConfigSync,
 		newEngineClient,
 		newInventory,
 		newWeights,
 		newDispatch,
+		newRecorder,
+		newRecordedDispatcher,
 		newRollout,
 		newClaims,
 		newAuthenticator,
@@ -56,23 +61,35 @@
 )
 
 func newRPCServer(config settings.Settings, logger log.Logger, observer *telemetry.RPCMetrics) *rpc.Server {
-	server := rpc.NewServer(telemetry.For(logger, telemetry.PartRPC))
+	server := rpc.NewServer(logger)
 	server.MaxFrameBytes = config.Limits.MaxFrameBytes
 	server.Observer = observer
 	return server
 }
 
-func newRPCClient(config settings.Settings, self cluster.Node, options Options, observer *telemetry.RPCMetrics) *rpc.Client {
-	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, options.Dial)
+func newRPCClient(config settings.Settings, self cluster.Node, options Options, loaded certificates,
+	observer *telemetry.RPCMetrics) *rpc.Client {
+	dial := options.Dial
+	if dial == nil {
+		dial = loaded.dial()
+	}
+	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, dial)
 	client.MaxFrameBytes = config.Limits.MaxFrameBytes
 	client.Observer = observer
 	return client
 }
 
-// newElector returns the elector over the nodes of the settings.
-func newElector(config settings.Settings, self cluster.Node, source cluster.Source) leadership.Elector {
-	return leadership.NewStatic(self.Name, seeds(config), func(name string) []string {
-		return electorate(source.Current(), name)
+// newElector returns the elector whose voters are the nodes of the settings.
+func newElector(config settings.Settings, self cluster.Node, source cluster.Source, client *rpc.Client,
+	logger log.Logger, registerer prometheus.Registerer) *leadership.LeaseElector {
+	return leadership.New(leadership.Params{
+		Self:       self,
+		Seeds:      seeds(config),
+		Electorate: func(name string) []string { return electorate(source.Current(), name) },
+		Client:     client,
+		Timing:     config.Timing,
+		Logger:     logger,
+		Registerer: registerer,
 	})
 }
 
@@ -107,7 +124,7 @@
 		Client:     client,
 		Holder:     holder,
 		Timing:     config.Timing,
-		Logger:     telemetry.For(logger, telemetry.PartConfigSync),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -123,12 +140,12 @@
 		Source:     source,
 		Timing:     config.Timing,
 		Publish:    sync.SetEngines,
-		Logger:     telemetry.For(logger, telemetry.PartInventory),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
 
-func newWeights(self cluster.Node, source cluster.Source, engines *engine.Client, elector leadership.Elector, client *rpc.Client,
+func newWeights(self cluster.Node, source cluster.Source, engines *engine.Client, elector *leadership.LeaseElector, client *rpc.Client,
 	engineInventory *inventory.Inventory, logger log.Logger, registerer prometheus.Registerer) *weights.Manager {
 	return weights.New(weights.Params{
 		Self:       self,
@@ -137,7 +154,8 @@
 		Elector:    elector,
 		Client:     client,
 		Observe:    engineInventory.Observe,
-		Logger:     telemetry.For(logger, telemetry.PartWeights),
+		Fenced:     elector.ObserveToken,
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -149,12 +167,18 @@
 		Self:       self,
 		Engines:    engines,
 		Limits:     config.Limits,
-		Logger:     telemetry.For(logger, telemetry.PartDispatch),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
 
-func newRollout(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *dispatch.Manager, elector leadership.Elector,
+func newRecorder() *recorder.Recorder { return recorder.New(nil) }
+
+func newRecordedDispatcher(recorded *recorder.Recorder, manager *dispatch.Manager) *recorder.Dispatcher {
+	return recorder.NewDispatcher(recorded, manager, manager)
+}
+
+func newRollout(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *recorder.Dispatcher, elector leadership.Elector,
 	client *rpc.Client, publisher *weights.Manager, logger log.Logger, registerer prometheus.Registerer) *rollout.Manager {
 	return rollout.New(rollout.Params{
 		Self:       self,
@@ -166,7 +190,7 @@
 		Logs:       rollout.NewMemoryLogs(),
 		Scorer:     rollout.HTTPScorer{Client: &http.Client{Timeout: config.Timing.RequestTimeout}},
 		Limits:     config.Limits,
-		Logger:     telemetry.For(logger, telemetry.PartRollout),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -189,18 +213,18 @@
 	return auth.New(source, config.Operators)
 }
 
-func newGateway(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *dispatch.Manager, rollouts *rollout.Manager,
-	claimed *claims.Manager, authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
+func newGateway(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *recorder.Dispatcher, rollouts *rollout.Manager,
+	recorded *recorder.Recorder, claimed *claims.Manager, authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
 	return gateway.New(gateway.Params{
 		Self:       self,
 		Source:     source,
 		Dispatcher: dispatcher,
-		Rollouts:   rollouts.Service(),
+		Rollouts:   recorder.NewService(recorded, rollouts.Service()),
 		Claims:     claimed,
 		Auth:       authenticator,
 		Limits:     config.Limits,
 		Timing:     config.Timing,
-		Logger:     telemetry.For(logger, telemetry.PartGateway),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -209,6 +233,6 @@
 	return resourceapi.New(resourceapi.Params{
 		Backend:    backend,
 		Identifier: authenticator,
-		Logger:     telemetry.For(logger, telemetry.PartResourceAPI),
+		Logger:     logger,
 	})
 }
