--- a/coord/membership/network_test.go
+++ b/coord/membership/network_test.go
@@ -45,6 +45,32 @@
 	// lag delays all that the process takes in.
 	lag  time.Duration
 	wake time.Time
+	// index is the host's place among the wakes.
+	index int
+}
+
+// wakes is a heap of hosts by the time at which they run next.
+type wakes []*host
+
+func (w wakes) Len() int { return len(w) }
+func (w wakes) Less(i, j int) bool {
+	if !w[i].wake.Equal(w[j].wake) {
+		return w[i].wake.Before(w[j].wake)
+	}
+	return w[i].member.Name < w[j].member.Name
+}
+func (w wakes) Swap(i, j int) {
+	w[i], w[j] = w[j], w[i]
+	w[i].index, w[j].index = i, j
+}
+func (w *wakes) Push(x any) {
+	x.(*host).index = len(*w)
+	*w = append(*w, x.(*host))
+}
+func (w *wakes) Pop() any {
+	last := (*w)[len(*w)-1]
+	*w = (*w)[:len(*w)-1]
+	return last
 }
 
 // network runs members in virtual time.
@@ -55,6 +81,7 @@
 	hosts  map[string]*host
 	names  []string
 	queue  deliveries
+	wakes  wakes
 	sent   int
 	// loss and duplication are probabilities; delay is at most maxDelay.
 	loss, duplication float64
@@ -80,11 +107,14 @@
 func (w *network) start(member Member, incarnation uint64, contacts []Member) *host {
 	random := rand.New(rand.NewPCG(w.random.Uint64(), 2))
 	h := &host{member: member, node: New(w.config, member, incarnation, contacts, random, w.now)}
-	if _, again := w.hosts[member.Name]; !again {
+	h.wake = h.node.NextWake()
+	if former, again := w.hosts[member.Name]; again {
+		heap.Remove(&w.wakes, former.index)
+	} else {
 		w.names = append(w.names, member.Name)
 	}
 	w.hosts[member.Name] = h
-	h.wake = h.node.NextWake()
+	heap.Push(&w.wakes, h)
 	return h
 }
 
@@ -147,28 +177,36 @@
 
 // step executes the next event before end.
 func (w *network) step(end time.Time) bool {
-	next, at := (*host)(nil), end
-	for _, name := range w.names {
-		h := w.hosts[name]
-		if wake := later(h.wake, h.pausedUntil); !h.down && wake.Before(at) {
-			next, at = h, wake
-		}
-	}
+	next := w.wakes[0]
+	at := next.wake
 	if len(w.queue) > 0 && w.queue[0].at.Before(at) {
-		w.deliver(heap.Pop(&w.queue).(delivery))
-		return true
+		at = w.queue[0].at
+		next = nil
 	}
-	if next == nil {
+	if !at.Before(end) {
 		return false
 	}
 	w.now = later(w.now, at)
-	w.send(next.member.Name, next.node.Tick(w.now))
-	w.settle(next)
+	switch {
+	case next == nil:
+		w.deliver(heap.Pop(&w.queue).(delivery))
+	case next.down:
+		w.postpone(next, end.Add(time.Hour))
+	case w.now.Before(next.pausedUntil):
+		w.postpone(next, next.pausedUntil)
+	default:
+		w.send(next.member.Name, next.node.Tick(w.now))
+		w.settle(next)
+	}
 	return true
 }
 
+func (w *network) postpone(h *host, at time.Time) {
+	h.wake = at
+	heap.Fix(&w.wakes, h.index)
+}
+
 func (w *network) deliver(d delivery) {
-	w.now = later(w.now, d.at)
 	h := w.hosts[d.to]
 	if h == nil || h.down {
 		return
@@ -183,7 +221,7 @@
 }
 
 func (w *network) settle(h *host) {
-	h.wake = h.node.NextWake()
+	w.postpone(h, h.node.NextWake())
 	w.onEvent(h)
 }
 
--- a/coord/membership/node.go
+++ b/coord/membership/node.go
@@ -165,9 +165,9 @@
 // NextWake returns when Tick is to be called next.
 func (n *Node) NextWake() time.Time {
 	next := n.nextProbe
-	for _, at := range []time.Time{n.nextBridge, n.nextSync, n.nextExpire} {
-		next = earlier(next, at)
-	}
+	next = earlier(next, n.nextBridge)
+	next = earlier(next, n.nextSync)
+	next = earlier(next, n.nextExpire)
 	if !n.queue.empty() {
 		next = earlier(next, n.nextGossip)
 	}
@@ -180,7 +180,7 @@
 	if n.suspects == 0 {
 		return next
 	}
-	for _, e := range n.table.entries {
+	for _, e := range n.table.list {
 		if e.State == Suspect {
 			next = earlier(next, e.suspectUntil)
 		}
@@ -218,7 +218,7 @@
 		r.deadline = r.deadline.Add(stalled)
 		n.relays[name] = r
 	}
-	for _, e := range n.table.entries {
+	for _, e := range n.table.list {
 		e.suspectUntil = e.suspectUntil.Add(stalled)
 	}
 	for _, at := range []*time.Time{&n.nextProbe, &n.nextBridge, &n.nextSync, &n.nextExpire, &n.nextGossip} {
@@ -232,7 +232,7 @@
 }
 
 func (n *Node) zoneSize() int {
-	return len(n.table.all(func(e *entry) bool { return e.Member.Zone == n.zone && e.State.Live() }))
+	return n.table.count(func(e *entry) bool { return e.Member.Zone == n.zone && e.State.Live() })
 }
 
 func (n *Node) suspicionTimeout() time.Duration {
@@ -242,7 +242,7 @@
 }
 
 func (n *Node) retransmitLimit() int {
-	return n.config.RetransmitMultiplier * int(math.Ceil(math.Log2(float64(len(n.table.names)+1))))
+	return n.config.RetransmitMultiplier * int(math.Ceil(math.Log2(float64(len(n.table.list)+1))))
 }
 
 func (n *Node) widened(d time.Duration) time.Duration { return d * time.Duration(1+n.health) }
--- a/coord/membership/probe.go
+++ b/coord/membership/probe.go
@@ -57,7 +57,7 @@
 
 func (n *Node) nextTarget() *entry {
 	if len(n.order) == 0 {
-		for _, e := range n.table.sample(n.random, len(n.table.names), n.neighbour) {
+		for _, e := range n.table.sample(n.random, len(n.table.list), n.neighbour) {
 			n.order = append(n.order, e.Member.Name)
 		}
 	}
@@ -149,6 +149,9 @@
 		if known == nil || n.bridgesOf(known.Member.Zone) != message.Bridges {
 			answer.Differing = 1
 		}
+		if answer.Differing != 0 && known != nil {
+			answer.Records = recordsOf(n.table.bridges(known.Member.Zone, n.config.BridgesPerZone))
+		}
 	}
 	out.add(n.address(from), n.withNews(from, answer))
 }
--- a/coord/membership/table.go
+++ b/coord/membership/table.go
@@ -16,6 +16,9 @@
 // recordOverheadBytes estimates what a record takes on the wire beside its strings.
 const recordOverheadBytes = 16
 
+// triesPerSample is the number of random tries for each entry of a sample.
+const triesPerSample = 4
+
 // entry is a record and what is known of it here only.
 type entry struct {
 	Record
@@ -33,8 +36,8 @@
 // table holds the known members, the process itself included.
 type table struct {
 	entries map[string]*entry
-	// names are the keys of entries in order, so that choices depend on the random source alone.
-	names []string
+	// list holds the entries in the order of their names, so that choices depend on the random source alone.
+	list []*entry
 }
 
 func newTable() *table { return &table{entries: make(map[string]*entry)} }
@@ -46,8 +49,8 @@
 	if known == nil {
 		known = &entry{id: rendezvous.Hash(record.Member.Name)}
 		t.entries[record.Member.Name] = known
-		at, _ := slices.BinarySearch(t.names, record.Member.Name)
-		t.names = slices.Insert(t.names, at, record.Member.Name)
+		at, _ := t.find(record.Member.Name)
+		t.list = slices.Insert(t.list, at, known)
 	}
 	known.Record = record
 	known.since = now
@@ -57,11 +60,15 @@
 
 func (t *table) remove(name string) {
 	delete(t.entries, name)
-	if at, found := slices.BinarySearch(t.names, name); found {
-		t.names = slices.Delete(t.names, at, at+1)
+	if at, found := t.find(name); found {
+		t.list = slices.Delete(t.list, at, at+1)
 	}
 }
 
+func (t *table) find(name string) (at int, found bool) {
+	return slices.BinarySearchFunc(t.list, name, func(e *entry, name string) int { return cmp.Compare(e.Member.Name, name) })
+}
+
 // newer reports whether a record supersedes another of the same member.
 func newer(record, known Record) bool {
 	if record.Incarnation != known.Incarnation {
@@ -73,23 +80,40 @@
 // all returns the entries that match, in the order of their names.
 func (t *table) all(match func(*entry) bool) []*entry {
 	var found []*entry
-	for _, name := range t.names {
-		if e := t.entries[name]; match(e) {
+	for _, e := range t.list {
+		if match(e) {
 			found = append(found, e)
 		}
 	}
 	return found
 }
 
-// sample returns up to count of the entries that match, at random.
+func (t *table) count(match func(*entry) bool) int {
+	count := 0
+	for _, e := range t.list {
+		if match(e) {
+			count++
+		}
+	}
+	return count
+}
+
+// sample returns up to count of the entries that match, at random. Most entries are expected to match, so it tries some
+// at random before it looks at all.
 func (t *table) sample(random *rand.Rand, count int, match func(*entry) bool) []*entry {
-	found := t.all(match)
-	count = min(count, len(found))
-	for i := range count {
-		j := i + random.IntN(len(found)-i)
-		found[i], found[j] = found[j], found[i]
+	found := make([]*entry, 0, count)
+	for tries := triesPerSample * count; tries > 0 && len(found) < count; tries-- {
+		e := t.list[random.IntN(len(t.list))]
+		if match(e) && !slices.Contains(found, e) {
+			found = append(found, e)
+		}
+	}
+	if len(found) == count {
+		return found
 	}
-	return found[:count]
+	found = t.all(match)
+	random.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+	return found[:min(count, len(found))]
 }
 
 // ranked returns the entries of a zone that match, in the zone's rendezvous order.
@@ -114,7 +138,7 @@
 // zones returns the zones of the known members, in order.
 func (t *table) zones() []string {
 	seen := make(map[string]struct{})
-	for _, e := range t.entries {
+	for _, e := range t.list {
 		seen[e.Member.Zone] = struct{}{}
 	}
 	return slices.Sorted(maps.Keys(seen))
@@ -124,7 +148,7 @@
 // own time, nor have suspicions, which pass.
 func (t *table) digest() []uint64 {
 	sums := make([]uint64, digestParts)
-	for _, e := range t.entries {
+	for _, e := range t.list {
 		if e.State != Dead {
 			sums[e.id%digestParts] ^= recordHash(e)
 		}
--- a/coord/membership/zones.go
+++ b/coord/membership/zones.go
@@ -57,7 +57,7 @@
 		out.add(other, ask)
 	}
 	if message.Differing != 0 && n.budget.allows(now) {
-		tell := Message{Kind: Gossip, Records: n.zoneReport(nil)}
+		tell := Message{Kind: Gossip, Records: n.zoneReport(message.Records)}
 		n.budget.spend(tell.Records)
 		out.add(other, tell)
 	}
