--- a/internal/configsync/backend.go
+++ b/internal/configsync/backend.go
@@ -2,12 +2,10 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 
 	v1 "github.com/covelink/covelink/api/v1"
-	"github.com/covelink/covelink/internal/leadership"
 	"github.com/covelink/covelink/internal/objectapi"
 	"github.com/covelink/covelink/internal/resourceapi"
 	"github.com/covelink/covelink/internal/rpc"
@@ -24,7 +22,7 @@
 
 func (m *Manager) observeLocked() observation {
 	state := m.replica.State()
-	return observation{state: state, index: m.index, engines: enginesOf(state.Inventories), nodes: m.nodes}
+	return observation{state: state, index: m.index, engines: enginesOf(state.Inventories), nodes: m.nodes, since: m.since}
 }
 
 // read returns the objects of a kind with their statuses, sorted by name. The caller owns them.
@@ -41,10 +39,6 @@
 	return objects
 }
 
-func compareObjects(a, b v1.RawObject) int {
-	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Metadata.Name, b.Metadata.Name))
-}
-
 // List implements resourceapi.Backend from the node's view.
 func (m *Manager) List(_ context.Context, kind v1.Kind) ([]v1.Object, uint64, error) {
 	seen := m.observe()
@@ -100,40 +94,12 @@
 	return m.observe().fill(stored), nil
 }
 
-// forward sends a write to the zone's coordinator. Its errors are *v1.Error.
-func (m *Manager) forward(ctx context.Context, request writeRequest) (writeReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.params.Timing.RequestTimeout)
-	defer cancel()
-	holder, ok := m.params.Elector.Holder(leadership.ZoneLease(m.self.Zone))
-	if !ok {
-		return writeReply{}, v1.NotRun(v1.CodeUnavailable, retryAfterUnavailable, "zone %s has no coordinator", m.self.Zone)
-	}
-	if holder.Name == m.self.Name {
-		return m.serveWrite(ctx, rpc.Peer{Name: m.self.Name, Zone: m.self.Zone}, request)
-	}
-	reply, err := rpc.Call[writeRequest, writeReply](ctx, m.params.Client, holder.Address, request)
-	if err == nil {
-		return reply, nil
-	}
-	var typed *v1.Error
-	switch {
-	case errors.As(err, &typed):
-		return writeReply{}, typed
-	case errors.Is(err, rpc.ErrNotSent):
-		return writeReply{}, v1.NotRun(v1.CodeUnavailable, retryAfterUnavailable, "coordinator %s cannot be reached", holder.Name)
-	}
-	return writeReply{}, unknownOutcome("coordinator " + holder.Name + " did not answer")
-}
-
 // serveWrite executes a write on the coordinator.
 func (m *Manager) serveWrite(ctx context.Context, peer rpc.Peer, request writeRequest) (writeReply, error) {
 	if err := m.checkZone(peer); err != nil {
 		return writeReply{}, err
 	}
-	m.mu.Lock()
-	leading := m.term != nil
-	m.mu.Unlock()
-	if !leading {
+	if !m.leading() {
 		return writeReply{}, m.errNotCoordinator()
 	}
 	stored, err := m.execute(ctx, request)
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"github.com/covelink/covelink/internal/auth"
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/configsync"
 	"github.com/covelink/covelink/internal/dispatch"
@@ -20,6 +21,7 @@
 	"github.com/covelink/covelink/internal/gateway"
 	"github.com/covelink/covelink/internal/inventory"
 	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
 	"github.com/covelink/covelink/internal/rollout"
 	"github.com/covelink/covelink/internal/rpc"
@@ -44,6 +46,7 @@
 	Self      cluster.Node
 	Logger    log.Logger
 	Listeners listeners
+	TLS       certificates
 	Server    *rpc.Server
 	Client    *rpc.Client
 	Elector   leadership.Elector
@@ -54,6 +57,7 @@
 	Dispatch  *dispatch.Manager
 	Rollout   *rollout.Manager
 	Gateway   *gateway.Gateway
+	Resources *resourceapi.API
 	HTTP      *http.Server
 }
 
@@ -77,8 +81,10 @@
 	l.Sync.Register(l.Server)
 	l.Weights.Register(l.Server)
 	l.Rollout.Register(l.Server)
-	l.run(func() { l.report("internal listener ended", l.Server.Serve(l.Listeners.internal)) })
-	l.run(func() { l.report("http listener ended", l.HTTP.Serve(l.Listeners.http)) })
+	l.run(func() {
+		l.report("internal listener ended", l.Server.Serve(secure(l.Listeners.internal, l.TLS.internal)))
+	})
+	l.run(func() { l.report("http listener ended", l.HTTP.Serve(secure(l.Listeners.http, l.TLS.callers))) })
 	l.run(func() { l.report("config sync ended", l.Sync.Run(ctx)) })
 	l.run(func() { l.Weights.Run(ctx) })
 	l.run(func() { l.Dispatch.Run(ctx) })
@@ -110,6 +116,7 @@
 	defer cancel()
 	level.Info(l.logger).Log("msg", "draining")
 	l.Gateway.SetReady(false, "draining")
+	l.Resources.Stop()
 	err := errors.Join(
 		l.Rollout.HandOver(drainCtx),
 		l.Gateway.Drain(drainCtx),
@@ -145,12 +152,14 @@
 }
 
 // newHTTPServer serves callers, operators and metrics on one listener.
-func newHTTPServer(config settings.Settings, callers *gateway.Gateway, operators *resourceapi.API, registry *prometheus.Registry) *http.Server {
+func newHTTPServer(config settings.Settings, self cluster.Node, source cluster.Source, callers *gateway.Gateway, operators *resourceapi.API,
+	recorded *recorder.Recorder, authenticator *auth.Authenticator, registry *prometheus.Registry) *http.Server {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
 	router.Use(gin.Recovery())
 	callers.Routes(router)
 	operators.Routes(router)
+	recorder.Handlers{Recorder: recorded, Self: self, Source: source}.Routes(router, authenticator.Authenticate(), auth.RequireOperatorRead())
 	router.GET("/metrics", gin.WrapH(telemetry.Handler(registry)))
 	return gateway.NewHTTPServer(router, config.Limits)
 }
