membership: zones report on what others believe of them; seeds are presumed live

A zone that lost all its bridges at once stayed unknown to the others: the new bridges rank below the dead ones and were dropped. The answer to a probe from another zone now says who was believed in, and the zone tells what became of them.

--- a/coord/membership/learn.go
+++ b/coord/membership/learn.go
@@ -8,6 +8,9 @@
 		n.learnSelf(now, from, record, out)
 		return false
 	}
+	if record.Incarnation == 0 {
+		return false
+	}
 	if record.Member.Zone != n.zone && record.State == Suspect {
 		record.State = Alive
 	}
@@ -58,18 +61,44 @@
 		n.suspects++
 		e.suspectUntil = now.Add(n.suspicionTimeout())
 	}
-	if record.Member.Zone != n.zone && !n.trim(record.Member) {
-		return false
-	}
 	if wasLive != record.State.Live() || !sameMember {
 		n.version++
 	}
+	if e.presumed() {
+		return true
+	}
+	if record.Member.Zone != n.zone {
+		n.dropPresumed(record.Member.Zone)
+		if !n.trim(record.Member) {
+			return false
+		}
+	}
 	n.queue.add(record.Member.Name)
 	return true
 }
 
+// presume takes contacts for live members until they prove to be or fail their probes.
+func (n *Node) presume(now time.Time) {
+	for _, contact := range n.contacts {
+		n.table.put(Record{Member: contact}, now)
+		n.trim(contact)
+	}
+	n.version++
+}
+
+// dropPresumed forgets what was presumed of another zone once it has told who stands for it.
+func (n *Node) dropPresumed(zone string) {
+	for _, e := range n.table.all(func(e *entry) bool { return e.Member.Zone == zone && e.presumed() }) {
+		n.table.remove(e.Member.Name)
+		n.version++
+	}
+}
+
 // trim keeps only the bridges among the live members of another zone, and reports whether member was kept.
 func (n *Node) trim(member Member) bool {
+	if member.Zone == n.zone {
+		return true
+	}
 	ranked := n.table.ranked(member.Zone, func(e *entry) bool { return e.State.Live() })
 	if len(ranked) <= n.config.BridgesPerZone {
 		return true
--- a/coord/membership/node.go
+++ b/coord/membership/node.go
@@ -53,8 +53,9 @@
 	nextExpire time.Time
 }
 
-// New returns the part of the member self. Its incarnation must be above that of its earlier starts or, if that can't be
-// had, is raised once another member tells of a higher one. contacts are members to join through; self may be among them.
+// New returns the part of the member self. Its incarnation must be above 0 and should be above that of its earlier starts;
+// else it is raised once another member tells of a higher one. contacts are members to join through, and are taken for live
+// until their probes fail; self may be among them.
 func New(config Config, self Member, incarnation uint64, contacts []Member, random *rand.Rand, now time.Time) *Node {
 	n := &Node{
 		config:   config.withDefaults(),
@@ -67,6 +68,7 @@
 		sequence: uint64(random.Uint32()),
 	}
 	n.self = n.table.put(Record{Member: self, Incarnation: incarnation}, now)
+	n.presume(now)
 	n.budget = budget{rate: float64(n.config.BytesPerSecond), tokens: burstSeconds * float64(n.config.BytesPerSecond), at: now}
 	n.nextSync = now
 	n.nextProbe = now.Add(n.jitter(n.config.ProbeInterval))
--- a/coord/membership/probe.go
+++ b/coord/membership/probe.go
@@ -52,7 +52,7 @@
 func (n *Node) pingDirectly(now time.Time, sequence uint64, p *probe, target *entry, out *outbox) {
 	p.phase = phaseDirect
 	p.due = now.Add(n.widened(n.config.ProbeTimeout))
-	out.add(target.Member, n.withNews(target.Member.Name, Message{Kind: Ping, Sequence: sequence}))
+	out.add(target.Member, n.withNews(target.Member, Message{Kind: Ping, Sequence: sequence}))
 }
 
 func (n *Node) nextTarget() *entry {
@@ -112,7 +112,7 @@
 	p.asked += len(relays)
 	for _, relay := range relays {
 		message := Message{Kind: PingRequest, Sequence: sequence, Target: target.Member}
-		out.add(relay.Member, n.withNews(relay.Member.Name, message))
+		out.add(relay.Member, n.withNews(relay.Member, message))
 	}
 }
 
@@ -143,17 +143,15 @@
 // answerPing acknowledges. Another zone also learns from the answer which bridges stand for this one.
 func (n *Node) answerPing(from string, message Message, out *outbox) {
 	answer := Message{Kind: Ack, Sequence: message.Sequence}
-	known := n.table.get(from)
+	sender := n.sender(from, message)
 	if message.Bridges != 0 {
 		answer.Bridges = n.ownBridges()
-		if known == nil || n.bridgesOf(known.Member.Zone) != message.Bridges {
-			answer.Differing = 1
-		}
-		if answer.Differing != 0 && known != nil {
-			answer.Records = recordsOf(n.table.bridges(known.Member.Zone, n.config.BridgesPerZone))
-		}
 	}
-	out.add(n.address(from), n.withNews(from, answer))
+	if message.Bridges != 0 && message.Bridges != n.bridgesOf(sender.Zone) {
+		answer.Differing = 1
+		answer.Records = recordsOf(n.table.bridges(sender.Zone, n.config.BridgesPerZone))
+	}
+	out.add(sender, n.withNews(sender, answer))
 }
 
 // takeAck ends a probe or passes the answer on to the member on whose behalf this one had asked.
@@ -191,7 +189,7 @@
 		sequence: message.Sequence,
 		deadline: now.Add(n.config.ProbeTimeout),
 	}
-	out.add(message.Target, n.withNews(message.Target.Name, Message{Kind: Ping, Sequence: sequence}))
+	out.add(message.Target, n.withNews(message.Target, Message{Kind: Ping, Sequence: sequence}))
 }
 
 // tickRelays tells the members whose requested pings were not answered in time.
--- a/coord/membership/spread.go
+++ b/coord/membership/spread.go
@@ -8,16 +8,20 @@
 // contactShare is one over the share of comparisons that go to a member not believed alive, so that a partition's end is noticed.
 const contactShare = 3
 
+// joinFanout is the number of presumed members that a member tries to join through at once.
+const joinFanout = 3
+
 // withNews adds records to a message: what the receiver must know of itself and, within the zone, the news that wait.
-func (n *Node) withNews(to string, message Message) Message {
-	known := n.table.get(to)
-	if known == nil {
-		unknown := Record{Member: Member{Name: to}, State: Dead}
-		message.Records = append(message.Records, unknown)
-		return message
-	}
+func (n *Node) withNews(to Member, message Message) Message {
+	known := n.table.get(to.Name)
 	budget := n.config.MaxMessageBytes
-	if known.State == Suspect || known.State == Dead {
+	switch {
+	case known == nil && (to.Zone == "" || to.Zone == n.zone):
+		message.Records = append(message.Records, unknownRecord(to.Name))
+		return message
+	case known == nil:
+		return message
+	case !known.State.Live() || known.State == Suspect:
 		message.Records = append(message.Records, known.Record)
 		budget -= recordBytes(known.Record)
 	}
@@ -27,55 +31,58 @@
 	return message
 }
 
+// unknownRecord tells a member that it isn't known.
+func unknownRecord(name string) Record { return Record{Member: Member{Name: name}, State: Dead} }
+
 // gossip sends the news that wait to a few members of the zone, within the budget.
 func (n *Node) gossip(now time.Time, out *outbox) {
 	for _, receiver := range n.table.sample(n.random, n.config.GossipFanout, n.neighbour) {
 		if n.queue.empty() || !n.budget.allows(now) {
 			return
 		}
-		message := n.withNews(receiver.Member.Name, Message{Kind: Gossip})
+		message := n.withNews(receiver.Member, Message{Kind: Gossip})
 		n.budget.spend(message.Records)
 		out.add(receiver.Member, message)
 	}
 }
 
-// startSync compares tables with a member of the zone; sometimes, or when none is known, with one believed dead or a contact.
+// startSync compares tables with a member of the zone and sometimes also with one believed dead. Until the first member of
+// the zone has been met, it tries several that are presumed, and a contact in another zone, again and again.
 func (n *Node) startSync(now time.Time, out *outbox) {
 	if !n.budget.allows(now) {
 		return
 	}
 	message := Message{Kind: Sync, Records: []Record{n.self.Record}, Digest: n.table.digest()}
-	live := n.table.sample(n.random, 1, n.neighbour)
-	if len(live) > 0 {
+	for _, partner := range n.syncPartners(now) {
 		n.budget.spend(message.Records)
-		out.add(live[0].Member, message)
-	}
-	if len(live) > 0 && n.random.IntN(contactShare) > 0 {
-		return
-	}
-	for _, contact := range n.lostContacts(len(live) == 0) {
-		n.budget.spend(message.Records)
-		out.add(contact, message)
-	}
-	if len(live) == 0 && n.hasLostNeighbours() {
-		n.nextSync = now.Add(2 * n.config.ProbeInterval)
+		out.add(partner, message)
 	}
 }
 
-// lostContacts returns one member of the zone that is not believed alive and, when alone, one contact of another zone.
-func (n *Node) lostContacts(alone bool) []Member {
-	var chosen []Member
-	if lost := n.lostNeighbours(); len(lost) > 0 {
-		chosen = append(chosen, lost[n.random.IntN(len(lost))])
+func (n *Node) syncPartners(now time.Time) []Member {
+	met := n.table.sample(n.random, 1, func(e *entry) bool { return n.neighbour(e) && !e.presumed() })
+	lost := n.lostNeighbours()
+	var partners []Member
+	if len(met) > 0 {
+		partners = append(partners, met[0].Member)
+		if len(lost) > 0 && n.random.IntN(contactShare) == 0 {
+			partners = append(partners, lost[n.random.IntN(len(lost))])
+		}
+		return partners
 	}
-	if !alone {
-		return chosen
+	for _, e := range n.table.sample(n.random, joinFanout, n.neighbour) {
+		partners = append(partners, e.Member)
 	}
 	foreign := slices.DeleteFunc(slices.Clone(n.contacts), func(m Member) bool { return m.Zone == n.zone })
-	if len(foreign) > 0 {
-		chosen = append(chosen, foreign[n.random.IntN(len(foreign))])
+	for _, candidates := range [][]Member{lost, foreign} {
+		if len(candidates) > 0 {
+			partners = append(partners, candidates[n.random.IntN(len(candidates))])
+		}
 	}
-	return chosen
+	if len(partners) > 0 {
+		n.nextSync = now.Add(2 * n.config.ProbeInterval)
+	}
+	return partners
 }
 
 // lostNeighbours returns the members and contacts of the zone that are not believed alive.
@@ -92,26 +99,22 @@
 	return lost
 }
 
-func (n *Node) hasLostNeighbours() bool { return len(n.lostNeighbours()) > 0 }
-
 // answerSync tells a member of the zone what differs, one of another zone who stands for this one and for its own.
 func (n *Node) answerSync(now time.Time, from string, message Message, out *outbox) {
 	answer := Message{Kind: SyncReply}
-	known := n.table.get(from)
-	if known == nil || known.Member.Zone != n.zone {
-		answer.Records = n.zoneReport(message.Records)
-		if known != nil {
-			answer.Records = append(answer.Records, recordsOf(n.table.bridges(known.Member.Zone, n.config.BridgesPerZone))...)
-		}
-	} else {
+	sender := n.sender(from, message)
+	if sender.Zone == n.zone {
 		answer.Differing = differing(n.table.digest(), message.Digest)
 		answer.Records = n.recordsToSync(now, answer.Differing, nil)
+	} else {
+		answer.Records = n.zoneReport(message.Records)
+		answer.Records = append(answer.Records, recordsOf(n.table.bridges(sender.Zone, n.config.BridgesPerZone))...)
 	}
-	if known != nil && !known.State.Live() {
+	if known := n.table.get(from); known != nil && !known.State.Live() {
 		answer.Records = append([]Record{known.Record}, answer.Records...)
 	}
 	n.budget.spend(answer.Records)
-	out.add(n.address(from), answer)
+	out.add(sender, answer)
 }
 
 // takeSyncReply pushes back what the other lacks, and compares again soon if there was news.
@@ -138,7 +141,7 @@
 // out from a random place on, so that repeated comparisons convey all.
 func (n *Node) recordsToSync(now time.Time, parts uint64, theirs map[string]Record) []Record {
 	entries := n.table.all(func(e *entry) bool {
-		if parts&(1<<(e.id%digestParts)) == 0 {
+		if parts&(1<<(e.id%digestParts)) == 0 || e.presumed() {
 			return false
 		}
 		held, has := theirs[e.Member.Name]
--- a/coord/membership/table.go
+++ b/coord/membership/table.go
@@ -33,6 +33,9 @@
 	extended int
 }
 
+// presumed reports whether the member is only believed to exist: it is a contact that has not been met. Nobody else is told.
+func (e *entry) presumed() bool { return e.Incarnation == 0 }
+
 // table holds the known members, the process itself included.
 type table struct {
 	entries map[string]*entry
@@ -149,7 +152,7 @@
 func (t *table) digest() []uint64 {
 	sums := make([]uint64, digestParts)
 	for _, e := range t.list {
-		if e.State != Dead {
+		if e.State != Dead && !e.presumed() {
 			sums[e.id%digestParts] ^= recordHash(e)
 		}
 	}
--- a/coord/membership/zones.go
+++ b/coord/membership/zones.go
@@ -16,11 +16,12 @@
 	if !ok {
 		return
 	}
-	message := Message{Kind: Ping, Sequence: n.nextSequence(), Bridges: n.ownBridges()}
-	if known := n.table.get(target.Name); known == nil {
-		message.Records = []Record{n.self.Record}
-	}
-	out.add(target, message)
+	out.add(target, Message{
+		Kind:     Ping,
+		Sequence: n.nextSequence(),
+		Bridges:  n.ownBridges(),
+		Records:  []Record{n.self.Record},
+	})
 }
 
 func (n *Node) zoneTarget(zone string) (Member, bool) {
@@ -43,13 +44,10 @@
 
 // compareBridges asks for, and tells, what an acknowledgement from another zone shows to be outdated.
 func (n *Node) compareBridges(now time.Time, from string, message Message, out *outbox) {
-	other := n.address(from)
+	other := n.sender(from, message)
 	if other.Zone == n.zone {
 		return
 	}
-	if other.Zone == "" {
-		other = n.contact(from)
-	}
 	if n.bridgesOf(other.Zone) != message.Bridges && n.budget.allows(now) {
 		ask := Message{Kind: Sync, Records: []Record{n.self.Record}}
 		ask.Records = append(ask.Records, recordsOf(n.table.bridges(other.Zone, n.config.BridgesPerZone))...)
@@ -63,6 +61,20 @@
 	}
 }
 
+// sender returns the member that a message is from, as known here or else as the message tells.
+func (n *Node) sender(from string, message Message) Member {
+	if known := n.table.get(from); known != nil {
+		return known.Member
+	}
+	for _, record := range message.Records {
+		if record.Member.Name == from {
+			return record.Member
+		}
+	}
+	return n.contact(from)
+}
+
+// contact returns the contact of a name, with an empty address if there is none.
 func (n *Node) contact(name string) Member {
 	for _, contact := range n.contacts {
 		if contact.Name == name {
