--- a/coord/membership/membership_test.go
+++ b/coord/membership/membership_test.go
@@ -129,6 +129,23 @@
 	})
 }
 
+func TestAnotherWitnessOnlyConfirms(t *testing.T) {
+	w := settledZone(t, 11, 50)
+	tell := func() {
+		for _, name := range w.names {
+			w.hosts[name].node.SetLeaving(w.now, []string{"a-001"})
+		}
+	}
+	tell()
+	w.run(10 * time.Second)
+	if !w.sees(w.names, "a", 50) {
+		t.Fatal("a live member was dropped on the word of one witness")
+	}
+	tell()
+	w.hosts["a-001"].down = true
+	w.until(t, "the member is dead everywhere", 5*time.Second, func() bool { return w.sees(w.names, "a", 49) })
+}
+
 func TestRestartedMemberIsBack(t *testing.T) {
 	for name, incarnation := range map[string]uint64{"higher incarnation": 9, "lost incarnation": 1} {
 		t.Run(name, func(t *testing.T) {
--- a/coord/membership/node.go
+++ b/coord/membership/node.go
@@ -18,6 +18,8 @@
 	minSuspicionIntervals = 4
 	// maxExtensions bounds how often a suspicion is prolonged because the suspect was heard.
 	maxExtensions = 2
+	// witnessLifetime is for how long another witness's word counts.
+	witnessLifetime = 10 * time.Second
 	// leaveFanout is the number of members told at once of a planned stop; they pass it on.
 	leaveFanout = 8
 )
@@ -45,6 +47,9 @@
 	version   uint64
 	budget    budget
 	zoneTurn  int
+	// witnessed holds the members that another witness holds to be leaving, as told at witnessedAt.
+	witnessed   map[string]bool
+	witnessedAt time.Time
 
 	nextProbe  time.Time
 	nextGossip time.Time
@@ -206,6 +211,20 @@
 	return out.messages
 }
 
+// SetLeaving states which members another witness holds to be leaving. It may lag, so by itself it changes nothing: such a
+// member that is suspected is dead at once. The statement lapses unless it is repeated.
+func (n *Node) SetLeaving(now time.Time, names []string) {
+	n.witnessed = make(map[string]bool, len(names))
+	for _, name := range names {
+		n.witnessed[name] = true
+	}
+	n.witnessedAt = now
+}
+
+func (n *Node) isWitnessed(now time.Time, name string) bool {
+	return n.witnessed[name] && now.Sub(n.witnessedAt) <= witnessLifetime
+}
+
 // allowForStall moves every deadline on by the time this process was not run: what it missed says nothing of others.
 func (n *Node) allowForStall(now time.Time) {
 	stalled := now.Sub(n.NextWake())
--- a/coord/membership/probe.go
+++ b/coord/membership/probe.go
@@ -129,11 +129,11 @@
 		return
 	}
 	record := target.Record
-	switch record.State {
-	case Alive:
-		record.State = Suspect
-	case Leaving:
+	switch {
+	case record.State == Leaving, n.isWitnessed(now, record.Member.Name):
 		record.State = Dead
+	case record.State == Alive:
+		record.State = Suspect
 	default:
 		return
 	}
--- a/internal/configsync/manager.go
+++ b/internal/configsync/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +20,10 @@
 	"github.com/covelink/covelink/internal/telemetry"
 )
 
+// departedMemory is for how long a node of the zone that is no longer known counts in a term that begins. It is longer than a
+// lease, since the node may have reached a coordinator after others had lost it.
+const departedMemory = time.Minute
+
 // Params are what a Manager needs.
 type Params struct {
 	Self cluster.Node
@@ -45,9 +50,13 @@
 	wakeNode chan struct{}
 	renewed  chan struct{}
 
-	mu        sync.Mutex
-	replica   Replica
-	nodes     []cluster.Node
+	mu      sync.Mutex
+	replica Replica
+	nodes   []cluster.Node
+	// departed holds until when a node of the zone that is no longer known counts as one that may hold a lease; zones are all
+	// ever known.
+	departed  map[string]time.Time
+	zones     map[string]struct{}
 	term      *term // nil unless Lead runs
 	engines   []cluster.Engine
 	index     objectIndex
@@ -67,7 +76,7 @@
 
 // New returns a Manager; its node does not serve until Run has got it a lease and the zone's revision.
 func New(params Params) *Manager {
-	return &Manager{
+	m := &Manager{
 		params:      params,
 		self:        params.Self,
 		logger:      telemetry.For(params.Logger, telemetry.PartConfigSync),
@@ -76,8 +85,11 @@
 		now:         time.Now,
 		wakeNode:    make(chan struct{}, 1),
 		renewed:     make(chan struct{}, 1),
-		nodes:       params.Seeds,
+		departed:    make(map[string]time.Time),
+		zones:       make(map[string]struct{}),
 	}
+	m.setNodesLocked(params.Seeds)
+	return m
 }
 
 // Run keeps the node's lease and view until ctx ends.
@@ -103,11 +115,12 @@
 	}
 }
 
-// SetNodes replaces the known nodes, of every zone.
+// SetNodes replaces the known nodes, of every zone. A node of this zone that is no longer known may still hold a lease, and a
+// zone of which no node is known may hold what others don't: a term that begins soon after allows for both.
 func (m *Manager) SetNodes(nodes []cluster.Node) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.nodes = nodes
+	m.setNodesLocked(nodes)
 	m.publishLocked(true)
 	if m.term != nil {
 		m.term.core.SetNodes(m.zoneNodeNames())
@@ -115,6 +128,21 @@
 	}
 }
 
+func (m *Manager) setNodesLocked(nodes []cluster.Node) {
+	now := m.now()
+	maps.DeleteFunc(m.departed, func(_ string, until time.Time) bool { return !now.Before(until) })
+	for _, node := range m.nodes {
+		if node.Zone == m.self.Zone {
+			m.departed[node.Name] = now.Add(departedMemory)
+		}
+	}
+	for _, node := range nodes {
+		delete(m.departed, node.Name)
+		m.zones[node.Zone] = struct{}{}
+	}
+	m.nodes = nodes
+}
+
 // SetEngines replaces the engines of the zone. It is for the node that holds the zone's lease, whose term, running or about
 // to start, spreads them; they are forgotten when it ends.
 func (m *Manager) SetEngines(engines []cluster.Engine) {
--- a/internal/configsync/term.go
+++ b/internal/configsync/term.go
@@ -187,7 +187,8 @@
 	err  error
 }
 
-// informants returns the other nodes of the zone and the other coordinators; complete is false when a zone has none known.
+// informants returns the other nodes of the zone and the other coordinators; complete is false when a zone has none known or
+// a node of this zone can't be asked.
 func (m *Manager) informants() (targets []cluster.Node, complete bool) {
 	for _, node := range m.nodes {
 		if node.Zone == m.self.Zone && node.Name != m.self.Name {
@@ -195,18 +196,26 @@
 		}
 	}
 	coordinators := m.otherCoordinators()
-	complete = len(coordinators) == len(m.otherZones())
+	complete = len(coordinators) == len(m.otherZones()) && len(m.departedNames()) == 0
 	return append(targets, slices.Collect(maps.Values(coordinators))...), complete
 }
 
+// otherZones returns the zones but this one, also those of which no node is known any more.
 func (m *Manager) otherZones() map[string]struct{} {
-	zones := make(map[string]struct{})
-	for _, node := range m.nodes {
-		if node.Zone != m.self.Zone {
-			zones[node.Zone] = struct{}{}
+	zones := maps.Clone(m.zones)
+	delete(zones, m.self.Zone)
+	return zones
+}
+
+// departedNames returns the nodes that are no longer known but may hold a lease.
+func (m *Manager) departedNames() []string {
+	var names []string
+	for name, until := range m.departed {
+		if m.now().Before(until) {
+			names = append(names, name)
 		}
 	}
-	return zones
+	return names
 }
 
 // otherCoordinators returns the believed coordinator of every other zone, by zone.
@@ -220,8 +229,9 @@
 	return coordinators
 }
 
+// zoneNodeNames returns the nodes of the zone that may hold a lease.
 func (m *Manager) zoneNodeNames() []string {
-	var names []string
+	names := m.departedNames()
 	for _, node := range m.nodes {
 		if node.Zone == m.self.Zone {
 			names = append(names, node.Name)
