--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -47,7 +47,9 @@
 	// Thresholds may be zero: the defaults.
 	Thresholds Thresholds
 	// Publish is told of every change, with the engines sorted by name. It must not call the Inventory.
-	Publish    func([]cluster.Engine)
+	Publish func([]cluster.Engine)
+	// Listed, if not nil, is told of every machine list that was read.
+	Listed     func([]machinesv1.Machine)
 	Logger     log.Logger
 	Registerer prometheus.Registerer
 	// Now is the clock; nil means time.Now.
@@ -166,6 +168,9 @@
 	}
 	now := i.params.Now()
 	i.update(func(s *state) { s.applyList(now, list.Machines) })
+	if i.params.Listed != nil {
+		i.params.Listed(list.Machines)
+	}
 }
 
 func (i *Inventory) probeAll(ctx context.Context) {
--- a/internal/node/adapters.go
+++ b/internal/node/adapters.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"github.com/covelink/covelink/api/enginev1"
+	"github.com/covelink/covelink/api/machinesv1"
 	"github.com/covelink/covelink/internal/engine"
 )
 
@@ -25,3 +26,14 @@
 func (o engineOrders) Load(ctx context.Context, url string) (enginev1.Load, error) {
 	return o.client.Load(ctx, url)
 }
+
+// leavingNodes returns the names of the machines that run nodes and are leaving.
+func leavingNodes(machines []machinesv1.Machine) []string {
+	var names []string
+	for _, machine := range machines {
+		if machine.Role == machinesv1.RoleNode && machine.State == machinesv1.StateLeaving {
+			names = append(names, machine.Name)
+		}
+	}
+	return names
+}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -21,6 +21,7 @@
 	"github.com/covelink/covelink/internal/gateway"
 	"github.com/covelink/covelink/internal/inventory"
 	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/membership"
 	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
 	"github.com/covelink/covelink/internal/rollout"
@@ -34,6 +35,8 @@
 	startTimeout = 15 * time.Second
 	// stopMargin is what a planned stop may take beyond the drain.
 	stopMargin = 15 * time.Second
+	// leaveTimeout bounds the wait for other nodes to hear of the stop.
+	leaveTimeout = time.Second
 	// closeTimeout bounds the end of idle connections after the drain.
 	closeTimeout = 5 * time.Second
 )
@@ -51,6 +54,7 @@
 	Client    *rpc.Client
 	Elector   *leadership.LeaseElector
 	Sync      *configsync.Manager
+	Members   *membership.Manager
 	Engines   *engine.Client
 	Inventory *inventory.Inventory
 	Weights   *weights.Manager
@@ -84,6 +88,7 @@
 	electorCtx, cancelElector := context.WithCancel(context.Background())
 	l.cancelElector = cancelElector
 	l.Elector.Register(l.Server)
+	l.Members.Register(l.Server)
 	l.Sync.Register(l.Server)
 	l.Weights.Register(l.Server)
 	l.Rollout.Register(l.Server)
@@ -92,6 +97,7 @@
 	})
 	l.run(func() { l.report("http listener ended", l.HTTP.Serve(secure(l.Listeners.http, l.TLS.callers))) })
 	l.run(func() { l.report("elector ended", l.Elector.Run(electorCtx)) })
+	l.run(func() { l.Members.Run(ctx) })
 	l.run(func() { l.report("config sync ended", l.Sync.Run(ctx)) })
 	l.run(func() { l.Weights.Run(ctx) })
 	l.run(func() { l.Dispatch.Run(ctx) })
@@ -117,11 +123,12 @@
 	})
 }
 
-// stop is the planned stop: no new work, batches handed over, requests in flight finished, then everything closed.
+// stop is the planned stop: other nodes told, no new work, batches handed over, requests in flight finished, then everything closed.
 func (l *lifecycle) stop(ctx context.Context) error {
 	drainCtx, cancel := context.WithTimeout(ctx, l.Settings.Timing.DrainTimeout)
 	defer cancel()
 	level.Info(l.logger).Log("msg", "draining")
+	l.leave(drainCtx)
 	l.Gateway.SetReady(false, "draining")
 	l.Resources.Stop()
 	err := errors.Join(
@@ -139,6 +146,13 @@
 	return err
 }
 
+// leave tells other nodes of the stop, without waiting long for those that don't answer.
+func (l *lifecycle) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	l.Members.Leave(ctx)
+}
+
 // close ends every connection; requests were drained before.
 func (l *lifecycle) close() {
 	closeCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"github.com/covelink/covelink/api/machinesv1"
 	"github.com/covelink/covelink/internal/auth"
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/configsync"
@@ -17,6 +18,7 @@
 	"github.com/covelink/covelink/internal/gateway"
 	"github.com/covelink/covelink/internal/inventory"
 	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/membership"
 	"github.com/covelink/covelink/internal/objectapi"
 	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
@@ -44,6 +46,7 @@
 		func(elector *leadership.LeaseElector) leadership.Elector { return elector },
 		newStore,
 		newConfigSync,
+		newMembership,
 		newEngineClient,
 		newInventory,
 		newWeights,
@@ -127,10 +130,24 @@
 	})
 }
 
+func newMembership(config settings.Settings, self cluster.Node, client *rpc.Client, sync *configsync.Manager,
+	logger log.Logger, registerer prometheus.Registerer) *membership.Manager {
+	manager := membership.New(membership.Params{
+		Self:       self,
+		Seeds:      seeds(config),
+		Client:     client,
+		Timing:     config.Timing,
+		Logger:     logger,
+		Registerer: registerer,
+	})
+	manager.OnChange(sync.SetNodes)
+	return manager
+}
+
 func newEngineClient() *engine.Client { return engine.New(engine.Config{}) }
 
 func newInventory(config settings.Settings, self cluster.Node, engines *engine.Client, source cluster.Source,
-	sync *configsync.Manager, logger log.Logger, registerer prometheus.Registerer) *inventory.Inventory {
+	sync *configsync.Manager, members *membership.Manager, logger log.Logger, registerer prometheus.Registerer) *inventory.Inventory {
 	return inventory.New(inventory.Params{
 		Zone:       self.Zone,
 		Machines:   inventory.NewHTTPMachineLister(config.Platform.MachineList, &http.Client{Timeout: platformTimeout}),
@@ -138,6 +155,7 @@
 		Source:     source,
 		Timing:     config.Timing,
 		Publish:    sync.SetEngines,
+		Listed:     func(machines []machinesv1.Machine) { members.SetLeaving(leavingNodes(machines)) },
 		Logger:     logger,
 		Registerer: registerer,
 	})
