--- a/internal/lab/sim/engine.go
+++ b/internal/lab/sim/engine.go
@@ -28,10 +28,12 @@
 	streams map[attemptKey]*stream
 	// executions are the indices of the attempts in the history.
 	executions map[attemptKey]int
-	frozen     time.Time
-	told       time.Time
-	wakes      uint64
-	wakeAt     time.Time
+	// silent counts the streams that have been told nothing.
+	silent int
+	frozen time.Time
+	told   time.Time
+	wakes  uint64
+	wakeAt time.Time
 }
 
 func (s *simulation) addEngines() {
@@ -76,6 +78,7 @@
 	})
 	h.streams = make(map[attemptKey]*stream)
 	h.executions = make(map[attemptKey]int)
+	h.silent = 0
 	h.frozen = time.Time{}
 }
 
@@ -107,6 +110,7 @@
 	h.sim.result.Executions++
 	key := attemptKey{request.RequestID, request.Attempt}
 	h.streams[key] = from
+	h.silent++
 	h.recordStart(key, request)
 	return nil
 }
@@ -122,11 +126,27 @@
 		}
 		h.advance()
 		h.engine.Cancel(h.sim.now, enginev1.CancelRequest{RequestID: key.requestID, Attempt: key.attempt})
-		delete(h.streams, key)
+		h.forget(key)
 		h.wakeLater()
 	})
 }
 
+// forget ends a stream.
+func (h *engineHost) forget(key attemptKey) {
+	if open := h.streams[key]; open != nil {
+		h.heard(open)
+		delete(h.streams, key)
+	}
+}
+
+// heard notes that a stream is silent no more.
+func (h *engineHost) heard(open *stream) {
+	if !open.told {
+		open.told = true
+		h.silent--
+	}
+}
+
 // order carries out an order and returns the answer; neither load nor refusal means that it failed partway.
 func (h *engineHost) order(order enginev1.Order) (*enginev1.Load, *enginev1.Refusal) {
 	h.advance()
@@ -166,12 +186,13 @@
 		key := attemptKey{told.RequestID, told.Attempt}
 		h.recordTokens(key, told)
 		open := h.streams[key]
-		if told.Final != nil {
-			delete(h.streams, key)
-		}
 		if open == nil {
 			continue
 		}
+		h.heard(open)
+		if told.Final != nil {
+			h.forget(key)
+		}
 		if parcels[open.node] == nil {
 			order = append(order, open.node)
 		}
@@ -225,6 +246,10 @@
 	if interval <= 0 {
 		return h.engine.NextStep()
 	}
+	if h.silent > 0 {
+		// The first token of a stream is told at once.
+		return h.engine.NextStep()
+	}
 	due, ok := h.engine.NextChange()
 	stream := h.told.Add(interval)
 	if !stream.After(h.sim.now) {
--- a/internal/lab/sim/stream.go
+++ b/internal/lab/sim/stream.go
@@ -22,6 +22,8 @@
 	// sequence orders streams.
 	sequence uint64
 	closed   bool
+	// told is true once the engine has sent something.
+	told bool
 }
 
 func (c *stream) key() attemptKey { return attemptKey{c.request.RequestID, c.request.Attempt} }
