scheduler: count interactive requests against the slots kept free

An interactive request stayed in its own zone until two or three more were in flight there than elsewhere, though only interactiveReserve slots of an engine are free of rollouts: the next one waits for a rollout to end. The score now counts them against the reserve.

--- a/internal/scheduler/placer.go
+++ b/internal/scheduler/placer.go
@@ -10,6 +10,8 @@
 	"slices"
 	"time"
 
+	v1 "github.com/covelink/covelink/api/v1"
+
 	"github.com/covelink/covelink/coord/rendezvous"
 )
 
@@ -23,6 +25,9 @@
 	weightOccupancy = 3.0
 	weightDistance  = 0.5
 	weightLast      = 8.0
+	// weightCrowding counts interactive requests in flight against the slots that are kept free for them: beyond those, one
+	// more waits for a rollout to end, which takes far longer than the way to another zone of the region.
+	weightCrowding = 2.0
 	// boundedLoadFactor is how far above its fair share an engine's load may be before prompts that prefer it go elsewhere.
 	boundedLoadFactor = 1.25
 	// loadHalfLife is the age at which a reported load counts half.
@@ -138,7 +143,7 @@
 		return undecided(decision)
 	}
 	decision.Kind = Placed
-	decision.Engine = p.best(now, request, pool.Spec.MaxConcurrent)
+	decision.Engine = p.best(now, request, &pool.Spec)
 	return decision
 }
 
@@ -212,7 +217,8 @@
 	return decision
 }
 
-func (p *Placer) best(now time.Time, request *Request, maxConcurrent int) int {
+func (p *Placer) best(now time.Time, request *Request, spec *v1.PoolSpec) int {
+	maxConcurrent := spec.MaxConcurrent
 	if maxConcurrent <= 0 {
 		maxConcurrent = DefaultMaxConcurrent
 	}
@@ -221,6 +227,9 @@
 	var bestScore float64
 	for _, candidate := range p.candidates {
 		score := score(now, candidate.state, request, maxConcurrent)
+		if request.Interactive {
+			score -= weightCrowding * float64(candidate.state.InFlightInteractive) / float64(max(spec.InteractiveReserve, 1))
+		}
 		if candidate == preferred {
 			score += weightAffinity
 		}
--- a/internal/scheduler/placer_test.go
+++ b/internal/scheduler/placer_test.go
@@ -221,3 +221,20 @@
 		})
 	}
 }
+
+func TestInteractiveRequestsSpreadOverTheFreeSlots(t *testing.T) {
+	Convey("An interactive request goes to another zone of the region rather than beyond the slots kept free", t, func() {
+		view := newView(2)
+		decision := place(view, scheduler.Request{Pool: "pool", Interactive: true}, func(snapshot *scheduler.Snapshot) {
+			snapshot.States[0].Reserve(epoch, true)
+		})
+		So(view.Engines[decision.Engine].Zone, ShouldEqual, "b")
+		Convey("and a rollout does not", func() {
+			decision := place(view, scheduler.Request{Pool: "pool"}, func(snapshot *scheduler.Snapshot) {
+				snapshot.States[0].Reserve(epoch, false)
+				snapshot.States[1].Reserve(epoch, false)
+			})
+			So(view.Engines[decision.Engine].Zone, ShouldEqual, "a")
+		})
+	})
+}
