rollout: run no further ahead than the bound allows, hand over the oldest first

Samples of a batch submitted ahead were run at once and were stale by their turn. An owner now learns how many samples its trainer takes over between two versions, and starts none of a later batch while as many run or are ready as the trainer takes over until they go stale. The batch that the trainer fetches from goes on in any case.

--- a/internal/rollout/attempts.go
+++ b/internal/rollout/attempts.go
@@ -22,7 +22,7 @@
 	minWindow   = 32
 	windowShare = 4
 	// resortInterval is how often the waiting list follows new predictions.
-	resortInterval = time.Second
+	resortInterval = 250 * time.Millisecond
 	// A straggler has taken hedgeFactor times as long for its tokens as others do, and hedgeAfter more; or it has told
 	// nothing for hedgeSilence since its first token.
 	hedgeFactor   = 1.5
@@ -65,7 +65,7 @@
 	}
 	o.waiting.sort(now, o.startOrders())
 	for o.inFlight < o.config.MaxInFlight && o.unbegun < o.window() {
-		id, ok := o.waiting.take(now)
+		id, ok := o.waiting.take(now, o.mayStart)
 		if !ok {
 			break
 		}
@@ -74,6 +74,21 @@
 	o.hedge(now)
 }
 
+// mayStart reports whether samples of a batch may be started: not while as many run or are ready as the trainer takes over
+// until the first of them goes stale, since one that is started now would probably be too old by its turn. The batch
+// that the trainer waits for goes on in any case.
+func (o *Owner) mayStart(batch string) bool {
+	bound, known := o.predictor.consumedWithin(o.config.Bound)
+	if !known || o.config.Without.StaleStart || batch == o.fetched || batch == o.ledger.foremost() {
+		return true
+	}
+	ahead := len(o.attempts)
+	for _, ready := range o.ready {
+		ahead += len(ready)
+	}
+	return ahead < max(bound, minWindow)
+}
+
 // window returns how many attempts may wait for their first token. Attempts that wait cannot be put into another order
 // when predictions change, so that no more are started than keep the engines' slots filled.
 func (o *Owner) window() int {
--- a/internal/rollout/delivery.go
+++ b/internal/rollout/delivery.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -45,6 +46,7 @@
 	if request.Version > o.ledger.Version() {
 		o.stateVersion(now, VersionStated{Version: request.Version})
 	}
+	o.fetched = batch
 	if b.Closed {
 		response.Done = true
 		return response, true, nil
@@ -121,6 +123,7 @@
 			break
 		}
 		taken++
+		o.consumed++
 		o.append(HandedOver{Identity: s.Answer.Identity, Position: b.last() + 1})
 		o.observer.HandOver()
 		response.Samples = append(response.Samples, s.sample())
@@ -166,7 +169,22 @@
 		})
 		return
 	}
-	o.ready[id.Batch] = append(o.ready[id.Batch], id.Index)
+	o.makeReady(id, s)
+}
+
+// makeReady puts a sample among those to hand over: the one with the oldest version first, because it is the first to go
+// stale.
+func (o *Owner) makeReady(id Identity, s *sampleState) {
+	ready := o.ready[id.Batch]
+	if slices.Contains(ready, id.Index) {
+		return
+	}
+	b := o.ledger.batch(id.Batch)
+	oldest := v1.OldestVersion(s.Answer.Segments)
+	at, _ := slices.BinarySearchFunc(ready, oldest+1, func(index int, target int64) int {
+		return cmp.Compare(v1.OldestVersion(b.Samples[index].Answer.Segments), target)
+	})
+	o.ready[id.Batch] = slices.Insert(ready, at, id.Index)
 }
 
 // Scored attaches the score of an answer. A score of an answer that is no longer the sample is dropped.
@@ -175,8 +193,8 @@
 		return
 	}
 	o.append(ScoreAttached{Identity: id, Attempt: attempt, Score: score})
-	if !slices.Contains(o.ready[id.Batch], id.Index) {
-		o.ready[id.Batch] = append(o.ready[id.Batch], id.Index)
+	if _, s, err := o.ledger.sample(id); err == nil {
+		o.makeReady(id, s)
 	}
 }
 
--- a/internal/rollout/ledger.go
+++ b/internal/rollout/ledger.go
@@ -214,6 +214,16 @@
 	}
 }
 
+// foremost returns the oldest batch of which not every sample has been handed over, or "".
+func (l *Ledger) foremost() string {
+	for _, b := range l.state.Batches {
+		if !b.ended() && b.Delivered < b.Size {
+			return b.Name
+		}
+	}
+	return ""
+}
+
 func (l *Ledger) batch(name string) *batchState { return l.index[name] }
 
 // active returns a batch that is neither cancelled nor closed.
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -98,6 +98,8 @@
 	opened    map[string]time.Time // by batch, when this term first saw it
 	waiting   waitingList
 	ready     map[string][]int // by batch: committed, scored if need be, not handed over
+	fetched   string           // the batch that the trainer fetched from last
+	consumed  int              // samples handed over since the trainer's last version
 	suspended bool
 	lastHedge time.Time
 
@@ -263,7 +265,8 @@
 	higher := stated.Version > o.ledger.Version()
 	o.append(stated)
 	if higher {
-		o.predictor.observeVersion(now)
+		o.predictor.observeVersion(now, o.consumed)
+		o.consumed = 0
 		o.dropStale(now)
 	}
 }
--- a/internal/rollout/predictor.go
+++ b/internal/rollout/predictor.go
@@ -49,6 +49,8 @@
 	overall  average
 	speed    average // tokens a second of one attempt
 	interval average // seconds between two versions
+	// consumption is the number of samples between two versions.
+	consumption average
 
 	lastVersion time.Time
 }
@@ -97,8 +99,11 @@
 	}
 }
 
-// observeVersion notes that the trainer stated a new version now.
-func (p *predictor) observeVersion(now time.Time) {
+// observeVersion notes that the trainer stated a new version now, and how many samples it took over since the one before.
+func (p *predictor) observeVersion(now time.Time, samples int) {
+	if samples > 0 && !p.lastVersion.IsZero() {
+		p.consumption.observe(float64(samples))
+	}
 	if !p.lastVersion.IsZero() {
 		p.interval.observe(now.Sub(p.lastVersion).Seconds())
 	}
@@ -127,6 +132,12 @@
 	return time.Duration(float64(tokens) / speed * float64(time.Second))
 }
 
+// consumedWithin returns how many samples the trainer takes over while it moves on by so many versions, or false while that
+// is not known.
+func (p *predictor) consumedWithin(versions int64) (int, bool) {
+	return int(p.consumption.mean * float64(versions)), p.consumption.known
+}
+
 // versions returns how many versions the trainer is expected to move on while the tokens are produced: 0 until both the
 // speed and the interval have been observed.
 func (p *predictor) versions(tokens int) int64 {
--- a/internal/rollout/waiting.go
+++ b/internal/rollout/waiting.go
@@ -57,10 +57,15 @@
 	})
 }
 
-// take removes and returns the first identity that may start now.
-func (w *waitingList) take(now time.Time) (Identity, bool) {
+// take removes and returns the first identity that may start now, passing over the batches that may not.
+func (w *waitingList) take(now time.Time, mayStart func(batch string) bool) (Identity, bool) {
+	batch, allowed := "", false
 	for index, item := range w.items {
-		if item.notBefore.After(now) {
+		if item.identity.Batch != batch {
+			batch = item.identity.Batch
+			allowed = mayStart(batch)
+		}
+		if !allowed || item.notBefore.After(now) {
 			continue
 		}
 		w.remove(index)
