--- a/internal/lab/compare/compare.go
+++ b/internal/lab/compare/compare.go
@@ -55,7 +55,8 @@
 	Interactive sim.Percentiles `json:"interactiveNanos"`
 	// NotCompleted is the share of those requests that were refused or lost.
 	NotCompleted float64 `json:"notCompletedShare"`
-	// Unfinished counts the runs that did not deliver every batch in time, Broken those that broke a promise.
+	// Unfinished counts the runs that did not deliver every batch in time. Broken counts those that broke a promise; only the
+	// product's first run is checked, since the history of every token is large.
 	Unfinished int `json:"unfinished"`
 	Broken     int `json:"broken"`
 
@@ -110,6 +111,7 @@
 			one := scenario
 			one.Seed += seed
 			one.Policy = policy
+			one.SkipInvariants = scenario.SkipInvariants || row > 0 || seed > 0
 			jobs = append(jobs, job{row: row, scenario: one})
 		}
 		jobs = append(jobs, job{row: len(policies), scenario: emptyPool(scenario, seed)})
@@ -127,6 +129,7 @@
 		applications = append(applications, application)
 	}
 	scenario.Applications = applications
+	scenario.SkipInvariants = true
 	return scenario
 }
 
