sim: keep the log where owners are paused or lose answers to commits

A log was dropped in scenarios without a take-over, by a list that lacked the newer faults; two traces caught it: their batches stayed incomplete after a take-over.

--- a/internal/lab/replay/work.go
+++ b/internal/lab/replay/work.go
@@ -173,7 +173,7 @@
 	}
 	for _, request := range result.Requests {
 		stopped, ok := stops[request.Node]
-		if ok && request.Arrived <= stopped && request.Ended > stopped && request.Outcome == v1.OutcomeUnknown {
+		if ok && request.Arrived <= stopped && request.Ended >= stopped && request.Outcome == v1.OutcomeUnknown {
 			outcome.Violations = append(outcome.Violations, trace.Violation{
 				Promise: trace.PromisePlannedStop, Subject: request.ID, Detail: "was cut off on " + request.Node,
 			})
--- a/internal/lab/sim/trainer.go
+++ b/internal/lab/sim/trainer.go
@@ -123,7 +123,9 @@
 }
 
 // takesOver are the faults after which an owner is recovered from its log.
-var takesOver = []FaultKind{FaultOwnerCrash, FaultNodeStop, FaultNodeCrash, FaultZoneLoss}
+var takesOver = []FaultKind{
+	FaultOwnerCrash, FaultOwnerPause, FaultCommitLost, FaultNodeStop, FaultNodeCrash, FaultZoneLoss,
+}
 
 // needsLog reports whether the log of a batch owner can ever be read.
 func (s *Scenario) needsLog() bool {
