--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 
 	"github.com/covelink/covelink/internal/auth"
+	"github.com/covelink/covelink/internal/claims"
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/configsync"
 	"github.com/covelink/covelink/internal/dispatch"
@@ -56,6 +57,7 @@
 	Weights   *weights.Manager
 	Dispatch  *dispatch.Manager
 	Rollout   *rollout.Manager
+	Claims    *claims.Manager
 	Gateway   *gateway.Gateway
 	Resources *resourceapi.API
 	HTTP      *http.Server
@@ -87,6 +89,7 @@
 	l.Sync.Register(l.Server)
 	l.Weights.Register(l.Server)
 	l.Rollout.Register(l.Server)
+	l.Claims.Register(l.Server)
 	l.run(func() {
 		l.report("internal listener ended", l.Server.Serve(secure(l.Listeners.internal, l.TLS.internal)))
 	})
@@ -95,6 +98,7 @@
 	l.run(func() { l.report("config sync ended", l.Sync.Run(ctx)) })
 	l.run(func() { l.Weights.Run(ctx) })
 	l.run(func() { l.Dispatch.Run(ctx) })
+	l.run(func() { l.report("claims ended", l.Claims.Run(ctx)) })
 	l.campaigns.Go(func() { l.report("rollout ended", l.Rollout.Run(ctx)) })
 	l.campaigns.Go(func() { l.coordinate(ctx) })
 	l.Gateway.SetReady(true, "")
