--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -14,6 +14,14 @@
 
 const programName = "covelink-lab"
 
+// The flags that several commands have.
+const (
+	flagJSON     = "json"
+	flagScenario = "scenario"
+	flagSeed     = "seed"
+	flagSeeds    = "seeds"
+)
+
 // Main runs the command line until it is done or the process gets SIGTERM or SIGINT, and returns the exit code.
 func Main(arguments []string, streams commandline.Streams) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -29,9 +37,14 @@
 
 func newCommand(streams commandline.Streams) *cli.Command {
 	root := &cli.Command{
-		Name:     programName,
-		Usage:    "stand-ins for covelink's surroundings, and a demo",
-		Commands: []*cli.Command{demoCommand(streams), upCommand(streams)},
+		Name:  programName,
+		Usage: "stand-ins for covelink's surroundings, and a demo",
+		Commands: []*cli.Command{
+			demoCommand(streams),
+			upCommand(streams),
+			configFaultsCommand(streams),
+			compareCommand(streams),
+		},
 	}
 	root.Commands = append(root.Commands, traceCommands(streams)...)
 	root.Commands = append(root.Commands, processCommands(streams)...)
