--- /dev/null
+++ b/internal/leadership/elector_test.go
@@ -0,0 +1,188 @@
+package leadership
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/covelink/covelink/internal/cluster"
+	"github.com/covelink/covelink/internal/rpc"
+	"github.com/covelink/covelink/internal/settings"
+)
+
+const (
+	testLength = 400 * time.Millisecond
+	patience   = 20 * time.Second
+)
+
+// member is one node that campaigns for one lease.
+type member struct {
+	elector  *LeaseElector
+	client   *rpc.Client
+	server   *rpc.Server
+	listener net.Listener
+	stop     context.CancelFunc // ends the campaign as planned
+	halt     context.CancelFunc // ends the elector
+	campaign sync.WaitGroup
+	tasks    sync.WaitGroup
+}
+
+// electorate is several members and who leads among them.
+type electorateOfMembers struct {
+	mu      sync.Mutex
+	leader  string
+	token   uint64
+	overlap bool
+	members map[string]*member
+}
+
+func newElectorate(names ...string) *electorateOfMembers {
+	e := &electorateOfMembers{members: make(map[string]*member)}
+	var nodes []cluster.Node
+	for _, name := range names {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		e.members[name] = &member{listener: listener}
+		nodes = append(nodes, cluster.Node{Name: name, Zone: "z", Address: listener.Addr().String()})
+	}
+	for _, node := range nodes {
+		e.start(e.members[node.Name], node, nodes)
+	}
+	return e
+}
+
+func (e *electorateOfMembers) start(m *member, self cluster.Node, nodes []cluster.Node) {
+	m.client = rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, nil)
+	m.server = rpc.NewServer(log.NewNopLogger())
+	m.elector = New(Params{
+		Self: self, Seeds: nodes, Client: m.client, Logger: log.NewNopLogger(),
+		Timing:     settings.Timing{LeaseLength: testLength},
+		Electorate: FixedElectorate(map[string][]string{"zone/z": {"z"}}),
+	})
+	m.elector.Register(m.server)
+	var runCtx, campaignCtx context.Context
+	runCtx, m.halt = context.WithCancel(context.Background())
+	campaignCtx, m.stop = context.WithCancel(context.Background())
+	m.tasks.Go(func() { _ = m.server.Serve(m.listener) })
+	m.tasks.Go(func() { _ = m.elector.Run(runCtx) })
+	m.campaign.Go(func() { m.elector.Campaign(campaignCtx, "zone/z", []string{"z"}, e.lead(self.Name)) })
+}
+
+func (e *electorateOfMembers) lead(name string) func(context.Context, Term) {
+	return func(ctx context.Context, term Term) {
+		e.mu.Lock()
+		e.overlap = e.overlap || e.leader != "" || term.Token <= e.token
+		e.leader, e.token = name, term.Token
+		e.mu.Unlock()
+		<-ctx.Done()
+		e.mu.Lock()
+		e.leader = ""
+		e.mu.Unlock()
+	}
+}
+
+func (e *electorateOfMembers) current() (string, uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leader, e.token
+}
+
+// cut makes the member silent, as if its machine were unplugged.
+func (m *member) cut() {
+	m.listener.Close()
+	m.server.Close()
+	m.client.Close()
+}
+
+func (e *electorateOfMembers) close() {
+	for _, m := range e.members {
+		m.stop()
+	}
+	for _, m := range e.members {
+		m.campaign.Wait()
+	}
+	for _, m := range e.members {
+		m.halt()
+		m.cut()
+		m.tasks.Wait()
+	}
+}
+
+// eventually polls until the condition holds.
+func eventually(condition func() bool) {
+	deadline := time.Now().Add(patience)
+	for !condition() && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	So(condition(), ShouldBeTrue)
+}
+
+func TestLeaseElector(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	for _, size := range []int{1, 3} {
+		Convey(fmt.Sprintf("Among %d nodes", size), t, func() {
+			e := newElectorate([]string{"a", "b", "c"}[:size]...)
+			Reset(e.close)
+			var first string
+			var token uint64
+			eventually(func() bool { first, token = e.current(); return first != "" })
+
+			Convey("every node learns of the one that leads", func() {
+				for _, m := range e.members {
+					eventually(func() bool {
+						holder, ok := m.elector.Holder("zone/z")
+						leader, _ := e.current()
+						return ok && holder.Name == leader
+					})
+				}
+				So(e.overlap, ShouldBeFalse)
+			})
+			Convey("a guard's higher token ends the term, and the next one is above it", func() {
+				seen := token + 1<<40
+				e.members[first].elector.ObserveToken("zone/z", seen)
+				eventually(func() bool { leader, next := e.current(); return leader != "" && next > seen })
+				So(e.overlap, ShouldBeFalse)
+			})
+			if size == 1 {
+				return
+			}
+			Convey("a planned stop hands over under a higher token", func() {
+				e.members[first].stop()
+				eventually(func() bool { leader, next := e.current(); return leader != "" && next > token })
+				So(e.overlap, ShouldBeFalse)
+			})
+			Convey("a node that is cut off stops leading before another one leads", func() {
+				e.members[first].cut()
+				eventually(func() bool { leader, next := e.current(); return leader != "" && next > token })
+				leader, _ := e.current()
+				So(leader, ShouldNotEqual, first)
+				So(e.overlap, ShouldBeFalse)
+			})
+		})
+	}
+}
+
+func TestTermContext(t *testing.T) {
+	Convey("The context of a term that has lapsed says so at the first look after a pause", t, func() {
+		m := New(Params{Self: cluster.Node{Name: "a", Zone: "z"}, Seeds: []cluster.Node{{Name: "a", Zone: "z"}},
+			Logger: log.NewNopLogger(), Timing: settings.Timing{LeaseLength: testLength}})
+		ctx := newTermContext(context.Background(), m.now, Term{Name: "x", Token: 1})
+		later := m.now()
+		later.Monotonic += time.Hour
+		later.Wall = later.Wall.Add(time.Hour)
+		ctx.deadline.Store(&later)
+		So(ctx.Err(), ShouldBeNil)
+		lapsed := m.now()
+		ctx.deadline.Store(&lapsed)
+		So(ctx.Err(), ShouldEqual, context.Canceled)
+		_, open := <-ctx.Done()
+		So(open, ShouldBeFalse)
+	})
+}
