configsync: a node's report of a higher token ends the coordinator's term

Cause: a coordinator elected under a lower token, after all voters had restarted with wall clocks set back, would have had every state refused by nodes that had seen the earlier one.

--- a/internal/configsync/manager.go
+++ b/internal/configsync/manager.go
@@ -36,6 +36,9 @@
 	Timing     settings.Timing
 	Logger     log.Logger
 	Registerer prometheus.Registerer
+	// Fenced is told when a node of the zone holds a state of a higher token than that of the named term. It may be nil.
+	// It is called with a lock held and must not call back.
+	Fenced func(term string, seen uint64)
 }
 
 // Manager is a node's part in the configuration: it keeps the node's view and, while Lead runs, coordinates the zone.
--- a/internal/configsync/messages.go
+++ b/internal/configsync/messages.go
@@ -108,6 +108,7 @@
 		return Grant{}, m.errNotCoordinator()
 	}
 	m.term.noteNode(request)
+	m.checkFence(request.Report)
 	var grant Grant
 	m.changeLocked(func(c *Coordinator, now time.Time) { grant = c.Heartbeat(request.Report, now) })
 	grant.Version = m.term.core.State().Version
--- a/internal/configsync/term.go
+++ b/internal/configsync/term.go
@@ -17,6 +17,7 @@
 
 // term is the coordinator's part of a Manager while Lead runs. Its fields are guarded by Manager.mu.
 type term struct {
+	held leadership.Term
 	core *Coordinator
 	wake chan struct{}
 	// nodes are the zone's nodes that have sent a heartbeat.
@@ -32,6 +33,16 @@
 	t.spread.Holds(request.Node.Name, request.Report.Applied)
 }
 
+// checkFence tells whoever gave the term that a node has seen a higher token: it would refuse every state of this term.
+func (m *Manager) checkFence(report NodeReport) {
+	if report.Applied.Token <= m.term.held.Token || m.params.Fenced == nil {
+		return
+	}
+	level.Warn(m.logger).Log("msg", "node has seen a higher term", "of", report.Node,
+		"token", m.term.held.Token, "highest", report.Applied.Token)
+	m.params.Fenced(m.term.held.Name, report.Applied.Token)
+}
+
 // Lead coordinates the zone under the term until ctx ends.
 func (m *Manager) Lead(ctx context.Context, held leadership.Term) {
 	t := m.beginTerm(held)
@@ -55,6 +66,7 @@
 		core.SetEngines(m.engines, now)
 	}
 	m.term = &term{
+		held:   held,
 		core:   core,
 		wake:   make(chan struct{}, 1),
 		nodes:  make(map[string]cluster.Node),
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -121,7 +121,7 @@
 	return objectapi.NewClient(objectapi.Config{BaseURL: config.Platform.ObjectAPI})
 }
 
-func newConfigSync(config settings.Settings, self cluster.Node, store *objectapi.Client, elector leadership.Elector,
+func newConfigSync(config settings.Settings, self cluster.Node, store *objectapi.Client, elector *leadership.LeaseElector,
 	client *rpc.Client, holder *cluster.Holder, logger log.Logger, registerer prometheus.Registerer) *configsync.Manager {
 	return configsync.New(configsync.Params{
 		Self:       self,
@@ -132,6 +132,7 @@
 		Holder:     holder,
 		Timing:     config.Timing,
 		Logger:     logger,
+		Fenced:     elector.ObserveToken,
 		Registerer: registerer,
 	})
 }
