--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -95,15 +95,17 @@
 		c.DialTimeout = defaultDialTimeout
 	}
 	if c.Dial == nil {
-		c.Dial = newDialer().DialContext
+		c.Dial = DialTCP
 	}
 	return c
 }
 
-func newDialer() *net.Dialer {
-	return &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+// DialTCP opens a plain connection that finds a dead machine soon.
+func DialTCP(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
+	return dialer.DialContext(ctx, network, address)
 }
 
 func countingDial(config Config) func(context.Context, string, string) (net.Conn, error) {
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -44,6 +44,17 @@
 	Logger   log.Logger
 }
 
+// Target is a started deployment, in this process or in processes of its own.
+type Target interface {
+	Plan() *deployment.Plan
+	// CallerURLs are the base URLs by which callers reach the nodes.
+	CallerURLs() []string
+	// WaitReady waits until every node takes requests.
+	WaitReady(ctx context.Context) error
+	// Executions returns what the engines executed so far, with the prompts that the history knows.
+	Executions(ctx context.Context, history *invariant.History) ([]invariant.Execution, error)
+}
+
 // Result is what a run measured.
 type Result struct {
 	Zones, Nodes, Engines int
@@ -58,12 +69,26 @@
 	Report load.Report
 }
 
-// run is one run in progress.
-type run struct {
-	config     Config
-	deployment *deployment.Deployment
-	recorder   *invariant.Recorder
-	result     Result
+// Session is one run on a started deployment.
+type Session struct {
+	// Recorder takes down what is seen; a test may add to it.
+	Recorder *invariant.Recorder
+
+	config Config
+	target Target
+	result Result
+}
+
+// NewSession returns a session on a deployment that keeps running after it. Of the configuration it needs the description,
+// the resources, the number of samples, the seed and the logger.
+func NewSession(config Config, target Target) *Session {
+	plan := target.Plan()
+	return &Session{
+		Recorder: invariant.NewRecorder(),
+		config:   config,
+		target:   target,
+		result:   Result{Zones: len(plan.Description.Zones), Nodes: len(plan.Nodes), Engines: len(plan.Engines)},
+	}
 }
 
 // Run runs the demo. An error means that it could not be run to its end; broken promises are in the result.
@@ -76,35 +101,38 @@
 	if err != nil {
 		return Result{}, err
 	}
-	r := &run{config: config, deployment: started, recorder: invariant.NewRecorder()}
-	r.result = Result{Zones: len(config.Description.Zones), Nodes: len(plan.Nodes), Engines: len(plan.Engines)}
-	err = r.run(ctx)
-	if err == nil {
-		r.judge()
-	}
+	result, err := NewSession(config, started).run(ctx)
 	stopContext, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
-	return r.result, errors.Join(err, started.Stop(stopContext))
+	return result, errors.Join(err, started.Stop(stopContext))
 }
 
-func (r *run) run(ctx context.Context) error {
+func (r *Session) run(ctx context.Context) (Result, error) {
+	if err := r.Prepare(ctx); err != nil {
+		return r.result, err
+	}
+	if err := r.Work(ctx); err != nil {
+		return r.result, err
+	}
+	return r.Judge(ctx)
+}
+
+// Prepare applies the resources and waits until every node is ready and every engine is counted.
+func (r *Session) Prepare(ctx context.Context) error {
 	if err := r.recordPromises(); err != nil {
 		return err
 	}
 	if err := r.apply(ctx); err != nil {
 		return err
 	}
-	if err := r.deployment.WaitReady(ctx); err != nil {
+	if err := r.target.WaitReady(ctx); err != nil {
 		return err
 	}
-	if err := r.waitEngines(ctx); err != nil {
-		return err
-	}
-	return r.work(ctx)
+	return r.waitEngines(ctx)
 }
 
 // recordPromises takes down what the resources promise.
-func (r *run) recordPromises() error {
+func (r *Session) recordPromises() error {
 	documents, err := v1.DecodeDocuments(r.config.Resources)
 	if err != nil {
 		return fmt.Errorf("resources: %w", err)
@@ -112,20 +140,20 @@
 	for _, document := range documents {
 		switch object := document.Object.(type) {
 		case *v1.Pool:
-			r.recorder.Permit(object.Metadata.Name, object.Spec.PermittedZones)
+			r.Recorder.Permit(object.Metadata.Name, object.Spec.PermittedZones)
 		case *v1.Trainer:
 			terms := invariant.Terms{Pool: object.Spec.Pool, StalenessBound: object.Spec.StalenessBound}
-			r.recorder.Promise(object.Metadata.Name, terms)
+			r.Recorder.Promise(object.Metadata.Name, terms)
 		}
 	}
 	return nil
 }
 
 // apply writes the resources as an operator does and waits until they are in force.
-func (r *run) apply(ctx context.Context) error {
+func (r *Session) apply(ctx context.Context) error {
 	var output, failure bytes.Buffer
 	arguments := []string{"covelinkctl", "--token", r.config.Description.Operator.Token}
-	for _, url := range r.deployment.CallerURLs() {
+	for _, url := range r.target.CallerURLs() {
 		arguments = append(arguments, "--server", url)
 	}
 	arguments = append(arguments, "apply", "-f", "-", "--wait", "--timeout", applyWait.String())
@@ -137,12 +165,12 @@
 }
 
 // waitEngines waits until the status of each pool counts every engine, as an operator does who watches it.
-func (r *run) waitEngines(ctx context.Context) error {
+func (r *Session) waitEngines(ctx context.Context) error {
 	transport := &http.Transport{}
 	defer transport.CloseIdleConnections()
 	watcher := poolWatcher{
 		client: &http.Client{Transport: transport},
-		base:   r.deployment.CallerURLs()[0],
+		base:   r.target.CallerURLs()[0],
 		token:  r.config.Description.Operator.Token,
 	}
 	for _, pool := range r.config.Description.Pools {
@@ -157,8 +185,8 @@
 	return nil
 }
 
-// work runs the trainer to its end and the applications meanwhile.
-func (r *run) work(ctx context.Context) error {
+// Work runs the trainer to its end and the applications meanwhile.
+func (r *Session) Work(ctx context.Context) error {
 	loads, err := r.newLoads()
 	if err != nil {
 		return err
@@ -176,18 +204,18 @@
 		report := <-reports
 		byName[report.Name] = report
 	}
-	for _, config := range r.deployment.Plan().Loads {
+	for _, config := range r.target.Plan().Loads {
 		r.result.Loads = append(r.result.Loads, byName[config.Name])
 	}
 	return err
 }
 
-func (r *run) newLoads() (map[string]*load.Load, error) {
+func (r *Session) newLoads() (map[string]*load.Load, error) {
 	loads := map[string]*load.Load{}
-	for _, config := range r.deployment.Plan().Loads {
-		config.URLs = r.deployment.CallerURLs()
+	for _, config := range r.target.Plan().Loads {
+		config.URLs = r.target.CallerURLs()
 		config.Seed += r.config.Seed
-		created, err := load.New(config, r.recorder, r.config.Logger)
+		created, err := load.New(config, r.Recorder, r.config.Logger)
 		if err != nil {
 			return nil, err
 		}
@@ -196,9 +224,9 @@
 	return loads, nil
 }
 
-func (r *run) train(ctx context.Context) error {
-	config := r.deployment.Plan().Trainer
-	config.URLs = r.deployment.CallerURLs()
+func (r *Session) train(ctx context.Context) error {
+	config := r.target.Plan().Trainer
+	config.URLs = r.target.CallerURLs()
 	config.Samples = r.config.Samples
 	config.Seed = r.config.Seed
 	config.PublishEverySamples = max(1, config.Samples/versionsPerBatch)
@@ -208,7 +236,7 @@
 	if err != nil {
 		return err
 	}
-	trainer, err := trainer.New(config, service, r.recorder, r.config.Logger)
+	trainer, err := trainer.New(config, service, r.Recorder, r.config.Logger)
 	if err != nil {
 		return err
 	}
@@ -216,10 +244,15 @@
 	return err
 }
 
-// judge compares what was seen with what was promised.
-func (r *run) judge() {
-	r.recorder.Executed(r.deployment.Executions(r.recorder.History())...)
-	history := r.recorder.History()
+// Judge compares what was seen with what was promised.
+func (r *Session) Judge(ctx context.Context) (Result, error) {
+	executions, err := r.target.Executions(ctx, r.Recorder.History())
+	if err != nil {
+		return r.result, err
+	}
+	history := r.Recorder.History()
+	history.Executions = append(history.Executions, executions...)
 	history.Expect = deployment.ExpectedToken
 	r.result.Promises = invariant.Check(history)
+	return r.result, nil
 }
--- a/internal/lab/deployment/deployment.go
+++ b/internal/lab/deployment/deployment.go
@@ -156,13 +156,10 @@
 func (d *Deployment) WeightStore() *weightstore.Store { return d.platform.weights }
 
 // Executions returns what the engines executed so far, with the prompts that the history knows.
-func (d *Deployment) Executions(history *invariant.History) []invariant.Execution {
-	known := promptsOf(history)
+func (d *Deployment) Executions(_ context.Context, history *invariant.History) ([]invariant.Execution, error) {
 	var executions []invariant.Execution
 	for i, engine := range d.platform.engines {
-		for _, record := range engine.Executions() {
-			executions = append(executions, known.convert(d.plan.Engines[i].Pool, record))
-		}
+		executions = append(executions, ConvertExecutions(history, d.plan.Engines[i].Pool, engine.Executions())...)
 	}
-	return executions
+	return executions, nil
 }
--- a/internal/lab/deployment/description.go
+++ b/internal/lab/deployment/description.go
@@ -123,8 +123,8 @@
 	return false
 }
 
-// latency returns the one-way latency between two zones.
-func (d *Description) latency(from, to string) time.Duration {
+// Latency returns the one-way latency between two zones.
+func (d *Description) Latency(from, to string) time.Duration {
 	switch {
 	case from == to:
 		return 0
--- a/internal/lab/deployment/executions.go
+++ b/internal/lab/deployment/executions.go
@@ -13,6 +13,17 @@
 	return enginesim.Token(enginesim.PromptHash(prompt), seed, version, index)
 }
 
+// ConvertExecutions turns the records of the engines of a pool into the checker's form, with the prompts that the history
+// knows.
+func ConvertExecutions(history *invariant.History, pool string, records []engine.Execution) []invariant.Execution {
+	known := promptsOf(history)
+	executions := make([]invariant.Execution, 0, len(records))
+	for _, record := range records {
+		executions = append(executions, known.convert(pool, record))
+	}
+	return executions
+}
+
 // prompts finds the prompts of a history by the hash that engines log.
 type prompts map[string]string
 
--- a/internal/lab/deployment/files.go
+++ b/internal/lab/deployment/files.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"strings"
 
 	"github.com/goccy/go-yaml"
 
@@ -18,8 +19,19 @@
 	fileMode = 0o600
 )
 
+// The programs that processes run.
+const (
+	ProgramDaemon = "covelinkd"
+	ProgramLab    = "covelink-lab"
+)
+
 // Process is one process of a deployment and the file that holds its settings.
 type Process struct {
+	// Name is the name of the file without its folder and suffix, as in node-NAME or engine-NAME.
+	Name string
+	// Program is covelinkd or covelink-lab, and Arguments what it is started with.
+	Program   string
+	Arguments []string
 	// Command is the command line without the folder of the programs, as in covelinkd run --config FILE.
 	Command string
 	// File is the path of the settings.
@@ -57,15 +69,21 @@
 
 func (w *writer) lab(command, name string, config any, ends bool) {
 	file := w.write(name, config)
-	w.processes = append(w.processes, Process{Command: "covelink-lab " + command + " --config " + file, File: file, Ends: ends})
+	w.add(Process{Name: name, Program: ProgramLab, Arguments: []string{command, "--config", file}, File: file, Ends: ends})
 }
 
 func (w *writer) node(node settings.Settings) {
 	if node.Node.DataDir != "" && w.err == nil {
 		w.err = os.MkdirAll(node.Node.DataDir, folderMode)
 	}
-	file := w.write("node-"+node.Node.Name, nodeValues(node))
-	w.processes = append(w.processes, Process{Command: "covelinkd run --config " + file, File: file})
+	name := "node-" + node.Node.Name
+	file := w.write(name, nodeValues(node))
+	w.add(Process{Name: name, Program: ProgramDaemon, Arguments: []string{"run", "--config", file}, File: file})
+}
+
+func (w *writer) add(process Process) {
+	process.Command = process.Program + " " + strings.Join(process.Arguments, " ")
+	w.processes = append(w.processes, process)
 }
 
 // write writes one file and returns its path.
--- a/internal/lab/deployment/links.go
+++ b/internal/lab/deployment/links.go
@@ -45,7 +45,7 @@
 			if from.Node.Name == to.Node.Name {
 				continue
 			}
-			between, err := l.start(to.Listen.Internal, plan.Description.latency(from.Node.Zone, to.Node.Zone))
+			between, err := l.start(to.Listen.Internal, plan.Description.Latency(from.Node.Zone, to.Node.Zone))
 			if err != nil {
 				return l, err
 			}
--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -20,7 +20,7 @@
 type Config struct {
 	// Listen is the loopback address to listen on; empty means a free port.
 	Listen string `yaml:"listen"`
-	// Target is the host:port that connections are carried to.
+	// Target is the host:port that connections are carried to; while it is empty, new connections are reset.
 	Target string `yaml:"target"`
 	// Delay is the one-way latency of both directions at the start.
 	Delay time.Duration `yaml:"delay"`
@@ -36,6 +36,7 @@
 	stopped  chan struct{}
 
 	mu      sync.Mutex
+	target  string
 	refused bool
 	closing bool
 	links   map[*link]struct{}
@@ -48,6 +49,7 @@
 	}
 	p := &Proxy{
 		config:  config,
+		target:  config.Target,
 		logger:  telemetry.For(logger, telemetry.PartLab),
 		stopped: make(chan struct{}),
 		links:   map[*link]struct{}{},
@@ -75,6 +77,19 @@
 // SetFaults replaces the faults of one direction, for connections that are open and those to come.
 func (p *Proxy) SetFaults(direction Direction, faults Faults) { p.faults[direction].set(faults) }
 
+// Retarget makes the proxy carry new connections to another target, such as a process that came back on another port.
+func (p *Proxy) Retarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+}
+
+func (p *Proxy) currentTarget() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 // Faults returns the faults of one direction.
 func (p *Proxy) Faults(direction Direction) Faults {
 	faults, _ := p.faults[direction].get()
@@ -159,9 +174,14 @@
 }
 
 func (p *Proxy) carry(client net.Conn) {
-	target, err := net.DialTimeout("tcp", p.config.Target, dialTimeout)
+	address := p.currentTarget()
+	if address == "" {
+		abort(client)
+		return
+	}
+	target, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
-		_ = level.Debug(p.logger).Log("msg", "target refused", "target", p.config.Target, "err", err)
+		_ = level.Debug(p.logger).Log("msg", "target refused", "target", address, "err", err)
 		abort(client)
 		return
 	}
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -70,7 +70,7 @@
 	if dial == nil {
 		dial = loaded.dial()
 	}
-	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, dial)
+	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, newRoutes(config).nodes(dial))
 	client.MaxFrameBytes = config.Limits.MaxFrameBytes
 	client.Observer = observer
 	return client
@@ -119,7 +119,9 @@
 	})
 }
 
-func newEngineClient() *engine.Client { return engine.New(engine.Config{}) }
+func newEngineClient(config settings.Settings) *engine.Client {
+	return engine.New(engine.Config{Dial: newRoutes(config).engines()})
+}
 
 func newInventory(config settings.Settings, self cluster.Node, engines *engine.Client, source cluster.Source,
 	sync *configsync.Manager, logger log.Logger, registerer prometheus.Registerer) *inventory.Inventory {
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -40,15 +40,15 @@
 // NewClient returns a Client that introduces itself as self. A nil dial means plain TCP.
 func NewClient(self Peer, dial DialFunc) *Client {
 	if dial == nil {
-		dial = dialTCP
+		dial = DialTCP
 	}
 	c := &Client{self: self, dial: dial, links: make(map[string]*link)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
 
-// dialTCP opens a plain connection.
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+// DialTCP opens a plain connection.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: defaultDialTimeout, Control: setUserTimeout}
 	return dialer.DialContext(ctx, "tcp", address)
 }
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -311,7 +311,7 @@
 				n := newNode(nil)
 				var conn *cutConn
 				n.client.dial = func(ctx context.Context, address string) (net.Conn, error) {
-					inner, err := dialTCP(ctx, address)
+					inner, err := DialTCP(ctx, address)
 					conn = &cutConn{Conn: inner}
 					return conn, err
 				}
--- a/internal/rpc/tls.go
+++ b/internal/rpc/tls.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	plain, err := dialTCP(ctx, address)
+	plain, err := DialTCP(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -82,7 +82,7 @@
 	case "file":
 		return fmt.Sprintf("must be a readable file, is %q", fault.Value())
 	case "unique":
-		return "must not name the same node twice"
+		return "must not name the same one twice"
 	}
 	return fmt.Sprintf("breaks the rule %s %s", rule, fault.Param())
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -46,6 +46,15 @@
 type Cluster struct {
 	// Seeds must name every node of this zone that votes at first start, and one or more nodes of each other zone.
 	Seeds []Seed `koanf:"seeds" validate:"required,min=1,unique=Name,dive"`
+	// Routes replace addresses of nodes and engines that this node cannot dial as they are known to the others, such as
+	// those behind a forwarder.
+	Routes []Route `koanf:"routes" validate:"unique=Address,dive"`
+}
+
+// Route replaces one address wherever this node dials it.
+type Route struct {
+	Address string `koanf:"address" validate:"required,hostname_port|tcp_addr"`
+	Via     string `koanf:"via" validate:"required,hostname_port|tcp_addr"`
 }
 
 // Seed is a node known from the start.
