--- a/internal/lab/processes/control.go
+++ b/internal/lab/processes/control.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/covelink/covelink/internal/gateway"
@@ -18,6 +19,8 @@
 // controlTimeout bounds one request of the harness itself to a process.
 const controlTimeout = 10 * time.Second
 
+const folderMode = 0o755
+
 // InjectFault switches a failure of an engine on. It does not pass the links.
 func (d *Deployment) InjectFault(ctx context.Context, engineName string, fault engine.Fault) error {
 	for _, config := range d.plan.Engines {
@@ -33,6 +36,23 @@
 	return d.post(ctx, baseURL(d.plan.ObjectAPI.Listen)+objectapi.PathFaults, faults)
 }
 
+// EmptyDataFolder removes everything in the data folder of a node, which must not run.
+func (d *Deployment) EmptyDataFolder(node string) error {
+	if d.Node(node).Running() {
+		return fmt.Errorf("node %s runs", node)
+	}
+	for _, config := range d.plan.Nodes {
+		if config.Node.Name != node {
+			continue
+		}
+		if err := os.RemoveAll(config.Node.DataDir); err != nil {
+			return err
+		}
+		return os.MkdirAll(config.Node.DataDir, folderMode)
+	}
+	return fmt.Errorf("no node %q", node)
+}
+
 // Executions returns what the engines executed so far, with the prompts that the history knows. The engines must run.
 func (d *Deployment) Executions(ctx context.Context, history *invariant.History) ([]invariant.Execution, error) {
 	var executions []invariant.Execution
--- a/test/integration/kit_test.go
+++ b/test/integration/kit_test.go
@@ -82,17 +82,19 @@
 	})
 	So(err, ShouldBeNil)
 	defer started.Stop()
-	defer logOnFailure(t, started)
+	passed := false
+	defer func() { logUnless(&passed, t, started) }()
 	config := demo.Config{Description: description, Resources: resources, Samples: samples(), Seed: 1, Logger: log.NewNopLogger()}
 	r := &run{Deployment: started, session: demo.NewSession(config, started), ctx: ctx, working: make(chan error, 1)}
 	So(r.session.Prepare(ctx), ShouldBeNil)
 	use(r)
+	passed = true
 }
 
-// logOnFailure shows the ends of the nodes' logs of a failed test.
-func logOnFailure(t *testing.T, started *processes.Deployment) {
+// logUnless shows the ends of the nodes' logs of a test that has not passed.
+func logUnless(passed *bool, t *testing.T, started *processes.Deployment) {
 	const lines = 60
-	if !t.Failed() {
+	if *passed {
 		return
 	}
 	for _, name := range started.NodeNames() {
