--- a/internal/lab/cli/configfaults.go
+++ b/internal/lab/cli/configfaults.go
@@ -15,13 +15,7 @@
 	"github.com/covelink/covelink/internal/lab/configfaults"
 )
 
-const (
-	flagSeeds    = "seeds"
-	flagScenario = "scenario"
-	flagJSON     = "json"
-
-	defaultFaultSeeds = 10
-)
+const defaultFaultSeeds = 10
 
 func configFaultsCommand(streams commandline.Streams) *cli.Command {
 	return &cli.Command{
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -10,13 +10,16 @@
 	"go.uber.org/fx"
 
 	"github.com/covelink/covelink/internal/auth"
+	"github.com/covelink/covelink/internal/claims"
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/configsync"
 	"github.com/covelink/covelink/internal/dispatch"
 	"github.com/covelink/covelink/internal/engine"
 	"github.com/covelink/covelink/internal/gateway"
 	"github.com/covelink/covelink/internal/inventory"
+	"github.com/covelink/covelink/internal/keeper"
 	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/ledgerlog"
 	"github.com/covelink/covelink/internal/objectapi"
 	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
@@ -50,7 +53,10 @@
 		newDispatch,
 		newRecorder,
 		newRecordedDispatcher,
+		newKeeper,
+		newLogs,
 		newRollout,
+		newClaims,
 		newAuthenticator,
 		newGateway,
 		newResourceAPI,
@@ -178,8 +184,31 @@
 	return recorder.NewDispatcher(recorded, manager, manager)
 }
 
+func newKeeper(config settings.Settings, self cluster.Node, source cluster.Source, logger log.Logger,
+	registerer prometheus.Registerer) (*keeper.Keeper, error) {
+	return keeper.New(keeper.Params{
+		Self:       self,
+		Source:     source,
+		Node:       config.Node,
+		Logger:     telemetry.For(logger, telemetry.PartKeeper),
+		Registerer: registerer,
+	})
+}
+
+func newLogs(config settings.Settings, self cluster.Node, source cluster.Source, client *rpc.Client, local *keeper.Keeper,
+	logger log.Logger) *ledgerlog.Opener {
+	return ledgerlog.New(ledgerlog.Params{
+		Self:   self,
+		Source: source,
+		Seeds:  seeds(config),
+		Client: client,
+		Local:  local,
+		Logger: telemetry.For(logger, telemetry.PartKeeper),
+	})
+}
+
 func newRollout(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *recorder.Dispatcher, elector leadership.Elector,
-	client *rpc.Client, publisher *weights.Manager, logger log.Logger, registerer prometheus.Registerer) *rollout.Manager {
+	client *rpc.Client, publisher *weights.Manager, logs *ledgerlog.Opener, logger log.Logger, registerer prometheus.Registerer) *rollout.Manager {
 	return rollout.New(rollout.Params{
 		Self:       self,
 		Source:     source,
@@ -187,7 +216,7 @@
 		Elector:    elector,
 		Client:     client,
 		Publisher:  publisher,
-		Logs:       rollout.NewMemoryLogs(),
+		Logs:       logs,
 		Scorer:     rollout.HTTPScorer{Client: &http.Client{Timeout: config.Timing.RequestTimeout}},
 		Limits:     config.Limits,
 		Logger:     logger,
@@ -195,17 +224,32 @@
 	})
 }
 
+func newClaims(config settings.Settings, self cluster.Node, source cluster.Source, client *rpc.Client,
+	logger log.Logger, registerer prometheus.Registerer) (*claims.Manager, error) {
+	return claims.New(claims.Params{
+		Self:       self,
+		Source:     source,
+		Client:     client,
+		Seeds:      seeds(config),
+		DataDir:    config.Node.DataDir,
+		Retention:  config.Timing.ClaimRetention,
+		Logger:     logger,
+		Registerer: registerer,
+	})
+}
+
 func newAuthenticator(config settings.Settings, source cluster.Source) *auth.Authenticator {
 	return auth.New(source, config.Operators)
 }
 
 func newGateway(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *recorder.Dispatcher, rollouts *rollout.Manager,
-	recorded *recorder.Recorder, authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
+	recorded *recorder.Recorder, claimed *claims.Manager, authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
 	return gateway.New(gateway.Params{
 		Self:       self,
 		Source:     source,
 		Dispatcher: dispatcher,
 		Rollouts:   recorder.NewService(recorded, rollouts.Service()),
+		Claims:     claimed,
 		Auth:       authenticator,
 		Limits:     config.Limits,
 		Timing:     config.Timing,
