--- a/coord/quorumlog/message.go
+++ b/coord/quorumlog/message.go
@@ -9,7 +9,7 @@
 	OpPrepare Operation = iota + 1
 	// OpPropose creates the log with Members, unless the replica holds it already.
 	OpPropose
-	// OpEstablish ends the creation.
+	// OpEstablish ends the creation that proposed Members.
 	OpEstablish
 	// OpFetch reads entries or the snapshot.
 	OpFetch
@@ -28,8 +28,10 @@
 	// Incarnation is the one the replica must have; OpPrepare does not state it.
 	Incarnation uint64
 
-	// Of OpPropose.
+	// Of OpPropose and OpEstablish.
 	Members []Member
+	// Abandon lets OpPropose replace an earlier creation, of which the writer knows that it never ended.
+	Abandon bool
 
 	// Of OpAppend.
 	PrevIndex uint64
--- a/coord/quorumlog/model_test.go
+++ b/coord/quorumlog/model_test.go
@@ -1,6 +1,7 @@
 package quorumlog
 
 import (
+	"flag"
 	"math/rand/v2"
 	"testing"
 
@@ -26,6 +27,14 @@
 	return s, s.check(), nil
 }
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
 func seeded(seed uint64) chooser {
 	random := rand.New(rand.NewPCG(seed, scheduleKey))
 	return random.IntN
--- a/coord/quorumlog/replica.go
+++ b/coord/quorumlog/replica.go
@@ -107,19 +107,31 @@
 }
 
 func (r *Replica) propose(request Request) Status {
-	if r.stored.State.Phase == PhaseEstablished {
+	if r.stored.State.Phase == PhaseEstablished && !r.abandons(request) {
 		return StatusExists
 	}
+	if len(request.Members) == 0 || len(request.Members) > maxMembers {
+		return StatusInvalid
+	}
 	state := r.promise(request.Epoch)
 	state.Phase = PhaseProposed
-	base := &Snapshot{SnapshotHead: SnapshotHead{Members: request.Members}}
+	base := &Snapshot{SnapshotHead: SnapshotHead{Epoch: request.Epoch, Members: request.Members}}
 	return r.write(Update{State: state, Snapshot: base, CutAfter: KeepAll})
 }
 
+// abandons reports whether the proposal gives up an earlier creation that this replica holds.
+func (r *Replica) abandons(request Request) bool {
+	return request.Abandon && r.lastIndex() == 0 && r.stored.Snapshot.Epoch.Compare(request.Epoch) < 0
+}
+
 func (r *Replica) establish(request Request) Status {
 	if r.stored.State.Phase == PhaseUnknown {
 		return StatusUnknown
 	}
+	base := r.stored.Snapshot
+	if base.Epoch != request.Epoch || !slices.Equal(base.Members, request.Members) {
+		return StatusMismatch // another proposal has come in between
+	}
 	state := r.promise(request.Epoch)
 	state.Phase = PhaseEstablished
 	return r.write(Update{State: state, CutAfter: KeepAll})
@@ -178,7 +190,7 @@
 
 func contiguous(request Request) bool {
 	for offset, entry := range request.Entries {
-		if entry.Index != request.PrevIndex+uint64(offset)+1 || entry.Epoch.Compare(request.Epoch) > 0 {
+		if entry.Index != request.PrevIndex+uint64(offset)+1 || entry.Epoch.Compare(request.Epoch) > 0 || !entry.valid() {
 			return false
 		}
 	}
@@ -191,7 +203,7 @@
 		r.staging, r.staged = SnapshotHead{}, nil
 		return r.write(Update{State: r.promise(request.Epoch), CutAfter: KeepAll})
 	}
-	if head.Size < 0 || head.Size > maxStaged || request.Offset < 0 {
+	if head.Size < 0 || head.Size > maxStaged || request.Offset < 0 || len(head.Members) > maxMembers {
 		return StatusInvalid
 	}
 	if !sameSnapshot(r.staging, head) {
@@ -220,7 +232,8 @@
 	if r.stored.State.Phase != PhaseEstablished || head.Index > r.stored.Snapshot.Index {
 		return false
 	}
-	return head.Index < r.stored.Snapshot.Index || slices.Equal(head.Members, r.stored.Snapshot.Members)
+	held := r.stored.Snapshot
+	return head.Index < held.Index || head.Epoch == held.Epoch && slices.Equal(head.Members, held.Members)
 }
 
 func sameSnapshot(a, b SnapshotHead) bool {
--- a/coord/quorumlog/sim_test.go
+++ b/coord/quorumlog/sim_test.go
@@ -174,11 +174,16 @@
 	s.collect(message.writer)
 }
 
-// wipe empties one replica, unless another one has not rejoined yet.
+// wipe empties one replica, unless another one has not rejoined yet, or the log has too few members to bear it.
 func (s *sim) wipe(name string) {
 	if s.wiped != "" {
 		return
 	}
+	for _, r := range s.replicas {
+		if state := r.replica.describe(); state.Phase == PhaseEstablished && len(state.Members) < 3 {
+			return
+		}
+	}
 	s.wiped = name
 	s.replicas[name].storage = &MemoryStorage{}
 	s.restart(name)
@@ -195,6 +200,8 @@
 	switch {
 	case s.wiped != "" && inside:
 		_ = w.Replace(s.now, s.wiped, s.wiped)
+	case s.wiped == "" && len(members) < 3:
+		_ = w.Replace(s.now, "", s.names[s.choose(len(s.names))])
 	case s.wiped == "":
 		out := members[s.choose(len(members))].Name
 		in := s.names[s.choose(len(s.names))]
--- a/coord/quorumlog/types.go
+++ b/coord/quorumlog/types.go
@@ -78,7 +78,7 @@
 // SnapshotHead describes a snapshot, which stands for all entries up to Index.
 type SnapshotHead struct {
 	Index uint64
-	// Epoch is that of the entry at Index.
+	// Epoch is that of the entry at Index, or of the log's creation if Index is 0.
 	Epoch Epoch
 	// Members is the set in force at Index.
 	Members []Member
--- a/coord/quorumlog/writer_change.go
+++ b/coord/quorumlog/writer_change.go
@@ -26,7 +26,8 @@
 	}
 	w.change = change{out: out, in: in, active: true}
 	if in != "" {
-		w.addPeer(in)
+		p := w.addPeer(in)
+		*p = peer{name: p.name, heardAt: p.heardAt} // what is known may be old: it is asked, and catches up, from here on
 	}
 	w.advanceChange(now)
 	w.pump(now)
--- a/coord/quorumlog/writer_open.go
+++ b/coord/quorumlog/writer_open.go
@@ -40,7 +40,7 @@
 	var best *peer
 	for _, name := range w.order {
 		p := w.peers[name]
-		if !p.answered || p.reply.Phase != PhaseEstablished {
+		if !p.answered || p.reply.Phase != PhaseEstablished || w.unfinished(p) {
 			continue
 		}
 		if best == nil || ahead(p.reply, best.reply) {
@@ -50,6 +50,26 @@
 	return best
 }
 
+// unfinished reports whether the replica holds a creation that never ended: a member has not established the log, and
+// will not any more, since it has promised this epoch. Then no entry was ever appended.
+func (w *Writer) unfinished(p *peer) bool {
+	if p.reply.LastIndex > 0 {
+		return false
+	}
+	for _, member := range p.reply.Members {
+		other, ok := w.peers[member.Name]
+		if ok && other.answered && other.incarnation == member.Incarnation && !other.reply.created(p.reply.Snapshot.Epoch) {
+			return true
+		}
+	}
+	return false
+}
+
+// created reports whether a replica with this reply may have established the log of a creation.
+func (r Reply) created(epoch Epoch) bool {
+	return r.Phase == PhaseEstablished && (r.LastIndex > 0 || r.Snapshot.Epoch == epoch)
+}
+
 func ahead(a, b Reply) bool {
 	if order := a.LastEpoch.Compare(b.LastEpoch); order != 0 {
 		return order > 0
@@ -73,6 +93,10 @@
 			final = false
 		}
 	}
+	// Whether a creation ended is known only from all its members.
+	if best.reply.LastIndex == 0 && !w.allMembers(func(p *peer) bool { return p.answered }) {
+		return
+	}
 	if w.agreed(func(p *peer) bool { return p.answered && p.known }) {
 		w.fetchFrom(now, best)
 		return
@@ -242,6 +266,10 @@
 		p.waiting, p.sentAt = true, now
 		return
 	default: // somebody created it, or a member lost its storage
+		if w.stage == stageEstablishing {
+			w.fail(ErrUnavailable) // a second set in one epoch could not be told from this one
+			return
+		}
 		w.discover(now)
 		return
 	}
@@ -255,7 +283,7 @@
 	case w.stage == stageProposing && w.allMembers(func(p *peer) bool { return p.proposed }):
 		w.enter(now, stageEstablishing)
 	case w.stage == stageEstablishing && w.allMembers(func(p *peer) bool { return p.established }):
-		w.snapshot = Snapshot{SnapshotHead: SnapshotHead{Members: w.members}}
+		w.snapshot = Snapshot{SnapshotHead: SnapshotHead{Epoch: w.config.Epoch, Members: w.members}}
 		w.entries = nil
 		w.replicate(now)
 	}
--- a/coord/quorumlog/writer_peer.go
+++ b/coord/quorumlog/writer_peer.go
@@ -54,9 +54,10 @@
 	}
 	switch w.stage {
 	case stageProposing:
-		return Request{Op: OpPropose, Members: w.members}, w.isMember(p) && !p.proposed
+		abandon := p.reply.Phase == PhaseEstablished
+		return Request{Op: OpPropose, Members: w.members, Abandon: abandon}, w.isMember(p) && !p.proposed
 	case stageEstablishing:
-		return Request{Op: OpEstablish}, w.isMember(p) && !p.established
+		return Request{Op: OpEstablish, Members: w.members}, w.isMember(p) && !p.established
 	case stageFetching:
 		return w.nextFetch(), p.name == w.source
 	case stageRecovering, stageServing:
