--- /dev/null
+++ b/internal/node/connections.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// newConnectionWait bounds the wait for the request of a connection that has been accepted.
+	newConnectionWait = time.Second
+	quietPollInterval = 5 * time.Millisecond
+)
+
+// connections knows the state of every open HTTP connection.
+type connections struct {
+	mu     sync.Mutex
+	states map[net.Conn]http.ConnState
+}
+
+func newConnections() *connections { return &connections{states: make(map[net.Conn]http.ConnState)} }
+
+// note is an http.Server's ConnState hook.
+func (c *connections) note(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(c.states, conn)
+		return
+	}
+	c.states[conn] = state
+}
+
+// quiet reports whether no connection is being served or waits for its first request.
+func (c *connections) quiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, state := range c.states {
+		if state == http.StateNew || state == http.StateActive {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitQuiet waits until the connections are quiet or ctx ends. The listener must be closed. A server that shuts down closes
+// connections whose first request is on its way, and their callers could not tell whether it was run.
+func (c *connections) awaitQuiet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, newConnectionWait)
+	defer cancel()
+	for !c.quiet() {
+		select {
+		case <-time.After(quietPollInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -59,6 +60,7 @@
 	Gateway   *gateway.Gateway
 	Resources *resourceapi.API
 	HTTP      *http.Server
+	Callers   *connections
 }
 
 // lifecycle runs the parts of a node and stops them in order.
@@ -134,6 +136,8 @@
 func (l *lifecycle) close() {
 	closeCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	l.Listeners.http.Close()
+	l.Callers.awaitQuiet(closeCtx)
 	if err := l.HTTP.Shutdown(closeCtx); err != nil {
 		l.HTTP.Close()
 	}
@@ -145,7 +149,7 @@
 func (l *lifecycle) run(task func()) { l.tasks.Go(task) }
 
 func (l *lifecycle) report(msg string, err error) {
-	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) {
+	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) {
 		return
 	}
 	level.Error(l.logger).Log("msg", msg, "err", err)
@@ -153,7 +157,8 @@
 
 // newHTTPServer serves callers, operators and metrics on one listener.
 func newHTTPServer(config settings.Settings, self cluster.Node, source cluster.Source, callers *gateway.Gateway, operators *resourceapi.API,
-	recorded *recorder.Recorder, authenticator *auth.Authenticator, registry *prometheus.Registry) *http.Server {
+	recorded *recorder.Recorder, authenticator *auth.Authenticator, registry *prometheus.Registry,
+	open *connections) *http.Server {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
 	router.Use(gin.Recovery())
@@ -161,5 +166,7 @@
 	operators.Routes(router)
 	recorder.Handlers{Recorder: recorded, Self: self, Source: source}.Routes(router, authenticator.Authenticate(), auth.RequireOperatorRead())
 	router.GET("/metrics", gin.WrapH(telemetry.Handler(registry)))
-	return gateway.NewHTTPServer(router, config.Limits)
+	server := gateway.NewHTTPServer(router, config.Limits)
+	server.ConnState = open.note
+	return server
 }
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -53,6 +53,7 @@
 		newAuthenticator,
 		newGateway,
 		newResourceAPI,
+		newConnections,
 		newHTTPServer,
 	),
 )
