--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -63,6 +63,7 @@
 		newAuthenticator,
 		newGateway,
 		newResourceAPI,
+		newConnections,
 		newHTTPServer,
 	),
 )
