--- a/test/integration/owner_test.go
+++ b/test/integration/owner_test.go
@@ -85,4 +85,3 @@
 		})
 	})
 }
-
