--- a/internal/keeper/disk.go
+++ b/internal/keeper/disk.go
@@ -58,13 +58,13 @@
 		return nil, fmt.Errorf("keeper: %w", err)
 	}
 	path := filepath.Join(folder, databaseFile)
-	db, err := openDatabase(path)
+	db, err := openDatabase(path, limit)
 	setAside := errors.Is(err, quorumlog.ErrCorrupt)
 	if setAside {
 		if err := os.Rename(path, path+corruptSuffix); err != nil {
 			return nil, fmt.Errorf("keeper: %w", err)
 		}
-		db, err = openDatabase(path)
+		db, err = openDatabase(path, limit)
 	}
 	if err != nil {
 		return nil, err
@@ -78,10 +78,12 @@
 }
 
 // openDatabase opens and migrates a database. ErrCorrupt: it can't be read.
-func openDatabase(path string) (*bbolt.DB, error) {
+func openDatabase(path string, limit int64) (*bbolt.DB, error) {
 	var db *bbolt.DB
 	err := protect(func() (err error) {
-		db, err = bbolt.Open(path, fileMode, &bbolt.Options{Timeout: lockTimeout, FreelistType: bbolt.FreelistMapType})
+		db, err = bbolt.Open(path, fileMode, &bbolt.Options{
+			Timeout: lockTimeout, FreelistType: bbolt.FreelistMapType, MaxSize: int(limit),
+		})
 		return err
 	})
 	switch {
