--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -9,7 +9,9 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"github.com/covelink/covelink/api/machinesv1"
 	"github.com/covelink/covelink/internal/auth"
+	"github.com/covelink/covelink/internal/claims"
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/configsync"
 	"github.com/covelink/covelink/internal/dispatch"
@@ -19,6 +21,7 @@
 	"github.com/covelink/covelink/internal/keeper"
 	"github.com/covelink/covelink/internal/leadership"
 	"github.com/covelink/covelink/internal/ledgerlog"
+	"github.com/covelink/covelink/internal/membership"
 	"github.com/covelink/covelink/internal/objectapi"
 	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
@@ -43,8 +46,10 @@
 		cluster.NewHolder,
 		func(holder *cluster.Holder) cluster.Source { return holder },
 		newElector,
+		func(elector *leadership.LeaseElector) leadership.Elector { return elector },
 		newStore,
 		newConfigSync,
+		newMembership,
 		newEngineClient,
 		newInventory,
 		newWeights,
@@ -54,9 +59,11 @@
 		newKeeper,
 		newLogs,
 		newRollout,
+		newClaims,
 		newAuthenticator,
 		newGateway,
 		newResourceAPI,
+		newConnections,
 		newHTTPServer,
 	),
 )
@@ -74,16 +81,23 @@
 	if dial == nil {
 		dial = loaded.dial()
 	}
-	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, dial)
+	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, newRoutes(config).nodes(dial))
 	client.MaxFrameBytes = config.Limits.MaxFrameBytes
 	client.Observer = observer
 	return client
 }
 
-// newElector returns the elector over the nodes of the settings.
-func newElector(config settings.Settings, self cluster.Node, source cluster.Source) leadership.Elector {
-	return leadership.NewStatic(self.Name, seeds(config), func(name string) []string {
-		return electorate(source.Current(), name)
+// newElector returns the elector whose voters are the nodes of the settings.
+func newElector(config settings.Settings, self cluster.Node, source cluster.Source, client *rpc.Client,
+	logger log.Logger, registerer prometheus.Registerer) *leadership.LeaseElector {
+	return leadership.New(leadership.Params{
+		Self:       self,
+		Seeds:      seeds(config),
+		Electorate: func(name string) []string { return electorate(source.Current(), name) },
+		Client:     client,
+		Timing:     config.Timing,
+		Logger:     logger,
+		Registerer: registerer,
 	})
 }
 
@@ -123,10 +137,26 @@
 	})
 }
 
-func newEngineClient() *engine.Client { return engine.New(engine.Config{}) }
+func newMembership(config settings.Settings, self cluster.Node, client *rpc.Client, sync *configsync.Manager,
+	logger log.Logger, registerer prometheus.Registerer) *membership.Manager {
+	manager := membership.New(membership.Params{
+		Self:       self,
+		Seeds:      seeds(config),
+		Client:     client,
+		Timing:     config.Timing,
+		Logger:     logger,
+		Registerer: registerer,
+	})
+	manager.OnChange(sync.SetNodes)
+	return manager
+}
+
+func newEngineClient(config settings.Settings) *engine.Client {
+	return engine.New(engine.Config{Dial: newRoutes(config).engines()})
+}
 
 func newInventory(config settings.Settings, self cluster.Node, engines *engine.Client, source cluster.Source,
-	sync *configsync.Manager, logger log.Logger, registerer prometheus.Registerer) *inventory.Inventory {
+	sync *configsync.Manager, members *membership.Manager, logger log.Logger, registerer prometheus.Registerer) *inventory.Inventory {
 	return inventory.New(inventory.Params{
 		Zone:       self.Zone,
 		Machines:   inventory.NewHTTPMachineLister(config.Platform.MachineList, &http.Client{Timeout: platformTimeout}),
@@ -134,12 +164,13 @@
 		Source:     source,
 		Timing:     config.Timing,
 		Publish:    sync.SetEngines,
+		Listed:     func(machines []machinesv1.Machine) { members.SetLeaving(leavingNodes(machines)) },
 		Logger:     logger,
 		Registerer: registerer,
 	})
 }
 
-func newWeights(self cluster.Node, source cluster.Source, engines *engine.Client, elector leadership.Elector, client *rpc.Client,
+func newWeights(self cluster.Node, source cluster.Source, engines *engine.Client, elector *leadership.LeaseElector, client *rpc.Client,
 	engineInventory *inventory.Inventory, logger log.Logger, registerer prometheus.Registerer) *weights.Manager {
 	return weights.New(weights.Params{
 		Self:       self,
@@ -148,6 +179,7 @@
 		Elector:    elector,
 		Client:     client,
 		Observe:    engineInventory.Observe,
+		Fenced:     elector.ObserveToken,
 		Logger:     logger,
 		Registerer: registerer,
 	})
@@ -211,17 +243,32 @@
 	})
 }
 
+func newClaims(config settings.Settings, self cluster.Node, source cluster.Source, client *rpc.Client,
+	logger log.Logger, registerer prometheus.Registerer) (*claims.Manager, error) {
+	return claims.New(claims.Params{
+		Self:       self,
+		Source:     source,
+		Client:     client,
+		Seeds:      seeds(config),
+		DataDir:    config.Node.DataDir,
+		Retention:  config.Timing.ClaimRetention,
+		Logger:     logger,
+		Registerer: registerer,
+	})
+}
+
 func newAuthenticator(config settings.Settings, source cluster.Source) *auth.Authenticator {
 	return auth.New(source, config.Operators)
 }
 
 func newGateway(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *recorder.Dispatcher, rollouts *rollout.Manager,
-	recorded *recorder.Recorder, authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
+	recorded *recorder.Recorder, claimed *claims.Manager, authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
 	return gateway.New(gateway.Params{
 		Self:       self,
 		Source:     source,
 		Dispatcher: dispatcher,
 		Rollouts:   recorder.NewService(recorded, rollouts.Service()),
+		Claims:     claimed,
 		Auth:       authenticator,
 		Limits:     config.Limits,
 		Timing:     config.Timing,
