--- a/internal/ledgerlog/bench_test.go
+++ b/internal/ledgerlog/bench_test.go
@@ -46,6 +46,8 @@
 				l, err := o.open(1)
 				f.must(err)
 				index := 0
+				counted := &frames{}
+				o.client.Observer = counted
 				for b.Loop() {
 					entries := make([]rollout.Entry, group)
 					for place := range entries {
@@ -55,12 +57,23 @@
 					f.must(l.Append(o.ctx, entries))
 				}
 				b.ReportMetric(float64(index)/b.Elapsed().Seconds(), "samples/s")
+				b.ReportMetric(float64(counted.count.Load())*float64(group)/float64(index), "frames/append")
+				b.ReportMetric(float64(counted.bytes.Load())/float64(index), "wire-bytes/sample")
 				b.ReportMetric(float64(groupBytes(group))/float64(group), "log-bytes/sample")
 			})
 		}
 	}
 }
 
+// frames counts the frames of a client in both directions. It implements rpc.Observer.
+type frames struct{ count, bytes atomic.Int64 }
+
+// Frame implements rpc.Observer.
+func (f *frames) Frame(_ string, _ bool, bytes int) {
+	f.count.Add(1)
+	f.bytes.Add(int64(bytes))
+}
+
 // groupBytes returns the bytes of a group in the log of one replica.
 func groupBytes(group int) int {
 	entries := make([]rollout.Entry, group)
