--- a/internal/keeper/disk.go
+++ b/internal/keeper/disk.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 
 	"github.com/covelink/covelink/coord/quorumlog"
 )
@@ -87,9 +88,9 @@
 		return err
 	})
 	switch {
-	case errors.Is(err, bbolt.ErrTimeout):
+	case errors.Is(err, bbolterrors.ErrTimeout):
 		return nil, ErrLocked
-	case errors.Is(err, bbolt.ErrInvalid), errors.Is(err, bbolt.ErrChecksum), errors.Is(err, bbolt.ErrVersionMismatch):
+	case errors.Is(err, bbolterrors.ErrInvalid), errors.Is(err, bbolterrors.ErrChecksum), errors.Is(err, bbolterrors.ErrVersionMismatch):
 		return nil, fmt.Errorf("%w: %w", quorumlog.ErrCorrupt, err)
 	case err != nil:
 		return nil, fmt.Errorf("keeper: open database: %w", err)
--- a/internal/keeper/record.go
+++ b/internal/keeper/record.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 
 	"github.com/covelink/covelink/coord/quorumlog"
 )
@@ -62,7 +63,7 @@
 	logs := tx.Bucket(logsBucket)
 	if u.remove {
 		err := logs.DeleteBucket([]byte(u.log))
-		if errors.Is(err, bbolt.ErrBucketNotFound) {
+		if errors.Is(err, bbolterrors.ErrBucketNotFound) {
 			return nil
 		}
 		return err
@@ -100,7 +101,7 @@
 	if err := deleteThrough(entries, snapshot.Index); err != nil {
 		return err
 	}
-	if err := bucket.DeleteBucket(partsBucket); err != nil && !errors.Is(err, bbolt.ErrBucketNotFound) {
+	if err := bucket.DeleteBucket(partsBucket); err != nil && !errors.Is(err, bbolterrors.ErrBucketNotFound) {
 		return err
 	}
 	parts, err := bucket.CreateBucket(partsBucket)
