--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -41,7 +41,7 @@
 		Usage: "stand-ins for covelink's surroundings, and a demo",
 		Commands: []*cli.Command{
 			demoCommand(streams),
-			upCommand(streams),
+			upCommand(streams), controlCommand(streams),
 			configFaultsCommand(streams),
 			compareCommand(streams),
 		},
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -86,6 +86,7 @@
 	return leadership.New(leadership.Params{
 		Self:       self,
 		Seeds:      seeds(config),
+		Nodes:      func() []cluster.Node { return source.Current().Nodes },
 		Electorate: func(name string) []string { return electorate(source.Current(), name) },
 		Client:     client,
 		Timing:     config.Timing,
