--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -14,13 +15,16 @@
 	"go.uber.org/fx"
 
 	"github.com/covelink/covelink/internal/auth"
+	"github.com/covelink/covelink/internal/claims"
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/configsync"
 	"github.com/covelink/covelink/internal/dispatch"
 	"github.com/covelink/covelink/internal/engine"
 	"github.com/covelink/covelink/internal/gateway"
 	"github.com/covelink/covelink/internal/inventory"
+	"github.com/covelink/covelink/internal/keeper"
 	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/ledgerlog"
 	"github.com/covelink/covelink/internal/membership"
 	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
@@ -59,10 +63,14 @@
 	Inventory *inventory.Inventory
 	Weights   *weights.Manager
 	Dispatch  *dispatch.Manager
+	Keeper    *keeper.Keeper
+	Logs      *ledgerlog.Opener
 	Rollout   *rollout.Manager
+	Claims    *claims.Manager
 	Gateway   *gateway.Gateway
 	Resources *resourceapi.API
 	HTTP      *http.Server
+	Callers   *connections
 }
 
 // lifecycle runs the parts of a node and stops them in order.
@@ -91,7 +99,9 @@
 	l.Members.Register(l.Server)
 	l.Sync.Register(l.Server)
 	l.Weights.Register(l.Server)
+	l.Keeper.Register(l.Server)
 	l.Rollout.Register(l.Server)
+	l.Claims.Register(l.Server)
 	l.run(func() {
 		l.report("internal listener ended", l.Server.Serve(secure(l.Listeners.internal, l.TLS.internal)))
 	})
@@ -101,6 +111,8 @@
 	l.run(func() { l.report("config sync ended", l.Sync.Run(ctx)) })
 	l.run(func() { l.Weights.Run(ctx) })
 	l.run(func() { l.Dispatch.Run(ctx) })
+	l.run(func() { l.Keeper.Run(ctx) })
+	l.run(func() { l.report("claims ended", l.Claims.Run(ctx)) })
 	l.campaigns.Go(func() { l.report("rollout ended", l.Rollout.Run(ctx)) })
 	l.campaigns.Go(func() { l.coordinate(ctx) })
 	l.Gateway.SetReady(true, "")
@@ -142,6 +154,9 @@
 	l.cancelElector()
 	l.close()
 	l.tasks.Wait()
+	// Last: this node's replicas serve other nodes' ledgers until no request is left.
+	l.Logs.Close()
+	err = errors.Join(err, l.Keeper.Close())
 	level.Info(l.logger).Log("msg", "stopped", "err", err)
 	return err
 }
@@ -157,6 +172,8 @@
 func (l *lifecycle) close() {
 	closeCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	l.Listeners.http.Close()
+	l.Callers.awaitQuiet(closeCtx)
 	if err := l.HTTP.Shutdown(closeCtx); err != nil {
 		l.HTTP.Close()
 	}
@@ -168,7 +185,7 @@
 func (l *lifecycle) run(task func()) { l.tasks.Go(task) }
 
 func (l *lifecycle) report(msg string, err error) {
-	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, context.Canceled) {
+	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) {
 		return
 	}
 	level.Error(l.logger).Log("msg", msg, "err", err)
@@ -176,7 +193,8 @@
 
 // newHTTPServer serves callers, operators and metrics on one listener.
 func newHTTPServer(config settings.Settings, self cluster.Node, source cluster.Source, callers *gateway.Gateway, operators *resourceapi.API,
-	recorded *recorder.Recorder, authenticator *auth.Authenticator, registry *prometheus.Registry) *http.Server {
+	recorded *recorder.Recorder, authenticator *auth.Authenticator, registry *prometheus.Registry,
+	open *connections) *http.Server {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
 	router.Use(gin.Recovery())
@@ -184,5 +202,7 @@
 	operators.Routes(router)
 	recorder.Handlers{Recorder: recorded, Self: self, Source: source}.Routes(router, authenticator.Authenticate(), auth.RequireOperatorRead())
 	router.GET("/metrics", gin.WrapH(telemetry.Handler(registry)))
-	return gateway.NewHTTPServer(router, config.Limits)
+	server := gateway.NewHTTPServer(router, config.Limits)
+	server.ConnState = open.note
+	return server
 }
