--- a/coord/membership/membership_test.go
+++ b/coord/membership/membership_test.go
@@ -207,10 +207,8 @@
 func TestBridgesAreReplaced(t *testing.T) {
 	w := newNetwork(10)
 	var seeds []Member
-	var zones [][]Member
 	for i := range 8 {
 		members := w.startZone(string(rune('a'+i)), 12)
-		zones = append(zones, members)
 		seeds = append(seeds, members[:2]...)
 	}
 	for _, name := range w.names {
