--- a/internal/configsync/manager.go
+++ b/internal/configsync/manager.go
@@ -174,6 +174,8 @@
 	if holder.Name == m.self.Name {
 		return m.heartbeatLocal(request)
 	}
+	ctx, cancel := context.WithTimeout(ctx, HeartbeatTimeout(m.params.Timing.LeaseLength))
+	defer cancel()
 	return rpc.Call[heartbeatRequest, Grant](ctx, m.params.Client, holder.Address, request)
 }
 
--- a/internal/configsync/spread.go
+++ b/internal/configsync/spread.go
@@ -75,6 +75,9 @@
 // Failed notes that one did not answer.
 func (q *Inquiry) Failed() { q.complete = false }
 
+// Leased reports whether a node of the zone with a valid lease has answered, so that the others need not be waited for.
+func (q *Inquiry) Leased() bool { return q.leased }
+
 // Informed reports whether the term knows all that its zone has acknowledged: a node of the zone with a valid lease applies
 // that, and so does the sum of all when every one has answered.
 func (q *Inquiry) Informed() bool { return q.leased || q.complete }
--- a/internal/configsync/term.go
+++ b/internal/configsync/term.go
@@ -171,7 +171,12 @@
 			continue
 		}
 		inquiry.Answered(reply.node.Zone, reply.Leased)
-		m.change(func(c *Coordinator, now time.Time) { c.Adopt(reply.State, now) })
+		m.change(func(c *Coordinator, now time.Time) {
+			c.Adopt(reply.State, now)
+			if inquiry.Leased() {
+				c.SetInformed()
+			}
+		})
 	}
 	if !inquiry.Informed() {
 		return false
--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -31,7 +31,7 @@
 	root := &cli.Command{
 		Name:     programName,
 		Usage:    "stand-ins for covelink's surroundings, and a demo",
-		Commands: []*cli.Command{demoCommand(streams), upCommand(streams), configFaultsCommand(streams)},
+		Commands: []*cli.Command{demoCommand(streams), upCommand(streams), configFaultsCommand(streams), plannedStopsCommand(streams)},
 	}
 	root.Commands = append(root.Commands, traceCommands(streams)...)
 	root.Commands = append(root.Commands, processCommands(streams)...)
--- a/internal/lab/configfaults/monitor.go
+++ b/internal/lab/configfaults/monitor.go
@@ -32,6 +32,8 @@
 type poolVersion struct {
 	version uint64
 	zones   []string
+	scope   []string
+	at      time.Time
 }
 
 // progress is a revision that a node has come to apply.
@@ -91,7 +93,12 @@
 	}
 	version := objectapi.ParseRevision(object.Metadata.ResourceVersion)
 	zones := decoded.(*v1.Pool).Spec.PermittedZones
-	m.pools[object.Metadata.Name] = append(m.pools[object.Metadata.Name], poolVersion{version: version, zones: zones})
+	m.pools[object.Metadata.Name] = append(m.pools[object.Metadata.Name], poolVersion{
+		version: version,
+		zones:   zones,
+		scope:   slices.Concat(zones, object.Metadata.FormerZones),
+		at:      m.world.clock.now,
+	})
 	if record := m.byID[object.Metadata.WriteID]; record != nil {
 		record.committed, record.version = m.world.clock.now, version
 		record.scope = slices.Concat(zones, object.Metadata.FormerZones)
@@ -249,7 +256,14 @@
 func (m *monitor) measure(record *writeRecord) {
 	from := record.committed
 	spans := slices.Clone(m.world.blocked)
-	for _, zone := range append([]string{record.operator.node.zone}, record.scope...) {
+	zones := append([]string{record.operator.node.zone}, record.scope...)
+	for _, later := range m.pools[record.object.Metadata.Name] {
+		// A version that replaces this one before it is accepted has to be acknowledged by its own zones too.
+		if later.version > record.version && later.at.Before(record.acceptedAt) {
+			zones = append(zones, later.scope...)
+		}
+	}
+	for _, zone := range zones {
 		spans = append(spans, m.world.blockedZone[zone]...)
 	}
 	hindered := false
--- a/internal/lab/configfaults/node.go
+++ b/internal/lab/configfaults/node.go
@@ -96,7 +96,7 @@
 		finish(ask(report))
 		return
 	}
-	n.world.call(n, holder, n.world.timing.LeaseLength, func() error { return ask(report) }, finish)
+	n.world.call(n, holder, configsync.HeartbeatTimeout(n.world.timing.LeaseLength), func() error { return ask(report) }, finish)
 }
 
 func (n *node) pull(holder *node, again func(configsync.HeartbeatResult)) {
--- a/internal/lab/configfaults/suite_test.go
+++ b/internal/lab/configfaults/suite_test.go
@@ -19,6 +19,37 @@
 	})
 }
 
+// TestFoundFailures runs again what once broke a promise.
+func TestFoundFailures(t *testing.T) {
+	for _, found := range []struct {
+		what     string
+		scenario Scenario
+		seed     uint64
+	}{
+		{"a pool was accepted before the zone that it was taken from had acknowledged", Scenario{ZoneCut}, 2},
+		{"so it was while the coordinator of that zone stood still", Scenario{ZoneCut, CoordinatorPaused}, 2},
+		{"a resource written without a pause was not accepted until the writes ended", Scenario{Race}, 2},
+	} {
+		Convey("Once "+found.what, t, func() {
+			result := Run(found.scenario, found.seed)
+			So(result.First, ShouldBeEmpty)
+			So(result.Violations(), ShouldEqual, 0)
+		})
+	}
+}
+
+func TestScenarioNames(t *testing.T) {
+	Convey("A scenario is read back from its name, and an unknown fault is refused", t, func() {
+		for _, scenario := range Scenarios() {
+			parsed, err := ParseScenario(scenario.String())
+			So(err, ShouldBeNil)
+			So(parsed, ShouldResemble, scenario)
+		}
+		_, err := ParseScenario("zone-cut+flood")
+		So(err, ShouldNotBeNil)
+	})
+}
+
 func TestSameSeedSameRun(t *testing.T) {
 	Convey("A run is a function of its faults and its seed", t, func() {
 		scenario := Scenario{ReplyLost, CoordinatorPaused}
--- a/internal/lab/configfaults/term.go
+++ b/internal/lab/configfaults/term.go
@@ -210,7 +210,12 @@
 				inquiry.Failed()
 			} else {
 				inquiry.Answered(peer.zone, leased)
-				t.change(func(c *configsync.Coordinator, now time.Time) { c.Adopt(state, now) })
+				t.change(func(c *configsync.Coordinator, now time.Time) {
+					c.Adopt(state, now)
+					if inquiry.Leased() {
+						c.SetInformed()
+					}
+				})
 			}
 			if open--; open == 0 {
 				t.endInquiry(inquiry, deadline, next)
