node: let callers leave before the listener closes, run planned stops from the lab

With 10,000 requests, 5 planned stops reset 4 connections that the kernel had taken and the node had not. The listener now closes once no connection has come for 250 ms, 3 s at most, in which callers are told that the node stops.

--- a/internal/configsync/pace.go
+++ b/internal/configsync/pace.go
@@ -35,7 +35,9 @@
 
 // HeartbeatTimeout returns how long a node waits for the answer to a heartbeat. It is short, so that a coordinator that stands
 // still doesn't keep a node from asking the next one before the node's lease has lapsed.
-func HeartbeatTimeout(leaseLength time.Duration) time.Duration { return leaseLength / heartbeatFraction }
+func HeartbeatTimeout(leaseLength time.Duration) time.Duration {
+	return leaseLength / heartbeatFraction
+}
 
 // TickInterval returns the time between two ticks of a coordinator.
 func TickInterval(leaseLength time.Duration) time.Duration { return leaseLength / tickFraction }
--- a/internal/lab/configfaults/suite_test.go
+++ b/internal/lab/configfaults/suite_test.go
@@ -27,6 +27,9 @@
 		seed     uint64
 	}{
 		{"a pool was accepted before the zone that it was taken from had acknowledged", Scenario{ZoneCut}, 2},
+		{"nodes were refused a lease in time when their coordinator stood still", Scenario{StoreSlow, CoordinatorPaused}, 1},
+		{"so they were when answers were lost too", Scenario{ReplyLost, CoordinatorPaused}, 1},
+		{"so they were in a zone that was cut off", Scenario{ZoneCut, CoordinatorPaused}, 20},
 		{"so it was while the coordinator of that zone stood still", Scenario{ZoneCut, CoordinatorPaused}, 2},
 		{"a resource written without a pause was not accepted until the writes ended", Scenario{Race}, 2},
 	} {
--- a/internal/lab/drains/drains.go
+++ b/internal/lab/drains/drains.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,8 @@
 	// maxTries bounds the tries of a request that is refused, and retryWait is the time between two.
 	maxTries  = 200
 	retryWait = 25 * time.Millisecond
+	// stoppingText is in the refusals of a node that stops.
+	stoppingText = "the node is stopping"
 )
 
 // Config describes a run.
@@ -56,6 +59,8 @@
 
 	mu     sync.Mutex
 	report Report
+	// left holds the nodes that have said that they stop: as any caller, this one goes to others then.
+	left map[string]bool
 }
 
 // PlannedStops sends the requests while two nodes and two engines stop as planned, one after the other, and the node that
@@ -65,7 +70,7 @@
 	if started == nil {
 		return Report{}, err
 	}
-	r := &run{config: config, deployment: started, client: newHTTPClient()}
+	r := &run{config: config, deployment: started, client: newHTTPClient(), left: make(map[string]bool)}
 	if err == nil {
 		err = r.run(ctx)
 	}
@@ -159,8 +164,15 @@
 func (r *run) request(number int) {
 	urls := r.deployment.Plan().NodeURLs()
 	for try := range maxTries {
-		result, text := ask(r.client, urls[(number+try)%len(urls)], number)
+		url := urls[(number+try)%len(urls)]
+		if r.hasLeft(url) {
+			continue
+		}
+		result, text := ask(r.client, url, number)
 		r.count(result, text, number)
+		if strings.Contains(text, stoppingText) {
+			r.leave(url)
+		}
 		if result != refused {
 			return
 		}
@@ -173,6 +185,18 @@
 	r.report.NotRun++
 }
 
+func (r *run) hasLeft(url string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left[url]
+}
+
+func (r *run) leave(url string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left[url] = true
+}
+
 func (r *run) count(result fate, text string, number int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -12,12 +12,18 @@
 	// newConnectionWait bounds the wait for the request of a connection that has been accepted.
 	newConnectionWait = time.Second
 	quietPollInterval = 5 * time.Millisecond
+	// lingerQuiet is the time without a new connection after which callers are taken to have left, and lingerLimit how long
+	// that is waited for.
+	lingerQuiet = 250 * time.Millisecond
+	lingerLimit = 3 * time.Second
 )
 
 // connections knows the state of every open HTTP connection.
 type connections struct {
 	mu     sync.Mutex
 	states map[net.Conn]http.ConnState
+	// newest is when the last connection was accepted.
+	newest time.Time
 }
 
 func newConnections() *connections { return &connections{states: make(map[net.Conn]http.ConnState)} }
@@ -30,6 +36,9 @@
 		delete(c.states, conn)
 		return
 	}
+	if state == http.StateNew {
+		c.newest = time.Now()
+	}
 	c.states[conn] = state
 }
 
@@ -45,6 +54,30 @@
 	return true
 }
 
+// awaitLeft waits until callers open no more connections, or the limit. Whoever connects meanwhile is told that the node stops;
+// a connection that the kernel has taken when the listener is closed is reset, and its caller could not tell why.
+func (c *connections) awaitLeft(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lingerLimit)
+	defer cancel()
+	started := time.Now()
+	for {
+		c.mu.Lock()
+		since := c.newest
+		c.mu.Unlock()
+		if since.Before(started) {
+			since = started
+		}
+		if time.Since(since) >= lingerQuiet {
+			return
+		}
+		select {
+		case <-time.After(quietPollInterval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // awaitQuiet waits until the connections are quiet or ctx ends. The listener must be closed. A server that shuts down closes
 // connections whose first request is on its way, and their callers could not tell whether it was run.
 func (c *connections) awaitQuiet(ctx context.Context) {
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -136,6 +136,7 @@
 func (l *lifecycle) close() {
 	closeCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	l.Callers.awaitLeft(closeCtx)
 	l.Listeners.http.Close()
 	l.Callers.awaitQuiet(closeCtx)
 	if err := l.HTTP.Shutdown(closeCtx); err != nil {
