--- a/internal/configsync/manager_test.go
+++ b/internal/configsync/manager_test.go
@@ -192,6 +192,17 @@
 			So(errorCode(other.Delete(ctx, v1.KindZone, "none", "")), ShouldEqual, v1.CodeNotFound)
 		})
 
+		Convey("statuses cost the store nothing: while leases go on, there is one watch and no read or write", func() {
+			before := c.store.Counts()
+			So(before.OpenWatches, ShouldEqual, 1)
+			for range 3 {
+				until := follower.leaseEnd()
+				eventually("lease renewed", func() bool { return follower.leaseEnd().After(until) })
+			}
+			after := c.store.Counts()
+			So(after, ShouldResemble, before)
+		})
+
 		Convey("a node cut off from its coordinator stops serving before a change that it lacks is accepted", func() {
 			c.setCut(follower.node.Address, true)
 			object, err := leader.Get(ctx, v1.KindZone, "z")
--- a/internal/lab/configfaults/fault.go
+++ b/internal/lab/configfaults/fault.go
@@ -100,8 +100,6 @@
 	from, to time.Time
 }
 
-func (s span) covers(moment time.Time) bool { return !moment.Before(s.from) && moment.Before(s.to) }
-
 const (
 	downLength  = 10 * time.Minute
 	slowDelay   = 5 * time.Second
