--- a/internal/lab/configfaults/operator.go
+++ b/internal/lab/configfaults/operator.go
@@ -14,9 +14,8 @@
 )
 
 const (
-	// ordinaryWrites is how many writes each of the two ordinary operators makes, and raceWrites each of those that race.
+	// ordinaryWrites is how many writes each of the two ordinary operators makes.
 	ordinaryWrites = 25
-	raceWrites     = 500
 	// raceLimit bounds the time after the faults that the race is given, and rereadInterval the wait for a change to be seen.
 	raceLimit      = 90 * time.Second
 	rereadInterval = 20 * time.Millisecond
@@ -56,7 +55,7 @@
 		return
 	}
 	for i := range 2 {
-		w.startOperator(order[2+i], fmt.Sprintf("race-%d", i), raceWrites, 4*time.Millisecond, poolNames[:1], true)
+		w.startOperator(order[2+i], fmt.Sprintf("race-%d", i), w.size.RaceWrites, 4*time.Millisecond, poolNames[:1], true)
 	}
 }
 
