--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -38,11 +38,13 @@
 func newCommand(streams commandline.Streams) *cli.Command {
 	root := &cli.Command{
 		Name:  programName,
-		Usage: "stand-ins for covelink's surroundings, and a demo",
+		Usage: "stand-ins for covelink's surroundings, and the tools that prove it",
 		Commands: []*cli.Command{
 			demoCommand(streams),
-			upCommand(streams), controlCommand(streams),
+			upCommand(streams),
+			controlCommand(streams),
 			configFaultsCommand(streams),
+			plannedStopsCommand(streams),
 			compareCommand(streams),
 		},
 	}
--- a/internal/lab/configfaults/fault.go
+++ b/internal/lab/configfaults/fault.go
@@ -100,10 +100,7 @@
 	from, to time.Time
 }
 
-func (s span) covers(moment time.Time) bool { return !moment.Before(s.from) && moment.Before(s.to) }
-
 const (
-	downLength  = 10 * time.Minute
 	slowDelay   = 5 * time.Second
 	staleBy     = 3
 	lossShare   = 1.0 / 3
@@ -120,7 +117,7 @@
 		start := warmUp + w.upTo(minimumSpan)
 		length := minimumSpan + w.upTo(spanRange)
 		if fault == StoreDown {
-			length = downLength
+			length = w.size.StoreDown
 		}
 		of := span{from: w.clock.now.Add(start), to: w.clock.now.Add(start + length)}
 		if fault != Race && of.to.After(w.faultsTo) {
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -172,6 +172,7 @@
 func (l *lifecycle) close() {
 	closeCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	l.Callers.awaitLeft(closeCtx)
 	l.Listeners.http.Close()
 	l.Callers.awaitQuiet(closeCtx)
 	if err := l.HTTP.Shutdown(closeCtx); err != nil {
