--- a/internal/lab/compare/bound.go
+++ b/internal/lab/compare/bound.go
@@ -9,7 +9,8 @@
 
 // meanBound returns a lower bound on the idle time of the scenario's trainers, as a mean over trainers and seeds. No
 // scheduler can be below it, with all engines up and nothing else to do: a batch is whole no earlier than its work and
-// that of the batches before it fit into the capacity, and no earlier than its longest sample takes alone on an engine.
+// that of the batches before it fit into the capacity, and, counted from its submission, no earlier than its own work does and
+// than its longest sample takes alone on an engine.
 // Trainers of one pool share its capacity equally.
 func meanBound(scenario sim.Scenario, seeds int) time.Duration {
 	var total time.Duration
@@ -39,19 +40,20 @@
 			tokens += length
 			longest = max(longest, length)
 		}
-		work += time.Duration(float64(tokens) / perSecond * float64(time.Second))
+		own := time.Duration(float64(tokens) / perSecond * float64(time.Second))
+		work += own
 		submitted := time.Duration(0)
 		if before := number - 1 - trainer.Ahead; before >= 0 {
 			submitted = whole[before]
 		}
-		whole[number] = max(work, submitted+time.Duration(longest)*fastestStep(scenario))
-		own := time.Duration(len(lengths)) * trainer.LearnPerSample
-		learning += own
+		whole[number] = max(work, submitted+max(own, time.Duration(longest)*fastestStep(scenario)))
+		learn := time.Duration(len(lengths)) * trainer.LearnPerSample
+		learning += learn
 		if trainer.WholeBatch {
-			learnt = max(learnt, whole[number]) + own
+			learnt = max(learnt, whole[number]) + learn
 			continue
 		}
-		learnt = max(learnt+own, whole[number]+trainer.LearnPerSample)
+		learnt = max(learnt+learn, whole[number]+trainer.LearnPerSample)
 	}
 	return learnt - learning
 }
