--- a/internal/lab/cli/compare.go
+++ b/internal/lab/cli/compare.go
@@ -18,6 +18,7 @@
 	flagPlot      = "plot"
 	flagAblations = "ablations"
 	flagWorkers   = "workers"
+	flagLoad      = "load"
 
 	defaultSeeds   = 3
 	defaultWorkers = 3
@@ -36,6 +37,7 @@
 			&cli.BoolFlag{Name: flagJSON, Usage: "write the report as JSON"},
 			&cli.StringFlag{Name: flagPlot, Usage: "write pictures into the folder `DIR`"},
 			&cli.BoolFlag{Name: flagAblations, Usage: "add covelink with one mechanism switched off at a time"},
+			&cli.FloatFlag{Name: flagLoad, Usage: "multiply the rates of the applications", Value: 1},
 			&cli.IntFlag{Name: flagWorkers, Usage: "simulations at once", Value: defaultWorkers},
 		},
 		Action: func(_ context.Context, command *cli.Command) error {
@@ -51,12 +53,16 @@
 	if command.Int(flagSeeds) < 1 || command.Int(flagWorkers) < 1 {
 		return commandline.UsageErrorf("--%s and --%s must be above 0", flagSeeds, flagWorkers)
 	}
+	if command.Float(flagLoad) <= 0 {
+		return commandline.UsageErrorf("--%s must be above 0", flagLoad)
+	}
 	scenario, err := sim.Load(command.String(flagScenario))
 	if err != nil {
 		return err
 	}
 	report, err := compare.Run(scenario, compare.Options{
 		Seeds: command.Int(flagSeeds), Ablations: command.Bool(flagAblations), Workers: command.Int(flagWorkers),
+		Load: command.Float(flagLoad),
 	})
 	if err != nil {
 		return err
--- a/internal/lab/compare/compare.go
+++ b/internal/lab/compare/compare.go
@@ -24,6 +24,8 @@
 	Seeds int
 	// Ablations adds the product with one mechanism switched off at a time.
 	Ablations bool
+	// Load multiplies the rates of the applications; 0 means 1.
+	Load float64
 	// Workers bounds the simulations that run at once.
 	Workers int
 }
@@ -55,6 +57,9 @@
 	Interactive sim.Percentiles `json:"interactiveNanos"`
 	// NotCompleted is the share of those requests that were refused or lost.
 	NotCompleted float64 `json:"notCompletedShare"`
+	// Attempts is the mean number of engines that a request was written to, AttemptsMax the highest.
+	Attempts    float64 `json:"attempts"`
+	AttemptsMax int     `json:"attemptsMax"`
 	// Unfinished counts the runs that did not deliver every batch in time. Broken counts those that broke a promise; only the
 	// product's first run is checked, since the history of every token is large.
 	Unfinished int `json:"unfinished"`
@@ -74,6 +79,9 @@
 	if options.Seeds < 1 {
 		return nil, fmt.Errorf("seeds must be above 0")
 	}
+	if options.Load > 0 {
+		scenario = loaded(scenario, options.Load)
+	}
 	policies := append([]sim.Policy{sim.Covelink()}, sim.Baselines()...)
 	if options.Ablations {
 		policies = append(policies, sim.Ablations()...)
@@ -104,6 +112,17 @@
 	return report, nil
 }
 
+// loaded returns the scenario with the applications' rates multiplied.
+func loaded(scenario sim.Scenario, factor float64) sim.Scenario {
+	applications := make([]sim.Application, 0, len(scenario.Applications))
+	for _, application := range scenario.Applications {
+		application.RequestsPerSecond *= factor
+		applications = append(applications, application)
+	}
+	scenario.Applications = applications
+	return scenario
+}
+
 func planJobs(scenario sim.Scenario, policies []sim.Policy, seeds int) []job {
 	var jobs []job
 	for seed := range uint64(seeds) {
@@ -144,6 +163,8 @@
 	latencies    []time.Duration
 	requests     int
 	notCompleted int
+	attempts     int
+	attemptsMax  int
 	finished     bool
 	kept         bool
 }
@@ -166,6 +187,8 @@
 			continue
 		}
 		d.requests++
+		d.attempts += request.Attempts
+		d.attemptsMax = max(d.attemptsMax, request.Attempts)
 		if request.Outcome != v1.OutcomeCompleted {
 			d.notCompleted++
 			continue
--- a/internal/lab/compare/sum.go
+++ b/internal/lab/compare/sum.go
@@ -12,7 +12,7 @@
 func sum(policy string, row int, jobs []job, results []*digest) Row {
 	made := Row{Policy: policy}
 	staleness := make(map[int64]int)
-	var trainers, samples, overBound, requests, notCompleted int
+	var trainers, samples, overBound, requests, notCompleted, attempts int
 	var produced, delivered int64
 	var idle, wall time.Duration
 	for index, planned := range jobs {
@@ -35,6 +35,8 @@
 		produced += run.produced
 		delivered += run.delivered
 		requests += run.requests
+		attempts += run.attempts
+		made.AttemptsMax = max(made.AttemptsMax, run.attemptsMax)
 		notCompleted += run.notCompleted
 		made.latencies = append(made.latencies, run.latencies...)
 		made.Unfinished += count(!run.finished)
@@ -48,6 +50,7 @@
 	made.StalenessP50, made.StalenessP99 = quantileOfCounts(staleness, 0.5), quantileOfCounts(staleness, 0.99)
 	made.OverBound = share(overBound, samples)
 	made.NotCompleted = share(notCompleted, requests)
+	made.Attempts = share(attempts, requests)
 	if produced > 0 {
 		made.Wasted = 1 - float64(delivered)/float64(produced)
 	}
