--- a/internal/lab/cli/compare.go
+++ b/internal/lab/cli/compare.go
@@ -40,16 +40,16 @@
 			&cli.FloatFlag{Name: flagLoad, Usage: "multiply the rates of the applications", Value: 1},
 			&cli.IntFlag{Name: flagWorkers, Usage: "simulations at once", Value: defaultWorkers},
 		},
-		Action: func(_ context.Context, command *cli.Command) error {
+		Action: func(ctx context.Context, command *cli.Command) error {
 			if err := noArguments(command); err != nil {
 				return err
 			}
-			return runCompare(command, streams)
+			return runCompare(ctx, command, streams)
 		},
 	}
 }
 
-func runCompare(command *cli.Command, streams commandline.Streams) error {
+func runCompare(ctx context.Context, command *cli.Command, streams commandline.Streams) error {
 	if command.Int(flagSeeds) < 1 || command.Int(flagWorkers) < 1 {
 		return commandline.UsageErrorf("--%s and --%s must be above 0", flagSeeds, flagWorkers)
 	}
@@ -60,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	report, err := compare.Run(scenario, compare.Options{
+	report, err := compare.Run(ctx, scenario, compare.Options{
 		Seeds: command.Int(flagSeeds), Ablations: command.Bool(flagAblations), Workers: command.Int(flagWorkers),
 		Load: command.Float(flagLoad),
 	})
--- a/internal/lab/compare/compare.go
+++ b/internal/lab/compare/compare.go
@@ -3,6 +3,7 @@
 package compare
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -74,8 +75,8 @@
 	scenario sim.Scenario
 }
 
-// Run compares. The same scenario and options give the same report.
-func Run(scenario sim.Scenario, options Options) (*Report, error) {
+// Run compares. The same scenario and options give the same report. It gives up with ctx's error when ctx ends.
+func Run(ctx context.Context, scenario sim.Scenario, options Options) (*Report, error) {
 	if options.Seeds < 1 {
 		return nil, fmt.Errorf("seeds must be above 0")
 	}
@@ -88,11 +89,11 @@
 	}
 	jobs := planJobs(scenario, policies, options.Seeds)
 	results := make([]*digest, len(jobs))
-	var group errgroup.Group
+	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(max(options.Workers, 1))
 	for index, planned := range jobs {
 		group.Go(func() error {
-			result, err := sim.Run(planned.scenario)
+			result, err := sim.RunContext(ctx, planned.scenario)
 			if err != nil {
 				return err
 			}
--- a/internal/lab/compare/compare_test.go
+++ b/internal/lab/compare/compare_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"os"
 	"path/filepath"
 	"testing"
@@ -29,7 +30,7 @@
 func TestComparison(t *testing.T) {
 	Convey("A comparison has a row for each policy, none below the bound, and is the same each time", t, func() {
 		options := Options{Seeds: 2, Workers: 2, Ablations: true}
-		report, err := Run(smallScenario(), options)
+		report, err := Run(context.Background(), smallScenario(), options)
 		So(err, ShouldBeNil)
 		So(len(report.Rows), ShouldEqual, 1+len(sim.Baselines())+len(sim.Ablations())+1)
 		So(report.Bound, ShouldBeGreaterThan, 0)
@@ -40,7 +41,7 @@
 			So(row.OverBound, ShouldEqual, 0)
 			So(row.Interactive.P99, ShouldBeGreaterThan, 0)
 		}
-		again, err := Run(smallScenario(), options)
+		again, err := Run(context.Background(), smallScenario(), options)
 		So(err, ShouldBeNil)
 		var first, second bytes.Buffer
 		So(report.WriteJSON(&first), ShouldBeNil)
@@ -59,6 +60,15 @@
 	})
 }
 
+func TestComparisonGivesUp(t *testing.T) {
+	Convey("A comparison ends when its context does", t, func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := Run(ctx, smallScenario(), Options{Seeds: 1, Workers: 1})
+		So(err, ShouldEqual, context.Canceled)
+	})
+}
+
 func TestBound(t *testing.T) {
 	Convey("The bound is the time to the whole batch that the longest sample or the work takes", t, func() {
 		scenario := smallScenario()
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -6,6 +6,7 @@
 
 import (
 	"container/heap"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -15,13 +16,18 @@
 )
 
 // Run simulates a scenario. An error means that the scenario is unfit.
-func Run(scenario Scenario) (*Result, error) {
+func Run(scenario Scenario) (*Result, error) { return RunContext(context.Background(), scenario) }
+
+// RunContext is Run that gives up with ctx's error when ctx ends.
+func RunContext(ctx context.Context, scenario Scenario) (*Result, error) {
 	scenario = scenario.withDefaults()
 	if err := scenario.Validate(); err != nil {
 		return nil, err
 	}
 	s := newSimulation(scenario)
-	s.loop()
+	if err := s.loop(ctx); err != nil {
+		return nil, err
+	}
 	return s.conclude(), nil
 }
 
@@ -132,8 +138,14 @@
 // since returns the time since the start.
 func (s *simulation) since(moment time.Time) time.Duration { return moment.Sub(epoch) }
 
-func (s *simulation) loop() {
+// eventsPerCheck is the number of events after which ctx is looked at.
+const eventsPerCheck = 4096
+
+func (s *simulation) loop(ctx context.Context) error {
 	for len(s.queue) > 0 && !s.finished() {
+		if s.result.Events%eventsPerCheck == 0 && ctx.Err() != nil {
+			return ctx.Err()
+		}
 		next := heap.Pop(&s.queue).(event)
 		if next.at.After(s.end) {
 			break
@@ -142,6 +154,7 @@
 		s.result.Events++
 		next.do()
 	}
+	return nil
 }
 
 // finished reports whether every trainer has its batches and every request its outcome.
