--- a/internal/rollout/attempts.go
+++ b/internal/rollout/attempts.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -74,46 +73,6 @@
 	o.hedge(now)
 }
 
-// mayStart reports whether samples of a batch may be started: not while as many run or are ready as the trainer takes over
-// until the first of them goes stale, since one that is started now would probably be too old by its turn. The batch
-// that the trainer waits for goes on in any case.
-func (o *Owner) mayStart(batch string) bool {
-	bound, known := o.predictor.consumedWithin(o.config.Bound)
-	if !known || o.config.Without.StaleStart || batch == o.fetched || batch == o.ledger.foremost() {
-		return true
-	}
-	ahead := len(o.attempts)
-	for _, ready := range o.ready {
-		ahead += len(ready)
-	}
-	return ahead < max(bound, minWindow)
-}
-
-// window returns how many attempts may wait for their first token. Attempts that wait cannot be put into another order
-// when predictions change, so that no more are started than keep the engines' slots filled.
-func (o *Owner) window() int {
-	return max(minWindow, (o.inFlight-o.unbegun)/windowShare)
-}
-
-// startOrders returns the function that gives the waiting samples of a batch their keys; the highest is started first.
-// One sample of each prompt group goes ahead, because it tells the length of the rest.
-func (o *Owner) startOrders() func(id Identity) int {
-	if o.config.Without.LongestFirst {
-		return func(Identity) int { return 0 }
-	}
-	type batchGroup struct{ batch, group string }
-	probed := make(map[batchGroup]bool)
-	return func(id Identity) int {
-		group := o.request(id).Group
-		key := batchGroup{id.Batch, group}
-		if group == "" || o.predictor.tried(group) || probed[key] {
-			return o.predictor.atLeast(group, o.tokenLimit(id))
-		}
-		probed[key] = true
-		return math.MaxInt
-	}
-}
-
 func (o *Owner) request(id Identity) v1.SampleRequest {
 	return o.ledger.batch(id.Batch).Spec.Samples[id.Index]
 }
@@ -367,38 +326,6 @@
 	}
 }
 
-// hedge starts a second attempt of each straggler of a batch of which nothing waits.
-func (o *Owner) hedge(now time.Time) {
-	if o.config.Without.Hedges || now.Sub(o.lastHedge) < hedgeInterval {
-		return
-	}
-	o.lastHedge = now
-	for _, id := range o.running() {
-		if o.inFlight >= o.config.MaxInFlight {
-			return
-		}
-		first := o.attempts[id][0]
-		if first.hedged || o.waiting.waits(id.Batch) || !o.straggles(now, first) {
-			continue
-		}
-		first.hedged = true
-		o.start(now, id, first)
-	}
-}
-
-// straggles reports whether an attempt is slower than others, whatever its length: a second attempt of a long answer that
-// runs as fast as any would end no sooner.
-func (o *Owner) straggles(now time.Time, a *attempt) bool {
-	if a.began.IsZero() {
-		return false // it may well wait for a slot
-	}
-	if now.Sub(a.told) > hedgeSilence {
-		return true
-	}
-	usual := o.predictor.duration(len(a.tokens) - a.resumed)
-	return now.Sub(a.began) > time.Duration(hedgeFactor*float64(usual))+hedgeAfter
-}
-
 // Suspend stops starting work, keeps the verified tokens of all that runs and cancels it, so that another owner can resume.
 func (o *Owner) Suspend() {
 	o.suspended = true
