--- a/internal/dispatch/accounting.go
+++ b/internal/dispatch/accounting.go
@@ -57,7 +57,7 @@
 func (m *Manager) observeVersion(held *Grant, version int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.core.ObserveVersion(m.params.Now(), held, version)
+	m.core.ObserveVersion(held, version)
 }
 
 // cancelAttempt tells the engine of an attempt that was given up, in the background: the result does not wait for it.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -199,10 +199,8 @@
 	blamed := false
 	switch {
 	case result.Outcome == v1.OutcomeCompleted:
-		held.state.Heard(now)
 		held.state.Breaker.Succeed()
 	case result.Refusal != nil:
-		held.state.Heard(now)
 		held.state.Breaker.Succeed()
 		c.observeRefusal(now, held, result.Refusal.Reason)
 	case own:
@@ -240,8 +238,7 @@
 }
 
 // ObserveVersion takes over the version of verified tokens. They also prove that the engine works.
-func (c *Core) ObserveVersion(now time.Time, held *Grant, version int64) {
-	held.state.Heard(now)
+func (c *Core) ObserveVersion(held *Grant, version int64) {
 	held.state.ObserveVersion(held.engine.Incarnation, version)
 	held.state.Breaker.Succeed()
 }
--- a/internal/lab/sim/stream.go
+++ b/internal/lab/sim/stream.go
@@ -98,7 +98,7 @@
 	}
 	chunks, err := c.assembly.Accept(event)
 	for _, chunk := range chunks {
-		c.node.core.ObserveVersion(c.node.sim.now, c.grant, chunk.Version)
+		c.node.core.ObserveVersion(c.grant, chunk.Version)
 		c.task.tell(c, chunk)
 		if c.closed {
 			return
--- a/internal/scheduler/placer.go
+++ b/internal/scheduler/placer.go
@@ -32,8 +32,6 @@
 	boundedLoadFactor = 1.25
 	// loadHalfLife is the age at which a reported load counts half.
 	loadHalfLife = 2 * time.Second
-	// silenceLimit is how long an engine with requests in flight may tell nothing before it gets no more.
-	silenceLimit = 2 * time.Second
 	// refuseRetryAfter is the advice to a request that no engine can take, until the view changes.
 	refuseRetryAfter = time.Second
 )
@@ -190,7 +188,7 @@
 		return FilterIncarnation
 	case state.Version < request.MinVersion:
 		return FilterVersion
-	case now.Before(state.HoldUntil) || !state.Breaker.Ready(now) || state.silent(now):
+	case now.Before(state.HoldUntil) || !state.Breaker.Ready(now):
 		return FilterBreaker
 	case state.InFlight >= limit:
 		return FilterFull
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -36,8 +36,6 @@
 	// ReportedLoad is the number of requests that the engine itself reported at ReportedAt.
 	ReportedLoad int
 	ReportedAt   time.Time
-	// HeardAt is when the engine last told something, or when the first of the requests in flight was sent.
-	HeardAt time.Time
 	// HoldUntil keeps new requests off after the engine refused one as full or loading.
 	HoldUntil time.Time
 	Breaker   Breaker
@@ -45,9 +43,6 @@
 
 // Reserve counts a request that is to start at now.
 func (s *EngineState) Reserve(now time.Time, interactive bool) {
-	if s.InFlight == 0 {
-		s.HeardAt = now
-	}
 	s.InFlight++
 	if interactive {
 		s.InFlightInteractive++
@@ -66,15 +61,6 @@
 	}
 }
 
-// Heard notes that the engine told something of a request in flight.
-func (s *EngineState) Heard(now time.Time) { s.HeardAt = now }
-
-// silent reports whether the engine has told nothing for long, though requests are in flight on it: it may be frozen, or
-// so full that what is sent to it waits.
-func (s *EngineState) silent(now time.Time) bool {
-	return s.InFlight > 0 && !s.HeardAt.IsZero() && now.Sub(s.HeardAt) > silenceLimit
-}
-
 // ObserveLoad takes over the number of requests that the engine reported.
 func (s *EngineState) ObserveLoad(now time.Time, requests int) {
 	s.ReportedLoad = requests
@@ -234,5 +220,5 @@
 
 // Usable reports whether the engine's own failures and refusals let a request start at now.
 func (s *EngineState) Usable(now time.Time) bool {
-	return !s.Unusable && !now.Before(s.DrainingUntil) && !now.Before(s.HoldUntil) && s.Breaker.Ready(now) && !s.silent(now)
+	return !s.Unusable && !now.Before(s.DrainingUntil) && !now.Before(s.HoldUntil) && s.Breaker.Ready(now)
 }
