--- a/api/v1/resources.go
+++ b/api/v1/resources.go
@@ -40,7 +40,10 @@
 	Labels     map[string]string `json:"labels,omitempty" yaml:"labels,omitempty"`
 	// WriteID identifies the write that stored this revision, so that a writer whose
 	// reply was lost can tell by reading back whether its write took effect.
-	WriteID           string    `json:"writeID,omitempty" yaml:"writeID,omitempty"`
+	WriteID string `json:"writeID,omitempty" yaml:"writeID,omitempty"`
+	// FormerZones are zones out of the scope of this revision in which an earlier one, not known to be out of force, applied.
+	// They have to acknowledge this revision too. Only the system sets them.
+	FormerZones       []string  `json:"formerZones,omitempty" yaml:"formerZones,omitempty"`
 	CreationTimestamp time.Time `json:"creationTimestamp,omitzero" yaml:"creationTimestamp,omitempty"`
 }
 
@@ -51,7 +54,8 @@
 const (
 	// ConditionAccepted is true once every zone in scope has acknowledged that all its live nodes apply the revision.
 	ConditionAccepted ConditionType = "Accepted"
-	// ConditionInForce is true once every reachable node of every zone in scope applies the revision.
+	// ConditionInForce is true once every node that may serve in every zone in scope applies the revision. It follows
+	// Accepted: a node that cannot be reached counts until its lease has lapsed, and serves nothing from then on.
 	ConditionInForce ConditionType = "InForce"
 	// ConditionDegraded is true while the resource is served with less than its spec asks.
 	ConditionDegraded ConditionType = "Degraded"
@@ -74,7 +78,8 @@
 	Reason             string          `json:"reason,omitempty" yaml:"reason,omitempty"`
 	Message            string          `json:"message,omitempty" yaml:"message,omitempty"`
 	ObservedGeneration int64           `json:"observedGeneration,omitempty" yaml:"observedGeneration,omitempty"`
-	LastTransitionTime time.Time       `json:"lastTransitionTime,omitzero" yaml:"lastTransitionTime,omitempty"`
+	// LastTransitionTime is when the node that answers saw the status taken; a node that has started anew counts from then.
+	LastTransitionTime time.Time `json:"lastTransitionTime,omitzero" yaml:"lastTransitionTime,omitempty"`
 }
 
 // Status is what the system reports of a resource. Operators cannot write it.
--- a/internal/configsync/backend.go
+++ b/internal/configsync/backend.go
@@ -2,12 +2,11 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
+	"time"
 
 	v1 "github.com/covelink/covelink/api/v1"
-	"github.com/covelink/covelink/internal/leadership"
 	"github.com/covelink/covelink/internal/objectapi"
 	"github.com/covelink/covelink/internal/resourceapi"
 	"github.com/covelink/covelink/internal/rpc"
@@ -24,7 +23,7 @@
 
 func (m *Manager) observeLocked() observation {
 	state := m.replica.State()
-	return observation{state: state, index: m.index, engines: enginesOf(state.Inventories), nodes: m.nodes}
+	return observation{state: state, index: m.index, engines: enginesOf(state.Inventories), nodes: m.nodes, since: m.since}
 }
 
 // read returns the objects of a kind with their statuses, sorted by name. The caller owns them.
@@ -41,10 +40,6 @@
 	return objects
 }
 
-func compareObjects(a, b v1.RawObject) int {
-	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Metadata.Name, b.Metadata.Name))
-}
-
 // List implements resourceapi.Backend from the node's view.
 func (m *Manager) List(_ context.Context, kind v1.Kind) ([]v1.Object, uint64, error) {
 	seen := m.observe()
@@ -69,22 +64,22 @@
 
 // Create implements resourceapi.Backend through the zone's coordinator.
 func (m *Manager) Create(ctx context.Context, object v1.Object) (v1.Object, error) {
-	return m.writeObject(ctx, operationCreate, object)
+	return m.writeObject(ctx, OperationCreate, object)
 }
 
 // Update implements resourceapi.Backend through the zone's coordinator.
 func (m *Manager) Update(ctx context.Context, object v1.Object) (v1.Object, error) {
-	return m.writeObject(ctx, operationUpdate, object)
+	return m.writeObject(ctx, OperationUpdate, object)
 }
 
 // Delete implements resourceapi.Backend through the zone's coordinator.
 func (m *Manager) Delete(ctx context.Context, kind v1.Kind, name, resourceVersion string) error {
 	object := v1.RawObject{Kind: kind, Metadata: v1.ObjectMeta{Name: name, ResourceVersion: resourceVersion}}
-	_, err := m.forward(ctx, writeRequest{Operation: operationDelete, Object: object})
+	_, err := m.forward(ctx, writeRequest{Operation: OperationDelete, Object: object})
 	return err
 }
 
-func (m *Manager) writeObject(ctx context.Context, op operation, object v1.Object) (v1.Object, error) {
+func (m *Manager) writeObject(ctx context.Context, op Operation, object v1.Object) (v1.Object, error) {
 	raw, err := v1.EncodeRaw(object)
 	if err != nil {
 		return nil, v1.NotRun(v1.CodeInvalid, 0, "resource cannot be encoded")
@@ -100,42 +95,19 @@
 	return m.observe().fill(stored), nil
 }
 
-// forward sends a write to the zone's coordinator. Its errors are *v1.Error.
-func (m *Manager) forward(ctx context.Context, request writeRequest) (writeReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, m.params.Timing.RequestTimeout)
-	defer cancel()
-	holder, ok := m.params.Elector.Holder(leadership.ZoneLease(m.self.Zone))
-	if !ok {
-		return writeReply{}, v1.NotRun(v1.CodeUnavailable, retryAfterUnavailable, "zone %s has no coordinator", m.self.Zone)
-	}
-	if holder.Name == m.self.Name {
-		return m.serveWrite(ctx, rpc.Peer{Name: m.self.Name, Zone: m.self.Zone}, request)
-	}
-	reply, err := rpc.Call[writeRequest, writeReply](ctx, m.params.Client, holder.Address, request)
-	if err == nil {
-		return reply, nil
-	}
-	var typed *v1.Error
-	switch {
-	case errors.As(err, &typed):
-		return writeReply{}, typed
-	case errors.Is(err, rpc.ErrNotSent):
-		return writeReply{}, v1.NotRun(v1.CodeUnavailable, retryAfterUnavailable, "coordinator %s cannot be reached", holder.Name)
-	}
-	return writeReply{}, unknownOutcome("coordinator " + holder.Name + " did not answer")
-}
-
 // serveWrite executes a write on the coordinator.
 func (m *Manager) serveWrite(ctx context.Context, peer rpc.Peer, request writeRequest) (writeReply, error) {
 	if err := m.checkZone(peer); err != nil {
 		return writeReply{}, err
 	}
-	m.mu.Lock()
-	leading := m.term != nil
-	m.mu.Unlock()
-	if !leading {
+	if !m.leading() {
 		return writeReply{}, m.errNotCoordinator()
 	}
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, StoreTimeout(time.Until(deadline)))
+		defer cancel()
+	}
 	stored, err := m.execute(ctx, request)
 	if err != nil {
 		return writeReply{}, storeError(err, request.Object)
@@ -146,13 +118,14 @@
 func (m *Manager) execute(ctx context.Context, request writeRequest) (v1.RawObject, error) {
 	object := request.Object
 	switch request.Operation {
-	case operationCreate:
+	case OperationCreate:
 		object.Metadata.Generation = 1
+		object.Metadata.FormerZones = nil
 		object.Metadata.ResourceVersion = ""
 		return m.params.Store.Create(ctx, object)
-	case operationUpdate:
+	case OperationUpdate:
 		return m.update(ctx, object)
-	case operationDelete:
+	case OperationDelete:
 		return v1.RawObject{}, m.params.Store.Delete(ctx, object.Kind, object.Metadata.Name, object.Metadata.ResourceVersion)
 	}
 	return v1.RawObject{}, objectapi.ErrInvalid
@@ -167,11 +140,7 @@
 	if current.Metadata.ResourceVersion != object.Metadata.ResourceVersion {
 		return v1.RawObject{}, objectapi.ErrConflict
 	}
-	object.Metadata.Generation = current.Metadata.Generation
-	if !sameSpec(current, object) {
-		object.Metadata.Generation++
-	}
-	return m.params.Store.Update(ctx, object)
+	return m.params.Store.Update(ctx, PrepareUpdate(m.observe().state, current, object))
 }
 
 // sameSpec compares the specs as this program encodes them, since the store may keep another spelling.
--- a/internal/configsync/manager.go
+++ b/internal/configsync/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,12 +20,9 @@
 	"github.com/covelink/covelink/internal/telemetry"
 )
 
-// The parts of LeaseLength between two attempts.
-const (
-	heartbeatFraction = 2
-	retryFraction     = 20
-	tickFraction      = 4
-)
+// departedMemory is for how long a node of the zone that is no longer known counts in a term that begins. It is longer than a
+// lease, since the node may have reached a coordinator after others had lost it.
+const departedMemory = time.Minute
 
 // Params are what a Manager needs.
 type Params struct {
@@ -52,14 +50,21 @@
 	wakeNode chan struct{}
 	renewed  chan struct{}
 
-	mu        sync.Mutex
-	replica   Replica
-	nodes     []cluster.Node
+	mu      sync.Mutex
+	replica Replica
+	nodes   []cluster.Node
+	// departed holds until when a node of the zone that is no longer known counts as one that may hold a lease; zones are all
+	// ever known.
+	departed  map[string]time.Time
+	zones     map[string]struct{}
 	term      *term // nil unless Lead runs
 	engines   []cluster.Engine
 	index     objectIndex
 	deletions deletionLog
+	since     transitions
 	published publication
+	// servingUntil is the end of the lease as published.
+	servingUntil time.Time
 }
 
 // publication is what decides whether the view has to be built anew.
@@ -71,7 +76,7 @@
 
 // New returns a Manager; its node does not serve until Run has got it a lease and the zone's revision.
 func New(params Params) *Manager {
-	return &Manager{
+	m := &Manager{
 		params:      params,
 		self:        params.Self,
 		logger:      telemetry.For(params.Logger, telemetry.PartConfigSync),
@@ -80,8 +85,11 @@
 		now:         time.Now,
 		wakeNode:    make(chan struct{}, 1),
 		renewed:     make(chan struct{}, 1),
-		nodes:       params.Seeds,
+		departed:    make(map[string]time.Time),
+		zones:       make(map[string]struct{}),
 	}
+	m.setNodesLocked(params.Seeds)
+	return m
 }
 
 // Run keeps the node's lease and view until ctx ends.
@@ -96,7 +104,7 @@
 func (m *Manager) CatchUp(ctx context.Context) error {
 	for {
 		changed := m.params.Holder.Changed()
-		if m.params.Holder.Current().Serving {
+		if m.params.Holder.Current().ServingAt(m.now()) {
 			return nil
 		}
 		select {
@@ -107,11 +115,12 @@
 	}
 }
 
-// SetNodes replaces the known nodes, of every zone.
+// SetNodes replaces the known nodes, of every zone. A node of this zone that is no longer known may still hold a lease, and a
+// zone of which no node is known may hold what others don't: a term that begins soon after allows for both.
 func (m *Manager) SetNodes(nodes []cluster.Node) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.nodes = nodes
+	m.setNodesLocked(nodes)
 	m.publishLocked(true)
 	if m.term != nil {
 		m.term.core.SetNodes(m.zoneNodeNames())
@@ -119,6 +128,21 @@
 	}
 }
 
+func (m *Manager) setNodesLocked(nodes []cluster.Node) {
+	now := m.now()
+	maps.DeleteFunc(m.departed, func(_ string, until time.Time) bool { return !now.Before(until) })
+	for _, node := range m.nodes {
+		if node.Zone == m.self.Zone {
+			m.departed[node.Name] = now.Add(departedMemory)
+		}
+	}
+	for _, node := range nodes {
+		delete(m.departed, node.Name)
+		m.zones[node.Zone] = struct{}{}
+	}
+	m.nodes = nodes
+}
+
 // SetEngines replaces the engines of the zone. It is for the node that holds the zone's lease, whose term, running or about
 // to start, spreads them; they are forgotten when it ends.
 func (m *Manager) SetEngines(engines []cluster.Engine) {
@@ -146,14 +170,9 @@
 
 // heartbeat renews the lease and pulls a state that was missed. It returns the time to wait before the next one.
 func (m *Manager) heartbeat(ctx context.Context) time.Duration {
-	const (
-		renewed = heartbeatFraction
-		pending = retryFraction
-		failed  = tickFraction
-	)
 	holder, ok := m.params.Elector.Holder(leadership.ZoneLease(m.self.Zone))
 	if !ok {
-		return m.params.Timing.LeaseLength / failed
+		return HeartbeatFailed.Pause(m.params.Timing.LeaseLength)
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.params.Timing.LeaseLength)
 	defer cancel()
@@ -161,19 +180,19 @@
 	grant, err := m.askGrant(ctx, holder)
 	if err != nil {
 		level.Debug(m.logger).Log("msg", "heartbeat failed", "coordinator", holder.Name, "err", err)
-		return m.params.Timing.LeaseLength / failed
+		return HeartbeatFailed.Pause(m.params.Timing.LeaseLength)
 	}
 	if m.takeGrant(grant, sentAt) {
 		if grant.Granted {
-			return m.params.Timing.LeaseLength / renewed
+			return HeartbeatRenewed.Pause(m.params.Timing.LeaseLength)
 		}
-		return m.params.Timing.LeaseLength / pending
+		return HeartbeatPending.Pause(m.params.Timing.LeaseLength)
 	}
 	if err := m.pull(ctx, holder); err != nil {
 		level.Warn(m.logger).Log("msg", "state not pulled", "coordinator", holder.Name, "err", err)
-		return m.params.Timing.LeaseLength / failed
+		return HeartbeatFailed.Pause(m.params.Timing.LeaseLength)
 	}
-	return m.params.Timing.LeaseLength / pending
+	return HeartbeatPending.Pause(m.params.Timing.LeaseLength)
 }
 
 func (m *Manager) askGrant(ctx context.Context, holder cluster.Node) (Grant, error) {
@@ -250,7 +269,7 @@
 // reindexLocked decodes the resources of a new revision.
 func (m *Manager) reindexLocked(before uint64) {
 	state := m.replica.State()
-	next := indexObjects(state.Objects)
+	next := state.indexed()
 	for _, key := range next.invalid {
 		level.Error(m.logger).Log("msg", "resource not decoded", "kind", key.Kind, "name", key.Name)
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -264,9 +264,9 @@
 
 // Permitted checks a grant against a view, which may be newer than the one it was decided on, and returns the pool's
 // permitted zones.
-func Permitted(view *cluster.View, pool string, held *Grant) ([]string, bool) {
+func Permitted(now time.Time, view *cluster.View, pool string, held *Grant) ([]string, bool) {
 	known, ok := view.Pools[pool]
-	if !ok || !view.Serving || !slices.Contains(known.Spec.PermittedZones, held.engine.Zone) {
+	if !ok || !view.ServingAt(now) || !slices.Contains(known.Spec.PermittedZones, held.engine.Zone) {
 		return nil, false
 	}
 	if zone, found := view.Zones[held.engine.Zone]; found && zone.Spec.Cordoned {
--- a/internal/dispatch/placement.go
+++ b/internal/dispatch/placement.go
@@ -82,11 +82,12 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.refresh()
-	if view := m.core.View(); !view.Serving {
+	now := m.params.Now()
+	if view := m.core.View(); !view.ServingAt(now) {
 		m.refuseWaiting(notServing(view))
 		return
 	}
-	m.core.Place(m.params.Now(), m.decided)
+	m.core.Place(now, m.decided)
 }
 
 // decided hands a placement to its waiter. The caller holds the lock.
@@ -122,7 +123,7 @@
 // permitted checks a grant against the current view, which may be newer than the one it was decided on, and returns
 // the pool's permitted zones.
 func (m *Manager) permitted(task *Task, held *Grant) ([]string, bool) {
-	return Permitted(m.params.Source.Current(), task.Pool, held)
+	return Permitted(m.params.Now(), m.params.Source.Current(), task.Pool, held)
 }
 
 // Explain tells where a task would be placed now, and which filter removes how many engines.
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -23,6 +23,7 @@
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/leadership"
 	"github.com/covelink/covelink/internal/settings"
+	"github.com/covelink/covelink/internal/telemetry"
 )
 
 const (
@@ -46,7 +47,9 @@
 	// Thresholds may be zero: the defaults.
 	Thresholds Thresholds
 	// Publish is told of every change, with the engines sorted by name. It must not call the Inventory.
-	Publish    func([]cluster.Engine)
+	Publish func([]cluster.Engine)
+	// Listed, if not nil, is told of every machine list that was read.
+	Listed     func([]machinesv1.Machine)
 	Logger     log.Logger
 	Registerer prometheus.Registerer
 	// Now is the clock; nil means time.Now.
@@ -72,6 +75,7 @@
 	if params.Thresholds == (Thresholds{}) {
 		params.Thresholds = DefaultThresholds()
 	}
+	params.Logger = telemetry.For(params.Logger, telemetry.PartInventory)
 	return &Inventory{params: params, metrics: newMetrics(params.Registerer)}
 }
 
@@ -164,6 +168,9 @@
 	}
 	now := i.params.Now()
 	i.update(func(s *state) { s.applyList(now, list.Machines) })
+	if i.params.Listed != nil {
+		i.params.Listed(list.Machines)
+	}
 }
 
 func (i *Inventory) probeAll(ctx context.Context) {
--- a/internal/lab/cli/compare.go
+++ b/internal/lab/cli/compare.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	flagScenario  = "scenario"
-	flagSeeds     = "seeds"
-	flagJSON      = "json"
 	flagPlot      = "plot"
 	flagAblations = "ablations"
 	flagWorkers   = "workers"
--- a/internal/lab/cli/demo.go
+++ b/internal/lab/cli/demo.go
@@ -21,7 +21,6 @@
 
 const (
 	flagSamples = "samples"
-	flagSeed    = "seed"
 
 	defaultSamples = 1024
 	defaultSeed    = 1
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -212,7 +212,7 @@
 // attempt uses a granted slot once.
 func (t *task) attempt(held *dispatch.Grant) {
 	n := t.node
-	zones, ok := dispatch.Permitted(n.view, t.run.Task.Pool, held)
+	zones, ok := dispatch.Permitted(n.sim.now, n.view, t.run.Task.Pool, held)
 	if !ok {
 		n.core.GiveBack(held)
 		t.again(0)
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -9,15 +9,21 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"github.com/covelink/covelink/api/machinesv1"
 	"github.com/covelink/covelink/internal/auth"
+	"github.com/covelink/covelink/internal/claims"
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/configsync"
 	"github.com/covelink/covelink/internal/dispatch"
 	"github.com/covelink/covelink/internal/engine"
 	"github.com/covelink/covelink/internal/gateway"
 	"github.com/covelink/covelink/internal/inventory"
+	"github.com/covelink/covelink/internal/keeper"
 	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/ledgerlog"
+	"github.com/covelink/covelink/internal/membership"
 	"github.com/covelink/covelink/internal/objectapi"
+	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
 	"github.com/covelink/covelink/internal/rollout"
 	"github.com/covelink/covelink/internal/rpc"
@@ -34,43 +40,64 @@
 		telemetry.NewRegistry,
 		func(registry *prometheus.Registry) prometheus.Registerer { return registry },
 		telemetry.NewRPCMetrics,
+		newCertificates,
 		newRPCServer,
 		newRPCClient,
 		cluster.NewHolder,
 		func(holder *cluster.Holder) cluster.Source { return holder },
 		newElector,
+		func(elector *leadership.LeaseElector) leadership.Elector { return elector },
 		newStore,
 		newConfigSync,
+		newMembership,
 		newEngineClient,
 		newInventory,
 		newWeights,
 		newDispatch,
+		newRecorder,
+		newRecordedDispatcher,
+		newKeeper,
+		newLogs,
 		newRollout,
+		newClaims,
 		newAuthenticator,
 		newGateway,
 		newResourceAPI,
+		newConnections,
 		newHTTPServer,
 	),
 )
 
 func newRPCServer(config settings.Settings, logger log.Logger, observer *telemetry.RPCMetrics) *rpc.Server {
-	server := rpc.NewServer(telemetry.For(logger, telemetry.PartRPC))
+	server := rpc.NewServer(logger)
 	server.MaxFrameBytes = config.Limits.MaxFrameBytes
 	server.Observer = observer
 	return server
 }
 
-func newRPCClient(config settings.Settings, self cluster.Node, options Options, observer *telemetry.RPCMetrics) *rpc.Client {
-	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, options.Dial)
+func newRPCClient(config settings.Settings, self cluster.Node, options Options, loaded certificates,
+	observer *telemetry.RPCMetrics) *rpc.Client {
+	dial := options.Dial
+	if dial == nil {
+		dial = loaded.dial()
+	}
+	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, newRoutes(config).nodes(dial))
 	client.MaxFrameBytes = config.Limits.MaxFrameBytes
 	client.Observer = observer
 	return client
 }
 
-// newElector returns the elector over the nodes of the settings.
-func newElector(config settings.Settings, self cluster.Node, source cluster.Source) leadership.Elector {
-	return leadership.NewStatic(self.Name, seeds(config), func(name string) []string {
-		return electorate(source.Current(), name)
+// newElector returns the elector whose voters are the nodes of the settings.
+func newElector(config settings.Settings, self cluster.Node, source cluster.Source, client *rpc.Client,
+	logger log.Logger, registerer prometheus.Registerer) *leadership.LeaseElector {
+	return leadership.New(leadership.Params{
+		Self:       self,
+		Seeds:      seeds(config),
+		Electorate: func(name string) []string { return electorate(source.Current(), name) },
+		Client:     client,
+		Timing:     config.Timing,
+		Logger:     logger,
+		Registerer: registerer,
 	})
 }
 
@@ -105,15 +132,31 @@
 		Client:     client,
 		Holder:     holder,
 		Timing:     config.Timing,
-		Logger:     telemetry.For(logger, telemetry.PartConfigSync),
+		Logger:     logger,
+		Registerer: registerer,
+	})
+}
+
+func newMembership(config settings.Settings, self cluster.Node, client *rpc.Client, sync *configsync.Manager,
+	logger log.Logger, registerer prometheus.Registerer) *membership.Manager {
+	manager := membership.New(membership.Params{
+		Self:       self,
+		Seeds:      seeds(config),
+		Client:     client,
+		Timing:     config.Timing,
+		Logger:     logger,
 		Registerer: registerer,
 	})
+	manager.OnChange(sync.SetNodes)
+	return manager
 }
 
-func newEngineClient() *engine.Client { return engine.New(engine.Config{}) }
+func newEngineClient(config settings.Settings) *engine.Client {
+	return engine.New(engine.Config{Dial: newRoutes(config).engines()})
+}
 
 func newInventory(config settings.Settings, self cluster.Node, engines *engine.Client, source cluster.Source,
-	sync *configsync.Manager, logger log.Logger, registerer prometheus.Registerer) *inventory.Inventory {
+	sync *configsync.Manager, members *membership.Manager, logger log.Logger, registerer prometheus.Registerer) *inventory.Inventory {
 	return inventory.New(inventory.Params{
 		Zone:       self.Zone,
 		Machines:   inventory.NewHTTPMachineLister(config.Platform.MachineList, &http.Client{Timeout: platformTimeout}),
@@ -121,12 +164,13 @@
 		Source:     source,
 		Timing:     config.Timing,
 		Publish:    sync.SetEngines,
-		Logger:     telemetry.For(logger, telemetry.PartInventory),
+		Listed:     func(machines []machinesv1.Machine) { members.SetLeaving(leavingNodes(machines)) },
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
 
-func newWeights(self cluster.Node, source cluster.Source, engines *engine.Client, elector leadership.Elector, client *rpc.Client,
+func newWeights(self cluster.Node, source cluster.Source, engines *engine.Client, elector *leadership.LeaseElector, client *rpc.Client,
 	engineInventory *inventory.Inventory, logger log.Logger, registerer prometheus.Registerer) *weights.Manager {
 	return weights.New(weights.Params{
 		Self:       self,
@@ -135,7 +179,8 @@
 		Elector:    elector,
 		Client:     client,
 		Observe:    engineInventory.Observe,
-		Logger:     telemetry.For(logger, telemetry.PartWeights),
+		Fenced:     elector.ObserveToken,
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -147,13 +192,42 @@
 		Self:       self,
 		Engines:    engines,
 		Limits:     config.Limits,
-		Logger:     telemetry.For(logger, telemetry.PartDispatch),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
 
-func newRollout(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *dispatch.Manager, elector leadership.Elector,
-	client *rpc.Client, publisher *weights.Manager, logger log.Logger, registerer prometheus.Registerer) *rollout.Manager {
+func newRecorder() *recorder.Recorder { return recorder.New(nil) }
+
+func newRecordedDispatcher(recorded *recorder.Recorder, manager *dispatch.Manager) *recorder.Dispatcher {
+	return recorder.NewDispatcher(recorded, manager, manager)
+}
+
+func newKeeper(config settings.Settings, self cluster.Node, source cluster.Source, logger log.Logger,
+	registerer prometheus.Registerer) (*keeper.Keeper, error) {
+	return keeper.New(keeper.Params{
+		Self:       self,
+		Source:     source,
+		Node:       config.Node,
+		Logger:     telemetry.For(logger, telemetry.PartKeeper),
+		Registerer: registerer,
+	})
+}
+
+func newLogs(config settings.Settings, self cluster.Node, source cluster.Source, client *rpc.Client, local *keeper.Keeper,
+	logger log.Logger) *ledgerlog.Opener {
+	return ledgerlog.New(ledgerlog.Params{
+		Self:   self,
+		Source: source,
+		Seeds:  seeds(config),
+		Client: client,
+		Local:  local,
+		Logger: telemetry.For(logger, telemetry.PartKeeper),
+	})
+}
+
+func newRollout(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *recorder.Dispatcher, elector leadership.Elector,
+	client *rpc.Client, publisher *weights.Manager, logs *ledgerlog.Opener, logger log.Logger, registerer prometheus.Registerer) *rollout.Manager {
 	return rollout.New(rollout.Params{
 		Self:       self,
 		Source:     source,
@@ -161,10 +235,24 @@
 		Elector:    elector,
 		Client:     client,
 		Publisher:  publisher,
-		Logs:       rollout.NewMemoryLogs(),
+		Logs:       logs,
 		Scorer:     rollout.HTTPScorer{Client: &http.Client{Timeout: config.Timing.RequestTimeout}},
 		Limits:     config.Limits,
-		Logger:     telemetry.For(logger, telemetry.PartRollout),
+		Logger:     logger,
+		Registerer: registerer,
+	})
+}
+
+func newClaims(config settings.Settings, self cluster.Node, source cluster.Source, client *rpc.Client,
+	logger log.Logger, registerer prometheus.Registerer) (*claims.Manager, error) {
+	return claims.New(claims.Params{
+		Self:       self,
+		Source:     source,
+		Client:     client,
+		Seeds:      seeds(config),
+		DataDir:    config.Node.DataDir,
+		Retention:  config.Timing.ClaimRetention,
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -173,17 +261,18 @@
 	return auth.New(source, config.Operators)
 }
 
-func newGateway(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *dispatch.Manager, rollouts *rollout.Manager,
-	authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
+func newGateway(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *recorder.Dispatcher, rollouts *rollout.Manager,
+	recorded *recorder.Recorder, claimed *claims.Manager, authenticator *auth.Authenticator, logger log.Logger, registerer prometheus.Registerer) *gateway.Gateway {
 	return gateway.New(gateway.Params{
 		Self:       self,
 		Source:     source,
 		Dispatcher: dispatcher,
-		Rollouts:   rollouts.Service(),
+		Rollouts:   recorder.NewService(recorded, rollouts.Service()),
+		Claims:     claimed,
 		Auth:       authenticator,
 		Limits:     config.Limits,
 		Timing:     config.Timing,
-		Logger:     telemetry.For(logger, telemetry.PartGateway),
+		Logger:     logger,
 		Registerer: registerer,
 	})
 }
@@ -192,6 +281,6 @@
 	return resourceapi.New(resourceapi.Params{
 		Backend:    backend,
 		Identifier: authenticator,
-		Logger:     telemetry.For(logger, telemetry.PartResourceAPI),
+		Logger:     logger,
 	})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,5 +1,5 @@
 // Package settings reads a node's settings from a YAML file, the environment and flags, and checks them in
-// one place. The later source wins: defaults, file, environment (COVELINK_NODE_NAME for node.name), flags.
+// one place. The later source wins: defaults, file, environment (COVELINKD_NODE_NAME for node.name), flags.
 package settings
 
 import "time"
@@ -46,6 +46,15 @@
 type Cluster struct {
 	// Seeds must name every node of this zone that votes at first start, and one or more nodes of each other zone.
 	Seeds []Seed `koanf:"seeds" validate:"required,min=1,unique=Name,dive"`
+	// Routes replace addresses of nodes and engines that this node cannot dial as they are known to the others, such as
+	// those behind a forwarder.
+	Routes []Route `koanf:"routes" validate:"unique=Address,dive"`
+}
+
+// Route replaces one address wherever this node dials it.
+type Route struct {
+	Address string `koanf:"address" validate:"required,hostname_port|tcp_addr"`
+	Via     string `koanf:"via" validate:"required,hostname_port|tcp_addr"`
 }
 
 // Seed is a node known from the start.
@@ -72,6 +81,9 @@
 	DrainTimeout time.Duration `koanf:"drainTimeout" validate:"gt=0"`
 	// RequestTimeout is the deadline of a request that has no other. Default 30s.
 	RequestTimeout time.Duration `koanf:"requestTimeout" validate:"gt=0"`
+	// ClaimRetention is how long the claim of a request that is not repeatable, and its outcome, are kept. A node that
+	// may have forgotten claims keeps none for so long. Default 10m.
+	ClaimRetention time.Duration `koanf:"claimRetention" validate:"gte=10s,lte=24h"`
 }
 
 // Limits bounds what a process takes in.
@@ -136,6 +148,7 @@
 			EnginePollInterval:  500 * time.Millisecond,
 			DrainTimeout:        10 * time.Minute,
 			RequestTimeout:      30 * time.Second,
+			ClaimRetention:      10 * time.Minute,
 		},
 		Limits: Limits{
 			MaxBodyBytes:    32 << 20,
