auth: a node without a configuration calls no token unknown

Cause: a node that had just started answered 401 to callers whose token it had not been told yet. A client takes 401 as final: in the integration test of planned stops the trainer gave its batch up ('no or unknown bearer token') when it asked a node 0.3 s after its start. Change: until the node holds its zone's configuration, an unknown token is refused with 503 and not_run. An absent token stays 401.

lab/load: a request that found no connection counts as not run; nothing was sent.

--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -95,6 +95,12 @@
 	return found.callers
 }
 
+// unconfigured reports whether this node has not been told the resources since it started.
+func (a *Authenticator) unconfigured() bool {
+	view := a.source.Current()
+	return !view.Serving && len(view.Trainers)+len(view.Applications)+len(view.Pools)+len(view.Zones) == 0
+}
+
 // index returns the index of the current view.
 func (a *Authenticator) index() *index {
 	view := a.source.Current()
--- a/internal/auth/auth_test.go
+++ b/internal/auth/auth_test.go
@@ -46,6 +46,24 @@
 			So(authenticator.Identify("a"), ShouldBeEmpty)
 			So(authenticator.Identify("c"), ShouldNotBeEmpty)
 		})
+		Convey("calls no token unknown before it holds a configuration", func() {
+			router := gin.New()
+			router.GET("/", authenticator.Authenticate(), func(c *gin.Context) { c.Status(http.StatusNoContent) })
+			status := func(authorization string) int {
+				request := httptest.NewRequest(http.MethodGet, "/", nil)
+				request.Header.Set("Authorization", authorization)
+				recorder := httptest.NewRecorder()
+				router.ServeHTTP(recorder, request)
+				return recorder.Code
+			}
+			So(status("Bearer c"), ShouldEqual, http.StatusUnauthorized)
+			set(holder, &cluster.View{})
+			So(status("Bearer c"), ShouldEqual, http.StatusServiceUnavailable)
+			So(status("Bearer operator"), ShouldEqual, http.StatusNoContent)
+			So(status(""), ShouldEqual, http.StatusUnauthorized)
+			set(holder, &cluster.View{Serving: true})
+			So(status("Bearer c"), ShouldEqual, http.StatusUnauthorized)
+		})
 		Convey("guards routes by role", func() {
 			router := gin.New()
 			router.Use(authenticator.Authenticate())
--- a/internal/auth/middleware.go
+++ b/internal/auth/middleware.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/gin-gonic/gin"
 
@@ -13,12 +14,20 @@
 	contextKey      = "covelink.auth.identities"
 	bearerScheme    = "Bearer"
 	headerChallenge = "WWW-Authenticate"
+	// startingRetryAfter is when a caller may come back to a node without a configuration.
+	startingRetryAfter = time.Second
 )
 
-// Authenticate refuses a request without a known token with 401 and notes the callers of the others.
+// Authenticate refuses a request without a known token with 401 and notes the callers of the others. A node that has no
+// configuration yet refuses unknown tokens with 503, for another node may know them and this one will soon.
 func (a *Authenticator) Authenticate() gin.HandlerFunc {
 	return func(c *gin.Context) {
-		callers := a.Identify(BearerToken(c.GetHeader("Authorization")))
+		token := BearerToken(c.GetHeader("Authorization"))
+		callers := a.Identify(token)
+		if len(callers) == 0 && token != "" && a.unconfigured() {
+			httperr.Write(c, v1.NotRun(v1.CodeUnavailable, startingRetryAfter, "the node has no configuration yet"))
+			return
+		}
 		if len(callers) == 0 {
 			c.Header(headerChallenge, bearerScheme)
 			httperr.Write(c, v1.NotRun(v1.CodeUnauthenticated, 0, "no or unknown bearer token"))
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -76,9 +77,15 @@
 
 	config Config
 	target Target
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	result Result
 }
 
+// DialBy makes the applications open their connections by a function of the caller's.
+func (r *Session) DialBy(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	r.dial = dial
+}
+
 // NewSession returns a session on a deployment that keeps running after it. Of the configuration it needs the description,
 // the resources, the number of samples, the seed and the logger.
 func NewSession(config Config, target Target) *Session {
@@ -215,6 +222,7 @@
 	for _, config := range r.target.Plan().Loads {
 		config.URLs = r.target.CallerURLs()
 		config.Seed += r.config.Seed
+		config.Dial = r.dial
 		created, err := load.New(config, r.Recorder, r.config.Logger)
 		if err != nil {
 			return nil, err
--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -84,7 +84,8 @@
 	p.target = target
 }
 
-func (p *Proxy) currentTarget() string {
+// Target returns where new connections are carried to.
+func (p *Proxy) Target() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.target
@@ -174,7 +175,7 @@
 }
 
 func (p *Proxy) carry(client net.Conn) {
-	address := p.currentTarget()
+	address := p.Target()
 	if address == "" {
 		abort(client)
 		return
--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -99,6 +100,10 @@
 	if errors.As(err, &broken) {
 		return statedOutcome(broken.Event.Data)
 	}
+	var failed *net.OpError
+	if errors.As(err, &failed) && failed.Op == "dial" {
+		return v1.OutcomeNotRun // without a connection nothing was sent
+	}
 	return v1.OutcomeUnknown
 }
 
--- a/internal/lab/load/config.go
+++ b/internal/lab/load/config.go
@@ -3,7 +3,9 @@
 package load
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/go-playground/validator/v10"
@@ -34,6 +36,8 @@
 	MaxTokens int `yaml:"maxTokens" validate:"gte=1"`
 	// NotRepeatableShare is the share of requests that are marked as not repeatable. Default 0.1.
 	NotRepeatableShare float64 `yaml:"notRepeatableShare" validate:"gte=0,lte=1"`
+	// Dial opens the connections; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error) `yaml:"-" validate:"-"`
 	// Seed makes the arrivals and the prompts.
 	Seed int64 `yaml:"seed"`
 }
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -154,6 +154,14 @@
 		So(report.Completed, ShouldEqual, 3)
 		So(report.Shed, ShouldBeGreaterThan, 0)
 	})
+	Convey("A request that found no connection was not run", t, func() {
+		server := httptest.NewServer(http.NotFoundHandler())
+		config := testConfig(server.URL)
+		server.Close()
+		load, err := New(config, nil, log.NewNopLogger())
+		So(err, ShouldBeNil)
+		So(load.Run(context.Background()).NotRun, ShouldEqual, 20)
+	})
 	Convey("Unfit settings are refused with the field's name", t, func() {
 		config := testConfig("nowhere")
 		_, err := New(config, nil, log.NewNopLogger())
--- a/internal/lab/processes/deployment.go
+++ b/internal/lab/processes/deployment.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -216,6 +218,23 @@
 	return d.links.byLink[Link{From: from, To: to}]
 }
 
+// DialCaller opens a connection to a node past the callers' link: unlike the link, a node that does not listen refuses
+// the connection, so that the caller knows that nothing was sent.
+func (d *Deployment) DialCaller(ctx context.Context, network, address string) (net.Conn, error) {
+	for i, config := range d.plan.Nodes {
+		if d.callers[i] != baseURL(address) {
+			continue
+		}
+		target := d.Link(Callers, nodeProcess(config.Node.Name)).Target()
+		if target == "" {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+		}
+		address = target
+	}
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, network, address)
+}
+
 // LinksOf returns the proxies of the links that lead to a process, and of those that lead away from it.
 func (d *Deployment) LinksOf(process string) (to, from []*faultproxy.Proxy) {
 	for link, proxy := range d.links.byLink {
--- a/test/integration/kit_test.go
+++ b/test/integration/kit_test.go
@@ -59,6 +59,7 @@
 // run is one test's deployment and its session.
 type run struct {
 	*processes.Deployment
+	config  demo.Config
 	session *demo.Session
 	ctx     context.Context
 	// working receives the end of the session's work.
@@ -85,7 +86,8 @@
 	passed := false
 	defer func() { logUnless(&passed, t, started) }()
 	config := demo.Config{Description: description, Resources: resources, Samples: samples(), Seed: 1, Logger: log.NewNopLogger()}
-	r := &run{Deployment: started, session: demo.NewSession(config, started), ctx: ctx, working: make(chan error, 1)}
+	r := &run{Deployment: started, config: config, ctx: ctx, working: make(chan error, 1)}
+	r.session = demo.NewSession(r.config, started)
 	So(r.session.Prepare(ctx), ShouldBeNil)
 	use(r)
 	passed = true
--- a/test/integration/planned_stop_test.go
+++ b/test/integration/planned_stop_test.go
@@ -10,6 +10,7 @@
 func TestPlannedStops(t *testing.T) {
 	Convey("Planned stops of each node in turn cut off no request and lose no sample", t, func() {
 		withSmall(t, func(r *run) {
+			r.session.DialBy(r.DialCaller)
 			r.work()
 			for number, name := range r.NodeNames() {
 				r.waitDelivered(samples() * number / (len(r.NodeNames()) + 1))
