--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -72,6 +72,20 @@
 	return nil
 }
 
+// loseDisk kills a node and empties its data folder.
+func (i *injector) loseDisk() fault {
+	lost := fault{kind: "node SIGKILL and disk lost", target: i.anyNode(), length: i.between(minLength, maxLength)}
+	process := i.deployment.Node(lost.target)
+	lost.begin = func(ctx context.Context) error {
+		if err := process.Kill(ctx); err != nil {
+			return err
+		}
+		return i.deployment.EmptyDataFolder(lost.target)
+	}
+	lost.end = process.Start
+	return lost
+}
+
 // nodeLinks harms every link of a node except those of callers.
 func (i *injector) nodeLinks(f *fault) {
 	f.target = i.anyNode()
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -25,8 +25,12 @@
 	faultTime     = 20 * time.Second
 	settleTimeout = 2 * time.Minute
 	// restTime lets timers and idle connections end before a process is measured.
-	restTime = 2 * time.Second
-	stopTimeout      = time.Minute
+	restTime    = 2 * time.Second
+	stopTimeout = time.Minute
+	// A node loses its disk in one round of so many: a second one before the first has all its replicas back would lose
+	// what no majority keeps any more.
+	roundsPerLostDisk = 4
+	roundOfLostDisk   = 2
 )
 
 // Config describes a soak.
@@ -119,7 +123,11 @@
 	defer endWork()
 	working := make(chan error, 1)
 	go func() { working <- session.Work(workContext) }()
-	struck := newInjector(s.deployment, s.random, s.logger).run(ctx, faultTime)
+	faults := newInjector(s.deployment, s.random, s.logger)
+	if number%roundsPerLostDisk == roundOfLostDisk {
+		faults.strike(ctx, faults.loseDisk())
+	}
+	struck := faults.run(ctx, faultTime)
 	s.deployment.Heal()
 	settleContext, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
