--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -46,6 +46,7 @@
 			configFaultsCommand(streams),
 			plannedStopsCommand(streams),
 			compareCommand(streams),
+			soakCommand(streams),
 		},
 	}
 	root.Commands = append(root.Commands, traceCommands(streams)...)
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -76,9 +77,15 @@
 
 	config Config
 	target Target
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	result Result
 }
 
+// DialBy makes the applications open their connections by a function of the caller's.
+func (r *Session) DialBy(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	r.dial = dial
+}
+
 // NewSession returns a session on a deployment that keeps running after it. Of the configuration it needs the description,
 // the resources, the number of samples, the seed and the logger.
 func NewSession(config Config, target Target) *Session {
@@ -122,7 +129,7 @@
 	if err := r.recordPromises(); err != nil {
 		return err
 	}
-	if err := r.apply(ctx); err != nil {
+	if err := r.Apply(ctx, r.config.Resources); err != nil {
 		return err
 	}
 	if err := r.target.WaitReady(ctx); err != nil {
@@ -149,15 +156,15 @@
 	return nil
 }
 
-// apply writes the resources as an operator does and waits until they are in force.
-func (r *Session) apply(ctx context.Context) error {
+// Apply writes resources as an operator does and waits until they are in force.
+func (r *Session) Apply(ctx context.Context, resources []byte) error {
 	var output, failure bytes.Buffer
 	arguments := []string{"covelinkctl", "--token", r.config.Description.Operator.Token}
 	for _, url := range r.target.CallerURLs() {
 		arguments = append(arguments, "--server", url)
 	}
 	arguments = append(arguments, "apply", "-f", "-", "--wait", "--timeout", applyWait.String())
-	streams := commandline.Streams{In: bytes.NewReader(r.config.Resources), Out: &output, Err: &failure}
+	streams := commandline.Streams{In: bytes.NewReader(resources), Out: &output, Err: &failure}
 	if code := ctl.Run(ctx, arguments, streams); code != commandline.ExitOK {
 		return fmt.Errorf("apply: %s", strings.TrimSpace(failure.String()))
 	}
@@ -215,6 +222,7 @@
 	for _, config := range r.target.Plan().Loads {
 		config.URLs = r.target.CallerURLs()
 		config.Seed += r.config.Seed
+		config.Dial = r.dial
 		created, err := load.New(config, r.Recorder, r.config.Logger)
 		if err != nil {
 			return nil, err
