--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -20,6 +20,7 @@
 	flagScenario = "scenario"
 	flagSeed     = "seed"
 	flagSeeds    = "seeds"
+	flagWorkers  = "workers"
 )
 
 // Main runs the command line until it is done or the process gets SIGTERM or SIGINT, and returns the exit code.
--- a/internal/lab/cli/compare.go
+++ b/internal/lab/cli/compare.go
@@ -14,7 +14,6 @@
 const (
 	flagPlot      = "plot"
 	flagAblations = "ablations"
-	flagWorkers   = "workers"
 	flagLoad      = "load"
 
 	defaultSeeds   = 3
--- a/internal/lab/cli/drains.go
+++ b/internal/lab/cli/drains.go
@@ -13,7 +13,6 @@
 
 const (
 	flagRequests = "requests"
-	flagWorkers  = "workers"
 
 	defaultDrainRequests = 10000
 	defaultDrainWorkers  = 64
