--- /dev/null
+++ b/internal/claims/world_test.go
@@ -0,0 +1,328 @@
+package claims
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/covelink/covelink/internal/cluster"
+	"github.com/covelink/covelink/internal/gateway"
+)
+
+const (
+	modelRetention = 100 * time.Second
+	modelSteps     = 160
+	modelWindow    = 2 * time.Second
+)
+
+var modelKey = Key{Caller: "app", Pool: testPool, Key: "k"}
+
+// faults says what a schedule breaks beside the guards of the keepers.
+type faults struct {
+	guards guards
+	// sendBeforeClaim lets a claimant run before it is granted.
+	sendBeforeClaim bool
+	// long lets the clock pass the retention time.
+	long bool
+}
+
+// packet is a message on its way to a keeper, or a reply on its way back.
+type packet struct {
+	to       int
+	sent     time.Time
+	claim    *claimMessage
+	learn    *learnMessage
+	release  *releaseMessage
+	claimant *modelClaimant
+	reply    *claimReply
+}
+
+// modelClaimant is one gateway's attempt.
+type modelClaimant struct {
+	id      string
+	votes   *tally
+	started time.Time
+	heard   map[int]bool
+	decided bool
+	// ran tells that a byte may have reached an engine; over that the run has ended or its gateway has died.
+	ran      bool
+	over     bool
+	released bool
+	call     int64
+}
+
+// world is several keepers and claimants of one key, with a network that loses, repeats, delays and reorders.
+type world struct {
+	pick      func(n int) int
+	faults    faults
+	clock     *fakeClock
+	source    *cluster.Holder
+	seeds     []cluster.Node
+	keepers   []*keeper
+	down      []bool
+	packets   []packet
+	claimants []*modelClaimant
+	history   []porcupine.Operation
+	tick      int64
+	violation string
+}
+
+func newWorld(pick func(n int) int, broken faults) *world {
+	w := &world{pick: pick, faults: broken, clock: newClock(), source: cluster.NewHolder()}
+	w.source.Update(func(*cluster.View) *cluster.View { return viewOf("zone-1") })
+	count := 2 + pick(4)
+	for index := range count {
+		w.seeds = append(w.seeds, cluster.Node{Name: fmt.Sprint("node-", index), Zone: "zone-1", HasDisk: true})
+	}
+	for index := range count {
+		w.keepers = append(w.keepers, w.newKeeper(index))
+		w.keepers[index].opened = true
+	}
+	w.down = make([]bool, count)
+	return w
+}
+
+func (w *world) newKeeper(index int) *keeper {
+	limits := Limits{Retention: modelRetention, MaxEntries: 1000, MaxAnswerBytes: 1 << 20}
+	register := NewRegister(limits)
+	register.guards = w.faults.guards
+	return &keeper{self: w.seeds[index], source: w.source, seeds: w.seeds, limits: limits, guards: w.faults.guards,
+		now: w.clock.Now, register: register, history: make(homeHistory), started: w.clock.Now()}
+}
+
+// run takes random steps until the end or a violation.
+func (w *world) run() {
+	for range modelSteps {
+		w.tick++
+		w.step()
+		if w.violation != "" {
+			return
+		}
+	}
+	w.settle()
+}
+
+func (w *world) step() {
+	switch w.pick(14) {
+	case 0:
+		w.startClaimant()
+	case 1, 2:
+		w.finishOne()
+	case 3:
+		w.crash()
+	case 4:
+		w.recover()
+	case 5:
+		w.passTime()
+	case 6:
+		w.lose()
+	default:
+		w.deliver(w.pick(4) == 0)
+	}
+	w.expire()
+}
+
+func (w *world) startClaimant() {
+	if len(w.claimants) >= 8 {
+		return
+	}
+	c := &modelClaimant{id: fmt.Sprint("claim-", len(w.claimants)), started: w.clock.Now(), heard: make(map[int]bool), call: w.tick}
+	c.votes = newTally(len(w.keepers), w.faults.guards)
+	w.claimants = append(w.claimants, c)
+	if w.faults.sendBeforeClaim {
+		w.execute(c)
+	}
+	message := &claimMessage{Key: modelKey, ID: c.id, Members: names(home(w.source.Current(), testPool, w.seeds))}
+	for index := range w.keepers {
+		w.packets = append(w.packets, packet{to: index, sent: w.clock.Now(), claim: message, claimant: c})
+	}
+}
+
+// execute notes that a claim runs and checks that no other one ran within the retention time.
+func (w *world) execute(c *modelClaimant) {
+	for _, other := range w.claimants {
+		if other != c && other.ran && c.started.Sub(other.started) < modelRetention-modelWindow {
+			w.violation = fmt.Sprintf("%s and %s both ran", other.id, c.id)
+		}
+	}
+	c.ran = true
+}
+
+// deliver hands a random packet over; again tells that it stays on its way.
+func (w *world) deliver(again bool) {
+	if len(w.packets) == 0 {
+		return
+	}
+	index := w.pick(len(w.packets))
+	p := w.packets[index]
+	if p.reply == nil && w.down[p.to] {
+		return
+	}
+	if !again {
+		w.packets = append(w.packets[:index:index], w.packets[index+1:]...)
+	}
+	w.handle(p)
+}
+
+func (w *world) handle(p packet) {
+	switch {
+	case p.reply != nil:
+		w.answered(p)
+	case p.claim != nil:
+		reply := w.keepers[p.to].claim(*p.claim, "zone-1")
+		w.packets = append(w.packets, packet{to: p.to, sent: w.clock.Now(), reply: &reply, claimant: p.claimant})
+	case p.learn != nil:
+		w.keepers[p.to].learn(*p.learn, "zone-1")
+	case p.release != nil:
+		w.keepers[p.to].release(*p.release)
+	}
+}
+
+func (w *world) answered(p packet) {
+	c := p.claimant
+	if c.decided || c.heard[p.to] {
+		return
+	}
+	c.heard[p.to] = true
+	c.votes.add(*p.reply, false)
+	w.decide(c)
+}
+
+// decide acts on the votes as Manager does.
+func (w *world) decide(c *modelClaimant) {
+	outcome := c.votes.result()
+	if outcome == resultOpen {
+		return
+	}
+	c.decided = true
+	w.note(c.call, w.tick, modelInput{kind: inputClaim, id: c.id}, modelOutput{result: outcome, holder: c.votes.seen.ID,
+		text: textOf(c.votes.seen.Stored.Answer)})
+	if outcome == resultGranted {
+		w.execute(c)
+		return
+	}
+	w.release(c)
+}
+
+func textOf(answer *gateway.StoredAnswer) string {
+	if answer == nil {
+		return ""
+	}
+	return answer.Tokens[0]
+}
+
+// finishOne ends a granted claim: completed, not run, or its gateway dies.
+func (w *world) finishOne() {
+	if len(w.claimants) == 0 {
+		return
+	}
+	c := w.claimants[w.pick(len(w.claimants))]
+	if !c.decided || !c.ran || c.over {
+		return
+	}
+	c.over = true
+	switch w.pick(3) {
+	case 0:
+		c.ran = false
+		w.note(w.tick, modelEnd, modelInput{kind: inputRelease, id: c.id}, modelOutput{})
+		w.release(c)
+	case 1:
+		record := Record{ID: c.id, State: StateFinished, Stored: completedWith("answer of " + c.id)}
+		w.note(w.tick, modelEnd, modelInput{kind: inputFinish, id: c.id}, modelOutput{})
+		w.tell(packet{learn: &learnMessage{Key: modelKey, Record: record}})
+	}
+}
+
+func (w *world) release(c *modelClaimant) {
+	c.released = true
+	w.tell(packet{release: &releaseMessage{Key: modelKey, ID: c.id}})
+}
+
+func (w *world) tell(p packet) {
+	for index := range w.keepers {
+		p.to, p.sent = index, w.clock.Now()
+		w.packets = append(w.packets, p)
+	}
+}
+
+// crash ends a keeper; with an empty restart to come if it has no disk.
+func (w *world) crash() { w.down[w.pick(len(w.keepers))] = true }
+
+// recover starts a keeper that is down, with its table or without.
+func (w *world) recover() {
+	index := w.pick(len(w.keepers))
+	if !w.down[index] {
+		return
+	}
+	w.down[index] = false
+	if w.pick(2) == 0 {
+		w.keepers[index] = w.newKeeper(index)
+	}
+}
+
+func (w *world) passTime() {
+	by := modelWindow / 8
+	if w.faults.long {
+		by = modelRetention / time.Duration(2+w.pick(20))
+	}
+	w.clock.advance(by)
+	for index, k := range w.keepers {
+		if !w.down[index] {
+			k.tend()
+		}
+	}
+}
+
+// lose drops a packet. Releases are repeated until they arrive, so they are not lost.
+func (w *world) lose() {
+	if len(w.packets) == 0 {
+		return
+	}
+	index := w.pick(len(w.packets))
+	if w.packets[index].release == nil {
+		w.packets = append(w.packets[:index:index], w.packets[index+1:]...)
+	}
+}
+
+// expire ends the claims whose window is over and drops packets as old as the retention time.
+func (w *world) expire() {
+	now := w.clock.Now()
+	for _, c := range w.claimants {
+		if !c.decided && now.Sub(c.started) >= modelWindow {
+			c.votes.end()
+			w.decide(c)
+		}
+	}
+	var young []packet
+	for _, p := range w.packets {
+		if now.Sub(p.sent) < modelRetention-modelWindow {
+			young = append(young, p)
+		}
+	}
+	w.packets = young
+}
+
+// settle lets everything arrive. If nothing ran, the key must be free at every keeper.
+func (w *world) settle() {
+	for index := range w.down {
+		w.down[index] = false
+	}
+	w.clock.advance(modelWindow)
+	for w.expire(); len(w.packets) > 0; w.expire() {
+		w.deliver(false)
+	}
+	for _, c := range w.claimants {
+		if c.ran || !c.released {
+			return
+		}
+	}
+	if w.faults.long {
+		return // a keeper that was down for so long has missed the release
+	}
+	for _, k := range w.keepers {
+		if _, held := k.register.lookup(w.clock.Now(), modelKey); held && w.violation == "" {
+			w.violation = "every claim was released and a keeper still holds one"
+		}
+	}
+}
