--- a/internal/lab/replay/generate.go
+++ b/internal/lab/replay/generate.go
@@ -66,7 +66,7 @@
 func moreton() trace.Header {
 	zones := []string{"bne-stl", "bne-kgr", "bne-ipw"}
 	return trace.Header{
-		Zones:   zonesOf("bne", 2, zones...),
+		Zones:   zonesOf("bne", 3, zones...),
 		Latency: trace.Latency{Zone: trace.Duration(500 * time.Microsecond), Client: trace.Duration(time.Millisecond)},
 		Pools: []trace.Pool{
 			{Name: "summ-lm", Permitted: zones, Engines: map[string]int{"bne-stl": 3, "bne-kgr": 3, "bne-ipw": 2}},
@@ -81,7 +81,7 @@
 func cairnpath() trace.Header {
 	zones := []string{"glasgow-hall", "edinburgh-hall", "stirling-hall"}
 	return trace.Header{
-		Zones:   zonesOf("scot-central", 2, zones...),
+		Zones:   zonesOf("scot-central", 3, zones...),
 		Latency: trace.Latency{Zone: trace.Duration(1500 * time.Microsecond), Client: trace.Duration(3 * time.Millisecond)},
 		Pools: []trace.Pool{
 			{Name: "cairn-lm-pool", Permitted: zones, Engines: map[string]int{"glasgow-hall": 3, "edinburgh-hall": 3, "stirling-hall": 3}},
@@ -95,7 +95,7 @@
 // twoRegions is a small deployment with a pool bound to each region and one to both.
 func twoRegions() trace.Header {
 	return trace.Header{
-		Zones: append(zonesOf("north", 2, "north-a", "north-b"), zonesOf("south", 1, "south-a")...),
+		Zones: append(zonesOf("north", 3, "north-a", "north-b"), zonesOf("south", 1, "south-a")...),
 		Latency: trace.Latency{
 			Zone: trace.Duration(time.Millisecond), Region: trace.Duration(20 * time.Millisecond), Client: trace.Duration(time.Millisecond),
 		},
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"github.com/covelink/covelink/api/machinesv1"
 	"github.com/covelink/covelink/internal/auth"
 	"github.com/covelink/covelink/internal/claims"
 	"github.com/covelink/covelink/internal/cluster"
@@ -17,7 +18,10 @@
 	"github.com/covelink/covelink/internal/engine"
 	"github.com/covelink/covelink/internal/gateway"
 	"github.com/covelink/covelink/internal/inventory"
+	"github.com/covelink/covelink/internal/keeper"
 	"github.com/covelink/covelink/internal/leadership"
+	"github.com/covelink/covelink/internal/ledgerlog"
+	"github.com/covelink/covelink/internal/membership"
 	"github.com/covelink/covelink/internal/objectapi"
 	"github.com/covelink/covelink/internal/recorder"
 	"github.com/covelink/covelink/internal/resourceapi"
@@ -45,12 +49,15 @@
 		func(elector *leadership.LeaseElector) leadership.Elector { return elector },
 		newStore,
 		newConfigSync,
+		newMembership,
 		newEngineClient,
 		newInventory,
 		newWeights,
 		newDispatch,
 		newRecorder,
 		newRecordedDispatcher,
+		newKeeper,
+		newLogs,
 		newRollout,
 		newClaims,
 		newAuthenticator,
@@ -129,10 +136,24 @@
 	})
 }
 
+func newMembership(config settings.Settings, self cluster.Node, client *rpc.Client, sync *configsync.Manager,
+	logger log.Logger, registerer prometheus.Registerer) *membership.Manager {
+	manager := membership.New(membership.Params{
+		Self:       self,
+		Seeds:      seeds(config),
+		Client:     client,
+		Timing:     config.Timing,
+		Logger:     logger,
+		Registerer: registerer,
+	})
+	manager.OnChange(sync.SetNodes)
+	return manager
+}
+
 func newEngineClient() *engine.Client { return engine.New(engine.Config{}) }
 
 func newInventory(config settings.Settings, self cluster.Node, engines *engine.Client, source cluster.Source,
-	sync *configsync.Manager, logger log.Logger, registerer prometheus.Registerer) *inventory.Inventory {
+	sync *configsync.Manager, members *membership.Manager, logger log.Logger, registerer prometheus.Registerer) *inventory.Inventory {
 	return inventory.New(inventory.Params{
 		Zone:       self.Zone,
 		Machines:   inventory.NewHTTPMachineLister(config.Platform.MachineList, &http.Client{Timeout: platformTimeout}),
@@ -140,6 +161,7 @@
 		Source:     source,
 		Timing:     config.Timing,
 		Publish:    sync.SetEngines,
+		Listed:     func(machines []machinesv1.Machine) { members.SetLeaving(leavingNodes(machines)) },
 		Logger:     logger,
 		Registerer: registerer,
 	})
@@ -178,8 +200,31 @@
 	return recorder.NewDispatcher(recorded, manager, manager)
 }
 
+func newKeeper(config settings.Settings, self cluster.Node, source cluster.Source, logger log.Logger,
+	registerer prometheus.Registerer) (*keeper.Keeper, error) {
+	return keeper.New(keeper.Params{
+		Self:       self,
+		Source:     source,
+		Node:       config.Node,
+		Logger:     telemetry.For(logger, telemetry.PartKeeper),
+		Registerer: registerer,
+	})
+}
+
+func newLogs(config settings.Settings, self cluster.Node, source cluster.Source, client *rpc.Client, local *keeper.Keeper,
+	logger log.Logger) *ledgerlog.Opener {
+	return ledgerlog.New(ledgerlog.Params{
+		Self:   self,
+		Source: source,
+		Seeds:  seeds(config),
+		Client: client,
+		Local:  local,
+		Logger: telemetry.For(logger, telemetry.PartKeeper),
+	})
+}
+
 func newRollout(config settings.Settings, self cluster.Node, source cluster.Source, dispatcher *recorder.Dispatcher, elector leadership.Elector,
-	client *rpc.Client, publisher *weights.Manager, logger log.Logger, registerer prometheus.Registerer) *rollout.Manager {
+	client *rpc.Client, publisher *weights.Manager, logs *ledgerlog.Opener, logger log.Logger, registerer prometheus.Registerer) *rollout.Manager {
 	return rollout.New(rollout.Params{
 		Self:       self,
 		Source:     source,
@@ -187,7 +232,7 @@
 		Elector:    elector,
 		Client:     client,
 		Publisher:  publisher,
-		Logs:       rollout.NewMemoryLogs(),
+		Logs:       logs,
 		Scorer:     rollout.HTTPScorer{Client: &http.Client{Timeout: config.Timing.RequestTimeout}},
 		Limits:     config.Limits,
 		Logger:     logger,
