--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -63,6 +63,7 @@
 		newAuthenticator,
 		newGateway,
 		newResourceAPI,
+		newConnections,
 		newHTTPServer,
 	),
 )
@@ -80,7 +81,7 @@
 	if dial == nil {
 		dial = loaded.dial()
 	}
-	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, dial)
+	client := rpc.NewClient(rpc.Peer{Name: self.Name, Zone: self.Zone}, newRoutes(config).nodes(dial))
 	client.MaxFrameBytes = config.Limits.MaxFrameBytes
 	client.Observer = observer
 	return client
@@ -150,7 +151,9 @@
 	return manager
 }
 
-func newEngineClient() *engine.Client { return engine.New(engine.Config{}) }
+func newEngineClient(config settings.Settings) *engine.Client {
+	return engine.New(engine.Config{Dial: newRoutes(config).engines()})
+}
 
 func newInventory(config settings.Settings, self cluster.Node, engines *engine.Client, source cluster.Source,
 	sync *configsync.Manager, members *membership.Manager, logger log.Logger, registerer prometheus.Registerer) *inventory.Inventory {
