--- a/internal/lab/controlsim/node.go
+++ b/internal/lab/controlsim/node.go
@@ -26,7 +26,7 @@
 	deferred []func()
 	replica  configsync.Replica
 	term     *term
-	asking   bool
+	election *election
 }
 
 // after runs do on the node after a delay, unless its process has ended by then. A process that stands still runs it when it
@@ -46,15 +46,18 @@
 	}
 }
 
-// start begins the heartbeats of the process.
-func (n *node) start() { n.after(0, n.heartbeat) }
+// start begins the work of the process.
+func (n *node) start() {
+	n.election = newElection(n)
+	n.after(0, n.heartbeat)
+}
 
 // crash ends the process at once; another starts at until.
 func (n *node) crash(until time.Duration) {
 	if !n.up {
 		return
 	}
-	n.up, n.paused, n.deferred, n.term, n.asking = false, false, nil, nil, false
+	n.up, n.paused, n.deferred, n.term = false, false, nil, nil
 	n.replica = configsync.Replica{}
 	n.simulation.clock.At(until, n.restart)
 }
@@ -71,9 +74,10 @@
 
 // stop is the planned stop: the zone's lease is given back first.
 func (n *node) stop(until time.Duration) {
-	if n.zone.coordinator == n {
-		n.zone.leaseUntil = n.simulation.clock.Now()
+	if !n.up {
+		return
 	}
+	n.election.resign()
 	n.crash(until)
 }
 
--- a/internal/lab/controlsim/sim.go
+++ b/internal/lab/controlsim/sim.go
@@ -1,9 +1,9 @@
 // Package controlsim replays what a trace says of the control plane in virtual time: writes of operators, and the faults
 // of nodes, links and the store.
 //
-// It runs configsync's Coordinator and Replica, the resource validation of api/v1 and the store stand-in's state. It
-// stands in for what they need around them: links, the drive of configsync.Manager (heartbeats, pushes, exchanges), the
-// retries of the store's client and the election of coordinators.
+// It runs configsync's Coordinator and Replica, the election of coordinators by coord/lease, the resource validation of
+// api/v1 and the store stand-in's state. It stands in for what they need around them: links, the drive of
+// configsync.Manager (heartbeats, pushes, exchanges) and the retries of the store's client.
 //
 // The same trace gives the same outcome.
 package controlsim
@@ -40,19 +40,19 @@
 	// reads holds the version that the operator of a write has read earlier, by the write's ID.
 	reads  map[string]string
 	checks checks
+	// incarnations counts the processes started.
+	incarnations uint64
 
 	// ignoreLeases makes nodes serve without a lease; tests break the guard by it.
 	ignoreLeases bool
 }
 
-// zone is a zone with the term of its coordinator.
+// zone is a zone with its nodes.
 type zone struct {
 	name, region string
 	nodes        []*node
-	// coordinator holds the zone's lease until the lease ends; nil before the first election.
+	// coordinator is the node that acquired the zone's lease last, by which others find it; nil before the first election.
 	coordinator *node
-	leaseUntil  time.Duration
-	token       uint64
 }
 
 // Run replays the control plane of a trace and adds what it shows to the outcome.
@@ -100,9 +100,6 @@
 
 func (s *Simulation) run(outcome *trace.Outcome) {
 	s.store.seed()
-	for _, z := range s.zones {
-		s.elect(z)
-	}
 	for _, n := range s.nodes {
 		n.start()
 	}
@@ -121,43 +118,6 @@
 	s.report(outcome)
 }
 
-// every calls tick again and again at the interval.
-func (s *Simulation) every(interval time.Duration, tick func()) {
-	s.clock.After(interval, func() {
-		tick()
-		s.every(interval, tick)
-	})
-}
-
-// elect stands in for the election: it lets the first node of the zone that is up and can be reached take the zone's lease once it is free.
-func (s *Simulation) elect(z *zone) {
-	s.every(s.timing.LeaseLength/4, func() { s.election(z) })
-	s.election(z)
-}
-
-func (s *Simulation) election(z *zone) {
-	holder := z.coordinator
-	// A set of one votes for itself; a larger one needs the zone's links.
-	votes := len(z.nodes) == 1 || s.network.passes(z, z)
-	if holder != nil && holder.leads() && !holder.paused && votes {
-		z.leaseUntil = s.clock.Now() + s.timing.LeaseLength
-		return
-	}
-	if s.clock.Now() < z.leaseUntil || !votes {
-		return
-	}
-	for _, candidate := range z.nodes {
-		if !candidate.up || candidate.paused {
-			continue
-		}
-		z.coordinator = candidate
-		z.token++
-		z.leaseUntil = s.clock.Now() + s.timing.LeaseLength
-		candidate.lead(z.token)
-		return
-	}
-}
-
 func (s *Simulation) zoneNamed(name string) *zone {
 	for _, z := range s.zones {
 		if z.name == name {
--- a/internal/lab/controlsim/term.go
+++ b/internal/lab/controlsim/term.go
@@ -8,8 +8,9 @@
 
 // term is one term of a zone's coordinator on a node, driven as configsync.Manager does.
 type term struct {
-	node *node
-	core *configsync.Coordinator
+	node  *node
+	token uint64
+	core  *configsync.Coordinator
 	// held is the state that each node is known to hold; revisions and told are by zone.
 	held      map[string]configsync.Version
 	revisions map[string]uint64
@@ -26,7 +27,7 @@
 	// As configsync.Manager, count a lease an eighth longer than its holder does.
 	counted := s.timing.NodeLeaseLength + s.timing.NodeLeaseLength/8
 	t := &term{
-		node: n, core: configsync.NewCoordinator(n.zone.name, token, n.replica.State(), now, counted),
+		node: n, token: token, core: configsync.NewCoordinator(n.zone.name, token, n.replica.State(), now, counted),
 		held: map[string]configsync.Version{}, revisions: map[string]uint64{}, told: map[string]uint64{}, busy: map[string]bool{},
 	}
 	n.term = t
@@ -48,7 +49,7 @@
 	if t.node.term != t {
 		return false
 	}
-	if t.node.zone.coordinator == t.node && t.node.simulation.clock.Now() < t.node.zone.leaseUntil {
+	if t.node.election.holds(t.token) {
 		return true
 	}
 	t.node.term = nil
