--- a/internal/httperr/httperr.go
+++ b/internal/httperr/httperr.go
@@ -22,21 +22,6 @@
 
 const minRetryAfter = time.Second
 
-var statuses = map[v1.ErrorCode]int{
-	v1.CodeInvalid:          http.StatusBadRequest,
-	v1.CodeUnauthenticated:  http.StatusUnauthorized,
-	v1.CodeForbidden:        http.StatusForbidden,
-	v1.CodeNotFound:         http.StatusNotFound,
-	v1.CodeConflict:         http.StatusConflict,
-	v1.CodeGone:             http.StatusGone,
-	v1.CodeTooLarge:         http.StatusRequestEntityTooLarge,
-	v1.CodeRateLimited:      http.StatusTooManyRequests,
-	v1.CodeOverloaded:       http.StatusServiceUnavailable,
-	v1.CodeUnavailable:      http.StatusServiceUnavailable,
-	v1.CodeDeadlineExceeded: http.StatusGatewayTimeout,
-	v1.CodeInternal:         http.StatusInternalServerError,
-}
-
 var types = map[v1.ErrorCode]string{
 	v1.CodeInvalid:         "invalid_request_error",
 	v1.CodeUnauthenticated: "authentication_error",
@@ -50,14 +35,6 @@
 
 const defaultType = "server_error"
 
-// Status returns the HTTP status of the code; an unknown code is an internal error.
-func Status(code v1.ErrorCode) int {
-	if status, ok := statuses[code]; ok {
-		return status
-	}
-	return http.StatusInternalServerError
-}
-
 // Typed returns the *v1.Error within err. Any other error becomes an internal one whose message says nothing
 // of its cause, since the cause may quote what a caller sent.
 func Typed(err error) *v1.Error {
@@ -87,7 +64,7 @@
 // Write answers the request with the error and ends its handler chain.
 func Write(c *gin.Context, err error) {
 	typed := Typed(err)
-	status := Status(typed.Code)
+	status := typed.HTTPStatus()
 	if wait := retryAfter(typed, status); wait > 0 {
 		c.Header(headerRetryAfter, strconv.FormatInt(wholeSeconds(wait), 10))
 	}
