--- a/internal/lab/compare/plot.go
+++ b/internal/lab/compare/plot.go
@@ -43,6 +43,9 @@
 	rows := r.Rows[:len(r.Rows)-1]
 	values, names := make(plotter.Values, 0, len(rows)), make([]string, 0, len(rows))
 	for _, row := range rows {
+		if row.Unfinished > 0 {
+			continue // its idle time is that of a run cut short
+		}
 		values = append(values, row.Idle.Seconds())
 		names = append(names, row.Policy)
 	}
