--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -44,6 +44,7 @@
 			upCommand(streams),
 			configFaultsCommand(streams),
 			compareCommand(streams),
+			surviveCommand(streams),
 		},
 	}
 	root.Commands = append(root.Commands, traceCommands(streams)...)
