--- a/internal/lab/survival/callers.go
+++ b/internal/lab/survival/callers.go
@@ -99,6 +99,8 @@
 	key     claims.Key
 	id      string
 	votes   *claims.Votes
+	// counted tells the keepers whose answer was counted: a repeated message has a repeated answer.
+	counted map[string]bool
 	decided bool
 	reply   func(answer)
 }
@@ -114,7 +116,7 @@
 	c := &claim{
 		gateway: n, index: index, id: fmt.Sprintf("claim-%d", w.callers.claims),
 		key:   claims.Key{Caller: applicationKey, Pool: poolName, Key: fmt.Sprint(index)},
-		votes: claims.NewVotes(members), reply: reply,
+		votes: claims.NewVotes(members), counted: make(map[string]bool), reply: reply,
 	}
 	if w.guards.sendFirst {
 		c.execute()
@@ -134,12 +136,11 @@
 // vote is the claim at a keeper.
 func (c *claim) vote(at *node) {
 	decision, record, granting := at.keeper.claim(c.key, c.id)
-	counted := false
 	at.world.send(at, c.gateway, func() {
-		if counted || c.decided {
+		if c.counted[at.name] || c.decided {
 			return
 		}
-		counted = true
+		c.counted[at.name] = true
 		if granting {
 			c.votes.Add(decision, record)
 		} else {
