--- a/internal/lab/survival/survival.go
+++ b/internal/lab/survival/survival.go
@@ -46,6 +46,9 @@
 	for _, execution := range w.executions {
 		w.history.Executions = append(w.history.Executions, *execution)
 	}
+	if w.commits.lost > 0 {
+		w.breach("%d groups of the ledger were committed and not recovered", w.commits.lost)
+	}
 	report := invariant.Check(&w.history)
 	result := Result{
 		Fault: fault, Seed: seed, Asked: report.Expected, Delivered: report.Whole,
--- a/internal/lab/survival/term.go
+++ b/internal/lab/survival/term.go
@@ -38,6 +38,7 @@
 	node   *node
 	token  uint64
 	round  uint64
+	epoch  quorumlog.Epoch
 	ended  bool
 	writer *quorumlog.Writer
 	owner  *rollout.Owner
@@ -59,6 +60,7 @@
 // pendingGroup is what may be done once the log has the index.
 type pendingGroup struct {
 	index   uint64
+	encoded []byte
 	since   time.Duration
 	actions []rollout.Action
 	replies []func()
@@ -77,9 +79,9 @@
 	for _, other := range n.world.nodes {
 		names = append(names, other.name)
 	}
-	opening := round<<openingBits | uint64(n.world.rand.Uint32())
+	t.epoch = quorumlog.Epoch{Token: token, Opening: round<<openingBits | uint64(n.world.rand.Uint32())}
 	t.writer = quorumlog.NewWriter(n.world.now(), quorumlog.Config{
-		Epoch: quorumlog.Epoch{Token: token, Opening: opening}, Candidates: names, Replicas: logReplicas, Create: true, MaySilent: 1,
+		Epoch: t.epoch, Candidates: names, Replicas: logReplicas, Create: true, MaySilent: 1,
 		Patience: logPatience, RetryAfter: logRetryAfter,
 	})
 	n.world.wakeSleeper(n)
@@ -169,6 +171,7 @@
 func (t *term) recover() {
 	ledger := rollout.NewLedger(trainerName)
 	_, groups := t.writer.Recovered()
+	t.node.world.commits.recover(t.epoch, groups)
 	for _, group := range groups {
 		entries, err := rollout.DecodeEntries(group)
 		if err != nil {
@@ -249,7 +252,9 @@
 		t.reopen()
 		return
 	}
-	t.pending = &pendingGroup{index: index, since: t.node.world.clock.Now(), actions: actions, replies: replies}
+	t.pending = &pendingGroup{
+		index: index, encoded: encoded, since: t.node.world.clock.Now(), actions: actions, replies: replies,
+	}
 	t.flush()
 }
 
@@ -264,6 +269,7 @@
 	}
 	done := t.pending
 	t.pending = nil
+	t.node.world.commits.tell(t.epoch, done.encoded)
 	t.act(done.actions, done.replies)
 }
 
--- a/internal/lab/survival/world.go
+++ b/internal/lab/survival/world.go
@@ -64,6 +64,8 @@
 	claimDeath bool
 	// sleeper is a paused owner that wakes when the next one begins.
 	sleeper *node
+	// froze tells that clocks stood still: two nodes may then believe in the lease, and the log alone keeps them apart.
+	froze bool
 	// holdEvents keeps the events of engines in held.
 	holdEvents bool
 	held       []func()
@@ -72,6 +74,7 @@
 
 	history    invariant.History
 	executions []*invariant.Execution
+	commits    commits
 	broken     []string
 	faultAt    time.Duration
 	deliveries []time.Duration
