--- a/internal/lab/cli/survive.go
+++ b/internal/lab/cli/survive.go
@@ -15,6 +15,7 @@
 )
 
 const (
+	flagPairs              = "pairs"
 	flagFault              = "fault"
 	defaultSurvivalSeeds   = 20
 	defaultSurvivalWorkers = 3
@@ -27,6 +28,7 @@
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: flagSeeds, Usage: "runs of each fault, with the seeds 1 to N", Value: defaultSurvivalSeeds},
 			&cli.StringSliceFlag{Name: flagFault, Usage: "only this fault, as in the report, or two joined by +; may be repeated"},
+			&cli.BoolFlag{Name: flagPairs, Usage: "every two faults at once, a row each"},
 			&cli.Uint64Flag{Name: flagSeed, Usage: "only this seed of the one fault given; tells every breach"},
 			&cli.IntFlag{Name: flagWorkers, Usage: "runs at a time", Value: defaultSurvivalWorkers},
 			&cli.BoolFlag{Name: flagJSON, Usage: "print JSON, with durations in nanoseconds"},
@@ -46,6 +48,9 @@
 		return commandline.UsageErrorf("--%s and --%s: must be above 0", flagSeeds, flagWorkers)
 	}
 	faults := survival.Faults()
+	if command.Bool(flagPairs) {
+		faults = survival.Pairs()
+	}
 	if names := command.StringSlice(flagFault); len(names) > 0 {
 		faults = nil
 		for _, name := range names {
--- a/internal/lab/survival/faults.go
+++ b/internal/lab/survival/faults.go
@@ -48,7 +48,7 @@
 	{"owner-paused", func(w *world) { w.owner().pause(pauseFor) }},
 	{"owner-wakes-as-next-opens", func(w *world) { w.pauseUntilNextOpens() }},
 	{"owner-frozen-with-clocks", func(w *world) { w.freeze() }},
-	{"keeper-restarted-empty", func(w *world) { w.restartEmpty(w.other()) }},
+	{"keeper-restarted-empty", func(w *world) { w.restartEmpty(w.replicaToEmpty()) }},
 	{"three-keepers-emptied", func(w *world) { w.emptyThree() }},
 	{"keeper-killed", func(w *world) { w.kill(w.other(), deadFor) }},
 	{"fetch-reply-lost", func(w *world) { w.during(repliesLost, &w.fetchLost) }},
@@ -74,6 +74,19 @@
 	return append(names, TwoAtOnce)
 }
 
+// Pairs returns every two different faults at once.
+func Pairs() []Fault {
+	var pairs []Fault
+	for at, first := range faultActions {
+		for _, second := range faultActions[at+1:] {
+			if first.name != NoFault {
+				pairs = append(pairs, first.name+PairMark+second.name)
+			}
+		}
+	}
+	return pairs
+}
+
 // ParseFault reads a fault's name, or two names joined by PairMark.
 func ParseFault(name string) (Fault, error) {
 	for _, part := range strings.Split(name, PairMark) {
@@ -154,6 +167,14 @@
 	}
 }
 
+// replicaToEmpty returns the same replica of the log each time: three copies do not bear the loss of two.
+func (w *world) replicaToEmpty() *node {
+	if w.emptied == nil {
+		w.emptied = w.other()
+	}
+	return w.emptied
+}
+
 func (w *world) restartEmpty(n *node) {
 	n.crash()
 	n.keeper.wipe()
@@ -204,7 +225,7 @@
 
 // emptyThree empties a majority of the keepers of claims, and one replica of the log only.
 func (w *world) emptyThree() {
-	w.restartEmpty(w.other())
+	w.restartEmpty(w.replicaToEmpty())
 	for _, n := range w.nodes[logReplicas:] {
 		w.restartEmpty(n)
 	}
--- a/internal/lab/survival/survival_test.go
+++ b/internal/lab/survival/survival_test.go
@@ -29,6 +29,24 @@
 	})
 }
 
+// Beyond what three copies bear: nothing more is handed over, and nothing wrong is.
+func TestMajorityOfTheLogLost(t *testing.T) {
+	Convey("A ledger of which two of three copies are lost is not taken for a new one", t, func() {
+		w := newWorld(1, guards{})
+		w.faultAt = lastFaultAt
+		w.clock.At(w.faultAt, func() {
+			for _, n := range w.nodes[:logReplicas-1] {
+				w.restartEmpty(n)
+			}
+		})
+		w.clock.Run(3*callerSpan, nothing)
+		result := w.conclude("two replicas emptied", 1)
+		So(result.Missing, ShouldBeGreaterThan, 0)
+		So(result.Delivered, ShouldBeGreaterThan, 0)
+		So(len(result.Breaches), ShouldEqual, result.Missing)
+	})
+}
+
 func TestSameSeedSameResult(t *testing.T) {
 	Convey("The result is byte for byte a function of fault and seed, whatever the number of workers", t, func() {
 		table := func(workers int) string {
--- a/internal/lab/survival/world.go
+++ b/internal/lab/survival/world.go
@@ -64,6 +64,8 @@
 	claimDeath bool
 	// sleeper is a paused owner that wakes when the next one begins.
 	sleeper *node
+	// emptied is the replica of the log that loses its disk.
+	emptied *node
 	// froze tells that clocks stood still: two nodes may then believe in the lease, and the log alone keeps them apart.
 	froze bool
 	// holdEvents keeps the events of engines in held.
