--- a/internal/lab/cli/survive.go
+++ b/internal/lab/cli/survive.go
@@ -103,11 +103,11 @@
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 1, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintln(table, "fault\tseeds\tdelivered\tasked\tduplicates\tmissing\tstale\twrong versions\tnot whole\t"+
-		"double executions\tfalse not run\tother\tanswers\tnot run\tunknown\trecovery p50\tmax\t")
+		"double executions\tfalse not run\tother\tanswers\tnot run\tunknown\thedges\trecovery p50\tmax\t")
 	for _, r := range rows {
-		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t\n",
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t\n",
 			r.Fault, r.Seeds, r.Delivered, r.Asked, r.Duplicates, r.Missing, r.Stale, r.WrongVersions, r.NotWhole,
-			r.DoubleExecutions, r.FalseNotRun, r.Other, r.Answers, r.NotRun, r.Unknown, r.P50, r.Max)
+			r.DoubleExecutions, r.FalseNotRun, r.Other, r.Answers, r.NotRun, r.Unknown, r.Hedges, r.P50, r.Max)
 	}
 	if err := table.Flush(); err != nil {
 		return err
--- a/internal/lab/survival/survival.go
+++ b/internal/lab/survival/survival.go
@@ -21,6 +21,8 @@
 	Other int
 	// Answers, NotRun and Unknown count the calls of applications by outcome.
 	Answers, NotRun, Unknown int
+	// Hedges counts second attempts.
+	Hedges int
 	// Recovery is the longest time without a sample from the fault on.
 	Recovery time.Duration
 	// Breaches tells each breach.
@@ -56,7 +58,7 @@
 		Stale: report.Count(invariant.PromiseFresh), WrongVersions: report.Count(invariant.PromiseVersions),
 		NotWhole: report.Count(invariant.PromiseWhole), DoubleExecutions: report.Count(invariant.PromiseAtMostOnce),
 		FalseNotRun: report.Count(invariant.PromiseNotRun),
-		Answers:     report.Answers, NotRun: report.NotRun, Unknown: report.Unknown, Recovery: w.recovery(),
+		Answers:     report.Answers, NotRun: report.NotRun, Unknown: report.Unknown, Recovery: w.recovery(), Hedges: w.hedges,
 	}
 	for _, violation := range report.Violations {
 		result.Breaches = append(result.Breaches, violation.String())
@@ -157,4 +159,5 @@
 	r.Answers += one.Answers
 	r.NotRun += one.NotRun
 	r.Unknown += one.Unknown
+	r.Hedges += one.Hedges
 }
--- a/internal/lab/survival/world.go
+++ b/internal/lab/survival/world.go
@@ -73,6 +73,7 @@
 	held       []func()
 	// streams counts the attempts.
 	streams uint64
+	hedges  int
 
 	history    invariant.History
 	executions []*invariant.Execution
