--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -48,6 +48,7 @@
 			plannedStopsCommand(streams),
 			compareCommand(streams),
 			soakCommand(streams),
+			surviveCommand(streams),
 		},
 	}
 	root.Commands = append(root.Commands, traceCommands(streams)...)
