weights: cut the test's zone off in both directions

Cause: TestPublish failed now and then at 'z3 knows no target': only calls to z3 were cut, so that z3 on take-over could still ask its peers for their targets after the publication and learn the version by itself, as it should. Change: a cut node reaches nobody either, from before it leads. The expectations are as they were.

--- a/internal/weights/manager_test.go
+++ b/internal/weights/manager_test.go
@@ -90,7 +90,7 @@
 	manager *Manager
 	holder  *cluster.Holder
 	engines *memoryEngines
-	cut     *atomic.Bool // while true nobody reaches the node
+	cut     *atomic.Bool // while true the node reaches nobody and nobody reaches it
 }
 
 // testCluster runs nodes until close.
@@ -119,13 +119,13 @@
 		electorate[leadership.ZoneLease(zone)] = []string{zone}
 		nodes = append(nodes, cluster.Node{Name: "n-" + zone, Zone: zone, Address: address})
 	}
-	dial := func(ctx context.Context, address string) (net.Conn, error) {
-		if cuts[address].Load() {
-			return nil, errCut
-		}
-		return new(net.Dialer).DialContext(ctx, "tcp", address)
-	}
 	for _, self := range nodes {
+		dial := func(ctx context.Context, address string) (net.Conn, error) {
+			if cuts[address].Load() || cuts[self.Address].Load() {
+				return nil, errCut
+			}
+			return new(net.Dialer).DialContext(ctx, "tcp", address)
+		}
 		node := &testNode{holder: cluster.NewHolder(), cut: cuts[self.Address], engines: &memoryEngines{loads: map[string]*enginev1.Load{}}}
 		node.holder.Update(func(*cluster.View) *cluster.View { return testView(nodes, self.Zone, enginesPerZone) })
 		for _, engine := range node.holder.Current().Engines {
@@ -199,9 +199,9 @@
 	Convey("With two coordinators, one of them cut off, and a third zone without one", t, func() {
 		c := newTestCluster(3)
 		defer c.close()
+		c.nodes["z3"].cut.Store(true)
 		defer c.lead("z2")()
 		defer c.lead("z3")()
-		c.nodes["z3"].cut.Store(true)
 		publisher := c.nodes["z1"].manager
 
 		So(publisher.Publish(t.Context(), target(2, "d2")), ShouldBeNil)
