lab/virtual: one event queue for the simulations

Cause: three simulations (sim, configfaults, controlsim) each had a heap of events with the same order. Change: virtual.Queue and Clock serve all three; streams of sim are numbered by a counter of their own.

--- a/internal/lab/configfaults/clock.go
+++ b/internal/lab/configfaults/clock.go
@@ -5,58 +5,23 @@
 package configfaults
 
 import (
-	"container/heap"
 	"time"
+
+	"github.com/covelink/covelink/internal/lab/virtual"
 )
 
-// clock is virtual time: events run one after the other, in the order of their times and, at one time, of their scheduling.
+// clock is virtual time as moments of the calendar.
 type clock struct {
-	now    time.Time
-	events eventQueue
-	count  uint64
-}
-
-type event struct {
-	at     time.Time
-	number uint64
-	run    func()
+	start  time.Time
+	events *virtual.Clock
 }
 
-type eventQueue []event
-
-func (q eventQueue) Len() int      { return len(q) }
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].number < q[j].number
-	}
-	return q[i].at.Before(q[j].at)
-}
+func newClock(start time.Time) clock { return clock{start: start, events: virtual.NewClock()} }
 
-// Push implements heap.Interface.
-func (q *eventQueue) Push(x any) { *q = append(*q, x.(event)) }
-
-// Pop implements heap.Interface.
-func (q *eventQueue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*q = old[:len(old)-1]
-	return last
-}
+func (c *clock) now() time.Time { return c.start.Add(c.events.Now()) }
 
 // after runs something after a time.
-func (c *clock) after(wait time.Duration, run func()) {
-	c.count++
-	heap.Push(&c.events, event{at: c.now.Add(max(0, wait)), number: c.count, run: run})
-}
+func (c *clock) after(wait time.Duration, run func()) { c.events.After(max(0, wait), run) }
 
 // runUntil runs every event before the end.
-func (c *clock) runUntil(end time.Time) {
-	for len(c.events) > 0 && c.events[0].at.Before(end) {
-		next := heap.Pop(&c.events).(event)
-		c.now = next.at
-		next.run()
-	}
-	c.now = end
-}
+func (c *clock) runUntil(end time.Time) { c.events.Run(end.Sub(c.start), nil) }
--- a/internal/lab/configfaults/fault.go
+++ b/internal/lab/configfaults/fault.go
@@ -111,7 +111,7 @@
 
 // arrange schedules the faults of the scenario. They overlap, since all start within two seconds.
 func (w *world) arrange() {
-	w.faultsFrom = w.clock.now.Add(warmUp)
+	w.faultsFrom = w.clock.now().Add(warmUp)
 	w.faultsTo = w.faultsFrom
 	for _, fault := range w.scenario {
 		start := warmUp + w.upTo(minimumSpan)
@@ -119,7 +119,7 @@
 		if fault == StoreDown {
 			length = w.size.StoreDown
 		}
-		of := span{from: w.clock.now.Add(start), to: w.clock.now.Add(start + length)}
+		of := span{from: w.clock.now().Add(start), to: w.clock.now().Add(start + length)}
 		if fault != Race && of.to.After(w.faultsTo) {
 			w.faultsTo = of.to
 		}
--- a/internal/lab/configfaults/monitor.go
+++ b/internal/lab/configfaults/monitor.go
@@ -67,7 +67,7 @@
 func (m *monitor) violate(count *int, format string, args ...any) {
 	*count++
 	if m.result.First == "" {
-		m.result.First = m.world.clock.now.Sub(start).String() + ": " + fmt.Sprintf(format, args...)
+		m.result.First = m.world.clock.now().Sub(start).String() + ": " + fmt.Sprintf(format, args...)
 	}
 }
 
@@ -97,10 +97,10 @@
 		version: version,
 		zones:   zones,
 		scope:   slices.Concat(zones, object.Metadata.FormerZones),
-		at:      m.world.clock.now,
+		at:      m.world.clock.now(),
 	})
 	if record := m.byID[object.Metadata.WriteID]; record != nil {
-		record.committed, record.version = m.world.clock.now, version
+		record.committed, record.version = m.world.clock.now(), version
 		record.scope = slices.Concat(zones, object.Metadata.FormerZones)
 	}
 }
@@ -112,7 +112,7 @@
 		m.violate(&m.result.Reverted, "%s went from revision %d to %d", n.name, before, state.Revision)
 	}
 	if state.Revision > before {
-		m.applies[n] = append(m.applies[n], progress{revision: state.Revision, at: m.world.clock.now})
+		m.applies[n] = append(m.applies[n], progress{revision: state.Revision, at: m.world.clock.now()})
 	}
 	for _, pool := range poolNames {
 		version := state.Accepted[configsync.ObjectKey{Kind: v1.KindPool, Name: pool}]
@@ -122,7 +122,7 @@
 		if record.operator.node == n && record.version > 0 && record.acceptedAt.IsZero() {
 			key := configsync.ObjectKey{Kind: v1.KindPool, Name: record.object.Metadata.Name}
 			if state.Accepted[key] >= record.version {
-				record.acceptedAt = m.world.clock.now
+				record.acceptedAt = m.world.clock.now()
 			}
 		}
 	}
@@ -131,7 +131,7 @@
 // request lets a caller ask a node for every pool, each of which the node places in some permitted zone.
 func (m *monitor) request(n *node) {
 	m.result.Requests++
-	now := m.world.clock.now
+	now := m.world.clock.now()
 	if serving, reason := n.replica.Serving(now); !serving {
 		m.result.Refused++
 		if !m.excused(n) {
@@ -150,7 +150,7 @@
 // excused reports whether the node may refuse requests: it has stood still, and has not had the time to get a lease since.
 func (m *monitor) excused(n *node) bool {
 	const recovery = 2 * time.Second
-	return !n.pausedUntil.IsZero() && m.world.clock.now.Before(n.pausedUntil.Add(recovery))
+	return !n.pausedUntil.IsZero() && m.world.clock.now().Before(n.pausedUntil.Add(recovery))
 }
 
 // place checks one placement by the node's configuration: of a request in its own zone, to any zone that it believes permitted.
--- a/internal/lab/configfaults/node.go
+++ b/internal/lab/configfaults/node.go
@@ -26,7 +26,7 @@
 
 // handle runs something on the node now or, if it is paused, once it has resumed.
 func (n *node) handle(run func()) {
-	if wait := n.pausedUntil.Sub(n.world.clock.now); wait > 0 {
+	if wait := n.pausedUntil.Sub(n.world.clock.now()); wait > 0 {
 		n.world.clock.after(wait, func() { n.handle(run) })
 		return
 	}
@@ -67,7 +67,7 @@
 // beat asks the coordinator for a lease and pulls a state that was missed, as configsync's Manager does.
 func (n *node) beat() {
 	n.beats++
-	sentAt, holder := n.world.clock.now, n.coordinator()
+	sentAt, holder := n.world.clock.now(), n.coordinator()
 	again := func(result configsync.HeartbeatResult) { n.scheduleBeat(result.Pause(n.world.timing.LeaseLength)) }
 	var grant configsync.Grant
 	ask := func(report configsync.NodeReport) (err error) {
@@ -127,7 +127,7 @@
 
 // fetch returns the state held and whether the node has a valid lease.
 func (n *node) fetch() (configsync.State, bool) {
-	leased, _ := n.replica.Serving(n.world.clock.now)
+	leased, _ := n.replica.Serving(n.world.clock.now())
 	if n.term != nil {
 		return n.term.core.State(), leased
 	}
--- a/internal/lab/configfaults/operator.go
+++ b/internal/lab/configfaults/operator.go
@@ -47,7 +47,7 @@
 // startOperators starts two ordinary operators in different zones and, in a race, two more.
 func (w *world) startOperators() {
 	order := w.random.Perm(len(w.zones))
-	spread := w.faultsTo.Sub(w.clock.now) / ordinaryWrites
+	spread := w.faultsTo.Sub(w.clock.now()) / ordinaryWrites
 	for i := range 2 {
 		w.startOperator(order[i], fmt.Sprintf("ordinary-%d", i), ordinaryWrites, spread, poolNames[1:], false)
 	}
@@ -73,8 +73,8 @@
 func (w *world) awaitOperators() {
 	limit := w.faultsTo.Add(raceLimit)
 	working := func(o *operator) bool { return !o.done }
-	for w.clock.now.Before(limit) && slices.ContainsFunc(w.operators, working) {
-		w.clock.runUntil(w.clock.now.Add(time.Second))
+	for w.clock.now().Before(limit) && slices.ContainsFunc(w.operators, working) {
+		w.clock.runUntil(w.clock.now().Add(time.Second))
 	}
 	for _, o := range w.operators {
 		o.left = 0
@@ -137,7 +137,7 @@
 // forward sends a write to the coordinator and reads it back if the answer is lost, as configsync's Manager does.
 func (n *node) forward(object v1.RawObject, done func(stored v1.RawObject, outcome v1.Outcome, err error)) {
 	timeout := n.world.timing.RequestTimeout
-	deadline := n.world.clock.now.Add(timeout)
+	deadline := n.world.clock.now().Add(timeout)
 	holder := n.coordinator()
 	var stored v1.RawObject
 	finish := func(err error) {
@@ -151,7 +151,7 @@
 		}
 	}
 	serve := func(answerTimeout time.Duration, answer func(error)) {
-		until := n.world.clock.now.Add(configsync.StoreTimeout(answerTimeout))
+		until := n.world.clock.now().Add(configsync.StoreTimeout(answerTimeout))
 		holder.serveWrite(object, until, func(written v1.RawObject, err error) {
 			stored = written
 			answer(err)
@@ -186,7 +186,7 @@
 
 // readBack asks whichever node coordinates for the object until that tells the write's fate.
 func (n *node) readBack(written v1.RawObject, deadline time.Time, done func(v1.RawObject, v1.Outcome, error)) {
-	if !n.world.clock.now.Before(deadline) {
+	if !n.world.clock.now().Before(deadline) {
 		done(v1.RawObject{}, v1.OutcomeUnknown, objectapi.ErrUnknown)
 		return
 	}
@@ -198,7 +198,7 @@
 			answer(errNotCoordinator)
 			return
 		}
-		n.world.store.get(holder, nameOf(written), n.world.clock.now.Add(lease), func(object v1.RawObject, err error) {
+		n.world.store.get(holder, nameOf(written), n.world.clock.now().Add(lease), func(object v1.RawObject, err error) {
 			current, found = object, err == nil
 			if errors.Is(err, objectapi.ErrNotFound) {
 				err = nil
--- a/internal/lab/configfaults/store.go
+++ b/internal/lab/configfaults/store.go
@@ -171,7 +171,7 @@
 	try = func(n int) {
 		attempt(func(err error) {
 			wait := s.world.upTo(min(backoffBase<<min(n, maxDoublings), backoffCap))
-			if !s.world.clock.now.Add(wait).Before(deadline) {
+			if !s.world.clock.now().Add(wait).Before(deadline) {
 				failed(err)
 				return
 			}
--- a/internal/lab/configfaults/term.go
+++ b/internal/lab/configfaults/term.go
@@ -22,7 +22,7 @@
 // lead starts a term on the node.
 func (n *node) lead(token uint64) {
 	w := n.world
-	leased, _ := n.replica.Serving(w.clock.now)
+	leased, _ := n.replica.Serving(w.clock.now())
 	var names []string
 	for _, other := range w.zoneNodes(n.zone) {
 		names = append(names, other.name)
@@ -30,13 +30,13 @@
 	n.term = &term{
 		node:   n,
 		token:  token,
-		core:   configsync.BeginTerm(n.zone, token, n.replica.State(), leased, names, w.clock.now, w.timing.NodeLeaseLength),
+		core:   configsync.BeginTerm(n.zone, token, n.replica.State(), leased, names, w.clock.now(), w.timing.NodeLeaseLength),
 		spread: configsync.NewSpread(),
 	}
 	t := n.term
 	n.scheduleBeat(0)
 	t.tick()
-	deadline := w.clock.now.Add(configsync.CountedLease(w.timing.NodeLeaseLength))
+	deadline := w.clock.now().Add(configsync.CountedLease(w.timing.NodeLeaseLength))
 	t.inform(deadline, t.follow)
 }
 
@@ -52,7 +52,7 @@
 
 // change applies a change and brings the result into force on this node.
 func (t *term) change(apply func(c *configsync.Coordinator, now time.Time)) {
-	now := t.node.world.clock.now
+	now := t.node.world.clock.now()
 	before := t.core.State().Version
 	apply(t.core, now)
 	t.core.Deliver(t.node.replica.State().Version, now, func(state configsync.State) (configsync.NodeReport, bool) {
@@ -228,7 +228,7 @@
 	if inquiry.Informed() {
 		t.change(func(c *configsync.Coordinator, _ time.Time) { c.SetInformed() })
 		t.node.scheduleBeat(0)
-	} else if t.node.world.clock.now.Before(deadline) {
+	} else if t.node.world.clock.now().Before(deadline) {
 		t.node.after(configsync.TickInterval(t.node.world.timing.LeaseLength), func() {
 			if !t.ended() {
 				t.inform(deadline, func() {})
--- a/internal/lab/configfaults/world.go
+++ b/internal/lab/configfaults/world.go
@@ -53,7 +53,7 @@
 // newWorld builds the deployment of a run.
 func newWorld(scenario Scenario, seed uint64, size Size) *world {
 	w := &world{
-		clock:       clock{now: start},
+		clock:       newClock(start),
 		random:      rand.New(rand.NewPCG(seed, 0)),
 		scenario:    scenario,
 		size:        size,
@@ -63,7 +63,7 @@
 		leases:      make(map[string]*lease),
 		blockedZone: make(map[string][]span),
 	}
-	w.store = &store{world: w, state: objectapi.NewStore(0, func() time.Time { return w.clock.now })}
+	w.store = &store{world: w, state: objectapi.NewStore(0, func() time.Time { return w.clock.now() })}
 	w.monitor = newMonitor(w)
 	for r := range regions {
 		for z := range zonesPerRegion {
@@ -108,7 +108,7 @@
 	w.startOperators()
 	w.clock.runUntil(w.faultsTo)
 	w.awaitOperators()
-	w.clock.runUntil(w.clock.now.Add(settleTime))
+	w.clock.runUntil(w.clock.now().Add(settleTime))
 	return w.monitor.finish()
 }
 
@@ -124,7 +124,7 @@
 
 // pause stops a process for a time; what arrives meanwhile is handled when it resumes.
 func (w *world) pause(paused *node, length time.Duration) {
-	paused.pausedUntil = w.clock.now.Add(length)
+	paused.pausedUntil = w.clock.now().Add(length)
 	w.leases[paused.zone].abandon(paused)
 }
 
@@ -216,7 +216,7 @@
 		}
 		l.grant(next)
 	})
-	l.world.clock.after(paused.pausedUntil.Sub(l.world.clock.now)+noticed, func() { paused.resign(token) })
+	l.world.clock.after(paused.pausedUntil.Sub(l.world.clock.now())+noticed, func() { paused.resign(token) })
 }
 
 func indexOf(nodes []*node, wanted *node) int {
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -222,9 +222,9 @@
 	if n.sim.scenario.Policy.NoPriorities {
 		request.Priority = enginev1.PriorityRollout
 	}
-	n.sim.sequence++
+	n.sim.streams++
 	t.stream = &stream{
-		node: n, task: t, grant: held, host: n.sim.engineOf[held.Engine().Name], request: request, sequence: n.sim.sequence,
+		node: n, task: t, grant: held, host: n.sim.engineOf[held.Engine().Name], request: request, sequence: n.sim.streams,
 		assembly: engine.NewAssembly(engine.Expectation{
 			RequestID: request.RequestID, Attempt: request.Attempt, Incarnation: request.Incarnation,
 			Engine: held.Engine().Name, MinVersion: request.MinVersion, Resume: request.Resume,
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -5,7 +5,6 @@
 package sim
 
 import (
-	"container/heap"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -13,6 +12,7 @@
 
 	"github.com/covelink/covelink/internal/lab/enginesim"
 	"github.com/covelink/covelink/internal/lab/invariant"
+	"github.com/covelink/covelink/internal/lab/virtual"
 )
 
 // Run simulates a scenario. An error means that the scenario is unfit.
@@ -44,46 +44,15 @@
 
 var epoch = time.Date(2000, time.January, 1, 0, 0, 0, 0, time.UTC)
 
-// event is something that happens at a time; events of one time happen in the order in which they were planned.
-type event struct {
-	at       time.Time
-	sequence uint64
-	do       func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].sequence < q[j].sequence
-	}
-	return q[i].at.Before(q[j].at)
-}
-
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *eventQueue) Push(item any) { *q = append(*q, item.(event)) }
-
-// Pop implements heap.Interface.
-func (q *eventQueue) Pop() any {
-	last := len(*q) - 1
-	item := (*q)[last]
-	(*q)[last] = event{}
-	*q = (*q)[:last]
-	return item
-}
-
 // simulation is one run.
 type simulation struct {
 	scenario Scenario
 	now      time.Time
 	end      time.Time
-	queue    eventQueue
-	sequence uint64
-	network  network
+	queue    virtual.Queue
+	// streams counts the streams begun; it numbers them.
+	streams uint64
+	network network
 
 	zones    []*zone
 	zoneOf   map[string]*zone
@@ -128,11 +97,10 @@
 
 // at plans an event.
 func (s *simulation) at(when time.Time, do func()) {
-	s.sequence++
 	if when.Before(s.now) {
 		when = s.now
 	}
-	heap.Push(&s.queue, event{at: when, sequence: s.sequence, do: do})
+	s.queue.Push(s.since(when), do)
 }
 
 func (s *simulation) after(delay time.Duration, do func()) { s.at(s.now.Add(delay), do) }
@@ -144,17 +112,18 @@
 const eventsPerCheck = 4096
 
 func (s *simulation) loop(ctx context.Context) error {
-	for len(s.queue) > 0 && !s.finished() {
+	for !s.finished() {
 		if s.result.Events%eventsPerCheck == 0 && ctx.Err() != nil {
 			return ctx.Err()
 		}
-		next := heap.Pop(&s.queue).(event)
-		if next.at.After(s.end) {
+		at, ok := s.queue.Next()
+		if !ok || epoch.Add(at).After(s.end) {
 			break
 		}
-		s.now = next.at
+		_, do := s.queue.Pop()
+		s.now = epoch.Add(at)
 		s.result.Events++
-		next.do()
+		do()
 	}
 	return nil
 }
