rollout: a call ends when its trainer has another owner

Cause: a fetch forwarded to an owner that is paused or cut off held on for its wait and five seconds more, though another node owned the batches after a second. Found by the integration test of a paused owner. Change: the forwarder looks five times a second whether the owner has changed and then asks the new one; every such call is idempotent.

faultproxy: a link that lost bytes is reset when the black hole ends, as documented, also if nothing more is sent; before it hung until its next byte.

--- a/internal/lab/faultproxy/link.go
+++ b/internal/lab/faultproxy/link.go
@@ -29,6 +29,8 @@
 	ctx            context.Context
 	cancel         context.CancelFunc
 	once           sync.Once
+	// watching holds the goroutines that wait for the end of a black hole.
+	watching sync.WaitGroup
 }
 
 // chunk is a run of bytes under way, to be written at due. The end of the stream is a chunk without bytes.
@@ -60,6 +62,7 @@
 	l.cancel()
 	_ = l.client.Close()
 	_ = l.target.Close()
+	l.watching.Wait()
 }
 
 // carry moves one direction.
@@ -117,7 +120,7 @@
 func (p *pipe) take(bytes []byte) error {
 	faults, _ := p.state.get()
 	if faults.Blackhole {
-		p.lost = true
+		p.lose()
 		return nil
 	}
 	if p.lost {
@@ -126,20 +129,42 @@
 	return p.enqueue(append([]byte(nil), bytes...), faults.Delay)
 }
 
-// end carries the end of the stream, unless a black hole swallows it: then the link waits for the fault to end.
-func (p *pipe) end() error {
+// lose notes that bytes were dropped. The link is reset when the fault ends, also if no more bytes come.
+func (p *pipe) lose() {
+	if p.lost {
+		return
+	}
+	p.lost = true
+	p.link.watching.Go(func() {
+		if p.awaitNoBlackhole() == nil {
+			p.link.reset()
+		}
+	})
+}
+
+// awaitNoBlackhole returns nil when the black hole has ended, or the error of a link that has ended before.
+func (p *pipe) awaitNoBlackhole() error {
 	for {
 		faults, changed := p.state.get()
 		if !faults.Blackhole {
-			break
+			return nil
 		}
-		p.lost = true
 		select {
 		case <-changed:
 		case <-p.link.ctx.Done():
 			return p.link.ctx.Err()
 		}
 	}
+}
+
+// end carries the end of the stream, unless a black hole swallows it: then the link waits for the fault to end.
+func (p *pipe) end() error {
+	if faults, _ := p.state.get(); faults.Blackhole {
+		p.lost = true
+	}
+	if err := p.awaitNoBlackhole(); err != nil {
+		return err
+	}
 	if p.lost {
 		return errCut
 	}
--- a/internal/lab/faultproxy/proxy_test.go
+++ b/internal/lab/faultproxy/proxy_test.go
@@ -159,6 +159,19 @@
 			So(err, ShouldNotBeNil)
 		})
 	})
+	Convey("A link that lost bytes is reset when the black hole ends, also if no more bytes come", t, func() {
+		withProxy(t, 0, func(proxy *Proxy, dial func() net.Conn) {
+			connection := dial()
+			write(connection, "a")
+			So(readString(connection, 1), ShouldEqual, "a")
+			proxy.SetFaults(ToTarget, Faults{Blackhole: true})
+			write(connection, "b")
+			So(silent(connection), ShouldBeTrue)
+			proxy.Heal()
+			_, err := connection.Read(make([]byte, 1))
+			So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+		})
+	})
 	Convey("A black hole hides the end of a stream too", t, func() {
 		withProxy(t, 0, func(proxy *Proxy, dial func() net.Conn) {
 			connection := dial()
--- a/internal/rollout/forward.go
+++ b/internal/rollout/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	v1 "github.com/covelink/covelink/api/v1"
@@ -15,6 +16,8 @@
 	// tryTimeout bounds one call to a believed owner, beyond what a fetch may wait: a paused owner must not hold a call.
 	tryTimeout = 5 * time.Second
 	retryAfter = time.Second
+	// ownerCheckInterval is how often a call looks whether its trainer has another owner by now.
+	ownerCheckInterval = 200 * time.Millisecond
 	// sampleOverhead and frameReserve are the bytes of a frame that a sample request and the rest need beside its text.
 	sampleOverhead = 32
 	frameReserve   = 4096
@@ -262,9 +265,37 @@
 	if holder.Name == m.params.Self.Name {
 		return serve(ctx, request)
 	}
+	endWatch := m.endWhenOwnerChanges(ctx, cancel, trainer, holder)
+	defer endWatch()
 	return rpc.Call[Req, reply[T]](ctx, m.params.Client, holder.Address, request)
 }
 
+// endWhenOwnerChanges calls cancel once another node than the holder is believed to own the trainer's batches: a holder that
+// is paused or cut off would keep the call to its end. The function returned ends the watch.
+func (m *Manager) endWhenOwnerChanges(ctx context.Context, cancel context.CancelFunc, trainer string, holder cluster.Node) func() {
+	ctx, end := context.WithCancel(ctx)
+	var watching sync.WaitGroup
+	watching.Go(func() {
+		checks := time.NewTicker(ownerCheckInterval)
+		defer checks.Stop()
+		for {
+			select {
+			case <-checks.C:
+			case <-ctx.Done():
+				return
+			}
+			if owner, ok := m.params.Elector.Holder(leadership.TrainerLease(trainer)); ok && owner.Name != holder.Name {
+				cancel()
+				return
+			}
+		}
+	})
+	return func() {
+		end()
+		watching.Wait()
+	}
+}
+
 // finalError returns the owner's own answer, or nil if the call is to be tried again.
 func finalError(err error) error {
 	var typed *v1.Error
--- a/test/integration/callers_test.go
+++ b/test/integration/callers_test.go
@@ -157,7 +157,6 @@
 	}
 	call.Text, call.FinishReason, call.Ended = completion.Text, completion.FinishReason, time.Now()
 	r.session.Recorder.Called(call)
-	println(node, request.IdempotencyKey, string(call.Outcome), fmt.Sprint(err))
 	return nil
 }
 
@@ -168,11 +167,27 @@
 	}
 }
 
+// waitClaims waits until every node grants claims: keepers abstain for a while after a start.
+func (r *run) waitClaims(nodes []string) {
+	const firstNumber = 10_000
+	for place, node := range nodes {
+		for number := firstNumber * (place + 1); ; number++ {
+			_, err := r.ask(node, applicationToken, keyed(number))
+			if err == nil {
+				break
+			}
+			So(outcomeOf(err), ShouldEqual, v1.OutcomeNotRun)
+			So(r.pauseBriefly(), ShouldBeNil)
+		}
+	}
+}
+
 func TestNotRepeatable(t *testing.T) {
 	Convey("Requests that are not repeatable run at most once, also when two gateways get the same key or one dies", t, func() {
 		withSmall(t, func(r *run) {
 			const requests = 40
 			nodes := r.NodeNames()
+			r.waitClaims(nodes)
 			var both errgroup.Group
 			r.startAsking(&both, nodes[0], 0, requests)
 			r.startAsking(&both, nodes[1], 0, requests)
