--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -20,6 +20,7 @@
 	flagScenario = "scenario"
 	flagSeed     = "seed"
 	flagSeeds    = "seeds"
+	flagWorkers  = "workers"
 )
 
 // Main runs the command line until it is done or the process gets SIGTERM or SIGINT, and returns the exit code.
@@ -38,13 +39,16 @@
 func newCommand(streams commandline.Streams) *cli.Command {
 	root := &cli.Command{
 		Name:  programName,
-		Usage: "stand-ins for covelink's surroundings, and a demo",
+		Usage: "stand-ins for covelink's surroundings, and the tools that prove it",
 		Commands: []*cli.Command{
 			demoCommand(streams),
 			upCommand(streams),
+			controlCommand(streams),
 			configFaultsCommand(streams),
+			plannedStopsCommand(streams),
 			compareCommand(streams),
 			soakCommand(streams),
+			surviveCommand(streams),
 		},
 	}
 	root.Commands = append(root.Commands, traceCommands(streams)...)
--- a/internal/lab/compare/compare.go
+++ b/internal/lab/compare/compare.go
@@ -3,6 +3,7 @@
 package compare
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -24,6 +25,8 @@
 	Seeds int
 	// Ablations adds the product with one mechanism switched off at a time.
 	Ablations bool
+	// Load multiplies the rates of the applications; 0 means 1.
+	Load float64
 	// Workers bounds the simulations that run at once.
 	Workers int
 }
@@ -55,6 +58,9 @@
 	Interactive sim.Percentiles `json:"interactiveNanos"`
 	// NotCompleted is the share of those requests that were refused or lost.
 	NotCompleted float64 `json:"notCompletedShare"`
+	// Attempts is the mean number of engines that a request was written to, AttemptsMax the highest.
+	Attempts    float64 `json:"attempts"`
+	AttemptsMax int     `json:"attemptsMax"`
 	// Unfinished counts the runs that did not deliver every batch in time. Broken counts those that broke a promise; only the
 	// product's first run is checked, since the history of every token is large.
 	Unfinished int `json:"unfinished"`
@@ -69,22 +75,25 @@
 	scenario sim.Scenario
 }
 
-// Run compares. The same scenario and options give the same report.
-func Run(scenario sim.Scenario, options Options) (*Report, error) {
+// Run compares. The same scenario and options give the same report. It gives up with ctx's error when ctx ends.
+func Run(ctx context.Context, scenario sim.Scenario, options Options) (*Report, error) {
 	if options.Seeds < 1 {
 		return nil, fmt.Errorf("seeds must be above 0")
 	}
+	if options.Load > 0 {
+		scenario = loaded(scenario, options.Load)
+	}
 	policies := append([]sim.Policy{sim.Covelink()}, sim.Baselines()...)
 	if options.Ablations {
 		policies = append(policies, sim.Ablations()...)
 	}
 	jobs := planJobs(scenario, policies, options.Seeds)
 	results := make([]*digest, len(jobs))
-	var group errgroup.Group
+	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(max(options.Workers, 1))
 	for index, planned := range jobs {
 		group.Go(func() error {
-			result, err := sim.Run(planned.scenario)
+			result, err := sim.RunContext(ctx, planned.scenario)
 			if err != nil {
 				return err
 			}
@@ -104,6 +113,17 @@
 	return report, nil
 }
 
+// loaded returns the scenario with the applications' rates multiplied.
+func loaded(scenario sim.Scenario, factor float64) sim.Scenario {
+	applications := make([]sim.Application, 0, len(scenario.Applications))
+	for _, application := range scenario.Applications {
+		application.RequestsPerSecond *= factor
+		applications = append(applications, application)
+	}
+	scenario.Applications = applications
+	return scenario
+}
+
 func planJobs(scenario sim.Scenario, policies []sim.Policy, seeds int) []job {
 	var jobs []job
 	for seed := range uint64(seeds) {
@@ -144,6 +164,8 @@
 	latencies    []time.Duration
 	requests     int
 	notCompleted int
+	attempts     int
+	attemptsMax  int
 	finished     bool
 	kept         bool
 }
@@ -166,6 +188,8 @@
 			continue
 		}
 		d.requests++
+		d.attempts += request.Attempts
+		d.attemptsMax = max(d.attemptsMax, request.Attempts)
 		if request.Outcome != v1.OutcomeCompleted {
 			d.notCompleted++
 			continue
