--- a/internal/lab/cli/cli_test.go
+++ b/internal/lab/cli/cli_test.go
@@ -68,6 +68,8 @@
 			{"demo --samples many", "many"},
 			{"demo --log-level loud", "loud"},
 			{"demo extra", "extra"},
+			{"soak --minutes 0", "--minutes"},
+			{"soak --example nowhere", "nowhere"},
 			{"up", "--dir"},
 			{"up --dir " + folder + " --description " + folder + "/none.yaml", "none.yaml"},
 			{"up --dir " + folder + " --description " + missing, "missing.yaml"},
--- a/test/integration/demo_test.go
+++ b/test/integration/demo_test.go
@@ -6,7 +6,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
-// TestDemo runs the demo with 160 samples in CI and 4,096 in the long form.
+// TestDemo runs the demo with 96 samples in CI and 4,096 in the long form.
 func TestDemo(t *testing.T) {
 	Convey("The demo keeps every promise when each node and stand-in is a process of its own", t, func() {
 		description, resources := exampleOf("moreton")
