leadership: ask for holders after their grants have ended; short messages

Cause: each node asked all voters for each holder whenever less than half a lease length was left, about twice a second, and each message carried names, zones, the voter set and the sender's address. Change: a holder is asked for once the grant heard of has ended, from one voter, each in turn; from all when that one has told nothing. What all messages of a node to a group have in common crosses once and is named by a digest; plain grants are one bit; a holder's address crosses when it is not known or another. A holder that hands over as planned is noticed up to a lease length later instead of half of one.

--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -52,6 +52,8 @@
 	peers    map[string]cluster.Node
 	inFlight map[string]int
 	hints    map[string]*hint
+	// introductions are what other nodes' messages have in common.
+	introductions introductions
 }
 
 var _ Elector = (*LeaseElector)(nil)
@@ -75,6 +77,8 @@
 		peers:       make(map[string]cluster.Node),
 		inFlight:    make(map[string]int),
 		hints:       make(map[string]*hint),
+
+		introductions: make(introductions),
 	}
 	for _, seed := range params.Seeds {
 		e.peers[seed.Name] = seed
--- a/internal/leadership/hint.go
+++ b/internal/leadership/hint.go
@@ -25,6 +25,9 @@
 	until time.Duration
 	asked time.Duration
 	never bool // no voter was asked yet
+	// heardOf is true from a sighting until the first voter is asked after it; next is the voter to ask then.
+	heardOf bool
+	next    int
 }
 
 // Holder implements Elector. It does not wait: a name heard of for the first time may be unknown until the voters, which
@@ -49,7 +52,7 @@
 		e.sighted(now, sighting)
 	}
 	length := e.params.Timing.LeaseLength
-	if known.until-now.Monotonic < length/2 {
+	if known.until <= now.Monotonic {
 		e.query(g, now, name, known)
 	}
 	if known.holder == "" || known.holder == e.params.Self.Name || now.Monotonic > known.until+length {
@@ -77,20 +80,30 @@
 		if len(e.hints) >= maxHints {
 			clear(e.hints)
 		}
-		known = &hint{never: true}
+		known = &hint{never: true, next: e.params.Rand.IntN(maxVoters)}
 		e.hints[name] = known
 	}
 	return known
 }
 
-// query asks the voters for the holder, unless they were asked a moment ago. The lock is held.
+// query asks for the holder after the grant heard of has ended: one voter at first, each in turn, then, when that one has told
+// of no grant that goes on, all of them, unless they were asked a moment ago. The lock is held.
 func (e *LeaseElector) query(g *group, now lease.Instant, name string, known *hint) {
 	if !known.never && now.Monotonic-known.asked < e.params.Timing.LeaseLength/queriesPerLength {
 		return
 	}
+	voters := g.candidate.Set().Members
+	if known.heardOf {
+		known.next = (known.next + 1) % len(voters)
+		if voters[known.next] == e.params.Self.Name { // whose vote is known
+			known.next = (known.next + 1) % len(voters)
+		}
+		voters = voters[known.next : known.next+1]
+	}
 	known.never = false
+	known.heardOf = false
 	known.asked = now.Monotonic
-	for _, voter := range g.candidate.Set().Members {
+	for _, voter := range voters {
 		if voter != e.params.Self.Name {
 			e.send(g, e.queryMessage(g, voter, name), nil)
 		}
@@ -134,6 +147,7 @@
 	known.holder = sighting.Holder
 	known.token = sighting.Token
 	known.until = max(known.until, now.Monotonic+sighting.Remaining)
+	known.heardOf = known.until > now.Monotonic
 }
 
 // vacant asks all voters whether the lease is held. It is vacant when a majority knows of no holder.
@@ -164,9 +178,9 @@
 	if !known {
 		return false
 	}
-	reply, err := e.call(ctx, node, exchangeRequest{Zones: g.zones, From: e.params.Self, Message: message})
-	if err != nil || len(reply.Messages) != 1 || len(reply.Messages[0].Sightings) != 1 {
+	replies, err := e.call(ctx, node, g.zones, message)
+	if err != nil || len(replies) != 1 || len(replies[0].Sightings) != 1 {
 		return false
 	}
-	return reply.Messages[0].Sightings[0].Holder == ""
+	return replies[0].Sightings[0].Holder == ""
 }
