lease: waiting candidates probe one voter; renew twice a lease length while answers come

Cause: waiting candidates asked all voters once a grant, and gave the asks up again; a holder asked three times a length. Change: a candidate that was refused because the lease is held probes one voter when the grant that it heard of ends, and asks all only when that one would grant or does not answer. A holder renews at half its length, and while a majority is missing twice more at sixths.

--- a/coord/lease/campaign.go
+++ b/coord/lease/campaign.go
@@ -12,6 +12,8 @@
 
 const (
 	waiting phase = iota
+	// probing: one voter is being asked whether it would grant.
+	probing
 	asking
 	held
 )
@@ -27,11 +29,13 @@
 	token   Token
 	highest Token
 	rounds  []round
-	// tryAt ends waiting, askUntil asking; renewAt is the next renewal of a lease held.
+	// tryAt ends waiting, askUntil probing and asking; renewAt is the next renewal of a lease held.
 	tryAt    time.Duration
 	askUntil time.Duration
 	renewAt  time.Duration
 	expires  Instant
+	// probe is true when the next attempt is to begin with a probe, since the lease was held when last heard of.
+	probe bool
 	// again is true when a notice came while asking; noticed is the last one.
 	again   bool
 	noticed Notice
@@ -46,7 +50,7 @@
 	switch c.phase {
 	case held:
 		return min(c.renewAt, c.expires.Monotonic)
-	case asking:
+	case probing, asking:
 		return c.askUntil
 	default:
 		return c.tryAt
--- a/coord/lease/candidate.go
+++ b/coord/lease/candidate.go
@@ -173,8 +173,10 @@
 			renew = renew || known.renewAt <= now.Monotonic
 		case known.phase == asking && known.askUntil <= now.Monotonic:
 			c.fail(now, known, out)
-		case known.phase == waiting && known.tryAt <= now.Monotonic:
+		case known.phase == probing && known.askUntil <= now.Monotonic:
 			c.begin(now, known, out)
+		case known.phase == waiting && known.tryAt <= now.Monotonic:
+			c.try(now, known, out)
 		}
 	}
 	if renew {
@@ -190,7 +192,7 @@
 		if !ok || known.phase != held || known.renewAt > early {
 			continue
 		}
-		known.renewAt = now.Monotonic + c.renewInterval()
+		known.renewAt = now.Monotonic + c.config.heldLength()/retriesPerLength
 		c.askAll(now, known, out)
 	}
 }
@@ -245,6 +247,10 @@
 	if answer.Token != known.token || counted == nil || !counted.set.Contains(message.From) {
 		return
 	}
+	if known.phase == probing {
+		c.probeAnswered(now, known, answer, out)
+		return
+	}
 	if answer.Verdict == Granted {
 		if message.Set.Number == counted.set.Number {
 			c.granted(now, known, counted, message.From)
@@ -271,12 +277,12 @@
 		return
 	}
 	known.expires = expires
+	known.renewAt = from.Monotonic + c.renewInterval()
 	known.closeUntil(counted.number)
 	if known.phase == held {
 		return
 	}
 	known.phase = held
-	known.renewAt = from.Monotonic + c.renewInterval()
 	c.events = append(c.events, Event{Name: known.name, Token: known.token, Kind: Acquired})
 }
 
@@ -298,6 +304,12 @@
 		known.again = true
 		return
 	}
+	if known.phase == probing {
+		known.phase = waiting
+		known.rounds = nil
+		known.tryAt = now.Monotonic + wait
+	}
+	known.probe = false
 	known.tryAt = min(known.tryAt, now.Monotonic+wait)
 }
 
@@ -307,6 +319,7 @@
 	c.releaseAttempt(known, last, out)
 	known.phase = waiting
 	known.rounds = nil
+	known.probe = false
 	turn := time.Duration(known.rank) * c.config.RankDelay
 	jitter := c.config.jitter(c.config.RankDelay)
 	switch {
@@ -317,7 +330,7 @@
 	case known.again:
 		known.tryAt = now.Monotonic + turn + jitter
 	default:
-		known.tryAt = c.onGrid(now.Monotonic+last.freeAfter()) + turn + jitter/retryGrid
+		c.awaitEnd(now, known, last.freeAfter())
 	}
 	if known.tryAt <= now.Monotonic {
 		c.begin(now, known, out)
@@ -351,7 +364,7 @@
 
 // release gives up whatever voters have granted.
 func (c *Candidate) release(known *campaign, successor string, out *outbox) {
-	if known.phase == waiting {
+	if known.phase == waiting || known.phase == probing {
 		return
 	}
 	release := Release{Name: known.name, Token: known.token, Successor: successor, Attempt: known.phase == asking}
--- a/coord/lease/config.go
+++ b/coord/lease/config.go
@@ -45,8 +45,10 @@
 const (
 	// DefaultDrift is far above that of any working clock.
 	DefaultDrift = 0.05
-	// renewalsPerLength is how often a holder asks again within a lease length.
-	renewalsPerLength = 3
+	// renewalsPerLength is how often a holder asks again within a lease length, retriesPerLength how often it does while a
+	// renewal lacks a majority: three asks fall into a lease length before it ends.
+	renewalsPerLength = 2
+	retriesPerLength  = 6
 	ranksPerLength    = 8
 	// attemptsPerLength bounds how long a candidate waits for a majority before it begins anew.
 	attemptsPerLength = 3
--- a/coord/lease/message.go
+++ b/coord/lease/message.go
@@ -38,6 +38,8 @@
 	Round uint64
 	// Renewal is true when the candidate holds the lease under the token as it asks.
 	Renewal bool
+	// Probe is true when the candidate only wants to know whether the voter would grant the lease.
+	Probe bool
 }
 
 // Verdict is a voter's answer to an ask.
@@ -55,6 +57,8 @@
 	RefusedAbstaining
 	// RefusedSet: the ask was for an older voter set, or the process is no voter of the newest.
 	RefusedSet
+	// Free answers a probe: the voter has granted the lease to no other candidate.
+	Free
 )
 
 // Answer is a voter's answer to the Ask of the same name, token and round.
--- a/coord/lease/model_test.go
+++ b/coord/lease/model_test.go
@@ -36,9 +36,10 @@
 	fastClocks                       bool
 }
 
-// schedule runs a simulation with faults drawn from the source, then without, and returns what broke.
-func schedule(seed uint64, voters int, allowed faults, tune func(*Config)) error {
+// schedule runs a simulation, in which outsiders campaign beside the voters, with faults drawn from the source, then without, and returns what broke.
+func schedule(seed uint64, voters, outsiders int, allowed faults, tune func(*Config)) error {
 	s := newSimulation(seed, voters, "a", "b")
+	s.addOutsiders(outsiders)
 	s.checkTokens = !allowed.restarts || !allowed.wallJumps
 	if tune != nil {
 		s.tune = tune
@@ -124,7 +125,8 @@
 			rapid.Check(t, func(t *rapid.T) {
 				seed := rapid.Uint64().Draw(t, "seed")
 				voters := rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")
-				if err := schedule(seed, voters, allowed, nil); err != nil {
+				outsiders := rapid.IntRange(0, 2).Draw(t, "outsiders")
+				if err := schedule(seed, voters, outsiders, allowed, nil); err != nil {
 					t.Fatal(err)
 				}
 			})
@@ -137,7 +139,7 @@
 
 func caught(allowed faults, tune func(*Config)) bool {
 	for seed := range uint64(brokenSeeds) {
-		if schedule(seed, 3, allowed, tune) != nil {
+		if schedule(seed, 3, 0, allowed, tune) != nil {
 			return true
 		}
 	}
--- a/coord/lease/sim_test.go
+++ b/coord/lease/sim_test.go
@@ -73,6 +73,14 @@
 	return s
 }
 
+// addOutsiders adds processes that are candidates but no voters.
+func (s *simulation) addOutsiders(count int) {
+	for range count {
+		index := len(s.processes)
+		s.processes = append(s.processes, &process{name: fmt.Sprintf("n%d", index), rate: 1, ranks: ranksOf(index, s.names)})
+	}
+}
+
 // ranksOf gives the processes different ranks for the names.
 func ranksOf(index int, names []string) map[string]int {
 	ranks := make(map[string]int)
@@ -92,7 +100,7 @@
 
 func (s *simulation) boot(p *process) {
 	p.lives++
-	config := Config{Name: p.name, Incarnation: p.lives<<8 | uint64(slices.Index(s.set.Members, p.name)), Length: simLength}
+	config := Config{Name: p.name, Incarnation: p.lives<<8 | uint64(slices.Index(s.processes, p)), Length: simLength}
 	config.Rand = rand.New(rand.NewPCG(s.rand.Uint64(), 2))
 	s.tune(&config)
 	var err error
--- a/coord/lease/voter.go
+++ b/coord/lease/voter.go
@@ -95,9 +95,11 @@
 	if answer.Verdict == Granted {
 		known.grant(message, ask.Token, now.Monotonic+v.config.Length)
 	}
-	known.heard = max(known.heard, ask.Token)
+	if !ask.Probe {
+		known.heard = max(known.heard, ask.Token)
+	}
 	switch answer.Verdict {
-	case Granted:
+	case Granted, Free:
 		return answer
 	case RefusedHeld:
 		answer.Holder = known.holder
@@ -120,6 +122,8 @@
 		return RefusedAbstaining
 	case known.expires > now.Monotonic && !own:
 		return RefusedHeld
+	case ask.Probe:
+		return Free
 	case ask.Token <= known.closed || ask.Token < known.granted:
 		return RefusedToken
 	case own && ask.Token == known.token && known.expires > now.Monotonic:
