rpc: a method's name crosses a stream once

Cause: every request named its method by its type, some 26 bytes of 50 to 130. Change: the first request of a method in a gob stream gives it a number, later ones have only that; a new stream begins anew. Names and numbers are bounded, numbers never given are refused.

--- a/internal/rpc/frame.go
+++ b/internal/rpc/frame.go
@@ -21,6 +21,10 @@
 	retainBufferBytes = 1 << 20
 	// resetFlag in the length of a frame says that a new gob stream starts with it.
 	resetFlag = 1 << 31
+	// maxMethodNumbers bounds the methods that get a number, by far above those that exist.
+	maxMethodNumbers = 256
+	// maxNumberedMethodBytes bounds the names that get a number, since a reader keeps them.
+	maxNumberedMethodBytes = 256
 	// writeTimeout bounds the time one frame may take to enter the socket; a peer that does not read for so long is cut off.
 	writeTimeout = 2 * time.Second
 )
@@ -31,7 +35,9 @@
 // header precedes every body.
 type header struct {
 	ID     uint64
-	Method string // empty in a reply
+	Method string // empty in a reply, and when Number says it
+	// Number stands for the method in the frames of one gob stream. The first of them has both, later ones only Number.
+	Number int
 	// Timeout is the time the caller still waits, zero for no bound.
 	Timeout time.Duration
 	Failure *v1.Error
@@ -53,6 +59,8 @@
 	// reset is true when the next frame starts a new gob stream.
 	reset  bool
 	broken error
+	// numbers are those of the methods named in the stream.
+	numbers map[string]int
 	// turn holds one token, taken by whoever writes.
 	turn chan struct{}
 }
@@ -68,6 +76,25 @@
 	w.buffer = bytes.Buffer{}
 	w.enc = gob.NewEncoder(&w.buffer)
 	w.reset = true
+	w.numbers = make(map[string]int)
+}
+
+// number returns the header with a number for its method, without the name if the stream has it already.
+func (w *frameWriter) number(head header) header {
+	if head.Method == "" {
+		return head
+	}
+	known, ok := w.numbers[head.Method]
+	if ok {
+		head.Number = known
+		head.Method = ""
+		return head
+	}
+	if len(w.numbers) < maxMethodNumbers && len(head.Method) <= maxNumberedMethodBytes {
+		head.Number = len(w.numbers) + 1
+		w.numbers[head.Method] = head.Number
+	}
+	return head
 }
 
 // errEncode wraps the errors of a body that cannot be sent; they leave the writer usable.
@@ -113,7 +140,7 @@
 func (w *frameWriter) encode(head header, body any) ([]byte, error) {
 	w.buffer.Reset()
 	w.buffer.Write(make([]byte, frameLengthBytes))
-	if err := w.enc.Encode(head); err != nil {
+	if err := w.enc.Encode(w.number(head)); err != nil {
 		return nil, err
 	}
 	if err := w.enc.Encode(body); err != nil {
@@ -138,6 +165,8 @@
 	limit  int
 	buffer bytes.Buffer
 	dec    *gob.Decoder
+	// methods are those named in the stream; the number of the first is 1.
+	methods []string
 }
 
 func newFrameReader(in io.Reader, limit int) *frameReader {
@@ -156,6 +185,7 @@
 	if length&resetFlag != 0 {
 		length &^= resetFlag
 		r.dec = gob.NewDecoder(&r.buffer)
+		r.methods = nil
 	}
 	if uint64(length) > uint64(r.limit) {
 		return header{}, 0, ErrFrameTooLarge
@@ -169,9 +199,32 @@
 	if err := r.dec.Decode(&head); err != nil {
 		return header{}, 0, fmt.Errorf("rpc: decode header: %w", err)
 	}
+	if err := r.name(&head); err != nil {
+		return header{}, 0, err
+	}
 	return head, int(length) + frameLengthBytes, nil
 }
 
+// name fills in the method that the header's number stands for, or notes it.
+func (r *frameReader) name(head *header) error {
+	switch {
+	case head.Number == 0:
+		return nil
+	case head.Method == "":
+		if head.Number < 0 || head.Number > len(r.methods) {
+			return fmt.Errorf("%w: unknown method number", ErrBadFrame)
+		}
+		head.Method = r.methods[head.Number-1]
+		return nil
+	case head.Number != len(r.methods)+1 || head.Number > maxMethodNumbers:
+		return fmt.Errorf("%w: method number out of turn", ErrBadFrame)
+	case len(head.Method) > maxNumberedMethodBytes:
+		return fmt.Errorf("%w: numbered method too long", ErrBadFrame)
+	}
+	r.methods = append(r.methods, head.Method)
+	return nil
+}
+
 // fill reads length bytes in chunks, so that a false length costs no memory.
 func (r *frameReader) fill(length int) error {
 	if r.buffer.Cap() > retainBufferBytes {
--- a/internal/rpc/frame_test.go
+++ b/internal/rpc/frame_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"runtime"
@@ -113,6 +114,70 @@
 	})
 }
 
+func TestMethodNumbers(t *testing.T) {
+	ctx := context.Background()
+	body := echoRequest{Text: "x"}
+	Convey("A method's name crosses once a stream; every header is read with it", t, func() {
+		out := &recorder{}
+		writer := newFrameWriter(out, testLimit)
+		name := string(bytes.Repeat([]byte("m"), 100))
+		first, _, err := writer.write(ctx, header{ID: 1, Method: name}, body)
+		So(err, ShouldBeNil)
+		again, _, err := writer.write(ctx, header{ID: 2, Method: name}, body)
+		So(err, ShouldBeNil)
+		So(again, ShouldBeLessThan, len(name))
+		So(first, ShouldBeGreaterThan, len(name))
+		_, _, err = writer.write(ctx, header{ID: 3, Method: "other"}, func() {}) // begins a new stream
+		So(errors.Is(err, errEncode), ShouldBeTrue)
+		for _, method := range []string{"other", name, "other", "", name} {
+			_, _, err = writer.write(ctx, header{ID: 4, Method: method}, body)
+			So(err, ShouldBeNil)
+		}
+		reader := newFrameReader(&out.kept, testLimit)
+		for _, method := range []string{name, name, "other", name, "other", "", name} {
+			head, _, err := reader.next()
+			So(err, ShouldBeNil)
+			So(head.Method, ShouldEqual, method)
+			So(reader.body(&echoRequest{}), ShouldBeNil)
+		}
+	})
+	Convey("Long names get no number, and are refused with one", t, func() {
+		out := &recorder{}
+		writer := newFrameWriter(out, testLimit)
+		reader := newFrameReader(&out.kept, testLimit)
+		long := string(bytes.Repeat([]byte("m"), maxNumberedMethodBytes+1))
+		for range 2 {
+			_, _, err := writer.write(ctx, header{Method: long}, body)
+			So(err, ShouldBeNil)
+			head, _, err := reader.next()
+			So(err, ShouldBeNil)
+			So(head.Method, ShouldEqual, long)
+			So(reader.body(&echoRequest{}), ShouldBeNil)
+		}
+		So(errors.Is(reader.name(&header{Number: 1, Method: long}), ErrBadFrame), ShouldBeTrue)
+	})
+	Convey("Methods beyond the numbers keep their names", t, func() {
+		out := &recorder{}
+		writer := newFrameWriter(out, testLimit)
+		reader := newFrameReader(&out.kept, testLimit)
+		for index := range 2 * (maxMethodNumbers + 2) {
+			method := fmt.Sprintf("m%d", index%(maxMethodNumbers+2))
+			_, _, err := writer.write(ctx, header{Method: method}, body)
+			So(err, ShouldBeNil)
+			head, _, err := reader.next()
+			So(err, ShouldBeNil)
+			So(head.Method, ShouldEqual, method)
+			So(reader.body(&echoRequest{}), ShouldBeNil)
+		}
+	})
+	Convey("Numbers that were never given are refused", t, func() {
+		for _, head := range []header{{Number: 1}, {Number: -1}, {Number: 2, Method: "m"}, {Number: -1, Method: "m"}} {
+			reader := newFrameReader(&bytes.Buffer{}, testLimit)
+			So(errors.Is(reader.name(&head), ErrBadFrame), ShouldBeTrue)
+		}
+	})
+}
+
 func FuzzFrameReader(f *testing.F) {
 	out := &recorder{}
 	writer := newFrameWriter(out, testLimit)
@@ -124,6 +189,14 @@
 	f.Add(out.kept.Bytes())
 	f.Add(framed(3, 1, 2, 3))
 	f.Add(framed(resetFlag|2, 1, 0))
+	numbered := &recorder{}
+	writer = newFrameWriter(numbered, testLimit)
+	for range 3 {
+		if _, _, err := writer.write(context.Background(), header{ID: 1, Method: "m"}, echoRequest{}); err != nil {
+			f.Fatal(err)
+		}
+	}
+	f.Add(numbered.kept.Bytes())
 	f.Fuzz(func(t *testing.T, data []byte) {
 		// Whatever the bytes are, the reader ends with an error and reads no frame above the limit.
 		reader := newFrameReader(bytes.NewReader(data), testLimit)
