lab/scale: measure a whole deployment in one process

Every node is a real one whose connections to other nodes are in memory, so that file descriptors don't bound their number.

--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -44,6 +44,7 @@
 			demoCommand(streams),
 			upCommand(streams),
 			controlCommand(streams),
+			scaleCommand(streams),
 			configFaultsCommand(streams),
 			plannedStopsCommand(streams),
 			compareCommand(streams),
--- /dev/null
+++ b/internal/lab/scale/world.go
@@ -0,0 +1,199 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/covelink/covelink/internal/commandline"
+	"github.com/covelink/covelink/internal/ctl"
+	"github.com/covelink/covelink/internal/lab/deployment"
+	"github.com/covelink/covelink/internal/lab/engine"
+	"github.com/covelink/covelink/internal/lab/machines"
+	"github.com/covelink/covelink/internal/lab/objectapi"
+	"github.com/covelink/covelink/internal/lab/weightstore"
+	"github.com/covelink/covelink/internal/rpc"
+	"github.com/covelink/covelink/internal/settings"
+)
+
+const (
+	drainTimeout = 10 * time.Second
+	// settleTimeout bounds the wait for a deployment to be whole.
+	settleTimeout = 4 * time.Minute
+	pollInterval  = 50 * time.Millisecond
+	// callersThrough is the number of nodes that operators are given.
+	callersThrough = 3
+)
+
+// NodeFactory builds a real node that is not started, reaches the other nodes by dial and takes their connections from
+// internal.
+type NodeFactory func(config settings.Settings, logger log.Logger, dial rpc.DialFunc, internal net.Listener) (deployment.Node, error)
+
+// world is a deployment in this process: every node is a whole real one; connections between nodes are in memory, those of
+// callers, engines, store and machine list loopback TCP.
+type world struct {
+	config  Config
+	newNode NodeFactory
+	plan    *deployment.Plan
+	network *network
+	roles   *roles
+
+	objects  *objectapi.Server
+	machines *machines.Server
+	weights  *weightstore.Store
+	engines  []*engine.Engine
+	mu       sync.Mutex
+	nodes    map[string]deployment.Node
+	http     *http.Client
+}
+
+func newWorld(config Config, newNode NodeFactory) (*world, error) {
+	plan, err := config.plan()
+	if err != nil {
+		return nil, err
+	}
+	return &world{
+		config: config, newNode: newNode, plan: plan, network: newNetwork(), roles: newRoles(),
+		nodes: make(map[string]deployment.Node),
+		http:  &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second},
+	}, nil
+}
+
+// startPlatform starts the stand-ins.
+func (w *world) startPlatform() error {
+	quiet := log.NewNopLogger()
+	w.objects = deployment.NewObjectAPI(w.plan.ObjectAPI, quiet)
+	w.machines = deployment.NewMachines(w.plan.Machines, quiet)
+	var err error
+	if w.weights, err = weightstore.New(w.plan.WeightStore, quiet); err != nil {
+		return err
+	}
+	if err := errors.Join(w.objects.Start(), w.machines.Start(), w.weights.Start()); err != nil {
+		return err
+	}
+	for _, config := range w.plan.Engines {
+		started, err := engine.New(config, quiet)
+		if err != nil {
+			return err
+		}
+		if err := started.Start(); err != nil {
+			return err
+		}
+		w.engines = append(w.engines, started)
+	}
+	return nil
+}
+
+// startNode starts a node by its settings.
+func (w *world) startNode(ctx context.Context, config settings.Settings) error {
+	name := config.Node.Name
+	logger := log.With(w.roles, "node", name)
+	started, err := w.newNode(config, logger, w.network.dial(name), w.network.listen(name, config.Listen.Internal))
+	if err != nil {
+		return fmt.Errorf("node %s: %w", name, err)
+	}
+	if err := started.Start(ctx); err != nil {
+		return fmt.Errorf("node %s: %w", name, err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nodes[name] = started
+	return nil
+}
+
+func (w *world) startNodes(ctx context.Context) error {
+	for _, config := range w.plan.Nodes {
+		if err := w.startNode(ctx, config); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stop stops everything.
+func (w *world) stop(ctx context.Context) error {
+	var stopping errgroup.Group
+	for _, node := range w.nodes {
+		stopping.Go(func() error { return node.Stop(ctx) })
+	}
+	err := stopping.Wait()
+	for _, started := range w.engines {
+		started.Kill()
+	}
+	if w.weights != nil {
+		err = errors.Join(err, w.weights.Stop(ctx))
+	}
+	if w.machines != nil {
+		err = errors.Join(err, w.machines.Stop(ctx))
+	}
+	if w.objects != nil {
+		w.objects.Stop()
+	}
+	w.http.CloseIdleConnections()
+	return err
+}
+
+// apply writes resources as an operator does, and returns the time until all are in force.
+func (w *world) apply(ctx context.Context, resources []byte) (time.Duration, error) {
+	var output, failure bytes.Buffer
+	arguments := []string{"covelinkctl", "--token", operatorToken}
+	for _, url := range w.plan.NodeURLs()[:min(callersThrough, len(w.plan.Nodes))] {
+		arguments = append(arguments, "--server", url)
+	}
+	arguments = append(arguments, "apply", "-f", "-", "--wait", "--timeout", settleTimeout.String())
+	streams := commandline.Streams{In: bytes.NewReader(resources), Out: &output, Err: &failure}
+	started := time.Now()
+	if code := ctl.Run(ctx, arguments, streams); code != commandline.ExitOK {
+		return 0, fmt.Errorf("apply: %s", strings.TrimSpace(failure.String()))
+	}
+	return time.Since(started), nil
+}
+
+// await polls a condition until it holds.
+func await(ctx context.Context, what string, holds func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("scale: %s: %w", what, ctx.Err())
+		}
+	}
+	return nil
+}
+
+// awaitReady waits until every node takes requests.
+func (w *world) awaitReady(ctx context.Context) error {
+	for _, url := range w.plan.NodeURLs() {
+		if err := await(ctx, url+" is not ready", func() bool { return w.isReady(ctx, url) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *world) isReady(ctx context.Context, url string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	request.Close = true
+	response, err := w.http.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,8 @@
 type Options struct {
 	// Dial opens connections to other nodes; nil means TCP, or mutual TLS if the settings name certificates.
 	Dial rpc.DialFunc
+	// Internal takes the connections of other nodes; nil means a listener at the address of the settings.
+	Internal net.Listener
 }
 
 // Node is one covelinkd process.
@@ -34,7 +36,7 @@
 
 // New builds a node and binds its addresses. The node does nothing until Start.
 func New(config settings.Settings, logger log.Logger, options Options) (*Node, error) {
-	bound, err := bind(config.Listen)
+	bound, err := bind(config.Listen, options.Internal)
 	if err != nil {
 		return nil, err
 	}
@@ -67,12 +69,15 @@
 // InternalAddress returns the host:port that other nodes use.
 func (n *Node) InternalAddress() string { return n.listeners.internal.Addr().String() }
 
-func bind(listen settings.Listen) (listeners, error) {
+func bind(listen settings.Listen, internal net.Listener) (listeners, error) {
 	http, err := net.Listen("tcp", listen.HTTP)
 	if err != nil {
 		return listeners{}, fmt.Errorf("listen.http: %w", err)
 	}
-	internal, err := net.Listen("tcp", listen.Internal)
+	if internal != nil {
+		return listeners{http: http, internal: internal}, nil
+	}
+	internal, err = net.Listen("tcp", listen.Internal)
 	if err != nil {
 		http.Close()
 		return listeners{}, fmt.Errorf("listen.internal: %w", err)
