--- a/internal/lab/cli/scale.go
+++ b/internal/lab/cli/scale.go
@@ -27,7 +27,9 @@
 	flagWindow  = "seconds"
 	flagRate    = "requests"
 	flagTokens  = "tokens"
+	flagFit     = "fit"
 	flagProfile = "profile"
+	flagSettle  = "settle"
 )
 
 func scaleCommand(streams commandline.Streams) *cli.Command {
@@ -39,15 +41,20 @@
 			&cli.IntFlag{Name: flagEngines, Usage: "engines", Value: 610},
 			&cli.IntFlag{Name: flagZones, Usage: "zones, half of them in each of two regions", Value: 8},
 			&cli.IntFlag{Name: flagWindow, Usage: "length of each window that is measured, in seconds", Value: 30},
+			&cli.IntFlag{Name: flagSettle, Usage: "time before the first window, in seconds", Value: 30},
 			&cli.FloatFlag{Name: flagRate, Usage: "interactive requests a second of the part under load; 0 leaves it out"},
 			&cli.IntFlag{Name: flagTokens, Usage: "bound of the tokens of an answer", Value: 32},
 			&cli.StringFlag{Name: flagProfile, Usage: "write a profile of the processor time of the quiet window into `FILE`"},
+			&cli.StringFlag{Name: flagFit, Usage: "measure nothing; print the slopes over the number of nodes of the JSON reports in `FILE`"},
 			&cli.BoolFlag{Name: flagJSON, Usage: "print the report as one line of JSON"},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			if err := noArguments(command); err != nil {
 				return err
 			}
+			if path := command.String(flagFit); path != "" {
+				return fitScale(path, command.Int(flagNodes), command.Bool(flagJSON), streams)
+			}
 			return runScale(ctx, command, streams)
 		},
 	}
@@ -64,6 +71,7 @@
 		Engines:           command.Int(flagEngines),
 		Zones:             command.Int(flagZones),
 		Window:            time.Duration(command.Int(flagWindow)) * time.Second,
+		Settle:            time.Duration(command.Int(flagSettle)) * time.Second,
 		RequestsPerSecond: command.Float(flagRate),
 		MaxTokens:         command.Int(flagTokens),
 		DataRoot:          dataRoot,
--- a/internal/lab/scale/plan.go
+++ b/internal/lab/scale/plan.go
@@ -32,6 +32,8 @@
 	Nodes, Engines, Zones int
 	// Window is how long the quiet deployment is measured.
 	Window time.Duration
+	// Settle is the time given to a deployment that is whole before it is measured, in which nodes open their connections.
+	Settle time.Duration
 	// RequestsPerSecond is the rate of interactive requests of the part under load; 0 leaves it out.
 	RequestsPerSecond float64
 	// MaxTokens bounds an answer of that part.
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -57,6 +57,8 @@
 	SentMessages  float64 `json:"sentMessagesPerSecond"`
 	// BusiestBytes is sent and received by the node with most.
 	BusiestBytes float64 `json:"busiestBytesPerSecond"`
+	// Methods are the bytes a second of a few nodes of the role by method, sent and received together.
+	Methods map[string]float64 `json:"methods"`
 }
 
 const (
@@ -99,6 +101,9 @@
 	if err := w.startAll(ctx, report); err != nil {
 		return err
 	}
+	if err := pause(ctx, w.config.Settle); err != nil {
+		return err
+	}
 	told("start", *report)
 	if err := w.measureQuiet(ctx, &report.Quiet); err != nil {
 		return err
@@ -176,6 +181,11 @@
 
 // measureQuiet measures a window in which nothing changes.
 func (w *world) measureQuiet(ctx context.Context, quiet *Quiet) error {
+	sampled := w.sample()
+	methodsBefore, err := w.methodsOf(ctx, sampled)
+	if err != nil {
+		return err
+	}
 	before := w.readTraffic()
 	storeBefore := w.objects.Counts()
 	_, _, termsBefore := w.roles.counted()
@@ -191,6 +201,14 @@
 	quiet.Terms = terms - termsBefore
 	quiet.Store = difference(storeBefore, w.objects.Counts())
 	quiet.ReservedMegabytes = reservedBytes() / megabyte
+	methods, err := w.methodsOf(ctx, sampled)
+	if err != nil {
+		return err
+	}
+	for role, cost := range quiet.Roles {
+		cost.Methods = methods[role].rates(methodsBefore[role], quiet.Seconds)
+		quiet.Roles[role] = cost
+	}
 	return nil
 }
 
