--- a/internal/lab/cli/scale.go
+++ b/internal/lab/cli/scale.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -27,6 +28,10 @@
 	flagWindow  = "seconds"
 	flagRate    = "requests"
 	flagTokens  = "tokens"
+	// heapSuffix ends the name of the profile of memory.
+	heapSuffix = ".heap"
+	// startSuffix ends the name of the profile of the start.
+	startSuffix = ".start"
 	flagFit     = "fit"
 	flagProfile = "profile"
 	flagSettle  = "settle"
@@ -44,7 +49,7 @@
 			&cli.IntFlag{Name: flagSettle, Usage: "time before the first window, in seconds", Value: 30},
 			&cli.FloatFlag{Name: flagRate, Usage: "interactive requests a second of the part under load; 0 leaves it out"},
 			&cli.IntFlag{Name: flagTokens, Usage: "bound of the tokens of an answer", Value: 32},
-			&cli.StringFlag{Name: flagProfile, Usage: "write a profile of the processor time of the quiet window into `FILE`"},
+			&cli.StringFlag{Name: flagProfile, Usage: "write a profile of the processor time of the quiet window into `FILE`, and of memory beside it"},
 			&cli.StringFlag{Name: flagFit, Usage: "measure nothing; print the slopes over the number of nodes of the JSON reports in `FILE`"},
 			&cli.BoolFlag{Name: flagJSON, Usage: "print the report as one line of JSON"},
 		},
@@ -107,25 +112,53 @@
 
 func (p *scaleProgress) told(part string, report scale.Report) {
 	fmt.Fprintf(p.streams.Err, "%s: %s\n", time.Now().Format(time.TimeOnly), part)
-	if part == "start" && p.profile != "" {
-		file, err := os.Create(p.profile)
-		if err == nil {
-			err = pprof.StartCPUProfile(file)
-		}
-		if err != nil {
-			fmt.Fprintf(p.streams.Err, "profile: %v\n", err)
-			return
-		}
-		p.file = file
+	if part == "start" || part == "platform" {
+		p.close()
+		p.begin(part)
 	}
 	if part == "quiet" {
 		p.close()
+		p.writeHeap()
 	}
 	if !p.asJSON {
 		printScalePart(p.streams, part, report)
 	}
 }
 
+// begin starts a profile of the processor time that follows a part.
+func (p *scaleProgress) begin(part string) {
+	if p.profile == "" {
+		return
+	}
+	name := p.profile
+	if part == "platform" {
+		name += startSuffix
+	}
+	file, err := os.Create(name)
+	if err == nil {
+		err = pprof.StartCPUProfile(file)
+	}
+	if err != nil {
+		fmt.Fprintf(p.streams.Err, "profile: %v\n", err)
+		return
+	}
+	p.file = file
+}
+
+// writeHeap writes what holds memory beside the profile.
+func (p *scaleProgress) writeHeap() {
+	if p.profile == "" {
+		return
+	}
+	file, err := os.Create(p.profile + heapSuffix)
+	if err == nil {
+		err = errors.Join(pprof.WriteHeapProfile(file), file.Close())
+	}
+	if err != nil {
+		fmt.Fprintf(p.streams.Err, "profile: %v\n", err)
+	}
+}
+
 func (p *scaleProgress) close() {
 	if p.file == nil {
 		return
@@ -146,7 +179,7 @@
 func printScalePart(streams commandline.Streams, part string, report scale.Report) {
 	parts := map[string]any{
 		"quiet": report.Quiet, "configuration": report.ConfigSeconds, "weights": report.Weights,
-		"failing weights": report.FailingWeights, "faults": report.Faults, "load": report.Load, "start": report.StartSeconds,
+		"failing weights": report.FailingWeights, "faults": report.Faults, "load": report.Load, "start": report.StartSeconds, "platform": report.Quiet.IdleCores,
 	}
 	text, err := json.MarshalIndent(parts[part], "", "  ")
 	if err != nil {
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -18,7 +18,9 @@
 	LoadAverage float64 `json:"loadAverage"`
 	// StartSeconds is the time from the first node's start until every node takes requests and every engine is known.
 	StartSeconds float64 `json:"startSeconds"`
-	Quiet        Quiet   `json:"quiet"`
+	// RefusedApplies counts the tries to write the first resources that failed while the nodes started.
+	RefusedApplies int   `json:"refusedApplies"`
+	Quiet          Quiet `json:"quiet"`
 	// ConfigSeconds are the times from the write of a change until every node has it in force; ConfigError says why
 	// there are none.
 	ConfigSeconds []float64 `json:"configSeconds"`
@@ -98,6 +100,7 @@
 		return err
 	}
 	report.Quiet.IdleCores = idle
+	told("platform", *report)
 	if err := w.startAll(ctx, report); err != nil {
 		return err
 	}
@@ -147,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := w.apply(ctx, w.config.resources()); err != nil {
+	if err := w.applyFirst(ctx, report); err != nil {
 		return err
 	}
 	if err := w.awaitReady(ctx); err != nil {
@@ -161,6 +164,19 @@
 	return err
 }
 
+// applyFirst writes all resources. Nodes that are still starting may refuse what refers to resources that they haven't heard
+// of, so an operator repeats it.
+func (w *world) applyFirst(ctx context.Context, report *Report) error {
+	var last error
+	err := await(ctx, "resources are not in force", func() bool {
+		if _, last = w.apply(ctx, w.config.resources()); last != nil {
+			report.RefusedApplies++
+		}
+		return last == nil
+	})
+	return errors.Join(err, last)
+}
+
 // cores returns the cores that the process uses over a window.
 func (w *world) cores(ctx context.Context, window time.Duration) (float64, error) {
 	before := readUsage()
