sim: benchmark of overload by number of nodes

Twelve engines before 3, 9 and 36 nodes at 0.3, 2 and 10 times what the engines complete, in virtual time.

--- /dev/null
+++ b/internal/lab/sim/overload_test.go
@@ -0,0 +1,79 @@
+package sim
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// overloadCapacity is about the number of interactive requests a second that the engines of overloadScenario complete when
+// they do nothing else: 96 sequences of 1.3 seconds.
+const overloadCapacity = 74
+
+// overloadScenario has twelve engines, a trainer, and interactive requests for 20 seconds at a multiple of what the engines
+// can complete, before a number of nodes.
+func overloadScenario(nodes int, times float64) Scenario {
+	s := DefaultScenario()
+	s.Name, s.Seed, s.Duration = "overload", 12, 10*time.Minute
+	s.Engine.StepBase, s.Engine.MaxRunning = 25*time.Millisecond, 8
+	s.Engine.StoreLoad, s.Engine.CopyLoad = 4*time.Second, time.Second
+	s.Pools = []Pool{{Name: "model", PermittedZones: []string{"a", "b", "c"}, MaxConcurrent: 8, InteractiveReserve: 2, MaxTokens: 512}}
+	s.Trainers = []Trainer{{
+		Name: "trainer", Pool: "model", Zone: "a", StalenessBound: 2, Batches: 6, Samples: 128, Ahead: 1,
+		LearnPerSample: 2 * time.Millisecond, PublishEverySamples: 128, MaxTokens: 256,
+	}}
+	for _, zone := range []string{"a", "b", "c"} {
+		s.Zones = append(s.Zones, Zone{Name: zone, Region: "north", Nodes: nodes / 3})
+		s.Engines = append(s.Engines, EngineGroup{Pool: "model", Zone: zone, Count: 4})
+		s.Applications = append(s.Applications, Application{
+			Name: "lookup-" + zone, Pool: "model", Zone: zone, RequestsPerSecond: times * overloadCapacity / 3,
+			Start: 5 * time.Second, End: 25 * time.Second, MaxTokens: 100, Timeout: 8 * time.Second, NotRepeatableShare: 0.3,
+		})
+	}
+	return s
+}
+
+// BenchmarkOverload measures in virtual time what becomes of requests, and how long a trainer idles, by the number of nodes
+// and the multiple of the engines' capacity that is asked for.
+func BenchmarkOverload(b *testing.B) {
+	for _, times := range []float64{0.3, 2, 10} {
+		for _, nodes := range []int{3, 9, 36} {
+			b.Run(fmt.Sprintf("load=%v/nodes=%d", times, nodes), func(b *testing.B) {
+				for b.Loop() {
+					report(b, overloadScenario(nodes, times))
+				}
+			})
+		}
+	}
+}
+
+func report(b *testing.B, scenario Scenario) {
+	result, err := Run(scenario)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if !result.Report.Kept() {
+		b.Fatalf("promises broken: %+v", result.Report)
+	}
+	sum := &result.Interactive
+	b.ReportMetric(float64(sum.Completed), "completed")
+	b.ReportMetric(float64(sum.NotRun), "not_run")
+	b.ReportMetric(float64(sum.Unknown), "unknown")
+	b.ReportMetric(float64(sum.Latency.P50.Milliseconds()), "p50_ms")
+	b.ReportMetric(float64(sum.Latency.P99.Milliseconds()), "p99_ms")
+	b.ReportMetric(float64(refusedEarly(result)), "early")
+	b.ReportMetric(result.Trainers[0].Idle.Seconds(), "idle_s")
+	b.ReportMetric(result.Trainers[0].Wall.Seconds(), "wall_s")
+	b.ReportMetric(float64(result.Attempts), "attempts")
+}
+
+// refusedEarly counts the requests refused within a second.
+func refusedEarly(result *Result) int {
+	early := 0
+	for _, request := range result.Requests {
+		if request.Outcome == "not_run" && request.Ended-request.Arrived < time.Second {
+			early++
+		}
+	}
+	return early
+}
