rollout: a partial holds only the tokens since the last one

Cause: PartialSaved held the whole verified prefix each time, so that the log of a long sample grew with the square of its length. Change: PartialSaved has From; its tokens and segments continue the kept prefix. The ledger refuses an entry that starts elsewhere; From 0 puts the entry in the prefix's place, as the entries of earlier logs do and as an attempt needs that did not start from the prefix. The owner writes a delta only if prefix and delta give exactly the tokens and segments it has; else the whole.

--- a/internal/rollout/attempts.go
+++ b/internal/rollout/attempts.go
@@ -128,21 +128,21 @@
 }
 
 // prefix returns the longest verified prefix that can still meet the bound once the rest is produced.
-func (o *Owner) prefix(id Identity, first *attempt) PartialSaved {
+func (o *Owner) prefix(id Identity, first *attempt) partialState {
 	_, s, err := o.ledger.sample(id)
 	if err != nil || o.history(id).fromStart || o.config.Without.Resume {
-		return PartialSaved{}
+		return partialState{}
 	}
 	best := s.Partial
 	if first != nil && len(first.tokens) > len(best.Tokens) {
-		best = PartialSaved{Tokens: slices.Clone(first.tokens), Segments: slices.Clone(first.segments)}
+		best = partialState{Tokens: slices.Clone(first.tokens), Segments: slices.Clone(first.segments)}
 	}
 	if len(best.Tokens) == 0 || len(best.Tokens) >= o.tokenLimit(id) {
-		return PartialSaved{}
+		return partialState{}
 	}
 	rest := max(o.expectedTokens(id)-len(best.Tokens), 1)
 	if v1.OldestVersion(best.Segments) < o.minVersion(rest) {
-		return PartialSaved{}
+		return partialState{}
 	}
 	return best
 }
@@ -296,7 +296,7 @@
 	if len(tokens) <= len(s.Partial.Tokens) && o.fresh(s.Partial.Segments) {
 		return false
 	}
-	o.append(PartialSaved{Identity: id, Tokens: slices.Clone(tokens), Segments: slices.Clone(segments)})
+	o.append(s.Partial.entry(id, tokens, segments))
 	return true
 }
 
--- a/internal/rollout/entry.go
+++ b/internal/rollout/entry.go
@@ -51,9 +51,12 @@
 	Weights v1.WeightVersion
 }
 
-// PartialSaved keeps the verified tokens of an unfinished sample, from which a later attempt may resume.
+// PartialSaved keeps verified tokens of an unfinished sample, from which a later attempt may resume. Its tokens and segments
+// continue the prefix kept so far, of From tokens; From 0 puts them in its place. FirstToken of a segment counts from the
+// sample's start in any case, and a segment that goes on in the next entry is cut in two.
 type PartialSaved struct {
 	Identity Identity
+	From     int
 	Tokens   []string
 	Segments []v1.Segment
 }
--- a/internal/rollout/ledger.go
+++ b/internal/rollout/ledger.go
@@ -26,6 +26,7 @@
 	ErrBatchEnded       = fmt.Errorf("%w: batch cancelled or closed", ErrRefused)
 	ErrAlreadyCommitted = fmt.Errorf("%w: sample already committed", ErrRefused)
 	ErrNotCommitted     = fmt.Errorf("%w: sample not committed by this attempt", ErrRefused)
+	ErrPartial          = fmt.Errorf("%w: partial does not start where the kept one ends", ErrRefused)
 	ErrSegments         = fmt.Errorf("%w: segments do not cover the tokens", ErrRefused)
 	ErrPosition         = fmt.Errorf("%w: position is not the next one or not the sample's", ErrRefused)
 	ErrAlreadyAcked     = fmt.Errorf("%w: already acknowledged", ErrRefused)
@@ -78,7 +79,7 @@
 
 type sampleState struct {
 	Answer   SampleCommitted // valid when Committed; its Text is dropped on acknowledgement
-	Partial  PartialSaved
+	Partial  partialState
 	Score    float64
 	Position int64 // 0: not handed over
 	Commits  int   // commits ever, withdrawn ones included
@@ -294,14 +295,19 @@
 	if tokens == 0 {
 		return len(segments) == 1 && segments[0].FirstToken == 0 && segments[0].Tokens == 0 && segments[0].Version > 0
 	}
-	next := 0
+	return coversRange(segments, 0, tokens)
+}
+
+// coversRange reports whether the segments name a version for each token from first up to end, without a gap or an overlap.
+func coversRange(segments []v1.Segment, first, end int) bool {
+	next := first
 	for _, segment := range segments {
 		if segment.FirstToken != next || segment.Tokens <= 0 || segment.Version <= 0 {
 			return false
 		}
 		next += segment.Tokens
 	}
-	return next == tokens
+	return next == end
 }
 
 func joinTokens(tokens []string) string { return strings.Join(tokens, "") }
--- a/internal/rollout/ledger_apply.go
+++ b/internal/rollout/ledger_apply.go
@@ -76,10 +76,13 @@
 	if s.Committed {
 		return ErrAlreadyCommitted
 	}
-	if !covers(e.Segments, len(e.Tokens)) {
+	if e.From != 0 && e.From != len(s.Partial.Tokens) {
+		return ErrPartial
+	}
+	if len(e.Tokens) == 0 || !coversRange(e.Segments, e.From, e.From+len(e.Tokens)) {
 		return ErrSegments
 	}
-	s.Partial = e
+	s.Partial = s.Partial.with(e)
 	return nil
 }
 
@@ -97,7 +100,7 @@
 	s.Answer = e
 	s.Committed = true
 	s.Commits++
-	s.Partial = PartialSaved{}
+	s.Partial = partialState{}
 	b.Committed++
 	return nil
 }
--- a/internal/rollout/ledger_test.go
+++ b/internal/rollout/ledger_test.go
@@ -23,6 +23,7 @@
 	committed, acked, scored bool
 	attempt                  uint32
 	position                 int64
+	saved                    int // tokens of the kept prefix
 }
 
 func (n *naive) ended(batch string) (known, ended bool) {
@@ -46,6 +47,10 @@
 			if e.Identity == id {
 				s = naiveSample{committed: true, attempt: e.Attempt}
 			}
+		case PartialSaved:
+			if e.Identity == id {
+				s.saved = e.From + len(e.Tokens)
+			}
 		case ScoreAttached:
 			s.scored = s.scored || e.Identity == id
 		case HandedOver:
@@ -123,7 +128,8 @@
 		return e.Version >= version
 	case PartialSaved:
 		s, ok := sampled(e.Identity)
-		return ok && !s.committed && e.Segments[0].Tokens == len(e.Tokens)
+		starts := e.From == 0 || e.From == s.saved
+		return ok && !s.committed && starts && e.Segments[0].FirstToken == e.From && e.Segments[0].Tokens == len(e.Tokens)
 	case SampleCommitted:
 		s, ok := sampled(e.Identity)
 		return ok && !s.committed && e.Segments[0].Tokens == e.Tokens
@@ -167,6 +173,8 @@
 		Tombstoned{Identity: id, Position: position, Reason: ReasonStale},
 		ScoreAttached{Identity: id, Attempt: attempt, Score: 0},
 		PartialSaved{Identity: id, Tokens: []string{"x", "y"}, Segments: segments(version, covered)},
+		drawPartial(t, id, version, covered),
+		drawPartial(t, id, version, covered),
 		VersionStated{Version: version},
 		TermStarted{Token: uint64(attempt)},
 		BatchOpened{Batch: batch, Spec: v1.BatchSpec{Samples: make([]v1.SampleRequest, modelSamples)}},
@@ -175,11 +183,22 @@
 	}).Draw(t, "entry")
 }
 
+// drawPartial draws a partial that continues a kept prefix, most of the time.
+func drawPartial(t *rapid.T, id Identity, version int64, covered int) PartialSaved {
+	from := rapid.SampledFrom([]int{2, 2, 4, 6, 1}).Draw(t, "from")
+	made := segments(version, covered)
+	made[0].FirstToken = rapid.SampledFrom([]int{from, from, from, 0}).Draw(t, "first")
+	return PartialSaved{Identity: id, From: from, Tokens: []string{"z", "z"}, Segments: made}
+}
+
 // checkSamples compares every sample of batch a with the model.
 func checkSamples(t *rapid.T, ledger *Ledger, model *naive) {
 	var want []int64
 	for index := range modelSamples {
 		s := model.sample(Identity{"t", "a", index})
+		if _, kept, err := ledger.sample(Identity{"t", "a", index}); err == nil && len(kept.Partial.Tokens) != s.saved {
+			t.Fatalf("%d tokens of sample %d are kept, want %d", len(kept.Partial.Tokens), index, s.saved)
+		}
 		if s.position > 0 && !s.acked {
 			want = append(want, s.position)
 		}
