rollout: the predictor remembers a bounded number of prompt groups

Cause: predictor.groups kept every group of every batch for as long as the term lasted. Change: at most 16,384 groups; above that the one not observed for the longest time is forgotten. Groups of running attempts are observed all the time. They are not dropped with their batch, because a trainer may use a prompt again. Test: the bound holds, a group observed since is kept, a forgotten one is predicted like the others.

--- a/internal/rollout/predictor.go
+++ b/internal/rollout/predictor.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"container/list"
 	"math"
 	"time"
 )
@@ -12,6 +13,9 @@
 	runningFactor = 1.5
 	// defaultTokensPerSecond holds until the first attempt has finished.
 	defaultTokensPerSecond = 50
+	// maxGroups bounds the prompt groups remembered: those of sixteen batches with 1,024 groups each. A group that is
+	// forgotten is taken for as long as the others, and tried first again.
+	maxGroups = 16384
 )
 
 // average is an exponential moving mean with the moving mean of its absolute error.
@@ -37,15 +41,19 @@
 
 // promptGroup is what is known of the answers to one prompt.
 type promptGroup struct {
+	name    string
 	lengths average
 	// running is the number of tokens of the longest attempt so far.
 	running int
 }
 
 // predictor forecasts the length of answers by prompt group, the speed of generation and the time between the trainer's
-// versions, each from what was observed. It starts empty in every term and relearns from the ledger.
+// versions, each from what was observed. It starts empty in every term and relearns from the ledger. Of the groups it
+// forgets the one not observed for the longest time, above maxGroups.
 type predictor struct {
-	groups   map[string]*promptGroup
+	groups map[string]*list.Element
+	// recent holds the groups, each a *promptGroup, the one observed last in front.
+	recent   *list.List
 	overall  average
 	speed    average // tokens a second of one attempt
 	interval average // seconds between two versions
@@ -55,38 +63,55 @@
 	lastVersion time.Time
 }
 
-func newPredictor() *predictor { return &predictor{groups: make(map[string]*promptGroup)} }
+func newPredictor() *predictor {
+	return &predictor{groups: make(map[string]*list.Element), recent: list.New()}
+}
 
 // observeLength notes the length of a finished answer, in tokens.
 func (p *predictor) observeLength(group string, tokens int) {
-	p.group(group).lengths.observe(float64(tokens))
+	p.observed(group).lengths.observe(float64(tokens))
 	p.overall.observe(float64(tokens))
 }
 
+// group returns what is known of a group, or nil.
 func (p *predictor) group(name string) *promptGroup {
-	g, ok := p.groups[name]
+	element, ok := p.groups[name]
 	if !ok {
-		g = &promptGroup{}
-		p.groups[name] = g
+		return nil
+	}
+	return element.Value.(*promptGroup)
+}
+
+// observed returns the group to note an observation in, new if need be.
+func (p *predictor) observed(name string) *promptGroup {
+	if element, ok := p.groups[name]; ok {
+		p.recent.MoveToFront(element)
+		return element.Value.(*promptGroup)
 	}
+	if len(p.groups) == maxGroups {
+		oldest := p.recent.Remove(p.recent.Back()).(*promptGroup)
+		delete(p.groups, oldest.name)
+	}
+	g := &promptGroup{name: name}
+	p.groups[name] = p.recent.PushFront(g)
 	return g
 }
 
 // observeRunning notes that an attempt of the group has produced so many tokens and goes on.
 func (p *predictor) observeRunning(group string, tokens int) {
-	g := p.group(group)
+	g := p.observed(group)
 	g.running = max(g.running, tokens)
 }
 
 // tried reports whether a sample of the group was ever started.
-func (p *predictor) tried(group string) bool { return p.groups[group] != nil }
+func (p *predictor) tried(group string) bool { return p.group(group) != nil }
 
 // atLeast returns the expected tokens of an answer of the group, by running attempts too: while none has finished, the
 // answers are expected to be longer than the longest so far.
 func (p *predictor) atLeast(group string, limit int) int {
 	expected := p.length(group, limit)
-	g, ok := p.groups[group]
-	if !ok || g.lengths.known {
+	g := p.group(group)
+	if g == nil || g.lengths.known {
 		return expected
 	}
 	return min(limit, max(expected, int(runningFactor*float64(g.running))))
@@ -114,7 +139,7 @@
 // A group without history is as long as the others; without any history the answer takes limit.
 func (p *predictor) length(group string, limit int) int {
 	a := &p.overall
-	if g, ok := p.groups[group]; ok && g.lengths.known {
+	if g := p.group(group); g != nil && g.lengths.known {
 		a = &g.lengths
 	}
 	if !a.known {
