leadership: a pair of voters gets a witness from another zone

Change: the first voter set of zones with two seeds between them has one more voter, the seed of another zone that ranks first by rendezvous hashing; it does not campaign. controlsim uses the same choice of voters.

--- a/internal/lab/controlsim/election.go
+++ b/internal/lab/controlsim/election.go
@@ -5,6 +5,7 @@
 
 	"github.com/covelink/covelink/coord/lease"
 	"github.com/covelink/covelink/coord/voterset"
+	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/leadership"
 )
 
@@ -13,7 +14,11 @@
 	node      *node
 	lease     string
 	candidate *lease.Candidate
-	voter     *lease.Voter
+	// voters are the node's votes by zone: in its own, and in others that it is a witness of.
+	voters map[string]*lease.Voter
+	config lease.Config
+	// started is when this life of the process began.
+	started lease.Instant
 	// wakeAt is when the candidate is to be called next; wakes tells the plans apart.
 	wakeAt time.Duration
 	wakes  uint64
@@ -22,30 +27,50 @@
 // newElection starts the node's part for a new life of its process, which remembers nothing of the former one.
 func newElection(n *node) *election {
 	s := n.simulation
-	var names []string
 	rank := 0
 	for i, member := range n.zone.nodes {
-		names = append(names, member.name)
 		if member == n {
 			rank = i
 		}
 	}
-	set := voterset.New(1, names...)
 	config := lease.Config{Name: n.name, Incarnation: s.nextIncarnation(), Length: s.timing.LeaseLength}
-	candidate, err := lease.NewCandidate(config, set)
+	candidate, err := lease.NewCandidate(config, s.firstVoters(n.zone.name))
 	if err != nil {
 		panic("controlsim: " + err.Error())
 	}
-	voter, err := lease.NewVoter(config, set, s.instant())
-	if err != nil {
-		panic("controlsim: " + err.Error())
+	e := &election{
+		node: n, lease: leadership.ZoneLease(n.zone.name), candidate: candidate,
+		voters: make(map[string]*lease.Voter), config: config, started: s.instant(),
 	}
-	e := &election{node: n, lease: leadership.ZoneLease(n.zone.name), candidate: candidate, voter: voter}
 	e.candidate.Campaign(s.instant(), e.lease, rank)
 	e.settle()
 	return e
 }
 
+// firstVoters returns the voters of a zone's lease as the product chooses them.
+func (s *Simulation) firstVoters(zone string) voterset.Set {
+	var seeds []cluster.Node
+	for _, z := range s.zones {
+		for _, member := range z.nodes {
+			seeds = append(seeds, cluster.Node{Name: member.name, Zone: z.name})
+		}
+	}
+	return leadership.FirstVoters(seeds, []string{zone})
+}
+
+// voter returns the node's vote in a zone. It counts as restarted when the process did.
+func (e *election) voter(zone string) *lease.Voter {
+	if known, ok := e.voters[zone]; ok {
+		return known
+	}
+	voter, err := lease.NewVoter(e.config, e.node.simulation.firstVoters(zone), e.started)
+	if err != nil {
+		panic("controlsim: " + err.Error())
+	}
+	e.voters[zone] = voter
+	return voter
+}
+
 // instant returns the virtual time by the two clocks of a process.
 func (s *Simulation) instant() lease.Instant {
 	return lease.Instant{Monotonic: s.clock.Now(), Wall: s.now()}
@@ -56,19 +81,22 @@
 	return uint64(s.trace.Header.Seed)<<20 + s.incarnations
 }
 
-// receive takes in a message of another process.
-func (e *election) receive(message lease.Message) {
+// receive takes in a message of another process, for the lease of a zone.
+func (e *election) receive(zone string, message lease.Message) {
 	now := e.node.simulation.instant()
-	e.send(e.voter.Step(now, message))
-	e.send(e.candidate.Step(now, message))
+	e.send(zone, e.voter(zone).Step(now, message))
+	if zone != e.node.zone.name {
+		return
+	}
+	e.send(zone, e.candidate.Step(now, message))
 	e.settle()
 }
 
-func (e *election) send(messages []lease.Message) {
+func (e *election) send(zone string, messages []lease.Message) {
 	s := e.node.simulation
 	for _, message := range messages {
 		to := s.nodeNamed(message.To)
-		s.network.send(e.node, to, func() { to.election.receive(message) })
+		s.network.send(e.node, to, func() { to.election.receive(zone, message) })
 	}
 }
 
@@ -100,7 +128,7 @@
 	wake := e.wakes
 	e.node.after(next-now, func() {
 		if wake == e.wakes {
-			e.send(e.candidate.Tick(e.node.simulation.instant()))
+			e.send(e.node.zone.name, e.candidate.Tick(e.node.simulation.instant()))
 			e.settle()
 		}
 	})
@@ -113,4 +141,4 @@
 }
 
 // resign gives the lease back, as before a planned stop.
-func (e *election) resign() { e.send(e.candidate.Withdraw(e.lease, "")) }
+func (e *election) resign() { e.send(e.node.zone.name, e.candidate.Withdraw(e.lease, "")) }
--- a/internal/leadership/group.go
+++ b/internal/leadership/group.go
@@ -8,16 +8,12 @@
 
 	"github.com/covelink/covelink/coord/lease"
 	"github.com/covelink/covelink/coord/rendezvous"
-	"github.com/covelink/covelink/coord/voterset"
 	"github.com/covelink/covelink/internal/cluster"
 )
 
 const (
-	// maxVoters bounds a voter set; more voters cost messages and hardly add to availability.
-	maxVoters = 7
 	// maxGroups bounds the sets of zones that other nodes may make this node remember.
 	maxGroups = 1024
-	firstSet  = 1
 )
 
 // group is this node's part in the leases of one set of zones.
@@ -36,7 +32,7 @@
 	if known, ok := e.groups[key]; ok {
 		return known
 	}
-	set := e.voters(zones)
+	set := FirstVoters(e.params.Seeds, zones)
 	if len(set.Members) == 0 || len(e.groups) >= maxGroups {
 		return nil
 	}
@@ -62,28 +58,6 @@
 	return slices.Compact(zones)
 }
 
-// voters returns the first voter set of the zones: their seeds, taken from each zone in turn while there are too many.
-func (e *LeaseElector) voters(zones []string) voterset.Set {
-	byZone := make([][]string, len(zones))
-	for _, seed := range e.params.Seeds {
-		if at, ok := slices.BinarySearch(zones, seed.Zone); ok {
-			byZone[at] = append(byZone[at], seed.Name)
-		}
-	}
-	var members []string
-	for depth, more := 0, true; more; depth++ {
-		more = false
-		for _, names := range byZone {
-			slices.Sort(names)
-			if depth < len(names) && len(members) < maxVoters {
-				members = append(members, names[depth])
-				more = true
-			}
-		}
-	}
-	return voterset.New(firstSet, members...)
-}
-
 // rank returns this node's rank among the candidates of the name, and the node that ranks next to it.
 func (e *LeaseElector) rank(name string, zones []string) (rank int, next string) {
 	nodes := e.candidates(zones)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,7 +44,8 @@
 
 // Cluster names the nodes that a starting process first talks to.
 type Cluster struct {
-	// Seeds must name every node of this zone that votes at first start, and one or more nodes of each other zone.
+	// Seeds must be the same on every node: the nodes that vote at first start, of every zone. Leases of zones with two
+	// seeds between them are also voted on by a seed of another zone, so that one node may fail.
 	Seeds []Seed `koanf:"seeds" validate:"required,min=1,unique=Name,dive"`
 	// Routes replace addresses of nodes and engines that this node cannot dial as they are known to the others, such as
 	// those behind a forwarder.
