engine: a stream that is silent counts as lost

Cause: a stream whose connection stays open but brings nothing (a frozen engine, a half-open connection) ended only at the caller's deadline, and never for rollouts: TestZoneCutOff hung once until its limit of 120 s with a batch waiting. Change: engines write a comment line at least every 2 s of an open stream; the client takes 10 s without a line for lost, with an unknown outcome and the verified tokens kept, so that a repeatable task resumes elsewhere.

--- a/api/enginev1/enginev1.go
+++ b/api/enginev1/enginev1.go
@@ -5,6 +5,8 @@
 // POST PathCancel, POST PathExport, POST PathImport.
 package enginev1
 
+import "time"
+
 // The paths of an engine.
 const (
 	PathCompletions = "/v1/completions"
@@ -19,6 +21,14 @@
 	PathWeights = "/covelink/v1/weights"
 )
 
+// KeepAliveInterval is the longest time that an engine leaves an open stream without a line, also while the request waits.
+// With nothing to tell it writes KeepAliveLine, which is a comment in the format of server-sent events. covelink takes a
+// stream that is silent for several intervals for lost.
+const (
+	KeepAliveInterval = 2 * time.Second
+	KeepAliveLine     = ":"
+)
+
 // Priority orders requests within an engine; a higher value is served first.
 type Priority int
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/covelink/covelink/api/enginev1"
 )
 
 // The defaults of Config.
@@ -22,6 +24,8 @@
 	defaultDialTimeout    = 2 * time.Second
 	// defaultIdleConnTimeout is short: a request that meets an engine's own idle timeout has an unknown outcome.
 	defaultIdleConnTimeout = 15 * time.Second
+	// defaultSilentIntervals is how many keep-alive intervals a stream may be silent.
+	defaultSilentIntervals = 5
 	// keepAliveIdle, keepAliveInterval and keepAliveCount find a dead machine below a silent stream.
 	keepAliveIdle     = 5 * time.Second
 	keepAliveInterval = 2 * time.Second
@@ -43,6 +47,8 @@
 	MaxIdlePerEngine int
 	// DialTimeout bounds the opening of a connection. Default 2s.
 	DialTimeout time.Duration
+	// StreamSilence is how long a stream may bring no line before it counts as lost. Default five keep-alive intervals.
+	StreamSilence time.Duration
 	// TLS is used for https URLs; nil takes the system's roots.
 	TLS *tls.Config
 	// Dial opens connections; nil means TCP.
@@ -91,6 +97,9 @@
 	if c.MaxIdlePerEngine <= 0 {
 		c.MaxIdlePerEngine = defaultMaxIdle
 	}
+	if c.StreamSilence <= 0 {
+		c.StreamSilence = defaultSilentIntervals * enginev1.KeepAliveInterval
+	}
 	if c.DialTimeout <= 0 {
 		c.DialTimeout = defaultDialTimeout
 	}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -27,6 +27,8 @@
 	ErrRefused = errors.New("engine refused the request")
 	// ErrLost: the connection failed after the request, or part of it, was written.
 	ErrLost = errors.New("connection to the engine was lost")
+	// ErrSilent reports a stream that brought no line, not even a keep-alive, for Config.StreamSilence.
+	ErrSilent = fmt.Errorf("%w: no line for too long", ErrLost)
 	// ErrMalformed: the engine sent something that is not an event.
 	ErrMalformed = errors.New("engine sent a malformed event")
 	// ErrConsumer: the consumer of the chunks returned an error.
@@ -67,19 +69,32 @@
 ) StreamResult {
 	assembly := NewAssembly(c.expectation(target, &request))
 	// The exchange outlives ctx by the reading of what follows a final event.
-	exchange, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	exchange, cancelCause := context.WithCancelCause(context.WithoutCancel(ctx))
+	cancel := func() { cancelCause(context.Canceled) }
 	stop := context.AfterFunc(ctx, cancel)
 	defer stop()
+	silence := time.AfterFunc(c.config.StreamSilence, func() { cancelCause(ErrSilent) })
+	defer silence.Stop()
 	response, result := c.open(exchange, target, &request, assembly)
 	if response == nil {
+		result.Err = orSilent(exchange, result.Err)
 		cancel()
 		return result
 	}
-	err := c.read(response.Body, assembly, onChunk)
+	heard := func() { silence.Reset(c.config.StreamSilence) }
+	err := orSilent(exchange, c.read(response.Body, assembly, heard, onChunk))
 	c.release(response, assembly.Done(), cancel)
 	return conclude(assembly, err)
 }
 
+// orSilent returns ErrSilent in place of the error that the end of a silent exchange has caused.
+func orSilent(exchange context.Context, err error) error {
+	if err != nil && errors.Is(context.Cause(exchange), ErrSilent) {
+		return ErrSilent
+	}
+	return err
+}
+
 // release closes the response. After a whole answer it reads the little that follows first, in the background, so that
 // the connection can be used again; else closing the connection cancels the attempt.
 func (c *Client) release(response *http.Response, done bool, cancel context.CancelFunc) {
@@ -172,11 +187,12 @@
 	return result
 }
 
-// read feeds the events of a stream to the assembly until the final one.
-func (c *Client) read(body io.Reader, assembly *Assembly, onChunk func(Chunk) error) error {
+// read feeds the events of a stream to the assembly until the final one, and calls heard for every line.
+func (c *Client) read(body io.Reader, assembly *Assembly, heard func(), onChunk func(Chunk) error) error {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(nil, c.config.MaxLineBytes)
 	for !assembly.Done() && scanner.Scan() {
+		heard()
 		data, ok := bytes.CutPrefix(scanner.Bytes(), []byte("data:"))
 		if !ok {
 			continue
--- a/internal/lab/engine/engine.go
+++ b/internal/lab/engine/engine.go
@@ -233,6 +233,13 @@
 	return next
 }
 
+// frozen reports whether the engine stands still.
+func (e *Engine) frozen() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return time.Now().Before(e.frozenUntil)
+}
+
 // awaitThaw blocks while the engine is frozen; false means that ctx ended first.
 func (e *Engine) awaitThaw(ctx context.Context) bool {
 	for {
--- a/internal/lab/engine/stream.go
+++ b/internal/lab/engine/stream.go
@@ -124,12 +124,20 @@
 // writeStream writes the events of a stream until it ends or the client goes.
 func (e *Engine) writeStream(c *gin.Context, accepted submission) {
 	distorter := distorter{fault: accepted.fault}
+	keepAlive := time.NewTicker(enginev1.KeepAliveInterval)
+	defer keepAlive.Stop()
 	for {
 		select {
 		case <-c.Request.Context().Done():
 			return
 		case <-accepted.life.ended.Done():
 			return
+		case <-keepAlive.C:
+			if !e.frozen() {
+				_, _ = c.Writer.WriteString(enginev1.KeepAliveLine + "\n\n")
+				c.Writer.Flush()
+			}
+			continue
 		case <-accepted.stream.ready:
 		}
 		for _, event := range e.takeQueue(accepted.stream) {
