--- a/api/enginev1/enginev1.go
+++ b/api/enginev1/enginev1.go
@@ -47,6 +47,9 @@
 	// PermittedZones lets the engine itself refuse work outside its zone.
 	PermittedZones []string `json:"permitted_zones"`
 	Stream         bool     `json:"stream"`
+	// MaxInFlight refuses the request as full when the engine already holds that many, running and waiting; 0 leaves it to
+	// the engine's own bounds. It bounds what all callers together put on an engine without their knowing of each other.
+	MaxInFlight int `json:"max_in_flight,omitempty"`
 }
 
 // TokenEvent is one data event of a completion stream. It carries one or more tokens, all produced by Version.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -23,7 +23,9 @@
 	waiting  map[uint64]waitingTask
 	budgets  map[string]*scheduler.RetryBudget
 	inFlight map[Class]int
-	nextID   uint64
+	// service holds what was measured of answers by pool and class.
+	service map[serviceKey]*scheduler.ServiceTime
+	nextID  uint64
 }
 
 // Placer chooses the engine of a request; the product's is *scheduler.Placer, whose contract this is.
@@ -34,6 +36,11 @@
 	Evaluate(now time.Time, snapshot *scheduler.Snapshot, request *scheduler.Request) scheduler.Decision
 }
 
+type serviceKey struct {
+	pool  string
+	class Class
+}
+
 // waitingTask is a task that waits for a placement.
 type waitingTask struct {
 	request scheduler.Request
@@ -46,8 +53,12 @@
 	engine cluster.Engine
 	state  *scheduler.EngineState
 	class  Class
-	// waited is the time from the arrival in the queue to the placement.
+	// waited is the time from the arrival in the queue to the placement, and placed the time of that.
 	waited time.Duration
+	placed time.Time
+	since  time.Time
+	// resumed is the number of tokens that the attempt did not have to produce.
+	resumed int
 }
 
 // Engine returns the view's entry of the engine at the time of the placement.
@@ -76,6 +87,7 @@
 		waiting:  make(map[uint64]waitingTask),
 		budgets:  make(map[string]*scheduler.RetryBudget),
 		inFlight: make(map[Class]int),
+		service:  make(map[serviceKey]*scheduler.ServiceTime),
 	}
 }
 
@@ -86,10 +98,14 @@
 func (c *Core) Enqueue(now time.Time, item scheduler.Item, request scheduler.Request, class Class) (uint64, *Refusal) {
 	c.nextID++
 	item.ID = c.nextID
+	item.Service = c.serviceTime(item.Pool, class).Predict(item.Tokens)
+	if item.Since.IsZero() {
+		item.Since = now
+	}
 	if rejection := c.queue.Push(now, item); rejection != nil {
 		return 0, rejected(rejection)
 	}
-	c.waiting[item.ID] = waitingTask{request: request, class: class, since: now}
+	c.waiting[item.ID] = waitingTask{request: request, class: class, since: item.Since}
 	return item.ID, nil
 }
 
@@ -133,11 +149,34 @@
 
 // Place decides on every waiting task and tells of each that is granted or refused.
 func (c *Core) Place(now time.Time, decided func(Placement)) {
+	c.queue.Shed(func(item *scheduler.Item) bool { return c.tryShed(now, item, decided) })
 	c.queue.Scan(now, func(item *scheduler.Item) scheduler.Verdict { return c.tryPlace(now, item, decided) })
 }
 
+// tryShed refuses a task that can no longer end by its deadline, or that has waited too long while every engine is full.
+func (c *Core) tryShed(now time.Time, item *scheduler.Item, decided func(Placement)) bool {
+	if !item.Late(now) && !(item.Overdue(now) && c.full(now, item.ID)) {
+		return false
+	}
+	delete(c.waiting, item.ID)
+	decided(Placement{ID: item.ID, Refusal: late(c.Wait(now, *item))})
+	return true
+}
+
+// full reports whether a task waits for nothing but a slot.
+func (c *Core) full(now time.Time, id uint64) bool {
+	request := c.waiting[id].request
+	decision := c.placer.Evaluate(now, c.snapshot, &request)
+	return decision.Kind == scheduler.Wait && decision.Reason == scheduler.FilterFull
+}
+
 func (c *Core) tryPlace(now time.Time, item *scheduler.Item, decided func(Placement)) scheduler.Verdict {
 	waiting := c.waiting[item.ID]
+	if item.Late(now) {
+		delete(c.waiting, item.ID)
+		decided(Placement{ID: item.ID, Refusal: late(c.Wait(now, *item))})
+		return scheduler.Drop
+	}
 	decision := c.placer.Place(now, c.snapshot, &waiting.request)
 	switch decision.Kind {
 	case scheduler.Placed:
@@ -168,7 +207,20 @@
 		state:  c.snapshot.States[index],
 		class:  waiting.class,
 		waited: now.Sub(waiting.since),
+		placed: now,
+		since:  waiting.since,
+	}
+}
+
+// serviceTime returns what was measured of the answers of a pool and class.
+func (c *Core) serviceTime(pool string, class Class) *scheduler.ServiceTime {
+	key := serviceKey{pool: pool, class: class}
+	measured, ok := c.service[key]
+	if !ok {
+		measured = &scheduler.ServiceTime{}
+		c.service[key] = measured
 	}
+	return measured
 }
 
 // Explain tells where a request would be placed now, and which filter removes how many engines.
@@ -200,9 +252,11 @@
 	switch {
 	case result.Outcome == v1.OutcomeCompleted:
 		held.state.Breaker.Succeed()
+		c.observeAnswer(held, result.Load)
+		c.serviceTime(held.engine.Pool, held.class).Observe(now.Sub(held.placed), len(result.Tokens)-held.resumed)
 	case result.Refusal != nil:
 		held.state.Breaker.Succeed()
-		c.observeRefusal(now, held, result.Refusal.Reason)
+		c.observeRefusal(now, held, result.Refusal.Reason, random)
 	case own:
 		held.state.Breaker.Abandon()
 	default:
@@ -214,7 +268,7 @@
 }
 
 // observeRefusal keeps new requests off an engine that refused one.
-func (c *Core) observeRefusal(now time.Time, held *Grant, reason enginev1.RefusalReason) {
+func (c *Core) observeRefusal(now time.Time, held *Grant, reason enginev1.RefusalReason, random float64) {
 	if held.state.Incarnation != held.engine.Incarnation {
 		return
 	}
@@ -223,11 +277,25 @@
 		held.state.Unusable = true
 	case enginev1.RefusedDraining:
 		held.state.DrainingUntil = now.Add(drainingHold)
+	case enginev1.RefusedFull:
+		interactive := held.class == ClassInteractive
+		held.state.Window(interactive).Refuse(now, held.state.InFlightOf(interactive)-1, random)
 	default:
 		held.state.HoldUntil = now.Add(busyHold)
 	}
 }
 
+// observeAnswer lets the node's share of the engine grow when an answer left room there.
+func (c *Core) observeAnswer(held *Grant, load *enginev1.Load) {
+	pool := c.snapshot.View.Pools[held.engine.Pool]
+	if load == nil || pool == nil || held.state.Incarnation != held.engine.Incarnation {
+		return
+	}
+	interactive := held.class == ClassInteractive
+	limit := scheduler.SlotLimit(pool.Spec.MaxConcurrent, pool.Spec.InteractiveReserve, interactive)
+	held.state.Window(interactive).Answer(load.Running+load.Waiting, limit)
+}
+
 // observeLoad takes over a report that came with a reply of the grant's incarnation.
 func (c *Core) observeLoad(now time.Time, held *Grant, load *enginev1.Load) {
 	if load == nil || load.Incarnation != held.engine.Incarnation {
@@ -289,12 +357,21 @@
 }
 
 func rejected(rejection *scheduler.Rejection) *Refusal {
-	if rejection.Reason == scheduler.RejectedDeadline {
+	switch rejection.Reason {
+	case scheduler.RejectedDeadline:
 		return refuse(string(rejection.Reason), v1.CodeOverloaded, rejection.RetryAfter, "the deadline cannot be met")
+	case scheduler.RejectedWait:
+		return refuse(string(rejection.Reason), v1.CodeOverloaded, rejection.RetryAfter, "the request would wait too long")
 	}
 	return refuse(string(rejection.Reason), v1.CodeOverloaded, rejection.RetryAfter, "the queue is full")
 }
 
+// late refuses a task that can no longer end by its deadline. wait is what a new one would wait.
+func late(wait time.Duration) *Refusal {
+	return refuse(string(scheduler.RejectedDeadline), v1.CodeOverloaded, max(unavailableRetryAfter, wait),
+		"the deadline cannot be met")
+}
+
 func unplaceable(decision scheduler.Decision) *Refusal {
 	return refuse(reasonNoEngine, v1.CodeUnavailable, decision.RetryAfter,
 		"no engine of the pool can take the request: "+decision.Reason.String())
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -40,6 +40,8 @@
 	failures int
 	admitted bool
 	last     string
+	// since is the time of the task's arrival, as its first grant told it.
+	since    time.Time
 	engine   string
 	attempts int
 }
@@ -69,6 +71,8 @@
 		Rank:        r.Task.Rank,
 		Tokens:      max(r.Task.ExpectedTokens-len(r.tokens), 0),
 		Deadline:    r.Task.Deadline,
+		Since:       r.since,
+		Started:     r.unknown > 0 || len(r.tokens) > 0,
 		Readmitted:  r.admitted,
 	}
 }
@@ -92,6 +96,7 @@
 
 // Request returns the next attempt on the grant's engine.
 func (r *Run) Request(held *Grant, pool v1.PoolSpec, zones []string) enginev1.CompletionRequest {
+	held.resumed = len(r.tokens)
 	priority := enginev1.PriorityRollout
 	if r.Task.Class == ClassInteractive {
 		priority = enginev1.PriorityInteractive
@@ -109,6 +114,7 @@
 		MinVersion:     r.Task.MinVersion,
 		PermittedZones: zones,
 		Stream:         true,
+		MaxInFlight:    scheduler.SlotLimit(pool.MaxConcurrent, pool.InteractiveReserve, r.Task.Class == ClassInteractive),
 	}
 }
 
@@ -127,6 +133,7 @@
 		r.attempts++
 	}
 	r.last = held.engine.Name
+	r.since = held.since
 }
 
 // Judge decides what follows an attempt that Take has taken over. ended is not nil when the task itself ended the
@@ -153,6 +160,10 @@
 	if result.Refusal != nil && result.Refusal.Reason == enginev1.RefusedInvalid {
 		return r.GiveUp(refuse(reasonInvalid, v1.CodeInvalid, 0, "the engine refused the request as invalid"))
 	}
+	if result.Refusal != nil && result.Refusal.Reason == enginev1.RefusedFull {
+		// The engine's window keeps the next attempt off that engine; another one may have room at once.
+		return Step{}
+	}
 	return r.again(random)
 }
 
--- a/internal/lab/enginesim/engine.go
+++ b/internal/lab/enginesim/engine.go
@@ -115,6 +115,8 @@
 		return e.refusal(now, enginev1.RefusedLoading, "no version is active")
 	case e.versions.active < request.MinVersion:
 		return e.refusal(now, enginev1.RefusedVersion, "version %d is active", e.versions.active)
+	case request.MaxInFlight > 0 && len(e.running)+len(e.waiting) >= request.MaxInFlight:
+		return e.refusal(now, enginev1.RefusedFull, "%d requests in flight", len(e.running)+len(e.waiting))
 	case len(e.waiting) >= e.config.MaxWaiting:
 		return e.refusal(now, enginev1.RefusedFull, "%d requests wait", len(e.waiting))
 	default:
--- a/internal/lab/enginesim/engine_test.go
+++ b/internal/lab/enginesim/engine_test.go
@@ -251,6 +251,17 @@
 		So(engine.Submit(start, request("a")).Reason, ShouldEqual, enginev1.RefusedInvalid)
 		So(engine.Submit(start, request("b")), ShouldBeNil)
 		So(engine.Submit(start, request("c")).Reason, ShouldEqual, enginev1.RefusedFull)
+		roomy := newBench(enginesim.DefaultConfig())
+		bounded := func(id string, bound int) enginev1.CompletionRequest {
+			r := request(id)
+			r.MaxInFlight = bound
+			return r
+		}
+		So(roomy.Submit(start, bounded("a", 2)), ShouldBeNil)
+		So(roomy.Submit(start, bounded("b", 2)), ShouldBeNil)
+		So(roomy.Submit(start, bounded("c", 2)).Reason, ShouldEqual, enginev1.RefusedFull)
+		So(roomy.Submit(start, bounded("d", 3)), ShouldBeNil)
+		So(roomy.Submit(start, request("e")), ShouldBeNil)
 		drain := order(enginev1.OrderDrain, 1, 0)
 		drain.Drain = true
 		engine.must(drain)
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -222,6 +222,9 @@
 	if n.sim.scenario.Policy.NoPriorities {
 		request.Priority = enginev1.PriorityRollout
 	}
+	if n.sim.scenario.Policy.NoEngineBound {
+		request.MaxInFlight = 0
+	}
 	n.sim.sequence++
 	t.stream = &stream{
 		node: n, task: t, grant: held, host: n.sim.engineOf[held.Engine().Name], request: request, sequence: n.sim.sequence,
--- a/internal/lab/sim/overload_test.go
+++ b/internal/lab/sim/overload_test.go
@@ -4,12 +4,17 @@
 	"fmt"
 	"testing"
 	"time"
+
+	v1 "github.com/covelink/covelink/api/v1"
 )
 
 // overloadCapacity is about the number of interactive requests a second that the engines of overloadScenario complete when
 // they do nothing else: 96 sequences of 1.3 seconds.
 const overloadCapacity = 74
 
+// overloadSeeds is the number of runs that a figure is the mean of.
+const overloadSeeds = 5
+
 // overloadScenario has twelve engines, a trainer, and interactive requests for 20 seconds at a multiple of what the engines
 // can complete, before a number of nodes.
 func overloadScenario(nodes int, times float64) Scenario {
@@ -40,38 +45,72 @@
 		for _, nodes := range []int{3, 9, 36} {
 			b.Run(fmt.Sprintf("load=%v/nodes=%d", times, nodes), func(b *testing.B) {
 				for b.Loop() {
-					report(b, overloadScenario(nodes, times))
+					report(b, nodes, times)
 				}
 			})
 		}
 	}
 }
 
-func report(b *testing.B, scenario Scenario) {
-	result, err := Run(scenario)
-	if err != nil {
-		b.Fatal(err)
+// report measures the mean over the seeds.
+func report(b *testing.B, nodes int, times float64) {
+	sums := make(map[string]float64)
+	for seed := range uint64(overloadSeeds) {
+		scenario := overloadScenario(nodes, times)
+		scenario.Seed = seed + 1
+		result, err := Run(scenario)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if !result.Report.Kept() {
+			b.Fatalf("seed %d: promises broken: %+v", scenario.Seed, result.Report)
+		}
+		for unit, value := range overloadFigures(result) {
+			sums[unit] += value
+		}
 	}
-	if !result.Report.Kept() {
-		b.Fatalf("promises broken: %+v", result.Report)
+	for unit, sum := range sums {
+		b.ReportMetric(sum/overloadSeeds, unit)
 	}
+}
+
+func overloadFigures(result *Result) map[string]float64 {
 	sum := &result.Interactive
-	b.ReportMetric(float64(sum.Completed), "completed")
-	b.ReportMetric(float64(sum.NotRun), "not_run")
-	b.ReportMetric(float64(sum.Unknown), "unknown")
-	b.ReportMetric(float64(sum.Latency.P50.Milliseconds()), "p50_ms")
-	b.ReportMetric(float64(sum.Latency.P99.Milliseconds()), "p99_ms")
-	b.ReportMetric(float64(refusedEarly(result)), "early")
-	b.ReportMetric(result.Trainers[0].Idle.Seconds(), "idle_s")
-	b.ReportMetric(result.Trainers[0].Wall.Seconds(), "wall_s")
-	b.ReportMetric(float64(result.Attempts), "attempts")
+	return map[string]float64{
+		"completed":   float64(sum.Completed),
+		"not_run":     float64(sum.NotRun),
+		"unknown":     float64(sum.Unknown),
+		"early":       float64(refusedEarly(result)),
+		"p50_ms":      float64(sum.Latency.P50.Milliseconds()),
+		"p99_ms":      float64(sum.Latency.P99.Milliseconds()),
+		"idle_s":      result.Trainers[0].Idle.Seconds(),
+		"wall_s":      result.Trainers[0].Wall.Seconds(),
+		"attempts":    float64(result.Attempts),
+		"least_share": leastShare(result),
+	}
+}
+
+// leastShare is the number of requests that the node which completed fewest completed, by the mean over all nodes.
+func leastShare(result *Result) float64 {
+	asked, completed := make(map[string]bool), make(map[string]int)
+	for _, request := range result.Requests {
+		asked[request.Node] = true
+		if request.Outcome == v1.OutcomeCompleted {
+			completed[request.Node]++
+		}
+	}
+	least := result.Interactive.Completed
+	for name := range asked {
+		least = min(least, completed[name])
+	}
+	return float64(least*len(asked)) / float64(result.Interactive.Completed)
 }
 
 // refusedEarly counts the requests refused within a second.
 func refusedEarly(result *Result) int {
 	early := 0
 	for _, request := range result.Requests {
-		if request.Outcome == "not_run" && request.Ended-request.Arrived < time.Second {
+		if request.Outcome == v1.OutcomeNotRun && request.Ended-request.Arrived < time.Second {
 			early++
 		}
 	}
--- a/internal/lab/sim/policy.go
+++ b/internal/lab/sim/policy.go
@@ -29,6 +29,8 @@
 	FIFO bool `yaml:"fifo"`
 	// NoPriorities sends every request to engines with the same priority.
 	NoPriorities bool `yaml:"noPriorities"`
+	// NoEngineBound does not let engines refuse requests above the pool's slots.
+	NoEngineBound bool `yaml:"noEngineBound"`
 	// NoReserve lets rollouts use every slot.
 	NoReserve bool `yaml:"noReserve"`
 	// NoAffinity ignores prompt prefixes.
@@ -55,7 +57,8 @@
 func baseline(name string, placement PlacementKind) Policy {
 	return Policy{
 		Name: name, Placement: placement, FIFO: true, NoPriorities: true, NoReserve: true, NoAffinity: true,
-		Without: rollout.Mechanisms{LongestFirst: true, Hedges: true, Resume: true, StaleStart: true, StaleCancel: true},
+		NoEngineBound: true,
+		Without:       rollout.Mechanisms{LongestFirst: true, Hedges: true, Resume: true, StaleStart: true, StaleCancel: true},
 	}
 }
 
--- a/internal/scheduler/lane.go
+++ b/internal/scheduler/lane.go
@@ -67,12 +67,15 @@
 	return nil, Stop
 }
 
-// take removes an item that starts now and charges its flow.
+// take removes an item that starts now and charges its flow, which pays once for an item however often it starts.
 func (l *lane) take(now time.Time, queued *entry) {
 	f := queued.flow
 	l.virtual = max(l.virtual, f.start)
-	f.start += float64(queued.item.cost()) / queued.item.share()
 	f.remove(queued)
+	if queued.item.Readmitted {
+		return
+	}
+	f.start += float64(queued.item.cost()) / queued.item.share()
 	l.drain.took(now, queued.item.cost())
 }
 
@@ -123,7 +126,7 @@
 // compareEntries orders a flow: rollouts by rank and then longest first, else by arrival.
 func compareEntries(a, b *entry, interactive bool) int {
 	if interactive {
-		return cmp.Compare(a.sequence, b.sequence)
+		return cmp.Or(cmp.Compare(readmission(a), readmission(b)), cmp.Compare(a.sequence, b.sequence))
 	}
 	return cmp.Or(
 		cmp.Compare(a.item.Rank, b.item.Rank),
@@ -132,6 +135,14 @@
 	)
 }
 
+// readmission puts what was admitted before in front of what was not.
+func readmission(queued *entry) int {
+	if queued.item.Readmitted {
+		return 0
+	}
+	return 1
+}
+
 // drainRate measures how fast a lane that has waiting items starts them.
 type drainRate struct {
 	last   time.Time
--- a/internal/scheduler/placer.go
+++ b/internal/scheduler/placer.go
@@ -190,7 +190,7 @@
 		return FilterVersion
 	case now.Before(state.HoldUntil) || !state.Breaker.Ready(now):
 		return FilterBreaker
-	case state.InFlight >= limit:
+	case !state.hasRoom(now, request.Interactive, limit):
 		return FilterFull
 	}
 	return filterCount
@@ -279,7 +279,7 @@
 // load that the engine reported, which covers other nodes but is old.
 func (s *EngineState) occupancy(now time.Time, maxConcurrent int) float64 {
 	used := float64(s.InFlight)
-	if s.ReportedLoad > 0 {
+	if s.ReportedLoad > s.InFlight {
 		age := now.Sub(s.ReportedAt)
 		decayed := float64(s.ReportedLoad) * math.Exp2(-float64(max(age, 0))/float64(loadHalfLife))
 		used = max(used, decayed)
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -26,6 +26,12 @@
 	// Tokens is the expected length of the answer; zero or less means unknown.
 	Tokens   int
 	Deadline time.Time
+	// Since is the time of arrival, which decides how long the item may still wait.
+	Since time.Time
+	// Service is the expected time from the start to the end; zero or less means unknown.
+	Service time.Duration
+	// Started items may have run in part, so that they are worth an attempt however little time is left.
+	Started bool
 	// Readmitted items were admitted before; bounds and early refusal do not apply to them again.
 	Readmitted bool
 }
@@ -62,6 +68,8 @@
 	RejectedRequests RejectionReason = "queue_requests"
 	RejectedTokens   RejectionReason = "queue_tokens"
 	RejectedDeadline RejectionReason = "deadline"
+	// RejectedWait: an interactive request would wait longer than callers are to be kept waiting.
+	RejectedWait RejectionReason = "wait"
 )
 
 // Verdict is what a scan does with an item.
@@ -141,6 +149,25 @@
 	return true
 }
 
+// Shed offers the interactive items that have waited longest, of each caller, to drop, until it keeps one.
+func (q *Queue) Shed(drop func(*Item) bool) {
+	for _, lane := range q.order {
+		if lane.key.interactive {
+			q.shedLane(lane, drop)
+		}
+	}
+}
+
+func (q *Queue) shedLane(lane *lane, drop func(*Item) bool) {
+	for _, f := range lane.backlogged() {
+		for len(f.items) > 0 && drop(&f.items[0].item) {
+			shed := f.items[0]
+			f.remove(shed)
+			q.forget(shed)
+		}
+	}
+}
+
 // Scan offers waiting items in their order to try, which decides on each. An item that is taken counts against its
 // caller's share.
 func (q *Queue) Scan(now time.Time, try func(*Item) Verdict) {
@@ -177,9 +204,12 @@
 	if q.tokens+int64(item.cost()) > q.limits.Tokens {
 		return &Rejection{Reason: RejectedTokens, RetryAfter: clampRetryAfter(wait)}
 	}
-	if !item.Deadline.IsZero() && now.Add(wait).After(item.Deadline) {
+	if item.Late(now.Add(wait)) {
 		return &Rejection{Reason: RejectedDeadline, RetryAfter: clampRetryAfter(wait)}
 	}
+	if item.Interactive && wait > item.patience() {
+		return &Rejection{Reason: RejectedWait, RetryAfter: clampRetryAfter(wait)}
+	}
 	return nil
 }
 
--- a/internal/scheduler/snapshot.go
+++ b/internal/scheduler/snapshot.go
@@ -33,14 +33,32 @@
 	// InFlight counts this node's requests on the engine.
 	InFlight            int
 	InFlightInteractive int
+	// windows are this node's shares of the engine by class.
+	windows [2]Window
 	// ReportedLoad is the number of requests that the engine itself reported at ReportedAt.
 	ReportedLoad int
 	ReportedAt   time.Time
-	// HoldUntil keeps new requests off after the engine refused one as full or loading.
+	// HoldUntil keeps new requests off after the engine refused one as loading.
 	HoldUntil time.Time
 	Breaker   Breaker
 }
 
+// Window returns this node's share of the engine for a class.
+func (s *EngineState) Window(interactive bool) *Window { return &s.windows[class(interactive)] }
+
+// InFlightOf counts this node's requests of a class on the engine.
+func (s *EngineState) InFlightOf(interactive bool) int {
+	if interactive {
+		return s.InFlightInteractive
+	}
+	return s.InFlight - s.InFlightInteractive
+}
+
+// hasRoom reports whether the pool's limit and the node's share let one more request of the class start at now.
+func (s *EngineState) hasRoom(now time.Time, interactive bool, limit int) bool {
+	return s.InFlight < limit && s.Window(interactive).Open(now, s.InFlightOf(interactive))
+}
+
 // Reserve counts a request that is to start at now.
 func (s *EngineState) Reserve(now time.Time, interactive bool) {
 	s.InFlight++
@@ -171,6 +189,7 @@
 		state.ReportedLoad = 0
 		state.HoldUntil = time.Time{}
 		state.Breaker = Breaker{}
+		state.windows = [2]Window{}
 		return
 	}
 	state.Version = max(state.Version, engine.ActiveVersion)
--- /dev/null
+++ b/internal/scheduler/window_test.go
@@ -0,0 +1,146 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func TestWindowFollowsTheEngine(t *testing.T) {
+	now := time.Unix(0, 0)
+	Convey("A window bounds nothing until the engine refuses as full", t, func() {
+		var w Window
+		So(w.Open(now, 1000), ShouldBeTrue)
+	})
+	Convey("After a refusal nothing starts during the hold, and half of what was in flight after it", t, func() {
+		var w Window
+		w.Refuse(now, 8, 0.999)
+		So(w.Open(now.Add(windowBaseHold/2), 0), ShouldBeFalse)
+		So(w.Open(now.Add(windowBaseHold), 3), ShouldBeTrue)
+		So(w.Open(now.Add(windowBaseHold), 5), ShouldBeFalse)
+	})
+	Convey("A window grows with answers that leave room, not with others, and ends at the limit", t, func() {
+		var w Window
+		w.Refuse(now, 4, 0)
+		later := now.Add(windowBaseHold)
+		w.Answer(8, 8)
+		So(w.Open(later, 3), ShouldBeFalse)
+		w.Answer(7, 8)
+		So(w.Open(later, 3), ShouldBeFalse)
+		w.Answer(6, 8)
+		So(w.Open(later, 3), ShouldBeTrue)
+		for range 8 {
+			w.Answer(0, 8)
+		}
+		So(w, ShouldResemble, Window{refusedAt: now, holdUntil: now.Add(windowBaseHold / 2)})
+		So(w.Open(now, 1000), ShouldBeTrue)
+	})
+	Convey("A window regains a request with time, so that an engine which others have left is used again", t, func() {
+		var w Window
+		w.Refuse(now, 0, 0)
+		So(w.Open(now.Add(windowBaseHold), 2), ShouldBeFalse)
+		So(w.Open(now.Add(2*windowRegain), 2), ShouldBeTrue)
+	})
+	Convey("Whatever was refused, an engine is asked again within the greatest hold, and never at once", t, func() {
+		rapid.Check(t, func(t *rapid.T) {
+			var w Window
+			for range rapid.IntRange(1, 40).Draw(t, "refusals") {
+				w.Refuse(now, rapid.IntRange(0, 64).Draw(t, "in flight"), rapid.Float64Range(0, 0.999).Draw(t, "random"))
+			}
+			if w.Open(now, 0) || !w.Open(now.Add(windowMaxHold), 0) {
+				t.Fatalf("window %+v", w)
+			}
+		})
+	})
+}
+
+func TestServiceTimePredicts(t *testing.T) {
+	Convey("Nothing is predicted from few answers; then the mean time, or less where the caller bounds the length", t, func() {
+		var s ServiceTime
+		for range serviceMinimum - 1 {
+			s.Observe(time.Second, 50)
+		}
+		So(s.Predict(100), ShouldEqual, 0)
+		s.Observe(time.Second, 50)
+		So(s.Predict(0).Round(time.Millisecond), ShouldEqual, time.Second)
+		So(s.Predict(100).Round(time.Millisecond), ShouldEqual, time.Second)
+		So(s.Predict(10).Round(time.Millisecond), ShouldEqual, 200*time.Millisecond)
+	})
+}
+
+func TestOverloadedQueueRefuses(t *testing.T) {
+	now := time.Unix(0, 0)
+	limits := QueueLimits{Requests: 100, Tokens: 100_000}
+	item := func(id uint64, since time.Time) Item {
+		return Item{
+			ID: id, Interactive: true, Pool: "p", Caller: "c", Tokens: 10, Since: since,
+			Service: 2 * time.Second, Deadline: since.Add(8 * time.Second),
+		}
+	}
+	take := func(*Item) Verdict { return Take }
+	// draining returns a queue that has started one request each 100 ms, with waiting ones behind.
+	draining := func(waiting int) (*Queue, time.Time) {
+		q, moment := NewQueue(limits), now
+		for id := range uint64(drainMinimum) {
+			So(q.Push(moment, item(id+1, moment)), ShouldBeNil)
+			moment = moment.Add(100 * time.Millisecond)
+			q.Scan(moment, take)
+		}
+		for id := range uint64(waiting) {
+			So(q.Push(moment, item(100+id, moment)), ShouldBeNil)
+		}
+		return q, moment
+	}
+	Convey("A request is refused at once when the wait and its own time exceed its deadline, with the wait as advice", t, func() {
+		q, moment := draining(9)
+		late := item(200, moment)
+		late.Deadline = moment.Add(2500 * time.Millisecond)
+		rejection := q.Push(moment, late)
+		So(rejection, ShouldNotBeNil)
+		So(rejection.Reason, ShouldEqual, RejectedDeadline)
+		So(rejection.RetryAfter.Round(time.Millisecond), ShouldEqual, 900*time.Millisecond)
+		So(q.Push(moment, item(201, moment)), ShouldBeNil)
+	})
+	Convey("An interactive request is refused at once when it would wait longer than half its own time, a rollout waits", t, func() {
+		q, moment := draining(11)
+		rejection := q.Push(moment, item(200, moment))
+		So(rejection, ShouldNotBeNil)
+		So(rejection.Reason, ShouldEqual, RejectedWait)
+		rollout := item(201, moment)
+		rollout.Interactive = false
+		So(q.Push(moment, rollout), ShouldBeNil)
+	})
+	Convey("What was refused by an engine as full goes before later arrivals and is charged once", t, func() {
+		q := NewQueue(limits)
+		So(q.Push(now, item(1, now)), ShouldBeNil)
+		again := item(2, now)
+		again.Readmitted = true
+		So(q.Push(now, again), ShouldBeNil)
+		var order []uint64
+		q.Scan(now, func(offered *Item) Verdict {
+			order = append(order, offered.ID)
+			return Take
+		})
+		So(order, ShouldResemble, []uint64{2, 1})
+	})
+	Convey("Shed drops the oldest interactive requests up to the first that is kept, and no rollout", t, func() {
+		q := NewQueue(limits)
+		for id := range uint64(4) {
+			So(q.Push(now, item(id, now.Add(time.Duration(id)*time.Second))), ShouldBeNil)
+		}
+		rollout := item(9, now)
+		rollout.Interactive = false
+		So(q.Push(now, rollout), ShouldBeNil)
+		q.Shed(func(offered *Item) bool { return offered.Overdue(now.Add(3500 * time.Millisecond)) })
+		So(q.Len(true), ShouldEqual, 2)
+		So(q.Len(false), ShouldEqual, 1)
+	})
+	Convey("A request that may have run is neither late nor overdue", t, func() {
+		started := item(1, now)
+		started.Started = true
+		So(started.Late(now.Add(time.Hour)), ShouldBeFalse)
+		So(started.Overdue(now.Add(time.Hour)), ShouldBeFalse)
+	})
+}
