--- a/internal/lab/sim/overload_test.go
+++ b/internal/lab/sim/overload_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	. "github.com/smartystreets/goconvey/convey"
+
 	v1 "github.com/covelink/covelink/api/v1"
 )
 
@@ -12,6 +14,10 @@
 // they do nothing else: 96 sequences of 1.3 seconds.
 const overloadCapacity = 74
 
+// overloadLatencyFactor bounds the 99th percentile of completed interactive requests under overload, by that at 0.3 times the
+// capacity.
+const overloadLatencyFactor = 2.5
+
 // overloadSeeds is the number of runs that a figure is the mean of.
 const overloadSeeds = 5
 
@@ -38,6 +44,31 @@
 	return s
 }
 
+func TestOverloadIsRefusedEarly(t *testing.T) {
+	Convey("At twice and ten times what the engines complete, before any number of nodes", t, func() {
+		idle, err := Run(overloadScenario(9, 0.3))
+		So(err, ShouldBeNil)
+		So(idle.Interactive.NotRun+idle.Interactive.Unknown, ShouldEqual, 0)
+		for _, times := range []float64{2, 10} {
+			for _, nodes := range []int{3, 9, 36} {
+				result, err := Run(overloadScenario(nodes, times))
+				So(err, ShouldBeNil)
+				So(result.Report.Kept(), ShouldBeTrue)
+				sum := &result.Interactive
+				// What was started ends, at a latency within a factor of that under light load; the rest is not run.
+				So(sum.Unknown, ShouldBeLessThanOrEqualTo, sum.Completed/100)
+				So(sum.Completed, ShouldBeGreaterThan, 1200)
+				So(sum.NotRun, ShouldBeGreaterThan, 1000)
+				So(sum.Latency.P99, ShouldBeLessThan, time.Duration(overloadLatencyFactor*float64(idle.Interactive.Latency.P99)))
+				So(2*refusedEarly(result), ShouldBeGreaterThan, sum.NotRun)
+				// Rollouts wait for the interactive requests and then go on.
+				So(result.Trainers[0].Batches, ShouldEqual, 6)
+				So(result.Finished, ShouldBeTrue)
+			}
+		}
+	})
+}
+
 // BenchmarkOverload measures in virtual time what becomes of requests, and how long a trainer idles, by the number of nodes
 // and the multiple of the engines' capacity that is asked for.
 func BenchmarkOverload(b *testing.B) {
--- a/internal/scheduler/patience.go
+++ b/internal/scheduler/patience.go
@@ -6,7 +6,7 @@
 // its caller gives it, and at least minPatience. It keeps the latency of what is admitted near that of an idle system while
 // more is asked for.
 const (
-	patienceFactor   = 0.5
+	patienceFactor   = 1.0
 	patienceDeadline = 0.125
 	minPatience      = 500 * time.Millisecond
 	// overdueFactor is how much longer than admission allows a request may in fact wait before it is refused.
