--- a/internal/lab/sim/overload_test.go
+++ b/internal/lab/sim/overload_test.go
@@ -76,18 +76,34 @@
 		for _, nodes := range []int{3, 9, 36} {
 			b.Run(fmt.Sprintf("load=%v/nodes=%d", times, nodes), func(b *testing.B) {
 				for b.Loop() {
-					report(b, nodes, times)
+					report(b, func() Scenario { return overloadScenario(nodes, times) })
 				}
 			})
 		}
 	}
 }
 
+// BenchmarkZoneLoss measures the same while one of three zones is lost for 20 seconds, under half of the load that all
+// engines complete.
+func BenchmarkZoneLoss(b *testing.B) {
+	for _, nodes := range []int{3, 9, 36} {
+		b.Run(fmt.Sprintf("zone-loss/nodes=%d", nodes), func(b *testing.B) {
+			for b.Loop() {
+				report(b, func() Scenario {
+					scenario := overloadScenario(nodes, 0.5)
+					scenario.Faults = []Fault{{Kind: FaultZoneLoss, Target: "b", At: 10 * time.Second, For: 20 * time.Second}}
+					return scenario
+				})
+			}
+		})
+	}
+}
+
 // report measures the mean over the seeds.
-func report(b *testing.B, nodes int, times float64) {
+func report(b *testing.B, compose func() Scenario) {
 	sums := make(map[string]float64)
 	for seed := range uint64(overloadSeeds) {
-		scenario := overloadScenario(nodes, times)
+		scenario := compose()
 		scenario.Seed = seed + 1
 		result, err := Run(scenario)
 		if err != nil {
@@ -107,17 +123,24 @@
 
 func overloadFigures(result *Result) map[string]float64 {
 	sum := &result.Interactive
+	attempts, most := 0, 0
+	for _, request := range result.Requests {
+		attempts += request.Attempts
+		most = max(most, request.Attempts)
+	}
 	return map[string]float64{
-		"completed":   float64(sum.Completed),
-		"not_run":     float64(sum.NotRun),
-		"unknown":     float64(sum.Unknown),
-		"early":       float64(refusedEarly(result)),
-		"p50_ms":      float64(sum.Latency.P50.Milliseconds()),
-		"p99_ms":      float64(sum.Latency.P99.Milliseconds()),
-		"idle_s":      result.Trainers[0].Idle.Seconds(),
-		"wall_s":      result.Trainers[0].Wall.Seconds(),
-		"attempts":    float64(result.Attempts),
-		"least_share": leastShare(result),
+		"attempts_per_request": float64(attempts) / float64(len(result.Requests)),
+		"most_attempts":        float64(most),
+		"completed":            float64(sum.Completed),
+		"not_run":              float64(sum.NotRun),
+		"unknown":              float64(sum.Unknown),
+		"early":                float64(refusedEarly(result)),
+		"p50_ms":               float64(sum.Latency.P50.Milliseconds()),
+		"p99_ms":               float64(sum.Latency.P99.Milliseconds()),
+		"idle_s":               result.Trainers[0].Idle.Seconds(),
+		"wall_s":               result.Trainers[0].Wall.Seconds(),
+		"attempts":             float64(result.Attempts),
+		"least_share":          leastShare(result),
 	}
 }
 
