--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -44,10 +44,12 @@
 			demoCommand(streams),
 			upCommand(streams),
 			controlCommand(streams),
+			scaleCommand(streams),
 			configFaultsCommand(streams),
 			plannedStopsCommand(streams),
 			compareCommand(streams),
 			soakCommand(streams),
+			surviveCommand(streams),
 		},
 	}
 	root.Commands = append(root.Commands, traceCommands(streams)...)
--- a/internal/lab/controlsim/sim_test.go
+++ b/internal/lab/controlsim/sim_test.go
@@ -10,10 +10,10 @@
 	"github.com/covelink/covelink/internal/lab/trace"
 )
 
-// header declares three zones in one region, with two nodes each, and one in another region.
+// header declares three zones in one region, and one in another region.
 func header(until string) string {
 	return `{"type":"trace","format":1,"name":"control","seed":3,"until":"` + until + `",` +
-		`"zones":[{"name":"a","region":"r","nodes":2},{"name":"b","region":"r","nodes":2},{"name":"c","region":"r","nodes":1},{"name":"d","region":"far","nodes":1}],` +
+		`"zones":[{"name":"a","region":"r","nodes":3},{"name":"b","region":"r","nodes":3},{"name":"c","region":"r","nodes":1},{"name":"d","region":"far","nodes":1}],` +
 		`"latency":{"zone":"1ms","region":"20ms","client":"1ms"},` +
 		`"pools":[{"name":"lm","permitted":["a","b"],"engines":{"a":1}},{"name":"wide","permitted":["a","d"],"engines":{"a":1}}]}`
 }
@@ -91,6 +91,17 @@
 	})
 }
 
+func TestTwoVoters(t *testing.T) {
+	Convey("A zone of two nodes keeps a coordinator while one is dead, by the vote of a witness in another zone", t, func() {
+		two := strings.Replace(header("60s"), `"name":"b","region":"r","nodes":3`, `"name":"b","region":"r","nodes":2`, 1)
+		outcome, _ := run(two, `{"type":"fault","at":"5s","fault":"node-crash","target":"b-node-2","for":"20s"}`,
+			writeLine("during", "15s", "b", "lm", `"a"`), writeLine("after", "40s", "b", "lm", `"a","b"`))
+		So(outcome.Violations, ShouldBeEmpty)
+		So(outcome.Writes["during"].Result, ShouldEqual, trace.ResultAccepted)
+		So(outcome.Writes["after"].Result, ShouldEqual, trace.ResultAccepted)
+	})
+}
+
 func TestChecksNoticeABrokenGuard(t *testing.T) {
 	Convey("A node that serves without a lease is caught serving by an older revision", t, func() {
 		read, err := trace.Parse("t", strings.NewReader(strings.Join([]string{header("40s"),
--- a/internal/lab/replay/replay_test.go
+++ b/internal/lab/replay/replay_test.go
@@ -204,10 +204,23 @@
 	})
 }
 
+// smallStaleTrace needs the staleness bound: the trainer moves on twice while its samples are produced.
+const smallStaleTrace = `{"type":"trace","format":1,"name":"small","seed":1,"until":"2m","zones":[{"name":"a","region":"r","nodes":1},{"name":"b","region":"r","nodes":1}],"latency":{"zone":"1ms","client":"1ms"},"pools":[{"name":"lm","permitted":["a","b"],"engines":{"a":1,"b":1}},{"name":"desk","permitted":["a"],"engines":{"a":1}}],"trainers":[{"name":"t","pool":"lm","zone":"a","stalenessBound":0}],"applications":[{"name":"app","pools":["desk"]}],"engine":{"stepBase":"25ms","loadTime":"1s"}}
+{"type":"batch","at":"0s","trainer":"t","name":"one","samples":48,"maxTokens":256}
+{"type":"request","at":"1s","id":"q","application":"app","pool":"desk","zone":"a","maxTokens":8}
+{"type":"publish","at":"1s","trainer":"t","version":2}
+{"type":"fault","at":"1.5s","fault":"engine-restart","target":"desk-a-001"}
+{"type":"publish","at":"3s","trainer":"t","version":3}
+{"type":"fault","at":"4s","fault":"owner-crash","target":"t"}
+{"type":"expect","promise":"all"}
+{"type":"expect","request":"q","attempts":{"max":9}}
+`
+
 func TestShrink(t *testing.T) {
 	Convey("A failing trace becomes a small one that fails alike", t, func() {
 		broken := options{change: func(s *sim.Scenario) { s.Policy.NoBound = true }}
-		read := readTestTrace("moreton-stale-and-owner-gone")
+		read, err := trace.Parse("small", strings.NewReader(smallStaleTrace))
+		So(err, ShouldBeNil)
 		smaller, err := shrinkWith(read, broken)
 		So(err, ShouldBeNil)
 		So(len(smaller.Events), ShouldBeLessThan, len(read.Events))
