configsync: look for another zone's coordinator only to tell it something

Cause: each tick looked up the coordinators of all other zones, which cost a query each a lease length. Change: only those are looked up that are to be told or asked. The first exchange after a quiet time may wait a tick, 250 ms by default, longer. The benchmark counts 20 s after 55 s, when the last candidate has had its turn and every connection knows its types.

--- a/internal/configsync/disseminate.go
+++ b/internal/configsync/disseminate.go
@@ -40,10 +40,8 @@
 		}
 		m.start(ctx, t, node.Address, func(ctx context.Context) error { return m.push(ctx, t, node, state) })
 	}
-	for zone, coordinator := range m.otherCoordinators() {
-		if !t.spread.Untold(zone, state.Sequence) {
-			continue
-		}
+	untold := func(zone string) bool { return t.spread.Untold(zone, state.Sequence) }
+	for zone, coordinator := range m.otherCoordinators(untold) {
 		m.start(ctx, t, coordinator.Address, func(ctx context.Context) error {
 			return m.exchange(ctx, t, zone, coordinator, state)
 		})
@@ -61,10 +59,9 @@
 			m.start(ctx, t, node.Address, func(ctx context.Context) error { return m.adoptFrom(ctx, node) })
 		}
 	}
-	for zone, coordinator := range m.otherCoordinators() {
-		if t.spread.ZoneAhead(zone, revision) {
-			m.start(ctx, t, coordinator.Address, func(ctx context.Context) error { return m.adoptFrom(ctx, coordinator) })
-		}
+	ahead := func(zone string) bool { return t.spread.ZoneAhead(zone, revision) }
+	for _, coordinator := range m.otherCoordinators(ahead) {
+		m.start(ctx, t, coordinator.Address, func(ctx context.Context) error { return m.adoptFrom(ctx, coordinator) })
 	}
 }
 
--- a/internal/configsync/heartbeat_test.go
+++ b/internal/configsync/heartbeat_test.go
@@ -68,6 +68,8 @@
 		}
 		Convey("a digest that it has not heard is asked for in full and changes nothing", func() {
 			So(serve(heartbeatRequest{Digest: said.digest()}).Repeat, ShouldBeTrue)
+			coordinator.mu.Lock()
+			defer coordinator.mu.Unlock()
 			So(coordinator.term.heartbeats, ShouldNotContainKey, "a9")
 		})
 		Convey("a digest that it has heard stands for the heartbeat, until another one comes", func() {
--- a/internal/configsync/term.go
+++ b/internal/configsync/term.go
@@ -217,7 +217,7 @@
 			targets = append(targets, node)
 		}
 	}
-	coordinators := m.otherCoordinators()
+	coordinators := m.otherCoordinators(func(string) bool { return true })
 	complete = len(coordinators) == len(m.otherZones()) && len(m.departedNames()) == 0
 	return append(targets, slices.Collect(maps.Values(coordinators))...), complete
 }
@@ -240,10 +240,14 @@
 	return names
 }
 
-// otherCoordinators returns the believed coordinator of every other zone, by zone.
-func (m *Manager) otherCoordinators() map[string]cluster.Node {
+// otherCoordinators returns the believed coordinators of the other zones that are wanted, by zone. Looking for one may cost
+// messages.
+func (m *Manager) otherCoordinators(wanted func(zone string) bool) map[string]cluster.Node {
 	coordinators := make(map[string]cluster.Node)
 	for zone := range m.otherZones() {
+		if !wanted(zone) {
+			continue
+		}
 		if holder, ok := m.params.Elector.Holder(leadership.ZoneLease(zone)); ok {
 			coordinators[zone] = holder
 		}
--- a/internal/configsync/traffic_bench_test.go
+++ b/internal/configsync/traffic_bench_test.go
@@ -23,11 +23,12 @@
 )
 
 const (
-	trafficNodes   = 44
-	trafficSeeds   = 5
-	trafficZones   = 8
-	trafficWarmUp  = 8 * time.Second
-	trafficSeconds = 15
+	trafficNodes = 44
+	trafficSeeds = 5
+	trafficZones = 8
+	// trafficWarmUp is longer than the turn of the last candidate, so that every connection is open and has its types.
+	trafficWarmUp  = 55 * time.Second
+	trafficSeconds = 20
 	trafficTrainer = "measured"
 )
 
