leadership: a heartbeat's answer confirms or doubts the holder

Cause: with their coordinator answering, nodes still asked a voter for it each lease length. Change: Witness, which the elector implements: a grant under the term's token keeps the holder believed in for a lease length more, a failed heartbeat makes the next look ask the voters.

--- a/internal/configsync/manager.go
+++ b/internal/configsync/manager.go
@@ -182,6 +182,7 @@
 	defer cancel()
 	sentAt := m.now()
 	grant, err := m.askGrant(ctx, holder)
+	m.witness(grant, err)
 	if err != nil {
 		level.Debug(m.logger).Log("msg", "heartbeat failed", "coordinator", holder.Name, "err", err)
 		return HeartbeatFailed.Pause(m.params.Timing)
@@ -199,6 +200,18 @@
 	return HeartbeatPending.Pause(m.params.Timing)
 }
 
+// witness tells the elector what the answer to a heartbeat says of the coordinator.
+func (m *Manager) witness(grant Grant, err error) {
+	witness, ok := m.params.Elector.(leadership.Witness)
+	switch {
+	case !ok:
+	case err != nil:
+		witness.Doubt(leadership.ZoneLease(m.self.Zone))
+	default:
+		witness.Confirm(leadership.ZoneLease(m.self.Zone), grant.Version.Token)
+	}
+}
+
 func (m *Manager) askGrant(ctx context.Context, holder cluster.Node) (Grant, error) {
 	m.mu.Lock()
 	said := heartbeat{Node: m.self, Report: m.reportLocked()}
--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -56,7 +56,10 @@
 	introductions introductions
 }
 
-var _ Elector = (*LeaseElector)(nil)
+var (
+	_ Elector = (*LeaseElector)(nil)
+	_ Witness = (*LeaseElector)(nil)
+)
 
 // New returns an elector that votes once Register's server serves and campaigns while Run runs.
 func New(params Params) *LeaseElector {
--- a/internal/leadership/hint.go
+++ b/internal/leadership/hint.go
@@ -86,6 +86,24 @@
 	return known
 }
 
+// Confirm implements Witness: the holder heard of under the token is believed in for another lease length.
+func (e *LeaseElector) Confirm(name string, token uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if known := e.hint(name); known.holder != "" && known.token == lease.Token(token) {
+		known.until = max(known.until, e.now().Monotonic+e.params.Timing.LeaseLength)
+		known.heardOf = true
+	}
+}
+
+// Doubt implements Witness: the next look for the holder asks the voters.
+func (e *LeaseElector) Doubt(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.hint(name)
+	known.until = min(known.until, e.now().Monotonic)
+}
+
 // query asks for the holder after the grant heard of has ended: one voter at first, each in turn, then, when that one has told
 // of no grant that goes on, all of them, unless they were asked a moment ago. The lock is held.
 func (e *LeaseElector) query(g *group, now lease.Instant, name string, known *hint) {
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -29,3 +29,11 @@
 	// campaign starts after lead has returned.
 	Campaign(ctx context.Context, name string, zones []string, lead func(ctx context.Context, term Term))
 }
+
+// Witness is an Elector that takes in what its user learns of a holder, so that the voters need not be asked.
+type Witness interface {
+	// Confirm tells that the holder has just acted under the token.
+	Confirm(name string, token uint64)
+	// Doubt tells that the holder believed in has not answered, or not as the holder.
+	Doubt(name string)
+}
