--- a/internal/configsync/term.go
+++ b/internal/configsync/term.go
@@ -21,16 +21,19 @@
 	core *Coordinator
 	wake chan struct{}
 	// nodes are the zone's nodes that have sent a heartbeat.
-	nodes  map[string]cluster.Node
-	spread *Spread
-	calls  sync.WaitGroup
+	nodes map[string]cluster.Node
+	// heartbeats are the last ones of the zone's nodes.
+	heartbeats map[string]heartbeat
+	spread     *Spread
+	calls      sync.WaitGroup
 }
 
 func (t *term) wakeUp() { notify(t.wake) }
 
-func (t *term) noteNode(request heartbeatRequest) {
-	t.nodes[request.Node.Name] = request.Node
-	t.spread.Holds(request.Node.Name, request.Report.Applied)
+func (t *term) noteNode(said heartbeat) {
+	t.nodes[said.Node.Name] = said.Node
+	t.heartbeats[said.Node.Name] = said
+	t.spread.Holds(said.Node.Name, said.Report.Applied)
 }
 
 // checkFence tells whoever gave the term that a node has seen a higher token: it would refuse every state of this term.
@@ -66,11 +69,13 @@
 		core.SetEngines(m.engines, now)
 	}
 	m.term = &term{
-		held:   held,
-		core:   core,
-		wake:   make(chan struct{}, 1),
-		nodes:  make(map[string]cluster.Node),
-		spread: NewSpread(),
+		held:  held,
+		core:  core,
+		wake:  make(chan struct{}, 1),
+		nodes: make(map[string]cluster.Node),
+
+		heartbeats: make(map[string]heartbeat),
+		spread:     NewSpread(),
 	}
 	notify(m.wakeNode)
 	return m.term
@@ -212,7 +217,7 @@
 			targets = append(targets, node)
 		}
 	}
-	coordinators := m.otherCoordinators()
+	coordinators := m.otherCoordinators(func(string) bool { return true })
 	complete = len(coordinators) == len(m.otherZones()) && len(m.departedNames()) == 0
 	return append(targets, slices.Collect(maps.Values(coordinators))...), complete
 }
@@ -235,10 +240,14 @@
 	return names
 }
 
-// otherCoordinators returns the believed coordinator of every other zone, by zone.
-func (m *Manager) otherCoordinators() map[string]cluster.Node {
+// otherCoordinators returns the believed coordinators of the other zones that are wanted, by zone. Looking for one may cost
+// messages.
+func (m *Manager) otherCoordinators(wanted func(zone string) bool) map[string]cluster.Node {
 	coordinators := make(map[string]cluster.Node)
 	for zone := range m.otherZones() {
+		if !wanted(zone) {
+			continue
+		}
 		if holder, ok := m.params.Elector.Holder(leadership.ZoneLease(zone)); ok {
 			coordinators[zone] = holder
 		}
