--- a/internal/rollout/attempts.go
+++ b/internal/rollout/attempts.go
@@ -119,7 +119,7 @@
 		Repeatable: true, Rank: o.waiting.order(id.Batch), ExpectedTokens: expected,
 	}
 	if order > 0 {
-		task.ExpectedTokens = min(max(order, expected), task.MaxTokens)
+		task.ExpectedTokens = min(order, task.MaxTokens)
 	}
 	if first != nil && first.engine != "" {
 		task.AvoidEngines = []string{first.engine}
@@ -127,7 +127,7 @@
 	o.attempts[id] = append(o.attempts[id], a)
 	o.inFlight++
 	o.unbegun++
-	o.predictor.observeRunning(request.Group)
+	o.predictor.observeRunning(request.Group, len(prefix.Tokens))
 	o.actions = append(o.actions, Start{Identity: id, Attempt: a.number, Task: task})
 }
 
@@ -198,7 +198,7 @@
 	}
 	a.told = now
 	a.take(progress)
-	o.predictor.observeRunning(o.request(id).Group)
+	o.predictor.observeRunning(o.request(id).Group, len(a.tokens))
 	if !o.fresh(a.segments) {
 		o.cancelStale(now, id)
 		return
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -30,50 +30,14 @@
 		return func(Identity) int { return 0 }
 	}
 	type batchGroup struct{ batch, group string }
-	expected := o.expectations()
 	probed := make(map[batchGroup]bool)
 	return func(id Identity) int {
 		group := o.request(id).Group
 		key := batchGroup{id.Batch, group}
 		if group == "" || o.predictor.tried(group) || probed[key] {
-			return expected(group, o.tokenLimit(id))
+			return o.predictor.atLeast(group, o.tokenLimit(id))
 		}
 		probed[key] = true
 		return math.MaxInt
 	}
 }
-
-// expectations returns the function that gives the expected tokens of one more answer of a group. It works out each once.
-func (o *Owner) expectations() func(group string, limit int) int {
-	type groupLimit struct {
-		group string
-		limit int
-	}
-	var running map[string][]int
-	known := make(map[groupLimit]int)
-	return func(group string, limit int) int {
-		key := groupLimit{group, limit}
-		if tokens, ok := known[key]; ok {
-			return tokens
-		}
-		if running == nil {
-			running = o.runningTokens()
-		}
-		known[key] = o.predictor.another(group, running[group], limit)
-		return known[key]
-	}
-}
-
-// runningTokens returns, by group, the tokens of each running sample so far.
-func (o *Owner) runningTokens() map[string][]int {
-	running := make(map[string][]int)
-	for _, id := range o.running() {
-		most := 0
-		for _, a := range o.attempts[id] {
-			most = max(most, len(a.tokens))
-		}
-		group := o.request(id).Group
-		running[group] = append(running[group], most)
-	}
-	return running
-}
--- a/internal/rollout/predictor.go
+++ b/internal/rollout/predictor.go
@@ -9,6 +9,8 @@
 const (
 	// predictorGain is the weight of a new observation in every moving average.
 	predictorGain = 0.2
+	// runningFactor is how much longer than the longest running attempt an answer is expected to be.
+	runningFactor = 1.5
 	// defaultTokensPerSecond holds until the first attempt has finished.
 	defaultTokensPerSecond = 50
 	// maxGroups bounds the prompt groups remembered: those of sixteen batches with 1,024 groups each. A group that is
@@ -41,7 +43,8 @@
 type promptGroup struct {
 	name    string
 	lengths average
-	logs    logSum
+	// running is the number of tokens of the longest attempt so far.
+	running int
 }
 
 // predictor forecasts the length of answers by prompt group, the speed of generation and the time between the trainer's
@@ -51,7 +54,6 @@
 	groups map[string]*list.Element
 	// recent holds the groups, each a *promptGroup, the one observed last in front.
 	recent   *list.List
-	model    lengthModel
 	overall  average
 	speed    average // tokens a second of one attempt
 	interval average // seconds between two versions
@@ -67,11 +69,7 @@
 
 // observeLength notes the length of a finished answer, in tokens.
 func (p *predictor) observeLength(group string, tokens int) {
-	g := p.observed(group)
-	g.lengths.observe(float64(tokens))
-	if group != "" {
-		p.model.observe(&g.logs, tokens)
-	}
+	p.observed(group).lengths.observe(float64(tokens))
 	p.overall.observe(float64(tokens))
 }
 
@@ -99,20 +97,24 @@
 	return g
 }
 
-// observeRunning notes that an attempt of the group runs.
-func (p *predictor) observeRunning(group string) { p.observed(group) }
+// observeRunning notes that an attempt of the group has produced so many tokens and goes on.
+func (p *predictor) observeRunning(group string, tokens int) {
+	g := p.observed(group)
+	g.running = max(g.running, tokens)
+}
 
 // tried reports whether a sample of the group was ever started.
 func (p *predictor) tried(group string) bool { return p.group(group) != nil }
 
-// another returns the expected tokens of one more answer of a group, given the tokens of its running attempts so far: as long as
-// they run, the answers are expected to be longer, whether or not others of the group have finished.
-func (p *predictor) another(group string, running []int, limit int) int {
+// atLeast returns the expected tokens of an answer of the group, by running attempts too: while none has finished, the
+// answers are expected to be longer than the longest so far.
+func (p *predictor) atLeast(group string, limit int) int {
+	expected := p.length(group, limit)
 	g := p.group(group)
-	if g == nil || group == "" {
-		return p.length(group, limit)
+	if g == nil || g.lengths.known {
+		return expected
 	}
-	return p.model.expected(g.logs, running, limit)
+	return min(limit, max(expected, int(runningFactor*float64(g.running))))
 }
 
 // observeSpeed notes that an attempt produced the tokens in the time elapsed.
