--- a/internal/rollout/attempts.go
+++ b/internal/rollout/attempts.go
@@ -64,11 +64,11 @@
 	}
 	o.waiting.sort(now, o.startOrders())
 	for o.inFlight < o.config.MaxInFlight && o.unbegun < o.window() {
-		next, ok := o.waiting.take(now, o.mayStart)
+		id, ok := o.waiting.take(now, o.mayStart)
 		if !ok {
 			break
 		}
-		o.start(now, next.identity, next.expected, nil)
+		o.start(now, id, nil)
 	}
 	o.hedge(now)
 }
@@ -99,9 +99,8 @@
 	return max(allowed, min(o.ledger.Weights().Version, allowed+moves))
 }
 
-// start runs a new attempt; first is the attempt it hedges, if any. order is the key by which the sample came to its turn, or 0:
-// the node's queue gets the same one, so that what waits there is not overtaken by a sample with a lower key.
-func (o *Owner) start(now time.Time, id Identity, order int, first *attempt) {
+// start runs a new attempt; first is the attempt it hedges, if any.
+func (o *Owner) start(now time.Time, id Identity, first *attempt) {
 	request := o.request(id)
 	prefix := o.prefix(id, first)
 	expected := max(o.expectedTokens(id)-len(prefix.Tokens), 1)
@@ -118,9 +117,6 @@
 		MinVersion: o.minVersion(expected), PreferVersion: o.ledger.Version(),
 		Repeatable: true, Rank: o.waiting.order(id.Batch), ExpectedTokens: expected,
 	}
-	if order > 0 {
-		task.ExpectedTokens = min(order, task.MaxTokens)
-	}
 	if first != nil && first.engine != "" {
 		task.AvoidEngines = []string{first.engine}
 	}
--- a/internal/rollout/hedge.go
+++ b/internal/rollout/hedge.go
@@ -17,7 +17,7 @@
 			continue
 		}
 		first.hedged = true
-		o.start(now, id, 0, first)
+		o.start(now, id, first)
 	}
 }
 
--- a/internal/rollout/waiting.go
+++ b/internal/rollout/waiting.go
@@ -57,8 +57,8 @@
 	})
 }
 
-// take removes and returns the first item that may start now, passing over the batches that may not.
-func (w *waitingList) take(now time.Time, mayStart func(batch string) bool) (waitingItem, bool) {
+// take removes and returns the first identity that may start now, passing over the batches that may not.
+func (w *waitingList) take(now time.Time, mayStart func(batch string) bool) (Identity, bool) {
 	batch, allowed := "", false
 	for index, item := range w.items {
 		if item.identity.Batch != batch {
@@ -70,9 +70,9 @@
 		}
 		w.remove(index)
 		w.counts[item.identity.Batch]--
-		return item, true
+		return item.identity, true
 	}
-	return waitingItem{}, false
+	return Identity{}, false
 }
 
 // order returns the number of a batch in the order of first addition.
