claims, gateway: what the soak found when keepers lose their disks

Found by a soak of 10 minutes (docs/SOAK.md): from its sixth round to its seventeenth no call was completed, all refused as not run.

Cause 1: a call with a key is claimed, also one that its caller states to be repeatable; with two of three keepers' disks lost, no claim can be had for the retention time of 10 minutes. Change: a call with Covelink-Repeatable: true and a key runs without a claim when none can be had. A key without that header still means never a second run, as documented.

Cause 2: an abstaining keeper answered that it was new, also when it had met one that had granted. When all keepers lost their disks in turn within the retention time, they found each other new and granted again, though claims were forgotten. Change: a keeper that meets one that is not new keeps that in its file and says so.

lab/soak: a round in which callers sent requests and none was completed fails the soak; before, the verdict looked at promises and leaks only and called that run passed.

--- a/internal/claims/keeper.go
+++ b/internal/claims/keeper.go
@@ -29,6 +29,8 @@
 	started  time.Time
 	// opened tells that the table is complete: it holds every claim that this keeper has granted within the retention time.
 	opened bool
+	// used tells that another keeper is not new: claims were granted, which this keeper may have forgotten.
+	used bool
 	// clearedLives are the lives that this keeper found new when it was cleared itself.
 	clearedLives []string
 }
@@ -123,7 +125,7 @@
 func (k *keeper) start(message startMessage) startReply {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return startReply{Life: k.life, New: !k.opened, Cleared: slices.Contains(k.clearedLives, message.Life)}
+	return startReply{Life: k.life, New: !k.opened && !k.used, Cleared: slices.Contains(k.clearedLives, message.Life)}
 }
 
 // tend does what is due: it notes changed homes, forgets what has expired, and ends the time of abstaining.
@@ -158,6 +160,25 @@
 	}
 }
 
+// noteUsed takes note that another keeper is not new, so that this one is not taken for new either, should the others lose
+// their tables in turn. It reports whether that is news.
+func (k *keeper) noteUsed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.used {
+		return false
+	}
+	k.used = true
+	k.persist(write{used: true})
+	return true
+}
+
+func (k *keeper) isUsed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.used
+}
+
 func (k *keeper) isOpen() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -230,7 +251,7 @@
 
 // persist hands a write to the file, behind all earlier ones. Holds the lock, which gives the order.
 func (k *keeper) persist(w write) <-chan error {
-	if k.store == nil || (len(w.changes) == 0 && w.history == nil && !w.opened) {
+	if k.store == nil || (len(w.changes) == 0 && w.history == nil && !w.opened && !w.used) {
 		return nil
 	}
 	return k.store.enqueue(w)
--- a/internal/claims/manager.go
+++ b/internal/claims/manager.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k.store, k.opened, k.history = opened, content.opened, content.history
+	k.store, k.opened, k.used, k.history = opened, content.opened, content.used, content.history
 	for _, c := range content.changes {
 		k.register.restore(c)
 	}
@@ -230,7 +230,8 @@
 }
 
 // firstStart opens the keeper when every keeper of its homes is found new: then nothing was granted that it could have
-// forgotten. It also does so when another keeper found that before and saw this life.
+// forgotten. It also does so when another keeper found that before and saw this life. A keeper that finds another one that
+// is not new remembers it: keepers that lose their disks one after the other are never all taken for new.
 func (m *Manager) firstStart(ctx context.Context) {
 	if m.keeper.isOpen() {
 		return
@@ -241,21 +242,40 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startInterval)
 	defer cancel()
-	lives := make([]string, 0, len(others))
+	found := survey{new: true}
 	for reply := range askAll(ctx, others, m.askStart) {
-		switch {
-		case reply.err != nil:
-			return
-		case reply.value.Cleared:
-			m.keeper.clear(nil)
-			return
-		case !reply.value.New:
-			return
+		found.add(reply)
+	}
+	switch {
+	case found.cleared:
+		m.keeper.clear(nil)
+	case found.used:
+		if m.keeper.noteUsed() {
+			level.Info(m.params.Logger).Log("msg", "claims were granted before this keeper started, it abstains")
 		}
-		lives = append(lives, reply.value.Life)
+	case found.new:
+		m.keeper.clear(found.lives)
+		level.Info(m.params.Logger).Log("msg", "every keeper is new, claims are granted", "keepers", len(others)+1)
+	}
+}
+
+// survey is what a starting keeper hears from the others.
+type survey struct {
+	// cleared: another keeper found this one new. used: another one is not new. new: all answered that they are.
+	cleared, used, new bool
+	lives              []string
+}
+
+func (s *survey) add(reply answerOf[startReply]) {
+	switch {
+	case reply.err != nil:
+		s.new = false
+	case reply.value.Cleared:
+		s.cleared = true
+	case !reply.value.New:
+		s.used, s.new = true, false
 	}
-	m.keeper.clear(lives)
-	level.Info(m.params.Logger).Log("msg", "every keeper is new, claims are granted", "keepers", len(others)+1)
+	s.lives = append(s.lives, reply.value.Life)
 }
 
 func (m *Manager) askStart(ctx context.Context, node cluster.Node) (startReply, error) {
--- a/internal/claims/manager_test.go
+++ b/internal/claims/manager_test.go
@@ -246,6 +246,25 @@
 		c.clock.advance(testRetention)
 		c.eventually("it grants after the retention time", c.members[1].manager.keeper.isOpen)
 	})
+	Convey("Keepers that lose their disks one after the other are never all taken for new", t, func() {
+		c := newCluster(t, threeZones, true).open()
+		c.mustClaim(0, requestOf("k"))
+		for index := range c.members {
+			c.members[index].stop()
+			So(os.Remove(filepath.Join(c.members[index].dataDir, storeFile)), ShouldBeNil)
+			c.start(index)
+			c.eventually("it knows that it is not new", func() bool {
+				c.members[index].manager.firstStart(context.Background())
+				return c.members[index].manager.keeper.isUsed()
+			})
+		}
+		for index := range c.members {
+			_, err := c.claimAt(index, requestOf("k"))
+			So(refusalOf(err).Message, ShouldContainSubstring, "abstain")
+		}
+		c.restart(0)
+		So(c.members[0].manager.keeper.isUsed(), ShouldBeTrue)
+	})
 	Convey("A single node with a disk grants from the start, one without waits", t, func() {
 		withDisk := newCluster(t, threeZones[:1], true).open()
 		withDisk.mustClaim(0, requestOf("k"))
--- a/internal/claims/store.go
+++ b/internal/claims/store.go
@@ -36,6 +36,7 @@
 
 	keyFormat  = []byte("format")
 	keyOpened  = []byte("opened")
+	keyUsed    = []byte("used")
 	keyHistory = []byte("homes")
 
 	allBuckets = [][]byte{bucketMeta, bucketRecords, bucketTombstones}
@@ -64,6 +65,8 @@
 	history homeHistory
 	// opened tells that the keeper has once been cleared to grant, so that the table is complete.
 	opened bool
+	// used tells that another keeper was found that is not new.
+	used bool
 }
 
 // store keeps a Register in a file. Writes are committed in the order of enqueue, many to one sync.
@@ -83,6 +86,7 @@
 	changes []change
 	history homeHistory
 	opened  bool
+	used    bool
 	result  chan error // buffered, receives exactly once
 }
 
@@ -152,6 +156,7 @@
 		return ErrFormat
 	}
 	content.opened = meta.Get(keyOpened) != nil
+	content.used = meta.Get(keyUsed) != nil
 	if history := meta.Get(keyHistory); history != nil {
 		return unseal(history, &content.history)
 	}
@@ -256,6 +261,11 @@
 			return err
 		}
 	}
+	if w.used {
+		if err := meta.Put(keyUsed, []byte{1}); err != nil {
+			return err
+		}
+	}
 	if w.history == nil {
 		return nil
 	}
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -164,7 +164,8 @@
 	serveStream(c, log, log.clampToEnd(number))
 }
 
-// execute runs the call, under a claim if it needs one. Exactly one of its results is nil.
+// execute runs the call, under a claim if it needs one. A call with a key that its caller states to be repeatable runs
+// without a claim when none can be had. Exactly one of the results is nil.
 func (g *Gateway) execute(ctx context.Context, call *completionCall, progress func(dispatch.Progress) error) (*StoredAnswer, *v1.Error) {
 	if call.claim == nil {
 		return g.dispatch(ctx, call, progress)
@@ -172,6 +173,10 @@
 	result, err := g.params.Claims.Claim(ctx, *call.claim)
 	if err != nil {
 		g.finishClaim(ctx, call, StoredOutcome{Outcome: v1.OutcomeNotRun})
+		if call.mayRunUnclaimed {
+			call.claim = nil
+			return g.dispatch(ctx, call, progress)
+		}
 		return nil, claimFailure(err)
 	}
 	if result.State != ClaimGranted {
--- a/internal/gateway/completion_call.go
+++ b/internal/gateway/completion_call.go
@@ -19,6 +19,7 @@
 const (
 	headerIdempotencyKey = "Idempotency-Key"
 	headerRepeatable     = "Covelink-Repeatable"
+	repeatableTrue       = "true"
 	headerTimeout        = "Covelink-Timeout"
 )
 
@@ -37,9 +38,11 @@
 	// idempotencyKey may be empty.
 	idempotencyKey string
 	// claim is nil for a call that may be run again after an unknown outcome.
-	claim    *ClaimRequest
-	deadline time.Time
-	shape    answerShape
+	claim *ClaimRequest
+	// mayRunUnclaimed is true for a call with a key whose caller states that it may run more than once.
+	mayRunUnclaimed bool
+	deadline        time.Time
+	shape           answerShape
 }
 
 // prepare checks everything of a call that can be checked before it takes up a place.
@@ -150,6 +153,7 @@
 	if err != nil {
 		return err
 	}
+	call.mayRunUnclaimed = header.Get(headerRepeatable) == repeatableTrue
 	if g.params.Claims == nil {
 		if !repeatable {
 			return v1.NotRun(v1.CodeUnavailable, noClaimsRetryAfter, "claims are not configured")
@@ -171,7 +175,7 @@
 
 func repeatableOf(header http.Header) (bool, error) {
 	switch header.Get(headerRepeatable) {
-	case "", "true":
+	case "", repeatableTrue:
 		return true, nil
 	case "false":
 		return false, nil
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -217,6 +217,14 @@
 			claims.fail = nil
 			So(keyed(simpleBody).status, ShouldEqual, http.StatusOK)
 		})
+		Convey("a call with a key that is stated to be repeatable runs without a claim when none can be had", func() {
+			claims.fail = context.DeadlineExceeded
+			So(b.complete(simpleBody, "Idempotency-Key", "k").failure().Outcome, ShouldEqual, v1.OutcomeNotRun)
+			So(b.dispatcher.seen(), ShouldBeEmpty)
+			So(b.complete(simpleBody, "Idempotency-Key", "k", "Covelink-Repeatable", "true").status, ShouldEqual, http.StatusOK)
+			So(len(b.dispatcher.seen()), ShouldEqual, 1)
+			So(b.dispatcher.seen()[0].Repeatable, ShouldBeTrue)
+		})
 		Convey("a stream that fails after tokens keeps its claim as unknown", func() {
 			b.dispatcher.script = failsAfterTwo
 			So(keyed(streamBody).body, ShouldContainSubstring, `"outcome":"unknown"`)
--- a/internal/lab/soak/report.go
+++ b/internal/lab/soak/report.go
@@ -36,6 +36,18 @@
 	Loads    []demo.LoadResult
 }
 
+// calls sums what the applications saw in the round.
+func (r Round) calls() load.Report {
+	var sum load.Report
+	for _, result := range r.Loads {
+		sum.Sent += result.Report.Sent
+		sum.Completed += result.Report.Completed
+		sum.NotRun += result.Report.NotRun
+		sum.Unknown += result.Report.Unknown
+	}
+	return sum
+}
+
 // Stop is the planned stop of a node at the end.
 type Stop struct {
 	Node     string
@@ -82,6 +94,9 @@
 		Number: number, Length: length, Struck: struck, Promises: result.Promises,
 		Idle: result.Trainer.Idle, Wall: result.Trainer.Wall, Loads: result.Loads,
 	})
+	if calls := r.Rounds[len(r.Rounds)-1].calls(); calls.Sent > 0 && calls.Completed == 0 {
+		r.Problems = append(r.Problems, fmt.Sprintf("round %d: none of %d calls was completed", number, calls.Sent))
+	}
 	for _, fault := range struck {
 		if fault.Err != nil {
 			r.Problems = append(r.Problems, fmt.Sprintf("round %d: %s of %s: %v", number, fault.Kind, fault.Target, fault.Err))
@@ -170,12 +185,7 @@
 	w.line("\n## Rounds\n")
 	w.line("| round | length | faults | trainer idle | calls completed | not run | unknown | broken so far |\n|---|---|---|---|---|---|---|---|")
 	for _, round := range r.Rounds {
-		var calls load.Report
-		for _, result := range round.Loads {
-			calls.Completed += result.Report.Completed
-			calls.NotRun += result.Report.NotRun
-			calls.Unknown += result.Report.Unknown
-		}
+		calls := round.calls()
 		w.line("| %d | %s | %d | %s | %d | %d | %d | %d |", round.Number, round.Length.Round(time.Second), len(round.Struck),
 			round.Idle.Round(100*time.Millisecond), calls.Completed, calls.NotRun, calls.Unknown, len(round.Promises.Violations))
 	}
--- a/internal/lab/soak/report_test.go
+++ b/internal/lab/soak/report_test.go
@@ -7,7 +7,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/covelink/covelink/internal/lab/demo"
 	"github.com/covelink/covelink/internal/lab/invariant"
+	"github.com/covelink/covelink/internal/lab/load"
 )
 
 func goodReport() *Report {
@@ -46,6 +48,14 @@
 			So(name, ShouldNotBeEmpty)
 		}
 	})
+	Convey("A round in which callers got no answer at all fails the soak", t, func() {
+		report := goodReport()
+		var result demo.Result
+		result.Loads = []demo.LoadResult{{Report: load.Report{Sent: 3, NotRun: 3}}}
+		report.addRound(2, 0, nil, result)
+		So(report.Passed(), ShouldBeFalse)
+		So(report.Problems[0], ShouldContainSubstring, "none of 3 calls")
+	})
 	Convey("A soak that could not go on has not passed", t, func() {
 		var text strings.Builder
 		So(goodReport().WriteMarkdown(&text, errors.New("stuck")), ShouldBeNil)
