--- a/internal/lab/scale/weights.go
+++ b/internal/lab/scale/weights.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"time"
 
@@ -72,12 +73,22 @@
 			if err != nil {
 				return err
 			}
-			return service.PutVersion(ctx, trainerName(trainer), stated)
+			return w.state(ctx, service, trainerName(trainer), stated)
 		})
 	}
 	return publishing.Wait()
 }
 
+// state states a version until that succeeds, as a trainer does.
+func (w *world) state(ctx context.Context, service *client.Client, trainer string, version v1.WeightVersion) error {
+	var last error
+	err := await(ctx, "version not stated", func() bool {
+		last = service.PutVersion(ctx, trainer, version)
+		return last == nil
+	})
+	return errors.Join(err, last)
+}
+
 // poolURLs returns the nodes of a pool's zones, by which alone its data may pass.
 func (w *world) poolURLs(pool int) []string {
 	permitted := make(map[string]bool)
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -29,7 +29,9 @@
 	drainTimeout = 10 * time.Second
 	// settleTimeout bounds the wait for a deployment to be whole.
 	settleTimeout = 4 * time.Minute
-	pollInterval  = 50 * time.Millisecond
+	// startGroup is the number of nodes that start at the same time once the voters run.
+	startGroup   = 32
+	pollInterval = 50 * time.Millisecond
 	// callersThrough is the number of nodes that operators are given.
 	callersThrough = 3
 )
@@ -110,12 +112,47 @@
 	return nil
 }
 
-func (w *world) startNodes(ctx context.Context) error {
+// startNodes starts the voters, or the other nodes in groups, each of which is waited for: a deployment is not started at one
+// stroke.
+func (w *world) startNodes(ctx context.Context, voters bool) error {
+	seeds := make(map[string]bool)
+	for _, seed := range w.plan.Nodes[0].Cluster.Seeds {
+		seeds[seed.Name] = true
+	}
+	var chosen []settings.Settings
 	for _, config := range w.plan.Nodes {
+		if seeds[config.Node.Name] == voters {
+			chosen = append(chosen, config)
+		}
+	}
+	for len(chosen) > 0 {
+		size := min(startGroup, len(chosen))
+		if voters {
+			size = len(chosen)
+		}
+		if err := w.startGroup(ctx, chosen[:size], !voters); err != nil {
+			return err
+		}
+		chosen = chosen[size:]
+	}
+	return nil
+}
+
+func (w *world) startGroup(ctx context.Context, group []settings.Settings, wait bool) error {
+	for _, config := range group {
 		if err := w.startNode(ctx, config); err != nil {
 			return err
 		}
 	}
+	if !wait {
+		return nil
+	}
+	for _, config := range group {
+		url := "http://" + config.Listen.HTTP
+		if err := await(ctx, url+" is not ready", func() bool { return w.isReady(ctx, url) }); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
