--- a/internal/lab/cli/scale.go
+++ b/internal/lab/cli/scale.go
@@ -14,7 +14,6 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/covelink/covelink/internal/commandline"
-	"github.com/covelink/covelink/internal/lab/deployment"
 	"github.com/covelink/covelink/internal/lab/scale"
 	"github.com/covelink/covelink/internal/node"
 	"github.com/covelink/covelink/internal/rpc"
@@ -94,7 +93,7 @@
 }
 
 // newScaleNode builds a real node that takes its connections from a listener in memory.
-func newScaleNode(config settings.Settings, logger log.Logger, dial rpc.DialFunc, internal net.Listener) (deployment.Node, error) {
+func newScaleNode(config settings.Settings, logger log.Logger, dial rpc.DialFunc, internal net.Listener) (scale.Node, error) {
 	return node.New(config, logger, node.Options{Dial: dial, Internal: internal})
 }
 
--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -36,9 +36,16 @@
 	callersThrough = 3
 )
 
+// Node is a real node of a run.
+type Node interface {
+	deployment.Node
+	// HTTPAddress returns the host:port that callers use.
+	HTTPAddress() string
+}
+
 // NodeFactory builds a real node that is not started, reaches the other nodes by dial and takes their connections from
 // internal.
-type NodeFactory func(config settings.Settings, logger log.Logger, dial rpc.DialFunc, internal net.Listener) (deployment.Node, error)
+type NodeFactory func(config settings.Settings, logger log.Logger, dial rpc.DialFunc, internal net.Listener) (Node, error)
 
 // world is a deployment in this process: every node is a whole real one; connections between nodes are in memory, those of
 // callers, engines, store and machine list loopback TCP.
@@ -54,7 +61,7 @@
 	weights  *weightstore.Store
 	engines  []*engine.Engine
 	mu       sync.Mutex
-	nodes    map[string]deployment.Node
+	nodes    map[string]Node
 	http     *http.Client
 }
 
@@ -65,7 +72,7 @@
 	}
 	return &world{
 		config: config, newNode: newNode, plan: plan, network: newNetwork(), roles: newRoles(),
-		nodes: make(map[string]deployment.Node),
+		nodes: make(map[string]Node),
 		http:  &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second},
 	}, nil
 }
@@ -99,6 +106,8 @@
 func (w *world) startNode(ctx context.Context, config settings.Settings) error {
 	name := config.Node.Name
 	logger := log.With(w.roles, "node", name)
+	// A port that was free when the run was planned may be taken by now.
+	config.Listen.HTTP = "127.0.0.1:0"
 	started, err := w.newNode(config, logger, w.network.dial(name), w.network.listen(name, config.Listen.Internal))
 	if err != nil {
 		return fmt.Errorf("node %s: %w", name, err)
@@ -109,6 +118,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.nodes[name] = started
+	for i := range w.plan.Nodes {
+		if w.plan.Nodes[i].Node.Name == name {
+			w.plan.Nodes[i].Listen.HTTP = started.HTTPAddress()
+		}
+	}
 	return nil
 }
 
@@ -147,8 +161,14 @@
 	if !wait {
 		return nil
 	}
+	names := make(map[string]bool)
 	for _, config := range group {
-		url := "http://" + config.Listen.HTTP
+		names[config.Node.Name] = true
+	}
+	for i, url := range w.plan.NodeURLs() {
+		if !names[w.plan.Nodes[i].Node.Name] {
+			continue
+		}
 		if err := await(ctx, url+" is not ready", func() bool { return w.isReady(ctx, url) }); err != nil {
 			return err
 		}
