--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -26,6 +26,8 @@
 )
 
 const (
+	// anyPort takes a free port of the loopback interface.
+	anyPort      = "127.0.0.1:0"
 	drainTimeout = 10 * time.Second
 	// settleTimeout bounds the wait for a deployment to be whole.
 	settleTimeout = 4 * time.Minute
@@ -81,16 +83,25 @@
 func (w *world) startPlatform() error {
 	quiet := log.NewNopLogger()
 	w.objects = deployment.NewObjectAPI(w.plan.ObjectAPI, quiet)
-	w.machines = deployment.NewMachines(w.plan.Machines, quiet)
 	var err error
 	if w.weights, err = weightstore.New(w.plan.WeightStore, quiet); err != nil {
 		return err
 	}
-	if err := errors.Join(w.objects.Start(), w.machines.Start(), w.weights.Start()); err != nil {
+	if err := errors.Join(w.objects.Start(), w.weights.Start()); err != nil {
+		return err
+	}
+	if err := w.startEngines(quiet); err != nil {
 		return err
 	}
-	for _, config := range w.plan.Engines {
-		started, err := engine.New(config, quiet)
+	w.machines = deployment.NewMachines(w.plan.Machines, quiet)
+	return w.machines.Start()
+}
+
+// startEngines starts the engines on ports that are free now, and lists them there.
+func (w *world) startEngines(logger log.Logger) error {
+	for i, config := range w.plan.Engines {
+		config.Listen = anyPort
+		started, err := engine.New(config, logger)
 		if err != nil {
 			return err
 		}
@@ -98,6 +109,8 @@
 			return err
 		}
 		w.engines = append(w.engines, started)
+		// The plan lists the engines first, in their order.
+		w.plan.Machines.Machines[i].URL = started.URL()
 	}
 	return nil
 }
@@ -107,7 +120,7 @@
 	name := config.Node.Name
 	logger := log.With(w.roles, "node", name)
 	// A port that was free when the run was planned may be taken by now.
-	config.Listen.HTTP = "127.0.0.1:0"
+	config.Listen.HTTP = anyPort
 	started, err := w.newNode(config, logger, w.network.dial(name), w.network.listen(name, config.Listen.Internal))
 	if err != nil {
 		return fmt.Errorf("node %s: %w", name, err)
