--- a/internal/lab/scale/world.go
+++ b/internal/lab/scale/world.go
@@ -26,17 +26,28 @@
 )
 
 const (
+	// anyPort takes a free port of the loopback interface.
+	anyPort      = "127.0.0.1:0"
 	drainTimeout = 10 * time.Second
 	// settleTimeout bounds the wait for a deployment to be whole.
 	settleTimeout = 4 * time.Minute
-	pollInterval  = 50 * time.Millisecond
+	// startGroup is the number of nodes that start at the same time once the voters run.
+	startGroup   = 32
+	pollInterval = 50 * time.Millisecond
 	// callersThrough is the number of nodes that operators are given.
 	callersThrough = 3
 )
 
+// Node is a real node of a run.
+type Node interface {
+	deployment.Node
+	// HTTPAddress returns the host:port that callers use.
+	HTTPAddress() string
+}
+
 // NodeFactory builds a real node that is not started, reaches the other nodes by dial and takes their connections from
 // internal.
-type NodeFactory func(config settings.Settings, logger log.Logger, dial rpc.DialFunc, internal net.Listener) (deployment.Node, error)
+type NodeFactory func(config settings.Settings, logger log.Logger, dial rpc.DialFunc, internal net.Listener) (Node, error)
 
 // world is a deployment in this process: every node is a whole real one; connections between nodes are in memory, those of
 // callers, engines, store and machine list loopback TCP.
@@ -52,7 +63,7 @@
 	weights  *weightstore.Store
 	engines  []*engine.Engine
 	mu       sync.Mutex
-	nodes    map[string]deployment.Node
+	nodes    map[string]Node
 	http     *http.Client
 }
 
@@ -63,7 +74,7 @@
 	}
 	return &world{
 		config: config, newNode: newNode, plan: plan, network: newNetwork(), roles: newRoles(),
-		nodes: make(map[string]deployment.Node),
+		nodes: make(map[string]Node),
 		http:  &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second},
 	}, nil
 }
@@ -72,16 +83,25 @@
 func (w *world) startPlatform() error {
 	quiet := log.NewNopLogger()
 	w.objects = deployment.NewObjectAPI(w.plan.ObjectAPI, quiet)
-	w.machines = deployment.NewMachines(w.plan.Machines, quiet)
 	var err error
 	if w.weights, err = weightstore.New(w.plan.WeightStore, quiet); err != nil {
 		return err
 	}
-	if err := errors.Join(w.objects.Start(), w.machines.Start(), w.weights.Start()); err != nil {
+	if err := errors.Join(w.objects.Start(), w.weights.Start()); err != nil {
 		return err
 	}
-	for _, config := range w.plan.Engines {
-		started, err := engine.New(config, quiet)
+	if err := w.startEngines(quiet); err != nil {
+		return err
+	}
+	w.machines = deployment.NewMachines(w.plan.Machines, quiet)
+	return w.machines.Start()
+}
+
+// startEngines starts the engines on ports that are free now, and lists them there.
+func (w *world) startEngines(logger log.Logger) error {
+	for i, config := range w.plan.Engines {
+		config.Listen = anyPort
+		started, err := engine.New(config, logger)
 		if err != nil {
 			return err
 		}
@@ -89,6 +109,8 @@
 			return err
 		}
 		w.engines = append(w.engines, started)
+		// The plan lists the engines first, in their order.
+		w.plan.Machines.Machines[i].URL = started.URL()
 	}
 	return nil
 }
@@ -97,6 +119,8 @@
 func (w *world) startNode(ctx context.Context, config settings.Settings) error {
 	name := config.Node.Name
 	logger := log.With(w.roles, "node", name)
+	// A port that was free when the run was planned may be taken by now.
+	config.Listen.HTTP = anyPort
 	started, err := w.newNode(config, logger, w.network.dial(name), w.network.listen(name, config.Listen.Internal))
 	if err != nil {
 		return fmt.Errorf("node %s: %w", name, err)
@@ -107,15 +131,61 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.nodes[name] = started
+	for i := range w.plan.Nodes {
+		if w.plan.Nodes[i].Node.Name == name {
+			w.plan.Nodes[i].Listen.HTTP = started.HTTPAddress()
+		}
+	}
 	return nil
 }
 
-func (w *world) startNodes(ctx context.Context) error {
+// startNodes starts the voters, or the other nodes in groups, each of which is waited for: a deployment is not started at one
+// stroke.
+func (w *world) startNodes(ctx context.Context, voters bool) error {
+	seeds := make(map[string]bool)
+	for _, seed := range w.plan.Nodes[0].Cluster.Seeds {
+		seeds[seed.Name] = true
+	}
+	var chosen []settings.Settings
 	for _, config := range w.plan.Nodes {
+		if seeds[config.Node.Name] == voters {
+			chosen = append(chosen, config)
+		}
+	}
+	for len(chosen) > 0 {
+		size := min(startGroup, len(chosen))
+		if voters {
+			size = len(chosen)
+		}
+		if err := w.startGroup(ctx, chosen[:size], !voters); err != nil {
+			return err
+		}
+		chosen = chosen[size:]
+	}
+	return nil
+}
+
+func (w *world) startGroup(ctx context.Context, group []settings.Settings, wait bool) error {
+	for _, config := range group {
 		if err := w.startNode(ctx, config); err != nil {
 			return err
 		}
 	}
+	if !wait {
+		return nil
+	}
+	names := make(map[string]bool)
+	for _, config := range group {
+		names[config.Node.Name] = true
+	}
+	for i, url := range w.plan.NodeURLs() {
+		if !names[w.plan.Nodes[i].Node.Name] {
+			continue
+		}
+		if err := await(ctx, url+" is not ready", func() bool { return w.isReady(ctx, url) }); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
