lab/scale: sum whole numbers, scale once

Cause: TestMeasureControl failed in 6 of 8 runs: the means were sums of floats in the order of a map, which differ in the last digit. Change: bytes and frames are summed as integers. The expectation of equality stays.

--- a/internal/lab/scale/control.go
+++ b/internal/lab/scale/control.go
@@ -215,10 +215,12 @@
 	}
 	seconds := measureTime.Seconds()
 	scale := 1 / (seconds * float64(len(n.members)))
+	// Whole numbers are summed, so that the order of the members does not show in the last digit.
+	sent, received, frames := 0, 0, 0
 	for _, m := range n.members {
-		result.SentBytes += float64(m.sent) * scale
-		result.ReceivedBytes += float64(m.received) * scale
-		result.Frames += float64(m.frames) * scale
+		sent += m.sent
+		received += m.received
+		frames += m.frames
 		result.BusiestBytes = max(result.BusiestBytes, float64(m.sent+m.received)/seconds)
 		listed := 0
 		for _, member := range m.node.Live() {
@@ -228,6 +230,9 @@
 		}
 		result.Settled = result.Settled && listed == zoneSizes[m.self.Zone]
 	}
+	result.SentBytes = float64(sent) * scale
+	result.ReceivedBytes = float64(received) * scale
+	result.Frames = float64(frames) * scale
 	result.CoreShare = spent.Seconds() * scale
 	return result
 }
