--- a/internal/weights/core.go
+++ b/internal/weights/core.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/covelink/covelink/api/enginev1"
@@ -49,7 +47,6 @@
 	for _, target := range c.tracker.beginPolls(now) {
 		polls = append(polls, PollTarget(target))
 	}
-	slices.SortFunc(polls, func(a, b PollTarget) int { return strings.Compare(a.Name, b.Name) })
 	return orders, polls
 }
 
--- a/internal/weights/tracker.go
+++ b/internal/weights/tracker.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -259,7 +260,9 @@
 // those that leave for reasons of their own.
 func (t *tracker) beginPolls(now time.Time) []pollTarget {
 	var targets []pollTarget
-	for name, known := range t.records {
+	// In the order of names, so that the same state gives the same polls.
+	for _, name := range slices.Sorted(maps.Keys(t.records)) {
+		known := t.records[name]
 		wanted := !known.observed || known.job != nil || known.load.Preparing != 0 || (known.engine.Leaving && !known.engine.DrainWanted)
 		if !wanted || known.polling || now.Sub(known.polledAt) < t.limits.PollInterval {
 			continue
