lab/cli: one writer of JSON reports

Cause: three commands set up the same indented encoder, four times in all. Change: writeJSON in cli.go; the output is the same. Checked: gofmt, vet and staticcheck of the package; its tests pass.

--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"os/signal"
 	"syscall"
 
@@ -64,3 +66,10 @@
 	}
 	return nil
 }
+
+// writeJSON writes a report as indented JSON.
+func writeJSON(out io.Writer, report any) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(report)
+}
--- a/internal/lab/cli/configfaults.go
+++ b/internal/lab/cli/configfaults.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"text/tabwriter"
@@ -67,9 +66,7 @@
 
 func printSummaries(out io.Writer, summaries []configfaults.Summary, asJSON bool) error {
 	if asJSON {
-		encoder := json.NewEncoder(out)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(summaries)
+		return writeJSON(out, summaries)
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 1, ' ', tabwriter.AlignRight)
 	row := func(cells ...any) {
--- a/internal/lab/cli/drains.go
+++ b/internal/lab/cli/drains.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"os"
 
 	"github.com/urfave/cli/v3"
@@ -59,9 +58,7 @@
 	if err != nil {
 		return err
 	}
-	encoder := json.NewEncoder(streams.Out)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(report); err != nil {
+	if err := writeJSON(streams.Out, report); err != nil {
 		return err
 	}
 	if report.CutOff > 0 {
--- a/internal/lab/cli/survive.go
+++ b/internal/lab/cli/survive.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"text/tabwriter"
@@ -84,9 +83,7 @@
 		return commandline.UsageErrorf("--%s: needs one --%s", flagSeed, flagFault)
 	}
 	result := survival.Run(faults[0], command.Uint64(flagSeed))
-	encoder := json.NewEncoder(streams.Out)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(result); err != nil {
+	if err := writeJSON(streams.Out, result); err != nil {
 		return err
 	}
 	if !result.Kept() {
@@ -97,9 +94,7 @@
 
 func printSurvival(out io.Writer, rows []survival.Row, asJSON bool) error {
 	if asJSON {
-		encoder := json.NewEncoder(out)
-		encoder.SetIndent("", "  ")
-		return encoder.Encode(rows)
+		return writeJSON(out, rows)
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 1, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintln(table, "fault\tseeds\tdelivered\tasked\tduplicates\tmissing\tstale\twrong versions\tnot whole\t"+
