platform: lookups over the users' platform

Route table, engine list, opaque forwarding and readiness as product parts (routing, fleet, forward, metastore), the platform's names and formats in platform/, a second kind of settings for processes whose state lives in a metadata store.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"os/signal"
 	"strings"
 	"syscall"
@@ -13,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/covelink/covelink/internal/commandline"
+	"github.com/covelink/covelink/internal/fleetnode"
 	"github.com/covelink/covelink/internal/node"
 	"github.com/covelink/covelink/internal/settings"
 	"github.com/covelink/covelink/internal/telemetry"
@@ -70,12 +72,13 @@
 	return list
 }
 
-func (c *command) load(cmd *cli.Command) (settings.Settings, error) {
+// overrides returns the settings that flags set, by key path.
+func (c *command) overrides(cmd *cli.Command) (map[string]any, error) {
 	overrides := make(map[string]any)
 	for _, assignment := range cmd.StringSlice(flagSet) {
 		key, value, found := strings.Cut(assignment, "=")
 		if !found || key == "" {
-			return settings.Settings{}, &settings.Error{Field: "--" + flagSet, Message: fmt.Sprintf("must be KEY=VALUE, is %q", assignment)}
+			return nil, &settings.Error{Field: "--" + flagSet, Message: fmt.Sprintf("must be KEY=VALUE, is %q", assignment)}
 		}
 		overrides[key] = value
 	}
@@ -84,7 +87,47 @@
 			overrides[key] = cmd.String(name)
 		}
 	}
-	return settings.Load(cmd.String(flagConfig), c.environment, overrides)
+	return overrides, nil
+}
+
+// process is a node of either kind.
+type process interface {
+	Start(ctx context.Context) error
+	Stop(ctx context.Context) error
+}
+
+// loaded are the checked settings of a process, and how to build it.
+type loaded struct {
+	name, zone string
+	log        settings.Log
+	build      func(logger log.Logger) (process, error)
+}
+
+// load reads the settings: those of a fleet if the file names a metadata store.
+func (c *command) load(cmd *cli.Command) (loaded, error) {
+	overrides, err := c.overrides(cmd)
+	if err != nil {
+		return loaded{}, err
+	}
+	file := cmd.String(flagConfig)
+	if content, err := os.ReadFile(file); err == nil && settings.NamesStore(content) {
+		return c.loadFleet(file, overrides)
+	}
+	config, err := settings.Load(file, c.environment, overrides)
+	if err != nil {
+		return loaded{}, err
+	}
+	build := func(logger log.Logger) (process, error) { return node.New(config, logger, node.Options{}) }
+	return loaded{name: config.Node.Name, zone: config.Node.Zone, log: config.Log, build: build}, nil
+}
+
+func (c *command) loadFleet(file string, overrides map[string]any) (loaded, error) {
+	config, err := settings.LoadFleet(file, c.environment, overrides)
+	if err != nil {
+		return loaded{}, err
+	}
+	build := func(logger log.Logger) (process, error) { return fleetnode.New(config, logger) }
+	return loaded{name: config.Node.Name, zone: config.Node.Zone, log: config.Log, build: build}, nil
 }
 
 func (c *command) checkConfig(_ context.Context, cmd *cli.Command) error {
@@ -92,7 +135,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(c.out, "settings of node %s in zone %s are good\n", config.Node.Name, config.Node.Zone)
+	fmt.Fprintf(c.out, "settings of node %s in zone %s are good\n", config.name, config.zone)
 	return nil
 }
 
@@ -107,8 +150,9 @@
 	if err != nil {
 		return err
 	}
-	logger := telemetry.NewLogger(c.errOut, config.Log.Level, config.Log.Format)
-	process, err := node.New(config, log.With(logger, "node", config.Node.Name), node.Options{})
+	lines := telemetry.NewAsyncWriter(c.out)
+	logger := telemetry.NewLogger(lines, config.log.Level, config.log.Format)
+	process, err := config.build(log.With(logger, "node", config.name))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/fleetnode/gateway.go
@@ -0,0 +1,91 @@
+package fleetnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"go.uber.org/fx"
+
+	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/settings"
+	"github.com/covelink/covelink/internal/telemetry"
+	"github.com/covelink/covelink/platform"
+)
+
+// gatewayParts are those of a process that takes callers' requests.
+var gatewayParts = fx.Options(
+	fx.Provide(newBatchClient),
+	fx.Invoke(runGateway),
+)
+
+type gatewayParams struct {
+	fx.In
+	Settings  settings.Fleet
+	Logger    log.Logger
+	State     *fleet.State
+	Forwarder *forward.Forwarder
+	Batches   batch.Service
+}
+
+// gateway serves callers.
+type gateway struct {
+	gatewayParams
+	logger   log.Logger
+	stopping stopFlag
+	callers  *httpServer
+	probes   *httpServer
+}
+
+func runGateway(hooks fx.Lifecycle, params gatewayParams) {
+	g := &gateway{gatewayParams: params, logger: telemetry.For(params.Logger, telemetry.PartGateway)}
+	hooks.Append(fx.Hook{OnStart: g.start, OnStop: g.stop})
+}
+
+func (g *gateway) start(ctx context.Context) error {
+	ingress := platform.NewIngress(platform.IngressParams{
+		State:     g.State,
+		Forwarder: g.Forwarder,
+		Batches:   g.Batches,
+		Draining:  g.stopping.Load,
+	})
+	var err error
+	if g.callers, err = listenHTTP(ctx, g.Settings.Listen.HTTP, ingress); err != nil {
+		return err
+	}
+	if g.probes, err = listenHTTP(ctx, g.Settings.Listen.Ready, platform.NewReadiness(g.ready)); err != nil {
+		return err
+	}
+	go g.callers.serve(g.logger)
+	go g.probes.serve(g.logger)
+	level.Info(g.logger).Log("msg", "started", "http", g.Settings.Listen.HTTP)
+	return nil
+}
+
+// ready is true while the gateway can serve: it holds a configuration and is not stopping.
+func (g *gateway) ready() bool {
+	return !g.stopping.Load() && g.State.View().Routes != nil
+}
+
+// stop sends callers elsewhere, waits until they have noticed, and finishes what is in flight.
+func (g *gateway) stop(ctx context.Context) error {
+	started := time.Now()
+	g.stopping.Store(true)
+	level.Info(g.logger).Log("msg", "stopping")
+	select {
+	case <-time.After(min(noticeTime, g.Settings.Timing.StopTimeout/3)):
+	case <-ctx.Done():
+	}
+	limit, cancel := context.WithDeadline(ctx, started.Add(g.Settings.Timing.StopTimeout-stopMargin))
+	defer cancel()
+	err := g.callers.server.Shutdown(limit)
+	if err != nil {
+		g.callers.server.Close()
+	}
+	g.probes.server.Close()
+	level.Info(g.logger).Log("msg", "stopped", "took", time.Since(started), "err", err)
+	return nil
+}
--- /dev/null
+++ b/internal/fleetnode/node.go
@@ -0,0 +1,146 @@
+// Package fleetnode wires the parts of a covelinkd process whose lasting state lives in a metadata store, and runs its life:
+// start, serve, planned stop.
+package fleetnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"go.uber.org/fx"
+
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/settings"
+	"github.com/covelink/covelink/internal/telemetry"
+	"github.com/covelink/covelink/platform"
+)
+
+const (
+	startTimeout = 10 * time.Second
+	// noticeTime is how long callers need to notice that a process is not ready any more.
+	noticeTime = 2500 * time.Millisecond
+	// stopMargin is what is left of the stop timeout for closing.
+	stopMargin = time.Second
+)
+
+// Node is one process.
+type Node struct {
+	app *fx.App
+}
+
+// New builds a node. It does nothing until Start.
+func New(config settings.Fleet, logger log.Logger) (*Node, error) {
+	role := gatewayParts
+	if config.Node.Role == settings.RoleCoordinator {
+		role = coordinatorParts
+	}
+	app := fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(config.Timing.StopTimeout),
+		fx.Supply(config),
+		fx.Provide(func() log.Logger { return logger }),
+		commonParts,
+		role,
+	)
+	if err := app.Err(); err != nil {
+		return nil, fmt.Errorf("node: %w", err)
+	}
+	return &Node{app: app}, nil
+}
+
+// Start begins to serve. The node calls itself ready once it holds a configuration.
+func (n *Node) Start(ctx context.Context) error { return n.app.Start(ctx) }
+
+// Stop is the planned stop: callers are sent elsewhere, requests in flight are finished.
+func (n *Node) Stop(ctx context.Context) error { return n.app.Stop(ctx) }
+
+// commonParts are those of every role.
+var commonParts = fx.Options(
+	fx.Provide(
+		fleet.NewState,
+		func(config settings.Fleet) metastore.Client { return platform.NewStore(config.Store.Address, nil) },
+		func() forward.Transport { return platform.NewEngines() },
+		func() *forward.Picker { return forward.NewPicker(time.Now) },
+		newForwarder,
+		newTasks,
+	),
+	fx.Invoke(followFleet),
+)
+
+func newForwarder(state *fleet.State, transport forward.Transport, picker *forward.Picker, logger log.Logger) *forward.Forwarder {
+	return forward.New(state, transport, picker, telemetry.For(logger, telemetry.PartForward))
+}
+
+// tasks are goroutines that run from start to stop.
+type tasks struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+func newTasks(hooks fx.Lifecycle) *tasks {
+	t := &tasks{}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	hooks.Append(fx.Hook{OnStop: func(context.Context) error {
+		t.cancel()
+		t.running.Wait()
+		return nil
+	}})
+	return t
+}
+
+// run starts a task that ends with the context.
+func (t *tasks) run(task func(ctx context.Context)) {
+	t.running.Go(func() { task(t.ctx) })
+}
+
+// followFleet keeps the state at what the store holds.
+func followFleet(hooks fx.Lifecycle, group *tasks, store metastore.Client, state *fleet.State, logger log.Logger) {
+	logger = telemetry.For(logger, telemetry.PartFleet)
+	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
+		group.run(func(ctx context.Context) { platform.FollowConfig(ctx, store, state, logger) })
+		group.run(func(ctx context.Context) { platform.FollowEngines(ctx, store, state, logger) })
+		return nil
+	}})
+}
+
+// httpServer is a listener with its server.
+type httpServer struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+func listenHTTP(ctx context.Context, address string, handler http.Handler) (*httpServer, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &httpServer{listener: listener, server: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}}, nil
+}
+
+const (
+	// headerTimeout and idleTimeout are generous: callers' own limits are shorter.
+	headerTimeout = 30 * time.Second
+	idleTimeout   = 5 * time.Minute
+)
+
+func (s *httpServer) serve(logger log.Logger) {
+	err := s.server.Serve(s.listener)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		level.Error(logger).Log("msg", "listener ended", "address", s.listener.Addr(), "err", err)
+	}
+}
+
+// stopFlag tells whether the process is stopping.
+type stopFlag struct{ atomic.Bool }
--- /dev/null
+++ b/internal/forward/forwarder.go
@@ -0,0 +1,308 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/routing"
+)
+
+// Outcome says whether a request was executed.
+type Outcome int
+
+// The outcomes.
+const (
+	// Completed means that an engine answered; the answer may be a failure of its own.
+	Completed Outcome = iota
+	// NotRun means that no engine has executed the request or ever will.
+	NotRun
+	// Unknown means that an engine may have executed it.
+	Unknown
+)
+
+// String returns the outcome's name in logs and metrics.
+func (o Outcome) String() string { return [...]string{"completed", "not_run", "unknown"}[o] }
+
+// Result is the end of a request.
+type Result struct {
+	Outcome Outcome
+	// Status, Header and Body are the engine's, if Completed. Exactly one of Body and Stream is set.
+	Status    int
+	Header    http.Header
+	Signature string
+	Body      []byte
+	// Stream is an answer that is passed on as it arrives. It must be closed.
+	Stream io.ReadCloser
+	// RetryAfter is when a request that was not run may come again.
+	RetryAfter time.Duration
+	// Reason is what kept the request from being completed, in a word.
+	Reason string
+	// TimedOut is true if the time that the request had is over.
+	TimedOut bool
+	// FailedAttempts counts the answers of 500 that engines gave.
+	FailedAttempts int
+}
+
+const (
+	// maxBuffered is the largest answer that is held until it is whole.
+	maxBuffered = 1 << 20
+	// minAttemptTime is the least time for an attempt to be worth making.
+	minAttemptTime = 5 * time.Millisecond
+	// minPatience is the least time that an attempt gets before another engine is asked.
+	minPatience = 150 * time.Millisecond
+	// patienceObjectives is the patience in latency objectives.
+	patienceObjectives = 1.5
+	// busyPause is the pause before a full service is asked again.
+	busyPause = 15 * time.Millisecond
+	// waitShare is the share of the latency objective that a request may wait for a full service.
+	waitShare = 0.22
+	// defaultWait is the wait on routes without an objective.
+	defaultWait = 50 * time.Millisecond
+	// busyRetryAfter and emptyRetryAfter are what refused callers are told.
+	busyRetryAfter  = 100 * time.Millisecond
+	emptyRetryAfter = 300 * time.Millisecond
+)
+
+// Forwarder forwards requests. It is safe for concurrent use.
+type Forwarder struct {
+	state     *fleet.State
+	transport Transport
+	picker    *Picker
+	logger    log.Logger
+}
+
+// New returns a Forwarder.
+func New(state *fleet.State, transport Transport, picker *Picker, logger log.Logger) *Forwarder {
+	return &Forwarder{state: state, transport: transport, picker: picker, logger: logger}
+}
+
+// job is one request on its way.
+type job struct {
+	*Forwarder
+	route    *routing.Route
+	request  *Request
+	service  string
+	started  time.Time
+	deadline time.Time
+	// tried are the engines that the request was sent to; several attempts at one engine count once.
+	tried map[string]struct{}
+	// mayHaveRun is true once an attempt was lost.
+	mayHaveRun bool
+	failed     int
+	last       *Result
+}
+
+// Do forwards the request by the route until the deadline. The end of ctx means that the caller has left.
+func (f *Forwarder) Do(ctx context.Context, route *routing.Route, request *Request, deadline time.Time) Result {
+	j := &job{
+		Forwarder: f,
+		route:     route,
+		request:   request,
+		service:   route.Pick(rand.Float64()),
+		started:   time.Now(),
+		deadline:  deadline,
+		tried:     make(map[string]struct{}),
+	}
+	if route.Timeout > 0 && j.started.Add(route.Timeout).Before(deadline) {
+		j.deadline = j.started.Add(route.Timeout)
+	}
+	result := j.run(ctx)
+	result.FailedAttempts = j.failed
+	j.report(result)
+	return result
+}
+
+func (j *job) run(ctx context.Context) Result {
+	waitUntil := j.started.Add(j.maxWait())
+	for {
+		if time.Until(j.deadline) < minAttemptTime {
+			return j.giveUp("deadline", true)
+		}
+		if ctx.Err() != nil {
+			return j.giveUp("caller left", true)
+		}
+		engine := j.picker.Acquire(j.state.View().Ready(j.service), j.allowed)
+		if engine == nil {
+			return j.giveUp("no engine", false)
+		}
+		result, again := j.attempt(ctx, engine)
+		if !again {
+			return result
+		}
+		if j.mayHaveRun || j.last != nil {
+			if len(j.tried) >= j.route.MaxAttempts {
+				return j.giveUp("attempts used", false)
+			}
+			continue
+		}
+		if len(j.tried) < j.route.MaxAttempts && len(j.tried) < len(j.state.View().Ready(j.service)) {
+			continue
+		}
+		if time.Now().After(waitUntil) {
+			return j.giveUp("engines full", false)
+		}
+		sleep(ctx, busyPause)
+	}
+}
+
+// maxWait is how long the request may wait while its service is full.
+func (j *job) maxWait() time.Duration {
+	if j.route.LatencyObjective == 0 {
+		return defaultWait
+	}
+	return time.Duration(waitShare * float64(j.route.LatencyObjective))
+}
+
+// allowed keeps to the route's number of engines, and prefers those that have not been tried.
+func (j *job) allowed(engine *fleet.Engine) bool {
+	_, tried := j.tried[engine.ID]
+	if len(j.tried) >= j.route.MaxAttempts {
+		return tried
+	}
+	return !tried
+}
+
+// attempt sends the request to the engine. again is true if another attempt may be made.
+func (j *job) attempt(ctx context.Context, engine *fleet.Engine) (result Result, again bool) {
+	j.tried[engine.ID] = struct{}{}
+	attemptCtx, cancel := context.WithDeadline(ctx, j.attemptDeadline())
+	defer func() {
+		if result.Stream == nil {
+			cancel()
+		}
+	}()
+	sent := time.Now()
+	answer, err := j.transport.Send(attemptCtx, engine, j.request, SendOptions{TimeLeft: time.Until(j.deadline), Priority: -1})
+	if err == nil {
+		result, err = j.read(answer, cancel)
+	}
+	took := time.Since(sent)
+	if err != nil {
+		return j.lost(ctx, engine, err, took)
+	}
+	if answer.NotRun {
+		j.picker.Release(engine, busyVerdict(answer), took)
+		return Result{}, true
+	}
+	if answer.Status == http.StatusInternalServerError {
+		j.failed++
+		j.picker.Release(engine, VerdictFailed, took)
+		j.last = &result
+		return result, j.route.Repeatable()
+	}
+	j.picker.Release(engine, VerdictServed, took)
+	return result, false
+}
+
+func busyVerdict(answer *Answer) Verdict {
+	if answer.Misdirected {
+		return VerdictGone
+	}
+	return VerdictBusy
+}
+
+// lost handles an attempt without a usable answer.
+func (j *job) lost(ctx context.Context, engine *fleet.Engine, err error, took time.Duration) (Result, bool) {
+	verdict := VerdictFailed
+	if ctx.Err() != nil {
+		verdict = VerdictCanceled
+	}
+	j.picker.Release(engine, verdict, took)
+	level.Debug(j.logger).Log("msg", "attempt lost", "request", j.request.ID, "engine", engine.ID, "took", took, "err", err)
+	if errors.Is(err, ErrNotSent) {
+		return Result{}, true
+	}
+	j.mayHaveRun = true
+	if !j.route.Repeatable() {
+		return j.giveUp("answer lost", false), false
+	}
+	return Result{}, true
+}
+
+// attemptDeadline leaves time for another engine where there may be another attempt.
+func (j *job) attemptDeadline() time.Time {
+	if !j.route.Repeatable() || len(j.tried) >= j.route.MaxAttempts || len(j.state.View().Ready(j.service)) < 2 {
+		return j.deadline
+	}
+	patience := max(minPatience, time.Duration(patienceObjectives*float64(j.route.LatencyObjective)))
+	patience = min(patience, time.Until(j.deadline)/2)
+	return time.Now().Add(patience)
+}
+
+// read takes in an answer. An answer that is passed on as it arrives keeps the attempt's context until it is closed.
+func (j *job) read(answer *Answer, cancel context.CancelFunc) (Result, error) {
+	result := Result{Outcome: Completed, Status: answer.Status, Header: answer.Header, Signature: answer.Signature}
+	success := answer.Status >= 200 && answer.Status < 300
+	if success && !answer.Valid {
+		answer.Body.Close()
+		return Result{}, ErrLost
+	}
+	if success && j.route.Kind == routing.KindStream {
+		result.Stream = &cancelingBody{ReadCloser: answer.Body, cancel: cancel}
+		return result, nil
+	}
+	defer answer.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
+	if err != nil {
+		return Result{}, errors.Join(ErrLost, err)
+	}
+	result.Body = content
+	return result, nil
+}
+
+// maxAnswer bounds an answer that is held in memory.
+const maxAnswer = 64 * maxBuffered
+
+// cancelingBody ends an attempt's context with its body.
+type cancelingBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *cancelingBody) Close() error {
+	b.cancel()
+	return b.ReadCloser.Close()
+}
+
+// giveUp returns the result of a request that no engine completed.
+func (j *job) giveUp(reason string, timedOut bool) Result {
+	if j.last != nil {
+		return *j.last
+	}
+	result := Result{Outcome: NotRun, Reason: reason, TimedOut: timedOut, RetryAfter: busyRetryAfter}
+	if reason == "no engine" {
+		result.RetryAfter = emptyRetryAfter
+	}
+	if j.mayHaveRun {
+		result.Outcome = Unknown
+		result.RetryAfter = 0
+	}
+	return result
+}
+
+// report logs the decision. Requests that were completed as they should are told at the debug level.
+func (j *job) report(result Result) {
+	line := level.Info(j.logger)
+	if result.Outcome == Completed && result.Status < http.StatusInternalServerError && len(j.tried) == 1 {
+		line = level.Debug(j.logger)
+	}
+	line.Log("msg", "request ended", "request", j.request.ID, "route", j.route.Name, "service", j.service, "outcome", result.Outcome,
+		"status", result.Status, "reason", result.Reason, "engines", len(j.tried), "failed", j.failed,
+		"took", time.Since(j.started).Round(time.Millisecond), "config", j.state.View().Routes.Version)
+}
+
+func sleep(ctx context.Context, length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/forward/transport.go
@@ -0,0 +1,67 @@
+// Package forward sends one opaque request to an engine of its service, and to another where the first attempt may be
+// repeated, within the route's attempts and the caller's deadline. Its result says whether the request was executed.
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/covelink/covelink/internal/fleet"
+)
+
+// Request is what a caller sent, for an engine to get unaltered.
+type Request struct {
+	// ID is the caller's name for this attempt of its own.
+	ID     string
+	Method string
+	Host   string
+	// Target is the path with the query, as it came.
+	Target string
+	// Header holds the end-to-end fields.
+	Header http.Header
+	Body   []byte
+}
+
+// SendOptions are what the system adds to an attempt.
+type SendOptions struct {
+	// TimeLeft is what the engine may take; zero sets no bound.
+	TimeLeft time.Duration
+	// Resume continues a stream after the event LastEventID.
+	Resume      bool
+	LastEventID int64
+	// Priority is the rank at the engine, 0 first; below zero it is not sent.
+	Priority int
+}
+
+// Answer is the head of an engine's answer. Body must be closed.
+type Answer struct {
+	Status int
+	// NotRun is true if the engine says that it has not executed the request and never will.
+	NotRun bool
+	// Misdirected is true if the address belongs to another engine; NotRun is true as well.
+	Misdirected bool
+	// Valid is true if the answer bears the engine's signature and plain content.
+	Valid bool
+	// Signature is the engine's mark on its answer.
+	Signature string
+	// WeightVersion is the version that the answer begins with; zero if it is not told.
+	WeightVersion int64
+	Header        http.Header
+	Body          io.ReadCloser
+}
+
+var (
+	// ErrNotSent reports an attempt of which no byte left: the engine has not executed the request.
+	ErrNotSent = errors.New("forward: not sent")
+	// ErrLost reports an attempt without an answer that can be used: the engine may have executed the request.
+	ErrLost = errors.New("forward: answer lost")
+)
+
+// Transport makes one attempt at an engine. The error wraps ErrNotSent or ErrLost. The end of ctx breaks the attempt off, the
+// body included.
+type Transport interface {
+	Send(ctx context.Context, engine *fleet.Engine, request *Request, options SendOptions) (*Answer, error)
+}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -10,9 +10,14 @@
 	"time"
 
 	v1 "github.com/covelink/covelink/api/v1"
+	"github.com/covelink/covelink/internal/netdial"
 )
 
-const defaultDialTimeout = 2 * time.Second
+const (
+	defaultDialTimeout = 2 * time.Second
+	// userTimeout is how long sent data may stay without acknowledgement before a connection is given up.
+	userTimeout = 5 * time.Second
+)
 
 // DialFunc opens a connection to a node's internal address.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
@@ -49,7 +54,7 @@
 
 // DialTCP opens a plain connection.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: defaultDialTimeout, Control: setUserTimeout}
+	dialer := netdial.New(netdial.Options{ConnectTimeout: defaultDialTimeout, UserTimeout: userTimeout})
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -21,15 +21,23 @@
 
 // Check reports the first fault of the settings as an *Error, or nil.
 func (s Settings) Check() error {
-	err := validate.Struct(s)
+	if err := checkStruct(s, "Settings."); err != nil {
+		return err
+	}
+	return s.checkSeeds()
+}
+
+// checkStruct checks the rules of a structure's tags. root is what the paths of its fields begin with.
+func checkStruct(structure any, root string) error {
+	err := validate.Struct(structure)
 	var faults validator.ValidationErrors
 	if errors.As(err, &faults) && len(faults) > 0 {
-		return fieldError(faults[0])
+		return fieldError(faults[0], root)
 	}
 	if err != nil {
 		return &Error{Message: oneLine(err)}
 	}
-	return s.checkSeeds()
+	return nil
 }
 
 // checkSeeds makes sure that the node stands in its own cluster.
@@ -52,8 +60,8 @@
 	return nil
 }
 
-func fieldError(fault validator.FieldError) *Error {
-	path := strings.TrimPrefix(fault.Namespace(), "Settings.")
+func fieldError(fault validator.FieldError, root string) *Error {
+	path := strings.TrimPrefix(fault.Namespace(), root)
 	return &Error{Field: path, Message: describe(fault)}
 }
 
@@ -87,10 +95,10 @@
 	return fmt.Sprintf("breaks the rule %s %s", rule, fault.Param())
 }
 
-// knownKeys maps the lower-case form of every scalar key path to the path.
-func knownKeys() map[string]string {
+// knownKeys maps the lower-case form of every scalar key path of the settings T to the path.
+func knownKeys[T any]() map[string]string {
 	known := make(map[string]string)
-	collectKeys(reflect.TypeFor[Settings](), "", known)
+	collectKeys(reflect.TypeFor[T](), "", known)
 	return known
 }
 
--- /dev/null
+++ b/internal/settings/fleet.go
@@ -0,0 +1,106 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/goccy/go-yaml"
+)
+
+// FleetRole is what a process of a fleet does.
+type FleetRole string
+
+// The roles.
+const (
+	// RoleGateway takes callers' requests.
+	RoleGateway FleetRole = "gateway"
+	// RoleCoordinator may coordinate batch jobs and weight versions.
+	RoleCoordinator FleetRole = "coordinator"
+)
+
+// Fleet are the settings of a covelinkd process whose lasting state lives in a metadata store.
+type Fleet struct {
+	Node   FleetNode   `koanf:"node" validate:"required"`
+	Listen FleetListen `koanf:"listen"`
+	Store  FleetStore  `koanf:"store" validate:"required"`
+	Timing FleetTiming `koanf:"timing"`
+	Log    Log         `koanf:"log"`
+}
+
+// FleetNode identifies the process.
+type FleetNode struct {
+	Name string    `koanf:"name" validate:"required,hostname_rfc1123"`
+	Zone string    `koanf:"zone" validate:"required,hostname_rfc1123"`
+	Role FleetRole `koanf:"role" validate:"required,oneof=gateway coordinator"`
+}
+
+// FleetListen holds the addresses the process listens on, as host:port. Port 0 takes a free port.
+type FleetListen struct {
+	// HTTP serves callers; gateways only.
+	HTTP string `koanf:"http" validate:"omitempty,hostname_port|tcp_addr"`
+	// Ready serves the readiness probe; gateways only.
+	Ready string `koanf:"ready" validate:"omitempty,hostname_port|tcp_addr"`
+	// Internal serves other nodes; coordinators only.
+	Internal string `koanf:"internal" validate:"omitempty,hostname_port|tcp_addr"`
+	// Metrics serves counters and histograms; empty for none.
+	Metrics string `koanf:"metrics" validate:"omitempty,hostname_port|tcp_addr"`
+}
+
+// FleetStore is the metadata store.
+type FleetStore struct {
+	// Address is the store's host:port.
+	Address string `koanf:"address" validate:"required,hostname_port|tcp_addr"`
+}
+
+// FleetTiming holds bounds on time.
+type FleetTiming struct {
+	// StopTimeout bounds a planned stop. Default 8s.
+	StopTimeout time.Duration `koanf:"stopTimeout" validate:"gte=1s,lte=10m"`
+	// LeaseLength is the least time between the orders of two coordinators. Default 3s.
+	LeaseLength time.Duration `koanf:"leaseLength" validate:"gte=100ms,lte=1m"`
+	// BatchRetention is how long a batch job is kept after it has ended. Default 2m.
+	BatchRetention time.Duration `koanf:"batchRetention" validate:"gte=1s,lte=24h"`
+}
+
+// DefaultFleet returns the settings that hold where nothing else is said.
+func DefaultFleet() Fleet {
+	return Fleet{
+		Timing: FleetTiming{
+			StopTimeout:    8 * time.Second,
+			LeaseLength:    3 * time.Second,
+			BatchRetention: 2 * time.Minute,
+		},
+		Log: Log{Level: "info", Format: "logfmt"},
+	}
+}
+
+// Check reports the first fault of the settings as an *Error, or nil.
+func (s Fleet) Check() error {
+	if err := checkStruct(s, "Fleet."); err != nil {
+		return err
+	}
+	if s.Node.Role == RoleGateway && s.Listen.HTTP == "" {
+		return &Error{Field: "listen.http", Message: "must be set"}
+	}
+	if s.Node.Role == RoleGateway && s.Listen.Ready == "" {
+		return &Error{Field: "listen.ready", Message: "must be set"}
+	}
+	if s.Node.Role == RoleCoordinator && s.Listen.Internal == "" {
+		return &Error{Field: "listen.internal", Message: "must be set"}
+	}
+	return nil
+}
+
+// LoadFleet is Load for a process whose state lives in a metadata store.
+func LoadFleet(file string, environment []string, overrides map[string]any) (Fleet, error) {
+	return load(DefaultFleet(), file, environment, overrides)
+}
+
+// NamesStore reports whether the content of a settings file is that of a Fleet: it has the section store.
+func NamesStore(content []byte) bool {
+	var top map[string]any
+	if err := yaml.Unmarshal(content, &top); err != nil {
+		return false
+	}
+	_, found := top["store"]
+	return found
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -52,24 +52,32 @@
 // Load reads and checks settings: defaults, then the YAML file (if file is not empty), then the environment, then overrides,
 // which maps key paths such as node.name to values, as flags give them. Every error is an *Error.
 func Load(file string, environment []string, overrides map[string]any) (Settings, error) {
+	return load(Default(), file, environment, overrides)
+}
+
+// checked are settings that can tell their first fault.
+type checked interface{ Check() error }
+
+func load[T checked](defaults T, file string, environment []string, overrides map[string]any) (T, error) {
+	var none T
 	keys := koanf.New(keyDelimiter)
 	if file != "" {
 		if err := loadFile(keys, file); err != nil {
-			return Settings{}, err
+			return none, err
 		}
 	}
-	if err := keys.Load(environmentProvider(environment), nil); err != nil {
-		return Settings{}, &Error{Message: "environment: " + oneLine(err)}
+	if err := keys.Load(environmentProvider(environment, knownKeys[T]()), nil); err != nil {
+		return none, &Error{Message: "environment: " + oneLine(err)}
 	}
 	if err := keys.Load(confmap.Provider(overrides, keyDelimiter), nil); err != nil {
-		return Settings{}, &Error{Message: "flags: " + oneLine(err)}
+		return none, &Error{Message: "flags: " + oneLine(err)}
 	}
-	loaded, err := decode(keys)
+	loaded, err := decode(keys, defaults)
 	if err == nil {
 		err = loaded.Check()
 	}
 	if err != nil {
-		return Settings{}, inFile(err, file)
+		return none, inFile(err, file)
 	}
 	return loaded, nil
 }
@@ -96,8 +104,7 @@
 
 // environmentProvider maps COVELINKD_NODE_NAME to node.name. Environment names carry no case, so they are matched
 // with the known keys without regard to it; names that match no key are errors, as in the file.
-func environmentProvider(environment []string) *env.Env {
-	known := knownKeys()
+func environmentProvider(environment []string, known map[string]string) *env.Env {
 	return env.Provider(keyDelimiter, env.Opt{
 		Prefix: environmentPrefix,
 		TransformFunc: func(name, value string) (string, any) {
@@ -112,8 +119,8 @@
 	})
 }
 
-func decode(keys *koanf.Koanf) (Settings, error) {
-	loaded := Default()
+func decode[T checked](keys *koanf.Koanf, loaded T) (T, error) {
+	var none T
 	var metadata mapstructure.Metadata
 	err := keys.UnmarshalWithConf("", &loaded, koanf.UnmarshalConf{DecoderConfig: &mapstructure.DecoderConfig{
 		Result:           &loaded,
@@ -123,11 +130,11 @@
 		DecodeHook:       mapstructure.StringToTimeDurationHookFunc(),
 	}})
 	if err != nil {
-		return Settings{}, decodeError(err)
+		return none, decodeError(err)
 	}
 	if len(metadata.Unused) > 0 {
 		slices.Sort(metadata.Unused)
-		return Settings{}, &Error{Field: metadata.Unused[0], Message: "unknown key"}
+		return none, &Error{Field: metadata.Unused[0], Message: "unknown key"}
 	}
 	return loaded, nil
 }
--- /dev/null
+++ b/internal/telemetry/async.go
@@ -0,0 +1,61 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// asyncLines is how many lines may wait for a slow reader of the logs.
+const asyncLines = 4096
+
+// AsyncWriter writes lines to another writer without ever blocking its caller: lines that find no room are dropped and
+// counted, and the count is told in a line of its own once there is room again.
+type AsyncWriter struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	total   atomic.Int64
+	stop    sync.Once
+	done    chan struct{}
+}
+
+// NewAsyncWriter starts a writer to out. Close ends it.
+func NewAsyncWriter(out io.Writer) *AsyncWriter {
+	w := &AsyncWriter{out: out, lines: make(chan []byte, asyncLines), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer. It never fails.
+func (w *AsyncWriter) Write(line []byte) (int, error) {
+	copied := append([]byte(nil), line...)
+	select {
+	case w.lines <- copied:
+	default:
+		w.dropped.Add(1)
+		w.total.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines dropped since the start.
+func (w *AsyncWriter) Dropped() int64 { return w.total.Load() }
+
+// Close writes what waits and ends the writer. Nothing may be written after it. A reader that does not read holds it up.
+func (w *AsyncWriter) Close() {
+	w.stop.Do(func() { close(w.lines) })
+	<-w.done
+}
+
+func (w *AsyncWriter) run() {
+	defer close(w.done)
+	for line := range w.lines {
+		if dropped := w.dropped.Swap(0); dropped > 0 {
+			fmt.Fprintf(w.out, "level=warn part=log msg=\"lines dropped\" count=%d\n", dropped)
+		}
+		// A log that cannot be written has nowhere to tell so.
+		_, _ = w.out.Write(line)
+	}
+}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -24,6 +24,11 @@
 	PartClaims      = "claims"
 	PartRPC         = "rpc"
 	PartLab         = "lab"
+	PartFleet       = "fleet"
+	PartForward     = "forward"
+	PartBatch       = "batch"
+	PartElection    = "election"
+	PartOrders      = "orders"
 )
 
 // NewLogger returns a leveled logger that writes to out. levelName is debug, info, warn or error;
