--- /dev/null
+++ b/internal/batchlog/batchlog.go
@@ -0,0 +1,241 @@
+// Package batchlog keeps batch jobs in the metadata store: the job as it was accepted, and a log of results that only grows.
+//
+// A job is one object; its items are kept beside it, written before it. The log is a series of chunks, numbered from 0, each
+// created once and never changed: whoever creates chunk N has read all before it, so of two writers one learns that it is
+// not alone. Guarantees, while the store keeps what it acknowledged:
+//
+//   - A job that was accepted is found by everyone, with its items, until it is removed.
+//   - A result that was appended keeps its position and its content; an item has at most one result.
+//   - After a sealing chunk nothing is appended.
+package batchlog
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/metastore"
+)
+
+// The kinds of objects.
+const (
+	kindJobs    = "batches"
+	kindItems   = "batch-items"
+	kindResults = "batch-results"
+)
+
+const (
+	// maxPartBytes bounds the encoded content of one object, before base64.
+	maxPartBytes = 400 << 10
+	// nameSeparator divides a job's ID from what follows it in a name.
+	nameSeparator = "."
+)
+
+// ErrNotAlone reports a chunk that another writer created. The log must be read again.
+var ErrNotAlone = errors.New("batchlog: another writer")
+
+// Store keeps batch jobs.
+type Store struct {
+	client metastore.Client
+	// writer tells this process's objects from others'.
+	writer string
+}
+
+// New returns a Store. Each process start is another writer.
+func New(client metastore.Client) *Store {
+	return &Store{client: client, writer: uuid.NewString()}
+}
+
+// record is a job's object: the job without its items.
+type record struct {
+	Writer string `json:"writer"`
+	// Parts are the names of the objects that hold the items.
+	Parts []string  `json:"parts"`
+	Job   batch.Job `json:"job"`
+	Ended bool      `json:"ended"`
+	// Sealed is true once the log is known to be sealed; the log itself decides.
+	Sealed bool `json:"sealed"`
+}
+
+// part holds items of a job.
+type part struct {
+	Items []byte `json:"items"`
+}
+
+// chunk is one element of a log.
+type chunk struct {
+	Writer  string `json:"writer"`
+	Results []byte `json:"results"`
+	Sealed  bool   `json:"sealed"`
+}
+
+// Accept keeps a job for good. It returns the job as it is kept, which is another submission's if there was one. The error
+// wraps metastore.ErrNotDone if the job is not kept and never will be, or metastore.ErrUnknown.
+func (s *Store) Accept(ctx context.Context, job batch.Job) (*Stored, error) {
+	names, err := s.writeItems(ctx, job)
+	if err != nil {
+		return nil, fmt.Errorf("%w: items: %w", metastore.ErrNotDone, err)
+	}
+	kept := record{Writer: s.writer + nameSeparator + uuid.NewString(), Parts: names, Job: job}
+	kept.Job.Items = nil
+	object, err := encodeObject(job.ID, kept)
+	if err != nil {
+		return nil, err
+	}
+	own := func(current metastore.Object) bool {
+		var found record
+		return json.Unmarshal(current.Spec, &found) == nil && found.Writer == kept.Writer
+	}
+	created, err := metastore.SettleCreate(ctx, s.client, kindJobs, object, own)
+	var conflict *metastore.ConflictError
+	if errors.As(err, &conflict) {
+		return s.load(ctx, conflict.Current)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &Stored{store: s, object: created, record: kept, Job: job, Ended: false}, nil
+}
+
+// writeItems writes the items under names that no other submission uses.
+func (s *Store) writeItems(ctx context.Context, job batch.Job) ([]string, error) {
+	submission := uuid.NewString()
+	var names []string
+	for _, items := range splitItems(job.Items) {
+		content, err := encodeGob(items)
+		if err != nil {
+			return nil, err
+		}
+		name := fmt.Sprintf("%s%s%s%s%04d", job.ID, nameSeparator, submission, nameSeparator, len(names))
+		object, err := encodeObject(name, part{Items: content})
+		if err != nil {
+			return nil, err
+		}
+		own := func(metastore.Object) bool { return true }
+		if _, err := metastore.SettleCreate(ctx, s.client, kindItems, object, own); err != nil {
+			return nil, err
+		}
+		names = append(names, name)
+	}
+	return names, nil
+}
+
+// splitItems divides items so that each part fits an object.
+func splitItems(items []batch.Item) [][]batch.Item {
+	return split(items, func(item batch.Item) int {
+		size := len(item.Body) + 512
+		if item.Reward != nil {
+			size += len(item.Reward.Body)
+		}
+		for name, value := range item.Header {
+			size += len(name) + len(value)
+		}
+		return size
+	})
+}
+
+func splitResults(results []batch.Result) [][]batch.Result {
+	return split(results, func(result batch.Result) int { return len(result.Text) + 256 })
+}
+
+// split divides a list into parts of at most maxPartBytes, but at least one element.
+func split[T any](list []T, size func(T) int) [][]T {
+	var parts [][]T
+	begin, bytes := 0, 0
+	for i, element := range list {
+		length := size(element)
+		if i > begin && bytes+length > maxPartBytes {
+			parts = append(parts, list[begin:i])
+			begin, bytes = i, 0
+		}
+		bytes += length
+	}
+	return append(parts, list[begin:])
+}
+
+// Find returns a job. metastore.ErrNotFound if there is none.
+func (s *Store) Find(ctx context.Context, id string) (*Stored, error) {
+	object, err := s.client.Get(ctx, kindJobs, id)
+	if err != nil {
+		return nil, err
+	}
+	return s.load(ctx, object)
+}
+
+// Open returns the jobs that are not known to be sealed.
+func (s *Store) Open(ctx context.Context) ([]*Stored, error) {
+	objects, _, err := metastore.ListAll(ctx, s.client, kindJobs, "")
+	if err != nil {
+		return nil, err
+	}
+	var jobs []*Stored
+	for _, object := range objects {
+		var found record
+		if json.Unmarshal(object.Spec, &found) != nil || found.Sealed {
+			continue
+		}
+		job, err := s.load(ctx, object)
+		if err != nil {
+			return nil, err
+		}
+		jobs = append(jobs, job)
+	}
+	return jobs, nil
+}
+
+// load reads a job's items and its log.
+func (s *Store) load(ctx context.Context, object metastore.Object) (*Stored, error) {
+	job := &Stored{store: s}
+	if err := job.take(object); err != nil {
+		return nil, err
+	}
+	for _, name := range job.record.Parts {
+		found, err := s.client.Get(ctx, kindItems, name)
+		if err != nil {
+			return nil, fmt.Errorf("batchlog: items of %s: %w", object.Name, err)
+		}
+		var content part
+		if err := json.Unmarshal(found.Spec, &content); err != nil {
+			return nil, fmt.Errorf("batchlog: items of %s: %w", object.Name, err)
+		}
+		var items []batch.Item
+		if err := decodeGob(content.Items, &items); err != nil {
+			return nil, fmt.Errorf("batchlog: items of %s: %w", object.Name, err)
+		}
+		job.Job.Items = append(job.Job.Items, items...)
+	}
+	if err := job.Refresh(ctx); err != nil {
+		return nil, err
+	}
+	return job, nil
+}
+
+func encodeObject(name string, content any) (metastore.Object, error) {
+	spec, err := json.Marshal(content)
+	if err != nil {
+		return metastore.Object{}, err
+	}
+	return metastore.Object{Name: name, Spec: spec}, nil
+}
+
+func encodeGob(value any) ([]byte, error) {
+	var buffer bytes.Buffer
+	err := gob.NewEncoder(&buffer).Encode(value)
+	return buffer.Bytes(), err
+}
+
+func decodeGob(content []byte, into any) error {
+	return gob.NewDecoder(bytes.NewReader(content)).Decode(into)
+}
+
+// belongs reports whether an object's name is one of a job's.
+func belongs(name, job string) bool {
+	return strings.HasPrefix(name, job+nameSeparator)
+}
--- /dev/null
+++ b/internal/batchlog/stored.go
@@ -0,0 +1,218 @@
+package batchlog
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/metastore"
+)
+
+// Stored is a job that is kept, with its log as far as it was read. It is not safe for concurrent use.
+type Stored struct {
+	store  *Store
+	object metastore.Object
+	record record
+	// Job is the job as it was accepted.
+	Job batch.Job
+	// Ended is true once the job was ended.
+	Ended bool
+	// Results are the results in the log.
+	Results []batch.Result
+	// Sealed is true once nothing is appended any more.
+	Sealed bool
+	chunks int
+}
+
+// take reads the job's object.
+func (j *Stored) take(object metastore.Object) error {
+	var found record
+	if err := json.Unmarshal(object.Spec, &found); err != nil {
+		return fmt.Errorf("batchlog: %s: %w", object.Name, err)
+	}
+	items := j.Job.Items
+	j.object, j.record, j.Job = object, found, found.Job
+	j.Job.Items = items
+	j.Ended = j.Ended || found.Ended
+	return nil
+}
+
+// Refresh reads the chunks that were appended since the log was last read.
+func (j *Stored) Refresh(ctx context.Context) error {
+	objects, _, err := listJob(ctx, j.store.client, j.Job.ID, chunkName(j.Job.ID, j.chunks-1))
+	if err != nil {
+		return err
+	}
+	for _, object := range objects {
+		if object.Name != chunkName(j.Job.ID, j.chunks) {
+			return fmt.Errorf("batchlog: %s: chunk %d is missing", j.Job.ID, j.chunks)
+		}
+		if err := j.add(object); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// listJob returns the chunks of a job that come after a name. A page may go on with other jobs' chunks.
+func listJob(ctx context.Context, client metastore.Client, job, after string) ([]metastore.Object, metastore.Revision, error) {
+	var found []metastore.Object
+	for {
+		page, err := client.List(ctx, kindResults, metastore.ListOptions{After: after})
+		if err != nil {
+			return nil, 0, err
+		}
+		for _, object := range page.Objects {
+			if !belongs(object.Name, job) {
+				return found, page.Revision, nil
+			}
+			found = append(found, object)
+		}
+		if !page.More || len(page.Objects) == 0 {
+			return found, page.Revision, nil
+		}
+		after = page.Objects[len(page.Objects)-1].Name
+	}
+}
+
+// add takes in the next chunk.
+func (j *Stored) add(object metastore.Object) error {
+	var found chunk
+	if err := json.Unmarshal(object.Spec, &found); err != nil {
+		return fmt.Errorf("batchlog: %s: %w", object.Name, err)
+	}
+	var results []batch.Result
+	if len(found.Results) > 0 {
+		if err := decodeGob(found.Results, &results); err != nil {
+			return fmt.Errorf("batchlog: %s: %w", object.Name, err)
+		}
+	}
+	j.Results = append(j.Results, results...)
+	j.Sealed = j.Sealed || found.Sealed
+	j.chunks++
+	return nil
+}
+
+// Append adds results of items that have none, as many as fit one chunk, and returns how many. ErrNotAlone if another writer
+// has appended; after it the log must be read again.
+func (j *Stored) Append(ctx context.Context, results []batch.Result) (int, error) {
+	first := splitResults(results)[0]
+	if err := j.append(ctx, first, false); err != nil {
+		return 0, err
+	}
+	return len(first), nil
+}
+
+// Seal ends the log. It may be called by anyone once the job has ended.
+func (j *Stored) Seal(ctx context.Context) error {
+	return j.append(ctx, nil, true)
+}
+
+func (j *Stored) append(ctx context.Context, results []batch.Result, sealed bool) error {
+	if j.Sealed {
+		return ErrNotAlone
+	}
+	content, err := encodeGob(results)
+	if err != nil {
+		return err
+	}
+	if len(results) == 0 {
+		content = nil
+	}
+	next := chunk{Writer: j.store.writer, Results: content, Sealed: sealed}
+	object, err := encodeObject(chunkName(j.Job.ID, j.chunks), next)
+	if err != nil {
+		return err
+	}
+	own := func(current metastore.Object) bool {
+		var found chunk
+		return json.Unmarshal(current.Spec, &found) == nil && found.equal(next)
+	}
+	_, err = metastore.SettleCreate(ctx, j.store.client, kindResults, object, own)
+	var conflict *metastore.ConflictError
+	if errors.As(err, &conflict) {
+		return ErrNotAlone
+	}
+	if err != nil {
+		return err
+	}
+	j.Results = append(j.Results, results...)
+	j.Sealed = j.Sealed || sealed
+	j.chunks++
+	return nil
+}
+
+// equal reports whether both are the same writer's chunk. A writer may try another chunk under the same number after one whose
+// outcome it did not learn.
+func (c chunk) equal(other chunk) bool {
+	return c.Writer == other.Writer && c.Sealed == other.Sealed && bytes.Equal(c.Results, other.Results)
+}
+
+// MarkEnded ends the job for good. It has no effect on one that has ended.
+func (j *Stored) MarkEnded(ctx context.Context) error {
+	return j.update(ctx, func(r *record) bool {
+		changed := !r.Ended
+		r.Ended = true
+		return changed
+	})
+}
+
+// MarkSealed notes on the job that its log is sealed, so that Open passes it over.
+func (j *Stored) MarkSealed(ctx context.Context) error {
+	return j.update(ctx, func(r *record) bool {
+		changed := !r.Sealed
+		r.Sealed = true
+		return changed
+	})
+}
+
+// update changes the job's object until the change holds or ctx ends.
+func (j *Stored) update(ctx context.Context, change func(*record) bool) error {
+	for {
+		next := j.record
+		if !change(&next) {
+			return nil
+		}
+		object, err := encodeObject(j.object.Name, next)
+		if err != nil {
+			return err
+		}
+		object.Revision = j.object.Revision
+		object, err = metastore.SettleReplace(ctx, j.store.client, kindJobs, object)
+		var conflict *metastore.ConflictError
+		if errors.As(err, &conflict) {
+			if err := j.take(conflict.Current); err != nil {
+				return err
+			}
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		return j.take(object)
+	}
+}
+
+// Remove deletes the job and all that belongs to it.
+func (j *Stored) Remove(ctx context.Context) error {
+	var failures []error
+	for i := range j.chunks {
+		failures = append(failures, j.store.client.Delete(ctx, kindResults, chunkName(j.Job.ID, i), 0))
+	}
+	for _, name := range j.record.Parts {
+		failures = append(failures, j.store.client.Delete(ctx, kindItems, name, 0))
+	}
+	failures = append(failures, j.store.client.Delete(ctx, kindJobs, j.Job.ID, 0))
+	return errors.Join(failures...)
+}
+
+// chunkName names a job's chunk so that chunks are listed in their order. Number -1 comes before all of them.
+func chunkName(job string, number int) string {
+	if number < 0 {
+		return job + nameSeparator
+	}
+	return fmt.Sprintf("%s%s%08d", job, nameSeparator, number)
+}
--- /dev/null
+++ b/internal/batchrpc/batchrpc.go
@@ -0,0 +1,180 @@
+// Package batchrpc carries calls about batch jobs from the process that took them to the one that coordinates.
+package batchrpc
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/rpc"
+)
+
+// code is how a call ended.
+type code int
+
+const (
+	codeOK code = iota
+	codeNotFound
+	codeRefused
+	codeUnavailable
+)
+
+var codeErrors = map[code]error{
+	codeNotFound:    batch.ErrNotFound,
+	codeRefused:     batch.ErrRefused,
+	codeUnavailable: batch.ErrUnavailable,
+}
+
+func toCode(err error) code {
+	switch {
+	case err == nil:
+		return codeOK
+	case errors.Is(err, batch.ErrNotFound):
+		return codeNotFound
+	case errors.Is(err, batch.ErrRefused):
+		return codeRefused
+	}
+	return codeUnavailable
+}
+
+// SubmitRequest asks to take a job.
+type SubmitRequest struct{ Job batch.Job }
+
+// ReadRequest asks for results.
+type ReadRequest struct {
+	ID       string
+	Position int
+	Wait     time.Duration
+}
+
+// ReadReply answers a ReadRequest.
+type ReadReply struct {
+	Code    code
+	Reading batch.Reading
+}
+
+// BodyRequest asks for the body of an item.
+type BodyRequest struct{ ID, Item string }
+
+// BodyReply answers a BodyRequest.
+type BodyReply struct {
+	Code code
+	Body []byte
+}
+
+// EndRequest asks to end a job.
+type EndRequest struct{ ID string }
+
+// Reply answers the other requests.
+type Reply struct{ Code code }
+
+// PingRequest asks whether an instance lives and coordinates.
+type PingRequest struct{ Instance string }
+
+// PingReply answers a PingRequest.
+type PingReply struct{ Leading bool }
+
+// Register makes the server answer for the service. leading reports whether an instance is this process and coordinates.
+func Register(server *rpc.Server, service batch.Service, leading func(instance string) bool) {
+	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request SubmitRequest) (Reply, error) {
+		return Reply{Code: toCode(service.Submit(ctx, request.Job))}, nil
+	})
+	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request ReadRequest) (ReadReply, error) {
+		reading, err := service.Read(ctx, request.ID, request.Position, request.Wait)
+		return ReadReply{Code: toCode(err), Reading: reading}, nil
+	})
+	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request BodyRequest) (BodyReply, error) {
+		body, err := service.Body(ctx, request.ID, request.Item)
+		return BodyReply{Code: toCode(err), Body: body}, nil
+	})
+	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request EndRequest) (Reply, error) {
+		return Reply{Code: toCode(service.End(ctx, request.ID))}, nil
+	})
+	rpc.Handle(server, func(_ context.Context, _ rpc.Peer, request PingRequest) (PingReply, error) {
+		return PingReply{Leading: leading(request.Instance)}, nil
+	})
+}
+
+const (
+	// callTimeout bounds a call beyond what it waits for results.
+	callTimeout = 1500 * time.Millisecond
+	// submitTimeout bounds a submission.
+	submitTimeout = 4 * time.Second
+)
+
+// Client calls the coordinating process. It implements batch.Service.
+type Client struct {
+	calls *rpc.Client
+	// leader returns the internal address of the coordinating process, or "".
+	leader func() string
+}
+
+var _ batch.Service = (*Client)(nil)
+
+// NewClient returns a Client.
+func NewClient(calls *rpc.Client, leader func() string) *Client {
+	return &Client{calls: calls, leader: leader}
+}
+
+// Submit implements batch.Service.
+func (c *Client) Submit(ctx context.Context, job batch.Job) error {
+	address := c.leader()
+	if address == "" {
+		return batch.ErrRefused
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	reply, err := rpc.Call[SubmitRequest, Reply](ctx, c.calls, address, SubmitRequest{Job: job})
+	if errors.Is(err, rpc.ErrNotSent) {
+		return batch.ErrRefused
+	}
+	if err != nil {
+		return batch.ErrUnavailable
+	}
+	return codeErrors[reply.Code]
+}
+
+// Read implements batch.Service.
+func (c *Client) Read(ctx context.Context, id string, position int, wait time.Duration) (batch.Reading, error) {
+	request := ReadRequest{ID: id, Position: position, Wait: wait}
+	reply, err := call[ReadRequest, ReadReply](ctx, c, request, wait)
+	if err != nil {
+		return batch.Reading{}, err
+	}
+	return reply.Reading, codeErrors[reply.Code]
+}
+
+// Body implements batch.Service.
+func (c *Client) Body(ctx context.Context, id, item string) ([]byte, error) {
+	reply, err := call[BodyRequest, BodyReply](ctx, c, BodyRequest{ID: id, Item: item}, 0)
+	if err != nil {
+		return nil, err
+	}
+	return reply.Body, codeErrors[reply.Code]
+}
+
+// End implements batch.Service.
+func (c *Client) End(ctx context.Context, id string) error {
+	reply, err := call[EndRequest, Reply](ctx, c, EndRequest{ID: id}, submitTimeout)
+	if err != nil {
+		return err
+	}
+	return codeErrors[reply.Code]
+}
+
+// call makes a call that may be repeated. wait is the time that the callee may wait by itself.
+func call[Req, Resp any](ctx context.Context, c *Client, request Req, wait time.Duration) (Resp, error) {
+	var none Resp
+	address := c.leader()
+	if address == "" {
+		return none, batch.ErrUnavailable
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+	defer cancel()
+	reply, err := rpc.Call[Req, Resp](ctx, c.calls, address, request)
+	if err != nil {
+		return none, batch.ErrUnavailable
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/batchrun/job.go
@@ -0,0 +1,134 @@
+package batchrun
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/batchlog"
+)
+
+// phase is where an item stands.
+type phase int
+
+const (
+	// waiting for an engine.
+	phaseWaiting phase = iota
+	// running at an engine.
+	phaseRunning
+	// judging: the text is whole, the reward call is under way.
+	phaseJudging
+	// finished: the result is listed or about to be.
+	phaseFinished
+)
+
+// progress is what was made of an item's text.
+type progress struct {
+	// events holds the data of the events that were received, in order.
+	events []string
+	// lastID is the ID of the last one.
+	lastID int64
+	// versions are the weight versions that made them, in the order of their first use.
+	versions []int64
+	// whole is true once the text is complete.
+	whole bool
+}
+
+// add takes in one event.
+func (p *progress) add(id int64, data string, version int64) {
+	p.events = append(p.events, data)
+	p.lastID = id
+	if len(p.versions) == 0 || p.versions[len(p.versions)-1] != version {
+		p.versions = append(p.versions, version)
+	}
+}
+
+// fits reports whether all of the text may be used under the bounds.
+func (p *progress) fits(minVersion int64, singleVersion bool) bool {
+	for _, version := range p.versions {
+		if version < minVersion || (singleVersion && version != p.versions[0]) {
+			return false
+		}
+	}
+	return true
+}
+
+// item is one request of a job while the job is open.
+type item struct {
+	batch.Item
+	job   *job
+	phase phase
+	progress
+	// failures counts the engines' answers of 500.
+	failures int
+	// carried is true if an earlier job held the item too.
+	carried bool
+	// notBefore is when the next attempt may begin.
+	notBefore time.Time
+	// cancel ends the attempt or the reward call under way.
+	cancel context.CancelFunc
+	// lastEngine is where the last attempt was made.
+	lastEngine string
+}
+
+// job is a batch job that this process runs. The runner's mutex guards it, unless a field says otherwise.
+type job struct {
+	batch.Job
+	items []*item
+	byID  map[string]*item
+	// accepted is when this process began to run the job.
+	accepted time.Time
+	ended    bool
+	// listed are the results that are kept for good, by position.
+	listed []batch.Result
+	// pending are results that are not yet kept.
+	pending []batch.Result
+	// changed is closed when there are more results.
+	changed chan struct{}
+	// wake tells the committer of pending results or of the end.
+	wake chan struct{}
+	// storeMu guards stored.
+	storeMu sync.Mutex
+	stored  *batchlog.Stored
+}
+
+func newJob(stored *batchlog.Stored, now time.Time) *job {
+	j := &job{
+		Job:      stored.Job,
+		byID:     make(map[string]*item, len(stored.Job.Items)),
+		accepted: now,
+		ended:    stored.Ended,
+		listed:   slices.Clone(stored.Results),
+		changed:  make(chan struct{}),
+		wake:     make(chan struct{}, 1),
+		stored:   stored,
+	}
+	for i := range stored.Job.Items {
+		it := &item{Item: stored.Job.Items[i], job: j}
+		j.items = append(j.items, it)
+		j.byID[it.ID] = it
+	}
+	for _, result := range stored.Results {
+		if it, ok := j.byID[result.ID]; ok {
+			it.phase = phaseFinished
+		}
+	}
+	return j
+}
+
+// signal tells the committer that there is something to do.
+func (j *job) signal() {
+	select {
+	case j.wake <- struct{}{}:
+	default:
+	}
+}
+
+// publish adds results that are kept for good.
+func (j *job) publish(results []batch.Result) {
+	j.listed = append(j.listed, results...)
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/batchrun/runner.go
@@ -0,0 +1,340 @@
+// Package batchrun runs batch jobs: it places their items on engines, resumes streams that break, has whole texts judged,
+// and lists results once they are kept for good. One process at a time runs the jobs of a deployment.
+package batchrun
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/batchlog"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/metastore"
+)
+
+const (
+	// acceptTimeout bounds the time to keep a new job.
+	acceptTimeout = 3500 * time.Millisecond
+	// endTimeout bounds the time to keep the end of a job.
+	endTimeout = 3500 * time.Millisecond
+	// findTimeout bounds the search for a job that this process does not know.
+	findTimeout = time.Second
+	// maxReadBytes bounds the texts of one reading.
+	maxReadBytes = 600 << 10
+	// maxWait bounds how long a reading waits for a result.
+	maxWait = 2 * time.Second
+	// maxKeptItems bounds the items of ended jobs whose text is kept for later jobs.
+	maxKeptItems = 4096
+)
+
+// Params are what a Runner works with.
+type Params struct {
+	State     *fleet.State
+	Transport forward.Transport
+	Forwarder *forward.Forwarder
+	Store     *batchlog.Store
+	Logger    log.Logger
+}
+
+// Runner runs batch jobs while it leads. It implements batch.Service.
+type Runner struct {
+	Params
+	now func() time.Time
+
+	mu sync.Mutex
+	// term ends with the leadership; nil while this process does not lead.
+	term    context.Context
+	jobs    map[string]*job
+	order   []*job
+	engines map[string]*engineRecord
+	// kept is what ended jobs have left of items that may come again.
+	kept map[string]progress
+	// running are the goroutines of the term; it grows only while the term lasts.
+	running sync.WaitGroup
+	wake    chan struct{}
+}
+
+var _ batch.Service = (*Runner)(nil)
+
+// New returns a Runner that does nothing until Lead.
+func New(params Params) *Runner {
+	return &Runner{Params: params, now: time.Now, wake: make(chan struct{}, 1)}
+}
+
+// Lead runs the jobs of the store until ctx ends.
+func (r *Runner) Lead(ctx context.Context) {
+	stored, ok := r.recover(ctx)
+	if !ok {
+		return
+	}
+	r.mu.Lock()
+	r.jobs = make(map[string]*job)
+	r.order = nil
+	r.engines = make(map[string]*engineRecord)
+	r.kept = make(map[string]progress)
+	r.term = ctx
+	for _, found := range stored {
+		r.add(found)
+	}
+	r.mu.Unlock()
+	level.Info(r.Logger).Log("msg", "leading", "jobs", len(stored))
+	r.scheduleUntil(ctx)
+	r.mu.Lock()
+	r.term = nil
+	r.mu.Unlock()
+	r.running.Wait()
+	level.Info(r.Logger).Log("msg", "no longer leading")
+}
+
+// recover reads the open jobs, as often as it takes.
+func (r *Runner) recover(ctx context.Context) ([]*batchlog.Stored, bool) {
+	for ctx.Err() == nil {
+		stored, err := r.Store.Open(ctx)
+		if err == nil {
+			return stored, true
+		}
+		level.Warn(r.Logger).Log("msg", "open jobs not read", "err", err)
+		sleep(ctx, recoverPause)
+	}
+	return nil, false
+}
+
+const recoverPause = 150 * time.Millisecond
+
+// add begins to run a job. The mutex must be held and the term last.
+func (r *Runner) add(stored *batchlog.Stored) *job {
+	if known, ok := r.jobs[stored.Job.ID]; ok {
+		return known
+	}
+	j := newJob(stored, r.now())
+	r.jobs[j.ID] = j
+	r.order = append(r.order, j)
+	for _, it := range j.items {
+		r.reuse(it)
+	}
+	if !stored.Sealed {
+		term := r.term
+		r.running.Go(func() { r.commit(term, j) })
+	}
+	if j.ended {
+		j.signal()
+	}
+	r.poke()
+	return j
+}
+
+// reuse gives an item what an ended job has kept of its text, if that fits.
+func (r *Runner) reuse(it *item) {
+	kept, ok := r.kept[it.ID]
+	if !ok || it.phase != phaseWaiting {
+		return
+	}
+	delete(r.kept, it.ID)
+	it.carried = true
+	if kept.fits(it.job.MinVersion, r.singleVersion(it)) {
+		it.progress = kept
+	}
+}
+
+// poke makes the scheduler look again.
+func (r *Runner) poke() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// leading returns the term, or batch.ErrUnavailable.
+func (r *Runner) leading() (context.Context, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.term == nil || r.term.Err() != nil {
+		return nil, batch.ErrUnavailable
+	}
+	return r.term, nil
+}
+
+// Submit implements batch.Service.
+func (r *Runner) Submit(ctx context.Context, submitted batch.Job) error {
+	if _, err := r.leading(); err != nil {
+		return batch.ErrRefused
+	}
+	if r.find(submitted.ID) != nil {
+		return nil
+	}
+	// A caller that leaves must not leave the outcome open.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
+	defer cancel()
+	started := r.now()
+	stored, err := r.Store.Accept(ctx, submitted)
+	level.Info(r.Logger).Log("msg", "job submitted", "request", submitted.ID, "items", len(submitted.Items), "step", submitted.Step,
+		"min_version", submitted.MinVersion, "took", r.now().Sub(started), "err", err)
+	if errors.Is(err, metastore.ErrNotDone) || errors.Is(err, metastore.ErrInvalid) {
+		return batch.ErrRefused
+	}
+	if err != nil {
+		return batch.ErrUnavailable
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.term == nil {
+		// Whoever leads now finds the job when it is asked for.
+		return nil
+	}
+	r.add(stored)
+	return nil
+}
+
+// NoteVersion takes in the weight version that an engine is known to hold.
+func (r *Runner) NoteVersion(engineID, model string, version int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.term == nil {
+		return
+	}
+	r.engine(engineID).noteVersion(model, version)
+	r.poke()
+}
+
+func (r *Runner) find(id string) *job {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.jobs[id]
+}
+
+// lookUp returns a job, from the store if this process does not know it.
+func (r *Runner) lookUp(ctx context.Context, id string) (*job, error) {
+	if _, err := r.leading(); err != nil {
+		return nil, err
+	}
+	if known := r.find(id); known != nil {
+		return known, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	stored, err := r.Store.Find(ctx, id)
+	if errors.Is(err, metastore.ErrNotFound) {
+		return nil, batch.ErrNotFound
+	}
+	if err != nil {
+		return nil, batch.ErrUnavailable
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.term == nil {
+		return nil, batch.ErrUnavailable
+	}
+	return r.add(stored), nil
+}
+
+// Read implements batch.Service.
+func (r *Runner) Read(ctx context.Context, id string, position int, wait time.Duration) (batch.Reading, error) {
+	j, err := r.lookUp(ctx, id)
+	if err != nil {
+		return batch.Reading{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(wait, maxWait))
+	defer cancel()
+	for {
+		r.mu.Lock()
+		reading := j.read(position)
+		changed := j.changed
+		r.mu.Unlock()
+		if len(reading.Results) > 0 {
+			return reading, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			// Whoever reads that there is nothing yet must have asked one who leads.
+			if _, err := r.leading(); err != nil {
+				return batch.Reading{}, err
+			}
+			return reading, nil
+		}
+	}
+}
+
+// read returns the results from a position on that fit one reading.
+func (j *job) read(position int) batch.Reading {
+	reading := batch.Reading{Total: len(j.items), Next: position}
+	size := 0
+	for position < len(j.listed) {
+		result := j.listed[position]
+		size += len(result.Text)
+		if len(reading.Results) > 0 && size > maxReadBytes {
+			break
+		}
+		reading.Results = append(reading.Results, result)
+		position++
+	}
+	reading.Next = position
+	return reading
+}
+
+// Body implements batch.Service.
+func (r *Runner) Body(ctx context.Context, id, name string) ([]byte, error) {
+	j, err := r.lookUp(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	it, ok := j.byID[name]
+	if !ok {
+		return nil, batch.ErrNotFound
+	}
+	return it.Item.Body, nil
+}
+
+// End implements batch.Service.
+func (r *Runner) End(ctx context.Context, id string) error {
+	j, err := r.lookUp(ctx, id)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.stopItems(j)
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
+	defer cancel()
+	j.storeMu.Lock()
+	err = j.stored.MarkEnded(ctx)
+	j.storeMu.Unlock()
+	level.Info(r.Logger).Log("msg", "job ended", "request", id, "listed", len(j.listed), "items", len(j.items), "err", err)
+	if err != nil {
+		return batch.ErrUnavailable
+	}
+	j.signal()
+	r.poke()
+	return nil
+}
+
+// stopItems ends all work on a job and keeps what was made of its items for later jobs.
+func (r *Runner) stopItems(j *job) {
+	if j.ended {
+		return
+	}
+	j.ended = true
+	for _, it := range j.items {
+		if it.cancel != nil {
+			it.cancel()
+		}
+		if it.phase != phaseFinished && len(r.kept) < maxKeptItems {
+			r.kept[it.ID] = it.progress
+		}
+	}
+}
+
+func sleep(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/election/elector.go
@@ -0,0 +1,244 @@
+package election
+
+import (
+	"context"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+
+	"github.com/covelink/covelink/internal/metastore"
+)
+
+const (
+	// pingInterval is the pause between two questions to the holder.
+	pingInterval = 400 * time.Millisecond
+	// pingTimeout bounds a question.
+	pingTimeout = 500 * time.Millisecond
+	// maxMisses is how many questions in a row may stay without answer before the holder is challenged.
+	maxMisses = 2
+	// challengeTime is how long the holder has to answer a challenge.
+	challengeTime = 1200 * time.Millisecond
+	// challengePause is how long a candidate leaves a holder in peace that has answered a challenge.
+	challengePause = 3 * time.Second
+	// writeTimeout bounds one write of the lease.
+	writeTimeout = time.Second
+	// maxJitter spreads the candidates' attempts at a lease that is free.
+	maxJitter = 100 * time.Millisecond
+)
+
+// Params are what an Elector works with.
+type Params struct {
+	// Name and Address are this process's.
+	Name    string
+	Address string
+	Store   metastore.Client
+	// Ping asks the process at an address whether it is the instance and holds the lease.
+	Ping func(ctx context.Context, address, instance string) error
+	// Lead coordinates until ctx ends. It must return soon after.
+	Lead func(ctx context.Context, term Term)
+	// Eligible is false while this process must not hold the lease; nil means always true.
+	Eligible func() bool
+	Logger   log.Logger
+}
+
+// Elector campaigns for the lease and leads while it holds it.
+type Elector struct {
+	Params
+	*Watcher
+	instance string
+}
+
+// New returns an Elector. Run starts it.
+func New(params Params) *Elector {
+	return &Elector{Params: params, Watcher: NewWatcher(params.Store, params.Logger), instance: uuid.NewString()}
+}
+
+// Instance returns the name of this start of the process.
+func (e *Elector) Instance() string { return e.instance }
+
+// Leading reports whether this process holds the lease, as far as it knows, for answers to Ping.
+func (e *Elector) Leading() bool {
+	lease, known, _ := e.current()
+	return known && lease.Instance == e.instance
+}
+
+// Run follows the lease and campaigns until ctx ends, then gives the lease back.
+func (e *Elector) Run(ctx context.Context) {
+	following, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	go e.Watcher.Run(following)
+	e.campaign(ctx)
+}
+
+func (e *Elector) campaign(ctx context.Context) {
+	for ctx.Err() == nil {
+		lease, known, changed := e.current()
+		switch {
+		case !known:
+			wait(ctx, changed, time.Hour)
+		case lease.Instance == e.instance:
+			e.lead(ctx, lease)
+		case !e.eligible():
+			wait(ctx, changed, pingInterval)
+		case lease.Holder == "":
+			wait(ctx, changed, e.jitter())
+			e.acquire(ctx, lease)
+		case lease.Holder == e.Name:
+			// This machine held it before the process was started again.
+			e.acquire(ctx, lease)
+		default:
+			e.watchHolder(ctx, lease, changed)
+		}
+	}
+}
+
+func (e *Elector) eligible() bool { return e.Eligible == nil || e.Eligible() }
+
+// jitter differs between candidates and is the same for one of them.
+func (e *Elector) jitter() time.Duration {
+	digest := fnv.New32a()
+	digest.Write([]byte(e.Name))
+	return time.Duration(digest.Sum32()) % maxJitter
+}
+
+// acquire takes the lease if it is still as this process knows it.
+func (e *Elector) acquire(ctx context.Context, previous Lease) bool {
+	next := Lease{Holder: e.Name, Instance: e.instance, Address: e.Address, Token: previous.Token + 1, Previous: previous.Previous}
+	if previous.Holder != "" && previous.Holder != e.Name {
+		next.Previous = previous.Holder
+	}
+	return e.store(ctx, previous, next, "lease acquired")
+}
+
+func (e *Elector) store(ctx context.Context, previous, next Lease, message string) bool {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	stored, err := write(ctx, e.Store, previous, next)
+	if err != nil {
+		level.Info(e.Logger).Log("msg", "lease not written", "purpose", message, "err", err)
+		e.reread(ctx)
+		return false
+	}
+	level.Info(e.Logger).Log("msg", message, "holder", next.Holder, "token", next.Token)
+	e.set(stored)
+	return true
+}
+
+// reread asks the store for the lease, after a write that failed or whose outcome is unknown.
+func (e *Elector) reread(ctx context.Context) {
+	wait(ctx, nil, pingInterval/4)
+	object, err := e.Store.Get(ctx, KindLeases, leaseName)
+	if err == nil {
+		e.observe(object)
+	}
+}
+
+// watchHolder asks the holder whether it lives, and challenges one that does not answer.
+func (e *Elector) watchHolder(ctx context.Context, lease Lease, changed <-chan struct{}) {
+	misses := 0
+	for misses < maxMisses {
+		if wait(ctx, changed, pingInterval) {
+			return
+		}
+		if err := e.ping(ctx, lease); err != nil {
+			misses++
+			continue
+		}
+		misses = 0
+	}
+	e.challenge(ctx, lease)
+}
+
+func (e *Elector) ping(ctx context.Context, lease Lease) error {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	return e.Ping(ctx, lease.Address, lease.Instance)
+}
+
+// challenge asks the holder, through the store, to show that it lives, and takes the lease if it does not.
+func (e *Elector) challenge(ctx context.Context, lease Lease) {
+	if lease.Challenger == "" {
+		next := lease
+		next.Challenger = e.instance
+		if !e.store(ctx, lease, next, "holder challenged") {
+			return
+		}
+	}
+	challenged, _, changed := e.current()
+	if challenged.Instance != lease.Instance || challenged.Challenger == "" {
+		return
+	}
+	if !wait(ctx, changed, challengeTime+e.jitter()) {
+		e.acquire(ctx, challenged)
+		return
+	}
+	if answered, _, changed := e.current(); answered.Instance == lease.Instance {
+		level.Info(e.Logger).Log("msg", "holder answered the challenge", "holder", answered.Holder, "token", answered.Token)
+		wait(ctx, changed, challengePause)
+	}
+}
+
+// lead coordinates while the lease is this process's.
+func (e *Elector) lead(ctx context.Context, lease Lease) {
+	term, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var leading sync.WaitGroup
+	leading.Go(func() { e.Lead(term, e.term(lease)) })
+	for ctx.Err() == nil && e.eligible() {
+		current, _, changed := e.current()
+		if current.Instance != e.instance || current.Token != lease.Token {
+			cancel()
+			leading.Wait()
+			return
+		}
+		if current.Challenger != "" {
+			e.answer(ctx, current)
+			continue
+		}
+		wait(ctx, changed, pingInterval)
+	}
+	cancel()
+	leading.Wait()
+	e.release()
+}
+
+func (e *Elector) term(lease Lease) Term {
+	takenOver := lease.Previous != "" && lease.Previous != e.Name
+	return Term{Token: lease.Token, TakenOver: takenOver, instance: e.instance, client: e.Store}
+}
+
+// answer removes a challenge.
+func (e *Elector) answer(ctx context.Context, lease Lease) {
+	next := lease
+	next.Challenger = ""
+	e.store(ctx, lease, next, "challenge answered")
+}
+
+// release gives the lease back, so that another candidate need not wait.
+func (e *Elector) release() {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	lease, _, _ := e.current()
+	if lease.Instance != e.instance {
+		return
+	}
+	e.store(ctx, lease, Lease{Token: lease.Token, Previous: lease.Holder}, "lease released")
+}
+
+// wait waits for the length, a change or the end of ctx. It reports true unless the length is over.
+func wait(ctx context.Context, changed <-chan struct{}, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return false
+	case <-changed:
+		return true
+	case <-ctx.Done():
+		return true
+	}
+}
--- /dev/null
+++ b/internal/election/lease.go
@@ -0,0 +1,105 @@
+// Package election chooses one process to coordinate, by a lease object in the metadata store.
+//
+// The lease names its holder and bears a token that rises with every change of holder. It does not run out: a candidate that
+// does not reach the holder writes a challenge into the lease, and takes it over if the holder has not answered, by
+// removing the challenge, within a bounded time. The holder is judged by whether it reaches the store, not by whether one
+// candidate reaches it. A holder learns of its loss by following the lease; before an act that only a holder may do, it asks
+// the store (Term.Verify).
+//
+// Guarantee: of two terms the later one has the higher token, and Verify returns nil only if the term held the lease at some
+// moment during the call.
+package election
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/covelink/covelink/internal/metastore"
+)
+
+const (
+	// KindLeases is the kind of lease objects.
+	KindLeases = "leases"
+	// leaseName is the name of the coordinator's lease.
+	leaseName = "coordinator"
+)
+
+// ErrLost reports that the lease is held by another.
+var ErrLost = errors.New("election: lease lost")
+
+// Lease is the state of the lease.
+type Lease struct {
+	// Holder is the name of the process that holds it; empty if nobody does.
+	Holder string `json:"holder"`
+	// Instance tells one start of the holder from another.
+	Instance string `json:"instance"`
+	// Address is where the holder serves other nodes, as host:port.
+	Address string `json:"address"`
+	// Token rises with every change of holder.
+	Token int64 `json:"token"`
+	// Previous is the last holder of another name; empty if there was none.
+	Previous string `json:"previous"`
+	// Challenger is the instance that asks the holder to show that it lives; empty if none does.
+	Challenger string `json:"challenger"`
+
+	revision metastore.Revision
+}
+
+// decodeLease reads a lease object. The zero Lease stands for one that was never written.
+func decodeLease(object metastore.Object) (Lease, error) {
+	var lease Lease
+	if err := json.Unmarshal(object.Spec, &lease); err != nil {
+		return Lease{}, fmt.Errorf("election: lease: %w", err)
+	}
+	lease.revision = object.Revision
+	return lease, nil
+}
+
+// write stores a lease on the condition that it has not changed since the revision of previous.
+func write(ctx context.Context, client metastore.Client, previous, next Lease) (Lease, error) {
+	spec, err := json.Marshal(next)
+	if err != nil {
+		return Lease{}, err
+	}
+	object := metastore.Object{Name: leaseName, Spec: spec, Revision: previous.revision}
+	if previous.revision == 0 {
+		object, err = client.Create(ctx, KindLeases, object)
+	} else {
+		object, err = client.Replace(ctx, KindLeases, object)
+	}
+	var conflict *metastore.ConflictError
+	if errors.As(err, &conflict) {
+		return Lease{}, ErrLost
+	}
+	if err != nil {
+		return Lease{}, err
+	}
+	return decodeLease(object)
+}
+
+// Term is one holding of the lease.
+type Term struct {
+	Token int64
+	// TakenOver is true if another process has held the lease before.
+	TakenOver bool
+	instance  string
+	client    metastore.Client
+}
+
+// Verify asks the store whether the term still holds the lease. ErrLost if another does.
+func (t Term) Verify(ctx context.Context) error {
+	object, err := t.client.Get(ctx, KindLeases, leaseName)
+	if err != nil {
+		return err
+	}
+	lease, err := decodeLease(object)
+	if err != nil {
+		return err
+	}
+	if lease.Instance != t.instance || lease.Token != t.Token {
+		return ErrLost
+	}
+	return nil
+}
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -2,25 +2,141 @@
 
 import (
 	"context"
-	"time"
+	"errors"
+	"net"
+	"sync"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"go.uber.org/fx"
 
-	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/batchlog"
+	"github.com/covelink/covelink/internal/batchrpc"
+	"github.com/covelink/covelink/internal/batchrun"
+	"github.com/covelink/covelink/internal/election"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/rpc"
+	"github.com/covelink/covelink/internal/settings"
+	"github.com/covelink/covelink/internal/telemetry"
+	"github.com/covelink/covelink/internal/weightorder"
+	"github.com/covelink/covelink/platform"
 )
 
 // coordinatorParts are those of a process that may coordinate.
-var coordinatorParts = fx.Options()
+var coordinatorParts = fx.Options(
+	fx.Provide(newRunner, newOrders),
+	fx.Invoke(runCoordinator),
+)
+
+func newRunner(state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder, store metastore.Client, logger log.Logger) *batchrun.Runner {
+	return batchrun.New(batchrun.Params{
+		State:     state,
+		Transport: transport,
+		Forwarder: forwarder,
+		Store:     batchlog.New(store),
+		Logger:    telemetry.For(logger, telemetry.PartBatch),
+	})
+}
+
+func newOrders(config settings.Fleet, state *fleet.State, engines *platform.Engines, runner *batchrun.Runner, logger log.Logger) *weightorder.Manager {
+	return weightorder.New(weightorder.Params{
+		State:       state,
+		Engines:     engines,
+		Holder:      config.Node.Name,
+		LeaseLength: config.Timing.LeaseLength,
+		Loaded:      runner.NoteVersion,
+		Logger:      telemetry.For(logger, telemetry.PartOrders),
+	})
+}
 
-type noBatches struct{}
+type coordinatorParams struct {
+	fx.In
+	Settings settings.Fleet
+	Logger   log.Logger
+	Store    metastore.Client
+	Runner   *batchrun.Runner
+	Orders   *weightorder.Manager
+	Calls    *rpc.Client
+	Tasks    *tasks
+}
 
-func (noBatches) Submit(context.Context, batch.Job) error { return batch.ErrRefused }
-func (noBatches) Read(context.Context, string, int, time.Duration) (batch.Reading, error) {
-	return batch.Reading{}, batch.ErrUnavailable
+// coordinator campaigns for the lease, and serves gateways while it holds it.
+type coordinator struct {
+	coordinatorParams
+	logger   log.Logger
+	server   *rpc.Server
+	listener net.Listener
+	elector  *election.Elector
 }
-func (noBatches) Body(context.Context, string, string) ([]byte, error) {
-	return nil, batch.ErrUnavailable
+
+func runCoordinator(hooks fx.Lifecycle, params coordinatorParams) {
+	c := &coordinator{coordinatorParams: params, logger: telemetry.For(params.Logger, telemetry.PartElection)}
+	hooks.Append(fx.Hook{OnStart: c.start, OnStop: c.stop})
 }
-func (noBatches) End(context.Context, string) error { return batch.ErrUnavailable }
 
-func newBatchClient() batch.Service { return noBatches{} }
+func (c *coordinator) start(ctx context.Context) error {
+	var config net.ListenConfig
+	var err error
+	if c.listener, err = config.Listen(ctx, "tcp", c.Settings.Listen.Internal); err != nil {
+		return err
+	}
+	c.elector = election.New(election.Params{
+		Name:    c.Settings.Node.Name,
+		Address: c.listener.Addr().String(),
+		Store:   c.Store,
+		Ping:    c.ping,
+		Lead:    c.lead,
+		Logger:  c.logger,
+	})
+	c.server = rpc.NewServer(c.Logger)
+	batchrpc.Register(c.server, c.Runner, c.leading)
+	go c.serve()
+	c.Tasks.run(c.elector.Run)
+	c.Tasks.run(func(ctx context.Context) {
+		platform.FollowVersions(ctx, c.Store, c.Orders.SetNamed, telemetry.For(c.Logger, telemetry.PartOrders))
+	})
+	level.Info(c.logger).Log("msg", "started", "internal", c.listener.Addr())
+	return nil
+}
+
+func (c *coordinator) serve() {
+	err := c.server.Serve(c.listener)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		level.Error(c.logger).Log("msg", "internal listener ended", "err", err)
+	}
+}
+
+// leading reports whether an instance is this process and coordinates.
+func (c *coordinator) leading(instance string) bool {
+	return instance == c.elector.Instance() && c.elector.Leading()
+}
+
+// errNotLeading reports a process that answers but does not coordinate.
+var errNotLeading = errors.New("not coordinating")
+
+func (c *coordinator) ping(ctx context.Context, address, instance string) error {
+	reply, err := rpc.Call[batchrpc.PingRequest, batchrpc.PingReply](ctx, c.Calls, address, batchrpc.PingRequest{Instance: instance})
+	if err == nil && !reply.Leading {
+		err = errNotLeading
+	}
+	return err
+}
+
+// lead runs the duties of the coordinating process.
+func (c *coordinator) lead(ctx context.Context, term election.Term) {
+	var duties sync.WaitGroup
+	duties.Go(func() { c.Runner.Lead(ctx) })
+	duties.Go(func() { c.Orders.Lead(ctx, term) })
+	duties.Wait()
+}
+
+func (c *coordinator) stop(context.Context) error {
+	c.Tasks.cancel()
+	c.Tasks.running.Wait()
+	c.listener.Close()
+	c.server.Close()
+	c.Calls.Close()
+	return nil
+}
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -9,8 +9,12 @@
 	"go.uber.org/fx"
 
 	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/batchrpc"
+	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
 	"github.com/covelink/covelink/internal/telemetry"
 	"github.com/covelink/covelink/platform"
@@ -18,10 +22,24 @@
 
 // gatewayParts are those of a process that takes callers' requests.
 var gatewayParts = fx.Options(
-	fx.Provide(newBatchClient),
+	fx.Provide(newLeaseWatcher, newBatchClient),
 	fx.Invoke(runGateway),
 )
 
+// newLeaseWatcher follows the lease, to know who coordinates.
+func newLeaseWatcher(hooks fx.Lifecycle, group *tasks, store metastore.Client, logger log.Logger) *election.Watcher {
+	watcher := election.NewWatcher(store, telemetry.For(logger, telemetry.PartElection))
+	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
+		group.run(watcher.Run)
+		return nil
+	}})
+	return watcher
+}
+
+func newBatchClient(calls *rpc.Client, watcher *election.Watcher) batch.Service {
+	return batchrpc.NewClient(calls, watcher.Holder)
+}
+
 type gatewayParams struct {
 	fx.In
 	Settings  settings.Fleet
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -19,6 +19,8 @@
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/netdial"
+	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
 	"github.com/covelink/covelink/internal/telemetry"
 	"github.com/covelink/covelink/platform"
@@ -69,7 +71,9 @@
 	fx.Provide(
 		fleet.NewState,
 		func(config settings.Fleet) metastore.Client { return platform.NewStore(config.Store.Address, nil) },
-		func() forward.Transport { return platform.NewEngines() },
+		platform.NewEngines,
+		func(engines *platform.Engines) forward.Transport { return engines },
+		newCalls,
 		func() *forward.Picker { return forward.NewPicker(time.Now) },
 		newForwarder,
 		newTasks,
@@ -81,6 +85,27 @@
 	return forward.New(state, transport, picker, telemetry.For(logger, telemetry.PartForward))
 }
 
+// newCalls returns the client of other nodes' internal addresses.
+func newCalls(config settings.Fleet) *rpc.Client {
+	dialer := netdial.New(netdial.Options{
+		ConnectTimeout: callConnectTimeout,
+		UserTimeout:    callUserTimeout,
+		ProbeInterval:  callProbeInterval,
+		ProbeCount:     callProbeCount,
+	})
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+	return rpc.NewClient(rpc.Peer{Name: config.Node.Name, Zone: config.Node.Zone}, dial)
+}
+
+const (
+	callConnectTimeout = 700 * time.Millisecond
+	callUserTimeout    = 1500 * time.Millisecond
+	callProbeInterval  = time.Second
+	callProbeCount     = 2
+)
+
 // tasks are goroutines that run from start to stop.
 type tasks struct {
 	ctx     context.Context
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -49,8 +49,10 @@
 	Signature string
 	// WeightVersion is the version that the answer begins with; zero if it is not told.
 	WeightVersion int64
-	Header        http.Header
-	Body          io.ReadCloser
+	// VersionField is the name of the field of an event at which the weight version changes.
+	VersionField string
+	Header       http.Header
+	Body         io.ReadCloser
 }
 
 var (
--- /dev/null
+++ b/internal/weightorder/manager.go
@@ -0,0 +1,324 @@
+// Package weightorder moves engines to the weight versions that trainers name, by orders that only the coordinating process
+// gives.
+//
+// Guarantees: an order is given only within a short time after the store has said that this process still coordinates; a new
+// coordinator gives none until the last order of the one before it is a lease length old; an order names the engine's start
+// and its count of orders, so that one carried out late changes nothing.
+package weightorder
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/covelink/covelink/internal/election"
+	"github.com/covelink/covelink/internal/fleet"
+)
+
+// Mode is what becomes of the runs at an engine that loads.
+type Mode int
+
+// The modes.
+const (
+	// ModeRetain lets runs go on under the new version.
+	ModeRetain Mode = iota
+	// ModeWait loads once runs have ended.
+	ModeWait
+)
+
+// Order asks an engine to load a version of a model.
+type Order struct {
+	Model   string
+	Version int64
+	Mode    Mode
+	// Holder and Token name the coordinating process and its term.
+	Holder string
+	Token  int64
+	// Sequence is the count of orders that the engine has taken.
+	Sequence int64
+}
+
+// Report is what an engine tells of itself.
+type Report struct {
+	Sequence int64
+	// Busy is true while an order is carried out.
+	Busy     bool
+	Versions map[string]int64
+}
+
+// ErrRefused reports an order that the engine did not take.
+var ErrRefused = errors.New("weightorder: refused")
+
+// Engines calls engines.
+type Engines interface {
+	Report(ctx context.Context, engine *fleet.Engine) (Report, error)
+	Order(ctx context.Context, engine *fleet.Engine, order Order) error
+}
+
+const (
+	// maxLoading is how many engines load at once.
+	maxLoading = 2
+	// orderWindow is how long after the start of the question to the store an order may leave.
+	orderWindow = 700 * time.Millisecond
+	// callTimeout bounds a call to an engine.
+	callTimeout = 700 * time.Millisecond
+	// loadTime is the time after which a load is first asked for.
+	loadTime = 850 * time.Millisecond
+	// loadPoll is the pause between two questions about a load.
+	loadPoll = 150 * time.Millisecond
+	// loadLimit is how long a load may take before the engine is left aside.
+	loadLimit = 4 * time.Second
+	// retryPause is how long an engine is left aside after a call that failed.
+	retryPause = 500 * time.Millisecond
+	// idlePause is the pause between two looks when nothing changes.
+	idlePause = 2 * time.Second
+	// handOverMargin is added to the lease length before the first order of a term.
+	handOverMargin = 400 * time.Millisecond
+)
+
+// Params are what a Manager works with.
+type Params struct {
+	State   *fleet.State
+	Engines Engines
+	Holder  string
+	// LeaseLength is the least time between the orders of two coordinating processes.
+	LeaseLength time.Duration
+	// Loaded is told that an engine holds a version.
+	Loaded func(engineID, model string, version int64)
+	Logger log.Logger
+}
+
+// Manager gives orders while it leads.
+type Manager struct {
+	Params
+	mu      sync.Mutex
+	named   map[string]int64
+	changed chan struct{}
+	// held are versions that engines have told, by engine and model.
+	held map[string]map[string]int64
+	// loading are the engines that are being moved, and asideTil those that are left alone for a while.
+	loading  map[string]struct{}
+	asideTil map[string]time.Time
+}
+
+// New returns a Manager that does nothing until Lead.
+func New(params Params) *Manager {
+	return &Manager{
+		Params:   params,
+		changed:  make(chan struct{}, 1),
+		named:    make(map[string]int64),
+		held:     make(map[string]map[string]int64),
+		loading:  make(map[string]struct{}),
+		asideTil: make(map[string]time.Time),
+	}
+}
+
+// SetNamed takes in the newest named version of each model.
+func (m *Manager) SetNamed(named map[string]int64) {
+	m.mu.Lock()
+	for model, version := range named {
+		if version > m.named[model] {
+			level.Info(m.Logger).Log("msg", "weight version named", "model", model, "version", version)
+		}
+	}
+	m.named = maps.Clone(named)
+	m.mu.Unlock()
+	m.poke()
+}
+
+func (m *Manager) poke() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Lead gives orders until ctx ends.
+func (m *Manager) Lead(ctx context.Context, term election.Term) {
+	if term.TakenOver {
+		pause(ctx, m.LeaseLength+handOverMargin)
+	}
+	m.mu.Lock()
+	clear(m.loading)
+	clear(m.asideTil)
+	m.mu.Unlock()
+	var moving sync.WaitGroup
+	for ctx.Err() == nil {
+		_, changed := m.State.Changed()
+		for _, move := range m.plan(time.Now()) {
+			moving.Go(func() { m.move(ctx, term, move) })
+		}
+		timer := time.NewTimer(idlePause)
+		select {
+		case <-m.changed:
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	moving.Wait()
+}
+
+// move is one engine that is to load a version.
+type move struct {
+	engine  *fleet.Engine
+	model   string
+	version int64
+}
+
+// plan chooses the engines that load next, the most outdated first, and marks them.
+func (m *Manager) plan(now time.Time) []move {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	view := m.State.View()
+	if view.Routes == nil {
+		return nil
+	}
+	var chosen []move
+	for len(m.loading) < maxLoading {
+		next, ok := m.next(view, now)
+		if !ok {
+			break
+		}
+		m.loading[next.engine.ID] = struct{}{}
+		chosen = append(chosen, next)
+	}
+	return chosen
+}
+
+func (m *Manager) next(view *fleet.View, now time.Time) (move, bool) {
+	var best move
+	var bestLag int64
+	for service := range view.Routes.Services {
+		for _, engine := range view.Ready(service) {
+			if _, busy := m.loading[engine.ID]; busy || m.asideTil[engine.ID].After(now) {
+				continue
+			}
+			for model, version := range engine.Versions {
+				lag := m.named[model] - max(version, m.held[engine.ID][model])
+				better := lag > bestLag || (lag == bestLag && lag > 0 && engine.ID < best.engine.ID)
+				if better {
+					best, bestLag = move{engine: engine, model: model, version: m.named[model]}, lag
+				}
+			}
+		}
+	}
+	return best, bestLag > 0
+}
+
+// move brings an engine to a version and waits until it is seen there.
+func (m *Manager) move(ctx context.Context, term election.Term, target move) {
+	started := time.Now()
+	err := m.load(ctx, term, target)
+	level.Info(m.Logger).Log("msg", "engine moved", "engine", target.engine.ID, "model", target.model, "version", target.version,
+		"token", term.Token, "took", time.Since(started).Round(time.Millisecond), "err", err)
+	m.mu.Lock()
+	delete(m.loading, target.engine.ID)
+	if err != nil {
+		m.asideTil[target.engine.ID] = time.Now().Add(retryPause)
+	}
+	m.mu.Unlock()
+	if err != nil {
+		pause(ctx, retryPause)
+	}
+	m.poke()
+}
+
+// errNotLoaded reports a load that was not seen done.
+var errNotLoaded = errors.New("weightorder: load not seen done")
+
+func (m *Manager) load(ctx context.Context, term election.Term, target move) error {
+	report, err := m.report(ctx, target)
+	if err != nil {
+		return err
+	}
+	if report.Versions[target.model] >= target.version {
+		return nil
+	}
+	if !report.Busy {
+		if err := m.order(ctx, term, target, report); err != nil {
+			return err
+		}
+		pause(ctx, loadTime)
+	}
+	deadline := time.Now().Add(loadLimit)
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		report, err = m.report(ctx, target)
+		if err == nil && report.Versions[target.model] >= target.version {
+			return nil
+		}
+		if err == nil && !report.Busy {
+			return errNotLoaded
+		}
+		pause(ctx, loadPoll)
+	}
+	return errNotLoaded
+}
+
+// report asks an engine for its state and takes in the versions it tells.
+func (m *Manager) report(ctx context.Context, target move) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	report, err := m.Engines.Report(ctx, target.engine)
+	if err != nil {
+		return Report{}, err
+	}
+	m.mu.Lock()
+	m.held[target.engine.ID] = report.Versions
+	m.mu.Unlock()
+	for model, version := range report.Versions {
+		m.Loaded(target.engine.ID, model, version)
+	}
+	return report, nil
+}
+
+// order gives one order, if this process still coordinates.
+func (m *Manager) order(ctx context.Context, term election.Term, target move, report Report) error {
+	asked := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, asked.Add(orderWindow))
+	defer cancel()
+	if err := term.Verify(ctx); err != nil {
+		return err
+	}
+	return m.Engines.Order(ctx, target.engine, Order{
+		Model:    target.model,
+		Version:  target.version,
+		Mode:     m.mode(target.model),
+		Holder:   m.Holder,
+		Token:    term.Token,
+		Sequence: report.Sequence,
+	})
+}
+
+// mode lets runs go on under the new version unless a route demands texts of one version.
+func (m *Manager) mode(model string) Mode {
+	routes := m.State.View().Routes
+	for _, route := range routes.Routes() {
+		if !route.SingleVersion {
+			continue
+		}
+		for _, target := range route.Targets {
+			for _, held := range routes.Services[target.Service].Models {
+				if held == model {
+					return ModeWait
+				}
+			}
+		}
+	}
+	return ModeRetain
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
