--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -36,6 +36,8 @@
 	Name    string
 	Address string
 	Store   metastore.Client
+	// Followers follow the lease in the store.
+	Followers *metastore.Followers
 	// Ping asks the process at an address whether it is the instance and holds the lease.
 	Ping func(ctx context.Context, address, instance string) error
 	// Lead coordinates until ctx ends. It must return soon after.
@@ -54,7 +56,7 @@
 
 // New returns an Elector. Run starts it.
 func New(params Params) *Elector {
-	return &Elector{Params: params, Watcher: NewWatcher(params.Store, params.Logger), instance: uuid.NewString()}
+	return &Elector{Params: params, Watcher: NewWatcher(params.Followers, params.Logger), instance: uuid.NewString()}
 }
 
 // Instance returns the name of this start of the process.
--- a/internal/election/watcher.go
+++ b/internal/election/watcher.go
@@ -12,17 +12,17 @@
 
 // Watcher knows the newest state of the lease. It is safe for concurrent use.
 type Watcher struct {
-	client  metastore.Client
-	logger  log.Logger
-	mu      sync.Mutex
-	lease   Lease
-	known   bool
-	changed chan struct{}
+	followers *metastore.Followers
+	logger    log.Logger
+	mu        sync.Mutex
+	lease     Lease
+	known     bool
+	changed   chan struct{}
 }
 
 // NewWatcher returns a Watcher. Run starts it.
-func NewWatcher(client metastore.Client, logger log.Logger) *Watcher {
-	return &Watcher{client: client, logger: logger, changed: make(chan struct{})}
+func NewWatcher(followers *metastore.Followers, logger log.Logger) *Watcher {
+	return &Watcher{followers: followers, logger: logger, changed: make(chan struct{})}
 }
 
 // Run follows the lease until ctx ends.
@@ -38,7 +38,7 @@
 	lost := func(err error) {
 		level.Warn(w.logger).Log("msg", "store call failed", "kind", KindLeases, "err", err)
 	}
-	metastore.NewFollower(w.client, KindLeases, changed, lost).Run(ctx)
+	w.followers.Follow(ctx, KindLeases, metastore.FollowOptions{Changed: changed, Lost: lost})
 }
 
 // Holder returns the address of the holder, or "" if there is none or it is not known.
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -53,13 +53,14 @@
 
 type coordinatorParams struct {
 	fx.In
-	Settings settings.Fleet
-	Logger   log.Logger
-	Store    metastore.Client
-	Runner   *batchrun.Runner
-	Orders   *weightorder.Manager
-	Calls    *rpc.Client
-	Tasks    *tasks
+	Settings  settings.Fleet
+	Logger    log.Logger
+	Store     metastore.Client
+	Followers *metastore.Followers
+	Runner    *batchrun.Runner
+	Orders    *weightorder.Manager
+	Calls     *rpc.Client
+	Tasks     *tasks
 }
 
 // coordinator campaigns for the lease, and serves gateways while it holds it.
@@ -83,19 +84,20 @@
 		return err
 	}
 	c.elector = election.New(election.Params{
-		Name:    c.Settings.Node.Name,
-		Address: c.listener.Addr().String(),
-		Store:   c.Store,
-		Ping:    c.ping,
-		Lead:    c.lead,
-		Logger:  c.logger,
+		Name:      c.Settings.Node.Name,
+		Address:   c.listener.Addr().String(),
+		Store:     c.Store,
+		Followers: c.Followers,
+		Ping:      c.ping,
+		Lead:      c.lead,
+		Logger:    c.logger,
 	})
 	c.server = rpc.NewServer(c.Logger)
 	batchrpc.Register(c.server, c.Runner, c.leading)
 	go c.serve()
 	c.Tasks.run(c.elector.Run)
 	c.Tasks.run(func(ctx context.Context) {
-		platform.FollowVersions(ctx, c.Store, c.Orders.SetNamed, telemetry.For(c.Logger, telemetry.PartOrders))
+		platform.FollowVersions(ctx, c.Followers, c.Orders.SetNamed, telemetry.For(c.Logger, telemetry.PartOrders))
 	})
 	level.Info(c.logger).Log("msg", "started", "internal", c.listener.Addr())
 	return nil
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -27,8 +27,8 @@
 )
 
 // newLeaseWatcher follows the lease, to know who coordinates.
-func newLeaseWatcher(hooks fx.Lifecycle, group *tasks, store metastore.Client, logger log.Logger) *election.Watcher {
-	watcher := election.NewWatcher(store, telemetry.For(logger, telemetry.PartElection))
+func newLeaseWatcher(hooks fx.Lifecycle, group *tasks, followers *metastore.Followers, logger log.Logger) *election.Watcher {
+	watcher := election.NewWatcher(followers, telemetry.For(logger, telemetry.PartElection))
 	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
 		group.run(watcher.Run)
 		return nil
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -71,6 +71,7 @@
 	fx.Provide(
 		fleet.NewState,
 		func(config settings.Fleet) metastore.Client { return platform.NewStore(config.Store.Address, nil) },
+		metastore.NewFollowers,
 		platform.NewEngines,
 		func(engines *platform.Engines) forward.Transport { return engines },
 		newCalls,
@@ -130,11 +131,11 @@
 }
 
 // followFleet keeps the state at what the store holds.
-func followFleet(hooks fx.Lifecycle, group *tasks, store metastore.Client, state *fleet.State, logger log.Logger) {
+func followFleet(hooks fx.Lifecycle, group *tasks, followers *metastore.Followers, state *fleet.State, logger log.Logger) {
 	logger = telemetry.For(logger, telemetry.PartFleet)
 	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
-		group.run(func(ctx context.Context) { platform.FollowConfig(ctx, store, state, logger) })
-		group.run(func(ctx context.Context) { platform.FollowEngines(ctx, store, state, logger) })
+		group.run(func(ctx context.Context) { platform.FollowConfig(ctx, followers, state, logger) })
+		group.run(func(ctx context.Context) { platform.FollowEngines(ctx, followers, state, logger) })
 		return nil
 	}})
 }
--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -4,12 +4,13 @@
 	"context"
 	"errors"
 	"maps"
+	"sync"
 	"time"
 )
 
 const (
-	// watchWait is how long a watch may wait in the store for a change.
-	watchWait = 10 * time.Second
+	// DefaultWait is how long a watch waits in the store for a change.
+	DefaultWait = 10 * time.Second
 	// retryPause is the pause after a call that failed.
 	retryPause = 150 * time.Millisecond
 	// stalledAfter is how long a watch may outlast its wait before it is given up.
@@ -24,79 +25,142 @@
 	Revision Revision
 }
 
-// Follower keeps a copy of the objects of one kind, by a list and a watch from its revision on. What it hands out never goes
-// back to an earlier revision of the store.
-type Follower struct {
+// FollowOptions say what is done with a followed kind. The functions are called from the goroutine of Follow.
+type FollowOptions struct {
+	// Wait bounds a watch; zero means DefaultWait. A watch whose history was dropped may stay silent, so that the wait is
+	// also the longest time that changes may be missed.
+	Wait time.Duration
+	// Changed takes every new snapshot.
+	Changed func(Snapshot)
+	// Lost takes the error of each call that failed; nil for nobody.
+	Lost func(error)
+}
+
+// Followers keep copies of the objects of several kinds. Once one of them learns that the store has dropped its history, all
+// list their kinds again: the watches of the others may be silent for that reason.
+type Followers struct {
 	client Client
-	kind   string
-	// changed is called with every new snapshot, from Run's goroutine.
-	changed func(Snapshot)
-	// lost is called with the error of each call that failed, from Run's goroutine.
-	lost     func(error)
-	snapshot Snapshot
+	mu     sync.Mutex
+	// history ends when the store is known to have dropped its history.
+	history context.Context
+	drop    context.CancelFunc
+}
+
+// NewFollowers returns Followers of the store.
+func NewFollowers(client Client) *Followers {
+	f := &Followers{client: client}
+	f.history, f.drop = context.WithCancel(context.Background())
+	return f
+}
+
+func (f *Followers) currentHistory() context.Context {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.history
 }
 
-// NewFollower returns a Follower of the kind. Run starts it.
-func NewFollower(client Client, kind string, changed func(Snapshot), lost func(error)) *Follower {
-	return &Follower{client: client, kind: kind, changed: changed, lost: lost}
+// dropped makes every follower list again.
+func (f *Followers) dropped() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drop()
+	f.history, f.drop = context.WithCancel(context.Background())
 }
 
-// Run follows the kind until ctx ends.
-func (f *Follower) Run(ctx context.Context) {
+// Follow keeps a copy of the objects of a kind until ctx ends, by a list and a watch from its revision on. What it hands out
+// never goes back to an earlier revision of the store.
+func (f *Followers) Follow(ctx context.Context, kind string, options FollowOptions) {
+	if options.Wait == 0 {
+		options.Wait = DefaultWait
+	}
+	if options.Lost == nil {
+		options.Lost = func(error) {}
+	}
+	w := &follower{group: f, kind: kind, options: options}
+	w.run(ctx)
+}
+
+// follower follows one kind.
+type follower struct {
+	group    *Followers
+	kind     string
+	options  FollowOptions
+	snapshot Snapshot
+}
+
+func (w *follower) run(ctx context.Context) {
 	listed := false
 	for ctx.Err() == nil {
 		var err error
 		if listed {
-			err = f.watch(ctx)
+			err = w.watch(ctx)
 		} else {
-			err = f.list(ctx)
+			err = w.list(ctx)
 			listed = err == nil
 		}
 		if errors.Is(err, ErrCompacted) {
 			listed = false
-			continue
 		}
 		if err != nil && ctx.Err() == nil {
-			f.lost(err)
+			w.options.Lost(err)
+		}
+		if err != nil && listed {
 			pause(ctx, retryPause)
 		}
 	}
 }
 
 // list replaces the copy by what the store holds.
-func (f *Follower) list(ctx context.Context) error {
-	objects, revision, err := ListAll(ctx, f.client, f.kind, "")
+func (w *follower) list(ctx context.Context) error {
+	objects, revision, err := ListAll(ctx, w.group.client, w.kind, "")
 	if err != nil {
+		pause(ctx, retryPause)
 		return err
 	}
-	if revision < f.snapshot.Revision {
+	if revision < w.snapshot.Revision {
 		return nil
 	}
-	f.snapshot = Snapshot{Objects: make(map[string]Object, len(objects)), Revision: revision}
+	w.snapshot = Snapshot{Objects: make(map[string]Object, len(objects)), Revision: revision}
 	for _, object := range objects {
-		f.snapshot.Objects[object.Name] = object
+		w.snapshot.Objects[object.Name] = object
 	}
-	f.changed(f.snapshot)
+	w.options.Changed(w.snapshot)
 	return nil
 }
 
 // watch waits for changes once and applies them.
-func (f *Follower) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+stalledAfter)
+func (w *follower) watch(ctx context.Context) error {
+	history := w.group.currentHistory()
+	ctx, cancel := context.WithTimeout(ctx, w.options.Wait+stalledAfter)
 	defer cancel()
-	events, err := f.client.Watch(ctx, f.kind, f.snapshot.Revision, watchWait)
+	stop := context.AfterFunc(history, cancel)
+	defer stop()
+	events, err := w.group.client.Watch(ctx, w.kind, w.snapshot.Revision, w.options.Wait)
+	if errors.Is(err, ErrCompacted) {
+		w.group.dropped()
+		return err
+	}
+	if err != nil && history.Err() != nil {
+		return ErrCompacted
+	}
 	if err != nil {
 		return err
 	}
-	if events.Revision < f.snapshot.Revision {
-		return nil
+	w.apply(events)
+	return nil
+}
+
+// apply makes the next snapshot from changes.
+func (w *follower) apply(events Events) {
+	if events.Revision < w.snapshot.Revision {
+		return
 	}
-	next := Snapshot{Objects: f.snapshot.Objects, Revision: events.Revision}
+	next := Snapshot{Objects: w.snapshot.Objects, Revision: events.Revision}
 	if len(events.Events) == 0 {
-		f.snapshot = next
-		return nil
+		w.snapshot = next
+		return
 	}
-	next.Objects = maps.Clone(f.snapshot.Objects)
+	next.Objects = maps.Clone(w.snapshot.Objects)
 	for _, event := range events.Events {
 		if event.Gone {
 			delete(next.Objects, event.Object.Name)
@@ -104,9 +168,8 @@
 		}
 		next.Objects[event.Object.Name] = event.Object
 	}
-	f.snapshot = next
-	f.changed(next)
-	return nil
+	w.snapshot = next
+	w.options.Changed(next)
 }
 
 // ListAll returns all objects of a kind whose names come after a name, and the revision of the first page: a watch from it
