batchlog: logs are fenced by the token of the term; SIGHUP reloads the settings

Ruled out: stale leases at the gateways (all had the new holder 2 ms after). Change: chunks bear the token, whoever takes a log over appends a fence first; the end of a job is the sealing chunk, so that an end acknowledged by an earlier coordinator is part of the same order.

--- a/internal/batchlog/batchlog.go
+++ b/internal/batchlog/batchlog.go
@@ -1,12 +1,14 @@
 // Package batchlog keeps batch jobs in the metadata store: the job as it was accepted, and a log of results that only grows.
 //
 // A job is one object; its items are kept beside it, written before it. The log is a series of chunks, numbered from 0, each
-// created once and never changed: whoever creates chunk N has read all before it, so of two writers one learns that it is
-// not alone. Guarantees, while the store keeps what it acknowledged:
+// created once and never changed: whoever creates chunk N has read all before it. A chunk bears the token of its writer's
+// term, and a writer that takes a log over appends a fence first. Guarantees, while the store keeps what it acknowledged and
+// tokens of later terms are higher:
 //
 //   - A job that was accepted is found by everyone, with its items, until it is removed.
 //   - A result that was appended keeps its position and its content; an item has at most one result.
-//   - After a sealing chunk nothing is appended.
+//   - Once a writer has fenced a log, it knows all of it, and writers of earlier terms append nothing more.
+//   - After a sealing chunk nothing is appended: the job has ended.
 package batchlog
 
 import (
@@ -19,6 +21,7 @@
 	"strings"
 
 	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/metastore"
@@ -38,19 +41,25 @@
 	nameSeparator = "."
 )
 
-// ErrNotAlone reports a chunk that another writer created. The log must be read again.
-var ErrNotAlone = errors.New("batchlog: another writer")
+var (
+	// ErrFenced reports a log that a writer of a later term has taken over.
+	ErrFenced = errors.New("batchlog: fenced by a later term")
+	// ErrSealed reports a log to which nothing is appended any more.
+	ErrSealed = errors.New("batchlog: sealed")
+)
 
-// Store keeps batch jobs.
+// Store keeps batch jobs for the writer of one term.
 type Store struct {
 	client metastore.Client
-	// writer tells this process's objects from others'.
+	// token is the term's.
+	token int64
+	// writer tells this writer's objects from others'.
 	writer string
 }
 
-// New returns a Store. Each process start is another writer.
-func New(client metastore.Client) *Store {
-	return &Store{client: client, writer: uuid.NewString()}
+// New returns a Store for the writer of a term.
+func New(client metastore.Client, token int64) *Store {
+	return &Store{client: client, token: token, writer: uuid.NewString()}
 }
 
 // record is a job's object: the job without its items.
@@ -59,7 +68,6 @@
 	// Parts are the names of the objects that hold the items.
 	Parts []string  `json:"parts"`
 	Job   batch.Job `json:"job"`
-	Ended bool      `json:"ended"`
 	// Sealed is true once the log is known to be sealed; the log itself decides.
 	Sealed bool `json:"sealed"`
 }
@@ -71,7 +79,10 @@
 
 // chunk is one element of a log.
 type chunk struct {
-	Writer  string `json:"writer"`
+	Writer string `json:"writer"`
+	// Token is that of the writer's term.
+	Token int64 `json:"token"`
+	// Results may be empty: a fence, or a seal.
 	Results []byte `json:"results"`
 	Sealed  bool   `json:"sealed"`
 }
@@ -96,12 +107,12 @@
 	created, err := metastore.SettleCreate(ctx, s.client, kindJobs, object, own)
 	var conflict *metastore.ConflictError
 	if errors.As(err, &conflict) {
-		return s.load(ctx, conflict.Current)
+		return s.takeOver(ctx, conflict.Current)
 	}
 	if err != nil {
 		return nil, err
 	}
-	return &Stored{store: s, object: created, record: kept, Job: job, Ended: false}, nil
+	return &Stored{store: s, object: created, record: kept, Job: job}, nil
 }
 
 // writeItems writes the items under names that no other submission uses.
@@ -160,34 +171,54 @@
 	return append(parts, list[begin:])
 }
 
-// Find returns a job. metastore.ErrNotFound if there is none.
+// Find takes a job over. metastore.ErrNotFound if there is none.
 func (s *Store) Find(ctx context.Context, id string) (*Stored, error) {
 	object, err := s.client.Get(ctx, kindJobs, id)
 	if err != nil {
 		return nil, err
 	}
-	return s.load(ctx, object)
+	return s.takeOver(ctx, object)
 }
 
-// Open returns the jobs that are not known to be sealed.
+// maxConcurrent is how many jobs are taken over at once.
+const maxConcurrent = 4
+
+// Open takes over the jobs that are not known to be sealed.
 func (s *Store) Open(ctx context.Context) ([]*Stored, error) {
 	objects, _, err := metastore.ListAll(ctx, s.client, kindJobs, "")
 	if err != nil {
 		return nil, err
 	}
-	var jobs []*Stored
+	var open []metastore.Object
 	for _, object := range objects {
 		var found record
-		if json.Unmarshal(object.Spec, &found) != nil || found.Sealed {
-			continue
-		}
-		job, err := s.load(ctx, object)
-		if err != nil {
-			return nil, err
+		if json.Unmarshal(object.Spec, &found) == nil && !found.Sealed {
+			open = append(open, object)
 		}
-		jobs = append(jobs, job)
 	}
-	return jobs, nil
+	jobs := make([]*Stored, len(open))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxConcurrent)
+	for i, object := range open {
+		group.Go(func() error {
+			var err error
+			jobs[i], err = s.takeOver(ctx, object)
+			return err
+		})
+	}
+	return jobs, group.Wait()
+}
+
+// takeOver reads a job with its log, and fences the log unless it is sealed.
+func (s *Store) takeOver(ctx context.Context, object metastore.Object) (*Stored, error) {
+	job, err := s.load(ctx, object)
+	if err != nil {
+		return nil, err
+	}
+	if err := job.Fence(ctx); err != nil {
+		return nil, err
+	}
+	return job, nil
 }
 
 // load reads a job's items and its log.
--- a/internal/batchlog/stored.go
+++ b/internal/batchlog/stored.go
@@ -18,13 +18,13 @@
 	record record
 	// Job is the job as it was accepted.
 	Job batch.Job
-	// Ended is true once the job was ended.
-	Ended bool
 	// Results are the results in the log.
 	Results []batch.Result
 	// Sealed is true once nothing is appended any more.
 	Sealed bool
 	chunks int
+	// token is the highest of the log's chunks.
+	token int64
 }
 
 // take reads the job's object.
@@ -36,7 +36,6 @@
 	items := j.Job.Items
 	j.object, j.record, j.Job = object, found, found.Job
 	j.Job.Items = items
-	j.Ended = j.Ended || found.Ended
 	return nil
 }
 
@@ -92,40 +91,81 @@
 	}
 	j.Results = append(j.Results, results...)
 	j.Sealed = j.Sealed || found.Sealed
+	j.token = max(j.token, found.Token)
 	j.chunks++
 	return nil
 }
 
-// Append adds results of items that have none, as many as fit one chunk, and returns how many. ErrNotAlone if another writer
-// has appended; after it the log must be read again.
-func (j *Stored) Append(ctx context.Context, results []batch.Result) (int, error) {
-	first := splitResults(results)[0]
-	if err := j.append(ctx, first, false); err != nil {
-		return 0, err
+// Append adds results, as many as fit one chunk, and seals the log with the last of them if seal is true. It returns how many
+// it has added; the log may then hold more, which others have appended before: see Results. Results of items that have one
+// are left out. ErrFenced or ErrSealed if nothing can be appended, or the error of the store; after metastore.ErrUnknown the
+// call may be repeated.
+func (j *Stored) Append(ctx context.Context, results []batch.Result, seal bool) (int, error) {
+	for {
+		if j.Sealed {
+			return 0, ErrSealed
+		}
+		fresh := j.unlisted(results)
+		part := fresh
+		if len(fresh) > 0 {
+			part = splitResults(fresh)[0]
+		}
+		last := len(part) == len(fresh)
+		if len(part) == 0 && !seal {
+			return len(results), nil
+		}
+		appended, err := j.append(ctx, part, seal && last)
+		if err != nil {
+			return 0, err
+		}
+		if appended {
+			return len(results) - len(fresh) + len(part), nil
+		}
 	}
-	return len(first), nil
 }
 
-// Seal ends the log. It may be called by anyone once the job has ended.
-func (j *Stored) Seal(ctx context.Context) error {
-	return j.append(ctx, nil, true)
+// unlisted returns the results of items that have none in the log.
+func (j *Stored) unlisted(results []batch.Result) []batch.Result {
+	listed := make(map[string]struct{}, len(j.Results))
+	for _, result := range j.Results {
+		listed[result.ID] = struct{}{}
+	}
+	fresh := make([]batch.Result, 0, len(results))
+	for _, result := range results {
+		if _, ok := listed[result.ID]; !ok {
+			fresh = append(fresh, result)
+		}
+	}
+	return fresh
 }
 
-func (j *Stored) append(ctx context.Context, results []batch.Result, sealed bool) error {
-	if j.Sealed {
-		return ErrNotAlone
+// Fence appends a chunk without results, unless the log is sealed: after it, the log is known as a whole, and writers of earlier
+// terms append nothing.
+func (j *Stored) Fence(ctx context.Context) error {
+	for !j.Sealed {
+		appended, err := j.append(ctx, nil, false)
+		if err != nil || appended {
+			return err
+		}
 	}
-	content, err := encodeGob(results)
-	if err != nil {
-		return err
+	return nil
+}
+
+// append creates the next chunk. It returns false if another writer was first, whose chunks have then been read.
+func (j *Stored) append(ctx context.Context, results []batch.Result, seal bool) (bool, error) {
+	if j.token > j.store.token {
+		return false, ErrFenced
 	}
-	if len(results) == 0 {
-		content = nil
+	next := chunk{Writer: j.store.writer, Token: j.store.token, Sealed: seal}
+	if len(results) > 0 {
+		var err error
+		if next.Results, err = encodeGob(results); err != nil {
+			return false, err
+		}
 	}
-	next := chunk{Writer: j.store.writer, Results: content, Sealed: sealed}
 	object, err := encodeObject(chunkName(j.Job.ID, j.chunks), next)
 	if err != nil {
-		return err
+		return false, err
 	}
 	own := func(current metastore.Object) bool {
 		var found chunk
@@ -134,15 +174,16 @@
 	_, err = metastore.SettleCreate(ctx, j.store.client, kindResults, object, own)
 	var conflict *metastore.ConflictError
 	if errors.As(err, &conflict) {
-		return ErrNotAlone
+		return false, j.Refresh(ctx)
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	j.Results = append(j.Results, results...)
-	j.Sealed = j.Sealed || sealed
+	j.Sealed = seal
+	j.token = j.store.token
 	j.chunks++
-	return nil
+	return true, nil
 }
 
 // equal reports whether both are the same writer's chunk. A writer may try another chunk under the same number after one whose
@@ -151,15 +192,6 @@
 	return c.Writer == other.Writer && c.Sealed == other.Sealed && bytes.Equal(c.Results, other.Results)
 }
 
-// MarkEnded ends the job for good. It has no effect on one that has ended.
-func (j *Stored) MarkEnded(ctx context.Context) error {
-	return j.update(ctx, func(r *record) bool {
-		changed := !r.Ended
-		r.Ended = true
-		return changed
-	})
-}
-
 // MarkSealed notes on the job that its log is sealed, so that Open passes it over.
 func (j *Stored) MarkSealed(ctx context.Context) error {
 	return j.update(ctx, func(r *record) bool {
--- a/internal/batchrun/attempt.go
+++ b/internal/batchrun/attempt.go
@@ -191,7 +191,7 @@
 	}
 	line.Log("msg", "attempt ended", "request", it.ID, "job", it.job.ID, "engine", a.engine.ID, "verdict", result,
 		"version", a.version, "events", a.events, "text_events", len(it.events), "took", now.Sub(a.started).Round(time.Millisecond), "err", cause)
-	if it.job.ended || it.phase != phaseRunning || r.term == nil || r.term.Err() != nil {
+	if it.job.ended || it.phase != phaseRunning || !r.leads() {
 		return
 	}
 	it.cancel = nil
--- a/internal/batchrun/commit.go
+++ b/internal/batchrun/commit.go
@@ -7,7 +7,6 @@
 
 	"github.com/go-kit/log/level"
 
-	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/batchlog"
 )
 
@@ -20,72 +19,55 @@
 
 // commit keeps the results of a job and then lists them, until the job's log is sealed or ctx ends.
 func (r *Runner) commit(ctx context.Context, j *job) {
-	for {
+	for ctx.Err() == nil {
 		select {
 		case <-j.wake:
 		case <-ctx.Done():
 			return
 		}
-		for {
-			more, err := r.commitOnce(ctx, j)
-			if errors.Is(err, batchlog.ErrNotAlone) {
-				level.Warn(r.Logger).Log("msg", "another process writes the results of the job", "request", j.ID)
-				return
-			}
-			if err != nil {
-				level.Warn(r.Logger).Log("msg", "results not kept", "request", j.ID, "err", err)
-				sleep(ctx, commitPause)
-			}
-			if ctx.Err() != nil {
-				return
-			}
-			if !more {
-				break
-			}
+		for ctx.Err() == nil && r.commitOnce(ctx, j) {
 		}
-		if r.sealed(j) {
+		if j.stored.Sealed {
+			r.noteSealed(ctx, j)
 			return
 		}
 		sleep(ctx, commitInterval)
 	}
 }
 
-func (r *Runner) sealed(j *job) bool {
-	j.storeMu.Lock()
-	defer j.storeMu.Unlock()
-	return j.stored.Sealed
-}
-
-// commitOnce keeps what is pending, or seals the log of a job that has ended. more is true if it must be called again.
-func (r *Runner) commitOnce(ctx context.Context, j *job) (more bool, err error) {
+// commitOnce keeps what is pending, with the end of the job if that was asked for. It reports whether there is more to do.
+func (r *Runner) commitOnce(ctx context.Context, j *job) (more bool) {
 	r.mu.Lock()
 	pending := j.pending
 	ended := j.ended
 	r.mu.Unlock()
-	j.storeMu.Lock()
-	defer j.storeMu.Unlock()
-	if len(pending) > 0 {
-		appended, err := j.stored.Append(ctx, pending)
-		if err != nil {
-			return true, err
-		}
-		r.listed(j, pending[:appended])
-		return true, nil
+	if len(pending) == 0 && !ended {
+		return false
 	}
-	if !ended || !j.stored.Ended || j.stored.Sealed {
-		return false, nil
+	appended, err := j.stored.Append(ctx, pending, ended)
+	switch {
+	case errors.Is(err, batchlog.ErrFenced):
+		level.Warn(r.Logger).Log("msg", "results are another process's to write", "request", j.ID)
+		r.depose()
+		return false
+	case errors.Is(err, batchlog.ErrSealed):
+		appended = len(pending)
+	case err != nil:
+		level.Warn(r.Logger).Log("msg", "results not kept", "request", j.ID, "err", err)
+		sleep(ctx, commitPause)
+		return true
 	}
-	if err := j.stored.Seal(ctx); err != nil {
-		return true, err
-	}
-	return false, j.stored.MarkSealed(ctx)
-}
-
-// listed makes results visible that are kept.
-func (r *Runner) listed(j *job, results []batch.Result) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	j.pending = j.pending[len(results):]
-	j.publish(results)
-	level.Debug(r.Logger).Log("msg", "results listed", "request", j.ID, "results", len(results), "listed", len(j.listed), "items", len(j.items))
+	j.pending = j.pending[appended:]
+	j.publish(j.stored.Results, j.stored.Sealed)
+	level.Debug(r.Logger).Log("msg", "results listed", "request", j.ID, "listed", len(j.listed), "items", len(j.items), "sealed", j.sealed)
+	return !j.sealed && (len(j.pending) > 0 || j.ended)
+}
+
+// noteSealed tells later terms that they need not read the job.
+func (r *Runner) noteSealed(ctx context.Context, j *job) {
+	if err := j.stored.MarkSealed(ctx); err != nil {
+		level.Info(r.Logger).Log("msg", "sealed job not marked", "request", j.ID, "err", err)
+	}
 }
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/covelink/covelink/internal/batch"
@@ -80,7 +79,9 @@
 	byID  map[string]*item
 	// accepted is when this process began to run the job.
 	accepted time.Time
-	ended    bool
+	// ended is true once the end was asked for, and sealed once it is kept for good.
+	ended  bool
+	sealed bool
 	// listed are the results that are kept for good, by position.
 	listed []batch.Result
 	// pending are results that are not yet kept.
@@ -89,9 +90,8 @@
 	changed chan struct{}
 	// wake tells the committer of pending results or of the end.
 	wake chan struct{}
-	// storeMu guards stored.
-	storeMu sync.Mutex
-	stored  *batchlog.Stored
+	// stored belongs to the committer.
+	stored *batchlog.Stored
 }
 
 func newJob(stored *batchlog.Stored, now time.Time) *job {
@@ -99,7 +99,8 @@
 		Job:      stored.Job,
 		byID:     make(map[string]*item, len(stored.Job.Items)),
 		accepted: now,
-		ended:    stored.Ended,
+		ended:    stored.Sealed,
+		sealed:   stored.Sealed,
 		listed:   slices.Clone(stored.Results),
 		changed:  make(chan struct{}),
 		wake:     make(chan struct{}, 1),
@@ -126,9 +127,24 @@
 	}
 }
 
-// publish adds results that are kept for good.
-func (j *job) publish(results []batch.Result) {
-	j.listed = append(j.listed, results...)
+// publish shows the results that are kept for good, and whether the job's end is.
+func (j *job) publish(results []batch.Result, sealed bool) {
+	for _, result := range results[len(j.listed):] {
+		j.listed = append(j.listed, result)
+		if it, ok := j.byID[result.ID]; ok {
+			it.finish()
+		}
+	}
+	j.sealed = sealed
 	close(j.changed)
 	j.changed = make(chan struct{})
 }
+
+// finish ends all work on the item.
+func (it *item) finish() {
+	it.phase = phaseFinished
+	if it.cancel != nil {
+		it.cancel()
+		it.cancel = nil
+	}
+}
--- a/internal/batchrun/judge.go
+++ b/internal/batchrun/judge.go
@@ -82,7 +82,7 @@
 func (r *Runner) judged(it *item, result batch.Result, failures int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if it.job.ended || it.phase != phaseJudging {
+	if it.job.ended || it.phase != phaseJudging || !r.leads() {
 		return
 	}
 	if result.State == batch.Dead {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -38,7 +38,7 @@
 	State     *fleet.State
 	Transport forward.Transport
 	Forwarder *forward.Forwarder
-	Store     *batchlog.Store
+	Store     metastore.Client
 	Logger    log.Logger
 }
 
@@ -49,7 +49,10 @@
 
 	mu sync.Mutex
 	// term ends with the leadership; nil while this process does not lead.
-	term    context.Context
+	term context.Context
+	// depose ends the term.
+	depose  context.CancelFunc
+	log     *batchlog.Store
 	jobs    map[string]*job
 	order   []*job
 	engines map[string]*engineRecord
@@ -67,9 +70,13 @@
 	return &Runner{Params: params, now: time.Now, wake: make(chan struct{}, 1)}
 }
 
-// Lead runs the jobs of the store until ctx ends.
-func (r *Runner) Lead(ctx context.Context) {
-	stored, ok := r.recover(ctx)
+// Lead runs the jobs of the store until ctx ends or a later term has begun. token is the term's.
+func (r *Runner) Lead(ctx context.Context, token int64) {
+	ctx, depose := context.WithCancel(ctx)
+	defer depose()
+	started := r.now()
+	log := batchlog.New(r.Store, token)
+	stored, ok := r.recover(ctx, log)
 	if !ok {
 		return
 	}
@@ -78,12 +85,12 @@
 	r.order = nil
 	r.engines = make(map[string]*engineRecord)
 	r.kept = make(map[string]progress)
-	r.term = ctx
+	r.term, r.depose, r.log = ctx, depose, log
 	for _, found := range stored {
 		r.add(found)
 	}
 	r.mu.Unlock()
-	level.Info(r.Logger).Log("msg", "leading", "jobs", len(stored))
+	level.Info(r.Logger).Log("msg", "leading", "token", token, "jobs", len(stored), "took", r.now().Sub(started).Round(time.Millisecond))
 	r.scheduleUntil(ctx)
 	r.mu.Lock()
 	r.term = nil
@@ -93,9 +100,9 @@
 }
 
 // recover reads the open jobs, as often as it takes.
-func (r *Runner) recover(ctx context.Context) ([]*batchlog.Stored, bool) {
+func (r *Runner) recover(ctx context.Context, log *batchlog.Store) ([]*batchlog.Stored, bool) {
 	for ctx.Err() == nil {
-		stored, err := r.Store.Open(ctx)
+		stored, err := log.Open(ctx)
 		if err == nil {
 			return stored, true
 		}
@@ -122,9 +129,6 @@
 		term := r.term
 		r.running.Go(func() { r.commit(term, j) })
 	}
-	if j.ended {
-		j.signal()
-	}
 	r.poke()
 	return j
 }
@@ -150,19 +154,23 @@
 	}
 }
 
-// leading returns the term, or batch.ErrUnavailable.
-func (r *Runner) leading() (context.Context, error) {
+// leading returns the log of the term, or batch.ErrUnavailable.
+func (r *Runner) leading() (*batchlog.Store, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.term == nil || r.term.Err() != nil {
+	if !r.leads() {
 		return nil, batch.ErrUnavailable
 	}
-	return r.term, nil
+	return r.log, nil
 }
 
+// leads reports whether the term lasts. The mutex must be held.
+func (r *Runner) leads() bool { return r.term != nil && r.term.Err() == nil }
+
 // Submit implements batch.Service.
 func (r *Runner) Submit(ctx context.Context, submitted batch.Job) error {
-	if _, err := r.leading(); err != nil {
+	log, err := r.leading()
+	if err != nil {
 		return batch.ErrRefused
 	}
 	if r.find(submitted.ID) != nil {
@@ -172,7 +180,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
 	defer cancel()
 	started := r.now()
-	stored, err := r.Store.Accept(ctx, submitted)
+	stored, err := log.Accept(ctx, submitted)
 	level.Info(r.Logger).Log("msg", "job submitted", "request", submitted.ID, "items", len(submitted.Items), "step", submitted.Step,
 		"min_version", submitted.MinVersion, "took", r.now().Sub(started), "err", err)
 	if errors.Is(err, metastore.ErrNotDone) || errors.Is(err, metastore.ErrInvalid) {
@@ -183,7 +191,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.term == nil {
+	if !r.leads() {
 		// Whoever leads now finds the job when it is asked for.
 		return nil
 	}
@@ -195,7 +203,7 @@
 func (r *Runner) NoteVersion(engineID, model string, version int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.term == nil {
+	if !r.leads() {
 		return
 	}
 	r.engine(engineID).noteVersion(model, version)
@@ -210,7 +218,8 @@
 
 // lookUp returns a job, from the store if this process does not know it.
 func (r *Runner) lookUp(ctx context.Context, id string) (*job, error) {
-	if _, err := r.leading(); err != nil {
+	log, err := r.leading()
+	if err != nil {
 		return nil, err
 	}
 	if known := r.find(id); known != nil {
@@ -218,7 +227,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	stored, err := r.Store.Find(ctx, id)
+	stored, err := log.Find(ctx, id)
 	if errors.Is(err, metastore.ErrNotFound) {
 		return nil, batch.ErrNotFound
 	}
@@ -227,7 +236,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.term == nil {
+	if !r.leads() {
 		return nil, batch.ErrUnavailable
 	}
 	return r.add(stored), nil
@@ -300,20 +309,35 @@
 	r.mu.Lock()
 	r.stopItems(j)
 	r.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
+	j.signal()
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
-	j.storeMu.Lock()
-	err = j.stored.MarkEnded(ctx)
-	j.storeMu.Unlock()
-	level.Info(r.Logger).Log("msg", "job ended", "request", id, "listed", len(j.listed), "items", len(j.items), "err", err)
-	if err != nil {
+	sealed := r.awaitSealed(ctx, j)
+	level.Info(r.Logger).Log("msg", "job ended", "request", id, "items", len(j.items), "kept", sealed)
+	if !sealed {
 		return batch.ErrUnavailable
 	}
-	j.signal()
 	r.poke()
 	return nil
 }
 
+// awaitSealed waits until the end of a job is kept for good.
+func (r *Runner) awaitSealed(ctx context.Context, j *job) bool {
+	for {
+		r.mu.Lock()
+		sealed, changed := j.sealed, j.changed
+		r.mu.Unlock()
+		if sealed {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // stopItems ends all work on a job and keeps what was made of its items for later jobs.
 func (r *Runner) stopItems(j *job) {
 	if j.ended {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/urfave/cli/v3"
 
 	"github.com/covelink/covelink/internal/commandline"
@@ -101,6 +102,8 @@
 	name, zone string
 	log        settings.Log
 	build      func(logger log.Logger) (process, error)
+	// reload hands changed settings to a process that was built; nil if it takes none.
+	reload func(p process) error
 }
 
 // load reads the settings: those of a fleet if the file names a metadata store.
@@ -127,7 +130,14 @@
 		return loaded{}, err
 	}
 	build := func(logger log.Logger) (process, error) { return fleetnode.New(config, logger) }
-	return loaded{name: config.Node.Name, zone: config.Node.Zone, log: config.Log, build: build}, nil
+	reload := func(p process) error {
+		changed, err := settings.LoadFleet(file, c.environment, overrides)
+		if err != nil {
+			return err
+		}
+		return p.(*fleetnode.Node).Reload(changed)
+	}
+	return loaded{name: config.Node.Name, zone: config.Node.Zone, log: config.Log, build: build, reload: reload}, nil
 }
 
 func (c *command) checkConfig(_ context.Context, cmd *cli.Command) error {
@@ -161,7 +171,12 @@
 	if err := process.Start(ctx); err != nil {
 		return err
 	}
-	<-stopped.Done()
+	awaitStop(stopped, logger, func() error {
+		if config.reload == nil {
+			return nil
+		}
+		return config.reload(process)
+	})
 	cancel()
 	forced, cancelForced := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancelForced()
@@ -170,3 +185,24 @@
 	}
 	return nil
 }
+
+// awaitStop takes in changed settings on every SIGHUP until ctx ends. Settings that cannot be used leave the last ones in
+// force.
+func awaitStop(ctx context.Context, logger log.Logger, reload func() error) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	logger = telemetry.For(logger, telemetry.PartNode)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		if err := reload(); err != nil {
+			level.Error(logger).Log("msg", "settings not reloaded, the last ones stay in force", "err", err)
+			continue
+		}
+		level.Info(logger).Log("msg", "settings reloaded")
+	}
+}
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -10,7 +10,6 @@
 	"github.com/go-kit/log/level"
 	"go.uber.org/fx"
 
-	"github.com/covelink/covelink/internal/batchlog"
 	"github.com/covelink/covelink/internal/batchrpc"
 	"github.com/covelink/covelink/internal/batchrun"
 	"github.com/covelink/covelink/internal/election"
@@ -35,7 +34,7 @@
 		State:     state,
 		Transport: transport,
 		Forwarder: forwarder,
-		Store:     batchlog.New(store),
+		Store:     store,
 		Logger:    telemetry.For(logger, telemetry.PartBatch),
 	})
 }
@@ -129,7 +128,7 @@
 // lead runs the duties of the coordinating process.
 func (c *coordinator) lead(ctx context.Context, term election.Term) {
 	var duties sync.WaitGroup
-	duties.Go(func() { c.Runner.Lead(ctx) })
+	duties.Go(func() { c.Runner.Lead(ctx, term.Token) })
 	duties.Go(func() { c.Orders.Lead(ctx, term) })
 	duties.Wait()
 }
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -43,6 +43,7 @@
 type gatewayParams struct {
 	fx.In
 	Settings  settings.Fleet
+	Timing    *timing
 	Logger    log.Logger
 	State     *fleet.State
 	Forwarder *forward.Forwarder
@@ -91,13 +92,14 @@
 // stop sends callers elsewhere, waits until they have noticed, and finishes what is in flight.
 func (g *gateway) stop(ctx context.Context) error {
 	started := time.Now()
+	timeout := g.Timing.stopTimeout()
 	g.stopping.Store(true)
 	level.Info(g.logger).Log("msg", "stopping")
 	select {
-	case <-time.After(min(noticeTime, g.Settings.Timing.StopTimeout/3)):
+	case <-time.After(min(noticeTime, timeout/3)):
 	case <-ctx.Done():
 	}
-	limit, cancel := context.WithDeadline(ctx, started.Add(g.Settings.Timing.StopTimeout-stopMargin))
+	limit, cancel := context.WithDeadline(ctx, started.Add(timeout-stopMargin))
 	defer cancel()
 	err := g.callers.server.Shutdown(limit)
 	if err != nil {
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -28,6 +28,8 @@
 
 const (
 	startTimeout = 10 * time.Second
+	// maxStopTime bounds a planned stop whatever the settings say.
+	maxStopTime = 10 * time.Minute
 	// noticeTime is how long callers need to notice that a process is not ready any more.
 	noticeTime = 2500 * time.Millisecond
 	// stopMargin is what is left of the stop timeout for closing.
@@ -36,20 +38,31 @@
 
 // Node is one process.
 type Node struct {
-	app *fx.App
+	app    *fx.App
+	config settings.Fleet
+	timing *timing
 }
 
+// timing holds the settings that may change while the process runs.
+type timing struct {
+	current atomic.Pointer[settings.FleetTiming]
+}
+
+func (t *timing) stopTimeout() time.Duration { return t.current.Load().StopTimeout }
+
 // New builds a node. It does nothing until Start.
 func New(config settings.Fleet, logger log.Logger) (*Node, error) {
 	role := gatewayParts
 	if config.Node.Role == settings.RoleCoordinator {
 		role = coordinatorParts
 	}
+	changing := &timing{}
+	changing.current.Store(&config.Timing)
 	app := fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
-		fx.StopTimeout(config.Timing.StopTimeout),
-		fx.Supply(config),
+		fx.StopTimeout(maxStopTime),
+		fx.Supply(config, changing),
 		fx.Provide(func() log.Logger { return logger }),
 		commonParts,
 		role,
@@ -57,7 +70,19 @@
 	if err := app.Err(); err != nil {
 		return nil, fmt.Errorf("node: %w", err)
 	}
-	return &Node{app: app}, nil
+	return &Node{app: app, config: config, timing: changing}, nil
+}
+
+// ErrNeedsRestart reports changed settings that a running process cannot take.
+var ErrNeedsRestart = errors.New("node: name, zone, role, addresses and store take effect at the next start")
+
+// Reload takes in changed settings. Those of timing take effect at once; ErrNeedsRestart if others differ as well.
+func (n *Node) Reload(changed settings.Fleet) error {
+	n.timing.current.Store(&changed.Timing)
+	if changed.Node != n.config.Node || changed.Listen != n.config.Listen || changed.Store != n.config.Store {
+		return ErrNeedsRestart
+	}
+	return nil
 }
 
 // Start begins to serve. The node calls itself ready once it holds a configuration.
