batchrun: items move off slow engines; the silence limit falls to 1.6 s

Ruled out: waiting for a slot (no item waited over 20 ms), reward calls. Change: an item whose engine's moving average of the pause between events is 1.7 times that expected at one with room goes on there after its last event; averages older than 3 s are not believed.

--- a/internal/batchrun/attempt.go
+++ b/internal/batchrun/attempt.go
@@ -20,7 +20,7 @@
 
 const (
 	// silenceLimit is how long an engine may make no event before the item is moved.
-	silenceLimit = 2500 * time.Millisecond
+	silenceLimit = 1600 * time.Millisecond
 	// failurePause is the pause before an item that failed is tried again.
 	failurePause = 50 * time.Millisecond
 )
@@ -158,7 +158,7 @@
 	record := r.engine(a.engine.ID)
 	record.noteVersion(it.job.Model, a.version)
 	if a.events > 0 {
-		record.observePace(pause)
+		record.observe(pause, r.now())
 	}
 	a.events++
 	if it.job.ended {
@@ -208,6 +208,8 @@
 			return
 		}
 		it.retry(now)
+	case verdictCanceled:
+		it.phase = phaseWaiting
 	default:
 		it.retry(now)
 	}
@@ -220,23 +222,6 @@
 	it.notBefore = now.Add(failurePause)
 }
 
-// end takes in how an attempt at the engine ended.
-func (e *engineRecord) end(result verdict, now time.Time) {
-	e.running--
-	switch result {
-	case verdictWhole, verdictImpossible:
-		e.failures = 0
-	case verdictBroken, verdictFailed:
-		e.failures++
-		e.asideTil = now.Add(min(firstBackoff<<min(e.failures, 5), maxBackoff))
-	case verdictRefused, verdictOutdated:
-		e.asideTil = now.Add(busyBackoff)
-	case verdictGone:
-		e.asideTil = now.Add(maxBackoff)
-	case verdictCanceled:
-	}
-}
-
 // giveUp ends an item without a text. The mutex must be held.
 func (r *Runner) giveUp(it *item, reason string) {
 	level.Info(r.Logger).Log("msg", "item given up", "request", it.ID, "job", it.job.ID, "reason", reason, "failures", it.failures)
--- /dev/null
+++ b/internal/batchrun/engine_record.go
@@ -0,0 +1,108 @@
+package batchrun
+
+import (
+	"time"
+
+	"github.com/covelink/covelink/internal/fleet"
+)
+
+const (
+	// assumedPause stands for engines of which nothing recent is known.
+	assumedPause = 40 * time.Millisecond
+	// pauseWeight is the share of the newest pause between events in the moving average.
+	pauseWeight = 0.12
+	// maxPauseFactor bounds a pause that is taken in, relative to the average: a load is no sign of a slow engine.
+	maxPauseFactor = 4
+	// pauseLife is how long the average of an engine that makes no events is believed.
+	pauseLife = 3 * time.Second
+	// affinityFactor is the cost of an engine that holds the item's shared prompt, relative to one that does not.
+	affinityFactor = 0.7
+	// loadFactor is how much slower a full engine is than an idle one.
+	loadFactor = 0.6
+	// firstBackoff and maxBackoff bound how long an engine is left aside after failures in a row.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 2 * time.Second
+	// busyBackoff is how long an engine that refused is left aside.
+	busyBackoff = 80 * time.Millisecond
+	// maxPrefixes bounds the shared prompts that an engine is taken to hold.
+	maxPrefixes = 256
+)
+
+// engineRecord is what the runner knows of an engine beyond the list.
+type engineRecord struct {
+	running  int
+	asideTil time.Time
+	failures int
+	// average is the moving average of the pause between two events, and observed when it was last taken in.
+	average  time.Duration
+	observed time.Time
+	// versions are weight versions that answers have told, by model.
+	versions map[string]int64
+	// prefixes are the shared prompts that it was sent under its present weights.
+	prefixes map[string]struct{}
+}
+
+func (r *Runner) engine(id string) *engineRecord {
+	record, ok := r.engines[id]
+	if !ok {
+		record = &engineRecord{versions: make(map[string]int64), prefixes: make(map[string]struct{})}
+		r.engines[id] = record
+	}
+	return record
+}
+
+// version returns the weight version of a model at an engine, as far as it is known.
+func (e *engineRecord) version(engine *fleet.Engine, model string) int64 {
+	return max(engine.Versions[model], e.versions[model])
+}
+
+// noteVersion takes in the version that an answer told.
+func (e *engineRecord) noteVersion(model string, version int64) {
+	if version == e.versions[model] {
+		return
+	}
+	e.versions[model] = version
+	clear(e.prefixes)
+}
+
+// observe takes in the pause between two events.
+func (e *engineRecord) observe(pause time.Duration, now time.Time) {
+	average := e.pause(now)
+	pause = min(pause, maxPauseFactor*average)
+	e.average = average + time.Duration(pauseWeight*float64(pause-average))
+	e.observed = now
+}
+
+// pause returns the expected pause between two events of a run.
+func (e *engineRecord) pause(now time.Time) time.Duration {
+	if e.average == 0 || now.Sub(e.observed) > pauseLife {
+		return assumedPause
+	}
+	return e.average
+}
+
+// cost is the expected pause between events of one more item, in seconds, less what a kept prompt saves.
+func (e *engineRecord) cost(slots int, prefix string, now time.Time) float64 {
+	cost := e.pause(now).Seconds() * (1 + loadFactor*float64(e.running)/float64(slots))
+	if _, held := e.prefixes[prefix]; held && prefix != "" {
+		cost *= affinityFactor
+	}
+	return cost
+}
+
+// end takes in the end of an attempt at the engine.
+func (e *engineRecord) end(result verdict, now time.Time) {
+	e.running--
+	switch result {
+	case verdictWhole, verdictImpossible:
+		e.failures = 0
+	case verdictBroken, verdictFailed:
+		e.failures++
+		e.asideTil = now.Add(min(firstBackoff<<min(e.failures, 5), maxBackoff))
+	case verdictRefused, verdictOutdated:
+		e.asideTil = now.Add(busyBackoff)
+	case verdictGone:
+		e.asideTil = now.Add(maxBackoff)
+	case verdictCanceled:
+	}
+}
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -68,8 +68,11 @@
 	notBefore time.Time
 	// cancel ends the attempt or the reward call under way.
 	cancel context.CancelFunc
-	// lastEngine is where the last attempt was made.
+	// lastEngine is where the last attempt was made, and started when.
 	lastEngine string
+	started    time.Time
+	// moving is true once the attempt was ended so that the item goes on elsewhere.
+	moving bool
 }
 
 // job is a batch job that this process runs. The runner's mutex guards it, unless a field says otherwise.
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -5,6 +5,8 @@
 	"sort"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/routing"
@@ -17,90 +19,28 @@
 	idleInterval = time.Second
 	// defaultSlots stands for engines that tell no slots.
 	defaultSlots = 4
-	// assumedPace stands for engines that have made no event yet.
-	assumedPace = 40 * time.Millisecond
-	// paceWeight is the share of the newest pause between events in the moving average.
-	paceWeight = 0.1
-	// affinityFactor is the cost of an engine that holds the item's shared prompt, relative to one that does not.
-	affinityFactor = 0.7
-	// loadFactor is how much slower a full engine is than an idle one.
-	loadFactor = 0.6
-	// firstBackoff and maxBackoff bound how long an engine is left aside after failures in a row.
-	firstBackoff = 100 * time.Millisecond
-	maxBackoff   = 2 * time.Second
-	// busyBackoff is how long an engine that refused is left aside.
-	busyBackoff = 80 * time.Millisecond
-	// maxPrefixes bounds the shared prompts that an engine is taken to hold.
-	maxPrefixes = 256
+	// moveInterval is the pause between two looks for items that had better run elsewhere.
+	moveInterval = 200 * time.Millisecond
+	// moveAfter is how long an attempt is left alone before its item may be moved.
+	moveAfter = 400 * time.Millisecond
+	// moveFactor is how much slower an item's engine must be than another before the item is moved.
+	moveFactor = 1.7
 )
 
-// engineRecord is what the runner knows of an engine beyond the list.
-type engineRecord struct {
-	running  int
-	asideTil time.Time
-	failures int
-	// pace is the moving average of the pause between two events.
-	pace time.Duration
-	// versions are weight versions that answers have told, by model.
-	versions map[string]int64
-	// prefixes are the shared prompts that it was sent under its present weights.
-	prefixes map[string]struct{}
-}
-
-func (r *Runner) engine(id string) *engineRecord {
-	record, ok := r.engines[id]
-	if !ok {
-		record = &engineRecord{versions: make(map[string]int64), prefixes: make(map[string]struct{})}
-		r.engines[id] = record
-	}
-	return record
-}
-
-// version returns the weight version of a model at an engine, as far as it is known.
-func (e *engineRecord) version(engine *fleet.Engine, model string) int64 {
-	return max(engine.Versions[model], e.versions[model])
-}
-
-// noteVersion takes in the version that an answer told.
-func (e *engineRecord) noteVersion(model string, version int64) {
-	if version == e.versions[model] {
-		return
-	}
-	e.versions[model] = version
-	clear(e.prefixes)
-}
-
-func (e *engineRecord) observePace(pause time.Duration) {
-	if e.pace == 0 {
-		e.pace = pause
-		return
-	}
-	e.pace += time.Duration(paceWeight * float64(pause-e.pace))
-}
-
-// cost is the expected pause between events of one more item.
-func (e *engineRecord) cost(slots int, prefix string) float64 {
-	pace := e.pace
-	if pace == 0 {
-		pace = assumedPace
-	}
-	cost := pace.Seconds() * (1 + loadFactor*float64(e.running)/float64(slots))
-	if _, held := e.prefixes[prefix]; held && prefix != "" {
-		cost *= affinityFactor
-	}
-	return cost
-}
-
 // scheduleUntil places items until ctx ends.
 func (r *Runner) scheduleUntil(ctx context.Context) {
 	for ctx.Err() == nil {
 		_, changed := r.State.Changed()
 		r.mu.Lock()
 		left := r.schedule(ctx)
+		running := r.moveSlow()
 		r.mu.Unlock()
 		pause := idleInterval
-		if left > 0 {
+		switch {
+		case left > 0:
 			pause = scheduleInterval
+		case running > 0:
+			pause = moveInterval
 		}
 		timer := time.NewTimer(pause)
 		select {
@@ -127,7 +67,7 @@
 			continue
 		}
 		route := view.Routes.Match(it.job.Host, it.Path)
-		engine := r.choose(view, route, it, now)
+		engine, _ := r.choose(view, route, it, now)
 		if engine == nil {
 			left++
 			continue
@@ -179,10 +119,8 @@
 	return items
 }
 
-// choose returns the engine for an item, or nil if none can take it now.
-func (r *Runner) choose(view *fleet.View, route *routing.Route, it *item, now time.Time) *fleet.Engine {
-	var best *fleet.Engine
-	var bestCost float64
+// choose returns the engine for an item and the pause between events that is expected there, or nil if none can take it now.
+func (r *Runner) choose(view *fleet.View, route *routing.Route, it *item, now time.Time) (best *fleet.Engine, bestCost float64) {
 	for _, engine := range view.Ready(route.Pick(draw(it.ID))) {
 		record := r.engine(engine.ID)
 		slots := engine.Slots
@@ -192,12 +130,56 @@
 		if !r.canTake(record, engine, route, it, slots, now) {
 			continue
 		}
-		cost := record.cost(slots, it.Prefix)
+		cost := record.cost(slots, it.Prefix, now)
 		if best == nil || cost < bestCost {
 			best, bestCost = engine, cost
 		}
 	}
-	return best
+	return best, bestCost
+}
+
+// moveSlow ends attempts at engines that are much slower than another that has room, so that their items go on there, at most
+// one an engine. It returns the number of items that run. The mutex must be held.
+func (r *Runner) moveSlow() (running int) {
+	view := r.State.View()
+	now := r.now()
+	moved := make(map[string]struct{})
+	for _, j := range r.order {
+		if j.ended || view.Routes == nil {
+			continue
+		}
+		for _, it := range j.items {
+			if it.phase != phaseRunning {
+				continue
+			}
+			running++
+			if _, done := moved[it.lastEngine]; !done && r.moveIfSlow(view, it, now) {
+				moved[it.lastEngine] = struct{}{}
+			}
+		}
+	}
+	return running
+}
+
+func (r *Runner) moveIfSlow(view *fleet.View, it *item, now time.Time) bool {
+	if it.moving || now.Sub(it.started) < moveAfter {
+		return false
+	}
+	route := view.Routes.Match(it.job.Host, it.Path)
+	if route == nil {
+		return false
+	}
+	record := r.engine(it.lastEngine)
+	other, otherPause := r.choose(view, route, it, now)
+	if other == nil || other.ID == it.lastEngine || record.pause(now).Seconds() < moveFactor*otherPause {
+		return false
+	}
+	level.Info(r.Logger).Log("msg", "item moved", "request", it.ID, "job", it.job.ID, "from", it.lastEngine, "to", other.ID,
+		"pause", record.pause(now).Round(time.Millisecond), "other_pause", time.Duration(otherPause*float64(time.Second)).Round(time.Millisecond),
+		"text_events", len(it.events))
+	it.moving = true
+	it.cancel()
+	return true
 }
 
 // canTake reports whether an engine can take an item now.
@@ -236,6 +218,8 @@
 	}
 	it.phase = phaseRunning
 	it.lastEngine = engine.ID
+	it.started = r.now()
+	it.moving = false
 	attemptCtx, cancel := context.WithCancel(ctx)
 	it.cancel = cancel
 	options := forward.SendOptions{Priority: -1}
