decommission: machines that operators take away

Cause: requests to empty a storage machine (kind retire) were not reported at all. Such machines keep nothing here, so that a request is done once another machine coordinates.

--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -12,6 +12,7 @@
 
 	"github.com/covelink/covelink/internal/batchrpc"
 	"github.com/covelink/covelink/internal/batchrun"
+	"github.com/covelink/covelink/internal/decommission"
 	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
@@ -25,7 +26,7 @@
 
 // coordinatorParts are those of a process that may coordinate.
 var coordinatorParts = fx.Options(
-	fx.Provide(newRunner, newOrders),
+	fx.Provide(newRunner, newOrders, newDecommission),
 	fx.Invoke(runCoordinator),
 )
 
@@ -50,6 +51,13 @@
 	})
 }
 
+func newDecommission(config settings.Fleet, store metastore.Client, logger log.Logger) *decommission.Manager {
+	report := func(ctx context.Context, request decommission.Request) error {
+		return platform.CompleteRetirement(ctx, store, request)
+	}
+	return decommission.New(config.Node.Name, report, telemetry.For(logger, telemetry.PartElection))
+}
+
 type coordinatorParams struct {
 	fx.In
 	Settings  settings.Fleet
@@ -58,6 +66,7 @@
 	Followers *metastore.Followers
 	Runner    *batchrun.Runner
 	Orders    *weightorder.Manager
+	Leaving   *decommission.Manager
 	Calls     *rpc.Client
 	Tasks     *tasks
 }
@@ -89,6 +98,7 @@
 		Followers: c.Followers,
 		Ping:      c.ping,
 		Lead:      c.lead,
+		Eligible:  c.Leaving.MayCoordinate,
 		Logger:    c.logger,
 	})
 	c.server = rpc.NewServer(c.Logger)
@@ -98,6 +108,9 @@
 	c.Tasks.run(func(ctx context.Context) {
 		platform.FollowVersions(ctx, c.Followers, c.Orders.SetNamed, telemetry.For(c.Logger, telemetry.PartOrders))
 	})
+	c.Tasks.run(func(ctx context.Context) {
+		platform.FollowRetirements(ctx, c.Followers, c.Leaving.SetRequests, c.logger)
+	})
 	level.Info(c.logger).Log("msg", "started", "internal", c.listener.Addr())
 	return nil
 }
@@ -130,6 +143,7 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { c.Runner.Lead(ctx, term.Token) })
 	duties.Go(func() { c.Orders.Lead(ctx, term) })
+	duties.Go(func() { c.Leaving.Lead(ctx) })
 	duties.Wait()
 }
 
