--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -80,7 +80,7 @@
 	}
 	go g.callers.serve(g.logger)
 	go g.probes.serve(g.logger)
-	level.Info(g.logger).Log("msg", "started", "http", g.Settings.Listen.HTTP)
+	level.Info(g.logger).Log("msg", "started", "http", g.callers.listener.Addr(), "ready", g.probes.listener.Addr())
 	return nil
 }
 
@@ -101,10 +101,7 @@
 	}
 	limit, cancel := context.WithDeadline(ctx, started.Add(timeout-stopMargin))
 	defer cancel()
-	err := g.callers.server.Shutdown(limit)
-	if err != nil {
-		g.callers.server.Close()
-	}
+	err := g.callers.drain(limit)
 	g.probes.server.Close()
 	level.Info(g.logger).Log("msg", "stopped", "took", time.Since(started), "err", err)
 	return nil
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/httpdrain"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/netdial"
 	"github.com/covelink/covelink/internal/rpc"
@@ -169,6 +170,7 @@
 type httpServer struct {
 	listener net.Listener
 	server   *http.Server
+	open     *httpdrain.Connections
 }
 
 func listenHTTP(ctx context.Context, address string, handler http.Handler) (*httpServer, error) {
@@ -177,7 +179,22 @@
 	if err != nil {
 		return nil, err
 	}
-	return &httpServer{listener: listener, server: &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}}, nil
+	open := httpdrain.New()
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: open.Note}
+	return &httpServer{listener: listener, server: server, open: open}, nil
+}
+
+// drain waits until callers open no more connections, closes the listener and finishes the requests that are on their way.
+// The end of ctx cuts off what is left.
+func (s *httpServer) drain(ctx context.Context) error {
+	s.open.AwaitLeft(ctx)
+	s.listener.Close()
+	s.open.AwaitQuiet(ctx)
+	err := s.server.Shutdown(ctx)
+	if err != nil {
+		s.server.Close()
+	}
+	return err
 }
 
 const (
@@ -188,7 +205,7 @@
 
 func (s *httpServer) serve(logger log.Logger) {
 	err := s.server.Serve(s.listener)
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		level.Error(logger).Log("msg", "listener ended", "address", s.listener.Addr(), "err", err)
 	}
 }
--- a/internal/node/connections.go
+++ b/internal/httpdrain/connections.go
@@ -1,4 +1,6 @@
-package node
+// Package httpdrain closes an HTTP server without cutting off a request: it knows the state of every open connection, and
+// waits until callers have gone elsewhere and the requests that are on their way have been answered.
+package httpdrain
 
 import (
 	"context"
@@ -18,18 +20,19 @@
 	lingerLimit = 3 * time.Second
 )
 
-// connections knows the state of every open HTTP connection.
-type connections struct {
+// Connections knows the state of every open HTTP connection.
+type Connections struct {
 	mu     sync.Mutex
 	states map[net.Conn]http.ConnState
 	// newest is when the last connection was accepted.
 	newest time.Time
 }
 
-func newConnections() *connections { return &connections{states: make(map[net.Conn]http.ConnState)} }
+// New returns Connections without any.
+func New() *Connections { return &Connections{states: make(map[net.Conn]http.ConnState)} }
 
-// note is an http.Server's ConnState hook.
-func (c *connections) note(conn net.Conn, state http.ConnState) {
+// Note is an http.Server's ConnState hook.
+func (c *Connections) Note(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
@@ -43,7 +46,7 @@
 }
 
 // quiet reports whether no connection is being served or waits for its first request.
-func (c *connections) quiet() bool {
+func (c *Connections) quiet() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, state := range c.states {
@@ -54,9 +57,9 @@
 	return true
 }
 
-// awaitLeft waits until callers open no more connections, or the limit. Whoever connects meanwhile is told that the node stops;
+// AwaitLeft waits until callers open no more connections, or the limit. Whoever connects meanwhile is told that the node stops;
 // a connection that the kernel has taken when the listener is closed is reset, and its caller could not tell why.
-func (c *connections) awaitLeft(ctx context.Context) {
+func (c *Connections) AwaitLeft(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, lingerLimit)
 	defer cancel()
 	started := time.Now()
@@ -78,9 +81,9 @@
 	}
 }
 
-// awaitQuiet waits until the connections are quiet or ctx ends. The listener must be closed. A server that shuts down closes
+// AwaitQuiet waits until the connections are quiet or ctx ends. The listener must be closed. A server that shuts down closes
 // connections whose first request is on its way, and their callers could not tell whether it was run.
-func (c *connections) awaitQuiet(ctx context.Context) {
+func (c *Connections) AwaitQuiet(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, newConnectionWait)
 	defer cancel()
 	for !c.quiet() {
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -21,6 +21,7 @@
 	"github.com/covelink/covelink/internal/dispatch"
 	"github.com/covelink/covelink/internal/engine"
 	"github.com/covelink/covelink/internal/gateway"
+	"github.com/covelink/covelink/internal/httpdrain"
 	"github.com/covelink/covelink/internal/inventory"
 	"github.com/covelink/covelink/internal/keeper"
 	"github.com/covelink/covelink/internal/leadership"
@@ -70,7 +71,7 @@
 	Gateway   *gateway.Gateway
 	Resources *resourceapi.API
 	HTTP      *http.Server
-	Callers   *connections
+	Callers   *httpdrain.Connections
 }
 
 // lifecycle runs the parts of a node and stops them in order.
@@ -172,9 +173,9 @@
 func (l *lifecycle) close() {
 	closeCtx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	l.Callers.awaitLeft(closeCtx)
+	l.Callers.AwaitLeft(closeCtx)
 	l.Listeners.http.Close()
-	l.Callers.awaitQuiet(closeCtx)
+	l.Callers.AwaitQuiet(closeCtx)
 	if err := l.HTTP.Shutdown(closeCtx); err != nil {
 		l.HTTP.Close()
 	}
@@ -195,7 +196,7 @@
 // newHTTPServer serves callers, operators and metrics on one listener.
 func newHTTPServer(config settings.Settings, self cluster.Node, source cluster.Source, callers *gateway.Gateway, operators *resourceapi.API,
 	recorded *recorder.Recorder, authenticator *auth.Authenticator, registry *prometheus.Registry,
-	open *connections) *http.Server {
+	open *httpdrain.Connections) *http.Server {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
 	router.Use(gin.Recovery())
@@ -204,6 +205,6 @@
 	recorder.Handlers{Recorder: recorded, Self: self, Source: source}.Routes(router, authenticator.Authenticate(), auth.RequireOperatorRead())
 	router.GET("/metrics", gin.WrapH(telemetry.Handler(registry)))
 	server := gateway.NewHTTPServer(router, config.Limits)
-	server.ConnState = open.note
+	server.ConnState = open.Note
 	return server
 }
--- a/internal/node/wiring.go
+++ b/internal/node/wiring.go
@@ -17,6 +17,7 @@
 	"github.com/covelink/covelink/internal/dispatch"
 	"github.com/covelink/covelink/internal/engine"
 	"github.com/covelink/covelink/internal/gateway"
+	"github.com/covelink/covelink/internal/httpdrain"
 	"github.com/covelink/covelink/internal/inventory"
 	"github.com/covelink/covelink/internal/keeper"
 	"github.com/covelink/covelink/internal/leadership"
@@ -63,7 +64,7 @@
 		newAuthenticator,
 		newGateway,
 		newResourceAPI,
-		newConnections,
+		httpdrain.New,
 		newHTTPServer,
 	),
 )
