--- /dev/null
+++ b/internal/election/election_test.go
@@ -0,0 +1,250 @@
+package election_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/election"
+	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/metastore/metastoretest"
+)
+
+// term is one holding of the lease, as a candidate saw it.
+type term struct {
+	candidate string
+	token     int64
+	takenOver bool
+}
+
+// group is several candidates on one store.
+type group struct {
+	store *metastoretest.Store
+	mu    sync.Mutex
+	// silent are the candidates that answer no ping, cut those that reach no store.
+	silent, cut map[string]bool
+	candidates  map[string]*candidate
+	terms       []term
+	leading     map[string]bool
+	overlaps    int
+}
+
+type candidate struct {
+	elector *election.Elector
+	stop    func()
+	// killed is true once the life has ended without a chance to give the lease back.
+	killed  bool
+	current election.Term
+}
+
+var errSilent = errors.New("no answer")
+
+func newGroup() *group {
+	return &group{
+		store:      metastoretest.New(),
+		silent:     make(map[string]bool),
+		cut:        make(map[string]bool),
+		candidates: make(map[string]*candidate),
+		leading:    make(map[string]bool),
+	}
+}
+
+func (g *group) set(state map[string]bool, name string, value bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state[name] = value
+}
+
+// start begins a life of a candidate.
+func (g *group) start(name string) {
+	client := g.store.Client()
+	c := &candidate{}
+	client.Fault = func(string, string, bool) metastoretest.Fault {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.cut[name] || c.killed {
+			return metastoretest.Silent
+		}
+		return metastoretest.None
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.elector = election.New(election.Params{
+		Name:      name,
+		Address:   name,
+		Store:     client,
+		Followers: metastore.NewFollowers(client),
+		Ping:      g.ping,
+		Lead:      func(ctx context.Context, t election.Term) { g.lead(ctx, name, t) },
+		Logger:    log.NewNopLogger(),
+	})
+	done := make(chan struct{})
+	go func() {
+		c.elector.Run(ctx)
+		close(done)
+	}()
+	c.stop = func() {
+		cancel()
+		<-done
+	}
+	g.mu.Lock()
+	g.candidates[name] = c
+	g.mu.Unlock()
+}
+
+// kill ends a life of a candidate as SIGKILL does.
+func (g *group) kill(name string) {
+	g.mu.Lock()
+	c := g.candidates[name]
+	c.killed = true
+	g.mu.Unlock()
+	c.stop()
+}
+
+func (g *group) ping(_ context.Context, address, instance string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	target := g.candidates[address]
+	if target == nil || g.silent[address] || target.elector.Instance() != instance || !target.elector.Leading() {
+		return errSilent
+	}
+	return nil
+}
+
+func (g *group) lead(ctx context.Context, name string, t election.Term) {
+	g.mu.Lock()
+	g.terms = append(g.terms, term{candidate: name, token: t.Token, takenOver: t.TakenOver})
+	g.candidates[name].current = t
+	g.leading[name] = true
+	g.mu.Unlock()
+	<-ctx.Done()
+	g.mu.Lock()
+	g.leading[name] = false
+	g.mu.Unlock()
+}
+
+func (g *group) leader() (string, election.Term) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	last := g.terms[len(g.terms)-1]
+	return last.candidate, g.candidates[last.candidate].current
+}
+
+func (g *group) stopAll() {
+	for _, c := range g.candidates {
+		c.stop()
+	}
+}
+
+func other(name string) string {
+	if name == "a" {
+		return "b"
+	}
+	return "a"
+}
+
+func TestElection(t *testing.T) {
+	play := func(name string, scene func(g *group)) {
+		synctest.Test(t, func(t *testing.T) {
+			g := newGroup()
+			g.start("a")
+			g.start("b")
+			time.Sleep(time.Second)
+			defer g.stopAll()
+			Convey(name, t, func() { scene(g) })
+		})
+	}
+	play("One candidate leads, and goes on leading", func(g *group) {
+		time.Sleep(time.Minute)
+		So(len(g.terms), ShouldEqual, 1)
+		So(g.terms[0].takenOver, ShouldBeFalse)
+	})
+	play("A holder that stops gives the lease back, and the other leads at once with a higher token", func(g *group) {
+		name, first := g.leader()
+		g.candidates[name].stop()
+		time.Sleep(200 * time.Millisecond)
+		next, second := g.leader()
+		So(next, ShouldEqual, other(name))
+		So(second.Token, ShouldBeGreaterThan, first.Token)
+		So(second.TakenOver, ShouldBeTrue)
+		So(errors.Is(first.Verify(context.Background()), election.ErrLost), ShouldBeTrue)
+		So(second.Verify(context.Background()), ShouldBeNil)
+	})
+	play("A holder that is silent and cut from the store is replaced within 3 s, and learns it once it is back", func(g *group) {
+		name, first := g.leader()
+		g.set(g.silent, name, true)
+		g.set(g.cut, name, true)
+		time.Sleep(3 * time.Second)
+		next, _ := g.leader()
+		So(next, ShouldEqual, other(name))
+		g.set(g.cut, name, false)
+		time.Sleep(15 * time.Second)
+		synctest.Wait()
+		So(g.leading[name], ShouldBeFalse)
+		So(errors.Is(first.Verify(context.Background()), election.ErrLost), ShouldBeTrue)
+	})
+	play("A holder that only the other candidate cannot reach keeps the lease", func(g *group) {
+		name, first := g.leader()
+		g.set(g.silent, name, true)
+		time.Sleep(time.Minute)
+		So(len(g.terms), ShouldEqual, 1)
+		So(first.Verify(context.Background()), ShouldBeNil)
+		So(g.leading[name], ShouldBeTrue)
+	})
+	play("A holder that is started again takes its own lease back at once, as another term", func(g *group) {
+		name, first := g.leader()
+		g.kill(name)
+		g.start(name)
+		time.Sleep(500 * time.Millisecond)
+		next, second := g.leader()
+		So(next, ShouldEqual, name)
+		So(second.Token, ShouldBeGreaterThan, first.Token)
+		So(second.Verify(context.Background()), ShouldBeNil)
+	})
+	play("While the store is down the holder stays", func(g *group) {
+		g.set(g.cut, "a", true)
+		g.set(g.cut, "b", true)
+		time.Sleep(20 * time.Second)
+		g.set(g.cut, "a", false)
+		g.set(g.cut, "b", false)
+		time.Sleep(20 * time.Second)
+		So(len(g.terms), ShouldEqual, 1)
+	})
+}
+
+func TestTokensRise(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup()
+		for _, name := range []string{"a", "b", "c"} {
+			g.start(name)
+		}
+		time.Sleep(time.Second)
+		for round := range 8 {
+			name, _ := g.leader()
+			if round%2 == 0 {
+				g.set(g.cut, name, true)
+				g.set(g.silent, name, true)
+			} else {
+				g.candidates[name].stop()
+				g.start(name)
+			}
+			time.Sleep(4 * time.Second)
+			g.set(g.cut, name, false)
+			g.set(g.silent, name, false)
+			time.Sleep(8 * time.Second)
+		}
+		g.stopAll()
+		Convey("Through losses and stops every term has a higher token than the one before", t, func() {
+			So(len(g.terms), ShouldBeGreaterThan, 4)
+			for i := 1; i < len(g.terms); i++ {
+				So(fmt.Sprint(g.terms[i].token > g.terms[i-1].token, g.terms[i]), ShouldStartWith, "true")
+			}
+		})
+	})
+}
--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -24,6 +24,8 @@
 	challengeTime = 1200 * time.Millisecond
 	// challengePause is how long a candidate leaves a holder in peace that has answered a challenge.
 	challengePause = 3 * time.Second
+	// namesakePause is the pause before the lease is taken from another process that bears this node's name.
+	namesakePause = 5 * time.Second
 	// writeTimeout bounds one write of the lease.
 	writeTimeout = time.Second
 	// maxJitter spreads the candidates' attempts at a lease that is free.
@@ -52,6 +54,8 @@
 	Params
 	*Watcher
 	instance string
+	// held is true once this start of the process has held the lease. It belongs to Run.
+	held bool
 }
 
 // New returns an Elector. Run starts it.
@@ -90,7 +94,11 @@
 			wait(ctx, changed, e.jitter())
 			e.acquire(ctx, lease)
 		case lease.Holder == e.Name:
-			// This machine held it before the process was started again.
+			// This machine held it before the process was started again, or another process bears the same name.
+			if e.held {
+				level.Error(e.Logger).Log("msg", "another process bears this node's name", "instance", lease.Instance)
+				wait(ctx, nil, namesakePause)
+			}
 			e.acquire(ctx, lease)
 		default:
 			e.watchHolder(ctx, lease, changed)
@@ -188,6 +196,7 @@
 func (e *Elector) lead(ctx context.Context, lease Lease) {
 	term, cancel := context.WithCancel(ctx)
 	defer cancel()
+	e.held = true
 	var leading sync.WaitGroup
 	leading.Go(func() { e.Lead(term, e.term(lease)) })
 	for ctx.Err() == nil && e.eligible() {
