--- a/internal/batchrun/attempt.go
+++ b/internal/batchrun/attempt.go
@@ -156,7 +156,7 @@
 	defer r.mu.Unlock()
 	it := a.item
 	record := r.engine(a.engine.ID)
-	record.noteVersion(it.job.Model, a.version)
+	record.noteVersion(it.job.Model, a.version, r.now())
 	if a.events > 0 {
 		record.observe(pause, r.now())
 	}
--- a/internal/batchrun/engine_record.go
+++ b/internal/batchrun/engine_record.go
@@ -15,6 +15,8 @@
 	maxPauseFactor = 4
 	// pauseLife is how long the average of an engine that makes no events is believed.
 	pauseLife = 3 * time.Second
+	// toldLife is how long an engine's own word on its version goes before the list.
+	toldLife = 1500 * time.Millisecond
 	// affinityFactor is the cost of an engine that holds the item's shared prompt, relative to one that does not.
 	affinityFactor = 0.7
 	// loadFactor is how much slower a full engine is than an idle one.
@@ -22,8 +24,9 @@
 	// firstBackoff and maxBackoff bound how long an engine is left aside after failures in a row.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 2 * time.Second
-	// busyBackoff is how long an engine that refused is left aside.
-	busyBackoff = 80 * time.Millisecond
+	// busyBackoff is how long an engine that refused is left aside; it doubles with each refusal in a row, up to maxBusyBackoff.
+	busyBackoff    = 80 * time.Millisecond
+	maxBusyBackoff = 500 * time.Millisecond
 	// maxPrefixes bounds the shared prompts that an engine is taken to hold.
 	maxPrefixes = 256
 )
@@ -36,8 +39,11 @@
 	// average is the moving average of the pause between two events, and observed when it was last taken in.
 	average  time.Duration
 	observed time.Time
-	// versions are weight versions that answers have told, by model.
+	// refusals counts the refusals in a row.
+	refusals int
+	// versions are weight versions that answers and reports have told, by model, and told when that was last.
 	versions map[string]int64
+	told     time.Time
 	// prefixes are the shared prompts that it was sent under its present weights.
 	prefixes map[string]struct{}
 }
@@ -51,13 +57,19 @@
 	return record
 }
 
-// version returns the weight version of a model at an engine, as far as it is known.
-func (e *engineRecord) version(engine *fleet.Engine, model string) int64 {
-	return max(engine.Versions[model], e.versions[model])
+// version returns the weight version of a model at an engine, as far as it is known. What the engine itself told lately goes
+// before the list.
+func (e *engineRecord) version(engine *fleet.Engine, model string, now time.Time) int64 {
+	told, ok := e.versions[model]
+	if ok && now.Sub(e.told) < toldLife {
+		return told
+	}
+	return max(engine.Versions[model], told)
 }
 
-// noteVersion takes in the version that an answer told.
-func (e *engineRecord) noteVersion(model string, version int64) {
+// noteVersion takes in the version that an answer or a report told.
+func (e *engineRecord) noteVersion(model string, version int64, now time.Time) {
+	e.told = now
 	if version == e.versions[model] {
 		return
 	}
@@ -69,6 +81,7 @@
 func (e *engineRecord) observe(pause time.Duration, now time.Time) {
 	average := e.pause(now)
 	pause = min(pause, maxPauseFactor*average)
+	e.refusals = 0
 	e.average = average + time.Duration(pauseWeight*float64(pause-average))
 	e.observed = now
 }
@@ -87,7 +100,7 @@
 	if _, held := e.prefixes[prefix]; held && prefix != "" {
 		cost *= affinityFactor
 	}
-	return cost
+	return cost * float64(1+e.refusals)
 }
 
 // end takes in the end of an attempt at the engine.
@@ -95,12 +108,13 @@
 	e.running--
 	switch result {
 	case verdictWhole, verdictImpossible:
-		e.failures = 0
+		e.failures, e.refusals = 0, 0
 	case verdictBroken, verdictFailed:
 		e.failures++
 		e.asideTil = now.Add(min(firstBackoff<<min(e.failures, 5), maxBackoff))
 	case verdictRefused, verdictOutdated:
-		e.asideTil = now.Add(busyBackoff)
+		e.asideTil = now.Add(min(busyBackoff<<min(e.refusals, 5), maxBusyBackoff))
+		e.refusals++
 	case verdictGone:
 		e.asideTil = now.Add(maxBackoff)
 	case verdictCanceled:
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -187,7 +187,7 @@
 	if record.running >= slots || record.asideTil.After(now) {
 		return false
 	}
-	version := record.version(engine, it.job.Model)
+	version := record.version(engine, it.job.Model, now)
 	if version < it.job.MinVersion {
 		return false
 	}
@@ -229,7 +229,7 @@
 	if route.MaxQueue > 0 {
 		options.TimeLeft = max(route.MaxQueue-r.now().Sub(it.job.accepted), time.Second)
 	}
-	a := &attempt{runner: r, item: it, engine: engine, route: route, options: options, cancel: cancel, version: record.version(engine, it.job.Model)}
+	a := &attempt{runner: r, item: it, engine: engine, route: route, options: options, cancel: cancel, version: record.version(engine, it.job.Model, r.now())}
 	r.running.Go(func() {
 		defer cancel()
 		a.run(attemptCtx)
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -206,7 +206,7 @@
 	if !r.leads() {
 		return
 	}
-	r.engine(engineID).noteVersion(model, version)
+	r.engine(engineID).noteVersion(model, version, r.now())
 	r.poke()
 }
 
