metastore: followers begin new watches once the store answers again

Ruled out: lost events (the next watch had it at once). Test: TestFollowerOfSilentStore (failed before).

--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -11,10 +11,11 @@
 const (
 	// DefaultWait is how long a watch waits in the store for a change.
 	DefaultWait = 10 * time.Second
-	// retryPause is the pause after a call that failed.
-	retryPause = 150 * time.Millisecond
+	// retryPause is the pause after a call that failed; it doubles with each failure in a row, up to maxRetryPause.
+	retryPause    = 150 * time.Millisecond
+	maxRetryPause = 600 * time.Millisecond
 	// stalledAfter is how long a watch may outlast its wait before it is given up.
-	stalledAfter = 2 * time.Second
+	stalledAfter = 400 * time.Millisecond
 	// listTimeout bounds one page of a list.
 	listTimeout = 1500 * time.Millisecond
 )
@@ -36,35 +37,39 @@
 	Lost func(error)
 }
 
-// Followers keep copies of the objects of several kinds. Once one of them learns that the store has dropped its history, all
-// list their kinds again: the watches of the others may be silent for that reason.
+// Followers keep copies of the objects of several kinds. What one of them learns holds for all, whose watches may be silent
+// for the same reason: once the store has dropped its history, all list their kinds again, and once the store answers again after a
+// failure, all begin new watches.
 type Followers struct {
 	client Client
 	mu     sync.Mutex
-	// history ends when the store is known to have dropped its history.
-	history context.Context
-	drop    context.CancelFunc
+	// present ends, with its cause, when watches that wait are not to be relied on any more.
+	present context.Context
+	end     context.CancelCauseFunc
 }
 
+// errDisturbed ends the watches that wait once the store answers again.
+var errDisturbed = errors.New("metastore: store answers again")
+
 // NewFollowers returns Followers of the store.
 func NewFollowers(client Client) *Followers {
 	f := &Followers{client: client}
-	f.history, f.drop = context.WithCancel(context.Background())
+	f.present, f.end = context.WithCancelCause(context.Background())
 	return f
 }
 
-func (f *Followers) currentHistory() context.Context {
+func (f *Followers) current() context.Context {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.history
+	return f.present
 }
 
-// dropped makes every follower list again.
-func (f *Followers) dropped() {
+// endWatches ends the watches that wait for a cause: ErrCompacted or errDisturbed.
+func (f *Followers) endWatches(cause error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.drop()
-	f.history, f.drop = context.WithCancel(context.Background())
+	f.end(cause)
+	f.present, f.end = context.WithCancelCause(context.Background())
 }
 
 // Follow keeps a copy of the objects of a kind until ctx ends, by a list and a watch from its revision on. What it hands out
@@ -86,6 +91,8 @@
 	kind     string
 	options  FollowOptions
 	snapshot Snapshot
+	// failures counts the calls in a row that failed.
+	failures int
 }
 
 func (w *follower) run(ctx context.Context) {
@@ -98,23 +105,39 @@
 			err = w.list(ctx)
 			listed = err == nil
 		}
-		if errors.Is(err, ErrCompacted) {
+		switch {
+		case err == nil:
+			w.succeeded()
+		case errors.Is(err, ErrCompacted):
 			listed = false
+		case !errors.Is(err, errDisturbed):
+			w.failed(ctx, err)
 		}
-		if err != nil && ctx.Err() == nil {
-			w.options.Lost(err)
-		}
-		if err != nil && listed {
-			pause(ctx, retryPause)
-		}
 	}
 }
 
+// succeeded takes in a call that was answered. After failures, what the others began in the meantime may never be.
+func (w *follower) succeeded() {
+	if w.failures > 0 {
+		w.group.endWatches(errDisturbed)
+	}
+	w.failures = 0
+}
+
+// failed takes in a call that failed, and waits before the next.
+func (w *follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	w.options.Lost(err)
+	pause(ctx, min(retryPause<<min(w.failures, 4), maxRetryPause))
+	w.failures++
+}
+
 // list replaces the copy by what the store holds.
 func (w *follower) list(ctx context.Context) error {
 	objects, revision, err := ListAll(ctx, w.group.client, w.kind, "")
 	if err != nil {
-		pause(ctx, retryPause)
 		return err
 	}
 	if revision < w.snapshot.Revision {
@@ -130,18 +153,18 @@
 
 // watch waits for changes once and applies them.
 func (w *follower) watch(ctx context.Context) error {
-	history := w.group.currentHistory()
+	present := w.group.current()
 	ctx, cancel := context.WithTimeout(ctx, w.options.Wait+stalledAfter)
 	defer cancel()
-	stop := context.AfterFunc(history, cancel)
+	stop := context.AfterFunc(present, cancel)
 	defer stop()
 	events, err := w.group.client.Watch(ctx, w.kind, w.snapshot.Revision, w.options.Wait)
 	if errors.Is(err, ErrCompacted) {
-		w.group.dropped()
+		w.group.endWatches(ErrCompacted)
 		return err
 	}
-	if err != nil && history.Err() != nil {
-		return ErrCompacted
+	if err != nil && present.Err() != nil {
+		return context.Cause(present)
 	}
 	if err != nil {
 		return err
--- a/internal/metastore/follower_test.go
+++ b/internal/metastore/follower_test.go
@@ -189,3 +189,38 @@
 		})
 	})
 }
+
+// A store that is down in silence never answers the watches that were begun meanwhile: a gateway knew config version 7 only
+// 2.7 s after it was acknowledged, since its watch was given up 5 s after its start (CONFIG on store-service-outages of
+// Cairnpath), and one of 10 s would have been silent for 12.
+func TestFollowerOfSilentStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := metastoretest.New()
+		plain := store.Client()
+		put(t, plain, "config", "main", "1")
+		put(t, plain, "leases", "a", "1")
+		client := store.Client()
+		var down atomic.Bool
+		client.Fault = func(string, string, bool) metastoretest.Fault {
+			if down.Load() {
+				return metastoretest.Silent
+			}
+			return metastoretest.None
+		}
+		followers := metastore.NewFollowers(client)
+		config := follow(t, followers, "config", 2500*time.Millisecond)
+		lease := follow(t, followers, "leases", 10*time.Second)
+		time.Sleep(9 * time.Second)
+		down.Store(true)
+		time.Sleep(5 * time.Second)
+		down.Store(false)
+		put(t, plain, "config", "main", "2")
+		put(t, plain, "leases", "a", "2")
+		Convey("Within 3 s after a silent outage every follower is up to date", t, func() {
+			time.Sleep(3 * time.Second)
+			synctest.Wait()
+			So(config.spec("main"), ShouldEqual, "2")
+			So(lease.spec("a"), ShouldEqual, "2")
+		})
+	})
+}
