batchrpc: gateways go on ending jobs whose end was not confirmed

A caller that is told 503 for an end need not ask again, and a job that was ended at a coordinator cut from the store ran on under the next one: that hole is closed (TestEnderInsists).

--- a/internal/batchrpc/batchrpc.go
+++ b/internal/batchrpc/batchrpc.go
@@ -108,15 +108,21 @@
 	calls *rpc.Client
 	// leader returns the internal address of the coordinating process, or "".
 	leader func() string
+	ender  *ender
 }
 
 var _ batch.Service = (*Client)(nil)
 
 // NewClient returns a Client.
 func NewClient(calls *rpc.Client, leader func() string) *Client {
-	return &Client{calls: calls, leader: leader}
+	c := &Client{calls: calls, leader: leader}
+	c.ender = newEnder(c.endOnce)
+	return c
 }
 
+// Close ends what the client does in the background.
+func (c *Client) Close() { c.ender.close() }
+
 // Submit implements batch.Service.
 func (c *Client) Submit(ctx context.Context, job batch.Job) error {
 	address := c.leader()
@@ -154,8 +160,16 @@
 	return reply.Body, codeErrors[reply.Code]
 }
 
-// End implements batch.Service.
+// End implements batch.Service. A job whose end is not confirmed is ended in the background as soon as that can be.
 func (c *Client) End(ctx context.Context, id string) error {
+	err := c.endOnce(ctx, id)
+	if err != nil && !errors.Is(err, batch.ErrNotFound) {
+		c.ender.insist(id)
+	}
+	return err
+}
+
+func (c *Client) endOnce(ctx context.Context, id string) error {
 	reply, err := call[EndRequest, Reply](ctx, c, EndRequest{ID: id}, submitTimeout)
 	if err != nil {
 		return err
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -36,8 +36,13 @@
 	return watcher
 }
 
-func newBatchClient(calls *rpc.Client, watcher *election.Watcher) batch.Service {
-	return batchrpc.NewClient(calls, watcher.Holder)
+func newBatchClient(hooks fx.Lifecycle, calls *rpc.Client, watcher *election.Watcher) batch.Service {
+	client := batchrpc.NewClient(calls, watcher.Holder)
+	hooks.Append(fx.Hook{OnStop: func(context.Context) error {
+		client.Close()
+		return nil
+	}})
+	return client
 }
 
 type gatewayParams struct {
