--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -403,6 +403,29 @@
 		}
 		So(earlier.End(context.Background(), "job"), ShouldEqual, batch.ErrUnavailable)
 	})
+	play(t, "A kept text that a route of single versions or a newer version rules out is made again", func(w *world) {
+		w.engines.events = 200
+		So(w.runner.Submit(context.Background(), newJob("job", 2)), ShouldBeNil)
+		time.Sleep(3 * time.Second)
+		So(w.runner.End(context.Background(), "job"), ShouldBeNil)
+		w.engines.set("a", behaviour{pause: 20 * time.Millisecond, version: 2})
+		w.engines.set("b", behaviour{pause: 20 * time.Millisecond, version: 2})
+		w.state.SetEngines([]*fleet.Engine{
+			{ID: "a", Service: "pool", Slots: 8, Ready: true, Versions: map[string]int64{model: 2}},
+			{ID: "b", Service: "pool", Slots: 8, Ready: true, Versions: map[string]int64{model: 2}},
+			{ID: "j", Service: "judges", Slots: 8, Ready: true},
+		})
+		again := newJob("job2", 0)
+		again.Items = newJob("job", 2).Items
+		again.MinVersion = 2
+		So(w.runner.Submit(context.Background(), again), ShouldBeNil)
+		results := w.results("job2", 8*time.Second)
+		So(len(results), ShouldEqual, 2)
+		for _, r := range results {
+			So(r.Versions, ShouldResemble, []int64{2})
+			So(r.Text, ShouldEqual, w.wholeText())
+		}
+	})
 	play(t, "A process that does not lead refuses", func(w *world) {
 		w.stop()
 		So(w.runner.Submit(context.Background(), newJob("job", 1)), ShouldEqual, batch.ErrRefused)
