--- /dev/null
+++ b/internal/forward/forwarder_test.go
@@ -0,0 +1,178 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/routing"
+)
+
+// sent is one attempt that reached an engine.
+type sent struct {
+	engine   string
+	timeLeft time.Duration
+}
+
+// script says what each engine does; engines that it does not name answer 200.
+type script struct {
+	mu    sync.Mutex
+	does  map[string]func(ctx context.Context) (*Answer, error)
+	sends []sent
+}
+
+func answer(status int, body string) *Answer {
+	return &Answer{Status: status, Valid: true, Signature: "signed", Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+func (s *script) Send(ctx context.Context, engine *fleet.Engine, _ *Request, options SendOptions) (*Answer, error) {
+	s.mu.Lock()
+	s.sends = append(s.sends, sent{engine: engine.ID, timeLeft: options.TimeLeft})
+	do := s.does[engine.ID]
+	s.mu.Unlock()
+	if do == nil {
+		return answer(http.StatusOK, "from "+engine.ID), nil
+	}
+	return do(ctx)
+}
+
+func refused(context.Context) (*Answer, error) {
+	a := answer(http.StatusServiceUnavailable, "")
+	a.NotRun = true
+	return a, nil
+}
+
+func lost(context.Context) (*Answer, error) { return nil, ErrLost }
+
+func notSent(context.Context) (*Answer, error) { return nil, ErrNotSent }
+
+func failed(context.Context) (*Answer, error) {
+	return answer(http.StatusInternalServerError, "bad"), nil
+}
+
+func silent(ctx context.Context) (*Answer, error) {
+	<-ctx.Done()
+	return nil, ErrLost
+}
+
+// brokenBody breaks off after a part.
+type brokenBody struct{ io.Reader }
+
+func (brokenBody) Close() error { return nil }
+
+func cutOff(context.Context) (*Answer, error) {
+	a := answer(http.StatusOK, "")
+	a.Body = brokenBody{io.MultiReader(strings.NewReader("half"), errReader{})}
+	return a, nil
+}
+
+type errReader struct{}
+
+func (errReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+func unsigned(context.Context) (*Answer, error) {
+	a := answer(http.StatusOK, "who knows")
+	a.Valid = false
+	return a, nil
+}
+
+type action = func(context.Context) (*Answer, error)
+
+// play forwards one request with a deadline of 1 s to engines a and b.
+func play(t *testing.T, name string, kind routing.Kind, does map[string]action, check func(result Result, s *script, took time.Duration)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{does: does}
+		state := fleet.NewState()
+		route := routing.Route{Host: "h", Prefix: "/", Kind: kind, Targets: []routing.Target{{Service: "s", Weight: 1}}, MaxAttempts: 2, LatencyObjective: 200 * time.Millisecond}
+		state.SetRoutes(routing.NewTable(1, []routing.Route{route}, nil, routing.Limits{}))
+		state.SetEngines([]*fleet.Engine{
+			{ID: "a", Service: "s", Slots: 4, Ready: true},
+			{ID: "b", Service: "s", Slots: 4, Ready: true},
+			{ID: "c", Service: "s", Slots: 4, Ready: false},
+		})
+		forwarder := New(state, s, NewPicker(time.Now), log.NewNopLogger())
+		Convey(name, t, func() {
+			started := time.Now()
+			result := forwarder.Do(t.Context(), state.View().Routes.Match("h", "/1"), &Request{ID: "r"}, started.Add(time.Second))
+			check(result, s, time.Since(started))
+		})
+	})
+}
+
+func TestOutcomes(t *testing.T) {
+	both := func(do action) map[string]action { return map[string]action{"a": do, "b": do} }
+	for _, kind := range []routing.Kind{routing.KindIdempotent, routing.KindAtMostOnce} {
+		play(t, "An answer is passed on as it is ("+kind.String()+")", kind, nil, func(result Result, s *script, _ time.Duration) {
+			So(result.Outcome, ShouldEqual, Completed)
+			So(string(result.Body), ShouldStartWith, "from ")
+			So(len(s.sends), ShouldEqual, 1)
+			So(s.sends[0].timeLeft, ShouldBeLessThanOrEqualTo, time.Second)
+		})
+		play(t, "A request that all engines refuse was not run, and is given back within a quarter of its objective ("+kind.String()+")", kind, both(refused),
+			func(result Result, _ *script, took time.Duration) {
+				So(result.Outcome, ShouldEqual, NotRun)
+				So(result.RetryAfter, ShouldBeGreaterThan, 0)
+				So(took, ShouldBeLessThanOrEqualTo, 75*time.Millisecond)
+			})
+		play(t, "A request that never left was not run ("+kind.String()+")", kind, both(notSent), func(result Result, _ *script, _ time.Duration) {
+			So(result.Outcome, ShouldEqual, NotRun)
+		})
+	}
+	for name, do := range map[string]action{"lost": lost, "cut off": cutOff, "unsigned": unsigned, "silent": silent} {
+		play(t, "A request that may run once is sent once if its answer is "+name, routing.KindAtMostOnce, both(do), func(result Result, s *script, _ time.Duration) {
+			So(result.Outcome, ShouldEqual, Unknown)
+			So(len(s.sends), ShouldEqual, 1)
+		})
+		play(t, "A repeatable request goes to another engine if its answer is "+name+", and to no third", routing.KindIdempotent, both(do), func(result Result, s *script, _ time.Duration) {
+			So(result.Outcome, ShouldEqual, Unknown)
+			So(len(s.sends), ShouldEqual, 2)
+			So(s.sends[0].engine, ShouldNotEqual, s.sends[1].engine)
+			So(s.sends[1].timeLeft, ShouldBeLessThanOrEqualTo, s.sends[0].timeLeft)
+		})
+	}
+	play(t, "A repeatable request that fails at one engine is served by the other", routing.KindIdempotent, map[string]action{"a": failed}, func(result Result, s *script, _ time.Duration) {
+		So(result.Status, ShouldEqual, http.StatusOK)
+	})
+	play(t, "One that fails at both is answered with the failure", routing.KindIdempotent, both(failed), func(result Result, s *script, _ time.Duration) {
+		So(result.Outcome, ShouldEqual, Completed)
+		So(result.Status, ShouldEqual, http.StatusInternalServerError)
+		So(result.FailedAttempts, ShouldEqual, 2)
+	})
+	play(t, "The failure of one that may run once is its answer", routing.KindAtMostOnce, both(failed), func(result Result, s *script, _ time.Duration) {
+		So(result.Status, ShouldEqual, http.StatusInternalServerError)
+		So(len(s.sends), ShouldEqual, 1)
+	})
+	play(t, "A silent engine costs a repeatable request 1.5 objectives, not its deadline", routing.KindIdempotent, map[string]action{"a": silent}, func(result Result, _ *script, took time.Duration) {
+		So(result.Status, ShouldEqual, http.StatusOK)
+		So(took, ShouldBeLessThanOrEqualTo, 301*time.Millisecond)
+	})
+}
+
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{does: map[string]action{"a": silent}}
+		state := fleet.NewState()
+		route := routing.Route{Host: "h", Prefix: "/", Kind: routing.KindIdempotent, Targets: []routing.Target{{Service: "s", Weight: 1}}, MaxAttempts: 3}
+		state.SetRoutes(routing.NewTable(1, []routing.Route{route}, nil, routing.Limits{}))
+		state.SetEngines([]*fleet.Engine{{ID: "a", Service: "s", Slots: 4, Ready: true}})
+		forwarder := New(state, s, NewPicker(time.Now), log.NewNopLogger())
+		Convey("Once the caller has left nothing more is sent", t, func() {
+			ctx, cancel := context.WithTimeoutCause(t.Context(), 100*time.Millisecond, errors.New("left"))
+			defer cancel()
+			result := forwarder.Do(ctx, state.View().Routes.Match("h", "/1"), &Request{ID: "r"}, time.Now().Add(5*time.Second))
+			So(result.Outcome, ShouldEqual, Unknown)
+			So(len(s.sends), ShouldEqual, 1)
+		})
+	})
+}
