--- a/internal/batchrun/attempt.go
+++ b/internal/batchrun/attempt.go
@@ -185,6 +185,7 @@
 	it := a.item
 	now := r.now()
 	r.engine(a.engine.ID).end(result, now)
+	r.Observer.AttemptEnded(result.String(), now.Sub(a.started))
 	line := level.Info(r.Logger)
 	if result == verdictWhole || result == verdictCanceled {
 		line = level.Debug(r.Logger)
--- a/internal/batchrun/commit.go
+++ b/internal/batchrun/commit.go
@@ -44,6 +44,7 @@
 	if len(pending) == 0 && !ended {
 		return false
 	}
+	started := r.now()
 	appended, err := j.stored.Append(ctx, pending, ended)
 	switch {
 	case errors.Is(err, batchlog.ErrFenced):
@@ -59,6 +60,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.Observer.Committed(r.now().Sub(started))
+	for _, result := range j.stored.Results[len(j.listed):] {
+		r.Observer.Listed(result.State)
+	}
 	j.pending = j.pending[appended:]
 	j.publish(j.stored.Results, j.stored.Sealed)
 	level.Debug(r.Logger).Log("msg", "results listed", "request", j.ID, "listed", len(j.listed), "items", len(j.items), "sealed", j.sealed)
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -177,6 +177,7 @@
 	level.Info(r.Logger).Log("msg", "item moved", "request", it.ID, "job", it.job.ID, "from", it.lastEngine, "to", other.ID,
 		"pause", record.pause(now).Round(time.Millisecond), "other_pause", time.Duration(otherPause*float64(time.Second)).Round(time.Millisecond),
 		"text_events", len(it.events))
+	r.Observer.ItemMoved()
 	it.moving = true
 	it.cancel()
 	return true
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -33,13 +33,35 @@
 	maxKeptItems = 4096
 )
 
+// Observer is told of what a Runner does, for metrics.
+type Observer interface {
+	// AttemptEnded reports the end of a run of an item at an engine.
+	AttemptEnded(verdict string, took time.Duration)
+	// ItemMoved reports an item that goes on elsewhere, off a slow engine.
+	ItemMoved()
+	// Listed reports a result that was listed.
+	Listed(state batch.State)
+	// Committed reports a write of results.
+	Committed(took time.Duration)
+}
+
+// nobody is an Observer that takes no notice.
+type nobody struct{}
+
+func (nobody) AttemptEnded(string, time.Duration) {}
+func (nobody) ItemMoved()                         {}
+func (nobody) Listed(batch.State)                 {}
+func (nobody) Committed(time.Duration)            {}
+
 // Params are what a Runner works with.
 type Params struct {
 	State     *fleet.State
 	Transport forward.Transport
 	Forwarder *forward.Forwarder
 	Store     metastore.Client
-	Logger    log.Logger
+	// Observer may be nil.
+	Observer Observer
+	Logger   log.Logger
 }
 
 // Runner runs batch jobs while it leads. It implements batch.Service.
@@ -67,6 +89,9 @@
 
 // New returns a Runner that does nothing until Lead.
 func New(params Params) *Runner {
+	if params.Observer == nil {
+		params.Observer = nobody{}
+	}
 	return &Runner{Params: params, now: time.Now, wake: make(chan struct{}, 1)}
 }
 
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -30,23 +30,27 @@
 	fx.Invoke(runCoordinator),
 )
 
-func newRunner(state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder, store metastore.Client, logger log.Logger) *batchrun.Runner {
+func newRunner(state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder, store metastore.Client, observed *metrics,
+	logger log.Logger) *batchrun.Runner {
 	return batchrun.New(batchrun.Params{
 		State:     state,
 		Transport: transport,
 		Forwarder: forwarder,
 		Store:     store,
+		Observer:  observed,
 		Logger:    telemetry.For(logger, telemetry.PartBatch),
 	})
 }
 
-func newOrders(config settings.Fleet, state *fleet.State, engines *platform.Engines, runner *batchrun.Runner, logger log.Logger) *weightorder.Manager {
+func newOrders(config settings.Fleet, state *fleet.State, engines *platform.Engines, runner *batchrun.Runner, observed *metrics,
+	logger log.Logger) *weightorder.Manager {
 	return weightorder.New(weightorder.Params{
 		State:       state,
 		Engines:     engines,
 		Holder:      config.Node.Name,
 		LeaseLength: config.Timing.LeaseLength,
 		Loaded:      runner.NoteVersion,
+		Moved:       observed.engineMoved,
 		Logger:      telemetry.For(logger, telemetry.PartOrders),
 	})
 }
@@ -67,6 +71,7 @@
 	Runner    *batchrun.Runner
 	Orders    *weightorder.Manager
 	Leaving   *decommission.Manager
+	Metrics   *metrics
 	Calls     *rpc.Client
 	Tasks     *tasks
 }
@@ -140,6 +145,7 @@
 
 // lead runs the duties of the coordinating process.
 func (c *coordinator) lead(ctx context.Context, term election.Term) {
+	c.Metrics.leadingTerms.Inc()
 	var duties sync.WaitGroup
 	duties.Go(func() { c.Runner.Lead(ctx, term.Token) })
 	duties.Go(func() { c.Orders.Lead(ctx, term) })
--- /dev/null
+++ b/internal/fleetnode/metrics.go
@@ -0,0 +1,133 @@
+package fleetnode
+
+import (
+	"errors"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/routing"
+)
+
+const namespace = "covelink"
+
+// metrics are the counters and histograms of a process.
+type metrics struct {
+	requests      *prometheus.CounterVec
+	requestTime   *prometheus.HistogramVec
+	engines       prometheus.Counter
+	storeCalls    *prometheus.CounterVec
+	storeTime     *prometheus.HistogramVec
+	itemAttempts  *prometheus.CounterVec
+	itemTime      prometheus.Histogram
+	itemsMoved    prometheus.Counter
+	results       *prometheus.CounterVec
+	commitTime    prometheus.Histogram
+	orders        *prometheus.CounterVec
+	orderTime     prometheus.Histogram
+	leadingTerms  prometheus.Counter
+	configVersion prometheus.GaugeFunc
+}
+
+func newMetrics(registry *prometheus.Registry, state *fleet.State) *metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	}
+	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
+		buckets := prometheus.ExponentialBuckets(0.001, 2, 15)
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+	}
+	m := &metrics{
+		requests:     counter("requests_total", "Requests that were forwarded, by kind of route and outcome.", "kind", "outcome"),
+		requestTime:  histogram("request_duration_seconds", "Time from a request's arrival to its answer.", "kind"),
+		storeCalls:   counter("store_calls_total", "Calls to the metadata store.", "operation", "kind", "result"),
+		storeTime:    histogram("store_call_duration_seconds", "Time of calls to the metadata store; watches are left out.", "operation"),
+		itemAttempts: counter("item_attempts_total", "Runs of batch items at engines, by their end.", "verdict"),
+		results:      counter("results_listed_total", "Results of batch items that were listed.", "state"),
+		orders:       counter("engine_moves_total", "Engines that were moved to a weight version.", "result"),
+	}
+	m.engines = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_engines_total", Help: "Engines that requests were sent to."})
+	m.itemsMoved = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "items_moved_total", Help: "Batch items that were moved off a slow engine."})
+	m.leadingTerms = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "terms_total", Help: "Terms in which this process coordinated."})
+	itemTime := histogram("item_attempt_duration_seconds", "Time of a run of a batch item at an engine.")
+	commitTime := histogram("commit_duration_seconds", "Time to keep results of a batch job.")
+	orderTime := histogram("engine_move_duration_seconds", "Time to move an engine to a weight version.")
+	m.itemTime = itemTime.WithLabelValues().(prometheus.Histogram)
+	m.commitTime = commitTime.WithLabelValues().(prometheus.Histogram)
+	m.orderTime = orderTime.WithLabelValues().(prometheus.Histogram)
+	m.configVersion = prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: "config_version", Help: "Version of the configuration in force; 0 for none."}, func() float64 {
+		if routes := state.View().Routes; routes != nil {
+			return float64(routes.Version)
+		}
+		return 0
+	})
+	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.itemsMoved, m.results,
+		commitTime, m.orders, orderTime, m.leadingTerms, m.configVersion)
+	return m
+}
+
+// RequestEnded implements forward.Observer.
+func (m *metrics) RequestEnded(kind routing.Kind, outcome forward.Outcome, engines int, took time.Duration) {
+	m.requests.WithLabelValues(kind.String(), outcome.String()).Inc()
+	m.requestTime.WithLabelValues(kind.String()).Observe(took.Seconds())
+	m.engines.Add(float64(engines))
+}
+
+// AttemptEnded implements batchrun.Observer.
+func (m *metrics) AttemptEnded(verdict string, took time.Duration) {
+	m.itemAttempts.WithLabelValues(verdict).Inc()
+	m.itemTime.Observe(took.Seconds())
+}
+
+// ItemMoved implements batchrun.Observer.
+func (m *metrics) ItemMoved() { m.itemsMoved.Inc() }
+
+// Listed implements batchrun.Observer.
+func (m *metrics) Listed(state batch.State) {
+	name := "done"
+	if state == batch.Dead {
+		name = "dead"
+	}
+	m.results.WithLabelValues(name).Inc()
+}
+
+// Committed implements batchrun.Observer.
+func (m *metrics) Committed(took time.Duration) { m.commitTime.Observe(took.Seconds()) }
+
+// engineMoved counts the end of a move to a weight version.
+func (m *metrics) engineMoved(err error, took time.Duration) {
+	m.orders.WithLabelValues(resultOf(err)).Inc()
+	m.orderTime.Observe(took.Seconds())
+}
+
+// storeCalled counts a call to the metadata store.
+func (m *metrics) storeCalled(operation, kind string, err error, took time.Duration) {
+	m.storeCalls.WithLabelValues(operation, kind, resultOf(err)).Inc()
+	if operation != "watch" {
+		m.storeTime.WithLabelValues(operation).Observe(took.Seconds())
+	}
+}
+
+// resultOf names how a call ended.
+func resultOf(err error) string {
+	var conflict *metastore.ConflictError
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.As(err, &conflict):
+		return "conflict"
+	case errors.Is(err, metastore.ErrNotFound):
+		return "not_found"
+	case errors.Is(err, metastore.ErrCompacted):
+		return "compacted"
+	case errors.Is(err, metastore.ErrNotDone):
+		return "not_done"
+	case errors.Is(err, metastore.ErrUnknown):
+		return "unknown"
+	}
+	return "failed"
+}
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
 	"github.com/covelink/covelink/internal/fleet"
@@ -96,7 +97,11 @@
 var commonParts = fx.Options(
 	fx.Provide(
 		fleet.NewState,
-		func(config settings.Fleet) metastore.Client { return platform.NewStore(config.Store.Address, nil) },
+		telemetry.NewRegistry,
+		newMetrics,
+		func(config settings.Fleet, observed *metrics) metastore.Client {
+			return platform.NewStore(config.Store.Address, observed.storeCalled)
+		},
 		metastore.NewFollowers,
 		platform.NewEngines,
 		func(engines *platform.Engines) forward.Transport { return engines },
@@ -105,11 +110,34 @@
 		newForwarder,
 		newTasks,
 	),
-	fx.Invoke(followFleet),
+	fx.Invoke(followFleet, serveMetrics),
 )
 
-func newForwarder(state *fleet.State, transport forward.Transport, picker *forward.Picker, logger log.Logger) *forward.Forwarder {
-	return forward.New(state, transport, picker, telemetry.For(logger, telemetry.PartForward))
+func newForwarder(state *fleet.State, transport forward.Transport, picker *forward.Picker, observed *metrics, logger log.Logger) *forward.Forwarder {
+	forwarder := forward.New(state, transport, picker, telemetry.For(logger, telemetry.PartForward))
+	forwarder.Observer = observed
+	return forwarder
+}
+
+// serveMetrics serves counters and histograms where the settings say.
+func serveMetrics(hooks fx.Lifecycle, config settings.Fleet, registry *prometheus.Registry, logger log.Logger) {
+	if config.Listen.Metrics == "" {
+		return
+	}
+	routes := http.NewServeMux()
+	routes.Handle("GET /metrics", telemetry.Handler(registry))
+	var server *httpServer
+	hooks.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			var err error
+			if server, err = listenHTTP(ctx, config.Listen.Metrics, routes); err != nil {
+				return err
+			}
+			go server.serve(logger)
+			return nil
+		},
+		OnStop: func(context.Context) error { return server.server.Close() },
+	})
 }
 
 // newCalls returns the client of other nodes' internal addresses.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -71,8 +71,15 @@
 	emptyRetryAfter = 300 * time.Millisecond
 )
 
+// Observer is told of every request's end, for metrics.
+type Observer interface {
+	RequestEnded(kind routing.Kind, outcome Outcome, engines int, took time.Duration)
+}
+
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
+	// Observer may be nil. It must be set before the first request.
+	Observer  Observer
 	state     *fleet.State
 	transport Transport
 	picker    *Picker
@@ -291,6 +298,9 @@
 
 // report logs the decision. Requests that were completed as they should are told at the debug level.
 func (j *job) report(result Result) {
+	if j.Observer != nil {
+		j.Observer.RequestEnded(j.route.Kind, result.Outcome, len(j.tried), time.Since(j.started))
+	}
 	line := level.Info(j.logger)
 	if result.Outcome == Completed && result.Status < http.StatusInternalServerError && len(j.tried) == 1 {
 		line = level.Debug(j.logger)
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -90,6 +90,8 @@
 	LeaseLength time.Duration
 	// Loaded is told that an engine holds a version.
 	Loaded func(engineID, model string, version int64)
+	// Moved is told of the end of each move; nil for nobody.
+	Moved  func(err error, took time.Duration)
 	Logger log.Logger
 }
 
@@ -216,6 +218,9 @@
 func (m *Manager) move(ctx context.Context, term election.Term, target move) {
 	started := time.Now()
 	err := m.load(ctx, term, target)
+	if m.Moved != nil {
+		m.Moved(err, time.Since(started))
+	}
 	level.Info(m.Logger).Log("msg", "engine moved", "engine", target.engine.ID, "model", target.model, "version", target.version,
 		"token", term.Token, "took", time.Since(started).Round(time.Millisecond), "err", err)
 	m.mu.Lock()
