--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -62,6 +62,13 @@
 	return s.view, s.changed
 }
 
+// Reset forgets everything, for a process that has not followed the deployment for a while.
+func (s *State) Reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replace(&View{})
+}
+
 // SetRoutes puts a table in force. It reports false, and changes nothing, if the table is no newer than the one in force.
 func (s *State) SetRoutes(table *routing.Table) bool {
 	s.mu.Lock()
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -66,6 +66,7 @@
 	fx.In
 	Settings  settings.Fleet
 	Logger    log.Logger
+	State     *fleet.State
 	Store     metastore.Client
 	Followers *metastore.Followers
 	Runner    *batchrun.Runner
@@ -143,10 +144,13 @@
 	return err
 }
 
-// lead runs the duties of the coordinating process.
+// lead runs the duties of the coordinating process. Only they need routes and engines: what an earlier term has left of them is
+// forgotten first.
 func (c *coordinator) lead(ctx context.Context, term election.Term) {
 	c.Metrics.leadingTerms.Inc()
+	c.State.Reset()
 	var duties sync.WaitGroup
+	duties.Go(func() { followFleet(ctx, c.Followers, c.State, c.Logger) })
 	duties.Go(func() { c.Runner.Lead(ctx, term.Token) })
 	duties.Go(func() { c.Orders.Lead(ctx, term) })
 	duties.Go(func() { c.Leaving.Lead(ctx) })
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -23,9 +23,17 @@
 // gatewayParts are those of a process that takes callers' requests.
 var gatewayParts = fx.Options(
 	fx.Provide(newLeaseWatcher, newBatchClient),
-	fx.Invoke(runGateway),
+	fx.Invoke(alwaysFollowFleet, runGateway),
 )
 
+// alwaysFollowFleet keeps the state at what the store holds from start to stop.
+func alwaysFollowFleet(hooks fx.Lifecycle, group *tasks, followers *metastore.Followers, state *fleet.State, logger log.Logger) {
+	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
+		group.run(func(ctx context.Context) { followFleet(ctx, followers, state, logger) })
+		return nil
+	}})
+}
+
 // newLeaseWatcher follows the lease, to know who coordinates.
 func newLeaseWatcher(hooks fx.Lifecycle, group *tasks, followers *metastore.Followers, logger log.Logger) *election.Watcher {
 	watcher := election.NewWatcher(followers, telemetry.For(logger, telemetry.PartElection))
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -110,7 +110,7 @@
 		newForwarder,
 		newTasks,
 	),
-	fx.Invoke(followFleet, serveMetrics),
+	fx.Invoke(serveMetrics),
 )
 
 func newForwarder(state *fleet.State, transport forward.Transport, picker *forward.Picker, observed *metrics, logger log.Logger) *forward.Forwarder {
@@ -184,14 +184,13 @@
 	t.running.Go(func() { task(t.ctx) })
 }
 
-// followFleet keeps the state at what the store holds.
-func followFleet(hooks fx.Lifecycle, group *tasks, followers *metastore.Followers, state *fleet.State, logger log.Logger) {
+// followFleet keeps the state at what the store holds until ctx ends.
+func followFleet(ctx context.Context, followers *metastore.Followers, state *fleet.State, logger log.Logger) {
 	logger = telemetry.For(logger, telemetry.PartFleet)
-	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
-		group.run(func(ctx context.Context) { platform.FollowConfig(ctx, followers, state, logger) })
-		group.run(func(ctx context.Context) { platform.FollowEngines(ctx, followers, state, logger) })
-		return nil
-	}})
+	var following sync.WaitGroup
+	following.Go(func() { platform.FollowConfig(ctx, followers, state, logger) })
+	following.Go(func() { platform.FollowEngines(ctx, followers, state, logger) })
+	following.Wait()
 }
 
 // httpServer is a listener with its server.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -94,9 +94,11 @@
 // job is one request on its way.
 type job struct {
 	*Forwarder
-	route    *routing.Route
-	request  *Request
-	service  string
+	route   *routing.Route
+	request *Request
+	service string
+	// version is that of the routes that the request came by.
+	version  int64
 	started  time.Time
 	deadline time.Time
 	// tried are the engines that the request was sent to; several attempts at one engine count once.
@@ -118,6 +120,9 @@
 		deadline:  deadline,
 		tried:     make(map[string]struct{}),
 	}
+	if routes := f.state.View().Routes; routes != nil {
+		j.version = routes.Version
+	}
 	if route.Timeout > 0 && j.started.Add(route.Timeout).Before(deadline) {
 		j.deadline = j.started.Add(route.Timeout)
 	}
@@ -307,7 +312,7 @@
 	}
 	line.Log("msg", "request ended", "request", j.request.ID, "route", j.route.Name, "service", j.service, "outcome", result.Outcome,
 		"status", result.Status, "reason", result.Reason, "engines", len(j.tried), "failed", j.failed,
-		"took", time.Since(j.started).Round(time.Millisecond), "config", j.state.View().Routes.Version)
+		"took", time.Since(j.started).Round(time.Millisecond), "config", j.version)
 }
 
 func sleep(ctx context.Context, length time.Duration) {
--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -31,6 +31,8 @@
 	// Wait bounds a watch; zero means DefaultWait. A watch whose history was dropped may stay silent, so that the wait is
 	// also the longest time that changes may be missed.
 	Wait time.Duration
+	// Pause is kept between a change and the next watch, so that changes in quick succession cost one call; zero means none.
+	Pause time.Duration
 	// Changed takes every new snapshot.
 	Changed func(Snapshot)
 	// Lost takes the error of each call that failed; nil for nobody.
@@ -170,6 +172,9 @@
 		return err
 	}
 	w.apply(events)
+	if len(events.Events) > 0 && w.options.Pause > 0 {
+		pause(ctx, w.options.Pause)
+	}
 	return nil
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -138,8 +138,11 @@
 	return table
 }
 
-// Match returns the route of the host whose prefix begins the path and is longest, or nil.
+// Match returns the route of the host whose prefix begins the path and is longest, or nil. A nil table has no routes.
 func (t *Table) Match(host, path string) *Route {
+	if t == nil {
+		return nil
+	}
 	for _, route := range t.routes[strings.ToLower(host)] {
 		if strings.HasPrefix(path, route.Prefix) {
 			return route
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -17,6 +17,9 @@
 		So(table.Match("A.example", "/x/z").Name, ShouldEqual, "short")
 		So(table.Match("b.example", "/x/y/1").Name, ShouldEqual, "other")
 	})
+	Convey("A table that is not known yet has no routes", t, func() {
+		So((*Table)(nil).Match("a.example", "/x/1"), ShouldBeNil)
+	})
 	Convey("Nothing else matches", t, func() {
 		So(table.Match("a.example", "/x"), ShouldBeNil)
 		So(table.Match("c.example", "/x/1"), ShouldBeNil)
