--- a/internal/batchrun/commit.go
+++ b/internal/batchrun/commit.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/covelink/covelink/internal/batchlog"
+	"github.com/covelink/covelink/internal/pause"
 )
 
 const (
@@ -31,7 +32,7 @@
 			r.noteSealed(ctx, j)
 			return
 		}
-		sleep(ctx, commitInterval)
+		pause.For(ctx, commitInterval)
 	}
 }
 
@@ -55,7 +56,7 @@
 		appended = len(pending)
 	case err != nil:
 		level.Warn(r.Logger).Log("msg", "results not kept", "request", j.ID, "err", err)
-		sleep(ctx, commitPause)
+		pause.For(ctx, commitPause)
 		return true
 	}
 	r.mu.Lock()
--- a/internal/batchrun/judge.go
+++ b/internal/batchrun/judge.go
@@ -11,6 +11,7 @@
 
 	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/pause"
 )
 
 const (
@@ -54,7 +55,7 @@
 	for ctx.Err() == nil {
 		route := r.State.View().Routes.Match(it.Reward.Host, it.Reward.Path)
 		if route == nil {
-			sleep(ctx, judgePause)
+			pause.For(ctx, judgePause)
 			continue
 		}
 		request := &forward.Request{
@@ -75,7 +76,7 @@
 			r.judged(it, batch.Result{ID: it.ID, State: batch.Dead}, failures)
 			return
 		}
-		sleep(ctx, max(judgePause, result.RetryAfter))
+		pause.For(ctx, max(judgePause, result.RetryAfter))
 	}
 }
 
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -16,6 +16,7 @@
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/pause"
 )
 
 const (
@@ -132,7 +133,7 @@
 			return stored, true
 		}
 		level.Warn(r.Logger).Log("msg", "open jobs not read", "err", err)
-		sleep(ctx, recoverPause)
+		pause.For(ctx, recoverPause)
 	}
 	return nil, false
 }
@@ -378,12 +379,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/routing"
 )
 
@@ -161,7 +162,7 @@
 		if time.Now().After(waitUntil) {
 			return j.giveUp("engines full", false)
 		}
-		sleep(ctx, busyPause)
+		pause.For(ctx, busyPause)
 	}
 }
 
@@ -314,10 +315,3 @@
 		"status", result.Status, "reason", result.Reason, "engines", len(j.tried), "failed", j.failed,
 		"took", time.Since(j.started).Round(time.Millisecond), "config", j.version)
 }
-
-func sleep(ctx context.Context, length time.Duration) {
-	select {
-	case <-time.After(length):
-	case <-ctx.Done():
-	}
-}
--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -6,6 +6,8 @@
 	"maps"
 	"sync"
 	"time"
+
+	"github.com/covelink/covelink/internal/pause"
 )
 
 const (
@@ -132,7 +134,7 @@
 		return
 	}
 	w.options.Lost(err)
-	pause(ctx, min(retryPause<<min(w.failures, 4), maxRetryPause))
+	pause.For(ctx, min(retryPause<<min(w.failures, 4), maxRetryPause))
 	w.failures++
 }
 
@@ -173,7 +175,7 @@
 	}
 	w.apply(events)
 	if len(events.Events) > 0 && w.options.Pause > 0 {
-		pause(ctx, w.options.Pause)
+		pause.For(ctx, w.options.Pause)
 	}
 	return nil
 }
@@ -227,11 +229,3 @@
 	defer cancel()
 	return client.List(ctx, kind, options)
 }
-
-// pause waits, or until ctx ends.
-func pause(ctx context.Context, length time.Duration) {
-	select {
-	case <-time.After(length):
-	case <-ctx.Done():
-	}
-}
--- a/internal/metastore/write.go
+++ b/internal/metastore/write.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/covelink/covelink/internal/pause"
 )
 
 const (
@@ -48,7 +50,7 @@
 		case errors.As(err, &conflict), errors.Is(err, ErrInvalid), errors.Is(err, ErrNotFound):
 			return Object{}, err
 		case errors.Is(err, ErrNotDone):
-			pause(ctx, retryPause)
+			pause.For(ctx, retryPause)
 		default:
 			sent = true
 			patience = min(2*patience, maxAnswerPatience)
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -18,6 +18,7 @@
 
 	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/pause"
 )
 
 // Mode is what becomes of the runs at an engine that loads.
@@ -143,7 +144,7 @@
 // Lead gives orders until ctx ends.
 func (m *Manager) Lead(ctx context.Context, term election.Term) {
 	if term.TakenOver {
-		pause(ctx, m.LeaseLength+handOverMargin)
+		pause.For(ctx, m.LeaseLength+handOverMargin)
 	}
 	m.mu.Lock()
 	clear(m.loading)
@@ -230,7 +231,7 @@
 	}
 	m.mu.Unlock()
 	if err != nil {
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 	m.poke()
 }
@@ -250,7 +251,7 @@
 		if err := m.order(ctx, term, target, report); err != nil {
 			return err
 		}
-		pause(ctx, loadTime)
+		pause.For(ctx, loadTime)
 	}
 	deadline := time.Now().Add(loadLimit)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
@@ -261,7 +262,7 @@
 		if err == nil && !report.Busy {
 			return errNotLoaded
 		}
-		pause(ctx, loadPoll)
+		pause.For(ctx, loadPoll)
 	}
 	return errNotLoaded
 }
@@ -318,12 +319,3 @@
 	}
 	return ModeRetain
 }
-
-func pause(ctx context.Context, length time.Duration) {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
