batchrun: jobs are removed after their retention; engines that left are forgotten

Cause, found reading: timing.batchRetention was a setting that nothing used, so that jobs stayed in the store and in the coordinator's memory for good, and records of engines grew with every start of one. Tests: TestEnd, TestFence.

--- a/internal/batchlog/batchlog.go
+++ b/internal/batchlog/batchlog.go
@@ -183,20 +183,25 @@
 // maxConcurrent is how many jobs are taken over at once.
 const maxConcurrent = 4
 
-// Open takes over the jobs that are not known to be sealed.
-func (s *Store) Open(ctx context.Context) ([]*Stored, error) {
+// Open takes over the jobs that are not known to be sealed. It also returns the IDs of those that are.
+func (s *Store) Open(ctx context.Context) (jobs []*Stored, sealed []string, err error) {
 	objects, _, err := metastore.ListAll(ctx, s.client, kindJobs, "")
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	var open []metastore.Object
 	for _, object := range objects {
 		var found record
-		if json.Unmarshal(object.Spec, &found) == nil && !found.Sealed {
-			open = append(open, object)
+		if json.Unmarshal(object.Spec, &found) != nil {
+			continue
+		}
+		if found.Sealed {
+			sealed = append(sealed, object.Name)
+			continue
 		}
+		open = append(open, object)
 	}
-	jobs := make([]*Stored, len(open))
+	jobs = make([]*Stored, len(open))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxConcurrent)
 	for i, object := range open {
@@ -206,7 +211,7 @@
 			return err
 		})
 	}
-	return jobs, group.Wait()
+	return jobs, sealed, group.Wait()
 }
 
 // takeOver reads a job with its log, and fences the log unless it is sealed.
--- a/internal/batchlog/batchlog_test.go
+++ b/internal/batchlog/batchlog_test.go
@@ -102,9 +102,22 @@
 				So(err, ShouldEqual, batchlog.ErrSealed)
 				Convey("and a sealed job that was marked is not opened again", func() {
 					So(taken.MarkSealed(t.Context()), ShouldBeNil)
-					open, err := batchlog.New(store.Client(), 3).Open(t.Context())
+					later := batchlog.New(store.Client(), 3)
+					open, sealed, err := later.Open(t.Context())
 					So(err, ShouldBeNil)
 					So(open, ShouldBeEmpty)
+					So(sealed, ShouldResemble, []string{"a"})
+					Convey("and once it is removed nothing of it is left", func() {
+						found, err := later.Find(t.Context(), "a")
+						So(err, ShouldBeNil)
+						So(found.Remove(t.Context()), ShouldBeNil)
+						So(found.Remove(t.Context()), ShouldBeNil)
+						for _, kind := range []string{"batches", "batch-items", "batch-results"} {
+							objects, _, err := metastore.ListAll(t.Context(), store.Client(), kind, "")
+							So(err, ShouldBeNil)
+							So(objects, ShouldBeEmpty)
+						}
+					})
 				})
 			})
 		})
--- a/internal/batchlog/stored.go
+++ b/internal/batchlog/stored.go
@@ -228,17 +228,28 @@
 	}
 }
 
-// Remove deletes the job and all that belongs to it.
+// Remove deletes a sealed job and all that belongs to it, the job's object last, so that a removal which was cut short can be
+// done again.
 func (j *Stored) Remove(ctx context.Context) error {
-	var failures []error
 	for i := range j.chunks {
-		failures = append(failures, j.store.client.Delete(ctx, kindResults, chunkName(j.Job.ID, i), 0))
+		if err := j.remove(ctx, kindResults, chunkName(j.Job.ID, i)); err != nil {
+			return err
+		}
 	}
 	for _, name := range j.record.Parts {
-		failures = append(failures, j.store.client.Delete(ctx, kindItems, name, 0))
+		if err := j.remove(ctx, kindItems, name); err != nil {
+			return err
+		}
+	}
+	return j.remove(ctx, kindJobs, j.Job.ID)
+}
+
+func (j *Stored) remove(ctx context.Context, kind, name string) error {
+	err := j.store.client.Delete(ctx, kind, name, 0)
+	if errors.Is(err, metastore.ErrNotFound) {
+		return nil
 	}
-	failures = append(failures, j.store.client.Delete(ctx, kindJobs, j.Job.ID, 0))
-	return errors.Join(failures...)
+	return err
 }
 
 // chunkName names a job's chunk so that chunks are listed in their order. Number -1 comes before all of them.
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -60,6 +60,8 @@
 	Transport forward.Transport
 	Forwarder *forward.Forwarder
 	Store     metastore.Client
+	// Retention is how long a job is kept after its end; zero means DefaultRetention.
+	Retention time.Duration
 	// Observer may be nil.
 	Observer Observer
 	Logger   log.Logger
@@ -93,6 +95,9 @@
 	if params.Observer == nil {
 		params.Observer = nobody{}
 	}
+	if params.Retention == 0 {
+		params.Retention = DefaultRetention
+	}
 	return &Runner{Params: params, now: time.Now, wake: make(chan struct{}, 1)}
 }
 
@@ -102,7 +107,7 @@
 	defer depose()
 	started := r.now()
 	log := batchlog.New(r.Store, token)
-	stored, ok := r.recover(ctx, log)
+	stored, sealed, ok := r.recover(ctx, log)
 	if !ok {
 		return
 	}
@@ -117,6 +122,7 @@
 	}
 	r.mu.Unlock()
 	level.Info(r.Logger).Log("msg", "leading", "token", token, "jobs", len(stored), "took", r.now().Sub(started).Round(time.Millisecond))
+	r.running.Go(func() { r.retain(ctx, sealed) })
 	r.scheduleUntil(ctx)
 	r.mu.Lock()
 	r.term = nil
@@ -126,16 +132,16 @@
 }
 
 // recover reads the open jobs, as often as it takes.
-func (r *Runner) recover(ctx context.Context, log *batchlog.Store) ([]*batchlog.Stored, bool) {
+func (r *Runner) recover(ctx context.Context, log *batchlog.Store) (stored []*batchlog.Stored, sealed []string, ok bool) {
 	for ctx.Err() == nil {
-		stored, err := log.Open(ctx)
+		stored, sealed, err := log.Open(ctx)
 		if err == nil {
-			return stored, true
+			return stored, sealed, true
 		}
 		level.Warn(r.Logger).Log("msg", "open jobs not read", "err", err)
 		pause.For(ctx, recoverPause)
 	}
-	return nil, false
+	return nil, nil, false
 }
 
 const recoverPause = 150 * time.Millisecond
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -30,13 +30,14 @@
 	fx.Invoke(runCoordinator),
 )
 
-func newRunner(state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder, store metastore.Client, observed *metrics,
+func newRunner(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder, store metastore.Client, observed *metrics,
 	logger log.Logger) *batchrun.Runner {
 	return batchrun.New(batchrun.Params{
 		State:     state,
 		Transport: transport,
 		Forwarder: forwarder,
 		Store:     store,
+		Retention: config.Timing.BatchRetention,
 		Observer:  observed,
 		Logger:    telemetry.For(logger, telemetry.PartBatch),
 	})
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -183,6 +183,7 @@
 	if view.Routes == nil {
 		return nil
 	}
+	m.forget(view)
 	var chosen []move
 	for len(m.loading) < maxLoading {
 		next, ok := m.next(view, now)
@@ -195,6 +196,16 @@
 	return chosen
 }
 
+// forget drops what is known of engines that are not listed any more. The mutex must be held.
+func (m *Manager) forget(view *fleet.View) {
+	unlisted := func(id string) bool {
+		_, listed := view.Engines[id]
+		return !listed
+	}
+	maps.DeleteFunc(m.held, func(id string, _ map[string]int64) bool { return unlisted(id) })
+	maps.DeleteFunc(m.asideTil, func(id string, _ time.Time) bool { return unlisted(id) })
+}
+
 func (m *Manager) next(view *fleet.View, now time.Time) (move, bool) {
 	var best move
 	var bestLag int64
