--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -2,6 +2,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"os/signal"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -171,7 +173,8 @@
 	if err := process.Start(ctx); err != nil {
 		return err
 	}
-	awaitStop(stopped, logger, func() error {
+	file := cmd.String(flagConfig)
+	awaitStop(stopped, logger, func() []byte { return contentOf(file) }, func() error {
 		if config.reload == nil {
 			return nil
 		}
@@ -186,19 +189,39 @@
 	return nil
 }
 
-// awaitStop takes in changed settings on every SIGHUP until ctx ends. Settings that cannot be used leave the last ones in
-// force.
-func awaitStop(ctx context.Context, logger log.Logger, reload func() error) {
+// fileInterval is the pause between two looks whether the settings file has changed.
+const fileInterval = 2 * time.Second
+
+// contentOf returns the content of a file, or nothing if it cannot be read.
+func contentOf(file string) []byte {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return nil
+	}
+	return content
+}
+
+// awaitStop takes in changed settings, on every SIGHUP and when their file has changed, until ctx ends. Settings that cannot be
+// used leave the last ones in force.
+func awaitStop(ctx context.Context, logger log.Logger, content func() []byte, reload func() error) {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
 	logger = telemetry.For(logger, telemetry.PartNode)
+	looks := time.NewTicker(fileInterval)
+	defer looks.Stop()
+	known := content()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangups:
+		case <-looks.C:
+			if bytes.Equal(content(), known) {
+				continue
+			}
 		}
+		known = content()
 		if err := reload(); err != nil {
 			level.Error(logger).Log("msg", "settings not reloaded, the last ones stay in force", "err", err)
 			continue
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -21,7 +23,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			awaitStop(ctx, log.NewNopLogger(), func() error {
+			awaitStop(ctx, log.NewNopLogger(), func() []byte { return nil }, func() error {
 				reloads <- struct{}{}
 				return errors.New("unusable")
 			})
@@ -57,3 +59,33 @@
 	signal.Notify(signals, syscall.SIGHUP)
 	t.Cleanup(func() { signal.Stop(signals) })
 }
+
+// The platform may change the settings file without a signal.
+func TestChangedFileReloads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var content atomic.Pointer[[]byte]
+		first, second := []byte("a"), []byte("b")
+		content.Store(&first)
+		var reloads atomic.Int32
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			awaitStop(ctx, log.NewNopLogger(), func() []byte { return *content.Load() }, func() error {
+				reloads.Add(1)
+				return nil
+			})
+		}()
+		Convey("A file that stays is not read into the process, one that changes is, once", t, func() {
+			time.Sleep(time.Minute)
+			So(reloads.Load(), ShouldEqual, 0)
+			content.Store(&second)
+			time.Sleep(3 * time.Second)
+			So(reloads.Load(), ShouldEqual, 1)
+			time.Sleep(time.Minute)
+			So(reloads.Load(), ShouldEqual, 1)
+		})
+		cancel()
+		<-done
+	})
+}
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -151,7 +151,7 @@
 	c.Metrics.leadingTerms.Inc()
 	c.State.Reset()
 	var duties sync.WaitGroup
-	duties.Go(func() { followFleet(ctx, c.Followers, c.State, c.Logger) })
+	duties.Go(func() { followFleet(ctx, c.Followers, c.State, c.Metrics, c.Logger) })
 	duties.Go(func() { c.Runner.Lead(ctx, term.Token) })
 	duties.Go(func() { c.Orders.Lead(ctx, term) })
 	duties.Go(func() { c.Leaving.Lead(ctx) })
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -27,9 +27,10 @@
 )
 
 // alwaysFollowFleet keeps the state at what the store holds from start to stop.
-func alwaysFollowFleet(hooks fx.Lifecycle, group *tasks, followers *metastore.Followers, state *fleet.State, logger log.Logger) {
+func alwaysFollowFleet(hooks fx.Lifecycle, group *tasks, followers *metastore.Followers, state *fleet.State, observed *metrics,
+	logger log.Logger) {
 	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
-		group.run(func(ctx context.Context) { followFleet(ctx, followers, state, logger) })
+		group.run(func(ctx context.Context) { followFleet(ctx, followers, state, observed, logger) })
 		return nil
 	}})
 }
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -30,6 +30,7 @@
 	orders        *prometheus.CounterVec
 	orderTime     prometheus.Histogram
 	leadingTerms  prometheus.Counter
+	configRefused prometheus.Counter
 	configVersion prometheus.GaugeFunc
 }
 
@@ -53,6 +54,7 @@
 	m.engines = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_engines_total", Help: "Engines that requests were sent to."})
 	m.itemsMoved = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "items_moved_total", Help: "Batch items that were moved off a slow engine."})
 	m.leadingTerms = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "terms_total", Help: "Terms in which this process coordinated."})
+	m.configRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "config_refused_total", Help: "Configurations that could not be used."})
 	itemTime := histogram("item_attempt_duration_seconds", "Time of a run of a batch item at an engine.")
 	commitTime := histogram("commit_duration_seconds", "Time to keep results of a batch job.")
 	orderTime := histogram("engine_move_duration_seconds", "Time to move an engine to a weight version.")
@@ -66,7 +68,7 @@
 		return 0
 	})
 	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.itemsMoved, m.results,
-		commitTime, m.orders, orderTime, m.leadingTerms, m.configVersion)
+		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion)
 	return m
 }
 
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -185,10 +185,10 @@
 }
 
 // followFleet keeps the state at what the store holds until ctx ends.
-func followFleet(ctx context.Context, followers *metastore.Followers, state *fleet.State, logger log.Logger) {
+func followFleet(ctx context.Context, followers *metastore.Followers, state *fleet.State, observed *metrics, logger log.Logger) {
 	logger = telemetry.For(logger, telemetry.PartFleet)
 	var following sync.WaitGroup
-	following.Go(func() { platform.FollowConfig(ctx, followers, state, logger) })
+	following.Go(func() { platform.FollowConfig(ctx, followers, state, observed.configRefused.Inc, logger) })
 	following.Go(func() { platform.FollowEngines(ctx, followers, state, logger) })
 	following.Wait()
 }
