Last reading: typed reasons, a route matched once, what was dead or there already

Items draw their target by another hash of the same spread; nothing else behaves otherwise, and no test changed.

--- a/internal/batchlog/stored.go
+++ b/internal/batchlog/stored.go
@@ -41,7 +41,7 @@
 
 // Refresh reads the chunks that were appended since the log was last read.
 func (j *Stored) Refresh(ctx context.Context) error {
-	objects, _, err := listJob(ctx, j.store.client, j.Job.ID, chunkName(j.Job.ID, j.chunks-1))
+	objects, err := listJob(ctx, j.store.client, j.Job.ID, chunkName(j.Job.ID, j.chunks-1))
 	if err != nil {
 		return err
 	}
@@ -57,21 +57,21 @@
 }
 
 // listJob returns the chunks of a job that come after a name. A page may go on with other jobs' chunks.
-func listJob(ctx context.Context, client metastore.Client, job, after string) ([]metastore.Object, metastore.Revision, error) {
+func listJob(ctx context.Context, client metastore.Client, job, after string) ([]metastore.Object, error) {
 	var found []metastore.Object
 	for {
 		page, err := client.List(ctx, kindResults, metastore.ListOptions{After: after})
 		if err != nil {
-			return nil, 0, err
+			return nil, err
 		}
 		for _, object := range page.Objects {
 			if !belongs(object.Name, job) {
-				return found, page.Revision, nil
+				return found, nil
 			}
 			found = append(found, object)
 		}
 		if !page.More || len(page.Objects) == 0 {
-			return found, page.Revision, nil
+			return found, nil
 		}
 		after = page.Objects[len(page.Objects)-1].Name
 	}
--- a/internal/batchrun/attempt.go
+++ b/internal/batchrun/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"hash/fnv"
 	"io"
 	"net/http"
 	"strconv"
@@ -236,9 +235,3 @@
 	it.job.pending = append(it.job.pending, result)
 	it.job.signal()
 }
-
-func hash(text string) uint64 {
-	digest := fnv.New64a()
-	digest.Write([]byte(text))
-	return digest.Sum64()
-}
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/covelink/covelink/coord/rendezvous"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/routing"
@@ -61,30 +62,32 @@
 	}
 	now := r.now()
 	left := 0
-	for _, it := range r.waiting(view) {
-		if it.notBefore.After(now) {
+	for _, waiting := range r.waiting(view) {
+		if waiting.item.notBefore.After(now) {
 			left++
 			continue
 		}
-		route := view.Routes.Match(it.job.Host, it.Path)
-		engine, _ := r.choose(view, route, it, now)
+		engine, _ := r.choose(view, waiting.route, waiting.item, now)
 		if engine == nil {
 			left++
 			continue
 		}
-		r.start(ctx, it, route, engine)
+		r.start(ctx, waiting.item, waiting.route, engine)
 	}
 	return left
 }
 
+// waitingItem is an item that waits for an engine.
+type waitingItem struct {
+	item  *item
+	route *routing.Route
+	// due is when the results of its job are.
+	due time.Time
+}
+
 // waiting returns the items that wait, those first that are placed first, and gives up those that have waited too long.
-func (r *Runner) waiting(view *fleet.View) []*item {
-	type entry struct {
-		item     *item
-		priority int
-		due      time.Time
-	}
-	var entries []entry
+func (r *Runner) waiting(view *fleet.View) []waitingItem {
+	var entries []waitingItem
 	now := r.now()
 	for _, j := range r.order {
 		if j.ended {
@@ -99,24 +102,20 @@
 				r.giveUp(it, "route gone or waited too long")
 				continue
 			}
-			entries = append(entries, entry{item: it, priority: route.Priority, due: j.accepted.Add(route.ResultDeadline)})
+			entries = append(entries, waitingItem{item: it, route: route, due: j.accepted.Add(route.ResultDeadline)})
 		}
 	}
 	sort.SliceStable(entries, func(a, b int) bool {
 		x, y := entries[a], entries[b]
-		if x.priority != y.priority {
-			return x.priority < y.priority
+		if x.route.Priority != y.route.Priority {
+			return x.route.Priority < y.route.Priority
 		}
 		if !x.due.Equal(y.due) {
 			return x.due.Before(y.due)
 		}
 		return x.item.carried && !y.item.carried
 	})
-	items := make([]*item, 0, len(entries))
-	for _, e := range entries {
-		items = append(items, e.item)
-	}
-	return items
+	return entries
 }
 
 // choose returns the engine for an item and the pause between events that is expected there, or nil if none can take it now.
@@ -197,7 +196,7 @@
 
 // draw spreads items evenly over [0, 1) by their IDs.
 func draw(id string) float64 {
-	return float64(hash(id)>>11) / (1 << 53)
+	return float64(rendezvous.Hash(id)>>11) / (1 << 53)
 }
 
 // singleVersion reports whether an item's text must be made by one weight version.
@@ -223,7 +222,7 @@
 	it.moving = false
 	attemptCtx, cancel := context.WithCancel(ctx)
 	it.cancel = cancel
-	options := forward.SendOptions{Priority: -1}
+	var options forward.SendOptions
 	if len(it.events) > 0 {
 		options.Resume, options.LastEventID = true, it.lastID
 	}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -107,7 +107,7 @@
 	defer depose()
 	started := r.now()
 	log := batchlog.New(r.Store, token)
-	stored, sealed, ok := r.recover(ctx, log)
+	stored, sealed, ok := r.readJobs(ctx, log)
 	if !ok {
 		return
 	}
@@ -131,8 +131,8 @@
 	level.Info(r.Logger).Log("msg", "no longer leading")
 }
 
-// recover reads the open jobs, as often as it takes.
-func (r *Runner) recover(ctx context.Context, log *batchlog.Store) (stored []*batchlog.Stored, sealed []string, ok bool) {
+// readJobs reads the open jobs, as often as it takes.
+func (r *Runner) readJobs(ctx context.Context, log *batchlog.Store) (stored []*batchlog.Stored, sealed []string, ok bool) {
 	for ctx.Err() == nil {
 		stored, sealed, err := log.Open(ctx)
 		if err == nil {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -32,6 +32,19 @@
 // String returns the outcome's name in logs and metrics.
 func (o Outcome) String() string { return [...]string{"completed", "not_run", "unknown"}[o] }
 
+// Reason is what kept a request from being completed, as logs tell it.
+type Reason string
+
+// The reasons.
+const (
+	ReasonDeadline     Reason = "deadline"
+	ReasonCallerLeft   Reason = "caller left"
+	ReasonNoEngine     Reason = "no engine"
+	ReasonAttemptsUsed Reason = "attempts used"
+	ReasonEnginesFull  Reason = "engines full"
+	ReasonAnswerLost   Reason = "answer lost"
+)
+
 // Result is the end of a request.
 type Result struct {
 	Outcome Outcome
@@ -44,8 +57,8 @@
 	Stream io.ReadCloser
 	// RetryAfter is when a request that was not run may come again.
 	RetryAfter time.Duration
-	// Reason is what kept the request from being completed, in a word.
-	Reason string
+	// Reason is what kept the request from being completed; empty if nothing did.
+	Reason Reason
 	// TimedOut is true if the time that the request had is over.
 	TimedOut bool
 	// FailedAttempts counts the answers of 500 that engines gave.
@@ -53,8 +66,8 @@
 }
 
 const (
-	// maxBuffered is the largest answer that is held until it is whole.
-	maxBuffered = 1 << 20
+	// maxAnswer bounds an answer that is held in memory.
+	maxAnswer = 64 << 20
 	// minAttemptTime is the least time for an attempt to be worth making.
 	minAttemptTime = 5 * time.Millisecond
 	// minPatience is the least time that an attempt gets before another engine is asked.
@@ -137,14 +150,14 @@
 	waitUntil := j.started.Add(j.maxWait())
 	for {
 		if time.Until(j.deadline) < minAttemptTime {
-			return j.giveUp("deadline", true)
+			return j.giveUp(ReasonDeadline, true)
 		}
 		if ctx.Err() != nil {
-			return j.giveUp("caller left", true)
+			return j.giveUp(ReasonCallerLeft, true)
 		}
 		engine := j.picker.Acquire(j.state.View().Ready(j.service), j.allowed)
 		if engine == nil {
-			return j.giveUp("no engine", false)
+			return j.giveUp(ReasonNoEngine, false)
 		}
 		result, again := j.attempt(ctx, engine)
 		if !again {
@@ -152,7 +165,7 @@
 		}
 		if j.mayHaveRun || j.last != nil {
 			if len(j.tried) >= j.route.MaxAttempts {
-				return j.giveUp("attempts used", false)
+				return j.giveUp(ReasonAttemptsUsed, false)
 			}
 			continue
 		}
@@ -160,7 +173,7 @@
 			continue
 		}
 		if time.Now().After(waitUntil) {
-			return j.giveUp("engines full", false)
+			return j.giveUp(ReasonEnginesFull, false)
 		}
 		pause.For(ctx, busyPause)
 	}
@@ -193,7 +206,7 @@
 		}
 	}()
 	sent := time.Now()
-	answer, err := j.transport.Send(attemptCtx, engine, j.request, SendOptions{TimeLeft: time.Until(j.deadline), Priority: -1})
+	answer, err := j.transport.Send(attemptCtx, engine, j.request, SendOptions{TimeLeft: time.Until(j.deadline)})
 	if err == nil {
 		result, err = j.read(answer, cancel)
 	}
@@ -235,7 +248,7 @@
 	}
 	j.mayHaveRun = true
 	if !j.route.Repeatable() {
-		return j.giveUp("answer lost", false), false
+		return j.giveUp(ReasonAnswerLost, false), false
 	}
 	return Result{}, true
 }
@@ -271,9 +284,6 @@
 	return result, nil
 }
 
-// maxAnswer bounds an answer that is held in memory.
-const maxAnswer = 64 * maxBuffered
-
 // cancelingBody ends an attempt's context with its body.
 type cancelingBody struct {
 	io.ReadCloser
@@ -287,12 +297,12 @@
 }
 
 // giveUp returns the result of a request that no engine completed.
-func (j *job) giveUp(reason string, timedOut bool) Result {
+func (j *job) giveUp(reason Reason, timedOut bool) Result {
 	if j.last != nil {
 		return *j.last
 	}
 	result := Result{Outcome: NotRun, Reason: reason, TimedOut: timedOut, RetryAfter: busyRetryAfter}
-	if reason == "no engine" {
+	if reason == ReasonNoEngine {
 		result.RetryAfter = emptyRetryAfter
 	}
 	if j.mayHaveRun {
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -32,8 +32,6 @@
 	// Resume continues a stream after the event LastEventID.
 	Resume      bool
 	LastEventID int64
-	// Priority is the rank at the engine, 0 first; below zero it is not sent.
-	Priority int
 }
 
 // Answer is the head of an engine's answer. Body must be closed.
