configsync: the test waits until every watch is open

A node may learn a revision from another zone's coordinator before its own list from the store is answered and its watch begins, so that views agree while a watch is still to come: the test read the count at that moment. Ruled out: a watch that broke off (no retry in its output). It now waits until the watches are open and then requires, beyond what it did, that no more were ever begun.

--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -43,6 +43,13 @@
 	}
 }
 
+// watchesSettleAt waits until the store has the given number of open watches, which must then be all that were ever begun. A
+// node may learn a revision from another zone before its own watch is open, so the number is not final once views agree.
+func (c *testCluster) watchesSettleAt(count int64) {
+	eventually("watches open", func() bool { return c.store.Counts().OpenWatches == count })
+	So(c.store.Counts().Watches, ShouldEqual, count)
+}
+
 // testNode is one node of a testCluster, real but for the process around it.
 type testNode struct {
 	*Manager
--- a/internal/configsync/manager_test.go
+++ b/internal/configsync/manager_test.go
@@ -78,7 +78,7 @@
 		}
 
 		Convey("only coordinators watch the store, and engines of every zone are known everywhere", func() {
-			So(c.store.Counts().OpenWatches, ShouldEqual, 3)
+			c.watchesSettleAt(3)
 			na.SetEngines([]cluster.Engine{{Name: "ea", Zone: "a"}})
 			nb.SetEngines([]cluster.Engine{{Name: "eb", Zone: "b"}})
 			eventually("engines", func() bool { return len(nc.params.Holder.Current().Engines) == 2 })
@@ -182,7 +182,7 @@
 		}
 
 		Convey("only the coordinator reads the store, and writes through any node reach it", func() {
-			So(c.store.Counts().OpenWatches, ShouldEqual, 1)
+			c.watchesSettleAt(1)
 			created, err := follower.Create(ctx, testZone("y"))
 			So(err, ShouldBeNil)
 			So(created.ObjectStatus().Conditions[0].Reason, ShouldEqual, "Pending")
@@ -193,8 +193,8 @@
 		})
 
 		Convey("statuses cost the store nothing: while leases go on, there is one watch and no read or write", func() {
+			c.watchesSettleAt(1)
 			before := c.store.Counts()
-			So(before.OpenWatches, ShouldEqual, 1)
 			for range 3 {
 				until := follower.leaseEnd()
 				eventually("lease renewed", func() bool { return follower.leaseEnd().After(until) })
