weightorder: a fifth of the engines load at once, each engine keeps up with one model

Two loads at once, tried on every engine for every model, left most engines older than the least version that a step allows, so that a few engines served all steps (busiest/mean 2.63) and steps came late. Ruled out: processor time (coordinator at 0.05 of a core), store (submissions kept in 20 to 40 ms). Change: the number of loads at once follows the number of engines, and engines of a service are divided evenly among its models while each gets two at least.

--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -62,8 +62,6 @@
 }
 
 const (
-	// maxLoading is how many engines load at once.
-	maxLoading = 2
 	// orderWindow is how long after the start of the question to the store an order may leave.
 	orderWindow = 700 * time.Millisecond
 	// callTimeout bounds a call to an engine.
@@ -107,6 +105,8 @@
 	// loading are the engines that are being moved, and asideTil those that are left alone for a while.
 	loading  map[string]struct{}
 	asideTil map[string]time.Time
+	// assigned is the model that an engine keeps up with, where a service divides its engines among its models.
+	assigned map[string]string
 }
 
 // New returns a Manager that does nothing until Lead.
@@ -118,6 +118,7 @@
 		held:     make(map[string]map[string]int64),
 		loading:  make(map[string]struct{}),
 		asideTil: make(map[string]time.Time),
+		assigned: make(map[string]string),
 	}
 }
 
@@ -168,64 +169,6 @@
 	moving.Wait()
 }
 
-// move is one engine that is to load a version.
-type move struct {
-	engine  *fleet.Engine
-	model   string
-	version int64
-}
-
-// plan chooses the engines that load next, the most outdated first, and marks them.
-func (m *Manager) plan(now time.Time) []move {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	view := m.State.View()
-	if view.Routes == nil {
-		return nil
-	}
-	m.forget(view)
-	var chosen []move
-	for len(m.loading) < maxLoading {
-		next, ok := m.next(view, now)
-		if !ok {
-			break
-		}
-		m.loading[next.engine.ID] = struct{}{}
-		chosen = append(chosen, next)
-	}
-	return chosen
-}
-
-// forget drops what is known of engines that are not listed any more. The mutex must be held.
-func (m *Manager) forget(view *fleet.View) {
-	unlisted := func(id string) bool {
-		_, listed := view.Engines[id]
-		return !listed
-	}
-	maps.DeleteFunc(m.held, func(id string, _ map[string]int64) bool { return unlisted(id) })
-	maps.DeleteFunc(m.asideTil, func(id string, _ time.Time) bool { return unlisted(id) })
-}
-
-func (m *Manager) next(view *fleet.View, now time.Time) (move, bool) {
-	var best move
-	var bestLag int64
-	for service := range view.Routes.Services {
-		for _, engine := range view.Ready(service) {
-			if _, busy := m.loading[engine.ID]; busy || m.asideTil[engine.ID].After(now) {
-				continue
-			}
-			for model, version := range engine.Versions {
-				lag := m.named[model] - max(version, m.held[engine.ID][model])
-				better := lag > bestLag || (lag == bestLag && lag > 0 && engine.ID < best.engine.ID)
-				if better {
-					best, bestLag = move{engine: engine, model: model, version: m.named[model]}, lag
-				}
-			}
-		}
-	}
-	return best, bestLag > 0
-}
-
 // move brings an engine to a version and waits until it is seen there.
 func (m *Manager) move(ctx context.Context, term election.Term, target move) {
 	started := time.Now()
--- /dev/null
+++ b/internal/weightorder/plan_test.go
@@ -0,0 +1,110 @@
+package weightorder
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/routing"
+)
+
+// planned is a manager whose engines hold version 1 of every model.
+func planned(engines int, models ...string) (*Manager, *fleet.State) {
+	state := fleet.NewState()
+	service := routing.Service{Name: "pool", Models: models}
+	state.SetRoutes(routing.NewTable(1, nil, []routing.Service{service}, routing.Limits{}))
+	list(state, 0, engines, models)
+	return New(Params{State: state, Logger: log.NewNopLogger()}), state
+}
+
+// list makes the engines from a number up to another the listed ones.
+func list(state *fleet.State, from, to int, models []string) {
+	var listed []*fleet.Engine
+	for i := from; i < to; i++ {
+		versions := make(map[string]int64, len(models))
+		for _, model := range models {
+			versions[model] = 1
+		}
+		listed = append(listed, &fleet.Engine{ID: fmt.Sprintf("engine-%03d", i), Service: "pool", Ready: true, Versions: versions})
+	}
+	state.SetEngines(listed)
+}
+
+// loadAll carries all planned moves out, and returns how many engines have loaded each model.
+func loadAll(m *Manager) map[string]int {
+	loaded := make(map[string]int)
+	for moves := m.plan(time.Now()); len(moves) > 0; moves = m.plan(time.Now()) {
+		for _, move := range moves {
+			loaded[move.model]++
+			m.held[move.engine.ID] = map[string]int64{move.model: move.version}
+			delete(m.loading, move.engine.ID)
+		}
+	}
+	return loaded
+}
+
+func TestPlan(t *testing.T) {
+	models := []string{"a", "b", "c"}
+	Convey("A fifth of a service's engines load at once, and two of a small one", t, func() {
+		large, _ := planned(35, "a")
+		large.SetNamed(map[string]int64{"a": 2})
+		So(large.plan(time.Now()), ShouldHaveLength, 7)
+		So(large.plan(time.Now()), ShouldBeEmpty)
+		small, _ := planned(8, "a")
+		small.SetNamed(map[string]int64{"a": 2})
+		So(small.plan(time.Now()), ShouldHaveLength, 2)
+	})
+	Convey("Engines of several models are divided among them: each version is loaded once by a share", t, func() {
+		m, state := planned(35, models...)
+		m.SetNamed(map[string]int64{"a": 2, "b": 2, "c": 2})
+		So(loadAll(m), ShouldResemble, map[string]int{"a": 12, "b": 12, "c": 11})
+		before := map[string]string{}
+		for id, model := range m.assigned {
+			before[id] = model
+		}
+		m.SetNamed(map[string]int64{"a": 3, "b": 3, "c": 3})
+		So(loadAll(m), ShouldResemble, map[string]int{"a": 12, "b": 12, "c": 11})
+		So(m.assigned, ShouldResemble, before)
+
+		Convey("and the shares stay even when engines leave and others come", func() {
+			list(state, 8, 42, models)
+			m.SetNamed(map[string]int64{"a": 4, "b": 4, "c": 4})
+			loaded := loadAll(m)
+			for _, model := range models {
+				So(loaded[model], ShouldBeBetweenOrEqual, 11, 12)
+			}
+			So(m.assigned, ShouldHaveLength, 34)
+		})
+	})
+	Convey("Too few engines to divide keep up with every model", t, func() {
+		m, _ := planned(5, models...)
+		m.SetNamed(map[string]int64{"a": 2, "b": 2, "c": 2})
+		loaded := 0
+		for range 30 {
+			for _, move := range m.plan(time.Now()) {
+				loaded++
+				if m.held[move.engine.ID] == nil {
+					m.held[move.engine.ID] = make(map[string]int64)
+				}
+				m.held[move.engine.ID][move.model] = move.version
+				delete(m.loading, move.engine.ID)
+			}
+		}
+		So(loaded, ShouldEqual, 15)
+	})
+	Convey("The most outdated engine loads first", t, func() {
+		m, _ := planned(10, "a")
+		m.SetNamed(map[string]int64{"a": 4})
+		for i := range 10 {
+			m.held[fmt.Sprintf("engine-%03d", i)] = map[string]int64{"a": 3}
+		}
+		m.held["engine-007"] = map[string]int64{"a": 2}
+		m.held["engine-009"] = map[string]int64{"a": 2}
+		moves := m.plan(time.Now())
+		So([]string{moves[0].engine.ID, moves[1].engine.ID}, ShouldResemble, []string{"engine-007", "engine-009"})
+	})
+}
