weightorder: loads follow the work that waits

Change: shares follow the items submitted lately; an engine too old for what waits loads first, one that can take it is left to it; the number of loads at once is the rounded fifth of the most engines that a service has had.

--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -297,3 +297,23 @@
 		leading.Wait()
 	})
 }
+
+func TestDemands(t *testing.T) {
+	play(t, "The work for a model is what waits, the newest version that it demands, and what came lately", func(w *world) {
+		So(w.runner.Demands()[model].Waiting, ShouldEqual, 0)
+		job := newJob("job", 40)
+		job.MinVersion = 2
+		So(w.runner.Submit(context.Background(), job), ShouldBeNil)
+		So(w.runner.Submit(context.Background(), newJob("older", 3)), ShouldBeNil)
+		time.Sleep(100 * time.Millisecond)
+		demand := w.runner.Demands()[model]
+		So(demand.Waiting, ShouldEqual, 40)
+		So(demand.MinVersion, ShouldEqual, 2)
+		So(demand.Items, ShouldAlmostEqual, 43, 1)
+		So(w.runner.End(context.Background(), "job"), ShouldBeNil)
+		time.Sleep(time.Minute)
+		demand = w.runner.Demands()[model]
+		So(demand.Waiting, ShouldEqual, 0)
+		So(demand.Items, ShouldBeLessThan, 5)
+	})
+}
--- /dev/null
+++ b/internal/batchrun/demand.go
@@ -0,0 +1,53 @@
+package batchrun
+
+import (
+	"math"
+	"time"
+
+	"github.com/covelink/covelink/internal/weightorder"
+)
+
+// demandLife is the time in which the sum of the submitted items falls to a part of 1/e.
+const demandLife = 20 * time.Second
+
+// submissions is a decaying sum of the items that were submitted for a model.
+type submissions struct {
+	items   float64
+	updated time.Time
+}
+
+// at returns the sum at a time.
+func (s submissions) at(now time.Time) float64 {
+	return s.items * math.Exp(-now.Sub(s.updated).Seconds()/demandLife.Seconds())
+}
+
+// noteSubmitted counts the items of a job. The mutex must be held.
+func (r *Runner) noteSubmitted(j *job) {
+	now := r.now()
+	r.submitted[j.Model] = submissions{items: r.submitted[j.Model].at(now) + float64(len(j.items)), updated: now}
+}
+
+// Demands returns the work for each model.
+func (r *Runner) Demands() map[string]weightorder.Demand {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	demands := make(map[string]weightorder.Demand, len(r.submitted))
+	for model, sum := range r.submitted {
+		demands[model] = weightorder.Demand{Items: sum.at(now)}
+	}
+	for _, j := range r.order {
+		if j.ended {
+			continue
+		}
+		demand := demands[j.Model]
+		for _, it := range j.items {
+			if it.phase == phaseWaiting {
+				demand.Waiting++
+				demand.MinVersion = max(demand.MinVersion, j.MinVersion)
+			}
+		}
+		demands[j.Model] = demand
+	}
+	return demands
+}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -88,6 +88,8 @@
 	kept *unfinishedTexts
 	// ends are the jobs whose end is kept for good, with the time when this process learnt of it.
 	ends map[string]time.Time
+	// submitted is the work that came in lately, by model.
+	submitted map[string]submissions
 	// endedBytes is the size of the results of ended jobs in memory.
 	endedBytes int
 	// running are the goroutines of the term; it grows only while the term lasts.
@@ -128,6 +130,7 @@
 	r.kept = newUnfinishedTexts()
 	r.ends = make(map[string]time.Time, len(sealed))
 	r.endedBytes = 0
+	r.submitted = make(map[string]submissions)
 	for _, id := range sealed {
 		r.ends[id] = r.now()
 	}
@@ -169,6 +172,7 @@
 	j := newJob(stored, r.now())
 	r.jobs[j.ID] = j
 	r.order = append(r.order, j)
+	r.noteSubmitted(j)
 	for _, it := range j.items {
 		r.reuse(it)
 	}
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -51,6 +51,7 @@
 		Holder:      config.Node.Name,
 		LeaseLength: config.Timing.LeaseLength,
 		Loaded:      runner.NoteVersion,
+		Demands:     runner.Demands,
 		Moved:       observed.engineMoved,
 		Logger:      telemetry.For(logger, telemetry.PartOrders),
 	})
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -55,6 +55,15 @@
 // ErrRefused reports an order that the engine did not take.
 var ErrRefused = errors.New("weightorder: refused")
 
+// Demand is the work that there is for a model.
+type Demand struct {
+	// Waiting counts the items that wait for an engine, and MinVersion is the newest version that one of them demands.
+	Waiting    int
+	MinVersion int64
+	// Items is a moving sum of the items that were submitted.
+	Items float64
+}
+
 // Engines calls engines.
 type Engines interface {
 	Report(ctx context.Context, engine *fleet.Engine) (Report, error)
@@ -76,6 +85,8 @@
 	retryPause = 500 * time.Millisecond
 	// idlePause is the pause between two looks when nothing changes.
 	idlePause = 2 * time.Second
+	// deferredPause is that pause while engines are left to work that waits.
+	deferredPause = 200 * time.Millisecond
 	// handOverMargin is added to the lease length before the first order of a term.
 	handOverMargin = 400 * time.Millisecond
 )
@@ -89,6 +100,8 @@
 	LeaseLength time.Duration
 	// Loaded is told that an engine holds a version.
 	Loaded func(engineID, model string, version int64)
+	// Demands returns the work for each model; nil if it is not known.
+	Demands func() map[string]Demand
 	// Moved is told of the end of each move; nil for nobody.
 	Moved  func(err error, took time.Duration)
 	Logger log.Logger
@@ -107,6 +120,10 @@
 	asideTil map[string]time.Time
 	// assigned is the model that an engine keeps up with, where a service divides its engines among its models.
 	assigned map[string]string
+	// demand is the work for each model when the last plan was made.
+	demand map[string]Demand
+	// largest is the most engines that each service has had.
+	largest map[string]int
 }
 
 // New returns a Manager that does nothing until Lead.
@@ -119,6 +136,7 @@
 		loading:  make(map[string]struct{}),
 		asideTil: make(map[string]time.Time),
 		assigned: make(map[string]string),
+		largest:  make(map[string]int),
 	}
 }
 
@@ -157,7 +175,7 @@
 		for _, move := range m.plan(time.Now()) {
 			moving.Go(func() { m.move(ctx, term, move) })
 		}
-		timer := time.NewTimer(idlePause)
+		timer := time.NewTimer(m.idlePause())
 		select {
 		case <-m.changed:
 		case <-changed:
@@ -169,6 +187,18 @@
 	moving.Wait()
 }
 
+// idlePause is the longest pause before the next plan.
+func (m *Manager) idlePause() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, demand := range m.demand {
+		if demand.Waiting > 0 {
+			return deferredPause
+		}
+	}
+	return idlePause
+}
+
 // move brings an engine to a version and waits until it is seen there.
 func (m *Manager) move(ctx context.Context, term election.Term, target move) {
 	started := time.Now()
--- a/internal/weightorder/plan.go
+++ b/internal/weightorder/plan.go
@@ -1,11 +1,13 @@
 package weightorder
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/routing"
 )
 
 const (
@@ -16,6 +18,8 @@
 	// minEnginesPerModel is how many engines a service must have for each model, on average, before they are divided among the
 	// models; with fewer, every engine loads every model.
 	minEnginesPerModel = 2
+	// evenItems is added to the items of each model, so that the shares are even until there is work.
+	evenItems = 8
 )
 
 // move is one engine that is to load a version.
@@ -34,19 +38,22 @@
 		return nil
 	}
 	m.forget(view)
+	if m.Demands != nil {
+		m.demand = m.Demands()
+	}
 	var chosen []move
 	for _, name := range slices.Sorted(maps.Keys(view.Routes.Services)) {
-		chosen = append(chosen, m.planService(view.Ready(name), view.Routes.Services[name].Models, now)...)
+		chosen = append(chosen, m.planService(view.Ready(name), view.Routes.Services[name], now)...)
 	}
 	return chosen
 }
 
 // planService chooses among the engines of a service. The mutex must be held.
-func (m *Manager) planService(engines []*fleet.Engine, models []string, now time.Time) []move {
-	if len(engines) == 0 || len(models) == 0 {
+func (m *Manager) planService(engines []*fleet.Engine, service routing.Service, now time.Time) []move {
+	if len(engines) == 0 || len(service.Models) == 0 {
 		return nil
 	}
-	m.assign(engines, models)
+	m.assign(engines, service.Models)
 	var candidates []move
 	loading := 0
 	for _, engine := range engines {
@@ -57,12 +64,12 @@
 		if m.asideTil[engine.ID].After(now) {
 			continue
 		}
-		if next, ok := m.outdated(engine, models); ok {
+		if next, ok := m.outdated(engine, service.Models); ok {
 			candidates = append(candidates, next)
 		}
 	}
-	slices.SortStableFunc(candidates, func(a, b move) int { return int(m.lag(b.engine, b.model) - m.lag(a.engine, a.model)) })
-	room := max(max(minLoading, len(engines)/enginesPerLoad)-loading, 0)
+	slices.SortStableFunc(candidates, m.byUrgency)
+	room := max(m.maxLoading(service.Name, len(engines))-loading, 0)
 	chosen := candidates[:min(room, len(candidates))]
 	for _, next := range chosen {
 		m.loading[next.engine.ID] = struct{}{}
@@ -70,7 +77,32 @@
 	return chosen
 }
 
-// outdated returns the model of which an engine lags the most among those that it is to keep up with.
+// maxLoading is how many engines of a service may load at once. It follows the most engines that the service has had: what
+// the loads share does not shrink with the engines.
+func (m *Manager) maxLoading(service string, engines int) int {
+	m.largest[service] = max(m.largest[service], engines)
+	return max(minLoading, (m.largest[service]+enginesPerLoad/2)/enginesPerLoad)
+}
+
+// byUrgency orders moves: engines that cannot take what waits come first, then the most outdated.
+func (m *Manager) byUrgency(a, b move) int {
+	if x, y := m.unusable(a), m.unusable(b); x != y {
+		if x {
+			return -1
+		}
+		return 1
+	}
+	return int(m.lag(b.engine, b.model) - m.lag(a.engine, a.model))
+}
+
+// unusable reports whether work waits for a model that the engine's weights are too old for.
+func (m *Manager) unusable(target move) bool {
+	demand := m.demand[target.model]
+	return demand.Waiting > 0 && m.version(target.engine, target.model) < demand.MinVersion
+}
+
+// outdated returns the model of which an engine lags the most among those that it is to keep up with. An engine that can take
+// work that waits is left to it.
 func (m *Manager) outdated(engine *fleet.Engine, models []string) (move, bool) {
 	if assigned, ok := m.assigned[engine.ID]; ok {
 		models = []string{assigned}
@@ -78,8 +110,12 @@
 	var worst move
 	var worstLag int64
 	for _, model := range models {
+		next := move{engine: engine, model: model, version: m.named[model]}
+		if m.demand[model].Waiting > 0 && !m.unusable(next) {
+			continue
+		}
 		if lag := m.lag(engine, model); lag > worstLag {
-			worst, worstLag = move{engine: engine, model: model, version: m.named[model]}, lag
+			worst, worstLag = next, lag
 		}
 	}
 	return worst, worstLag > 0
@@ -87,15 +123,19 @@
 
 // lag returns by how many versions an engine is behind the newest of a model; zero if it does not hold the model.
 func (m *Manager) lag(engine *fleet.Engine, model string) int64 {
-	listed, ok := engine.Versions[model]
-	if !ok {
+	if _, ok := engine.Versions[model]; !ok {
 		return 0
 	}
-	return max(m.named[model]-max(listed, m.held[engine.ID][model]), 0)
+	return max(m.named[model]-m.version(engine, model), 0)
+}
+
+// version returns the newest version of a model that an engine is known to hold.
+func (m *Manager) version(engine *fleet.Engine, model string) int64 {
+	return max(engine.Versions[model], m.held[engine.ID][model])
 }
 
-// assign divides the engines of a service evenly among its models: an engine that keeps up with one model loads a fraction of
-// what it would for all of them. An engine keeps its model while the shares allow it.
+// assign divides the engines of a service among its models: an engine that keeps up with one model loads a fraction of what it
+// would for all of them. An engine keeps its model while the shares allow it.
 func (m *Manager) assign(engines []*fleet.Engine, models []string) {
 	if len(models) < 2 || len(engines) < minEnginesPerModel*len(models) {
 		for _, engine := range engines {
@@ -103,42 +143,56 @@
 		}
 		return
 	}
+	shares := m.shares(len(engines), models)
 	counts := make(map[string]int, len(models))
 	var free []*fleet.Engine
 	for _, engine := range engines {
 		model, ok := m.assigned[engine.ID]
-		if ok && slices.Contains(models, model) && counts[model] < share(len(engines), len(models), counts) {
+		if ok && counts[model] < shares[model] {
 			counts[model]++
 			continue
 		}
 		free = append(free, engine)
 	}
 	for _, engine := range free {
-		model := m.leastServed(engine, models, counts)
+		model := m.leastServed(engine, models, shares, counts)
 		m.assigned[engine.ID] = model
 		counts[model]++
 	}
 }
 
-// share is the most engines that a model may keep: the even share, rounded up only while the remainder lasts.
-func share(engines, models int, counts map[string]int) int {
-	even, remainder := engines/models, engines%models
-	for _, count := range counts {
-		if count > even {
-			remainder--
-		}
+// shares returns how many engines each model gets: in proportion to the items that were submitted lately, one at least.
+func (m *Manager) shares(engines int, models []string) map[string]int {
+	weights := make(map[string]float64, len(models))
+	total := 0.0
+	for _, model := range models {
+		weights[model] = m.demand[model].Items + evenItems
+		total += weights[model]
+	}
+	shares := make(map[string]int, len(models))
+	left := engines
+	for _, model := range models {
+		shares[model] = max(1, int(float64(engines)*weights[model]/total))
+		left -= shares[model]
+	}
+	// What rounding leaves goes to the models that have the least for their weight, and is taken from those that have the most.
+	perWeight := func(a, b string) int {
+		return cmp.Compare(float64(shares[a])/weights[a], float64(shares[b])/weights[b])
+	}
+	for ; left > 0; left-- {
+		shares[slices.MinFunc(models, perWeight)]++
 	}
-	if remainder > 0 {
-		return even + 1
+	for ; left < 0; left++ {
+		shares[slices.MaxFunc(models, perWeight)]--
 	}
-	return even
+	return shares
 }
 
-// leastServed returns the model with the fewest engines; of several, the one of which the engine lags the least.
-func (m *Manager) leastServed(engine *fleet.Engine, models []string, counts map[string]int) string {
+// leastServed returns the model that lacks the most engines; of several, the one of which the engine lags the least.
+func (m *Manager) leastServed(engine *fleet.Engine, models []string, shares, counts map[string]int) string {
 	return slices.MinFunc(models, func(a, b string) int {
-		if counts[a] != counts[b] {
-			return counts[a] - counts[b]
+		if x, y := counts[a]-shares[a], counts[b]-shares[b]; x != y {
+			return x - y
 		}
 		return int(m.lag(engine, a) - m.lag(engine, b))
 	})
--- a/internal/weightorder/plan_test.go
+++ b/internal/weightorder/plan_test.go
@@ -108,3 +108,39 @@
 		So([]string{moves[0].engine.ID, moves[1].engine.ID}, ShouldResemble, []string{"engine-007", "engine-009"})
 	})
 }
+
+func TestPlanByDemand(t *testing.T) {
+	Convey("Shares follow the items that were submitted, and each model keeps one engine at least", t, func() {
+		m, _ := planned(30, "a", "b", "c")
+		m.Demands = func() map[string]Demand {
+			return map[string]Demand{"a": {Items: 300}, "b": {Items: 150}}
+		}
+		m.SetNamed(map[string]int64{"a": 2, "b": 2, "c": 2})
+		So(loadAll(m), ShouldResemble, map[string]int{"a": 19, "b": 10, "c": 1})
+	})
+	Convey("Engines that are too old for what waits load first, and those that can take it are left to it", t, func() {
+		m, _ := planned(10, "a")
+		demand := map[string]Demand{"a": {Waiting: 5, MinVersion: 3}}
+		m.Demands = func() map[string]Demand { return demand }
+		for i := range 10 {
+			m.held[fmt.Sprintf("engine-%03d", i)] = map[string]int64{"a": 3}
+		}
+		m.held["engine-004"] = map[string]int64{"a": 2}
+		m.SetNamed(map[string]int64{"a": 4})
+		moves := m.plan(time.Now())
+		So(moves, ShouldHaveLength, 1)
+		So(moves[0].engine.ID, ShouldEqual, "engine-004")
+		So(m.idlePause(), ShouldEqual, deferredPause)
+		demand = nil
+		So(m.plan(time.Now()), ShouldHaveLength, 1)
+		So(m.idlePause(), ShouldEqual, idlePause)
+	})
+	Convey("Engines that leave don't lower the number of loads at once", t, func() {
+		m, state := planned(35, "a")
+		m.SetNamed(map[string]int64{"a": 2})
+		So(m.plan(time.Now()), ShouldHaveLength, 7)
+		clear(m.loading)
+		list(state, 0, 20, []string{"a"})
+		So(m.plan(time.Now()), ShouldHaveLength, 7)
+	})
+}
