storerelay: gateways follow the store through the coordinating process

Change: the coordinating process, which follows both already, answers polls for what changed; a gateway polls it, and follows the store itself within 0.8 s once the poll is lost, the process does not coordinate or has not heard from the store for 3.5 s. Standby coordinators no longer follow named versions. The holder's watch of the lease waits 2.5 s, as others rely on it. Tests: faults of the hub in virtual time, 40 random histories. One of them failed once and showed the stand-in of the store at fault: a waiting watch behind dropped history got the next change without the dropped one; it now hears nothing, which is stricter for followers.

--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -188,9 +188,12 @@
 			_, err := w.runner.Body(ctx, id, id+"-0")
 			So(err, ShouldBeNil)
 			time.Sleep(2 * time.Second)
+			body, err := w.runner.Body(ctx, id, id+"-0")
+			So(err, ShouldBeNil)
+			So(string(body), ShouldEqual, "prompt")
+			So(w.runner.End(ctx, id), ShouldBeNil)
 			_, err = w.runner.Body(ctx, id, id+"-0")
 			So(err, ShouldEqual, batch.ErrNotFound)
-			So(w.runner.End(ctx, id), ShouldBeNil)
 		}
 		before := w.store.Calls()
 		So(len(w.results("third", 0)), ShouldEqual, 2)
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -73,8 +73,6 @@
 	started    time.Time
 	// moving is true once the attempt was ended so that the item goes on elsewhere.
 	moving bool
-	// listed is true once the item's result is kept for good: its body and its events are not held any more.
-	listed bool
 }
 
 // job is a batch job that this process runs. The runner's mutex guards it, unless a field says otherwise.
@@ -121,11 +119,21 @@
 			it.finish()
 		}
 	}
-	// Each item holds its own part, and lets go of it when it is listed.
+	// Each item holds its own part.
 	j.Job.Items, stored.Job.Items = nil, nil
+	if j.sealed {
+		j.dropBodies()
+	}
 	return j
 }
 
+// dropBodies lets go of what the items of an ended job were made from.
+func (j *job) dropBodies() {
+	for _, it := range j.items {
+		it.Item = batch.Item{ID: it.ID}
+	}
+}
+
 // signal tells the committer that there is something to do.
 func (j *job) signal() {
 	select {
@@ -143,16 +151,17 @@
 		}
 	}
 	j.sealed = sealed
+	if sealed {
+		j.dropBodies()
+	}
 	close(j.changed)
 	j.changed = make(chan struct{})
 }
 
-// finish ends all work on an item whose result is kept for good, and lets go of what it took to make it.
+// finish ends all work on an item whose result is kept for good, and lets go of its text.
 func (it *item) finish() {
 	it.phase = phaseFinished
-	it.listed = true
 	it.events = nil
-	it.Item = batch.Item{ID: it.ID}
 	if it.cancel != nil {
 		it.cancel()
 		it.cancel = nil
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -351,7 +351,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	it, ok := j.byID[name]
-	if !ok || it.listed {
+	if !ok || j.sealed {
 		return nil, batch.ErrNotFound
 	}
 	return it.Item.Body, nil
--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -39,7 +39,7 @@
 	Address string
 	Store   metastore.Client
 	// Followers follow the lease in the store.
-	Followers *metastore.Followers
+	Followers metastore.Follower
 	// Ping asks the process at an address whether it is the instance and holds the lease.
 	Ping func(ctx context.Context, address, instance string) error
 	// Lead coordinates until ctx ends. It must return soon after.
@@ -60,7 +60,9 @@
 
 // New returns an Elector. Run starts it.
 func New(params Params) *Elector {
-	return &Elector{Params: params, Watcher: NewWatcher(params.Followers, params.Logger), instance: uuid.NewString()}
+	e := &Elector{Params: params, Watcher: NewWatcher(params.Followers, params.Logger), instance: uuid.NewString()}
+	e.holds = e.Leading
+	return e
 }
 
 // Instance returns the name of this start of the process.
--- a/internal/election/watcher.go
+++ b/internal/election/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -12,16 +13,18 @@
 
 // Watcher knows the newest state of the lease. It is safe for concurrent use.
 type Watcher struct {
-	followers *metastore.Followers
+	followers metastore.Follower
 	logger    log.Logger
 	mu        sync.Mutex
 	lease     Lease
 	known     bool
 	changed   chan struct{}
+	// holds reports whether this process holds the lease; nil if it never does.
+	holds func() bool
 }
 
 // NewWatcher returns a Watcher. Run starts it.
-func NewWatcher(followers *metastore.Followers, logger log.Logger) *Watcher {
+func NewWatcher(followers metastore.Follower, logger log.Logger) *Watcher {
 	return &Watcher{followers: followers, logger: logger, changed: make(chan struct{})}
 }
 
@@ -38,7 +41,18 @@
 	lost := func(err error) {
 		level.Warn(w.logger).Log("msg", "store call failed", "kind", KindLeases, "err", err)
 	}
-	w.followers.Follow(ctx, KindLeases, metastore.FollowOptions{Changed: changed, Lost: lost})
+	w.followers.Follow(ctx, KindLeases, metastore.FollowOptions{Waits: w.waits, Changed: changed, Lost: lost})
+}
+
+// holderWait bounds how long the holder may miss that the lease is another's: others ask it who holds the lease.
+const holderWait = 2500 * time.Millisecond
+
+// waits returns how long the next watch waits in the store.
+func (w *Watcher) waits() time.Duration {
+	if w.holds != nil && w.holds() {
+		return holderWait
+	}
+	return metastore.DefaultWait
 }
 
 // Holder returns the address of the holder, or "" if there is none or it is not known.
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -19,6 +19,7 @@
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
+	"github.com/covelink/covelink/internal/storerelay"
 	"github.com/covelink/covelink/internal/telemetry"
 	"github.com/covelink/covelink/internal/weightorder"
 	"github.com/covelink/covelink/platform"
@@ -109,13 +110,13 @@
 		Eligible:  c.Leaving.MayCoordinate,
 		Logger:    c.logger,
 	})
+	hub := storerelay.NewHub(c.elector.Leading)
+	c.Followers.Confirmed = hub.Confirm
 	c.server = rpc.NewServer(c.Logger)
+	storerelay.Register(c.server, hub)
 	batchrpc.Register(c.server, c.Runner, c.leading)
 	go c.serve()
 	c.Tasks.run(c.elector.Run)
-	c.Tasks.run(func(ctx context.Context) {
-		platform.FollowVersions(ctx, c.Followers, c.Orders.SetNamed, telemetry.For(c.Logger, telemetry.PartOrders))
-	})
 	c.Tasks.run(func(ctx context.Context) {
 		platform.FollowRetirements(ctx, c.Followers, c.Leaving.SetRequests, c.logger)
 	})
@@ -146,13 +147,16 @@
 	return err
 }
 
-// lead runs the duties of the coordinating process. Only they need routes and engines: what an earlier term has left of them is
-// forgotten first.
+// lead runs the duties of the coordinating process. Only they need routes, engines and versions: what an earlier term has left of
+// the first two is forgotten first.
 func (c *coordinator) lead(ctx context.Context, term election.Term) {
 	c.Metrics.leadingTerms.Inc()
 	c.State.Reset()
 	var duties sync.WaitGroup
 	duties.Go(func() { followFleet(ctx, c.Followers, c.State, c.Metrics, c.Logger) })
+	duties.Go(func() {
+		platform.FollowVersions(ctx, c.Followers, c.Orders.SetNamed, telemetry.For(c.Logger, telemetry.PartOrders))
+	})
 	duties.Go(func() { c.Runner.Lead(ctx, term.Token) })
 	duties.Go(func() { c.Orders.Lead(ctx, term) })
 	duties.Go(func() { c.Leaving.Lead(ctx) })
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -16,18 +16,19 @@
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
+	"github.com/covelink/covelink/internal/storerelay"
 	"github.com/covelink/covelink/internal/telemetry"
 	"github.com/covelink/covelink/platform"
 )
 
 // gatewayParts are those of a process that takes callers' requests.
 var gatewayParts = fx.Options(
-	fx.Provide(newLeaseWatcher, newBatchClient),
-	fx.Invoke(alwaysFollowFleet, runGateway),
+	fx.Provide(newStoreRelay, newLeaseWatcher, newBatchClient),
+	fx.Invoke(alwaysFollowFleet, runStoreRelay, runGateway),
 )
 
 // alwaysFollowFleet keeps the state at what the store holds from start to stop.
-func alwaysFollowFleet(hooks fx.Lifecycle, group *tasks, followers *metastore.Followers, state *fleet.State, observed *metrics,
+func alwaysFollowFleet(hooks fx.Lifecycle, group *tasks, followers *storerelay.Client, state *fleet.State, observed *metrics,
 	logger log.Logger) {
 	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
 		group.run(func(ctx context.Context) { followFleet(ctx, followers, state, observed, logger) })
@@ -35,8 +36,30 @@
 	}})
 }
 
+// newStoreRelay returns what follows the store through the coordinating process.
+func newStoreRelay(calls *rpc.Client, direct *metastore.Followers, logger log.Logger) *storerelay.Client {
+	poll := func(ctx context.Context, address string, request storerelay.PollRequest) (storerelay.PollReply, error) {
+		return storerelay.Poll(ctx, calls, address, request)
+	}
+	return storerelay.NewClient(storerelay.ClientParams{
+		Direct: direct,
+		Poll:   poll,
+		Urgent: election.KindLeases,
+		Logger: telemetry.For(logger, telemetry.PartFleet),
+	})
+}
+
+// runStoreRelay polls whoever coordinates.
+func runStoreRelay(hooks fx.Lifecycle, group *tasks, relay *storerelay.Client, watcher *election.Watcher) {
+	relay.Coordinator = watcher.Holder
+	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
+		group.run(relay.Run)
+		return nil
+	}})
+}
+
 // newLeaseWatcher follows the lease, to know who coordinates.
-func newLeaseWatcher(hooks fx.Lifecycle, group *tasks, followers *metastore.Followers, logger log.Logger) *election.Watcher {
+func newLeaseWatcher(hooks fx.Lifecycle, group *tasks, followers *storerelay.Client, logger log.Logger) *election.Watcher {
 	watcher := election.NewWatcher(followers, telemetry.For(logger, telemetry.PartElection))
 	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
 		group.run(watcher.Run)
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -185,7 +185,7 @@
 }
 
 // followFleet keeps the state at what the store holds until ctx ends.
-func followFleet(ctx context.Context, followers *metastore.Followers, state *fleet.State, observed *metrics, logger log.Logger) {
+func followFleet(ctx context.Context, followers metastore.Follower, state *fleet.State, observed *metrics, logger log.Logger) {
 	logger = telemetry.For(logger, telemetry.PartFleet)
 	var following sync.WaitGroup
 	following.Go(func() { platform.FollowConfig(ctx, followers, state, observed.configRefused.Inc, logger) })
--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -33,6 +33,10 @@
 	// Wait bounds a watch; zero means DefaultWait. A watch whose history was dropped may stay silent, so that the wait is
 	// also the longest time that changes may be missed.
 	Wait time.Duration
+	// Waits, if set, is asked for the wait of each watch instead.
+	Waits func() time.Duration
+	// From is a copy that the caller has already: it is followed from its revision on, without a list. Zero means none.
+	From Snapshot
 	// Pause is kept between a change and the next watch, so that changes in quick succession cost one call; zero means none.
 	Pause time.Duration
 	// Changed takes every new snapshot.
@@ -41,10 +45,20 @@
 	Lost func(error)
 }
 
+// Follower keeps copies of the objects of kinds.
+type Follower interface {
+	// Follow keeps a copy of the objects of a kind until ctx ends.
+	Follow(ctx context.Context, kind string, options FollowOptions)
+}
+
 // Followers keep copies of the objects of several kinds. What one of them learns holds for all, whose watches may be silent
 // for the same reason: once the store has dropped its history, all list their kinds again, and once the store answers again after a
 // failure, all begin new watches.
 type Followers struct {
+	// Confirmed takes each kind as the store has just shown it, changed or not; nil for nobody. It must be set before the first
+	// Follow.
+	Confirmed func(kind string, snapshot Snapshot)
+
 	client Client
 	mu     sync.Mutex
 	// present ends, with its cause, when watches that wait are not to be relied on any more.
@@ -85,7 +99,7 @@
 	if options.Lost == nil {
 		options.Lost = func(error) {}
 	}
-	w := &follower{group: f, kind: kind, options: options}
+	w := &follower{group: f, kind: kind, options: options, snapshot: options.From}
 	w.run(ctx)
 }
 
@@ -100,7 +114,7 @@
 }
 
 func (w *follower) run(ctx context.Context) {
-	listed := false
+	listed := w.snapshot.Revision > 0
 	for ctx.Err() == nil {
 		var err error
 		if listed {
@@ -126,6 +140,9 @@
 		w.group.endWatches(errDisturbed)
 	}
 	w.failures = 0
+	if w.group.Confirmed != nil {
+		w.group.Confirmed(w.kind, w.snapshot)
+	}
 }
 
 // failed takes in a call that failed, and waits before the next.
@@ -158,11 +175,15 @@
 // watch waits for changes once and applies them.
 func (w *follower) watch(ctx context.Context) error {
 	present := w.group.current()
-	ctx, cancel := context.WithTimeout(ctx, w.options.Wait+stalledAfter)
+	wait := w.options.Wait
+	if w.options.Waits != nil {
+		wait = w.options.Waits()
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+stalledAfter)
 	defer cancel()
 	stop := context.AfterFunc(present, cancel)
 	defer stop()
-	events, err := w.group.client.Watch(ctx, w.kind, w.snapshot.Revision, w.options.Wait)
+	events, err := w.group.client.Watch(ctx, w.kind, w.snapshot.Revision, wait)
 	if errors.Is(err, ErrCompacted) {
 		w.group.endWatches(ErrCompacted)
 		return err
--- a/internal/metastore/metastoretest/memory.go
+++ b/internal/metastore/metastoretest/memory.go
@@ -263,7 +263,8 @@
 	for {
 		events := metastore.Events{Revision: s.revision}
 		for _, change := range s.history {
-			if change.kind == kind && change.event.Object.Revision > after && !s.silent {
+			// A watch that waits behind dropped history hears nothing any more: what it would hear could lack a change.
+			if change.kind == kind && change.event.Object.Revision > after && !s.silent && !compacted() {
 				events.Events = append(events.Events, change.event)
 			}
 		}
--- /dev/null
+++ b/internal/storerelay/hub.go
@@ -0,0 +1,155 @@
+package storerelay
+
+import (
+	"context"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/covelink/covelink/internal/metastore"
+)
+
+// Hub holds the newest snapshots of the kinds that its process follows. It is safe for concurrent use.
+type Hub struct {
+	// leading reports whether the process coordinates.
+	leading func() bool
+
+	mu      sync.Mutex
+	kinds   map[string]*relayedKind
+	changed chan struct{}
+}
+
+// relayedKind is what a hub knows of a kind.
+type relayedKind struct {
+	snapshot metastore.Snapshot
+	// contentRevision is that of the last snapshot whose content differed from the one before it.
+	contentRevision metastore.Revision
+	// confirmed is when the store was last heard from.
+	confirmed time.Time
+	// removals are the last objects that went, and floor is the revision after which they are complete.
+	removals []removal
+	floor    metastore.Revision
+}
+
+type removal struct {
+	name     string
+	revision metastore.Revision
+}
+
+// NewHub returns a Hub. leading reports whether its process coordinates.
+func NewHub(leading func() bool) *Hub {
+	return &Hub{leading: leading, kinds: make(map[string]*relayedKind), changed: make(chan struct{})}
+}
+
+// Confirm takes in a kind as the store has just shown it.
+func (h *Hub) Confirm(kind string, snapshot metastore.Snapshot) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known, ok := h.kinds[kind]
+	if !ok {
+		known = &relayedKind{floor: snapshot.Revision}
+		h.kinds[kind] = known
+	}
+	known.confirmed = time.Now()
+	if snapshot.Revision < known.snapshot.Revision {
+		return
+	}
+	differs := !ok || !sameObjects(known.snapshot.Objects, snapshot.Objects)
+	if differs {
+		known.noteRemovals(snapshot)
+		known.contentRevision = snapshot.Revision
+	}
+	known.snapshot = snapshot
+	if differs {
+		close(h.changed)
+		h.changed = make(chan struct{})
+	}
+}
+
+// sameObjects reports whether two sets hold the same objects at the same revisions. Followers hand on the very map while
+// nothing changes.
+func sameObjects(a, b map[string]metastore.Object) bool {
+	if reflect.ValueOf(a).Pointer() == reflect.ValueOf(b).Pointer() {
+		return true
+	}
+	if len(a) != len(b) {
+		return false
+	}
+	for name, object := range a {
+		if other, ok := b[name]; !ok || other.Revision != object.Revision {
+			return false
+		}
+	}
+	return true
+}
+
+// noteRemovals takes in which objects the next snapshot lacks.
+func (k *relayedKind) noteRemovals(next metastore.Snapshot) {
+	for name := range k.snapshot.Objects {
+		if _, kept := next.Objects[name]; !kept {
+			k.removals = append(k.removals, removal{name: name, revision: next.Revision})
+		}
+	}
+	if excess := len(k.removals) - maxRemovals; excess > 0 {
+		k.floor = k.removals[excess-1].revision
+		k.removals = k.removals[excess:]
+	}
+}
+
+// Poll returns what changed of the kinds that were asked for, as soon as there is something or the wait is over.
+func (h *Hub) Poll(ctx context.Context, request PollRequest) PollReply {
+	ctx, cancel := context.WithTimeout(ctx, request.Wait)
+	defer cancel()
+	for {
+		reply, changed := h.changes(request.Known)
+		if !reply.Fresh || len(reply.Changes) > 0 {
+			return reply
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			reply, _ = h.changes(request.Known)
+			return reply
+		}
+	}
+}
+
+func (h *Hub) changes(known map[string]metastore.Revision) (reply PollReply, changed <-chan struct{}) {
+	if !h.leading() {
+		return PollReply{}, nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	reply.Revisions = make(map[string]metastore.Revision, len(known))
+	for kind, revision := range known {
+		relayed, ok := h.kinds[kind]
+		if !ok || time.Since(relayed.confirmed) > maxAge {
+			return PollReply{}, nil
+		}
+		reply.Revisions[kind] = relayed.snapshot.Revision
+		if relayed.contentRevision > revision {
+			reply.Changes = append(reply.Changes, relayed.since(kind, revision))
+		}
+	}
+	reply.Fresh = true
+	return reply, h.changed
+}
+
+// since returns what changed after a revision.
+func (k *relayedKind) since(kind string, revision metastore.Revision) Change {
+	change := Change{Kind: kind, Revision: k.snapshot.Revision, Whole: revision < k.floor}
+	for _, object := range k.snapshot.Objects {
+		if change.Whole || object.Revision > revision {
+			change.Objects = append(change.Objects, object)
+		}
+	}
+	if change.Whole {
+		return change
+	}
+	for _, removed := range k.removals {
+		if _, back := k.snapshot.Objects[removed.name]; !back && removed.revision > revision {
+			change.Removed = append(change.Removed, removed.name)
+		}
+	}
+	return change
+}
