storerelay: gateways follow the store through the coordinating process

Change: the coordinating process, which follows both already, answers polls for what changed; a gateway polls it, and follows the store itself within 0.8 s once the poll is lost, or the process does not coordinate, had a call to the store fail or has not heard from it for 2.5 s. While it coordinates its watches wait 1 s, so that a silent cut from the store is noticed.

--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -60,9 +60,7 @@
 
 // New returns an Elector. Run starts it.
 func New(params Params) *Elector {
-	e := &Elector{Params: params, Watcher: NewWatcher(params.Followers, params.Logger), instance: uuid.NewString()}
-	e.holds = e.Leading
-	return e
+	return &Elector{Params: params, Watcher: NewWatcher(params.Followers, params.Logger), instance: uuid.NewString()}
 }
 
 // Instance returns the name of this start of the process.
--- a/internal/election/watcher.go
+++ b/internal/election/watcher.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -19,8 +18,6 @@
 	lease     Lease
 	known     bool
 	changed   chan struct{}
-	// holds reports whether this process holds the lease; nil if it never does.
-	holds func() bool
 }
 
 // NewWatcher returns a Watcher. Run starts it.
@@ -41,18 +38,7 @@
 	lost := func(err error) {
 		level.Warn(w.logger).Log("msg", "store call failed", "kind", KindLeases, "err", err)
 	}
-	w.followers.Follow(ctx, KindLeases, metastore.FollowOptions{Waits: w.waits, Changed: changed, Lost: lost})
-}
-
-// holderWait bounds how long the holder may miss that the lease is another's: others ask it who holds the lease.
-const holderWait = 2500 * time.Millisecond
-
-// waits returns how long the next watch waits in the store.
-func (w *Watcher) waits() time.Duration {
-	if w.holds != nil && w.holds() {
-		return holderWait
-	}
-	return metastore.DefaultWait
+	w.followers.Follow(ctx, KindLeases, metastore.FollowOptions{Changed: changed, Lost: lost})
 }
 
 // Holder returns the address of the holder, or "" if there is none or it is not known.
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -111,7 +111,7 @@
 		Logger:    c.logger,
 	})
 	hub := storerelay.NewHub(c.elector.Leading)
-	c.Followers.Confirmed = hub.Confirm
+	hub.Attach(c.Followers)
 	c.server = rpc.NewServer(c.Logger)
 	storerelay.Register(c.server, hub)
 	batchrpc.Register(c.server, c.Runner, c.leading)
--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -33,8 +33,6 @@
 	// Wait bounds a watch; zero means DefaultWait. A watch whose history was dropped may stay silent, so that the wait is
 	// also the longest time that changes may be missed.
 	Wait time.Duration
-	// Waits, if set, is asked for the wait of each watch instead.
-	Waits func() time.Duration
 	// From is a copy that the caller has already: it is followed from its revision on, without a list. Zero means none.
 	From Snapshot
 	// Pause is kept between a change and the next watch, so that changes in quick succession cost one call; zero means none.
@@ -58,6 +56,11 @@
 	// Confirmed takes each kind as the store has just shown it, changed or not; nil for nobody. It must be set before the first
 	// Follow.
 	Confirmed func(kind string, snapshot Snapshot)
+	// Doubted takes each kind of which a call has failed; nil for nobody. It must be set before the first Follow.
+	Doubted func(kind string)
+	// MaxWait bounds the waits of the watches, whatever the options say; nil, or zero returned, for no bound. It must be set
+	// before the first Follow.
+	MaxWait func() time.Duration
 
 	client Client
 	mu     sync.Mutex
@@ -151,6 +154,9 @@
 		return
 	}
 	w.options.Lost(err)
+	if w.group.Doubted != nil {
+		w.group.Doubted(w.kind)
+	}
 	pause.For(ctx, min(retryPause<<min(w.failures, 4), maxRetryPause))
 	w.failures++
 }
@@ -175,10 +181,7 @@
 // watch waits for changes once and applies them.
 func (w *follower) watch(ctx context.Context) error {
 	present := w.group.current()
-	wait := w.options.Wait
-	if w.options.Waits != nil {
-		wait = w.options.Waits()
-	}
+	wait := w.wait()
 	ctx, cancel := context.WithTimeout(ctx, wait+stalledAfter)
 	defer cancel()
 	stop := context.AfterFunc(present, cancel)
@@ -201,6 +204,17 @@
 	return nil
 }
 
+// wait returns how long the next watch waits in the store.
+func (w *follower) wait() time.Duration {
+	if w.group.MaxWait == nil {
+		return w.options.Wait
+	}
+	if most := w.group.MaxWait(); most > 0 {
+		return min(w.options.Wait, most)
+	}
+	return w.options.Wait
+}
+
 // apply makes the next snapshot from changes.
 func (w *follower) apply(events Events) {
 	if events.Revision < w.snapshot.Revision {
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -66,6 +66,31 @@
 	}
 }
 
+// Doubt takes in that the store did not show a kind when it was asked.
+func (h *Hub) Doubt(kind string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	known, ok := h.kinds[kind]
+	if !ok || known.confirmed.IsZero() {
+		return
+	}
+	known.confirmed = time.Time{}
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Attach makes the hub learn from what its process follows. It must be called before the first Follow.
+func (h *Hub) Attach(followers *metastore.Followers) {
+	followers.Confirmed = h.Confirm
+	followers.Doubted = h.Doubt
+	followers.MaxWait = func() time.Duration {
+		if h.leading() {
+			return maxWatchWait
+		}
+		return 0
+	}
+}
+
 // sameObjects reports whether two sets hold the same objects at the same revisions. Followers hand on the very map while
 // nothing changes.
 func sameObjects(a, b map[string]metastore.Object) bool {
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -4,8 +4,8 @@
 // A Hub holds the newest snapshots of the kinds that its process follows and answers polls for what changed. A Client polls the
 // hub of the coordinating process, and follows the store itself while there is none that answers and is up to date.
 //
-// Guarantees: what a Client hands out for a kind never goes back to an earlier revision. A hub that has not heard from the store
-// for maxAge says so, and a poll that is not answered within pollWait and pollMargin counts as lost; after either a Client
+// Guarantees: what a Client hands out for a kind never goes back to an earlier revision. A hub of which a call to the store has
+// failed, or that has not heard from it for maxAge, says so, and a poll that is not answered within pollWait and pollMargin counts as lost; after either a Client
 // follows the store itself within directDelay.
 package storerelay
 
@@ -22,9 +22,12 @@
 	pollWait = time.Second
 	// pollMargin is how long the answer of a poll may take beyond its wait.
 	pollMargin = 700 * time.Millisecond
-	// maxAge is how long ago a hub must have heard from the store of a kind that it answers for. It is above the longest wait of
-	// the watches that the hub relies on.
-	maxAge = 3500 * time.Millisecond
+	// maxWatchWait bounds the waits of the watches that a hub relies on, and with them the time until it notices that it is cut off
+	// from the store.
+	maxWatchWait = time.Second
+	// maxAge is how long ago a hub must have heard from the store of a kind that it answers for. It is above maxWatchWait and
+	// what a follower leaves between two watches.
+	maxAge = 2500 * time.Millisecond
 	// directDelay is how long a client waits for a hub to answer again before it follows the store itself.
 	directDelay = 800 * time.Millisecond
 	// retryPause is the pause between two polls while no hub answers.
