--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -117,10 +117,7 @@
 
 // acquire takes the lease if it is still as this process knows it.
 func (e *Elector) acquire(ctx context.Context, previous Lease) bool {
-	next := Lease{Holder: e.Name, Instance: e.instance, Address: e.Address, Token: previous.Token + 1, Previous: previous.Previous}
-	if previous.Holder != "" && previous.Holder != e.Name {
-		next.Previous = previous.Holder
-	}
+	next := Lease{Holder: e.Name, Instance: e.instance, Address: e.Address, Token: previous.Token + 1}
 	return e.store(ctx, previous, next, "lease acquired")
 }
 
@@ -198,7 +195,7 @@
 	defer cancel()
 	e.held = true
 	var leading sync.WaitGroup
-	leading.Go(func() { e.Lead(term, e.term(lease)) })
+	leading.Go(func() { e.Lead(term, Term{Token: lease.Token}) })
 	for ctx.Err() == nil && e.eligible() {
 		current, _, changed := e.current()
 		if current.Instance != e.instance || current.Token != lease.Token {
@@ -217,11 +214,6 @@
 	e.release()
 }
 
-func (e *Elector) term(lease Lease) Term {
-	takenOver := lease.Previous != "" && lease.Previous != e.Name
-	return Term{Token: lease.Token, TakenOver: takenOver, instance: e.instance, client: e.Store}
-}
-
 // answer removes a challenge.
 func (e *Elector) answer(ctx context.Context, lease Lease) {
 	next := lease
@@ -237,7 +229,7 @@
 	if lease.Instance != e.instance {
 		return
 	}
-	e.store(ctx, lease, Lease{Token: lease.Token, Previous: lease.Holder}, "lease released")
+	e.store(ctx, lease, Lease{Token: lease.Token}, "lease released")
 }
 
 // wait waits for the length, a change or the end of ctx. It reports true unless the length is over.
--- a/internal/election/lease.go
+++ b/internal/election/lease.go
@@ -3,11 +3,10 @@
 // The lease names its holder and bears a token that rises with every change of holder. It does not run out: a candidate that
 // does not reach the holder writes a challenge into the lease, and takes it over if the holder has not answered, by
 // removing the challenge, within a bounded time. The holder is judged by whether it reaches the store, not by whether one
-// candidate reaches it. A holder learns of its loss by following the lease; before an act that only a holder may do, it asks
-// the store (Term.Verify).
+// candidate reaches it. A holder learns of its loss by following the lease, which may take a while: what only a holder may do
+// is written to the store under the term's token, on the condition that no later one was there before.
 //
-// Guarantee: of two terms the later one has the higher token, and Verify returns nil only if the term held the lease at some
-// moment during the call.
+// Guarantee: of two terms the later one has the higher token.
 package election
 
 import (
@@ -39,8 +38,6 @@
 	Address string `json:"address"`
 	// Token rises with every change of holder.
 	Token int64 `json:"token"`
-	// Previous is the last holder of another name; empty if there was none.
-	Previous string `json:"previous"`
 	// Challenger is the instance that asks the holder to show that it lives; empty if none does.
 	Challenger string `json:"challenger"`
 
@@ -82,24 +79,4 @@
 // Term is one holding of the lease.
 type Term struct {
 	Token int64
-	// TakenOver is true if another process has held the lease before.
-	TakenOver bool
-	instance  string
-	client    metastore.Client
-}
-
-// Verify asks the store whether the term still holds the lease. ErrLost if another does.
-func (t Term) Verify(ctx context.Context) error {
-	object, err := t.client.Get(ctx, KindLeases, leaseName)
-	if err != nil {
-		return err
-	}
-	lease, err := decodeLease(object)
-	if err != nil {
-		return err
-	}
-	if lease.Instance != t.instance || lease.Token != t.Token {
-		return ErrLost
-	}
-	return nil
 }
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -44,11 +44,12 @@
 	})
 }
 
-func newOrders(config settings.Fleet, state *fleet.State, engines *platform.Engines, runner *batchrun.Runner, observed *metrics,
-	logger log.Logger) *weightorder.Manager {
+func newOrders(config settings.Fleet, state *fleet.State, engines *platform.Engines, store metastore.Client, runner *batchrun.Runner,
+	observed *metrics, logger log.Logger) *weightorder.Manager {
 	return weightorder.New(weightorder.Params{
 		State:       state,
 		Engines:     engines,
+		Store:       store,
 		Holder:      config.Node.Name,
 		LeaseLength: config.Timing.LeaseLength,
 		Loaded:      runner.NoteVersion,
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -1,15 +1,16 @@
 // Package weightorder moves engines to the weight versions that trainers name, by orders that only the coordinating process
 // gives.
 //
-// Guarantees: an order is given only within a short time after the store has said that this process still coordinates; a new
-// coordinator gives none until the last order of the one before it is a lease length old; an order names the engine's start
-// and its count of orders, so that one carried out late changes nothing.
+// Guarantees: an order is given only within a short time after it was recorded in the store, which no process of an earlier
+// term can do any more; a new coordinator gives an engine none until the last order of another to it is a lease length old;
+// an order names the engine's start and its count of orders, so that one carried out late changes nothing.
 package weightorder
 
 import (
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 
 	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/pause"
 )
 
@@ -71,14 +73,12 @@
 }
 
 const (
-	// orderWindow is how long after the start of the question to the store an order may leave.
-	orderWindow = 700 * time.Millisecond
 	// callTimeout bounds a call to an engine.
 	callTimeout = 700 * time.Millisecond
-	// loadTime is the time after which a load is first asked for.
-	loadTime = 850 * time.Millisecond
+	// loadTime is the time after which a load is first asked for: engines tell their state as it was some time ago.
+	loadTime = 1010 * time.Millisecond
 	// loadPoll is the pause between two questions about a load.
-	loadPoll = 150 * time.Millisecond
+	loadPoll = 60 * time.Millisecond
 	// loadLimit is how long a load may take before the engine is left aside.
 	loadLimit = 4 * time.Second
 	// retryPause is how long an engine is left aside after a call that failed.
@@ -87,15 +87,17 @@
 	idlePause = 2 * time.Second
 	// deferredPause is that pause while engines are left to work that waits.
 	deferredPause = 200 * time.Millisecond
-	// handOverMargin is added to the lease length before the first order of a term.
-	handOverMargin = 400 * time.Millisecond
+	// refusedPause is how long an engine is left aside that another process has ordered lately.
+	refusedPause = 250 * time.Millisecond
 )
 
 // Params are what a Manager works with.
 type Params struct {
 	State   *fleet.State
 	Engines Engines
-	Holder  string
+	// Store keeps the journal of orders.
+	Store  metastore.Client
+	Holder string
 	// LeaseLength is the least time between the orders of two coordinating processes.
 	LeaseLength time.Duration
 	// Loaded is told that an engine holds a version.
@@ -115,9 +117,12 @@
 	changed chan struct{}
 	// held are versions that engines have told, by engine and model.
 	held map[string]map[string]int64
-	// loading are the engines that are being moved, and asideTil those that are left alone for a while.
-	loading  map[string]struct{}
+	// loading are the engines that are being moved.
+	loading map[string]struct{}
+	// asideTil are the engines that are left alone for a while.
 	asideTil map[string]time.Time
+	// mayOrder reports whether an engine may be ordered already; nil for every engine.
+	mayOrder func(engine string, now time.Time) bool
 	// assigned is the model that an engine keeps up with, where a service divides its engines among its models.
 	assigned map[string]string
 	// demand is the work for each model when the last plan was made.
@@ -162,18 +167,18 @@
 
 // Lead gives orders until ctx ends.
 func (m *Manager) Lead(ctx context.Context, term election.Term) {
-	if term.TakenOver {
-		pause.For(ctx, m.LeaseLength+handOverMargin)
-	}
+	orders := newJournal(m.Store, m.Holder, term.Token, m.LeaseLength)
+	orders.takeOver(ctx)
 	m.mu.Lock()
+	m.mayOrder = orders.mayOrder
 	clear(m.loading)
 	clear(m.asideTil)
 	m.mu.Unlock()
 	var moving sync.WaitGroup
 	for ctx.Err() == nil {
 		_, changed := m.State.Changed()
-		for _, move := range m.plan(time.Now()) {
-			moving.Go(func() { m.move(ctx, term, move) })
+		if moves := m.plan(time.Now()); len(moves) > 0 {
+			moving.Go(func() { m.moveAll(ctx, term, orders, moves) })
 		}
 		timer := time.NewTimer(m.idlePause())
 		select {
@@ -199,10 +204,42 @@
 	return idlePause
 }
 
-// move brings an engine to a version and waits until it is seen there.
-func (m *Manager) move(ctx context.Context, term election.Term, target move) {
+// moveAll records the orders to come and carries out the moves that are allowed now.
+func (m *Manager) moveAll(ctx context.Context, term election.Term, orders *journal, moves []move) {
+	ids := make([]string, 0, len(moves))
+	for _, next := range moves {
+		ids = append(ids, next.engine.ID)
+	}
+	allowed, deadline, err := orders.permit(ctx, ids)
+	var moving sync.WaitGroup
+	for _, next := range moves {
+		if slices.Contains(allowed, next.engine.ID) {
+			moving.Go(func() { m.move(ctx, term, next, deadline) })
+			continue
+		}
+		m.postpone(next, err)
+	}
+	moving.Wait()
+}
+
+// postpone leaves an engine aside that may not be ordered now.
+func (m *Manager) postpone(target move, err error) {
+	aside := refusedPause
+	if err != nil {
+		aside = retryPause
+	}
+	level.Info(m.Logger).Log("msg", "order postponed", "engine", target.engine.ID, "model", target.model, "version", target.version, "err", err)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.loading, target.engine.ID)
+	m.asideTil[target.engine.ID] = time.Now().Add(aside)
+	time.AfterFunc(aside, m.poke)
+}
+
+// move brings an engine to a version, by an order before the deadline, and waits until it is seen there.
+func (m *Manager) move(ctx context.Context, term election.Term, target move, deadline time.Time) {
 	started := time.Now()
-	err := m.load(ctx, term, target)
+	err := m.load(ctx, term, target, deadline)
 	if m.Moved != nil {
 		m.Moved(err, time.Since(started))
 	}
@@ -223,7 +260,7 @@
 // errNotLoaded reports a load that was not seen done.
 var errNotLoaded = errors.New("weightorder: load not seen done")
 
-func (m *Manager) load(ctx context.Context, term election.Term, target move) error {
+func (m *Manager) load(ctx context.Context, term election.Term, target move, orderDeadline time.Time) error {
 	report, err := m.report(ctx, target)
 	if err != nil {
 		return err
@@ -232,7 +269,7 @@
 		return nil
 	}
 	if !report.Busy {
-		if err := m.order(ctx, term, target, report); err != nil {
+		if err := m.order(ctx, term, target, report, orderDeadline); err != nil {
 			return err
 		}
 		pause.For(ctx, loadTime)
@@ -268,14 +305,10 @@
 	return report, nil
 }
 
-// order gives one order, if this process still coordinates.
-func (m *Manager) order(ctx context.Context, term election.Term, target move, report Report) error {
-	asked := time.Now()
-	ctx, cancel := context.WithDeadline(ctx, asked.Add(orderWindow))
+// order gives one order before the deadline of its permit.
+func (m *Manager) order(ctx context.Context, term election.Term, target move, report Report, deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	if err := term.Verify(ctx); err != nil {
-		return err
-	}
 	return m.Engines.Order(ctx, target.engine, Order{
 		Model:    target.model,
 		Version:  target.version,
--- a/internal/weightorder/plan.go
+++ b/internal/weightorder/plan.go
@@ -61,7 +61,7 @@
 			loading++
 			continue
 		}
-		if m.asideTil[engine.ID].After(now) {
+		if m.asideTil[engine.ID].After(now) || (m.mayOrder != nil && !m.mayOrder(engine.ID, now)) {
 			continue
 		}
 		if next, ok := m.outdated(engine, service.Models); ok {
