--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -13,15 +13,22 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/covelink/covelink/internal/commandline"
+	"github.com/covelink/covelink/internal/logtrace"
 )
 
-const explainPath = "/debug/explain/"
+const (
+	explainPath = "/debug/explain/"
+	flagLogs    = "logs"
+)
 
 func explainCommand(streams commandline.Streams) *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
 		Usage:     "tell why a request or sample was placed, waited or was refused",
-		ArgsUsage: "REQUEST|SAMPLE",
+		ArgsUsage: "REQUEST|SAMPLE|JOB",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: flagLogs, Usage: "search the logs in `FOLDER`, one file a process, instead of asking the nodes"},
+		},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			return explain(ctx, command, streams.Out)
 		},
@@ -33,6 +40,9 @@
 	if err != nil {
 		return err
 	}
+	if folder := command.String(flagLogs); folder != "" {
+		return explainFromLogs(folder, given[0], out)
+	}
 	client, err := newClient(command)
 	if err != nil {
 		return err
@@ -44,6 +54,19 @@
 	return writeLines(out, answer)
 }
 
+// explainFromLogs tells what the logs of a folder hold of a request, a batch job or an item.
+func explainFromLogs(folder, id string, out io.Writer) error {
+	lines, err := logtrace.ReadFolder(folder)
+	if err != nil {
+		return err
+	}
+	trace, err := logtrace.Find(lines, id)
+	if err != nil {
+		return err
+	}
+	return trace.Write(out)
+}
+
 // askEach returns the first answer of a server that has one. Each node remembers its own decisions: one that does not
 // know the request is no reason to stop. If none has an answer, what a server said goes before what could not be reached.
 func askEach(ctx context.Context, client *client, path string) (json.RawMessage, error) {
