--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -46,7 +46,6 @@
 			demoCommand(streams),
 			upCommand(streams),
 			controlCommand(streams),
-			scaleCommand(streams),
 			configFaultsCommand(streams),
 			plannedStopsCommand(streams),
 			compareCommand(streams),
