faultproxy: a cut also ends connections that are being set up

The target had accepted and the test called Cut before the proxy had noted the link as open, so that the cut passed it by. Ruled out: a lost reset (no link had failed).

--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -34,12 +34,16 @@
 	listener net.Listener
 	running  sync.WaitGroup
 	stopped  chan struct{}
+	// dialed, if set, is called once the target has taken a connection. It is for tests.
+	dialed func()
 
 	mu      sync.Mutex
 	target  string
 	refused bool
 	closing bool
-	links   map[*link]struct{}
+	// cuts counts the calls of Cut: a connection that was being set up meanwhile is cut too.
+	cuts  int
+	links map[*link]struct{}
 }
 
 // New returns a proxy that is not started.
@@ -104,8 +108,11 @@
 	p.refused = refuse
 }
 
-// Cut resets every open connection.
+// Cut resets every connection that is open or being set up.
 func (p *Proxy) Cut() {
+	p.mu.Lock()
+	p.cuts++
+	p.mu.Unlock()
 	for _, link := range p.openLinks() {
 		link.reset()
 	}
@@ -160,21 +167,24 @@
 		if err != nil {
 			return
 		}
-		if p.refuses() {
+		cuts, refuses := p.gate()
+		if refuses {
 			abort(client)
 			continue
 		}
-		p.running.Go(func() { p.carry(client) })
+		p.running.Go(func() { p.carry(client, cuts) })
 	}
 }
 
-func (p *Proxy) refuses() bool {
+// gate returns the number of cuts so far, and whether new connections are refused.
+func (p *Proxy) gate() (cuts int, refuses bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.refused || p.closing
+	return p.cuts, p.refused || p.closing
 }
 
-func (p *Proxy) carry(client net.Conn) {
+// carry serves a connection that was accepted after so many cuts.
+func (p *Proxy) carry(client net.Conn, cuts int) {
 	address := p.Target()
 	if address == "" {
 		abort(client)
@@ -187,7 +197,10 @@
 		return
 	}
 	link := newLink(client, target)
-	if !p.register(link) {
+	if p.dialed != nil {
+		p.dialed()
+	}
+	if !p.register(link, cuts) {
 		link.reset()
 		return
 	}
@@ -195,10 +208,11 @@
 	link.run(p.faults)
 }
 
-func (p *Proxy) register(link *link) bool {
+// register notes an open link, unless it must end at once: the proxy stops or was cut since.
+func (p *Proxy) register(link *link, cuts int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closing {
+	if p.closing || p.cuts != cuts {
 		return false
 	}
 	p.links[link] = struct{}{}
--- a/internal/lab/faultproxy/proxy_test.go
+++ b/internal/lab/faultproxy/proxy_test.go
@@ -234,6 +234,21 @@
 			So(readString(again, 1), ShouldEqual, "c")
 		})
 	})
+	// A CI run hung on it: a target had accepted, the cut came, and the link was noted as open only after that.
+	Convey("Cut ends a connection that is being set up", t, func() {
+		server := echoServer(t)
+		defer server.Close()
+		proxy := New(Config{Target: server.Addr().String()}, log.NewNopLogger())
+		proxy.dialed = proxy.Cut
+		So(proxy.Start(), ShouldBeNil)
+		defer proxy.Stop(context.Background())
+		connection, err := net.Dial("tcp", proxy.Address())
+		So(err, ShouldBeNil)
+		defer connection.Close()
+		So(connection.SetReadDeadline(time.Now().Add(patience)), ShouldBeNil)
+		_, err = connection.Read(make([]byte, 1))
+		So(errors.Is(err, syscall.ECONNRESET), ShouldBeTrue)
+	})
 	Convey("Stop ends links that are frozen, delayed or in a black hole", t, func() {
 		for _, faults := range []Faults{{Frozen: true}, {Blackhole: true}, {Delay: time.Hour}, {BytesPerSecond: 1}} {
 			withProxy(t, 0, func(proxy *Proxy, dial func() net.Conn) {
