--- /dev/null
+++ b/internal/batchrun/service.go
@@ -0,0 +1,174 @@
+package batchrun
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/metastore"
+)
+
+// Submit implements batch.Service.
+func (r *Runner) Submit(ctx context.Context, submitted batch.Job) error {
+	log, err := r.leading()
+	if err != nil {
+		return batch.ErrRefused
+	}
+	if r.find(submitted.ID) != nil {
+		return nil
+	}
+	// A caller that leaves must not leave the outcome open.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
+	defer cancel()
+	started := r.now()
+	stored, err := log.Accept(ctx, submitted)
+	level.Info(r.Logger).Log("msg", "job submitted", "request", submitted.ID, "items", len(submitted.Items), "step", submitted.Step,
+		"min_version", submitted.MinVersion, "took", r.now().Sub(started), "err", err)
+	if errors.Is(err, metastore.ErrNotDone) || errors.Is(err, metastore.ErrInvalid) {
+		return batch.ErrRefused
+	}
+	if err != nil {
+		return batch.ErrUnavailable
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.leads() {
+		// Whoever leads now finds the job when it is asked for.
+		return nil
+	}
+	r.add(stored)
+	return nil
+}
+
+func (r *Runner) find(id string) *job {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.jobs[id]
+}
+
+// lookUp returns a job, from the store if this process does not know it.
+func (r *Runner) lookUp(ctx context.Context, id string) (*job, error) {
+	log, err := r.leading()
+	if err != nil {
+		return nil, err
+	}
+	if known := r.find(id); known != nil {
+		return known, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	stored, err := log.Find(ctx, id)
+	if errors.Is(err, metastore.ErrNotFound) {
+		return nil, batch.ErrNotFound
+	}
+	if err != nil {
+		return nil, batch.ErrUnavailable
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.leads() {
+		return nil, batch.ErrUnavailable
+	}
+	return r.add(stored), nil
+}
+
+// Read implements batch.Service.
+func (r *Runner) Read(ctx context.Context, id string, position int, wait time.Duration) (batch.Reading, error) {
+	j, err := r.lookUp(ctx, id)
+	if err != nil {
+		return batch.Reading{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(wait, maxWait))
+	defer cancel()
+	for {
+		r.mu.Lock()
+		reading := j.read(position)
+		changed := j.changed
+		r.mu.Unlock()
+		if len(reading.Results) > 0 {
+			return reading, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			// Whoever reads that there is nothing yet must have asked one who leads.
+			if _, err := r.leading(); err != nil {
+				return batch.Reading{}, err
+			}
+			return reading, nil
+		}
+	}
+}
+
+// read returns the results from a position on that fit one reading.
+func (j *job) read(position int) batch.Reading {
+	reading := batch.Reading{Total: len(j.items), Next: position}
+	size := 0
+	for position < len(j.listed) {
+		result := j.listed[position]
+		size += len(result.Text)
+		if len(reading.Results) > 0 && size > maxReadBytes {
+			break
+		}
+		reading.Results = append(reading.Results, result)
+		position++
+	}
+	reading.Next = position
+	return reading
+}
+
+// Body implements batch.Service.
+func (r *Runner) Body(ctx context.Context, id, name string) ([]byte, error) {
+	j, err := r.lookUp(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	it, ok := j.byID[name]
+	if !ok || j.sealed {
+		return nil, batch.ErrNotFound
+	}
+	return it.Item.Body, nil
+}
+
+// End implements batch.Service.
+func (r *Runner) End(ctx context.Context, id string) error {
+	j, err := r.lookUp(ctx, id)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	r.stopItems(j)
+	r.mu.Unlock()
+	j.signal()
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	sealed := r.awaitSealed(ctx, j)
+	level.Info(r.Logger).Log("msg", "job ended", "request", id, "items", len(j.items), "kept", sealed)
+	if !sealed {
+		return batch.ErrUnavailable
+	}
+	r.poke()
+	return nil
+}
+
+// awaitSealed waits until the end of a job is kept for good.
+func (r *Runner) awaitSealed(ctx context.Context, j *job) bool {
+	for {
+		r.mu.Lock()
+		sealed, changed := j.sealed, j.changed
+		r.mu.Unlock()
+		if sealed {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -106,7 +106,7 @@
 	// memory is what the machine allows the process, in bytes; zero if that is not known.
 	memory int64
 	log    settings.Log
-	build  func(logger log.Logger) (process, error)
+	build  func(logger log.Logger, lines *telemetry.AsyncWriter) (process, error)
 	// reload hands changed settings to a process that was built; nil if it takes none.
 	reload func(p process) error
 }
@@ -125,7 +125,9 @@
 	if err != nil {
 		return loaded{}, err
 	}
-	build := func(logger log.Logger) (process, error) { return node.New(config, logger, node.Options{}) }
+	build := func(logger log.Logger, _ *telemetry.AsyncWriter) (process, error) {
+		return node.New(config, logger, node.Options{})
+	}
 	return loaded{name: config.Node.Name, zone: config.Node.Zone, log: config.Log, build: build}, nil
 }
 
@@ -134,7 +136,9 @@
 	if err != nil {
 		return loaded{}, err
 	}
-	build := func(logger log.Logger) (process, error) { return fleetnode.New(config, logger) }
+	build := func(logger log.Logger, lines *telemetry.AsyncWriter) (process, error) {
+		return fleetnode.New(config, logger, lines)
+	}
 	reload := func(p process) error {
 		changed, err := settings.LoadFleet(file, c.environment, overrides)
 		if err != nil {
@@ -175,7 +179,7 @@
 	limitMemory(config.memory)
 	lines := telemetry.NewAsyncWriter(c.out)
 	logger := telemetry.NewLogger(lines, config.log.Level, config.log.Format)
-	process, err := config.build(log.With(logger, "node", config.name))
+	process, err := config.build(log.With(logger, "node", config.name), lines)
 	if err != nil {
 		return err
 	}
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/routing"
+	"github.com/covelink/covelink/internal/telemetry"
 )
 
 const namespace = "covelink"
@@ -34,7 +35,7 @@
 	configVersion prometheus.GaugeFunc
 }
 
-func newMetrics(registry *prometheus.Registry, state *fleet.State) *metrics {
+func newMetrics(registry *prometheus.Registry, state *fleet.State, lines *telemetry.AsyncWriter) *metrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 	}
@@ -68,7 +69,7 @@
 		return 0
 	})
 	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.itemsMoved, m.results,
-		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion)
+		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, newLinesDropped(lines))
 	return m
 }
 
@@ -133,3 +134,9 @@
 	}
 	return "failed"
 }
+
+// newLinesDropped counts the lines of the log that were not written.
+func newLinesDropped(lines *telemetry.AsyncWriter) prometheus.CounterFunc {
+	options := prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total", Help: "Lines of the log that were not written."}
+	return prometheus.NewCounterFunc(options, func() float64 { return float64(lines.Dropped()) })
+}
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -52,8 +52,8 @@
 
 func (t *timing) stopTimeout() time.Duration { return t.current.Load().StopTimeout }
 
-// New builds a node. It does nothing until Start.
-func New(config settings.Fleet, logger log.Logger) (*Node, error) {
+// New builds a node whose lines go through a writer. It does nothing until Start.
+func New(config settings.Fleet, logger log.Logger, lines *telemetry.AsyncWriter) (*Node, error) {
 	role := gatewayParts
 	if config.Node.Role == settings.RoleCoordinator {
 		role = coordinatorParts
@@ -64,7 +64,7 @@
 		fx.NopLogger,
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(maxStopTime),
-		fx.Supply(config, changing),
+		fx.Supply(config, changing, lines),
 		fx.Provide(func() log.Logger { return logger }),
 		commonParts,
 		role,
@@ -134,6 +134,7 @@
 				return err
 			}
 			go server.serve(logger)
+			level.Info(telemetry.For(logger, telemetry.PartNode)).Log("msg", "metrics served", "metrics", server.listener.Addr())
 			return nil
 		},
 		OnStop: func(context.Context) error { return server.server.Close() },
