--- a/internal/lab/faultproxy/proxy_test.go
+++ b/internal/lab/faultproxy/proxy_test.go
@@ -239,10 +239,15 @@
 		server := echoServer(t)
 		defer server.Close()
 		proxy := New(Config{Target: server.Addr().String()}, log.NewNopLogger())
-		proxy.dialed = proxy.Cut
+		connected := make(chan struct{})
+		proxy.dialed = func() {
+			<-connected
+			proxy.Cut()
+		}
 		So(proxy.Start(), ShouldBeNil)
 		defer proxy.Stop(context.Background())
 		connection, err := net.Dial("tcp", proxy.Address())
+		close(connected)
 		So(err, ShouldBeNil)
 		defer connection.Close()
 		So(connection.SetReadDeadline(time.Now().Add(patience)), ShouldBeNil)
