--- a/internal/batchrun/engine_record.go
+++ b/internal/batchrun/engine_record.go
@@ -1,9 +1,11 @@
 package batchrun
 
 import (
+	"math"
 	"time"
 
 	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/itemwork"
 )
 
 const (
@@ -77,12 +79,13 @@
 	clear(e.prefixes)
 }
 
-// observe takes in the pause between two events.
-func (e *engineRecord) observe(pause time.Duration, now time.Time) {
+// observe takes in the mean of some pauses between events.
+func (e *engineRecord) observe(pause time.Duration, count int, now time.Time) {
 	average := e.pause(now)
 	pause = min(pause, maxPauseFactor*average)
 	e.refusals = 0
-	e.average = average + time.Duration(pauseWeight*float64(pause-average))
+	weight := 1 - math.Pow(1-pauseWeight, float64(count))
+	e.average = average + time.Duration(weight*float64(pause-average))
 	e.observed = now
 }
 
@@ -104,19 +107,19 @@
 }
 
 // end takes in the end of an attempt at the engine.
-func (e *engineRecord) end(result verdict, now time.Time) {
+func (e *engineRecord) end(result itemwork.Verdict, now time.Time) {
 	e.running--
 	switch result {
-	case verdictWhole, verdictImpossible:
+	case itemwork.VerdictWhole, itemwork.VerdictImpossible:
 		e.failures, e.refusals = 0, 0
-	case verdictBroken, verdictFailed:
+	case itemwork.VerdictBroken, itemwork.VerdictFailed:
 		e.failures++
 		e.asideTil = now.Add(min(firstBackoff<<min(e.failures, 5), maxBackoff))
-	case verdictRefused, verdictOutdated:
+	case itemwork.VerdictRefused, itemwork.VerdictOutdated:
 		e.asideTil = now.Add(min(busyBackoff<<min(e.refusals, 5), maxBusyBackoff))
 		e.refusals++
-	case verdictGone:
+	case itemwork.VerdictGone:
 		e.asideTil = now.Add(maxBackoff)
-	case verdictCanceled:
+	case itemwork.VerdictCanceled:
 	}
 }
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -1,12 +1,12 @@
 package batchrun
 
 import (
-	"context"
 	"slices"
 	"time"
 
 	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/batchlog"
+	"github.com/covelink/covelink/internal/itemwork"
 )
 
 // phase is where an item stands.
@@ -23,56 +23,20 @@
 	phaseFinished
 )
 
-// progress is what was made of an item's text.
-type progress struct {
-	// events holds the data of the events that were received, in order.
-	events []string
-	// lastID is the ID of the last one.
-	lastID int64
-	// versions are the weight versions that made them, in the order of their first use.
-	versions []int64
-	// whole is true once the text is complete.
-	whole bool
-}
-
-// add takes in one event.
-func (p *progress) add(id int64, data string, version int64) {
-	p.events = append(p.events, data)
-	p.lastID = id
-	if len(p.versions) == 0 || p.versions[len(p.versions)-1] != version {
-		p.versions = append(p.versions, version)
-	}
-}
-
-// fits reports whether all of the text may be used under the bounds.
-func (p *progress) fits(minVersion int64, singleVersion bool) bool {
-	for _, version := range p.versions {
-		if version < minVersion || (singleVersion && version != p.versions[0]) {
-			return false
-		}
-	}
-	return true
-}
-
 // item is one request of a job while the job is open.
 type item struct {
 	batch.Item
 	job   *job
 	phase phase
-	progress
+	text  itemwork.Text
 	// failures counts the engines' answers of 500.
 	failures int
 	// carried is true if an earlier job held the item too.
 	carried bool
 	// notBefore is when the next attempt may begin.
 	notBefore time.Time
-	// cancel ends the attempt or the reward call under way.
-	cancel context.CancelFunc
-	// lastEngine is where the last attempt was made, and started when.
-	lastEngine string
-	started    time.Time
-	// moving is true once the attempt was ended so that the item goes on elsewhere.
-	moving bool
+	// run is the newest run; nil if there was none.
+	run *run
 }
 
 // job is a batch job that this process runs. The runner's mutex guards it, unless a field says otherwise.
@@ -82,6 +46,8 @@
 	byID  map[string]*item
 	// accepted is when this process began to run the job.
 	accepted time.Time
+	// runs are those of the job's items.
+	runs []itemwork.RunID
 	// ended is true once the end was asked for, and sealed once it is kept for good.
 	ended  bool
 	sealed bool
@@ -161,9 +127,13 @@
 // finish ends all work on an item whose result is kept for good, and lets go of its text.
 func (it *item) finish() {
 	it.phase = phaseFinished
-	it.events = nil
-	if it.cancel != nil {
-		it.cancel()
-		it.cancel = nil
+	it.text = itemwork.Text{}
+	it.stop()
+}
+
+// stop ends the run of an item.
+func (it *item) stop() {
+	if it.run != nil && !it.run.over {
+		it.run.cancel()
 	}
 }
--- /dev/null
+++ b/internal/batchrun/local_sink.go
@@ -0,0 +1,75 @@
+package batchrun
+
+import (
+	"time"
+
+	"github.com/covelink/covelink/internal/itemwork"
+)
+
+// localSink reports a run that this process carries out.
+type localSink struct {
+	runner     *Runner
+	assignment *itemwork.Assignment
+	// told is the number of events that were reported.
+	told    int
+	lastID  int64
+	version int64
+	end     itemwork.End
+	// cancel ends the run.
+	cancel func()
+}
+
+var _ itemwork.Sink = (*localSink)(nil)
+
+// report hands on what is new, and ends a run that is not wanted.
+func (s *localSink) report(change func(report *itemwork.Report)) {
+	report := &itemwork.Report{
+		Run:     s.assignment.Run,
+		Job:     s.assignment.Job,
+		Item:    s.assignment.Item,
+		Engine:  s.assignment.Engine.ID,
+		From:    s.told,
+		LastID:  s.lastID,
+		Version: s.version,
+		End:     s.end,
+	}
+	change(report)
+	if !s.runner.Reported("", report) {
+		s.cancel()
+	}
+}
+
+// Begun implements itemwork.Sink.
+func (s *localSink) Begun(version int64) {
+	s.version = version
+	s.report(func(*itemwork.Report) {})
+}
+
+// Made implements itemwork.Sink.
+func (s *localSink) Made(event itemwork.Event) {
+	s.version, s.lastID = event.Version, event.ID
+	s.report(func(report *itemwork.Report) {
+		report.Segments = []itemwork.Segment{{Version: event.Version, Events: []string{event.Data}}}
+		if event.Pause > time.Duration(0) {
+			report.Pauses, report.PauseCount = event.Pause, 1
+		}
+	})
+	s.told++
+}
+
+// Restarted implements itemwork.Sink.
+func (s *localSink) Restarted() {
+	s.told = 0
+	s.report(func(report *itemwork.Report) { report.Restarted = true })
+}
+
+// StreamEnded implements itemwork.Sink.
+func (s *localSink) StreamEnded(end itemwork.End) {
+	s.end = end
+	s.report(func(*itemwork.Report) {})
+}
+
+// Judged implements itemwork.Sink.
+func (s *localSink) Judged(judgement itemwork.Judgement) {
+	s.report(func(report *itemwork.Report) { report.Judgement = judgement })
+}
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -9,7 +9,6 @@
 
 	"github.com/covelink/covelink/coord/rendezvous"
 	"github.com/covelink/covelink/internal/fleet"
-	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/routing"
 )
 
@@ -33,7 +32,7 @@
 	for ctx.Err() == nil {
 		_, changed := r.State.Changed()
 		r.mu.Lock()
-		left := r.schedule(ctx)
+		left := r.schedule()
 		running := r.moveSlow()
 		r.mu.Unlock()
 		pause := idleInterval
@@ -55,7 +54,7 @@
 }
 
 // schedule places as many waiting items as there is room for, and returns how many are left. The mutex must be held.
-func (r *Runner) schedule(ctx context.Context) int {
+func (r *Runner) schedule() int {
 	view := r.State.View()
 	if view.Routes == nil {
 		return 0
@@ -63,6 +62,10 @@
 	now := r.now()
 	left := 0
 	for _, waiting := range r.waiting(view) {
+		if waiting.item.text.Whole {
+			r.judgeHere(waiting.item)
+			continue
+		}
 		if waiting.item.notBefore.After(now) {
 			left++
 			continue
@@ -72,7 +75,7 @@
 			left++
 			continue
 		}
-		r.start(ctx, waiting.item, waiting.route, engine)
+		r.start(waiting.item, waiting.route, engine)
 	}
 	return left
 }
@@ -152,8 +155,8 @@
 				continue
 			}
 			running++
-			if _, done := moved[it.lastEngine]; !done && r.moveIfSlow(view, it, now) {
-				moved[it.lastEngine] = struct{}{}
+			if _, done := moved[it.run.engine]; !done && r.moveIfSlow(view, it, now) {
+				moved[it.run.engine] = struct{}{}
 			}
 		}
 	}
@@ -161,24 +164,24 @@
 }
 
 func (r *Runner) moveIfSlow(view *fleet.View, it *item, now time.Time) bool {
-	if it.moving || now.Sub(it.started) < moveAfter {
+	if it.run.moving || now.Sub(it.run.started) < moveAfter {
 		return false
 	}
 	route := view.Routes.Match(it.job.Host, it.Path)
 	if route == nil {
 		return false
 	}
-	record := r.engine(it.lastEngine)
+	record := r.engine(it.run.engine)
 	other, otherPause := r.choose(view, route, it, now)
-	if other == nil || other.ID == it.lastEngine || record.pause(now).Seconds() < moveFactor*otherPause {
+	if other == nil || other.ID == it.run.engine || record.pause(now).Seconds() < moveFactor*otherPause {
 		return false
 	}
-	level.Info(r.Logger).Log("msg", "item moved", "request", it.ID, "job", it.job.ID, "from", it.lastEngine, "to", other.ID,
+	level.Info(r.Logger).Log("msg", "item moved", "request", it.ID, "job", it.job.ID, "from", it.run.engine, "to", other.ID,
 		"pause", record.pause(now).Round(time.Millisecond), "other_pause", time.Duration(otherPause*float64(time.Second)).Round(time.Millisecond),
-		"text_events", len(it.events))
+		"text_events", it.text.Len())
 	r.Observer.ItemMoved()
-	it.moving = true
-	it.cancel()
+	it.run.moving = true
+	it.run.cancel()
 	return true
 }
 
@@ -191,7 +194,7 @@
 	if version < it.job.MinVersion {
 		return false
 	}
-	return !route.SingleVersion || len(it.versions) == 0 || it.versions[0] == version
+	return !route.SingleVersion || len(it.text.Segments) == 0 || it.text.Segments[0].Version == version
 }
 
 // draw spreads items evenly over [0, 1) by their IDs.
@@ -208,39 +211,3 @@
 	route := view.Routes.Match(it.job.Host, it.Path)
 	return route != nil && route.SingleVersion
 }
-
-// start begins an attempt at an engine. The mutex must be held.
-func (r *Runner) start(ctx context.Context, it *item, route *routing.Route, engine *fleet.Engine) {
-	record := r.engine(engine.ID)
-	record.running++
-	if it.Prefix != "" && len(record.prefixes) < maxPrefixes {
-		record.prefixes[it.Prefix] = struct{}{}
-	}
-	it.phase = phaseRunning
-	it.lastEngine = engine.ID
-	it.started = r.now()
-	it.moving = false
-	attemptCtx, cancel := context.WithCancel(ctx)
-	it.cancel = cancel
-	var options forward.SendOptions
-	if len(it.events) > 0 {
-		options.Resume, options.LastEventID = true, it.lastID
-	}
-	if route.MaxQueue > 0 {
-		options.TimeLeft = max(route.MaxQueue-r.now().Sub(it.job.accepted), time.Second)
-	}
-	a := &attempt{
-		runner:  r,
-		item:    it,
-		request: it.request(),
-		engine:  engine,
-		route:   route,
-		options: options,
-		cancel:  cancel,
-		version: record.version(engine, it.job.Model, r.now()),
-	}
-	r.running.Go(func() {
-		defer cancel()
-		a.run(attemptCtx)
-	})
-}
--- /dev/null
+++ b/internal/batchrun/run.go
@@ -0,0 +1,337 @@
+package batchrun
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/itemwork"
+	"github.com/covelink/covelink/internal/routing"
+)
+
+const (
+	// failurePause is the pause before an item that failed is tried again.
+	failurePause = 50 * time.Millisecond
+	// adoptTime is how long the items of an earlier term wait for workers that hold a run of them.
+	adoptTime = 500 * time.Millisecond
+	// lostVerdict is the name in logs and metrics of runs whose worker is not heard of any more.
+	lostVerdict = "lost"
+)
+
+// run is one run of an item at an engine. The runner's mutex guards it.
+type run struct {
+	id     itemwork.RunID
+	item   *item
+	engine string
+	// worker carries the run out; empty if this process does.
+	worker  string
+	cancel  func()
+	started time.Time
+	// streaming is true until the stream has ended, and over once nothing more is expected of the run.
+	streaming bool
+	over      bool
+	// moving is true once the run was ended so that the item goes on elsewhere.
+	moving bool
+}
+
+// current reports whether the item still relies on the run.
+func (current *run) current() bool {
+	it := current.item
+	return it.run == current && !it.job.ended && (it.phase == phaseRunning || it.phase == phaseJudging)
+}
+
+// start begins a run at an engine. The mutex must be held.
+func (r *Runner) start(it *item, route *routing.Route, engine *fleet.Engine) {
+	record := r.engine(engine.ID)
+	record.running++
+	if it.Prefix != "" && len(record.prefixes) < maxPrefixes {
+		record.prefixes[it.Prefix] = struct{}{}
+	}
+	assignment := r.assignment(it, itemwork.Bounds{MinVersion: it.job.MinVersion, SingleVersion: route.SingleVersion})
+	assignment.Engine = itemwork.Target{
+		ID:      engine.ID,
+		Service: engine.Service,
+		Address: engine.Address,
+		Version: record.version(engine, it.job.Model, r.now()),
+	}
+	if route.MaxQueue > 0 {
+		assignment.TimeLeft = max(route.MaxQueue-r.now().Sub(it.job.accepted), time.Second)
+	}
+	begun := r.newRun(assignment.Run, it, engine.ID)
+	begun.streaming = true
+	it.phase = phaseRunning
+	if r.Desk != nil {
+		if worker, ok := r.Desk.Assign(engine, assignment); ok {
+			begun.worker = worker
+			begun.cancel = func() { r.Desk.Cancel(worker, begun.id) }
+			return
+		}
+	}
+	r.runHere(begun, assignment)
+}
+
+// assignment returns a run of an item, without an engine. The mutex must be held.
+func (r *Runner) assignment(it *item, bounds itemwork.Bounds) *itemwork.Assignment {
+	r.runCount++
+	return &itemwork.Assignment{
+		Run:    itemwork.RunID{Term: r.token, Number: r.runCount},
+		Job:    it.job.ID,
+		Item:   it.ID,
+		Host:   it.job.Host,
+		Path:   it.Path,
+		Header: it.Header,
+		Body:   it.Body,
+		Bounds: bounds,
+		Text:   it.text.Clone(),
+		Reward: it.Reward,
+	}
+}
+
+// newRun notes a run on which an item relies. The mutex must be held.
+func (r *Runner) newRun(id itemwork.RunID, it *item, engine string) *run {
+	begun := &run{id: id, item: it, engine: engine, started: r.now(), cancel: func() {}}
+	it.run = begun
+	it.job.runs = append(it.job.runs, id)
+	r.runs[id] = begun
+	return begun
+}
+
+// forgetRuns drops the runs of an ended job whose streams have ended. The mutex must be held.
+func (r *Runner) forgetRuns(j *job) {
+	j.runs = slices.DeleteFunc(j.runs, func(id itemwork.RunID) bool {
+		if known := r.runs[id]; known != nil && known.streaming {
+			return false
+		}
+		delete(r.runs, id)
+		return true
+	})
+}
+
+// runHere carries a run out in this process. The mutex must be held.
+func (r *Runner) runHere(begun *run, assignment *itemwork.Assignment) {
+	ctx, cancel := context.WithCancel(r.term)
+	begun.cancel = cancel
+	sink := &localSink{runner: r, assignment: assignment, told: assignment.Text.Len(), cancel: cancel}
+	r.running.Go(func() {
+		defer cancel()
+		r.executor.Run(ctx, assignment, sink)
+	})
+}
+
+// judgeHere makes the reward call of an item whose text is whole, and lists items that need none. The mutex must be held.
+func (r *Runner) judgeHere(it *item) {
+	it.phase = phaseJudging
+	if it.Reward == nil {
+		r.list(it, it.result(""))
+		return
+	}
+	assignment := r.assignment(it, itemwork.Bounds{})
+	r.runHere(r.newRun(assignment.Run, it, ""), assignment)
+}
+
+// Reported implements itemwork.Handler.
+func (r *Runner) Reported(worker string, report *itemwork.Report) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.leads() {
+		return true
+	}
+	known, ok := r.runs[report.Run]
+	if !ok {
+		known = r.adopt(worker, report)
+	}
+	if known == nil {
+		return false
+	}
+	if known.over {
+		return true
+	}
+	r.observe(known, report)
+	if known.current() && !known.item.text.Merge(report) {
+		level.Warn(r.Logger).Log("msg", "report does not fit", "request", known.item.ID, "run", known.id, "from", report.From)
+		r.lose(known)
+		return false
+	}
+	if known.streaming && report.End.Verdict != itemwork.VerdictNone {
+		r.streamEnded(known, report)
+	}
+	if known.current() && report.Judgement.Reached {
+		r.judged(known, report.Judgement)
+	}
+	if known.item.job.ended {
+		r.forgetRuns(known.item.job)
+		return false
+	}
+	return true
+}
+
+// observe takes in what a report tells of its engine.
+func (r *Runner) observe(known *run, report *itemwork.Report) {
+	if known.engine == "" {
+		return
+	}
+	record := r.engine(known.engine)
+	if report.Version > 0 {
+		record.noteVersion(known.item.job.Model, report.Version, r.now())
+	}
+	if report.PauseCount > 0 {
+		record.observe(report.Pauses/time.Duration(report.PauseCount), report.PauseCount, r.now())
+	}
+}
+
+// adopt takes over a run that an earlier term began, or that was taken for lost. It returns nil if the run is of no use.
+func (r *Runner) adopt(worker string, report *itemwork.Report) *run {
+	j, ok := r.jobs[report.Job]
+	if !ok || j.ended || report.From > 0 {
+		return nil
+	}
+	it, ok := j.byID[report.Item]
+	if !ok || it.phase != phaseWaiting {
+		return nil
+	}
+	var text itemwork.Text
+	text.Merge(report)
+	if text.Len() < it.text.Len() || !text.Fits(itemwork.Bounds{MinVersion: j.MinVersion, SingleVersion: r.singleVersion(it)}) {
+		return nil
+	}
+	level.Info(r.Logger).Log("msg", "run adopted", "request", it.ID, "job", j.ID, "run", report.Run, "worker", worker, "engine", report.Engine,
+		"events", text.Len(), "verdict", report.End.Verdict)
+	it.text = text
+	adopted := r.newRun(report.Run, it, report.Engine)
+	adopted.worker = worker
+	adopted.cancel = func() { r.Desk.Cancel(worker, adopted.id) }
+	adopted.streaming = true
+	it.phase = phaseRunning
+	r.engine(report.Engine).running++
+	return adopted
+}
+
+// streamEnded decides what comes next for the item of a run whose stream has ended.
+func (r *Runner) streamEnded(ended *run, report *itemwork.Report) {
+	it := ended.item
+	verdict := report.End.Verdict
+	now := r.now()
+	ended.streaming = false
+	r.engine(ended.engine).end(verdict, now)
+	r.Observer.AttemptEnded(verdict.String(), report.End.Took)
+	line := level.Info(r.Logger)
+	if verdict == itemwork.VerdictWhole || verdict == itemwork.VerdictCanceled {
+		line = level.Debug(r.Logger)
+	}
+	line.Log("msg", "attempt ended", "request", it.ID, "job", it.job.ID, "run", ended.id, "worker", ended.worker, "engine", ended.engine,
+		"verdict", verdict, "version", report.Version, "text_events", it.text.Len(), "took", report.End.Took.Round(time.Millisecond),
+		"err", report.End.Cause)
+	r.poke()
+	if !ended.current() {
+		ended.over = true
+		return
+	}
+	ended.over = verdict != itemwork.VerdictWhole
+	switch verdict {
+	case itemwork.VerdictWhole:
+		it.text.Whole = true
+		it.phase = phaseJudging
+		if it.Reward == nil {
+			ended.over = true
+			r.list(it, it.result(""))
+		}
+	case itemwork.VerdictImpossible:
+		r.giveUp(it, "engine says it can never be done")
+	case itemwork.VerdictFailed:
+		it.failures++
+		if it.failures >= r.maxAttempts(it) {
+			r.giveUp(it, "failed too often")
+			return
+		}
+		it.retry(now)
+	case itemwork.VerdictCanceled:
+		it.phase = phaseWaiting
+	default:
+		it.retry(now)
+	}
+}
+
+// judged lists an item whose reward call has ended.
+func (r *Runner) judged(ended *run, judgement itemwork.Judgement) {
+	it := ended.item
+	ended.over = true
+	result := it.result(judgement.Score)
+	if judgement.Dead {
+		level.Info(r.Logger).Log("msg", "item given up", "request", it.ID, "job", it.job.ID, "reason", "reward call failed too often",
+			"call", it.Reward.ID, "failures", judgement.Failures)
+		result = batch.Result{ID: it.ID, State: batch.Dead}
+	}
+	r.list(it, result)
+}
+
+// WorkerLost implements itemwork.Handler.
+func (r *Runner) WorkerLost(worker string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, known := range r.runs {
+		if known.worker == worker && !known.over {
+			r.lose(known)
+		}
+	}
+	r.poke()
+}
+
+// lose gives a run up of which nothing more will be heard. The mutex must be held.
+func (r *Runner) lose(lost *run) {
+	it := lost.item
+	lost.over = true
+	if lost.streaming {
+		lost.streaming = false
+		r.engine(lost.engine).running--
+		r.Observer.AttemptEnded(lostVerdict, r.now().Sub(lost.started))
+	}
+	level.Info(r.Logger).Log("msg", "attempt ended", "request", it.ID, "job", it.job.ID, "run", lost.id, "worker", lost.worker, "engine", lost.engine,
+		"verdict", lostVerdict, "text_events", it.text.Len(), "took", r.now().Sub(lost.started).Round(time.Millisecond))
+	switch {
+	case !lost.current() || !r.leads():
+	case it.text.Whole:
+		r.judgeHere(it)
+	default:
+		it.phase = phaseWaiting
+	}
+}
+
+// maxAttempts returns how many answers of 500 an item may get.
+func (r *Runner) maxAttempts(it *item) int {
+	routes := r.State.View().Routes
+	if routes == nil {
+		return 1
+	}
+	if route := routes.Match(it.job.Host, it.Path); route != nil {
+		return route.MaxAttempts
+	}
+	return 1
+}
+
+// retry makes the item wait for another engine.
+func (it *item) retry(now time.Time) {
+	it.phase = phaseWaiting
+	it.notBefore = now.Add(failurePause)
+}
+
+// result returns the result of an item whose text is whole.
+func (it *item) result(score string) batch.Result {
+	return batch.Result{ID: it.ID, State: batch.Done, Text: it.text.Joined(), Versions: it.text.Versions(), Score: score}
+}
+
+// giveUp ends an item without a text. The mutex must be held.
+func (r *Runner) giveUp(it *item, reason string) {
+	level.Info(r.Logger).Log("msg", "item given up", "request", it.ID, "job", it.job.ID, "reason", reason, "failures", it.failures)
+	r.list(it, batch.Result{ID: it.ID, State: batch.Dead})
+}
+
+// list hands an item's result to the committer. The mutex must be held.
+func (r *Runner) list(it *item, result batch.Result) {
+	it.phase = phaseFinished
+	it.job.pending = append(it.job.pending, result)
+	it.job.signal()
+}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -14,6 +14,7 @@
 	"github.com/covelink/covelink/internal/batchlog"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/pause"
 )
@@ -59,6 +60,8 @@
 	Transport forward.Transport
 	Forwarder *forward.Forwarder
 	Store     metastore.Client
+	// Desk hands runs to workers; nil if this process carries out all of them.
+	Desk *itemwork.Desk
 	// Retention is how long a job is kept after its end; zero means DefaultRetention.
 	Retention time.Duration
 	// MaxEndedBytes bounds the results of ended jobs that stay in memory; those of others are read from the store when they are
@@ -72,9 +75,16 @@
 // Runner runs batch jobs while it leads. It implements batch.Service.
 type Runner struct {
 	Params
-	now func() time.Time
+	now      func() time.Time
+	executor *itemwork.Executor
 
 	mu sync.Mutex
+	// token is that of the term.
+	token int64
+	// runs are those of open jobs, and of ended ones whose stream lasts.
+	runs map[itemwork.RunID]*run
+	// runCount is the number of runs that the term has begun.
+	runCount uint64
 	// term ends with the leadership; nil while this process does not lead.
 	term context.Context
 	// depose ends the term.
@@ -109,7 +119,8 @@
 	if params.MaxEndedBytes == 0 {
 		params.MaxEndedBytes = DefaultMaxEndedBytes
 	}
-	return &Runner{Params: params, now: time.Now, wake: make(chan struct{}, 1)}
+	executor := &itemwork.Executor{State: params.State, Transport: params.Transport, Forwarder: params.Forwarder}
+	return &Runner{Params: params, now: time.Now, executor: executor, wake: make(chan struct{}, 1)}
 }
 
 // Lead runs the jobs of the store until ctx ends or a later term has begun. token is the term's.
@@ -126,6 +137,8 @@
 	r.jobs = make(map[string]*job)
 	r.order = nil
 	r.engines = make(map[string]*engineRecord)
+	r.runs = make(map[itemwork.RunID]*run)
+	r.token, r.runCount = token, 0
 	r.kept = newUnfinishedTexts()
 	r.ends = make(map[string]time.Time, len(sealed))
 	r.endedBytes = 0
@@ -135,9 +148,12 @@
 	}
 	r.term, r.depose, r.log = ctx, depose, log
 	for _, found := range stored {
-		r.add(found)
+		r.awaitAdoption(r.add(found))
 	}
 	r.mu.Unlock()
+	if r.Desk != nil {
+		r.running.Go(func() { r.Desk.Lead(ctx, token, r) })
+	}
 	level.Info(r.Logger).Log("msg", "leading", "token", token, "jobs", len(stored), "took", r.now().Sub(started).Round(time.Millisecond))
 	r.running.Go(func() { r.retain(ctx) })
 	r.scheduleUntil(ctx)
@@ -148,6 +164,16 @@
 	level.Info(r.Logger).Log("msg", "no longer leading")
 }
 
+// awaitAdoption leaves the items of an earlier term to the workers that hold a run of them. The mutex must be held.
+func (r *Runner) awaitAdoption(j *job) {
+	if r.Desk == nil {
+		return
+	}
+	for _, it := range j.items {
+		it.notBefore = r.now().Add(adoptTime)
+	}
+}
+
 // readJobs reads the open jobs, as often as it takes.
 func (r *Runner) readJobs(ctx context.Context, log *batchlog.Store) (stored []*batchlog.Stored, sealed []string, ok bool) {
 	for ctx.Err() == nil {
@@ -195,8 +221,8 @@
 		return
 	}
 	it.carried = true
-	if kept.fits(it.job.MinVersion, r.singleVersion(it)) {
-		it.progress = kept
+	if kept.Fits(itemwork.Bounds{MinVersion: it.job.MinVersion, SingleVersion: r.singleVersion(it)}) {
+		it.text = kept
 	}
 }
 
@@ -239,11 +265,10 @@
 	}
 	j.ended = true
 	for _, it := range j.items {
-		if it.cancel != nil {
-			it.cancel()
-		}
+		it.stop()
 		if it.phase != phaseFinished {
-			r.kept.put(it.ID, it.progress)
+			r.kept.put(it.ID, it.text)
 		}
 	}
+	r.forgetRuns(j)
 }
--- a/internal/batchrun/unfinished.go
+++ b/internal/batchrun/unfinished.go
@@ -1,6 +1,10 @@
 package batchrun
 
-import "container/list"
+import (
+	"container/list"
+
+	"github.com/covelink/covelink/internal/itemwork"
+)
 
 // maxUnfinishedBytes bounds the texts of unfinished items that are kept for later jobs.
 const maxUnfinishedBytes = 16 << 20
@@ -16,7 +20,7 @@
 
 type unfinishedText struct {
 	id   string
-	text progress
+	text itemwork.Text
 }
 
 func newUnfinishedTexts() *unfinishedTexts {
@@ -24,35 +28,26 @@
 }
 
 // put keeps an item's text. The oldest texts give way.
-func (u *unfinishedTexts) put(id string, text progress) {
+func (u *unfinishedTexts) put(id string, text itemwork.Text) {
 	u.take(id)
 	u.byID[id] = u.order.PushBack(unfinishedText{id: id, text: text})
-	u.bytes += text.size()
+	u.bytes += text.Size() + textOverhead
 	for u.bytes > maxUnfinishedBytes {
 		u.take(u.order.Front().Value.(unfinishedText).id)
 	}
 }
 
 // take returns an item's text and keeps it no longer.
-func (u *unfinishedTexts) take(id string) (progress, bool) {
+func (u *unfinishedTexts) take(id string) (itemwork.Text, bool) {
 	element, ok := u.byID[id]
 	if !ok {
-		return progress{}, false
+		return itemwork.Text{}, false
 	}
 	delete(u.byID, id)
 	found := u.order.Remove(element).(unfinishedText)
-	u.bytes -= found.text.size()
+	u.bytes -= (found.text.Size() + textOverhead)
 	return found.text, true
 }
 
-// progressOverhead stands for the memory of an item's text beyond its bytes.
-const progressOverhead = 256
-
-// size is the memory that a text takes, in bytes.
-func (p *progress) size() int {
-	size := progressOverhead
-	for _, event := range p.events {
-		size += len(event)
-	}
-	return size
-}
+// textOverhead stands for the memory of an item's text beyond its bytes.
+const textOverhead = 256
--- a/internal/batchrun/unfinished_test.go
+++ b/internal/batchrun/unfinished_test.go
@@ -5,12 +5,14 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/itemwork"
 )
 
 func TestUnfinishedTexts(t *testing.T) {
 	Convey("The newest texts are kept, within their memory, and each is taken once", t, func() {
 		texts := newUnfinishedTexts()
-		large := progress{events: []string{strings.Repeat("x", maxUnfinishedBytes/3)}}
+		large := itemwork.Text{Segments: []itemwork.Segment{{Version: 1, Events: []string{strings.Repeat("x", maxUnfinishedBytes/3)}}}}
 		for _, id := range []string{"a", "b", "a", "c", "d"} {
 			texts.put(id, large)
 		}
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -16,6 +16,7 @@
 	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
@@ -27,17 +28,22 @@
 
 // coordinatorParts are those of a process that may coordinate.
 var coordinatorParts = fx.Options(
-	fx.Provide(newRunner, newOrders, newDecommission),
+	fx.Provide(newDesk, newRunner, newOrders, newDecommission),
 	fx.Invoke(runCoordinator),
 )
 
-func newRunner(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder, store metastore.Client, observed *metrics,
-	logger log.Logger) *batchrun.Runner {
+func newDesk(logger log.Logger) *itemwork.Desk {
+	return itemwork.NewDesk(telemetry.For(logger, telemetry.PartBatch))
+}
+
+func newRunner(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder, store metastore.Client,
+	desk *itemwork.Desk, observed *metrics, logger log.Logger) *batchrun.Runner {
 	return batchrun.New(batchrun.Params{
 		State:     state,
 		Transport: transport,
 		Forwarder: forwarder,
 		Store:     store,
+		Desk:      desk,
 		Retention: config.Timing.BatchRetention,
 		Observer:  observed,
 		Logger:    telemetry.For(logger, telemetry.PartBatch),
@@ -74,6 +80,7 @@
 	Store     metastore.Client
 	Followers *metastore.Followers
 	Runner    *batchrun.Runner
+	Desk      *itemwork.Desk
 	Orders    *weightorder.Manager
 	Leaving   *decommission.Manager
 	Metrics   *metrics
@@ -116,6 +123,7 @@
 	c.server = rpc.NewServer(c.Logger)
 	storerelay.Register(c.server, hub)
 	batchrpc.Register(c.server, c.Runner, c.leading)
+	itemwork.Register(c.server, c.Desk)
 	go c.serve()
 	c.Tasks.run(c.elector.Run)
 	c.Tasks.run(func(ctx context.Context) {
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
 	"go.uber.org/fx"
 
 	"github.com/covelink/covelink/internal/batch"
@@ -13,6 +14,7 @@
 	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
@@ -23,8 +25,8 @@
 
 // gatewayParts are those of a process that takes callers' requests.
 var gatewayParts = fx.Options(
-	fx.Provide(newStoreRelay, newLeaseWatcher, newBatchClient),
-	fx.Invoke(alwaysFollowFleet, runStoreRelay, runGateway),
+	fx.Provide(newStoreRelay, newLeaseWatcher, newBatchClient, newWorker, func() *stopFlag { return &stopFlag{} }),
+	fx.Invoke(alwaysFollowFleet, runStoreRelay, runWorker, runGateway),
 )
 
 // alwaysFollowFleet keeps the state at what the store holds from start to stop.
@@ -77,6 +79,49 @@
 	return client
 }
 
+// newWorker returns what runs batch items for the coordinating process.
+func newWorker(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder, calls *rpc.Client,
+	watcher *election.Watcher, stopping *stopFlag, logger log.Logger) *itemwork.Worker {
+	return itemwork.NewWorker(itemwork.WorkerParams{
+		Name:        config.Node.Name,
+		Zone:        config.Node.Zone,
+		Instance:    uuid.NewString(),
+		Executor:    &itemwork.Executor{State: state, Transport: transport, Forwarder: forwarder},
+		Coordinator: watcher.Holder,
+		Poll: func(ctx context.Context, address string, request itemwork.PollRequest) (itemwork.PollReply, error) {
+			return itemwork.Poll(ctx, calls, address, request)
+		},
+		Report: func(ctx context.Context, address string, request itemwork.ReportRequest) (itemwork.ReportReply, error) {
+			return itemwork.SendReports(ctx, calls, address, request)
+		},
+		Draining: stopping.Load,
+		Logger:   telemetry.For(logger, telemetry.PartBatch),
+	})
+}
+
+// runWorker runs the worker until the gateway has stopped.
+func runWorker(hooks fx.Lifecycle, worker *itemwork.Worker) {
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	hooks.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() {
+				defer close(stopped)
+				worker.Run(ctx)
+			}()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			cancel()
+			select {
+			case <-stopped:
+			case <-ctx.Done():
+			}
+			return nil
+		},
+	})
+}
+
 type gatewayParams struct {
 	fx.In
 	Settings  settings.Fleet
@@ -85,15 +130,15 @@
 	State     *fleet.State
 	Forwarder *forward.Forwarder
 	Batches   batch.Service
+	Stopping  *stopFlag
 }
 
 // gateway serves callers.
 type gateway struct {
 	gatewayParams
-	logger   log.Logger
-	stopping stopFlag
-	callers  *httpServer
-	probes   *httpServer
+	logger  log.Logger
+	callers *httpServer
+	probes  *httpServer
 }
 
 func runGateway(hooks fx.Lifecycle, params gatewayParams) {
@@ -106,7 +151,7 @@
 		State:     g.State,
 		Forwarder: g.Forwarder,
 		Batches:   g.Batches,
-		Draining:  g.stopping.Load,
+		Draining:  g.Stopping.Load,
 	})
 	var err error
 	if g.callers, err = listenHTTP(ctx, g.Settings.Listen.HTTP, ingress); err != nil {
@@ -123,14 +168,14 @@
 
 // ready is true while the gateway can serve: it holds a configuration and is not stopping.
 func (g *gateway) ready() bool {
-	return !g.stopping.Load() && g.State.View().Routes != nil
+	return !g.Stopping.Load() && g.State.View().Routes != nil
 }
 
 // stop sends callers elsewhere, waits until they have noticed, and finishes what is in flight.
 func (g *gateway) stop(ctx context.Context) error {
 	started := time.Now()
 	timeout := g.Timing.stopTimeout()
-	g.stopping.Store(true)
+	g.Stopping.Store(true)
 	level.Info(g.logger).Log("msg", "stopping")
 	select {
 	case <-time.After(min(noticeTime, timeout/3)):
--- /dev/null
+++ b/internal/itemwork/calls.go
@@ -0,0 +1,84 @@
+package itemwork
+
+import (
+	"context"
+	"time"
+
+	"github.com/covelink/covelink/internal/rpc"
+)
+
+// pollWait is how long a poll waits for orders.
+const pollWait = time.Second
+
+// WorkerID names a worker.
+type WorkerID struct {
+	// Name is the node's, Zone its zone, and Instance the name of this start of the process.
+	Name, Zone, Instance string
+	// Leaving is true if the worker takes no more assignments.
+	Leaving bool
+}
+
+// PollRequest asks for orders.
+type PollRequest struct {
+	Worker WorkerID
+	// Term is the highest that the worker knows, and Taken the number of the last order of it that it has carried out.
+	Term  int64
+	Taken uint64
+}
+
+// PollReply answers a PollRequest.
+type PollReply struct {
+	// Leading is false if the process does not coordinate; the rest is empty then.
+	Leading bool
+	Term    int64
+	// Orders are those that the worker is not known to have carried out.
+	Orders []Order
+}
+
+// Order tells a worker to begin a run or to end one.
+type Order struct {
+	// Number is one higher than that of the order before it.
+	Number uint64
+	// Start is the run to begin, or nil.
+	Start *Assignment
+	// Cancel is the run to end, if Start is nil.
+	Cancel RunID
+}
+
+// ReportRequest tells what is new of a worker's runs.
+type ReportRequest struct {
+	Worker WorkerID
+	// Term is the one whose coordinating process is taken to hold what was reported before.
+	Term    int64
+	Reports []Report
+}
+
+// ReportReply answers a ReportRequest. The reports were taken in if it leads and its term is the request's.
+type ReportReply struct {
+	Leading bool
+	Term    int64
+	// Unwanted are runs that the worker need not go on with or keep.
+	Unwanted []RunID
+	// Interval is the least time between two reports.
+	Interval time.Duration
+}
+
+// Register makes a server answer for a desk.
+func Register(server *rpc.Server, desk *Desk) {
+	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request PollRequest) (PollReply, error) {
+		return desk.Poll(ctx, request), nil
+	})
+	rpc.Handle(server, func(_ context.Context, _ rpc.Peer, request ReportRequest) (ReportReply, error) {
+		return desk.Report(request), nil
+	})
+}
+
+// Poll asks the desk of the process at an address for orders.
+func Poll(ctx context.Context, calls *rpc.Client, address string, request PollRequest) (PollReply, error) {
+	return rpc.Call[PollRequest, PollReply](ctx, calls, address, request)
+}
+
+// SendReports reports to the desk of the process at an address.
+func SendReports(ctx context.Context, calls *rpc.Client, address string, request ReportRequest) (ReportReply, error) {
+	return rpc.Call[ReportRequest, ReportReply](ctx, calls, address, request)
+}
--- /dev/null
+++ b/internal/itemwork/desk.go
@@ -0,0 +1,273 @@
+package itemwork
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/covelink/covelink/coord/rendezvous"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/pause"
+)
+
+const (
+	// silentAfter is how long a worker may leave out a call that is due before its runs count as lost.
+	silentAfter = 1200 * time.Millisecond
+	// brokenAfter is that time once its connection has broken.
+	brokenAfter = 400 * time.Millisecond
+	// watchInterval is the pause between two looks for workers that are silent.
+	watchInterval = 150 * time.Millisecond
+	// minInterval is the least time between two reports of a worker; intervalPerWorker is added for each worker.
+	minInterval       = 10 * time.Millisecond
+	intervalPerWorker = 400 * time.Microsecond
+)
+
+// Handler takes in what becomes of runs.
+type Handler interface {
+	// Reported takes in a report. It returns false if the run is not wanted.
+	Reported(worker string, report *Report) bool
+	// WorkerLost is told that the runs of a worker are not heard of any more.
+	WorkerLost(worker string)
+}
+
+// Desk hands assignments to workers. It is safe for concurrent use.
+type Desk struct {
+	logger log.Logger
+
+	mu sync.Mutex
+	// term and handler are those of the term that lasts; handler is nil while there is none.
+	term    int64
+	handler Handler
+	workers map[string]*deskWorker
+	// carriers are the workers of engines, by the engine's ID.
+	carriers map[string]*deskWorker
+}
+
+// deskWorker is a worker as the desk knows it.
+type deskWorker struct {
+	WorkerID
+	hash uint64
+	// deadline is when the worker counts as lost unless it calls.
+	deadline time.Time
+	// orders are those that it is not known to have carried out.
+	orders []Order
+	next   uint64
+	// ready is closed when there are orders.
+	ready chan struct{}
+}
+
+// key names a start of a worker.
+func (w WorkerID) key() string { return w.Name + "/" + w.Instance }
+
+// NewDesk returns a Desk that leads nothing.
+func NewDesk(logger log.Logger) *Desk { return &Desk{logger: logger} }
+
+// Lead serves workers for a term until ctx ends.
+func (d *Desk) Lead(ctx context.Context, term int64, handler Handler) {
+	d.mu.Lock()
+	d.term, d.handler = term, handler
+	d.workers = make(map[string]*deskWorker)
+	d.carriers = make(map[string]*deskWorker)
+	d.mu.Unlock()
+	for ctx.Err() == nil {
+		pause.For(ctx, watchInterval)
+		for _, lost := range d.silent() {
+			handler.WorkerLost(lost)
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.handler, d.workers, d.carriers = nil, nil, nil
+}
+
+// silent removes the workers that are not heard of any more and returns them.
+func (d *Desk) silent() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var lost []string
+	for name, worker := range d.workers {
+		if time.Now().Before(worker.deadline) {
+			continue
+		}
+		level.Info(d.logger).Log("msg", "worker lost", "worker", name, "orders", len(worker.orders))
+		d.remove(worker)
+		lost = append(lost, worker.key())
+	}
+	return lost
+}
+
+// remove forgets a worker. The mutex must be held.
+func (d *Desk) remove(worker *deskWorker) {
+	delete(d.workers, worker.Name)
+	clear(d.carriers)
+}
+
+// meet returns the worker that calls. The mutex must be held. An earlier start of it that was lost is returned as well.
+func (d *Desk) meet(id WorkerID) (worker *deskWorker, lost string) {
+	worker, ok := d.workers[id.Name]
+	if ok && worker.Instance != id.Instance {
+		lost = worker.key()
+		d.remove(worker)
+		ok = false
+	}
+	if !ok {
+		worker = &deskWorker{WorkerID: id, hash: rendezvous.Hash(id.Name), ready: make(chan struct{})}
+		d.workers[id.Name] = worker
+		clear(d.carriers)
+		level.Info(d.logger).Log("msg", "worker met", "worker", id.Name, "zone", id.Zone)
+	}
+	if worker.Leaving != id.Leaving {
+		worker.Leaving = id.Leaving
+		clear(d.carriers)
+	}
+	worker.deadline = time.Now().Add(silentAfter)
+	return worker, lost
+}
+
+// Assign hands an assignment to the worker that speaks with an engine. It returns false if there is none.
+func (d *Desk) Assign(engine *fleet.Engine, assignment *Assignment) (worker string, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.handler == nil {
+		return "", false
+	}
+	carrier, ok := d.carriers[engine.ID]
+	if !ok {
+		carrier = d.carrier(engine)
+		d.carriers[engine.ID] = carrier
+	}
+	if carrier == nil {
+		return "", false
+	}
+	carrier.add(Order{Start: assignment})
+	return carrier.key(), true
+}
+
+// carrier chooses the worker of an engine, of the engine's zone where there is one. The mutex must be held.
+func (d *Desk) carrier(engine *fleet.Engine) *deskWorker {
+	key := rendezvous.Hash(engine.ID)
+	var best *deskWorker
+	var bestScore uint64
+	for _, worker := range d.workers {
+		if worker.Leaving {
+			continue
+		}
+		near, bestNear := worker.Zone == engine.Zone, best != nil && best.Zone == engine.Zone
+		score := rendezvous.Mix(key, worker.hash)
+		if best == nil || (near && !bestNear) || (near == bestNear && score > bestScore) {
+			best, bestScore = worker, score
+		}
+	}
+	return best
+}
+
+// Cancel tells a worker to end a run.
+func (d *Desk) Cancel(worker string, run RunID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, known := range d.workers {
+		if known.key() == worker {
+			known.add(Order{Cancel: run})
+		}
+	}
+}
+
+// add queues an order. The desk's mutex must be held.
+func (w *deskWorker) add(order Order) {
+	w.next++
+	order.Number = w.next
+	w.orders = append(w.orders, order)
+	if len(w.orders) == 1 {
+		close(w.ready)
+	}
+}
+
+// confirm drops the orders that the worker has carried out. The desk's mutex must be held.
+func (w *deskWorker) confirm(taken uint64) {
+	if len(w.orders) == 0 {
+		return
+	}
+	w.orders = slices.DeleteFunc(w.orders, func(order Order) bool { return order.Number <= taken })
+	if len(w.orders) == 0 {
+		w.ready = make(chan struct{})
+	}
+}
+
+// Poll returns a worker's orders, as soon as there are some or the wait is over.
+func (d *Desk) Poll(ctx context.Context, request PollRequest) PollReply {
+	d.mu.Lock()
+	if d.handler == nil {
+		d.mu.Unlock()
+		return PollReply{}
+	}
+	handler, term := d.handler, d.term
+	worker, lost := d.meet(request.Worker)
+	if request.Term == term {
+		worker.confirm(request.Taken)
+	}
+	worker.deadline = worker.deadline.Add(pollWait)
+	ready := worker.ready
+	d.mu.Unlock()
+	if lost != "" {
+		handler.WorkerLost(lost)
+	}
+	wait := pollWait
+	if request.Term != term {
+		// The worker learns of the term first.
+		wait = 0
+	}
+	broken := awaitOrders(ctx, ready, wait)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.handler == nil || d.term != term {
+		return PollReply{}
+	}
+	worker.deadline = time.Now().Add(silentAfter)
+	if broken {
+		worker.deadline = time.Now().Add(brokenAfter)
+	}
+	return PollReply{Leading: true, Term: term, Orders: slices.Clone(worker.orders)}
+}
+
+// awaitOrders waits until there are orders or the wait is over. It reports whether the caller has gone.
+func awaitOrders(ctx context.Context, ready <-chan struct{}, wait time.Duration) (gone bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ready:
+	case <-timer.C:
+	case <-ctx.Done():
+		return true
+	}
+	return false
+}
+
+// Report takes in what a worker tells of its runs.
+func (d *Desk) Report(request ReportRequest) ReportReply {
+	d.mu.Lock()
+	if d.handler == nil {
+		d.mu.Unlock()
+		return ReportReply{}
+	}
+	handler, term := d.handler, d.term
+	worker, lost := d.meet(request.Worker)
+	reply := ReportReply{Leading: true, Term: term, Interval: minInterval + time.Duration(len(d.workers))*intervalPerWorker}
+	key := worker.key()
+	d.mu.Unlock()
+	if lost != "" {
+		handler.WorkerLost(lost)
+	}
+	if request.Term != term {
+		return reply
+	}
+	for i := range request.Reports {
+		if !handler.Reported(key, &request.Reports[i]) {
+			reply.Unwanted = append(reply.Unwanted, request.Reports[i].Run)
+		}
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/itemwork/executor.go
@@ -0,0 +1,245 @@
+package itemwork
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/eventstream"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/pause"
+)
+
+const (
+	// silenceLimit is how long an engine may make no event before the run is ended.
+	silenceLimit = 1600 * time.Millisecond
+	// judgeTimeout bounds one reward call.
+	judgeTimeout = 3 * time.Second
+	// judgePause is the pause after a reward call that was not completed.
+	judgePause = 100 * time.Millisecond
+)
+
+// Event is one event of a stream.
+type Event struct {
+	ID   int64
+	Data string
+	// Version is the weight version that made it.
+	Version int64
+	// Pause is the time since the event before it; zero for the first of a run.
+	Pause time.Duration
+}
+
+// Sink takes in what a run yields, one call at a time.
+type Sink interface {
+	// Begun tells the weight version with which the engine begins its answer.
+	Begun(version int64)
+	// Made takes in an event.
+	Made(event Event)
+	// Restarted tells that the text so far cannot be used.
+	Restarted()
+	// StreamEnded is called once, unless the text was whole from the start.
+	StreamEnded(end End)
+	// Judged is called once a reward call has ended.
+	Judged(judgement Judgement)
+}
+
+// Executor carries out assignments.
+type Executor struct {
+	State     *fleet.State
+	Transport forward.Transport
+	Forwarder *forward.Forwarder
+	// Permitted reports whether a reward call may begin now; nil means always.
+	Permitted func() bool
+}
+
+// errSilent reports an engine that made no event for too long.
+var errSilent = errors.New("itemwork: engine silent")
+
+// Run carries out an assignment. The end of ctx ends it.
+func (e *Executor) Run(ctx context.Context, assignment *Assignment, sink Sink) {
+	if !assignment.Text.Whole {
+		started := time.Now()
+		verdict, err := e.stream(ctx, assignment, sink)
+		if ctx.Err() != nil && verdict != VerdictWhole && verdict != VerdictOutdated {
+			verdict = VerdictCanceled
+		}
+		end := End{Verdict: verdict, Took: time.Since(started)}
+		if err != nil {
+			end.Cause = err.Error()
+		}
+		sink.StreamEnded(end)
+		if verdict != VerdictWhole {
+			return
+		}
+	}
+	if assignment.Reward == nil {
+		return
+	}
+	if judgement := e.judge(ctx, assignment.Reward); judgement.Reached {
+		sink.Judged(judgement)
+	}
+}
+
+// stream runs the item at its engine.
+func (e *Executor) stream(ctx context.Context, assignment *Assignment, sink Sink) (Verdict, error) {
+	if known, ok := e.State.View().Engines[assignment.Engine.ID]; ok && !known.Ready {
+		return VerdictRefused, nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(silenceLimit, cancel)
+	defer silence.Stop()
+	verdict, err := e.send(ctx, assignment, silence, sink)
+	if err != nil && !silence.Stop() {
+		return VerdictBroken, errSilent
+	}
+	return verdict, err
+}
+
+func (e *Executor) send(ctx context.Context, assignment *Assignment, silence *time.Timer, sink Sink) (Verdict, error) {
+	engine := &fleet.Engine{ID: assignment.Engine.ID, Service: assignment.Engine.Service, Address: assignment.Engine.Address}
+	answer, err := e.Transport.Send(ctx, engine, assignment.request(), assignment.options())
+	if err != nil {
+		return VerdictBroken, err
+	}
+	defer answer.Body.Close()
+	switch {
+	case answer.Misdirected:
+		return VerdictGone, nil
+	case answer.NotRun:
+		return VerdictRefused, nil
+	case answer.Status == http.StatusUnprocessableEntity:
+		return VerdictImpossible, nil
+	case answer.Status >= http.StatusInternalServerError && answer.Signature != "":
+		return VerdictFailed, nil
+	case answer.Status != http.StatusOK || !answer.Valid:
+		return VerdictBroken, nil
+	}
+	reading := reading{sink: sink, bounds: assignment.Bounds, version: assignment.Engine.Version, lastID: assignment.Text.LastID}
+	if segments := assignment.Text.Segments; len(segments) > 0 {
+		reading.begun, reading.firstVersion = true, segments[0].Version
+	}
+	if answer.WeightVersion > 0 {
+		reading.version = answer.WeightVersion
+	}
+	sink.Begun(reading.version)
+	return reading.read(answer, silence)
+}
+
+// request returns what an engine is sent for the item.
+func (a *Assignment) request() *forward.Request {
+	header := make(http.Header, len(a.Header))
+	for name, value := range a.Header {
+		header.Set(name, value)
+	}
+	return &forward.Request{ID: a.Item, Method: http.MethodPost, Host: a.Host, Target: a.Path, Header: header, Body: a.Body}
+}
+
+func (a *Assignment) options() forward.SendOptions {
+	options := forward.SendOptions{TimeLeft: a.TimeLeft}
+	if a.Text.Len() > 0 {
+		options.Resume, options.LastEventID = true, a.Text.LastID
+	}
+	return options
+}
+
+// reading takes in the events of one answer.
+type reading struct {
+	sink   Sink
+	bounds Bounds
+	// version is the engine's, and firstVersion that of the text's first event; zero if it has none.
+	version, firstVersion int64
+	// begun is true once the text has an event, of which lastID is the ID of the last.
+	begun  bool
+	lastID int64
+}
+
+// read takes in events until the stream ends.
+func (r *reading) read(answer *forward.Answer, silence *time.Timer) (Verdict, error) {
+	events := eventstream.NewReader(answer.Body, answer.VersionField)
+	var last time.Time
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return VerdictWhole, nil
+		}
+		if err != nil {
+			return VerdictBroken, err
+		}
+		silence.Reset(silenceLimit)
+		now := time.Now()
+		var pause time.Duration
+		if !last.IsZero() {
+			pause = now.Sub(last)
+		}
+		last = now
+		if verdict, err := r.take(event, pause); verdict != VerdictNone {
+			return verdict, err
+		}
+	}
+}
+
+// take hands on an event. It returns how the run ends if the event cannot be used.
+func (r *reading) take(event eventstream.Event, pause time.Duration) (Verdict, error) {
+	if event.Extra != "" {
+		version, err := strconv.ParseInt(event.Extra, 10, 64)
+		if err != nil {
+			return VerdictBroken, err
+		}
+		r.version = version
+	}
+	if r.version < r.bounds.MinVersion {
+		r.sink.Begun(r.version)
+		return VerdictOutdated, nil
+	}
+	if r.bounds.SingleVersion && r.begun && r.firstVersion != r.version {
+		r.sink.Begun(r.version)
+		r.sink.Restarted()
+		return VerdictOutdated, nil
+	}
+	if !event.HasID || (r.begun && event.ID != r.lastID+1) {
+		return VerdictBroken, nil
+	}
+	if !r.begun {
+		r.begun, r.firstVersion = true, r.version
+	}
+	r.lastID = event.ID
+	r.sink.Made(Event{ID: event.ID, Data: event.Data, Version: r.version, Pause: pause})
+	return VerdictNone, nil
+}
+
+// judge calls until the text has a score or the call has failed as often as its route allows. The judgement is not reached if
+// ctx ends first.
+func (e *Executor) judge(ctx context.Context, reward *batch.Reward) Judgement {
+	failures := 0
+	for ctx.Err() == nil {
+		route := e.State.View().Routes.Match(reward.Host, reward.Path)
+		if route == nil || (e.Permitted != nil && !e.Permitted()) {
+			pause.For(ctx, judgePause)
+			continue
+		}
+		request := &forward.Request{
+			ID:     reward.ID,
+			Method: http.MethodPost,
+			Host:   reward.Host,
+			Target: reward.Path,
+			Header: http.Header{},
+			Body:   reward.Body,
+		}
+		result := e.Forwarder.Do(ctx, route, request, time.Now().Add(judgeTimeout))
+		failures += result.FailedAttempts
+		if result.Outcome == forward.Completed && result.Status >= 200 && result.Status < 300 {
+			return Judgement{Reached: true, Score: result.Signature, Failures: failures}
+		}
+		if failures >= route.MaxAttempts {
+			return Judgement{Reached: true, Dead: true, Failures: failures}
+		}
+		pause.For(ctx, max(judgePause, result.RetryAfter))
+	}
+	return Judgement{}
+}
--- /dev/null
+++ b/internal/itemwork/itemwork.go
@@ -0,0 +1,143 @@
+// Package itemwork carries runs of batch items from the coordinating process, which decides, to workers, which speak with the
+// engines.
+//
+// A Desk stands in the coordinating process and hands assignments to workers; a Worker stands in each gateway, fetches them
+// with a poll that waits, carries them out with an Executor, and reports what the engines make in batches.
+//
+// Guarantees: assignments and cancellations reach a worker in order and each takes effect at most once. A worker obeys one term
+// at a time, the highest that it knows. What a run has made outlives the coordinating process: a worker tells everything it
+// holds to the next term, ended runs for keepEnded. A worker begins no request of its own, such as a reward call, without having
+// heard from the coordinating process within permitLife.
+package itemwork
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/covelink/covelink/internal/batch"
+)
+
+// RunID names a run of an item: the term that began it and its number there.
+type RunID struct {
+	Term   int64
+	Number uint64
+}
+
+// String returns the ID's form in logs.
+func (id RunID) String() string { return fmt.Sprintf("%d.%d", id.Term, id.Number) }
+
+// Bounds are the weight versions that a job allows for a text.
+type Bounds struct {
+	// MinVersion is the oldest that may make an event.
+	MinVersion int64
+	// SingleVersion is true if one version must make all of them.
+	SingleVersion bool
+}
+
+// Target is the engine of a run.
+type Target struct {
+	ID      string
+	Service string
+	Address string
+	// Version is the weight version that the engine is believed to hold.
+	Version int64
+}
+
+// Assignment is a run that a worker is to carry out: the stream, unless the text is whole already, and then the reward call.
+type Assignment struct {
+	Run    RunID
+	Job    string
+	Item   string
+	Host   string
+	Path   string
+	Header map[string]string
+	Body   []byte
+	Engine Target
+	Bounds Bounds
+	// TimeLeft is what the engine may take; zero sets no bound.
+	TimeLeft time.Duration
+	// Text is what earlier runs have made; the stream goes on after it.
+	Text   Text
+	Reward *batch.Reward
+}
+
+// Verdict is how the stream of a run ended.
+type Verdict int
+
+// The verdicts.
+const (
+	// VerdictNone: the stream lasts.
+	VerdictNone Verdict = iota
+	// VerdictWhole: the text is complete.
+	VerdictWhole
+	// VerdictBroken: the stream broke off or never began; the item goes on elsewhere.
+	VerdictBroken
+	// VerdictRefused: the engine did not take the item.
+	VerdictRefused
+	// VerdictGone: the address belongs to another engine.
+	VerdictGone
+	// VerdictFailed: the engine answered 500.
+	VerdictFailed
+	// VerdictImpossible: the item can never be done.
+	VerdictImpossible
+	// VerdictOutdated: the engine's weights are too old for the item.
+	VerdictOutdated
+	// VerdictCanceled: the run was ended from here.
+	VerdictCanceled
+)
+
+var verdictNames = [...]string{"none", "whole", "broken", "refused", "gone", "failed", "impossible", "outdated", "canceled"}
+
+// String returns the verdict's name in logs and metrics.
+func (v Verdict) String() string { return verdictNames[v] }
+
+// End is how the stream of a run ended.
+type End struct {
+	Verdict Verdict
+	// Cause is the error that ended it, for logs.
+	Cause string
+	// Took is the time from the start of the run to its end.
+	Took time.Duration
+}
+
+// Judgement is the end of the reward call of a whole text.
+type Judgement struct {
+	// Reached is false until the call has ended.
+	Reached bool
+	// Score is the signature of the answer.
+	Score string
+	// Dead is true if the call failed as often as its route allows.
+	Dead bool
+	// Failures counts the failed calls.
+	Failures int
+}
+
+// Report tells what is new of a run since what its receiver has taken in.
+type Report struct {
+	Run    RunID
+	Job    string
+	Item   string
+	Engine string
+	// From is the number of events of the text that the receiver holds already.
+	From     int
+	Segments []Segment
+	// LastID is the ID of the last event of the text.
+	LastID int64
+	// Restarted is true if the text so far cannot be used; the run has ended then.
+	Restarted bool
+	// Version is the engine's weight version, as far as it is known.
+	Version int64
+	// Pauses is the time between the new events, and PauseCount the number of pauses.
+	Pauses     time.Duration
+	PauseCount int
+	End        End
+	Judgement  Judgement
+}
+
+// final reports whether nothing more will be told of the run.
+func (r *Report) final(judged bool) bool {
+	if r.End.Verdict == VerdictNone {
+		return false
+	}
+	return r.End.Verdict != VerdictWhole || !judged || r.Judgement.Reached
+}
--- /dev/null
+++ b/internal/itemwork/worker.go
@@ -0,0 +1,337 @@
+package itemwork
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/covelink/covelink/internal/pause"
+)
+
+const (
+	// permitLife is how long ago the coordinating process must have been heard from for a request to begin.
+	permitLife = 2 * time.Second
+	// keepEnded is how long an ended run is kept after it was reported, for a later term.
+	keepEnded = 10 * time.Second
+	// maxKeptBytes bounds the texts of ended runs.
+	maxKeptBytes = 12 << 20
+	// progressInterval is the pause between two reports of what running streams make.
+	progressInterval = 300 * time.Millisecond
+	// retryPause is the pause after a call that failed.
+	retryPause = 150 * time.Millisecond
+	// callMargin is how long a call may take beyond what it waits.
+	callMargin = 700 * time.Millisecond
+	// maxReportBytes bounds the texts of one call.
+	maxReportBytes = 1 << 20
+	// flushTime is how long a worker that stops tries to report what its runs have made.
+	flushTime = 600 * time.Millisecond
+)
+
+// WorkerParams are what a Worker works with.
+type WorkerParams struct {
+	// Name is the node's, Zone its zone, and Instance the name of this start of the process.
+	Name, Zone, Instance string
+	Executor             *Executor
+	// Coordinator returns the internal address of the coordinating process, or "".
+	Coordinator func() string
+	// Poll and Report call the process at an address.
+	Poll   func(ctx context.Context, address string, request PollRequest) (PollReply, error)
+	Report func(ctx context.Context, address string, request ReportRequest) (ReportReply, error)
+	// Draining is true once the process stops: nothing new is assigned then.
+	Draining func() bool
+	Logger   log.Logger
+}
+
+// Worker carries out runs for the coordinating process. It is safe for concurrent use.
+type Worker struct {
+	WorkerParams
+
+	mu sync.Mutex
+	// term is the highest that is known, and taken the number of the last order of it.
+	term  int64
+	taken uint64
+	// heard is when the call began that the coordinating process answered last.
+	heard    time.Time
+	interval time.Duration
+	runs     map[RunID]*workerRun
+	order    []RunID
+	// ended tells the reporter of runs that have ended.
+	ended   chan struct{}
+	running sync.WaitGroup
+	// life ends all runs.
+	life context.Context
+	end  context.CancelFunc
+}
+
+// NewWorker returns a Worker. Run starts it.
+func NewWorker(params WorkerParams) *Worker {
+	w := &Worker{WorkerParams: params, runs: make(map[RunID]*workerRun), ended: make(chan struct{}, 1)}
+	w.life, w.end = context.WithCancel(context.Background())
+	w.Executor.Permitted = w.permitted
+	return w
+}
+
+// permitted reports whether the coordinating process was heard from lately.
+func (w *Worker) permitted() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.heard) < permitLife
+}
+
+// Run fetches assignments and reports on them until ctx ends. Then it ends all runs and tells what they have made.
+func (w *Worker) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { w.pollUntil(ctx) })
+	loops.Go(func() { w.reportUntil(ctx) })
+	loops.Wait()
+	w.end()
+	w.running.Wait()
+	w.flush()
+}
+
+// pollUntil fetches orders until ctx ends.
+func (w *Worker) pollUntil(ctx context.Context) {
+	for ctx.Err() == nil {
+		reply, err := w.pollOnce(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil || !reply.Leading {
+			pause.For(ctx, retryPause)
+			continue
+		}
+		w.obey(reply)
+	}
+}
+
+func (w *Worker) pollOnce(ctx context.Context) (PollReply, error) {
+	address := w.Coordinator()
+	if address == "" {
+		return PollReply{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, pollWait+callMargin)
+	defer cancel()
+	w.mu.Lock()
+	request := PollRequest{Worker: w.identity(), Term: w.term, Taken: w.taken}
+	w.mu.Unlock()
+	started := time.Now()
+	reply, err := w.Poll(ctx, address, request)
+	if err == nil && reply.Leading {
+		w.hear(started, reply.Term)
+	}
+	return reply, err
+}
+
+func (w *Worker) identity() WorkerID {
+	return WorkerID{Name: w.Name, Zone: w.Zone, Instance: w.Instance, Leaving: w.Draining()}
+}
+
+// hear notes that the coordinating process of a term has answered a call. The holder of a new term is told everything.
+func (w *Worker) hear(started time.Time, term int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if term < w.term {
+		return
+	}
+	if started.After(w.heard) {
+		w.heard = started
+	}
+	if term == w.term {
+		return
+	}
+	level.Info(w.Logger).Log("msg", "coordinator changed", "term", term, "before", w.term, "runs", len(w.runs))
+	w.term, w.taken = term, 0
+	for _, run := range w.runs {
+		run.forgetReports()
+	}
+	w.poke()
+}
+
+// obey carries out the orders of a reply that are new.
+func (w *Worker) obey(reply PollReply) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if reply.Term != w.term {
+		return
+	}
+	for _, order := range reply.Orders {
+		if order.Number <= w.taken {
+			continue
+		}
+		w.taken = order.Number
+		if order.Start != nil {
+			w.start(order.Start)
+			continue
+		}
+		if run, ok := w.runs[order.Cancel]; ok {
+			run.cancel()
+		}
+	}
+}
+
+// start begins a run. The mutex must be held.
+func (w *Worker) start(assignment *Assignment) {
+	if w.life.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(w.life)
+	run := &workerRun{worker: w, assignment: assignment, text: assignment.Text, cancel: cancel, version: assignment.Engine.Version}
+	run.reported = run.text.Len()
+	w.runs[assignment.Run] = run
+	w.order = append(w.order, assignment.Run)
+	w.running.Go(func() {
+		defer cancel()
+		w.Executor.Run(ctx, assignment, run)
+	})
+}
+
+// poke makes the reporter report at once.
+func (w *Worker) poke() {
+	select {
+	case w.ended <- struct{}{}:
+	default:
+	}
+}
+
+// reportUntil reports until ctx ends.
+func (w *Worker) reportUntil(ctx context.Context) {
+	for ctx.Err() == nil {
+		timer := time.NewTimer(progressInterval)
+		select {
+		case <-w.ended:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		w.forget()
+		if more, err := w.reportOnce(ctx); err != nil || more {
+			w.poke()
+			if err != nil {
+				pause.For(ctx, retryPause)
+			}
+		}
+		w.mu.Lock()
+		interval := w.interval
+		w.mu.Unlock()
+		pause.For(ctx, interval)
+	}
+}
+
+// flush reports what is left at the end.
+func (w *Worker) flush() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		more, err := w.reportOnce(ctx)
+		if err == nil && !more {
+			return
+		}
+		pause.For(ctx, retryPause)
+	}
+}
+
+// errNotTaken reports a call that no coordinating process took in.
+type errNotTaken struct{}
+
+func (errNotTaken) Error() string { return "itemwork: reports not taken" }
+
+// reportOnce reports what is new. It reports whether there is more.
+func (w *Worker) reportOnce(ctx context.Context) (more bool, err error) {
+	request, more := w.batch()
+	if len(request.Reports) == 0 {
+		return false, nil
+	}
+	address := w.Coordinator()
+	if address == "" {
+		return true, errNotTaken{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callMargin)
+	defer cancel()
+	started := time.Now()
+	reply, err := w.Report(ctx, address, request)
+	if err != nil {
+		return true, err
+	}
+	if !reply.Leading {
+		return true, errNotTaken{}
+	}
+	w.hear(started, reply.Term)
+	if reply.Term != request.Term {
+		return true, nil
+	}
+	w.acknowledge(request, reply)
+	return more, nil
+}
+
+// batch returns what is new of the runs, as much as fits one call, and whether there is more.
+func (w *Worker) batch() (request ReportRequest, more bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	request = ReportRequest{Worker: w.identity(), Term: w.term}
+	size := 0
+	for _, id := range w.order {
+		run := w.runs[id]
+		if run == nil || !run.news() {
+			continue
+		}
+		if size > maxReportBytes {
+			return request, true
+		}
+		report := run.report()
+		for _, segment := range report.Segments {
+			for _, event := range segment.Events {
+				size += len(event)
+			}
+		}
+		request.Reports = append(request.Reports, report)
+	}
+	return request, false
+}
+
+// acknowledge notes that reports were taken in.
+func (w *Worker) acknowledge(request ReportRequest, reply ReportReply) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if request.Term != w.term {
+		return
+	}
+	w.interval = reply.Interval
+	for i := range request.Reports {
+		if run := w.runs[request.Reports[i].Run]; run != nil {
+			run.take(&request.Reports[i])
+		}
+	}
+	for _, id := range reply.Unwanted {
+		if run := w.runs[id]; run != nil {
+			run.cancel()
+			delete(w.runs, id)
+		}
+	}
+}
+
+// forget drops ended runs that were reported long ago, or that are too large together.
+func (w *Worker) forget() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	bytes := 0
+	for i := len(w.order) - 1; i >= 0; i-- {
+		run := w.runs[w.order[i]]
+		if run == nil || run.endReported.IsZero() {
+			continue
+		}
+		bytes += run.text.Size()
+		if bytes > maxKeptBytes || time.Since(run.endReported) > keepEnded {
+			delete(w.runs, w.order[i])
+		}
+	}
+	kept := w.order[:0]
+	for _, id := range w.order {
+		if _, ok := w.runs[id]; ok {
+			kept = append(kept, id)
+		}
+	}
+	w.order = kept
+}
--- /dev/null
+++ b/internal/itemwork/worker_run.go
@@ -0,0 +1,123 @@
+package itemwork
+
+import "time"
+
+// workerRun is a run that a worker carries out or has carried out. The worker's mutex guards it. It implements Sink.
+type workerRun struct {
+	worker     *Worker
+	assignment *Assignment
+	cancel     func()
+	text       Text
+	restarted  bool
+	// version is the engine's weight version, as far as it is known.
+	version    int64
+	pauses     time.Duration
+	pauseCount int
+	end        End
+	judgement  Judgement
+	// reported is the number of events that the coordinating process has taken in.
+	reported int
+	// verdictReported is the verdict that it has taken in, and endReported when it took in the run's end.
+	verdictReported Verdict
+	endReported     time.Time
+}
+
+var _ Sink = (*workerRun)(nil)
+
+// Begun implements Sink.
+func (r *workerRun) Begun(version int64) {
+	r.worker.mu.Lock()
+	defer r.worker.mu.Unlock()
+	r.version = version
+}
+
+// Made implements Sink.
+func (r *workerRun) Made(event Event) {
+	r.worker.mu.Lock()
+	defer r.worker.mu.Unlock()
+	r.text.Add(event.ID, event.Data, event.Version)
+	r.version = event.Version
+	if event.Pause > 0 {
+		r.pauses += event.Pause
+		r.pauseCount++
+	}
+}
+
+// Restarted implements Sink.
+func (r *workerRun) Restarted() {
+	r.worker.mu.Lock()
+	defer r.worker.mu.Unlock()
+	r.text, r.restarted = Text{}, true
+}
+
+// StreamEnded implements Sink.
+func (r *workerRun) StreamEnded(end End) {
+	r.worker.mu.Lock()
+	defer r.worker.mu.Unlock()
+	r.end = end
+	r.text.Whole = end.Verdict == VerdictWhole
+	r.worker.poke()
+}
+
+// Judged implements Sink.
+func (r *workerRun) Judged(judgement Judgement) {
+	r.worker.mu.Lock()
+	defer r.worker.mu.Unlock()
+	r.judgement = judgement
+	r.worker.poke()
+}
+
+// over reports whether nothing more comes of the run.
+func (r *workerRun) over() bool {
+	if r.end.Verdict != VerdictWhole {
+		return r.end.Verdict != VerdictNone
+	}
+	return r.assignment.Reward == nil || r.judgement.Reached
+}
+
+// news reports whether there is something that the coordinating process has not taken in.
+func (r *workerRun) news() bool {
+	if r.over() {
+		return r.endReported.IsZero()
+	}
+	return r.pauseCount > 0 || r.text.Len() > r.reported || r.end.Verdict != r.verdictReported
+}
+
+// forgetReports makes the run tell everything again.
+func (r *workerRun) forgetReports() {
+	r.reported, r.verdictReported, r.endReported = 0, VerdictNone, time.Time{}
+}
+
+// report tells what is new.
+func (r *workerRun) report() Report {
+	return Report{
+		Run:        r.assignment.Run,
+		Job:        r.assignment.Job,
+		Item:       r.assignment.Item,
+		Engine:     r.assignment.Engine.ID,
+		From:       r.reported,
+		Segments:   r.text.After(r.reported),
+		LastID:     r.text.LastID,
+		Restarted:  r.restarted,
+		Version:    r.version,
+		Pauses:     r.pauses,
+		PauseCount: r.pauseCount,
+		End:        r.end,
+		Judgement:  r.judgement,
+	}
+}
+
+// take notes that a report was taken in.
+func (r *workerRun) take(report *Report) {
+	told := report.From
+	for _, segment := range report.Segments {
+		told += len(segment.Events)
+	}
+	r.reported = max(r.reported, told)
+	r.pauses -= report.Pauses
+	r.pauseCount -= report.PauseCount
+	r.verdictReported = report.End.Verdict
+	if r.over() && report.End == r.end && report.Judgement == r.judgement {
+		r.endReported = time.Now()
+	}
+}
