itemwork: a reward call that was broken off is made again

Change: the end of a reward call is told in every case; the coordinator makes an aborted one itself.

--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -159,7 +159,7 @@
 	if known.streaming && report.End.Verdict != itemwork.VerdictNone {
 		r.streamEnded(known, report)
 	}
-	if known.current() && report.Judgement.Reached {
+	if known.current() && report.Judgement.State != itemwork.JudgementOpen {
 		r.judged(known, report.Judgement)
 	}
 	if known.item.job.ended {
@@ -255,17 +255,20 @@
 	}
 }
 
-// judged lists an item whose reward call has ended.
+// judged lists an item whose reward call has ended. A call that was broken off is made again from here.
 func (r *Runner) judged(ended *run, judgement itemwork.Judgement) {
 	it := ended.item
 	ended.over = true
-	result := it.result(judgement.Score)
-	if judgement.Dead {
+	switch judgement.State {
+	case itemwork.JudgementReached:
+		r.list(it, it.result(judgement.Score))
+	case itemwork.JudgementFailed:
 		level.Info(r.Logger).Log("msg", "item given up", "request", it.ID, "job", it.job.ID, "reason", "reward call failed too often",
 			"call", it.Reward.ID, "failures", judgement.Failures)
-		result = batch.Result{ID: it.ID, State: batch.Dead}
+		r.list(it, batch.Result{ID: it.ID, State: batch.Dead})
+	default:
+		r.judgeHere(it)
 	}
-	r.list(it, result)
 }
 
 // WorkerLost implements itemwork.Handler.
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -44,7 +44,7 @@
 	Restarted()
 	// StreamEnded is called once, unless the text was whole from the start.
 	StreamEnded(end End)
-	// Judged is called once a reward call has ended.
+	// Judged is called once the reward call of a whole text has ended; never for items without one.
 	Judged(judgement Judgement)
 }
 
@@ -80,9 +80,7 @@
 	if assignment.Reward == nil {
 		return
 	}
-	if judgement := e.judge(ctx, assignment.Reward); judgement.Reached {
-		sink.Judged(judgement)
-	}
+	sink.Judged(e.judge(ctx, assignment.Reward))
 }
 
 // stream runs the item at its engine.
@@ -213,7 +211,7 @@
 	return VerdictNone, nil
 }
 
-// judge calls until the text has a score or the call has failed as often as its route allows. The judgement is not reached if
+// judge calls until the text has a score or the call has failed as often as its route allows. The judgement is aborted if
 // ctx ends first.
 func (e *Executor) judge(ctx context.Context, reward *batch.Reward) Judgement {
 	failures := 0
@@ -234,12 +232,12 @@
 		result := e.Forwarder.Do(ctx, route, request, time.Now().Add(judgeTimeout))
 		failures += result.FailedAttempts
 		if result.Outcome == forward.Completed && result.Status >= 200 && result.Status < 300 {
-			return Judgement{Reached: true, Score: result.Signature, Failures: failures}
+			return Judgement{State: JudgementReached, Score: result.Signature, Failures: failures}
 		}
 		if failures >= route.MaxAttempts {
-			return Judgement{Reached: true, Dead: true, Failures: failures}
+			return Judgement{State: JudgementFailed, Failures: failures}
 		}
 		pause.For(ctx, max(judgePause, result.RetryAfter))
 	}
-	return Judgement{}
+	return Judgement{State: JudgementAborted, Failures: failures}
 }
--- a/internal/itemwork/itemwork.go
+++ b/internal/itemwork/itemwork.go
@@ -100,14 +100,26 @@
 	Took time.Duration
 }
 
+// JudgementState is how far the reward call of a whole text has come.
+type JudgementState int
+
+// The states.
+const (
+	// JudgementOpen: the call has not ended.
+	JudgementOpen JudgementState = iota
+	// JudgementReached: the text has its score.
+	JudgementReached
+	// JudgementFailed: the call failed as often as its route allows.
+	JudgementFailed
+	// JudgementAborted: the call was ended from here; it may be made again.
+	JudgementAborted
+)
+
 // Judgement is the end of the reward call of a whole text.
 type Judgement struct {
-	// Reached is false until the call has ended.
-	Reached bool
-	// Score is the signature of the answer.
+	State JudgementState
+	// Score is the signature of the answer, if reached.
 	Score string
-	// Dead is true if the call failed as often as its route allows.
-	Dead bool
 	// Failures counts the failed calls.
 	Failures int
 }
@@ -133,11 +145,3 @@
 	End        End
 	Judgement  Judgement
 }
-
-// final reports whether nothing more will be told of the run.
-func (r *Report) final(judged bool) bool {
-	if r.End.Verdict == VerdictNone {
-		return false
-	}
-	return r.End.Verdict != VerdictWhole || !judged || r.Judgement.Reached
-}
--- a/internal/itemwork/worker_run.go
+++ b/internal/itemwork/worker_run.go
@@ -72,7 +72,7 @@
 	if r.end.Verdict != VerdictWhole {
 		return r.end.Verdict != VerdictNone
 	}
-	return r.assignment.Reward == nil || r.judgement.Reached
+	return r.assignment.Reward == nil || r.judgement.State != JudgementOpen
 }
 
 // news reports whether there is something that the coordinating process has not taken in.
