itemwork: orders are numbered for all workers of a term; unwanted runs report their end

A run that was told to be unwanted was forgotten at once, so that its end was never told and its engine's slot stayed taken (12 runs 'lost' 6 s after their job's end). Ruled out: engines, loads (orders went through). Change: one count of orders a term; a run that is not wanted reports its end first; a stream that nothing is heard of for 3.5 s is given up.

--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -34,6 +34,7 @@
 		r.mu.Lock()
 		left := r.schedule()
 		running := r.moveSlow()
+		r.loseUnheard()
 		r.mu.Unlock()
 		pause := idleInterval
 		switch {
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -20,6 +20,8 @@
 	adoptTime = 500 * time.Millisecond
 	// lostVerdict is the name in logs and metrics of runs whose worker is not heard of any more.
 	lostVerdict = "lost"
+	// maxUnheard is how long a stream at a worker may go without a report: longer than an engine may be silent.
+	maxUnheard = 3500 * time.Millisecond
 )
 
 // run is one run of an item at an engine. The runner's mutex guards it.
@@ -31,6 +33,8 @@
 	worker  string
 	cancel  func()
 	started time.Time
+	// heard is when the run was last reported.
+	heard time.Time
 	// streaming is true until the stream has ended, and over once nothing more is expected of the run.
 	streaming bool
 	over      bool
@@ -93,7 +97,7 @@
 
 // newRun notes a run on which an item relies. The mutex must be held.
 func (r *Runner) newRun(id itemwork.RunID, it *item, engine string) *run {
-	begun := &run{id: id, item: it, engine: engine, started: r.now(), cancel: func() {}}
+	begun := &run{id: id, item: it, engine: engine, started: r.now(), heard: r.now(), cancel: func() {}}
 	it.run = begun
 	it.job.runs = append(it.job.runs, id)
 	r.runs[id] = begun
@@ -150,6 +154,7 @@
 	if known.over {
 		return true
 	}
+	known.heard = r.now()
 	r.observe(known, report)
 	if known.current() && !known.item.text.Merge(report) {
 		level.Warn(r.Logger).Log("msg", "report does not fit", "request", known.item.ID, "run", known.id, "from", report.From)
@@ -283,6 +288,17 @@
 	r.poke()
 }
 
+// loseUnheard gives up the runs whose worker has told nothing of them for too long. The mutex must be held.
+func (r *Runner) loseUnheard() {
+	now := r.now()
+	for _, known := range r.runs {
+		if known.worker != "" && known.streaming && now.Sub(known.heard) > maxUnheard {
+			known.cancel()
+			r.lose(known)
+		}
+	}
+}
+
 // lose gives a run up of which nothing more will be heard. The mutex must be held.
 func (r *Runner) lose(lost *run) {
 	it := lost.item
--- a/internal/itemwork/calls.go
+++ b/internal/itemwork/calls.go
@@ -37,7 +37,7 @@
 
 // Order tells a worker to begin a run or to end one.
 type Order struct {
-	// Number is one higher than that of the order before it.
+	// Number is higher than those of the worker's earlier orders of the term.
 	Number uint64
 	// Start is the run to begin, or nil.
 	Start *Assignment
--- a/internal/itemwork/desk.go
+++ b/internal/itemwork/desk.go
@@ -43,6 +43,9 @@
 	term    int64
 	handler Handler
 	workers map[string]*deskWorker
+	// orderCount is the number of the newest order of the term, of whichever worker: one that is met again has carried out
+	// earlier ones.
+	orderCount uint64
 	// carriers are the workers of engines, by the engine's ID.
 	carriers map[string]*deskWorker
 }
@@ -55,7 +58,6 @@
 	deadline time.Time
 	// orders are those that it is not known to have carried out.
 	orders []Order
-	next   uint64
 	// ready is closed when there are orders.
 	ready chan struct{}
 }
@@ -69,7 +71,7 @@
 // Lead serves workers for a term until ctx ends.
 func (d *Desk) Lead(ctx context.Context, term int64, handler Handler) {
 	d.mu.Lock()
-	d.term, d.handler = term, handler
+	d.term, d.handler, d.orderCount = term, handler, 0
 	d.workers = make(map[string]*deskWorker)
 	d.carriers = make(map[string]*deskWorker)
 	d.mu.Unlock()
@@ -143,7 +145,7 @@
 	if carrier == nil {
 		return "", false
 	}
-	carrier.add(Order{Start: assignment})
+	d.add(carrier, Order{Start: assignment})
 	return carrier.key(), true
 }
 
@@ -171,15 +173,15 @@
 	defer d.mu.Unlock()
 	for _, known := range d.workers {
 		if known.key() == worker {
-			known.add(Order{Cancel: run})
+			d.add(known, Order{Cancel: run})
 		}
 	}
 }
 
-// add queues an order. The desk's mutex must be held.
-func (w *deskWorker) add(order Order) {
-	w.next++
-	order.Number = w.next
+// add queues an order. The mutex must be held.
+func (d *Desk) add(w *deskWorker, order Order) {
+	d.orderCount++
+	order.Number = d.orderCount
 	w.orders = append(w.orders, order)
 	if len(w.orders) == 1 {
 		close(w.ready)
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -305,10 +305,19 @@
 		}
 	}
 	for _, id := range reply.Unwanted {
-		if run := w.runs[id]; run != nil {
-			run.cancel()
-			delete(w.runs, id)
-		}
+		w.refuse(id)
+	}
+}
+
+// refuse ends a run that is not wanted. Its end is reported before it is forgotten. The mutex must be held.
+func (w *Worker) refuse(id RunID) {
+	run := w.runs[id]
+	if run == nil {
+		return
+	}
+	run.cancel()
+	if !run.endReported.IsZero() {
+		delete(w.runs, id)
 	}
 }
 
