itemwork, batchrun: tests of workers; a worker pauses when an earlier term answers

Found by the test of terms: a worker that knew a later term called one that answered for an earlier term again and again without a pause. Now it pauses as after a call that failed.

--- a/internal/batchrun/kit_test.go
+++ b/internal/batchrun/kit_test.go
@@ -18,6 +18,7 @@
 	"github.com/covelink/covelink/internal/batchrun"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/metastore/metastoretest"
 	"github.com/covelink/covelink/internal/routing"
 )
@@ -147,6 +148,8 @@
 	stop    func()
 	// maxEndedBytes is that of the runners.
 	maxEndedBytes int
+	// desk is that of the runners; nil if they carry out all runs themselves.
+	desk *itemwork.Desk
 }
 
 func newWorld(route routing.Route) *world {
@@ -177,6 +180,7 @@
 		Forwarder:     forwarder,
 		Store:         w.store.Client(),
 		MaxEndedBytes: w.maxEndedBytes,
+		Desk:          w.desk,
 		Logger:        log.NewNopLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/batchrun/remote_test.go
@@ -0,0 +1,285 @@
+package batchrun_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/itemwork"
+	"github.com/covelink/covelink/internal/routing"
+)
+
+// deskWorld is a world whose runners hand their runs to workers.
+type deskWorld struct {
+	*world
+	desk atomic.Pointer[itemwork.Desk]
+	// cut makes calls to the desk go unanswered.
+	cut atomic.Bool
+}
+
+func playDesk(t *testing.T, name string, scene func(w *deskWorld)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &deskWorld{world: newWorld(routing.Route{})}
+		w.stop()
+		w.lead(1)
+		defer func() { w.stop() }()
+		Convey(name, t, func() { scene(w) })
+	})
+}
+
+// lead starts a runner with a desk and a term of its own, once the one before has stopped.
+func (w *deskWorld) lead(token int64) {
+	desk := itemwork.NewDesk(log.NewNopLogger())
+	w.desk.Store(desk)
+	w.world.desk = desk
+	w.runner, w.stop = w.world.lead(token)
+}
+
+// work starts a worker and returns what stops it.
+func (w *deskWorld) work(name string) (stop func()) {
+	worker := itemwork.NewWorker(itemwork.WorkerParams{
+		Name:     name,
+		Instance: "first",
+		Executor: &itemwork.Executor{
+			State:     w.state,
+			Transport: w.engines,
+			Forwarder: forward.New(w.state, w.engines, forward.NewPicker(time.Now), log.NewNopLogger()),
+		},
+		Coordinator: func() string { return "desk" },
+		Poll: func(ctx context.Context, _ string, request itemwork.PollRequest) (itemwork.PollReply, error) {
+			if w.cut.Load() {
+				<-ctx.Done()
+				return itemwork.PollReply{}, ctx.Err()
+			}
+			return w.desk.Load().Poll(ctx, request), nil
+		},
+		Report: func(ctx context.Context, _ string, request itemwork.ReportRequest) (itemwork.ReportReply, error) {
+			if w.cut.Load() {
+				<-ctx.Done()
+				return itemwork.ReportReply{}, ctx.Err()
+			}
+			return w.desk.Load().Report(request), nil
+		},
+		Draining: func() bool { return false },
+		Logger:   log.NewNopLogger(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		worker.Run(ctx)
+		close(done)
+	}()
+	time.Sleep(time.Second)
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// submit submits a job of some items.
+func (w *deskWorld) submit(id string, items int) {
+	So(w.runner.Submit(context.Background(), newJob(id, items)), ShouldBeNil)
+}
+
+func (w *deskWorld) shouldBeWhole(results []batch.Result, items int) {
+	So(len(results), ShouldEqual, items)
+	for _, result := range results {
+		So(result, ShouldResemble, batch.Result{ID: result.ID, Text: w.wholeText(), Versions: []int64{1}, Score: "signed"})
+	}
+}
+
+func TestWorkers(t *testing.T) {
+	playDesk(t, "Items that workers run get one whole result each, from one run", func(w *deskWorld) {
+		defer w.work("one")()
+		defer w.work("two")()
+		w.submit("j", 6)
+		w.shouldBeWhole(w.results("j", 2*time.Second), 6)
+		for i := range 6 {
+			So(len(w.engines.of(fmt.Sprintf("j-%d", i))), ShouldEqual, 1)
+		}
+	})
+	playDesk(t, "A later term takes over what workers hold: runs that last, ended ones, and none is begun again", func(w *deskWorld) {
+		defer w.work("one")()
+		w.engines.set("b", behaviour{pause: 100 * time.Millisecond})
+		w.submit("j", 4)
+		time.Sleep(300 * time.Millisecond)
+		w.stop()
+		time.Sleep(500 * time.Millisecond)
+		w.lead(2)
+		w.shouldBeWhole(w.results("j", 3*time.Second), 4)
+		for i := range 4 {
+			So(len(w.engines.of(fmt.Sprintf("j-%d", i))), ShouldEqual, 1)
+		}
+	})
+	playDesk(t, "A worker that stops tells what its runs have made: the items go on after it", func(w *deskWorld) {
+		stop := w.work("one")
+		w.submit("j", 1)
+		time.Sleep(150 * time.Millisecond)
+		stop()
+		w.shouldBeWhole(w.results("j", 4*time.Second), 1)
+		runs := w.engines.of("j-0")
+		So(len(runs), ShouldEqual, 2)
+		So(runs[1].from, ShouldBeGreaterThan, 3)
+	})
+	playDesk(t, "The items of a worker that is not heard of any more go on elsewhere within 2 s, after what it has told", func(w *deskWorld) {
+		defer w.work("one")()
+		w.engines.set("a", behaviour{pause: 100 * time.Millisecond})
+		w.engines.set("b", behaviour{pause: 100 * time.Millisecond})
+		w.submit("j", 1)
+		time.Sleep(700 * time.Millisecond)
+		w.cut.Store(true)
+		time.Sleep(2500 * time.Millisecond)
+		runs := w.engines.of("j-0")
+		So(len(runs), ShouldEqual, 2)
+		So(runs[1].from, ShouldBeGreaterThan, 2)
+		w.shouldBeWhole(w.results("j", 2*time.Second), 1)
+	})
+	playDesk(t, "A worker that hears nothing of the coordinator begins no reward call", func(w *deskWorld) {
+		defer w.work("one")()
+		w.engines.set("a", behaviour{pause: 150 * time.Millisecond})
+		w.engines.set("b", behaviour{pause: 150 * time.Millisecond})
+		w.submit("j", 1)
+		time.Sleep(100 * time.Millisecond)
+		w.cut.Store(true)
+		w.stop()
+		time.Sleep(5 * time.Second)
+		So(len(w.engines.of("j-0")), ShouldEqual, 1)
+		So(w.engines.of("reward-j-0"), ShouldBeEmpty)
+		w.cut.Store(false)
+		w.lead(2)
+		w.shouldBeWhole(w.results("j", time.Second), 1)
+		So(len(w.engines.of("reward-j-0")), ShouldEqual, 1)
+	})
+}
+
+// handWorker is a worker whose calls the test makes.
+type handWorker struct {
+	desk  *itemwork.Desk
+	id    itemwork.WorkerID
+	term  int64
+	taken uint64
+}
+
+func (w *deskWorld) handWorker() *handWorker {
+	worker := &handWorker{desk: w.desk.Load(), id: itemwork.WorkerID{Name: "hand", Instance: "first"}}
+	worker.poll()
+	return worker
+}
+
+// poll returns the orders that are new.
+func (h *handWorker) poll() []itemwork.Order {
+	reply := h.desk.Poll(context.Background(), itemwork.PollRequest{Worker: h.id, Term: h.term, Taken: h.taken})
+	h.term = reply.Term
+	var orders []itemwork.Order
+	for _, order := range reply.Orders {
+		if order.Number > h.taken {
+			h.taken = order.Number
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
+// stay polls for some seconds and returns the runs that were to begin.
+func (h *handWorker) stay(seconds int) (started []*itemwork.Assignment) {
+	until := time.Now().Add(time.Duration(seconds) * time.Second)
+	for time.Now().Before(until) {
+		for _, order := range h.poll() {
+			if order.Start != nil {
+				started = append(started, order.Start)
+			}
+		}
+	}
+	return started
+}
+
+// report reports on a run with a text of one event, and returns the runs that are not wanted.
+func (h *handWorker) report(assignment *itemwork.Assignment, end itemwork.Verdict, judgement itemwork.Judgement) []itemwork.RunID {
+	reply := h.desk.Report(itemwork.ReportRequest{Worker: h.id, Term: h.term, Reports: []itemwork.Report{{
+		Run:       assignment.Run,
+		Job:       assignment.Job,
+		Item:      assignment.Item,
+		Engine:    assignment.Engine.ID,
+		Segments:  []itemwork.Segment{{Version: 1, Events: []string{"e1"}}},
+		LastID:    1,
+		Version:   1,
+		End:       itemwork.End{Verdict: end},
+		Judgement: judgement,
+	}}})
+	So(reply.Leading, ShouldBeTrue)
+	return reply.Unwanted
+}
+
+// A step of Cairnpath grown's quiet day waited for one item of 80: an order to move the item met the end of its stream, and the
+// worker broke the reward call off.
+func TestAbortedRewardCall(t *testing.T) {
+	playDesk(t, "A reward call that a worker broke off is made again", func(w *deskWorld) {
+		worker := w.handWorker()
+		w.submit("j", 1)
+		started := worker.stay(1)
+		So(len(started), ShouldEqual, 1)
+		worker.report(started[0], itemwork.VerdictWhole, itemwork.Judgement{})
+		worker.report(started[0], itemwork.VerdictWhole, itemwork.Judgement{State: itemwork.JudgementAborted})
+		results := w.results("j", time.Second)
+		So(results, ShouldResemble, []batch.Result{{ID: "j-0", Text: "e1", Versions: []int64{1}, Score: "signed"}})
+		So(len(w.engines.of("reward-j-0")), ShouldEqual, 1)
+	})
+}
+
+// A step of Cairnpath's trouble-3 stood for 10 s: a worker that had been frozen took the orders that came afterwards for old ones.
+func TestWorkerMetAgain(t *testing.T) {
+	playDesk(t, "A worker that was lost and is met again gets orders that it does not take for old ones", func(w *deskWorld) {
+		worker := w.handWorker()
+		w.submit("j", 3)
+		So(len(worker.stay(1)), ShouldEqual, 3)
+		time.Sleep(5 * time.Second)
+		worker.poll()
+		w.submit("k", 1)
+		So(len(worker.stay(1)), ShouldEqual, 1)
+	})
+	playDesk(t, "A run of which a worker tells nothing is begun again elsewhere, though the worker calls", func(w *deskWorld) {
+		worker := w.handWorker()
+		w.submit("j", 1)
+		So(len(worker.stay(2)), ShouldEqual, 1)
+		So(len(worker.stay(3)), ShouldEqual, 1)
+	})
+}
+
+// Slots of engines stayed taken after the end of a job whose runs were told to be unwanted.
+func TestSlotsAfterEnd(t *testing.T) {
+	playDesk(t, "The slots of an ended job's runs are free once their streams have ended, and not before", func(w *deskWorld) {
+		w.state.SetEngines([]*fleet.Engine{{ID: "a", Service: "pool", Slots: 1, Ready: true, Versions: map[string]int64{model: 1}}})
+		worker := w.handWorker()
+		w.submit("j", 1)
+		started := worker.stay(1)
+		So(len(started), ShouldEqual, 1)
+		So(w.runner.End(context.Background(), "j"), ShouldBeNil)
+		So(worker.report(started[0], itemwork.VerdictNone, itemwork.Judgement{}), ShouldResemble, []itemwork.RunID{started[0].Run})
+		w.submit("k", 1)
+		So(worker.stay(1), ShouldBeEmpty)
+		worker.report(started[0], itemwork.VerdictCanceled, itemwork.Judgement{})
+		So(len(worker.stay(1)), ShouldEqual, 1)
+	})
+	playDesk(t, "A failure that is reported twice counts once", func(w *deskWorld) {
+		worker := w.handWorker()
+		w.submit("j", 1)
+		for range 2 {
+			started := worker.stay(1)
+			So(len(started), ShouldEqual, 1)
+			for range 3 {
+				worker.report(started[0], itemwork.VerdictFailed, itemwork.Judgement{})
+			}
+		}
+		So(w.results("j", time.Second), ShouldBeEmpty)
+	})
+}
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -99,11 +100,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if err != nil || !reply.Leading {
+		if err != nil || !reply.Leading || !w.obey(reply) {
 			pause.For(ctx, retryPause)
-			continue
 		}
-		w.obey(reply)
 	}
 }
 
@@ -150,12 +149,12 @@
 	w.poke()
 }
 
-// obey carries out the orders of a reply that are new.
-func (w *Worker) obey(reply PollReply) {
+// obey carries out the orders of a reply that are new. It returns false if the reply is of an earlier term.
+func (w *Worker) obey(reply PollReply) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if reply.Term != w.term {
-		return
+		return false
 	}
 	for _, order := range reply.Orders {
 		if order.Number <= w.taken {
@@ -170,6 +169,7 @@
 			run.cancel()
 		}
 	}
+	return true
 }
 
 // start begins a run. The mutex must be held.
@@ -233,10 +233,8 @@
 	}
 }
 
-// errNotTaken reports a call that no coordinating process took in.
-type errNotTaken struct{}
-
-func (errNotTaken) Error() string { return "itemwork: reports not taken" }
+// errNotTaken reports a call that no coordinating process of the worker's term took in.
+var errNotTaken = errors.New("itemwork: reports not taken")
 
 // reportOnce reports what is new. It reports whether there is more.
 func (w *Worker) reportOnce(ctx context.Context) (more bool, err error) {
@@ -246,7 +244,7 @@
 	}
 	address := w.Coordinator()
 	if address == "" {
-		return true, errNotTaken{}
+		return true, errNotTaken
 	}
 	ctx, cancel := context.WithTimeout(ctx, callMargin)
 	defer cancel()
@@ -255,8 +253,8 @@
 	if err != nil {
 		return true, err
 	}
-	if !reply.Leading {
-		return true, errNotTaken{}
+	if !reply.Leading || reply.Term < request.Term {
+		return true, errNotTaken
 	}
 	w.hear(started, reply.Term)
 	if reply.Term != request.Term {
