batchrun: a look at the engines answers for an item in a few comparisons

Change: a look groups the engines with room by weight version, cheapest first, and remembers which engines were sent a shared prompt; looks that took long are followed by a pause of four times that.

--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -9,12 +9,15 @@
 
 	"github.com/covelink/covelink/coord/rendezvous"
 	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/routing"
 )
 
 const (
 	// scheduleInterval is the longest pause between two looks while items wait.
 	scheduleInterval = 100 * time.Millisecond
+	// restFactor is the least pause between two looks, relative to what the first took: many runs that end together are one look.
+	restFactor = 4
 	// idleInterval is the longest pause while nothing waits.
 	idleInterval = time.Second
 	// defaultSlots stands for engines that tell no slots.
@@ -29,21 +32,29 @@
 
 // scheduleUntil places items until ctx ends.
 func (r *Runner) scheduleUntil(ctx context.Context) {
+	var movedAt time.Time
+	running := 0
 	for ctx.Err() == nil {
 		_, changed := r.State.Changed()
 		r.mu.Lock()
-		left := r.schedule()
-		running := r.moveSlow()
-		r.loseUnheard()
+		started := r.now()
+		looked := r.newLook(r.State.View())
+		left := r.schedule(looked)
+		if started.Sub(movedAt) >= moveInterval {
+			running, movedAt = r.moveSlow(looked), started
+			r.loseUnheard()
+		}
+		took := r.now().Sub(started)
 		r.mu.Unlock()
-		pause := idleInterval
+		interval := idleInterval
 		switch {
 		case left > 0:
-			pause = scheduleInterval
+			interval = scheduleInterval
 		case running > 0:
-			pause = moveInterval
+			interval = moveInterval
 		}
-		timer := time.NewTimer(pause)
+		pause.For(ctx, min(restFactor*took, scheduleInterval))
+		timer := time.NewTimer(interval)
 		select {
 		case <-r.wake:
 		case <-changed:
@@ -55,28 +66,27 @@
 }
 
 // schedule places as many waiting items as there is room for, and returns how many are left. The mutex must be held.
-func (r *Runner) schedule() int {
-	view := r.State.View()
-	if view.Routes == nil {
+func (r *Runner) schedule(looked *look) int {
+	if looked.view.Routes == nil {
 		return 0
 	}
-	now := r.now()
 	left := 0
-	for _, waiting := range r.waiting(view) {
+	for _, waiting := range r.waiting(looked.view) {
 		if waiting.item.text.Whole {
 			r.judgeHere(waiting.item)
 			continue
 		}
-		if waiting.item.notBefore.After(now) {
+		if waiting.item.notBefore.After(looked.now) {
 			left++
 			continue
 		}
-		engine, _ := r.choose(view, waiting.route, waiting.item, now)
-		if engine == nil {
+		chosen, _ := looked.choose(waiting.route, waiting.item)
+		if chosen == nil {
 			left++
 			continue
 		}
-		r.start(waiting.item, waiting.route, engine)
+		r.start(waiting.item, waiting.route, chosen.engine)
+		looked.used(chosen)
 	}
 	return left
 }
@@ -122,33 +132,12 @@
 	return entries
 }
 
-// choose returns the engine for an item and the pause between events that is expected there, or nil if none can take it now.
-func (r *Runner) choose(view *fleet.View, route *routing.Route, it *item, now time.Time) (best *fleet.Engine, bestCost float64) {
-	for _, engine := range view.Ready(route.Pick(draw(it.ID))) {
-		record := r.engine(engine.ID)
-		slots := engine.Slots
-		if slots <= 0 {
-			slots = defaultSlots
-		}
-		if !r.canTake(record, engine, route, it, slots, now) {
-			continue
-		}
-		cost := record.cost(slots, it.Prefix, now)
-		if best == nil || cost < bestCost {
-			best, bestCost = engine, cost
-		}
-	}
-	return best, bestCost
-}
-
 // moveSlow ends attempts at engines that are much slower than another that has room, so that their items go on there, at most
 // one an engine. It returns the number of items that run. The mutex must be held.
-func (r *Runner) moveSlow() (running int) {
-	view := r.State.View()
-	now := r.now()
+func (r *Runner) moveSlow(looked *look) (running int) {
 	moved := make(map[string]struct{})
 	for _, j := range r.order {
-		if j.ended || view.Routes == nil {
+		if j.ended || looked.view.Routes == nil {
 			continue
 		}
 		for _, it := range j.items {
@@ -156,7 +145,7 @@
 				continue
 			}
 			running++
-			if _, done := moved[it.run.engine]; !done && r.moveIfSlow(view, it, now) {
+			if _, done := moved[it.run.engine]; !done && r.moveIfSlow(looked, it) {
 				moved[it.run.engine] = struct{}{}
 			}
 		}
@@ -164,21 +153,21 @@
 	return running
 }
 
-func (r *Runner) moveIfSlow(view *fleet.View, it *item, now time.Time) bool {
-	if it.run.moving || now.Sub(it.run.started) < moveAfter {
+func (r *Runner) moveIfSlow(looked *look, it *item) bool {
+	if it.run.moving || looked.now.Sub(it.run.started) < moveAfter {
 		return false
 	}
-	route := view.Routes.Match(it.job.Host, it.Path)
+	route := looked.view.Routes.Match(it.job.Host, it.Path)
 	if route == nil {
 		return false
 	}
-	record := r.engine(it.run.engine)
-	other, otherPause := r.choose(view, route, it, now)
-	if other == nil || other.ID == it.run.engine || record.pause(now).Seconds() < moveFactor*otherPause {
+	ownPause := r.engine(it.run.engine).pause(looked.now)
+	other, otherPause := looked.choose(route, it)
+	if other == nil || other.engine.ID == it.run.engine || ownPause.Seconds() < moveFactor*otherPause {
 		return false
 	}
-	level.Info(r.Logger).Log("msg", "item moved", "request", it.ID, "job", it.job.ID, "from", it.run.engine, "to", other.ID,
-		"pause", record.pause(now).Round(time.Millisecond), "other_pause", time.Duration(otherPause*float64(time.Second)).Round(time.Millisecond),
+	level.Info(r.Logger).Log("msg", "item moved", "request", it.ID, "job", it.job.ID, "from", it.run.engine, "to", other.engine.ID,
+		"pause", ownPause.Round(time.Millisecond), "other_pause", time.Duration(otherPause*float64(time.Second)).Round(time.Millisecond),
 		"text_events", it.text.Len())
 	r.Observer.ItemMoved()
 	it.run.moving = true
@@ -186,18 +175,6 @@
 	return true
 }
 
-// canTake reports whether an engine can take an item now.
-func (r *Runner) canTake(record *engineRecord, engine *fleet.Engine, route *routing.Route, it *item, slots int, now time.Time) bool {
-	if record.running >= slots || record.asideTil.After(now) {
-		return false
-	}
-	version := record.version(engine, it.job.Model, now)
-	if version < it.job.MinVersion {
-		return false
-	}
-	return !route.SingleVersion || len(it.text.Segments) == 0 || it.text.Segments[0].Version == version
-}
-
 // draw spreads items evenly over [0, 1) by their IDs.
 func draw(id string) float64 {
 	return float64(rendezvous.Hash(id)>>11) / (1 << 53)
--- a/internal/batchrun/retention.go
+++ b/internal/batchrun/retention.go
@@ -93,6 +93,7 @@
 			delete(r.engines, id)
 		}
 	}
+	r.forgetHolders()
 }
 
 // remove forgets a job and deletes it. It reports whether the job is gone.
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -52,9 +52,7 @@
 func (r *Runner) start(it *item, route *routing.Route, engine *fleet.Engine) {
 	record := r.engine(engine.ID)
 	record.running++
-	if it.Prefix != "" && len(record.prefixes) < maxPrefixes {
-		record.prefixes[it.Prefix] = struct{}{}
-	}
+	r.noteHolder(it.Prefix, engine.ID, record)
 	assignment := r.assignment(it, itemwork.Bounds{MinVersion: it.job.MinVersion, SingleVersion: route.SingleVersion})
 	assignment.Engine = itemwork.Target{
 		ID:      engine.ID,
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -93,6 +93,8 @@
 	jobs    map[string]*job
 	order   []*job
 	engines map[string]*engineRecord
+	// holders are the engines that were sent a shared prompt lately, by the prompt's ID.
+	holders map[string][]string
 	// kept is what ended jobs have left of items that may come again.
 	kept *unfinishedTexts
 	// ends are the jobs whose end is kept for good, with the time when this process learnt of it.
@@ -137,6 +139,7 @@
 	r.jobs = make(map[string]*job)
 	r.order = nil
 	r.engines = make(map[string]*engineRecord)
+	r.holders = make(map[string][]string)
 	r.runs = make(map[itemwork.RunID]*run)
 	r.token, r.runCount = token, 0
 	r.kept = newUnfinishedTexts()
