weightorder: no more engines keep up with a model than its open items need

Change: of a model's engines as many keep up as hold the open items at 0.4 of their slots, and 16 more; plans that took long are followed by a pause.

--- a/internal/batchrun/demand.go
+++ b/internal/batchrun/demand.go
@@ -42,6 +42,9 @@
 		}
 		demand := demands[j.Model]
 		for _, it := range j.items {
+			if it.phase != phaseFinished {
+				demand.Open++
+			}
 			if it.phase == phaseWaiting {
 				demand.Waiting++
 				demand.MinVersion = max(demand.MinVersion, j.MinVersion)
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -64,6 +64,8 @@
 	MinVersion int64
 	// Items is a moving sum of the items that were submitted.
 	Items float64
+	// Open counts the items of jobs that have not ended.
+	Open int
 }
 
 // Engines calls engines.
@@ -87,6 +89,9 @@
 	idlePause = 2 * time.Second
 	// deferredPause is that pause while engines are left to work that waits.
 	deferredPause = 200 * time.Millisecond
+	// restFactor is the least pause between two plans, relative to what the first took, up to maxRest.
+	restFactor = 8
+	maxRest    = 100 * time.Millisecond
 	// refusedPause is how long an engine is left aside that another process has ordered lately.
 	refusedPause = 250 * time.Millisecond
 )
@@ -129,6 +134,8 @@
 	demand map[string]Demand
 	// largest is the most engines that each service has had.
 	largest map[string]int
+	// open is the most items that each model has had open lately.
+	open map[string]openItems
 }
 
 // New returns a Manager that does nothing until Lead.
@@ -142,6 +149,7 @@
 		asideTil: make(map[string]time.Time),
 		assigned: make(map[string]string),
 		largest:  make(map[string]int),
+		open:     make(map[string]openItems),
 	}
 }
 
@@ -177,9 +185,12 @@
 	var moving sync.WaitGroup
 	for ctx.Err() == nil {
 		_, changed := m.State.Changed()
-		if moves := m.plan(time.Now()); len(moves) > 0 {
+		started := time.Now()
+		if moves := m.plan(started); len(moves) > 0 {
 			moving.Go(func() { m.moveAll(ctx, term, orders, moves) })
 		}
+		// Moves that end together are one look.
+		pause.For(ctx, min(restFactor*time.Since(started), maxRest))
 		timer := time.NewTimer(m.idlePause())
 		select {
 		case <-m.changed:
--- a/internal/weightorder/plan.go
+++ b/internal/weightorder/plan.go
@@ -40,6 +40,7 @@
 	m.forget(view)
 	if m.Demands != nil {
 		m.demand = m.Demands()
+		m.noteOpen(now)
 	}
 	var chosen []move
 	for _, name := range slices.Sorted(maps.Keys(view.Routes.Services)) {
@@ -54,6 +55,7 @@
 		return nil
 	}
 	m.assign(engines, service.Models)
+	spare := m.spare(engines, service.Models, now)
 	var candidates []move
 	loading := 0
 	for _, engine := range engines {
@@ -61,6 +63,9 @@
 			loading++
 			continue
 		}
+		if _, unused := spare[engine.ID]; unused {
+			continue
+		}
 		if m.asideTil[engine.ID].After(now) || (m.mayOrder != nil && !m.mayOrder(engine.ID, now)) {
 			continue
 		}
