storerelay: gateways are not told of what makes no difference to them; entries of engines are read once

Change: a hub compares what pollers need of an object (platform.GatewayEssence leaves an engine's weight versions out); an entry that has not changed is not read again.

--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -118,7 +118,7 @@
 		Eligible:  c.Leaving.MayCoordinate,
 		Logger:    c.logger,
 	})
-	hub := storerelay.NewHub(c.elector.Leading)
+	hub := storerelay.NewHub(c.elector.Leading, platform.GatewayEssence)
 	hub.Attach(c.Followers)
 	c.server = rpc.NewServer(c.Logger)
 	storerelay.Register(c.server, hub)
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"reflect"
+	"strconv"
 	"sync"
 	"time"
 
@@ -13,6 +14,8 @@
 type Hub struct {
 	// leading reports whether the process coordinates.
 	leading func() bool
+	// essence returns what pollers need of an object: one whose essence stays the same has not changed for them.
+	essence func(kind string, object metastore.Object) string
 
 	mu      sync.Mutex
 	kinds   map[string]*relayedKind
@@ -22,8 +25,10 @@
 // relayedKind is what a hub knows of a kind.
 type relayedKind struct {
 	snapshot metastore.Snapshot
-	// contentRevision is that of the last snapshot whose content differed from the one before it.
+	// contentRevision is that of the last snapshot whose content differed from the one before it, for pollers.
 	contentRevision metastore.Revision
+	// entries are what pollers need of the objects, by name.
+	entries map[string]entry
 	// confirmed is when the store was last heard from.
 	confirmed time.Time
 	// removals are the last objects that went, and floor is the revision after which they are complete.
@@ -31,14 +36,25 @@
 	floor    metastore.Revision
 }
 
+// entry is what pollers need of an object.
+type entry struct {
+	// seen is the object's revision that it was made of, and changed the one in which it last became another.
+	seen, changed metastore.Revision
+	essence       string
+}
+
 type removal struct {
 	name     string
 	revision metastore.Revision
 }
 
-// NewHub returns a Hub. leading reports whether its process coordinates.
-func NewHub(leading func() bool) *Hub {
-	return &Hub{leading: leading, kinds: make(map[string]*relayedKind), changed: make(chan struct{})}
+// NewHub returns a Hub. leading reports whether its process coordinates. essence returns what pollers need of an object, such
+// that equal strings mean that nothing has changed for them; nil means the whole object.
+func NewHub(leading func() bool, essence func(kind string, object metastore.Object) string) *Hub {
+	if essence == nil {
+		essence = func(_ string, object metastore.Object) string { return strconv.FormatInt(int64(object.Revision), 10) }
+	}
+	return &Hub{leading: leading, essence: essence, kinds: make(map[string]*relayedKind), changed: make(chan struct{})}
 }
 
 // Confirm takes in a kind as the store has just shown it.
@@ -47,16 +63,20 @@
 	defer h.mu.Unlock()
 	known, ok := h.kinds[kind]
 	if !ok {
-		known = &relayedKind{floor: snapshot.Revision}
+		known = &relayedKind{floor: snapshot.Revision, entries: make(map[string]entry)}
 		h.kinds[kind] = known
 	}
 	known.confirmed = time.Now()
 	if snapshot.Revision < known.snapshot.Revision {
 		return
 	}
-	differs := !ok || !sameObjects(known.snapshot.Objects, snapshot.Objects)
+	differs := !ok
+	if !sameMap(known.snapshot.Objects, snapshot.Objects) {
+		removed := known.noteRemovals(snapshot)
+		changed := known.noteChanges(snapshot, func(object metastore.Object) string { return h.essence(kind, object) })
+		differs = differs || removed || changed
+	}
 	if differs {
-		known.noteRemovals(snapshot)
 		known.contentRevision = snapshot.Revision
 	}
 	known.snapshot = snapshot
@@ -91,27 +111,34 @@
 	}
 }
 
-// sameObjects reports whether two sets hold the same objects at the same revisions. Followers hand on the very map while
-// nothing changes.
-func sameObjects(a, b map[string]metastore.Object) bool {
-	if reflect.ValueOf(a).Pointer() == reflect.ValueOf(b).Pointer() {
-		return true
-	}
-	if len(a) != len(b) {
-		return false
-	}
-	for name, object := range a {
-		if other, ok := b[name]; !ok || other.Revision != object.Revision {
-			return false
+// sameMap reports whether two sets of objects are one: followers hand on the very map while nothing changes.
+func sameMap(a, b map[string]metastore.Object) bool {
+	return reflect.ValueOf(a).Pointer() == reflect.ValueOf(b).Pointer()
+}
+
+// noteChanges takes in the objects of the next snapshot. It reports whether one of them has changed for pollers.
+func (k *relayedKind) noteChanges(next metastore.Snapshot, essence func(metastore.Object) string) (changed bool) {
+	for name, object := range next.Objects {
+		known, ok := k.entries[name]
+		if ok && known.seen == object.Revision {
+			continue
+		}
+		now := entry{seen: object.Revision, changed: known.changed, essence: essence(object)}
+		if !ok || now.essence != known.essence {
+			now.changed = object.Revision
+			changed = true
 		}
+		k.entries[name] = now
 	}
-	return true
+	return changed
 }
 
-// noteRemovals takes in which objects the next snapshot lacks.
-func (k *relayedKind) noteRemovals(next metastore.Snapshot) {
+// noteRemovals takes in which objects the next snapshot lacks. It reports whether there are some.
+func (k *relayedKind) noteRemovals(next metastore.Snapshot) (removed bool) {
 	for name := range k.snapshot.Objects {
 		if _, kept := next.Objects[name]; !kept {
+			removed = true
+			delete(k.entries, name)
 			k.removals = append(k.removals, removal{name: name, revision: next.Revision})
 		}
 	}
@@ -119,6 +146,7 @@
 		k.floor = k.removals[excess-1].revision
 		k.removals = k.removals[excess:]
 	}
+	return removed
 }
 
 // Poll returns what changed of the kinds that were asked for, as soon as there is something or the wait is over.
@@ -163,8 +191,8 @@
 // since returns what changed after a revision.
 func (k *relayedKind) since(kind string, revision metastore.Revision) Change {
 	change := Change{Kind: kind, Revision: k.snapshot.Revision, Whole: revision < k.floor}
-	for _, object := range k.snapshot.Objects {
-		if change.Whole || object.Revision > revision {
+	for name, object := range k.snapshot.Objects {
+		if change.Whole || k.entries[name].changed > revision {
 			change.Objects = append(change.Objects, object)
 		}
 	}
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -4,6 +4,9 @@
 // A Hub holds the newest snapshots of the kinds that its process follows and answers polls for what changed. A Client polls the
 // hub of the coordinating process, and follows the store itself while there is none that answers and is up to date.
 //
+// A change that makes no difference to those who poll, such as the weight versions of an engine, is not told to them: the copy of
+// a Client may differ from the store in what its hub's essence leaves out.
+//
 // Guarantees: what a Client hands out for a kind never goes back to an earlier revision. A hub of which a call to the store has
 // failed, or that has not heard from it for maxAge, says so, and a poll that is not answered within pollWait and pollMargin counts as lost; after either a Client
 // follows the store itself within directDelay.
--- a/internal/storerelay/storerelay_test.go
+++ b/internal/storerelay/storerelay_test.go
@@ -80,7 +80,7 @@
 		return metastoretest.None
 	}
 	w.leading.Store(true)
-	w.hub = storerelay.NewHub(w.leading.Load)
+	w.hub = storerelay.NewHub(w.leading.Load, nil)
 	followers := metastore.NewFollowers(w.hubStore)
 	w.hub.Attach(followers)
 	for _, followed := range []string{kind, leaseKind} {
@@ -269,3 +269,34 @@
 		})
 	}
 }
+
+func TestEssence(t *testing.T) {
+	Convey("A change that pollers need not know is not told to them, a later one that they need is, with all of the object", t, func() {
+		essence := func(_ string, object metastore.Object) string { return string(object.Spec[:1]) }
+		hub := storerelay.NewHub(func() bool { return true }, essence)
+		confirm := func(revision metastore.Revision, objects ...metastore.Object) {
+			snapshot := metastore.Snapshot{Objects: make(map[string]metastore.Object), Revision: revision}
+			for _, object := range objects {
+				snapshot.Objects[object.Name] = object
+			}
+			hub.Confirm(kind, snapshot)
+		}
+		poll := func(known metastore.Revision) storerelay.PollReply {
+			request := storerelay.PollRequest{Known: map[string]metastore.Revision{kind: known}, Wait: time.Millisecond}
+			return hub.Poll(t.Context(), request)
+		}
+		object := func(name, spec string, revision metastore.Revision) metastore.Object {
+			return metastore.Object{Name: name, Revision: revision, Spec: []byte(spec)}
+		}
+		confirm(3, object("a", "x1", 2), object("b", "x1", 3))
+		So(poll(0).Changes[0].Objects, ShouldHaveLength, 2)
+		confirm(4, object("a", "x2", 4), object("b", "x1", 3))
+		quiet := poll(3)
+		So(quiet.Changes, ShouldBeEmpty)
+		So(quiet.Revisions[kind], ShouldEqual, metastore.Revision(4))
+		confirm(5, object("a", "y2", 5), object("b", "x1", 3))
+		So(poll(4).Changes[0].Objects, ShouldResemble, []metastore.Object{object("a", "y2", 5)})
+		confirm(6, object("a", "y2", 5))
+		So(poll(5).Changes[0].Removed, ShouldResemble, []string{"b"})
+	})
+}
