weightorder: a window of loads that grows while they are quick; items are kept off engines that load

Change: eight loads run at once before anything is known, one more with each that is quick, fewer when they get slow; never fewer than eight, so that a fifth of the engines still bounds the four sites. The runner is told which engines load.

--- a/internal/batchrun/candidates.go
+++ b/internal/batchrun/candidates.go
@@ -60,7 +60,7 @@
 		if slots <= 0 {
 			slots = defaultSlots
 		}
-		if record.running >= slots || record.asideTil.After(l.now) {
+		if record.running >= slots || record.loading || record.asideTil.After(l.now) {
 			continue
 		}
 		made.add(&candidate{
--- a/internal/batchrun/engine_record.go
+++ b/internal/batchrun/engine_record.go
@@ -38,6 +38,8 @@
 	running  int
 	asideTil time.Time
 	failures int
+	// loading is true while the engine loads weights.
+	loading bool
 	// average is the moving average of the pause between two events, and observed when it was last taken in.
 	average  time.Duration
 	observed time.Time
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -261,6 +261,17 @@
 	r.poke()
 }
 
+// NoteLoading takes in that an engine loads weights, and takes no new work, or that this is over.
+func (r *Runner) NoteLoading(engineID string, loading bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.leads() {
+		return
+	}
+	r.engine(engineID).loading = loading
+	r.poke()
+}
+
 // stopItems ends all work on a job and keeps what was made of its items for later jobs.
 func (r *Runner) stopItems(j *job) {
 	if j.ended {
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -59,6 +59,7 @@
 		Holder:      config.Node.Name,
 		LeaseLength: config.Timing.LeaseLength,
 		Loaded:      runner.NoteVersion,
+		Loading:     runner.NoteLoading,
 		Demands:     runner.Demands,
 		Moved:       observed.engineMoved,
 		Logger:      telemetry.For(logger, telemetry.PartOrders),
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -109,6 +109,8 @@
 	Loaded func(engineID, model string, version int64)
 	// Demands returns the work for each model; nil if it is not known.
 	Demands func() map[string]Demand
+	// Loading is told when an engine begins to load, and takes no new work, and when that is over; nil for nobody.
+	Loading func(engineID string, loading bool)
 	// Moved is told of the end of each move; nil for nobody.
 	Moved  func(err error, took time.Duration)
 	Logger log.Logger
@@ -134,6 +136,8 @@
 	demand map[string]Demand
 	// largest is the most engines that each service has had.
 	largest map[string]int
+	// window bounds the loads at once by how long they take.
+	window *loadWindow
 	// open is the most items that each model has had open lately.
 	open map[string]openItems
 }
@@ -150,6 +154,7 @@
 		assigned: make(map[string]string),
 		largest:  make(map[string]int),
 		open:     make(map[string]openItems),
+		window:   newLoadWindow(),
 	}
 }
 
@@ -283,11 +288,31 @@
 		if err := m.order(ctx, term, target, report, orderDeadline); err != nil {
 			return err
 		}
+	}
+	return m.awaitLoad(ctx, target, report.Busy)
+}
+
+// awaitLoad waits until a version is seen at an engine that loads. joined is true if it had begun before.
+func (m *Manager) awaitLoad(ctx context.Context, target move, joined bool) (err error) {
+	if m.Loading != nil {
+		m.Loading(target.engine.ID, true)
+		defer m.Loading(target.engine.ID, false)
+	}
+	ordered := time.Now()
+	defer func() {
+		if joined || ctx.Err() != nil {
+			return
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.window.ended(time.Now(), time.Since(ordered), err == nil)
+	}()
+	if !joined {
 		pause.For(ctx, loadTime)
 	}
 	deadline := time.Now().Add(loadLimit)
 	for ctx.Err() == nil && time.Now().Before(deadline) {
-		report, err = m.report(ctx, target)
+		report, err := m.report(ctx, target)
 		if err == nil && report.Versions[target.model] >= target.version {
 			return nil
 		}
--- a/internal/weightorder/plan.go
+++ b/internal/weightorder/plan.go
@@ -83,10 +83,10 @@
 }
 
 // maxLoading is how many engines of a service may load at once. It follows the most engines that the service has had: what
-// the loads share does not shrink with the engines.
+// the loads share does not shrink with the engines. The mutex must be held.
 func (m *Manager) maxLoading(service string, engines int) int {
 	m.largest[service] = max(m.largest[service], engines)
-	return max(minLoading, (m.largest[service]+enginesPerLoad/2)/enginesPerLoad)
+	return min(max(minLoading, (m.largest[service]+enginesPerLoad/2)/enginesPerLoad), m.window.size())
 }
 
 // byUrgency orders moves: engines that cannot take what waits come first, then the most outdated.
