--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -165,6 +165,7 @@
 
 // Run polls the coordinating process until ctx ends.
 func (c *Client) Run(ctx context.Context) {
+	c.awaitLists(ctx)
 	for ctx.Err() == nil {
 		address := c.Coordinator()
 		reply, err := PollReply{}, error(nil)
@@ -184,6 +185,28 @@
 	}
 }
 
+// awaitLists waits until the store has shown every kind that is followed, or listTime is over: hundreds of processes that start
+// at the same moment had better not ask the one that coordinates for all there is.
+func (c *Client) awaitLists(ctx context.Context) {
+	for end := time.Now().Add(listTime); ctx.Err() == nil && time.Now().Before(end); {
+		if c.listed() {
+			return
+		}
+		pause.For(ctx, listPause)
+	}
+}
+
+// listed reports whether all kinds that are followed are known.
+func (c *Client) listed() bool {
+	kinds := c.subscriptions()
+	for _, followed := range kinds {
+		if followed.current().Revision == 0 {
+			return false
+		}
+	}
+	return len(kinds) > 0
+}
+
 func (c *Client) poll(ctx context.Context, address string) (PollReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, pollWait+pollMargin)
 	defer cancel()
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -35,6 +35,10 @@
 	directDelay = 800 * time.Millisecond
 	// retryPause is the pause between two polls while no hub answers.
 	retryPause = 250 * time.Millisecond
+	// listTime is how long a client that starts waits for the store's lists before it asks a hub, and listPause the pause between
+	// two looks.
+	listTime  = 1500 * time.Millisecond
+	listPause = 40 * time.Millisecond
 	// maxRemovals bounds the removals of a kind that a hub remembers.
 	maxRemovals = 1024
 )
