--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -203,6 +203,7 @@
 	}
 	level.Info(r.Logger).Log("msg", "run adopted", "request", it.ID, "job", j.ID, "run", report.Run, "worker", worker, "engine", report.Engine,
 		"events", text.Len(), "verdict", report.End.Verdict)
+	r.Observer.RunAdopted()
 	it.text = text
 	adopted := r.newRun(report.Run, it, report.Engine)
 	adopted.worker = worker
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -40,6 +40,8 @@
 	AttemptEnded(verdict string, took time.Duration)
 	// ItemMoved reports an item that goes on elsewhere, off a slow engine.
 	ItemMoved()
+	// RunAdopted reports a run of an earlier term that a worker has gone on with.
+	RunAdopted()
 	// Listed reports a result that was listed.
 	Listed(state batch.State)
 	// Committed reports a write of results.
@@ -51,6 +53,7 @@
 
 func (nobody) AttemptEnded(string, time.Duration) {}
 func (nobody) ItemMoved()                         {}
+func (nobody) RunAdopted()                        {}
 func (nobody) Listed(batch.State)                 {}
 func (nobody) Committed(time.Duration)            {}
 
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
 	"github.com/covelink/covelink/internal/batchrpc"
@@ -32,8 +33,10 @@
 	fx.Invoke(runCoordinator),
 )
 
-func newDesk(logger log.Logger) *itemwork.Desk {
-	return itemwork.NewDesk(telemetry.For(logger, telemetry.PartBatch))
+func newDesk(registry *prometheus.Registry, logger log.Logger) *itemwork.Desk {
+	desk := itemwork.NewDesk(telemetry.For(logger, telemetry.PartBatch))
+	registerGauge(registry, "workers", "Gateways that run batch items for this process.", desk.Workers)
+	return desk
 }
 
 func newRunner(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder, store metastore.Client,
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
 	"github.com/covelink/covelink/internal/batch"
@@ -81,8 +82,8 @@
 
 // newWorker returns what runs batch items for the coordinating process.
 func newWorker(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder, calls *rpc.Client,
-	watcher *election.Watcher, stopping *stopFlag, logger log.Logger) *itemwork.Worker {
-	return itemwork.NewWorker(itemwork.WorkerParams{
+	watcher *election.Watcher, stopping *stopFlag, registry *prometheus.Registry, logger log.Logger) *itemwork.Worker {
+	worker := itemwork.NewWorker(itemwork.WorkerParams{
 		Name:        config.Node.Name,
 		Zone:        config.Node.Zone,
 		Instance:    uuid.NewString(),
@@ -97,6 +98,8 @@
 		Draining: stopping.Load,
 		Logger:   telemetry.For(logger, telemetry.PartBatch),
 	})
+	registerGauge(registry, "worker_runs", "Runs of batch items that this process carries out.", worker.Running)
+	return worker
 }
 
 // runWorker runs the worker until the gateway has stopped.
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -26,6 +26,7 @@
 	itemAttempts  *prometheus.CounterVec
 	itemTime      prometheus.Histogram
 	itemsMoved    prometheus.Counter
+	runsAdopted   prometheus.Counter
 	results       *prometheus.CounterVec
 	commitTime    prometheus.Histogram
 	orders        *prometheus.CounterVec
@@ -54,6 +55,7 @@
 	}
 	m.engines = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_engines_total", Help: "Engines that requests were sent to."})
 	m.itemsMoved = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "items_moved_total", Help: "Batch items that were moved off a slow engine."})
+	m.runsAdopted = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "runs_adopted_total", Help: "Runs of batch items that workers went on with from an earlier term."})
 	m.leadingTerms = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "terms_total", Help: "Terms in which this process coordinated."})
 	m.configRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "config_refused_total", Help: "Configurations that could not be used."})
 	itemTime := histogram("item_attempt_duration_seconds", "Time of a run of a batch item at an engine.")
@@ -68,7 +70,7 @@
 		}
 		return 0
 	})
-	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.itemsMoved, m.results,
+	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.itemsMoved, m.runsAdopted, m.results,
 		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, newLinesDropped(lines))
 	return m
 }
@@ -89,6 +91,9 @@
 // ItemMoved implements batchrun.Observer.
 func (m *metrics) ItemMoved() { m.itemsMoved.Inc() }
 
+// RunAdopted implements batchrun.Observer.
+func (m *metrics) RunAdopted() { m.runsAdopted.Inc() }
+
 // Listed implements batchrun.Observer.
 func (m *metrics) Listed(state batch.State) {
 	name := "done"
@@ -140,3 +145,9 @@
 	options := prometheus.CounterOpts{Namespace: namespace, Name: "log_lines_dropped_total", Help: "Lines of the log that were not written."}
 	return prometheus.NewCounterFunc(options, func() float64 { return float64(lines.Dropped()) })
 }
+
+// registerGauge tells a count that is read when it is asked for.
+func registerGauge(registry *prometheus.Registry, name, help string, count func() int) {
+	options := prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
+	registry.MustRegister(prometheus.NewGaugeFunc(options, func() float64 { return float64(count()) }))
+}
--- a/internal/itemwork/desk.go
+++ b/internal/itemwork/desk.go
@@ -86,6 +86,13 @@
 	d.handler, d.workers, d.carriers = nil, nil, nil
 }
 
+// Workers returns the number of workers that are heard of.
+func (d *Desk) Workers() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.workers)
+}
+
 // silent removes the workers that are not heard of any more and returns them.
 func (d *Desk) silent() []string {
 	d.mu.Lock()
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -75,6 +75,19 @@
 	return w
 }
 
+// Running returns the number of runs that are not over.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	running := 0
+	for _, run := range w.runs {
+		if !run.over() {
+			running++
+		}
+	}
+	return running
+}
+
 // permitted reports whether the coordinating process was heard from lately.
 func (w *Worker) permitted() bool {
 	w.mu.Lock()
--- a/internal/itemwork/worker_run.go
+++ b/internal/itemwork/worker_run.go
@@ -1,6 +1,10 @@
 package itemwork
 
-import "time"
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+)
 
 // workerRun is a run that a worker carries out or has carried out. The worker's mutex guards it. It implements Sink.
 type workerRun struct {
@@ -56,6 +60,10 @@
 	defer r.worker.mu.Unlock()
 	r.end = end
 	r.text.Whole = end.Verdict == VerdictWhole
+	if end.Verdict != VerdictWhole {
+		level.Debug(r.worker.Logger).Log("msg", "run ended", "request", r.assignment.Item, "job", r.assignment.Job, "run", r.assignment.Run,
+			"engine", r.assignment.Engine.ID, "verdict", end.Verdict, "text_events", r.text.Len(), "term", r.worker.term, "err", end.Cause)
+	}
 	r.worker.poke()
 }
 
