itemwork: a reward call ends with the worker's permit; a stream that was given up is ended at its worker

Found by reading: a worker that is cut off began reward calls up to 2 s after it had heard from the coordinator, and such a call ran up to 3 s more: past the 3 s after which nothing of an ended job may run. A worker that was lost and came back streamed on to the end although its item ran elsewhere. Change: reward calls run no longer than 2.4 s after the coordinator was heard from; a report of a run that was given up is answered as not wanted.

--- a/internal/batchrun/kit_test.go
+++ b/internal/batchrun/kit_test.go
@@ -41,6 +41,8 @@
 	breakAfter int
 	// silent makes no event and keeps the connection open.
 	silent bool
+	// hangs makes a judge answer nothing until it is cut off.
+	hangs bool
 }
 
 // run is one execution.
@@ -100,6 +102,13 @@
 		answer.Body = io.NopCloser(strings.NewReader(""))
 		return answer, nil
 	}
+	if b.hangs {
+		<-ctx.Done()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		r.ended = time.Now()
+		return nil, fmt.Errorf("%w: %w", forward.ErrLost, ctx.Err())
+	}
 	if engine.Service == "judges" {
 		answer.Body = io.NopCloser(strings.NewReader("good"))
 		return answer, nil
--- a/internal/batchrun/remote_test.go
+++ b/internal/batchrun/remote_test.go
@@ -162,6 +162,24 @@
 	})
 }
 
+// A reward call may run as long as an item may after its job's end: a worker that is cut off does not know of that end.
+func TestRewardCallWithoutCoordinator(t *testing.T) {
+	playDesk(t, "A reward call of a worker that is cut off ends before items of an ended job must not run any more", func(w *deskWorld) {
+		defer w.work("one")()
+		w.engines.set("j", behaviour{hangs: true})
+		w.submit("j", 1)
+		time.Sleep(700 * time.Millisecond)
+		w.cut.Store(true)
+		cutAt := time.Now()
+		time.Sleep(6 * time.Second)
+		calls := w.engines.of("reward-j-0")
+		So(calls, ShouldNotBeEmpty)
+		// The coordinator calls by itself once it has lost the worker.
+		So(calls[0].at, ShouldHappenBefore, cutAt)
+		So(calls[0].ended, ShouldHappenBefore, cutAt.Add(2500*time.Millisecond))
+	})
+}
+
 // handWorker is a worker whose calls the test makes.
 type handWorker struct {
 	desk  *itemwork.Desk
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -150,7 +150,8 @@
 		return false
 	}
 	if known.over {
-		return true
+		// A stream that was given up need not go on.
+		return report.End.Verdict != itemwork.VerdictNone
 	}
 	known.heard = r.now()
 	r.observe(known, report)
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -20,6 +20,8 @@
 	silenceLimit = 1600 * time.Millisecond
 	// judgeTimeout bounds one reward call.
 	judgeTimeout = 3 * time.Second
+	// minJudgeTime is the least time for a reward call to be worth making.
+	minJudgeTime = 250 * time.Millisecond
 	// judgePause is the pause after a reward call that was not completed.
 	judgePause = 100 * time.Millisecond
 )
@@ -53,8 +55,8 @@
 	State     *fleet.State
 	Transport forward.Transport
 	Forwarder *forward.Forwarder
-	// Permitted reports whether a reward call may begin now; nil means always.
-	Permitted func() bool
+	// PermittedUntil returns until when a reward call may run; nil means without end.
+	PermittedUntil func() time.Time
 }
 
 // errSilent reports an engine that made no event for too long.
@@ -217,7 +219,8 @@
 	failures := 0
 	for ctx.Err() == nil {
 		route := e.State.View().Routes.Match(reward.Host, reward.Path)
-		if route == nil || (e.Permitted != nil && !e.Permitted()) {
+		deadline := e.judgeDeadline(time.Now())
+		if route == nil || time.Until(deadline) < minJudgeTime {
 			pause.For(ctx, judgePause)
 			continue
 		}
@@ -229,7 +232,7 @@
 			Header: http.Header{},
 			Body:   reward.Body,
 		}
-		result := e.Forwarder.Do(ctx, route, request, time.Now().Add(judgeTimeout))
+		result := e.Forwarder.Do(ctx, route, request, deadline)
 		failures += result.FailedAttempts
 		if result.Outcome == forward.Completed && result.Status >= 200 && result.Status < 300 {
 			return Judgement{State: JudgementReached, Score: result.Signature, Failures: failures}
@@ -241,3 +244,15 @@
 	}
 	return Judgement{State: JudgementAborted, Failures: failures}
 }
+
+// judgeDeadline returns when a reward call that begins now must have ended.
+func (e *Executor) judgeDeadline(now time.Time) time.Time {
+	deadline := now.Add(judgeTimeout)
+	if e.PermittedUntil == nil {
+		return deadline
+	}
+	if until := e.PermittedUntil(); until.Before(deadline) {
+		return until
+	}
+	return deadline
+}
--- a/internal/itemwork/itemwork.go
+++ b/internal/itemwork/itemwork.go
@@ -6,8 +6,8 @@
 //
 // Guarantees: assignments and cancellations reach a worker in order and each takes effect at most once. A worker obeys one term
 // at a time, the highest that it knows. What a run has made outlives the coordinating process: a worker tells everything it
-// holds to the next term, ended runs for keepEnded. A worker begins no request of its own, such as a reward call, without having
-// heard from the coordinating process within permitLife.
+// holds to the next term, ended runs for keepEnded. No request of a worker's own, such as a reward call, runs later than
+// permitLife after it has heard from the coordinating process.
 package itemwork
 
 import (
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// permitLife is how long ago the coordinating process must have been heard from for a request to begin.
-	permitLife = 2 * time.Second
+	// permitLife is how long after the coordinating process was heard from a request of the worker's own may run. The items of an
+	// ended job must not run from 3 s after its end on.
+	permitLife = 2400 * time.Millisecond
 	// keepEnded is how long an ended run is kept after it was reported, for a later term.
 	keepEnded = 10 * time.Second
 	// maxKeptBytes bounds the texts of ended runs.
@@ -71,7 +72,7 @@
 func NewWorker(params WorkerParams) *Worker {
 	w := &Worker{WorkerParams: params, runs: make(map[RunID]*workerRun), ended: make(chan struct{}, 1)}
 	w.life, w.end = context.WithCancel(context.Background())
-	w.Executor.Permitted = w.permitted
+	w.Executor.PermittedUntil = w.permittedUntil
 	return w
 }
 
@@ -88,11 +89,11 @@
 	return running
 }
 
-// permitted reports whether the coordinating process was heard from lately.
-func (w *Worker) permitted() bool {
+// permittedUntil returns until when requests of the worker's own may run.
+func (w *Worker) permittedUntil() time.Time {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return time.Since(w.heard) < permitLife
+	return w.heard.Add(permitLife)
 }
 
 // Run fetches assignments and reports on them until ctx ends. Then it ends all runs and tells what they have made.
