--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -301,6 +301,23 @@
 	})
 }
 
+// Found by reading: the shares of engines were skewed by jobs that had ended long ago.
+func TestDemandsOfEndedJobs(t *testing.T) {
+	play(t, "A job that has ended, was dropped from memory and is read again does not count as work", func(w *world) {
+		w.stop()
+		w.maxEndedBytes = 1
+		w.runner, w.stop = w.lead(2)
+		for _, id := range []string{"one", "two"} {
+			So(w.runner.Submit(context.Background(), newJob(id, 4)), ShouldBeNil)
+			So(w.results(id, 5*time.Second), ShouldHaveLength, 4)
+			So(w.runner.End(context.Background(), id), ShouldBeNil)
+		}
+		before := w.runner.Demands()[model].Items
+		So(w.results("one", 0), ShouldHaveLength, 4)
+		So(w.runner.Demands()[model].Items, ShouldAlmostEqual, before, 0.5)
+	})
+}
+
 func TestDemands(t *testing.T) {
 	play(t, "The work for a model is what waits, the newest version that it demands, and what came lately", func(w *world) {
 		So(w.runner.Demands()[model].Waiting, ShouldEqual, 0)
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -203,16 +203,16 @@
 	j := newJob(stored, r.now())
 	r.jobs[j.ID] = j
 	r.order = append(r.order, j)
+	if stored.Sealed {
+		r.noteEnd(j)
+		return j
+	}
 	r.noteSubmitted(j)
 	for _, it := range j.items {
 		r.reuse(it)
 	}
-	if stored.Sealed {
-		r.noteEnd(j)
-	} else {
-		term := r.term
-		r.running.Go(func() { r.commit(term, j) })
-	}
+	term := r.term
+	r.running.Go(func() { r.commit(term, j) })
 	r.poke()
 	return j
 }
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -1,6 +1,7 @@
 package fleetnode
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -114,7 +115,7 @@
 	}
 	c.elector = election.New(election.Params{
 		Name:      c.Settings.Node.Name,
-		Address:   c.listener.Addr().String(),
+		Address:   cmp.Or(c.Settings.Listen.Advertise, c.listener.Addr().String()),
 		Store:     c.Store,
 		Followers: c.Followers,
 		Ping:      c.ping,
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -44,6 +44,8 @@
 	Ready string `koanf:"ready" validate:"omitempty,hostname_port|tcp_addr"`
 	// Internal serves other nodes; coordinators only.
 	Internal string `koanf:"internal" validate:"omitempty,hostname_port|tcp_addr"`
+	// Advertise is where other nodes reach Internal, if that is not the address it listens on; coordinators only.
+	Advertise string `koanf:"advertise" validate:"omitempty,hostname_port|tcp_addr"`
 	// Metrics serves counters and histograms; empty for none.
 	Metrics string `koanf:"metrics" validate:"omitempty,hostname_port|tcp_addr"`
 }
--- a/internal/settings/fleet_test.go
+++ b/internal/settings/fleet_test.go
@@ -64,6 +64,7 @@
 			{"role: coordinator", "role: king", "node.role"},
 			{`address: "10.200.1.7:8169"`, `address: "nowhere"`, "store.address"},
 			{`internal: "10.1.0.13:7720"`, `http: "10.1.0.13:7720"`, "listen.internal"},
+			{`internal: "10.1.0.13:7720"`, "internal: \"10.1.0.13:7720\"\n  advertise: nowhere", "listen.advertise"},
 			{"stopTimeout: 8s", "stopTimeout: 8ms", "timing.stopTimeout"},
 			{"zone: zone-a", "zone: zone-a\n  colour: red", "node.colour"},
 		} {
