itemwork: a coordinator that stood still does not take its workers for lost

Found by reading: after a freeze of more than 1.2 s every worker counted as lost, and every item began again from what was reported last. The time for which the process itself stood still is added to the workers' deadlines. A poll of a worker that was lost meanwhile hands out no orders; the memory of engines' workers is bounded. Tests: desk_test.go.

--- a/internal/itemwork/desk.go
+++ b/internal/itemwork/desk.go
@@ -21,6 +21,8 @@
 	brokenAfter = 400 * time.Millisecond
 	// watchInterval is the pause between two looks for workers that are silent.
 	watchInterval = 150 * time.Millisecond
+	// maxCarriers bounds the engines whose worker is remembered; those that left are among them.
+	maxCarriers = 8192
 	// minInterval is the least time between two reports of a worker; intervalPerWorker is added for each worker.
 	minInterval       = 10 * time.Millisecond
 	intervalPerWorker = 400 * time.Microsecond
@@ -76,7 +78,9 @@
 	d.carriers = make(map[string]*deskWorker)
 	d.mu.Unlock()
 	for ctx.Err() == nil {
+		slept := time.Now()
 		pause.For(ctx, watchInterval)
+		d.excuse(time.Since(slept) - watchInterval)
 		for _, lost := range d.silent() {
 			handler.WorkerLost(lost)
 		}
@@ -93,6 +97,19 @@
 	return len(d.workers)
 }
 
+// excuse grants workers the time for which this process itself stood still: nobody could be heard.
+func (d *Desk) excuse(stall time.Duration) {
+	if stall < watchInterval {
+		return
+	}
+	level.Info(d.logger).Log("msg", "process stood still", "for", stall.Round(time.Millisecond))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, worker := range d.workers {
+		worker.deadline = worker.deadline.Add(stall)
+	}
+}
+
 // silent removes the workers that are not heard of any more and returns them.
 func (d *Desk) silent() []string {
 	d.mu.Lock()
@@ -146,6 +163,9 @@
 	}
 	carrier, ok := d.carriers[engine.ID]
 	if !ok {
+		if len(d.carriers) >= maxCarriers {
+			clear(d.carriers)
+		}
 		carrier = d.carrier(engine)
 		d.carriers[engine.ID] = carrier
 	}
@@ -235,11 +255,17 @@
 	if d.handler == nil || d.term != term {
 		return PollReply{}
 	}
+	reply := PollReply{Leading: true, Term: term}
+	if d.workers[request.Worker.Name] != worker {
+		// The worker was lost meanwhile: its runs go on elsewhere.
+		return reply
+	}
 	worker.deadline = time.Now().Add(silentAfter)
 	if broken {
 		worker.deadline = time.Now().Add(brokenAfter)
 	}
-	return PollReply{Leading: true, Term: term, Orders: slices.Clone(worker.orders)}
+	reply.Orders = slices.Clone(worker.orders)
+	return reply
 }
 
 // awaitOrders waits until there are orders or the wait is over. It reports whether the caller has gone.
--- /dev/null
+++ b/internal/itemwork/desk_test.go
@@ -0,0 +1,81 @@
+package itemwork
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/fleet"
+)
+
+// lostWorkers is a Handler that notes which workers were lost.
+type lostWorkers struct {
+	mu    sync.Mutex
+	names []string
+}
+
+func (l *lostWorkers) Reported(string, *Report) bool { return true }
+
+func (l *lostWorkers) WorkerLost(worker string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.names = append(l.names, worker)
+}
+
+// taken returns the workers that were lost since the last call.
+func (l *lostWorkers) taken() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	names := l.names
+	l.names = nil
+	return names
+}
+
+func TestDesk(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		desk := NewDesk(log.NewNopLogger())
+		lost := &lostWorkers{}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			desk.Lead(ctx, 7, lost)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		meet := func(zone, instance string) {
+			desk.Poll(t.Context(), PollRequest{Worker: WorkerID{Name: "w-" + zone, Zone: zone, Instance: instance}, Term: 1})
+		}
+		time.Sleep(time.Millisecond)
+		Convey("An engine's worker is one of its zone, and the same one each time", t, func() {
+			meet("z1", "first")
+			meet("z2", "first")
+			for range 3 {
+				worker, ok := desk.Assign(&fleet.Engine{ID: "e", Zone: "z2"}, &Assignment{})
+				So(ok, ShouldBeTrue)
+				So(worker, ShouldEqual, "w-z2/first")
+			}
+		})
+		Convey("A worker that is not heard of is lost, but not while this process itself stood still", t, func() {
+			desk.excuse(3 * time.Second)
+			time.Sleep(2 * time.Second)
+			So(lost.taken(), ShouldBeEmpty)
+			time.Sleep(3 * time.Second)
+			So(lost.taken(), ShouldHaveLength, 2)
+			_, ok := desk.Assign(&fleet.Engine{ID: "e", Zone: "z2"}, &Assignment{})
+			So(ok, ShouldBeFalse)
+		})
+		Convey("A worker that comes back as another process has lost the runs of the one before", t, func() {
+			meet("z1", "second")
+			meet("z1", "third")
+			So(lost.taken(), ShouldResemble, []string{"w-z1/second"})
+		})
+	})
+}
