--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -1,5 +1,6 @@
 // Package batchrun runs batch jobs: it places their items on engines, resumes streams that break, has whole texts judged,
-// and lists results once they are kept for good. One process at a time runs the jobs of a deployment.
+// and lists results once they are kept for good. One process at a time runs the jobs of a deployment; it hands the runs of their
+// items to the workers of its desk (package itemwork), or carries them out itself if there are none.
 package batchrun
 
 import (
