--- a/internal/batchrun/candidates.go
+++ b/internal/batchrun/candidates.go
@@ -122,12 +122,12 @@
 
 // used takes in that the engine has got one more item.
 func (l *look) used(taken *candidate) {
-	for key, known := range l.pools {
+	for _, known := range l.pools {
 		seen, ok := known.byID[taken.engine.ID]
 		if !ok {
 			continue
 		}
-		group := l.pools[key].byVersion[seen.version]
+		group := known.byVersion[seen.version]
 		if seen.record.running >= seen.slots {
 			heap.Remove(group, seen.place)
 			delete(known.byID, seen.engine.ID)
--- a/internal/batchrun/local_sink.go
+++ b/internal/batchrun/local_sink.go
@@ -1,10 +1,6 @@
 package batchrun
 
-import (
-	"time"
-
-	"github.com/covelink/covelink/internal/itemwork"
-)
+import "github.com/covelink/covelink/internal/itemwork"
 
 // localSink reports a run that this process carries out.
 type localSink struct {
@@ -50,7 +46,7 @@
 	s.version, s.lastID = event.Version, event.ID
 	s.report(func(report *itemwork.Report) {
 		report.Segments = []itemwork.Segment{{Version: event.Version, Events: []string{event.Data}}}
-		if event.Pause > time.Duration(0) {
+		if event.Pause > 0 {
 			report.Pauses, report.PauseCount = event.Pause, 1
 		}
 	})
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -180,12 +180,13 @@
 	return float64(rendezvous.Hash(id)>>11) / (1 << 53)
 }
 
+// route returns an item's route, or nil if there is none now.
+func (r *Runner) route(it *item) *routing.Route {
+	return r.State.View().Routes.Match(it.job.Host, it.Path)
+}
+
 // singleVersion reports whether an item's text must be made by one weight version.
 func (r *Runner) singleVersion(it *item) bool {
-	view := r.State.View()
-	if view.Routes == nil {
-		return false
-	}
-	route := view.Routes.Match(it.job.Host, it.Path)
+	route := r.route(it)
 	return route != nil && route.SingleVersion
 }
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -321,11 +321,7 @@
 
 // maxAttempts returns how many answers of 500 an item may get.
 func (r *Runner) maxAttempts(it *item) int {
-	routes := r.State.View().Routes
-	if routes == nil {
-		return 1
-	}
-	if route := routes.Match(it.job.Host, it.Path); route != nil {
+	if route := r.route(it); route != nil {
 		return route.MaxAttempts
 	}
 	return 1
--- a/internal/itemwork/text.go
+++ b/internal/itemwork/text.go
@@ -23,12 +23,14 @@
 }
 
 // Len returns the number of events.
-func (t *Text) Len() int {
-	length := 0
-	for _, segment := range t.Segments {
-		length += len(segment.Events)
+func (t *Text) Len() int { return countEvents(t.Segments) }
+
+func countEvents(segments []Segment) int {
+	count := 0
+	for _, segment := range segments {
+		count += len(segment.Events)
 	}
-	return length
+	return count
 }
 
 // Add takes in one event.
@@ -75,9 +77,11 @@
 }
 
 // Size is the number of bytes of the events.
-func (t *Text) Size() int {
+func (t *Text) Size() int { return sizeOf(t.Segments) }
+
+func sizeOf(segments []Segment) int {
 	size := 0
-	for _, segment := range t.Segments {
+	for _, segment := range segments {
 		for _, event := range segment.Events {
 			size += len(event)
 		}
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -293,11 +293,7 @@
 			return request, true
 		}
 		report := run.report()
-		for _, segment := range report.Segments {
-			for _, event := range segment.Events {
-				size += len(event)
-			}
-		}
+		size += sizeOf(report.Segments)
 		request.Reports = append(request.Reports, report)
 	}
 	return request, false
--- a/internal/itemwork/worker_run.go
+++ b/internal/itemwork/worker_run.go
@@ -117,11 +117,7 @@
 
 // take notes that a report was taken in.
 func (r *workerRun) take(report *Report) {
-	told := report.From
-	for _, segment := range report.Segments {
-		told += len(segment.Events)
-	}
-	r.reported = max(r.reported, told)
+	r.reported = max(r.reported, report.From+countEvents(report.Segments))
 	r.pauses -= report.Pauses
 	r.pauseCount -= report.PauseCount
 	r.verdictReported = report.End.Verdict
