--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -236,6 +236,9 @@
 	for _, it := range j.items {
 		r.reuse(it)
 	}
+	if !r.knowsEarlier(j) {
+		j.assumeCarried()
+	}
 	term := r.term
 	r.running.Go(func() { r.commit(term, j) })
 	r.poke()
@@ -266,13 +269,10 @@
 
 // earlierJob returns the ended job from which an item comes again, or nil.
 func (r *Runner) earlierJob(it *item) *job {
-	looked := 0
-	for i := len(r.order) - 1; i >= 0 && looked < maxEarlierJobs; i-- {
-		earlier := r.order[i]
-		if earlier == it.job || !earlier.ended || earlier.Model != it.job.Model {
+	for _, earlier := range r.order {
+		if !earlier.ended || !earlier.precedes(it.job, 2*stepsAhead) {
 			continue
 		}
-		looked++
 		if _, ok := earlier.byID[it.ID]; ok {
 			return earlier
 		}
@@ -280,8 +280,25 @@
 	return nil
 }
 
-// maxEarlierJobs bounds the ended jobs of a model that are searched for items that come again: a trainer's open jobs, twice.
-const maxEarlierJobs = 4
+// precedes reports whether a job is of one of so many steps before another of the same model.
+func (j *job) precedes(other *job, steps int64) bool {
+	return j.Model == other.Model && j.Step < other.Step && j.Step >= other.Step-steps
+}
+
+// knowsEarlier reports whether this process knows the items of the jobs from which groups may come again in a job: those of the
+// steps before it. It does not if they ended in an earlier term.
+func (r *Runner) knowsEarlier(j *job) bool {
+	missing := min(j.Step, stepsAhead)
+	for _, known := range r.order {
+		if known.precedes(j, stepsAhead) {
+			missing--
+		}
+	}
+	return missing <= 0
+}
+
+// stepsAhead is how many steps before a trainer's newest job may still be open: it asks for one while another lasts.
+const stepsAhead = 2
 
 // poke makes the scheduler look again.
 func (r *Runner) poke() {
--- a/internal/batchrun/step.go
+++ b/internal/batchrun/step.go
@@ -29,6 +29,15 @@
 	return slices.ContainsFunc(g.items, func(it *item) bool { return it.carried })
 }
 
+// assumeCarried takes the groups for carried that may be: they stand first, and are at most half of those that the trainer wants.
+func (j *job) assumeCarried() {
+	for _, group := range j.groups[:min((j.Desired+1)/2, len(j.groups))] {
+		for _, it := range group.items {
+			it.carried = true
+		}
+	}
+}
+
 // newGroups divides items by their group; an item that names none is a group of its own.
 func newGroups(items []*item) []*itemGroup {
 	var groups []*itemGroup
