election: a holder that the store turns away yields to a candidate that it serves

Ruled out: shorter times of the election; it lives and answers. Change: pings tell for how long the store has served no call of the holder (metastore.Outage); a candidate that the store serves asks it to stop, and takes the lease by the conditional write that exists once nothing of the old term goes on. A store that serves nobody changes nothing.

--- a/internal/batchrpc/batchrpc.go
+++ b/internal/batchrpc/batchrpc.go
@@ -73,10 +73,31 @@
 type PingRequest struct{ Instance string }
 
 // PingReply answers a PingRequest.
-type PingReply struct{ Leading bool }
+type PingReply struct {
+	Leading bool
+	// Unserved is for how long the store has served no call of the process.
+	Unserved time.Duration
+}
+
+// YieldRequest asks an instance that the store does not serve to stop the term of a token.
+type YieldRequest struct {
+	Instance string
+	Token    int64
+}
+
+// YieldReply answers a YieldRequest. Yielded is true once nothing of the term goes on.
+type YieldReply struct{ Yielded bool }
 
-// Register makes the server answer for the service. leading reports whether an instance is this process and coordinates.
-func Register(server *rpc.Server, service batch.Service, leading func(instance string) bool) {
+// Lease is what a process tells and does about the coordinator's lease.
+type Lease interface {
+	// Standing answers a ping.
+	Standing(instance string) PingReply
+	// YieldTo stops the term of a token.
+	YieldTo(ctx context.Context, instance string, token int64) error
+}
+
+// Register makes the server answer for the service and the lease.
+func Register(server *rpc.Server, service batch.Service, lease Lease) {
 	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request SubmitRequest) (Reply, error) {
 		return Reply{Code: toCode(service.Submit(ctx, request.Job))}, nil
 	})
@@ -92,7 +113,10 @@
 		return Reply{Code: toCode(service.End(ctx, request.ID))}, nil
 	})
 	rpc.Handle(server, func(_ context.Context, _ rpc.Peer, request PingRequest) (PingReply, error) {
-		return PingReply{Leading: leading(request.Instance)}, nil
+		return lease.Standing(request.Instance), nil
+	})
+	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request YieldRequest) (YieldReply, error) {
+		return YieldReply{Yielded: lease.YieldTo(ctx, request.Instance, request.Token) == nil}, nil
 	})
 }
 
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -16,6 +16,7 @@
 	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/metastore/metastoretest"
+	"github.com/covelink/covelink/internal/pause"
 )
 
 // term is one holding of the lease, as a candidate saw it.
@@ -30,6 +31,8 @@
 	mu    sync.Mutex
 	// silent are the candidates that answer no ping, cut those that reach no store.
 	silent, cut map[string]bool
+	// refused are those whose calls the store turns away.
+	refused map[string]bool
 	candidates  map[string]*candidate
 	terms       []term
 	leading     map[string]bool
@@ -37,6 +40,8 @@
 
 type candidate struct {
 	elector *election.Elector
+	outage  *metastore.Outage
+	client  metastore.Client
 	stop    func()
 	// killed is true once the life has ended without a chance to give the lease back.
 	killed  bool
@@ -50,6 +55,7 @@
 		store:      metastoretest.New(),
 		silent:     make(map[string]bool),
 		cut:        make(map[string]bool),
+		refused:    make(map[string]bool),
 		candidates: make(map[string]*candidate),
 		leading:    make(map[string]bool),
 	}
@@ -64,22 +70,28 @@
 // start begins a life of a candidate.
 func (g *group) start(name string) {
 	client := g.store.Client()
-	c := &candidate{}
+	c := &candidate{outage: metastore.NewOutage()}
 	client.Fault = func(string, string, bool) metastoretest.Fault {
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		if g.cut[name] || c.killed {
 			return metastoretest.Silent
 		}
+		if g.refused[name] {
+			return metastoretest.Refused
+		}
 		return metastoretest.None
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	c.client = metastore.Watched(client, c.outage)
 	c.elector = election.New(election.Params{
 		Name:      name,
 		Address:   name,
-		Store:     client,
-		Followers: metastore.NewFollowers(client),
+		Store:     c.client,
+		Followers: metastore.NewFollowers(c.client),
 		Ping:      g.ping,
+		Yield:     g.yield,
+		Unserved:  c.outage.Length,
 		Lead:      func(ctx context.Context, t election.Term) { g.lead(ctx, name, t) },
 		Logger:    log.NewNopLogger(),
 	})
@@ -119,14 +131,21 @@
 	return lease.Holder == name && lease.Token == t.Token
 }
 
-func (g *group) ping(_ context.Context, address, instance string) error {
+func (g *group) ping(_ context.Context, address, instance string) (time.Duration, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	target := g.candidates[address]
 	if target == nil || g.silent[address] || target.elector.Instance() != instance || !target.elector.Leading() {
-		return errSilent
+		return 0, errSilent
 	}
-	return nil
+	return target.outage.Length(), nil
+}
+
+func (g *group) yield(ctx context.Context, address, instance string, token int64) error {
+	g.mu.Lock()
+	target := g.candidates[address]
+	g.mu.Unlock()
+	return target.elector.YieldTo(ctx, instance, token)
 }
 
 func (g *group) lead(ctx context.Context, name string, t election.Term) {
@@ -134,8 +153,13 @@
 	g.terms = append(g.terms, term{candidate: name, token: t.Token})
 	g.candidates[name].current = t
 	g.leading[name] = true
+	client := g.candidates[name].client
 	g.mu.Unlock()
-	<-ctx.Done()
+	for ctx.Err() == nil {
+		// The duties of a term call the store.
+		_, _ = client.Get(ctx, election.KindLeases, "coordinator")
+		pause.For(ctx, 200*time.Millisecond)
+	}
 	g.mu.Lock()
 	g.leading[name] = false
 	g.mu.Unlock()
--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -40,8 +40,14 @@
 	Store   metastore.Client
 	// Followers follow the lease in the store.
 	Followers metastore.Follower
-	// Ping asks the process at an address whether it is the instance and holds the lease.
-	Ping func(ctx context.Context, address, instance string) error
+	// Ping asks the process at an address whether it is the instance and holds the lease, and for how long the store has served no
+	// call of it.
+	Ping func(ctx context.Context, address, instance string) (unserved time.Duration, err error)
+	// Yield asks the process at an address to stop its term, if it is the instance and the store does not serve it. It returns nil
+	// once nothing of the term goes on. A nil function leaves such a holder alone.
+	Yield func(ctx context.Context, address, instance string, token int64) error
+	// Unserved returns for how long the store has served no call of this process; nil if that is not known.
+	Unserved func() time.Duration
 	// Lead coordinates until ctx ends. It must return soon after.
 	Lead func(ctx context.Context, term Term)
 	// Eligible is false while this process must not hold the lease; nil means always true.
@@ -56,11 +62,16 @@
 	instance string
 	// held is true once this start of the process has held the lease. It belongs to Run.
 	held bool
+	// yields are requests to stop the term that lasts.
+	yields chan yieldRequest
+	// yieldMutex guards yieldedToken, the token of the last term that this process has yielded.
+	yieldMutex   sync.Mutex
+	yieldedToken int64
 }
 
 // New returns an Elector. Run starts it.
 func New(params Params) *Elector {
-	return &Elector{Params: params, Watcher: NewWatcher(params.Followers, params.Logger), instance: uuid.NewString()}
+	return &Elector{Params: params, Watcher: NewWatcher(params.Followers, params.Logger), instance: uuid.NewString(), yields: make(chan yieldRequest)}
 }
 
 // Instance returns the name of this start of the process.
@@ -69,7 +80,7 @@
 // Leading reports whether this process holds the lease, as far as it knows, for answers to Ping.
 func (e *Elector) Leading() bool {
 	lease, known, _ := e.current()
-	return known && lease.Instance == e.instance
+	return known && lease.Instance == e.instance && !e.yielded(lease.Token)
 }
 
 // Run follows the lease and campaigns until ctx ends, then gives the lease back.
@@ -86,6 +97,8 @@
 		switch {
 		case !known:
 			wait(ctx, changed, time.Hour)
+		case lease.Instance == e.instance && e.yielded(lease.Token):
+			e.awaitSuccessor(ctx, lease, changed)
 		case lease.Instance == e.instance:
 			e.lead(ctx, lease)
 		case !e.eligible():
@@ -151,16 +164,20 @@
 		if wait(ctx, changed, pingInterval) {
 			return
 		}
-		if err := e.ping(ctx, lease); err != nil {
+		unserved, err := e.ping(ctx, lease)
+		if err != nil {
 			misses++
 			continue
 		}
 		misses = 0
+		if unserved >= unservedLimit {
+			e.succeed(ctx, lease, unserved)
+		}
 	}
 	e.challenge(ctx, lease)
 }
 
-func (e *Elector) ping(ctx context.Context, lease Lease) error {
+func (e *Elector) ping(ctx context.Context, lease Lease) (unserved time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	return e.Ping(ctx, lease.Address, lease.Instance)
@@ -207,13 +224,36 @@
 			e.answer(ctx, current)
 			continue
 		}
-		wait(ctx, changed, pingInterval)
+		request, asked := e.awaitYield(ctx, changed)
+		if !asked || request.token != lease.Token {
+			continue
+		}
+		e.noteYield(lease.Token)
+		cancel()
+		leading.Wait()
+		level.Info(e.Logger).Log("msg", "lease yielded", "token", lease.Token, "unserved", e.unserved().Round(time.Millisecond))
+		close(request.stopped)
+		return
 	}
 	cancel()
 	leading.Wait()
 	e.release()
 }
 
+// awaitYield waits for a request to stop the term, a change of the lease or the next look at it.
+func (e *Elector) awaitYield(ctx context.Context, changed <-chan struct{}) (request yieldRequest, asked bool) {
+	timer := time.NewTimer(pingInterval)
+	defer timer.Stop()
+	select {
+	case request = <-e.yields:
+		return request, true
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return yieldRequest{}, false
+}
+
 // answer removes a challenge.
 func (e *Elector) answer(ctx context.Context, lease Lease) {
 	next := lease
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -83,6 +84,7 @@
 	Logger    log.Logger
 	State     *fleet.State
 	Store     metastore.Client
+	Outage    *metastore.Outage
 	Followers *metastore.Followers
 	Runner    *batchrun.Runner
 	Desk      *itemwork.Desk
@@ -119,6 +121,8 @@
 		Store:     c.Store,
 		Followers: c.Followers,
 		Ping:      c.ping,
+		Yield:     c.yield,
+		Unserved:  c.Outage.Length,
 		Lead:      c.lead,
 		Eligible:  c.Leaving.MayCoordinate,
 		Logger:    c.logger,
@@ -127,7 +131,7 @@
 	hub.Attach(c.Followers)
 	c.server = rpc.NewServer(c.Logger)
 	storerelay.Register(c.server, hub)
-	batchrpc.Register(c.server, c.Runner, c.leading)
+	batchrpc.Register(c.server, c.Runner, c)
 	itemwork.Register(c.server, c.Desk)
 	go c.serve()
 	c.Tasks.run(c.elector.Run)
@@ -145,19 +149,34 @@
 	}
 }
 
-// leading reports whether an instance is this process and coordinates.
-func (c *coordinator) leading(instance string) bool {
-	return instance == c.elector.Instance() && c.elector.Leading()
+// Standing implements batchrpc.Lease.
+func (c *coordinator) Standing(instance string) batchrpc.PingReply {
+	return batchrpc.PingReply{Leading: instance == c.elector.Instance() && c.elector.Leading(), Unserved: c.Outage.Length()}
+}
+
+// YieldTo implements batchrpc.Lease.
+func (c *coordinator) YieldTo(ctx context.Context, instance string, token int64) error {
+	return c.elector.YieldTo(ctx, instance, token)
 }
 
 // errNotLeading reports a process that answers but does not coordinate.
 var errNotLeading = errors.New("not coordinating")
 
-func (c *coordinator) ping(ctx context.Context, address, instance string) error {
+func (c *coordinator) ping(ctx context.Context, address, instance string) (unserved time.Duration, err error) {
 	reply, err := rpc.Call[batchrpc.PingRequest, batchrpc.PingReply](ctx, c.Calls, address, batchrpc.PingRequest{Instance: instance})
 	if err == nil && !reply.Leading {
 		err = errNotLeading
 	}
+	return reply.Unserved, err
+}
+
+// yield asks the holder of the lease to stop its term.
+func (c *coordinator) yield(ctx context.Context, address, instance string, token int64) error {
+	request := batchrpc.YieldRequest{Instance: instance, Token: token}
+	reply, err := rpc.Call[batchrpc.YieldRequest, batchrpc.YieldReply](ctx, c.Calls, address, request)
+	if err == nil && !reply.Yielded {
+		err = election.ErrNotYielded
+	}
 	return err
 }
 
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -99,8 +99,9 @@
 		fleet.NewState,
 		telemetry.NewRegistry,
 		newMetrics,
-		func(config settings.Fleet, observed *metrics) metastore.Client {
-			return platform.NewStore(config.Store.Address, observed.storeCalled)
+		metastore.NewOutage,
+		func(config settings.Fleet, observed *metrics, outage *metastore.Outage) metastore.Client {
+			return metastore.Watched(platform.NewStore(config.Store.Address, observed.storeCalled), outage)
 		},
 		metastore.NewFollowers,
 		platform.NewEngines,
--- a/internal/weightorder/manager_test.go
+++ b/internal/weightorder/manager_test.go
@@ -183,7 +183,7 @@
 		Address:   "node-1",
 		Store:     w.client,
 		Followers: metastore.NewFollowers(w.client),
-		Ping:      func(context.Context, string, string) error { return nil },
+		Ping:      func(context.Context, string, string) (time.Duration, error) { return 0, nil },
 		Lead:      w.manager.Lead,
 		Logger:    log.NewNopLogger(),
 	})
