--- a/internal/batchrpc/batchrpc.go
+++ b/internal/batchrpc/batchrpc.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/rpc"
 )
 
@@ -18,12 +19,18 @@
 	codeNotFound
 	codeRefused
 	codeUnavailable
+	// codeNotLeading: the process does not coordinate; nothing was done.
+	codeNotLeading
 )
 
+// errNotLeading reports a process that does not coordinate.
+var errNotLeading = errors.New("batchrpc: not leading")
+
 var codeErrors = map[code]error{
 	codeNotFound:    batch.ErrNotFound,
 	codeRefused:     batch.ErrRefused,
 	codeUnavailable: batch.ErrUnavailable,
+	codeNotLeading:  errNotLeading,
 }
 
 func toCode(err error) code {
@@ -90,6 +97,8 @@
 
 // Lease is what a process tells and does about the coordinator's lease.
 type Lease interface {
+	// Leading reports whether the process coordinates.
+	Leading() bool
 	// Standing answers a ping.
 	Standing(instance string) PingReply
 	// YieldTo stops the term of a token.
@@ -99,6 +108,9 @@
 // Register makes the server answer for the service and the lease.
 func Register(server *rpc.Server, service batch.Service, lease Lease) {
 	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request SubmitRequest) (Reply, error) {
+		if !lease.Leading() {
+			return Reply{Code: codeNotLeading}, nil
+		}
 		return Reply{Code: toCode(service.Submit(ctx, request.Job))}, nil
 	})
 	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request ReadRequest) (ReadReply, error) {
@@ -123,8 +135,13 @@
 const (
 	// callTimeout bounds a call beyond what it waits for results.
 	callTimeout = 1500 * time.Millisecond
-	// submitTimeout bounds a submission.
+	// submitTimeout bounds one attempt at a submission.
 	submitTimeout = 4 * time.Second
+	// submitWait is how long a submission waits for a process that takes it: a lost coordinator is replaced within 3 s, and a trainer
+	// that is refused waits for its next step.
+	submitWait = 6 * time.Second
+	// submitPause is the pause between two attempts.
+	submitPause = 100 * time.Millisecond
 )
 
 // Client calls the coordinating process. It implements batch.Service.
@@ -147,11 +164,33 @@
 // Close ends what the client does in the background.
 func (c *Client) Close() { c.ender.close() }
 
-// Submit implements batch.Service.
+// Submit implements batch.Service. While no process coordinates it waits for one: taking a job twice has no effect. It returns
+// ErrRefused only if no attempt may have been taken.
 func (c *Client) Submit(ctx context.Context, job batch.Job) error {
+	ctx, cancel := context.WithTimeout(ctx, submitWait)
+	defer cancel()
+	refusal := batch.ErrRefused
+	for {
+		err := c.submitOnce(ctx, job)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, batch.ErrUnavailable):
+			// The attempt may have been taken.
+			refusal = batch.ErrUnavailable
+		}
+		pause.For(ctx, submitPause)
+		if ctx.Err() != nil {
+			return refusal
+		}
+	}
+}
+
+// submitOnce returns ErrUnavailable if the job may have been taken, and another error if it was not.
+func (c *Client) submitOnce(ctx context.Context, job batch.Job) error {
 	address := c.leader()
 	if address == "" {
-		return batch.ErrRefused
+		return errNotLeading
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -36,6 +36,9 @@
 	carried bool
 	// notBefore is when the next attempt may begin.
 	notBefore time.Time
+	// checkpointed is the number of events that the disk holds, and checkpointedWhole is true if it holds that they are all.
+	checkpointed      int
+	checkpointedWhole bool
 	// renewing is true while the item's run is ended so that it begins anew.
 	renewing bool
 	// preferVersion is the oldest weight version that the next run had better be made by, and preferUntil how long it waits for it.
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -1,7 +1,9 @@
 package batchrun
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -27,8 +29,12 @@
 	// unhurriedShare is the part of the time that the longest group of a job takes within which an item's text may take its time.
 	// Lengths are off by half in one case of six, so that it stays well below one.
 	unhurriedShare = 0.5
-	// moveFactor is how much slower an item's engine must be than another before the item is moved.
-	moveFactor = 1.7
+	// moveFactor is how much slower an item's engine must be than another before the item is moved: kinds of engines differ by 1.3, and
+	// engines of one kind by less than 1.15.
+	moveFactor = 1.15
+	// minMoveGain is by how much sooner a moved item must be expected to end: a move costs it some 100 ms, and the expectation is off
+	// by a third.
+	minMoveGain = 300 * time.Millisecond
 )
 
 // scheduleUntil places items until ctx ends.
@@ -40,13 +46,13 @@
 		r.mu.Lock()
 		started := r.now()
 		looked := r.newLook(r.State.View())
-		left := r.schedule(looked)
+		r.renewSpare(looked)
 		if started.Sub(movedAt) >= moveInterval {
 			running, movedAt = r.moveSlow(looked), started
-			r.renewSpare(looked)
 			r.endDetached()
 			r.loseUnheard()
 		}
+		left := r.schedule(looked)
 		took := r.now().Sub(started)
 		r.mu.Unlock()
 		interval := idleInterval
@@ -102,28 +108,50 @@
 	return looked.chooseUnhurried(waiting.route, it, least, events, time.Duration(unhurriedShare*float64(it.job.longest)))
 }
 
-// moveSlow ends attempts at engines that are much slower than another that has room, so that their items go on there, at most
-// one an engine. It returns the number of items that run. The mutex must be held.
+// moveSlow ends attempts at engines that are slower than another that has room, so that their items go on there, those with the most
+// time left first and at most one an engine. It returns the number of items that run. The mutex must be held.
 func (r *Runner) moveSlow(looked *look) (running int) {
+	if looked.view.Routes == nil {
+		return 0
+	}
+	candidates := r.runningItems()
+	slices.SortStableFunc(candidates, func(a, b movable) int { return cmp.Compare(b.timeLeft, a.timeLeft) })
 	moved := make(map[string]struct{})
+	for _, candidate := range candidates {
+		if candidate.timeLeft < minMoveGain {
+			break
+		}
+		if _, done := moved[candidate.item.run.engine]; !done && r.moveIfSlow(looked, candidate) {
+			moved[candidate.item.run.engine] = struct{}{}
+		}
+	}
+	return len(candidates)
+}
+
+// movable is an item that runs, with how long it is expected to take where it is.
+type movable struct {
+	item     *item
+	timeLeft time.Duration
+}
+
+func (r *Runner) runningItems() []movable {
+	var found []movable
 	for _, j := range r.order {
-		if j.ended || looked.view.Routes == nil {
+		if j.ended {
 			continue
 		}
 		for _, it := range j.items {
-			if it.phase != phaseRunning {
-				continue
-			}
-			running++
-			if _, done := moved[it.run.engine]; !done && r.moveIfSlow(looked, it) {
-				moved[it.run.engine] = struct{}{}
+			if it.phase == phaseRunning {
+				found = append(found, movable{item: it, timeLeft: r.timeLeft(it)})
 			}
 		}
 	}
-	return running
+	return found
 }
 
-func (r *Runner) moveIfSlow(looked *look, it *item) bool {
+// moveIfSlow moves an item if it is expected to end sooner elsewhere by more than a move costs.
+func (r *Runner) moveIfSlow(looked *look, candidate movable) bool {
+	it := candidate.item
 	if it.run.moving || looked.now.Sub(it.run.started) < moveAfter {
 		return false
 	}
@@ -136,9 +164,13 @@
 	if other == nil || other.engine.ID == it.run.engine || ownPause.Seconds() < moveFactor*otherPause {
 		return false
 	}
+	gain := time.Duration(float64(candidate.timeLeft) * (1 - otherPause/ownPause.Seconds()))
+	if gain < minMoveGain {
+		return false
+	}
 	level.Info(r.Logger).Log("msg", "item moved", "request", it.ID, "job", it.job.ID, "from", it.run.engine, "to", other.engine.ID,
 		"pause", ownPause.Round(time.Millisecond), "other_pause", time.Duration(otherPause*float64(time.Second)).Round(time.Millisecond),
-		"text_events", it.text.Len())
+		"gain", gain.Round(time.Millisecond), "text_events", it.text.Len())
 	r.Observer.HandedOver(HandOverSlow)
 	it.run.moving = true
 	it.run.cancel()
--- a/internal/batchrun/queue.go
+++ b/internal/batchrun/queue.go
@@ -19,6 +19,8 @@
 type urgency struct {
 	// priority is the route's; lower goes first.
 	priority int
+	// renewed items are begun anew for a later job, at the few engines that have its weights.
+	renewed bool
 	// spare items are of groups that their trainer is not expected to wait for.
 	spare bool
 	// latestStart is when the item must begin for its text to be whole when the results of its job are due.
@@ -31,6 +33,9 @@
 	if u.priority != other.priority {
 		return u.priority < other.priority
 	}
+	if u.renewed != other.renewed {
+		return u.renewed
+	}
 	if u.spare != other.spare {
 		return other.spare
 	}
@@ -45,7 +50,6 @@
 		if j.ended {
 			continue
 		}
-		r.outlook(j)
 		for _, it := range j.items {
 			if it.phase != phaseWaiting {
 				continue
@@ -57,6 +61,7 @@
 			}
 			entries = append(entries, waitingItem{item: it, route: route, urgency: urgency{
 				priority:    route.Priority,
+				renewed:     it.preferUntil.After(now),
 				spare:       it.group.spare,
 				latestStart: j.accepted.Add(route.ResultDeadline - r.timeLeft(it)),
 			}})
--- a/internal/batchrun/renew.go
+++ b/internal/batchrun/renew.go
@@ -10,9 +10,6 @@
 )
 
 const (
-	// renewMargin is by how much a group must be expected to be whole after all that its trainer waits for before its items are
-	// begun anew: about what reading and listing a result take, and half the error of an estimate of a few events.
-	renewMargin = 300 * time.Millisecond
 	// renewWait is how long an item that is begun anew waits for an engine of the version it is meant for. Nothing may be at no
 	// engine for long.
 	renewWait = time.Second
@@ -45,8 +42,9 @@
 		if j.ended {
 			continue
 		}
+		r.outlook(j)
 		for _, group := range j.groups {
-			if group.spare && (group.renewed || group.timeLeft > j.longest+renewMargin) {
+			if group.spare {
 				r.renewGroup(looked, group, r.returnVersion(j))
 			}
 		}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -60,6 +60,8 @@
 	HandedOver(reason HandOver)
 	// Listed reports a result that was listed.
 	Listed(state batch.State)
+	// Checkpointed reports a write of unfinished texts to this process's disk.
+	Checkpointed(texts int, err error)
 	// Committed reports a write of results.
 	Committed(took time.Duration)
 }
@@ -69,6 +71,7 @@
 
 func (nobody) AttemptEnded(string, time.Duration) {}
 func (nobody) HandedOver(HandOver)                {}
+func (nobody) Checkpointed(int, error)            {}
 func (nobody) Listed(batch.State)                 {}
 func (nobody) Committed(time.Duration)            {}
 
@@ -85,6 +88,10 @@
 	// MaxEndedBytes bounds the results of ended jobs that stay in memory; those of others are read from the store when they are
 	// asked for. Zero means DefaultMaxEndedBytes.
 	MaxEndedBytes int
+	// TextFolder is where unfinished texts are kept on this process's disk; empty for nowhere. They take up to TextLimit bytes, and
+	// twice that while they are written anew.
+	TextFolder string
+	TextLimit  int64
 	// Observer may be nil.
 	Observer Observer
 	Logger   log.Logger
@@ -178,6 +185,7 @@
 		r.ends[id] = r.now()
 	}
 	r.term, r.depose, r.log = ctx, depose, log
+	texts := r.openTexts()
 	for _, found := range stored {
 		r.awaitAdoption(r.add(found))
 	}
@@ -187,6 +195,9 @@
 	}
 	level.Info(r.Logger).Log("msg", "leading", "token", token, "jobs", len(stored), "took", r.now().Sub(started).Round(time.Millisecond))
 	r.running.Go(func() { r.retain(ctx) })
+	if texts != nil {
+		r.running.Go(func() { r.checkpoint(ctx, texts) })
+	}
 	r.scheduleUntil(ctx)
 	r.mu.Lock()
 	r.term = nil
--- a/internal/batchrun/unfinished.go
+++ b/internal/batchrun/unfinished.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// each calls a function for every text, oldest first.
+func (u *unfinishedTexts) each(visit func(id string, text *itemwork.Text)) {
+	for element := u.order.Front(); element != nil; element = element.Next() {
+		kept := element.Value.(unfinishedText)
+		visit(kept.id, &kept.text)
+	}
+}
+
 // take returns an item's text and keeps it no longer.
 func (u *unfinishedTexts) take(id string) (itemwork.Text, bool) {
 	element, ok := u.byID[id]
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -32,10 +32,10 @@
 	// silent are the candidates that answer no ping, cut those that reach no store.
 	silent, cut map[string]bool
 	// refused are those whose calls the store turns away.
-	refused map[string]bool
-	candidates  map[string]*candidate
-	terms       []term
-	leading     map[string]bool
+	refused    map[string]bool
+	candidates map[string]*candidate
+	terms      []term
+	leading    map[string]bool
 }
 
 type candidate struct {
--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -28,6 +28,11 @@
 	namesakePause = 5 * time.Second
 	// writeTimeout bounds one write of the lease.
 	writeTimeout = time.Second
+	// challengeTimeout bounds the write of a challenge: a store that serves answers within some hundred milliseconds, and one that was
+	// silent must not hold up the next attempt.
+	challengeTimeout = 600 * time.Millisecond
+	// challengeRetry is the pause before a challenge is tried again that could not be written.
+	challengeRetry = 150 * time.Millisecond
 	// maxJitter spreads the candidates' attempts at a lease that is free.
 	maxJitter = 100 * time.Millisecond
 )
@@ -135,7 +140,11 @@
 }
 
 func (e *Elector) store(ctx context.Context, previous, next Lease, message string) bool {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	return e.storeWithin(ctx, writeTimeout, previous, next, message)
+}
+
+func (e *Elector) storeWithin(ctx context.Context, timeout time.Duration, previous, next Lease, message string) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	stored, err := write(ctx, e.Store, previous, next)
 	if err != nil {
@@ -174,7 +183,15 @@
 			e.succeed(ctx, lease, unserved)
 		}
 	}
-	e.challenge(ctx, lease)
+	for !e.challenge(ctx, lease) {
+		// The store did not take the challenge. The holder is judged again before the next attempt, not from the start.
+		if wait(ctx, changed, challengeRetry) {
+			return
+		}
+		if _, err := e.ping(ctx, lease); err == nil {
+			return
+		}
+	}
 }
 
 func (e *Elector) ping(ctx context.Context, lease Lease) (unserved time.Duration, err error) {
@@ -183,27 +200,30 @@
 	return e.Ping(ctx, lease.Address, lease.Instance)
 }
 
-// challenge asks the holder, through the store, to show that it lives, and takes the lease if it does not.
-func (e *Elector) challenge(ctx context.Context, lease Lease) {
+// challenge asks the holder, through the store, to show that it lives, and takes the lease if it does not. It returns false if the
+// store has not taken the challenge and the lease is as it was.
+func (e *Elector) challenge(ctx context.Context, lease Lease) (settled bool) {
 	if lease.Challenger == "" {
 		next := lease
 		next.Challenger = e.instance
-		if !e.store(ctx, lease, next, "holder challenged") {
-			return
+		if !e.storeWithin(ctx, challengeTimeout, lease, next, "holder challenged") {
+			current, _, _ := e.current()
+			return ctx.Err() != nil || current != lease
 		}
 	}
 	challenged, _, changed := e.current()
 	if challenged.Instance != lease.Instance || challenged.Challenger == "" {
-		return
+		return true
 	}
 	if !wait(ctx, changed, challengeTime+e.jitter()) {
 		e.acquire(ctx, challenged)
-		return
+		return true
 	}
 	if answered, _, changed := e.current(); answered.Instance == lease.Instance {
 		level.Info(e.Logger).Log("msg", "holder answered the challenge", "holder", answered.Holder, "token", answered.Token)
 		wait(ctx, changed, challengePause)
 	}
+	return true
 }
 
 // lead coordinates while the lease is this process's.
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -44,14 +44,16 @@
 func newRunner(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder, store metastore.Client,
 	desk *itemwork.Desk, observed *metrics, logger log.Logger) *batchrun.Runner {
 	return batchrun.New(batchrun.Params{
-		State:     state,
-		Transport: transport,
-		Forwarder: forwarder,
-		Store:     store,
-		Desk:      desk,
-		Retention: config.Timing.BatchRetention,
-		Observer:  observed,
-		Logger:    telemetry.For(logger, telemetry.PartBatch),
+		State:      state,
+		Transport:  transport,
+		Forwarder:  forwarder,
+		Store:      store,
+		Desk:       desk,
+		Retention:  config.Timing.BatchRetention,
+		TextFolder: config.Data.Folder,
+		TextLimit:  config.Data.TextMegabytes << 20,
+		Observer:   observed,
+		Logger:     telemetry.For(logger, telemetry.PartBatch),
 	})
 }
 
@@ -149,9 +151,12 @@
 	}
 }
 
+// Leading implements batchrpc.Lease.
+func (c *coordinator) Leading() bool { return c.elector.Leading() }
+
 // Standing implements batchrpc.Lease.
 func (c *coordinator) Standing(instance string) batchrpc.PingReply {
-	return batchrpc.PingReply{Leading: instance == c.elector.Instance() && c.elector.Leading(), Unserved: c.Outage.Length()}
+	return batchrpc.PingReply{Leading: instance == c.elector.Instance() && c.Leading(), Unserved: c.Outage.Length()}
 }
 
 // YieldTo implements batchrpc.Lease.
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -19,21 +19,24 @@
 
 // metrics are the counters and histograms of a process.
 type metrics struct {
-	requests      *prometheus.CounterVec
-	requestTime   *prometheus.HistogramVec
-	engines       prometheus.Counter
-	storeCalls    *prometheus.CounterVec
-	storeTime     *prometheus.HistogramVec
-	itemAttempts  *prometheus.CounterVec
-	itemTime      prometheus.Histogram
-	handOvers     *prometheus.CounterVec
-	results       *prometheus.CounterVec
-	commitTime    prometheus.Histogram
-	orders        *prometheus.CounterVec
-	orderTime     prometheus.Histogram
-	leadingTerms  prometheus.Counter
-	configRefused prometheus.Counter
-	configVersion prometheus.GaugeFunc
+	requests     *prometheus.CounterVec
+	requestTime  *prometheus.HistogramVec
+	engines      prometheus.Counter
+	storeCalls   *prometheus.CounterVec
+	storeTime    *prometheus.HistogramVec
+	itemAttempts *prometheus.CounterVec
+	itemTime     prometheus.Histogram
+	handOvers    *prometheus.CounterVec
+	checkpoints  prometheus.Counter
+	// checkpointFailures counts writes.
+	checkpointFailures prometheus.Counter
+	results            *prometheus.CounterVec
+	commitTime         prometheus.Histogram
+	orders             *prometheus.CounterVec
+	orderTime          prometheus.Histogram
+	leadingTerms       prometheus.Counter
+	configRefused      prometheus.Counter
+	configVersion      prometheus.GaugeFunc
 }
 
 func newMetrics(registry *prometheus.Registry, state *fleet.State, lines *telemetry.AsyncWriter) *metrics {
@@ -55,6 +58,8 @@
 		orders:       counter("engine_moves_total", "Engines that were moved to a weight version.", "result"),
 	}
 	m.engines = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_engines_total", Help: "Engines that requests were sent to."})
+	m.checkpoints = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "text_checkpoints_total", Help: "Unfinished texts that were kept on this process's disk."})
+	m.checkpointFailures = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "text_checkpoint_failures_total", Help: "Writes of unfinished texts to this process's disk that failed."})
 	m.leadingTerms = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "terms_total", Help: "Terms in which this process coordinated."})
 	m.configRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "config_refused_total", Help: "Configurations that could not be used."})
 	itemTime := histogram("item_attempt_duration_seconds", "Time of a run of a batch item at an engine.")
@@ -69,7 +74,7 @@
 		}
 		return 0
 	})
-	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.handOvers, m.results,
+	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.handOvers, m.checkpoints, m.checkpointFailures, m.results,
 		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, newLinesDropped(lines))
 	return m
 }
@@ -101,6 +106,15 @@
 	m.results.WithLabelValues(name).Inc()
 }
 
+// Checkpointed implements batchrun.Observer.
+func (m *metrics) Checkpointed(texts int, err error) {
+	if err != nil {
+		m.checkpointFailures.Inc()
+		return
+	}
+	m.checkpoints.Add(float64(texts))
+}
+
 // Committed implements batchrun.Observer.
 func (m *metrics) Committed(took time.Duration) { m.commitTime.Observe(took.Seconds()) }
 
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -76,12 +76,12 @@
 }
 
 // ErrNeedsRestart reports changed settings that a running process cannot take.
-var ErrNeedsRestart = errors.New("node: name, zone, role, addresses and store take effect at the next start")
+var ErrNeedsRestart = errors.New("node: name, zone, role, addresses, store and data take effect at the next start")
 
 // Reload takes in changed settings. Those of timing take effect at once; ErrNeedsRestart if others differ as well.
 func (n *Node) Reload(changed settings.Fleet) error {
 	n.timing.current.Store(&changed.Timing)
-	if changed.Node != n.config.Node || changed.Listen != n.config.Listen || changed.Store != n.config.Store {
+	if changed.Node != n.config.Node || changed.Listen != n.config.Listen || changed.Store != n.config.Store || changed.Data != n.config.Data {
 		return ErrNeedsRestart
 	}
 	return nil
--- a/internal/metastore/outage.go
+++ b/internal/metastore/outage.go
@@ -80,7 +80,9 @@
 }
 
 // Watched returns a client that tells an Outage of its calls.
-func Watched(client Client, outage *Outage) Client { return &watchedClient{client: client, outage: outage} }
+func Watched(client Client, outage *Outage) Client {
+	return &watchedClient{client: client, outage: outage}
+}
 
 // watchedClient tells an Outage of the calls of a client.
 type watchedClient struct {
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -23,6 +23,7 @@
 	Listen FleetListen `koanf:"listen"`
 	Store  FleetStore  `koanf:"store" validate:"required"`
 	Timing FleetTiming `koanf:"timing"`
+	Data   FleetData   `koanf:"data"`
 	Log    Log         `koanf:"log"`
 }
 
@@ -56,6 +57,14 @@
 	Address string `koanf:"address" validate:"required,hostname_port|tcp_addr"`
 }
 
+// FleetData is the process's disk.
+type FleetData struct {
+	// Folder is where unfinished texts are kept; empty for nowhere. Coordinators only.
+	Folder string `koanf:"folder"`
+	// TextMegabytes bounds the unfinished texts on disk; they take twice that while they are written anew. Default 32.
+	TextMegabytes int64 `koanf:"textMegabytes" validate:"gte=1,lte=4096"`
+}
+
 // FleetTiming holds bounds on time.
 type FleetTiming struct {
 	// StopTimeout bounds a planned stop. Default 8s.
@@ -74,7 +83,8 @@
 			LeaseLength:    3 * time.Second,
 			BatchRetention: 2 * time.Minute,
 		},
-		Log: Log{Level: "info", Format: "logfmt"},
+		Data: FleetData{TextMegabytes: 32},
+		Log:  Log{Level: "info", Format: "logfmt"},
 	}
 }
 
--- a/internal/settings/fleet_test.go
+++ b/internal/settings/fleet_test.go
@@ -25,6 +25,7 @@
 	"bounds.grace-s":   "8",
 	"bounds.lease-ms":  "3000",
 	"bounds.status-s":  "120",
+	"data-dir":         "/data/storage",
 }
 
 var gap = regexp.MustCompile(`\{\{([^}]+)\}\}`)
--- a/internal/weightorder/plan.go
+++ b/internal/weightorder/plan.go
@@ -116,9 +116,6 @@
 	var worstLag int64
 	for _, model := range models {
 		next := move{engine: engine, model: model, version: m.named[model]}
-		if m.demand[model].Waiting > 0 && !m.unusable(next) {
-			continue
-		}
 		if lag := m.lag(engine, model); lag > worstLag {
 			worst, worstLag = next, lag
 		}
