--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -160,7 +160,7 @@
 		return false
 	}
 	ownPause := r.engine(it.run.engine).pause(looked.now)
-	other, otherPause := looked.choose(route, it, 0)
+	other, otherPause := looked.choose(route, it, r.preferred(looked, route, it))
 	if other == nil || other.engine.ID == it.run.engine || ownPause.Seconds() < moveFactor*otherPause {
 		return false
 	}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -27,8 +27,11 @@
 	endTimeout = 3500 * time.Millisecond
 	// findTimeout bounds the search for a job that this process does not know.
 	findTimeout = time.Second
-	// maxReadBytes bounds the texts of one reading.
-	maxReadBytes = 600 << 10
+	// maxReadBytes bounds one reading, which may take 1 MB in the callers' encoding: a trainer that reads twice a second must keep up
+	// with some hundred short results a second.
+	maxReadBytes = 900 << 10
+	// resultOverhead stands for what a result takes beyond its text.
+	resultOverhead = 256
 	// maxWait bounds how long a reading waits for a result.
 	maxWait = 2 * time.Second
 	// DefaultMaxEndedBytes bounds the results of ended jobs that stay in memory.
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -109,7 +109,7 @@
 	size := 0
 	for position < len(j.listed) {
 		result := j.listed[position]
-		size += len(result.Text)
+		size += len(result.Text) + resultOverhead
 		if len(reading.Results) > 0 && size > maxReadBytes {
 			break
 		}
--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -16,6 +16,9 @@
 	// retryPause is the pause after a call that failed; it doubles with each failure in a row, up to maxRetryPause.
 	retryPause    = 150 * time.Millisecond
 	maxRetryPause = 600 * time.Millisecond
+	// probeWait is how long a watch waits after a failure: one that began while the store was silent is not answered once it is back,
+	// and would be waited for in full.
+	probeWait = 50 * time.Millisecond
 	// stalledAfter is how long a watch may outlast its wait before it is given up.
 	stalledAfter = 400 * time.Millisecond
 	// listTimeout bounds one page of a list.
@@ -206,6 +209,9 @@
 
 // wait returns how long the next watch waits in the store.
 func (w *follower) wait() time.Duration {
+	if w.failures > 0 {
+		return probeWait
+	}
 	if w.group.MaxWait == nil {
 		return w.options.Wait
 	}
