--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -357,6 +357,16 @@
 	r.poke()
 }
 
+// Pause returns the expected pause between two events at an engine.
+func (r *Runner) Pause(engineID string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.leads() {
+		return assumedPause
+	}
+	return r.engine(engineID).pause(r.now())
+}
+
 // stopItems ends all work on a job and keeps what was made of its items for later jobs.
 func (r *Runner) stopItems(j *job) {
 	if j.ended {
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -67,6 +67,7 @@
 		LeaseLength: config.Timing.LeaseLength,
 		Loaded:      runner.NoteVersion,
 		Loading:     runner.NoteLoading,
+		Pause:       runner.Pause,
 		Demands:     runner.Demands,
 		Moved:       observed.engineMoved,
 		Logger:      telemetry.For(logger, telemetry.PartOrders),
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -109,6 +109,8 @@
 	Loaded func(engineID, model string, version int64)
 	// Demands returns the work for each model; nil if it is not known.
 	Demands func() map[string]Demand
+	// Pause returns the expected pause between two events at an engine; nil if it is not known.
+	Pause func(engineID string) time.Duration
 	// Loading is told when an engine begins to load, and takes no new work, and when that is over; nil for nobody.
 	Loading func(engineID string, loading bool)
 	// Moved is told of the end of each move; nil for nobody.
--- a/internal/weightorder/plan.go
+++ b/internal/weightorder/plan.go
@@ -89,7 +89,8 @@
 	return min(max(minLoading, (m.largest[service]+enginesPerLoad/2)/enginesPerLoad), m.window.size())
 }
 
-// byUrgency orders moves: engines that cannot take what waits come first, then the most outdated.
+// byUrgency orders moves: engines that cannot take what waits come first, then the most outdated, then the quickest, which long texts
+// need.
 func (m *Manager) byUrgency(a, b move) int {
 	if x, y := m.unusable(a), m.unusable(b); x != y {
 		if x {
@@ -97,7 +98,13 @@
 		}
 		return 1
 	}
-	return int(m.lag(b.engine, b.model) - m.lag(a.engine, a.model))
+	if x, y := m.lag(a.engine, a.model), m.lag(b.engine, b.model); x != y {
+		return cmp.Compare(y, x)
+	}
+	if m.Pause == nil {
+		return 0
+	}
+	return cmp.Compare(m.Pause(a.engine.ID), m.Pause(b.engine.ID))
 }
 
 // unusable reports whether work waits for a model that the engine's weights are too old for.
