tests of the policies; election: a store that is just back changes no holder

Found by TestElection (While the store is down the holder stays): a candidate that a store served first after an outage asked the holder to yield.

--- a/internal/batchrpc/batchrpc.go
+++ b/internal/batchrpc/batchrpc.go
@@ -167,11 +167,16 @@
 // Submit implements batch.Service. While no process coordinates it waits for one: taking a job twice has no effect. It returns
 // ErrRefused only if no attempt may have been taken.
 func (c *Client) Submit(ctx context.Context, job batch.Job) error {
+	return submitUntilTaken(ctx, func(ctx context.Context) error { return c.submitOnce(ctx, job) })
+}
+
+// submitUntilTaken repeats attempts that fail. once returns ErrUnavailable if the job may have been taken.
+func submitUntilTaken(ctx context.Context, once func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, submitWait)
 	defer cancel()
 	refusal := batch.ErrRefused
 	for {
-		err := c.submitOnce(ctx, job)
+		err := once(ctx)
 		switch {
 		case err == nil:
 			return nil
--- a/internal/batchrun/engine_record.go
+++ b/internal/batchrun/engine_record.go
@@ -9,17 +9,20 @@
 )
 
 const (
-	// assumedPause stands for engines of which nothing recent is known.
+	// assumedPause stands for the pause between two events until some were seen.
 	assumedPause = 40 * time.Millisecond
 	// pauseWeight is the share of the newest pause between events in the moving average.
 	pauseWeight = 0.12
-	// paceWeight is the share of the newest report in the moving average over all engines: some hundred reports, about a second
-	// of a busy deployment.
-	paceWeight = 0.01
+	// usualWeight is the least share of the newest report in the moving average over all engines: some hundred reports, about a
+	// second of a busy deployment.
+	usualWeight = 0.01
 	// maxPauseFactor bounds a pause that is taken in, relative to the average: a load is no sign of a slow engine.
 	maxPauseFactor = 4
-	// pauseLife is how long the average of an engine that makes no events is believed.
+	// pauseLife is how long the average of an engine that makes no events is believed in full.
 	pauseLife = 3 * time.Second
+	// maxStaleFactor bounds an average that is not believed any more, relative to the usual pause: the kind of an engine lasts, and a
+	// fault does not. Kinds differ by 1.3.
+	maxStaleFactor = 1.4
 	// toldLife is how long an engine's own word on its version goes before the list.
 	toldLife = 1500 * time.Millisecond
 	// affinityFactor is the cost of an engine that holds the item's shared prompt, relative to one that does not.
@@ -47,6 +50,8 @@
 	// average is the moving average of the pause between two events, and observed when it was last taken in.
 	average  time.Duration
 	observed time.Time
+	// usual is the pause over all engines.
+	usual *usualPause
 	// refusals counts the refusals in a row.
 	refusals int
 	// versions are weight versions that answers and reports have told, by model, and told when that was last.
@@ -59,7 +64,7 @@
 func (r *Runner) engine(id string) *engineRecord {
 	record, ok := r.engines[id]
 	if !ok {
-		record = &engineRecord{versions: make(map[string]int64), prefixes: make(map[string]struct{})}
+		record = &engineRecord{versions: make(map[string]int64), prefixes: make(map[string]struct{}), usual: &r.usual}
 		r.engines[id] = record
 	}
 	return record
@@ -97,12 +102,40 @@
 
 // pause returns the expected pause between two events of a run.
 func (e *engineRecord) pause(now time.Time) time.Duration {
-	if e.average == 0 || now.Sub(e.observed) > pauseLife {
-		return assumedPause
+	switch {
+	case e.average == 0:
+		return e.usual.value()
+	case now.Sub(e.observed) > pauseLife:
+		return min(e.average, time.Duration(maxStaleFactor*float64(e.usual.value())))
 	}
 	return e.average
 }
 
+// usualPause is the moving average of the pause between two events over all engines.
+type usualPause struct {
+	average time.Duration
+	count   int
+}
+
+// value returns the average; assumedPause until there is one.
+func (u *usualPause) value() time.Duration {
+	if u.count == 0 {
+		return assumedPause
+	}
+	return u.average
+}
+
+// observe takes in the mean pause that a report tells.
+func (u *usualPause) observe(pause time.Duration) {
+	u.count++
+	if u.count == 1 {
+		u.average = pause
+		return
+	}
+	pause = min(pause, maxPauseFactor*u.average)
+	u.average += time.Duration(max(1/float64(u.count), usualWeight) * float64(pause-u.average))
+}
+
 // cost is the expected pause between events of one more item, in seconds, less what a kept prompt saves.
 func (e *engineRecord) cost(slots int, prefix string, now time.Time) float64 {
 	cost := e.pause(now).Seconds() * (1 + loadFactor*float64(e.running)/float64(slots))
--- a/internal/batchrun/kit_test.go
+++ b/internal/batchrun/kit_test.go
@@ -159,6 +159,8 @@
 	maxEndedBytes int
 	// desk is that of the runners; nil if they carry out all runs themselves.
 	desk *itemwork.Desk
+	// textFolder is where the runners keep unfinished texts; empty for nowhere.
+	textFolder string
 }
 
 func newWorld(route routing.Route) *world {
@@ -190,6 +192,8 @@
 		Store:         w.store.Client(),
 		MaxEndedBytes: w.maxEndedBytes,
 		Desk:          w.desk,
+		TextFolder:    w.textFolder,
+		TextLimit:     1 << 20,
 		Logger:        log.NewNopLogger(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/batchrun/lengths_test.go
@@ -0,0 +1,56 @@
+package batchrun
+
+import (
+	"math"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestLengthModel(t *testing.T) {
+	Convey("Estimates are corrected by the texts that have ended", t, func() {
+		m := newLengthModel()
+		for range 200 {
+			m.observe(1000, 10)
+			m.observe(4000, 40)
+		}
+		So(m.remaining(2000, 0), ShouldAlmostEqual, 20, 1)
+		So(m.remaining(3000, 10), ShouldAlmostEqual, 20, 2)
+	})
+	Convey("A text that is beyond its estimate is expected to be longer still, and none longer than the longest seen", t, func() {
+		m := newLengthModel()
+		for _, events := range []int{5, 10, 20, 40, 165} {
+			m.observe(events*50, events)
+		}
+		previous := 0.0
+		for _, made := range []int{0, 10, 20, 60, 120} {
+			expected := float64(made) + m.remaining(500, made)
+			So(expected, ShouldBeGreaterThan, previous)
+			So(expected, ShouldBeLessThanOrEqualTo, 165)
+			previous = expected
+		}
+		So(m.remaining(500, 164), ShouldEqual, 1)
+		So(m.remaining(500, 400), ShouldBeBetween, 0, 100)
+	})
+	Convey("Estimates that are all wrong by a factor keep their order and are learnt", t, func() {
+		m := newLengthModel()
+		for i := range 400 {
+			events := 5 + i%60
+			m.observe(events*150, events)
+		}
+		So(m.remaining(150*30, 0), ShouldAlmostEqual, 30, 3)
+		So(m.remaining(150*60, 0), ShouldBeGreaterThan, m.remaining(150*30, 0))
+	})
+	Convey("Texts without an estimate are expected to be like others without one; empty ones tell nothing", t, func() {
+		m := newLengthModel()
+		m.observe(0, 0)
+		for range 100 {
+			m.observe(0, 12)
+		}
+		So(m.remaining(0, 0), ShouldBeBetween, 11, 25)
+		for _, made := range []int{0, 1, 1000, 100000} {
+			So(math.IsNaN(m.remaining(0, made)), ShouldBeFalse)
+			So(m.remaining(0, made), ShouldBeGreaterThanOrEqualTo, 1)
+		}
+	})
+}
--- /dev/null
+++ b/internal/batchrun/queue_test.go
@@ -0,0 +1,31 @@
+package batchrun
+
+import (
+	"sort"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestUrgency(t *testing.T) {
+	now := time.Now()
+	at := func(seconds int) time.Time { return now.Add(time.Duration(seconds) * time.Second) }
+	Convey("Items are placed by priority, then those begun anew for a later job, those that are waited for, and the least slack", t, func() {
+		ordered := []urgency{
+			{priority: 0, latestStart: at(9)},
+			{priority: 1, renewed: true, spare: true, latestStart: at(7)},
+			{priority: 1, latestStart: at(1)},
+			{priority: 1, latestStart: at(2)},
+			{priority: 1, spare: true, latestStart: at(-3)},
+			{priority: 1, spare: true, latestStart: at(0)},
+			{priority: 2, latestStart: at(-9)},
+		}
+		shuffled := []urgency{ordered[4], ordered[6], ordered[2], ordered[0], ordered[5], ordered[3], ordered[1]}
+		sort.SliceStable(shuffled, func(a, b int) bool { return shuffled[a].before(shuffled[b]) })
+		So(shuffled, ShouldResemble, ordered)
+		for _, u := range ordered {
+			So(u.before(u), ShouldBeFalse)
+		}
+	})
+}
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -197,7 +197,7 @@
 	if report.PauseCount > 0 {
 		pause := report.Pauses / time.Duration(report.PauseCount)
 		record.observe(pause, report.PauseCount, r.now())
-		r.pace += time.Duration(paceWeight * float64(min(pause, maxPauseFactor*r.pace)-r.pace))
+		r.usual.observe(pause)
 	}
 }
 
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -125,8 +125,8 @@
 	holders map[string][]string
 	// lengths expects how long texts become.
 	lengths *lengthModel
-	// pace is the moving average of the pause between two events, over all engines.
-	pace time.Duration
+	// usual is the pause between two events over all engines.
+	usual usualPause
 	// detached are the runs that go on after the end of their jobs, by their items' IDs.
 	detached map[string]*run
 	// returnOffsets is, by model, by how much the last job in which items came again demanded newer weights than their first.
@@ -180,7 +180,7 @@
 	r.token, r.runCount = token, 0
 	r.kept = newUnfinishedTexts()
 	r.detached, r.returnOffsets = make(map[string]*run), make(map[string]int64)
-	r.lengths, r.pace = newLengthModel(), assumedPause
+	r.lengths, r.usual = newLengthModel(), usualPause{}
 	r.ends = make(map[string]time.Time, len(sealed))
 	r.endedBytes = 0
 	r.submitted = make(map[string]submissions)
--- a/internal/batchrun/step.go
+++ b/internal/batchrun/step.go
@@ -152,7 +152,7 @@
 // timeLeft returns how long the rest of an item's text is expected to take, at its engine or at one of the usual pace. The mutex
 // must be held.
 func (r *Runner) timeLeft(it *item) time.Duration {
-	pause := r.pace
+	pause := r.usual.value()
 	switch it.phase {
 	case phaseFinished, phaseJudging:
 		return 0
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -92,6 +92,7 @@
 		Ping:      g.ping,
 		Yield:     g.yield,
 		Unserved:  c.outage.Length,
+		Served:    c.outage.Served,
 		Lead:      func(ctx context.Context, t election.Term) { g.lead(ctx, name, t) },
 		Logger:    log.NewNopLogger(),
 	})
@@ -255,6 +256,18 @@
 		So(second.Token, ShouldBeGreaterThan, first.Token)
 		So(g.holds(next, second), ShouldBeTrue)
 	})
+	play("A holder that is lost while the store is silent is replaced within 2.2 s of the store's return", func(g *group) {
+		name, _ := g.leader()
+		g.set(g.silent, name, true)
+		g.set(g.cut, name, true)
+		g.set(g.cut, other(name), true)
+		time.Sleep(5 * time.Second)
+		So(len(g.history()), ShouldEqual, 1)
+		g.set(g.cut, other(name), false)
+		time.Sleep(2200 * time.Millisecond)
+		next, _ := g.leader()
+		So(next, ShouldEqual, other(name))
+	})
 	play("While the store is down the holder stays", func(g *group) {
 		g.set(g.cut, "a", true)
 		g.set(g.cut, "b", true)
--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -51,8 +51,10 @@
 	// Yield asks the process at an address to stop its term, if it is the instance and the store does not serve it. It returns nil
 	// once nothing of the term goes on. A nil function leaves such a holder alone.
 	Yield func(ctx context.Context, address, instance string, token int64) error
-	// Unserved returns for how long the store has served no call of this process; nil if that is not known.
+	// Unserved returns for how long the store has served no call of this process, and Served for how long it has served all; both are
+	// nil if Yield is.
 	Unserved func() time.Duration
+	Served   func() time.Duration
 	// Lead coordinates until ctx ends. It must return soon after.
 	Lead func(ctx context.Context, term Term)
 	// Eligible is false while this process must not hold the lease; nil means always true.
--- a/internal/election/handover.go
+++ b/internal/election/handover.go
@@ -30,10 +30,10 @@
 	stopped chan struct{}
 }
 
-// succeed takes the lease over from a holder that the store does not serve while it serves this process: the holder stops first.
-// A store that serves nobody changes nothing.
+// succeed takes the lease over from a holder that the store has not served while it has served this process: the holder stops first.
+// A store that serves nobody changes nothing, nor does one that is just back, and serves one before the other.
 func (e *Elector) succeed(ctx context.Context, lease Lease, unserved time.Duration) {
-	if e.Yield == nil || e.unserved() > 0 || !e.probe(ctx, lease) {
+	if e.Yield == nil || !e.probe(ctx, lease) || e.Served() < unservedLimit {
 		return
 	}
 	asking, cancel := context.WithTimeout(ctx, yieldTimeout)
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -126,6 +126,7 @@
 		Ping:      c.ping,
 		Yield:     c.yield,
 		Unserved:  c.Outage.Length,
+		Served:    c.Outage.Served,
 		Lead:      c.lead,
 		Eligible:  c.Leaving.MayCoordinate,
 		Logger:    c.logger,
--- a/internal/metastore/follower_test.go
+++ b/internal/metastore/follower_test.go
@@ -224,3 +224,28 @@
 		})
 	})
 }
+
+func TestFollowerAfterSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := metastoretest.New()
+		var silent atomic.Bool
+		client := store.Client()
+		client.Fault = func(string, string, bool) metastoretest.Fault {
+			if silent.Load() {
+				return metastoretest.Silent
+			}
+			return metastoretest.None
+		}
+		put(t, store.Client(), "kind", "name", `"before"`)
+		found := follow(t, metastore.NewFollowers(client), "kind", 2*time.Second)
+		time.Sleep(100 * time.Millisecond)
+		silent.Store(true)
+		time.Sleep(4500 * time.Millisecond)
+		silent.Store(false)
+		put(t, store.Client(), "kind", "name", `"after"`)
+		time.Sleep(1200 * time.Millisecond)
+		Convey("A change is seen soon after a silent store is back: calls that were made into the silence are not waited for", t, func() {
+			So(found.spec("name"), ShouldEqual, `"after"`)
+		})
+	})
+}
--- a/internal/metastore/outage.go
+++ b/internal/metastore/outage.go
@@ -21,13 +21,15 @@
 	// failures is the number of calls in a row that were not served, and since when the first of them began.
 	failures int
 	since    time.Time
+	// recovered is when a call was served after one that was not; at first, when the process began.
+	recovered time.Time
 	// pending are the calls that have no answer yet, by number, with when each began; watches are left out.
 	pending map[int]time.Time
 	count   int
 }
 
 // NewOutage returns an Outage that has seen no call.
-func NewOutage() *Outage { return &Outage{pending: make(map[int]time.Time)} }
+func NewOutage() *Outage { return &Outage{pending: make(map[int]time.Time), recovered: time.Now()} }
 
 // Length returns for how long the store has served no call of this process; zero while it serves.
 func (o *Outage) Length() time.Duration {
@@ -46,6 +48,19 @@
 	return length
 }
 
+// Served returns for how long the store has served every call of this process; zero while it does not.
+func (o *Outage) Served() time.Duration {
+	if o.Length() > 0 {
+		return 0
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.failures > 0 {
+		return 0
+	}
+	return time.Since(o.recovered)
+}
+
 // begin notes a call that must be answered at once, and returns what notes its end.
 func (o *Outage) begin() (end func(err error)) {
 	began := time.Now()
@@ -69,6 +84,9 @@
 	switch {
 	case !errors.Is(err, ErrNotDone) && !errors.Is(err, ErrUnknown):
 		// The store answered, whatever it said.
+		if o.failures > 0 {
+			o.recovered = time.Now()
+		}
 		o.failures = 0
 	case errors.Is(err, context.Canceled):
 		// The caller gave up by itself.
