--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -158,7 +158,9 @@
 	g.mu.Unlock()
 	for ctx.Err() == nil {
 		// The duties of a term call the store.
-		_, _ = client.Get(ctx, election.KindLeases, "coordinator")
+		calling, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+		_, _ = client.Get(calling, election.KindLeases, "coordinator")
+		cancel()
 		pause.For(ctx, 200*time.Millisecond)
 	}
 	g.mu.Lock()
