--- a/internal/batchrun/checkpoint.go
+++ b/internal/batchrun/checkpoint.go
@@ -16,6 +16,9 @@
 	// checkpointInterval is the pause between two writes of what texts have grown by: workers report every 300 ms, and a sync takes
 	// a millisecond.
 	checkpointInterval = 250 * time.Millisecond
+	// rewriteSlack is by how much the log may outgrow what it held when it was last written anew, before it is written anew: a term that
+	// reads it back takes 10 ms a megabyte.
+	rewriteSlack = 2 << 20
 	// minCheckpointEvents is the length from which texts are kept: some 0.4 s of work. Most texts end soon after.
 	minCheckpointEvents = 10
 )
@@ -46,25 +49,35 @@
 func (r *Runner) checkpoint(ctx context.Context, log *textlog.Log) {
 	defer log.Close()
 	// The files of earlier processes are replaced by what is known now.
-	full := true
+	anew := true
+	var rewritten int64
 	for ctx.Err() == nil {
-		if full {
-			r.mu.Lock()
-			entries := r.allTexts()
-			r.mu.Unlock()
-			full = !r.noteCheckpoint(len(entries), log.Rewrite(entries))
+		if anew {
+			anew = !r.rewriteTexts(log)
+			rewritten = log.Size()
 		} else {
-			r.mu.Lock()
-			entries := r.grownTexts()
-			r.mu.Unlock()
-			if len(entries) > 0 {
-				full = !r.noteCheckpoint(len(entries), log.Append(entries))
-			}
+			anew = !r.appendTexts(log) || log.Size() > 2*rewritten+rewriteSlack
 		}
 		pause.For(ctx, checkpointInterval)
 	}
 }
 
+// rewriteTexts makes the log hold what is known now, and nothing else. It reports whether that was written.
+func (r *Runner) rewriteTexts(log *textlog.Log) bool {
+	r.mu.Lock()
+	entries := r.allTexts()
+	r.mu.Unlock()
+	return r.noteCheckpoint(len(entries), log.Rewrite(entries))
+}
+
+// appendTexts adds what texts have grown by. It reports whether that was written.
+func (r *Runner) appendTexts(log *textlog.Log) bool {
+	r.mu.Lock()
+	entries := r.grownTexts()
+	r.mu.Unlock()
+	return len(entries) == 0 || r.noteCheckpoint(len(entries), log.Append(entries))
+}
+
 // noteCheckpoint takes in the outcome of a write. After one that failed everything is written anew.
 func (r *Runner) noteCheckpoint(texts int, err error) (done bool) {
 	r.Observer.Checkpointed(texts, err)
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -16,8 +16,9 @@
 const (
 	// failurePause is the pause before an item that failed is tried again.
 	failurePause = 50 * time.Millisecond
-	// adoptTime is how long the items of an earlier term wait for workers that hold a run of them.
-	adoptTime = 500 * time.Millisecond
+	// adoptTime is how long the items of an earlier term wait for workers that hold a run of them: they tell it some 110 ms after a
+	// term has begun.
+	adoptTime = 300 * time.Millisecond
 	// lostVerdict is the name in logs and metrics of runs whose worker is not heard of any more.
 	lostVerdict = "lost"
 	// maxUnheard is how long a stream at a worker may go without a report: longer than an engine may be silent.
--- a/internal/textlog/textlog.go
+++ b/internal/textlog/textlog.go
@@ -138,6 +138,9 @@
 	return nil
 }
 
+// Size is the size of the file that is appended to, in bytes.
+func (l *Log) Size() int64 { return l.size }
+
 // Close closes the log's file.
 func (l *Log) Close() error { return l.file.Close() }
 
