--- a/internal/batchrun/detached.go
+++ b/internal/batchrun/detached.go
@@ -84,7 +84,7 @@
 	if it.text.Len() == 0 {
 		return
 	}
-	r.kept.put(it.ID, it.text)
+	r.kept.put(unfinishedText{id: it.ID, model: it.job.Model, text: it.text})
 	it.text = itemwork.Text{}
 }
 
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -40,6 +40,7 @@
 		return nil
 	}
 	r.add(stored)
+	r.kept.dropOutdated(submitted.Model, submitted.MinVersion)
 	return nil
 }
 
--- a/internal/batchrun/unfinished.go
+++ b/internal/batchrun/unfinished.go
@@ -19,8 +19,10 @@
 }
 
 type unfinishedText struct {
-	id   string
-	text itemwork.Text
+	id string
+	// model is the one whose weights made it.
+	model string
+	text  itemwork.Text
 }
 
 func newUnfinishedTexts() *unfinishedTexts {
@@ -28,20 +30,34 @@
 }
 
 // put keeps an item's text. The oldest texts give way.
-func (u *unfinishedTexts) put(id string, text itemwork.Text) {
-	u.take(id)
-	u.byID[id] = u.order.PushBack(unfinishedText{id: id, text: text})
-	u.bytes += text.Size() + textOverhead
+func (u *unfinishedTexts) put(left unfinishedText) {
+	u.take(left.id)
+	u.byID[left.id] = u.order.PushBack(left)
+	u.bytes += left.text.Size() + textOverhead
 	for u.bytes > maxUnfinishedBytes {
 		u.take(u.order.Front().Value.(unfinishedText).id)
 	}
 }
 
 // each calls a function for every text, oldest first.
-func (u *unfinishedTexts) each(visit func(id string, text *itemwork.Text)) {
+func (u *unfinishedTexts) each(visit func(kept *unfinishedText)) {
 	for element := u.order.Front(); element != nil; element = element.Next() {
 		kept := element.Value.(unfinishedText)
-		visit(kept.id, &kept.text)
+		visit(&kept)
+	}
+}
+
+// dropOutdated drops the texts that weights of a model made which are older than a version: later jobs demand no older ones than
+// the newest job does.
+func (u *unfinishedTexts) dropOutdated(model string, version int64) {
+	var outdated []string
+	u.each(func(kept *unfinishedText) {
+		if kept.model == model && !kept.text.Fits(itemwork.Bounds{MinVersion: version}) {
+			outdated = append(outdated, kept.id)
+		}
+	})
+	for _, id := range outdated {
+		u.take(id)
 	}
 }
 
--- a/internal/batchrun/unfinished_test.go
+++ b/internal/batchrun/unfinished_test.go
@@ -14,7 +14,7 @@
 		texts := newUnfinishedTexts()
 		large := itemwork.Text{Segments: []itemwork.Segment{{Version: 1, Events: []string{strings.Repeat("x", maxUnfinishedBytes/3)}}}}
 		for _, id := range []string{"a", "b", "a", "c", "d"} {
-			texts.put(id, large)
+			texts.put(unfinishedText{id: id, text: large})
 		}
 		_, ok := texts.take("b")
 		So(ok, ShouldBeFalse)
@@ -27,4 +27,18 @@
 		So(texts.bytes, ShouldEqual, 0)
 		So(texts.order.Len(), ShouldEqual, 0)
 	})
+	Convey("Texts of older weights than a version are dropped, of that model only", t, func() {
+		texts := newUnfinishedTexts()
+		made := func(version int64) itemwork.Text {
+			return itemwork.Text{Segments: []itemwork.Segment{{Version: version, Events: []string{"x"}}}}
+		}
+		texts.put(unfinishedText{id: "old", model: "a", text: made(1)})
+		texts.put(unfinishedText{id: "new", model: "a", text: made(2)})
+		texts.put(unfinishedText{id: "other", model: "b", text: made(1)})
+		texts.dropOutdated("a", 2)
+		_, old := texts.take("old")
+		_, newer := texts.take("new")
+		_, other := texts.take("other")
+		So([]bool{old, newer, other}, ShouldResemble, []bool{false, true, true})
+	})
 }
--- a/internal/textlog/textlog.go
+++ b/internal/textlog/textlog.go
@@ -40,6 +40,8 @@
 // Entry is what was added to the text of an item.
 type Entry struct {
 	Item string
+	// Model is the one whose weights make the text.
+	Model string
 	// From is the number of events that the text had before; an entry from zero starts it anew.
 	From     int
 	Segments []itemwork.Segment
@@ -182,10 +184,17 @@
 	return numbers, nil
 }
 
+// Text is the text of an item as it was read back.
+type Text struct {
+	itemwork.Text
+	// Model is the one whose weights made it.
+	Model string
+}
+
 // Restored is what was read back of a folder.
 type Restored struct {
 	// Texts are the texts by item.
-	Texts map[string]itemwork.Text
+	Texts map[string]Text
 	// Records is the number of records that were read, and Damaged that of files that end in the middle of one, or in one whose
 	// checksum does not hold.
 	Records, Damaged int
@@ -193,7 +202,7 @@
 
 // Read returns the texts that are kept in a folder. Of a damaged file it returns what comes before the damage.
 func Read(folder string) (Restored, error) {
-	restored := Restored{Texts: make(map[string]itemwork.Text)}
+	restored := Restored{Texts: make(map[string]Text)}
 	numbers, err := fileNumbers(folder)
 	if err != nil {
 		return restored, err
@@ -262,7 +271,7 @@
 func (r *Restored) take(entry Entry) {
 	text := r.Texts[entry.Item]
 	if entry.From == 0 {
-		text = itemwork.Text{}
+		text = Text{Model: entry.Model}
 	}
 	if entry.From != text.Len() || text.Whole {
 		delete(r.Texts, entry.Item)
--- a/internal/textlog/textlog_test.go
+++ b/internal/textlog/textlog_test.go
@@ -42,26 +42,26 @@
 		folder := filepath.Join(t.TempDir(), "texts")
 		So(read(folder).Texts, ShouldBeEmpty)
 		first := open(folder)
-		So(first.Append([]textlog.Entry{{Item: "a", Segments: events(1, "x", "y"), LastID: 2}, {Item: "b", Segments: events(1, "z"), LastID: 1}}), ShouldBeNil)
+		So(first.Append([]textlog.Entry{{Item: "a", Model: "m", Segments: events(1, "x", "y"), LastID: 2}, {Item: "b", Segments: events(1, "z"), LastID: 1}}), ShouldBeNil)
 		So(first.Append([]textlog.Entry{{Item: "a", From: 2, Segments: events(2, "v"), LastID: 3}}), ShouldBeNil)
 		So(first.Close(), ShouldBeNil)
 		second := open(folder)
 		So(second.Append([]textlog.Entry{{Item: "a", From: 3, Segments: events(2, "w"), LastID: 4, Whole: true}}), ShouldBeNil)
 		restored := read(folder)
 		So(restored.Damaged, ShouldEqual, 0)
-		So(restored.Texts["b"], ShouldResemble, itemwork.Text{Segments: events(1, "z"), LastID: 1})
-		So(restored.Texts["a"], ShouldResemble, itemwork.Text{
+		So(restored.Texts["b"], ShouldResemble, textlog.Text{Text: itemwork.Text{Segments: events(1, "z"), LastID: 1}})
+		So(restored.Texts["a"], ShouldResemble, textlog.Text{Model: "m", Text: itemwork.Text{
 			Segments: []itemwork.Segment{{Version: 1, Events: []string{"x", "y"}}, {Version: 2, Events: []string{"v", "w"}}},
 			LastID:   4,
 			Whole:    true,
-		})
+		}})
 	})
 	Convey("A text that was begun anew replaces the one before; one of which a part is missing is not read back", t, func() {
 		folder := t.TempDir()
 		log := open(folder)
 		So(log.Append([]textlog.Entry{{Item: "a", Segments: events(1, "x", "y"), LastID: 2}, {Item: "b", Segments: events(1, "x"), LastID: 1}}), ShouldBeNil)
 		So(log.Append([]textlog.Entry{{Item: "a", Segments: events(2, "n"), LastID: 1}, {Item: "b", From: 5, Segments: events(1, "y"), LastID: 6}}), ShouldBeNil)
-		So(read(folder).Texts, ShouldResemble, map[string]itemwork.Text{"a": {Segments: events(2, "n"), LastID: 1}})
+		So(read(folder).Texts, ShouldResemble, map[string]textlog.Text{"a": {Text: itemwork.Text{Segments: events(2, "n"), LastID: 1}}})
 	})
 	Convey("Rewrite drops what was before, in files of earlier processes too, and leaves other files alone", t, func() {
 		folder := t.TempDir()
@@ -71,7 +71,7 @@
 		So(old.Append([]textlog.Entry{{Item: "old", Segments: events(1, "x"), LastID: 1}}), ShouldBeNil)
 		log := open(folder)
 		So(log.Rewrite([]textlog.Entry{{Item: "new", Segments: events(1, "y"), LastID: 1}}), ShouldBeNil)
-		So(read(folder).Texts, ShouldResemble, map[string]itemwork.Text{"new": {Segments: events(1, "y"), LastID: 1}})
+		So(read(folder).Texts, ShouldResemble, map[string]textlog.Text{"new": {Text: itemwork.Text{Segments: events(1, "y"), LastID: 1}}})
 		_, err := os.Stat(foreign)
 		So(err, ShouldBeNil)
 	})
@@ -95,7 +95,7 @@
 		So(log.Close(), ShouldBeNil)
 		return info.Size()
 	}
-	intact := map[string]itemwork.Text{"a": {Segments: events(1, "x"), LastID: 1}}
+	intact := map[string]textlog.Text{"a": {Text: itemwork.Text{Segments: events(1, "x"), LastID: 1}}}
 	Convey("Of a file that ends within a record, what comes before is read, wherever it ends", t, func() {
 		for cut := int64(1); ; cut++ {
 			folder := t.TempDir()
