--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -63,6 +63,10 @@
 	HandedOver(reason HandOver)
 	// Listed reports a result that was listed.
 	Listed(state batch.State)
+	// JobEnded reports the end of a job, with the time since this process began to run it.
+	JobEnded(after time.Duration)
+	// Restored reports an item or a run that goes on after a text that was left by an ended job or an earlier process.
+	Restored(events int)
 	// Checkpointed reports a write of unfinished texts to this process's disk.
 	Checkpointed(texts int, err error)
 	// Committed reports a write of results.
@@ -74,6 +78,8 @@
 
 func (nobody) AttemptEnded(string, time.Duration) {}
 func (nobody) HandedOver(HandOver)                {}
+func (nobody) JobEnded(time.Duration)             {}
+func (nobody) Restored(int)                       {}
 func (nobody) Checkpointed(int, error)            {}
 func (nobody) Listed(batch.State)                 {}
 func (nobody) Committed(time.Duration)            {}
@@ -278,6 +284,7 @@
 	}
 	if kept.Fits(itemwork.Bounds{MinVersion: it.job.MinVersion, SingleVersion: r.singleVersion(it)}) {
 		it.text = kept
+		r.Observer.Restored(kept.Len())
 	}
 }
 
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -25,7 +25,7 @@
 	defer cancel()
 	started := r.now()
 	stored, err := log.Accept(ctx, submitted)
-	level.Info(r.Logger).Log("msg", "job submitted", "request", submitted.ID, "items", len(submitted.Items), "step", submitted.Step,
+	level.Info(r.Logger).Log("msg", "job submitted", "request", submitted.ID, "items", len(submitted.Items), "model", submitted.Model, "step", submitted.Step,
 		"min_version", submitted.MinVersion, "took", r.now().Sub(started), "err", err)
 	if errors.Is(err, metastore.ErrNotDone) || errors.Is(err, metastore.ErrInvalid) {
 		return batch.ErrRefused
--- a/internal/batchrun/step.go
+++ b/internal/batchrun/step.go
@@ -144,7 +144,9 @@
 			cameAgain++
 		}
 	}
-	level.Info(r.Logger).Log("msg", "job ends", "request", j.ID, "step", j.Step, "after", r.now().Sub(j.accepted).Round(time.Millisecond),
+	after := r.now().Sub(j.accepted)
+	r.Observer.JobEnded(after)
+	level.Info(r.Logger).Log("msg", "job ends", "request", j.ID, "step", j.Step, "after", after.Round(time.Millisecond),
 		"desired", j.Desired, "groups", len(j.groups), "came_again", cameAgain, "whole", whole, "dead_items", j.dead, "spare", spare,
 		"renewed", renewed, "unfinished", unfinished)
 }
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -32,6 +32,7 @@
 			deleteCommand(streams),
 			statusCommand(streams),
 			explainCommand(streams),
+			stepsCommand(streams),
 		},
 	}
 }
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -28,6 +28,9 @@
 	itemTime     prometheus.Histogram
 	handOvers    *prometheus.CounterVec
 	checkpoints  prometheus.Counter
+	jobTime      prometheus.Histogram
+	// textsRestored and eventsRestored count texts that were not made again, and their events.
+	textsRestored, eventsRestored prometheus.Counter
 	// checkpointFailures counts writes.
 	checkpointFailures prometheus.Counter
 	results            *prometheus.CounterVec
@@ -58,13 +61,17 @@
 		orders:       counter("engine_moves_total", "Engines that were moved to a weight version.", "result"),
 	}
 	m.engines = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_engines_total", Help: "Engines that requests were sent to."})
+	m.textsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "texts_restored_total", Help: "Batch items that go on after a text which an ended job or an earlier process has left."})
+	m.eventsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "text_events_restored_total", Help: "Events of such texts, which engines need not make again."})
 	m.checkpoints = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "text_checkpoints_total", Help: "Unfinished texts that were kept on this process's disk."})
 	m.checkpointFailures = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "text_checkpoint_failures_total", Help: "Writes of unfinished texts to this process's disk that failed."})
 	m.leadingTerms = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "terms_total", Help: "Terms in which this process coordinated."})
 	m.configRefused = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "config_refused_total", Help: "Configurations that could not be used."})
+	jobTime := histogram("job_duration_seconds", "Time from the acceptance of a batch job, or the start of the term, to its end.")
 	itemTime := histogram("item_attempt_duration_seconds", "Time of a run of a batch item at an engine.")
 	commitTime := histogram("commit_duration_seconds", "Time to keep results of a batch job.")
 	orderTime := histogram("engine_move_duration_seconds", "Time to move an engine to a weight version.")
+	m.jobTime = jobTime.WithLabelValues().(prometheus.Histogram)
 	m.itemTime = itemTime.WithLabelValues().(prometheus.Histogram)
 	m.commitTime = commitTime.WithLabelValues().(prometheus.Histogram)
 	m.orderTime = orderTime.WithLabelValues().(prometheus.Histogram)
@@ -74,7 +81,7 @@
 		}
 		return 0
 	})
-	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.handOvers, m.checkpoints, m.checkpointFailures, m.results,
+	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.handOvers, jobTime, m.textsRestored, m.eventsRestored, m.checkpoints, m.checkpointFailures, m.results,
 		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, newLinesDropped(lines))
 	return m
 }
@@ -106,6 +113,15 @@
 	m.results.WithLabelValues(name).Inc()
 }
 
+// JobEnded implements batchrun.Observer.
+func (m *metrics) JobEnded(after time.Duration) { m.jobTime.Observe(after.Seconds()) }
+
+// Restored implements batchrun.Observer.
+func (m *metrics) Restored(events int) {
+	m.textsRestored.Inc()
+	m.eventsRestored.Add(float64(events))
+}
+
 // Checkpointed implements batchrun.Observer.
 func (m *metrics) Checkpointed(texts int, err error) {
 	if err != nil {
--- a/internal/logtrace/logtrace.go
+++ b/internal/logtrace/logtrace.go
@@ -101,6 +101,12 @@
 // it, is no part of it.
 func Read(source io.Reader) ([]Line, error) {
 	var lines []Line
+	err := Scan(source, func(line Line) { lines = append(lines, line) })
+	return lines, err
+}
+
+// Scan calls a function for every line of a log, as Read returns them.
+func Scan(source io.Reader, take func(line Line)) error {
 	scanner := bufio.NewScanner(source)
 	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
@@ -110,10 +116,10 @@
 			continue
 		}
 		if line, ok := parse(text[begin:]); ok {
-			lines = append(lines, line)
+			take(line)
 		}
 	}
-	return lines, scanner.Err()
+	return scanner.Err()
 }
 
 func parse(text string) (Line, bool) {
