--- a/internal/batchrpc/submit_test.go
+++ b/internal/batchrpc/submit_test.go
@@ -13,7 +13,7 @@
 
 func TestSubmitUntilTaken(t *testing.T) {
 	// play submits with attempts that end as listed; the last holds for all after it.
-	play := func(ends ...error) (err error, attempts int, took time.Duration) {
+	play := func(ends ...error) (attempts int, took time.Duration, err error) {
 		synctest.Test(t, func(t *testing.T) {
 			began := time.Now()
 			err = submitUntilTaken(t.Context(), func(context.Context) error {
@@ -23,21 +23,21 @@
 			})
 			took = time.Since(began)
 		})
-		return err, attempts, took
+		return attempts, took, err
 	}
 	Convey("A submission waits for a process that takes it", t, func() {
-		err, attempts, took := play(errNotLeading, batch.ErrRefused, batch.ErrUnavailable, nil)
+		attempts, took, err := play(errNotLeading, batch.ErrRefused, batch.ErrUnavailable, nil)
 		So(err, ShouldBeNil)
 		So(attempts, ShouldEqual, 4)
 		So(took, ShouldEqual, 3*submitPause)
 	})
 	Convey("It is refused in the end, after a bounded time, if no attempt may have been taken", t, func() {
-		err, _, took := play(errNotLeading, batch.ErrRefused)
+		_, took, err := play(errNotLeading, batch.ErrRefused)
 		So(err, ShouldEqual, batch.ErrRefused)
 		So(took, ShouldEqual, submitWait)
 	})
 	Convey("An attempt that may have been taken makes the outcome unknown, whatever comes after", t, func() {
-		err, _, _ := play(batch.ErrUnavailable, batch.ErrRefused)
+		_, _, err := play(batch.ErrUnavailable, batch.ErrRefused)
 		So(err, ShouldEqual, batch.ErrUnavailable)
 	})
 }
--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -45,10 +45,8 @@
 		Commands: []*cli.Command{
 			demoCommand(streams),
 			upCommand(streams),
-			controlCommand(streams),
 			configFaultsCommand(streams),
 			plannedStopsCommand(streams),
-			compareCommand(streams),
 			soakCommand(streams),
 			surviveCommand(streams),
 		},
--- a/internal/lab/cli/cli_test.go
+++ b/internal/lab/cli/cli_test.go
@@ -191,18 +191,3 @@
 		So(output.String(), ShouldContainSubstring, "0 in 0 batches")
 	})
 }
-
-func TestCompareBadInput(t *testing.T) {
-	Convey("A scenario that is unfit or not there is one line and exit code 2", t, func() {
-		unfit := writeFile(t.TempDir(), "unfit.yaml", "name: x\nduration: 1s\npools:\n  - {name: p, permittedZones: [nowhere]}\nzones:\n  - {name: a, nodes: 1}\n")
-		for _, arguments := range [][]string{
-			{"compare"}, {"compare", "--scenario", "/nowhere.yaml"}, {"compare", "--scenario", unfit},
-			{"compare", "--scenario", unfit, "--seeds", "0"},
-		} {
-			code, out, failure := lab(arguments...)
-			So(code, ShouldEqual, 2)
-			So(out, ShouldBeEmpty)
-			So(strings.Count(failure, "\n"), ShouldEqual, 1)
-		}
-	})
-}
