batchrun: a text that a worker tells of late is used; an item that was moved is left alone for longer

And items moved to and fro each 0.4 s between engines of one kind. Test: TestLateAdoption fails without the mend.

--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -36,6 +36,8 @@
 	carried bool
 	// notBefore is when the next attempt may begin.
 	notBefore time.Time
+	// moves is how often the item was moved off a slower engine.
+	moves int
 	// checkpointed is the number of events that the disk holds, and checkpointedWhole is true if it holds that they are all.
 	checkpointed      int
 	checkpointedWhole bool
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -29,6 +29,9 @@
 	// unhurriedShare is the part of the time that the longest group of a job takes within which an item's text may take its time.
 	// Lengths are off by half in one case of six, so that it stays well below one.
 	unhurriedShare = 0.5
+	// maxMoveBackoff bounds how often that time doubles with each move of the item: engines of one kind change places in what is
+	// expected of them, and an item must not follow.
+	maxMoveBackoff = 5
 	// moveFactor is how much slower an item's engine must be than another before the item is moved: kinds of engines differ by 1.3, and
 	// engines of one kind by less than 1.15.
 	moveFactor = 1.15
@@ -152,7 +155,7 @@
 // moveIfSlow moves an item if it is expected to end sooner elsewhere by more than a move costs.
 func (r *Runner) moveIfSlow(looked *look, candidate movable) bool {
 	it := candidate.item
-	if it.run.moving || looked.now.Sub(it.run.started) < moveAfter {
+	if it.run.moving || looked.now.Sub(it.run.started) < moveAfter<<min(it.moves, maxMoveBackoff) {
 		return false
 	}
 	route := looked.view.Routes.Match(it.job.Host, it.Path)
@@ -172,6 +175,7 @@
 		"pause", ownPause.Round(time.Millisecond), "other_pause", time.Duration(otherPause*float64(time.Second)).Round(time.Millisecond),
 		"gain", gain.Round(time.Millisecond), "text_events", it.text.Len())
 	r.Observer.HandedOver(HandOverSlow)
+	it.moves++
 	it.run.moving = true
 	it.run.cancel()
 	return true
--- a/internal/batchrun/remote_test.go
+++ b/internal/batchrun/remote_test.go
@@ -163,6 +163,24 @@
 }
 
 // A reward call may run as long as an item may after its job's end: a worker that is cut off does not know of that end.
+func TestLateAdoption(t *testing.T) {
+	playDesk(t, "A text that a worker tells of late goes before what was begun anew meanwhile", func(w *deskWorld) {
+		defer w.work("one")()
+		w.engines.events = 100
+		w.engines.set("a", behaviour{pause: 50 * time.Millisecond})
+		w.engines.set("b", behaviour{pause: 50 * time.Millisecond})
+		w.submit("j", 1)
+		time.Sleep(4 * time.Second)
+		w.stop()
+		w.cut.Store(true)
+		w.lead(2)
+		time.Sleep(500 * time.Millisecond)
+		So(w.engines.of("j-0"), ShouldHaveLength, 2)
+		w.cut.Store(false)
+		w.shouldBeWhole(w.results("j", 2*time.Second), 1)
+	})
+}
+
 func TestRewardCallWithoutCoordinator(t *testing.T) {
 	playDesk(t, "A reward call of a worker that is cut off ends before items of an ended job must not run any more", func(w *deskWorld) {
 		defer w.work("one")()
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -16,9 +16,9 @@
 const (
 	// failurePause is the pause before an item that failed is tried again.
 	failurePause = 50 * time.Millisecond
-	// adoptTime is how long the items of an earlier term wait for workers that hold a run of them: they tell it some 110 ms after a
-	// term has begun.
-	adoptTime = 300 * time.Millisecond
+	// adoptTime is how long the items of an earlier term wait for workers that hold a run of them: nine workers tell it some 110 ms
+	// after a term has begun, seventy within 400 ms.
+	adoptTime = 400 * time.Millisecond
 	// lostVerdict is the name in logs and metrics of runs whose worker is not heard of any more.
 	lostVerdict = "lost"
 	// maxUnheard is how long a stream at a worker may go without a report: longer than an engine may be silent.
@@ -209,17 +209,22 @@
 		return nil
 	}
 	it, ok := j.byID[report.Item]
-	if !ok || it.phase != phaseWaiting {
+	if !ok || (it.phase != phaseWaiting && it.phase != phaseRunning) {
 		return nil
 	}
 	var text itemwork.Text
 	text.Merge(report)
+	// A worker that is heard late may hold more than what was begun anew meanwhile.
+	if it.phase == phaseRunning && text.Len() <= it.text.Len() {
+		return nil
+	}
 	if text.Len() < it.text.Len() || !text.Fits(itemwork.Bounds{MinVersion: j.MinVersion, SingleVersion: r.singleVersion(it)}) {
 		return nil
 	}
 	level.Info(r.Logger).Log("msg", "run adopted", "request", it.ID, "job", j.ID, "run", report.Run, "worker", worker, "engine", report.Engine,
 		"events", text.Len(), "verdict", report.End.Verdict)
 	r.Observer.HandedOver(HandOverAdopted)
+	it.stop()
 	it.text = text
 	adopted := r.newRun(report.Run, it, report.Engine)
 	adopted.worker = worker
