--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -31,7 +31,7 @@
 	unhurriedShare = 0.5
 	// maxMoveBackoff bounds how often that time doubles with each move of the item: engines of one kind change places in what is
 	// expected of them, and an item must not follow.
-	maxMoveBackoff = 5
+	maxMoveBackoff = 2
 	// moveFactor is how much slower an item's engine must be than another before the item is moved: kinds of engines differ by 1.3, and
 	// engines of one kind by less than 1.15.
 	moveFactor = 1.15
