--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -69,6 +69,8 @@
 	sealed bool
 	// listed are the results that are kept for good, by position.
 	listed []batch.Result
+	// furthestRead is the position up to which results were handed out, and newestRead where the reading began that went there.
+	furthestRead, newestRead int
 	// pending are results that are not yet kept.
 	pending []batch.Result
 	// changed is closed when there are more results.
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -29,7 +29,10 @@
 	findTimeout = time.Second
 	// maxReadBytes bounds one reading, which may take 1 MB in the callers' encoding: a trainer that reads twice a second must keep up
 	// with some hundred short results a second.
-	maxReadBytes = 900 << 10
+	maxReadBytes = 600 << 10
+	// maxRepeatBytes bounds a reading of results that were handed out before the last reading that went further: whoever asks for
+	// them again has them, as a rule, and bytes between zones are dear.
+	maxRepeatBytes = 128 << 10
 	// resultOverhead stands for what a result takes beyond its text.
 	resultOverhead = 256
 	// maxWait bounds how long a reading waits for a result.
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -104,20 +104,27 @@
 	}
 }
 
-// read returns the results from a position on that fit one reading.
+// read returns the results from a position on that fit one reading. The runner's mutex must be held.
 func (j *job) read(position int) batch.Reading {
 	reading := batch.Reading{Total: len(j.items), Next: position}
+	limit := maxReadBytes
+	if position < j.newestRead {
+		limit = maxRepeatBytes
+	}
 	size := 0
 	for position < len(j.listed) {
 		result := j.listed[position]
 		size += len(result.Text) + resultOverhead
-		if len(reading.Results) > 0 && size > maxReadBytes {
+		if len(reading.Results) > 0 && size > limit {
 			break
 		}
 		reading.Results = append(reading.Results, result)
 		position++
 	}
 	reading.Next = position
+	if reading.Next > j.furthestRead {
+		j.newestRead, j.furthestRead = reading.Next-len(reading.Results), reading.Next
+	}
 	return reading
 }
 
