batchrun, logtrace: one piece for what stood twice; a run that its later job may not use is forgotten

Last reading of the change. logtrace: ReadFolder and ReadSteps walked a folder and opened its files by code of their own; scanFolder serves both. batchrun: the worker's cancel and release of a run were set in two places (hand); attach returned a value that nobody used. Fault found: a run that went on past its job and that the later job might not use was taken off its job's list and never forgotten, with its text, until the term's end: it is put back, so that forgetRuns drops it once its stream has ended. No test shows it: what it held is not visible outside the runner.

--- a/internal/batchrun/detached.go
+++ b/internal/batchrun/detached.go
@@ -41,14 +41,17 @@
 // isDetached reports whether a run goes on after the end of its job.
 func (r *Runner) isDetached(known *run) bool { return r.detached[known.item.ID] == known }
 
-// attach makes a run that went on after the end of its job that of an item which has come again in another. It reports false if
-// the job may not use the text; the run is ended then. The mutex must be held.
-func (r *Runner) attach(detached *run, it *item) bool {
+// attach makes a run that went on after the end of its job that of an item which has come again in another, or ends
+// it if that job may not use the text. The mutex must be held.
+func (r *Runner) attach(detached *run, it *item) {
 	delete(r.detached, it.ID)
 	text := detached.item.text
 	if !text.Fits(itemwork.Bounds{MinVersion: it.job.MinVersion, SingleVersion: r.singleVersion(it)}) {
+		// The ended job forgets the run once its stream has ended.
+		ended := detached.item.job
+		ended.runs = append(ended.runs, detached.id)
 		detached.cancel()
-		return false
+		return
 	}
 	level.Debug(r.Logger).Log("msg", "run belongs to a later job", "request", it.ID, "job", it.job.ID, "before", detached.item.job.ID, "run", detached.id,
 		"text_events", text.Len())
@@ -57,7 +60,6 @@
 	it.run, it.phase = detached, phaseRunning
 	detached.item = it
 	it.job.runs = append(it.job.runs, detached.id)
-	return true
 }
 
 // settle keeps the text of a detached run that has ended. The mutex must be held.
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -76,9 +76,7 @@
 	it.phase = phaseRunning
 	if r.Desk != nil {
 		if worker, ok := r.Desk.Assign(engine, assignment); ok {
-			begun.worker = worker
-			begun.cancel = func() { r.Desk.Cancel(worker, begun.id) }
-			begun.release = func() { r.Desk.Release(worker, begun.id) }
+			r.hand(begun, worker)
 			return
 		}
 	}
@@ -111,6 +109,13 @@
 	return begun
 }
 
+// hand notes the worker that carries a run out.
+func (r *Runner) hand(handed *run, worker string) {
+	handed.worker = worker
+	handed.cancel = func() { r.Desk.Cancel(worker, handed.id) }
+	handed.release = func() { r.Desk.Release(worker, handed.id) }
+}
+
 // forgetRuns drops the runs of an ended job whose streams have ended. The mutex must be held.
 func (r *Runner) forgetRuns(j *job) {
 	j.runs = slices.DeleteFunc(j.runs, func(id itemwork.RunID) bool {
@@ -227,9 +232,7 @@
 	it.stop()
 	it.text = text
 	adopted := r.newRun(report.Run, it, report.Engine)
-	adopted.worker = worker
-	adopted.cancel = func() { r.Desk.Cancel(worker, adopted.id) }
-	adopted.release = func() { r.Desk.Release(worker, adopted.id) }
+	r.hand(adopted, worker)
 	adopted.streaming = true
 	it.phase = phaseRunning
 	r.engine(report.Engine).running++
--- a/internal/logtrace/logtrace.go
+++ b/internal/logtrace/logtrace.go
@@ -65,36 +65,41 @@
 
 // ReadFolder returns the lines of all files of a folder, in the order of their times.
 func ReadFolder(folder string) ([]Line, error) {
+	var lines []Line
+	if err := scanFolder(folder, func(line Line) { lines = append(lines, line) }); err != nil {
+		return nil, err
+	}
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return lines, nil
+}
+
+// scanFolder calls a function for every line of all files of a folder, a file after the other.
+func scanFolder(folder string, take func(line Line)) error {
 	entries, err := os.ReadDir(folder)
 	if err != nil {
-		return nil, fmt.Errorf("logs: %w", err)
+		return fmt.Errorf("logs: %w", err)
 	}
-	var lines []Line
 	for _, entry := range entries {
 		if entry.IsDir() {
 			continue
 		}
-		found, err := readFile(filepath.Join(folder, entry.Name()))
-		if err != nil {
-			return nil, err
+		if err := scanFile(filepath.Join(folder, entry.Name()), take); err != nil {
+			return err
 		}
-		lines = append(lines, found...)
 	}
-	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
-	return lines, nil
+	return nil
 }
 
-func readFile(path string) ([]Line, error) {
+func scanFile(path string, take func(line Line)) error {
 	file, err := os.Open(path)
 	if err != nil {
-		return nil, fmt.Errorf("logs: %w", err)
+		return fmt.Errorf("logs: %w", err)
 	}
 	defer file.Close()
-	lines, err := Read(file)
-	if err != nil {
-		return nil, fmt.Errorf("logs: %s: %w", path, err)
+	if err := Scan(file, take); err != nil {
+		return fmt.Errorf("logs: %s: %w", path, err)
 	}
-	return lines, nil
+	return nil
 }
 
 // Read returns the lines of a log. What is not a line of a covelink process is left out; text before its level, as collectors put
--- a/internal/logtrace/steps.go
+++ b/internal/logtrace/steps.go
@@ -5,8 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"time"
@@ -77,34 +75,13 @@
 // ReadSteps returns the steps that the logs of a folder tell of, in the order of their submission. It reads a line at a time and
 // keeps only what it returns. ErrNoSteps if there are none.
 func ReadSteps(folder string) ([]*Step, error) {
-	entries, err := os.ReadDir(folder)
-	if err != nil {
-		return nil, fmt.Errorf("logs: %w", err)
-	}
 	reader := &stepReader{byJob: make(map[string]*Step)}
-	for _, entry := range entries {
-		if entry.IsDir() {
-			continue
-		}
-		if err := reader.readFile(filepath.Join(folder, entry.Name())); err != nil {
-			return nil, err
-		}
+	if err := scanFolder(folder, reader.take); err != nil {
+		return nil, err
 	}
 	return reader.steps()
 }
 
-func (r *stepReader) readFile(path string) error {
-	file, err := os.Open(path)
-	if err != nil {
-		return fmt.Errorf("logs: %w", err)
-	}
-	defer file.Close()
-	if err := Scan(file, r.take); err != nil {
-		return fmt.Errorf("logs: %s: %w", path, err)
-	}
-	return nil
-}
-
 // take takes in a line.
 func (r *stepReader) take(line Line) {
 	switch line.Message {
