--- a/internal/batchrpc/batchrpc.go
+++ b/internal/batchrpc/batchrpc.go
@@ -77,7 +77,11 @@
 type Reply struct{ Code code }
 
 // PingRequest asks whether an instance lives and coordinates.
-type PingRequest struct{ Instance string }
+type PingRequest struct {
+	Instance string
+	// Candidate is the internal address of the caller, which may coordinate too.
+	Candidate string
+}
 
 // PingReply answers a PingRequest.
 type PingReply struct {
@@ -100,7 +104,7 @@
 	// Leading reports whether the process coordinates.
 	Leading() bool
 	// Standing answers a ping.
-	Standing(instance string) PingReply
+	Standing(request PingRequest) PingReply
 	// YieldTo stops the term of a token.
 	YieldTo(ctx context.Context, instance string, token int64) error
 }
@@ -125,7 +129,7 @@
 		return Reply{Code: toCode(service.End(ctx, request.ID))}, nil
 	})
 	rpc.Handle(server, func(_ context.Context, _ rpc.Peer, request PingRequest) (PingReply, error) {
-		return lease.Standing(request.Instance), nil
+		return lease.Standing(request), nil
 	})
 	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request YieldRequest) (YieldReply, error) {
 		return YieldReply{Yielded: lease.YieldTo(ctx, request.Instance, request.Token) == nil}, nil
--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -33,8 +33,9 @@
 	challengeTimeout = 600 * time.Millisecond
 	// challengeRetry is the pause before a challenge is tried again that could not be written.
 	challengeRetry = 150 * time.Millisecond
-	// maxJitter spreads the candidates' attempts at a lease that is free.
-	maxJitter = 100 * time.Millisecond
+	// maxJitter spreads the candidates' attempts at a lease that is free, their challenges and their requests to yield: of ten, the first
+	// is some 25 ms ahead of the second, in which the others learn of what it wrote.
+	maxJitter = 250 * time.Millisecond
 )
 
 // Params are what an Elector works with.
@@ -181,9 +182,17 @@
 			continue
 		}
 		misses = 0
-		if unserved >= unservedLimit {
-			e.succeed(ctx, lease, unserved)
+		if unserved < unservedLimit {
+			continue
+		}
+		// Another candidate may be first.
+		if wait(ctx, changed, e.jitter()) {
+			return
 		}
+		e.succeed(ctx, lease)
+	}
+	if wait(ctx, changed, e.jitter()) {
+		return
 	}
 	for !e.challenge(ctx, lease) {
 		// The store did not take the challenge. The holder is judged again before the next attempt, not from the start.
--- a/internal/election/handover.go
+++ b/internal/election/handover.go
@@ -32,12 +32,16 @@
 
 // succeed takes the lease over from a holder that the store has not served while it has served this process: the holder stops first.
 // A store that serves nobody changes nothing, nor does one that is just back, and serves one before the other.
-func (e *Elector) succeed(ctx context.Context, lease Lease, unserved time.Duration) {
-	if e.Yield == nil || !e.probe(ctx, lease) || e.Served() < unservedLimit {
+func (e *Elector) succeed(ctx context.Context, lease Lease) {
+	if e.Yield == nil {
+		return
+	}
+	unserved, err := e.ping(ctx, lease)
+	if err != nil || unserved < unservedLimit || !e.probe(ctx, lease) || e.Served() < unservedLimit {
 		return
 	}
 	asking, cancel := context.WithTimeout(ctx, yieldTimeout)
-	err := e.Yield(asking, lease.Address, lease.Instance, lease.Token)
+	err = e.Yield(asking, lease.Address, lease.Instance, lease.Token)
 	cancel()
 	level.Info(e.Logger).Log("msg", "holder asked to yield", "holder", lease.Holder, "token", lease.Token,
 		"unserved", unserved.Round(time.Millisecond), "err", err)
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -105,10 +105,16 @@
 	server   *rpc.Server
 	listener net.Listener
 	elector  *election.Elector
+	// candidates are the other processes that ask this one whether it lives.
+	candidates *election.Candidates
 }
 
 func runCoordinator(hooks fx.Lifecycle, params coordinatorParams) {
-	c := &coordinator{coordinatorParams: params, logger: telemetry.For(params.Logger, telemetry.PartElection)}
+	c := &coordinator{
+		coordinatorParams: params,
+		logger:            telemetry.For(params.Logger, telemetry.PartElection),
+		candidates:        election.NewCandidates(),
+	}
 	hooks.Append(fx.Hook{OnStart: c.start, OnStop: c.stop})
 }
 
@@ -120,7 +126,7 @@
 	}
 	c.elector = election.New(election.Params{
 		Name:      c.Settings.Node.Name,
-		Address:   cmp.Or(c.Settings.Listen.Advertise, c.listener.Addr().String()),
+		Address:   c.address(),
 		Store:     c.Store,
 		Followers: c.Followers,
 		Ping:      c.ping,
@@ -131,7 +137,12 @@
 		Eligible:  c.Leaving.MayCoordinate,
 		Logger:    c.logger,
 	})
-	hub := storerelay.NewHub(c.elector.Leading, platform.GatewayEssence)
+	hub := storerelay.NewHub(storerelay.HubParams{
+		Leading:    c.elector.Leading,
+		Essence:    platform.GatewayEssence,
+		Lease:      election.KindLeases,
+		Candidates: c.candidates.Addresses,
+	})
 	hub.Attach(c.Followers)
 	c.server = rpc.NewServer(c.Logger)
 	storerelay.Register(c.server, hub)
@@ -156,9 +167,15 @@
 // Leading implements batchrpc.Lease.
 func (c *coordinator) Leading() bool { return c.elector.Leading() }
 
+// address is where other nodes reach this process.
+func (c *coordinator) address() string {
+	return cmp.Or(c.Settings.Listen.Advertise, c.listener.Addr().String())
+}
+
 // Standing implements batchrpc.Lease.
-func (c *coordinator) Standing(instance string) batchrpc.PingReply {
-	return batchrpc.PingReply{Leading: instance == c.elector.Instance() && c.Leading(), Unserved: c.Outage.Length()}
+func (c *coordinator) Standing(request batchrpc.PingRequest) batchrpc.PingReply {
+	c.candidates.Note(request.Candidate)
+	return batchrpc.PingReply{Leading: request.Instance == c.elector.Instance() && c.Leading(), Unserved: c.Outage.Length()}
 }
 
 // YieldTo implements batchrpc.Lease.
@@ -170,7 +187,8 @@
 var errNotLeading = errors.New("not coordinating")
 
 func (c *coordinator) ping(ctx context.Context, address, instance string) (unserved time.Duration, err error) {
-	reply, err := rpc.Call[batchrpc.PingRequest, batchrpc.PingReply](ctx, c.Calls, address, batchrpc.PingRequest{Instance: instance})
+	request := batchrpc.PingRequest{Instance: instance, Candidate: c.address()}
+	reply, err := rpc.Call[batchrpc.PingRequest, batchrpc.PingReply](ctx, c.Calls, address, request)
 	if err == nil && !reply.Leading {
 		err = errNotLeading
 	}
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -40,15 +40,17 @@
 }
 
 // newStoreRelay returns what follows the store through the coordinating process.
-func newStoreRelay(calls *rpc.Client, direct *metastore.Followers, logger log.Logger) *storerelay.Client {
+func newStoreRelay(config settings.Fleet, calls *rpc.Client, direct *metastore.Followers, logger log.Logger) *storerelay.Client {
 	poll := func(ctx context.Context, address string, request storerelay.PollRequest) (storerelay.PollReply, error) {
 		return storerelay.Poll(ctx, calls, address, request)
 	}
 	return storerelay.NewClient(storerelay.ClientParams{
-		Direct: direct,
-		Poll:   poll,
-		Urgent: election.KindLeases,
-		Logger: telemetry.For(logger, telemetry.PartFleet),
+		Direct:   direct,
+		Poll:     poll,
+		Seeds:    config.Coordinators.Seeds,
+		Lease:    election.KindLeases,
+		Patience: storerelay.PatienceWithin(config.Timing.CatchUpTime),
+		Logger:   telemetry.For(logger, telemetry.PartFleet),
 	})
 }
 
--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -40,6 +40,8 @@
 	From Snapshot
 	// Pause is kept between a change and the next watch, so that changes in quick succession cost one call; zero means none.
 	Pause time.Duration
+	// RetryPause is the least pause after a call that failed; zero means retryPause, growing with each failure in a row.
+	RetryPause time.Duration
 	// Changed takes every new snapshot.
 	Changed func(Snapshot)
 	// Lost takes the error of each call that failed; nil for nobody.
@@ -160,7 +162,7 @@
 	if w.group.Doubted != nil {
 		w.group.Doubted(w.kind)
 	}
-	pause.For(ctx, min(retryPause<<min(w.failures, 4), maxRetryPause))
+	pause.For(ctx, max(w.options.RetryPause, min(retryPause<<min(w.failures, 4), maxRetryPause)))
 	w.failures++
 }
 
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -23,8 +23,10 @@
 	Listen FleetListen `koanf:"listen"`
 	Store  FleetStore  `koanf:"store" validate:"required"`
 	Timing FleetTiming `koanf:"timing"`
-	Data   FleetData   `koanf:"data"`
-	Log    Log         `koanf:"log"`
+	// Coordinators tells gateways where to look for the coordinating process.
+	Coordinators FleetCoordinators `koanf:"coordinators"`
+	Data         FleetData         `koanf:"data"`
+	Log          Log               `koanf:"log"`
 }
 
 // FleetNode identifies the process.
@@ -57,6 +59,13 @@
 	Address string `koanf:"address" validate:"required,hostname_port|tcp_addr"`
 }
 
+// FleetCoordinators is what is known of coordinators before any was asked.
+type FleetCoordinators struct {
+	// Seeds are internal addresses of some coordinators, as host:port. They may be out of date. Without any, a gateway reads from the
+	// store who coordinates.
+	Seeds []string `koanf:"seeds" validate:"dive,hostname_port|tcp_addr"`
+}
+
 // FleetData is the process's disk.
 type FleetData struct {
 	// Folder is where unfinished texts are kept; empty for nowhere. Coordinators only.
@@ -71,6 +80,8 @@
 	StopTimeout time.Duration `koanf:"stopTimeout" validate:"gte=1s,lte=10m"`
 	// LeaseLength is the least time between the orders of two coordinators. Default 3s.
 	LeaseLength time.Duration `koanf:"leaseLength" validate:"gte=100ms,lte=1m"`
+	// CatchUpTime is how long after a fault of other processes or of the store a gateway may know less than the store holds. Default 3s.
+	CatchUpTime time.Duration `koanf:"catchUpTime" validate:"gte=1s,lte=1m"`
 	// BatchRetention is how long a batch job is kept after it has ended. Default 2m.
 	BatchRetention time.Duration `koanf:"batchRetention" validate:"gte=1s,lte=24h"`
 }
@@ -81,6 +92,7 @@
 		Timing: FleetTiming{
 			StopTimeout:    8 * time.Second,
 			LeaseLength:    3 * time.Second,
+			CatchUpTime:    3 * time.Second,
 			BatchRetention: 2 * time.Minute,
 		},
 		Data: FleetData{TextMegabytes: 32},
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -21,9 +22,13 @@
 	Poll func(ctx context.Context, address string, request PollRequest) (PollReply, error)
 	// Coordinator returns the internal address of the coordinating process, or "".
 	Coordinator func() string
-	// Urgent is the kind that tells where the coordinating process is: it is followed in the store at once when no hub answers.
-	Urgent string
-	Logger log.Logger
+	// Seeds are internal addresses of processes that may coordinate, known from the start. They may be out of date.
+	Seeds []string
+	// Lease is the kind that tells who coordinates. A client that knows nobody to ask follows it in the store at once.
+	Lease string
+	// Patience is how long the client waits for a hub to answer again before it follows the store itself; zero means DefaultPatience.
+	Patience time.Duration
+	Logger   log.Logger
 }
 
 // Client keeps copies of kinds of the store's objects, from the coordinating process where that answers. It implements
@@ -37,13 +42,24 @@
 	relayed bool
 	// switched is closed when relayed changes.
 	switched chan struct{}
+	// lostAt is when relayed last became false, or the client was made.
+	lostAt time.Time
+	// servedAt is when the store began to show the lease to this client; zero while it does not.
+	servedAt time.Time
 }
 
 var _ metastore.Follower = (*Client)(nil)
 
 // NewClient returns a Client. Run makes it poll.
 func NewClient(params ClientParams) *Client {
-	return &Client{ClientParams: params, kinds: make(map[string]*subscription), switched: make(chan struct{})}
+	if params.Patience == 0 {
+		params.Patience = DefaultPatience
+	}
+	c := &Client{ClientParams: params, kinds: make(map[string]*subscription), switched: make(chan struct{}), lostAt: time.Now()}
+	params.Direct.Confirmed = func(kind string, _ metastore.Snapshot) { c.noteServed(kind, true) }
+	params.Direct.Doubted = func(kind string) { c.noteServed(kind, false) }
+	params.Direct.MaxWait = c.maxWatchWait
+	return c
 }
 
 // subscription is a kind that is followed.
@@ -88,7 +104,7 @@
 func (s *subscription) apply(change Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if change.Revision < s.snapshot.Revision {
+	if change.Revision < s.snapshot.Revision || !change.Whole && !s.known() {
 		return
 	}
 	objects := make(map[string]metastore.Object, len(change.Objects))
@@ -101,6 +117,9 @@
 	for _, name := range change.Removed {
 		delete(objects, name)
 	}
+	if !s.known() {
+		close(s.listed)
+	}
 	s.snapshot = metastore.Snapshot{Objects: objects, Revision: change.Revision}
 	s.changed(s.snapshot)
 }
@@ -109,6 +128,9 @@
 func (s *subscription) advance(revision metastore.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.known() {
+		return
+	}
 	s.snapshot.Revision = max(s.snapshot.Revision, revision)
 }
 
@@ -132,31 +154,98 @@
 	}()
 	for ctx.Err() == nil {
 		relayed, switched := c.mode()
-		// The store shows what a client does not know yet: hundreds that start at the same moment would ask the hub for all there is.
-		unknown := !followed.known()
-		if relayed && !unknown {
+		if relayed {
 			waitFor(ctx, switched)
 			continue
 		}
-		until := switched
-		if relayed {
-			until = followed.listed
-		}
-		direct, cancel := context.WithCancel(ctx)
-		stop := make(chan struct{})
-		go func() {
-			defer close(stop)
-			waitFor(direct, until)
-			cancel()
-		}()
-		if kind != c.Urgent && !unknown {
-			pause.For(direct, directDelay)
+		if c.hubReturns(ctx, kind, followed, switched) {
+			continue
 		}
 		options.From = followed.current()
-		c.Direct.Follow(direct, kind, options)
-		cancel()
-		<-stop
+		c.followDirectly(ctx, kind, options, switched)
+	}
+}
+
+// patience returns how long a kind waits for a hub.
+func (c *Client) patience(kind string, followed *subscription) time.Duration {
+	switch {
+	case followed.known():
+		return c.Patience
+	case kind == c.Lease && len(c.Seeds) == 0:
+		return 0
+	}
+	return startPatience + rand.N(startJitter)
+}
+
+// hubReturns waits for a hub to answer. It returns false once a kind is to be followed in the store.
+func (c *Client) hubReturns(ctx context.Context, kind string, followed *subscription, switched <-chan struct{}) bool {
+	patience := c.patience(kind, followed)
+	ticker := time.NewTicker(patienceCheck)
+	defer ticker.Stop()
+	for !c.overdue(kind, followed.known(), patience) {
+		select {
+		case <-switched:
+			return true
+		case <-ctx.Done():
+			return true
+		case <-ticker.C:
+		}
+	}
+	return false
+}
+
+// overdue reports whether a hub should have answered by now, and the store is known to serve this client or not asked yet.
+func (c *Client) overdue(kind string, known bool, patience time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Since(c.lostAt) < patience {
+		return false
+	}
+	if _, leaseFollowed := c.kinds[c.Lease]; kind == c.Lease || !leaseFollowed {
+		return true
+	}
+	if c.servedAt.IsZero() {
+		return false
 	}
+	return known || time.Since(c.servedAt) >= leaseHeadStart
+}
+
+// maxWatchWait bounds the waits of watches until the first is answered: only then is it known that the store serves this client.
+func (c *Client) maxWatchWait() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.servedAt.IsZero() {
+		return probeWait
+	}
+	return 0
+}
+
+// noteServed notes whether the store shows a kind to this client.
+func (c *Client) noteServed(kind string, served bool) {
+	if kind != c.Lease {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !served:
+		c.servedAt = time.Time{}
+	case c.servedAt.IsZero():
+		c.servedAt = time.Now()
+	}
+}
+
+// followDirectly follows a kind in the store until a hub answers or ctx ends.
+func (c *Client) followDirectly(ctx context.Context, kind string, options metastore.FollowOptions, switched <-chan struct{}) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	level.Info(c.Logger).Log("msg", "kind followed in the store", "kind", kind, "revision", options.From.Revision)
+	go func() {
+		waitFor(ctx, switched)
+		cancel()
+	}()
+	options.RetryPause = directRetryPause
+	c.Direct.Follow(ctx, kind, options)
 }
 
 func waitFor(ctx context.Context, happened <-chan struct{}) {
@@ -180,61 +269,83 @@
 		return
 	}
 	c.relayed = relayed
+	if !relayed {
+		c.lostAt, c.servedAt = time.Now(), time.Time{}
+	}
 	close(c.switched)
 	c.switched = make(chan struct{})
-	message := "store followed through the coordinator"
+	message := "coordinator relays the store"
 	if !relayed {
-		message = "store followed directly"
+		message = "coordinator does not relay the store"
 	}
 	level.Info(c.Logger).Log("msg", message, "coordinator", address, "err", cause)
 }
 
-// Run polls the coordinating process until ctx ends.
+// Run polls the coordinating process until ctx ends, and looks for it among the candidates while it does not answer.
 func (c *Client) Run(ctx context.Context) {
+	known := newCandidates(c.Seeds)
 	for ctx.Err() == nil {
-		address := c.Coordinator()
+		before := c.Coordinator()
+		address := known.choose(before)
+		started := time.Now()
 		reply, err := PollReply{}, error(nil)
 		if address != "" {
 			reply, err = c.poll(ctx, address)
 		}
+		if err == nil {
+			known.learn(reply.Candidates)
+			err = c.apply(reply)
+		}
 		if ctx.Err() != nil {
 			return
 		}
-		if !reply.Fresh {
-			c.setRelayed(false, address, err)
-			pause.For(ctx, retryPause)
+		if reply.Fresh && err == nil {
+			known.answered()
+			c.setRelayed(true, address, nil)
+			continue
+		}
+		c.setRelayed(false, address, err)
+		if found := c.Coordinator(); found != before && found != "" {
 			continue
 		}
-		c.apply(reply)
-		c.setRelayed(true, address, nil)
+		known.failed(time.Since(started))
+		pause.For(ctx, retryPause)
 	}
 }
 
 func (c *Client) poll(ctx context.Context, address string) (PollReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollWait+pollMargin)
-	defer cancel()
 	request := PollRequest{Known: c.known(), Wait: pollWait}
-	if relayed, _ := c.mode(); !relayed {
-		// The first poll only asks whether the hub is of use.
+	relayed, _ := c.mode()
+	if !relayed {
+		// The first poll only asks whether the hub is of use. One that is not may still wait for news of who coordinates.
 		request.Wait = time.Millisecond
 	}
+	ctx, cancel := context.WithTimeout(ctx, max(request.Wait, guideWait)+pollMargin)
+	defer cancel()
 	return c.Poll(ctx, address, request)
 }
 
-// known returns up to which revision each kind is known, of those that are.
+// known returns up to which revision each kind is known; zero for those that are not.
 func (c *Client) known() map[string]metastore.Revision {
 	known := make(map[string]metastore.Revision)
 	for kind, followed := range c.subscriptions() {
-		if followed.known() {
-			known[kind] = followed.current().Revision
-		}
+		known[kind] = followed.current().Revision
 	}
 	return known
 }
 
-func (c *Client) apply(reply PollReply) {
+// apply takes in a reply, all of it or nothing.
+func (c *Client) apply(reply PollReply) error {
+	changes := make([]Change, 0, len(reply.Changes))
+	for _, packed := range reply.Changes {
+		change, err := packed.unpacked()
+		if err != nil {
+			return err
+		}
+		changes = append(changes, change)
+	}
 	kinds := c.subscriptions()
-	for _, change := range reply.Changes {
+	for _, change := range changes {
 		if followed, ok := kinds[change.Kind]; ok {
 			followed.apply(change)
 		}
@@ -244,6 +355,7 @@
 			followed.advance(revision)
 		}
 	}
+	return nil
 }
 
 func (c *Client) subscriptions() map[string]*subscription {
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"reflect"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -10,12 +12,22 @@
 	"github.com/covelink/covelink/internal/metastore"
 )
 
+// HubParams are what a Hub works with.
+type HubParams struct {
+	// Leading reports whether the process coordinates.
+	Leading func() bool
+	// Essence returns what pollers need of an object, such that equal strings mean that nothing has changed for them; nil means the
+	// whole object.
+	Essence func(kind string, object metastore.Object) string
+	// Lease is the kind that tells who coordinates. It is told also while the process does not coordinate.
+	Lease string
+	// Candidates returns the internal addresses of other processes that may coordinate; nil if they are not known.
+	Candidates func() []string
+}
+
 // Hub holds the newest snapshots of the kinds that its process follows. It is safe for concurrent use.
 type Hub struct {
-	// leading reports whether the process coordinates.
-	leading func() bool
-	// essence returns what pollers need of an object: one whose essence stays the same has not changed for them.
-	essence func(kind string, object metastore.Object) string
+	HubParams
 
 	mu      sync.Mutex
 	kinds   map[string]*relayedKind
@@ -34,6 +46,9 @@
 	// removals are the last objects that went, and floor is the revision after which they are complete.
 	removals []removal
 	floor    metastore.Revision
+	// packed are all objects of the snapshot whose content is of packedRevision.
+	packed         []byte
+	packedRevision metastore.Revision
 }
 
 // entry is what pollers need of an object.
@@ -48,13 +63,15 @@
 	revision metastore.Revision
 }
 
-// NewHub returns a Hub. leading reports whether its process coordinates. essence returns what pollers need of an object, such
-// that equal strings mean that nothing has changed for them; nil means the whole object.
-func NewHub(leading func() bool, essence func(kind string, object metastore.Object) string) *Hub {
-	if essence == nil {
-		essence = func(_ string, object metastore.Object) string { return strconv.FormatInt(int64(object.Revision), 10) }
+// NewHub returns a Hub.
+func NewHub(params HubParams) *Hub {
+	if params.Essence == nil {
+		params.Essence = func(_ string, object metastore.Object) string { return strconv.FormatInt(int64(object.Revision), 10) }
+	}
+	if params.Candidates == nil {
+		params.Candidates = func() []string { return nil }
 	}
-	return &Hub{leading: leading, essence: essence, kinds: make(map[string]*relayedKind), changed: make(chan struct{})}
+	return &Hub{HubParams: params, kinds: make(map[string]*relayedKind), changed: make(chan struct{})}
 }
 
 // Confirm takes in a kind as the store has just shown it.
@@ -73,7 +90,7 @@
 	differs := !ok
 	if !sameMap(known.snapshot.Objects, snapshot.Objects) {
 		removed := known.noteRemovals(snapshot)
-		changed := known.noteChanges(snapshot, func(object metastore.Object) string { return h.essence(kind, object) })
+		changed := known.noteChanges(snapshot, func(object metastore.Object) string { return h.Essence(kind, object) })
 		differs = differs || removed || changed
 	}
 	if differs {
@@ -104,7 +121,7 @@
 	followers.Confirmed = h.Confirm
 	followers.Doubted = h.Doubt
 	followers.MaxWait = func() time.Duration {
-		if h.leading() {
+		if h.Leading() {
 			return maxWatchWait
 		}
 		return 0
@@ -151,11 +168,15 @@
 
 // Poll returns what changed of the kinds that were asked for, as soon as there is something or the wait is over.
 func (h *Hub) Poll(ctx context.Context, request PollRequest) PollReply {
-	ctx, cancel := context.WithTimeout(ctx, request.Wait)
+	wait := request.Wait
+	if !h.Leading() {
+		wait = guideWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
 		reply, changed := h.changes(request.Known)
-		if !reply.Fresh || len(reply.Changes) > 0 {
+		if len(reply.Changes) > 0 || changed == nil {
 			return reply
 		}
 		select {
@@ -167,20 +188,24 @@
 	}
 }
 
+// changes returns what there is to tell now, and a channel that is closed when that may be more; nil if waiting for it is of no use.
 func (h *Hub) changes(known map[string]metastore.Revision) (reply PollReply, changed <-chan struct{}) {
-	if !h.leading() {
-		return PollReply{}, nil
-	}
+	leading := h.Leading()
+	reply.Candidates = h.Candidates()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if !leading {
+		reply.Changes = h.leaseChange(known)
+		return reply, h.changed
+	}
 	reply.Revisions = make(map[string]metastore.Revision, len(known))
 	for kind, revision := range known {
 		relayed, ok := h.kinds[kind]
 		if !ok || time.Since(relayed.confirmed) > maxAge {
-			return PollReply{}, nil
+			return PollReply{Changes: h.leaseChange(known), Candidates: reply.Candidates}, nil
 		}
 		reply.Revisions[kind] = relayed.snapshot.Revision
-		if relayed.contentRevision > revision {
+		if relayed.news(revision) {
 			reply.Changes = append(reply.Changes, relayed.since(kind, revision))
 		}
 	}
@@ -188,9 +213,29 @@
 	return reply, h.changed
 }
 
+// leaseChange returns what the caller does not know of the lease; nil if nothing. The mutex must be held.
+func (h *Hub) leaseChange(known map[string]metastore.Revision) []Change {
+	revision, asked := known[h.Lease]
+	relayed, ok := h.kinds[h.Lease]
+	if !asked || !ok || !relayed.news(revision) {
+		return nil
+	}
+	return []Change{relayed.since(h.Lease, revision)}
+}
+
+// news reports whether there is something to tell a caller that knows the kind up to a revision: one that knows nothing is told also
+// that there are no objects.
+func (k *relayedKind) news(revision metastore.Revision) bool {
+	return k.contentRevision > revision || revision == 0 && k.snapshot.Revision > 0
+}
+
 // since returns what changed after a revision.
 func (k *relayedKind) since(kind string, revision metastore.Revision) Change {
-	change := Change{Kind: kind, Revision: k.snapshot.Revision, Whole: revision < k.floor}
+	change := Change{Kind: kind, Revision: k.snapshot.Revision, Whole: revision == 0 || revision < k.floor}
+	if change.Whole && k.pack() {
+		change.Packed = k.packed
+		return change
+	}
 	for name, object := range k.snapshot.Objects {
 		if change.Whole || k.entries[name].changed > revision {
 			change.Objects = append(change.Objects, object)
@@ -206,3 +251,20 @@
 	}
 	return change
 }
+
+// pack makes packed hold the snapshot. It reports false if there is nothing to pack.
+func (k *relayedKind) pack() bool {
+	if len(k.snapshot.Objects) == 0 {
+		return false
+	}
+	if k.packedRevision == k.contentRevision {
+		return true
+	}
+	packed, err := pack(slices.Collect(maps.Values(k.snapshot.Objects)))
+	if err != nil {
+		// The objects are told one by one.
+		return false
+	}
+	k.packed, k.packedRevision = packed, k.contentRevision
+	return true
+}
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -7,9 +7,13 @@
 // A change that makes no difference to those who poll, such as the weight versions of an engine, is not told to them: the copy of
 // a Client may differ from the store in what its hub's essence leaves out.
 //
+// A hub whose process does not coordinate tells callers who does, as far as it knows, so that hundreds of clients that look for the
+// coordinating process ask each other's peers and not the store.
+//
 // Guarantees: what a Client hands out for a kind never goes back to an earlier revision. A hub of which a call to the store has
 // failed, or that has not heard from it for maxAge, says so, and a poll that is not answered within pollWait and pollMargin counts as lost; after either a Client
-// follows the store itself within directDelay.
+// follows the store itself unless a hub answers within its Patience: first the lease, and the other kinds once the store has shown that,
+// so that hundreds of clients ask a store that is down one question each.
 package storerelay
 
 import (
@@ -31,17 +35,42 @@
 	// maxAge is how long ago a hub must have heard from the store of a kind that it answers for. It is above maxWatchWait and
 	// what a follower leaves between two watches.
 	maxAge = 2500 * time.Millisecond
-	// directDelay is how long a client waits for a hub to answer again before it follows the store itself.
-	directDelay = 800 * time.Millisecond
+	// DefaultPatience is how long a client waits for a hub to answer again before it follows the store itself.
+	DefaultPatience = 800 * time.Millisecond
+	// patienceCheck is the pause between two looks at whether a client's patience is over.
+	patienceCheck = 100 * time.Millisecond
+	// directRetryPause is the pause after a call to the store that failed, of a client that follows it itself: hundreds may do so.
+	directRetryPause = 2500 * time.Millisecond
+	// probeWait is how long a client's first watch in the store waits there.
+	probeWait = 50 * time.Millisecond
+	// leaseHeadStart is how long, after the store has shown the lease, a client leaves to the coordinating process to tell it what it
+	// does not know yet of other kinds.
+	leaseHeadStart = 500 * time.Millisecond
+	// startPatience is the same for a kind of which a client knows nothing yet: a coordinating process is chosen, and has read what it
+	// relays, within a second of a start of the whole fleet.
+	startPatience = time.Second
+	// startJitter spreads over time the clients that turn to the store at their start.
+	startJitter = time.Second
+	// guideWait is how long a poll waits, in a hub whose process does not coordinate, for news of who does.
+	guideWait = 400 * time.Millisecond
 	// retryPause is the pause between two polls while no hub answers.
 	retryPause = 250 * time.Millisecond
 	// maxRemovals bounds the removals of a kind that a hub remembers.
 	maxRemovals = 1024
 )
 
+// followMargin is what a client needs, once its patience is over, to learn from the store what it missed.
+const followMargin = 500 * time.Millisecond
+
+// PatienceWithin returns the patience of a client that must know what the store holds within some time after the coordinating process
+// was lost: a poll that is not answered any more is noticed first.
+func PatienceWithin(limit time.Duration) time.Duration {
+	return max(DefaultPatience, limit-pollWait-pollMargin-followMargin)
+}
+
 // PollRequest asks for what changed of some kinds.
 type PollRequest struct {
-	// Known maps each kind to the revision up to which the caller knows it.
+	// Known maps each kind to the revision up to which the caller knows it; zero for one of which it knows nothing.
 	Known map[string]metastore.Revision
 	// Wait bounds how long the hub waits for a change.
 	Wait time.Duration
@@ -49,20 +78,26 @@
 
 // PollReply answers a PollRequest.
 type PollReply struct {
-	// Fresh is false if the hub's process does not coordinate or has not heard from the store lately. There are no changes then.
+	// Fresh is false if the hub's process does not coordinate or has not heard from the store lately. Changes are then at most those of
+	// the lease.
 	Fresh   bool
 	Changes []Change
 	// Revisions maps each kind that was asked for to the revision up to which the hub knows it.
 	Revisions map[string]metastore.Revision
+	// Candidates are the internal addresses of other processes that may coordinate, as far as the hub knows.
+	Candidates []string
 }
 
 // Change is what changed of a kind up to a revision.
 type Change struct {
 	Kind     string
 	Revision metastore.Revision
-	// Whole is true if Objects are all that there are, not only those that changed.
-	Whole   bool
+	// Whole is true if the objects are all that there are, not only those that changed.
+	Whole bool
+	// Objects are the changed ones, unless they are Packed.
 	Objects []metastore.Object
+	// Packed holds the objects compressed: a whole list that many callers ask for is encoded once.
+	Packed []byte
 	// Removed are the names of objects that are gone.
 	Removed []string
 }
