batchlog: reads at the start of a term are bounded; forward: requests keep to connections that are open

Cause: the reads by which a term takes jobs over had no bound. Ruled out by reading: the read after a failed write of the lease ends with that write's bound. Test: an answer that never comes, for each kind that is read; it hangs without the bound.

A new connection now counts half more than an idle one.

--- a/internal/batchlog/batchlog.go
+++ b/internal/batchlog/batchlog.go
@@ -18,6 +18,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
@@ -178,15 +179,20 @@
 
 // Find takes a job over. metastore.ErrNotFound if there is none.
 func (s *Store) Find(ctx context.Context, id string) (*Stored, error) {
-	object, err := s.client.Get(ctx, kindJobs, id)
+	object, err := s.read(ctx, kindJobs, id)
 	if err != nil {
 		return nil, err
 	}
 	return s.takeOver(ctx, object)
 }
 
-// maxConcurrent is how many jobs are taken over at once.
-const maxConcurrent = 4
+const (
+	// maxConcurrent is how many jobs are taken over at once.
+	maxConcurrent = 4
+	// readTimeout bounds a read of one object: a store that is slow answers within some hundred milliseconds, and one whose answer was
+	// lost never does.
+	readTimeout = 1500 * time.Millisecond
+)
 
 // Open takes over the jobs that are not known to be sealed. It also returns the IDs of those that are.
 func (s *Store) Open(ctx context.Context) (jobs []*Stored, sealed []string, err error) {
@@ -251,10 +257,17 @@
 	return job, nil
 }
 
+// read returns an object.
+func (s *Store) read(ctx context.Context, kind, name string) (metastore.Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return s.client.Get(ctx, kind, name)
+}
+
 // loadItems reads a job's items.
 func (s *Store) loadItems(ctx context.Context, job *Stored) error {
 	for _, name := range job.record.Parts {
-		found, err := s.client.Get(ctx, kindItems, name)
+		found, err := s.read(ctx, kindItems, name)
 		if err != nil {
 			return fmt.Errorf("batchlog: items of %s: %w", job.Job.ID, err)
 		}
--- a/internal/batchlog/batchlog_test.go
+++ b/internal/batchlog/batchlog_test.go
@@ -75,6 +75,37 @@
 	})
 }
 
+// A read whose answer was lost held the start of a term up for good: nothing was listed, and no job could be read, until the lease moved on.
+func TestOpenUnderLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("An answer that never comes holds nobody up for long", t, func() {
+			store := metastoretest.New()
+			log := batchlog.New(store.Client(), 1)
+			_, err := log.Accept(t.Context(), newJob("a", largeBody))
+			So(err, ShouldBeNil)
+			for _, lost := range []string{"batches", "batch-items", "batch-results.a"} {
+				client := store.Client()
+				silent := true
+				client.Fault = func(_, kind string, write bool) metastoretest.Fault {
+					if kind == lost && !write && silent {
+						silent = false
+						return metastoretest.Silent
+					}
+					return metastoretest.None
+				}
+				later := batchlog.New(client, 2)
+				began := time.Now()
+				_, _, err = later.Open(t.Context())
+				So(err, ShouldNotBeNil)
+				So(time.Since(began), ShouldBeLessThan, 2*time.Second)
+				open, _, err := later.Open(t.Context())
+				So(err, ShouldBeNil)
+				So(open, ShouldHaveLength, 1)
+			}
+		})
+	})
+}
+
 // A coordinator that was frozen appended a result after its successor had read the log: a reader saw position 39 there, and
 // then nothing at its successor (LOST on trouble-3 of Cairnpath).
 func TestFence(t *testing.T) {
--- a/internal/forward/picker.go
+++ b/internal/forward/picker.go
@@ -18,6 +18,12 @@
 	maxBackoff   = 3 * time.Second
 	// busyBackoff is how long an engine that was full is left aside.
 	busyBackoff = 40 * time.Millisecond
+	// connectionLife is how long after an answer a connection to the engine is taken to be open: below the idle times of seconds that
+	// engines announce.
+	connectionLife = 5 * time.Second
+	// connectCost is the cost of an engine to which a connection must be opened, relative to one with an idle one: beyond the round trip
+	// itself, a new connection takes a slot at the engine for a moment, and engines bound them. Slower engines are still left.
+	connectCost = 1.5
 	// staleAfter is how long an engine that is not used is remembered.
 	staleAfter = 30 * time.Second
 )
@@ -29,6 +35,9 @@
 	failures int
 	asideTil time.Time
 	used     time.Time
+	// answered is when the engine last answered, and connections how many are taken to be open since: the most that were in flight.
+	answered    time.Time
+	connections int
 }
 
 // Picker chooses among the engines of a service by the work in flight from here and by what they did lately. It is safe for
@@ -61,7 +70,7 @@
 		}
 		record := p.record(engine.ID)
 		aside := record.asideTil.After(now)
-		cost := record.cost(engine) * (1 + 0.1*rand.Float64())
+		cost := record.cost(engine, now) * (1 + 0.1*rand.Float64())
 		better := best == nil || (bestAside && !aside) || (aside == bestAside && cost < bestCost)
 		if better {
 			best, bestCost, bestAside = engine, cost, aside
@@ -69,19 +78,32 @@
 	}
 	if best != nil {
 		record := p.record(best.ID)
+		if record.disconnected(now) {
+			record.connections = 0
+		}
 		record.inFlight++
+		record.connections = max(record.connections, record.inFlight)
 		record.used = now
 	}
 	return best
 }
 
 // cost is the expected time until the engine has executed one more request.
-func (r *engineRecord) cost(engine *fleet.Engine) float64 {
+func (r *engineRecord) cost(engine *fleet.Engine, now time.Time) float64 {
 	latency := r.latency
 	if latency == 0 {
 		latency = assumedLatency
 	}
-	return latency.Seconds() * (1 + float64(r.inFlight)/float64(max(engine.Slots, 1)))
+	cost := latency.Seconds() * (1 + float64(r.inFlight)/float64(max(engine.Slots, 1)))
+	if r.disconnected(now) || r.inFlight >= r.connections {
+		cost *= connectCost
+	}
+	return cost
+}
+
+// disconnected reports whether no connection to the engine is taken to be open.
+func (r *engineRecord) disconnected(now time.Time) bool {
+	return r.inFlight == 0 && now.Sub(r.answered) > connectionLife
 }
 
 // Verdict is how an attempt ended, for the choice of later ones.
@@ -112,12 +134,14 @@
 	switch verdict {
 	case VerdictServed:
 		record.failures = 0
+		record.answered = now
 		record.asideTil = time.Time{}
 		record.observe(took)
 	case VerdictBusy:
 		record.asideTil = now.Add(busyBackoff)
 	case VerdictFailed:
 		record.failures++
+		record.connections = record.inFlight
 		record.asideTil = now.Add(min(firstBackoff<<min(record.failures, 5), maxBackoff))
 	case VerdictGone:
 		record.asideTil = now.Add(maxBackoff)
