--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -23,6 +23,7 @@
 	requestTime  *prometheus.HistogramVec
 	engines      prometheus.Counter
 	storeCalls   *prometheus.CounterVec
+	tally        *callTally
 	storeTime    *prometheus.HistogramVec
 	itemAttempts *prometheus.CounterVec
 	itemTime     prometheus.Histogram
@@ -53,6 +54,7 @@
 	m := &metrics{
 		requests:     counter("requests_total", "Requests that were forwarded, by kind of route and outcome.", "kind", "outcome"),
 		requestTime:  histogram("request_duration_seconds", "Time from a request's arrival to its answer.", "kind"),
+		tally:        newCallTally(),
 		storeCalls:   counter("store_calls_total", "Calls to the metadata store.", "operation", "kind", "result"),
 		storeTime:    histogram("store_call_duration_seconds", "Time of calls to the metadata store; watches are left out.", "operation"),
 		itemAttempts: counter("item_attempts_total", "Runs of batch items at engines, by their end.", "verdict"),
@@ -142,6 +144,8 @@
 
 // storeCalled counts a call to the metadata store.
 func (m *metrics) storeCalled(operation, kind string, err error, took time.Duration) {
+	kind = kindFamily(kind)
+	m.tally.add(operation, kind)
 	m.storeCalls.WithLabelValues(operation, kind, resultOf(err)).Inc()
 	if operation != "watch" {
 		m.storeTime.WithLabelValues(operation).Observe(took.Seconds())
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -111,7 +111,7 @@
 		newForwarder,
 		newTasks,
 	),
-	fx.Invoke(serveMetrics),
+	fx.Invoke(serveMetrics, tellStoreCalls),
 )
 
 func newForwarder(state *fleet.State, transport forward.Transport, picker *forward.Picker, observed *metrics, logger log.Logger) *forward.Forwarder {
@@ -120,6 +120,14 @@
 	return forwarder
 }
 
+// tellStoreCalls writes the calls to the store into the log from start to stop.
+func tellStoreCalls(hooks fx.Lifecycle, group *tasks, observed *metrics, logger log.Logger) {
+	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
+		group.run(func(ctx context.Context) { observed.tally.run(ctx, telemetry.For(logger, telemetry.PartFleet)) })
+		return nil
+	}})
+}
+
 // serveMetrics serves counters and histograms where the settings say.
 func serveMetrics(hooks fx.Lifecycle, config settings.Fleet, registry *prometheus.Registry, logger log.Logger) {
 	if config.Listen.Metrics == "" {
