--- a/internal/forward/picker.go
+++ b/internal/forward/picker.go
@@ -18,9 +18,9 @@
 	maxBackoff   = 3 * time.Second
 	// busyBackoff is how long an engine that was full is left aside.
 	busyBackoff = 40 * time.Millisecond
-	// connectionLife is how long after an answer a connection to the engine is taken to be open: below the idle times of seconds that
-	// engines announce.
-	connectionLife = 5 * time.Second
+	// connectionLife is how long after an answer a connection to the engine is taken to be open: below the 8 s after which the transport
+	// closes it, and the 10 s that engines announce.
+	connectionLife = 7 * time.Second
 	// connectCost is the cost of an engine to which a connection must be opened, relative to one with an idle one: beyond the round trip
 	// itself, a new connection takes a slot at the engine for a moment, and engines bound them. Slower engines are still left.
 	connectCost = 1.5
