--- a/internal/lab/cli/cli_test.go
+++ b/internal/lab/cli/cli_test.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -10,38 +9,20 @@
 	"path/filepath"
 	"regexp"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/covelink/covelink/internal/commandline"
+	"github.com/covelink/covelink/internal/testkit"
 )
 
 const patience = 20 * time.Second
 
-// buffer is a bytes.Buffer for several goroutines.
-type buffer struct {
-	mu    sync.Mutex
-	bytes bytes.Buffer
-}
-
-func (b *buffer) Write(data []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.bytes.Write(data)
-}
-
-func (b *buffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.bytes.String()
-}
-
 // lab runs a command line to its end.
 func lab(arguments ...string) (code int, out, failure string) {
-	var output, errors buffer
+	var output, errors testkit.Buffer
 	code = Run(context.Background(), append([]string{programName}, arguments...), commandline.Streams{Out: &output, Err: &errors})
 	return code, output.String(), errors.String()
 }
@@ -132,7 +113,7 @@
 			"scorer":      "delay: 1ms\n",
 		} {
 			file := writeFile(folder, command+".yaml", content)
-			var output, failure buffer
+			var output, failure testkit.Buffer
 			ctx, cancel := context.WithCancel(context.Background())
 			code := make(chan int, 1)
 			go func() {
@@ -152,7 +133,7 @@
 }
 
 // waitURL waits until a process has said where it serves.
-func waitURL(output *buffer) string {
+func waitURL(output *testkit.Buffer) string {
 	pattern := regexp.MustCompile(`msg=serving .*url=(\S+)`)
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 		if found := pattern.FindStringSubmatch(output.String()); found != nil {
@@ -185,7 +166,7 @@
 		file := writeFile(t.TempDir(), "trainer.yaml", "name: t\nurls: ["+server.URL+"]\ntoken: t\nweightStore: "+server.URL+"\n")
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
-		var output, failure buffer
+		var output, failure testkit.Buffer
 		code := Run(ctx, []string{programName, "trainer", "--config", file}, commandline.Streams{Out: &output, Err: &failure})
 		So(code, ShouldEqual, commandline.ExitOK)
 		So(output.String(), ShouldContainSubstring, "0 in 0 batches")
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,7 +1,6 @@
 package node_test
 
 import (
-	"bytes"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -25,6 +24,7 @@
 	"github.com/covelink/covelink/internal/lab/objectapi"
 	"github.com/covelink/covelink/internal/node"
 	"github.com/covelink/covelink/internal/settings"
+	"github.com/covelink/covelink/internal/testkit"
 )
 
 const (
@@ -35,24 +35,6 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// buffer is a bytes.Buffer for several goroutines.
-type buffer struct {
-	mu    sync.Mutex
-	bytes bytes.Buffer
-}
-
-func (b *buffer) Write(data []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.bytes.Write(data)
-}
-
-func (b *buffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.bytes.String()
-}
-
 // eventually polls a condition.
 func eventually(what string, condition func() bool) {
 	deadline := time.Now().Add(patience)
@@ -68,7 +50,7 @@
 type fixture struct {
 	objects  *objectapi.Server
 	machines *machines.Server
-	log      *buffer
+	log      *testkit.Buffer
 	seeds    []settings.Seed
 	nodes    map[string]*node.Node
 }
@@ -77,7 +59,7 @@
 	f := &fixture{
 		objects:  objectapi.New(objectapi.Config{Listen: "127.0.0.1:0"}, log.NewNopLogger()),
 		machines: machines.New(machines.Config{}, log.NewNopLogger()),
-		log:      &buffer{},
+		log:      &testkit.Buffer{},
 		nodes:    map[string]*node.Node{},
 	}
 	So(f.objects.Start(), ShouldBeNil)
@@ -190,12 +172,10 @@
 		Reset(f.stop)
 		expiry := time.Now().Add(time.Hour).Truncate(time.Second)
 		for _, seed := range f.seeds {
-			authority.issue(filepath.Join(folder, seed.Name), seed.Name, expiry)
+			So(authority.Issue(filepath.Join(folder, seed.Name), seed.Name, expiry), ShouldBeNil)
 			f.start(seed, files(folder, seed.Name))
 		}
-		roots := x509.NewCertPool()
-		roots.AddCert(authority.certificate)
-		client := newClient(&tls.Config{RootCAs: roots})
+		client := newClient(&tls.Config{RootCAs: authority.Pool()})
 		base := func(name string) string { return "https://" + f.nodes[name].HTTPAddress() }
 		for name := range f.nodes {
 			eventually(name+" ready", ready(client, base(name)))
@@ -215,12 +195,12 @@
 
 		Convey("a certificate that is replaced is used without a restart", func() {
 			later := expiry.Add(time.Hour)
-			authority.issue(filepath.Join(folder, "n1"), "n1", later)
+			So(authority.Issue(filepath.Join(folder, "n1"), "n1", later), ShouldBeNil)
 			eventually("the new certificate", func() bool {
 				_, body := get(client, base("n1")+"/metrics")
 				return strings.Count(body, "} "+metricValue(later)+"\n") == 2
 			})
-			conn, err := tls.Dial("tcp", f.nodes["n1"].HTTPAddress(), &tls.Config{RootCAs: roots})
+			conn, err := tls.Dial("tcp", f.nodes["n1"].HTTPAddress(), &tls.Config{RootCAs: authority.Pool()})
 			So(err, ShouldBeNil)
 			defer conn.Close()
 			So(conn.ConnectionState().PeerCertificates[0].NotAfter, ShouldEqual, later.UTC())
@@ -230,10 +210,10 @@
 		Convey("a node whose certificate is of another authority never gets its zone's configuration", func() {
 			So(f.nodes["n2"].Stop(context.Background()), ShouldBeNil)
 			delete(f.nodes, "n2")
-			newAuthority().issue(filepath.Join(folder, "n2"), "n2", expiry)
+			So(newAuthority().Issue(filepath.Join(folder, "n2"), "n2", expiry), ShouldBeNil)
 			coordinates := strings.Contains(f.log.String(), "msg=\"coordinating the zone\" zone=z")
 			So(coordinates, ShouldBeTrue)
-			conn, err := tls.Dial("tcp", f.seeds[0].Address, &tls.Config{RootCAs: roots, Certificates: certificate(folder, "n2")})
+			conn, err := tls.Dial("tcp", f.seeds[0].Address, &tls.Config{RootCAs: authority.Pool(), Certificates: certificate(folder, "n2")})
 			if err == nil {
 				// TLS 1.3 tells a client that its certificate was refused on the first read.
 				defer conn.Close()
@@ -249,17 +229,17 @@
 	Convey("A node does not start with a key that does not fit its certificate", t, func() {
 		folder := t.TempDir()
 		authority := newAuthority()
-		authority.issue(filepath.Join(folder, "a"), "a", time.Now().Add(time.Hour))
-		authority.issue(filepath.Join(folder, "b"), "b", time.Now().Add(time.Hour))
+		So(authority.Issue(filepath.Join(folder, "a"), "a", time.Now().Add(time.Hour)), ShouldBeNil)
+		So(authority.Issue(filepath.Join(folder, "b"), "b", time.Now().Add(time.Hour)), ShouldBeNil)
 		config := settings.Default()
 		config.Node.Name, config.Node.Zone = "a", "z"
 		config.Listen = settings.Listen{HTTP: "127.0.0.1:0", Internal: "127.0.0.1:0"}
 		config.Platform = settings.Platform{ObjectAPI: "http://127.0.0.1:1", MachineList: "http://127.0.0.1:1"}
 		config.Cluster.Seeds = []settings.Seed{{Name: "a", Zone: "z", Address: "127.0.0.1:1"}}
 		config.TLS = files(folder, "a")
-		config.TLS.KeyFile = filepath.Join(folder, "b", keyFile)
+		config.TLS.KeyFile = filepath.Join(folder, "b", testkit.KeyFile)
 		_, err := node.New(config, log.NewNopLogger(), node.Options{})
 		So(err, ShouldNotBeNil)
-		So(err.Error(), ShouldContainSubstring, keyFile)
+		So(err.Error(), ShouldContainSubstring, testkit.KeyFile)
 	})
 }
