--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -36,6 +36,8 @@
 	candidates map[string]*candidate
 	terms      []term
 	leading    map[string]bool
+	// writes counts the writes of all candidates, and yields the requests to yield.
+	writes, yields int
 }
 
 type candidate struct {
@@ -71,9 +73,12 @@
 func (g *group) start(name string) {
 	client := g.store.Client()
 	c := &candidate{outage: metastore.NewOutage()}
-	client.Fault = func(string, string, bool) metastoretest.Fault {
+	client.Fault = func(_, _ string, write bool) metastoretest.Fault {
 		g.mu.Lock()
 		defer g.mu.Unlock()
+		if write {
+			g.writes++
+		}
 		if g.cut[name] || c.killed {
 			return metastoretest.Silent
 		}
@@ -144,6 +149,7 @@
 
 func (g *group) yield(ctx context.Context, address, instance string, token int64) error {
 	g.mu.Lock()
+	g.yields++
 	target := g.candidates[address]
 	g.mu.Unlock()
 	return target.elector.YieldTo(ctx, instance, token)
@@ -312,3 +318,53 @@
 		})
 	})
 }
+
+// On 45 storage machines 44 writes were lost at the first election and 43 at a challenge, and up to twenty candidates asked a holder to
+// yield at once.
+func TestManyCandidates(t *testing.T) {
+	start := func() (g *group, holder string) {
+		g = newGroup()
+		for i := range 20 {
+			g.start(fmt.Sprintf("candidate-%d", i))
+		}
+		time.Sleep(time.Second)
+		holder, _ = g.leader()
+		return g, holder
+	}
+	// take returns what the candidates have done since it was last called.
+	take := func(g *group) (writes, yields int) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		writes, yields = g.writes, g.yields
+		g.writes, g.yields = 0, 0
+		return writes, yields
+	}
+	synctest.Test(t, func(t *testing.T) {
+		g, holder := start()
+		defer g.stopAll()
+		Convey("Of many candidates a few act when the holder is lost, and one leads within 3 s", t, func() {
+			take(g)
+			g.set(g.silent, holder, true)
+			g.set(g.cut, holder, true)
+			time.Sleep(3 * time.Second)
+			next, _ := g.leader()
+			So(next, ShouldNotEqual, holder)
+			writes, _ := take(g)
+			So(writes, ShouldBeLessThanOrEqualTo, 6)
+		})
+	})
+	synctest.Test(t, func(t *testing.T) {
+		g, holder := start()
+		defer g.stopAll()
+		Convey("and when the store turns the holder alone away", t, func() {
+			take(g)
+			g.set(g.refused, holder, true)
+			time.Sleep(3 * time.Second)
+			next, _ := g.leader()
+			So(next, ShouldNotEqual, holder)
+			writes, yields := take(g)
+			So(writes, ShouldBeLessThanOrEqualTo, 6)
+			So(yields, ShouldBeLessThanOrEqualTo, 3)
+		})
+	})
+}
