storerelay: a change is known within the bound even if the coordinator is lost at the same moment

Gateways noticed the loss after up to 1.7 s, waited 0.8 s and asked for the lease first: 2.7 s after the cut. Ruled out: the patience alone (0 s would remain), the contact time as its measure (rules bind sooner).

Change: polls wait 0.6 s and 0.5 s for the answer; a hub notices after 1.15 s that the store is silent; the patience is measured from the time in which a change must be in force. Kinds that gateways do not follow are watched more slowly, so that the number of calls stays.

--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -140,6 +140,7 @@
 	hub := storerelay.NewHub(storerelay.HubParams{
 		Leading:    c.elector.Leading,
 		Essence:    platform.GatewayEssence,
+		Relays:     platform.GatewayFollows,
 		Lease:      election.KindLeases,
 		Candidates: c.candidates.Addresses,
 	})
--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -63,9 +63,9 @@
 	Confirmed func(kind string, snapshot Snapshot)
 	// Doubted takes each kind of which a call has failed; nil for nobody. It must be set before the first Follow.
 	Doubted func(kind string)
-	// MaxWait bounds the waits of the watches, whatever the options say; nil, or zero returned, for no bound. It must be set
+	// MaxWait bounds the waits of the watches of a kind, whatever the options say; nil, or zero returned, for no bound. It must be set
 	// before the first Follow.
-	MaxWait func() time.Duration
+	MaxWait func(kind string) time.Duration
 
 	client Client
 	mu     sync.Mutex
@@ -217,7 +217,7 @@
 	if w.group.MaxWait == nil {
 		return w.options.Wait
 	}
-	if most := w.group.MaxWait(); most > 0 {
+	if most := w.group.MaxWait(w.kind); most > 0 {
 		return min(w.options.Wait, most)
 	}
 	return w.options.Wait
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -80,7 +80,8 @@
 	StopTimeout time.Duration `koanf:"stopTimeout" validate:"gte=1s,lte=10m"`
 	// LeaseLength is the least time between the orders of two coordinators. Default 3s.
 	LeaseLength time.Duration `koanf:"leaseLength" validate:"gte=100ms,lte=1m"`
-	// CatchUpTime is how long after a fault of other processes or of the store a gateway may know less than the store holds. Default 3s.
+	// CatchUpTime is within how long a gateway must know of a change in the store that serves it, even if the coordinating process is
+	// lost at the same moment. Default 2s.
 	CatchUpTime time.Duration `koanf:"catchUpTime" validate:"gte=1s,lte=1m"`
 	// BatchRetention is how long a batch job is kept after it has ended. Default 2m.
 	BatchRetention time.Duration `koanf:"batchRetention" validate:"gte=1s,lte=24h"`
@@ -92,7 +93,7 @@
 		Timing: FleetTiming{
 			StopTimeout:    8 * time.Second,
 			LeaseLength:    3 * time.Second,
-			CatchUpTime:    3 * time.Second,
+			CatchUpTime:    2 * time.Second,
 			BatchRetention: 2 * time.Minute,
 		},
 		Data: FleetData{TextMegabytes: 32},
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -211,7 +211,7 @@
 }
 
 // maxWatchWait bounds the waits of watches until the first is answered: only then is it known that the store serves this client.
-func (c *Client) maxWatchWait() time.Duration {
+func (c *Client) maxWatchWait(string) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.servedAt.IsZero() {
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -19,6 +19,8 @@
 	// Essence returns what pollers need of an object, such that equal strings mean that nothing has changed for them; nil means the
 	// whole object.
 	Essence func(kind string, object metastore.Object) string
+	// Relays reports whether pollers ask for a kind; nil means for every kind.
+	Relays func(kind string) bool
 	// Lease is the kind that tells who coordinates. It is told also while the process does not coordinate.
 	Lease string
 	// Candidates returns the internal addresses of other processes that may coordinate; nil if they are not known.
@@ -120,12 +122,20 @@
 func (h *Hub) Attach(followers *metastore.Followers) {
 	followers.Confirmed = h.Confirm
 	followers.Doubted = h.Doubt
-	followers.MaxWait = func() time.Duration {
-		if h.Leading() {
-			return maxWatchWait
-		}
+	followers.MaxWait = h.maxWait
+}
+
+// maxWait bounds the waits of the watches of a kind while the process coordinates.
+func (h *Hub) maxWait(kind string) time.Duration {
+	switch {
+	case !h.Leading():
 		return 0
+	case kind == h.Lease:
+		return maxLeaseWait
+	case h.Relays != nil && !h.Relays(kind):
+		return maxOtherWait
 	}
+	return maxWatchWait
 }
 
 // sameMap reports whether two sets of objects are one: followers hand on the very map while nothing changes.
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -25,20 +25,26 @@
 )
 
 const (
-	// pollWait is how long a poll waits in the hub for a change.
-	pollWait = time.Second
+	// pollWait is how long a poll waits in the hub for a change, and with pollMargin the time until a client notices that a hub is cut off: about
+	// half of the 2 s in which the smallest deployments ask for a change to be in force.
+	pollWait = 600 * time.Millisecond
 	// pollMargin is how long the answer of a poll may take beyond its wait.
-	pollMargin = 700 * time.Millisecond
+	pollMargin = 500 * time.Millisecond
 	// maxWatchWait bounds the waits of the watches that a hub relies on, and with them the time until it notices that it is cut off
 	// from the store.
-	maxWatchWait = time.Second
+	maxWatchWait = 750 * time.Millisecond
+	// maxLeaseWait is the same for the lease, of which the other candidates tell as well, and maxOtherWait for kinds that are not relayed: a
+	// watch whose history was dropped may stay silent that long.
+	maxLeaseWait = time.Second
+	maxOtherWait = 2500 * time.Millisecond
 	// maxAge is how long ago a hub must have heard from the store of a kind that it answers for. It is above maxWatchWait and
 	// what a follower leaves between two watches.
 	maxAge = 2500 * time.Millisecond
-	// DefaultPatience is how long a client waits for a hub to answer again before it follows the store itself.
-	DefaultPatience = 800 * time.Millisecond
+	// DefaultPatience is how long a client waits for a hub to answer again before it follows the store itself: what is left of 2 s after
+	// the loss was noticed and before what was missed is read.
+	DefaultPatience = 450 * time.Millisecond
 	// patienceCheck is the pause between two looks at whether a client's patience is over.
-	patienceCheck = 100 * time.Millisecond
+	patienceCheck = 50 * time.Millisecond
 	// directRetryPause is the pause after a call to the store that failed, of a client that follows it itself: hundreds may do so.
 	directRetryPause = 2500 * time.Millisecond
 	// probeWait is how long a client's first watch in the store waits there.
@@ -60,10 +66,10 @@
 )
 
 // followMargin is what a client needs, once its patience is over, to learn from the store what it missed.
-const followMargin = 500 * time.Millisecond
+const followMargin = 450 * time.Millisecond
 
-// PatienceWithin returns the patience of a client that must know what the store holds within some time after the coordinating process
-// was lost: a poll that is not answered any more is noticed first.
+// PatienceWithin returns the patience of a client that must know of a change in the store within some time, even if the coordinating process
+// is lost at the same moment: a poll that is not answered any more is noticed first.
 func PatienceWithin(limit time.Duration) time.Duration {
 	return max(DefaultPatience, limit-pollWait-pollMargin-followMargin)
 }
