--- a/internal/leadership/elector_test.go
+++ b/internal/leadership/elector_test.go
@@ -155,8 +155,15 @@
 			})
 			Convey("a guard's higher token ends the term, and the next one is above it", func() {
 				seen := token + 1<<40
-				e.members[first].elector.ObserveToken("zone/z", seen)
-				eventually(func() bool { leader, next := e.current(); return leader != "" && next > seen })
+				eventually(func() bool {
+					leader, next := e.current()
+					if leader == "" || next > seen {
+						return next > seen
+					}
+					// The lease may have moved since: on a busy machine a term lapses, and only who leads ends its term.
+					e.members[leader].elector.ObserveToken("zone/z", seen)
+					return false
+				})
 				So(e.overlap, ShouldBeFalse)
 			})
 			if len(names) == 1 {
