storerelay: a list that cannot be compressed is logged; batchlog: a name

From reading the diff: the error of the encoder was dropped without a line, and 'since' held both cases of a change. No change of behaviour.

--- a/internal/batchlog/batchlog.go
+++ b/internal/batchlog/batchlog.go
@@ -31,12 +31,12 @@
 const (
 	kindJobs  = "batches"
 	kindItems = "batch-items"
-	// kindResultsOf begins the kind of a job's chunks: each job has a kind of its own, so that a list of one log holds nothing else.
-	kindResultsOf = "batch-results" + nameSeparator
+	// resultsPrefix begins the kind of a job's chunks: each job has a kind of its own, so that a list of one log holds nothing else.
+	resultsPrefix = "batch-results" + nameSeparator
 )
 
 // kindResults returns the kind of the chunks of a job's log.
-func kindResults(job string) string { return kindResultsOf + job }
+func kindResults(job string) string { return resultsPrefix + job }
 
 const (
 	// maxPartBytes bounds the encoded content of one object, before base64.
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -143,6 +143,7 @@
 		Relays:     platform.GatewayFollows,
 		Lease:      election.KindLeases,
 		Candidates: c.candidates.Addresses,
+		Logger:     telemetry.For(c.Logger, telemetry.PartFleet),
 	})
 	hub.Attach(c.Followers)
 	c.server = rpc.NewServer(c.Logger)
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -9,6 +9,9 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
 	"github.com/covelink/covelink/internal/metastore"
 )
 
@@ -25,6 +28,8 @@
 	Lease string
 	// Candidates returns the internal addresses of other processes that may coordinate; nil if they are not known.
 	Candidates func() []string
+	// Logger may be nil.
+	Logger log.Logger
 }
 
 // Hub holds the newest snapshots of the kinds that its process follows. It is safe for concurrent use.
@@ -48,7 +53,8 @@
 	// removals are the last objects that went, and floor is the revision after which they are complete.
 	removals []removal
 	floor    metastore.Revision
-	// packed are all objects of the snapshot whose content is of packedRevision.
+	// packed are all objects of the snapshot whose content is that of packedRevision, for pollers; what they do not need of an object
+	// may be older.
 	packed         []byte
 	packedRevision metastore.Revision
 }
@@ -73,6 +79,9 @@
 	if params.Candidates == nil {
 		params.Candidates = func() []string { return nil }
 	}
+	if params.Logger == nil {
+		params.Logger = log.NewNopLogger()
+	}
 	return &Hub{HubParams: params, kinds: make(map[string]*relayedKind), changed: make(chan struct{})}
 }
 
@@ -216,7 +225,7 @@
 		}
 		reply.Revisions[kind] = relayed.snapshot.Revision
 		if relayed.news(revision) {
-			reply.Changes = append(reply.Changes, relayed.since(kind, revision))
+			reply.Changes = append(reply.Changes, h.since(relayed, kind, revision))
 		}
 	}
 	reply.Fresh = true
@@ -230,7 +239,7 @@
 	if !asked || !ok || !relayed.news(revision) {
 		return nil
 	}
-	return []Change{relayed.since(h.Lease, revision)}
+	return []Change{h.since(relayed, h.Lease, revision)}
 }
 
 // news reports whether there is something to tell a caller that knows the kind up to a revision: one that knows nothing is told also
@@ -239,21 +248,17 @@
 	return k.contentRevision > revision || revision == 0 && k.snapshot.Revision > 0
 }
 
-// since returns what changed after a revision.
-func (k *relayedKind) since(kind string, revision metastore.Revision) Change {
-	change := Change{Kind: kind, Revision: k.snapshot.Revision, Whole: revision == 0 || revision < k.floor}
-	if change.Whole && k.pack() {
-		change.Packed = k.packed
-		return change
+// since returns what changed of a kind after a revision. The mutex must be held.
+func (h *Hub) since(k *relayedKind, kind string, revision metastore.Revision) Change {
+	if revision == 0 || revision < k.floor {
+		return h.whole(k, kind)
 	}
+	change := Change{Kind: kind, Revision: k.snapshot.Revision}
 	for name, object := range k.snapshot.Objects {
-		if change.Whole || k.entries[name].changed > revision {
+		if k.entries[name].changed > revision {
 			change.Objects = append(change.Objects, object)
 		}
 	}
-	if change.Whole {
-		return change
-	}
 	for _, removed := range k.removals {
 		if _, back := k.snapshot.Objects[removed.name]; !back && removed.revision > revision {
 			change.Removed = append(change.Removed, removed.name)
@@ -262,19 +267,22 @@
 	return change
 }
 
-// pack makes packed hold the snapshot. It reports false if there is nothing to pack.
-func (k *relayedKind) pack() bool {
+// whole returns all objects of a kind, encoded once for all who ask until they change. The mutex must be held.
+func (h *Hub) whole(k *relayedKind, kind string) Change {
+	change := Change{Kind: kind, Revision: k.snapshot.Revision, Whole: true}
 	if len(k.snapshot.Objects) == 0 {
-		return false
-	}
-	if k.packedRevision == k.contentRevision {
-		return true
+		return change
 	}
-	packed, err := pack(slices.Collect(maps.Values(k.snapshot.Objects)))
-	if err != nil {
-		// The objects are told one by one.
-		return false
+	if k.packedRevision != k.contentRevision {
+		objects := slices.Collect(maps.Values(k.snapshot.Objects))
+		packed, err := pack(objects)
+		if err != nil {
+			level.Error(h.Logger).Log("msg", "list not compressed, told object by object", "kind", kind, "objects", len(objects), "err", err)
+			change.Objects = objects
+			return change
+		}
+		k.packed, k.packedRevision = packed, k.contentRevision
 	}
-	k.packed, k.packedRevision = packed, k.contentRevision
-	return true
+	change.Packed = k.packed
+	return change
 }
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -8,12 +8,12 @@
 // a Client may differ from the store in what its hub's essence leaves out.
 //
 // A hub whose process does not coordinate tells callers who does, as far as it knows, so that hundreds of clients that look for the
-// coordinating process ask each other's peers and not the store.
+// coordinating process ask the other candidates and not the store.
 //
 // Guarantees: what a Client hands out for a kind never goes back to an earlier revision. A hub of which a call to the store has
-// failed, or that has not heard from it for maxAge, says so, and a poll that is not answered within pollWait and pollMargin counts as lost; after either a Client
-// follows the store itself unless a hub answers within its Patience: first the lease, and the other kinds once the store has shown that,
-// so that hundreds of clients ask a store that is down one question each.
+// failed, or that has not heard from it for maxAge, says so, and a poll that is not answered within pollWait and pollMargin counts as
+// lost. After either, a Client follows the store itself unless a hub answers within its Patience: first the lease, and the other kinds
+// once the store has shown that, so that hundreds of clients ask a store that is down one question each.
 package storerelay
 
 import (
@@ -25,16 +25,16 @@
 )
 
 const (
-	// pollWait is how long a poll waits in the hub for a change, and with pollMargin the time until a client notices that a hub is cut off: about
-	// half of the 2 s in which the smallest deployments ask for a change to be in force.
+	// pollWait is how long a poll waits in the hub for a change, and with pollMargin the time until a client notices that a hub is cut
+	// off: about half of the 2 s in which the smallest deployments ask for a change to be in force.
 	pollWait = 600 * time.Millisecond
 	// pollMargin is how long the answer of a poll may take beyond its wait.
 	pollMargin = 500 * time.Millisecond
 	// maxWatchWait bounds the waits of the watches that a hub relies on, and with them the time until it notices that it is cut off
 	// from the store.
 	maxWatchWait = 750 * time.Millisecond
-	// maxLeaseWait is the same for the lease, of which the other candidates tell as well, and maxOtherWait for kinds that are not relayed: a
-	// watch whose history was dropped may stay silent that long.
+	// maxLeaseWait is the same for the lease, of which the other candidates tell as well, and maxOtherWait for kinds that are not
+	// relayed: a watch whose history was dropped may stay silent that long.
 	maxLeaseWait = time.Second
 	maxOtherWait = 2500 * time.Millisecond
 	// maxAge is how long ago a hub must have heard from the store of a kind that it answers for. It is above maxWatchWait and
@@ -68,8 +68,8 @@
 // followMargin is what a client needs, once its patience is over, to learn from the store what it missed.
 const followMargin = 450 * time.Millisecond
 
-// PatienceWithin returns the patience of a client that must know of a change in the store within some time, even if the coordinating process
-// is lost at the same moment: a poll that is not answered any more is noticed first.
+// PatienceWithin returns the patience of a client that must know of a change in the store within some time, even if the coordinating
+// process is lost at the same moment: a poll that is not answered any more is noticed first.
 func PatienceWithin(limit time.Duration) time.Duration {
 	return max(DefaultPatience, limit-pollWait-pollMargin-followMargin)
 }
