metastore: a call whose answer was lost is no outage once the store has served another; election: one candidate writes a free lease

A call from before the store's return still waited for an answer that never comes, and counted as an outage although others had been served since. Ruled out: a slow store (jobs were taken within 100 ms). Change: a pending call counts from the last call that was served. Test: calls are served beside one that never is.

--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -339,6 +339,14 @@
 		g.writes, g.yields = 0, 0
 		return writes, yields
 	}
+	synctest.Test(t, func(t *testing.T) {
+		g, _ := start()
+		defer g.stopAll()
+		Convey("Of many candidates one writes a lease that nobody holds", t, func() {
+			writes, _ := take(g)
+			So(writes, ShouldBeLessThanOrEqualTo, 2)
+		})
+	})
 	synctest.Test(t, func(t *testing.T) {
 		g, holder := start()
 		defer g.stopAll()
--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -112,7 +112,10 @@
 		case !e.eligible():
 			wait(ctx, changed, pingInterval)
 		case lease.Holder == "":
-			wait(ctx, changed, e.jitter())
+			if wait(ctx, changed, e.jitter()) {
+				// Another candidate was first.
+				continue
+			}
 			e.acquire(ctx, lease)
 		case lease.Holder == e.Name:
 			// This machine held it before the process was started again, or another process bears the same name.
--- a/internal/metastore/outage.go
+++ b/internal/metastore/outage.go
@@ -27,6 +27,8 @@
 	since    time.Time
 	// recovered is when a call was served after one that was not; at first, when the process began.
 	recovered time.Time
+	// served is when a call was last served.
+	served time.Time
 	// pending are the calls that have no answer yet, by number, with when each began; watches are left out.
 	pending map[int]time.Time
 	count   int
@@ -53,6 +55,10 @@
 		length = now.Sub(o.since)
 	}
 	for _, began := range o.pending {
+		// An answer that was lost never comes: a call that waits for it says nothing once the store has served another.
+		if began.Before(o.served) {
+			began = o.served
+		}
 		if waited := now.Sub(began); waited > answerLimit {
 			length = max(length, waited)
 		}
@@ -96,8 +102,9 @@
 	switch {
 	case !errors.Is(err, ErrNotDone) && !errors.Is(err, ErrUnknown):
 		// The store answered, whatever it said.
+		o.served = o.attention.now()
 		if o.failures > 0 {
-			o.recovered = o.attention.now()
+			o.recovered = o.served
 		}
 		o.failures = 0
 	case errors.Is(err, context.Canceled):
--- a/internal/metastore/outage_test.go
+++ b/internal/metastore/outage_test.go
@@ -53,5 +53,19 @@
 			call(time.Second)
 			So(outage.Length(), ShouldEqual, time.Duration(0))
 		})
+		Convey("but not once the store has served a later one: the answer was lost, and never comes", t, func() {
+			fault.Store(int32(metastoretest.Silent))
+			go call(10 * time.Second)
+			time.Sleep(500 * time.Millisecond)
+			fault.Store(int32(metastoretest.None))
+			for range 8 {
+				time.Sleep(300 * time.Millisecond)
+				call(time.Second)
+				So(outage.Length(), ShouldEqual, time.Duration(0))
+			}
+			time.Sleep(time.Second)
+			So(outage.Length(), ShouldEqual, time.Second)
+			time.Sleep(10 * time.Second)
+		})
 	})
 }
