election: the challenger goes first, and candidates are spread over 100 ms

With three candidates there is nobody to wait for. Ruled out: gateways that learn late (they were told within 0.2 s). The bounds of TestManyCandidates hold.

--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -34,8 +34,8 @@
 	// challengeRetry is the pause before a challenge is tried again that could not be written.
 	challengeRetry = 150 * time.Millisecond
 	// maxJitter spreads the candidates' attempts at a lease that is free, their challenges and their requests to yield: of ten, the first
-	// is some 25 ms ahead of the second, in which the others learn of what it wrote.
-	maxJitter = 250 * time.Millisecond
+	// is some 10 ms ahead of the second, in which the others learn of what it wrote. With two it is the price of a takeover.
+	maxJitter = 100 * time.Millisecond
 )
 
 // Params are what an Elector works with.
@@ -229,7 +229,12 @@
 	if challenged.Instance != lease.Instance || challenged.Challenger == "" {
 		return true
 	}
-	if !wait(ctx, changed, challengeTime+e.jitter()) {
+	patience := challengeTime
+	if challenged.Challenger != e.instance {
+		// Who wrote the challenge goes first.
+		patience += maxJitter + e.jitter()
+	}
+	if !wait(ctx, changed, patience) {
 		e.acquire(ctx, challenged)
 		return true
 	}
