--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -61,8 +61,8 @@
 
 // FleetCoordinators is what is known of coordinators before any was asked.
 type FleetCoordinators struct {
-	// Seeds are internal addresses of some coordinators, as host:port. They may be out of date. Without any, a gateway reads from the
-	// store who coordinates.
+	// Seeds are internal addresses of some coordinators, as host:port. They may be out of date, and are read at the start alone. Without
+	// any, a gateway reads from the store who coordinates.
 	Seeds []string `koanf:"seeds" validate:"dive,hostname_port|tcp_addr"`
 }
 
