--- a/internal/storerelay/storerelay_test.go
+++ b/internal/storerelay/storerelay_test.go
@@ -199,7 +199,7 @@
 			So(client.specs(), ShouldResemble, map[string]string{"a": `"2"`})
 		}
 		time.Sleep(time.Minute)
-		// Two kinds, each watched once a second.
+		// Two kinds: the lease is watched once a second, the other each 0.75 s.
 		So(w.store.Calls()-before, ShouldBeLessThan, 150)
 	})
 	for _, fault := range []struct {
