tenants: callers are known by key, engines by tenant, jobs belong to theirs

Cause: the decoder of the configuration skipped tenants and open routes.

Change: secretindex finds what a secret stands for, by hash and in constant time; auth uses it in place of its own index, and tenants builds a directory of it per version of the configuration. routing.Table admits callers: no key or an unknown one is 401 before the body is read, an open route serves everybody. The engine is told the tenant whatever the caller sent under that header, and never the key: lookups and items, also resumed and moved ones. A job is its tenant's: others' calls find nothing, and what is kept of its texts, in memory and on disk, goes to items of the same tenant only (before, an item of the same ID in any job got it). The tenant's priority goes before the route's in the order of items.

Ruled out: a second look-up beside internal/auth; hashing keys in what the hub relays (the gateways need the operator's object as it is).

--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -1,18 +1,15 @@
 // Package auth tells who holds a bearer token: a trainer, an application, an operator or a read-only operator.
 //
-// The hashes of the tokens come from the resources in force and from the settings. They are indexed by hash
-// and the index is rebuilt when the view changes, so the cost of a request does not grow with the number of
-// callers. The lookup reveals by its time at most something of the hash of a guess, never of a token; what it
-// finds is compared in constant time.
+// The hashes of the tokens come from the resources in force and from the settings. Package secretindex finds them, and the index is
+// rebuilt when the view changes, so the cost of a request does not grow with the number of callers.
 package auth
 
 import (
-	"strings"
 	"sync"
 	"sync/atomic"
 
-	v1 "github.com/covelink/covelink/api/v1"
 	"github.com/covelink/covelink/internal/cluster"
+	"github.com/covelink/covelink/internal/secretindex"
 	"github.com/covelink/covelink/internal/settings"
 )
 
@@ -66,16 +63,10 @@
 	current atomic.Pointer[index]
 }
 
-// index maps token hashes, in lower-case hex, to callers, as of one view.
+// index maps tokens to callers, as of one view.
 type index struct {
 	view    *cluster.View
-	entries map[string]*entry
-}
-
-// entry is one known token hash and whom it stands for.
-type entry struct {
-	hash    string
-	callers Identities
+	callers *secretindex.Index[Identities]
 }
 
 // New returns an Authenticator over the resources of the source and the operators of the settings.
@@ -85,14 +76,8 @@
 
 // Identify returns the callers that the token stands for, none if it is not known.
 func (a *Authenticator) Identify(token string) Identities {
-	if token == "" {
-		return nil
-	}
-	found := a.index().entries[v1.HashToken(token)]
-	if found == nil || !v1.TokenMatches(token, []string{found.hash}) {
-		return nil
-	}
-	return found.callers
+	callers, _ := a.index().callers.Find(token)
+	return callers
 }
 
 // unconfigured reports whether this node has not been told the resources since it started.
@@ -119,7 +104,7 @@
 }
 
 func (a *Authenticator) build(view *cluster.View) *index {
-	built := &index{view: view, entries: make(map[string]*entry)}
+	built := &index{view: view, callers: secretindex.New[Identities]()}
 	for name, trainer := range view.Trainers {
 		built.add(trainer.Spec.TokenHashes, Identity{Kind: KindTrainer, Name: name})
 	}
@@ -132,15 +117,17 @@
 	return built
 }
 
-func (x *index) add(hashes []string, id Identity) {
-	for _, hash := range hashes {
-		hash = strings.ToLower(hash)
-		if x.entries[hash] == nil {
-			x.entries[hash] = &entry{hash: hash}
+// add makes tokens stand for a caller. What is not a hash was refused when the resource or the settings were checked, and stands for
+// nobody.
+func (x *index) add(digits []string, id Identity) {
+	for _, written := range digits {
+		hash, err := secretindex.ParseHash(written)
+		if err != nil {
+			continue
 		}
-		known := x.entries[hash]
-		if !known.callers.Has(id.Kind, id.Name) {
-			known.callers = append(known.callers, id)
+		callers, _ := x.callers.At(hash)
+		if !callers.Has(id.Kind, id.Name) {
+			x.callers.Put(hash, append(callers, id))
 		}
 	}
 }
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -14,6 +14,8 @@
 	// Host and Path select the route.
 	Host string
 	Path string
+	// Tenant names whose job it is; empty for nobody's. Only callers of the same tenant learn of it.
+	Tenant string
 	// Step is the trainer's count of its jobs.
 	Step  int64
 	Model string
@@ -94,13 +96,23 @@
 // Service takes batch jobs. Every method may return ErrUnavailable.
 type Service interface {
 	// Submit returns nil once the job is kept for good; a job that is kept already is taken again without effect. ErrRefused
-	// if it is not kept and never will be.
+	// if it is not kept and never will be, or if its ID is that of another tenant's job.
 	Submit(ctx context.Context, job Job) error
 	// Read returns results from a position on, at least one if there is any within the wait. ErrNotFound if there is no such
 	// job.
-	Read(ctx context.Context, id string, position int, wait time.Duration) (Reading, error)
+	Read(ctx context.Context, ref Ref, position int, wait time.Duration) (Reading, error)
 	// Body returns the body of an item that has no result yet. ErrNotFound if there is none.
-	Body(ctx context.Context, id, item string) ([]byte, error)
+	Body(ctx context.Context, ref Ref, item string) ([]byte, error)
 	// End ends a job; ending it again has no effect. ErrNotFound if there is no such job.
-	End(ctx context.Context, id string) error
+	End(ctx context.Context, ref Ref) error
 }
+
+// Ref names a job as a caller asks for it.
+type Ref struct {
+	ID string
+	// Tenant is the caller's; empty for a caller without one.
+	Tenant string
+}
+
+// MayBeSeenBy reports whether a caller of a tenant may learn of the job. Jobs of other tenants are ErrNotFound to it.
+func (j *Job) MayBeSeenBy(tenant string) bool { return j.Tenant == "" || j.Tenant == tenant }
--- a/internal/batchrpc/batchrpc.go
+++ b/internal/batchrpc/batchrpc.go
@@ -50,7 +50,7 @@
 
 // ReadRequest asks for results.
 type ReadRequest struct {
-	ID       string
+	Job      batch.Ref
 	Position int
 	Wait     time.Duration
 }
@@ -62,7 +62,10 @@
 }
 
 // BodyRequest asks for the body of an item.
-type BodyRequest struct{ ID, Item string }
+type BodyRequest struct {
+	Job  batch.Ref
+	Item string
+}
 
 // BodyReply answers a BodyRequest.
 type BodyReply struct {
@@ -71,7 +74,7 @@
 }
 
 // EndRequest asks to end a job.
-type EndRequest struct{ ID string }
+type EndRequest struct{ Job batch.Ref }
 
 // Reply answers the other requests.
 type Reply struct{ Code code }
@@ -118,15 +121,15 @@
 		return Reply{Code: toCode(service.Submit(ctx, request.Job))}, nil
 	})
 	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request ReadRequest) (ReadReply, error) {
-		reading, err := service.Read(ctx, request.ID, request.Position, request.Wait)
+		reading, err := service.Read(ctx, request.Job, request.Position, request.Wait)
 		return ReadReply{Code: toCode(err), Reading: reading}, nil
 	})
 	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request BodyRequest) (BodyReply, error) {
-		body, err := service.Body(ctx, request.ID, request.Item)
+		body, err := service.Body(ctx, request.Job, request.Item)
 		return BodyReply{Code: toCode(err), Body: body}, nil
 	})
 	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request EndRequest) (Reply, error) {
-		return Reply{Code: toCode(service.End(ctx, request.ID))}, nil
+		return Reply{Code: toCode(service.End(ctx, request.Job))}, nil
 	})
 	rpc.Handle(server, func(_ context.Context, _ rpc.Peer, request PingRequest) (PingReply, error) {
 		return lease.Standing(request), nil
@@ -214,8 +217,8 @@
 }
 
 // Read implements batch.Service.
-func (c *Client) Read(ctx context.Context, id string, position int, wait time.Duration) (batch.Reading, error) {
-	request := ReadRequest{ID: id, Position: position, Wait: wait}
+func (c *Client) Read(ctx context.Context, ref batch.Ref, position int, wait time.Duration) (batch.Reading, error) {
+	request := ReadRequest{Job: ref, Position: position, Wait: wait}
 	reply, err := call[ReadRequest, ReadReply](ctx, c, request, wait)
 	if err != nil {
 		return batch.Reading{}, err
@@ -224,8 +227,8 @@
 }
 
 // Body implements batch.Service.
-func (c *Client) Body(ctx context.Context, id, item string) ([]byte, error) {
-	reply, err := call[BodyRequest, BodyReply](ctx, c, BodyRequest{ID: id, Item: item}, 0)
+func (c *Client) Body(ctx context.Context, ref batch.Ref, item string) ([]byte, error) {
+	reply, err := call[BodyRequest, BodyReply](ctx, c, BodyRequest{Job: ref, Item: item}, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -233,16 +236,16 @@
 }
 
 // End implements batch.Service. A job whose end is not confirmed is ended in the background as soon as that can be.
-func (c *Client) End(ctx context.Context, id string) error {
-	err := c.endOnce(ctx, id)
+func (c *Client) End(ctx context.Context, ref batch.Ref) error {
+	err := c.endOnce(ctx, ref)
 	if err != nil && !errors.Is(err, batch.ErrNotFound) {
-		c.ender.insist(id)
+		c.ender.insist(ref)
 	}
 	return err
 }
 
-func (c *Client) endOnce(ctx context.Context, id string) error {
-	reply, err := call[EndRequest, Reply](ctx, c, EndRequest{ID: id}, submitTimeout)
+func (c *Client) endOnce(ctx context.Context, ref batch.Ref) error {
+	reply, err := call[EndRequest, Reply](ctx, c, EndRequest{Job: ref}, submitTimeout)
 	if err != nil {
 		return err
 	}
--- a/internal/batchrpc/ender.go
+++ b/internal/batchrpc/ender.go
@@ -18,37 +18,37 @@
 
 // ender goes on ending jobs whose end could not be confirmed: a caller may not ask again, and the job would run on.
 type ender struct {
-	end func(ctx context.Context, id string) error
+	end func(ctx context.Context, ref batch.Ref) error
 
 	mu      sync.Mutex
-	pending map[string]struct{}
+	pending map[batch.Ref]struct{}
 	// ctx ends with close.
 	ctx     context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
 }
 
-func newEnder(end func(ctx context.Context, id string) error) *ender {
-	e := &ender{end: end, pending: make(map[string]struct{})}
+func newEnder(end func(ctx context.Context, ref batch.Ref) error) *ender {
+	e := &ender{end: end, pending: make(map[batch.Ref]struct{})}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	return e
 }
 
 // insist ends a job in the background, unless that is under way already.
-func (e *ender) insist(id string) {
+func (e *ender) insist(ref batch.Ref) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, known := e.pending[id]; known || e.ctx.Err() != nil {
+	if _, known := e.pending[ref]; known || e.ctx.Err() != nil {
 		return
 	}
-	e.pending[id] = struct{}{}
-	e.running.Go(func() { e.repeat(id) })
+	e.pending[ref] = struct{}{}
+	e.running.Go(func() { e.repeat(ref) })
 }
 
-func (e *ender) repeat(id string) {
+func (e *ender) repeat(ref batch.Ref) {
 	defer func() {
 		e.mu.Lock()
-		delete(e.pending, id)
+		delete(e.pending, ref)
 		e.mu.Unlock()
 	}()
 	ctx, cancel := context.WithTimeout(e.ctx, endRetryLimit)
@@ -59,7 +59,7 @@
 		case <-ctx.Done():
 			return
 		}
-		err := e.end(ctx, id)
+		err := e.end(ctx, ref)
 		if err == nil || errors.Is(err, batch.ErrNotFound) {
 			return
 		}
--- a/internal/batchrpc/ender_test.go
+++ b/internal/batchrpc/ender_test.go
@@ -16,7 +16,7 @@
 func TestEnderInsists(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var attempts atomic.Int32
-		e := newEnder(func(context.Context, string) error {
+		e := newEnder(func(context.Context, batch.Ref) error {
 			if attempts.Add(1) < 5 {
 				return batch.ErrUnavailable
 			}
@@ -24,8 +24,8 @@
 		})
 		defer e.close()
 		Convey("A job's end is repeated until it is confirmed, once at a time, and not after that", t, func() {
-			e.insist("job")
-			e.insist("job")
+			e.insist(batch.Ref{ID: "job"})
+			e.insist(batch.Ref{ID: "job"})
 			time.Sleep(3 * time.Second)
 			So(attempts.Load(), ShouldEqual, 5)
 			time.Sleep(time.Minute)
@@ -34,13 +34,13 @@
 	})
 	synctest.Test(t, func(t *testing.T) {
 		var attempts atomic.Int32
-		e := newEnder(func(context.Context, string) error {
+		e := newEnder(func(context.Context, batch.Ref) error {
 			attempts.Add(1)
 			return batch.ErrNotFound
 		})
 		defer e.close()
 		Convey("A job that does not exist is not asked for again", t, func() {
-			e.insist("job")
+			e.insist(batch.Ref{ID: "job"})
 			time.Sleep(time.Minute)
 			So(attempts.Load(), ShouldEqual, 1)
 		})
--- a/internal/batchrun/batchrun_test.go
+++ b/internal/batchrun/batchrun_test.go
@@ -143,8 +143,8 @@
 		w.engines.events = 200
 		So(w.runner.Submit(context.Background(), newJob("job", 4)), ShouldBeNil)
 		time.Sleep(time.Second)
-		So(w.runner.End(context.Background(), "job"), ShouldBeNil)
-		So(w.runner.End(context.Background(), "job"), ShouldBeNil)
+		So(w.runner.End(context.Background(), batch.Ref{ID: "job"}), ShouldBeNil)
+		So(w.runner.End(context.Background(), batch.Ref{ID: "job"}), ShouldBeNil)
 		synctest.Wait()
 		begun := w.engines.count()
 		for _, r := range w.engines.of("job-0") {
@@ -152,7 +152,7 @@
 		}
 		time.Sleep(10 * time.Second)
 		So(w.engines.count(), ShouldEqual, begun)
-		reading, err := w.runner.Read(context.Background(), "job", 0, 0)
+		reading, err := w.runner.Read(context.Background(), batch.Ref{ID: "job"}, 0, 0)
 		So(err, ShouldBeNil)
 		So(reading.Total, ShouldEqual, 4)
 		Convey("and an item that comes again goes on with the text that was kept", func() {
@@ -168,14 +168,14 @@
 		So(w.runner.Submit(context.Background(), newJob("job", 2)), ShouldBeNil)
 		So(w.runner.Submit(context.Background(), newJob("open", 1)), ShouldBeNil)
 		time.Sleep(2 * time.Second)
-		So(w.runner.End(context.Background(), "job"), ShouldBeNil)
+		So(w.runner.End(context.Background(), batch.Ref{ID: "job"}), ShouldBeNil)
 		time.Sleep(batchrun.DefaultRetention - 5*time.Second)
 		So(len(w.results("job", 0)), ShouldEqual, 2)
 		w.stop()
 		w.runner, w.stop = w.lead(2)
 		So(len(w.results("job", 0)), ShouldEqual, 2)
 		time.Sleep(batchrun.DefaultRetention + 30*time.Second)
-		_, err := w.runner.Read(context.Background(), "job", 0, 0)
+		_, err := w.runner.Read(context.Background(), batch.Ref{ID: "job"}, 0, 0)
 		So(err, ShouldEqual, batch.ErrNotFound)
 		So(len(w.results("open", 0)), ShouldEqual, 1)
 	})
@@ -186,14 +186,14 @@
 		ctx := context.Background()
 		for _, id := range []string{"first", "second", "third"} {
 			So(w.runner.Submit(ctx, newJob(id, 2)), ShouldBeNil)
-			_, err := w.runner.Body(ctx, id, id+"-0")
+			_, err := w.runner.Body(ctx, batch.Ref{ID: id}, id+"-0")
 			So(err, ShouldBeNil)
 			time.Sleep(2 * time.Second)
-			body, err := w.runner.Body(ctx, id, id+"-0")
+			body, err := w.runner.Body(ctx, batch.Ref{ID: id}, id+"-0")
 			So(err, ShouldBeNil)
 			So(string(body), ShouldEqual, "prompt")
-			So(w.runner.End(ctx, id), ShouldBeNil)
-			_, err = w.runner.Body(ctx, id, id+"-0")
+			So(w.runner.End(ctx, batch.Ref{ID: id}), ShouldBeNil)
+			_, err = w.runner.Body(ctx, batch.Ref{ID: id}, id+"-0")
 			So(err, ShouldEqual, batch.ErrNotFound)
 		}
 		before := w.store.Calls()
@@ -207,13 +207,13 @@
 		So(w.results("second", 0), ShouldHaveLength, 2)
 		time.Sleep(batchrun.DefaultRetention + 30*time.Second)
 		for _, id := range []string{"first", "second", "third"} {
-			_, err := w.runner.Read(ctx, id, 0, 0)
+			_, err := w.runner.Read(ctx, batch.Ref{ID: id}, 0, 0)
 			So(err, ShouldEqual, batch.ErrNotFound)
 		}
 	})
 	play(t, "A job that nobody submitted is not found", func(w *world) {
-		So(w.runner.End(context.Background(), "nobodys"), ShouldEqual, batch.ErrNotFound)
-		_, err := w.runner.Read(context.Background(), "nobodys", 0, 0)
+		So(w.runner.End(context.Background(), batch.Ref{ID: "nobodys"}), ShouldEqual, batch.ErrNotFound)
+		_, err := w.runner.Read(context.Background(), batch.Ref{ID: "nobodys"}, 0, 0)
 		So(err, ShouldEqual, batch.ErrNotFound)
 	})
 }
@@ -227,19 +227,19 @@
 		w.runner, w.stop = w.lead(2)
 		defer stopEarlier()
 		So(len(w.results("job", 5*time.Second)), ShouldEqual, 4)
-		reading, err := earlier.Read(context.Background(), "job", 0, 0)
+		reading, err := earlier.Read(context.Background(), batch.Ref{ID: "job"}, 0, 0)
 		if err == nil {
 			So(reading.Results, ShouldBeEmpty)
 		} else {
 			So(err, ShouldEqual, batch.ErrUnavailable)
 		}
-		So(earlier.End(context.Background(), "job"), ShouldEqual, batch.ErrUnavailable)
+		So(earlier.End(context.Background(), batch.Ref{ID: "job"}), ShouldEqual, batch.ErrUnavailable)
 	})
 	play(t, "A kept text that a route of single versions or a newer version rules out is made again", func(w *world) {
 		w.engines.events = 200
 		So(w.runner.Submit(context.Background(), newJob("job", 2)), ShouldBeNil)
 		time.Sleep(3 * time.Second)
-		So(w.runner.End(context.Background(), "job"), ShouldBeNil)
+		So(w.runner.End(context.Background(), batch.Ref{ID: "job"}), ShouldBeNil)
 		w.engines.set("a", behaviour{pause: 20 * time.Millisecond, version: 2})
 		w.engines.set("b", behaviour{pause: 20 * time.Millisecond, version: 2})
 		w.state.SetEngines([]*fleet.Engine{
@@ -261,7 +261,7 @@
 	play(t, "A process that does not lead refuses", func(w *world) {
 		w.stop()
 		So(w.runner.Submit(context.Background(), newJob("job", 1)), ShouldEqual, batch.ErrRefused)
-		_, err := w.runner.Read(context.Background(), "job", 0, 0)
+		_, err := w.runner.Read(context.Background(), batch.Ref{ID: "job"}, 0, 0)
 		So(err, ShouldEqual, batch.ErrUnavailable)
 		w.runner, w.stop = w.lead(2)
 	})
@@ -330,7 +330,7 @@
 		for _, id := range []string{"one", "two"} {
 			So(w.runner.Submit(context.Background(), newJob(id, 4)), ShouldBeNil)
 			So(w.results(id, 5*time.Second), ShouldHaveLength, 4)
-			So(w.runner.End(context.Background(), id), ShouldBeNil)
+			So(w.runner.End(context.Background(), batch.Ref{ID: id}), ShouldBeNil)
 		}
 		before := w.runner.Demands()[model].Items
 		So(w.results("one", 0), ShouldHaveLength, 4)
@@ -350,7 +350,7 @@
 		So(demand.Waiting, ShouldEqual, 40)
 		So(demand.MinVersion, ShouldEqual, 2)
 		So(demand.Items, ShouldAlmostEqual, 43, 1)
-		So(w.runner.End(context.Background(), "job"), ShouldBeNil)
+		So(w.runner.End(context.Background(), batch.Ref{ID: "job"}), ShouldBeNil)
 		time.Sleep(time.Minute)
 		demand = w.runner.Demands()[model]
 		So(demand.Waiting, ShouldEqual, 0)
--- a/internal/batchrun/checkpoint.go
+++ b/internal/batchrun/checkpoint.go
@@ -32,8 +32,8 @@
 	}
 	started := r.now()
 	restored, err := textlog.Read(r.TextFolder)
-	for id, text := range restored.Texts {
-		r.kept.put(unfinishedText{id: id, model: text.Model, text: text.Text})
+	for name, text := range restored.Texts {
+		r.kept.put(unfinishedText{name: name, model: text.Model, text: text.Text})
 	}
 	level.Info(r.Logger).Log("msg", "texts restored", "texts", len(restored.Texts), "records", restored.Records, "damaged_files", restored.Damaged,
 		"took", r.now().Sub(started).Round(time.Microsecond), "err", err)
@@ -99,7 +99,7 @@
 		if length < minCheckpointEvents || length == it.checkpointed && it.text.Whole == it.checkpointedWhole {
 			continue
 		}
-		entries = append(entries, checkpointOf(it.ID, it.job.Model, &it.text, it.checkpointed))
+		entries = append(entries, checkpointOf(it.textName(), it.job.Model, &it.text, it.checkpointed))
 		it.checkpointed, it.checkpointedWhole = length, it.text.Whole
 	}
 	return entries
@@ -110,13 +110,13 @@
 	var entries []textlog.Entry
 	r.kept.each(func(kept *unfinishedText) {
 		if kept.text.Len() >= minCheckpointEvents {
-			entries = append(entries, checkpointOf(kept.id, kept.model, &kept.text, 0))
+			entries = append(entries, checkpointOf(kept.name, kept.model, &kept.text, 0))
 		}
 	})
 	for _, it := range r.unfinishedItems() {
 		it.checkpointed, it.checkpointedWhole = it.text.Len(), it.text.Whole
 		if it.checkpointed >= minCheckpointEvents {
-			entries = append(entries, checkpointOf(it.ID, it.job.Model, &it.text, 0))
+			entries = append(entries, checkpointOf(it.textName(), it.job.Model, &it.text, 0))
 		}
 	}
 	return entries
@@ -141,6 +141,6 @@
 	return found
 }
 
-func checkpointOf(id, model string, text *itemwork.Text, from int) textlog.Entry {
-	return textlog.Entry{Item: id, Model: model, From: from, Segments: text.After(from), LastID: text.LastID, Whole: text.Whole}
+func checkpointOf(name, model string, text *itemwork.Text, from int) textlog.Entry {
+	return textlog.Entry{Item: name, Model: model, From: from, Segments: text.After(from), LastID: text.LastID, Whole: text.Whole}
 }
--- a/internal/batchrun/detached.go
+++ b/internal/batchrun/detached.go
@@ -31,7 +31,7 @@
 	detached.release()
 	detached.released = true
 	it.job.runs = slices.DeleteFunc(it.job.runs, func(id itemwork.RunID) bool { return id == detached.id })
-	r.detached[it.ID] = detached
+	r.detached[it.textName()] = detached
 	r.Observer.HandedOver(HandOverDetached)
 	level.Debug(r.Logger).Log("msg", "run goes on after the end of its job", "request", it.ID, "job", it.job.ID, "run", detached.id,
 		"engine", detached.engine, "text_events", it.text.Len())
@@ -39,12 +39,12 @@
 }
 
 // isDetached reports whether a run goes on after the end of its job.
-func (r *Runner) isDetached(known *run) bool { return r.detached[known.item.ID] == known }
+func (r *Runner) isDetached(known *run) bool { return r.detached[known.item.textName()] == known }
 
 // attach makes a run that went on after the end of its job that of an item which has come again in another, or ends
 // it if that job may not use the text. The mutex must be held.
 func (r *Runner) attach(detached *run, it *item) {
-	delete(r.detached, it.ID)
+	delete(r.detached, it.textName())
 	text := detached.item.text
 	if !text.Fits(itemwork.Bounds{MinVersion: it.job.MinVersion, SingleVersion: r.singleVersion(it)}) {
 		// The ended job forgets the run once its stream has ended.
@@ -64,7 +64,7 @@
 
 // settle keeps the text of a detached run that has ended. The mutex must be held.
 func (r *Runner) settle(ended *run) {
-	delete(r.detached, ended.item.ID)
+	delete(r.detached, ended.item.textName())
 	delete(r.runs, ended.id)
 	r.keep(ended.item)
 }
@@ -86,7 +86,7 @@
 	if it.text.Len() == 0 {
 		return
 	}
-	r.kept.put(unfinishedText{id: it.ID, model: it.job.Model, text: it.text})
+	r.kept.put(unfinishedText{name: it.textName(), model: it.job.Model, text: it.text})
 	it.text = itemwork.Text{}
 }
 
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -50,6 +50,13 @@
 	run *run
 }
 
+// textName is the name under which what was made of the item is kept for a later job, in memory and on disk: an item that comes again
+// has its ID and its tenant, and nobody else gets its text.
+func (it *item) textName() string { return it.job.Tenant + textNameSeparator + it.ID }
+
+// textNameSeparator occurs in no name of a tenant, as it may stand in no header.
+const textNameSeparator = "\x00"
+
 // job is a batch job that this process runs. The runner's mutex guards it, unless a field says otherwise.
 type job struct {
 	batch.Job
--- a/internal/batchrun/kit_test.go
+++ b/internal/batchrun/kit_test.go
@@ -228,7 +228,7 @@
 // results reads all results that come within the time.
 func (w *world) results(id string, within time.Duration) []batch.Result {
 	time.Sleep(within)
-	reading, err := w.runner.Read(context.Background(), id, 0, 0)
+	reading, err := w.runner.Read(context.Background(), batch.Ref{ID: id}, 0, 0)
 	So(err, ShouldBeNil)
 	return reading.Results
 }
--- a/internal/batchrun/policy_test.go
+++ b/internal/batchrun/policy_test.go
@@ -54,7 +54,7 @@
 	So(long[1].from, ShouldEqual, 0)
 	So(short, ShouldHaveLength, 1)
 	time.Sleep(time.Second)
-	So(w.runner.End(context.Background(), "one"), ShouldBeNil)
+	So(w.runner.End(context.Background(), batch.Ref{ID: "one"}), ShouldBeNil)
 	time.Sleep(100 * time.Millisecond)
 	So(w.engines.of("one-0")[1].ended, ShouldEqual, time.Time{})
 }
@@ -100,7 +100,7 @@
 		w.pool(map[string]int64{"a": 1})
 		w.submitJob(newStep("one", 0, 1, 1, 5000, 500))
 		time.Sleep(500 * time.Millisecond)
-		So(w.runner.End(context.Background(), "one"), ShouldBeNil)
+		So(w.runner.End(context.Background(), batch.Ref{ID: "one"}), ShouldBeNil)
 		again := newStep("two", 1, 1, 1, 0, 500)
 		again.Items[0] = newStep("one", 0, 1, 1, 5000).Items[0]
 		w.submitJob(again)
@@ -219,7 +219,7 @@
 	play(t, "A text on disk that a later job may not use is not used", func(w *world) {
 		begin(w, routing.Route{})
 		w.runner, w.stop = w.lead(3)
-		So(w.runner.End(context.Background(), "job"), ShouldBeNil)
+		So(w.runner.End(context.Background(), batch.Ref{ID: "job"}), ShouldBeNil)
 		w.stop()
 		for _, id := range []string{"a", "b"} {
 			w.engines.set(id, behaviour{pause: 20 * time.Millisecond, version: 2})
--- a/internal/batchrun/queue.go
+++ b/internal/batchrun/queue.go
@@ -17,8 +17,8 @@
 
 // urgency is what the order of waiting items rests on.
 type urgency struct {
-	// priority is the route's; lower goes first.
-	priority int
+	// rank is that of the job's tenant and route.
+	rank routing.Rank
 	// renewed items are begun anew for a later job, at the few engines that have its weights.
 	renewed bool
 	// spare items are of groups that their trainer is not expected to wait for.
@@ -30,8 +30,8 @@
 // before reports whether an item is placed before another: the least slack goes first, so that within a job the longest do, and
 // a long item of a later job need not wait for the short ones of an earlier. Slack shrinks as time passes: nothing waits forever.
 func (u urgency) before(other urgency) bool {
-	if u.priority != other.priority {
-		return u.priority < other.priority
+	if order := u.rank.Compare(other.rank); order != 0 {
+		return order < 0
 	}
 	if u.renewed != other.renewed {
 		return u.renewed
@@ -60,7 +60,7 @@
 				continue
 			}
 			entries = append(entries, waitingItem{item: it, route: route, urgency: urgency{
-				priority:    route.Priority,
+				rank:        view.Routes.Rank(route, j.Tenant),
 				renewed:     it.preferUntil.After(now),
 				spare:       it.group.spare,
 				latestStart: j.accepted.Add(route.ResultDeadline - r.timeLeft(it)),
--- a/internal/batchrun/remote_test.go
+++ b/internal/batchrun/remote_test.go
@@ -299,7 +299,7 @@
 		w.submit("j", 1)
 		started := worker.stay(1)
 		So(len(started), ShouldEqual, 1)
-		So(w.runner.End(context.Background(), "j"), ShouldBeNil)
+		So(w.runner.End(context.Background(), batch.Ref{ID: "j"}), ShouldBeNil)
 		So(worker.report(started[0], itemwork.VerdictNone, itemwork.Judgement{}), ShouldResemble, []itemwork.RunID{started[0].Run})
 		w.submit("k", 1)
 		So(worker.stay(1), ShouldBeEmpty)
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -92,6 +92,7 @@
 		Item:   it.ID,
 		Host:   it.job.Host,
 		Path:   it.Path,
+		Tenant: it.job.Tenant,
 		Header: it.Header,
 		Body:   it.Body,
 		Bounds: bounds,
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -277,11 +277,11 @@
 	if it.phase != phaseWaiting {
 		return
 	}
-	if detached, ok := r.detached[it.ID]; ok {
+	if detached, ok := r.detached[it.textName()]; ok {
 		r.attach(detached, it)
 		return
 	}
-	kept, ok := r.kept.take(it.ID)
+	kept, ok := r.kept.take(it.textName())
 	if !ok {
 		return
 	}
@@ -304,9 +304,9 @@
 	return nil
 }
 
-// precedes reports whether a job is of one of so many steps before another of the same model.
+// precedes reports whether a job is of one of so many steps before another of the same tenant and model.
 func (j *job) precedes(other *job, steps int64) bool {
-	return j.Model == other.Model && j.Step < other.Step && j.Step >= other.Step-steps
+	return j.Tenant == other.Tenant && j.Model == other.Model && j.Step < other.Step && j.Step >= other.Step-steps
 }
 
 // knowsEarlier reports whether this process knows the items of the jobs from which groups may come again in a job: those of the
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -17,8 +17,8 @@
 	if err != nil {
 		return batch.ErrRefused
 	}
-	if r.find(submitted.ID) != nil {
-		return nil
+	if known := r.find(submitted.ID); known != nil {
+		return r.takenAgain(submitted, known.Tenant)
 	}
 	// A caller that leaves must not leave the outcome open.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
@@ -33,6 +33,9 @@
 	if err != nil {
 		return batch.ErrUnavailable
 	}
+	if stored.Job.Tenant != submitted.Tenant {
+		return r.takenAgain(submitted, stored.Job.Tenant)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.leads() {
@@ -44,14 +47,36 @@
 	return nil
 }
 
+// takenAgain answers a submission whose ID is that of a job which is kept already.
+func (r *Runner) takenAgain(submitted batch.Job, keptFor string) error {
+	if keptFor == submitted.Tenant {
+		return nil
+	}
+	level.Warn(r.Logger).Log("msg", "job refused, its id is that of another tenant's", "request", submitted.ID, "tenant", submitted.Tenant)
+	return batch.ErrRefused
+}
+
 func (r *Runner) find(id string) *job {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.jobs[id]
 }
 
-// lookUp returns a job, from the store if this process does not know it.
-func (r *Runner) lookUp(ctx context.Context, id string) (*job, error) {
+// lookUp returns a job of the caller's tenant, from the store if this process does not know it.
+func (r *Runner) lookUp(ctx context.Context, ref batch.Ref) (*job, error) {
+	found, err := r.lookUpAny(ctx, ref.ID)
+	if err != nil {
+		return nil, err
+	}
+	if !found.MayBeSeenBy(ref.Tenant) {
+		level.Info(r.Logger).Log("msg", "call refused, the job is another tenant's", "request", ref.ID, "tenant", ref.Tenant)
+		return nil, batch.ErrNotFound
+	}
+	return found, nil
+}
+
+// lookUpAny returns a job, whoever's it is.
+func (r *Runner) lookUpAny(ctx context.Context, id string) (*job, error) {
 	log, err := r.leading()
 	if err != nil {
 		return nil, err
@@ -77,8 +102,8 @@
 }
 
 // Read implements batch.Service.
-func (r *Runner) Read(ctx context.Context, id string, position int, wait time.Duration) (batch.Reading, error) {
-	j, err := r.lookUp(ctx, id)
+func (r *Runner) Read(ctx context.Context, ref batch.Ref, position int, wait time.Duration) (batch.Reading, error) {
+	j, err := r.lookUp(ctx, ref)
 	if err != nil {
 		return batch.Reading{}, err
 	}
@@ -129,8 +154,8 @@
 }
 
 // Body implements batch.Service.
-func (r *Runner) Body(ctx context.Context, id, name string) ([]byte, error) {
-	j, err := r.lookUp(ctx, id)
+func (r *Runner) Body(ctx context.Context, ref batch.Ref, name string) ([]byte, error) {
+	j, err := r.lookUp(ctx, ref)
 	if err != nil {
 		return nil, err
 	}
@@ -144,8 +169,8 @@
 }
 
 // End implements batch.Service.
-func (r *Runner) End(ctx context.Context, id string) error {
-	j, err := r.lookUp(ctx, id)
+func (r *Runner) End(ctx context.Context, ref batch.Ref) error {
+	j, err := r.lookUp(ctx, ref)
 	if err != nil {
 		return err
 	}
@@ -159,7 +184,7 @@
 	ctx, cancel := context.WithTimeout(ctx, endTimeout)
 	defer cancel()
 	sealed := r.awaitSealed(ctx, j)
-	level.Info(r.Logger).Log("msg", "job ended", "request", id, "items", j.total, "kept", sealed)
+	level.Info(r.Logger).Log("msg", "job ended", "request", ref.ID, "items", j.total, "kept", sealed)
 	if !sealed {
 		return batch.ErrUnavailable
 	}
--- a/internal/batchrun/unfinished.go
+++ b/internal/batchrun/unfinished.go
@@ -12,30 +12,31 @@
 // unfinishedTexts holds what ended jobs have left of items that may come again in later jobs, the newest of them. It is not
 // safe for concurrent use.
 type unfinishedTexts struct {
-	byID map[string]*list.Element
+	byName map[string]*list.Element
 	// order holds an unfinishedText an element, oldest first.
 	order *list.List
 	bytes int
 }
 
 type unfinishedText struct {
-	id string
+	// name is the item's textName.
+	name string
 	// model is the one whose weights made it.
 	model string
 	text  itemwork.Text
 }
 
 func newUnfinishedTexts() *unfinishedTexts {
-	return &unfinishedTexts{byID: make(map[string]*list.Element), order: list.New()}
+	return &unfinishedTexts{byName: make(map[string]*list.Element), order: list.New()}
 }
 
 // put keeps an item's text. The oldest texts give way.
 func (u *unfinishedTexts) put(left unfinishedText) {
-	u.take(left.id)
-	u.byID[left.id] = u.order.PushBack(left)
+	u.take(left.name)
+	u.byName[left.name] = u.order.PushBack(left)
 	u.bytes += left.text.Size() + textOverhead
 	for u.bytes > maxUnfinishedBytes {
-		u.take(u.order.Front().Value.(unfinishedText).id)
+		u.take(u.order.Front().Value.(unfinishedText).name)
 	}
 }
 
@@ -53,21 +54,21 @@
 	var outdated []string
 	u.each(func(kept *unfinishedText) {
 		if kept.model == model && !kept.text.Fits(itemwork.Bounds{MinVersion: version}) {
-			outdated = append(outdated, kept.id)
+			outdated = append(outdated, kept.name)
 		}
 	})
-	for _, id := range outdated {
-		u.take(id)
+	for _, name := range outdated {
+		u.take(name)
 	}
 }
 
 // take returns an item's text and keeps it no longer.
-func (u *unfinishedTexts) take(id string) (itemwork.Text, bool) {
-	element, ok := u.byID[id]
+func (u *unfinishedTexts) take(name string) (itemwork.Text, bool) {
+	element, ok := u.byName[name]
 	if !ok {
 		return itemwork.Text{}, false
 	}
-	delete(u.byID, id)
+	delete(u.byName, name)
 	found := u.order.Remove(element).(unfinishedText)
 	u.bytes -= (found.text.Size() + textOverhead)
 	return found.text, true
--- a/internal/batchrun/unfinished_test.go
+++ b/internal/batchrun/unfinished_test.go
@@ -14,7 +14,7 @@
 		texts := newUnfinishedTexts()
 		large := itemwork.Text{Segments: []itemwork.Segment{{Version: 1, Events: []string{strings.Repeat("x", maxUnfinishedBytes/3)}}}}
 		for _, id := range []string{"a", "b", "a", "c", "d"} {
-			texts.put(unfinishedText{id: id, text: large})
+			texts.put(unfinishedText{name: id, text: large})
 		}
 		_, ok := texts.take("b")
 		So(ok, ShouldBeFalse)
@@ -32,9 +32,9 @@
 		made := func(version int64) itemwork.Text {
 			return itemwork.Text{Segments: []itemwork.Segment{{Version: version, Events: []string{"x"}}}}
 		}
-		texts.put(unfinishedText{id: "old", model: "a", text: made(1)})
-		texts.put(unfinishedText{id: "new", model: "a", text: made(2)})
-		texts.put(unfinishedText{id: "other", model: "b", text: made(1)})
+		texts.put(unfinishedText{name: "old", model: "a", text: made(1)})
+		texts.put(unfinishedText{name: "new", model: "a", text: made(2)})
+		texts.put(unfinishedText{name: "other", model: "b", text: made(1)})
 		texts.dropOutdated("a", 2)
 		_, old := texts.take("old")
 		_, newer := texts.take("new")
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -156,6 +156,7 @@
 		State:     g.State,
 		Forwarder: g.Forwarder,
 		Batches:   g.Batches,
+		Logger:    g.logger,
 		Draining:  g.Stopping.Load,
 	})
 	var err error
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -23,6 +23,8 @@
 	// Header holds the end-to-end fields.
 	Header http.Header
 	Body   []byte
+	// Tenant names on whose behalf the request is made; empty for nobody's. The engine is told it, whatever the header says.
+	Tenant string
 }
 
 // SendOptions are what the system adds to an attempt.
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -137,7 +137,7 @@
 	for name, value := range a.Header {
 		header.Set(name, value)
 	}
-	return &forward.Request{ID: a.Item, Method: http.MethodPost, Host: a.Host, Target: a.Path, Header: header, Body: a.Body}
+	return &forward.Request{ID: a.Item, Method: http.MethodPost, Host: a.Host, Target: a.Path, Header: header, Body: a.Body, Tenant: a.Tenant}
 }
 
 func (a *Assignment) options() forward.SendOptions {
--- a/internal/itemwork/itemwork.go
+++ b/internal/itemwork/itemwork.go
@@ -45,11 +45,13 @@
 
 // Assignment is a run that a worker is to carry out: the stream, unless the text is whole already, and then the reward call.
 type Assignment struct {
-	Run    RunID
-	Job    string
-	Item   string
-	Host   string
-	Path   string
+	Run  RunID
+	Job  string
+	Item string
+	Host string
+	Path string
+	// Tenant names whose item it is; empty for nobody's.
+	Tenant string
 	Header map[string]string
 	Body   []byte
 	Engine Target
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -6,6 +6,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/covelink/covelink/internal/tenants"
 )
 
 // Kind says how a route's requests may be executed.
@@ -58,6 +60,8 @@
 	MaxQueue time.Duration
 	// SingleVersion forbids results that several weight versions made.
 	SingleVersion bool
+	// Open routes serve callers without a key also where there are tenants.
+	Open bool
 }
 
 // Repeatable reports whether a request of the route may be executed more than once.
@@ -111,8 +115,10 @@
 	Version  int64
 	Services map[string]Service
 	Limits   Limits
-	routes   map[string][]*Route
-	all      []*Route
+	// Tenants are those that hold keys; nil if callers need none.
+	Tenants *tenants.Directory
+	routes  map[string][]*Route
+	all     []*Route
 }
 
 // NewTable returns a table of the routes.
--- /dev/null
+++ b/internal/tenants/tenants.go
@@ -0,0 +1,71 @@
+// Package tenants holds whom a deployment serves: the tenants of one version of its configuration, each with a name, a priority and
+// any number of keys. A Directory is never changed once it is built, so that a key which a newer version has withdrawn is unknown from
+// the moment at which that version is in force.
+package tenants
+
+import "github.com/covelink/covelink/internal/secretindex"
+
+// Tenant is one customer of the deployment.
+type Tenant struct {
+	Name string
+	// Priority is the rank of the tenant's requests, 0 first. It goes before that of their route.
+	Priority int
+}
+
+// Entry is a tenant with its keys, for a new Directory.
+type Entry struct {
+	Tenant
+	Keys []string
+}
+
+// Directory finds tenants by key and by name. A nil Directory is that of a deployment without tenants.
+type Directory struct {
+	byKey  *secretindex.Index[*Tenant]
+	byName map[string]*Tenant
+}
+
+// NewDirectory returns a Directory. Of two tenants with one key or one name the first has it.
+func NewDirectory(entries []Entry) *Directory {
+	directory := &Directory{byKey: secretindex.New[*Tenant](), byName: make(map[string]*Tenant, len(entries))}
+	for _, entry := range entries {
+		tenant := &Tenant{Name: entry.Name, Priority: entry.Priority}
+		if _, known := directory.byName[entry.Name]; !known {
+			directory.byName[entry.Name] = tenant
+		}
+		for _, key := range entry.Keys {
+			hash := secretindex.HashOf(key)
+			if _, known := directory.byKey.At(hash); !known {
+				directory.byKey.Put(hash, tenant)
+			}
+		}
+	}
+	return directory
+}
+
+// Holder returns the tenant that holds a key; nil if nobody does.
+func (d *Directory) Holder(key string) *Tenant {
+	if d == nil {
+		return nil
+	}
+	tenant, _ := d.byKey.Find(key)
+	return tenant
+}
+
+// Priority returns the priority of the tenant of a name; 0 if there is none, as for requests without a tenant.
+func (d *Directory) Priority(name string) int {
+	if d == nil {
+		return 0
+	}
+	if tenant := d.byName[name]; tenant != nil {
+		return tenant.Priority
+	}
+	return 0
+}
+
+// Count returns the number of tenants.
+func (d *Directory) Count() int {
+	if d == nil {
+		return 0
+	}
+	return len(d.byName)
+}
