--- a/internal/weightorder/journal_test.go
+++ b/internal/permits/journal_test.go
@@ -1,4 +1,4 @@
-package weightorder
+package permits
 
 import (
 	"context"
@@ -21,43 +21,43 @@
 	}
 	ctx := context.Background()
 	play("A journal of a later term ends the permits of the earlier one, whoever asks first", func(store *metastoretest.Store) {
-		first := newJournal(store.Client(), "node-1", 1, leaseLength)
-		allowed, deadline, err := first.permit(ctx, []string{"a", "b"})
+		first := New(Params{Store: store.Client(), Name: "orders", Holder: "node-1", Token: 1, LeaseLength: leaseLength})
+		allowed, deadline, err := first.Permit(ctx, []string{"a", "b"})
 		So(err, ShouldBeNil)
 		So(allowed, ShouldResemble, []string{"a", "b"})
-		So(time.Until(deadline), ShouldBeLessThanOrEqualTo, orderWindow)
-		second := newJournal(store.Client(), "node-2", 2, leaseLength)
-		allowed, _, err = second.permit(ctx, []string{"a", "c"})
+		So(time.Until(deadline), ShouldBeLessThanOrEqualTo, Window)
+		second := New(Params{Store: store.Client(), Name: "orders", Holder: "node-2", Token: 2, LeaseLength: leaseLength})
+		allowed, _, err = second.Permit(ctx, []string{"a", "c"})
 		So(err, ShouldBeNil)
 		So(allowed, ShouldResemble, []string{"c"})
 		for range 2 {
-			allowed, _, err = first.permit(ctx, []string{"d"})
+			allowed, _, err = first.Permit(ctx, []string{"d"})
 			So(err, ShouldNotBeNil)
 			So(allowed, ShouldBeEmpty)
 		}
-		_, _, err = first.permit(ctx, []string{"d"})
+		_, _, err = first.Permit(ctx, []string{"d"})
 		So(errors.Is(err, ErrLost), ShouldBeTrue)
 	})
 	play("An engine waits a lease length from the last order of another, counted from its record, across several terms", func(store *metastoretest.Store) {
-		first := newJournal(store.Client(), "node-1", 1, leaseLength)
-		_, _, err := first.permit(ctx, []string{"a"})
+		first := New(Params{Store: store.Client(), Name: "orders", Holder: "node-1", Token: 1, LeaseLength: leaseLength})
+		_, _, err := first.Permit(ctx, []string{"a"})
 		So(err, ShouldBeNil)
 		time.Sleep(2 * time.Second)
-		_, _, err = first.permit(ctx, []string{"b"})
+		_, _, err = first.Permit(ctx, []string{"b"})
 		So(err, ShouldBeNil)
-		second := newJournal(store.Client(), "node-2", 2, leaseLength)
-		_, _, err = second.permit(ctx, []string{"c"})
+		second := New(Params{Store: store.Client(), Name: "orders", Holder: "node-2", Token: 2, LeaseLength: leaseLength})
+		_, _, err = second.Permit(ctx, []string{"c"})
 		So(err, ShouldBeNil)
-		third := newJournal(store.Client(), "node-3", 3, leaseLength)
-		allowed, _, err := third.permit(ctx, []string{"a", "b", "c"})
+		third := New(Params{Store: store.Client(), Name: "orders", Holder: "node-3", Token: 3, LeaseLength: leaseLength})
+		allowed, _, err := third.Permit(ctx, []string{"a", "b", "c"})
 		So(err, ShouldBeNil)
 		So(allowed, ShouldBeEmpty)
-		time.Sleep(leaseLength + orderWindow + clockMargin - 2*time.Second)
-		allowed, _, err = third.permit(ctx, []string{"a", "b", "c"})
+		time.Sleep(leaseLength + Window + clockMargin - 2*time.Second)
+		allowed, _, err = third.Permit(ctx, []string{"a", "b", "c"})
 		So(err, ShouldBeNil)
 		So(allowed, ShouldResemble, []string{"a"})
 		time.Sleep(2 * time.Second)
-		allowed, _, err = third.permit(ctx, []string{"a", "b", "c"})
+		allowed, _, err = third.Permit(ctx, []string{"a", "b", "c"})
 		So(err, ShouldBeNil)
 		So(allowed, ShouldResemble, []string{"a", "b", "c"})
 	})
@@ -70,10 +70,10 @@
 			}
 			return metastoretest.None
 		}
-		j := newJournal(client, "node-1", 1, leaseLength)
+		j := New(Params{Store: client, Name: "orders", Holder: "node-1", Token: 1, LeaseLength: leaseLength})
 		for _, lost := range []metastoretest.Fault{metastoretest.AnswerLost, metastoretest.Late, metastoretest.Refused, metastoretest.Silent} {
 			fault = lost
-			allowed, _, err := j.permit(ctx, []string{"a"})
+			allowed, _, err := j.Permit(ctx, []string{"a"})
 			So(err, ShouldNotBeNil)
 			So(allowed, ShouldBeEmpty)
 			fault = metastoretest.None
@@ -86,7 +86,7 @@
 }
 
 // permitOne asks for one engine.
-func (j *journal) permitOne(ctx context.Context) ([]string, error) {
-	allowed, _, err := j.permit(ctx, []string{"a"})
+func (j *Journal) permitOne(ctx context.Context) ([]string, error) {
+	allowed, _, err := j.Permit(ctx, []string{"a"})
 	return allowed, err
 }
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -21,6 +21,7 @@
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/pause"
+	"github.com/covelink/covelink/internal/permits"
 )
 
 // Mode is what becomes of the runs at an engine that loads.
@@ -75,6 +76,8 @@
 }
 
 const (
+	// journalName is that of the journal of orders.
+	journalName = "orders"
 	// callTimeout bounds a call to an engine.
 	callTimeout = 700 * time.Millisecond
 	// loadTime is the time after which a load is first asked for: engines tell their state as it was some time ago.
@@ -182,10 +185,16 @@
 
 // Lead gives orders until ctx ends.
 func (m *Manager) Lead(ctx context.Context, term election.Term) {
-	orders := newJournal(m.Store, m.Holder, term.Token, m.LeaseLength)
-	orders.takeOver(ctx)
+	orders := permits.New(permits.Params{
+		Store:       m.Store,
+		Name:        journalName,
+		Holder:      m.Holder,
+		Token:       term.Token,
+		LeaseLength: m.LeaseLength,
+	})
+	orders.TakeOver(ctx)
 	m.mu.Lock()
-	m.mayOrder = orders.mayOrder
+	m.mayOrder = orders.MayAct
 	clear(m.loading)
 	clear(m.asideTil)
 	m.mu.Unlock()
@@ -223,12 +232,12 @@
 }
 
 // moveAll records the orders to come and carries out the moves that are allowed now.
-func (m *Manager) moveAll(ctx context.Context, term election.Term, orders *journal, moves []move) {
+func (m *Manager) moveAll(ctx context.Context, term election.Term, orders *permits.Journal, moves []move) {
 	ids := make([]string, 0, len(moves))
 	for _, next := range moves {
 		ids = append(ids, next.engine.ID)
 	}
-	allowed, deadline, err := orders.permit(ctx, ids)
+	allowed, deadline, err := orders.Permit(ctx, ids)
 	var moving sync.WaitGroup
 	for _, next := range moves {
 		if slices.Contains(allowed, next.engine.ID) {
--- a/internal/weightorder/manager_test.go
+++ b/internal/weightorder/manager_test.go
@@ -18,6 +18,7 @@
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/metastore/metastoretest"
+	"github.com/covelink/covelink/internal/permits"
 	"github.com/covelink/covelink/internal/routing"
 	"github.com/covelink/covelink/internal/weightorder"
 )
@@ -159,7 +160,7 @@
 		panic(err)
 	}
 	object := metastore.Object{Name: "orders", Spec: spec}
-	if _, err := w.client.Create(context.Background(), weightorder.KindJournals, object); err != nil {
+	if _, err := w.client.Create(context.Background(), permits.KindJournals, object); err != nil {
 		panic(err)
 	}
 }
