usage, enginescale: use is reported by window, engines are ordered

Change: the forwarder tells of each request that an engine began to run; a Meter in each gateway counts by window and tenant, and a Teller tells the coordinating process within 200 ms, cumulatively. The Reporter there sums over all meters, keeps the sums in the store once a second while they change, fixes a window by a conditional write before its first report, and reports under the fence of package permits. A gateway that reaches no coordinator for 3.5 s leaves its counts in the store. Time is the median of the candidates' clocks (told with their pings); gateways learn it from the answers to what they tell. enginescale orders what runs where nothing was ordered, keeps what it ordered in the store, and orders again what has been missing for a start and 2 s.

Ruled out: a call to the store for each gateway and window (60 gateways, 12 calls a second of which each is priced); a call of each gateway a second (60 a second at the coordinator; now only those that have something to tell).

--- a/internal/batchrpc/batchrpc.go
+++ b/internal/batchrpc/batchrpc.go
@@ -84,6 +84,8 @@
 	Instance string
 	// Candidate is the internal address of the caller, which may coordinate too.
 	Candidate string
+	// Now is what the caller's clock shows.
+	Now time.Time
 }
 
 // PingReply answers a PingRequest.
--- a/internal/election/watcher.go
+++ b/internal/election/watcher.go
@@ -47,6 +47,12 @@
 	return lease.Address
 }
 
+// Term returns the holder's address, or "" if there is none or it is not known, and the lease's token.
+func (w *Watcher) Term() (address string, token int64) {
+	lease, _, _ := w.current()
+	return lease.Address, lease.Token
+}
+
 // observe takes a lease object from the store. One that is no newer than the newest known is ignored.
 func (w *Watcher) observe(object metastore.Object) {
 	lease, err := decodeLease(object)
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -18,6 +18,7 @@
 	"github.com/covelink/covelink/internal/decommission"
 	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/fleettime"
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/metastore"
@@ -31,7 +32,7 @@
 
 // coordinatorParts are those of a process that may coordinate.
 var coordinatorParts = fx.Options(
-	fx.Provide(newDesk, newRunner, newOrders, newDecommission),
+	fx.Provide(newDesk, newRunner, newOrders, newDecommission, newConsensus, newDuties),
 	fx.Invoke(runCoordinator),
 )
 
@@ -93,6 +94,8 @@
 	Desk      *itemwork.Desk
 	Orders    *weightorder.Manager
 	Leaving   *decommission.Manager
+	Clock     *fleettime.Consensus
+	Duties    *duties
 	Metrics   *metrics
 	Calls     *rpc.Client
 	Tasks     *tasks
@@ -150,6 +153,7 @@
 	storerelay.Register(c.server, hub)
 	batchrpc.Register(c.server, c.Runner, c)
 	itemwork.Register(c.server, c.Desk)
+	c.Duties.register(c.server)
 	go c.serve()
 	c.Tasks.run(c.Outage.Run)
 	c.Tasks.run(c.elector.Run)
@@ -178,6 +182,7 @@
 // Standing implements batchrpc.Lease.
 func (c *coordinator) Standing(request batchrpc.PingRequest) batchrpc.PingReply {
 	c.candidates.Note(request.Candidate)
+	c.Clock.Note(request.Candidate, request.Now)
 	return batchrpc.PingReply{Leading: request.Instance == c.elector.Instance() && c.Leading(), Unserved: c.Outage.Length()}
 }
 
@@ -190,7 +195,7 @@
 var errNotLeading = errors.New("not coordinating")
 
 func (c *coordinator) ping(ctx context.Context, address, instance string) (unserved time.Duration, err error) {
-	request := batchrpc.PingRequest{Instance: instance, Candidate: c.address()}
+	request := batchrpc.PingRequest{Instance: instance, Candidate: c.address(), Now: time.Now()}
 	reply, err := rpc.Call[batchrpc.PingRequest, batchrpc.PingReply](ctx, c.Calls, address, request)
 	if err == nil && !reply.Leading {
 		err = errNotLeading
@@ -213,15 +218,16 @@
 func (c *coordinator) lead(ctx context.Context, term election.Term) {
 	c.Metrics.leadingTerms.Inc()
 	c.State.Reset()
-	var duties sync.WaitGroup
-	duties.Go(func() { followFleet(ctx, c.Followers, c.State, c.Metrics, c.Logger) })
-	duties.Go(func() {
+	var leading sync.WaitGroup
+	leading.Go(func() { followFleet(ctx, c.Followers, c.State, c.Metrics, c.Logger) })
+	leading.Go(func() {
 		platform.FollowVersions(ctx, c.Followers, c.Orders.SetNamed, telemetry.For(c.Logger, telemetry.PartOrders))
 	})
-	duties.Go(func() { c.Runner.Lead(ctx, term.Token) })
-	duties.Go(func() { c.Orders.Lead(ctx, term) })
-	duties.Go(func() { c.Leaving.Lead(ctx) })
-	duties.Wait()
+	leading.Go(func() { c.Runner.Lead(ctx, term.Token) })
+	leading.Go(func() { c.Orders.Lead(ctx, term) })
+	leading.Go(func() { c.Leaving.Lead(ctx) })
+	leading.Go(func() { c.Duties.lead(ctx, term) })
+	leading.Wait()
 }
 
 func (c *coordinator) stop(context.Context) error {
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -26,8 +26,8 @@
 
 // gatewayParts are those of a process that takes callers' requests.
 var gatewayParts = fx.Options(
-	fx.Provide(newStoreRelay, newLeaseWatcher, newBatchClient, newWorker, func() *stopFlag { return &stopFlag{} }),
-	fx.Invoke(alwaysFollowFleet, runStoreRelay, runWorker, runGateway),
+	fx.Provide(newStoreRelay, newLeaseWatcher, newBatchClient, newWorker, newUsageClock, newMeter, func() *stopFlag { return &stopFlag{} }),
+	fx.Invoke(alwaysFollowFleet, runStoreRelay, runWorker, meterRequests, runGateway),
 )
 
 // alwaysFollowFleet keeps the state at what the store holds from start to stop.
@@ -105,14 +105,17 @@
 }
 
 // runWorker runs the worker until the gateway has stopped.
-func runWorker(hooks fx.Lifecycle, worker *itemwork.Worker) {
+func runWorker(hooks fx.Lifecycle, worker *itemwork.Worker) { runUntilStopped(hooks, worker.Run) }
+
+// runUntilStopped runs a task from start to stop, which waits until it has ended what it does.
+func runUntilStopped(hooks fx.Lifecycle, task func(ctx context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	hooks.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() {
 				defer close(stopped)
-				worker.Run(ctx)
+				task(ctx)
 			}()
 			return nil
 		},
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -41,6 +42,10 @@
 	leadingTerms       prometheus.Counter
 	configRefused      prometheus.Counter
 	configVersion      prometheus.GaugeFunc
+	// usageReports counts windows, usageLost requests, and dutyCalls calls to the platform.
+	usageReports *prometheus.CounterVec
+	usageLost    prometheus.Counter
+	dutyCalls    *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry, state *fleet.State, lines *telemetry.AsyncWriter) *metrics {
@@ -62,6 +67,9 @@
 		results:      counter("results_listed_total", "Results of batch items that were listed.", "state"),
 		orders:       counter("engine_moves_total", "Engines that were moved to a weight version.", "result"),
 	}
+	m.usageReports = counter("usage_reports_total", "Windows of time whose use was reported, by whether that was in time.", "result")
+	m.usageLost = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "usage_requests_lost_total", Help: "Requests that were told after the counts of their window were fixed."})
+	m.dutyCalls = counter("duty_calls_total", "Calls to the deployment's platform, by duty and result.", "duty", "result")
 	m.engines = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_engines_total", Help: "Engines that requests were sent to."})
 	m.textsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "texts_restored_total", Help: "Batch items that go on after a text which an ended job or an earlier process has left."})
 	m.eventsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "text_events_restored_total", Help: "Events of such texts, which engines need not make again."})
@@ -84,7 +92,7 @@
 		return 0
 	})
 	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.handOvers, jobTime, m.textsRestored, m.eventsRestored, m.checkpoints, m.checkpointFailures, m.results,
-		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, newLinesDropped(lines))
+		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, m.usageReports, m.usageLost, m.dutyCalls, newLinesDropped(lines))
 	return m
 }
 
@@ -152,6 +160,24 @@
 	}
 }
 
+// Reported implements usage.Observer.
+func (m *metrics) Reported(_ time.Duration, inTime bool) {
+	result := "in_time"
+	if !inTime {
+		result = "late"
+	}
+	m.usageReports.WithLabelValues(result).Inc()
+}
+
+// CountsLost implements usage.Observer.
+func (m *metrics) CountsLost(requests int64) { m.usageLost.Add(float64(requests)) }
+
+// dutyCalled counts a call to the deployment's platform.
+func (m *metrics) dutyCalled(subject string, err error, _ time.Duration) {
+	name, _, _ := strings.Cut(subject, "/")
+	m.dutyCalls.WithLabelValues(name, resultOf(err)).Inc()
+}
+
 // resultOf names how a call ended.
 func resultOf(err error) string {
 	var conflict *metastore.ConflictError
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,12 +77,13 @@
 }
 
 // ErrNeedsRestart reports changed settings that a running process cannot take.
-var ErrNeedsRestart = errors.New("node: name, zone, role, addresses, store and data take effect at the next start")
+var ErrNeedsRestart = errors.New("node: name, zone, role, addresses, store, data and duties take effect at the next start")
 
 // Reload takes in changed settings. Those of timing take effect at once; ErrNeedsRestart if others differ as well.
 func (n *Node) Reload(changed settings.Fleet) error {
 	n.timing.current.Store(&changed.Timing)
-	if changed.Node != n.config.Node || changed.Listen != n.config.Listen || changed.Store != n.config.Store || changed.Data != n.config.Data {
+	if changed.Node != n.config.Node || changed.Listen != n.config.Listen || changed.Store != n.config.Store || changed.Data != n.config.Data ||
+		!reflect.DeepEqual(changed.Duties, n.config.Duties) {
 		return ErrNeedsRestart
 	}
 	return nil
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -93,7 +93,10 @@
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
 	// Observer may be nil. It must be set before the first request.
-	Observer  Observer
+	Observer Observer
+	// Began is told of each request that an engine began to run, or may have begun, once, with the moment; nil for nobody. Of a stream that is
+	// the moment of its first byte. It must be set before the first request.
+	Began     func(tenant string, at time.Time)
 	state     *fleet.State
 	transport Transport
 	picker    *Picker
@@ -119,8 +122,10 @@
 	tried map[string]struct{}
 	// mayHaveRun is true once an attempt was lost.
 	mayHaveRun bool
-	failed     int
-	last       *Result
+	// beganAt is when the first attempt was sent that ran or may have run; zero if there was none.
+	beganAt time.Time
+	failed  int
+	last    *Result
 }
 
 // Do forwards the request by the route until the deadline. The end of ctx means that the caller has left.
@@ -142,6 +147,7 @@
 	}
 	result := j.run(ctx)
 	result.FailedAttempts = j.failed
+	j.tellBegan(&result)
 	j.report(result)
 	return result
 }
@@ -212,12 +218,13 @@
 	}
 	took := time.Since(sent)
 	if err != nil {
-		return j.lost(ctx, engine, err, took)
+		return j.lost(ctx, engine, err, sent)
 	}
 	if answer.NotRun {
 		j.picker.Release(engine, busyVerdict(answer), took)
 		return Result{}, true
 	}
+	j.noteBegan(sent)
 	if answer.Status == http.StatusInternalServerError {
 		j.failed++
 		j.picker.Release(engine, VerdictFailed, took)
@@ -236,7 +243,8 @@
 }
 
 // lost handles an attempt without a usable answer.
-func (j *job) lost(ctx context.Context, engine *fleet.Engine, err error, took time.Duration) (Result, bool) {
+func (j *job) lost(ctx context.Context, engine *fleet.Engine, err error, sent time.Time) (Result, bool) {
+	took := time.Since(sent)
 	verdict := VerdictFailed
 	if ctx.Err() != nil {
 		verdict = VerdictCanceled
@@ -247,12 +255,49 @@
 		return Result{}, true
 	}
 	j.mayHaveRun = true
+	j.noteBegan(sent)
 	if !j.route.Repeatable() {
 		return j.giveUp(ReasonAnswerLost, false), false
 	}
 	return Result{}, true
 }
 
+// noteBegan notes an attempt that ran or may have run.
+func (j *job) noteBegan(sent time.Time) {
+	if j.beganAt.IsZero() {
+		j.beganAt = sent
+	}
+}
+
+// tellBegan tells of the request if an engine began to run it, of a stream once it has its first byte.
+func (j *job) tellBegan(result *Result) {
+	if j.Began == nil || j.request.Tenant == "" || j.beganAt.IsZero() {
+		return
+	}
+	if result.Stream == nil {
+		j.Began(j.request.Tenant, j.beganAt)
+		return
+	}
+	tenant := j.request.Tenant
+	result.Stream = &firstByteBody{ReadCloser: result.Stream, first: func() { j.Began(tenant, time.Now()) }}
+}
+
+// firstByteBody tells of the first byte that is read.
+type firstByteBody struct {
+	io.ReadCloser
+	first func()
+}
+
+// Read implements io.Reader.
+func (b *firstByteBody) Read(into []byte) (int, error) {
+	n, err := b.ReadCloser.Read(into)
+	if n > 0 && b.first != nil {
+		b.first()
+		b.first = nil
+	}
+	return n, err
+}
+
 // attemptDeadline leaves time for another engine where there may be another attempt.
 func (j *job) attemptDeadline() time.Time {
 	if !j.route.Repeatable() || len(j.tried) >= j.route.MaxAttempts || len(j.state.View().Ready(j.service)) < 2 {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -99,6 +99,16 @@
 	Models []string
 	// TokenCapacity is the memory of an engine, in tokens.
 	TokenCapacity int
+	// Scaling is nil if the service's engines are not ordered by this system.
+	Scaling *Scaling
+}
+
+// Scaling bounds the engines of a service that may be ordered.
+type Scaling struct {
+	// Min and Max are those of each zone.
+	Min, Max int
+	// StartTime is how long an engine that is ordered takes to serve.
+	StartTime time.Duration
 }
 
 // Limits bound what callers may send.
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"slices"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -26,6 +27,7 @@
 	// Coordinators tells gateways where to look for the coordinating process.
 	Coordinators FleetCoordinators `koanf:"coordinators"`
 	Data         FleetData         `koanf:"data"`
+	Duties       FleetDuties       `koanf:"duties"`
 	Log          Log               `koanf:"log"`
 }
 
@@ -74,6 +76,31 @@
 	TextMegabytes int64 `koanf:"textMegabytes" validate:"gte=1,lte=4096"`
 }
 
+// Kinds of duties towards the deployment's platform.
+const (
+	// DutyUsage reports how many requests of each tenant began to run.
+	DutyUsage = "usage"
+	// DutyAutoscale orders engines.
+	DutyAutoscale = "autoscale"
+)
+
+// FleetDuties are the calls to the deployment's platform that fall to the coordinating process.
+type FleetDuties struct {
+	// Address is the platform's host:port; empty if there are no duties.
+	Address string `koanf:"address" validate:"omitempty,hostname_port|tcp_addr"`
+	// Kinds are the duties to be done.
+	Kinds []string `koanf:"kinds" validate:"dive,oneof=usage autoscale"`
+	// UsageWindow is the length of the windows of time in which requests are counted. Default 5s.
+	UsageWindow time.Duration `koanf:"usageWindow" validate:"gte=1s,lte=24h"`
+	// UsageDue is how long after its end a window's report is due. Default 10s.
+	UsageDue time.Duration `koanf:"usageDue" validate:"gte=1s,lte=24h"`
+}
+
+// Include reports whether a duty is to be done.
+func (d FleetDuties) Include(kind string) bool {
+	return d.Address != "" && slices.Contains(d.Kinds, kind)
+}
+
 // FleetTiming holds bounds on time.
 type FleetTiming struct {
 	// StopTimeout bounds a planned stop. Default 8s.
@@ -96,8 +123,9 @@
 			CatchUpTime:    2 * time.Second,
 			BatchRetention: 2 * time.Minute,
 		},
-		Data: FleetData{TextMegabytes: 32},
-		Log:  Log{Level: "info", Format: "logfmt"},
+		Data:   FleetData{TextMegabytes: 32},
+		Duties: FleetDuties{UsageWindow: 5 * time.Second, UsageDue: 10 * time.Second},
+		Log:    Log{Level: "info", Format: "logfmt"},
 	}
 }
 
--- a/internal/settings/fleet_test.go
+++ b/internal/settings/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -30,17 +31,52 @@
 	"data-dir":               "/data/storage",
 }
 
-var gap = regexp.MustCompile(`\{\{([^}]+)\}\}`)
+// dutyFields are those that only deployments with duties have.
+var dutyFields = map[string]string{
+	"cloud-api.address":      "10.200.0.155:8621",
+	"cloud-api.duties":       "usage,autoscale",
+	"bounds.report-window-s": "5",
+	"bounds.usage-late-s":    "10",
+}
+
+var (
+	gap = regexp.MustCompile(`\{\{([^}#/]+)\}\}`)
+	// section is a part that appears if its field is given.
+	section = regexp.MustCompile(`(?s)\{\{#([^}]+)\}\}(.*)\{\{/([^}]+)\}\}`)
+)
 
-// render fills a template of deploy/ as the platform does.
+// render fills a template of deploy/ as the platform does where there are no duties.
 func render(t *testing.T, name string) string {
+	t.Helper()
+	return renderWith(t, name, platformFields)
+}
+
+// renderWith fills a template of deploy/ as the platform does.
+func renderWith(t *testing.T, name string, fields map[string]string) string {
 	t.Helper()
 	template, err := os.ReadFile(filepath.Join("..", "..", "deploy", name))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return gap.ReplaceAllStringFunc(string(template), func(found string) string {
-		value, ok := platformFields[strings.Trim(found, "{}")]
+	return fill(t, name, string(template), fields)
+}
+
+func fill(t *testing.T, name, text string, fields map[string]string) string {
+	t.Helper()
+	for section.MatchString(text) {
+		text = section.ReplaceAllStringFunc(text, func(found string) string {
+			parts := section.FindStringSubmatch(found)
+			if parts[1] != parts[3] {
+				t.Fatalf("%s: section %s ends as %s", name, parts[1], parts[3])
+			}
+			if _, given := fields[parts[1]]; !given {
+				return ""
+			}
+			return parts[2]
+		})
+	}
+	return gap.ReplaceAllStringFunc(text, func(found string) string {
+		value, ok := fields[strings.Trim(found, "{}")]
 		if !ok {
 			t.Fatalf("%s asks for %s", name, found)
 		}
@@ -63,6 +99,21 @@
 		So(coordinator.Timing.LeaseLength, ShouldEqual, 3*time.Second)
 		So(NamesStore([]byte(render(t, "gateway.yaml.tmpl"))), ShouldBeTrue)
 	})
+	Convey("Duties are read where the platform has them", t, func() {
+		fields := maps.Clone(platformFields)
+		maps.Copy(fields, dutyFields)
+		for _, name := range []string{"gateway.yaml.tmpl", "coordinator.yaml.tmpl"} {
+			config, err := LoadFleet(write(t, renderWith(t, name, fields)), nil, nil)
+			So(err, ShouldBeNil)
+			So(config.Duties.Include(DutyUsage), ShouldBeTrue)
+			So(config.Duties.Include(DutyAutoscale), ShouldBeTrue)
+			So(config.Duties.UsageWindow, ShouldEqual, 5*time.Second)
+			So(config.Duties.UsageDue, ShouldEqual, 10*time.Second)
+			config, err = LoadFleet(write(t, render(t, name)), nil, nil)
+			So(err, ShouldBeNil)
+			So(config.Duties.Include(DutyUsage), ShouldBeFalse)
+		}
+	})
 	Convey("A faulty file gives one line that names the field", t, func() {
 		good := render(t, "coordinator.yaml.tmpl")
 		for _, c := range []struct{ old, new, field string }{
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -29,6 +29,7 @@
 	PartBatch       = "batch"
 	PartElection    = "election"
 	PartOrders      = "orders"
+	PartDuties      = "duties"
 )
 
 // NewLogger returns a leveled logger that writes to out. levelName is debug, info, warn or error;
