--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
 )
 
 // windowState is how far a window has come.
@@ -145,10 +146,11 @@
 // merge takes in what another ledger holds, such as the one in the store: of two fixed windows the other's counts stand, as a report of
 // them may have been sent.
 func (l *ledger) merge(other *ledger) {
-	if other.first != 0 {
-		l.first = other.first
-		l.reportedTo = max(l.reportedTo, other.reportedTo)
+	if other.first != 0 && other.first != l.first {
+		// This ledger was begun by a later term, or has been one with the other since it was read.
+		l.first, l.reportedTo = other.first, other.reportedTo
 	}
+	l.reportedTo = max(l.reportedTo, other.reportedTo)
 	for number, theirs := range other.windows {
 		if theirs.State != windowOpen {
 			l.windows[number] = theirs
@@ -183,12 +185,21 @@
 	Windows []byte `json:"windows"`
 }
 
-func (l *ledger) encode(token int64) ([]byte, error) {
-	var packed bytes.Buffer
-	compressor, err := flate.NewWriter(&packed, flate.BestSpeed)
+// compressors are kept for the next ledger: each takes more than a megabyte.
+var compressors = sync.Pool{New: func() any {
+	// The level is one that the package knows.
+	compressor, err := flate.NewWriter(nil, flate.BestSpeed)
 	if err != nil {
-		return nil, err
+		panic(err)
 	}
+	return compressor
+}}
+
+func (l *ledger) encode(token int64) ([]byte, error) {
+	var packed bytes.Buffer
+	compressor := compressors.Get().(*flate.Writer)
+	defer compressors.Put(compressor)
+	compressor.Reset(&packed)
 	if err := gob.NewEncoder(compressor).Encode(l.windows); err != nil {
 		return nil, err
 	}
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -169,6 +169,8 @@
 	r.ledger, r.revision = newLedger(), 0
 	r.sendable, r.sending = nil, make(map[Window]struct{})
 	r.leftBehind, r.leftUntil = make(map[string]metastore.Revision), make(map[string]Window)
+	// A deployment without a ledger reports from here on, however long it takes to write one.
+	r.ledger.begin(WindowOf(r.Clock.At(time.Now()), r.Length))
 	r.mu.Unlock()
 	for ctx.Err() == nil {
 		err := r.keep(ctx, token)
@@ -267,7 +269,6 @@
 func (r *Reporter) encode(token int64) (metastore.Object, []Report, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ledger.begin(WindowOf(r.Clock.At(time.Now()), r.Length))
 	content, err := r.ledger.encode(token)
 	r.dirty = false
 	return metastore.Object{Name: ledgerName, Spec: content, Revision: r.revision}, r.ledger.fixed(), err
