--- a/internal/lab/faultproxy/link.go
+++ b/internal/lab/faultproxy/link.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -29,6 +30,8 @@
 	ctx            context.Context
 	cancel         context.CancelFunc
 	once           sync.Once
+	// silent is true once the link drops everything for good, the end of either stream included.
+	silent atomic.Bool
 	// watching holds the goroutines that wait for the end of a black hole.
 	watching sync.WaitGroup
 }
@@ -118,6 +121,9 @@
 
 // take puts bytes on their way or drops them.
 func (p *pipe) take(bytes []byte) error {
+	if p.link.silent.Load() {
+		return nil
+	}
 	faults, _ := p.state.get()
 	if faults.Blackhole {
 		p.lose()
@@ -159,6 +165,9 @@
 
 // end carries the end of the stream, unless a black hole swallows it: then the link waits for the fault to end.
 func (p *pipe) end() error {
+	if p.link.silent.Load() {
+		return nil
+	}
 	if faults, _ := p.state.get(); faults.Blackhole {
 		p.lost = true
 	}
--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -118,6 +118,13 @@
 	}
 }
 
+// Silence makes every connection that is open drop what it is given from now on, both ways and for good, without a reset. New ones work.
+func (p *Proxy) Silence() {
+	for _, link := range p.openLinks() {
+		link.silent.Store(true)
+	}
+}
+
 // Heal ends every fault; the latency of the configuration stays.
 func (p *Proxy) Heal() {
 	p.Refuse(false)
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -162,8 +162,14 @@
 	nextID  uint64
 	pending map[uint64]*call
 	failed  error
+	// heard is when a reply last arrived, and retired is true once no new call uses the link.
+	heard   time.Time
+	retired bool
 }
 
+// errSilent reports a connection that carried no reply while a call waited until its end.
+var errSilent = errors.New("rpc: connection silent")
+
 // open dials and says hello.
 func (l *link) open() {
 	defer close(l.ready)
@@ -224,7 +230,7 @@
 		return l.notWritten(id, sent, err)
 	}
 	l.client.observe(method, true, size)
-	return l.await(ctx, id, waiting)
+	return l.await(ctx, id, waiting, time.Now())
 }
 
 // notWritten ends a call whose frame was not wholly written.
@@ -240,7 +246,7 @@
 	return fmt.Errorf("%w: %s: %w", ErrNotSent, l.address, err)
 }
 
-func (l *link) await(ctx context.Context, id uint64, waiting *call) error {
+func (l *link) await(ctx context.Context, id uint64, waiting *call, sent time.Time) error {
 	select {
 	case err := <-waiting.done:
 		return err
@@ -250,10 +256,36 @@
 		// The reply has arrived in the meantime and is being decoded into the caller's response.
 		return <-waiting.done
 	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		l.suspect(sent)
+	}
 	l.client.spawn(func() { l.sendCancel(id) })
 	return fmt.Errorf("%w: %s: %w", ErrLost, l.address, ctx.Err())
 }
 
+// suspect retires the link if nothing has arrived since a call was sent that waited until its end: a connection may go silent for good
+// while new ones work, and no acknowledgement of the kernel's shows it. The next call opens another; those that wait on this one go on.
+func (l *link) suspect(sent time.Time) {
+	l.mu.Lock()
+	l.retired = l.retired || l.heard.Before(sent)
+	retired := l.retired
+	l.mu.Unlock()
+	if retired {
+		l.client.forget(l)
+		l.closeIfRetired()
+	}
+}
+
+// closeIfRetired closes a retired link for whose replies nobody waits any more.
+func (l *link) closeIfRetired() {
+	l.mu.Lock()
+	unused := l.retired && len(l.pending) == 0 && l.failed == nil
+	l.mu.Unlock()
+	if unused {
+		l.fail(errSilent)
+	}
+}
+
 // sendCancel tells the server that nobody waits for the reply any more.
 func (l *link) sendCancel(id uint64) {
 	_, _, err := l.writer.write(l.client.ctx, header{ID: id, Cancel: true}, empty{})
@@ -268,6 +300,9 @@
 	if l.failed != nil {
 		return 0, nil, l.failed
 	}
+	if l.retired {
+		return 0, nil, errSilent
+	}
 	l.nextID++
 	waiting := &call{method: method, response: response, done: make(chan error, 1)}
 	l.pending[l.nextID] = waiting
@@ -296,13 +331,21 @@
 			return
 		}
 		l.client.observe("", false, size)
+		l.noteHeard()
 		if err := l.deliver(reader, head); err != nil {
 			l.fail(err)
 			return
 		}
+		l.closeIfRetired()
 	}
 }
 
+func (l *link) noteHeard() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard = time.Now()
+}
+
 // deliver decodes one reply. Replies to calls that have been given up are dropped.
 func (l *link) deliver(reader *frameReader, head header) error {
 	waiting := l.take(head.ID)
--- /dev/null
+++ b/internal/rpc/silent_test.go
@@ -0,0 +1,70 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/lab/faultproxy"
+)
+
+type silentRequest struct{ Wait time.Duration }
+
+type silentReply struct{}
+
+// A connection may go silent for good, without a reset and with every byte acknowledged, while new ones work.
+func TestSilentConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(log.NewNopLogger())
+	Handle(server, func(ctx context.Context, _ Peer, request silentRequest) (silentReply, error) {
+		select {
+		case <-time.After(request.Wait):
+		case <-ctx.Done():
+		}
+		return silentReply{}, nil
+	})
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(listener)
+	}()
+	defer func() {
+		listener.Close()
+		server.Close()
+		<-served
+	}()
+	proxy := faultproxy.New(faultproxy.Config{Target: listener.Addr().String()}, log.NewNopLogger())
+	if err := proxy.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer proxy.Stop(context.Background())
+	client := NewClient(Peer{Name: "caller"}, nil)
+	defer client.Close()
+	ask := func(timeout, wait time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		_, err := Call[silentRequest, silentReply](ctx, client, proxy.Address(), silentRequest{Wait: wait})
+		return err
+	}
+	Convey("One call is lost, and the next is served on another connection", t, func() {
+		So(ask(10*time.Second, 0), ShouldBeNil)
+		proxy.Silence()
+		So(errors.Is(ask(200*time.Millisecond, 0), ErrLost), ShouldBeTrue)
+		So(ask(10*time.Second, 0), ShouldBeNil)
+	})
+	Convey("A call that waits on a connection goes on when another call on it was too slow", t, func() {
+		waiting := make(chan error, 1)
+		go func() { waiting <- ask(10*time.Second, time.Second) }()
+		So(errors.Is(ask(100*time.Millisecond, 5*time.Second), ErrLost), ShouldBeTrue)
+		So(ask(10*time.Second, 0), ShouldBeNil)
+		So(<-waiting, ShouldBeNil)
+	})
+}
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -78,8 +78,6 @@
 const (
 	// journalName is that of the journal of orders.
 	journalName = "orders"
-	// orderTransit is how long after it left an order may reach its engine: the user timeout of connections to engines.
-	orderTransit = 2 * time.Second
 	// callTimeout bounds a call to an engine.
 	callTimeout = 700 * time.Millisecond
 	// loadTime is the time after which a load is first asked for: engines tell their state as it was some time ago.
@@ -193,7 +191,8 @@
 		Holder:      m.Holder,
 		Token:       term.Token,
 		LeaseLength: m.LeaseLength,
-		Transit:     orderTransit,
+		// Orders of two processes are kept a lease length apart: engines that check no fence may judge them so.
+		Transit: m.LeaseLength,
 	})
 	orders.TakeOver(ctx)
 	m.mu.Lock()
