--- a/internal/fleetnode/duties.go
+++ b/internal/fleetnode/duties.go
@@ -28,7 +28,7 @@
 // dutiesJournal is the name of the journal of calls to the deployment's platform.
 const dutiesJournal = "duties"
 
-func newConsensus() *fleettime.Consensus { return fleettime.NewConsensus(time.Now) }
+func newConsensus() *fleettime.Consensus { return fleettime.NewConsensus(fleettime.NewLocal(time.Now)) }
 
 // duties are the calls to the deployment's platform that fall to this process while it coordinates.
 type duties struct {
--- a/internal/fleettime/fleettime.go
+++ b/internal/fleettime/fleettime.go
@@ -1,9 +1,11 @@
 // Package fleettime estimates true time on machines whose clocks may step.
 //
-// A process measures time by its steady clock alone, and takes what is added to it from others: a Consensus from the median of the clocks
-// of several machines, a Remote from the process that holds a Consensus. A step of the clocks of fewer than half of the machines that a
-// Consensus hears changes what it tells by less than the clocks of the others differ; a step of the own clock never changes what a Remote
-// tells once it has heard from its source.
+// A process measures time by its steady clock alone, and takes what is added to it from a wall clock: a Local from that of its machine, a
+// Consensus from the median of the Locals of several machines, a Remote from the process that holds a Consensus.
+//
+// A step of a wall clock counts for its Local once it has lasted for stepPatience. So steps that are taken back before then, on however many
+// machines, change nothing; nor do lasting ones, or clocks that were wrong when their processes began, on fewer than half of the machines
+// that a Consensus hears. A step of the own clock never changes what a Remote tells once it has heard from its source.
 package fleettime
 
 import (
@@ -13,6 +15,12 @@
 )
 
 const (
+	// stepPatience is how long a wall clock must have been ahead or behind before it is believed: clocks that are stepped by mistake are set
+	// right within some seconds, and one that was set right is believed after a minute.
+	stepPatience = time.Minute
+	// maxDrift is the most by which a wall clock may leave the steady clock between two looks without that being a step: clocks that are
+	// disciplined run faster or slower by less than a thousandth.
+	maxDrift = 20 * time.Millisecond
 	// voteLife is how long after it was told a machine's clock counts: candidates tell it several times a second.
 	voteLife = 5 * time.Second
 	// sampleLife is how long a sample with a short round trip is kept rather than one with a longer: steady clocks drift apart by less
@@ -32,48 +40,86 @@
 // steady returns a moment as the wall clock would show it had it not been stepped since the process began to measure.
 func (o origin) steady(moment time.Time) time.Time { return o.began.Round(0).Add(moment.Sub(o.began)) }
 
-// Consensus is the median of the clocks of several machines, its own included. It is safe for concurrent use.
-type Consensus struct {
+// Local is the clock of this machine. It is safe for concurrent use.
+type Local struct {
 	origin origin
 	now    func() time.Time
-	// wall returns what the own wall clock shows at a moment that now has just returned.
-	wall  func(moment time.Time) time.Time
+	// wall returns what the wall clock shows at a moment that now has just returned.
+	wall func(moment time.Time) time.Time
+	mu   sync.Mutex
+	// ahead is by how much the wall clock is believed to be ahead of the steady clock.
+	ahead time.Duration
+	// stepped is by how much it shows to be ahead after a step that is not believed yet, and steppedAt when that was first seen; zero if
+	// there is none.
+	stepped   time.Duration
+	steppedAt time.Time
+}
+
+// NewLocal returns a Local. now is time.Now, but for tests.
+func NewLocal(now func() time.Time) *Local {
+	return &Local{origin: origin{began: now()}, now: now, wall: func(moment time.Time) time.Time { return moment.Round(0) }}
+}
+
+// At implements Clock.
+func (l *Local) At(moment time.Time) time.Time { return l.origin.steady(moment).Add(l.look()) }
+
+// look compares the clocks, and returns by how much the wall clock is believed to be ahead.
+func (l *Local) look() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	shown := l.wall(now).Sub(l.origin.steady(now))
+	switch {
+	case near(shown, l.ahead):
+		l.ahead, l.steppedAt = shown, time.Time{}
+	case l.steppedAt.IsZero() || !near(shown, l.stepped):
+		l.stepped, l.steppedAt = shown, now
+	case now.Sub(l.steppedAt) >= stepPatience:
+		l.ahead, l.steppedAt = shown, time.Time{}
+	default:
+		l.stepped = shown
+	}
+	return l.ahead
+}
+
+func near(a, b time.Duration) bool { return (a - b).Abs() <= maxDrift }
+
+// Consensus is the median of the clocks of several machines, its own included. It is safe for concurrent use.
+type Consensus struct {
+	// Own is the clock of this machine.
+	Own   *Local
 	mu    sync.Mutex
 	votes map[string]vote
 }
 
-// wallReading returns the wall clock's part of a moment.
-func wallReading(moment time.Time) time.Time { return moment.Round(0) }
-
 // vote is by how much another machine's clock is ahead of the steady clock.
 type vote struct {
 	ahead time.Duration
 	at    time.Time
 }
 
-// NewConsensus returns a Consensus of one machine. now is time.Now, but for tests.
-func NewConsensus(now func() time.Time) *Consensus {
-	return &Consensus{origin: origin{began: now()}, now: now, wall: wallReading, votes: make(map[string]vote)}
+// NewConsensus returns a Consensus of one machine.
+func NewConsensus(own *Local) *Consensus {
+	return &Consensus{Own: own, votes: make(map[string]vote)}
 }
 
-// Note takes in what the clock of another machine has just shown. What it is late by, on its way here, counts as if that clock were behind.
+// Note takes in what the Local of another machine has just told. What it is late by, on its way here, counts as if that clock were behind.
 func (c *Consensus) Note(machine string, shown time.Time) {
 	if machine == "" || shown.IsZero() {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.now()
-	c.votes[machine] = vote{ahead: shown.Round(0).Sub(c.origin.steady(now)), at: now}
+	now := c.Own.now()
+	c.votes[machine] = vote{ahead: shown.Round(0).Sub(c.Own.origin.steady(now)), at: now}
 }
 
 // At implements Clock.
 func (c *Consensus) At(moment time.Time) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.now()
-	own := c.wall(now).Sub(c.origin.steady(now))
-	aheads := []time.Duration{own}
+	now := c.Own.now()
+	aheads := []time.Duration{c.Own.look()}
 	for machine, told := range c.votes {
 		if now.Sub(told.at) > voteLife {
 			delete(c.votes, machine)
@@ -82,7 +128,7 @@
 		aheads = append(aheads, told.ahead)
 	}
 	slices.Sort(aheads)
-	return c.origin.steady(moment).Add(aheads[(len(aheads)-1)/2])
+	return c.Own.origin.steady(moment).Add(aheads[(len(aheads)-1)/2])
 }
 
 // Remote is the time that another process tells. Until it has told any, it is that of the own clock. It is safe for concurrent use.
--- a/internal/fleettime/fleettime_test.go
+++ b/internal/fleettime/fleettime_test.go
@@ -21,7 +21,7 @@
 func TestConsensus(t *testing.T) {
 	Convey("A minority of clocks that step does not change the time", t, func() {
 		m := newMachine()
-		clock := NewConsensus(m.now)
+		clock := NewConsensus(NewLocal(m.now))
 		told := func(names string, step time.Duration) {
 			for _, name := range names {
 				clock.Note(string(name), m.now().Add(step))
@@ -35,26 +35,15 @@
 	})
 	Convey("The own clock is one of many", t, func() {
 		m := newMachine()
-		clock := NewConsensus(m.now)
+		clock := NewConsensus(NewLocal(m.now))
 		for _, name := range []string{"a", "b", "c", "d"} {
 			clock.Note(name, m.now().Add(3*time.Second))
 		}
 		So(clock.At(m.now()).Sub(m.now().Round(0)), ShouldEqual, 3*time.Second)
 	})
-	Convey("A step of the own clock does not change the time while others are heard", t, func() {
-		m := newMachine()
-		clock := NewConsensus(m.now)
-		for _, name := range []string{"a", "b"} {
-			clock.Note(name, m.now())
-		}
-		for _, step := range []time.Duration{2 * time.Second, -2 * time.Second} {
-			clock.wall = func(moment time.Time) time.Time { return moment.Round(0).Add(step) }
-			So(clock.At(m.now()).Sub(m.now().Round(0)), ShouldEqual, 0)
-		}
-	})
 	Convey("Machines that are not heard any more do not count", t, func() {
 		m := newMachine()
-		clock := NewConsensus(m.now)
+		clock := NewConsensus(NewLocal(m.now))
 		clock.Note("a", m.now().Add(time.Hour))
 		clock.Note("b", m.now().Add(time.Hour))
 		m.elapsed += voteLife + time.Second
@@ -62,13 +51,55 @@
 	})
 	Convey("An earlier moment is told as it was", t, func() {
 		m := newMachine()
-		clock := NewConsensus(m.now)
+		clock := NewConsensus(NewLocal(m.now))
 		before := m.now()
 		m.elapsed += time.Second
 		So(clock.At(m.now()).Sub(clock.At(before)), ShouldEqual, time.Second)
 	})
 }
 
+func TestLocal(t *testing.T) {
+	// stepped makes the wall clock show more or less than it should.
+	stepped := func(clock *Local, by time.Duration) {
+		clock.wall = func(moment time.Time) time.Time { return moment.Round(0).Add(by) }
+	}
+	Convey("A step that is taken back changes nothing, however often it is looked at", t, func() {
+		m := newMachine()
+		clock := NewLocal(m.now)
+		for _, by := range []time.Duration{2 * time.Second, -6 * time.Second, 0, 2 * time.Second} {
+			stepped(clock, by)
+			for range 20 {
+				m.elapsed += time.Second
+				So(clock.At(m.now()).Sub(m.now().Round(0)), ShouldEqual, 0)
+			}
+		}
+	})
+	Convey("A step that lasts is believed after a while", t, func() {
+		m := newMachine()
+		clock := NewLocal(m.now)
+		stepped(clock, 2*time.Second)
+		clock.At(m.now())
+		m.elapsed += stepPatience
+		So(clock.At(m.now()).Sub(m.now().Round(0)), ShouldEqual, 2*time.Second)
+	})
+	Convey("A wall clock that drifts is followed", t, func() {
+		m := newMachine()
+		clock := NewLocal(m.now)
+		for drift := time.Duration(0); drift < time.Second; drift += maxDrift / 2 {
+			stepped(clock, drift)
+			m.elapsed += time.Second
+			So(clock.At(m.now()).Sub(m.now().Round(0)), ShouldEqual, drift)
+		}
+	})
+	Convey("A consensus does not follow a step of its own clock", t, func() {
+		m := newMachine()
+		own := NewLocal(m.now)
+		clock := NewConsensus(own)
+		stepped(own, 2*time.Second)
+		So(clock.At(m.now()).Sub(m.now().Round(0)), ShouldEqual, 0)
+	})
+}
+
 func TestRemote(t *testing.T) {
 	Convey("The own clock serves until the source has told the time", t, func() {
 		m := newMachine()
