rpc: a client closes also while a call waits on a link that no new call uses

Cause: a retired link was in no list, so that Close waited for its reader for good. Change: retired links are kept until they have failed, closed with the client, and closed once nobody waits on them, also when the last call was given up.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,8 +38,10 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu      sync.Mutex
-	links   map[string]*link
+	mu    sync.Mutex
+	links map[string]*link
+	// retired are the links that no new call uses and that have not failed yet.
+	retired map[*link]struct{}
 	closed  bool
 	running sync.WaitGroup // grows only while not closed
 }
@@ -47,7 +51,7 @@
 	if dial == nil {
 		dial = DialTCP
 	}
-	c := &Client{self: self, dial: dial, links: make(map[string]*link)}
+	c := &Client{self: self, dial: dial, links: make(map[string]*link), retired: make(map[*link]struct{})}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -77,12 +81,12 @@
 // Close ends every connection and waits for the client's goroutines; calls in flight return ErrLost.
 func (c *Client) Close() {
 	c.mu.Lock()
-	links := c.links
-	c.links = make(map[string]*link)
+	open := append(slices.Collect(maps.Values(c.links)), slices.Collect(maps.Keys(c.retired))...)
+	clear(c.links)
 	c.closed = true
 	c.mu.Unlock()
 	c.cancel()
-	for _, l := range links {
+	for _, l := range open {
 		l.fail(net.ErrClosed)
 	}
 	c.running.Wait()
@@ -128,12 +132,24 @@
 	}
 }
 
+// forget drops a link that has failed.
 func (c *Client) forget(l *link) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.links[l.address] == l {
 		delete(c.links, l.address)
 	}
+	delete(c.retired, l)
+}
+
+// retire makes new calls use another link.
+func (c *Client) retire(l *link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.links[l.address] == l {
+		delete(c.links, l.address)
+		c.retired[l] = struct{}{}
+	}
 }
 
 func (c *Client) observe(method string, sent bool, bytes int) {
@@ -259,7 +275,10 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		l.suspect(sent)
 	}
-	l.client.spawn(func() { l.sendCancel(id) })
+	l.client.spawn(func() {
+		l.sendCancel(id)
+		l.closeIfRetired()
+	})
 	return fmt.Errorf("%w: %s: %w", ErrLost, l.address, ctx.Err())
 }
 
@@ -271,8 +290,7 @@
 	retired := l.retired
 	l.mu.Unlock()
 	if retired {
-		l.client.forget(l)
-		l.closeIfRetired()
+		l.client.retire(l)
 	}
 }
 
--- a/internal/rpc/silent_test.go
+++ b/internal/rpc/silent_test.go
@@ -67,4 +67,56 @@
 		So(ask(10*time.Second, 0), ShouldBeNil)
 		So(<-waiting, ShouldBeNil)
 	})
+	Convey("A client closes while a call waits on a connection that no new call uses, and after that call was given up", t, func() {
+		for _, givenUp := range []bool{false, true} {
+			short := NewClient(Peer{Name: "caller"}, nil)
+			ctx, cancel := context.WithCancel(context.Background())
+			waiting := make(chan error, 1)
+			go func() {
+				_, err := Call[silentRequest, silentReply](ctx, short, proxy.Address(), silentRequest{Wait: time.Hour})
+				waiting <- err
+			}()
+			for !waits(short) {
+				time.Sleep(time.Millisecond)
+			}
+			proxy.Silence()
+			limited, stop := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			_, err := Call[silentRequest, silentReply](limited, short, proxy.Address(), silentRequest{})
+			stop()
+			So(errors.Is(err, ErrLost), ShouldBeTrue)
+			if givenUp {
+				cancel()
+				So(errors.Is(<-waiting, ErrLost), ShouldBeTrue)
+			}
+			closed := make(chan struct{})
+			go func() {
+				short.Close()
+				close(closed)
+			}()
+			select {
+			case <-closed:
+			case <-time.After(time.Minute):
+				t.Fatal("the client does not close")
+			}
+			if !givenUp {
+				So(errors.Is(<-waiting, ErrLost), ShouldBeTrue)
+			}
+			cancel()
+		}
+	})
+}
+
+// waits reports whether a call waits for its reply.
+func waits(client *Client) bool {
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	for _, l := range client.links {
+		l.mu.Lock()
+		waiting := len(l.pending)
+		l.mu.Unlock()
+		if waiting > 0 {
+			return true
+		}
+	}
+	return false
 }
