--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -33,6 +33,8 @@
 			statusCommand(streams),
 			explainCommand(streams),
 			stepsCommand(streams),
+			dutiesCommand(streams),
+			tenantsCommand(streams),
 		},
 	}
 }
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -139,6 +139,7 @@
 	Forwarder *forward.Forwarder
 	Batches   batch.Service
 	Stopping  *stopFlag
+	Relay     *storerelay.Client
 }
 
 // gateway serves callers.
@@ -161,6 +162,8 @@
 		Batches:   g.Batches,
 		Logger:    g.logger,
 		Draining:  g.Stopping.Load,
+
+		Unconfirmed: g.unconfirmed,
 	})
 	var err error
 	if g.callers, err = listenHTTP(ctx, g.Settings.Listen.HTTP, ingress); err != nil {
@@ -175,6 +178,12 @@
 	return nil
 }
 
+// unconfirmed reports that nobody has confirmed the configuration for longer than keys may be withdrawn unnoticed.
+func (g *gateway) unconfirmed() bool {
+	timing := g.Timing.current.Load()
+	return timing.StrictRevoke && time.Since(g.Relay.ConfirmedAt(platform.KindConfig)) > timing.RevokeTime
+}
+
 // ready is true while the gateway can serve: it holds a configuration and is not stopping.
 func (g *gateway) ready() bool {
 	return !g.Stopping.Load() && g.State.View().Routes != nil
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -26,6 +27,7 @@
 	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
 	"github.com/covelink/covelink/internal/telemetry"
+	"github.com/covelink/covelink/internal/tenants"
 	"github.com/covelink/covelink/platform"
 )
 
@@ -131,12 +133,13 @@
 }
 
 // serveMetrics serves counters and histograms where the settings say.
-func serveMetrics(hooks fx.Lifecycle, config settings.Fleet, registry *prometheus.Registry, logger log.Logger) {
+func serveMetrics(hooks fx.Lifecycle, config settings.Fleet, registry *prometheus.Registry, state *fleet.State, logger log.Logger) {
 	if config.Listen.Metrics == "" {
 		return
 	}
 	routes := http.NewServeMux()
 	routes.Handle("GET /metrics", telemetry.Handler(registry))
+	routes.HandleFunc("GET "+tenants.ListPath, func(w http.ResponseWriter, _ *http.Request) { listTenants(w, state) })
 	var server *httpServer
 	hooks.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
@@ -152,6 +155,22 @@
 	})
 }
 
+// listTenants answers with the tenants of the configuration in force.
+func listTenants(w http.ResponseWriter, state *fleet.State) {
+	routes := state.View().Routes
+	if routes == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	content, err := json.Marshal(tenants.List{Config: routes.Version, Tenants: routes.Tenants.Listings()})
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(content)
+}
+
 // newCalls returns the client of other nodes' internal addresses.
 func newCalls(config settings.Fleet) *rpc.Client {
 	dialer := netdial.New(netdial.Options{
--- a/internal/routing/admission.go
+++ b/internal/routing/admission.go
@@ -19,19 +19,9 @@
 // noTenant is the name that stands for callers without a known key.
 const noTenant = ""
 
-// Admit tells on behalf of which tenant, by its name, a request by a route is made; empty for none. An open route serves everybody, also
+// Admit tells on behalf of which tenant, by its name, a caller with a key is served; empty for none. What is open serves everybody, also
 // callers whose key is not known.
-func (t *Table) Admit(route *Route, key string) (tenant string, refusal Refusal) {
-	return t.admit(route.Open, key)
-}
-
-// AdmitToJobs is Admit for a call about a batch job that names no route: it is open if a batch route of the host is. Whether the job is
-// the caller's is for whoever holds the job to say.
-func (t *Table) AdmitToJobs(host, key string) (tenant string, refusal Refusal) {
-	return t.admit(t.hasOpenBatchRoute(host), key)
-}
-
-func (t *Table) admit(open bool, key string) (tenant string, refusal Refusal) {
+func (t *Table) Admit(open bool, key string) (tenant string, refusal Refusal) {
 	if t.Tenants == nil {
 		return noTenant, Admitted
 	}
@@ -47,7 +37,9 @@
 	return noTenant, RefusedUnknown
 }
 
-func (t *Table) hasOpenBatchRoute(host string) bool {
+// JobsOpen reports whether calls about batch jobs, which name no route, are open at a host: if a batch route of it is. Whether a job is the
+// caller's is for whoever holds the job to say.
+func (t *Table) JobsOpen(host string) bool {
 	for _, route := range t.routes[strings.ToLower(host)] {
 		if route.Kind == KindBatch && route.Open {
 			return true
--- a/internal/routing/admission_test.go
+++ b/internal/routing/admission_test.go
@@ -31,24 +31,24 @@
 			{&open, "", "", Admitted},
 			{&open, "c", "", Admitted},
 		} {
-			tenant, refusal := table.Admit(c.route, c.key)
+			tenant, refusal := table.Admit(c.route.Open, c.key)
 			So(tenant, ShouldEqual, c.tenant)
 			So(refusal, ShouldEqual, c.refusal)
 		}
 	})
 	Convey("Calls about jobs need a key unless a batch route of the host is open", t, func() {
-		_, refusal := table.AdmitToJobs("a.example", "")
+		_, refusal := table.Admit(table.JobsOpen("a.example"), "")
 		So(refusal, ShouldEqual, RefusedNoKey)
-		_, refusal = table.AdmitToJobs("a.example", "c")
+		_, refusal = table.Admit(table.JobsOpen("a.example"), "c")
 		So(refusal, ShouldEqual, RefusedUnknown)
-		tenant, refusal := table.AdmitToJobs("a.example", "b")
+		tenant, refusal := table.Admit(table.JobsOpen("a.example"), "b")
 		So(refusal, ShouldEqual, Admitted)
 		So(tenant, ShouldEqual, "beta")
-		_, refusal = table.AdmitToJobs("B.example", "")
+		_, refusal = table.Admit(table.JobsOpen("B.example"), "")
 		So(refusal, ShouldEqual, Admitted)
 	})
 	Convey("Without tenants nobody needs a key", t, func() {
-		tenant, refusal := NewTable(1, nil, nil, Limits{}).Admit(&closed, "anything")
+		tenant, refusal := NewTable(1, nil, nil, Limits{}).Admit(closed.Open, "anything")
 		So(refusal, ShouldEqual, Admitted)
 		So(tenant, ShouldBeEmpty)
 	})
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -110,6 +110,11 @@
 	// CatchUpTime is within how long a gateway must know of a change in the store that serves it, even if the coordinating process is
 	// lost at the same moment. Default 2s.
 	CatchUpTime time.Duration `koanf:"catchUpTime" validate:"gte=1s,lte=1m"`
+	// RevokeTime is how long a gateway that hears of the configuration from nobody goes on serving callers by their keys, if StrictRevoke is
+	// true: a key may have been withdrawn since. Default 5s.
+	RevokeTime time.Duration `koanf:"revokeTime" validate:"gte=1s,lte=1h"`
+	// StrictRevoke makes such a gateway refuse callers that need a key; otherwise it serves them by the last configuration that it knows.
+	StrictRevoke bool `koanf:"strictRevoke"`
 	// BatchRetention is how long a batch job is kept after it has ended. Default 2m.
 	BatchRetention time.Duration `koanf:"batchRetention" validate:"gte=1s,lte=24h"`
 }
@@ -121,6 +126,7 @@
 			StopTimeout:    8 * time.Second,
 			LeaseLength:    3 * time.Second,
 			CatchUpTime:    2 * time.Second,
+			RevokeTime:     5 * time.Second,
 			BatchRetention: 2 * time.Minute,
 		},
 		Data:   FleetData{TextMegabytes: 32},
--- a/internal/settings/fleet_test.go
+++ b/internal/settings/fleet_test.go
@@ -37,12 +37,14 @@
 	"cloud-api.duties":       "usage,autoscale",
 	"bounds.report-window-s": "5",
 	"bounds.usage-late-s":    "10",
+	"bounds.revoke-ms":       "4000",
+	"bounds.strict-revoke":   "true",
 }
 
 var (
 	gap = regexp.MustCompile(`\{\{([^}#/]+)\}\}`)
 	// section is a part that appears if its field is given.
-	section = regexp.MustCompile(`(?s)\{\{#([^}]+)\}\}(.*)\{\{/([^}]+)\}\}`)
+	section = regexp.MustCompile(`(?s)\{\{#([^}]+)\}\}((?:[^{]|\{\{[^#/])*?)\{\{/([^}]+)\}\}`)
 )
 
 // render fills a template of deploy/ as the platform does where there are no duties.
@@ -109,8 +111,10 @@
 			So(config.Duties.Include(DutyAutoscale), ShouldBeTrue)
 			So(config.Duties.UsageWindow, ShouldEqual, 5*time.Second)
 			So(config.Duties.UsageDue, ShouldEqual, 10*time.Second)
+			So(config.Timing.StrictRevoke, ShouldEqual, config.Node.Role == RoleGateway)
 			config, err = LoadFleet(write(t, render(t, name)), nil, nil)
 			So(err, ShouldBeNil)
+			So(config.Timing.StrictRevoke, ShouldBeFalse)
 			So(config.Duties.Include(DutyUsage), ShouldBeFalse)
 		}
 	})
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -46,6 +46,8 @@
 	lostAt time.Time
 	// servedAt is when the store began to show the lease to this client; zero while it does not.
 	servedAt time.Time
+	// confirmed is up to when each kind is known to be as the store holds it.
+	confirmed map[string]time.Time
 }
 
 var _ metastore.Follower = (*Client)(nil)
@@ -56,7 +58,11 @@
 		params.Patience = DefaultPatience
 	}
 	c := &Client{ClientParams: params, kinds: make(map[string]*subscription), switched: make(chan struct{}), lostAt: time.Now()}
-	params.Direct.Confirmed = func(kind string, _ metastore.Snapshot) { c.noteServed(kind, true) }
+	c.confirmed = make(map[string]time.Time)
+	params.Direct.Confirmed = func(kind string, _ metastore.Snapshot) {
+		c.noteServed(kind, true)
+		c.noteConfirmed(kind, time.Now())
+	}
 	params.Direct.Doubted = func(kind string) { c.noteServed(kind, false) }
 	params.Direct.MaxWait = c.maxWatchWait
 	return c
@@ -210,6 +216,21 @@
 	return known || time.Since(c.servedAt) >= leaseHeadStart
 }
 
+// ConfirmedAt returns up to when a kind is known to be as the store holds it; zero if it never was.
+func (c *Client) ConfirmedAt(kind string) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmed[kind]
+}
+
+func (c *Client) noteConfirmed(kind string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.confirmed[kind]) {
+		c.confirmed[kind] = at
+	}
+}
+
 // maxWatchWait bounds the waits of watches until the first is answered: only then is it known that the store serves this client.
 func (c *Client) maxWatchWait(string) time.Duration {
 	c.mu.Lock()
@@ -301,6 +322,10 @@
 		}
 		if reply.Fresh && err == nil {
 			known.answered()
+			for kind := range reply.Revisions {
+				// The hub may have answered as early as it was asked.
+				c.noteConfirmed(kind, started.Add(-reply.Age))
+			}
 			c.setRelayed(true, address, nil)
 			continue
 		}
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -224,6 +224,7 @@
 			return PollReply{Changes: h.leaseChange(known), Candidates: reply.Candidates}, nil
 		}
 		reply.Revisions[kind] = relayed.snapshot.Revision
+		reply.Age = max(reply.Age, time.Since(relayed.confirmed))
 		if relayed.news(revision) {
 			reply.Changes = append(reply.Changes, h.since(relayed, kind, revision))
 		}
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -92,6 +92,8 @@
 	Revisions map[string]metastore.Revision
 	// Candidates are the internal addresses of other processes that may coordinate, as far as the hub knows.
 	Candidates []string
+	// Age is for how long the hub has not heard from the store of one of the kinds that were asked for, the longest of them.
+	Age time.Duration
 }
 
 // Change is what changed of a kind up to a revision.
--- a/internal/storerelay/storerelay_test.go
+++ b/internal/storerelay/storerelay_test.go
@@ -42,6 +42,7 @@
 	refused atomic.Bool
 	hub     *storerelay.Hub
 	clients []*observed
+	relays  []*storerelay.Client
 	// relayed counts the objects that the hub has told.
 	relayed atomic.Int64
 	ctx     context.Context
@@ -120,6 +121,7 @@
 		Lease:       leaseKind,
 		Logger:      log.NewNopLogger(),
 	})
+	w.relays = append(w.relays, client)
 	w.running.Go(func() { client.Run(w.ctx) })
 	w.running.Go(func() {
 		client.Follow(w.ctx, kind, metastore.FollowOptions{Wait: watchWait, Changed: found.take})
@@ -253,6 +255,21 @@
 			})
 		}
 	}
+	play(t, "A client knows up to when a kind is confirmed, through a hub, from the store, and while neither answers", 1, func(w *world) {
+		age := func() time.Duration { return time.Since(w.relays[0].ConfirmedAt(kind)) }
+		time.Sleep(3 * time.Second)
+		So(age(), ShouldBeLessThan, 3500*time.Millisecond)
+		w.cut.Store(true)
+		time.Sleep(8 * time.Second)
+		So(age(), ShouldBeLessThan, 3500*time.Millisecond)
+		w.refused.Store(true)
+		time.Sleep(8 * time.Second)
+		So(age(), ShouldBeGreaterThan, 4*time.Second)
+		w.refused.Store(false)
+		w.cut.Store(false)
+		time.Sleep(4 * time.Second)
+		So(age(), ShouldBeLessThan, 3500*time.Millisecond)
+	})
 	play(t, "A hub that hears nothing from the store says so, and changes are learnt without it", 3, func(w *world) {
 		w.write("a", `"1"`)
 		time.Sleep(5 * time.Second)
--- a/internal/tenants/tenants.go
+++ b/internal/tenants/tenants.go
@@ -22,11 +22,13 @@
 type Directory struct {
 	byKey  *secretindex.Index[*Tenant]
 	byName map[string]*Tenant
+	// keyHashes are the beginnings of the keys' hashes, by tenant.
+	keyHashes map[string][]string
 }
 
 // NewDirectory returns a Directory. Of two tenants with one key or one name the first has it.
 func NewDirectory(entries []Entry) *Directory {
-	directory := &Directory{byKey: secretindex.New[*Tenant](), byName: make(map[string]*Tenant, len(entries))}
+	directory := &Directory{byKey: secretindex.New[*Tenant](), byName: make(map[string]*Tenant, len(entries)), keyHashes: make(map[string][]string, len(entries))}
 	for _, entry := range entries {
 		tenant := &Tenant{Name: entry.Name, Priority: entry.Priority}
 		if _, known := directory.byName[entry.Name]; !known {
@@ -36,6 +38,7 @@
 			hash := secretindex.HashOf(key)
 			if _, known := directory.byKey.At(hash); !known {
 				directory.byKey.Put(hash, tenant)
+				directory.keyHashes[entry.Name] = append(directory.keyHashes[entry.Name], hash.Short())
 			}
 		}
 	}
--- a/internal/tenants/tenants_test.go
+++ b/internal/tenants/tenants_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/secretindex"
 )
 
 func TestDirectory(t *testing.T) {
@@ -29,10 +31,19 @@
 		So(directory.Priority("nobody"), ShouldEqual, 0)
 		So(directory.Count(), ShouldEqual, 3)
 	})
+	Convey("Operators are told the names and the beginnings of the keys' hashes", t, func() {
+		listings := directory.Listings()
+		So(listings, ShouldHaveLength, 3)
+		So(listings[0].Name, ShouldEqual, "alpha")
+		So(listings[0].KeyHashes, ShouldContain, secretindex.HashOf("a2").Short())
+		So(listings[0].KeyHashes, ShouldHaveLength, 4)
+		So(listings[2], ShouldResemble, Listing{Name: "gone", Priority: 1})
+	})
 	Convey("A deployment without tenants has none", t, func() {
 		var none *Directory
 		So(none.Holder("a1"), ShouldBeNil)
 		So(none.Priority("alpha"), ShouldEqual, 0)
 		So(none.Count(), ShouldEqual, 0)
+		So(none.Listings(), ShouldBeEmpty)
 	})
 }
