forward, fleetnode: the most urgent tenant's lookup asks a full service first; a gateway that takes no connections is not ready

Cause: a tenant's priority goes before the route's in every order; requests that wait for a full service asked again by turns, whoever was first (test: holder, third, second, first in the order of their pauses; now first, second, third). And readiness said nothing of the callers' listener: a process out of descriptors called itself ready while its callers waited.

Change: requests of one gateway that wait for a service let a more urgent one ask first, each until its own wait is over as before.

--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -184,9 +184,9 @@
 	return timing.StrictRevoke && time.Since(g.Relay.ConfirmedAt(platform.KindConfig)) > timing.RevokeTime
 }
 
-// ready is true while the gateway can serve: it holds a configuration and is not stopping.
+// ready is true while the gateway can serve: it takes connections, holds a configuration and is not stopping.
 func (g *gateway) ready() bool {
-	return !g.Stopping.Load() && g.State.View().Routes != nil
+	return !g.Stopping.Load() && g.State.View().Routes != nil && g.callers.listener.accepting()
 }
 
 // stop sends callers elsewhere, waits until they have noticed, and finishes what is in flight.
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -226,7 +226,7 @@
 
 // httpServer is a listener with its server.
 type httpServer struct {
-	listener net.Listener
+	listener *watchedListener
 	server   *http.Server
 	open     *httpdrain.Connections
 }
@@ -239,7 +239,7 @@
 	}
 	open := httpdrain.New()
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: open.Note}
-	return &httpServer{listener: listener, server: server, open: open}, nil
+	return &httpServer{listener: &watchedListener{Listener: listener}, server: server, open: open}, nil
 }
 
 // drain waits until callers open no more connections, closes the listener and finishes the requests that are on their way.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -100,12 +100,13 @@
 	state     *fleet.State
 	transport Transport
 	picker    *Picker
+	waiting   *waitingRoom
 	logger    log.Logger
 }
 
 // New returns a Forwarder.
 func New(state *fleet.State, transport Transport, picker *Picker, logger log.Logger) *Forwarder {
-	return &Forwarder{state: state, transport: transport, picker: picker, logger: logger}
+	return &Forwarder{state: state, transport: transport, picker: picker, waiting: newWaitingRoom(), logger: logger}
 }
 
 // job is one request on its way.
@@ -114,8 +115,9 @@
 	route   *routing.Route
 	request *Request
 	service string
-	// version is that of the routes that the request came by.
+	// version is that of the routes that the request came by, and rank the request's.
 	version  int64
+	rank     routing.Rank
 	started  time.Time
 	deadline time.Time
 	// tried are the engines that the request was sent to; several attempts at one engine count once.
@@ -140,8 +142,9 @@
 		tried:     make(map[string]struct{}),
 	}
 	if routes := f.state.View().Routes; routes != nil {
-		j.version = routes.Version
+		j.version, j.rank = routes.Version, routes.Rank(route, request.Tenant)
 	}
+	defer f.waiting.leave(j)
 	if route.Timeout > 0 && j.started.Add(route.Timeout).Before(deadline) {
 		j.deadline = j.started.Add(route.Timeout)
 	}
@@ -181,6 +184,15 @@
 		if time.Now().After(waitUntil) {
 			return j.giveUp(ReasonEnginesFull, false)
 		}
+		j.awaitTurn(ctx, waitUntil)
+	}
+}
+
+// awaitTurn waits until a full service may be asked again: after a pause, and once no more urgent request of this process waits for it.
+func (j *job) awaitTurn(ctx context.Context, until time.Time) {
+	j.waiting.enter(j, j.rank)
+	pause.For(ctx, busyPause)
+	for ctx.Err() == nil && time.Now().Before(until) && !j.waiting.isNext(j) {
 		pause.For(ctx, busyPause)
 	}
 }
--- /dev/null
+++ b/internal/forward/waiting_test.go
@@ -0,0 +1,73 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/routing"
+	"github.com/covelink/covelink/internal/tenants"
+)
+
+// oneSlot is an engine that works on one request at a time, and refuses others. It keeps the order in which it took them.
+type oneSlot struct {
+	mu    sync.Mutex
+	busy  bool
+	taken []string
+}
+
+// Send implements Transport.
+func (e *oneSlot) Send(ctx context.Context, _ *fleet.Engine, request *Request, _ SendOptions) (*Answer, error) {
+	e.mu.Lock()
+	if e.busy {
+		e.mu.Unlock()
+		return refused(ctx)
+	}
+	e.busy = true
+	e.taken = append(e.taken, request.ID)
+	e.mu.Unlock()
+	time.Sleep(40 * time.Millisecond)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.busy = false
+	return answer(200, ""), nil
+}
+
+// A tenant's priority goes before the route's also among requests that wait for a full service.
+func TestWaitingOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("Of the requests that wait for a full service the most urgent tenant's is served first, whoever came first", t, func() {
+			route := routing.Route{
+				Host: "h", Prefix: "/", Kind: routing.KindIdempotent, MaxAttempts: 1, LatencyObjective: 10 * time.Second,
+				Targets: []routing.Target{{Service: "s", Weight: 1}},
+			}
+			table := routing.NewTable(1, []routing.Route{route}, nil, routing.Limits{})
+			table.Tenants = tenants.NewDirectory([]tenants.Entry{
+				{Tenant: tenants.Tenant{Name: "first"}},
+				{Tenant: tenants.Tenant{Name: "second", Priority: 1}},
+				{Tenant: tenants.Tenant{Name: "third", Priority: 2}},
+			})
+			state := fleet.NewState()
+			state.SetRoutes(table)
+			state.SetEngines([]*fleet.Engine{{ID: "e", Service: "s", Ready: true}})
+			engine := &oneSlot{}
+			forwarder := New(state, engine, NewPicker(time.Now), log.NewNopLogger())
+			var asking sync.WaitGroup
+			for _, tenant := range []string{"holder", "third", "second", "first"} {
+				asking.Go(func() {
+					request := &Request{ID: tenant, Tenant: tenant}
+					forwarder.Do(context.Background(), table.Match("h", "/"), request, time.Now().Add(time.Minute))
+				})
+				time.Sleep(time.Millisecond)
+			}
+			asking.Wait()
+			So(engine.taken, ShouldResemble, []string{"holder", "first", "second", "third"})
+		})
+	})
+}
