--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -45,6 +45,9 @@
 	Observe func(subject string, err error, took time.Duration)
 }
 
+// TakeOver ends the calls of earlier terms, as often as it takes, until ctx ends.
+func (p *Performer) TakeOver(ctx context.Context) { p.Journal.TakeOver(ctx) }
+
 // Do records a call on a subject and makes it; call must not let it leave after the time it is given. It returns ErrWait if it may not be
 // made yet, the journal's error if it was not recorded, or that of call.
 func (p *Performer) Do(ctx context.Context, subject string, call func(ctx context.Context, stamp Stamp, leaveBy time.Time) error) error {
--- a/internal/fleetnode/duties.go
+++ b/internal/fleetnode/duties.go
@@ -87,6 +87,7 @@
 		}),
 		Observe: d.observe,
 	}
+	performer.TakeOver(ctx)
 	level.Info(d.logger).Log("msg", "duties begun", "token", term.Token)
 	var leading sync.WaitGroup
 	if d.usage != nil {
--- a/internal/usage/kit_test.go
+++ b/internal/usage/kit_test.go
@@ -163,6 +163,7 @@
 	}
 	go func() {
 		defer close(h.done)
+		performer.TakeOver(ctx)
 		h.reporter.Lead(ctx, performer)
 	}()
 	return h
--- a/test/integration/callers_test.go
+++ b/test/integration/callers_test.go
@@ -194,8 +194,10 @@
 			So(both.Wait(), ShouldBeNil)
 
 			var lost errgroup.Group
+			// Read before the asking begins: requests that run before the count is read would be waited for in vain.
+			before := len(r.executions())
 			r.startAsking(&lost, nodes[0], requests, requests)
-			for before := len(r.executions()); len(r.executions()) < before+requests/4; {
+			for len(r.executions()) < before+requests/4 {
 				So(r.pauseBriefly(), ShouldBeNil)
 			}
 			So(r.Node(nodes[0]).Kill(r.ctx), ShouldBeNil)
