quarantine, forward, itemwork: what tells a request that ends engines from one whose connection broke

Cause: the logs of the incident could not tell its hypotheses apart. Two tries of one request bear different IDs, an ended engine and a reset connection read alike, and a request that waits for refused addresses wrote a line each 15 ms (200 KB in two seconds). Change: a fingerprint of what a caller repeats (tenant, method, host, path, body; a hash) on lines of requests that did not end well; each attempt whose connection broke is followed by one dial, whose refusal tells that the engine has ended ("attempt broke", evidence), shared among attempts that broke together; covelink_attempts_broken_total; one line for each engine of a request instead of one for each dial; "engines unreachable" apart from "engines full". No decision changes.

--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -18,6 +18,7 @@
 	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/pause"
+	"github.com/covelink/covelink/internal/quarantine"
 )
 
 const (
@@ -92,7 +93,9 @@
 	State     *fleet.State
 	Transport forward.Transport
 	Forwarder *forward.Forwarder
-	Store     metastore.Client
+	// Witness finds out which runs of this process ended their engines; nil for nobody.
+	Witness *quarantine.Witness
+	Store   metastore.Client
 	// Desk hands runs to workers; nil if this process carries out all of them.
 	Desk *itemwork.Desk
 	// Retention is how long a job is kept after its end; zero means DefaultRetention.
@@ -166,7 +169,7 @@
 	if params.MaxEndedBytes == 0 {
 		params.MaxEndedBytes = DefaultMaxEndedBytes
 	}
-	executor := &itemwork.Executor{State: params.State, Transport: params.Transport, Forwarder: params.Forwarder}
+	executor := &itemwork.Executor{State: params.State, Transport: params.Transport, Forwarder: params.Forwarder, Witness: params.Witness}
 	return &Runner{Params: params, now: time.Now, executor: executor, wake: make(chan struct{}, 1)}
 }
 
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -22,6 +22,7 @@
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
 	"github.com/covelink/covelink/internal/storerelay"
@@ -42,12 +43,13 @@
 	return desk
 }
 
-func newRunner(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder, store metastore.Client,
-	desk *itemwork.Desk, observed *metrics, logger log.Logger) *batchrun.Runner {
+func newRunner(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder,
+	witness *quarantine.Witness, store metastore.Client, desk *itemwork.Desk, observed *metrics, logger log.Logger) *batchrun.Runner {
 	return batchrun.New(batchrun.Params{
 		State:      state,
 		Transport:  transport,
 		Forwarder:  forwarder,
+		Witness:    witness,
 		Store:      store,
 		Desk:       desk,
 		Retention:  config.Timing.BatchRetention,
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
 	"github.com/covelink/covelink/internal/storerelay"
@@ -83,13 +84,13 @@
 }
 
 // newWorker returns what runs batch items for the coordinating process.
-func newWorker(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder, calls *rpc.Client,
-	watcher *election.Watcher, stopping *stopFlag, registry *prometheus.Registry, logger log.Logger) *itemwork.Worker {
+func newWorker(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder,
+	witness *quarantine.Witness, calls *rpc.Client, watcher *election.Watcher, stopping *stopFlag, registry *prometheus.Registry, logger log.Logger) *itemwork.Worker {
 	worker := itemwork.NewWorker(itemwork.WorkerParams{
 		Name:        config.Node.Name,
 		Zone:        config.Node.Zone,
 		Instance:    uuid.NewString(),
-		Executor:    &itemwork.Executor{State: state, Transport: transport, Forwarder: forwarder},
+		Executor:    &itemwork.Executor{State: state, Transport: transport, Forwarder: forwarder, Witness: witness},
 		Coordinator: watcher.Holder,
 		Poll: func(ctx context.Context, address string, request itemwork.PollRequest) (itemwork.PollReply, error) {
 			return itemwork.Poll(ctx, calls, address, request)
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/routing"
 	"github.com/covelink/covelink/internal/telemetry"
 )
@@ -46,6 +47,8 @@
 	usageReports *prometheus.CounterVec
 	usageLost    prometheus.Counter
 	dutyCalls    *prometheus.CounterVec
+	// attemptsBroke counts the attempts whose connection broke, by what was found out about the engine.
+	attemptsBroke *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry, state *fleet.State, lines *telemetry.AsyncWriter) *metrics {
@@ -70,6 +73,7 @@
 	m.usageReports = counter("usage_reports_total", "Windows of time whose use was reported, by whether that was in time.", "result")
 	m.usageLost = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "usage_requests_lost_total", Help: "Requests that were told after the counts of their window were fixed."})
 	m.dutyCalls = counter("duty_calls_total", "Calls to the deployment's platform, by duty and result.", "duty", "result")
+	m.attemptsBroke = counter("attempts_broken_total", "Attempts at engines whose connection broke, by whether the engine had ended.", "evidence")
 	m.engines = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_engines_total", Help: "Engines that requests were sent to."})
 	m.textsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "texts_restored_total", Help: "Batch items that go on after a text which an ended job or an earlier process has left."})
 	m.eventsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "text_events_restored_total", Help: "Events of such texts, which engines need not make again."})
@@ -92,7 +96,8 @@
 		return 0
 	})
 	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.handOvers, jobTime, m.textsRestored, m.eventsRestored, m.checkpoints, m.checkpointFailures, m.results,
-		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, m.usageReports, m.usageLost, m.dutyCalls, newLinesDropped(lines))
+		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, m.usageReports, m.usageLost, m.dutyCalls, m.attemptsBroke,
+		newLinesDropped(lines))
 	return m
 }
 
@@ -178,6 +183,11 @@
 	m.dutyCalls.WithLabelValues(name, resultOf(err)).Inc()
 }
 
+// attemptBroke counts an attempt whose connection broke.
+func (m *metrics) attemptBroke(evidence quarantine.Evidence) {
+	m.attemptsBroke.WithLabelValues(evidence.String()).Inc()
+}
+
 // resultOf names how a call ended.
 func resultOf(err error) string {
 	var conflict *metastore.ConflictError
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -24,6 +24,7 @@
 	"github.com/covelink/covelink/internal/httpdrain"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/netdial"
+	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
 	"github.com/covelink/covelink/internal/telemetry"
@@ -112,15 +113,27 @@
 		func(engines *platform.Engines) forward.Transport { return engines },
 		newCalls,
 		func() *forward.Picker { return forward.NewPicker(time.Now) },
+		newWitness,
 		newForwarder,
 		newTasks,
 	),
 	fx.Invoke(serveMetrics, tellStoreCalls),
 )
 
-func newForwarder(state *fleet.State, transport forward.Transport, picker *forward.Picker, observed *metrics, logger log.Logger) *forward.Forwarder {
+// newWitness returns what finds out whether engines end under what they run.
+func newWitness(engines *platform.Engines, observed *metrics, logger log.Logger) *quarantine.Witness {
+	return quarantine.NewWitness(quarantine.WitnessParams{
+		Prober:  engines,
+		Observe: observed.attemptBroke,
+		Logger:  telemetry.For(logger, telemetry.PartQuarantine),
+	})
+}
+
+func newForwarder(state *fleet.State, transport forward.Transport, picker *forward.Picker, witness *quarantine.Witness, observed *metrics,
+	logger log.Logger) *forward.Forwarder {
 	forwarder := forward.New(state, transport, picker, telemetry.For(logger, telemetry.PartForward))
 	forwarder.Observer = observed
+	forwarder.Witness = witness
 	return forwarder
 }
 
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -13,6 +13,7 @@
 
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/pause"
+	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/routing"
 )
 
@@ -43,6 +44,8 @@
 	ReasonAttemptsUsed Reason = "attempts used"
 	ReasonEnginesFull  Reason = "engines full"
 	ReasonAnswerLost   Reason = "answer lost"
+	// ReasonUnreachable is given where no engine could be sent the request, rather than refused it.
+	ReasonUnreachable Reason = "engines unreachable"
 )
 
 // Result is the end of a request.
@@ -96,7 +99,9 @@
 	Observer Observer
 	// Began is told of each request that an engine began to run, or may have begun, once, with the moment; nil for nobody. Of a stream that is
 	// the moment of its first byte. It must be set before the first request.
-	Began     func(tenant string, at time.Time)
+	Began func(tenant string, at time.Time)
+	// Witness finds out which attempts ended their engines; nil for nobody. It must be set before the first request.
+	Witness   *quarantine.Witness
 	state     *fleet.State
 	transport Transport
 	picker    *Picker
@@ -124,6 +129,8 @@
 	tried map[string]struct{}
 	// mayHaveRun is true once an attempt was lost.
 	mayHaveRun bool
+	// unreachable is true if the last engine that did not take the request could not be sent it.
+	unreachable bool
 	// beganAt is when the first attempt was sent that ran or may have run; zero if there was none.
 	beganAt time.Time
 	failed  int
@@ -182,12 +189,20 @@
 			continue
 		}
 		if time.Now().After(waitUntil) {
-			return j.giveUp(ReasonEnginesFull, false)
+			return j.giveUp(j.reasonNotTaken(), false)
 		}
 		j.awaitTurn(ctx, waitUntil)
 	}
 }
 
+// reasonNotTaken returns why no engine has taken the request.
+func (j *job) reasonNotTaken() Reason {
+	if j.unreachable {
+		return ReasonUnreachable
+	}
+	return ReasonEnginesFull
+}
+
 // awaitTurn waits until a full service may be asked again: after a pause, and once no more urgent request of this process waits for it.
 func (j *job) awaitTurn(ctx context.Context, until time.Time) {
 	j.waiting.enter(j, j.rank)
@@ -216,6 +231,7 @@
 
 // attempt sends the request to the engine. again is true if another attempt may be made.
 func (j *job) attempt(ctx context.Context, engine *fleet.Engine) (result Result, again bool) {
+	_, triedBefore := j.tried[engine.ID]
 	j.tried[engine.ID] = struct{}{}
 	attemptCtx, cancel := context.WithDeadline(ctx, j.attemptDeadline())
 	defer func() {
@@ -230,9 +246,11 @@
 	}
 	took := time.Since(sent)
 	if err != nil {
-		return j.lost(ctx, engine, err, sent)
+		attempt := lostAttempt{engine: engine, err: err, sent: sent, broke: errors.Is(err, ErrBroken) && attemptCtx.Err() == nil, repeated: triedBefore}
+		return j.lost(ctx, attempt)
 	}
 	if answer.NotRun {
+		j.unreachable = false
 		j.picker.Release(engine, busyVerdict(answer), took)
 		return Result{}, true
 	}
@@ -254,20 +272,39 @@
 	return VerdictBusy
 }
 
+// lostAttempt is an attempt without a usable answer.
+type lostAttempt struct {
+	engine *fleet.Engine
+	err    error
+	sent   time.Time
+	// broke is true if the connection broke without a cause on this side.
+	broke bool
+	// repeated is true if the request had been sent to the engine before.
+	repeated bool
+}
+
 // lost handles an attempt without a usable answer.
-func (j *job) lost(ctx context.Context, engine *fleet.Engine, err error, sent time.Time) (Result, bool) {
-	took := time.Since(sent)
+func (j *job) lost(ctx context.Context, attempt lostAttempt) (Result, bool) {
+	engine, err := attempt.engine, attempt.err
+	took := time.Since(attempt.sent)
 	verdict := VerdictFailed
 	if ctx.Err() != nil {
 		verdict = VerdictCanceled
 	}
 	j.picker.Release(engine, verdict, took)
-	level.Debug(j.logger).Log("msg", "attempt lost", "request", j.request.ID, "engine", engine.ID, "took", took, "err", err)
+	if !attempt.repeated {
+		// A request that waits for engines that are gone dials them every 15 ms: one line for each engine tells it.
+		level.Debug(j.logger).Log("msg", "attempt lost", "request", j.request.ID, "engine", engine.ID, "took", took, "err", err)
+	}
 	if errors.Is(err, ErrNotSent) {
+		j.unreachable = true
 		return Result{}, true
 	}
+	if attempt.broke && j.Witness != nil {
+		j.Witness.Broke(j.request.ID, j.request.Fingerprint(), engine)
+	}
 	j.mayHaveRun = true
-	j.noteBegan(sent)
+	j.noteBegan(attempt.sent)
 	if !j.route.Repeatable() {
 		return j.giveUp(ReasonAnswerLost, false), false
 	}
@@ -335,7 +372,7 @@
 	defer answer.Body.Close()
 	content, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
 	if err != nil {
-		return Result{}, errors.Join(ErrLost, err)
+		return Result{}, errors.Join(ErrBroken, err)
 	}
 	result.Body = content
 	return result, nil
@@ -374,11 +411,12 @@
 	if j.Observer != nil {
 		j.Observer.RequestEnded(j.route.Kind, result.Outcome, len(j.tried), time.Since(j.started))
 	}
-	line := level.Info(j.logger)
+	fields := []any{"msg", "request ended", "request", j.request.ID, "route", j.route.Name, "service", j.service, "outcome", result.Outcome,
+		"status", result.Status, "reason", result.Reason, "engines", len(j.tried), "failed", j.failed,
+		"took", time.Since(j.started).Round(time.Millisecond), "config", j.version}
 	if result.Outcome == Completed && result.Status < http.StatusInternalServerError && len(j.tried) == 1 {
-		line = level.Debug(j.logger)
+		_ = level.Debug(j.logger).Log(fields...)
+		return
 	}
-	line.Log("msg", "request ended", "request", j.request.ID, "route", j.route.Name, "service", j.service, "outcome", result.Outcome,
-		"status", result.Status, "reason", result.Reason, "engines", len(j.tried), "failed", j.failed,
-		"took", time.Since(j.started).Round(time.Millisecond), "config", j.version)
+	_ = level.Info(j.logger).Log(append(fields, "fingerprint", j.request.Fingerprint().Short())...)
 }
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/quarantine"
 )
 
 // Request is what a caller sent, for an engine to get unaltered.
@@ -27,6 +29,11 @@
 	Tenant string
 }
 
+// Fingerprint identifies the request among all attempts of its caller.
+func (r *Request) Fingerprint() quarantine.Fingerprint {
+	return quarantine.FingerprintOf(r.Tenant, r.Method, r.Host, r.Target, r.Body)
+}
+
 // SendOptions are what the system adds to an attempt.
 type SendOptions struct {
 	// TimeLeft is what the engine may take; zero sets no bound.
@@ -60,9 +67,11 @@
 	ErrNotSent = errors.New("forward: not sent")
 	// ErrLost reports an attempt without an answer that can be used: the engine may have executed the request.
 	ErrLost = errors.New("forward: answer lost")
+	// ErrBroken is an ErrLost whose connection broke before the answer was whole: the engine may have ended.
+	ErrBroken = fmt.Errorf("%w: connection broke", ErrLost)
 )
 
-// Transport makes one attempt at an engine. The error wraps ErrNotSent or ErrLost. The end of ctx breaks the attempt off, the
+// Transport makes one attempt at an engine. The error wraps ErrNotSent, ErrLost or ErrBroken. The end of ctx breaks the attempt off, the
 // body included.
 type Transport interface {
 	Send(ctx context.Context, engine *fleet.Engine, request *Request, options SendOptions) (*Answer, error)
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -13,6 +14,7 @@
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/pause"
+	"github.com/covelink/covelink/internal/quarantine"
 )
 
 const (
@@ -55,6 +57,8 @@
 	State     *fleet.State
 	Transport forward.Transport
 	Forwarder *forward.Forwarder
+	// Witness finds out which runs ended their engines; nil for nobody.
+	Witness *quarantine.Witness
 	// PermittedUntil returns until when a reward call may run; nil means without end.
 	PermittedUntil func() time.Time
 }
@@ -90,20 +94,22 @@
 	if known, ok := e.State.View().Engines[assignment.Engine.ID]; ok && !known.Ready {
 		return VerdictRefused, nil
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(silenceLimit, cancel)
 	defer silence.Stop()
-	verdict, err := e.send(ctx, assignment, silence, sink)
+	verdict, err := e.send(attemptCtx, assignment, silence, sink)
 	if err != nil && !silence.Stop() {
 		return VerdictBroken, errSilent
 	}
+	if errors.Is(err, forward.ErrBroken) && ctx.Err() == nil && e.Witness != nil {
+		e.Witness.Broke(assignment.Item, assignment.request().Fingerprint(), assignment.engine())
+	}
 	return verdict, err
 }
 
 func (e *Executor) send(ctx context.Context, assignment *Assignment, silence *time.Timer, sink Sink) (Verdict, error) {
-	engine := &fleet.Engine{ID: assignment.Engine.ID, Service: assignment.Engine.Service, Address: assignment.Engine.Address}
-	answer, err := e.Transport.Send(ctx, engine, assignment.request(), assignment.options())
+	answer, err := e.Transport.Send(ctx, assignment.engine(), assignment.request(), assignment.options())
 	if err != nil {
 		return VerdictBroken, err
 	}
@@ -131,6 +137,11 @@
 	return reading.read(answer, silence)
 }
 
+// engine returns the engine of the run.
+func (a *Assignment) engine() *fleet.Engine {
+	return &fleet.Engine{ID: a.Engine.ID, Service: a.Engine.Service, Address: a.Engine.Address}
+}
+
 // request returns what an engine is sent for the item.
 func (a *Assignment) request() *forward.Request {
 	header := make(http.Header, len(a.Header))
@@ -169,7 +180,7 @@
 			return VerdictWhole, nil
 		}
 		if err != nil {
-			return VerdictBroken, err
+			return VerdictBroken, fmt.Errorf("%w: %w", forward.ErrBroken, err)
 		}
 		silence.Reset(silenceLimit)
 		now := time.Now()
--- /dev/null
+++ b/internal/quarantine/witness_test.go
@@ -0,0 +1,93 @@
+package quarantine_test
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/quarantine"
+)
+
+// proberFunc is a function as a quarantine.Prober.
+type proberFunc func(ctx context.Context, engine *fleet.Engine) bool
+
+func (f proberFunc) Ended(ctx context.Context, engine *fleet.Engine) bool { return f(ctx, engine) }
+
+func TestWitness(t *testing.T) {
+	fingerprint := quarantine.FingerprintOf("", "POST", "h", "/a", []byte("body"))
+	engine := &fleet.Engine{ID: "e", Address: "nowhere"}
+	Convey("A broken attempt is told with the request's fingerprint and whether the engine has ended", t, func() {
+		var lines bytes.Buffer
+		var observed []quarantine.Evidence
+		ended := true
+		witness := quarantine.NewWitness(quarantine.WitnessParams{
+			Prober:  proberFunc(func(context.Context, *fleet.Engine) bool { return ended }),
+			Observe: func(evidence quarantine.Evidence) { observed = append(observed, evidence) },
+			Logger:  log.NewLogfmtLogger(&lines),
+		})
+		So(witness.Broke("r1", fingerprint, engine), ShouldEqual, quarantine.EngineEnded)
+		ended = false
+		So(witness.Broke("r2", fingerprint, engine), ShouldEqual, quarantine.EngineListens)
+		So(observed, ShouldResemble, []quarantine.Evidence{quarantine.EngineEnded, quarantine.EngineListens})
+		So(lines.String(), ShouldContainSubstring, `request=r1 fingerprint=`+fingerprint.Short()+` engine=e evidence="engine ended"`)
+		So(lines.String(), ShouldContainSubstring, `request=r2 fingerprint=`+fingerprint.Short()+` engine=e evidence="engine listens"`)
+	})
+	Convey("An engine that does not answer the question is not taken for ended, and holds nobody up for long", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			silent := proberFunc(func(ctx context.Context, _ *fleet.Engine) bool {
+				<-ctx.Done()
+				return false
+			})
+			witness := quarantine.NewWitness(quarantine.WitnessParams{Prober: silent, Logger: log.NewNopLogger()})
+			started := time.Now()
+			evidence := witness.Broke("r", fingerprint, engine)
+			if evidence != quarantine.EngineListens || time.Since(started) > 100*time.Millisecond {
+				t.Errorf("found %v after %v", evidence, time.Since(started))
+			}
+		})
+	})
+	Convey("Attempts that break together at one engine ask once", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			var asked atomic.Int32
+			slow := proberFunc(func(context.Context, *fleet.Engine) bool {
+				asked.Add(1)
+				time.Sleep(10 * time.Millisecond)
+				return true
+			})
+			witness := quarantine.NewWitness(quarantine.WitnessParams{Prober: slow, Logger: log.NewNopLogger()})
+			var attempts sync.WaitGroup
+			for range 6 {
+				attempts.Go(func() { witness.Broke("r", fingerprint, engine) })
+			}
+			attempts.Wait()
+			if asked.Load() != 1 {
+				t.Errorf("asked %d times", asked.Load())
+			}
+		})
+	})
+}
+
+func TestFingerprint(t *testing.T) {
+	base := quarantine.FingerprintOf("tenant", "POST", "host", "/path", []byte("body"))
+	Convey("A fingerprint is that of tenant, method, host, path and body, and of their borders", t, func() {
+		So(quarantine.FingerprintOf("tenant", "POST", "host", "/path", []byte("body")), ShouldEqual, base)
+		for _, other := range []quarantine.Fingerprint{
+			quarantine.FingerprintOf("other", "POST", "host", "/path", []byte("body")),
+			quarantine.FingerprintOf("tenant", "PUT", "host", "/path", []byte("body")),
+			quarantine.FingerprintOf("tenant", "POST", "other", "/path", []byte("body")),
+			quarantine.FingerprintOf("tenant", "POST", "host", "/path?a", []byte("body")),
+			quarantine.FingerprintOf("tenant", "POST", "host", "/path", []byte("bod")),
+			quarantine.FingerprintOf("tenant", "POST", "host/", "path", []byte("body")),
+		} {
+			So(other, ShouldNotEqual, base)
+		}
+	})
+}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -30,6 +30,7 @@
 	PartElection    = "election"
 	PartOrders      = "orders"
 	PartDuties      = "duties"
+	PartQuarantine  = "quarantine"
 )
 
 // NewLogger returns a leveled logger that writes to out. levelName is debug, info, warn or error;
