quarantine: a request that ends the engines that run it is known at every gateway, and held

Cause: the engines that a request may be sent to were bound for one try at one gateway. Tries of one request bear different IDs and come to different gateways, which knew nothing of each other; retries inside one try spread the end of one engine to the next. Class: a bound kept by each process alone where the caller goes round them all. Ruled out: a transport that sends twice (each engine ran each try once); engines that end for a cause of their own (ends follow the sends by 44 to 68 ms). Change: package quarantine. An end is noted by engine start for all that the engine ran; two isolate a request (one engine a try, batch items apart from others like it), three hold it: refused at once as not run. A run that ends well clears it. Gateways tell the coordinating process, and learn the rest with the polls that they make anyway. Held requests are tried twice, one at a time in the fleet, each trial kept in the store before it is granted; then held for an hour, or until an operator releases them. What is held outlives every process, in one object of the store. Elsewhere: batch items had the same fault (eleven more ends in 3 s), reward calls too. First form, not kept: trials in any order and items placed as usual. Two items of a group shared engines by their prompt, were held together and tried together, and the innocent one was given up.

--- a/internal/batchrun/candidates.go
+++ b/internal/batchrun/candidates.go
@@ -170,6 +170,21 @@
 	return best
 }
 
+// chooseApart returns the cheapest engine that runs no item that must run apart, or nil if there is none.
+func (l *look) chooseApart(route *routing.Route, it *item, least int64) *candidate {
+	from := l.pool(route.Pick(draw(it.ID)), it.job.Model)
+	var best *candidate
+	for _, known := range from.byID {
+		if known.record.apart > 0 || known.version < least || !allows(route, it, known.version) {
+			continue
+		}
+		if best == nil || known.before(best) {
+			best = known
+		}
+	}
+	return best
+}
+
 // allows reports whether a weight version may make the next event of an item.
 func allows(route *routing.Route, it *item, version int64) bool {
 	if version < it.job.MinVersion {
--- a/internal/batchrun/engine_record.go
+++ b/internal/batchrun/engine_record.go
@@ -42,7 +42,9 @@
 
 // engineRecord is what the runner knows of an engine beyond the list.
 type engineRecord struct {
-	running  int
+	running int
+	// apart is how many of the running items must run apart from each other.
+	apart    int
 	asideTil time.Time
 	failures int
 	// loading is true while the engine loads weights.
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -7,6 +7,7 @@
 	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/batchlog"
 	"github.com/covelink/covelink/internal/itemwork"
+	"github.com/covelink/covelink/internal/quarantine"
 )
 
 // phase is where an item stands.
@@ -48,6 +49,10 @@
 	preferUntil   time.Time
 	// run is the newest run; nil if there was none.
 	run *run
+	// identity is the fingerprint of the item's request; nil until it is needed.
+	identity *quarantine.Fingerprint
+	// trial is how far the item's trial has come, if it is held.
+	trial trial
 }
 
 // textName is the name under which what was made of the item is kept for a later job, in memory and on disk: an item that comes again
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -83,30 +83,37 @@
 		return 0
 	}
 	left := 0
+	suspects := r.Quarantine != nil && !r.Quarantine.Empty()
 	for _, waiting := range r.waiting(looked.view) {
 		if waiting.item.text.Whole {
 			r.judgeHere(waiting.item)
 			continue
 		}
-		if waiting.item.notBefore.After(looked.now) {
+		if waiting.item.notBefore.After(looked.now) || suspects && r.holdsBack(waiting.item, looked.now) {
 			left++
 			continue
 		}
-		chosen := r.place(looked, waiting)
+		apart := suspects && r.apart(waiting.item)
+		chosen := r.place(looked, waiting, apart)
 		if chosen == nil {
 			left++
 			continue
 		}
-		r.start(waiting.item, waiting.route, chosen.engine)
+		waiting.item.trial = trialNone
+		r.start(waiting.item, waiting.route, chosen.engine, apart)
 		looked.used(chosen)
 	}
 	return left
 }
 
-// place chooses the engine of a waiting item, or nil if none can take it now.
-func (r *Runner) place(looked *look, waiting waitingItem) *candidate {
+// place chooses the engine of a waiting item, or nil if none can take it now. One that must run apart waits for an engine without another
+// such item.
+func (r *Runner) place(looked *look, waiting waitingItem, apart bool) *candidate {
 	it := waiting.item
 	least := r.preferred(looked, waiting.route, it)
+	if apart {
+		return looked.chooseApart(waiting.route, it, least)
+	}
 	events := r.lengths.remaining(it.ExpectedLength, it.text.Len())
 	return looked.chooseUnhurried(waiting.route, it, least, events, time.Duration(unhurriedShare*float64(it.job.longest)))
 }
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -46,6 +46,8 @@
 	// streaming is true until the stream has ended, and over once nothing more is expected of the run.
 	streaming bool
 	over      bool
+	// apart is true if the run shares no engine with others for which it is true.
+	apart bool
 	// moving is true once the run was ended so that the item goes on elsewhere.
 	moving bool
 }
@@ -56,8 +58,8 @@
 	return it.run == current && !it.job.ended && (it.phase == phaseRunning || it.phase == phaseJudging)
 }
 
-// start begins a run at an engine. The mutex must be held.
-func (r *Runner) start(it *item, route *routing.Route, engine *fleet.Engine) {
+// start begins a run at an engine, apart from others or not. The mutex must be held.
+func (r *Runner) start(it *item, route *routing.Route, engine *fleet.Engine, apart bool) {
 	record := r.engine(engine.ID)
 	record.running++
 	r.noteHolder(it.Prefix, engine.ID, record)
@@ -73,6 +75,10 @@
 	}
 	begun := r.newRun(assignment.Run, it, engine.ID)
 	begun.streaming = true
+	if apart {
+		begun.apart = true
+		record.apart++
+	}
 	it.phase = phaseRunning
 	if r.Desk != nil {
 		if worker, ok := r.Desk.Assign(engine, assignment); ok {
@@ -247,6 +253,7 @@
 	now := r.now()
 	ended.streaming = false
 	r.engine(ended.engine).end(verdict, now)
+	r.leaveEngine(ended)
 	r.Observer.AttemptEnded(verdict.String(), report.End.Took)
 	line := level.Info(r.Logger)
 	if verdict == itemwork.VerdictWhole || verdict == itemwork.VerdictCanceled {
@@ -295,6 +302,14 @@
 	}
 }
 
+// leaveEngine lets others that must run apart use the engine of a run whose stream has ended. The mutex must be held.
+func (r *Runner) leaveEngine(ended *run) {
+	if ended.apart {
+		ended.apart = false
+		r.engine(ended.engine).apart--
+	}
+}
+
 // judged lists an item whose reward call has ended. A call that was broken off is made again from here.
 func (r *Runner) judged(ended *run, judgement itemwork.Judgement) {
 	it := ended.item
@@ -341,6 +356,7 @@
 	if lost.streaming {
 		lost.streaming = false
 		r.engine(lost.engine).running--
+		r.leaveEngine(lost)
 		r.Observer.AttemptEnded(lostVerdict, r.now().Sub(lost.started))
 	}
 	level.Info(r.Logger).Log("msg", "attempt ended", "request", it.ID, "job", it.job.ID, "run", lost.id, "worker", lost.worker, "engine", lost.engine,
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -93,9 +93,11 @@
 	State     *fleet.State
 	Transport forward.Transport
 	Forwarder *forward.Forwarder
-	// Witness finds out which runs of this process ended their engines; nil for nobody.
-	Witness *quarantine.Witness
-	Store   metastore.Client
+	// Guard is told which runs of this process ended their engines; nil for nobody.
+	Guard *quarantine.Guard
+	// Quarantine holds items back under which engines have ended; nil for none.
+	Quarantine Quarantine
+	Store      metastore.Client
 	// Desk hands runs to workers; nil if this process carries out all of them.
 	Desk *itemwork.Desk
 	// Retention is how long a job is kept after its end; zero means DefaultRetention.
@@ -169,7 +171,7 @@
 	if params.MaxEndedBytes == 0 {
 		params.MaxEndedBytes = DefaultMaxEndedBytes
 	}
-	executor := &itemwork.Executor{State: params.State, Transport: params.Transport, Forwarder: params.Forwarder, Witness: params.Witness}
+	executor := &itemwork.Executor{State: params.State, Transport: params.Transport, Forwarder: params.Forwarder, Guard: params.Guard}
 	return &Runner{Params: params, now: time.Now, executor: executor, wake: make(chan struct{}, 1)}
 }
 
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -33,7 +33,7 @@
 
 // coordinatorParts are those of a process that may coordinate.
 var coordinatorParts = fx.Options(
-	fx.Provide(newDesk, newRunner, newOrders, newDecommission, newConsensus, newDuties),
+	fx.Provide(newDesk, newRunner, newOrders, newDecommission, newConsensus, newDuties, newKeeper),
 	fx.Invoke(runCoordinator),
 )
 
@@ -44,12 +44,13 @@
 }
 
 func newRunner(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder,
-	witness *quarantine.Witness, store metastore.Client, desk *itemwork.Desk, observed *metrics, logger log.Logger) *batchrun.Runner {
+	guard *quarantine.Guard, held *quarantine.Keeper, store metastore.Client, desk *itemwork.Desk, observed *metrics, logger log.Logger) *batchrun.Runner {
 	return batchrun.New(batchrun.Params{
 		State:      state,
 		Transport:  transport,
 		Forwarder:  forwarder,
-		Witness:    witness,
+		Guard:      guard,
+		Quarantine: held,
 		Store:      store,
 		Desk:       desk,
 		Retention:  config.Timing.BatchRetention,
@@ -98,6 +99,7 @@
 	Leaving   *decommission.Manager
 	Clock     *fleettime.Consensus
 	Duties    *duties
+	Held      *quarantine.Keeper
 	Metrics   *metrics
 	Calls     *rpc.Client
 	Tasks     *tasks
@@ -146,6 +148,7 @@
 		Leading:    c.elector.Leading,
 		Essence:    platform.GatewayEssence,
 		Relays:     platform.GatewayFollows,
+		Quarantine: c.Held.Table,
 		Lease:      election.KindLeases,
 		Candidates: c.candidates.Addresses,
 		Logger:     telemetry.For(c.Logger, telemetry.PartFleet),
@@ -156,6 +159,8 @@
 	batchrpc.Register(c.server, c.Runner, c)
 	itemwork.Register(c.server, c.Desk)
 	c.Duties.register(c.server)
+	c.Held.Leading = c.elector.Leading
+	quarantine.Register(c.server, c.Held)
 	go c.serve()
 	c.Tasks.run(c.Outage.Run)
 	c.Tasks.run(c.elector.Run)
@@ -228,6 +233,7 @@
 	leading.Go(func() { c.Runner.Lead(ctx, term.Token) })
 	leading.Go(func() { c.Orders.Lead(ctx, term) })
 	leading.Go(func() { c.Leaving.Lead(ctx) })
+	leading.Go(func() { c.Held.Lead(ctx) })
 	leading.Go(func() { c.Duties.lead(ctx, term) })
 	leading.Wait()
 }
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -28,7 +28,7 @@
 // gatewayParts are those of a process that takes callers' requests.
 var gatewayParts = fx.Options(
 	fx.Provide(newStoreRelay, newLeaseWatcher, newBatchClient, newWorker, newUsageClock, newMeter, func() *stopFlag { return &stopFlag{} }),
-	fx.Invoke(alwaysFollowFleet, runStoreRelay, runWorker, meterRequests, runGateway),
+	fx.Invoke(alwaysFollowFleet, runStoreRelay, shareQuarantine, runWorker, meterRequests, runGateway),
 )
 
 // alwaysFollowFleet keeps the state at what the store holds from start to stop.
@@ -41,17 +41,19 @@
 }
 
 // newStoreRelay returns what follows the store through the coordinating process.
-func newStoreRelay(config settings.Fleet, calls *rpc.Client, direct *metastore.Followers, logger log.Logger) *storerelay.Client {
+func newStoreRelay(config settings.Fleet, calls *rpc.Client, direct *metastore.Followers, suspects *quarantine.Table,
+	logger log.Logger) *storerelay.Client {
 	poll := func(ctx context.Context, address string, request storerelay.PollRequest) (storerelay.PollReply, error) {
 		return storerelay.Poll(ctx, calls, address, request)
 	}
 	return storerelay.NewClient(storerelay.ClientParams{
-		Direct:   direct,
-		Poll:     poll,
-		Seeds:    config.Coordinators.Seeds,
-		Lease:    election.KindLeases,
-		Patience: storerelay.PatienceWithin(config.Timing.CatchUpTime),
-		Logger:   telemetry.For(logger, telemetry.PartFleet),
+		Direct:     direct,
+		Poll:       poll,
+		Seeds:      config.Coordinators.Seeds,
+		Quarantine: suspects,
+		Lease:      election.KindLeases,
+		Patience:   storerelay.PatienceWithin(config.Timing.CatchUpTime),
+		Logger:     telemetry.For(logger, telemetry.PartFleet),
 	})
 }
 
@@ -85,12 +87,12 @@
 
 // newWorker returns what runs batch items for the coordinating process.
 func newWorker(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder,
-	witness *quarantine.Witness, calls *rpc.Client, watcher *election.Watcher, stopping *stopFlag, registry *prometheus.Registry, logger log.Logger) *itemwork.Worker {
+	guard *quarantine.Guard, calls *rpc.Client, watcher *election.Watcher, stopping *stopFlag, registry *prometheus.Registry, logger log.Logger) *itemwork.Worker {
 	worker := itemwork.NewWorker(itemwork.WorkerParams{
 		Name:        config.Node.Name,
 		Zone:        config.Node.Zone,
 		Instance:    uuid.NewString(),
-		Executor:    &itemwork.Executor{State: state, Transport: transport, Forwarder: forwarder, Witness: witness},
+		Executor:    &itemwork.Executor{State: state, Transport: transport, Forwarder: forwarder, Guard: guard},
 		Coordinator: watcher.Holder,
 		Poll: func(ctx context.Context, address string, request itemwork.PollRequest) (itemwork.PollReply, error) {
 			return itemwork.Poll(ctx, calls, address, request)
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -49,6 +49,8 @@
 	dutyCalls    *prometheus.CounterVec
 	// attemptsBroke counts the attempts whose connection broke, by what was found out about the engine.
 	attemptsBroke *prometheus.CounterVec
+	// guarded counts decisions on requests under which engines have ended.
+	guarded *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry, state *fleet.State, lines *telemetry.AsyncWriter) *metrics {
@@ -74,6 +76,7 @@
 	m.usageLost = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "usage_requests_lost_total", Help: "Requests that were told after the counts of their window were fixed."})
 	m.dutyCalls = counter("duty_calls_total", "Calls to the deployment's platform, by duty and result.", "duty", "result")
 	m.attemptsBroke = counter("attempts_broken_total", "Attempts at engines whose connection broke, by whether the engine had ended.", "evidence")
+	m.guarded = counter("quarantine_decisions_total", "Decisions on requests under which engines have ended.", "decision")
 	m.engines = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_engines_total", Help: "Engines that requests were sent to."})
 	m.textsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "texts_restored_total", Help: "Batch items that go on after a text which an ended job or an earlier process has left."})
 	m.eventsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "text_events_restored_total", Help: "Events of such texts, which engines need not make again."})
@@ -96,7 +99,7 @@
 		return 0
 	})
 	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.handOvers, jobTime, m.textsRestored, m.eventsRestored, m.checkpoints, m.checkpointFailures, m.results,
-		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, m.usageReports, m.usageLost, m.dutyCalls, m.attemptsBroke,
+		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, m.usageReports, m.usageLost, m.dutyCalls, m.attemptsBroke, m.guarded,
 		newLinesDropped(lines))
 	return m
 }
@@ -188,6 +191,11 @@
 	m.attemptsBroke.WithLabelValues(evidence.String()).Inc()
 }
 
+// guardDecided counts a decision on a request under which engines have ended.
+func (m *metrics) guardDecided(decision quarantine.Decision) {
+	m.guarded.WithLabelValues(string(decision)).Inc()
+}
+
 // resultOf names how a call ended.
 func resultOf(err error) string {
 	var conflict *metastore.ConflictError
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -113,27 +113,19 @@
 		func(engines *platform.Engines) forward.Transport { return engines },
 		newCalls,
 		func() *forward.Picker { return forward.NewPicker(time.Now) },
-		newWitness,
+		func() *quarantine.Table { return quarantine.NewTable(time.Now) },
+		newGuard,
 		newForwarder,
 		newTasks,
 	),
 	fx.Invoke(serveMetrics, tellStoreCalls),
 )
 
-// newWitness returns what finds out whether engines end under what they run.
-func newWitness(engines *platform.Engines, observed *metrics, logger log.Logger) *quarantine.Witness {
-	return quarantine.NewWitness(quarantine.WitnessParams{
-		Prober:  engines,
-		Observe: observed.attemptBroke,
-		Logger:  telemetry.For(logger, telemetry.PartQuarantine),
-	})
-}
-
-func newForwarder(state *fleet.State, transport forward.Transport, picker *forward.Picker, witness *quarantine.Witness, observed *metrics,
+func newForwarder(state *fleet.State, transport forward.Transport, picker *forward.Picker, guard *quarantine.Guard, observed *metrics,
 	logger log.Logger) *forward.Forwarder {
 	forwarder := forward.New(state, transport, picker, telemetry.For(logger, telemetry.PartForward))
 	forwarder.Observer = observed
-	forwarder.Witness = witness
+	forwarder.Guard = guard
 	return forwarder
 }
 
@@ -146,13 +138,15 @@
 }
 
 // serveMetrics serves counters and histograms where the settings say.
-func serveMetrics(hooks fx.Lifecycle, config settings.Fleet, registry *prometheus.Registry, state *fleet.State, logger log.Logger) {
+func serveMetrics(hooks fx.Lifecycle, config settings.Fleet, registry *prometheus.Registry, state *fleet.State, guard *quarantine.Guard,
+	logger log.Logger) {
 	if config.Listen.Metrics == "" {
 		return
 	}
 	routes := http.NewServeMux()
 	routes.Handle("GET /metrics", telemetry.Handler(registry))
 	routes.HandleFunc("GET "+tenants.ListPath, func(w http.ResponseWriter, _ *http.Request) { listTenants(w, state) })
+	quarantine.Handle(routes, guard)
 	var server *httpServer
 	hooks.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -46,6 +46,8 @@
 	ReasonAnswerLost   Reason = "answer lost"
 	// ReasonUnreachable is given where no engine could be sent the request, rather than refused it.
 	ReasonUnreachable Reason = "engines unreachable"
+	// ReasonHeld is given for requests under which too many engines have ended.
+	ReasonHeld Reason = "held"
 )
 
 // Result is the end of a request.
@@ -100,8 +102,8 @@
 	// Began is told of each request that an engine began to run, or may have begun, once, with the moment; nil for nobody. Of a stream that is
 	// the moment of its first byte. It must be set before the first request.
 	Began func(tenant string, at time.Time)
-	// Witness finds out which attempts ended their engines; nil for nobody. It must be set before the first request.
-	Witness   *quarantine.Witness
+	// Guard refuses requests that end the engines that run them; nil admits all. It must be set before the first request.
+	Guard     *quarantine.Guard
 	state     *fleet.State
 	transport Transport
 	picker    *Picker
@@ -135,6 +137,10 @@
 	beganAt time.Time
 	failed  int
 	last    *Result
+	// once is true if the request goes to no further engine once one may have run it.
+	once bool
+	// identity is the request's fingerprint; nil until it is needed.
+	identity *quarantine.Fingerprint
 }
 
 // Do forwards the request by the route until the deadline. The end of ctx means that the caller has left.
@@ -155,13 +161,31 @@
 	if route.Timeout > 0 && j.started.Add(route.Timeout).Before(deadline) {
 		j.deadline = j.started.Add(route.Timeout)
 	}
-	result := j.run(ctx)
+	result := j.admitted(ctx)
 	result.FailedAttempts = j.failed
 	j.tellBegan(&result)
 	j.report(result)
 	return result
 }
 
+// admitted runs the request unless it is held.
+func (j *job) admitted(ctx context.Context) Result {
+	admission := j.Guard.Admit(ctx, j.request.ID, j.fingerprint)
+	if admission.Refused {
+		return Result{Outcome: NotRun, Reason: ReasonHeld, RetryAfter: admission.RetryAfter}
+	}
+	j.once = admission.Isolated
+	return j.run(ctx)
+}
+
+func (j *job) fingerprint() quarantine.Fingerprint {
+	if j.identity == nil {
+		identity := j.request.Fingerprint()
+		j.identity = &identity
+	}
+	return *j.identity
+}
+
 func (j *job) run(ctx context.Context) Result {
 	waitUntil := j.started.Add(j.maxWait())
 	for {
@@ -180,7 +204,7 @@
 			return result
 		}
 		if j.mayHaveRun || j.last != nil {
-			if len(j.tried) >= j.route.MaxAttempts {
+			if j.once || len(j.tried) >= j.route.MaxAttempts {
 				return j.giveUp(ReasonAttemptsUsed, false)
 			}
 			continue
@@ -242,7 +266,7 @@
 	sent := time.Now()
 	answer, err := j.transport.Send(attemptCtx, engine, j.request, SendOptions{TimeLeft: time.Until(j.deadline)})
 	if err == nil {
-		result, err = j.read(answer, cancel)
+		result, err = j.read(attemptCtx, engine, answer, cancel)
 	}
 	took := time.Since(sent)
 	if err != nil {
@@ -300,8 +324,9 @@
 		j.unreachable = true
 		return Result{}, true
 	}
-	if attempt.broke && j.Witness != nil {
-		j.Witness.Broke(j.request.ID, j.request.Fingerprint(), engine)
+	if attempt.broke && !j.Guard.Broke(j.request.ID, j.fingerprint(), engine) {
+		// Retries of one try are how a request that ends engines reaches the next one soonest: two ended 57 ms apart.
+		j.once = true
 	}
 	j.mayHaveRun = true
 	j.noteBegan(attempt.sent)
@@ -358,7 +383,7 @@
 }
 
 // read takes in an answer. An answer that is passed on as it arrives keeps the attempt's context until it is closed.
-func (j *job) read(answer *Answer, cancel context.CancelFunc) (Result, error) {
+func (j *job) read(ctx context.Context, engine *fleet.Engine, answer *Answer, cancel context.CancelFunc) (Result, error) {
 	result := Result{Outcome: Completed, Status: answer.Status, Header: answer.Header, Signature: answer.Signature}
 	success := answer.Status >= 200 && answer.Status < 300
 	if success && !answer.Valid {
@@ -366,7 +391,7 @@
 		return Result{}, ErrLost
 	}
 	if success && j.route.Kind == routing.KindStream {
-		result.Stream = &cancelingBody{ReadCloser: answer.Body, cancel: cancel}
+		result.Stream = &streamBody{ReadCloser: answer.Body, cancel: cancel, ended: func(err error) { j.streamEnded(ctx, engine, err) }}
 		return result, nil
 	}
 	defer answer.Body.Close()
@@ -375,17 +400,42 @@
 		return Result{}, errors.Join(ErrBroken, err)
 	}
 	result.Body = content
+	if !answer.NotRun {
+		j.Guard.Completed(j.request.ID, j.fingerprint)
+	}
 	return result, nil
 }
 
-// cancelingBody ends an attempt's context with its body.
-type cancelingBody struct {
+// streamEnded takes in how an answer ended that was passed on as it arrived.
+func (j *job) streamEnded(ctx context.Context, engine *fleet.Engine, err error) {
+	switch {
+	case errors.Is(err, io.EOF):
+		j.Guard.Completed(j.request.ID, j.fingerprint)
+	case ctx.Err() == nil:
+		j.Guard.Broke(j.request.ID, j.fingerprint(), engine)
+	}
+}
+
+// streamBody ends an attempt's context with its body, and tells how that ended.
+type streamBody struct {
 	io.ReadCloser
 	cancel context.CancelFunc
+	// ended is called with the first error that a read returns, io.EOF among them; nil after that.
+	ended func(err error)
+}
+
+// Read implements io.Reader.
+func (b *streamBody) Read(into []byte) (int, error) {
+	n, err := b.ReadCloser.Read(into)
+	if err != nil && b.ended != nil {
+		b.ended(err)
+		b.ended = nil
+	}
+	return n, err
 }
 
 // Close implements io.Closer.
-func (b *cancelingBody) Close() error {
+func (b *streamBody) Close() error {
 	b.cancel()
 	return b.ReadCloser.Close()
 }
@@ -418,5 +468,5 @@
 		_ = level.Debug(j.logger).Log(fields...)
 		return
 	}
-	_ = level.Info(j.logger).Log(append(fields, "fingerprint", j.request.Fingerprint().Short())...)
+	_ = level.Info(j.logger).Log(append(fields, "fingerprint", j.fingerprint().Short())...)
 }
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -57,8 +57,8 @@
 	State     *fleet.State
 	Transport forward.Transport
 	Forwarder *forward.Forwarder
-	// Witness finds out which runs ended their engines; nil for nobody.
-	Witness *quarantine.Witness
+	// Guard is told which runs ended their engines, and which did not; nil for nobody.
+	Guard *quarantine.Guard
 	// PermittedUntil returns until when a reward call may run; nil means without end.
 	PermittedUntil func() time.Time
 }
@@ -102,12 +102,20 @@
 	if err != nil && !silence.Stop() {
 		return VerdictBroken, errSilent
 	}
-	if errors.Is(err, forward.ErrBroken) && ctx.Err() == nil && e.Witness != nil {
-		e.Witness.Broke(assignment.Item, assignment.request().Fingerprint(), assignment.engine())
-	}
+	e.tellGuard(ctx, assignment, verdict, err)
 	return verdict, err
 }
 
+// tellGuard tells whether the engine has outlived the run. The end of ctx means that the run was ended from here.
+func (e *Executor) tellGuard(ctx context.Context, assignment *Assignment, verdict Verdict, err error) {
+	switch {
+	case verdict == VerdictWhole || verdict == VerdictFailed || verdict == VerdictImpossible:
+		e.Guard.Completed(assignment.Item, assignment.Fingerprint)
+	case errors.Is(err, forward.ErrBroken) && ctx.Err() == nil:
+		e.Guard.Broke(assignment.Item, assignment.Fingerprint(), assignment.engine())
+	}
+}
+
 func (e *Executor) send(ctx context.Context, assignment *Assignment, silence *time.Timer, sink Sink) (Verdict, error) {
 	answer, err := e.Transport.Send(ctx, assignment.engine(), assignment.request(), assignment.options())
 	if err != nil {
@@ -142,6 +150,9 @@
 	return &fleet.Engine{ID: a.Engine.ID, Service: a.Engine.Service, Address: a.Engine.Address}
 }
 
+// Fingerprint identifies the item among all that its tenant sends.
+func (a *Assignment) Fingerprint() quarantine.Fingerprint { return a.request().Fingerprint() }
+
 // request returns what an engine is sent for the item.
 func (a *Assignment) request() *forward.Request {
 	header := make(http.Header, len(a.Header))
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 )
 
 // fingerprintLength is the length of a Fingerprint in bytes: a caller cannot find two requests with one fingerprint in less than 2^64 tries.
@@ -29,6 +30,15 @@
 	return Fingerprint(hash.Sum(nil)[:fingerprintLength])
 }
 
+// ParseFingerprint reads a fingerprint from its form in hex.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	content, err := hex.DecodeString(text)
+	if err != nil || len(content) != fingerprintLength {
+		return Fingerprint{}, fmt.Errorf("quarantine: %q is no fingerprint", text)
+	}
+	return Fingerprint(content), nil
+}
+
 // String returns the fingerprint in hex.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- /dev/null
+++ b/internal/quarantine/keeper_test.go
@@ -0,0 +1,210 @@
+package quarantine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/metastore/metastoretest"
+	"github.com/covelink/covelink/internal/quarantine"
+)
+
+// term is a process that coordinates from its start to its end.
+type term struct {
+	*quarantine.Keeper
+	end func()
+}
+
+func lead(store metastore.Client) *term {
+	ctx, cancel := context.WithCancel(context.Background())
+	keeper := quarantine.NewKeeper(quarantine.KeeperParams{
+		Table:   quarantine.NewTable(time.Now),
+		Store:   store,
+		Leading: func() bool { return ctx.Err() == nil },
+		Logger:  log.NewNopLogger(),
+	})
+	var leading sync.WaitGroup
+	leading.Go(func() { keeper.Lead(ctx) })
+	return &term{Keeper: keeper, end: func() { cancel(); leading.Wait() }}
+}
+
+func (s *term) hold(of quarantine.Fingerprint) {
+	for i := range 3 {
+		s.Table.Blame(of, fmt.Sprint("engine-", i))
+	}
+}
+
+// unreachable is a store that takes no write.
+type unreachable struct{ metastore.Client }
+
+var errAway = errors.New("store away")
+
+func (unreachable) Create(context.Context, string, metastore.Object) (metastore.Object, error) {
+	return metastore.Object{}, errAway
+}
+
+func (unreachable) Replace(context.Context, string, metastore.Object) (metastore.Object, error) {
+	return metastore.Object{}, errAway
+}
+
+func TestKeeper(t *testing.T) {
+	bad, other := fingerprint("bad"), fingerprint("other")
+	t.Run("what is held, and its trials, outlive every process", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			store := metastoretest.New()
+			first := lead(store.Client())
+			first.hold(bad)
+			time.Sleep(3 * time.Second)
+			if reply := first.Try(t.Context(), bad); !reply.Granted {
+				t.Errorf("no trial after 3 s: %+v", reply)
+			}
+			first.end()
+			second := lead(store.Client())
+			defer second.end()
+			time.Sleep(time.Second)
+			standing, wait := second.Standing(bad)
+			if standing != quarantine.Held || wait < 25*time.Second {
+				t.Errorf("%v, to be tried after %v", standing, wait)
+			}
+		})
+	})
+	t.Run("a trial is granted once, whoever asks", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			leader := lead(metastoretest.New().Client())
+			defer leader.end()
+			leader.hold(bad)
+			time.Sleep(3 * time.Second)
+			granted := 0
+			for range 7 {
+				if leader.TryKnown(t.Context(), leader.Table.Record(bad)).Granted {
+					granted++
+				}
+			}
+			if granted != 1 {
+				t.Errorf("granted %d times", granted)
+			}
+		})
+	})
+	t.Run("two held requests are tried one after the other", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			leader := lead(metastoretest.New().Client())
+			defer leader.end()
+			leader.hold(bad)
+			leader.hold(other)
+			time.Sleep(3 * time.Second)
+			if !leader.Try(t.Context(), bad).Granted {
+				t.Error("the first got no trial")
+			}
+			if reply := leader.Try(t.Context(), other); reply.Granted || reply.Wait <= 0 {
+				t.Errorf("tried beside the first: %+v", reply)
+			}
+			leader.Table.Blame(bad, "engine-3")
+			if !leader.Try(t.Context(), other).Granted {
+				t.Error("no trial after the end of the first")
+			}
+		})
+	})
+	t.Run("a trial that the store does not record is not granted, and not lost", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			leader := lead(unreachable{metastoretest.New().Client()})
+			defer leader.end()
+			leader.hold(bad)
+			time.Sleep(3 * time.Second)
+			if leader.Try(t.Context(), bad).Granted {
+				t.Error("granted")
+			}
+			if record := leader.Table.Record(bad); record.Trials != 0 {
+				t.Errorf("%d trials noted", record.Trials)
+			}
+		})
+	})
+	t.Run("a process whose term is over grants nothing", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			leader := lead(metastoretest.New().Client())
+			leader.hold(bad)
+			time.Sleep(3 * time.Second)
+			leader.end()
+			if reply := leader.Try(t.Context(), bad); reply.Granted || reply.Leading {
+				t.Errorf("%+v", reply)
+			}
+		})
+	})
+	t.Run("of two processes that both believe that they coordinate, one grants", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			store := metastoretest.New()
+			first, second := lead(store.Client()), lead(store.Client())
+			defer first.end()
+			defer second.end()
+			first.hold(bad)
+			time.Sleep(time.Second)
+			second.Table.Merge(first.Table.List())
+			time.Sleep(2 * time.Second)
+			granted := 0
+			for _, leader := range []*term{first, second, first, second} {
+				if leader.Try(t.Context(), bad).Granted {
+					granted++
+				}
+			}
+			if granted != 1 {
+				t.Errorf("granted %d times", granted)
+			}
+		})
+	})
+}
+
+func TestTeller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		holder := quarantine.Term{Address: "first", Token: 1}
+		told := make(map[quarantine.Term][]quarantine.Record)
+		attempts := 0
+		table := quarantine.NewTable(time.Now)
+		teller := quarantine.NewTeller(quarantine.TellerParams{
+			Table: table,
+			Coordinator: func() quarantine.Term {
+				mu.Lock()
+				defer mu.Unlock()
+				return holder
+			},
+			Send: func(_ context.Context, _ string, request quarantine.TellRequest) (quarantine.TellReply, error) {
+				mu.Lock()
+				defer mu.Unlock()
+				attempts++
+				if attempts == 1 {
+					return quarantine.TellReply{}, errAway
+				}
+				told[holder] = append(told[holder], request.Records...)
+				return quarantine.TellReply{Leading: true}, nil
+			},
+			Logger: log.NewNopLogger(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { teller.Run(ctx) })
+		time.Sleep(time.Second)
+		table.Blame(fingerprint("found"), "engine-0")
+		table.Merge([]quarantine.Record{{Fingerprint: fingerprint("learnt"), Engines: []string{"engine-1"}}})
+		time.Sleep(time.Second)
+		mu.Lock()
+		if len(told[holder]) != 1 || told[holder][0].Fingerprint != fingerprint("found") {
+			t.Errorf("told the first: %+v", told[holder])
+		}
+		holder = quarantine.Term{Address: "second", Token: 2}
+		mu.Unlock()
+		time.Sleep(time.Second)
+		mu.Lock()
+		if len(told[holder]) != 2 {
+			t.Errorf("told the second: %+v", told[holder])
+		}
+		mu.Unlock()
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/pause"
+	"github.com/covelink/covelink/internal/quarantine"
 )
 
 // ClientParams are what a Client works with.
@@ -24,6 +25,8 @@
 	Coordinator func() string
 	// Seeds are internal addresses of processes that may coordinate, known from the start. They may be out of date.
 	Seeds []string
+	// Quarantine takes in what hubs know of requests under which engines have ended; nil for nobody.
+	Quarantine *quarantine.Table
 	// Lease is the kind that tells who coordinates. A client that knows nobody to ask follows it in the store at once.
 	Lease string
 	// Patience is how long the client waits for a hub to answer again before it follows the store itself; zero means DefaultPatience.
@@ -48,6 +51,8 @@
 	servedAt time.Time
 	// confirmed is up to when each kind is known to be as the store holds it.
 	confirmed map[string]time.Time
+	// quarantined is up to where the last hub's table is known. It belongs to Run.
+	quarantined quarantine.Cursor
 }
 
 var _ metastore.Follower = (*Client)(nil)
@@ -315,6 +320,7 @@
 		}
 		if err == nil {
 			known.learn(reply.Candidates)
+			c.learnQuarantine(reply.Quarantine)
 			err = c.apply(reply)
 		}
 		if ctx.Err() != nil {
@@ -339,7 +345,7 @@
 }
 
 func (c *Client) poll(ctx context.Context, address string) (PollReply, error) {
-	request := PollRequest{Known: c.known(), Wait: pollWait}
+	request := PollRequest{Known: c.known(), Quarantine: c.quarantined, Wait: pollWait}
 	relayed, _ := c.mode()
 	if !relayed {
 		// The first poll only asks whether the hub is of use. One that is not may still wait for news of who coordinates.
@@ -350,6 +356,15 @@
 	return c.Poll(ctx, address, request)
 }
 
+// learnQuarantine takes in what is new in a hub's table.
+func (c *Client) learnQuarantine(news quarantine.News) {
+	if c.Quarantine == nil || news.Cursor == (quarantine.Cursor{}) {
+		return
+	}
+	c.Quarantine.Merge(news.Records)
+	c.quarantined = news.Cursor
+}
+
 // known returns up to which revision each kind is known; zero for those that are not.
 func (c *Client) known() map[string]metastore.Revision {
 	known := make(map[string]metastore.Revision)
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/quarantine"
 )
 
 // HubParams are what a Hub works with.
@@ -26,6 +27,8 @@
 	Relays func(kind string) bool
 	// Lease is the kind that tells who coordinates. It is told also while the process does not coordinate.
 	Lease string
+	// Quarantine is the table that pollers learn from; nil for none.
+	Quarantine *quarantine.Table
 	// Candidates returns the internal addresses of other processes that may coordinate; nil if they are not known.
 	Candidates func() []string
 	// Logger may be nil.
@@ -195,18 +198,34 @@
 	defer cancel()
 	for {
 		reply, changed := h.changes(request.Known)
-		if len(reply.Changes) > 0 || changed == nil {
+		news, found := h.found(request.Quarantine)
+		reply.Quarantine = news
+		if len(reply.Changes) > 0 || len(news.Records) > 0 || changed == nil {
 			return reply
 		}
 		select {
 		case <-changed:
+		case <-found:
 		case <-ctx.Done():
 			reply, _ = h.changes(request.Known)
+			reply.Quarantine, _ = h.found(request.Quarantine)
 			return reply
 		}
 	}
 }
 
+// found returns what is new in the table, and a channel that is closed when there may be more; nil if there is no table.
+func (h *Hub) found(known quarantine.Cursor) (quarantine.News, <-chan struct{}) {
+	if h.Quarantine == nil {
+		return quarantine.News{}, nil
+	}
+	news, changed := h.Quarantine.Since(known)
+	if news.Cursor == known {
+		return quarantine.News{}, changed
+	}
+	return news, changed
+}
+
 // changes returns what there is to tell now, and a channel that is closed when that may be more; nil if waiting for it is of no use.
 func (h *Hub) changes(known map[string]metastore.Revision) (reply PollReply, changed <-chan struct{}) {
 	leading := h.Leading()
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -10,6 +10,9 @@
 // A hub whose process does not coordinate tells callers who does, as far as it knows, so that hundreds of clients that look for the
 // coordinating process ask the other candidates and not the store.
 //
+// Polls also carry what the processes tell each other of requests under which engines have ended (package quarantine): it is news to all of
+// them, and they ask the coordinating process anyway.
+//
 // Guarantees: what a Client hands out for a kind never goes back to an earlier revision. A hub of which a call to the store has
 // failed, or that has not heard from it for maxAge, says so, and a poll that is not answered within pollWait and pollMargin counts as
 // lost. After either, a Client follows the store itself unless a hub answers within its Patience: first the lease, and the other kinds
@@ -21,6 +24,7 @@
 	"time"
 
 	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/rpc"
 )
 
@@ -78,6 +82,8 @@
 type PollRequest struct {
 	// Known maps each kind to the revision up to which the caller knows it; zero for one of which it knows nothing.
 	Known map[string]metastore.Revision
+	// Quarantine is up to where the caller knows the hub's table of requests under which engines have ended.
+	Quarantine quarantine.Cursor
 	// Wait bounds how long the hub waits for a change.
 	Wait time.Duration
 }
@@ -90,6 +96,8 @@
 	Changes []Change
 	// Revisions maps each kind that was asked for to the revision up to which the hub knows it.
 	Revisions map[string]metastore.Revision
+	// Quarantine is what is new in the hub's table of requests under which engines have ended, whether or not it is Fresh.
+	Quarantine quarantine.News
 	// Candidates are the internal addresses of other processes that may coordinate, as far as the hub knows.
 	Candidates []string
 	// Age is for how long the hub has not heard from the store of one of the kinds that were asked for, the longest of them.
