--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -35,6 +35,7 @@
 			stepsCommand(streams),
 			dutiesCommand(streams),
 			tenantsCommand(streams),
+			quarantineCommand(streams),
 		},
 	}
 }
--- a/internal/ctl/tenants.go
+++ b/internal/ctl/tenants.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"text/tabwriter"
-	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -16,12 +14,6 @@
 	"github.com/covelink/covelink/internal/tenants"
 )
 
-const (
-	flagMetrics = "metrics"
-	// tenantsTimeout bounds the call: the answer is in the gateway's memory.
-	tenantsTimeout = 5 * time.Second
-)
-
 func tenantsCommand(streams commandline.Streams) *cli.Command {
 	return &cli.Command{
 		Name:  "tenants",
@@ -39,23 +31,9 @@
 }
 
 func listTenants(ctx context.Context, address string, out io.Writer) error {
-	ctx, cancel := context.WithTimeout(ctx, tenantsTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+tenants.ListPath, nil)
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("tenants: %s answered with status %d", address, response.StatusCode)
-	}
 	var list tenants.List
-	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
-		return fmt.Errorf("tenants: %w", err)
+	if err := callDebug(ctx, http.MethodGet, address, tenants.ListPath, &list); err != nil {
+		return err
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(table, "CONFIG\tTENANT\tPRIORITY\tKEYS\n")
--- a/internal/quarantine/listing.go
+++ b/internal/quarantine/listing.go
@@ -8,9 +8,9 @@
 
 const (
 	// ListPath is where a process lists the requests under which engines have ended, with GET.
-	ListPath = "/quarantine"
+	ListPath = "/debug/quarantine"
 	// ReleasePath is where an operator has a request released, with POST: the fingerprint in hex follows.
-	ReleasePath = "/quarantine/release/"
+	ReleasePath = "/debug/quarantine/release/"
 	// fingerprintField names the part of the path.
 	fingerprintField = "fingerprint"
 )
