--- /dev/null
+++ b/internal/storerelay/quarantine_test.go
@@ -0,0 +1,55 @@
+package storerelay_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/metastore/metastoretest"
+	"github.com/covelink/covelink/internal/quarantine"
+	"github.com/covelink/covelink/internal/storerelay"
+)
+
+// What a hub's table takes in reaches clients with the polls that they make anyway, at once, whether or not the hub serves them otherwise.
+func TestQuarantineIsRelayed(t *testing.T) {
+	for name, leading := range map[string]bool{"a hub that coordinates": true, "a hub that does not": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				table, learnt := quarantine.NewTable(time.Now), quarantine.NewTable(time.Now)
+				hub := storerelay.NewHub(storerelay.HubParams{Leading: func() bool { return leading }, Lease: leaseKind, Quarantine: table})
+				client := storerelay.NewClient(storerelay.ClientParams{
+					Direct: metastore.NewFollowers(metastoretest.New().Client()),
+					Poll: func(ctx context.Context, _ string, request storerelay.PollRequest) (storerelay.PollReply, error) {
+						return hub.Poll(ctx, request), nil
+					},
+					Coordinator: func() string { return "hub" },
+					Lease:       leaseKind,
+					Quarantine:  learnt,
+					Logger:      log.NewNopLogger(),
+				})
+				var running sync.WaitGroup
+				running.Go(func() { client.Run(ctx) })
+				time.Sleep(2 * time.Second)
+				suspect := quarantine.FingerprintOf("", "POST", "h", "/", nil)
+				table.Blame(suspect, "engine-0")
+				time.Sleep(500 * time.Millisecond)
+				if standing, _ := learnt.Standing(suspect); standing != quarantine.Suspect {
+					t.Errorf("half a second after: %v", standing)
+				}
+				table.Acquit(suspect)
+				time.Sleep(500 * time.Millisecond)
+				if standing, _ := learnt.Standing(suspect); standing != quarantine.Clear {
+					t.Errorf("half a second after it was cleared: %v", standing)
+				}
+				cancel()
+				running.Wait()
+			})
+		})
+	}
+}
