boottime: permits, requests' time left, confirmations and windows are judged by a clock that counts suspensions

Cause: Go's monotonic clock stands still while a machine is suspended. A permit for 700 ms still looked valid after a sleep of ten seconds, an engine was told that a caller waits for as long as before, a configuration looked confirmed, and use was counted in windows that were over. Change: package boottime adds to Go's clock what CLOCK_BOOTTIME is ahead of CLOCK_MONOTONIC by; it follows virtual time in tests, which simulate suspensions. Used by permits, duty calls and orders to engines (looked at once more as the body is written, after connecting), internal/forward and its callers, hubs and their clients, workers' permits, the clocks of usage. A line and a histogram for each suspension.

--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -15,6 +15,7 @@
 
 	"github.com/covelink/covelink/internal/batchrpc"
 	"github.com/covelink/covelink/internal/batchrun"
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/decommission"
 	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleet"
@@ -202,7 +203,7 @@
 var errNotLeading = errors.New("not coordinating")
 
 func (c *coordinator) ping(ctx context.Context, address, instance string) (unserved time.Duration, err error) {
-	request := batchrpc.PingRequest{Instance: instance, Candidate: c.address(), Now: c.Clock.Own.At(time.Now())}
+	request := batchrpc.PingRequest{Instance: instance, Candidate: c.address(), Now: c.Clock.Own.At(boottime.Now())}
 	reply, err := rpc.Call[batchrpc.PingRequest, batchrpc.PingReply](ctx, c.Calls, address, request)
 	if err == nil && !reply.Leading {
 		err = errNotLeading
--- a/internal/fleetnode/duties.go
+++ b/internal/fleetnode/duties.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/duty"
 	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/enginescale"
@@ -28,7 +29,9 @@
 // dutiesJournal is the name of the journal of calls to the deployment's platform.
 const dutiesJournal = "duties"
 
-func newConsensus() *fleettime.Consensus { return fleettime.NewConsensus(fleettime.NewLocal(time.Now)) }
+func newConsensus() *fleettime.Consensus {
+	return fleettime.NewConsensus(fleettime.NewLocal(boottime.Now))
+}
 
 // duties are the calls to the deployment's platform that fall to this process while it coordinates.
 type duties struct {
@@ -99,7 +102,7 @@
 	leading.Wait()
 }
 
-func newUsageClock() *fleettime.Remote { return fleettime.NewRemote(time.Now) }
+func newUsageClock() *fleettime.Remote { return fleettime.NewRemote(boottime.Now) }
 
 // newMeter returns what counts requests; nil if their use is not reported.
 func newMeter(config settings.Fleet, clock *fleettime.Remote) *usage.Meter {
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/batchrpc"
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
@@ -184,7 +185,7 @@
 // unconfirmed reports that nobody has confirmed the configuration for longer than keys may be withdrawn unnoticed.
 func (g *gateway) unconfirmed() bool {
 	timing := g.Timing.current.Load()
-	return timing.StrictRevoke && time.Since(g.Relay.ConfirmedAt(platform.KindConfig)) > timing.RevokeTime
+	return timing.StrictRevoke && boottime.Since(g.Relay.ConfirmedAt(platform.KindConfig)) > timing.RevokeTime
 }
 
 // ready is true while the gateway can serve: it takes connections, holds a configuration and is not stopping.
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/httpdrain"
@@ -113,12 +114,12 @@
 		func(engines *platform.Engines) forward.Transport { return engines },
 		newCalls,
 		func() *forward.Picker { return forward.NewPicker(time.Now) },
-		func() *quarantine.Table { return quarantine.NewTable(time.Now) },
+		func() *quarantine.Table { return quarantine.NewTable(boottime.Now) },
 		newGuard,
 		newForwarder,
 		newTasks,
 	),
-	fx.Invoke(serveMetrics, tellStoreCalls),
+	fx.Invoke(serveMetrics, tellStoreCalls, tellSuspensions),
 )
 
 func newForwarder(state *fleet.State, transport forward.Transport, picker *forward.Picker, guard *quarantine.Guard, observed *metrics,
--- a/internal/fleettime/fleettime.go
+++ b/internal/fleettime/fleettime.go
@@ -12,6 +12,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/covelink/covelink/internal/boottime"
 )
 
 const (
@@ -30,7 +32,7 @@
 
 // Clock tells true time.
 type Clock interface {
-	// At returns the true time at a moment that time.Now returned in this process.
+	// At returns the true time at a moment that boottime.Now returned in this process.
 	At(moment time.Time) time.Time
 }
 
@@ -55,9 +57,9 @@
 	steppedAt time.Time
 }
 
-// NewLocal returns a Local. now is time.Now, but for tests.
+// NewLocal returns a Local. now is boottime.Now, but for tests.
 func NewLocal(now func() time.Time) *Local {
-	return &Local{origin: origin{began: now()}, now: now, wall: func(moment time.Time) time.Time { return moment.Round(0) }}
+	return &Local{origin: origin{began: now()}, now: now, wall: boottime.Wall}
 }
 
 // At implements Clock.
@@ -146,7 +148,7 @@
 	at        time.Time
 }
 
-// NewRemote returns a Remote that has heard nothing. now is time.Now, but for tests.
+// NewRemote returns a Remote that has heard nothing. now is boottime.Now, but for tests.
 func NewRemote(now func() time.Time) *Remote {
 	return &Remote{origin: origin{began: now()}, now: now}
 }
@@ -180,7 +182,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.sample.at.IsZero() {
-		return moment.Round(0)
+		return boottime.Wall(moment)
 	}
 	return r.origin.steady(moment).Add(r.sample.ahead)
 }
--- a/internal/forward/crashing_test.go
+++ b/internal/forward/crashing_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/quarantine"
@@ -226,7 +227,7 @@
 			mu.Lock()
 			gateway := gateways[random.IntN(len(gateways))]
 			mu.Unlock()
-			result = gateway.Do(ctx, gateway.state.View().Routes.Match("h", target), request, time.Now().Add(800*time.Millisecond))
+			result = gateway.Do(ctx, gateway.state.View().Routes.Match("h", target), request, boottime.Now().Add(800*time.Millisecond))
 			if result.Outcome == Completed || target == "/crash" && try == 0 {
 				break
 			}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/quarantine"
@@ -99,7 +100,7 @@
 type Forwarder struct {
 	// Observer may be nil. It must be set before the first request.
 	Observer Observer
-	// Began is told of each request that an engine began to run, or may have begun, once, with the moment; nil for nobody. Of a stream that is
+	// Began is told of each request that an engine began to run, or may have begun, once, with the moment of boottime; nil for nobody. Of a stream that is
 	// the moment of its first byte. It must be set before the first request.
 	Began func(tenant string, at time.Time)
 	// Guard refuses requests that end the engines that run them; nil admits all. It must be set before the first request.
@@ -143,14 +144,14 @@
 	identity *quarantine.Fingerprint
 }
 
-// Do forwards the request by the route until the deadline. The end of ctx means that the caller has left.
+// Do forwards the request by the route until the deadline, a moment of boottime. The end of ctx means that the caller has left.
 func (f *Forwarder) Do(ctx context.Context, route *routing.Route, request *Request, deadline time.Time) Result {
 	j := &job{
 		Forwarder: f,
 		route:     route,
 		request:   request,
 		service:   route.Pick(rand.Float64()),
-		started:   time.Now(),
+		started:   boottime.Now(),
 		deadline:  deadline,
 		tried:     make(map[string]struct{}),
 	}
@@ -189,7 +190,7 @@
 func (j *job) run(ctx context.Context) Result {
 	waitUntil := j.started.Add(j.maxWait())
 	for {
-		if time.Until(j.deadline) < minAttemptTime {
+		if boottime.Until(j.deadline) < minAttemptTime {
 			return j.giveUp(ReasonDeadline, true)
 		}
 		if ctx.Err() != nil {
@@ -212,7 +213,7 @@
 		if len(j.tried) < j.route.MaxAttempts && len(j.tried) < len(j.state.View().Ready(j.service)) {
 			continue
 		}
-		if time.Now().After(waitUntil) {
+		if boottime.Now().After(waitUntil) {
 			return j.giveUp(j.reasonNotTaken(), false)
 		}
 		j.awaitTurn(ctx, waitUntil)
@@ -231,7 +232,7 @@
 func (j *job) awaitTurn(ctx context.Context, until time.Time) {
 	j.waiting.enter(j, j.rank)
 	pause.For(ctx, busyPause)
-	for ctx.Err() == nil && time.Now().Before(until) && !j.waiting.isNext(j) {
+	for ctx.Err() == nil && boottime.Now().Before(until) && !j.waiting.isNext(j) {
 		pause.For(ctx, busyPause)
 	}
 }
@@ -257,18 +258,18 @@
 func (j *job) attempt(ctx context.Context, engine *fleet.Engine) (result Result, again bool) {
 	_, triedBefore := j.tried[engine.ID]
 	j.tried[engine.ID] = struct{}{}
-	attemptCtx, cancel := context.WithDeadline(ctx, j.attemptDeadline())
+	attemptCtx, cancel := context.WithTimeout(ctx, boottime.Until(j.attemptDeadline()))
 	defer func() {
 		if result.Stream == nil {
 			cancel()
 		}
 	}()
-	sent := time.Now()
-	answer, err := j.transport.Send(attemptCtx, engine, j.request, SendOptions{TimeLeft: time.Until(j.deadline)})
+	sent := boottime.Now()
+	answer, err := j.transport.Send(attemptCtx, engine, j.request, SendOptions{TimeLeft: boottime.Until(j.deadline)})
 	if err == nil {
 		result, err = j.read(attemptCtx, engine, answer, cancel)
 	}
-	took := time.Since(sent)
+	took := boottime.Since(sent)
 	if err != nil {
 		attempt := lostAttempt{engine: engine, err: err, sent: sent, broke: errors.Is(err, ErrBroken) && attemptCtx.Err() == nil, repeated: triedBefore}
 		return j.lost(ctx, attempt)
@@ -310,7 +311,7 @@
 // lost handles an attempt without a usable answer.
 func (j *job) lost(ctx context.Context, attempt lostAttempt) (Result, bool) {
 	engine, err := attempt.engine, attempt.err
-	took := time.Since(attempt.sent)
+	took := boottime.Since(attempt.sent)
 	verdict := VerdictFailed
 	if ctx.Err() != nil {
 		verdict = VerdictCanceled
@@ -353,7 +354,7 @@
 		return
 	}
 	tenant := j.request.Tenant
-	result.Stream = &firstByteBody{ReadCloser: result.Stream, first: func() { j.Began(tenant, time.Now()) }}
+	result.Stream = &firstByteBody{ReadCloser: result.Stream, first: func() { j.Began(tenant, boottime.Now()) }}
 }
 
 // firstByteBody tells of the first byte that is read.
@@ -378,8 +379,8 @@
 		return j.deadline
 	}
 	patience := max(minPatience, time.Duration(patienceObjectives*float64(j.route.LatencyObjective)))
-	patience = min(patience, time.Until(j.deadline)/2)
-	return time.Now().Add(patience)
+	patience = min(patience, boottime.Until(j.deadline)/2)
+	return boottime.Now().Add(patience)
 }
 
 // read takes in an answer. An answer that is passed on as it arrives keeps the attempt's context until it is closed.
@@ -459,11 +460,11 @@
 // report logs the decision. Requests that were completed as they should are told at the debug level.
 func (j *job) report(result Result) {
 	if j.Observer != nil {
-		j.Observer.RequestEnded(j.route.Kind, result.Outcome, len(j.tried), time.Since(j.started))
+		j.Observer.RequestEnded(j.route.Kind, result.Outcome, len(j.tried), boottime.Since(j.started))
 	}
 	fields := []any{"msg", "request ended", "request", j.request.ID, "route", j.route.Name, "service", j.service, "outcome", result.Outcome,
 		"status", result.Status, "reason", result.Reason, "engines", len(j.tried), "failed", j.failed,
-		"took", time.Since(j.started).Round(time.Millisecond), "config", j.version}
+		"took", boottime.Since(j.started).Round(time.Millisecond), "config", j.version}
 	if result.Outcome == Completed && result.Status < http.StatusInternalServerError && len(j.tried) == 1 {
 		_ = level.Debug(j.logger).Log(fields...)
 		return
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/routing"
 )
@@ -103,9 +104,9 @@
 		})
 		forwarder := New(state, s, NewPicker(time.Now), log.NewNopLogger())
 		Convey(name, t, func() {
-			started := time.Now()
+			started := boottime.Now()
 			result := forwarder.Do(t.Context(), state.View().Routes.Match("h", "/1"), &Request{ID: "r"}, started.Add(time.Second))
-			check(result, s, time.Since(started))
+			check(result, s, boottime.Since(started))
 		})
 	})
 }
@@ -170,7 +171,7 @@
 		Convey("Once the caller has left nothing more is sent", t, func() {
 			ctx, cancel := context.WithTimeoutCause(t.Context(), 100*time.Millisecond, errors.New("left"))
 			defer cancel()
-			result := forwarder.Do(ctx, state.View().Routes.Match("h", "/1"), &Request{ID: "r"}, time.Now().Add(5*time.Second))
+			result := forwarder.Do(ctx, state.View().Routes.Match("h", "/1"), &Request{ID: "r"}, boottime.Now().Add(5*time.Second))
 			So(result.Outcome, ShouldEqual, Unknown)
 			So(len(s.sends), ShouldEqual, 1)
 		})
--- a/internal/forward/held_test.go
+++ b/internal/forward/held_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/routing"
@@ -50,7 +51,7 @@
 func do(t *testing.T, forwarder *Forwarder, id string) Result {
 	t.Helper()
 	request := &Request{ID: id, Method: http.MethodPost, Host: "h", Target: "/1", Body: []byte("same")}
-	return forwarder.Do(t.Context(), forwarder.state.View().Routes.Match("h", "/1"), request, time.Now().Add(time.Second))
+	return forwarder.Do(t.Context(), forwarder.state.View().Routes.Match("h", "/1"), request, boottime.Now().Add(time.Second))
 }
 
 func TestTriesThatEndEngines(t *testing.T) {
--- a/internal/forward/waiting_test.go
+++ b/internal/forward/waiting_test.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/routing"
 	"github.com/covelink/covelink/internal/tenants"
@@ -62,7 +63,7 @@
 			for _, tenant := range []string{"holder", "third", "second", "first"} {
 				asking.Go(func() {
 					request := &Request{ID: tenant, Tenant: tenant}
-					forwarder.Do(context.Background(), table.Match("h", "/"), request, time.Now().Add(time.Minute))
+					forwarder.Do(context.Background(), table.Match("h", "/"), request, boottime.Now().Add(time.Minute))
 				})
 				time.Sleep(time.Millisecond)
 			}
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/eventstream"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
@@ -59,7 +60,7 @@
 	Forwarder *forward.Forwarder
 	// Guard is told which runs ended their engines, and which did not; nil for nobody.
 	Guard *quarantine.Guard
-	// PermittedUntil returns until when a reward call may run; nil means without end.
+	// PermittedUntil returns until when, by boottime, a reward call may run; nil means without end.
 	PermittedUntil func() time.Time
 }
 
@@ -241,8 +242,8 @@
 	failures := 0
 	for ctx.Err() == nil {
 		route := e.State.View().Routes.Match(reward.Host, reward.Path)
-		deadline := e.judgeDeadline(time.Now())
-		if route == nil || time.Until(deadline) < minJudgeTime {
+		deadline := e.judgeDeadline(boottime.Now())
+		if route == nil || boottime.Until(deadline) < minJudgeTime {
 			pause.For(ctx, judgePause)
 			continue
 		}
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/pause"
 )
 
@@ -130,7 +131,7 @@
 	w.mu.Lock()
 	request := PollRequest{Worker: w.identity(), Term: w.term, Taken: w.taken}
 	w.mu.Unlock()
-	started := time.Now()
+	started := boottime.Now()
 	reply, err := w.Poll(ctx, address, request)
 	if err == nil && reply.Leading {
 		w.hear(started, reply.Term)
@@ -265,7 +266,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callMargin)
 	defer cancel()
-	started := time.Now()
+	started := boottime.Now()
 	reply, err := w.Report(ctx, address, request)
 	if err != nil {
 		return true, err
--- a/internal/permits/journal.go
+++ b/internal/permits/journal.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/pause"
 )
@@ -101,7 +102,7 @@
 // memory is how long an act matters.
 func (j *Journal) memory() time.Duration { return j.LeaseLength + j.handover() }
 
-// Permit records acts on subjects. It returns the subjects that may be acted on, until the deadline; the others have to wait. ErrLost if a
+// Permit records acts on subjects. It returns the subjects that may be acted on, until the deadline, a moment of boottime; the others have to wait. ErrLost if a
 // later term acts. After any error nothing may be done.
 func (j *Journal) Permit(ctx context.Context, subjects []string) (allowed []string, deadline time.Time, err error) {
 	ctx, cancel := context.WithTimeout(ctx, Window)
@@ -117,7 +118,7 @@
 			return nil, time.Time{}, err
 		}
 	}
-	started := time.Now()
+	started := boottime.Now()
 	allowed = j.note(subjects, started)
 	if len(allowed) == 0 {
 		return nil, time.Time{}, nil
@@ -197,11 +198,11 @@
 	if err := j.take(object); err != nil {
 		return err
 	}
-	return j.write(ctx, time.Now())
+	return j.write(ctx, boottime.Now())
 }
 
 func (j *Journal) create(ctx context.Context) error {
-	object, err := j.encode(time.Now())
+	object, err := j.encode(boottime.Now())
 	if err != nil {
 		return err
 	}
@@ -224,7 +225,7 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	now := time.Now()
+	now := boottime.Now()
 	for subject, record := range spec.Acts {
 		at := ageBefore(now, record.AgeMillis)
 		if known, ok := j.acts[subject]; ok && !known.at.Before(at) {
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/quarantine"
@@ -66,7 +67,7 @@
 	c.confirmed = make(map[string]time.Time)
 	params.Direct.Confirmed = func(kind string, _ metastore.Snapshot) {
 		c.noteServed(kind, true)
-		c.noteConfirmed(kind, time.Now())
+		c.noteConfirmed(kind, boottime.Now())
 	}
 	params.Direct.Doubted = func(kind string) { c.noteServed(kind, false) }
 	params.Direct.MaxWait = c.maxWatchWait
@@ -221,7 +222,7 @@
 	return known || time.Since(c.servedAt) >= leaseHeadStart
 }
 
-// ConfirmedAt returns up to when a kind is known to be as the store holds it; zero if it never was.
+// ConfirmedAt returns up to when, by boottime, a kind is known to be as the store holds it; zero if it never was.
 func (c *Client) ConfirmedAt(kind string) time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -313,7 +314,7 @@
 	for ctx.Err() == nil {
 		before := c.Coordinator()
 		address := known.choose(before)
-		started := time.Now()
+		started := boottime.Now()
 		reply, err := PollReply{}, error(nil)
 		if address != "" {
 			reply, err = c.poll(ctx, address)
@@ -339,7 +340,7 @@
 		if found := c.Coordinator(); found != before && found != "" {
 			continue
 		}
-		known.failed(time.Since(started))
+		known.failed(boottime.Since(started))
 		pause.For(ctx, retryPause)
 	}
 }
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/quarantine"
 )
@@ -97,7 +98,7 @@
 		known = &relayedKind{floor: snapshot.Revision, entries: make(map[string]entry)}
 		h.kinds[kind] = known
 	}
-	known.confirmed = time.Now()
+	known.confirmed = boottime.Now()
 	if snapshot.Revision < known.snapshot.Revision {
 		return
 	}
@@ -239,11 +240,11 @@
 	reply.Revisions = make(map[string]metastore.Revision, len(known))
 	for kind, revision := range known {
 		relayed, ok := h.kinds[kind]
-		if !ok || time.Since(relayed.confirmed) > maxAge {
+		if !ok || boottime.Since(relayed.confirmed) > maxAge {
 			return PollReply{Changes: h.leaseChange(known), Candidates: reply.Candidates}, nil
 		}
 		reply.Revisions[kind] = relayed.snapshot.Revision
-		reply.Age = max(reply.Age, time.Since(relayed.confirmed))
+		reply.Age = max(reply.Age, boottime.Since(relayed.confirmed))
 		if relayed.news(revision) {
 			reply.Changes = append(reply.Changes, h.since(relayed, kind, revision))
 		}
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/duty"
 	"github.com/covelink/covelink/internal/fleettime"
 	"github.com/covelink/covelink/internal/metastore"
@@ -115,7 +116,7 @@
 
 // Receive implements Receiver.
 func (r *Reporter) Receive(request TellRequest) TellReply {
-	reply := TellReply{Now: r.Clock.At(time.Now())}
+	reply := TellReply{Now: r.Clock.At(boottime.Now())}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.leading {
@@ -141,7 +142,7 @@
 	if !r.takeOver(ctx, duties.Stamp.Token) {
 		return
 	}
-	began := time.Now()
+	began := boottime.Now()
 	r.setLeading(true)
 	defer r.setLeading(false)
 	var sends sync.WaitGroup
@@ -169,7 +170,7 @@
 	r.sendable, r.sending = nil, make(map[Window]struct{})
 	r.leftBehind, r.leftUntil = make(map[string]metastore.Revision), make(map[string]Window)
 	// A deployment without a ledger reports from here on, however long it takes to write one.
-	r.ledger.begin(WindowOf(r.Clock.At(time.Now()), r.Length))
+	r.ledger.begin(WindowOf(r.Clock.At(boottime.Now()), r.Length))
 	r.mu.Unlock()
 	for ctx.Err() == nil {
 		err := r.keep(ctx, token)
@@ -188,7 +189,7 @@
 
 // look fixes the windows that are to be, and keeps the ledger.
 func (r *Reporter) look(ctx context.Context, token int64, began time.Time) error {
-	due := r.toFix(time.Now(), began)
+	due := r.toFix(boottime.Now(), began)
 	if len(due) > 0 {
 		r.readLeftBehind(ctx)
 		return r.fix(ctx, token, due)
@@ -262,7 +263,7 @@
 		err := duties.Do(ctx, Subject, func(ctx context.Context, stamp duty.Stamp, leaveBy time.Time) error {
 			return r.Platform.ReportUsage(ctx, stamp, leaveBy, report)
 		})
-		after := r.Clock.At(time.Now()).Sub(report.Window.End(r.Length))
+		after := r.Clock.At(boottime.Now()).Sub(report.Window.End(r.Length))
 		level.Info(r.Logger).Log("msg", "usage reported", "window", strconv.FormatInt(int64(report.Window), 10), "tenants", len(report.Counts),
 			"requests", report.Counts.total(), "token", duties.Stamp.Token, "after", after.Round(time.Millisecond), "err", err)
 		if err == nil {
--- a/internal/usage/teller.go
+++ b/internal/usage/teller.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleettime"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/pause"
@@ -176,12 +177,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	asked := time.Now()
+	asked := boottime.Now()
 	reply, err := t.Send(ctx, term.Address, TellRequest{Source: t.Meter.source, Windows: windows})
 	if err != nil {
 		return err
 	}
-	t.Clock.Note(asked, time.Now(), reply.Now)
+	t.Clock.Note(asked, boottime.Now(), reply.Now)
 	if !reply.Taken {
 		return errNotTaken
 	}
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -17,6 +17,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/metastore"
@@ -45,6 +46,8 @@
 	Token  int64
 	// Sequence is the count of orders that the engine has taken.
 	Sequence int64
+	// LeaveBy is the moment of boottime after which the order must not leave any more.
+	LeaveBy time.Time
 }
 
 // Report is what an engine tells of itself.
@@ -356,9 +359,10 @@
 
 // order gives one order before the deadline of its permit.
 func (m *Manager) order(ctx context.Context, term election.Term, target move, report Report, deadline time.Time) error {
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := context.WithTimeout(ctx, boottime.Until(deadline))
 	defer cancel()
 	return m.Engines.Order(ctx, target.engine, Order{
+		LeaveBy:  deadline,
 		Model:    target.model,
 		Version:  target.version,
 		Mode:     m.mode(target.model),
