--- a/internal/fleettime/suspended_test.go
+++ b/internal/fleettime/suspended_test.go
@@ -25,6 +25,6 @@
 	})
 	Convey("A clock that has not heard from another shows the wall clock", t, func() {
 		boottime.SimulateSuspension(slept)
-		So(NewRemote(boottime.Now).At(boottime.Now()).Sub(time.Now()).Abs(), ShouldBeLessThan, time.Second)
+		So(time.Until(NewRemote(boottime.Now).At(boottime.Now())).Abs(), ShouldBeLessThan, time.Second)
 	})
 }
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -52,10 +51,9 @@
 	KeeperParams
 	// turn admits one writer at a time, to the fields below too.
 	turn chan struct{}
-	// opened is true while it is known what the object holds: revision, zero if there is none yet, and written.
-	opened   bool
-	revision metastore.Revision
-	written  []keptRecord
+	// cell is the object in the store, and written what it holds while that is known.
+	cell    *metastore.Cell
+	written []keptRecord
 	// trial is the last that was granted.
 	trial grantedTrial
 
@@ -81,7 +79,8 @@
 
 // NewKeeper returns a Keeper. Lead makes it grant trials.
 func NewKeeper(params KeeperParams) *Keeper {
-	return &Keeper{KeeperParams: params, turn: make(chan struct{}, 1)}
+	cell := metastore.NewCell(params.Store, KindHeld, heldName, storeTimeout)
+	return &Keeper{KeeperParams: params, turn: make(chan struct{}, 1), cell: cell}
 }
 
 // Receive takes in what a process has found out.
@@ -126,7 +125,7 @@
 func (k *Keeper) end() {
 	k.setReady(false)
 	k.turn <- struct{}{}
-	k.opened = false
+	k.cell.Forget()
 	<-k.turn
 }
 
@@ -272,24 +271,22 @@
 
 // open merges what the store holds, unless that is known. It must be this process's turn.
 func (k *Keeper) open(ctx context.Context) error {
-	if k.opened {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	object, err := k.Store.Get(ctx, KindHeld, heldName)
-	if errors.Is(err, metastore.ErrNotFound) {
-		k.opened, k.revision, k.written = true, 0, nil
+	if k.cell.Known() {
 		return nil
 	}
+	content, err := k.cell.Read(ctx)
 	if err != nil {
 		return err
 	}
 	var spec keptSpec
-	if err := json.Unmarshal(object.Spec, &spec); err != nil {
+	if content != nil {
+		err = json.Unmarshal(content, &spec)
+	}
+	if err != nil {
+		k.cell.Forget()
 		return fmt.Errorf("quarantine: kept records: %w", err)
 	}
-	k.opened, k.revision, k.written = true, object.Revision, spec.Records
+	k.written = spec.Records
 	k.Table.Merge(toRecords(spec.Records))
 	return nil
 }
@@ -321,18 +318,9 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	store := k.Store.Replace
-	if k.revision == 0 {
-		store = k.Store.Create
-	}
-	object := metastore.Object{Name: heldName, Spec: content, Revision: k.revision}
-	k.opened = false
-	stored, err := store(ctx, KindHeld, object)
-	if err != nil {
+	if err := k.cell.Write(ctx, content); err != nil {
 		return err
 	}
-	k.opened, k.revision, k.written = true, stored.Revision, records
+	k.written = records
 	return nil
 }
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -92,8 +92,8 @@
 	leading bool
 	// dirty is true if the store lacks something of the ledger.
 	dirty bool
-	// revision is that of the object in the store; zero if it must be read. It belongs to Lead.
-	revision metastore.Revision
+	// cell is the object in the store. It belongs to Lead.
+	cell *metastore.Cell
 	// kept is when the ledger was last written, and keepPause how long the next write that fixes nothing waits.
 	kept      time.Time
 	keepPause time.Duration
@@ -111,7 +111,8 @@
 	if params.Observer == nil {
 		params.Observer = nobody{}
 	}
-	return &Reporter{ReporterParams: params, ledger: newLedger()}
+	cell := metastore.NewCell(params.Store, KindLedgers, ledgerName, storeTimeout)
+	return &Reporter{ReporterParams: params, ledger: newLedger(), cell: cell}
 }
 
 // Receive implements Receiver.
@@ -166,7 +167,8 @@
 // takeOver reads the ledger of earlier terms and writes it under the term's token, as often as it takes.
 func (r *Reporter) takeOver(ctx context.Context, token int64) bool {
 	r.mu.Lock()
-	r.ledger, r.revision = newLedger(), 0
+	r.ledger = newLedger()
+	r.cell.Forget()
 	r.sendable, r.sending = nil, make(map[Window]struct{})
 	r.leftBehind, r.leftUntil = make(map[string]metastore.Revision), make(map[string]Window)
 	// A deployment without a ledger reports from here on, however long it takes to write one.
