quarantine: an engine that does not answer the question is asked again; a failure clears nobody

Cause, by reading: a gateway that was out of processor for a tenth of a second, or whose packet was lost, took an ended engine for one that listens, and the end was not counted; an engine at fault may answer 500 before it runs a request that ends others. Change: unknown is told from listening, and asked again for two seconds in the background; only 2xx to 4xx answers, whole texts and items that can never be done clear a request. Test: an engine that answers late is blamed late (could not be written before).

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/covelink/covelink/internal/boottime"
@@ -29,7 +30,7 @@
 		return Result{}, errors.Join(ErrBroken, err)
 	}
 	result.Body = content
-	if !answer.NotRun {
+	if !answer.NotRun && answer.Status < http.StatusInternalServerError {
 		j.Guard.Completed(j.request.ID, j.fingerprint)
 	}
 	return result, nil
--- a/internal/forward/crashing_test.go
+++ b/internal/forward/crashing_test.go
@@ -144,10 +144,12 @@
 	}
 }
 
-// Ended implements quarantine.Prober.
-func (p *crashPool) Ended(_ context.Context, listed *fleet.Engine) bool {
-	_, alive := p.find(listed)
-	return alive.Err() != nil
+// Probe implements quarantine.Prober.
+func (p *crashPool) Probe(_ context.Context, listed *fleet.Engine) quarantine.Evidence {
+	if _, alive := p.find(listed); alive.Err() != nil {
+		return quarantine.EngineEnded
+	}
+	return quarantine.EngineListens
 }
 
 // end ends a start of an engine, and starts it again later.
--- a/internal/forward/held_test.go
+++ b/internal/forward/held_test.go
@@ -21,7 +21,9 @@
 // everyEngineEnds is a quarantine.Prober of engines that have all ended.
 type everyEngineEnds struct{}
 
-func (everyEngineEnds) Ended(context.Context, *fleet.Engine) bool { return true }
+func (everyEngineEnds) Probe(context.Context, *fleet.Engine) quarantine.Evidence {
+	return quarantine.EngineEnded
+}
 
 // breaks is an action of an engine whose connection breaks.
 func breaks(context.Context) (*Answer, error) { return nil, ErrBroken }
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -107,10 +107,10 @@
 	return verdict, err
 }
 
-// tellGuard tells whether the engine has outlived the run. The end of ctx means that the run was ended from here.
+// tellGuard tells whether the run ended well, or may have ended its engine. The end of ctx means that the run was ended from here.
 func (e *Executor) tellGuard(ctx context.Context, assignment *Assignment, verdict Verdict, err error) {
 	switch {
-	case verdict == VerdictWhole || verdict == VerdictFailed || verdict == VerdictImpossible:
+	case verdict == VerdictWhole || verdict == VerdictImpossible:
 		e.Guard.Completed(assignment.Item, assignment.Fingerprint)
 	case errors.Is(err, forward.ErrBroken) && ctx.Err() == nil:
 		e.Guard.Broke(assignment.Item, assignment.Fingerprint(), assignment.engine())
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -110,19 +110,29 @@
 // Broke takes in that the connection of an attempt broke, without a cause on this side, and returns whether the request may be sent to another
 // engine.
 func (g *Guard) Broke(request string, fingerprint Fingerprint, engine *fleet.Engine) (again bool) {
-	if g == nil || g.Witness.Broke(request, fingerprint, engine) != EngineEnded {
+	if g == nil {
 		return true
 	}
+	blame := func() Standing { return g.blame(request, fingerprint, engine) }
+	if g.Witness.Broke(request, fingerprint, engine, func() { blame() }) != EngineEnded {
+		return true
+	}
+	return blame() < Isolated
+}
+
+// blame notes that an engine has ended under a request.
+func (g *Guard) blame(request string, fingerprint Fingerprint, engine *fleet.Engine) Standing {
 	standing, ends := g.Table.Blame(fingerprint, engine.ID)
 	level.Info(g.Logger).Log("msg", "engine ended under request", "request", request, "fingerprint", fingerprint.Short(), "engine", engine.ID,
 		"engines_ended", ends, "standing", standing)
 	if standing == Held {
 		g.observe(DecisionHeld)
 	}
-	return standing < Isolated
+	return standing
 }
 
-// Completed takes in that an engine has outlived a run of a request.
+// Completed takes in that an engine has run a request to a good end. That it has answered with a failure does not clear a request: an engine at
+// fault may fail it before it runs.
 func (g *Guard) Completed(request string, fingerprintOf func() Fingerprint) {
 	if g == nil || g.Table.Empty() {
 		return
--- a/internal/quarantine/witness.go
+++ b/internal/quarantine/witness.go
@@ -11,29 +11,38 @@
 	"github.com/covelink/covelink/internal/fleet"
 )
 
-// probeTimeout bounds the question whether an engine has ended, which the next attempt of a request waits for: a machine whose process has
-// ended refuses within a round trip, 2.8 ms between zones; one that is cut off does not answer at all.
-const probeTimeout = 100 * time.Millisecond
+const (
+	// probeTimeout bounds the question whether an engine has ended, which the next attempt of a request waits for: a machine whose process
+	// has ended refuses within a round trip, 2.8 ms between zones; one that is cut off does not answer at all.
+	probeTimeout = 100 * time.Millisecond
+	// lateProbes is how often an engine that did not answer is asked again, with probePause in between: a packet that was lost is sent again
+	// after a second, and an engine that has ended is away for some seconds.
+	lateProbes    = 4
+	probePause    = 150 * time.Millisecond
+	lateProbeTime = 400 * time.Millisecond
+)
 
 // Prober tells whether an engine has ended.
 type Prober interface {
-	// Ended reports whether the process that was the engine has ended, as its address refuses connections. It is false also if that cannot
-	// be told.
-	Ended(ctx context.Context, engine *fleet.Engine) bool
+	// Probe finds out whether the process that was the engine has ended, as its address refuses connections. It returns EngineUnknown if ctx
+	// ends before that can be told.
+	Probe(ctx context.Context, engine *fleet.Engine) Evidence
 }
 
-// Evidence is what a Witness found out about an attempt whose connection broke.
+// Evidence is what is found out about an engine after the connection of an attempt broke.
 type Evidence int
 
 // The kinds of evidence.
 const (
-	// EngineListens: the engine is there, or it cannot be told; the request is not to blame.
-	EngineListens Evidence = iota
+	// EngineUnknown: it cannot be told whether the engine is there.
+	EngineUnknown Evidence = iota
+	// EngineListens: the engine is there; the request is not to blame.
+	EngineListens
 	// EngineEnded: the engine has ended while it ran the request, and perhaps others.
 	EngineEnded
 )
 
-var evidenceNames = [...]string{"engine listens", "engine ended"}
+var evidenceNames = [...]string{"engine unknown", "engine listens", "engine ended"}
 
 // String returns the evidence's name in logs and metrics.
 func (e Evidence) String() string { return evidenceNames[e] }
@@ -57,27 +66,48 @@
 func NewWitness(params WitnessParams) *Witness { return &Witness{WitnessParams: params} }
 
 // Broke takes in that the connection of an attempt broke, without a cause on this side. A broken connection alone tells nothing of the
-// engine: it may have been reset in between. Attempts that broke at one engine at the same time share one question.
-func (w *Witness) Broke(request string, fingerprint Fingerprint, engine *fleet.Engine) Evidence {
-	evidence := EngineListens
-	if w.ended(engine) {
-		evidence = EngineEnded
+// engine: it may have been reset in between. Attempts that broke at one engine at the same time share one question. If it cannot be told at
+// once, late is called should the engine turn out to have ended.
+func (w *Witness) Broke(request string, fingerprint Fingerprint, engine *fleet.Engine, late func()) Evidence {
+	evidence := w.probe(engine, probeTimeout)
+	w.tell(request, fingerprint, engine, evidence)
+	if evidence == EngineUnknown && w.Prober != nil {
+		go w.probeLate(request, fingerprint, engine, late)
 	}
+	return evidence
+}
+
+// probeLate asks again for an engine that did not answer.
+func (w *Witness) probeLate(request string, fingerprint Fingerprint, engine *fleet.Engine, late func()) {
+	for range lateProbes {
+		time.Sleep(probePause)
+		evidence := w.probe(engine, lateProbeTime)
+		if evidence == EngineUnknown {
+			continue
+		}
+		w.tell(request, fingerprint, engine, evidence)
+		if evidence == EngineEnded {
+			late()
+		}
+		return
+	}
+}
+
+func (w *Witness) tell(request string, fingerprint Fingerprint, engine *fleet.Engine, evidence Evidence) {
 	if w.Observe != nil {
 		w.Observe(evidence)
 	}
 	level.Info(w.Logger).Log("msg", "attempt broke", "request", request, "fingerprint", fingerprint.Short(), "engine", engine.ID, "evidence", evidence)
-	return evidence
 }
 
-func (w *Witness) ended(engine *fleet.Engine) bool {
+func (w *Witness) probe(engine *fleet.Engine, timeout time.Duration) Evidence {
 	if w.Prober == nil {
-		return false
+		return EngineUnknown
 	}
-	ended, _, _ := w.probes.Do(engine.ID, func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	evidence, _, _ := w.probes.Do(engine.ID, func() (any, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		return w.Prober.Ended(ctx, engine), nil
+		return w.Prober.Probe(ctx, engine), nil
 	})
-	return ended.(bool)
+	return evidence.(Evidence)
 }
--- a/internal/quarantine/witness_test.go
+++ b/internal/quarantine/witness_test.go
@@ -17,9 +17,14 @@
 )
 
 // proberFunc is a function as a quarantine.Prober.
-type proberFunc func(ctx context.Context, engine *fleet.Engine) bool
+type proberFunc func(ctx context.Context, engine *fleet.Engine) quarantine.Evidence
 
-func (f proberFunc) Ended(ctx context.Context, engine *fleet.Engine) bool { return f(ctx, engine) }
+func (f proberFunc) Probe(ctx context.Context, engine *fleet.Engine) quarantine.Evidence {
+	return f(ctx, engine)
+}
+
+// never fails a test if an engine is found to have ended late.
+func never(t *testing.T) func() { return func() { t.Error("blamed late") } }
 
 func TestWitness(t *testing.T) {
 	fingerprint := quarantine.FingerprintOf("", "POST", "h", "/a", []byte("body"))
@@ -27,45 +32,67 @@
 	Convey("A broken attempt is told with the request's fingerprint and whether the engine has ended", t, func() {
 		var lines bytes.Buffer
 		var observed []quarantine.Evidence
-		ended := true
+		found := quarantine.EngineEnded
 		witness := quarantine.NewWitness(quarantine.WitnessParams{
-			Prober:  proberFunc(func(context.Context, *fleet.Engine) bool { return ended }),
+			Prober:  proberFunc(func(context.Context, *fleet.Engine) quarantine.Evidence { return found }),
 			Observe: func(evidence quarantine.Evidence) { observed = append(observed, evidence) },
 			Logger:  log.NewLogfmtLogger(&lines),
 		})
-		So(witness.Broke("r1", fingerprint, engine), ShouldEqual, quarantine.EngineEnded)
-		ended = false
-		So(witness.Broke("r2", fingerprint, engine), ShouldEqual, quarantine.EngineListens)
+		So(witness.Broke("r1", fingerprint, engine, never(t)), ShouldEqual, quarantine.EngineEnded)
+		found = quarantine.EngineListens
+		So(witness.Broke("r2", fingerprint, engine, never(t)), ShouldEqual, quarantine.EngineListens)
 		So(observed, ShouldResemble, []quarantine.Evidence{quarantine.EngineEnded, quarantine.EngineListens})
 		So(lines.String(), ShouldContainSubstring, `request=r1 fingerprint=`+fingerprint.Short()+` engine=e evidence="engine ended"`)
 		So(lines.String(), ShouldContainSubstring, `request=r2 fingerprint=`+fingerprint.Short()+` engine=e evidence="engine listens"`)
 	})
 	Convey("An engine that does not answer the question is not taken for ended, and holds nobody up for long", t, func() {
 		synctest.Test(t, func(t *testing.T) {
-			silent := proberFunc(func(ctx context.Context, _ *fleet.Engine) bool {
+			silent := proberFunc(func(ctx context.Context, _ *fleet.Engine) quarantine.Evidence {
 				<-ctx.Done()
-				return false
+				return quarantine.EngineUnknown
 			})
 			witness := quarantine.NewWitness(quarantine.WitnessParams{Prober: silent, Logger: log.NewNopLogger()})
 			started := time.Now()
-			evidence := witness.Broke("r", fingerprint, engine)
-			if evidence != quarantine.EngineListens || time.Since(started) > 100*time.Millisecond {
+			evidence := witness.Broke("r", fingerprint, engine, never(t))
+			if evidence != quarantine.EngineUnknown || time.Since(started) > 100*time.Millisecond {
 				t.Errorf("found %v after %v", evidence, time.Since(started))
 			}
+			// It is asked again in the background for a while.
+			time.Sleep(5 * time.Second)
+		})
+	})
+	Convey("An engine that answers late is asked again, and blame comes late", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			asked := 0
+			late := proberFunc(func(ctx context.Context, _ *fleet.Engine) quarantine.Evidence {
+				asked++
+				if asked < 3 {
+					<-ctx.Done()
+					return quarantine.EngineUnknown
+				}
+				return quarantine.EngineEnded
+			})
+			witness := quarantine.NewWitness(quarantine.WitnessParams{Prober: late, Logger: log.NewNopLogger()})
+			blamed := 0
+			evidence := witness.Broke("r", fingerprint, engine, func() { blamed++ })
+			time.Sleep(5 * time.Second)
+			if evidence != quarantine.EngineUnknown || blamed != 1 || asked != 3 {
+				t.Errorf("found %v, blamed %d times after %d questions", evidence, blamed, asked)
+			}
 		})
 	})
 	Convey("Attempts that break together at one engine ask once", t, func() {
 		synctest.Test(t, func(t *testing.T) {
 			var asked atomic.Int32
-			slow := proberFunc(func(context.Context, *fleet.Engine) bool {
+			slow := proberFunc(func(context.Context, *fleet.Engine) quarantine.Evidence {
 				asked.Add(1)
 				time.Sleep(10 * time.Millisecond)
-				return true
+				return quarantine.EngineEnded
 			})
 			witness := quarantine.NewWitness(quarantine.WitnessParams{Prober: slow, Logger: log.NewNopLogger()})
 			var attempts sync.WaitGroup
 			for range 6 {
-				attempts.Go(func() { witness.Broke("r", fingerprint, engine) })
+				attempts.Go(func() { witness.Broke("r", fingerprint, engine, never(t)) })
 			}
 			attempts.Wait()
 			if asked.Load() != 1 {
