--- a/internal/quarantine/witness_test.go
+++ b/internal/quarantine/witness_test.go
@@ -63,21 +63,19 @@
 	})
 	Convey("An engine that answers late is asked again, and blame comes late", t, func() {
 		synctest.Test(t, func(t *testing.T) {
-			asked := 0
+			var asked, blamed atomic.Int32
 			late := proberFunc(func(ctx context.Context, _ *fleet.Engine) quarantine.Evidence {
-				asked++
-				if asked < 3 {
+				if asked.Add(1) < 3 {
 					<-ctx.Done()
 					return quarantine.EngineUnknown
 				}
 				return quarantine.EngineEnded
 			})
 			witness := quarantine.NewWitness(quarantine.WitnessParams{Prober: late, Logger: log.NewNopLogger()})
-			blamed := 0
-			evidence := witness.Broke("r", fingerprint, engine, func() { blamed++ })
+			evidence := witness.Broke("r", fingerprint, engine, func() { blamed.Add(1) })
 			time.Sleep(5 * time.Second)
-			if evidence != quarantine.EngineUnknown || blamed != 1 || asked != 3 {
-				t.Errorf("found %v, blamed %d times after %d questions", evidence, blamed, asked)
+			if evidence != quarantine.EngineUnknown || blamed.Load() != 1 || asked.Load() != 3 {
+				t.Errorf("found %v, blamed %d times after %d questions", evidence, blamed.Load(), asked.Load())
 			}
 		})
 	})
