storerelay: news of requests under which engines have ended are gathered for 50 ms

By reading: each end was news of up to 30 requests, and each that ended well elsewhere was news again, a poll each from every gateway. A poll that knows all costs no walk through the table.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -201,6 +201,9 @@
 	if cursor.Table != t.name {
 		cursor.Number = 0
 	}
+	if cursor.Number == t.number {
+		return News{Cursor: Cursor{Table: t.name, Number: t.number}}, t.news
+	}
 	return t.choose(func(e *entry) bool { return e.changed > cursor.Number }), t.news
 }
 
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -14,6 +14,7 @@
 
 	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/quarantine"
 )
 
@@ -207,6 +208,7 @@
 		select {
 		case <-changed:
 		case <-found:
+			pause.For(ctx, quarantineGather)
 		case <-ctx.Done():
 			reply, _ = h.changes(request.Known)
 			reply.Quarantine, _ = h.found(request.Quarantine)
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -65,6 +65,9 @@
 	guideWait = 400 * time.Millisecond
 	// retryPause is the pause between two polls while no hub answers.
 	retryPause = 250 * time.Millisecond
+	// quarantineGather is how long news of requests under which engines have ended are gathered: one end is news of each request that the
+	// engine ran, and each of those that ends well at another is news again. Without it they would come one poll each, from every client.
+	quarantineGather = 50 * time.Millisecond
 	// maxRemovals bounds the removals of a kind that a hub remembers.
 	maxRemovals = 1024
 )
