leadership: leases are judged by a clock that counts suspensions, beside the wall clock

coord/lease compares a monotonic and a wall clock; a holder that was suspended while its wall clock was set back was beyond its guarantee.

--- a/internal/leadership/elector.go
+++ b/internal/leadership/elector.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/covelink/covelink/coord/lease"
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/cluster"
 	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
@@ -31,7 +32,7 @@
 	Timing     settings.Timing
 	Logger     log.Logger
 	Registerer prometheus.Registerer
-	// Now defaults to time.Now, Rand to a randomly seeded source. Tests replace them.
+	// Now defaults to boottime.Now, Rand to a randomly seeded source. Tests replace them.
 	Now  func() time.Time
 	Rand *rand.Rand
 }
@@ -64,7 +65,7 @@
 // New returns an elector that votes once Register's server serves and campaigns while Run runs.
 func New(params Params) *LeaseElector {
 	if params.Now == nil {
-		params.Now = time.Now
+		params.Now = boottime.Now
 	}
 	if params.Rand == nil {
 		params.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -148,7 +149,7 @@
 // now reads both clocks.
 func (e *LeaseElector) now() lease.Instant {
 	now := e.params.Now()
-	return lease.Instant{Monotonic: now.Sub(e.started), Wall: now.Round(0)}
+	return lease.Instant{Monotonic: now.Sub(e.started), Wall: boottime.Wall(now)}
 }
 
 // ObserveToken tells that a guard has seen the token for the name. A term of this node below it ends, and the next one is
