--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -44,10 +44,15 @@
 
 // The decisions.
 const (
-	DecisionRefused  Decision = "refused"
-	DecisionTrial    Decision = "trial"
+	// DecisionRefused: a held request was not run.
+	DecisionRefused Decision = "refused"
+	// DecisionTrial: a held request was granted one run.
+	DecisionTrial Decision = "trial"
+	// DecisionIsolated: a request goes to one engine only.
 	DecisionIsolated Decision = "isolated"
-	DecisionHeld     Decision = "held"
+	// DecisionHeld: an engine ended under a request that is held from now on, or was before.
+	DecisionHeld Decision = "held"
+	// DecisionReleased: a request was cleared by a run that ended well, or by an operator.
 	DecisionReleased Decision = "released"
 )
 
