daemon: SIGHUP never ends a process, also while it stops or before it serves

Cause: the handler of SIGHUP was taken off as soon as a stop began, and put in place only after the start; without one the signal ends the process, with all requests that it has taken. Change: the signal is caught from the first step of the daemon to the process's end.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -172,6 +172,7 @@
 
 // run serves until the first SIGTERM or SIGINT, then drains. A second signal cuts the drain short.
 func (c *command) run(ctx context.Context, cmd *cli.Command) error {
+	hangups := catchHangups()
 	config, err := c.load(cmd)
 	if err != nil {
 		return err
@@ -189,7 +190,7 @@
 		return err
 	}
 	file := cmd.String(flagConfig)
-	awaitStop(stopped, logger, func() []byte { return contentOf(file) }, func() error {
+	awaitStop(stopped, logger, hangups, func() []byte { return contentOf(file) }, func() error {
 		if config.reload == nil {
 			return nil
 		}
@@ -227,12 +228,17 @@
 	return content
 }
 
-// awaitStop takes in changed settings, on every SIGHUP and when their file has changed, until ctx ends. Settings that cannot be
-// used leave the last ones in force.
-func awaitStop(ctx context.Context, logger log.Logger, content func() []byte, reload func() error) {
+// catchHangups returns the SIGHUPs of this process, from before its start to its end: without a handler the first one ends it, also while it
+// finishes what it has taken.
+func catchHangups() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	return hangups
+}
+
+// awaitStop takes in changed settings, on every SIGHUP and when their file has changed, until ctx ends. Settings that cannot be
+// used leave the last ones in force.
+func awaitStop(ctx context.Context, logger log.Logger, hangups <-chan os.Signal, content func() []byte, reload func() error) {
 	logger = telemetry.For(logger, telemetry.PartNode)
 	looks := time.NewTicker(fileInterval)
 	defer looks.Stop()
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -23,7 +23,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			awaitStop(ctx, log.NewNopLogger(), func() []byte { return nil }, func() error {
+			awaitStop(ctx, log.NewNopLogger(), catchHangups(), func() []byte { return nil }, func() error {
 				reloads <- struct{}{}
 				return errors.New("unusable")
 			})
@@ -71,7 +71,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			awaitStop(ctx, log.NewNopLogger(), func() []byte { return *content.Load() }, func() error {
+			awaitStop(ctx, log.NewNopLogger(), catchHangups(), func() []byte { return *content.Load() }, func() error {
 				reloads.Add(1)
 				return nil
 			})
