--- a/internal/fleetnode/quarantine.go
+++ b/internal/fleetnode/quarantine.go
@@ -28,10 +28,10 @@
 		return suspect
 	})
 	return quarantine.NewGuard(quarantine.GuardParams{
-		Table:   table,
-		Witness: quarantine.NewWitness(quarantine.WitnessParams{Prober: engines, Observe: observed.attemptBroke, Logger: logger}),
-		Observe: observed.guardDecided,
-		Logger:  logger,
+		Table:    table,
+		Detector: quarantine.NewDetector(quarantine.DetectorParams{Prober: engines, Observe: observed.attemptBroke, Logger: logger}),
+		Observe:  observed.guardDecided,
+		Logger:   logger,
 	})
 }
 
--- a/internal/forward/crashing_test.go
+++ b/internal/forward/crashing_test.go
@@ -206,10 +206,10 @@
 		table := quarantine.NewTable(time.Now)
 		if way != wayNothing {
 			forwarder.Guard = quarantine.NewGuard(quarantine.GuardParams{
-				Table:   table,
-				Witness: quarantine.NewWitness(quarantine.WitnessParams{Prober: pool, Logger: log.NewNopLogger()}),
-				Ask:     grantFrom(table),
-				Logger:  log.NewNopLogger(),
+				Table:    table,
+				Detector: quarantine.NewDetector(quarantine.DetectorParams{Prober: pool, Logger: log.NewNopLogger()}),
+				Ask:      grantFrom(table),
+				Logger:   log.NewNopLogger(),
 			})
 		}
 		gateways, tables = append(gateways, forwarder), append(tables, table)
--- a/internal/forward/held_test.go
+++ b/internal/forward/held_test.go
@@ -40,8 +40,8 @@
 	state.SetEngines(listed)
 	forwarder := New(state, engines, NewPicker(time.Now), log.NewNopLogger())
 	forwarder.Guard = quarantine.NewGuard(quarantine.GuardParams{
-		Table:   quarantine.NewTable(time.Now),
-		Witness: quarantine.NewWitness(quarantine.WitnessParams{Prober: everyEngineEnds{}, Logger: log.NewNopLogger()}),
+		Table:    quarantine.NewTable(time.Now),
+		Detector: quarantine.NewDetector(quarantine.DetectorParams{Prober: everyEngineEnds{}, Logger: log.NewNopLogger()}),
 		Ask: func(context.Context, quarantine.Record) (quarantine.TrialReply, error) {
 			return quarantine.TrialReply{Leading: true, Wait: time.Second}, nil
 		},
--- a/internal/quarantine/witness.go
+++ b/internal/quarantine/detector.go
@@ -36,7 +36,7 @@
 const (
 	// EngineUnknown: it cannot be told whether the engine is there.
 	EngineUnknown Evidence = iota
-	// EngineListens: the engine is there; the request is not to blame.
+	// EngineListens: the engine is there, and the connection broke for another cause.
 	EngineListens
 	// EngineEnded: the engine has ended while it ran the request, and perhaps others.
 	EngineEnded
@@ -47,8 +47,8 @@
 // String returns the evidence's name in logs and metrics.
 func (e Evidence) String() string { return evidenceNames[e] }
 
-// WitnessParams are what a Witness works with.
-type WitnessParams struct {
+// DetectorParams are what a Detector works with.
+type DetectorParams struct {
 	// Prober may be nil; no attempt is then found to have ended its engine.
 	Prober Prober
 	// Observe is told of each finding, for metrics; nil for nobody.
@@ -56,36 +56,36 @@
 	Logger  log.Logger
 }
 
-// Witness finds out whether engines have ended under the attempts that broke off. It is safe for concurrent use.
-type Witness struct {
-	WitnessParams
+// Detector finds out whether engines have ended under the attempts that broke off. It is safe for concurrent use.
+type Detector struct {
+	DetectorParams
 	probes singleflight.Group
 }
 
-// NewWitness returns a Witness.
-func NewWitness(params WitnessParams) *Witness { return &Witness{WitnessParams: params} }
+// NewDetector returns a Detector.
+func NewDetector(params DetectorParams) *Detector { return &Detector{DetectorParams: params} }
 
 // Broke takes in that the connection of an attempt broke, without a cause on this side. A broken connection alone tells nothing of the
 // engine: it may have been reset in between. Attempts that broke at one engine at the same time share one question. If it cannot be told at
 // once, late is called should the engine turn out to have ended.
-func (w *Witness) Broke(request string, fingerprint Fingerprint, engine *fleet.Engine, late func()) Evidence {
-	evidence := w.probe(engine, probeTimeout)
-	w.tell(request, fingerprint, engine, evidence)
-	if evidence == EngineUnknown && w.Prober != nil {
-		go w.probeLate(request, fingerprint, engine, late)
+func (d *Detector) Broke(request string, fingerprint Fingerprint, engine *fleet.Engine, late func()) Evidence {
+	evidence := d.probe(engine, probeTimeout)
+	d.tell(request, fingerprint, engine, evidence)
+	if evidence == EngineUnknown && d.Prober != nil {
+		go d.probeLate(request, fingerprint, engine, late)
 	}
 	return evidence
 }
 
 // probeLate asks again for an engine that did not answer.
-func (w *Witness) probeLate(request string, fingerprint Fingerprint, engine *fleet.Engine, late func()) {
+func (d *Detector) probeLate(request string, fingerprint Fingerprint, engine *fleet.Engine, late func()) {
 	for range lateProbes {
 		time.Sleep(probePause)
-		evidence := w.probe(engine, lateProbeTime)
+		evidence := d.probe(engine, lateProbeTime)
 		if evidence == EngineUnknown {
 			continue
 		}
-		w.tell(request, fingerprint, engine, evidence)
+		d.tell(request, fingerprint, engine, evidence)
 		if evidence == EngineEnded {
 			late()
 		}
@@ -93,21 +93,21 @@
 	}
 }
 
-func (w *Witness) tell(request string, fingerprint Fingerprint, engine *fleet.Engine, evidence Evidence) {
-	if w.Observe != nil {
-		w.Observe(evidence)
+func (d *Detector) tell(request string, fingerprint Fingerprint, engine *fleet.Engine, evidence Evidence) {
+	if d.Observe != nil {
+		d.Observe(evidence)
 	}
-	level.Info(w.Logger).Log("msg", "attempt broke", "request", request, "fingerprint", fingerprint.Short(), "engine", engine.ID, "evidence", evidence)
+	level.Info(d.Logger).Log("msg", "attempt broke", "request", request, "fingerprint", fingerprint.Short(), "engine", engine.ID, "evidence", evidence)
 }
 
-func (w *Witness) probe(engine *fleet.Engine, timeout time.Duration) Evidence {
-	if w.Prober == nil {
+func (d *Detector) probe(engine *fleet.Engine, timeout time.Duration) Evidence {
+	if d.Prober == nil {
 		return EngineUnknown
 	}
-	evidence, _, _ := w.probes.Do(engine.ID, func() (any, error) {
+	evidence, _, _ := d.probes.Do(engine.ID, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		return w.Prober.Probe(ctx, engine), nil
+		return d.Prober.Probe(ctx, engine), nil
 	})
 	return evidence.(Evidence)
 }
--- a/internal/quarantine/witness_test.go
+++ b/internal/quarantine/detector_test.go
@@ -24,23 +24,23 @@
 }
 
 // never fails a test if an engine is found to have ended late.
-func never(t *testing.T) func() { return func() { t.Error("blamed late") } }
+func never(t *testing.T) func() { return func() { t.Error("noted late") } }
 
-func TestWitness(t *testing.T) {
+func TestDetector(t *testing.T) {
 	fingerprint := quarantine.FingerprintOf("", "POST", "h", "/a", []byte("body"))
 	engine := &fleet.Engine{ID: "e", Address: "nowhere"}
 	Convey("A broken attempt is told with the request's fingerprint and whether the engine has ended", t, func() {
 		var lines bytes.Buffer
 		var observed []quarantine.Evidence
 		found := quarantine.EngineEnded
-		witness := quarantine.NewWitness(quarantine.WitnessParams{
+		detector := quarantine.NewDetector(quarantine.DetectorParams{
 			Prober:  proberFunc(func(context.Context, *fleet.Engine) quarantine.Evidence { return found }),
 			Observe: func(evidence quarantine.Evidence) { observed = append(observed, evidence) },
 			Logger:  log.NewLogfmtLogger(&lines),
 		})
-		So(witness.Broke("r1", fingerprint, engine, never(t)), ShouldEqual, quarantine.EngineEnded)
+		So(detector.Broke("r1", fingerprint, engine, never(t)), ShouldEqual, quarantine.EngineEnded)
 		found = quarantine.EngineListens
-		So(witness.Broke("r2", fingerprint, engine, never(t)), ShouldEqual, quarantine.EngineListens)
+		So(detector.Broke("r2", fingerprint, engine, never(t)), ShouldEqual, quarantine.EngineListens)
 		So(observed, ShouldResemble, []quarantine.Evidence{quarantine.EngineEnded, quarantine.EngineListens})
 		So(lines.String(), ShouldContainSubstring, `request=r1 fingerprint=`+fingerprint.Short()+` engine=e evidence="engine ended"`)
 		So(lines.String(), ShouldContainSubstring, `request=r2 fingerprint=`+fingerprint.Short()+` engine=e evidence="engine listens"`)
@@ -51,9 +51,9 @@
 				<-ctx.Done()
 				return quarantine.EngineUnknown
 			})
-			witness := quarantine.NewWitness(quarantine.WitnessParams{Prober: silent, Logger: log.NewNopLogger()})
+			detector := quarantine.NewDetector(quarantine.DetectorParams{Prober: silent, Logger: log.NewNopLogger()})
 			started := time.Now()
-			evidence := witness.Broke("r", fingerprint, engine, never(t))
+			evidence := detector.Broke("r", fingerprint, engine, never(t))
 			if evidence != quarantine.EngineUnknown || time.Since(started) > 100*time.Millisecond {
 				t.Errorf("found %v after %v", evidence, time.Since(started))
 			}
@@ -61,9 +61,9 @@
 			time.Sleep(5 * time.Second)
 		})
 	})
-	Convey("An engine that answers late is asked again, and blame comes late", t, func() {
+	Convey("An engine that answers late is asked again, and its end is noted late", t, func() {
 		synctest.Test(t, func(t *testing.T) {
-			var asked, blamed atomic.Int32
+			var asked, noted atomic.Int32
 			late := proberFunc(func(ctx context.Context, _ *fleet.Engine) quarantine.Evidence {
 				if asked.Add(1) < 3 {
 					<-ctx.Done()
@@ -71,11 +71,11 @@
 				}
 				return quarantine.EngineEnded
 			})
-			witness := quarantine.NewWitness(quarantine.WitnessParams{Prober: late, Logger: log.NewNopLogger()})
-			evidence := witness.Broke("r", fingerprint, engine, func() { blamed.Add(1) })
+			detector := quarantine.NewDetector(quarantine.DetectorParams{Prober: late, Logger: log.NewNopLogger()})
+			evidence := detector.Broke("r", fingerprint, engine, func() { noted.Add(1) })
 			time.Sleep(5 * time.Second)
-			if evidence != quarantine.EngineUnknown || blamed.Load() != 1 || asked.Load() != 3 {
-				t.Errorf("found %v, blamed %d times after %d questions", evidence, blamed.Load(), asked.Load())
+			if evidence != quarantine.EngineUnknown || noted.Load() != 1 || asked.Load() != 3 {
+				t.Errorf("found %v, noted %d times after %d questions", evidence, noted.Load(), asked.Load())
 			}
 		})
 	})
@@ -87,10 +87,10 @@
 				time.Sleep(10 * time.Millisecond)
 				return quarantine.EngineEnded
 			})
-			witness := quarantine.NewWitness(quarantine.WitnessParams{Prober: slow, Logger: log.NewNopLogger()})
+			detector := quarantine.NewDetector(quarantine.DetectorParams{Prober: slow, Logger: log.NewNopLogger()})
 			var attempts sync.WaitGroup
 			for range 6 {
-				attempts.Go(func() { witness.Broke("r", fingerprint, engine, never(t)) })
+				attempts.Go(func() { detector.Broke("r", fingerprint, engine, never(t)) })
 			}
 			attempts.Wait()
 			if asked.Load() != 1 {
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -1,7 +1,7 @@
 // Package quarantine keeps requests that end the engines that run them from ending one engine after the other, at whichever gateway their
 // callers repeat them.
 //
-// A request is known by its Fingerprint: what its caller repeats. When the connection of an attempt breaks, a Witness asks whether the
+// A request is known by its Fingerprint: what its caller repeats. When the connection of an attempt breaks, a Detector asks whether the
 // engine has ended. Each end is noted in a Table, as the start of the engine that ended, for all requests that the engine ran: which of them
 // was the cause is not known. A run that ends well clears a request. One that has seen holdAfter ends without such a run is held: it is
 // refused at once, except for a few trials that the coordinating process grants, one at a time and with growing pauses, so that a bystander
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -30,8 +30,8 @@
 
 // GuardParams are what a Guard works with.
 type GuardParams struct {
-	Table   *Table
-	Witness *Witness
+	Table    *Table
+	Detector *Detector
 	// Ask asks the coordinating process for a trial of a request of which this is known.
 	Ask func(ctx context.Context, known Record) (TrialReply, error)
 	// Observe is told of each decision, for metrics; nil for nobody.
@@ -118,16 +118,16 @@
 	if g == nil {
 		return true
 	}
-	blame := func() Standing { return g.blame(request, fingerprint, engine) }
-	if g.Witness.Broke(request, fingerprint, engine, func() { blame() }) != EngineEnded {
+	noteEnd := func() Standing { return g.noteEnd(request, fingerprint, engine) }
+	if g.Detector.Broke(request, fingerprint, engine, func() { noteEnd() }) != EngineEnded {
 		return true
 	}
-	return blame() < Isolated
+	return noteEnd() < Isolated
 }
 
-// blame notes that an engine has ended under a request.
-func (g *Guard) blame(request string, fingerprint Fingerprint, engine *fleet.Engine) Standing {
-	standing, ends := g.Table.Blame(fingerprint, engine.ID)
+// noteEnd notes that an engine has ended under a request.
+func (g *Guard) noteEnd(request string, fingerprint Fingerprint, engine *fleet.Engine) Standing {
+	standing, ends := g.Table.NoteEnd(fingerprint, engine.ID)
 	level.Info(g.Logger).Log("msg", "engine ended under request", "request", request, "fingerprint", fingerprint.Short(), "engine", engine.ID,
 		"engines_ended", ends, "standing", standing)
 	if standing == Held {
@@ -143,7 +143,7 @@
 		return
 	}
 	fingerprint := fingerprintOf()
-	if !g.Table.Acquit(fingerprint) {
+	if !g.Table.Release(fingerprint) {
 		return
 	}
 	g.observe(DecisionReleased)
@@ -152,7 +152,7 @@
 
 // Release clears a request for an operator. It reports whether the request was suspect or held.
 func (g *Guard) Release(fingerprint Fingerprint) bool {
-	if !g.Table.Acquit(fingerprint) {
+	if !g.Table.Release(fingerprint) {
 		return false
 	}
 	g.observe(DecisionReleased)
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -159,7 +159,7 @@
 }
 
 // trialUnderWay returns how long the next trial may have to wait for the end of the last one; zero if that is known. Held requests are tried
-// one after the other: two that ran side by side would both be blamed for what one did, as they were when they came to be held. It must be
+// one after the other: two that ran side by side would both count the end that one caused, as they were when they came to be held. It must be
 // this process's turn.
 func (k *Keeper) trialUnderWay() time.Duration {
 	left := trialLife - k.Table.now().Sub(k.trial.at)
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -37,7 +37,7 @@
 
 func (s *term) hold(of quarantine.Fingerprint) {
 	for i := range 3 {
-		s.Table.Blame(of, fmt.Sprint("engine-", i))
+		s.Table.NoteEnd(of, fmt.Sprint("engine-", i))
 	}
 }
 
@@ -105,7 +105,7 @@
 			if reply := leader.Try(t.Context(), other); reply.Granted || reply.Wait <= 0 {
 				t.Errorf("tried beside the first: %+v", reply)
 			}
-			leader.Table.Blame(bad, "engine-3")
+			leader.Table.NoteEnd(bad, "engine-3")
 			if !leader.Try(t.Context(), other).Granted {
 				t.Error("no trial after the end of the first")
 			}
@@ -189,7 +189,7 @@
 		var running sync.WaitGroup
 		running.Go(func() { teller.Run(ctx) })
 		time.Sleep(time.Second)
-		table.Blame(fingerprint("found"), "engine-0")
+		table.NoteEnd(fingerprint("found"), "engine-0")
 		table.Merge([]quarantine.Record{{Fingerprint: fingerprint("learnt"), Engines: []string{"engine-1"}}})
 		time.Sleep(time.Second)
 		mu.Lock()
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -26,7 +26,7 @@
 	// Suspect: an engine has ended under it.
 	Suspect
 	// Isolated: so many have that it runs apart from others like it, at one engine for each try of its caller. If the next end is its
-	// doing, the others are not blamed for it.
+	// doing, the others do not count it.
 	Isolated
 	// Held: it may run in a trial only.
 	Held
@@ -106,8 +106,8 @@
 	return Clear
 }
 
-// Blame notes that an engine has ended under a request. It returns how the request stands then.
-func (t *Table) Blame(fingerprint Fingerprint, engine string) (standing Standing, ends int) {
+// NoteEnd notes that an engine has ended under a request. It returns how the request stands then.
+func (t *Table) NoteEnd(fingerprint Fingerprint, engine string) (standing Standing, ends int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.ensure(fingerprint)
@@ -117,8 +117,8 @@
 	return known.standing(), len(known.record.Engines)
 }
 
-// Acquit notes that a run of a request ended well. It reports whether the request was suspect or held.
-func (t *Table) Acquit(fingerprint Fingerprint) bool {
+// Release notes that a run of a request ended well. It reports whether the request was suspect or held.
+func (t *Table) Release(fingerprint Fingerprint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.live(fingerprint)
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -37,18 +37,18 @@
 		table := quarantine.NewTable(at.now)
 		So(table.Empty(), ShouldBeTrue)
 		for i, expected := range []quarantine.Standing{quarantine.Suspect, quarantine.Isolated, quarantine.Held} {
-			found, ends := table.Blame(bad, fmt.Sprint("engine-", i))
+			found, ends := table.NoteEnd(bad, fmt.Sprint("engine-", i))
 			So(found, ShouldEqual, expected)
 			So(ends, ShouldEqual, i+1)
-			again, ends := table.Blame(bad, fmt.Sprint("engine-", i))
+			again, ends := table.NoteEnd(bad, fmt.Sprint("engine-", i))
 			So(again, ShouldEqual, expected)
 			So(ends, ShouldEqual, i+1)
 		}
 		So(standing(table, other), ShouldEqual, quarantine.Clear)
 		Convey("A run that ends well clears it, here and wherever that is told, whatever older news comes later", func() {
 			old := table.List()
-			So(table.Acquit(bad), ShouldBeTrue)
-			So(table.Acquit(bad), ShouldBeFalse)
+			So(table.Release(bad), ShouldBeTrue)
+			So(table.Release(bad), ShouldBeFalse)
 			So(standing(table, bad), ShouldEqual, quarantine.Clear)
 			table.Merge(old)
 			So(standing(table, bad), ShouldEqual, quarantine.Clear)
@@ -74,7 +74,7 @@
 	Convey("A suspect is forgotten after ten minutes, and news of it that is older changes nothing", t, func() {
 		at := newClock()
 		table := quarantine.NewTable(at.now)
-		table.Blame(bad, "engine-0")
+		table.NoteEnd(bad, "engine-0")
 		at.pass(10*time.Minute + time.Second)
 		So(standing(table, bad), ShouldEqual, quarantine.Clear)
 		table.Merge([]quarantine.Record{{Fingerprint: bad, Engines: []string{"engine-0"}, Idle: 11 * time.Minute}})
@@ -84,11 +84,11 @@
 		at := newClock()
 		table := quarantine.NewTable(at.now)
 		for i := range 3 {
-			table.Blame(bad, fmt.Sprint("engine-", i))
+			table.NoteEnd(bad, fmt.Sprint("engine-", i))
 		}
 		for i := range 5000 {
 			at.pass(time.Millisecond)
-			table.Blame(fingerprint(fmt.Sprint(i)), "engine-9")
+			table.NoteEnd(fingerprint(fmt.Sprint(i)), "engine-9")
 		}
 		So(len(table.List()), ShouldBeLessThanOrEqualTo, 2048)
 		So(standing(table, bad), ShouldEqual, quarantine.Held)
@@ -109,9 +109,9 @@
 			table, request := tables[random.IntN(len(tables))], requests[random.IntN(len(requests))]
 			switch random.IntN(6) {
 			case 0, 1:
-				table.Blame(request, fmt.Sprint("engine-", random.IntN(6)))
+				table.NoteEnd(request, fmt.Sprint("engine-", random.IntN(6)))
 			case 2:
-				table.Acquit(request)
+				table.Release(request)
 			case 3:
 				table.NoteTrial(request)
 			case 4:
@@ -149,7 +149,7 @@
 			if len(first.Records) != 0 {
 				t.Error("news of an empty table")
 			}
-			table.Blame(fingerprint("a"), "engine-0")
+			table.NoteEnd(fingerprint("a"), "engine-0")
 			<-changed
 			news, _ := table.Since(first.Cursor)
 			if len(news.Records) != 1 {
--- a/internal/storerelay/quarantine_test.go
+++ b/internal/storerelay/quarantine_test.go
@@ -37,12 +37,12 @@
 				running.Go(func() { client.Run(ctx) })
 				time.Sleep(2 * time.Second)
 				suspect := quarantine.FingerprintOf("", "POST", "h", "/", nil)
-				table.Blame(suspect, "engine-0")
+				table.NoteEnd(suspect, "engine-0")
 				time.Sleep(500 * time.Millisecond)
 				if standing, _ := learnt.Standing(suspect); standing != quarantine.Suspect {
 					t.Errorf("half a second after: %v", standing)
 				}
-				table.Acquit(suspect)
+				table.Release(suspect)
 				time.Sleep(500 * time.Millisecond)
 				if standing, _ := learnt.Standing(suspect); standing != quarantine.Clear {
 					t.Errorf("half a second after it was cleared: %v", standing)
