quarantine, batchrun: one look-up tells how a request stands, and the guard is all that the scheduler needs

The scheduler asked twice for each waiting item, through an interface and two methods of Keeper that repeated what its Guard holds; both are gone. An item's fingerprint no longer copies its headers. No behaviour changes; the assertions of the tests stand.

--- a/internal/batchrun/held.go
+++ b/internal/batchrun/held.go
@@ -11,16 +11,6 @@
 // heldInterval is the longest pause between two looks at an item that is held: it may be cleared meanwhile.
 const heldInterval = time.Second
 
-// Quarantine knows the requests under which engines have ended, and grants trials of those that are held.
-type Quarantine interface {
-	// Empty reports whether nothing is known of any request.
-	Empty() bool
-	// Standing returns how a request stands, and after which time one that is held may be tried.
-	Standing(fingerprint quarantine.Fingerprint) (standing quarantine.Standing, wait time.Duration)
-	// Try asks whether a held request may run once.
-	Try(ctx context.Context, fingerprint quarantine.Fingerprint) quarantine.TrialReply
-}
-
 // trial is how far the trial of a held item has come.
 type trial int
 
@@ -32,13 +22,6 @@
 	trialGranted
 )
 
-// apart is whether an item shares no engine with others for which it is true: the next engine that ends under one of them tells them from
-// each other. Items of one group share a prompt and so their engines, and were all held for what one of them did.
-func (r *Runner) apart(it *item) bool {
-	standing, _ := r.Quarantine.Standing(it.fingerprint())
-	return standing >= quarantine.Isolated
-}
-
 // fingerprint identifies the item's request.
 func (it *item) fingerprint() quarantine.Fingerprint {
 	if it.identity == nil {
@@ -49,15 +32,22 @@
 	return *it.identity
 }
 
+// statusOf returns what is known of an item's request. Nothing is in most looks, which need no fingerprint then.
+func (r *Runner) statusOf(it *item) quarantine.Status {
+	if r.Guard == nil || r.Guard.Table.Empty() {
+		return quarantine.Status{}
+	}
+	return r.Guard.Table.Status(it.fingerprint())
+}
+
 // holdsBack reports whether an item must not run now, because engines have ended under it. Without this, an item ended eleven engines in
 // three seconds: each end made it wait for the next engine. The mutex must be held.
-func (r *Runner) holdsBack(it *item, now time.Time) bool {
-	standing, wait := r.Quarantine.Standing(it.fingerprint())
-	if standing != quarantine.Held || it.trial == trialGranted {
+func (r *Runner) holdsBack(it *item, status quarantine.Status, now time.Time) bool {
+	if status.Standing != quarantine.Held || it.trial == trialGranted {
 		return false
 	}
-	if wait > 0 {
-		it.notBefore = now.Add(min(wait, heldInterval))
+	if status.Wait > 0 {
+		it.notBefore = now.Add(min(status.Wait, heldInterval))
 		return true
 	}
 	if it.trial == trialNone {
@@ -69,11 +59,11 @@
 
 // askTrial asks whether a held item may run once.
 func (r *Runner) askTrial(term context.Context, it *item) {
-	reply := r.Quarantine.Try(term, it.fingerprint())
+	reply, err := r.Guard.Ask(term, r.Guard.Table.Record(it.fingerprint()))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	it.trial = trialNone
-	if reply.Granted {
+	if err == nil && reply.Granted {
 		it.trial = trialGranted
 	} else {
 		it.notBefore = r.now().Add(min(max(reply.Wait, failurePause), heldInterval))
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -10,6 +10,7 @@
 
 	"github.com/covelink/covelink/coord/rendezvous"
 	"github.com/covelink/covelink/internal/pause"
+	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/routing"
 )
 
@@ -83,17 +84,23 @@
 		return 0
 	}
 	left := 0
-	suspects := r.Quarantine != nil && !r.Quarantine.Empty()
 	for _, waiting := range r.waiting(looked.view) {
 		if waiting.item.text.Whole {
 			r.judgeHere(waiting.item)
 			continue
 		}
-		if waiting.item.notBefore.After(looked.now) || suspects && r.holdsBack(waiting.item, looked.now) {
+		if waiting.item.notBefore.After(looked.now) {
 			left++
 			continue
 		}
-		apart := suspects && r.apart(waiting.item)
+		status := r.statusOf(waiting.item)
+		if r.holdsBack(waiting.item, status, looked.now) {
+			left++
+			continue
+		}
+		// Items of one group share a prompt and so their engines, and were all held for what one of them did: the next end tells items that
+		// run apart from each other.
+		apart := status.Standing >= quarantine.Isolated
 		chosen := r.place(looked, waiting, apart)
 		if chosen == nil {
 			left++
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -93,11 +93,9 @@
 	State     *fleet.State
 	Transport forward.Transport
 	Forwarder *forward.Forwarder
-	// Guard is told which runs of this process ended their engines; nil for nobody.
+	// Guard knows under which items engines have ended, and is told of runs of this process; nil holds none back.
 	Guard *quarantine.Guard
-	// Quarantine holds items back under which engines have ended; nil for none.
-	Quarantine Quarantine
-	Store      metastore.Client
+	Store metastore.Client
 	// Desk hands runs to workers; nil if this process carries out all of them.
 	Desk *itemwork.Desk
 	// Retention is how long a job is kept after its end; zero means DefaultRetention.
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -45,13 +45,12 @@
 }
 
 func newRunner(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder,
-	guard *quarantine.Guard, held *quarantine.Keeper, store metastore.Client, desk *itemwork.Desk, observed *metrics, logger log.Logger) *batchrun.Runner {
+	guard *quarantine.Guard, store metastore.Client, desk *itemwork.Desk, observed *metrics, logger log.Logger) *batchrun.Runner {
 	return batchrun.New(batchrun.Params{
 		State:      state,
 		Transport:  transport,
 		Forwarder:  forwarder,
 		Guard:      guard,
-		Quarantine: held,
 		Store:      store,
 		Desk:       desk,
 		Retention:  config.Timing.BatchRetention,
--- a/internal/forward/crashing_test.go
+++ b/internal/forward/crashing_test.go
@@ -286,7 +286,7 @@
 // grantFrom grants trials from one table, as the coordinating process does from its own.
 func grantFrom(table *quarantine.Table) func(context.Context, quarantine.Record) (quarantine.TrialReply, error) {
 	return func(_ context.Context, known quarantine.Record) (quarantine.TrialReply, error) {
-		wait := table.Wait(known.Fingerprint)
+		wait := table.Status(known.Fingerprint).Wait
 		if wait == 0 {
 			table.NoteTrial(known.Fingerprint)
 		}
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -152,7 +152,9 @@
 }
 
 // Fingerprint identifies the item among all that its tenant sends.
-func (a *Assignment) Fingerprint() quarantine.Fingerprint { return a.request().Fingerprint() }
+func (a *Assignment) Fingerprint() quarantine.Fingerprint {
+	return quarantine.FingerprintOf(a.Tenant, http.MethodPost, a.Host, a.Path, a.Body)
+}
 
 // request returns what an engine is sent for the item.
 func (a *Assignment) request() *forward.Request {
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -70,9 +70,9 @@
 		return Admission{}
 	}
 	fingerprint := fingerprintOf()
-	switch standing, _ := g.Table.Standing(fingerprint); standing {
+	switch status := g.Table.Status(fingerprint); status.Standing {
 	case Held:
-		return g.admitHeld(ctx, request, fingerprint)
+		return g.admitHeld(ctx, request, fingerprint, status)
 	case Isolated:
 		g.observe(DecisionIsolated)
 		return Admission{Isolated: true}
@@ -81,13 +81,16 @@
 }
 
 // admitHeld asks for a trial.
-func (g *Guard) admitHeld(ctx context.Context, request string, fingerprint Fingerprint) Admission {
-	if wait := g.Table.Wait(fingerprint); wait > 0 {
-		return g.refuse(request, fingerprint, wait, nil)
+func (g *Guard) admitHeld(ctx context.Context, request string, fingerprint Fingerprint, status Status) Admission {
+	granted, wait, err := false, status.Wait, error(nil)
+	if wait == 0 {
+		granted, wait, err = g.ask(ctx, fingerprint)
 	}
-	granted, wait, err := g.ask(ctx, fingerprint)
 	if !granted {
-		return g.refuse(request, fingerprint, wait, err)
+		g.observe(DecisionRefused)
+		level.Info(g.Logger).Log("msg", "held request refused", "request", request, "fingerprint", fingerprint.Short(), "engines_ended", status.Ends,
+			"retry_after", wait.Round(time.Millisecond), "err", err)
+		return Admission{Refused: true, RetryAfter: wait}
 	}
 	g.observe(DecisionTrial)
 	level.Info(g.Logger).Log("msg", "held request tried", "request", request, "fingerprint", fingerprint.Short())
@@ -104,14 +107,6 @@
 	return reply.Granted, reply.Wait, nil
 }
 
-func (g *Guard) refuse(request string, fingerprint Fingerprint, wait time.Duration, err error) Admission {
-	g.observe(DecisionRefused)
-	_, ends := g.Table.Standing(fingerprint)
-	level.Info(g.Logger).Log("msg", "held request refused", "request", request, "fingerprint", fingerprint.Short(), "engines_ended", ends,
-		"retry_after", wait.Round(time.Millisecond), "err", err)
-	return Admission{Refused: true, RetryAfter: wait}
-}
-
 // Broke takes in that the connection of an attempt broke, without a cause on this side, and returns whether the request may be sent to another
 // engine.
 func (g *Guard) Broke(request string, fingerprint Fingerprint, engine *fleet.Engine) (again bool) {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -188,11 +188,12 @@
 		if err := k.open(ctx); err != nil {
 			return err
 		}
-		if standing, _ := k.Table.Standing(fingerprint); standing != Held {
+		status := k.Table.Status(fingerprint)
+		if status.Standing != Held {
 			reply.Granted = true
 			return nil
 		}
-		if reply.Wait = max(k.Table.Wait(fingerprint), k.trialUnderWay()); reply.Wait > 0 {
+		if reply.Wait = max(status.Wait, k.trialUnderWay()); reply.Wait > 0 {
 			return nil
 		}
 		if err := k.write(ctx, k.withTrial(fingerprint)); err != nil {
@@ -210,15 +211,6 @@
 	return reply
 }
 
-// Empty reports whether nothing is known of any request.
-func (k *Keeper) Empty() bool { return k.Table.Empty() }
-
-// Standing returns how a request stands, and after which time one that is held may be tried.
-func (k *Keeper) Standing(fingerprint Fingerprint) (standing Standing, wait time.Duration) {
-	standing, _ = k.Table.Standing(fingerprint)
-	return standing, k.Table.Wait(fingerprint)
-}
-
 // withTrial returns what is held, with one more trial of a request.
 func (k *Keeper) withTrial(fingerprint Fingerprint) []keptRecord {
 	records := k.held()
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -69,9 +69,9 @@
 			second := lead(store.Client())
 			defer second.end()
 			time.Sleep(time.Second)
-			standing, wait := second.Standing(bad)
-			if standing != quarantine.Held || wait < 25*time.Second {
-				t.Errorf("%v, to be tried after %v", standing, wait)
+			status := second.Table.Status(bad)
+			if status.Standing != quarantine.Held || status.Wait < 25*time.Second {
+				t.Errorf("%v, to be tried after %v", status.Standing, status.Wait)
 			}
 		})
 	})
--- a/internal/quarantine/listing.go
+++ b/internal/quarantine/listing.go
@@ -41,14 +41,14 @@
 		if len(record.Engines) == 0 {
 			continue
 		}
-		standing, _ := t.Standing(record.Fingerprint)
+		status := t.Status(record.Fingerprint)
 		list.Requests = append(list.Requests, Listing{
 			Fingerprint: record.Fingerprint.String(),
-			Standing:    standing.String(),
+			Standing:    status.Standing.String(),
 			Engines:     record.Engines,
 			Trials:      record.Trials,
 			IdleMillis:  record.Idle.Milliseconds(),
-			WaitMillis:  t.Wait(record.Fingerprint).Round(time.Millisecond).Milliseconds(),
+			WaitMillis:  status.Wait.Round(time.Millisecond).Milliseconds(),
 		})
 	}
 	return list
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -83,15 +83,29 @@
 	return len(t.entries) == 0
 }
 
-// Standing returns how a request stands, and how many engines have ended under it.
-func (t *Table) Standing(fingerprint Fingerprint) (Standing, int) {
+// Status is what a table knows of a request. The zero value is that of a request of which nothing is known.
+type Status struct {
+	Standing Standing
+	// Ends is how many engines have ended under the request.
+	Ends int
+	// Wait is after which time the request may be tried, if it is held.
+	Wait time.Duration
+}
+
+// Status returns what is known of a request.
+func (t *Table) Status(fingerprint Fingerprint) Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.live(fingerprint)
+	now := t.now()
+	known := t.liveAt(fingerprint, now)
 	if known == nil {
-		return Clear, 0
+		return Status{}
 	}
-	return known.standing(), len(known.record.Engines)
+	status := Status{Standing: known.standing(), Ends: len(known.record.Engines)}
+	if status.Standing == Held {
+		status.Wait = known.wait(now)
+	}
+	return status
 }
 
 func (e *entry) standing() Standing {
@@ -151,17 +165,6 @@
 	return max(pause-now.Sub(e.added), 0)
 }
 
-// Wait returns after which time a request may be tried; zero if it is not held.
-func (t *Table) Wait(fingerprint Fingerprint) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	known := t.live(fingerprint)
-	if known == nil || !known.record.held() {
-		return 0
-	}
-	return known.wait(t.now())
-}
-
 // Merge takes in what another process knows.
 func (t *Table) Merge(records []Record) {
 	t.mu.Lock()
@@ -266,9 +269,11 @@
 }
 
 // live returns an entry that is of use; nil if there is none. The mutex must be held.
-func (t *Table) live(fingerprint Fingerprint) *entry {
+func (t *Table) live(fingerprint Fingerprint) *entry { return t.liveAt(fingerprint, t.now()) }
+
+func (t *Table) liveAt(fingerprint Fingerprint, now time.Time) *entry {
 	known, ok := t.entries[fingerprint]
-	if !ok || t.now().Sub(known.added) > known.record.life() {
+	if !ok || now.Sub(known.added) > known.record.life() {
 		return nil
 	}
 	return known
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -28,8 +28,7 @@
 
 func TestStanding(t *testing.T) {
 	standing := func(table *quarantine.Table, of quarantine.Fingerprint) quarantine.Standing {
-		found, _ := table.Standing(of)
-		return found
+		return table.Status(of).Standing
 	}
 	bad, other := fingerprint("bad"), fingerprint("other")
 	Convey("Three ends of different engine starts hold a request, and it alone", t, func() {
@@ -59,14 +58,14 @@
 			So(standing(elsewhere, bad), ShouldEqual, quarantine.Clear)
 		})
 		Convey("It may be tried after 2 s, after 30 s more, and not again within the hour after which it is forgotten", func() {
-			So(table.Wait(bad), ShouldEqual, 2*time.Second)
+			So(table.Status(bad).Wait, ShouldEqual, 2*time.Second)
 			at.pass(2 * time.Second)
-			So(table.Wait(bad), ShouldBeZeroValue)
+			So(table.Status(bad).Wait, ShouldBeZeroValue)
 			table.NoteTrial(bad)
-			So(table.Wait(bad), ShouldEqual, 30*time.Second)
+			So(table.Status(bad).Wait, ShouldEqual, 30*time.Second)
 			at.pass(30 * time.Second)
 			table.NoteTrial(bad)
-			So(table.Wait(bad), ShouldEqual, time.Hour)
+			So(table.Status(bad).Wait, ShouldEqual, time.Hour)
 			at.pass(time.Hour + time.Second)
 			So(standing(table, bad), ShouldEqual, quarantine.Clear)
 		})
--- a/internal/storerelay/quarantine_test.go
+++ b/internal/storerelay/quarantine_test.go
@@ -39,12 +39,12 @@
 				suspect := quarantine.FingerprintOf("", "POST", "h", "/", nil)
 				table.NoteEnd(suspect, "engine-0")
 				time.Sleep(500 * time.Millisecond)
-				if standing, _ := learnt.Standing(suspect); standing != quarantine.Suspect {
+				if standing := learnt.Status(suspect).Standing; standing != quarantine.Suspect {
 					t.Errorf("half a second after: %v", standing)
 				}
 				table.Release(suspect)
 				time.Sleep(500 * time.Millisecond)
-				if standing, _ := learnt.Standing(suspect); standing != quarantine.Clear {
+				if standing := learnt.Status(suspect).Standing; standing != quarantine.Clear {
 					t.Errorf("half a second after it was cleared: %v", standing)
 				}
 				cancel()
