--- a/internal/permits/journal.go
+++ b/internal/permits/journal.go
@@ -59,8 +59,8 @@
 
 	// turn holds one token, taken by whoever calls the store.
 	turn chan struct{}
-	// revision is the object's as this process last knew it; zero if it must be read. It belongs to whoever has the turn.
-	revision metastore.Revision
+	// cell is the object. It belongs to whoever has the turn.
+	cell *metastore.Cell
 
 	mu sync.Mutex
 	// acts are the newest permitted acts by subject.
@@ -93,7 +93,8 @@
 
 // New returns the journal of a term. Its first permit takes the object over.
 func New(params Params) *Journal {
-	return &Journal{Params: params, turn: make(chan struct{}, 1), acts: make(map[string]act)}
+	cell := metastore.NewCell(params.Store, KindJournals, params.Name, Window)
+	return &Journal{Params: params, turn: make(chan struct{}, 1), cell: cell, acts: make(map[string]act)}
 }
 
 // handover is how long after another process's last act this one acts.
@@ -102,8 +103,8 @@
 // memory is how long an act matters.
 func (j *Journal) memory() time.Duration { return j.LeaseLength + j.handover() }
 
-// Permit records acts on subjects. It returns the subjects that may be acted on, until the deadline, a moment of boottime; the others have to wait. ErrLost if a
-// later term acts. After any error nothing may be done.
+// Permit records acts on subjects. It returns the subjects that may be acted on, until the deadline, a moment of boottime; the others have
+// to wait. ErrLost if a later term acts. After any error nothing may be done.
 func (j *Journal) Permit(ctx context.Context, subjects []string) (allowed []string, deadline time.Time, err error) {
 	ctx, cancel := context.WithTimeout(ctx, Window)
 	defer cancel()
@@ -113,7 +114,7 @@
 		return nil, time.Time{}, ctx.Err()
 	}
 	defer func() { <-j.turn }()
-	if j.revision == 0 {
+	if !j.cell.Known() {
 		if err := j.open(ctx); err != nil {
 			return nil, time.Time{}, err
 		}
@@ -188,36 +189,24 @@
 
 // open reads the object and writes it under the term's token.
 func (j *Journal) open(ctx context.Context) error {
-	object, err := j.Store.Get(ctx, KindJournals, j.Name)
-	if errors.Is(err, metastore.ErrNotFound) {
-		return j.create(ctx)
+	content, err := j.cell.Read(ctx)
+	if err == nil && content != nil {
+		err = j.take(content)
 	}
-	if err != nil {
-		return err
+	if err == nil {
+		err = j.write(ctx, boottime.Now())
 	}
-	if err := j.take(object); err != nil {
-		return err
-	}
-	return j.write(ctx, boottime.Now())
-}
-
-func (j *Journal) create(ctx context.Context) error {
-	object, err := j.encode(boottime.Now())
 	if err != nil {
-		return err
+		// Nothing may be written over what a later term has recorded, or over what is not known.
+		j.cell.Forget()
 	}
-	object, err = j.Store.Create(ctx, KindJournals, object)
-	if err != nil {
-		return err
-	}
-	j.revision = object.Revision
-	return nil
+	return err
 }
 
 // take reads what others have recorded.
-func (j *Journal) take(object metastore.Object) error {
+func (j *Journal) take(content json.RawMessage) error {
 	var spec journalSpec
-	if err := json.Unmarshal(object.Spec, &spec); err != nil {
+	if err := json.Unmarshal(content, &spec); err != nil {
 		return fmt.Errorf("permits: journal %s: %w", j.Name, err)
 	}
 	if spec.Token > j.Token {
@@ -240,7 +229,6 @@
 		}
 		j.acts[subject] = read
 	}
-	j.revision = object.Revision
 	return nil
 }
 
@@ -250,22 +238,15 @@
 
 // write replaces the object. After an error the object is read again before the next write.
 func (j *Journal) write(ctx context.Context, now time.Time) error {
-	object, err := j.encode(now)
-	if err != nil {
-		return err
-	}
-	object.Revision = j.revision
-	j.revision = 0
-	stored, err := j.Store.Replace(ctx, KindJournals, object)
+	content, err := j.encode(now)
 	if err != nil {
 		return err
 	}
-	j.revision = stored.Revision
-	return nil
+	return j.cell.Write(ctx, content)
 }
 
-// encode returns the object without the acts that matter no longer.
-func (j *Journal) encode(now time.Time) (metastore.Object, error) {
+// encode returns the object's content, without the acts that matter no longer.
+func (j *Journal) encode(now time.Time) (json.RawMessage, error) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	spec := journalSpec{Token: j.Token, Acts: make(map[string]actRecord, len(j.acts))}
@@ -287,9 +268,5 @@
 		}
 		spec.Acts[subject] = record
 	}
-	content, err := json.Marshal(spec)
-	if err != nil {
-		return metastore.Object{}, err
-	}
-	return metastore.Object{Name: j.Name, Spec: content}, nil
+	return json.Marshal(spec)
 }
