election, pause: one type for who coordinates, and one wait that a change ends

usage and quarantine each had a Term of their own, which fleetnode made from what election.Watcher returns as two values; the teller of quarantine had election's wait once more, and pause.For was the same without the change. election.Term bears the holder's address now; pause.Unless is the wait. No behaviour changes.

--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/pause"
 )
 
 const (
@@ -104,15 +105,15 @@
 		lease, known, changed := e.current()
 		switch {
 		case !known:
-			wait(ctx, changed, time.Hour)
+			pause.Unless(ctx, changed, time.Hour)
 		case lease.Instance == e.instance && e.yielded(lease.Token):
 			e.awaitSuccessor(ctx, lease, changed)
 		case lease.Instance == e.instance:
 			e.lead(ctx, lease)
 		case !e.eligible():
-			wait(ctx, changed, pingInterval)
+			pause.Unless(ctx, changed, pingInterval)
 		case lease.Holder == "":
-			if wait(ctx, changed, e.jitter()) {
+			if pause.Unless(ctx, changed, e.jitter()) {
 				// Another candidate was first.
 				continue
 			}
@@ -121,7 +122,7 @@
 			// This machine held it before the process was started again, or another process bears the same name.
 			if e.held {
 				level.Error(e.Logger).Log("msg", "another process bears this node's name", "instance", lease.Instance)
-				wait(ctx, nil, namesakePause)
+				pause.Unless(ctx, nil, namesakePause)
 			}
 			e.acquire(ctx, lease)
 		default:
@@ -165,7 +166,7 @@
 
 // reread asks the store for the lease, after a write that failed or whose outcome is unknown.
 func (e *Elector) reread(ctx context.Context) {
-	wait(ctx, nil, pingInterval/4)
+	pause.Unless(ctx, nil, pingInterval/4)
 	object, err := e.Store.Get(ctx, KindLeases, leaseName)
 	if err == nil {
 		e.observe(object)
@@ -176,7 +177,7 @@
 func (e *Elector) watchHolder(ctx context.Context, lease Lease, changed <-chan struct{}) {
 	misses := 0
 	for misses < maxMisses {
-		if wait(ctx, changed, pingInterval) {
+		if pause.Unless(ctx, changed, pingInterval) {
 			return
 		}
 		unserved, err := e.ping(ctx, lease)
@@ -189,17 +190,17 @@
 			continue
 		}
 		// Another candidate may be first.
-		if wait(ctx, changed, e.jitter()) {
+		if pause.Unless(ctx, changed, e.jitter()) {
 			return
 		}
 		e.succeed(ctx, lease)
 	}
-	if wait(ctx, changed, e.jitter()) {
+	if pause.Unless(ctx, changed, e.jitter()) {
 		return
 	}
 	for !e.challenge(ctx, lease) {
 		// The store did not take the challenge. The holder is judged again before the next attempt, not from the start.
-		if wait(ctx, changed, challengeRetry) {
+		if pause.Unless(ctx, changed, challengeRetry) {
 			return
 		}
 		if _, err := e.ping(ctx, lease); err == nil {
@@ -234,13 +235,13 @@
 		// Who wrote the challenge goes first.
 		patience += maxJitter + e.jitter()
 	}
-	if !wait(ctx, changed, patience) {
+	if !pause.Unless(ctx, changed, patience) {
 		e.acquire(ctx, challenged)
 		return true
 	}
 	if answered, _, changed := e.current(); answered.Instance == lease.Instance {
 		level.Info(e.Logger).Log("msg", "holder answered the challenge", "holder", answered.Holder, "token", answered.Token)
-		wait(ctx, changed, challengePause)
+		pause.Unless(ctx, changed, challengePause)
 	}
 	return true
 }
@@ -251,7 +252,7 @@
 	defer cancel()
 	e.held = true
 	var leading sync.WaitGroup
-	leading.Go(func() { e.Lead(term, Term{Token: lease.Token}) })
+	leading.Go(func() { e.Lead(term, Term{Address: lease.Address, Token: lease.Token}) })
 	for ctx.Err() == nil && e.eligible() {
 		current, _, changed := e.current()
 		if current.Instance != e.instance || current.Token != lease.Token {
@@ -310,17 +311,3 @@
 	}
 	e.store(ctx, lease, Lease{Token: lease.Token}, "lease released")
 }
-
-// wait waits for the length, a change or the end of ctx. It reports true unless the length is over.
-func wait(ctx context.Context, changed <-chan struct{}, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return false
-	case <-changed:
-		return true
-	case <-ctx.Done():
-		return true
-	}
-}
--- a/internal/election/lease.go
+++ b/internal/election/lease.go
@@ -78,5 +78,7 @@
 
 // Term is one holding of the lease.
 type Term struct {
-	Token int64
+	// Address is where the holder is reached; empty if there is no holder or it is not known.
+	Address string
+	Token   int64
 }
--- a/internal/election/watcher.go
+++ b/internal/election/watcher.go
@@ -47,10 +47,10 @@
 	return lease.Address
 }
 
-// Term returns the holder's address, or "" if there is none or it is not known, and the lease's token.
-func (w *Watcher) Term() (address string, token int64) {
+// Term returns the newest term that is known.
+func (w *Watcher) Term() Term {
 	lease, _, _ := w.current()
-	return lease.Address, lease.Token
+	return Term{Address: lease.Address, Token: lease.Token}
 }
 
 // observe takes a lease object from the store. One that is no newer than the newest known is ignored.
--- a/internal/fleetnode/duties.go
+++ b/internal/fleetnode/duties.go
@@ -120,12 +120,9 @@
 	}
 	forwarder.Began = meter.Began
 	teller := usage.NewTeller(usage.TellerParams{
-		Meter: meter,
-		Clock: clock,
-		Coordinator: func() usage.Term {
-			address, token := watcher.Term()
-			return usage.Term{Address: address, Token: token}
-		},
+		Meter:       meter,
+		Clock:       clock,
+		Coordinator: watcher.Term,
 		Send: func(ctx context.Context, address string, request usage.TellRequest) (usage.TellReply, error) {
 			return usage.Tell(ctx, calls, address, request)
 		},
--- a/internal/fleetnode/quarantine.go
+++ b/internal/fleetnode/quarantine.go
@@ -59,11 +59,8 @@
 		return quarantine.AskTrial(ctx, calls, address, quarantine.TrialRequest{Known: known})
 	}
 	teller := quarantine.NewTeller(quarantine.TellerParams{
-		Table: table,
-		Coordinator: func() quarantine.Term {
-			address, token := watcher.Term()
-			return quarantine.Term{Address: address, Token: token}
-		},
+		Table:       table,
+		Coordinator: watcher.Term,
 		Send: func(ctx context.Context, address string, request quarantine.TellRequest) (quarantine.TellReply, error) {
 			return quarantine.Tell(ctx, calls, address, request)
 		},
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/metastore/metastoretest"
 	"github.com/covelink/covelink/internal/quarantine"
@@ -162,13 +163,13 @@
 func TestTeller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var mu sync.Mutex
-		holder := quarantine.Term{Address: "first", Token: 1}
-		told := make(map[quarantine.Term][]quarantine.Record)
+		holder := election.Term{Address: "first", Token: 1}
+		told := make(map[election.Term][]quarantine.Record)
 		attempts := 0
 		table := quarantine.NewTable(time.Now)
 		teller := quarantine.NewTeller(quarantine.TellerParams{
 			Table: table,
-			Coordinator: func() quarantine.Term {
+			Coordinator: func() election.Term {
 				mu.Lock()
 				defer mu.Unlock()
 				return holder
@@ -196,7 +197,7 @@
 		if len(told[holder]) != 1 || told[holder][0].Fingerprint != fingerprint("found") {
 			t.Errorf("told the first: %+v", told[holder])
 		}
-		holder = quarantine.Term{Address: "second", Token: 2}
+		holder = election.Term{Address: "second", Token: 2}
 		mu.Unlock()
 		time.Sleep(time.Second)
 		mu.Lock()
--- a/internal/quarantine/teller.go
+++ b/internal/quarantine/teller.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/pause"
 )
 
@@ -20,17 +21,11 @@
 	lookInterval = 500 * time.Millisecond
 )
 
-// Term names who coordinates.
-type Term struct {
-	Address string
-	Token   int64
-}
-
 // TellerParams are what a Teller works with.
 type TellerParams struct {
 	Table *Table
 	// Coordinator returns who coordinates; its address is "" if nobody is known to.
-	Coordinator func() Term
+	Coordinator func() election.Term
 	// Send tells the process at an address.
 	Send   func(ctx context.Context, address string, request TellRequest) (TellReply, error)
 	Logger log.Logger
@@ -40,7 +35,7 @@
 type Teller struct {
 	TellerParams
 	// told is who was last told, and cursor what.
-	told   Term
+	told   election.Term
 	cursor Cursor
 	// failing is true since an attempt failed.
 	failing bool
@@ -59,7 +54,7 @@
 		found, changed := t.Table.Found(t.cursor)
 		if len(found.Records) == 0 {
 			t.told, t.cursor = term, found.Cursor
-			awaitChange(ctx, changed)
+			pause.Unless(ctx, changed, lookInterval)
 			continue
 		}
 		if err := t.send(ctx, term, found.Records); err != nil {
@@ -74,7 +69,7 @@
 // errNotLeading reports a process that does not coordinate.
 var errNotLeading = errors.New("quarantine: the process does not coordinate")
 
-func (t *Teller) send(ctx context.Context, term Term, records []Record) error {
+func (t *Teller) send(ctx context.Context, term election.Term, records []Record) error {
 	if term.Address == "" {
 		return errNotLeading
 	}
@@ -87,21 +82,10 @@
 	return err
 }
 
-func (t *Teller) noteFailure(term Term, records int, err error) {
+func (t *Teller) noteFailure(term election.Term, records int, err error) {
 	if t.failing {
 		return
 	}
 	t.failing = true
 	level.Info(t.Logger).Log("msg", "findings not told", "coordinator", term.Address, "records", records, "err", err)
 }
-
-// awaitChange waits until a table has changed, or it is time to look at who coordinates.
-func awaitChange(ctx context.Context, changed <-chan struct{}) {
-	timer := time.NewTimer(lookInterval)
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/usage/kit_test.go
+++ b/internal/usage/kit_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 
 	"github.com/covelink/covelink/internal/duty"
+	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleettime"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/metastore/metastoretest"
@@ -204,7 +205,7 @@
 	done    chan struct{}
 	mu      sync.Mutex
 	current *holder
-	term    Term
+	term    election.Term
 }
 
 // startGateway starts a gateway that tells whoever is set with follow.
@@ -215,7 +216,7 @@
 	teller := NewTeller(TellerParams{
 		Meter:       g.meter,
 		Clock:       clock,
-		Coordinator: func() Term { g.mu.Lock(); defer g.mu.Unlock(); return g.term },
+		Coordinator: func() election.Term { g.mu.Lock(); defer g.mu.Unlock(); return g.term },
 		Send:        g.send,
 		Store:       store,
 		Logger:      log.NewNopLogger(),
@@ -246,7 +247,7 @@
 	defer g.mu.Unlock()
 	g.current = h
 	if h != nil {
-		g.term = Term{Address: "holder", Token: token}
+		g.term = election.Term{Address: "holder", Token: token}
 	}
 }
 
--- a/internal/usage/teller.go
+++ b/internal/usage/teller.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/covelink/covelink/internal/boottime"
+	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleettime"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/pause"
@@ -71,19 +72,13 @@
 	return rpc.Call[TellRequest, TellReply](ctx, calls, address, request)
 }
 
-// Term names who coordinates.
-type Term struct {
-	Address string
-	Token   int64
-}
-
 // TellerParams are what a Teller works with.
 type TellerParams struct {
 	Meter *Meter
 	// Clock learns the time from whoever is told.
 	Clock *fleettime.Remote
 	// Coordinator returns who coordinates; its address is "" if nobody is known to.
-	Coordinator func() Term
+	Coordinator func() election.Term
 	// Send tells the process at an address.
 	Send func(ctx context.Context, address string, request TellRequest) (TellReply, error)
 	// Store takes counts while no process that coordinates is reached.
@@ -95,7 +90,7 @@
 type Teller struct {
 	TellerParams
 	// told is who was last told, and at when.
-	told   Term
+	told   election.Term
 	toldAt time.Time
 	// failing is since when no attempt has succeeded; zero while they do.
 	failing time.Time
@@ -171,7 +166,7 @@
 	return len(taken) == 0
 }
 
-func (t *Teller) send(ctx context.Context, term Term, windows []WindowCounts) error {
+func (t *Teller) send(ctx context.Context, term election.Term, windows []WindowCounts) error {
 	if term.Address == "" {
 		return errNotTaken
 	}
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -8,6 +8,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/covelink/covelink/internal/duty"
+	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/metastore/metastoretest"
 )
@@ -175,7 +176,7 @@
 		defer h.stop()
 		cut := startGateway(store.Client())
 		defer cut.stop()
-		cut.term = Term{Address: "holder", Token: 1}
+		cut.term = election.Term{Address: "holder", Token: 1}
 		window := thisWindow()
 		cut.began("alpha", 2)
 		time.Sleep(windowLength + reportDue)
