placement: one filter of where a request may run; zones, regions and evacuations are known to every process

Change: the settings name each zone's region; routes and tenants hold their allowed regions; followers keep the evacuated zones, which are relayed like routes and unknown until read; package placement answers for one request over one view, and lookups ask it. Services tell how long their engines are cold and what they bear then, engines how much longer they are.

--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -68,6 +68,7 @@
 		ID:      engine.ID,
 		Service: engine.Service,
 		Address: engine.Address,
+		Zone:    engine.Zone,
 		Version: record.version(engine, it.job.Model, r.now()),
 	}
 	if route.MaxQueue > 0 {
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -1,9 +1,10 @@
-// Package fleet holds what a process knows of the deployment: the route table in force and the engines that are listed. Both
-// are replaced as a whole and never go back.
+// Package fleet holds what a process knows of the deployment: the route table in force, the engines that are listed, the regions of its
+// zones and the zones that are evacuated. Each is replaced as a whole and never goes back.
 package fleet
 
 import (
 	"sync"
+	"time"
 
 	"github.com/covelink/covelink/internal/routing"
 )
@@ -21,6 +22,9 @@
 	Ready bool
 	// Versions maps each model that it holds to its weight version.
 	Versions map[string]int64
+	// ColdRemaining is how much longer the engine bears only a part of its load, as of the moment at which it wrote its entry; zero once it
+	// is warm.
+	ColdRemaining time.Duration
 }
 
 // View is one state of the deployment. It is not changed once it is handed out.
@@ -29,23 +33,87 @@
 	Routes *routing.Table
 	// Engines are all listed engines by ID, the leaving ones included.
 	Engines map[string]*Engine
-	// ready maps a service to its engines that take work, in the order of their IDs.
+	// Topology tells the region of each zone.
+	Topology Topology
+	// Evacuations are the zones that get no work; nil while they are not known, when no zone may get any.
+	Evacuations *Evacuations
+	// ready maps a service to its engines that are not leaving, in the order of their IDs.
 	ready map[string][]*Engine
+	// open maps a service to its ready engines whose zones are not evacuated, in the same order.
+	open map[string][]*Engine
 }
 
-// Ready returns the engines of a service that take work, in the order of their IDs.
+// Ready returns the engines of a service that are not leaving, in the order of their IDs. Whether one may run a request is for package
+// placement to say.
 func (v *View) Ready(service string) []*Engine { return v.ready[service] }
 
+// Open returns the engines of a service that are not leaving and whose zones are known not to be evacuated, in the order of their IDs.
+func (v *View) Open(service string) []*Engine { return v.open[service] }
+
+// opened returns the ready engines whose zones are known not to be evacuated, by service.
+func (v *View) opened() map[string][]*Engine {
+	if v.Evacuations == nil {
+		return nil
+	}
+	if len(v.Evacuations.since) == 0 {
+		return v.ready
+	}
+	open := make(map[string][]*Engine, len(v.ready))
+	for service, engines := range v.ready {
+		for _, engine := range engines {
+			if !v.Evacuations.Include(engine.Zone) {
+				open[service] = append(open[service], engine)
+			}
+		}
+	}
+	return open
+}
+
 // State is the newest View. It is safe for concurrent use.
 type State struct {
 	mu      sync.RWMutex
 	view    *View
 	changed chan struct{}
+	// initial are the evacuations while none were learnt: nil where they are followed.
+	initial *Evacuations
 }
 
-// NewState returns a State that knows nothing.
+// NewState returns a State that knows no routes and no engines. No zone is evacuated unless FollowEvacuations is called.
 func NewState() *State {
-	return &State{view: &View{}, changed: make(chan struct{})}
+	none := &Evacuations{}
+	return &State{view: &View{Evacuations: none}, initial: none, changed: make(chan struct{})}
+}
+
+// FollowEvacuations makes the evacuations unknown until SetEvacuations. It must be called before the state is used.
+func (s *State) FollowEvacuations() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.initial = nil
+	next := *s.view
+	next.Evacuations = nil
+	s.replace(&next)
+}
+
+// SetTopology puts the regions of the zones in force.
+func (s *State) SetTopology(topology Topology) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := *s.view
+	next.Topology = topology
+	s.replace(&next)
+}
+
+// SetEvacuations puts evacuations in force. It reports false, and changes nothing, if they are older than those in force.
+func (s *State) SetEvacuations(evacuations *Evacuations) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.view.Evacuations; known != nil && evacuations.revision < known.revision {
+		return false
+	}
+	next := *s.view
+	next.Evacuations = evacuations
+	s.replace(&next)
+	return true
 }
 
 // View returns the newest view.
@@ -62,11 +130,11 @@
 	return s.view, s.changed
 }
 
-// Reset forgets everything, for a process that has not followed the deployment for a while.
+// Reset forgets everything but the topology, for a process that has not followed the deployment for a while.
 func (s *State) Reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.replace(&View{})
+	s.replace(&View{Topology: s.view.Topology, Evacuations: s.initial})
 }
 
 // SetRoutes puts a table in force. It reports false, and changes nothing, if the table is no newer than the one in force.
@@ -86,21 +154,20 @@
 func (s *State) SetEngines(engines []*Engine) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next := &View{
-		Routes:  s.view.Routes,
-		Engines: make(map[string]*Engine, len(engines)),
-		ready:   make(map[string][]*Engine),
-	}
+	next := *s.view
+	next.Engines = make(map[string]*Engine, len(engines))
+	next.ready = make(map[string][]*Engine)
 	for _, engine := range engines {
 		next.Engines[engine.ID] = engine
 		if engine.Ready {
 			next.ready[engine.Service] = append(next.ready[engine.Service], engine)
 		}
 	}
-	s.replace(next)
+	s.replace(&next)
 }
 
 func (s *State) replace(next *View) {
+	next.open = next.opened()
 	s.view = next
 	close(s.changed)
 	s.changed = make(chan struct{})
--- /dev/null
+++ b/internal/fleet/topology.go
@@ -0,0 +1,20 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+)
+
+// Topology tells in which region each zone of the deployment lies. It is not changed once it is made; the zero value knows no zone.
+type Topology struct {
+	regions map[string]string
+}
+
+// NewTopology returns the Topology of a map from zone to region.
+func NewTopology(regions map[string]string) Topology { return Topology{regions: maps.Clone(regions)} }
+
+// Region returns the region of a zone; empty if the zone is not known. Nothing that is bound to regions may go there then.
+func (t Topology) Region(zone string) string { return t.regions[zone] }
+
+// Zones returns the known zones in the order of their names.
+func (t Topology) Zones() []string { return slices.Sorted(maps.Keys(t.regions)) }
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -226,7 +226,7 @@
 	c.Metrics.leadingTerms.Inc()
 	c.State.Reset()
 	var leading sync.WaitGroup
-	leading.Go(func() { followFleet(ctx, c.Followers, c.State, c.Metrics, c.Logger) })
+	leading.Go(func() { followFleet(ctx, c.Settings, c.Followers, c.State, c.Metrics, c.Logger) })
 	leading.Go(func() {
 		platform.FollowVersions(ctx, c.Followers, c.Orders.SetNamed, telemetry.For(c.Logger, telemetry.PartOrders))
 	})
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -33,10 +33,10 @@
 )
 
 // alwaysFollowFleet keeps the state at what the store holds from start to stop.
-func alwaysFollowFleet(hooks fx.Lifecycle, group *tasks, followers *storerelay.Client, state *fleet.State, observed *metrics,
-	logger log.Logger) {
+func alwaysFollowFleet(hooks fx.Lifecycle, group *tasks, config settings.Fleet, followers *storerelay.Client, state *fleet.State,
+	observed *metrics, logger log.Logger) {
 	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
-		group.run(func(ctx context.Context) { followFleet(ctx, followers, state, observed, logger) })
+		group.run(func(ctx context.Context) { followFleet(ctx, config, followers, state, observed, logger) })
 		return nil
 	}})
 }
@@ -188,9 +188,10 @@
 	return timing.StrictRevoke && boottime.Since(g.Relay.ConfirmedAt(platform.KindConfig)) > timing.RevokeTime
 }
 
-// ready is true while the gateway can serve: it takes connections, holds a configuration and is not stopping.
+// ready is true while the gateway can serve: it takes connections, holds a configuration, knows which zones are evacuated and is not stopping.
 func (g *gateway) ready() bool {
-	return !g.Stopping.Load() && g.State.View().Routes != nil && g.callers.listener.accepting()
+	view := g.State.View()
+	return !g.Stopping.Load() && view.Routes != nil && view.Evacuations != nil && g.callers.listener.accepting()
 }
 
 // stop sends callers elsewhere, waits until they have noticed, and finishes what is in flight.
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -81,13 +81,13 @@
 }
 
 // ErrNeedsRestart reports changed settings that a running process cannot take.
-var ErrNeedsRestart = errors.New("node: name, zone, role, addresses, store, data and duties take effect at the next start")
+var ErrNeedsRestart = errors.New("node: name, zone, role, addresses, store, data, topology and duties take effect at the next start")
 
 // Reload takes in changed settings. Those of timing take effect at once; ErrNeedsRestart if others differ as well.
 func (n *Node) Reload(changed settings.Fleet) error {
 	n.timing.current.Store(&changed.Timing)
 	if changed.Node != n.config.Node || changed.Listen != n.config.Listen || changed.Store != n.config.Store || changed.Data != n.config.Data ||
-		!reflect.DeepEqual(changed.Duties, n.config.Duties) {
+		!reflect.DeepEqual(changed.Duties, n.config.Duties) || !reflect.DeepEqual(changed.Topology, n.config.Topology) {
 		return ErrNeedsRestart
 	}
 	return nil
@@ -102,7 +102,7 @@
 // commonParts are those of every role.
 var commonParts = fx.Options(
 	fx.Provide(
-		fleet.NewState,
+		newState,
 		telemetry.NewRegistry,
 		newMetrics,
 		metastore.NewOutage,
@@ -122,6 +122,16 @@
 	fx.Invoke(serveMetrics, tellStoreCalls, tellSuspensions),
 )
 
+// newState returns a state that knows the settings' zones, and waits for the evacuated ones where zones may be evacuated.
+func newState(config settings.Fleet) *fleet.State {
+	state := fleet.NewState()
+	state.SetTopology(fleet.NewTopology(config.Topology.Regions()))
+	if config.Topology.EvacuateTime > 0 {
+		state.FollowEvacuations()
+	}
+	return state
+}
+
 func newForwarder(state *fleet.State, transport forward.Transport, picker *forward.Picker, guard *quarantine.Guard, observed *metrics,
 	logger log.Logger) *forward.Forwarder {
 	forwarder := forward.New(state, transport, picker, telemetry.For(logger, telemetry.PartForward))
@@ -224,11 +234,15 @@
 }
 
 // followFleet keeps the state at what the store holds until ctx ends.
-func followFleet(ctx context.Context, followers metastore.Follower, state *fleet.State, observed *metrics, logger log.Logger) {
+func followFleet(ctx context.Context, config settings.Fleet, followers metastore.Follower, state *fleet.State, observed *metrics,
+	logger log.Logger) {
 	logger = telemetry.For(logger, telemetry.PartFleet)
 	var following sync.WaitGroup
 	following.Go(func() { platform.FollowConfig(ctx, followers, state, observed.configRefused.Inc, logger) })
 	following.Go(func() { platform.FollowEngines(ctx, followers, state, logger) })
+	if config.Topology.EvacuateTime > 0 {
+		following.Go(func() { platform.FollowEvacuations(ctx, followers, state, logger) })
+	}
 	following.Wait()
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -97,7 +97,7 @@
 
 // attemptDeadline leaves time for another engine where there may be another attempt.
 func (j *job) attemptDeadline() time.Time {
-	if !j.route.Repeatable() || len(j.tried) >= j.route.MaxAttempts || len(j.state.View().Ready(j.service)) < 2 {
+	if !j.route.Repeatable() || len(j.tried) >= j.route.MaxAttempts || len(j.permitted()) < 2 {
 		return j.deadline
 	}
 	patience := max(minPatience, time.Duration(patienceObjectives*float64(j.route.LatencyObjective)))
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/pause"
+	"github.com/covelink/covelink/internal/placement"
 	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/routing"
 )
@@ -88,6 +89,8 @@
 	// busyRetryAfter and emptyRetryAfter are what refused callers are told.
 	busyRetryAfter  = 100 * time.Millisecond
 	emptyRetryAfter = 300 * time.Millisecond
+	// closedRetryAfter is the same where only an operator, or engines that have yet to start, can change the answer.
+	closedRetryAfter = time.Second
 )
 
 // Observer is told of every request's end, for metrics.
@@ -123,10 +126,12 @@
 	request *Request
 	service string
 	// version is that of the routes that the request came by, and rank the request's.
-	version  int64
-	rank     routing.Rank
-	started  time.Time
-	deadline time.Time
+	version int64
+	rank    routing.Rank
+	// residency is where the request's data may be.
+	residency placement.Residency
+	started   time.Time
+	deadline  time.Time
 	// tried are the engines that the request was sent to; several attempts at one engine count once.
 	tried map[string]struct{}
 	// mayHaveRun is true once an attempt was lost.
@@ -156,6 +161,7 @@
 	}
 	if routes := f.state.View().Routes; routes != nil {
 		j.version, j.rank = routes.Version, routes.Rank(route, request.Tenant)
+		j.residency = placement.ResidencyOf(routes, route, request.Tenant)
 	}
 	defer f.waiting.leave(j)
 	if route.Timeout > 0 && j.started.Add(route.Timeout).Before(deadline) {
@@ -195,9 +201,10 @@
 		if ctx.Err() != nil {
 			return j.giveUp(ReasonCallerLeft, true)
 		}
-		engine := j.picker.Acquire(j.state.View().Ready(j.service), j.allowed)
+		permitted := j.permitted()
+		engine := j.picker.Acquire(permitted, j.allowed)
 		if engine == nil {
-			return j.giveUp(ReasonNoEngine, false)
+			return j.giveUp(j.reasonNoEngine(), false)
 		}
 		result, again := j.attempt(ctx, engine)
 		if !again {
@@ -209,7 +216,7 @@
 			}
 			continue
 		}
-		if len(j.tried) < j.route.MaxAttempts && len(j.tried) < len(j.state.View().Ready(j.service)) {
+		if len(j.tried) < j.route.MaxAttempts && len(j.tried) < len(permitted) {
 			continue
 		}
 		if boottime.Now().After(waitUntil) {
@@ -219,6 +226,20 @@
 	}
 }
 
+// permitted returns the engines that may run the request now.
+func (j *job) permitted() []*fleet.Engine {
+	return placement.NewFilter(j.state.View(), j.residency).Engines(j.service)
+}
+
+// reasonNoEngine returns why no engine may run the request.
+func (j *job) reasonNoEngine() Reason {
+	reason := placement.NewFilter(j.state.View(), j.residency).Explain(j.service)
+	if reason == placement.Permitted {
+		return ReasonNoEngine
+	}
+	return Reason(reason)
+}
+
 // reasonNotTaken returns why no engine has taken the request.
 func (j *job) reasonNotTaken() Reason {
 	if j.unreachable {
@@ -258,10 +279,7 @@
 	if j.last != nil {
 		return *j.last
 	}
-	result := Result{Outcome: NotRun, Reason: reason, TimedOut: timedOut, RetryAfter: busyRetryAfter}
-	if reason == ReasonNoEngine {
-		result.RetryAfter = emptyRetryAfter
-	}
+	result := Result{Outcome: NotRun, Reason: reason, TimedOut: timedOut, RetryAfter: retryAfter(reason)}
 	if j.mayHaveRun {
 		result.Outcome = Unknown
 		result.RetryAfter = 0
@@ -269,6 +287,17 @@
 	return result
 }
 
+// retryAfter returns when a request that was refused for a reason may come again.
+func retryAfter(reason Reason) time.Duration {
+	switch reason {
+	case ReasonNoEngine, Reason(placement.EvacuationsUnknown):
+		return emptyRetryAfter
+	case Reason(placement.EngineLeaving), Reason(placement.ZoneEvacuated), Reason(placement.RegionNotAllowed), Reason(placement.NoRegionAllowed):
+		return closedRetryAfter
+	}
+	return busyRetryAfter
+}
+
 // report logs the decision. Requests that were completed as they should are told at the debug level.
 func (j *job) report(result Result) {
 	if j.Observer != nil {
--- a/internal/itemwork/itemwork.go
+++ b/internal/itemwork/itemwork.go
@@ -39,6 +39,7 @@
 	ID      string
 	Service string
 	Address string
+	Zone    string
 	// Version is the weight version that the engine is believed to hold.
 	Version int64
 }
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -62,6 +62,8 @@
 	SingleVersion bool
 	// Open routes serve callers without a key also where there are tenants.
 	Open bool
+	// AllowedRegions are those in which the route's requests may be served, cached and kept; empty for all.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request of the route may be executed more than once.
@@ -101,6 +103,10 @@
 	TokenCapacity int
 	// Scaling is nil if the service's engines are not ordered by this system.
 	Scaling *Scaling
+	// ColdStart is for how long an engine is cold after a start, and ColdRate how many requests a second it bears then; zero for services
+	// whose engines bear their full load at once.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Scaling bounds the engines of a service that may be ordered.
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -27,6 +27,7 @@
 	// Coordinators tells gateways where to look for the coordinating process.
 	Coordinators FleetCoordinators `koanf:"coordinators"`
 	Data         FleetData         `koanf:"data"`
+	Topology     FleetTopology     `koanf:"topology"`
 	Duties       FleetDuties       `koanf:"duties"`
 	Log          Log               `koanf:"log"`
 }
@@ -68,6 +69,30 @@
 	Seeds []string `koanf:"seeds" validate:"dive,hostname_port|tcp_addr"`
 }
 
+// FleetTopology is what is known of the deployment's zones.
+type FleetTopology struct {
+	// Zones are all zones of the deployment. Requests that are bound to regions run in no zone that is not named.
+	Zones []FleetZone `koanf:"zones" validate:"dive"`
+	// EvacuateTime is within how long no request reaches an evacuated zone any more; zero if operators evacuate no zones, which then need not
+	// be followed in the store.
+	EvacuateTime time.Duration `koanf:"evacuateTime" validate:"gte=0,lte=1h"`
+}
+
+// FleetZone is one zone with its region.
+type FleetZone struct {
+	Name   string `koanf:"name" validate:"required,hostname_rfc1123"`
+	Region string `koanf:"region" validate:"required,hostname_rfc1123"`
+}
+
+// Regions maps each zone to its region.
+func (t FleetTopology) Regions() map[string]string {
+	regions := make(map[string]string, len(t.Zones))
+	for _, zone := range t.Zones {
+		regions[zone.Name] = zone.Region
+	}
+	return regions
+}
+
 // FleetData is the process's disk.
 type FleetData struct {
 	// Folder is where unfinished texts are kept; empty for nowhere. Coordinators only.
--- a/internal/settings/fleet_test.go
+++ b/internal/settings/fleet_test.go
@@ -29,6 +29,9 @@
 	"bounds.lease-ms":        "3000",
 	"bounds.status-s":        "120",
 	"data-dir":               "/data/storage",
+	"zones":                  "zone-a=region-a",
+	"@":                      "zone-a",
+	".":                      "region-a",
 }
 
 // dutyFields are those that only deployments with duties have.
@@ -39,6 +42,7 @@
 	"bounds.usage-late-s":    "10",
 	"bounds.revoke-ms":       "4000",
 	"bounds.strict-revoke":   "true",
+	"bounds.evacuate-ms":     "5000",
 }
 
 var (
--- a/internal/tenants/tenants.go
+++ b/internal/tenants/tenants.go
@@ -10,6 +10,8 @@
 	Name string
 	// Priority is the rank of the tenant's requests, 0 first. It goes before that of their route.
 	Priority int
+	// AllowedRegions are those in which the tenant's requests may be served, cached and kept; empty for all.
+	AllowedRegions []string
 }
 
 // Entry is a tenant with its keys, for a new Directory.
@@ -30,7 +32,7 @@
 func NewDirectory(entries []Entry) *Directory {
 	directory := &Directory{byKey: secretindex.New[*Tenant](), byName: make(map[string]*Tenant, len(entries)), keyHashes: make(map[string][]string, len(entries))}
 	for _, entry := range entries {
-		tenant := &Tenant{Name: entry.Name, Priority: entry.Priority}
+		tenant := &entry.Tenant
 		if _, known := directory.byName[entry.Name]; !known {
 			directory.byName[entry.Name] = tenant
 		}
@@ -65,6 +67,17 @@
 	return 0
 }
 
+// AllowedRegions returns the regions to which the tenant of a name is bound; none for one that is not known, or not bound.
+func (d *Directory) AllowedRegions(name string) []string {
+	if d == nil {
+		return nil
+	}
+	if tenant := d.byName[name]; tenant != nil {
+		return tenant.AllowedRegions
+	}
+	return nil
+}
+
 // Count returns the number of tenants.
 func (d *Directory) Count() int {
 	if d == nil {
