batchrun, itemwork: items ask the placement filter, at the coordinator and again at the worker

Cause: only lookups asked it. Items were placed at engines of evacuated zones, and of regions that their route or tenant excludes, and before the process knew of any evacuation.

Ruled out: a second filter, or a look at each item's engines (610 comparisons an item): a pool of one service, model and residency asks the filter once a look.

Change: pools have a residency key and hold what the filter permits. The assignment carries the item's residency; before a stream is sent, first or resumed, the executor asks the filter over its own view, with that residency and with its own tables', as either may be older. An engine that leaves is refused as before. A worker that knows no evacuations is told as leaving, and gets no assignments that it would withhold.

--- a/internal/batchrun/candidates.go
+++ b/internal/batchrun/candidates.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/placement"
 	"github.com/covelink/covelink/internal/routing"
 )
 
@@ -29,9 +30,10 @@
 	pools  map[poolKey]*pool
 }
 
-type poolKey struct{ service, model string }
+// poolKey names a pool. residency is the key of the residency of its items.
+type poolKey struct{ service, model, residency string }
 
-// pool holds the engines of a service that have room, for the items of one model.
+// pool holds the engines of a service that have room, for the items of one model and residency.
 type pool struct {
 	// byVersion groups them by the model's weight version.
 	byVersion map[int64]*candidateGroup
@@ -64,15 +66,21 @@
 	return &look{runner: r, view: view, now: r.now(), pools: make(map[poolKey]*pool)}
 }
 
-// pool returns the engines of a service with room for a model's items.
-func (l *look) pool(service, model string) *pool {
-	key := poolKey{service: service, model: model}
+// poolOf returns the engines with room that may run an item by its route.
+func (l *look) poolOf(route *routing.Route, it *item) *pool {
+	return l.pool(route.Pick(draw(it.ID)), it.job.Model, placement.ResidencyOf(l.view.Routes, route, it.job.Tenant))
+}
+
+// pool returns the engines of a service with room for a model's items, as far as the placement filter permits them for items of the
+// residency.
+func (l *look) pool(service, model string, residency placement.Residency) *pool {
+	key := poolKey{service: service, model: model, residency: residency.Key()}
 	if known, ok := l.pools[key]; ok {
 		return known
 	}
 	made := &pool{byVersion: make(map[int64]*candidateGroup), byID: make(map[string]*candidate)}
 	l.pools[key] = made
-	for _, engine := range l.view.Ready(service) {
+	for _, engine := range placement.NewFilter(l.view, residency).Engines(service) {
 		record := l.runner.engine(engine.ID)
 		slots := engine.Slots
 		if slots <= 0 {
@@ -128,7 +136,7 @@
 // choose returns the engine for an item and the pause between events that is expected there, or nil if none can take it now. Its
 // weights are of the least version or newer.
 func (l *look) choose(route *routing.Route, it *item, least int64) (best *candidate, bestCost float64) {
-	from := l.pool(route.Pick(draw(it.ID)), it.job.Model)
+	from := l.poolOf(route, it)
 	for version, group := range from.byVersion {
 		if group.cheapest.Len() == 0 || version < least || !allows(route, it, version) {
 			continue
@@ -153,7 +161,7 @@
 // chooseUnhurried returns an engine for an item whose text may take as long as the limit: the slowest kind that is quick enough, so
 // that the quick ones have room for long texts. It falls back to choose.
 func (l *look) chooseUnhurried(route *routing.Route, it *item, least int64, events float64, limit time.Duration) *candidate {
-	from := l.pool(route.Pick(draw(it.ID)), it.job.Model)
+	from := l.poolOf(route, it)
 	var best *candidate
 	for version, group := range from.byVersion {
 		if group.slowest.Len() == 0 || version < least || !allows(route, it, version) {
@@ -172,7 +180,7 @@
 
 // chooseApart returns the cheapest engine that runs no item that must run apart, or nil if there is none.
 func (l *look) chooseApart(route *routing.Route, it *item, least int64) *candidate {
-	from := l.pool(route.Pick(draw(it.ID)), it.job.Model)
+	from := l.poolOf(route, it)
 	var best *candidate
 	for _, known := range from.byID {
 		if known.record.apart > 0 || known.version < least || !allows(route, it, known.version) {
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -10,6 +10,7 @@
 	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/itemwork"
+	"github.com/covelink/covelink/internal/placement"
 	"github.com/covelink/covelink/internal/routing"
 )
 
@@ -19,6 +20,9 @@
 	// adoptTime is how long the items of an earlier term wait for workers that hold a run of them: nine workers tell it some 110 ms
 	// after a term has begun, seventy within 400 ms.
 	adoptTime = 400 * time.Millisecond
+	// withheldPause is the pause before an item that a worker has withheld from its engine is placed again: what the worker knows is in force
+	// everywhere within one to three seconds, and until then the same engine may seem to be the best one.
+	withheldPause = 250 * time.Millisecond
 	// lostVerdict is the name in logs and metrics of runs whose worker is not heard of any more.
 	lostVerdict = "lost"
 	// maxUnheard is how long a stream at a worker may go without a report: longer than an engine may be silent.
@@ -30,6 +34,8 @@
 	id     itemwork.RunID
 	item   *item
 	engine string
+	// zone is that of the engine; empty while it is not known.
+	zone string
 	// worker carries the run out; empty if this process does.
 	worker string
 	cancel func()
@@ -64,6 +70,7 @@
 	record.running++
 	r.noteHolder(it.Prefix, engine.ID, record)
 	assignment := r.assignment(it, itemwork.Bounds{MinVersion: it.job.MinVersion, SingleVersion: route.SingleVersion})
+	assignment.Residency = placement.ResidencyOf(r.State.View().Routes, route, it.job.Tenant)
 	assignment.Engine = itemwork.Target{
 		ID:      engine.ID,
 		Service: engine.Service,
@@ -75,7 +82,7 @@
 		assignment.TimeLeft = max(route.MaxQueue-r.now().Sub(it.job.accepted), time.Second)
 	}
 	begun := r.newRun(assignment.Run, it, engine.ID)
-	begun.streaming = true
+	begun.streaming, begun.zone = true, engine.Zone
 	if apart {
 		begun.apart = true
 		record.apart++
@@ -253,7 +260,11 @@
 	verdict := report.End.Verdict
 	now := r.now()
 	ended.streaming = false
-	r.engine(ended.engine).end(verdict, now)
+	if report.End.Withheld {
+		r.engine(ended.engine).running--
+	} else {
+		r.engine(ended.engine).end(verdict, now)
+	}
 	r.leaveEngine(ended)
 	r.Observer.AttemptEnded(verdict.String(), report.End.Took)
 	line := level.Info(r.Logger)
@@ -300,6 +311,9 @@
 		}
 	default:
 		it.retry(now)
+		if report.End.Withheld {
+			it.notBefore = now.Add(withheldPause)
+		}
 	}
 }
 
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -15,6 +15,7 @@
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/pause"
+	"github.com/covelink/covelink/internal/placement"
 	"github.com/covelink/covelink/internal/quarantine"
 )
 
@@ -79,6 +80,8 @@
 		if err != nil {
 			end.Cause = err.Error()
 		}
+		var withheld *withheldError
+		end.Withheld = errors.As(err, &withheld) && withheld.reason != placement.EngineLeaving
 		judge := sink.StreamEnded(end)
 		if verdict != VerdictWhole || !judge {
 			return
@@ -92,8 +95,8 @@
 
 // stream runs the item at its engine.
 func (e *Executor) stream(ctx context.Context, assignment *Assignment, sink Sink) (Verdict, error) {
-	if known, ok := e.State.View().Engines[assignment.Engine.ID]; ok && !known.Ready {
-		return VerdictRefused, nil
+	if reason := e.check(assignment); reason != placement.Permitted {
+		return VerdictRefused, &withheldError{reason: reason}
 	}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -107,6 +110,29 @@
 	return verdict, err
 }
 
+// withheldError reports a run that was not sent because its engine may not run it.
+type withheldError struct{ reason placement.Reason }
+
+func (e *withheldError) Error() string { return "itemwork: not sent: " + string(e.reason) }
+
+// check tells whether the engine may run the item now, by this process's own view. The residency that the coordinating process has told
+// binds as well as that of the tables known here: either may be the older one.
+func (e *Executor) check(assignment *Assignment) placement.Reason {
+	view := e.State.View()
+	engine, listed := view.Engines[assignment.Engine.ID]
+	if !listed {
+		engine = assignment.engine()
+	}
+	if reason := placement.NewFilter(view, assignment.Residency).Check(engine); reason != placement.Permitted {
+		return reason
+	}
+	route := view.Routes.Match(assignment.Host, assignment.Path)
+	if route == nil {
+		return placement.Permitted
+	}
+	return placement.NewFilter(view, placement.ResidencyOf(view.Routes, route, assignment.Tenant)).Check(engine)
+}
+
 // tellGuard tells whether the run ended well, or may have ended its engine. The end of ctx means that the run was ended from here.
 func (e *Executor) tellGuard(ctx context.Context, assignment *Assignment, verdict Verdict, err error) {
 	switch {
--- a/internal/itemwork/itemwork.go
+++ b/internal/itemwork/itemwork.go
@@ -7,7 +7,8 @@
 // Guarantees: assignments and cancellations reach a worker in order and each takes effect at most once. A worker obeys one term
 // at a time, the highest that it knows. What a run has made outlives the coordinating process: a worker tells everything it
 // holds to the next term, ended runs for keepEnded. No request of a worker's own, such as a reward call, runs later than
-// permitLife after it has heard from the coordinating process.
+// permitLife after it has heard from the coordinating process. No run is sent to an engine that the
+// placement filter refuses over the worker's own view, whatever the coordinating process knows.
 package itemwork
 
 import (
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/placement"
 )
 
 // RunID names a run of an item: the term that began it and its number there.
@@ -53,10 +55,12 @@
 	Path string
 	// Tenant names whose item it is; empty for nobody's.
 	Tenant string
-	Header map[string]string
-	Body   []byte
-	Engine Target
-	Bounds Bounds
+	// Residency is where the item's data may be, as the coordinating process knows it: the worker's own tables may be older.
+	Residency placement.Residency
+	Header    map[string]string
+	Body      []byte
+	Engine    Target
+	Bounds    Bounds
 	// TimeLeft is what the engine may take; zero sets no bound.
 	TimeLeft time.Duration
 	// Text is what earlier runs have made; the stream goes on after it.
@@ -75,7 +79,7 @@
 	VerdictWhole
 	// VerdictBroken: the stream broke off or never began; the item goes on elsewhere.
 	VerdictBroken
-	// VerdictRefused: the engine did not take the item.
+	// VerdictRefused: the engine did not take the item, or it was withheld from the engine.
 	VerdictRefused
 	// VerdictGone: the address belongs to another engine.
 	VerdictGone
@@ -99,6 +103,9 @@
 	Verdict Verdict
 	// Cause is the error that ended it, for logs.
 	Cause string
+	// Withheld is true if nothing was sent to the engine because the placement filter of whoever carried the run out permits it not, for a
+	// reason that is none of the engine itself.
+	Withheld bool
 	// Took is the time from the start of the run to its end.
 	Took time.Duration
 }
--- /dev/null
+++ b/internal/itemwork/withheld_test.go
@@ -0,0 +1,196 @@
+package itemwork_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/itemwork"
+	"github.com/covelink/covelink/internal/placement"
+	"github.com/covelink/covelink/internal/routing"
+	"github.com/covelink/covelink/internal/tenants"
+)
+
+// countingEngine counts what is sent to it. It implements forward.Transport.
+type countingEngine struct {
+	endlessEngine
+	sent atomic.Int64
+}
+
+func (e *countingEngine) Send(ctx context.Context, engine *fleet.Engine, request *forward.Request, options forward.SendOptions) (*forward.Answer, error) {
+	e.sent.Add(1)
+	return e.endlessEngine.Send(ctx, engine, request, options)
+}
+
+// endSink keeps the end of a stream. It implements itemwork.Sink.
+type endSink struct{ end itemwork.End }
+
+func (*endSink) Begun(int64)               {}
+func (*endSink) Made(itemwork.Event)       {}
+func (*endSink) Restarted()                {}
+func (*endSink) Judged(itemwork.Judgement) {}
+func (s *endSink) StreamEnded(end itemwork.End) bool {
+	s.end = end
+	return false
+}
+
+// workerState is what a worker knows: one engine, e, in zone-1 of region-1.
+func workerState(change func(state *fleet.State)) *fleet.State {
+	state := fleet.NewState()
+	state.SetTopology(fleet.NewTopology(map[string]string{"zone-1": "region-1", "zone-2": "region-2"}))
+	state.SetEngines([]*fleet.Engine{{ID: "e", Service: "pool", Zone: "zone-1", Ready: true}})
+	if change != nil {
+		change(state)
+	}
+	return state
+}
+
+// bind puts a table in force whose route and tenant allow regions.
+func bind(state *fleet.State, route, tenant []string) {
+	table := routing.NewTable(1, []routing.Route{{Host: "h", Prefix: "/", AllowedRegions: route}}, nil, routing.Limits{})
+	table.Tenants = tenants.NewDirectory([]tenants.Entry{{Tenant: tenants.Tenant{Name: "t", AllowedRegions: tenant}}})
+	state.SetRoutes(table)
+}
+
+func evacuate(state *fleet.State, zones ...string) {
+	since := make(map[string]int64)
+	for _, zone := range zones {
+		since[zone] = 1
+	}
+	state.SetEvacuations(fleet.NewEvacuations(1, since))
+}
+
+func TestWithheld(t *testing.T) {
+	here, elsewhere := []string{"region-1"}, []string{"region-2"}
+	for _, c := range []struct {
+		name      string
+		change    func(state *fleet.State)
+		residency placement.Residency
+		unlisted  bool
+		reason    placement.Reason
+	}{
+		{name: "What may run is sent"},
+		{name: "An engine that the worker does not know yet is sent what its zone permits", unlisted: true},
+		{name: "Residency that permits the engine", residency: placement.Residency{Route: here, Tenant: here}},
+		{
+			name:   "An evacuated zone",
+			change: func(state *fleet.State) { evacuate(state, "zone-1") },
+			reason: placement.ZoneEvacuated,
+		},
+		{
+			name:     "An evacuated zone, the engine not known",
+			change:   func(state *fleet.State) { evacuate(state, "zone-1") },
+			unlisted: true,
+			reason:   placement.ZoneEvacuated,
+		},
+		{name: "Another zone is evacuated", change: func(state *fleet.State) { evacuate(state, "zone-2") }},
+		{
+			name:   "Evacuations that are not known",
+			change: func(state *fleet.State) { state.FollowEvacuations() },
+			reason: placement.EvacuationsUnknown,
+		},
+		{name: "The assignment's residency: route", residency: placement.Residency{Route: elsewhere}, reason: placement.RegionNotAllowed},
+		{name: "The assignment's residency: tenant", residency: placement.Residency{Tenant: elsewhere}, reason: placement.RegionNotAllowed},
+		{
+			name:      "A topology that does not name the zone",
+			change:    func(state *fleet.State) { state.SetTopology(fleet.Topology{}) },
+			residency: placement.Residency{Tenant: here},
+			reason:    placement.RegionNotAllowed,
+		},
+		{
+			name:   "The worker's own, newer table: route",
+			change: func(state *fleet.State) { bind(state, elsewhere, nil) },
+			reason: placement.RegionNotAllowed,
+		},
+		{
+			name:   "The worker's own, newer table: tenant",
+			change: func(state *fleet.State) { bind(state, here, elsewhere) },
+			reason: placement.RegionNotAllowed,
+		},
+		{name: "The worker's own table, which permits the engine", change: func(state *fleet.State) { bind(state, here, here) }},
+		{
+			name: "An engine that leaves",
+			change: func(state *fleet.State) {
+				state.SetEngines([]*fleet.Engine{{ID: "e", Service: "pool", Zone: "zone-1"}})
+			},
+			reason: placement.EngineLeaving,
+		},
+	} {
+		for _, resumed := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				transport, sink := &countingEngine{}, &endSink{}
+				executor := &itemwork.Executor{State: workerState(c.change), Transport: transport}
+				assignment := &itemwork.Assignment{Item: "i", Host: "h", Path: "/", Tenant: "t", Residency: c.residency}
+				assignment.Engine = itemwork.Target{ID: "e", Service: "pool", Zone: "zone-1"}
+				if c.unlisted {
+					assignment.Engine.ID = "new"
+				}
+				if resumed {
+					assignment.Text.Add(1, "e1", 1)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				executor.Run(ctx, assignment, sink)
+				Convey(c.name, t, func() {
+					if c.reason == placement.Permitted {
+						So(transport.sent.Load(), ShouldEqual, 1)
+						So(sink.end.Withheld, ShouldBeFalse)
+						return
+					}
+					So(transport.sent.Load(), ShouldEqual, 0)
+					So(sink.end.Verdict, ShouldEqual, itemwork.VerdictRefused)
+					So(sink.end.Cause, ShouldContainSubstring, string(c.reason))
+					// An engine that leaves is at fault itself: it is left alone as one that refuses.
+					So(sink.end.Withheld, ShouldEqual, c.reason != placement.EngineLeaving)
+				})
+			})
+		}
+	}
+}
+
+func TestWorkerWithoutEvacuations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := fleet.NewState()
+		state.FollowEvacuations()
+		var leaving atomic.Bool
+		worker := itemwork.NewWorker(itemwork.WorkerParams{
+			Name:        "w",
+			Executor:    &itemwork.Executor{State: state, Transport: endlessEngine{}},
+			Coordinator: func() string { return "address" },
+			Poll: func(ctx context.Context, _ string, request itemwork.PollRequest) (itemwork.PollReply, error) {
+				leaving.Store(request.Worker.Leaving)
+				<-time.After(50 * time.Millisecond)
+				return itemwork.PollReply{Leading: true, Term: 1}, nil
+			},
+			Report: func(context.Context, string, itemwork.ReportRequest) (itemwork.ReportReply, error) {
+				return itemwork.ReportReply{Leading: true, Term: 1}, nil
+			},
+			Draining: func() bool { return false },
+			Logger:   log.NewNopLogger(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			worker.Run(ctx)
+			close(done)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		Convey("A worker takes no assignments until it knows the evacuations", t, func() {
+			time.Sleep(time.Second)
+			So(leaving.Load(), ShouldBeTrue)
+			evacuate(state)
+			time.Sleep(time.Second)
+			So(leaving.Load(), ShouldBeFalse)
+		})
+	})
+}
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -139,8 +139,10 @@
 	return reply, err
 }
 
+// identity tells who calls. A worker that knows no evacuations yet would refuse every run, and takes none.
 func (w *Worker) identity() WorkerID {
-	return WorkerID{Name: w.Name, Zone: w.Zone, Instance: w.Instance, Leaving: w.Draining()}
+	unready := w.Executor.State.View().Evacuations == nil
+	return WorkerID{Name: w.Name, Zone: w.Zone, Instance: w.Instance, Leaving: w.Draining() || unready}
 }
 
 // hear notes that the coordinating process of a term has answered a call. The holder of a new term is told everything.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -8,6 +8,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/routing"
@@ -48,6 +49,15 @@
 	return residency
 }
 
+// Key returns what two residencies have in common if and only if they name the same regions in the same order; empty without a bound. No
+// region's name contains one of the separators.
+func (r Residency) Key() string {
+	if !r.Bounded() {
+		return ""
+	}
+	return strings.Join(r.Route, ",") + ";" + strings.Join(r.Tenant, ",")
+}
+
 // Bounded reports whether the residency excludes any region.
 func (r Residency) Bounded() bool { return len(r.Route) > 0 || len(r.Tenant) > 0 }
 
