batchrun: evacuated zones are emptied of runs within the time that is given for it

Cause: runs that stream in a zone when it is evacuated went on there, 8 s and longer.

Change: from the moment at which the coordinating process learns of an evacuation, 0.4 of topology.evacuateTime is left (the rest is for learning of it: 1 to 3 s of 5). Runs that are expected to end within it stay. Of the others an even part is ended each 200 ms, those with the longest rest first, as far as permitted engines of their pool have room beyond what waits already; what is left at the end is ended anyway, and so are runs that go on after the end of their jobs, which stay until then. Items go on as those do that are moved off slow engines: after their text, nothing lost. The bound is a moment of boottime. A zone restored and evacuated again has another (revision of the evacuation). Zones that were evacuated before this process knew any evacuations are emptied at once: nobody knows how much of the time is over.

Tests: bounds, choice (cases and a property), scenes in virtual time here and with workers. On a scratch copy they fail with the following taken out: emptying, room, the force at the bound, the revision compared, the bound at once for unknown age, the mark that a run is ended (the worker was told again each 200 ms).

--- /dev/null
+++ b/internal/batchrun/emptying_test.go
@@ -0,0 +1,188 @@
+package batchrun
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/itemwork"
+	"github.com/covelink/covelink/internal/placement"
+)
+
+func evacuationsOf(revision int64, since map[string]int64) *fleet.Evacuations {
+	return fleet.NewEvacuations(revision, since)
+}
+
+func TestEmptyingZones(t *testing.T) {
+	const window = 2 * time.Second
+	begin := time.Now()
+	at := func(after time.Duration) time.Time { return begin.Add(after) }
+	Convey("Given that no zone was evacuated", t, func() {
+		var emptying emptyingZones
+		emptying.update(evacuationsOf(1, nil), at(0), window)
+		emptying.update(evacuationsOf(2, map[string]int64{"z": 2}), at(time.Second), window)
+		So(emptying.zones["z"].emptyBy, ShouldEqual, at(3*time.Second))
+
+		Convey("another evacuation does not move the bound of the first", func() {
+			emptying.update(evacuationsOf(3, map[string]int64{"z": 2, "y": 3}), at(2*time.Second), window)
+			So(emptying.zones["z"].emptyBy, ShouldEqual, at(3*time.Second))
+			So(emptying.zones["y"].emptyBy, ShouldEqual, at(4*time.Second))
+		})
+		Convey("a zone that is restored has none", func() {
+			emptying.update(evacuationsOf(3, nil), at(2*time.Second), window)
+			So(emptying.zones, ShouldBeEmpty)
+		})
+		Convey("a zone that was restored and evacuated again between two looks has another", func() {
+			emptying.update(evacuationsOf(4, map[string]int64{"z": 4}), at(2*time.Second), window)
+			So(emptying.zones["z"].emptyBy, ShouldEqual, at(4*time.Second))
+		})
+		Convey("evacuations that are unknown for a while leave the bounds that were known, and set none for later ones", func() {
+			emptying.update(nil, at(2*time.Second), window)
+			emptying.update(evacuationsOf(5, map[string]int64{"z": 2, "y": 5}), at(2500*time.Millisecond), window)
+			So(emptying.zones["z"].emptyBy, ShouldEqual, at(3*time.Second))
+			So(emptying.zones["y"].emptyBy, ShouldEqual, at(2500*time.Millisecond))
+		})
+	})
+	Convey("A zone that was evacuated before this process knew of evacuations must be empty at once", t, func() {
+		var emptying emptyingZones
+		emptying.update(evacuationsOf(2, map[string]int64{"z": 1}), at(0), window)
+		So(emptying.zones["z"].emptyBy, ShouldEqual, at(0))
+	})
+}
+
+func TestChooseToEnd(t *testing.T) {
+	numbered := func(number uint64) *run { return &run{id: itemwork.RunID{Number: number}} }
+	room := func(count int) *int { return &count }
+	first, second, third := numbered(1), numbered(2), numbered(3)
+	for _, c := range []struct {
+		name     string
+		stranded []strandedRun
+		chosen   []*run
+	}{
+		{
+			"The longest rest goes first, an even part an interval",
+			[]strandedRun{
+				{run: first, timeLeft: 3 * time.Second, untilEmpty: 2 * time.Second, room: room(8)},
+				{run: second, timeLeft: 5 * time.Second, untilEmpty: 2 * time.Second, room: room(8)},
+			},
+			[]*run{second},
+		},
+		{
+			"A stream that is expected to end in time stays",
+			[]strandedRun{{run: first, timeLeft: time.Second, untilEmpty: 2 * time.Second, room: room(8)}},
+			nil,
+		},
+		{
+			"One that is not stays while there is no room",
+			[]strandedRun{
+				{run: first, timeLeft: 3 * time.Second, untilEmpty: 2 * time.Second},
+				{run: second, timeLeft: 3 * time.Second, untilEmpty: 2 * time.Second, room: room(0)},
+			},
+			nil,
+		},
+		{
+			"At the bound all are ended, room or none, wanted or not",
+			[]strandedRun{
+				{run: first, timeLeft: 3 * time.Second, untilEmpty: emptyInterval},
+				{run: second, timeLeft: time.Millisecond, untilEmpty: 0},
+				{run: third, timeLeft: 3 * time.Second, untilEmpty: -time.Second, unwanted: true},
+			},
+			[]*run{first, second, third},
+		},
+		{
+			"Those that nobody waits for stay until then",
+			[]strandedRun{{run: first, timeLeft: 9 * time.Second, untilEmpty: time.Second, room: room(8), unwanted: true}},
+			nil,
+		},
+	} {
+		Convey(c.name, t, func() { So(chooseToEnd(c.stranded), ShouldResemble, c.chosen) })
+	}
+}
+
+// A choice each interval empties a zone in time whatever the lengths and the room, and ends no more than there is room for before the bound.
+func TestChooseToEndInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 60).Draw(t, "runs")
+		window := rapid.SampledFrom([]time.Duration{2 * time.Second, 400 * time.Millisecond, 100 * time.Millisecond}).Draw(t, "window")
+		room := rapid.IntRange(0, 60).Draw(t, "room")
+		initial := room
+		runs := make([]strandedRun, count)
+		for i := range runs {
+			runs[i] = strandedRun{
+				run:      &run{id: itemwork.RunID{Number: uint64(i)}},
+				timeLeft: time.Duration(rapid.IntRange(0, 9000).Draw(t, "left")) * time.Millisecond,
+				unwanted: rapid.Bool().Draw(t, "unwanted"),
+				room:     &room,
+			}
+		}
+		early := 0
+		for passed := time.Duration(0); len(runs) > 0; passed += emptyInterval {
+			if passed > window {
+				t.Fatalf("%d runs are left %v after a window of %v", len(runs), passed, window)
+			}
+			for i := range runs {
+				runs[i].untilEmpty = window - passed
+			}
+			chosen := chooseToEnd(runs)
+			ended := make(map[*run]bool, len(chosen))
+			for _, one := range chosen {
+				if ended[one] {
+					t.Fatalf("run %v is ended twice", one.id)
+				}
+				ended[one] = true
+			}
+			var left []strandedRun
+			for _, stranded := range runs {
+				if !ended[stranded.run] {
+					left = append(left, stranded)
+				} else if !stranded.forced() {
+					early++
+				}
+			}
+			runs = left
+		}
+		if early > initial {
+			t.Fatalf("%d runs are ended early with room for %d", early, initial)
+		}
+	})
+}
+
+func TestPoolsByResidency(t *testing.T) {
+	Convey("Items of different residency have pools of their own in one look, each with what the filter permits", t, func() {
+		state := fleet.NewState()
+		state.SetTopology(fleet.NewTopology(map[string]string{"zone-1": "region-1", "zone-2": "region-2"}))
+		state.SetEngines([]*fleet.Engine{
+			{ID: "e1", Service: "pool", Zone: "zone-1", Ready: true},
+			{ID: "e2", Service: "pool", Zone: "zone-2", Ready: true},
+			{ID: "e3", Service: "pool", Zone: "zone-2"},
+			{ID: "e4", Service: "pool", Zone: "zone-3", Ready: true},
+		})
+		state.SetEvacuations(evacuationsOf(1, map[string]int64{"zone-3": 1}))
+		runner := New(Params{State: state, Logger: log.NewNopLogger()})
+		runner.engines = make(map[string]*engineRecord)
+		looked := runner.newLook(state.View())
+		for _, c := range []struct {
+			residency placement.Residency
+			engines   []string
+		}{
+			{placement.Residency{}, []string{"e1", "e2"}},
+			{placement.Residency{Route: []string{"region-1"}}, []string{"e1"}},
+			{placement.Residency{Tenant: []string{"region-1"}}, []string{"e1"}},
+			{placement.Residency{Route: []string{"region-2"}}, []string{"e2"}},
+			{placement.Residency{Route: []string{"region-2"}, Tenant: []string{"region-1"}}, nil},
+			{placement.Residency{Route: []string{"region-1", "region-2"}}, []string{"e1", "e2"}},
+		} {
+			var found []string
+			for _, id := range []string{"e1", "e2", "e3", "e4"} {
+				if _, ok := looked.pool("pool", "model", c.residency).byID[id]; ok {
+					found = append(found, id)
+				}
+			}
+			So(found, ShouldResemble, c.engines)
+		}
+	})
+}
--- a/internal/batchrun/kit_test.go
+++ b/internal/batchrun/kit_test.go
@@ -159,6 +159,8 @@
 	maxEndedBytes int
 	// desk is that of the runners; nil if they carry out all runs themselves.
 	desk *itemwork.Desk
+	// evacuateTime is that of the runners.
+	evacuateTime time.Duration
 	// textFolder is where the runners keep unfinished texts; empty for nowhere.
 	textFolder string
 }
@@ -193,6 +195,7 @@
 		MaxEndedBytes: w.maxEndedBytes,
 		Desk:          w.desk,
 		TextFolder:    w.textFolder,
+		EvacuateTime:  w.evacuateTime,
 		TextLimit:     1 << 20,
 		Logger:        log.NewNopLogger(),
 	})
--- /dev/null
+++ b/internal/batchrun/main_test.go
@@ -0,0 +1,18 @@
+package batchrun_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes what property tests draw, so that every run gives the same verdict; -rapid.seed draws others.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		if err := flag.Set("rapid.seed", "31"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -50,6 +50,7 @@
 		r.mu.Lock()
 		started := r.now()
 		looked := r.newLook(r.State.View())
+		stranded := r.emptyZones(looked)
 		r.renewSpare(looked)
 		if started.Sub(movedAt) >= moveInterval {
 			running, movedAt = r.moveSlow(looked), started
@@ -63,7 +64,7 @@
 		switch {
 		case left > 0:
 			interval = scheduleInterval
-		case running > 0:
+		case running > 0 || stranded > 0:
 			interval = moveInterval
 		}
 		pause.For(ctx, min(restFactor*took, scheduleInterval))
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -55,6 +55,8 @@
 	HandOverDetached HandOver = "detached"
 	// HandOverAttached: a later job has taken the run over.
 	HandOverAttached HandOver = "attached"
+	// HandOverEvacuated: the run was ended because its zone is evacuated; the item goes on elsewhere.
+	HandOverEvacuated HandOver = "evacuated_zone"
 	// HandOverAdopted: a worker has gone on with a run of an earlier term.
 	HandOverAdopted HandOver = "adopted"
 )
@@ -98,6 +100,8 @@
 	Store metastore.Client
 	// Desk hands runs to workers; nil if this process carries out all of them.
 	Desk *itemwork.Desk
+	// EvacuateTime is within how long no request may reach a zone once its evacuation was acknowledged; zero if zones are not evacuated.
+	EvacuateTime time.Duration
 	// Retention is how long a job is kept after its end; zero means DefaultRetention.
 	Retention time.Duration
 	// MaxEndedBytes bounds the results of ended jobs that stay in memory; those of others are read from the store when they are
@@ -143,6 +147,8 @@
 	detached map[string]*run
 	// returnOffsets is, by model, by how much the last job in which items came again demanded newer weights than their first.
 	returnOffsets map[string]int64
+	// emptying are the evacuated zones from which runs are ended.
+	emptying emptyingZones
 	// kept is what ended jobs have left of items that may come again.
 	kept *unfinishedTexts
 	// ends are the jobs whose end is kept for good, with the time when this process learnt of it.
@@ -193,6 +199,7 @@
 	r.kept = newUnfinishedTexts()
 	r.detached, r.returnOffsets = make(map[string]*run), make(map[string]int64)
 	r.lengths, r.usual = newLengthModel(), usualPause{}
+	r.emptying = emptyingZones{}
 	r.ends = make(map[string]time.Time, len(sealed))
 	r.endedBytes = 0
 	r.submitted = make(map[string]submissions)
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -47,17 +47,18 @@
 func newRunner(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder,
 	guard *quarantine.Guard, store metastore.Client, desk *itemwork.Desk, observed *metrics, logger log.Logger) *batchrun.Runner {
 	return batchrun.New(batchrun.Params{
-		State:      state,
-		Transport:  transport,
-		Forwarder:  forwarder,
-		Guard:      guard,
-		Store:      store,
-		Desk:       desk,
-		Retention:  config.Timing.BatchRetention,
-		TextFolder: config.Data.Folder,
-		TextLimit:  config.Data.TextMegabytes << 20,
-		Observer:   observed,
-		Logger:     telemetry.For(logger, telemetry.PartBatch),
+		State:        state,
+		Transport:    transport,
+		Forwarder:    forwarder,
+		Guard:        guard,
+		Store:        store,
+		Desk:         desk,
+		EvacuateTime: config.Topology.EvacuateTime,
+		Retention:    config.Timing.BatchRetention,
+		TextFolder:   config.Data.Folder,
+		TextLimit:    config.Data.TextMegabytes << 20,
+		Observer:     observed,
+		Logger:       telemetry.For(logger, telemetry.PartBatch),
 	})
 }
 
