weightorder, enginescale: nothing is ordered of or for engines of evacuated zones

Cause: engines of evacuated zones loaded each named version: a load there serves nobody and costs an order.

Change: plans of loads are made from the engines that the placement filter permits, and the filter is asked again just before an order leaves; loads under way in evacuated zones still count among those that share what loads share. Engines catch up by the next plan after the restoration (a change of the view is a look). Engines that are lost in an evacuated zone are ordered again once it is restored; what is found running is recorded as before. While evacuations are unknown neither gives orders. Probes of the quarantine only dial, and are left as they are.

--- a/internal/enginescale/plan.go
+++ b/internal/enginescale/plan.go
@@ -2,7 +2,7 @@
 // coordinating process.
 //
 // Guarantees: orders stay within the service's limits for a zone; a zone is ordered anew only if fewer engines run there than were ordered
-// for longer than a start takes; what is ordered outlives the coordinating process, in the metadata store.
+// for longer than a start takes, and not while the zone is evacuated; what is ordered outlives the coordinating process, in the metadata store.
 package enginescale
 
 import (
@@ -70,6 +70,8 @@
 	ShortSince map[Subject]time.Time
 	// OrderedAt is when the platform last took an order.
 	OrderedAt map[Subject]time.Time
+	// Closed are the zones whose engines get no work now: what is lost there is ordered once they do.
+	Closed map[string]bool
 }
 
 // lossMargin is how much longer than a start an engine may be missing before it is replaced: one that was cut off from the store for a
@@ -87,7 +89,7 @@
 	}
 	for subject, desired := range s.Desired {
 		limits, scaled := s.Limits[subject.Service]
-		if !scaled || !s.overdue(subject, limits) {
+		if !scaled || !s.overdue(subject, limits) || s.Closed[subject.Zone] {
 			continue
 		}
 		orders = append(orders, Order{Subject: subject, Desired: limits.clamp(desired), Reason: ReasonLost, Running: s.Running[subject]})
--- /dev/null
+++ b/internal/weightorder/evacuated_test.go
@@ -0,0 +1,94 @@
+package weightorder
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/election"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/routing"
+)
+
+// zoned is a manager of so many engines, by turns in two zones.
+func zoned(engines int) (*Manager, *fleet.State) {
+	state := fleet.NewState()
+	state.SetRoutes(routing.NewTable(1, nil, []routing.Service{{Name: "pool", Models: []string{"a"}}}, routing.Limits{}))
+	var listed []*fleet.Engine
+	for i := range engines {
+		listed = append(listed, &fleet.Engine{
+			ID: fmt.Sprintf("engine-%03d", i), Service: "pool", Zone: fmt.Sprintf("zone-%d", i%2), Ready: true, Versions: map[string]int64{"a": 1},
+		})
+	}
+	state.SetEngines(listed)
+	return New(Params{State: state, Logger: log.NewNopLogger()}), state
+}
+
+func evacuate(state *fleet.State, revision int64, zones ...string) {
+	since := make(map[string]int64)
+	for _, zone := range zones {
+		since[zone] = revision
+	}
+	state.SetEvacuations(fleet.NewEvacuations(revision, since))
+}
+
+// oneOrder counts orders, and reports engines that hold version 1. After its first report it does what the test asks for.
+type oneOrder struct {
+	reported func()
+	orders   int
+}
+
+func (o *oneOrder) Report(context.Context, *fleet.Engine) (Report, error) {
+	o.reported()
+	return Report{Versions: map[string]int64{"a": 1}}, nil
+}
+
+func (o *oneOrder) Order(context.Context, *fleet.Engine, Order) error {
+	o.orders++
+	return ErrRefused
+}
+
+func TestEvacuatedZones(t *testing.T) {
+	Convey("Engines of an evacuated zone get no orders, and catch up once the zone is restored", t, func() {
+		m, state := zoned(10)
+		m.SetNamed(map[string]int64{"a": 2})
+		evacuate(state, 1, "zone-0")
+		So(loadAll(m), ShouldResemble, map[string]int{"a": 5})
+		for id := range m.held {
+			So(state.View().Engines[id].Zone, ShouldEqual, "zone-1")
+		}
+		evacuate(state, 2)
+		So(loadAll(m), ShouldResemble, map[string]int{"a": 5})
+		So(m.held, ShouldHaveLength, 10)
+	})
+	Convey("No orders are given while the evacuations are not known", t, func() {
+		m, state := zoned(10)
+		state.FollowEvacuations()
+		m.SetNamed(map[string]int64{"a": 2})
+		So(m.plan(time.Now()), ShouldBeEmpty)
+	})
+	Convey("Loads that are under way in an evacuated zone count among those that load at once", t, func() {
+		m, state := zoned(20)
+		m.SetNamed(map[string]int64{"a": 2})
+		evacuate(state, 1, "zone-1")
+		loading := m.plan(time.Now())
+		So(loading, ShouldHaveLength, 2)
+		evacuate(state, 2, "zone-0")
+		So(m.plan(time.Now()), ShouldBeEmpty)
+	})
+	Convey("A zone that is evacuated between plan and order gets no order", t, func() {
+		m, state := zoned(2)
+		m.Loaded = func(string, string, int64) {}
+		m.SetNamed(map[string]int64{"a": 2})
+		engines := &oneOrder{reported: func() { evacuate(state, 1, "zone-0") }}
+		m.Engines = engines
+		target := move{engine: state.View().Engines["engine-000"], model: "a", version: 2}
+		err := m.load(t.Context(), election.Term{}, target, time.Now().Add(time.Minute))
+		So(err, ShouldWrap, errClosed)
+		So(engines.orders, ShouldEqual, 0)
+	})
+}
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -3,12 +3,14 @@
 //
 // Guarantees: an order is given only within a short time after it was recorded in the store, which no process of an earlier
 // term can do any more; a new coordinator gives an engine none until the last order of another to it is a lease length old;
-// an order names the engine's start and its count of orders, so that one carried out late changes nothing.
+// an order names the engine's start and its count of orders, so that one carried out late changes nothing; engines that package placement permits
+// nothing are given none.
 package weightorder
 
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -23,6 +25,7 @@
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/permits"
+	"github.com/covelink/covelink/internal/placement"
 )
 
 // Mode is what becomes of the runs at an engine that loads.
@@ -289,6 +292,9 @@
 	m.poke()
 }
 
+// errClosed reports an engine to which nothing may be sent any more since its move was planned.
+var errClosed = errors.New("weightorder: engine closed")
+
 // errNotLoaded reports a load that was not seen done.
 var errNotLoaded = errors.New("weightorder: load not seen done")
 
@@ -300,6 +306,9 @@
 	if report.Versions[target.model] >= target.version {
 		return nil
 	}
+	if reason := placement.NewFilter(m.State.View(), placement.Residency{}).Check(target.engine); reason != placement.Permitted {
+		return fmt.Errorf("%w: %s", errClosed, reason)
+	}
 	if !report.Busy {
 		if err := m.order(ctx, term, target, report, orderDeadline); err != nil {
 			return err
--- a/internal/weightorder/plan.go
+++ b/internal/weightorder/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/placement"
 	"github.com/covelink/covelink/internal/routing"
 )
 
@@ -44,23 +45,33 @@
 	}
 	var chosen []move
 	for _, name := range slices.Sorted(maps.Keys(view.Routes.Services)) {
-		chosen = append(chosen, m.planService(view.Ready(name), view.Routes.Services[name], now)...)
+		engines := placement.NewFilter(view, placement.Residency{}).Engines(name)
+		chosen = append(chosen, m.planService(engines, m.countLoading(view.Ready(name)), view.Routes.Services[name], now)...)
 	}
 	return chosen
 }
 
-// planService chooses among the engines of a service. The mutex must be held.
-func (m *Manager) planService(engines []*fleet.Engine, service routing.Service, now time.Time) []move {
+// countLoading counts the engines that load. Those of evacuated zones are among them: they share what the loads share. The mutex must be held.
+func (m *Manager) countLoading(engines []*fleet.Engine) int {
+	loading := 0
+	for _, engine := range engines {
+		if _, busy := m.loading[engine.ID]; busy {
+			loading++
+		}
+	}
+	return loading
+}
+
+// planService chooses among the engines of a service to which something may be sent, of which so many load. The mutex must be held.
+func (m *Manager) planService(engines []*fleet.Engine, loading int, service routing.Service, now time.Time) []move {
 	if len(engines) == 0 || len(service.Models) == 0 {
 		return nil
 	}
 	m.assign(engines, service.Models)
 	spare := m.spare(engines, service.Models, now)
 	var candidates []move
-	loading := 0
 	for _, engine := range engines {
 		if _, busy := m.loading[engine.ID]; busy {
-			loading++
 			continue
 		}
 		if _, unused := spare[engine.ID]; unused {
