--- a/internal/batchrun/emptying.go
+++ b/internal/batchrun/emptying.go
@@ -59,8 +59,9 @@
 			continue
 		}
 		zones[zone] = emptyingZone{since: since, emptyBy: now.Add(window)}
+		e.chosenAt = time.Time{}
 	}
-	e.zones, e.chosenAt = zones, time.Time{}
+	e.zones = zones
 }
 
 // strandedRun is a run in an evacuated zone, with what decides whether it is ended from here.
--- a/internal/batchrun/evacuation_test.go
+++ b/internal/batchrun/evacuation_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/routing"
@@ -161,6 +162,16 @@
 		time.Sleep(emptyTime - 800*time.Millisecond + orderTime)
 		So(w.engines.under("a"), ShouldEqual, 0)
 	})
+	playEvacuation(t, "The time in which the machine was suspended counts: what is left is ended after waking", evacuateTime, func(w *world) {
+		w.fillZoneA(4)
+		w.withoutB()
+		w.evacuate(3, "zone-a")
+		time.Sleep(300 * time.Millisecond)
+		So(w.engines.under("a"), ShouldEqual, 4)
+		boottime.SimulateSuspension(emptyTime)
+		time.Sleep(200*time.Millisecond + orderTime)
+		So(w.engines.under("a"), ShouldEqual, 0)
+	})
 	playEvacuation(t, "A deployment that evacuates no zones within a time ends no runs", 0, func(w *world) {
 		w.fillZoneA(4)
 		w.evacuate(3, "zone-a")
