batchrun: the choices of runs to end in an evacuated zone are not put off by other looks

Cause: a look just before the next choice, such as at news of a load, put that off by a whole interval: with 201 ms left at one choice the next came 198 ms after the bound (the new scene failed so). A busy scheduler rests up to 100 ms in addition.

Change: the scheduler's pause ends when the next choice is due, and all that is left is ended an interval and a rest before the bound.

--- a/internal/batchrun/emptying.go
+++ b/internal/batchrun/emptying.go
@@ -16,9 +16,11 @@
 	// emptyShare is the part of the time to evacuate a zone in which this process empties it. The rest is for this process to learn of the
 	// evacuation: that takes one to three seconds, where operators wait for five.
 	emptyShare = 0.4
-	// emptyInterval is the pause between two choices of runs to end. Those that are left within an interval of the end are ended at once,
-	// as the next choice may come too late for the order to reach the worker.
+	// emptyInterval is the pause between two choices of runs to end.
 	emptyInterval = 200 * time.Millisecond
+	// emptyMargin is how long before the end all runs are ended that are left: the next choice is an interval later, and a busy scheduler
+	// rests up to scheduleInterval in addition.
+	emptyMargin = emptyInterval + scheduleInterval
 )
 
 // emptyingZones are the evacuated zones, with the moment from which on no run may be left in each.
@@ -76,10 +78,10 @@
 }
 
 // forced reports whether the run must be ended now.
-func (s *strandedRun) forced() bool { return s.untilEmpty <= emptyInterval }
+func (s *strandedRun) forced() bool { return s.untilEmpty <= emptyMargin }
 
 // patient reports whether the run had better stay: its stream is expected to end in time, or nobody waits for its item.
-func (s *strandedRun) patient() bool { return s.unwanted || s.timeLeft < s.untilEmpty-emptyInterval }
+func (s *strandedRun) patient() bool { return s.unwanted || s.timeLeft < s.untilEmpty-emptyMargin }
 
 // chooseToEnd returns the runs that are to be ended now: all for which the time is over, and of the others an even part for each interval that
 // is left, those with the longest rest first, as far as there is room elsewhere. An even part keeps their prompts from being read all at once.
@@ -93,7 +95,7 @@
 			chosen = append(chosen, candidate.run)
 		case !candidate.patient():
 			optional = append(optional, candidate)
-			quota += emptyInterval.Seconds() / (candidate.untilEmpty - emptyInterval).Seconds()
+			quota += emptyInterval.Seconds() / (candidate.untilEmpty - emptyMargin).Seconds()
 		}
 	}
 	slices.SortFunc(optional, func(a, b strandedRun) int {
@@ -114,20 +116,20 @@
 	return chosen
 }
 
-// emptyZones ends runs in evacuated zones, so that their items go on elsewhere and the zones are empty in time. It returns how many are left
-// there. The mutex must be held.
-func (r *Runner) emptyZones(looked *look) (left int) {
+// emptyZones ends runs in evacuated zones, so that their items go on elsewhere and the zones are empty in time. It returns how long the next
+// choice may be put off; idleInterval if none is due. The mutex must be held.
+func (r *Runner) emptyZones(looked *look) (pause time.Duration) {
 	if r.EvacuateTime == 0 {
-		return 0
+		return idleInterval
 	}
 	now := boottime.Now()
 	emptying := &r.emptying
 	emptying.update(looked.view.Evacuations, now, time.Duration(emptyShare*float64(r.EvacuateTime)))
 	if len(emptying.zones) == 0 {
-		return 0
+		return idleInterval
 	}
-	if now.Sub(emptying.chosenAt) < emptyInterval {
-		return emptying.left
+	if passed := now.Sub(emptying.chosenAt); passed < emptyInterval {
+		return emptying.pause(emptyInterval - passed)
 	}
 	stranded := r.strandedRuns(looked, now)
 	chosen := chooseToEnd(stranded)
@@ -135,7 +137,15 @@
 		r.endStranded(ended)
 	}
 	emptying.chosenAt, emptying.left = now, len(stranded)-len(chosen)
-	return emptying.left
+	return emptying.pause(emptyInterval)
+}
+
+// pause returns how long the next choice may be put off, if it is due after a while for the runs that are left.
+func (e *emptyingZones) pause(due time.Duration) time.Duration {
+	if e.left == 0 {
+		return idleInterval
+	}
+	return due
 }
 
 // endStranded ends a run so that its item goes on elsewhere. The mutex must be held.
--- a/internal/batchrun/emptying_test.go
+++ b/internal/batchrun/emptying_test.go
@@ -93,6 +93,11 @@
 			},
 			[]*run{first, second, third},
 		},
+		{
+			"An interval and the scheduler's longest rest before the bound the next choice may come too late",
+			[]strandedRun{{run: first, timeLeft: 3 * time.Second, untilEmpty: emptyInterval + scheduleInterval - time.Millisecond}},
+			[]*run{first},
+		},
 		{
 			"Those that nobody waits for stay until then",
 			[]strandedRun{{run: first, timeLeft: 9 * time.Second, untilEmpty: time.Second, room: room(8), unwanted: true}},
--- a/internal/batchrun/evacuation_test.go
+++ b/internal/batchrun/evacuation_test.go
@@ -162,6 +162,17 @@
 		time.Sleep(emptyTime - 800*time.Millisecond + orderTime)
 		So(w.engines.under("a"), ShouldEqual, 0)
 	})
+	playEvacuation(t, "A look that comes just before the next choice does not put it off beyond the bound", evacuateTime, func(w *world) {
+		w.fillZoneA(4)
+		w.withoutB()
+		w.evacuate(3, "zone-a")
+		for _, until := range []time.Duration{199 * time.Millisecond, 1799 * time.Millisecond} {
+			time.Sleep(until)
+			w.runner.NoteLoading("a", false)
+		}
+		time.Sleep(2*time.Millisecond + orderTime)
+		So(w.engines.under("a"), ShouldEqual, 0)
+	})
 	playEvacuation(t, "The time in which the machine was suspended counts: what is left is ended after waking", evacuateTime, func(w *world) {
 		w.fillZoneA(4)
 		w.withoutB()
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -50,7 +50,7 @@
 		r.mu.Lock()
 		started := r.now()
 		looked := r.newLook(r.State.View())
-		stranded := r.emptyZones(looked)
+		emptyPause := r.emptyZones(looked)
 		r.renewSpare(looked)
 		if started.Sub(movedAt) >= moveInterval {
 			running, movedAt = r.moveSlow(looked), started
@@ -64,11 +64,11 @@
 		switch {
 		case left > 0:
 			interval = scheduleInterval
-		case running > 0 || stranded > 0:
+		case running > 0:
 			interval = moveInterval
 		}
 		pause.For(ctx, min(restFactor*took, scheduleInterval))
-		timer := time.NewTimer(interval)
+		timer := time.NewTimer(min(interval, emptyPause))
 		select {
 		case <-r.wake:
 		case <-changed:
