--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -50,6 +50,7 @@
 		r.mu.Lock()
 		started := r.now()
 		looked := r.newLook(r.State.View())
+		emptyPause := r.emptyZones(looked)
 		r.renewSpare(looked)
 		if started.Sub(movedAt) >= moveInterval {
 			running, movedAt = r.moveSlow(looked), started
@@ -67,7 +68,7 @@
 			interval = moveInterval
 		}
 		pause.For(ctx, min(restFactor*took, scheduleInterval))
-		timer := time.NewTimer(interval)
+		timer := time.NewTimer(min(interval, emptyPause))
 		select {
 		case <-r.wake:
 		case <-changed:
