jobresidency: where batch jobs may be, by the table and by what they were accepted under

Cause: nothing told which regions the bodies of a job may reach beyond its engines. Change: pure functions for the home regions of the coordinating process, the bounds that a job bears, and who may run an item or carry its run; placement.Residency takes sets under which data was accepted earlier.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -24,6 +24,10 @@
 	// Desired is how many whole groups the trainer waits for.
 	Desired int
 	Items   []Item
+	// Regions are the sets of regions to which the job was bound when it was accepted, each of which binds, and RewardRegions those of its
+	// reward calls. Empty sets are left out; none at all in jobs of versions that did not note them.
+	Regions       [][]string
+	RewardRegions [][]string
 }
 
 // Item is one request of a job.
--- a/internal/fleet/topology.go
+++ b/internal/fleet/topology.go
@@ -18,3 +18,17 @@
 
 // Zones returns the known zones in the order of their names.
 func (t Topology) Zones() []string { return slices.Sorted(maps.Keys(t.regions)) }
+
+// Regional reports whether the known zones lie in more than one region, so that it matters where something is.
+func (t Topology) Regional() bool {
+	first := ""
+	for _, region := range t.regions {
+		if first == "" {
+			first = region
+		}
+		if region != first {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/jobresidency/jobresidency_test.go
@@ -0,0 +1,104 @@
+package jobresidency
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/routing"
+	"github.com/covelink/covelink/internal/tenants"
+)
+
+var twoRegions = fleet.NewTopology(map[string]string{"n1": "north", "n2": "north", "s1": "south"})
+
+func batchRoute(name string, regions ...string) routing.Route {
+	return routing.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Kind: routing.KindBatch, AllowedRegions: regions}
+}
+
+func tableOf(bound map[string][]string, routes ...routing.Route) *routing.Table {
+	table := routing.NewTable(1, routes, nil, routing.Limits{})
+	if bound != nil {
+		var entries []tenants.Entry
+		for name, regions := range bound {
+			entries = append(entries, tenants.Entry{Tenant: tenants.Tenant{Name: name, AllowedRegions: regions}})
+		}
+		table.Tenants = tenants.NewDirectory(entries)
+	}
+	return table
+}
+
+func TestHome(t *testing.T) {
+	lookup := routing.Route{Name: "lookup", Host: "h", Prefix: "/l/", Kind: routing.KindIdempotent, AllowedRegions: []string{"south"}}
+	oneRegion := fleet.NewTopology(map[string]string{"n1": "north", "n2": "north"})
+	for _, c := range []struct {
+		name     string
+		table    *routing.Table
+		topology fleet.Topology
+		home     []string
+	}{
+		{"no table is known", nil, twoRegions, nil},
+		{"nothing is bound", tableOf(nil, batchRoute("a")), twoRegions, nil},
+		{"a bound route that is no batch route", tableOf(nil, batchRoute("a"), lookup), twoRegions, nil},
+		{"one bound batch route", tableOf(nil, batchRoute("a"), batchRoute("b", "north")), twoRegions, []string{"north"}},
+		{"all regions by name", tableOf(nil, batchRoute("a", "south", "north")), twoRegions, []string{"north", "south"}},
+		{"routes that overlap", tableOf(nil, batchRoute("a", "north", "south"), batchRoute("b", "south")), twoRegions, []string{"south"}},
+		{"routes that exclude each other", tableOf(nil, batchRoute("a", "north"), batchRoute("b", "south")), twoRegions, nil},
+		{"a region that the deployment lacks", tableOf(nil, batchRoute("a", "east")), twoRegions, nil},
+		{"a bound tenant", tableOf(map[string][]string{"t": {"south"}, "u": nil}, batchRoute("a")), twoRegions, []string{"south"}},
+		{"a bound tenant without batch routes", tableOf(map[string][]string{"t": {"south"}}, lookup), twoRegions, nil},
+		{"tenant and route", tableOf(map[string][]string{"t": {"south", "north"}}, batchRoute("a", "north")), twoRegions, []string{"north"}},
+		{"tenant against route", tableOf(map[string][]string{"t": {"south"}}, batchRoute("a", "north")), twoRegions, nil},
+		{"a deployment of one region", tableOf(nil, batchRoute("a", "north")), oneRegion, nil},
+		{"no zones are known", tableOf(nil, batchRoute("a", "north")), fleet.Topology{}, nil},
+	} {
+		Convey("The home regions with "+c.name, t, func() {
+			So(Home(c.table, c.topology), ShouldResemble, c.home)
+		})
+	}
+}
+
+func TestJobBounds(t *testing.T) {
+	judge := routing.Route{Name: "judge", Host: "h", Prefix: "/judge/", Kind: routing.KindIdempotent, AllowedRegions: []string{"north", "south"}}
+	before := tableOf(map[string][]string{"t": {"north", "south"}}, batchRoute("a", "north"), judge)
+	after := tableOf(map[string][]string{"t": {"south"}}, batchRoute("a"), judge)
+	newJob := func() *batch.Job {
+		return &batch.Job{Host: "h", Path: "/a/1", Tenant: "t", Items: []batch.Item{
+			{ID: "1", Path: "/a/x", Reward: &batch.Reward{Host: "h", Path: "/judge/1"}}, {ID: "2", Path: "/elsewhere"}}}
+	}
+	Convey("A job bears the bounds of its route, its tenant and its reward routes, each once", t, func() {
+		job := newJob()
+		Bind(before, job)
+		Bind(before, job)
+		So(job.Regions, ShouldResemble, [][]string{{"north", "south"}, {"north"}})
+		So(job.RewardRegions, ShouldResemble, [][]string{{"north", "south"}})
+	})
+	Convey("What it was accepted under binds beside a later table", t, func() {
+		job := newJob()
+		Bind(before, job)
+		So(Whole(before, job).Allows("north"), ShouldBeTrue)
+		So(Whole(before, job).Allows("south"), ShouldBeFalse)
+		So(Whole(after, job).Allows("north"), ShouldBeFalse)
+		So(Whole(after, job).Allows("south"), ShouldBeFalse)
+		So(Whole(nil, job).Allows("north"), ShouldBeTrue)
+		So(Whole(before, job).Allows(""), ShouldBeFalse)
+	})
+	Convey("A job of a version that noted no bounds is bound by the table alone", t, func() {
+		So(Whole(after, newJob()).Allows("south"), ShouldBeTrue)
+		So(Whole(tableOf(nil, batchRoute("a")), newJob()).Bounded(), ShouldBeFalse)
+	})
+	Convey("A reward's route binds who carries the run out, and not the engine of the item", t, func() {
+		narrow := judge
+		narrow.AllowedRegions = []string{"south"}
+		table := tableOf(nil, batchRoute("a"), narrow)
+		job := newJob()
+		So(OfItem(table, job, &job.Items[0]).Bounded(), ShouldBeFalse)
+		So(OfRun(table, job, &job.Items[0]).Allows("north"), ShouldBeFalse)
+		So(OfRun(table, job, &job.Items[0]).Allows("south"), ShouldBeTrue)
+		So(OfRun(table, job, &job.Items[1]).Allows("north"), ShouldBeTrue)
+		Bind(table, job)
+		So(OfItem(nil, job, &job.Items[0]).Bounded(), ShouldBeFalse)
+		So(OfRun(nil, job, &job.Items[0]).Allows("north"), ShouldBeFalse)
+	})
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -37,6 +37,8 @@
 type Residency struct {
 	// Route and Tenant are the regions that each allows; empty for all. Both bind.
 	Route, Tenant []string
+	// Accepted are sets of regions under which the data was accepted earlier; each binds beside the others.
+	Accepted [][]string
 }
 
 // ResidencyOf returns the residency of a tenant's requests by a route of the table.
@@ -49,13 +51,31 @@
 }
 
 // Bounded reports whether the residency excludes any region.
-func (r Residency) Bounded() bool { return len(r.Route) > 0 || len(r.Tenant) > 0 }
+func (r Residency) Bounded() bool {
+	return len(r.Route) > 0 || len(r.Tenant) > 0 || slices.ContainsFunc(r.Accepted, func(set []string) bool { return len(set) > 0 })
+}
 
 // Allows reports whether the data may be in a region. An unknown region, the empty one, is allowed only without a bound.
 func (r Residency) Allows(region string) bool {
+	for _, accepted := range r.Accepted {
+		if !allows(accepted, region) {
+			return false
+		}
+	}
 	return allows(r.Route, region) && allows(r.Tenant, region)
 }
 
+// Sets returns the sets of regions that bind, each of them.
+func (r Residency) Sets() [][]string {
+	var sets [][]string
+	for _, set := range append([][]string{r.Route, r.Tenant}, r.Accepted...) {
+		if len(set) > 0 {
+			sets = append(sets, set)
+		}
+	}
+	return sets
+}
+
 func allows(regions []string, region string) bool {
 	return len(regions) == 0 || slices.Contains(regions, region)
 }
--- a/internal/tenants/tenants.go
+++ b/internal/tenants/tenants.go
@@ -3,7 +3,12 @@
 // the moment at which that version is in force.
 package tenants
 
-import "github.com/covelink/covelink/internal/secretindex"
+import (
+	"maps"
+	"slices"
+
+	"github.com/covelink/covelink/internal/secretindex"
+)
 
 // Tenant is one customer of the deployment.
 type Tenant struct {
@@ -78,6 +83,20 @@
 	return nil
 }
 
+// Bounds returns the sets of regions to which tenants are bound, in the order of the tenants' names.
+func (d *Directory) Bounds() [][]string {
+	if d == nil {
+		return nil
+	}
+	var sets [][]string
+	for _, name := range slices.Sorted(maps.Keys(d.byName)) {
+		if regions := d.byName[name].AllowedRegions; len(regions) > 0 {
+			sets = append(sets, regions)
+		}
+	}
+	return sets
+}
+
 // Count returns the number of tenants.
 func (d *Directory) Count() int {
 	if d == nil {
