election: the holder stands in its home regions, and near the store

Cause: the first conditional write won, wherever the candidate stood. Without a home nothing is written, asked or waited for.

--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -38,6 +38,11 @@
 	leading    map[string]bool
 	// writes counts the writes of all candidates, and yields the requests to yield.
 	writes, yields int
+	// regional is true if candidates know the regions of zones, their own being their names, and home is what holders are told of.
+	regional bool
+	home     []string
+	// distances are how long calls to the store take, by region; nil if candidates don't know.
+	distances map[string]time.Duration
 }
 
 type candidate struct {
@@ -89,7 +94,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c.client = metastore.Watched(client, c.outage)
-	c.elector = election.New(election.Params{
+	params := election.Params{
 		Name:      name,
 		Address:   name,
 		Store:     c.client,
@@ -100,7 +105,14 @@
 		Served:    c.outage.Served,
 		Lead:      func(ctx context.Context, t election.Term) { g.lead(ctx, name, t) },
 		Logger:    log.NewNopLogger(),
-	})
+	}
+	if g.regional {
+		params.Zone, params.Region = name, regionOf
+	}
+	if g.distances != nil {
+		params.Distance = func() time.Duration { return g.distances[regionOf(name)] }
+	}
+	c.elector = election.New(params)
 	done := make(chan struct{})
 	go func() {
 		c.elector.Run(ctx)
@@ -160,8 +172,12 @@
 	g.terms = append(g.terms, term{candidate: name, token: t.Token})
 	g.candidates[name].current = t
 	g.leading[name] = true
-	client := g.candidates[name].client
+	client, elector, home, regional := g.candidates[name].client, g.candidates[name].elector, g.home, g.regional
 	g.mu.Unlock()
+	if regional {
+		pause.For(ctx, 50*time.Millisecond)
+		elector.SetHome(home)
+	}
 	for ctx.Err() == nil {
 		// The duties of a term call the store.
 		calling, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -59,6 +59,12 @@
 	Served   func() time.Duration
 	// Lead coordinates until ctx ends. It must return soon after.
 	Lead func(ctx context.Context, term Term)
+	// Zone is this process's, and Region returns the region of a zone, empty if it is not known. A nil function means that no process is
+	// away from home.
+	Zone   string
+	Region func(zone string) string
+	// Distance returns how long a call of this process to the store takes, zero if that is not known; nil if it does not matter.
+	Distance func() time.Duration
 	// Eligible is false while this process must not hold the lease; nil means always true.
 	Eligible func() bool
 	Logger   log.Logger
@@ -76,6 +82,7 @@
 	// yieldMutex guards yieldedToken, the token of the last term that this process has yielded.
 	yieldMutex   sync.Mutex
 	yieldedToken int64
+	home         home
 }
 
 // New returns an Elector. Run starts it.
@@ -113,7 +120,7 @@
 		case !e.eligible():
 			pause.Unless(ctx, changed, pingInterval)
 		case lease.Holder == "":
-			if pause.Unless(ctx, changed, e.jitter()) {
+			if pause.Unless(ctx, changed, e.turn(lease)) {
 				// Another candidate was first.
 				continue
 			}
@@ -142,7 +149,7 @@
 
 // acquire takes the lease if it is still as this process knows it.
 func (e *Elector) acquire(ctx context.Context, previous Lease) bool {
-	next := Lease{Holder: e.Name, Instance: e.instance, Address: e.Address, Token: previous.Token + 1}
+	next := Lease{Holder: e.Name, Instance: e.instance, Address: e.Address, Zone: e.Zone, Home: previous.Home, Token: previous.Token + 1}
 	return e.store(ctx, previous, next, "lease acquired")
 }
 
@@ -186,18 +193,28 @@
 			continue
 		}
 		misses = 0
-		if unserved < unservedLimit {
+		replaces := e.replaces(lease)
+		if unserved < unservedLimit && !replaces {
 			continue
 		}
 		// Another candidate may be first.
-		if pause.Unless(ctx, changed, e.jitter()) {
+		if pause.Unless(ctx, changed, e.turn(lease)) {
 			return
 		}
 		e.succeed(ctx, lease)
+		if replaces && pause.Unless(ctx, changed, replacePause) {
+			return
+		}
 	}
-	if pause.Unless(ctx, changed, e.jitter()) {
+	if pause.Unless(ctx, changed, e.turn(lease)) {
 		return
 	}
+	if e.away(lease) {
+		// The holder may have been silent for less than this process's longer wait.
+		if _, err := e.ping(ctx, lease); err == nil {
+			return
+		}
+	}
 	for !e.challenge(ctx, lease) {
 		// The store did not take the challenge. The holder is judged again before the next attempt, not from the start.
 		if pause.Unless(ctx, changed, challengeRetry) {
@@ -223,7 +240,7 @@
 		next.Challenger = e.instance
 		if !e.storeWithin(ctx, challengeTimeout, lease, next, "holder challenged") {
 			current, _, _ := e.current()
-			return ctx.Err() != nil || current != lease
+			return ctx.Err() != nil || current.revision != lease.revision
 		}
 	}
 	challenged, _, changed := e.current()
@@ -233,7 +250,7 @@
 	patience := challengeTime
 	if challenged.Challenger != e.instance {
 		// Who wrote the challenge goes first.
-		patience += maxJitter + e.jitter()
+		patience += maxJitter + e.turn(lease)
 	}
 	if !pause.Unless(ctx, changed, patience) {
 		e.acquire(ctx, challenged)
@@ -251,8 +268,9 @@
 	term, cancel := context.WithCancel(ctx)
 	defer cancel()
 	e.held = true
+	e.home.forget()
 	var leading sync.WaitGroup
-	leading.Go(func() { e.Lead(term, Term{Address: lease.Address, Token: lease.Token}) })
+	leading.Go(func() { e.Lead(term, Term{Address: lease.Address, Zone: e.Zone, Token: lease.Token}) })
 	for ctx.Err() == nil && e.eligible() {
 		current, _, changed := e.current()
 		if current.Instance != e.instance || current.Token != lease.Token {
@@ -264,6 +282,9 @@
 			e.answer(ctx, current)
 			continue
 		}
+		if e.tellHome(ctx, current) {
+			continue
+		}
 		request, asked := e.awaitYield(ctx, changed)
 		if !asked || request.token != lease.Token {
 			continue
@@ -288,6 +309,7 @@
 	case request = <-e.yields:
 		return request, true
 	case <-changed:
+	case <-e.home.changed():
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -309,5 +331,5 @@
 	if lease.Instance != e.instance {
 		return
 	}
-	e.store(ctx, lease, Lease{Token: lease.Token}, "lease released")
+	e.store(ctx, lease, Lease{Token: lease.Token, Home: lease.Home}, "lease released")
 }
--- a/internal/election/handover.go
+++ b/internal/election/handover.go
@@ -31,13 +31,14 @@
 }
 
 // succeed takes the lease over from a holder that the store has not served while it has served this process: the holder stops first.
-// A store that serves nobody changes nothing, nor does one that is just back, and serves one before the other.
+// A store that serves nobody changes nothing, nor does one that is just back, and serves one before the other. A holder away from home is
+// succeeded by a candidate at home as soon as the store serves that.
 func (e *Elector) succeed(ctx context.Context, lease Lease) {
 	if e.Yield == nil {
 		return
 	}
 	unserved, err := e.ping(ctx, lease)
-	if err != nil || unserved < unservedLimit || !e.probe(ctx, lease) || e.Served() < unservedLimit {
+	if err != nil || !e.replaces(lease) && (unserved < unservedLimit || e.Served() < unservedLimit) || !e.probe(ctx, lease) {
 		return
 	}
 	asking, cancel := context.WithTimeout(ctx, yieldTimeout)
@@ -71,10 +72,10 @@
 	return e.Unserved()
 }
 
-// YieldTo stops this process's term so that another may take the lease, if the store does not serve this process either by its own
-// account. It returns once nothing of the term goes on.
+// YieldTo stops this process's term so that another may take the lease, if by its own account the store does not serve this process or it is
+// away from home. It returns once nothing of the term goes on.
 func (e *Elector) YieldTo(ctx context.Context, instance string, token int64) error {
-	if instance != e.instance || e.unserved() < unservedLimit {
+	if instance != e.instance || e.unserved() < unservedLimit && !e.strays() {
 		return ErrNotYielded
 	}
 	request := yieldRequest{token: token, stopped: make(chan struct{})}
--- a/internal/election/lease.go
+++ b/internal/election/lease.go
@@ -3,7 +3,8 @@
 // The lease names its holder and bears a token that rises with every change of holder. It does not run out: a candidate that
 // does not reach the holder writes a challenge into the lease, and takes it over if the holder has not answered, by
 // removing the challenge, within a bounded time. The holder is judged by whether it reaches the store, not by whether one
-// candidate reaches it. A holder learns of its loss by following the lease, which may take a while: what only a holder may do
+// candidate reaches it. Where the holder should stand in certain regions, its home, the lease names them: candidates elsewhere
+// wait until those there have had their turn, and a holder elsewhere stops for the first one there that the store serves. A holder learns of its loss by following the lease, which may take a while: what only a holder may do
 // is written to the store under the term's token, on the condition that no later one was there before.
 //
 // Guarantee: of two terms the later one has the higher token.
@@ -36,6 +37,10 @@
 	Instance string `json:"instance"`
 	// Address is where the holder serves other nodes, as host:port.
 	Address string `json:"address"`
+	// Zone is the holder's; empty if it is not known, as in leases of versions that did not tell it.
+	Zone string `json:"zone,omitempty"`
+	// Home are the regions in which the holder should stand, as the last holder knew them; empty if any will do.
+	Home []string `json:"home,omitempty"`
 	// Token rises with every change of holder.
 	Token int64 `json:"token"`
 	// Challenger is the instance that asks the holder to show that it lives; empty if none does.
@@ -80,5 +85,7 @@
 type Term struct {
 	// Address is where the holder is reached; empty if there is no holder or it is not known.
 	Address string
-	Token   int64
+	// Zone is the holder's; empty if it is not known.
+	Zone  string
+	Token int64
 }
--- a/internal/election/watcher.go
+++ b/internal/election/watcher.go
@@ -50,7 +50,7 @@
 // Term returns the newest term that is known.
 func (w *Watcher) Term() Term {
 	lease, _, _ := w.current()
-	return Term{Address: lease.Address, Token: lease.Token}
+	return Term{Address: lease.Address, Zone: lease.Zone, Token: lease.Token}
 }
 
 // observe takes a lease object from the store. One that is no newer than the newest known is ignored.
--- a/internal/metastore/outage.go
+++ b/internal/metastore/outage.go
@@ -32,6 +32,7 @@
 	// pending are the calls that have no answer yet, by number, with when each began; watches are left out.
 	pending map[int]time.Time
 	count   int
+	times   callTimes
 }
 
 // NewOutage returns an Outage that has seen no call.
@@ -90,18 +91,23 @@
 	return func(err error) {
 		o.mu.Lock()
 		delete(o.pending, number)
+		if answered(err) {
+			o.times.note(o.attention.now().Sub(began))
+		}
 		o.mu.Unlock()
 		o.ended(began, err)
 	}
 }
 
+// answered reports whether the store answered a call, whatever it said.
+func answered(err error) bool { return !errors.Is(err, ErrNotDone) && !errors.Is(err, ErrUnknown) }
+
 // ended takes in the end of a call.
 func (o *Outage) ended(began time.Time, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
-	case !errors.Is(err, ErrNotDone) && !errors.Is(err, ErrUnknown):
-		// The store answered, whatever it said.
+	case answered(err):
 		o.served = o.attention.now()
 		if o.failures > 0 {
 			o.recovered = o.served
