batchrun, batchrpc, itemwork: the bodies of bound jobs reach no process in an excluded region

Cause: a gateway sent any body to whoever coordinated, a new coordinator read all jobs, and the desk chose workers without a thought of regions. Change: gateways and the coordinator refuse a job at once where the coordinator may not have it, after asking, without the body, whether it was taken earlier; jobs keep the regions they were accepted under; of others a term reads the head only, answers as unavailable, and takes them up when a later table permits; the desk hands bound runs to workers in allowed regions, the coordinator runs them if it may, else they wait. A reading from behind the end is not taken for one that went further. batchlog.Open returns a struct: three tests call it so, as strict as before. Ruled out: waiting for a handover before the refusal. Without several regions no step is added.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -93,6 +94,8 @@
 	ErrNotFound = errors.New("batch: not found")
 	// ErrRefused reports a call that was not carried out and never will be.
 	ErrRefused = errors.New("batch: refused")
+	// ErrExcluded is an ErrRefused: the job may not be in the region of the process that coordinates.
+	ErrExcluded = fmt.Errorf("%w: region not allowed", ErrRefused)
 	// ErrUnavailable reports a call that cannot be answered for sure now.
 	ErrUnavailable = errors.New("batch: unavailable")
 )
--- a/internal/batchlog/batchlog.go
+++ b/internal/batchlog/batchlog.go
@@ -50,6 +50,8 @@
 	ErrFenced = errors.New("batchlog: fenced by a later term")
 	// ErrSealed reports a log to which nothing is appended any more.
 	ErrSealed = errors.New("batchlog: sealed")
+	// ErrWithheld reports a job whose items and results this process may not read.
+	ErrWithheld = errors.New("batchlog: withheld from this process")
 )
 
 // Store keeps batch jobs for the writer of one term.
@@ -59,6 +61,8 @@
 	token int64
 	// writer tells this writer's objects from others'.
 	writer string
+	// Permit reports whether this process may read what belongs to a job, whose items it is not handed; nil means always.
+	Permit func(job *batch.Job) bool
 }
 
 // New returns a Store for the writer of a term.
@@ -94,7 +98,8 @@
 }
 
 // Accept keeps a job for good. It returns the job as it is kept, which is another submission's if there was one. The error
-// wraps metastore.ErrNotDone if the job is not kept and never will be, or metastore.ErrUnknown.
+// is ErrWithheld if that is one that Permit excludes; it wraps metastore.ErrNotDone if the job is not kept and never will be, or
+// metastore.ErrUnknown.
 func (s *Store) Accept(ctx context.Context, job batch.Job) (*Stored, error) {
 	names, err := s.writeItems(ctx, job)
 	if err != nil {
@@ -113,7 +118,7 @@
 	created, err := metastore.SettleCreate(ctx, s.client, kindJobs, object, own)
 	var conflict *metastore.ConflictError
 	if errors.As(err, &conflict) {
-		return s.takeOver(ctx, conflict.Current)
+		return s.takeOverPermitted(ctx, conflict.Current)
 	}
 	if err != nil {
 		return nil, err
@@ -177,15 +182,30 @@
 	return append(parts, list[begin:])
 }
 
-// Find takes a job over. metastore.ErrNotFound if there is none.
+// Find takes a job over. metastore.ErrNotFound if there is none, ErrWithheld if Permit says so.
 func (s *Store) Find(ctx context.Context, id string) (*Stored, error) {
 	object, err := s.read(ctx, kindJobs, id)
 	if err != nil {
 		return nil, err
 	}
+	return s.takeOverPermitted(ctx, object)
+}
+
+// takeOverPermitted takes a job over, or returns ErrWithheld.
+func (s *Store) takeOverPermitted(ctx context.Context, object metastore.Object) (*Stored, error) {
+	var found record
+	if err := json.Unmarshal(object.Spec, &found); err != nil {
+		return nil, fmt.Errorf("batchlog: %s: %w", object.Name, err)
+	}
+	if !s.permits(&found) {
+		return nil, ErrWithheld
+	}
 	return s.takeOver(ctx, object)
 }
 
+// permits reports whether this process may read what belongs to a job.
+func (s *Store) permits(found *record) bool { return s.Permit == nil || s.Permit(&found.Job) }
+
 const (
 	// maxConcurrent is how many jobs are taken over at once.
 	maxConcurrent = 4
@@ -194,11 +214,23 @@
 	readTimeout = 1500 * time.Millisecond
 )
 
-// Open takes over the jobs that are not known to be sealed. It also returns the IDs of those that are.
-func (s *Store) Open(ctx context.Context) (jobs []*Stored, sealed []string, err error) {
+// Opened is what a term finds when it begins.
+type Opened struct {
+	// Jobs are those that are not known to be sealed, taken over.
+	Jobs []*Stored
+	// Sealed are the IDs of those that are.
+	Sealed []string
+	// Withheld are the jobs, without their items, that are not known to be sealed and of which this process may read nothing else. Nothing was
+	// done to them.
+	Withheld []batch.Job
+}
+
+// Open takes over the jobs that are not known to be sealed, as far as Permit allows.
+func (s *Store) Open(ctx context.Context) (Opened, error) {
+	var opened Opened
 	objects, _, err := metastore.ListAll(ctx, s.client, kindJobs, "")
 	if err != nil {
-		return nil, nil, err
+		return opened, err
 	}
 	var open []metastore.Object
 	for _, object := range objects {
@@ -207,22 +239,26 @@
 			continue
 		}
 		if found.Sealed {
-			sealed = append(sealed, object.Name)
+			opened.Sealed = append(opened.Sealed, object.Name)
+			continue
+		}
+		if !s.permits(&found) {
+			opened.Withheld = append(opened.Withheld, found.Job)
 			continue
 		}
 		open = append(open, object)
 	}
-	jobs = make([]*Stored, len(open))
+	opened.Jobs = make([]*Stored, len(open))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(maxConcurrent)
 	for i, object := range open {
 		group.Go(func() error {
 			var err error
-			jobs[i], err = s.takeOver(ctx, object)
+			opened.Jobs[i], err = s.takeOver(ctx, object)
 			return err
 		})
 	}
-	return jobs, sealed, group.Wait()
+	return opened, group.Wait()
 }
 
 // takeOver reads a job with its log, and fences the log unless it is sealed.
--- a/internal/batchlog/batchlog_test.go
+++ b/internal/batchlog/batchlog_test.go
@@ -95,12 +95,12 @@
 				}
 				later := batchlog.New(client, 2)
 				began := time.Now()
-				_, _, err = later.Open(t.Context())
+				_, err = later.Open(t.Context())
 				So(err, ShouldNotBeNil)
 				So(time.Since(began), ShouldBeLessThan, 2*time.Second)
-				open, _, err := later.Open(t.Context())
+				open, err := later.Open(t.Context())
 				So(err, ShouldBeNil)
-				So(open, ShouldHaveLength, 1)
+				So(open.Jobs, ShouldHaveLength, 1)
 			}
 		})
 	})
@@ -134,10 +134,10 @@
 				Convey("and a sealed job that was marked is not opened again", func() {
 					So(taken.MarkSealed(t.Context()), ShouldBeNil)
 					later := batchlog.New(store.Client(), 3)
-					open, sealed, err := later.Open(t.Context())
+					opened, err := later.Open(t.Context())
 					So(err, ShouldBeNil)
-					So(open, ShouldBeEmpty)
-					So(sealed, ShouldResemble, []string{"a"})
+					So(opened.Jobs, ShouldBeEmpty)
+					So(opened.Sealed, ShouldResemble, []string{"a"})
 					Convey("and is read without its items, of which the number is known", func() {
 						found, err := later.Find(t.Context(), "a")
 						So(err, ShouldBeNil)
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -102,7 +102,7 @@
 		// run apart from each other.
 		apart := status.Standing >= quarantine.Isolated
 		chosen := r.place(looked, waiting, apart)
-		if chosen == nil {
+		if chosen == nil || !r.canCarry(waiting.item) {
 			left++
 			continue
 		}
--- a/internal/batchrun/read_test.go
+++ b/internal/batchrun/read_test.go
@@ -26,6 +26,12 @@
 		So(repeated.Total, ShouldEqual, 300)
 		So(j.read(second.Next).Next, ShouldBeGreaterThan, second.Next)
 	})
+	Convey("A reading from behind the end tells nothing of what was handed out", t, func() {
+		j := &job{total: 2, listed: make([]batch.Result, 2)}
+		So(j.read(1000).Results, ShouldBeEmpty)
+		So(j.furthestRead, ShouldEqual, 0)
+		So(j.newestRead, ShouldEqual, 0)
+	})
 	Convey("A result that is larger than the bound is handed out alone", t, func() {
 		j := &job{total: 2, furthestRead: 2, newestRead: 1}
 		for range 2 {
--- a/internal/batchrun/retention.go
+++ b/internal/batchrun/retention.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/covelink/covelink/internal/batchlog"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/pause"
 )
@@ -110,6 +111,11 @@
 	if errors.Is(err, metastore.ErrNotFound) {
 		return true
 	}
+	if errors.Is(err, batchlog.ErrWithheld) {
+		// Another term removes it, whose process may read it.
+		level.Info(r.Logger).Log("msg", "job not removed", "request", id, "err", err)
+		return true
+	}
 	if err == nil {
 		err = stored.Remove(ctx)
 	}
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -10,6 +10,7 @@
 	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/itemwork"
+	"github.com/covelink/covelink/internal/jobresidency"
 	"github.com/covelink/covelink/internal/routing"
 )
 
@@ -81,13 +82,9 @@
 		record.apart++
 	}
 	it.phase = phaseRunning
-	if r.Desk != nil {
-		if worker, ok := r.Desk.Assign(engine, assignment); ok {
-			r.hand(begun, worker)
-			return
-		}
+	if !r.carry(begun, engine, assignment) {
+		r.lose(begun)
 	}
-	r.runHere(begun, assignment)
 }
 
 // assignment returns a run of an item, without an engine. The mutex must be held.
@@ -105,6 +102,8 @@
 		Bounds: bounds,
 		Text:   it.text.Clone(),
 		Reward: it.Reward,
+
+		Residency: jobresidency.OfItem(r.State.View().Routes, &it.job.Job, &it.Item),
 	}
 }
 
@@ -147,15 +146,28 @@
 	})
 }
 
-// judgeHere makes the reward call of an item whose text is whole, and lists items that need none. The mutex must be held.
+// judgeHere makes the reward call of an item whose text is whole, and lists items that need none. Where the item's data may not be here, a
+// worker makes the call; the item waits for one. The mutex must be held.
 func (r *Runner) judgeHere(it *item) {
 	it.phase = phaseJudging
 	if it.Reward == nil {
 		r.list(it, it.result(""))
 		return
 	}
+	if !r.canCarry(it) {
+		it.phase = phaseWaiting
+		return
+	}
 	assignment := r.assignment(it, itemwork.Bounds{})
-	r.runHere(r.newRun(assignment.Run, it, ""), assignment)
+	begun := r.newRun(assignment.Run, it, "")
+	if r.hosts(r.carriage(it)) {
+		r.runHere(begun, assignment)
+		return
+	}
+	if !r.carry(begun, &fleet.Engine{ID: it.ID}, assignment) {
+		begun.over = true
+		it.phase = phaseWaiting
+	}
 }
 
 // Reported implements itemwork.Handler.
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -96,6 +96,8 @@
 	// Guard knows under which items engines have ended, and is told of runs of this process; nil holds none back.
 	Guard *quarantine.Guard
 	Store metastore.Client
+	// Zone is this process's: jobs that may not be in its region are neither taken nor read.
+	Zone string
 	// Desk hands runs to workers; nil if this process carries out all of them.
 	Desk *itemwork.Desk
 	// Retention is how long a job is kept after its end; zero means DefaultRetention.
@@ -179,7 +181,8 @@
 	defer depose()
 	started := r.now()
 	log := batchlog.New(r.Store, token)
-	stored, sealed, ok := r.readJobs(ctx, log)
+	log.Permit = r.mayKeep
+	opened, ok := r.readJobs(ctx, log)
 	if !ok {
 		return
 	}
@@ -193,22 +196,28 @@
 	r.kept = newUnfinishedTexts()
 	r.detached, r.returnOffsets = make(map[string]*run), make(map[string]int64)
 	r.lengths, r.usual = newLengthModel(), usualPause{}
-	r.ends = make(map[string]time.Time, len(sealed))
+	r.ends = make(map[string]time.Time, len(opened.Sealed))
 	r.endedBytes = 0
 	r.submitted = make(map[string]submissions)
-	for _, id := range sealed {
+	for _, id := range opened.Sealed {
 		r.ends[id] = r.now()
 	}
 	r.term, r.depose, r.log = ctx, depose, log
 	texts := r.openTexts()
-	for _, found := range stored {
+	for _, found := range opened.Jobs {
 		r.awaitAdoption(r.add(found))
 	}
 	r.mu.Unlock()
 	if r.Desk != nil {
 		r.running.Go(func() { r.Desk.Lead(ctx, token, r) })
 	}
-	level.Info(r.Logger).Log("msg", "leading", "token", token, "jobs", len(stored), "took", r.now().Sub(started).Round(time.Millisecond))
+	level.Info(r.Logger).Log("msg", "leading", "token", token, "jobs", len(opened.Jobs), "withheld", len(opened.Withheld), "took", r.now().Sub(started).Round(time.Millisecond))
+	for i := range opened.Withheld {
+		r.logExcluded("job not read", &opened.Withheld[i])
+	}
+	if len(opened.Withheld) > 0 {
+		r.running.Go(func() { r.readmit(ctx, opened.Withheld) })
+	}
 	r.running.Go(func() { r.retain(ctx) })
 	if texts != nil {
 		r.running.Go(func() { r.checkpoint(ctx, texts) })
@@ -231,17 +240,17 @@
 	}
 }
 
-// readJobs reads the open jobs, as often as it takes.
-func (r *Runner) readJobs(ctx context.Context, log *batchlog.Store) (stored []*batchlog.Stored, sealed []string, ok bool) {
-	for ctx.Err() == nil {
-		stored, sealed, err := log.Open(ctx)
+// readJobs reads the open jobs, as often as it takes, once their bounds are known.
+func (r *Runner) readJobs(ctx context.Context, log *batchlog.Store) (opened batchlog.Opened, ok bool) {
+	for r.awaitBounds(ctx) && ctx.Err() == nil {
+		opened, err := log.Open(ctx)
 		if err == nil {
-			return stored, sealed, true
+			return opened, true
 		}
 		level.Warn(r.Logger).Log("msg", "open jobs not read", "err", err)
 		pause.For(ctx, recoverPause)
 	}
-	return nil, nil, false
+	return batchlog.Opened{}, false
 }
 
 const recoverPause = 150 * time.Millisecond
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/jobresidency"
 	"github.com/covelink/covelink/internal/metastore"
 )
 
@@ -20,6 +21,14 @@
 	if known := r.find(submitted.ID); known != nil {
 		return r.takenAgain(submitted, known.Tenant)
 	}
+	if r.boundsUnknown() {
+		return batch.ErrRefused
+	}
+	jobresidency.Bind(r.State.View().Routes, &submitted)
+	if !r.mayKeep(&submitted) {
+		r.logExcluded("job refused, it may not be in this region", &submitted)
+		return batch.ErrExcluded
+	}
 	// A caller that leaves must not leave the outcome open.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
 	defer cancel()
@@ -147,7 +156,7 @@
 		position++
 	}
 	reading.Next = position
-	if reading.Next > j.furthestRead {
+	if len(reading.Results) > 0 && reading.Next > j.furthestRead {
 		j.newestRead, j.furthestRead = reading.Next-len(reading.Results), reading.Next
 	}
 	return reading
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -22,6 +22,7 @@
 	"github.com/covelink/covelink/internal/fleettime"
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/itemwork"
+	"github.com/covelink/covelink/internal/jobresidency"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/rpc"
@@ -38,8 +39,9 @@
 	fx.Invoke(runCoordinator),
 )
 
-func newDesk(registry *prometheus.Registry, logger log.Logger) *itemwork.Desk {
+func newDesk(registry *prometheus.Registry, state *fleet.State, logger log.Logger) *itemwork.Desk {
 	desk := itemwork.NewDesk(telemetry.For(logger, telemetry.PartBatch))
+	desk.Region = func(zone string) string { return state.View().Topology.Region(zone) }
 	registerGauge(registry, "workers", "Gateways that run batch items for this process.", desk.Workers)
 	return desk
 }
@@ -52,6 +54,7 @@
 		Forwarder:  forwarder,
 		Guard:      guard,
 		Store:      store,
+		Zone:       config.Node.Zone,
 		Desk:       desk,
 		Retention:  config.Timing.BatchRetention,
 		TextFolder: config.Data.Folder,
@@ -131,7 +134,7 @@
 	if c.listener, err = config.Listen(ctx, "tcp", c.Settings.Listen.Internal); err != nil {
 		return err
 	}
-	c.elector = election.New(election.Params{
+	params := election.Params{
 		Name:      c.Settings.Node.Name,
 		Address:   c.address(),
 		Store:     c.Store,
@@ -142,8 +145,13 @@
 		Served:    c.Outage.Served,
 		Lead:      c.lead,
 		Eligible:  c.Leaving.MayCoordinate,
+		Zone:      c.Settings.Node.Zone,
 		Logger:    c.logger,
-	})
+	}
+	if topology := c.State.View().Topology; topology.Regional() {
+		params.Region, params.Distance = topology.Region, c.Outage.CallTime
+	}
+	c.elector = election.New(params)
 	hub := storerelay.NewHub(storerelay.HubParams{
 		Leading:    c.elector.Leading,
 		Essence:    platform.GatewayEssence,
@@ -230,6 +238,7 @@
 	leading.Go(func() {
 		platform.FollowVersions(ctx, c.Followers, c.Orders.SetNamed, telemetry.For(c.Logger, telemetry.PartOrders))
 	})
+	leading.Go(func() { c.followHome(ctx) })
 	leading.Go(func() { c.Runner.Lead(ctx, term.Token) })
 	leading.Go(func() { c.Orders.Lead(ctx, term) })
 	leading.Go(func() { c.Leaving.Lead(ctx) })
@@ -238,6 +247,24 @@
 	leading.Wait()
 }
 
+// followHome tells the elector in which regions this process should stand, by each route table, until ctx ends. In a deployment of one region
+// that never matters.
+func (c *coordinator) followHome(ctx context.Context) {
+	if !c.State.View().Topology.Regional() {
+		return
+	}
+	for ctx.Err() == nil {
+		view, changed := c.State.Changed()
+		if view.Routes != nil {
+			c.elector.SetHome(jobresidency.Home(view.Routes, view.Topology))
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 func (c *coordinator) stop(context.Context) error {
 	c.Tasks.cancel()
 	c.Tasks.running.Wait()
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -77,8 +77,16 @@
 	return watcher
 }
 
-func newBatchClient(hooks fx.Lifecycle, calls *rpc.Client, watcher *election.Watcher) batch.Service {
-	client := batchrpc.NewClient(calls, watcher.Holder)
+func newBatchClient(hooks fx.Lifecycle, calls *rpc.Client, state *fleet.State, watcher *election.Watcher, logger log.Logger) batch.Service {
+	client := batchrpc.NewClient(batchrpc.ClientParams{
+		Calls: calls,
+		Leader: func() batchrpc.Leader {
+			term := watcher.Term()
+			return batchrpc.Leader{Address: term.Address, Zone: term.Zone}
+		},
+		State:  state,
+		Logger: telemetry.For(logger, telemetry.PartBatch),
+	})
 	hooks.Append(fx.Hook{OnStop: func(context.Context) error {
 		client.Close()
 		return nil
--- a/internal/itemwork/desk.go
+++ b/internal/itemwork/desk.go
@@ -12,6 +12,7 @@
 	"github.com/covelink/covelink/coord/rendezvous"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/pause"
+	"github.com/covelink/covelink/internal/placement"
 )
 
 const (
@@ -38,6 +39,9 @@
 
 // Desk hands assignments to workers. It is safe for concurrent use.
 type Desk struct {
+	// Region returns the region of a zone, empty if it is not known; nil knows none. What is bound to regions is handed to workers in those
+	// alone. It must be set before the desk is used.
+	Region func(zone string) string
 	logger log.Logger
 
 	mu sync.Mutex
@@ -154,35 +158,71 @@
 	return worker, lost
 }
 
-// Assign hands an assignment to the worker that speaks with an engine. It returns false if there is none.
+// Assign hands an assignment without bounds to the worker that speaks with an engine. It returns false if there is none.
 func (d *Desk) Assign(engine *fleet.Engine, assignment *Assignment) (worker string, ok bool) {
+	return d.AssignWithin(placement.Residency{}, engine, assignment)
+}
+
+// AssignWithin hands an assignment to the worker that speaks with an engine, or, where its data may not be, to one where it may. It returns
+// false if there is none.
+func (d *Desk) AssignWithin(residency placement.Residency, engine *fleet.Engine, assignment *Assignment) (worker string, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.handler == nil {
 		return "", false
 	}
+	carrier := d.usualCarrier(engine)
+	if carrier != nil && !d.allows(residency, carrier) {
+		carrier = d.carrier(engine, residency)
+	}
+	if carrier == nil {
+		return "", false
+	}
+	d.add(carrier, Order{Start: assignment})
+	return carrier.key(), true
+}
+
+// Reaches reports whether there is a worker where data of a residency may be.
+func (d *Desk) Reaches(residency placement.Residency) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, worker := range d.workers {
+		if !worker.Leaving && d.allows(residency, worker) {
+			return true
+		}
+	}
+	return false
+}
+
+// allows reports whether data of a residency may be at a worker.
+func (d *Desk) allows(residency placement.Residency, worker *deskWorker) bool {
+	if !residency.Bounded() {
+		return true
+	}
+	return d.Region != nil && residency.Allows(d.Region(worker.Zone))
+}
+
+// usualCarrier returns the worker of an engine for what is not bound; nil if there is none. The mutex must be held.
+func (d *Desk) usualCarrier(engine *fleet.Engine) *deskWorker {
 	carrier, ok := d.carriers[engine.ID]
 	if !ok {
 		if len(d.carriers) >= maxCarriers {
 			clear(d.carriers)
 		}
-		carrier = d.carrier(engine)
+		carrier = d.carrier(engine, placement.Residency{})
 		d.carriers[engine.ID] = carrier
 	}
-	if carrier == nil {
-		return "", false
-	}
-	d.add(carrier, Order{Start: assignment})
-	return carrier.key(), true
+	return carrier
 }
 
-// carrier chooses the worker of an engine, of the engine's zone where there is one. The mutex must be held.
-func (d *Desk) carrier(engine *fleet.Engine) *deskWorker {
+// carrier chooses the worker of an engine among those where data of a residency may be, of the engine's zone where there is one. The mutex
+// must be held.
+func (d *Desk) carrier(engine *fleet.Engine, residency placement.Residency) *deskWorker {
 	key := rendezvous.Hash(engine.ID)
 	var best *deskWorker
 	var bestScore uint64
 	for _, worker := range d.workers {
-		if worker.Leaving {
+		if worker.Leaving || !d.allows(residency, worker) {
 			continue
 		}
 		near, bestNear := worker.Zone == engine.Zone, best != nil && best.Zone == engine.Zone
--- /dev/null
+++ b/internal/itemwork/desk_residency_test.go
@@ -0,0 +1,62 @@
+package itemwork
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/placement"
+)
+
+func TestDeskHandsBoundWorkToAllowedRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		desk := NewDesk(log.NewNopLogger())
+		desk.Region = func(zone string) string { return strings.TrimRight(zone, "0123456789") }
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			desk.Lead(ctx, 7, &lostWorkers{})
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		meet := func(zone string, leaving bool) {
+			desk.Poll(t.Context(), PollRequest{Worker: WorkerID{Name: "w-" + zone, Zone: zone, Instance: "first", Leaving: leaving}, Term: 1})
+		}
+		time.Sleep(time.Millisecond)
+		meet("north1", false)
+		meet("north2", false)
+		meet("south1", false)
+		assign := func(engineZone string, residency placement.Residency) string {
+			worker, _ := desk.AssignWithin(residency, &fleet.Engine{ID: "e-" + engineZone, Zone: engineZone}, &Assignment{})
+			return worker
+		}
+		south := placement.Residency{Route: []string{"south"}}
+		Convey("What is bound goes to a worker in an allowed region only, near the engine where there is one", t, func() {
+			So(assign("north1", placement.Residency{}), ShouldEqual, "w-north1/first")
+			So(assign("north1", south), ShouldEqual, "w-south1/first")
+			So(assign("north1", placement.Residency{Tenant: []string{"north"}}), ShouldEqual, "w-north1/first")
+			So(assign("north1", placement.Residency{Tenant: []string{"north"}, Accepted: [][]string{{"south"}}}), ShouldBeEmpty)
+			So(assign("south1", south), ShouldEqual, "w-south1/first")
+			So(assign("north1", placement.Residency{}), ShouldEqual, "w-north1/first")
+			So(desk.Reaches(south), ShouldBeTrue)
+			meet("south1", true)
+			So(assign("south1", south), ShouldBeEmpty)
+			So(desk.Reaches(south), ShouldBeFalse)
+			So(desk.Reaches(placement.Residency{}), ShouldBeTrue)
+		})
+		Convey("A desk that knows no regions hands nothing on that is bound", t, func() {
+			desk.Region = nil
+			So(assign("north1", placement.Residency{Route: []string{"north"}}), ShouldBeEmpty)
+			So(desk.Reaches(placement.Residency{Route: []string{"north"}}), ShouldBeFalse)
+		})
+	})
+}
--- a/internal/itemwork/itemwork.go
+++ b/internal/itemwork/itemwork.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/placement"
 )
 
 // RunID names a run of an item: the term that began it and its number there.
@@ -62,6 +63,8 @@
 	// Text is what earlier runs have made; the stream goes on after it.
 	Text   Text
 	Reward *batch.Reward
+	// Residency is where the item may run.
+	Residency placement.Residency
 }
 
 // Verdict is how the stream of a run ended.
