batchrun, itemwork, election: runs wait where no process may carry them; a whole text goes to a worker

Cause: a coordinator outside a job's regions would have made reward calls itself; a worker that was given a whole text never told of its judgement; a holder that was started again refused to yield before it knew its home. Change: as the tests say.

--- a/internal/batchrun/remote_test.go
+++ b/internal/batchrun/remote_test.go
@@ -24,6 +24,8 @@
 	desk atomic.Pointer[itemwork.Desk]
 	// cut makes calls to the desk go unanswered.
 	cut atomic.Bool
+	// workerZone is that of the workers that are started.
+	workerZone string
 }
 
 func playDesk(t *testing.T, name string, scene func(w *deskWorld)) {
@@ -40,6 +42,7 @@
 // lead starts a runner with a desk and a term of its own, once the one before has stopped.
 func (w *deskWorld) lead(token int64) {
 	desk := itemwork.NewDesk(log.NewNopLogger())
+	desk.Region = func(zone string) string { return w.state.View().Topology.Region(zone) }
 	w.desk.Store(desk)
 	w.world.desk = desk
 	w.runner, w.stop = w.world.lead(token)
@@ -50,6 +53,7 @@
 	worker := itemwork.NewWorker(itemwork.WorkerParams{
 		Name:     name,
 		Instance: "first",
+		Zone:     w.workerZone,
 		Executor: &itemwork.Executor{
 			State:     w.state,
 			Transport: w.engines,
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -21,9 +21,6 @@
 	if known := r.find(submitted.ID); known != nil {
 		return r.takenAgain(submitted, known.Tenant)
 	}
-	if r.boundsUnknown() {
-		return batch.ErrRefused
-	}
 	jobresidency.Bind(r.State.View().Routes, &submitted)
 	if !r.mayKeep(&submitted) {
 		r.logExcluded("job refused, it may not be in this region", &submitted)
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -41,6 +41,8 @@
 	// regional is true if candidates know the regions of zones, their own being their names, and home is what holders are told of.
 	regional bool
 	home     []string
+	// learnAfter is how long after the start of a term holders are told.
+	learnAfter time.Duration
 	// distances are how long calls to the store take, by region; nil if candidates don't know.
 	distances map[string]time.Duration
 }
@@ -65,6 +67,7 @@
 		refused:    make(map[string]bool),
 		candidates: make(map[string]*candidate),
 		leading:    make(map[string]bool),
+		learnAfter: 50 * time.Millisecond,
 	}
 }
 
@@ -172,10 +175,11 @@
 	g.terms = append(g.terms, term{candidate: name, token: t.Token})
 	g.candidates[name].current = t
 	g.leading[name] = true
+	learnAfter := g.learnAfter
 	client, elector, home, regional := g.candidates[name].client, g.candidates[name].elector, g.home, g.regional
 	g.mu.Unlock()
 	if regional {
-		pause.For(ctx, 50*time.Millisecond)
+		pause.For(ctx, learnAfter)
 		elector.SetHome(home)
 	}
 	for ctx.Err() == nil {
--- a/internal/election/home.go
+++ b/internal/election/home.go
@@ -103,10 +103,14 @@
 	return true
 }
 
-// strays reports whether this process, which holds the lease, is away from home.
+// strays reports whether this process, which holds the lease, is away from home: by its own knowledge, or as the lease has it until then.
 func (e *Elector) strays() bool {
 	regions, known := e.home.current()
-	return known && e.outside(e.Zone, regions)
+	if !known {
+		lease, _, _ := e.current()
+		regions = lease.Home
+	}
+	return e.outside(e.Zone, regions)
 }
 
 // away reports whether this process is not where the lease wants the holder.
--- a/internal/election/home_test.go
+++ b/internal/election/home_test.go
@@ -177,3 +177,24 @@
 		})
 	}
 }
+
+// A holder that was started again takes its lease back before it knows where it should stand: the first request to yield was refused then, and
+// the next came 3 s later.
+func TestHolderAwayYieldsBeforeItKnowsItsHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := startRegional([]string{"south"}, "north")
+		defer g.stopAll()
+		Convey("A holder away from home yields by what the lease says", t, func() {
+			first, _ := g.leader()
+			So(regionOf(first), ShouldEqual, "north")
+			g.mu.Lock()
+			g.learnAfter = time.Hour
+			g.mu.Unlock()
+			g.kill(first)
+			g.start(first)
+			g.start("south0")
+			time.Sleep(1500 * time.Millisecond)
+			So(g.leaderRegion(), ShouldEqual, "south")
+		})
+	})
+}
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -198,6 +198,10 @@
 	ctx, cancel := context.WithCancel(w.life)
 	run := &workerRun{worker: w, assignment: assignment, text: assignment.Text, cancel: cancel, version: assignment.Engine.Version}
 	run.reported = run.text.Len()
+	if run.text.Whole {
+		// The stream has ended in an earlier run: only the reward call is left.
+		run.end.Verdict, run.verdictReported = VerdictWhole, VerdictWhole
+	}
 	w.runs[assignment.Run] = run
 	w.order = append(w.order, assignment.Run)
 	w.running.Go(func() {
