--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -24,6 +25,10 @@
 	// Desired is how many whole groups the trainer waits for.
 	Desired int
 	Items   []Item
+	// Regions are the sets of regions to which the job was bound when it was accepted, each of which binds, and RewardRegions those of its
+	// reward calls. Empty sets are left out; none at all in jobs of versions that did not note them.
+	Regions       [][]string
+	RewardRegions [][]string
 }
 
 // Item is one request of a job.
@@ -89,6 +94,8 @@
 	ErrNotFound = errors.New("batch: not found")
 	// ErrRefused reports a call that was not carried out and never will be.
 	ErrRefused = errors.New("batch: refused")
+	// ErrExcluded is an ErrRefused: the job may not be in the region of the process that coordinates.
+	ErrExcluded = fmt.Errorf("%w: region not allowed", ErrRefused)
 	// ErrUnavailable reports a call that cannot be answered for sure now.
 	ErrUnavailable = errors.New("batch: unavailable")
 )
--- a/internal/batchrun/candidates.go
+++ b/internal/batchrun/candidates.go
@@ -68,7 +68,9 @@
 
 // poolOf returns the engines with room that may run an item by its route.
 func (l *look) poolOf(route *routing.Route, it *item) *pool {
-	return l.pool(route.Pick(draw(it.ID)), it.job.Model, placement.ResidencyOf(l.view.Routes, route, it.job.Tenant))
+	residency := placement.ResidencyOf(l.view.Routes, route, it.job.Tenant)
+	residency.Accepted = it.job.Regions
+	return l.pool(route.Pick(draw(it.ID)), it.job.Model, residency)
 }
 
 // pool returns the engines of a service with room for a model's items, as far as the placement filter permits them for items of the
--- a/internal/batchrun/kit_test.go
+++ b/internal/batchrun/kit_test.go
@@ -163,6 +163,8 @@
 	evacuateTime time.Duration
 	// textFolder is where the runners keep unfinished texts; empty for nowhere.
 	textFolder string
+	// zone is that of the runners.
+	zone string
 }
 
 func newWorld(route routing.Route) *world {
@@ -194,6 +196,7 @@
 		Store:         w.store.Client(),
 		MaxEndedBytes: w.maxEndedBytes,
 		Desk:          w.desk,
+		Zone:          w.zone,
 		TextFolder:    w.textFolder,
 		EvacuateTime:  w.evacuateTime,
 		TextLimit:     1 << 20,
