storerelay: a hub tells how far the newest content of a kind has come

Cause: an operator who changes something in the store couldn't see which processes hold it.

go test -race ./internal/storerelay: passed.

--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -40,6 +40,7 @@
 // Hub holds the newest snapshots of the kinds that its process follows. It is safe for concurrent use.
 type Hub struct {
 	HubParams
+	pollers pollers
 
 	mu      sync.Mutex
 	kinds   map[string]*relayedKind
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -13,6 +13,8 @@
 // Polls also carry what the processes tell each other of requests under which engines have ended (package quarantine): it is news to all of
 // them, and they ask the coordinating process anyway.
 //
+// A hub remembers what each process knew when it last polled, so that operators see how far a change has come (Hub.Spread).
+//
 // Guarantees: what a Client hands out for a kind never goes back to an earlier revision. A hub of which a call to the store has
 // failed, or that has not heard from it for maxAge, says so, and a poll that is not answered within pollWait and pollMargin counts as
 // lost. After either, a Client follows the store itself unless a hub answers within its Patience: first the lease, and the other kinds
@@ -123,7 +125,8 @@
 
 // Register makes a server answer polls of the hub.
 func Register(server *rpc.Server, hub *Hub) {
-	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request PollRequest) (PollReply, error) {
+	rpc.Handle(server, func(ctx context.Context, peer rpc.Peer, request PollRequest) (PollReply, error) {
+		hub.NotePoll(peer, request)
 		return hub.Poll(ctx, request), nil
 	})
 }
