zonestatus: operators list, evacuate and restore zones, and see how far an evacuation has come

Cause: zones could be evacuated only by writing the store's object by hand, and nothing told which processes go by it.

go test -race of zonestatus, platform, ctl, fleetnode, election: passed.

--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -36,6 +36,7 @@
 			dutiesCommand(streams),
 			tenantsCommand(streams),
 			quarantineCommand(streams),
+			zonesCommand(streams),
 		},
 	}
 }
--- a/internal/election/watcher.go
+++ b/internal/election/watcher.go
@@ -47,6 +47,12 @@
 	return lease.Address
 }
 
+// HolderName returns the name of the holder, or "" if there is none or it is not known.
+func (w *Watcher) HolderName() string {
+	lease, _, _ := w.current()
+	return lease.Holder
+}
+
 // Term returns the newest term that is known.
 func (w *Watcher) Term() Term {
 	lease, _, _ := w.current()
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -29,6 +29,7 @@
 	"github.com/covelink/covelink/internal/storerelay"
 	"github.com/covelink/covelink/internal/telemetry"
 	"github.com/covelink/covelink/internal/weightorder"
+	"github.com/covelink/covelink/internal/zonestatus"
 	"github.com/covelink/covelink/platform"
 )
 
@@ -100,6 +101,7 @@
 	Clock     *fleettime.Consensus
 	Duties    *duties
 	Held      *quarantine.Keeper
+	Zones     *zonestatus.Status
 	Metrics   *metrics
 	Calls     *rpc.Client
 	Tasks     *tasks
@@ -154,6 +156,7 @@
 		Logger:     telemetry.For(c.Logger, telemetry.PartFleet),
 	})
 	hub.Attach(c.Followers)
+	c.Zones.SetSource(c.zoneSource(hub))
 	c.server = rpc.NewServer(c.Logger)
 	storerelay.Register(c.server, hub)
 	batchrpc.Register(c.server, c.Runner, c)
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -29,7 +29,7 @@
 // gatewayParts are those of a process that takes callers' requests.
 var gatewayParts = fx.Options(
 	fx.Provide(newStoreRelay, newLeaseWatcher, newBatchClient, newWorker, newUsageClock, newMeter, func() *stopFlag { return &stopFlag{} }),
-	fx.Invoke(alwaysFollowFleet, runStoreRelay, shareQuarantine, runWorker, meterRequests, runGateway),
+	fx.Invoke(alwaysFollowFleet, runStoreRelay, tellCoordinator, shareQuarantine, runWorker, meterRequests, runGateway),
 )
 
 // alwaysFollowFleet keeps the state at what the store holds from start to stop.
@@ -144,6 +144,7 @@
 	Batches   batch.Service
 	Stopping  *stopFlag
 	Relay     *storerelay.Client
+	Metrics   *metrics
 }
 
 // gateway serves callers.
@@ -166,6 +167,7 @@
 		Batches:   g.Batches,
 		Logger:    g.logger,
 		Draining:  g.Stopping.Load,
+		Refused:   g.Metrics.requestRefused,
 
 		Unconfirmed: g.unconfirmed,
 	})
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/placement"
 	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/routing"
 	"github.com/covelink/covelink/internal/telemetry"
@@ -51,6 +52,8 @@
 	attemptsBroke *prometheus.CounterVec
 	// guarded counts decisions on requests under which engines have ended.
 	guarded *prometheus.CounterVec
+	// refused counts requests that may run at no engine now, by reason.
+	refused *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry, state *fleet.State, lines *telemetry.AsyncWriter) *metrics {
@@ -77,6 +80,7 @@
 	m.dutyCalls = counter("duty_calls_total", "Calls to the deployment's platform, by duty and result.", "duty", "result")
 	m.attemptsBroke = counter("attempts_broken_total", "Attempts at engines whose connection broke, by whether the engine had ended.", "evidence")
 	m.guarded = counter("quarantine_decisions_total", "Decisions on requests under which engines have ended.", "decision")
+	m.refused = counter("requests_refused_total", "Callers' requests that were refused because they may run at no engine, by reason.", "reason")
 	m.engines = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_engines_total", Help: "Engines that requests were sent to."})
 	m.textsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "texts_restored_total", Help: "Batch items that go on after a text which an ended job or an earlier process has left."})
 	m.eventsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "text_events_restored_total", Help: "Events of such texts, which engines need not make again."})
@@ -99,7 +103,7 @@
 		return 0
 	})
 	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.handOvers, jobTime, m.textsRestored, m.eventsRestored, m.checkpoints, m.checkpointFailures, m.results,
-		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, m.usageReports, m.usageLost, m.dutyCalls, m.attemptsBroke, m.guarded,
+		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, m.usageReports, m.usageLost, m.dutyCalls, m.attemptsBroke, m.guarded, m.refused,
 		newLinesDropped(lines))
 	return m
 }
@@ -196,6 +200,14 @@
 	m.guarded.WithLabelValues(string(decision)).Inc()
 }
 
+// requestRefused counts a caller's request that was not run, if that is because of where it may run.
+func (m *metrics) requestRefused(reason forward.Reason) {
+	switch where := placement.Reason(reason); where {
+	case placement.EngineLeaving, placement.ZoneEvacuated, placement.EvacuationsUnknown, placement.RegionNotAllowed, placement.NoRegionAllowed:
+		m.refused.WithLabelValues(strings.ReplaceAll(string(where), " ", "_")).Inc()
+	}
+}
+
 // resultOf names how a call ended.
 func resultOf(err error) string {
 	var conflict *metastore.ConflictError
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -30,6 +30,7 @@
 	"github.com/covelink/covelink/internal/settings"
 	"github.com/covelink/covelink/internal/telemetry"
 	"github.com/covelink/covelink/internal/tenants"
+	"github.com/covelink/covelink/internal/zonestatus"
 	"github.com/covelink/covelink/platform"
 )
 
@@ -117,6 +118,7 @@
 		func() *quarantine.Table { return quarantine.NewTable(boottime.Now) },
 		newGuard,
 		newForwarder,
+		newZoneStatus,
 		newTasks,
 	),
 	fx.Invoke(serveMetrics, tellStoreCalls, tellSuspensions),
@@ -150,7 +152,7 @@
 
 // serveMetrics serves counters and histograms where the settings say.
 func serveMetrics(hooks fx.Lifecycle, config settings.Fleet, registry *prometheus.Registry, state *fleet.State, guard *quarantine.Guard,
-	logger log.Logger) {
+	zones *zonestatus.Status, logger log.Logger) {
 	if config.Listen.Metrics == "" {
 		return
 	}
@@ -158,6 +160,7 @@
 	routes.Handle("GET /metrics", telemetry.Handler(registry))
 	routes.HandleFunc("GET "+tenants.ListPath, func(w http.ResponseWriter, _ *http.Request) { listTenants(w, state) })
 	quarantine.Handle(routes, guard)
+	zones.Handle(routes)
 	var server *httpServer
 	hooks.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
--- /dev/null
+++ b/internal/zonestatus/handler.go
@@ -0,0 +1,171 @@
+package zonestatus
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/storerelay"
+)
+
+const (
+	// ListPath is where a process lists the zones, with GET.
+	ListPath = "/debug/zones"
+	// EvacuatePath and RestorePath are where an operator has a zone evacuated or restored, with POST: the zone's name follows.
+	EvacuatePath = "/debug/zones/evacuate/"
+	RestorePath  = "/debug/zones/restore/"
+	// zoneField names the part of the path.
+	zoneField = "zone"
+	// writeTimeout bounds a write to the store; it is below the time that covelinkctl waits for an answer.
+	writeTimeout = 4 * time.Second
+)
+
+// Written is the answer to a zone that was evacuated or restored.
+type Written struct {
+	Zone string `json:"zone"`
+	// Revision is that of the store at which the zone became evacuated, also if it was so before; zero if it was restored.
+	Revision int64 `json:"revision"`
+}
+
+// Writer changes which zones are evacuated, in the store.
+type Writer interface {
+	// Evacuate returns the revision at which the zone became evacuated. A zone that is so already stays so.
+	Evacuate(ctx context.Context, zone string) (int64, error)
+	// Restore makes a zone no longer evacuated. One that is not is left as it is.
+	Restore(ctx context.Context, zone string) error
+}
+
+// Params are what a Status works with.
+type Params struct {
+	// Node is the name of the process.
+	Node  string
+	State *fleet.State
+	// Writer is nil where zones are not evacuated, as the settings say.
+	Writer Writer
+	Logger log.Logger
+}
+
+// Source is what a role knows beside the state. Each may be nil for what it does not know.
+type Source struct {
+	// Follows reports whether the state is kept up to date; nil means always.
+	Follows func() bool
+	// Coordinator returns who coordinates.
+	Coordinator func() Coordinator
+	// Spread tells how far the newest evacuations have come; false while the process does not coordinate.
+	Spread func() (storerelay.Spread, bool)
+}
+
+// Status answers operators. It is safe for concurrent use.
+type Status struct {
+	Params
+	mu     sync.Mutex
+	source Source
+}
+
+// New returns a Status of a process that knows nothing beside its state.
+func New(params Params) *Status { return &Status{Params: params} }
+
+// SetSource puts what the process's role knows in use.
+func (s *Status) SetSource(source Source) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.source = source
+}
+
+// List returns what the process knows now.
+func (s *Status) List() List {
+	s.mu.Lock()
+	source := s.source
+	s.mu.Unlock()
+	view := s.State.View()
+	list := List{Node: s.Node, Follows: source.Follows == nil || source.Follows(), Known: view.Evacuations != nil, Zones: ZonesOf(view)}
+	if list.Known {
+		list.Revision = view.Evacuations.Revision()
+	}
+	if source.Coordinator != nil {
+		list.Coordinator = source.Coordinator()
+	}
+	if source.Spread == nil {
+		return list
+	}
+	if spread, leading := source.Spread(); leading {
+		list.Progress = progressOf(spread)
+	}
+	return list
+}
+
+func progressOf(spread storerelay.Spread) *Progress {
+	progress := &Progress{Revision: int64(spread.Revision), Polling: len(spread.Pollers), Behind: []Behind{}}
+	for _, poller := range spread.Pollers {
+		switch {
+		case spread.Holds(poller):
+			progress.Holding++
+		case len(progress.Behind) < maxBehind:
+			behind := Behind{Name: poller.Name, Zone: poller.Zone, Revision: int64(poller.Known), PolledMillis: poller.Age.Milliseconds()}
+			progress.Behind = append(progress.Behind, behind)
+		}
+	}
+	return progress
+}
+
+// Handle makes a server answer operators.
+func (s *Status) Handle(routes *http.ServeMux) {
+	routes.HandleFunc("GET "+ListPath, func(w http.ResponseWriter, _ *http.Request) { answer(w, s.List()) })
+	routes.HandleFunc("POST "+EvacuatePath+"{"+zoneField+"}", func(w http.ResponseWriter, r *http.Request) {
+		s.write(w, r, "evacuated", func(ctx context.Context, zone string) (int64, error) { return s.Writer.Evacuate(ctx, zone) })
+	})
+	routes.HandleFunc("POST "+RestorePath+"{"+zoneField+"}", func(w http.ResponseWriter, r *http.Request) {
+		s.write(w, r, "restored", func(ctx context.Context, zone string) (int64, error) { return 0, s.Writer.Restore(ctx, zone) })
+	})
+}
+
+// write carries an operator's wish out and answers.
+func (s *Status) write(w http.ResponseWriter, r *http.Request, wish string, act func(ctx context.Context, zone string) (int64, error)) {
+	zone := r.PathValue(zoneField)
+	switch {
+	case s.Writer == nil:
+		http.Error(w, "the settings have no topology.evacuateTime: zones are not evacuated", http.StatusConflict)
+		return
+	case !s.knows(zone):
+		http.Error(w, "no zone of that name is known", http.StatusNotFound)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), writeTimeout)
+	defer cancel()
+	revision, err := act(ctx, zone)
+	if err != nil {
+		level.Warn(s.Logger).Log("msg", "operator's wish for a zone not stored", "zone", zone, "wish", wish, "err", err)
+		status := http.StatusBadGateway
+		if errors.Is(err, context.DeadlineExceeded) {
+			status = http.StatusGatewayTimeout
+		}
+		http.Error(w, "not known to be stored, ask again: "+err.Error(), status)
+		return
+	}
+	level.Info(s.Logger).Log("msg", "operator's wish for a zone stored", "zone", zone, "wish", wish, "revision", revision)
+	answer(w, Written{Zone: zone, Revision: revision})
+}
+
+// knows reports whether the settings name a zone, an engine is in it, or it is evacuated.
+func (s *Status) knows(zone string) bool {
+	return slices.ContainsFunc(ZonesOf(s.State.View()), func(known Zone) bool { return known.Name == zone })
+}
+
+func answer(w http.ResponseWriter, body any) {
+	content, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// A caller that has left needs no answer.
+	_, _ = w.Write(content)
+}
--- /dev/null
+++ b/internal/zonestatus/zonestatus.go
@@ -0,0 +1,120 @@
+// Package zonestatus shows operators the zones of the deployment, takes their wish that a zone be evacuated or restored, and tells how far that
+// has come.
+//
+// Guarantees: a list tells what the asked process itself goes by, with the revision of it, and names the processes that do not hold the newest
+// evacuations only where it knows: at the coordinating process. A zone is written under its name, so that a wish that is repeated changes
+// nothing.
+package zonestatus
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/covelink/covelink/internal/fleet"
+)
+
+// List is what an operator is shown of the zones.
+type List struct {
+	// Node is the process that was asked.
+	Node string `json:"node"`
+	// Follows is false for a process that follows the deployment only while it coordinates, and does not now: zones and revision are then
+	// what its last term has left.
+	Follows bool `json:"follows"`
+	// Known is false while the process does not know yet which zones are evacuated; it then sends requests to none.
+	Known bool `json:"known"`
+	// Revision is that of the evacuations that the process goes by.
+	Revision int64 `json:"revision"`
+	// Coordinator is the process that coordinates and where others reach it; empty if it is not known.
+	Coordinator Coordinator `json:"coordinator"`
+	Zones       []Zone      `json:"zones"`
+	// Progress is nil unless the process coordinates.
+	Progress *Progress `json:"progress,omitempty"`
+}
+
+// Coordinator names the coordinating process.
+type Coordinator struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+// Zone is what a process knows of a zone.
+type Zone struct {
+	Name string `json:"name"`
+	// Region is empty for a zone that the settings do not name.
+	Region string `json:"region"`
+	// Ready, Leaving and Cold count its engines. A cold engine is also ready.
+	Ready   int `json:"ready"`
+	Leaving int `json:"leaving"`
+	Cold    int `json:"cold"`
+	// EvacuatedSince is the store's revision at which it became evacuated; zero if it is not.
+	EvacuatedSince int64 `json:"evacuatedSince"`
+}
+
+// Progress is how far the newest evacuations have come.
+type Progress struct {
+	// Revision is that of the newest evacuations in the store that the coordinating process has learnt.
+	Revision int64 `json:"revision"`
+	// Holding counts the processes that go by them, of those that poll the coordinating one.
+	Holding int `json:"holding"`
+	Polling int `json:"polling"`
+	// Behind are the first maxBehind of the others, in the order of their names.
+	Behind []Behind `json:"behind"`
+}
+
+// Behind is a process that did not know the newest evacuations when it last polled.
+type Behind struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// Revision is that of the evacuations that it knew; zero if it knew none.
+	Revision int64 `json:"revision"`
+	// PolledMillis is how long ago it last polled, in milliseconds.
+	PolledMillis int64 `json:"polledMillis"`
+}
+
+// maxBehind bounds the processes that are named one by one: what fits on an operator's screen.
+const maxBehind = 32
+
+// InForce reports whether evacuations of a revision are in force at the coordinating process and at all that poll it.
+func (l List) InForce(revision int64) bool {
+	return l.Progress != nil && l.Known && l.Revision >= revision && l.Progress.Revision >= revision && l.Progress.Holding == l.Progress.Polling
+}
+
+// ZonesOf returns the zones of a view, those of the settings and those in which engines or evacuations are, in the order of their names.
+func ZonesOf(view *fleet.View) []Zone {
+	byName := make(map[string]*Zone)
+	named := func(name string) *Zone {
+		if byName[name] == nil {
+			byName[name] = &Zone{Name: name, Region: view.Topology.Region(name)}
+		}
+		return byName[name]
+	}
+	for _, name := range view.Topology.Zones() {
+		named(name)
+	}
+	for _, engine := range view.Engines {
+		named(engine.Zone).count(engine)
+	}
+	if view.Evacuations != nil {
+		for _, name := range view.Evacuations.Zones() {
+			named(name).EvacuatedSince = view.Evacuations.Since(name)
+		}
+	}
+	zones := make([]Zone, 0, len(byName))
+	for _, zone := range byName {
+		zones = append(zones, *zone)
+	}
+	slices.SortFunc(zones, func(a, b Zone) int { return cmp.Compare(a.Name, b.Name) })
+	return zones
+}
+
+// count takes in one of the zone's engines.
+func (z *Zone) count(engine *fleet.Engine) {
+	if !engine.Ready {
+		z.Leaving++
+		return
+	}
+	z.Ready++
+	if engine.ColdRemaining > 0 {
+		z.Cold++
+	}
+}
