platformtest, ctl: covelinkctl zones against real processes; a candidate says first that it follows nothing while it does not coordinate

Cause: found by the new test: a candidate that never coordinated said that it knows no evacuations and sends requests to none, which reads as a fault.

go test -race -run TestZoneCommands -count=3: passed.

--- a/internal/ctl/zones.go
+++ b/internal/ctl/zones.go
@@ -95,10 +95,10 @@
 func standingOf(list zonestatus.List) string {
 	line := fmt.Sprintf("%s goes by the evacuations of revision %d", list.Node, list.Revision)
 	switch {
-	case !list.Known:
-		line = list.Node + " does not know which zones are evacuated and sends requests to none"
 	case !list.Follows:
 		line = list.Node + " follows the deployment only while it coordinates: the zones above are those of its last term"
+	case !list.Known:
+		line = list.Node + " does not know which zones are evacuated and sends requests to none"
 	}
 	if list.Progress != nil {
 		return line + " and coordinates\n"
