batchrun: two scenes of evacuated zones test what they say

Cause: the scene of a zone that is restored changed the length of texts while they were streamed: a data race of the test (found by -race in the whole run), and its texts would have ended by themselves at the bound. That of a run past the end of its job met no such run: the job's end simply stopped it.

Change: texts are long from the start; the run is one that a later job may use, stays until 400 ms before the bound, ends by it, and the later job goes on after its text.

--- a/internal/batchrun/evacuation_test.go
+++ b/internal/batchrun/evacuation_test.go
@@ -77,13 +77,13 @@
 	})
 }
 
-// fillZoneA starts so many items of 150 events, 3 s each, all at engine a.
-func (w *world) fillZoneA(items int) {
-	w.engines.events = 150
+// fillZoneA starts so many items of so many events, 20 ms each, all at engine a.
+func (w *world) fillZoneA(items, events int) {
+	w.engines.events = events
 	w.evacuate(1, "zone-b")
 	expected := make([]int, items)
 	for i := range expected {
-		expected[i] = 7500
+		expected[i] = 50 * events
 	}
 	w.submitJob(newStep("job", 0, 1, 0, expected...))
 	time.Sleep(300 * time.Millisecond)
@@ -107,7 +107,7 @@
 
 func TestEvacuation(t *testing.T) {
 	playEvacuation(t, "Runs of an evacuated zone go on elsewhere before the bound, after their texts, and nothing more is sent there", evacuateTime, func(w *world) {
-		w.fillZoneA(6)
+		w.fillZoneA(6, 150)
 		asked := time.Now()
 		w.evacuate(3, "zone-a")
 		time.Sleep(emptyTime / 4)
@@ -134,7 +134,7 @@
 		So(w.engines.at("b"), ShouldBeEmpty)
 	})
 	playEvacuation(t, "Without room elsewhere runs stay until the bound, and are ended then", evacuateTime, func(w *world) {
-		w.fillZoneA(4)
+		w.fillZoneA(4, 150)
 		w.withoutB()
 		w.evacuate(3, "zone-a")
 		time.Sleep(emptyTime - 300*time.Millisecond)
@@ -146,7 +146,7 @@
 		w.shouldBeWholeJob("job", w.results("job", 8*time.Second), 4)
 	})
 	playEvacuation(t, "A zone that is restored keeps its runs; one that is evacuated again has a bound of its own", evacuateTime, func(w *world) {
-		w.fillZoneA(4)
+		w.fillZoneA(4, 400)
 		w.withoutB()
 		w.evacuate(3, "zone-a")
 		time.Sleep(1500 * time.Millisecond)
@@ -156,14 +156,11 @@
 		// The first bound is over.
 		time.Sleep(800 * time.Millisecond)
 		So(w.engines.under("a"), ShouldEqual, 4)
-		w.engines.mu.Lock()
-		w.engines.events = 400
-		w.engines.mu.Unlock()
 		time.Sleep(emptyTime - 800*time.Millisecond + orderTime)
 		So(w.engines.under("a"), ShouldEqual, 0)
 	})
 	playEvacuation(t, "A look that comes just before the next choice does not put it off beyond the bound", evacuateTime, func(w *world) {
-		w.fillZoneA(4)
+		w.fillZoneA(4, 150)
 		w.withoutB()
 		w.evacuate(3, "zone-a")
 		for _, until := range []time.Duration{199 * time.Millisecond, 1799 * time.Millisecond} {
@@ -174,7 +171,7 @@
 		So(w.engines.under("a"), ShouldEqual, 0)
 	})
 	playEvacuation(t, "The time in which the machine was suspended counts: what is left is ended after waking", evacuateTime, func(w *world) {
-		w.fillZoneA(4)
+		w.fillZoneA(4, 150)
 		w.withoutB()
 		w.evacuate(3, "zone-a")
 		time.Sleep(300 * time.Millisecond)
@@ -184,23 +181,40 @@
 		So(w.engines.under("a"), ShouldEqual, 0)
 	})
 	playEvacuation(t, "A deployment that evacuates no zones within a time ends no runs", 0, func(w *world) {
-		w.fillZoneA(4)
+		w.fillZoneA(4, 150)
 		w.evacuate(3, "zone-a")
 		time.Sleep(emptyTime + orderTime)
 		So(w.engines.under("a"), ShouldEqual, 4)
 	})
-	playEvacuation(t, "A run that goes on after the end of its job ends at the bound, and its text is of use to a later job", evacuateTime, func(w *world) {
+	playEvacuation(t, "A run that goes on after the end of its job stays until the bound, and a later job goes on after its text", evacuateTime, func(w *world) {
 		w.engines.events = 300
+		for _, id := range []string{"a", "b"} {
+			w.engines.set(id, behaviour{pause: 20 * time.Millisecond, version: 2})
+		}
+		w.state.SetEngines([]*fleet.Engine{
+			{ID: "a", Service: "pool", Zone: "zone-a", Slots: 8, Ready: true, Versions: map[string]int64{model: 2}},
+			{ID: "b", Service: "pool", Zone: "zone-b", Slots: 8, Ready: true, Versions: map[string]int64{model: 2}},
+			{ID: "j", Service: "judges", Zone: "zone-b", Slots: 8, Ready: true},
+		})
 		w.evacuate(1, "zone-b")
 		w.submitJob(newStep("one", 0, 1, 1, 15000))
 		time.Sleep(500 * time.Millisecond)
-		// The job's items come again under the same version.
-		w.submitJob(newStep("two", 1, 1, 1, 100))
-		time.Sleep(100 * time.Millisecond)
 		So(w.runner.End(context.Background(), batch.Ref{ID: "one"}), ShouldBeNil)
 		w.evacuate(2, "zone-a")
-		time.Sleep(emptyTime + orderTime)
+		time.Sleep(emptyTime - 400*time.Millisecond)
+		So(w.engines.under("a"), ShouldEqual, 1)
+		time.Sleep(400*time.Millisecond + orderTime)
 		So(w.engines.under("a"), ShouldEqual, 0)
+		later := newStep("two", 1, 2, 1, 0)
+		later.Items[0] = newStep("one", 0, 1, 1, 15000).Items[0]
+		w.submitJob(later)
+		results := w.results("two", 6*time.Second)
+		So(results, ShouldHaveLength, 1)
+		So(results[0].Text, ShouldEqual, w.wholeText())
+		runs := w.engines.of("one-0")
+		So(runs, ShouldHaveLength, 2)
+		So(runs[1].engine, ShouldEqual, "b")
+		So(runs[1].from, ShouldBeGreaterThan, 80)
 	})
 	playEvacuation(t, "An engine that starts in an evacuated zone gets nothing until the zone is restored", evacuateTime, func(w *world) {
 		w.engines.events = 20
@@ -272,7 +286,7 @@
 		w.zoned(8)
 		w.lead(2)
 		defer w.work("one")()
-		w.fillZoneA(6)
+		w.fillZoneA(6, 150)
 		w.evacuate(3, "zone-a")
 		time.Sleep(emptyTime + orderTime)
 		So(w.engines.under("a"), ShouldEqual, 0)
@@ -286,7 +300,7 @@
 		w.zoned(8)
 		w.lead(2)
 		defer w.work("one")()
-		w.fillZoneA(4)
+		w.fillZoneA(4, 150)
 		w.stop()
 		// The worker's poll at the process before has to end.
 		time.Sleep(600 * time.Millisecond)
