coldstart: sends to engines that have just started are granted by the coordinating process

Cause: after a start an engine bears only a part of its load for some seconds; 60 gateways that each send by themselves put it over that at once. Change: package coldstart (Warmth, Keeper, Asker), forward.Quota with a bound on when a granted send may leave, grants for batch items, wiring.

--- a/internal/batchrun/candidates.go
+++ b/internal/batchrun/candidates.go
@@ -78,7 +78,7 @@
 		if slots <= 0 {
 			slots = defaultSlots
 		}
-		if record.running >= slots || record.loading || record.asideTil.After(l.now) {
+		if record.running >= slots || record.loading || record.asideTil.After(l.now) || !l.runner.bears(engine) {
 			continue
 		}
 		made.add(&candidate{
@@ -201,7 +201,7 @@
 			continue
 		}
 		group := known.byVersion[seen.version]
-		if seen.record.running >= seen.slots {
+		if seen.record.running >= seen.slots || !l.runner.bears(seen.engine) {
 			heap.Remove(&group.cheapest, seen.places[orderCheapest])
 			heap.Remove(&group.slowest, seen.places[orderSlowest])
 			delete(known.byID, seen.engine.ID)
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -106,8 +106,15 @@
 			left++
 			continue
 		}
+		within, ok := r.granted(chosen.engine, waiting.urgency.rank)
+		if !ok {
+			// A lookup that is as urgent waits for the engine, or has just been granted what there was.
+			looked.used(chosen)
+			left++
+			continue
+		}
 		waiting.item.trial = trialNone
-		r.start(waiting.item, waiting.route, chosen.engine, apart)
+		r.start(waiting.item, waiting.route, chosen.engine, placing{apart: apart, within: within})
 		looked.used(chosen)
 	}
 	return left
@@ -178,7 +185,7 @@
 	}
 	ownPause := r.engine(it.run.engine).pause(looked.now)
 	other, otherPause := looked.choose(route, it, r.preferred(looked, route, it))
-	if other == nil || other.engine.ID == it.run.engine || ownPause.Seconds() < moveFactor*otherPause {
+	if other == nil || other.engine.ID == it.run.engine || r.isCold(other.engine) || ownPause.Seconds() < moveFactor*otherPause {
 		return false
 	}
 	gain := time.Duration(float64(candidate.timeLeft) * (1 - otherPause/ownPause.Seconds()))
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/routing"
@@ -58,8 +59,16 @@
 	return it.run == current && !it.job.ended && (it.phase == phaseRunning || it.phase == phaseJudging)
 }
 
-// start begins a run at an engine, apart from others or not. The mutex must be held.
-func (r *Runner) start(it *item, route *routing.Route, engine *fleet.Engine, apart bool) {
+// placing is how a run is placed at an engine.
+type placing struct {
+	// apart is true if it shares the engine with no other such run.
+	apart bool
+	// within is how soon the run must be sent; zero sets no bound.
+	within time.Duration
+}
+
+// start begins a run at an engine. The mutex must be held.
+func (r *Runner) start(it *item, route *routing.Route, engine *fleet.Engine, how placing) {
 	record := r.engine(engine.ID)
 	record.running++
 	r.noteHolder(it.Prefix, engine.ID, record)
@@ -76,11 +85,14 @@
 	}
 	begun := r.newRun(assignment.Run, it, engine.ID)
 	begun.streaming = true
-	if apart {
+	if how.apart {
 		begun.apart = true
 		record.apart++
 	}
 	it.phase = phaseRunning
+	if how.within > 0 {
+		assignment.LeaveBy = boottime.Now().Add(how.within)
+	}
 	if r.Desk != nil {
 		if worker, ok := r.Desk.Assign(engine, assignment); ok {
 			r.hand(begun, worker)
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -96,6 +96,8 @@
 	// Guard knows under which items engines have ended, and is told of runs of this process; nil holds none back.
 	Guard *quarantine.Guard
 	Store metastore.Client
+	// Quota grants runs at engines that have just started; nil if no engine is cold.
+	Quota Quota
 	// Desk hands runs to workers; nil if this process carries out all of them.
 	Desk *itemwork.Desk
 	// Retention is how long a job is kept after its end; zero means DefaultRetention.
--- /dev/null
+++ b/internal/coldstart/calls.go
@@ -0,0 +1,19 @@
+package coldstart
+
+import (
+	"context"
+
+	"github.com/covelink/covelink/internal/rpc"
+)
+
+// Register makes a server answer for a keeper.
+func Register(server *rpc.Server, keeper *Keeper) {
+	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request Request) (Reply, error) {
+		return keeper.Ask(ctx, request), nil
+	})
+}
+
+// Ask asks the process at an address for a grant.
+func Ask(ctx context.Context, calls *rpc.Client, address string, request Request) (Reply, error) {
+	return rpc.Call[Request, Reply](ctx, calls, address, request)
+}
--- /dev/null
+++ b/internal/fleetnode/coldstart.go
@@ -0,0 +1,71 @@
+package fleetnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+
+	"github.com/covelink/covelink/internal/boottime"
+	"github.com/covelink/covelink/internal/coldstart"
+	"github.com/covelink/covelink/internal/election"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/rpc"
+	"github.com/covelink/covelink/internal/telemetry"
+)
+
+// newWarmth returns what knows which engines are cold, and has it take in every view from start to stop.
+func newWarmth(hooks fx.Lifecycle, group *tasks, state *fleet.State, registry *prometheus.Registry, logger log.Logger) *coldstart.Warmth {
+	warmth := coldstart.NewWarmth(state, boottime.Now, telemetry.For(logger, telemetry.PartFleet))
+	registerGauge(registry, "cold_engines", "Engines that this process takes for cold.", warmth.Count)
+	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
+		group.run(warmth.Run)
+		return nil
+	}})
+	return warmth
+}
+
+// askGrants has this process's requests to cold engines wait for grants.
+func askGrants(forwarder *forward.Forwarder, warmth *coldstart.Warmth, observed *metrics, logger log.Logger,
+	ask func(ctx context.Context, request coldstart.Request) (coldstart.Reply, error)) {
+	forwarder.Quota = coldstart.NewAsker(coldstart.AskerParams{
+		Warmth:  warmth,
+		Ask:     ask,
+		Now:     boottime.Now,
+		Observe: observed.grantAnswered,
+		Logger:  telemetry.For(logger, telemetry.PartForward),
+	})
+}
+
+// askCoordinator has a gateway ask the process that coordinates.
+func askCoordinator(forwarder *forward.Forwarder, warmth *coldstart.Warmth, calls *rpc.Client, watcher *election.Watcher, observed *metrics,
+	logger log.Logger) {
+	askGrants(forwarder, warmth, observed, logger, func(ctx context.Context, request coldstart.Request) (coldstart.Reply, error) {
+		address := watcher.Holder()
+		if address == "" {
+			return coldstart.Reply{}, nil
+		}
+		return coldstart.Ask(ctx, calls, address, request)
+	})
+}
+
+// newGrants returns what gives grants while this process coordinates, and has its own requests ask that.
+func newGrants(forwarder *forward.Forwarder, warmth *coldstart.Warmth, registry *prometheus.Registry, observed *metrics,
+	logger log.Logger) *coldstart.Keeper {
+	keeper := coldstart.NewKeeper(coldstart.KeeperParams{
+		Rate:    warmth.Rate,
+		ShownAt: func() time.Time { return time.Time{} },
+		Now:     boottime.Now,
+		Logger:  telemetry.For(logger, telemetry.PartFleet),
+	})
+	registerGauge(registry, "cold_grants_waiting", "Requests of all processes that wait for a cold engine.", keeper.Waiting)
+	registerCount(registry, "cold_grants_total", "Sends to cold engines that this process has granted.", func() int64 { return keeper.Counts().Granted })
+	registerCount(registry, "cold_refusals_total", "Sends to cold engines that this process has refused.", func() int64 { return keeper.Counts().Refused })
+	askGrants(forwarder, warmth, observed, logger, func(ctx context.Context, request coldstart.Request) (coldstart.Reply, error) {
+		return keeper.Ask(ctx, request), nil
+	})
+	return keeper
+}
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -16,6 +16,7 @@
 	"github.com/covelink/covelink/internal/batchrpc"
 	"github.com/covelink/covelink/internal/batchrun"
 	"github.com/covelink/covelink/internal/boottime"
+	"github.com/covelink/covelink/internal/coldstart"
 	"github.com/covelink/covelink/internal/decommission"
 	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleet"
@@ -34,7 +35,7 @@
 
 // coordinatorParts are those of a process that may coordinate.
 var coordinatorParts = fx.Options(
-	fx.Provide(newDesk, newRunner, newOrders, newDecommission, newConsensus, newDuties, newKeeper),
+	fx.Provide(newDesk, newRunner, newOrders, newDecommission, newConsensus, newDuties, newKeeper, newGrants),
 	fx.Invoke(runCoordinator),
 )
 
@@ -45,13 +46,15 @@
 }
 
 func newRunner(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder,
-	guard *quarantine.Guard, store metastore.Client, desk *itemwork.Desk, observed *metrics, logger log.Logger) *batchrun.Runner {
+	guard *quarantine.Guard, store metastore.Client, desk *itemwork.Desk, warmth *coldstart.Warmth, grants *coldstart.Keeper, observed *metrics,
+	logger log.Logger) *batchrun.Runner {
 	return batchrun.New(batchrun.Params{
 		State:      state,
 		Transport:  transport,
 		Forwarder:  forwarder,
 		Guard:      guard,
 		Store:      store,
+		Quota:      coldstart.Placer{Warmth: warmth, Keeper: grants},
 		Desk:       desk,
 		Retention:  config.Timing.BatchRetention,
 		TextFolder: config.Data.Folder,
@@ -100,6 +103,8 @@
 	Clock     *fleettime.Consensus
 	Duties    *duties
 	Held      *quarantine.Keeper
+	Warmth    *coldstart.Warmth
+	Grants    *coldstart.Keeper
 	Metrics   *metrics
 	Calls     *rpc.Client
 	Tasks     *tasks
@@ -154,6 +159,7 @@
 		Logger:     telemetry.For(c.Logger, telemetry.PartFleet),
 	})
 	hub.Attach(c.Followers)
+	c.Grants.ShownAt = func() time.Time { return hub.ShownAt(election.KindLeases) }
 	c.server = rpc.NewServer(c.Logger)
 	storerelay.Register(c.server, hub)
 	batchrpc.Register(c.server, c.Runner, c)
@@ -161,6 +167,7 @@
 	c.Duties.register(c.server)
 	c.Held.Leading = c.elector.Leading
 	quarantine.Register(c.server, c.Held)
+	coldstart.Register(c.server, c.Grants)
 	go c.serve()
 	c.Tasks.run(c.Outage.Run)
 	c.Tasks.run(c.elector.Run)
@@ -225,6 +232,7 @@
 func (c *coordinator) lead(ctx context.Context, term election.Term) {
 	c.Metrics.leadingTerms.Inc()
 	c.State.Reset()
+	c.Warmth.Relist()
 	var leading sync.WaitGroup
 	leading.Go(func() { followFleet(ctx, c.Settings, c.Followers, c.State, c.Metrics, c.Logger) })
 	leading.Go(func() {
@@ -234,6 +242,7 @@
 	leading.Go(func() { c.Orders.Lead(ctx, term) })
 	leading.Go(func() { c.Leaving.Lead(ctx) })
 	leading.Go(func() { c.Held.Lead(ctx) })
+	leading.Go(func() { c.Grants.Lead(ctx) })
 	leading.Go(func() { c.Duties.lead(ctx, term) })
 	leading.Wait()
 }
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/batchrun"
+	"github.com/covelink/covelink/internal/coldstart"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/metastore"
@@ -51,6 +52,8 @@
 	attemptsBroke *prometheus.CounterVec
 	// guarded counts decisions on requests under which engines have ended.
 	guarded *prometheus.CounterVec
+	// coldAnswers counts requests that needed a grant for a cold engine; all but the granted ones were not sent.
+	coldAnswers *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry, state *fleet.State, lines *telemetry.AsyncWriter) *metrics {
@@ -77,6 +80,7 @@
 	m.dutyCalls = counter("duty_calls_total", "Calls to the deployment's platform, by duty and result.", "duty", "result")
 	m.attemptsBroke = counter("attempts_broken_total", "Attempts at engines whose connection broke, by whether the engine had ended.", "evidence")
 	m.guarded = counter("quarantine_decisions_total", "Decisions on requests under which engines have ended.", "decision")
+	m.coldAnswers = counter("cold_requests_total", "Attempts of requests that only cold engines could run, by what became of them; all but the granted ones were not sent.", "answer")
 	m.engines = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_engines_total", Help: "Engines that requests were sent to."})
 	m.textsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "texts_restored_total", Help: "Batch items that go on after a text which an ended job or an earlier process has left."})
 	m.eventsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "text_events_restored_total", Help: "Events of such texts, which engines need not make again."})
@@ -99,7 +103,7 @@
 		return 0
 	})
 	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.handOvers, jobTime, m.textsRestored, m.eventsRestored, m.checkpoints, m.checkpointFailures, m.results,
-		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, m.usageReports, m.usageLost, m.dutyCalls, m.attemptsBroke, m.guarded,
+		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, m.usageReports, m.usageLost, m.dutyCalls, m.attemptsBroke, m.guarded, m.coldAnswers,
 		newLinesDropped(lines))
 	return m
 }
@@ -196,6 +200,11 @@
 	m.guarded.WithLabelValues(string(decision)).Inc()
 }
 
+// grantAnswered counts an attempt that needed a grant for a cold engine.
+func (m *metrics) grantAnswered(answer coldstart.Answer) {
+	m.coldAnswers.WithLabelValues(string(answer)).Inc()
+}
+
 // resultOf names how a call ended.
 func resultOf(err error) string {
 	var conflict *metastore.ConflictError
@@ -227,3 +236,9 @@
 	options := prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
 	registry.MustRegister(prometheus.NewGaugeFunc(options, func() float64 { return float64(count()) }))
 }
+
+// registerCount tells a count that only grows and is read when it is asked for.
+func registerCount(registry *prometheus.Registry, name, help string, count func() int64) {
+	options := prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
+	registry.MustRegister(prometheus.NewCounterFunc(options, func() float64 { return float64(count()) }))
+}
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -117,6 +117,7 @@
 		func() *quarantine.Table { return quarantine.NewTable(boottime.Now) },
 		newGuard,
 		newForwarder,
+		newWarmth,
 		newTasks,
 	),
 	fx.Invoke(serveMetrics, tellStoreCalls, tellSuspensions),
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -12,8 +12,8 @@
 	"github.com/covelink/covelink/internal/fleet"
 )
 
-// attempt sends the request to the engine. again is true if another attempt may be made.
-func (j *job) attempt(ctx context.Context, engine *fleet.Engine) (result Result, again bool) {
+// attempt sends the request to the engine, soon after the send was granted if it was. again is true if another attempt may be made.
+func (j *job) attempt(ctx context.Context, engine *fleet.Engine, grantedAt time.Time) (result Result, again bool) {
 	_, triedBefore := j.tried[engine.ID]
 	j.tried[engine.ID] = struct{}{}
 	attemptCtx, cancel := context.WithTimeout(ctx, boottime.Until(j.attemptDeadline()))
@@ -23,7 +23,11 @@
 		}
 	}()
 	sent := boottime.Now()
-	answer, err := j.transport.Send(attemptCtx, engine, j.request, SendOptions{TimeLeft: boottime.Until(j.deadline)})
+	options := SendOptions{TimeLeft: boottime.Until(j.deadline)}
+	if !grantedAt.IsZero() {
+		options.LeaveBy = grantedAt.Add(GrantedSendTime)
+	}
+	answer, err := j.transport.Send(attemptCtx, engine, j.request, options)
 	if err == nil {
 		result, err = j.read(attemptCtx, engine, answer, cancel)
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -47,6 +47,8 @@
 	ReasonAnswerLost   Reason = "answer lost"
 	// ReasonUnreachable is given where no engine could be sent the request, rather than refused it.
 	ReasonUnreachable Reason = "engines unreachable"
+	// ReasonEnginesCold is given where only engines that have just started could run the request, and they bear no more now.
+	ReasonEnginesCold Reason = "engines cold"
 	// ReasonHeld is given for requests under which too many engines have ended.
 	ReasonHeld Reason = "held"
 )
@@ -106,7 +108,9 @@
 	// the moment of its first byte. It must be set before the first request.
 	Began func(tenant string, at time.Time)
 	// Guard refuses requests that end the engines that run them; nil admits all. It must be set before the first request.
-	Guard     *quarantine.Guard
+	Guard *quarantine.Guard
+	// Quota grants sends to engines that have just started; nil if no engine is cold. It must be set before the first request.
+	Quota     Quota
 	state     *fleet.State
 	transport Transport
 	picker    *Picker
@@ -202,11 +206,18 @@
 			return j.giveUp(ReasonCallerLeft, true)
 		}
 		permitted := j.permitted()
-		engine := j.picker.Acquire(permitted, j.allowed)
-		if engine == nil {
+		if len(permitted) == 0 {
 			return j.giveUp(j.reasonNoEngine(), false)
 		}
-		result, again := j.attempt(ctx, engine)
+		engine, grantedAt := j.acquire(ctx, permitted, waitUntil)
+		if engine == nil {
+			if !j.mayBecomeFree(permitted, waitUntil) {
+				return j.giveUp(j.reasonNotChosen(permitted), false)
+			}
+			j.awaitTurn(ctx, waitUntil)
+			continue
+		}
+		result, again := j.attempt(ctx, engine, grantedAt)
 		if !again {
 			return result
 		}
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -38,6 +38,9 @@
 type SendOptions struct {
 	// TimeLeft is what the engine may take; zero sets no bound.
 	TimeLeft time.Duration
+	// LeaveBy is the moment of boottime by which the request must leave; after it nothing is sent, and the error wraps ErrNotSent. Zero sets
+	// no bound.
+	LeaveBy time.Time
 	// Resume continues a stream after the event LastEventID.
 	Resume      bool
 	LastEventID int64
--- a/internal/itemwork/calls.go
+++ b/internal/itemwork/calls.go
@@ -31,6 +31,8 @@
 	// Leading is false if the process does not coordinate; the rest is empty then.
 	Leading bool
 	Term    int64
+	// Held is how long the poll waited before it was answered.
+	Held time.Duration
 	// Orders are those that the worker is not known to have carried out.
 	Orders []Order
 }
@@ -41,6 +43,9 @@
 	Number uint64
 	// Start is the run to begin, or nil.
 	Start *Assignment
+	// LeaveWithin is what is left, when the poll is answered, of the time in which the run must be sent; zero sets no bound, and what is
+	// negative is over.
+	LeaveWithin time.Duration
 	// Cancel is the run to end, if Start is nil.
 	Cancel RunID
 	// Release is the run whose stream goes on and that makes no reward call, if Start is nil.
--- a/internal/itemwork/desk.go
+++ b/internal/itemwork/desk.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/covelink/covelink/coord/rendezvous"
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/pause"
 )
@@ -234,6 +235,7 @@
 
 // Poll returns a worker's orders, as soon as there are some or the wait is over.
 func (d *Desk) Poll(ctx context.Context, request PollRequest) PollReply {
+	started := boottime.Now()
 	d.mu.Lock()
 	if d.handler == nil {
 		d.mu.Unlock()
@@ -270,10 +272,31 @@
 	if broken {
 		worker.deadline = time.Now().Add(brokenAfter)
 	}
-	reply.Orders = slices.Clone(worker.orders)
+	now := boottime.Now()
+	reply.Held = now.Sub(started)
+	reply.Orders = ordersAt(worker.orders, now)
 	return reply
 }
 
+// ordersAt returns a copy of orders as they are told at a moment of boottime.
+func ordersAt(orders []Order, now time.Time) []Order {
+	told := slices.Clone(orders)
+	for i, order := range told {
+		if order.Start == nil || order.Start.LeaveBy.IsZero() {
+			continue
+		}
+		start := *order.Start
+		told[i].LeaveWithin = start.LeaveBy.Sub(now)
+		if told[i].LeaveWithin == 0 {
+			// Zero would set no bound.
+			told[i].LeaveWithin = -1
+		}
+		start.LeaveBy = time.Time{}
+		told[i].Start = &start
+	}
+	return told
+}
+
 // awaitOrders waits until there are orders or the wait is over. It reports whether the caller has gone.
 func awaitOrders(ctx context.Context, ready <-chan struct{}, wait time.Duration) (gone bool) {
 	timer := time.NewTimer(wait)
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -29,6 +29,9 @@
 	judgePause = 100 * time.Millisecond
 )
 
+// errTooLate reports a run whose time to be sent was over: the engine bears no more than what was granted.
+var errTooLate = errors.New("itemwork: the run came too late to be sent")
+
 // Event is one event of a stream.
 type Event struct {
 	ID   int64
@@ -95,6 +98,9 @@
 	if known, ok := e.State.View().Engines[assignment.Engine.ID]; ok && !known.Ready {
 		return VerdictRefused, nil
 	}
+	if leaveBy := assignment.LeaveBy; !leaveBy.IsZero() && !boottime.Now().Before(leaveBy) {
+		return VerdictRefused, errTooLate
+	}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(silenceLimit, cancel)
@@ -166,7 +172,7 @@
 }
 
 func (a *Assignment) options() forward.SendOptions {
-	options := forward.SendOptions{TimeLeft: a.TimeLeft}
+	options := forward.SendOptions{TimeLeft: a.TimeLeft, LeaveBy: a.LeaveBy}
 	if a.Text.Len() > 0 {
 		options.Resume, options.LastEventID = true, a.Text.LastID
 	}
--- a/internal/itemwork/itemwork.go
+++ b/internal/itemwork/itemwork.go
@@ -59,6 +59,9 @@
 	Bounds Bounds
 	// TimeLeft is what the engine may take; zero sets no bound.
 	TimeLeft time.Duration
+	// LeaveBy is the moment of boottime of the process that holds the assignment by which the run must be sent; one that is not is refused.
+	// Zero sets no bound. Desk and worker carry it over as a length of time: their clocks differ.
+	LeaveBy time.Time
 	// Text is what earlier runs have made; the stream goes on after it.
 	Text   Text
 	Reward *batch.Reward
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -135,10 +135,21 @@
 	reply, err := w.Poll(ctx, address, request)
 	if err == nil && reply.Leading {
 		w.hear(started, reply.Term)
+		setLeaveBy(reply, started)
 	}
 	return reply, err
 }
 
+// setLeaveBy turns the lengths of a reply into moments of this machine, of a poll that began at a moment. The poll took at least Held to be
+// answered, so that none is too late.
+func setLeaveBy(reply PollReply, started time.Time) {
+	for _, order := range reply.Orders {
+		if order.Start != nil && order.LeaveWithin != 0 {
+			order.Start.LeaveBy = started.Add(reply.Held + order.LeaveWithin)
+		}
+	}
+}
+
 func (w *Worker) identity() WorkerID {
 	return WorkerID{Name: w.Name, Zone: w.Zone, Instance: w.Instance, Leaving: w.Draining()}
 }
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -55,6 +55,8 @@
 	entries map[string]entry
 	// confirmed is when the store was last heard from.
 	confirmed time.Time
+	// shown is when the store last showed the kind, whether or not a call has failed since.
+	shown time.Time
 	// removals are the last objects that went, and floor is the revision after which they are complete.
 	removals []removal
 	floor    metastore.Revision
@@ -100,6 +102,7 @@
 		h.kinds[kind] = known
 	}
 	known.confirmed = boottime.Now()
+	known.shown = known.confirmed
 	if snapshot.Revision < known.snapshot.Revision {
 		return
 	}
@@ -132,6 +135,16 @@
 	h.changed = make(chan struct{})
 }
 
+// ShownAt returns when, by boottime, the store last showed a kind to this process; zero if it never did.
+func (h *Hub) ShownAt(kind string) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if known, ok := h.kinds[kind]; ok {
+		return known.shown
+	}
+	return time.Time{}
+}
+
 // Attach makes the hub learn from what its process follows. It must be called before the first Follow.
 func (h *Hub) Attach(followers *metastore.Followers) {
 	followers.Confirmed = h.Confirm
