--- a/internal/coldstart/asker.go
+++ b/internal/coldstart/asker.go
@@ -116,13 +116,16 @@
 	case reply.Engine == "":
 		a.spare(key, now, reply.RetryAfter)
 		return nil, AnswerRefused
-	case now.Sub(asked) > reply.Held+grantReturn:
-		// The answer was long on its way, or this process did not get to run: others may have been granted the time since.
+	case reply.late(now.Sub(asked)):
 		return nil, AnswerLate
 	}
 	return byID[reply.Engine], AnswerGranted
 }
 
+// late reports whether the life of a grant may be over a time after it was asked for: the answer was long on its way, or this process did not
+// get to run, and others may have been granted the time since.
+func (r Reply) late(took time.Duration) bool { return took > r.Held+grantReturn }
+
 // sample returns some of the engines by ID, as many as one question names.
 func sample(engines []*fleet.Engine) map[string]*fleet.Engine {
 	first := rand.IntN(len(engines))
--- /dev/null
+++ b/internal/coldstart/schedules_test.go
@@ -0,0 +1,389 @@
+package coldstart
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/routing"
+)
+
+var (
+	scheduleCount = flag.Int("coldstart.schedules", 5_000, "number of schedules")
+	scheduleSeed  = flag.Uint64("coldstart.seed", 1, "first seed")
+)
+
+// TestNoEngineOverItsBound plays schedules of gateways that ask, holders that change, and what goes wrong with them, with the keepers' own code
+// in virtual time: in no second more than the bound may be sent to an engine.
+func TestNoEngineOverItsBound(t *testing.T) {
+	count := *scheduleCount
+	const workers = 4
+	var played [workers]struct {
+		sent  int
+		most  float64
+		fault string
+	}
+	var playing sync.WaitGroup
+	for worker := range workers {
+		result := &played[worker]
+		playing.Go(func() {
+			for i := worker; i < count && result.fault == ""; i += workers {
+				s := newSchedule(*scheduleSeed + uint64(i))
+				s.play()
+				worst, bound := float64(s.worstSecond()), 1.5*s.rate+5
+				result.sent += s.count()
+				result.most = max(result.most, worst/bound)
+				if worst > bound {
+					result.fault = fmt.Sprintf("seed %d: %.0f in one second, bound %.1f, rate %.1f: %v", *scheduleSeed+uint64(i), worst, bound, s.rate, s.told)
+				}
+			}
+		})
+	}
+	playing.Wait()
+	sent, most := 0, 0.0
+	for _, result := range played {
+		if result.fault != "" {
+			t.Error(result.fault)
+		}
+		sent += result.sent
+		most = max(most, result.most)
+	}
+	if sent < 10*count && !t.Failed() {
+		t.Errorf("%d sends in %d schedules: nothing was tried", sent, count)
+	}
+	t.Logf("%d schedules, %d sends, worst second at %.2f of its bound", count, sent, most)
+}
+
+// event is something that happens at a moment, to a process that may be suspended then; nil for none.
+type event struct {
+	at      time.Time
+	order   int
+	process *process
+	do      func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(a, b int) bool {
+	return e[a].at.Before(e[b].at) || (e[a].at.Equal(e[b].at) && e[a].order < e[b].order)
+}
+func (e events) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+// process is a gateway or a candidate.
+type process struct {
+	wakesAt time.Time
+	dead    bool
+	// holder is the candidate that a gateway asks, and keeper a candidate's.
+	holder *process
+	keeper *Keeper
+	// cut is true while a candidate does not reach the store.
+	cut     bool
+	shownAt time.Time
+	// looks is the number of the keeper's next look: those that were set for later before it was woken are left out.
+	looks   int
+	pending map[*question]func(grant)
+}
+
+type schedule struct {
+	random   *rand.Rand
+	now      time.Time
+	started  time.Time
+	queue    events
+	order    int
+	rate     float64
+	engines  []string
+	gateways []*process
+	// pause is the longest between two questions of a gateway: all together ask for some four times what the engines bear.
+	pause time.Duration
+	// stalled is until when answers of keepers are on their way, to arrive together.
+	stalled time.Time
+	leader  *process
+	sends   map[string][]time.Time
+	told    []string
+}
+
+const scheduleLength = 5 * time.Second
+
+func newSchedule(seed uint64) *schedule {
+	start := time.Unix(1000, 0)
+	s := &schedule{random: rand.New(rand.NewPCG(seed, 7)), now: start, started: start, sends: make(map[string][]time.Time)}
+	s.rate = []float64{0.5, 1, 3, 3, 14, 14, 30}[s.random.IntN(7)]
+	for i := range 1 + s.random.IntN(3) {
+		s.engines = append(s.engines, fmt.Sprint("engine-", i))
+	}
+	return s
+}
+
+func (s *schedule) at(after time.Duration, to *process, do func()) {
+	s.order++
+	heap.Push(&s.queue, event{at: s.now.Add(after), order: s.order, process: to, do: do})
+}
+
+func (s *schedule) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(s.random.Int64N(int64(most-least)))
+}
+
+func (s *schedule) play() {
+	s.lead()
+	count := 4 + s.random.IntN(12)
+	s.pause = time.Duration(float64(count) / (2 * s.rate * float64(len(s.engines))) * float64(time.Second))
+	for range count {
+		gateway := &process{holder: s.leader}
+		s.gateways = append(s.gateways, gateway)
+		s.at(s.between(0, 100*time.Millisecond), gateway, func() { s.ask(gateway) })
+	}
+	for range 1 + s.random.IntN(4) {
+		s.at(s.between(0, scheduleLength), nil, s.trouble)
+	}
+	for len(s.queue) > 0 {
+		next := heap.Pop(&s.queue).(event)
+		if p := next.process; p != nil && p.dead {
+			continue
+		} else if p != nil && p.wakesAt.After(next.at) {
+			next.at = p.wakesAt
+			heap.Push(&s.queue, next)
+			continue
+		}
+		s.now = next.at
+		next.do()
+	}
+}
+
+// lead makes a new candidate coordinate.
+func (s *schedule) lead() {
+	p := &process{shownAt: s.now, pending: make(map[*question]func(grant))}
+	p.keeper = NewKeeper(KeeperParams{
+		Rate:    func(string) float64 { return s.rate },
+		ShownAt: func() time.Time { return p.shownAt },
+		Now:     func() time.Time { return s.now },
+		Logger:  log.NewNopLogger(),
+	})
+	p.keeper.begin()
+	s.leader = p
+	s.at(0, p, func() { s.follow(p) })
+	s.at(0, p, func() { s.serve(p) })
+}
+
+// follow shows a candidate its lease, while it reaches the store and holds it.
+func (s *schedule) follow(p *process) {
+	if s.now.Sub(s.started) > scheduleLength {
+		return
+	}
+	if !p.cut && s.leader == p {
+		p.shownAt = s.now
+	} else if !p.cut {
+		s.endTerm(p)
+		return
+	}
+	s.at(s.between(100*time.Millisecond, 1100*time.Millisecond), p, func() { s.follow(p) })
+}
+
+func (s *schedule) endTerm(p *process) {
+	p.keeper.end()
+	s.answer(p)
+}
+
+// serve is one look of a keeper's own loop.
+func (s *schedule) serve(p *process) {
+	wait := p.keeper.serve()
+	s.answer(p)
+	if s.random.IntN(8) == 0 {
+		// A request of the process itself, such as an item.
+		if engine := s.engines[s.random.IntN(len(s.engines))]; p.keeper.Take("service", engine, routing.Rank{}) {
+			s.at(s.between(0, 200*time.Millisecond), p, func() { s.send(engine, s.now, forward.GrantedSendTime) })
+		}
+	}
+	if len(p.pending) == 0 {
+		wait = 300 * time.Millisecond
+	}
+	if s.now.Sub(s.started) < scheduleLength {
+		p.looks++
+		number := p.looks
+		s.at(wait, p, func() {
+			if number == p.looks {
+				s.serve(p)
+			}
+		})
+	}
+}
+
+// answer hands on the answers that a keeper has given.
+func (s *schedule) answer(p *process) {
+	for asked, reply := range p.pending {
+		select {
+		case given := <-asked.answer:
+			delete(p.pending, asked)
+			reply(given)
+		default:
+		}
+	}
+}
+
+// ask is a gateway's question, and the next one some time later.
+func (s *schedule) ask(gateway *process) {
+	if s.now.Sub(s.started) > scheduleLength {
+		return
+	}
+	s.at(s.between(0, s.pause), gateway, func() { s.ask(gateway) })
+	asked, holder := s.now, gateway.holder
+	request := Request{Service: "service", Engines: slices.Clone(s.engines), Wait: s.between(0, 800*time.Millisecond), Rank: routing.Rank{Route: s.random.IntN(2)}}
+	s.carry(holder, func() {
+		known, refused := holder.keeper.enter(request)
+		if refused != nil {
+			return
+		}
+		holder.pending[known] = func(given grant) {
+			reply := holder.keeper.reply(known, given)
+			s.carryAfter(max(0, s.stalled.Sub(s.now)), gateway, func() { s.granted(gateway, reply, asked) })
+		}
+		s.serve(holder)
+	})
+}
+
+// carry brings a message to a process: soon, late or never.
+func (s *schedule) carry(to *process, do func()) { s.carryAfter(0, to, do) }
+
+// carryAfter is carry for a message that is held up first.
+func (s *schedule) carryAfter(held time.Duration, to *process, do func()) {
+	delay := held + s.between(0, 45*time.Millisecond)
+	switch s.random.IntN(20) {
+	case 0:
+		return
+	case 1:
+		delay += s.between(0, 2*time.Second)
+	}
+	s.at(delay, to, do)
+}
+
+// granted is the arrival of an answer at the gateway, which may be suspended between any two steps.
+func (s *schedule) granted(gateway *process, reply Reply, asked time.Time) {
+	if reply.Engine == "" || reply.late(s.now.Sub(asked)) {
+		return
+	}
+	granted := s.now
+	s.at(s.between(0, 200*time.Millisecond), gateway, func() { s.send(reply.Engine, granted, forward.GrantedSendTime) })
+}
+
+// send is the transport's last look before a request leaves.
+func (s *schedule) send(engine string, granted time.Time, within time.Duration) {
+	if !s.now.Before(granted.Add(within)) {
+		return
+	}
+	s.sends[engine] = append(s.sends[engine], s.now)
+}
+
+// trouble is one thing that goes wrong.
+func (s *schedule) trouble() {
+	s.told = append(s.told, "")
+	note := func(what string) {
+		s.told[len(s.told)-1] = fmt.Sprint(what, " at ", s.now.Sub(s.started).Round(time.Millisecond))
+	}
+	old := s.leader
+	switch s.random.IntN(8) {
+	case 0:
+		note("gateways suspended")
+		wakesAt := s.now.Add(s.between(50*time.Millisecond, 3*time.Second))
+		for _, gateway := range s.gateways {
+			if s.random.IntN(3) > 0 {
+				gateway.wakesAt = wakesAt
+			}
+		}
+	case 1:
+		note("holder suspended")
+		old.wakesAt = s.now.Add(s.between(50*time.Millisecond, 6*time.Second))
+		s.takeOver(old, s.between(electionTime, 4*time.Second))
+	case 2:
+		note("holder cut off the store")
+		old.cut = true
+		s.takeOver(old, s.between(electionTime, 4*time.Second))
+	case 3:
+		note("holder killed and started again")
+		old.dead = true
+		s.at(s.between(0, time.Second), nil, func() { s.change(old) })
+	case 4:
+		note("lease yielded")
+		s.endTerm(old)
+		s.at(s.between(0, time.Second), nil, func() { s.change(old) })
+	case 5:
+		note("all processes killed")
+		old.dead = true
+		for i := range s.gateways {
+			s.gateways[i].dead = true
+			gateway := &process{holder: old}
+			s.gateways[i] = gateway
+			s.at(s.between(0, 300*time.Millisecond), gateway, func() { s.ask(gateway) })
+		}
+		s.at(s.between(0, 500*time.Millisecond), nil, func() { s.change(old) })
+	case 6:
+		// It sees the challenge, its answer is lost, and then it does not see that another holds the lease.
+		note("holder's answer to a challenge lost")
+		old.cut, old.shownAt = true, s.now
+		s.at(s.between(0, 100*time.Millisecond), nil, func() { s.change(old) })
+	case 7:
+		note("answers held up")
+		s.stalled = s.now.Add(s.between(500*time.Millisecond, 2500*time.Millisecond))
+	}
+}
+
+// takeOver lets another candidate coordinate if the holder still does not see the store then.
+func (s *schedule) takeOver(old *process, after time.Duration) {
+	s.at(after, nil, func() {
+		if old.cut || old.wakesAt.After(s.now) {
+			s.change(old)
+		}
+	})
+}
+
+// change lets another candidate coordinate; gateways learn of it one after the other, some late.
+func (s *schedule) change(old *process) {
+	if s.leader != old {
+		return
+	}
+	s.lead()
+	next := s.leader
+	for _, gateway := range s.gateways {
+		delay := s.between(0, 500*time.Millisecond)
+		if s.random.IntN(3) == 0 {
+			delay += s.between(0, 5*time.Second)
+		}
+		s.at(delay, gateway, func() { gateway.holder = next })
+	}
+}
+
+func (s *schedule) count() (count int) {
+	for _, sends := range s.sends {
+		count += len(sends)
+	}
+	return count
+}
+
+// worstSecond returns the most that was sent to an engine in any second.
+func (s *schedule) worstSecond() (worst int) {
+	for _, sends := range s.sends {
+		slices.SortFunc(sends, time.Time.Compare)
+		first := 0
+		for i := range sends {
+			for sends[i].Sub(sends[first]) > time.Second {
+				first++
+			}
+			worst = max(worst, i-first+1)
+		}
+	}
+	return worst
+}
