coldstart: a service whose engines all crash under load comes back

Four engines at 3 requests a second for 4 s, 480 requests a second in all, all crash at 2 s of 12 s in virtual time.

--- /dev/null
+++ b/internal/coldstart/replay_test.go
@@ -0,0 +1,220 @@
+package coldstart_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/covelink/covelink/internal/boottime"
+	"github.com/covelink/covelink/internal/coldstart"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/routing"
+)
+
+const (
+	replayEngines = 4
+	replayRate    = 3.0
+	replayCold    = 4 * time.Second
+	replayBound   = replayRate*1.5 + 5
+	// replayService is how long an engine works on a request, and replaySlots how many it works on at once.
+	replayService = 25 * time.Millisecond
+	replaySlots   = 6
+	// replayBack is how long an engine that fell over is away.
+	replayBack = time.Second
+	// replayLoad is how many requests a second all gateways together get: half of what the warm engines bear.
+	replayLoad   = 480
+	replayLength = 12 * time.Second
+)
+
+// coldEngine is an engine that falls over if it gets too much while it is cold.
+type coldEngine struct {
+	number  int
+	start   int
+	up      bool
+	since   time.Time
+	working int
+	// arrived are the requests of this start while it was cold.
+	arrived []time.Time
+}
+
+// replay is a service whose engines all crash at once, under load.
+type replay struct {
+	mu      sync.Mutex
+	engines []*coldEngine
+	// falls counts starts that fell over, and worst is the most that one got in a second while it was cold.
+	falls, worst int
+}
+
+func (e *coldEngine) id() string { return fmt.Sprintf("engine-%d-%d", e.number, e.start) }
+
+func (e *coldEngine) rest() time.Duration { return max(0, replayCold-time.Since(e.since)) }
+
+// Send implements forward.Transport.
+func (r *replay) Send(_ context.Context, engine *fleet.Engine, _ *forward.Request, options forward.SendOptions) (*forward.Answer, error) {
+	time.Sleep(time.Millisecond)
+	if !options.LeaveBy.IsZero() && !boottime.Now().Before(options.LeaveBy) {
+		return nil, forward.ErrNotSent
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var number int
+	if _, err := fmt.Sscanf(engine.Address, "engine-%d", &number); err != nil {
+		return nil, err
+	}
+	e := r.engines[number]
+	switch {
+	case !e.up:
+		return nil, forward.ErrNotSent
+	case engine.ID != e.id():
+		return &forward.Answer{Status: http.StatusMisdirectedRequest, NotRun: true, Misdirected: true, Body: http.NoBody}, nil
+	}
+	if e.rest() > 0 && r.tooMuch(e) {
+		r.falls++
+		r.crash(e)
+		return nil, forward.ErrBroken
+	}
+	if e.working >= replaySlots {
+		return &forward.Answer{Status: http.StatusServiceUnavailable, NotRun: true, Body: http.NoBody}, nil
+	}
+	e.working++
+	start := e.start
+	r.mu.Unlock()
+	time.Sleep(replayService)
+	r.mu.Lock()
+	if e.start != start || !e.up {
+		return nil, forward.ErrBroken
+	}
+	e.working--
+	return &forward.Answer{Status: http.StatusOK, Valid: true, Signature: "signed", Header: http.Header{}, Body: io.NopCloser(strings.NewReader("x"))}, nil
+}
+
+// tooMuch notes an arrival at a cold engine, and reports whether there were too many within a second.
+func (r *replay) tooMuch(e *coldEngine) bool {
+	now := time.Now()
+	e.arrived = append(slices.DeleteFunc(e.arrived, func(at time.Time) bool { return now.Sub(at) > time.Second }), now)
+	r.worst = max(r.worst, len(e.arrived))
+	return float64(len(e.arrived)) > replayBound
+}
+
+// crash ends an engine's start; another one comes a while later, cold. The mutex must be held.
+func (r *replay) crash(e *coldEngine) {
+	e.up, e.working, e.arrived = false, 0, nil
+	time.AfterFunc(replayBack, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		e.start++
+		e.up, e.since = true, time.Now()
+	})
+}
+
+// entries returns the engines as the store lists them.
+func (r *replay) entries() []*fleet.Engine {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var listed []*fleet.Engine
+	for _, e := range r.engines {
+		if e.up {
+			listed = append(listed, &fleet.Engine{ID: e.id(), Service: "s", Address: fmt.Sprint("engine-", e.number), Zone: "z", Slots: replaySlots,
+				Ready: true, ColdRemaining: e.rest()})
+		}
+	}
+	return listed
+}
+
+// relay shows a gateway the entries, each time as they were some time before.
+func (r *replay) relay(ctx context.Context, state *fleet.State, random *rand.Rand) {
+	for ctx.Err() == nil {
+		listed := r.entries()
+		time.Sleep(time.Duration(200+random.IntN(1000)) * time.Millisecond)
+		state.SetEngines(listed)
+	}
+}
+
+// play runs a number of gateways, with the shared quota or without one, and returns how many requests were served.
+func (r *replay) play(t *testing.T, gateways int, shared bool) (served, asked int64) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	for number := range replayEngines {
+		r.engines = append(r.engines, &coldEngine{number: number, up: true, since: time.Now().Add(-time.Hour)})
+	}
+	route := routing.Route{Host: "h", Prefix: "/", Kind: routing.KindIdempotent, MaxAttempts: 2, LatencyObjective: 2 * time.Second, Targets: []routing.Target{{Service: "s", Weight: 1}}}
+	table := routing.NewTable(1, []routing.Route{route}, []routing.Service{{Name: "s", ColdStart: replayCold, ColdRate: replayRate}}, routing.Limits{})
+	keeper := coldstart.NewKeeper(coldstart.KeeperParams{
+		Rate: func(string) float64 { return replayRate }, ShownAt: boottime.Now, Now: boottime.Now, Logger: log.NewNopLogger(),
+	})
+	running.Go(func() { keeper.Lead(ctx) })
+	var ends, all atomic.Int64
+	for number := range gateways {
+		random := rand.New(rand.NewPCG(uint64(number), 11))
+		state := fleet.NewState()
+		state.SetRoutes(table)
+		state.SetEngines(r.entries())
+		forwarder := forward.New(state, r, forward.NewPicker(time.Now), log.NewNopLogger())
+		if shared {
+			warmth := coldstart.NewWarmth(state, boottime.Now, log.NewNopLogger())
+			running.Go(func() { warmth.Run(ctx) })
+			forwarder.Quota = coldstart.NewAsker(coldstart.AskerParams{Warmth: warmth, Now: boottime.Now, Logger: log.NewNopLogger(),
+				Ask: func(ctx context.Context, request coldstart.Request) (coldstart.Reply, error) {
+					time.Sleep(2 * time.Millisecond)
+					defer time.Sleep(2 * time.Millisecond)
+					return keeper.Ask(ctx, request), nil
+				}})
+		}
+		running.Go(func() { r.relay(ctx, state, random) })
+		running.Go(func() {
+			for ctx.Err() == nil {
+				time.Sleep(time.Duration(random.ExpFloat64() * float64(gateways) / replayLoad * float64(time.Second)))
+				all.Add(1)
+				running.Go(func() {
+					result := forwarder.Do(ctx, table.Match("h", "/"), &forward.Request{ID: "r", Method: http.MethodPost, Host: "h", Target: "/"}, boottime.Now().Add(2*time.Second))
+					if result.Outcome == forward.Completed {
+						ends.Add(1)
+					}
+				})
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	r.mu.Lock()
+	for _, e := range r.engines {
+		r.crash(e)
+	}
+	r.mu.Unlock()
+	time.Sleep(replayLength - 2*time.Second)
+	cancel()
+	running.Wait()
+	return ends.Load(), all.Load()
+}
+
+// The engines of a service that all crash under load come back cold together: gateways that send what they have put each over at once, again and
+// again.
+func TestServiceComesBack(t *testing.T) {
+	for _, gateways := range []int{60, 300} {
+		for _, shared := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				r := &replay{}
+				served, asked := r.play(t, gateways, shared)
+				t.Logf("%d gateways, shared quota %v: %d of %d served, %d engines fell over, at most %d in a second at a cold engine, bound %.1f",
+					gateways, shared, served, asked, r.falls, r.worst, replayBound)
+				if shared && (r.falls > 0 || float64(r.worst) > replayBound) {
+					t.Errorf("%d gateways: %d engines fell over, %d in a second", gateways, r.falls, r.worst)
+				}
+				if !shared && r.falls == 0 {
+					t.Errorf("%d gateways: the load puts no engine over its bound, so that it shows nothing", gateways)
+				}
+			})
+		}
+	}
+}
