--- /dev/null
+++ b/internal/coldstart/keeper_test.go
@@ -0,0 +1,180 @@
+package coldstart
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/boottime"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/routing"
+)
+
+// playKeeper plays a scene with a keeper that leads, in virtual time. shown moves the moment at which the store last showed the lease.
+func playKeeper(t *testing.T, name string, rate float64, play func(k *Keeper, shown *time.Time)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		Convey(name, t, func() {
+			var shown time.Time
+			keeper := NewKeeper(KeeperParams{
+				Rate: func(string) float64 { return rate },
+				ShownAt: func() time.Time {
+					if shown.IsZero() {
+						return boottime.Now()
+					}
+					return shown
+				},
+				Now:    boottime.Now,
+				Logger: log.NewNopLogger(),
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			var leading sync.WaitGroup
+			leading.Go(func() { keeper.Lead(ctx) })
+			synctest.Wait()
+			play(keeper, &shown)
+			cancel()
+			leading.Wait()
+		})
+	})
+}
+
+func oneQuestion(wait time.Duration) Request {
+	return Request{Service: "s", Engines: []string{"a"}, Wait: wait}
+}
+
+func TestKeeper(t *testing.T) {
+	ctx := context.Background()
+	playKeeper(t, "A new term gives no grant until those of the former are over", 10, func(k *Keeper, _ *time.Time) {
+		began := boottime.Now()
+		So(k.Ask(ctx, oneQuestion(100*time.Millisecond)).Engine, ShouldBeEmpty)
+		So(boottime.Since(began), ShouldBeZeroValue)
+		So(k.Take("s", "a", routing.Rank{}), ShouldBeFalse)
+		reply := k.Ask(ctx, oneQuestion(3*time.Second))
+		So(reply.Engine, ShouldEqual, "a")
+		So(boottime.Since(began), ShouldEqual, quietTime)
+		So(reply.Held, ShouldEqual, quietTime)
+	})
+	playKeeper(t, "Grants follow each other at the rate, the most urgent question first and those of one rank in their order", 10, func(k *Keeper, _ *time.Time) {
+		time.Sleep(quietTime)
+		So(k.Take("s", "a", routing.Rank{}), ShouldBeTrue)
+		var mu sync.Mutex
+		var order []int
+		var asking sync.WaitGroup
+		began := boottime.Now()
+		for number, rank := range []int{2, 1, 1, 0} {
+			asking.Go(func() {
+				request := oneQuestion(time.Second)
+				request.Rank = routing.Rank{Route: rank}
+				if k.Ask(ctx, request).Engine == "" {
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				order = append(order, number)
+			})
+			synctest.Wait()
+		}
+		So(k.Take("s", "a", routing.Rank{Route: 1}), ShouldBeFalse)
+		asking.Wait()
+		So(order, ShouldResemble, []int{3, 1, 2, 0})
+		So(boottime.Since(began), ShouldBeBetween, 399*time.Millisecond, 410*time.Millisecond)
+	})
+	playKeeper(t, "A question that cannot be granted in time is refused at once, and one whose asker has gone takes no grant", 2, func(k *Keeper, _ *time.Time) {
+		time.Sleep(quietTime)
+		So(k.Take("s", "a", routing.Rank{}), ShouldBeTrue)
+		began := boottime.Now()
+		So(k.Ask(ctx, oneQuestion(400*time.Millisecond)).RetryAfter, ShouldBeGreaterThan, 0)
+		So(boottime.Since(began), ShouldBeZeroValue)
+		leaving, leave := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer leave()
+		So(k.Ask(leaving, oneQuestion(time.Second)).Engine, ShouldBeEmpty)
+		time.Sleep(400 * time.Millisecond)
+		So(k.Waiting(), ShouldEqual, 0)
+		So(k.Take("s", "a", routing.Rank{}), ShouldBeTrue)
+	})
+	playKeeper(t, "A holder that the store has not shown its lease for a while gives fewer grants, and then none", 10, func(k *Keeper, shown *time.Time) {
+		time.Sleep(quietTime)
+		*shown = boottime.Now()
+		grants := func(length time.Duration) (given int) {
+			for began := boottime.Now(); boottime.Since(began) < length; time.Sleep(10 * time.Millisecond) {
+				if k.Take("s", "a", routing.Rank{}) {
+					given++
+				}
+			}
+			return given
+		}
+		So(grants(time.Second), ShouldBeBetweenOrEqual, 9, 11)
+		time.Sleep(freshness)
+		k.Take("s", "a", routing.Rank{})
+		So(grants(2*time.Second), ShouldBeBetweenOrEqual, 3, 4)
+		time.Sleep(StaleLife)
+		So(grants(2*time.Second), ShouldEqual, 0)
+	})
+	playKeeper(t, "The queue is bounded", 1000, func(k *Keeper, _ *time.Time) {
+		var asking sync.WaitGroup
+		for range 2 * maxWaiting {
+			asking.Go(func() { k.Ask(ctx, oneQuestion(10*time.Second)) })
+		}
+		synctest.Wait()
+		So(k.Waiting(), ShouldEqual, maxWaiting)
+		asking.Wait()
+	})
+}
+
+func TestAsker(t *testing.T) {
+	engine := &fleet.Engine{ID: "a", Service: "s"}
+	play := func(name string, ask func(ctx context.Context, request Request) (Reply, error), check func(a *Asker, answers *[]Answer)) {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(name, t, func() {
+				var answers []Answer
+				asker := NewAsker(AskerParams{
+					Warmth: NewWarmth(fleet.NewState(), boottime.Now, log.NewNopLogger()), Ask: ask, Now: boottime.Now,
+					Observe: func(answer Answer) { answers = append(answers, answer) }, Logger: log.NewNopLogger(),
+				})
+				check(asker, &answers)
+			})
+		})
+	}
+	acquire := func(a *Asker, wait time.Duration) *fleet.Engine {
+		return a.Acquire(context.Background(), []*fleet.Engine{engine}, routing.Rank{}, boottime.Now().Add(wait))
+	}
+	play("A grant is used while it lasts, counted from the question", func(context.Context, Request) (Reply, error) {
+		time.Sleep(500 * time.Millisecond)
+		return Reply{Leading: true, Engine: "a", Held: 450 * time.Millisecond}, nil
+	}, func(a *Asker, _ *[]Answer) {
+		So(acquire(a, time.Second), ShouldEqual, engine)
+	})
+	play("A grant that comes after a suspension of the machine is not used", func(context.Context, Request) (Reply, error) {
+		boottime.SimulateSuspension(2 * time.Second)
+		return Reply{Leading: true, Engine: "a"}, nil
+	}, func(a *Asker, answers *[]Answer) {
+		So(acquire(a, time.Second), ShouldBeNil)
+		So(*answers, ShouldResemble, []Answer{AnswerLate})
+	})
+	asked := 0
+	play("After a refusal nobody is asked until it may be granted", func(context.Context, Request) (Reply, error) {
+		asked++
+		return Reply{Leading: true, RetryAfter: 100 * time.Millisecond}, nil
+	}, func(a *Asker, answers *[]Answer) {
+		for range 5 {
+			So(acquire(a, time.Second), ShouldBeNil)
+			time.Sleep(30 * time.Millisecond)
+		}
+		So(asked, ShouldEqual, 2)
+		So(*answers, ShouldResemble, []Answer{AnswerRefused, AnswerSpared, AnswerSpared, AnswerSpared, AnswerRefused})
+	})
+	play("Nothing is sent while nobody coordinates", func(context.Context, Request) (Reply, error) { return Reply{}, nil },
+		func(a *Asker, answers *[]Answer) {
+			So(acquire(a, time.Second), ShouldBeNil)
+			So(*answers, ShouldResemble, []Answer{AnswerFailed})
+		})
+	Convey("The life of a grant covers its way back and the time in which it may be sent", t, func() {
+		So(grantReturn+forward.GrantedSendTime, ShouldEqual, GrantLife)
+	})
+}
