--- a/internal/batchrun/kit_test.go
+++ b/internal/batchrun/kit_test.go
@@ -161,6 +161,8 @@
 	desk *itemwork.Desk
 	// textFolder is where the runners keep unfinished texts; empty for nowhere.
 	textFolder string
+	// quota is that of the runners; nil if no engine is cold.
+	quota batchrun.Quota
 }
 
 func newWorld(route routing.Route) *world {
@@ -192,6 +194,7 @@
 		Store:         w.store.Client(),
 		MaxEndedBytes: w.maxEndedBytes,
 		Desk:          w.desk,
+		Quota:         w.quota,
 		TextFolder:    w.textFolder,
 		TextLimit:     1 << 20,
 		Logger:        log.NewNopLogger(),
--- a/internal/batchrun/remote_test.go
+++ b/internal/batchrun/remote_test.go
@@ -24,6 +24,10 @@
 	desk atomic.Pointer[itemwork.Desk]
 	// cut makes calls to the desk go unanswered.
 	cut atomic.Bool
+	// held is for how long answers to polls are on their way, in nanoseconds.
+	held atomic.Int64
+	// warmAt is when a cold engine becomes warm.
+	warmAt time.Time
 }
 
 func playDesk(t *testing.T, name string, scene func(w *deskWorld)) {
@@ -61,7 +65,7 @@
 				<-ctx.Done()
 				return itemwork.PollReply{}, ctx.Err()
 			}
-			return w.desk.Load().Poll(ctx, request), nil
+			return w.hold(w.desk.Load().Poll(ctx, request)), nil
 		},
 		Report: func(ctx context.Context, _ string, request itemwork.ReportRequest) (itemwork.ReportReply, error) {
 			if w.cut.Load() {
