--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -23,6 +23,7 @@
 type sent struct {
 	engine   string
 	timeLeft time.Duration
+	leaveBy  time.Time
 }
 
 // script says what each engine does; engines that it does not name answer 200.
@@ -38,7 +39,7 @@
 
 func (s *script) Send(ctx context.Context, engine *fleet.Engine, _ *Request, options SendOptions) (*Answer, error) {
 	s.mu.Lock()
-	s.sends = append(s.sends, sent{engine: engine.ID, timeLeft: options.TimeLeft})
+	s.sends = append(s.sends, sent{engine: engine.ID, timeLeft: options.TimeLeft, leaveBy: options.LeaveBy})
 	do := s.does[engine.ID]
 	s.mu.Unlock()
 	if do == nil {
--- /dev/null
+++ b/internal/forward/quota_test.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/covelink/covelink/internal/boottime"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/routing"
+)
+
+// coldQuota takes the engines that it names for cold, and grants as many sends as it has.
+type coldQuota struct {
+	cold   map[string]bool
+	grants int
+	// asked are the engines of the last question.
+	asked []string
+}
+
+func (q *coldQuota) Cold(engine *fleet.Engine) bool { return q.cold[engine.ID] }
+
+func (q *coldQuota) Acquire(_ context.Context, engines []*fleet.Engine, _ routing.Rank, _ time.Time) *fleet.Engine {
+	q.asked = nil
+	for _, engine := range engines {
+		q.asked = append(q.asked, engine.ID)
+	}
+	if q.grants == 0 || len(engines) == 0 {
+		return nil
+	}
+	q.grants--
+	return engines[0]
+}
+
+func TestColdEngines(t *testing.T) {
+	play := func(name string, quota *coldQuota, does map[string]action, check func(result Result, s *script)) {
+		synctest.Test(t, func(t *testing.T) {
+			Convey(name, t, func() {
+				s := &script{does: does}
+				forwarder := guarded(s, routing.KindIdempotent)
+				forwarder.Quota = quota
+				check(do(t, forwarder, "r"), s)
+			})
+		})
+	}
+	all := map[string]bool{"a": true, "b": true, "c": true, "d": true}
+	play("A warm engine goes before cold ones, and needs no grant", &coldQuota{cold: map[string]bool{"a": true, "b": true, "c": true}, grants: 9}, nil,
+		func(result Result, s *script) {
+			So(result.Outcome, ShouldEqual, Completed)
+			So(s.sends[0].engine, ShouldEqual, "d")
+			So(s.sends[0].leaveBy, ShouldBeZeroValue)
+		})
+	quota := &coldQuota{cold: map[string]bool{"a": true, "b": true}, grants: 9}
+	play("A cold engine is sent what the warm ones do not take, under a grant, and soon", quota, map[string]action{"c": refused, "d": refused},
+		func(result Result, s *script) {
+			So(result.Outcome, ShouldEqual, Completed)
+			So(quota.asked, ShouldResemble, []string{"a", "b"})
+			last := s.sends[len(s.sends)-1]
+			So(last.engine, ShouldEqual, "a")
+			So(boottime.Until(last.leaveBy), ShouldBeBetween, 0, GrantedSendTime+1)
+		})
+	play("Without a grant nothing is sent to engines that are all cold, and the request is refused", &coldQuota{cold: all}, nil, func(result Result, s *script) {
+		So(s.sends, ShouldBeEmpty)
+		So(result.Outcome, ShouldEqual, NotRun)
+		So(result.Reason, ShouldEqual, ReasonEnginesCold)
+		So(result.RetryAfter, ShouldEqual, busyRetryAfter)
+	})
+	play("Each attempt at a cold engine needs a grant of its own", &coldQuota{cold: all, grants: 2},
+		map[string]action{"a": lost, "b": lost, "c": lost, "d": lost}, func(result Result, s *script) {
+			So(s.sends, ShouldHaveLength, 2)
+			So(result.Outcome, ShouldEqual, Unknown)
+		})
+}
