coldstart, metastore: a replaced holder stops granting after 3 s, also one that was suspended while the store answered it

Cause: an answer of the lease's watch that was read after a suspension counted as news of the lease, so that a replaced holder gave the full rate for 1.5 s more beside the new one (1 + 1.25 r each: 37 at 14 a second, bound 26); and of two holders that were replaced within 10 s the first gave beside the third. Change: Followers.Shown tells as of when an answer is; the reduced rate ends after 1.5 s (was 10 s; starts are not listed while the store is down).

--- a/internal/coldstart/keeper.go
+++ b/internal/coldstart/keeper.go
@@ -26,8 +26,9 @@
 	// second, or breaks off 0.4 s later.
 	freshness = 1500 * time.Millisecond
 	// StaleLife is for how long after that a holder grants at StaleShare of the rate. A store that is down for all looks the same to it, and
-	// changes no coordinator; engines are cold for less.
-	StaleLife = 10 * time.Second
+	// changes no coordinator. Of two holders that were replaced one after the other without knowing, the first has stopped when the third
+	// begins to grant.
+	StaleLife = 1500 * time.Millisecond
 	// StaleShare keeps the sum of a process that coordinates and one that does not know that it does no more below 1.5 times the rate:
 	// (1 + 0.2) * (1 s + GrantLife) is 1.5.
 	StaleShare = 0.2
--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/pause"
 )
 
@@ -61,6 +62,10 @@
 	// Confirmed takes each kind as the store has just shown it, changed or not; nil for nobody. It must be set before the first
 	// Follow.
 	Confirmed func(kind string, snapshot Snapshot)
+	// Shown takes each kind of which the store has answered a call, with the moment of boottime as of which the answer is: the present one, or
+	// that at which the call began if it took longer than the store may, because this process did not get to read the answer meanwhile. Nil
+	// for nobody. It must be set before the first Follow.
+	Shown func(kind string, at time.Time)
 	// Doubted takes each kind of which a call has failed; nil for nobody. It must be set before the first Follow.
 	Doubted func(kind string)
 	// MaxWait bounds the waits of the watches of a kind, whatever the options say; nil, or zero returned, for no bound. It must be set
@@ -125,7 +130,9 @@
 	listed := w.snapshot.Revision > 0
 	for ctx.Err() == nil {
 		var err error
+		began, longest := boottime.Now(), stalledAfter
 		if listed {
+			longest += w.wait()
 			err = w.watch(ctx)
 		} else {
 			err = w.list(ctx)
@@ -133,7 +140,7 @@
 		}
 		switch {
 		case err == nil:
-			w.succeeded()
+			w.succeeded(began, longest)
 		case errors.Is(err, ErrCompacted):
 			listed = false
 		case !errors.Is(err, errDisturbed):
@@ -142,12 +149,19 @@
 	}
 }
 
-// succeeded takes in a call that was answered. After failures, what the others began in the meantime may never be.
-func (w *follower) succeeded() {
+// succeeded takes in a call that was answered, with when it began and how long it may take. After failures, what the others began in the meantime may never be.
+func (w *follower) succeeded(began time.Time, longest time.Duration) {
 	if w.failures > 0 {
 		w.group.endWatches(errDisturbed)
 	}
 	w.failures = 0
+	if w.group.Shown != nil {
+		at := boottime.Now()
+		if at.Sub(began) > longest {
+			at = began
+		}
+		w.group.Shown(w.kind, at)
+	}
 	if w.group.Confirmed != nil {
 		w.group.Confirmed(w.kind, w.snapshot)
 	}
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -41,8 +41,10 @@
 type Hub struct {
 	HubParams
 
-	mu      sync.Mutex
-	kinds   map[string]*relayedKind
+	mu    sync.Mutex
+	kinds map[string]*relayedKind
+	// shown is as of when the store last answered a call about each kind, whether or not a call has failed since.
+	shown   map[string]time.Time
 	changed chan struct{}
 }
 
@@ -55,8 +57,6 @@
 	entries map[string]entry
 	// confirmed is when the store was last heard from.
 	confirmed time.Time
-	// shown is when the store last showed the kind, whether or not a call has failed since.
-	shown time.Time
 	// removals are the last objects that went, and floor is the revision after which they are complete.
 	removals []removal
 	floor    metastore.Revision
@@ -89,7 +89,7 @@
 	if params.Logger == nil {
 		params.Logger = log.NewNopLogger()
 	}
-	return &Hub{HubParams: params, kinds: make(map[string]*relayedKind), changed: make(chan struct{})}
+	return &Hub{HubParams: params, kinds: make(map[string]*relayedKind), shown: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
 // Confirm takes in a kind as the store has just shown it.
@@ -102,7 +102,6 @@
 		h.kinds[kind] = known
 	}
 	known.confirmed = boottime.Now()
-	known.shown = known.confirmed
 	if snapshot.Revision < known.snapshot.Revision {
 		return
 	}
@@ -135,19 +134,24 @@
 	h.changed = make(chan struct{})
 }
 
-// ShownAt returns when, by boottime, the store last showed a kind to this process; zero if it never did.
+// ShownAt returns as of when, by boottime, the store last showed a kind to this process; zero if it never did.
 func (h *Hub) ShownAt(kind string) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if known, ok := h.kinds[kind]; ok {
-		return known.shown
-	}
-	return time.Time{}
+	return h.shown[kind]
+}
+
+// noteShown takes in as of when the store has answered a call about a kind.
+func (h *Hub) noteShown(kind string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.shown[kind] = at
 }
 
 // Attach makes the hub learn from what its process follows. It must be called before the first Follow.
 func (h *Hub) Attach(followers *metastore.Followers) {
 	followers.Confirmed = h.Confirm
+	followers.Shown = h.noteShown
 	followers.Doubted = h.Doubt
 	followers.MaxWait = h.maxWait
 }
