--- a/internal/coldstart/replay_test.go
+++ b/internal/coldstart/replay_test.go
@@ -172,7 +172,7 @@
 					return keeper.Ask(ctx, request), nil
 				}})
 		}
-		running.Go(func() { r.relay(ctx, state, random) })
+		running.Go(func() { r.relay(ctx, state, rand.New(rand.NewPCG(uint64(number), 12))) })
 		running.Go(func() {
 			for ctx.Err() == nil {
 				time.Sleep(time.Duration(random.ExpFloat64() * float64(gateways) / replayLoad * float64(time.Second)))
--- a/internal/coldstart/warmth.go
+++ b/internal/coldstart/warmth.go
@@ -83,8 +83,8 @@
 // Run takes in every view until ctx ends. What it misses is taken in when Cold is asked.
 func (w *Warmth) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		view, changed := w.state.Changed()
-		w.observe(view)
+		_, changed := w.state.Changed()
+		w.observe()
 		if w.Count() == 0 {
 			pause.Unless(ctx, changed, time.Hour)
 			continue
@@ -104,8 +104,8 @@
 
 // Cold reports whether an engine is cold now.
 func (w *Warmth) Cold(engine *fleet.Engine) bool {
-	if view := w.state.View(); view != w.seen.Load() {
-		w.observe(view)
+	if w.state.View() != w.seen.Load() {
+		w.observe()
 	}
 	until, ok := (*w.cold.Load())[engine.ID]
 	return ok && w.now().Before(until)
@@ -127,10 +127,14 @@
 	return routes.Services[name]
 }
 
-// observe takes in a view.
-func (w *Warmth) observe(view *fleet.View) {
+// observe takes in the newest view, unless that was done. Views are never taken in out of their order: a zone would seem to be restored.
+func (w *Warmth) observe() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	view := w.state.View()
+	if view == w.seen.Load() {
+		return
+	}
 	now := w.now()
 	listed := make(map[string]struct{})
 	restored := w.restored(view.Evacuations)
