--- a/internal/batchrun/kit_test.go
+++ b/internal/batchrun/kit_test.go
@@ -165,6 +165,8 @@
 	textFolder string
 	// zone is that of the runners.
 	zone string
+	// quota is that of the runners; nil if no engine is cold.
+	quota batchrun.Quota
 }
 
 func newWorld(route routing.Route) *world {
@@ -197,6 +199,7 @@
 		MaxEndedBytes: w.maxEndedBytes,
 		Desk:          w.desk,
 		Zone:          w.zone,
+		Quota:         w.quota,
 		TextFolder:    w.textFolder,
 		EvacuateTime:  w.evacuateTime,
 		TextLimit:     1 << 20,
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -100,6 +100,8 @@
 	Store metastore.Client
 	// Zone is this process's: jobs that may not be in its region are neither taken nor read.
 	Zone string
+	// Quota grants runs at engines that have just started; nil if no engine is cold.
+	Quota Quota
 	// Desk hands runs to workers; nil if this process carries out all of them.
 	Desk *itemwork.Desk
 	// EvacuateTime is within how long no request may reach a zone once its evacuation was acknowledged; zero if zones are not evacuated.
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -119,6 +119,7 @@
 		newGuard,
 		newForwarder,
 		newZoneStatus,
+		newWarmth,
 		newTasks,
 	),
 	fx.Invoke(serveMetrics, tellStoreCalls, tellSuspensions),
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -42,8 +42,10 @@
 	HubParams
 	pollers pollers
 
-	mu      sync.Mutex
-	kinds   map[string]*relayedKind
+	mu    sync.Mutex
+	kinds map[string]*relayedKind
+	// shown is as of when the store last answered a call about each kind, whether or not a call has failed since.
+	shown   map[string]time.Time
 	changed chan struct{}
 }
 
@@ -88,7 +90,7 @@
 	if params.Logger == nil {
 		params.Logger = log.NewNopLogger()
 	}
-	return &Hub{HubParams: params, kinds: make(map[string]*relayedKind), changed: make(chan struct{})}
+	return &Hub{HubParams: params, kinds: make(map[string]*relayedKind), shown: make(map[string]time.Time), changed: make(chan struct{})}
 }
 
 // Confirm takes in a kind as the store has just shown it.
@@ -133,9 +135,24 @@
 	h.changed = make(chan struct{})
 }
 
+// ShownAt returns as of when, by boottime, the store last showed a kind to this process; zero if it never did.
+func (h *Hub) ShownAt(kind string) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.shown[kind]
+}
+
+// noteShown takes in as of when the store has answered a call about a kind.
+func (h *Hub) noteShown(kind string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.shown[kind] = at
+}
+
 // Attach makes the hub learn from what its process follows. It must be called before the first Follow.
 func (h *Hub) Attach(followers *metastore.Followers) {
 	followers.Confirmed = h.Confirm
+	followers.Shown = h.noteShown
 	followers.Doubted = h.Doubt
 	followers.MaxWait = h.maxWait
 }
