forward: retries under a budget, and one waiting room a service in place of asking again every 15 ms

Cause: a request that waited for a full service asked every engine again every 15 ms, and reward calls came again every 100 ms, so that the retries of some 60 gateways kept fallen engines down.

Change: internal/retrybudget bounds retries to 20% of first sends over 10 s and a small reserve. A service is taken for full or down from the refusals of its engines; requests wait in the order of rank and arrival, and are let out by answers or by probes at a rising interval. Reward calls wait there too (Request.Patience). forward.Quota is asked for sends to cold engines.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -12,8 +12,8 @@
 	"github.com/covelink/covelink/internal/fleet"
 )
 
-// attempt sends the request to the engine. again is true if another attempt may be made.
-func (j *job) attempt(ctx context.Context, engine *fleet.Engine) (result Result, again bool) {
+// attempt sends the request to the engine, one of so many that may run it, and ends the turn. again is true if another attempt may be made.
+func (j *job) attempt(ctx context.Context, engine *fleet.Engine, engines int) (result Result, again bool) {
 	_, triedBefore := j.tried[engine.ID]
 	j.tried[engine.ID] = struct{}{}
 	attemptCtx, cancel := context.WithTimeout(ctx, boottime.Until(j.attemptDeadline()))
@@ -29,14 +29,17 @@
 	}
 	took := boottime.Since(sent)
 	if err != nil {
-		attempt := lostAttempt{engine: engine, err: err, sent: sent, broke: errors.Is(err, ErrBroken) && attemptCtx.Err() == nil, repeated: triedBefore}
+		attempt := lostAttempt{engine: engine, err: err, sent: sent, broke: errors.Is(err, ErrBroken) && attemptCtx.Err() == nil, repeated: triedBefore, engines: engines}
 		return j.lost(ctx, attempt)
 	}
+	j.countSend()
 	if answer.NotRun {
 		j.unreachable = false
+		j.endRefused(engine, answer.Misdirected, engines)
 		j.picker.Release(engine, busyVerdict(answer), took)
 		return Result{}, true
 	}
+	j.endServed(engine)
 	j.noteBegan(sent)
 	if answer.Status == http.StatusInternalServerError {
 		j.failed++
@@ -64,6 +67,8 @@
 	broke bool
 	// repeated is true if the request had been sent to the engine before.
 	repeated bool
+	// engines is how many may run the request.
+	engines int
 }
 
 // lost handles an attempt without a usable answer.
@@ -76,13 +81,17 @@
 	}
 	j.picker.Release(engine, verdict, took)
 	if !attempt.repeated {
-		// A request that waits for engines that are gone dials them every 15 ms: one line for each engine tells it.
+		// A request that waits for engines that are gone dials them again and again: one line for each engine tells it.
 		level.Debug(j.logger).Log("msg", "attempt lost", "request", j.request.ID, "engine", engine.ID, "took", took, "err", err)
 	}
 	if errors.Is(err, ErrNotSent) {
 		j.unreachable = true
+		j.uncountSend()
+		j.endRefused(engine, true, attempt.engines)
 		return Result{}, true
 	}
+	j.countSend()
+	j.waiting.ended(j.service, nil)
 	if attempt.broke && !j.Guard.Broke(j.request.ID, j.fingerprint(), engine) {
 		// Retries of one try are how a request that ends engines reaches the next one soonest: two ended 57 ms apart.
 		j.once = true
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -12,9 +12,9 @@
 
 	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
-	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/placement"
 	"github.com/covelink/covelink/internal/quarantine"
+	"github.com/covelink/covelink/internal/retrybudget"
 	"github.com/covelink/covelink/internal/routing"
 )
 
@@ -49,6 +49,8 @@
 	ReasonUnreachable Reason = "engines unreachable"
 	// ReasonHeld is given for requests under which too many engines have ended.
 	ReasonHeld Reason = "held"
+	// ReasonRetryBudget is given where another engine would have been asked but for the bound on retries.
+	ReasonRetryBudget Reason = "retry budget used"
 )
 
 // Result is the end of a request.
@@ -69,6 +71,8 @@
 	TimedOut bool
 	// FailedAttempts counts the answers of 500 that engines gave.
 	FailedAttempts int
+	// Sent is true if an engine was sent the request, whatever came of it.
+	Sent bool
 }
 
 const (
@@ -80,8 +84,6 @@
 	minPatience = 150 * time.Millisecond
 	// patienceObjectives is the patience in latency objectives.
 	patienceObjectives = 1.5
-	// busyPause is the pause before a full service is asked again.
-	busyPause = 15 * time.Millisecond
 	// waitShare is the share of the latency objective that a request may wait for a full service.
 	waitShare = 0.22
 	// defaultWait is the wait on routes without an objective.
@@ -91,6 +93,15 @@
 	emptyRetryAfter = 300 * time.Millisecond
 	// closedRetryAfter is the same where only an operator, or engines that have yet to start, can change the answer.
 	closedRetryAfter = time.Second
+	// retryAfterSpread is the share by which callers of a full service are told to wait longer at random, so that they do not come together.
+	retryAfterSpread = 0.5
+	// retryShare is the most retries for each first send, so that an outage costs 1.2 times its load. It is taken over retryWindow: longer
+	// than an engine's fall takes to be noticed, and short enough that a calm hour does not pay for a storm.
+	retryShare  = 0.2
+	retryWindow = 10 * time.Second
+	// retryReserve lets a process that rarely uses a service ask other engines; of hundreds of processes together the refill is a small load.
+	retryReserve = 3
+	retryRefill  = 20 * time.Second
 )
 
 // Observer is told of every request's end, for metrics.
@@ -98,10 +109,25 @@
 	RequestEnded(kind routing.Kind, outcome Outcome, engines int, took time.Duration)
 }
 
+// LoadObserver is told what a service's load did to requests, for metrics.
+type LoadObserver interface {
+	// Retried counts a send beyond the first of a request, and RetryDenied one that the budget did not grant.
+	Retried(service string)
+	RetryDenied(service string)
+	// Waited tells how long a request waited for room.
+	Waited(service string, took time.Duration)
+	// RefusedAtOnce counts a request that was refused because its turn would have come too late.
+	RefusedAtOnce(service string)
+}
+
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
 	// Observer may be nil. It must be set before the first request.
 	Observer Observer
+	// LoadObserver may be nil. It must be set before the first request.
+	LoadObserver LoadObserver
+	// Quota grants sends to cold engines; nil if none is cold. It must be set before the first request.
+	Quota Quota
 	// Began is told of each request that an engine began to run, or may have begun, once, with the moment of boottime; nil for nobody. Of a stream that is
 	// the moment of its first byte. It must be set before the first request.
 	Began func(tenant string, at time.Time)
@@ -110,15 +136,20 @@
 	state     *fleet.State
 	transport Transport
 	picker    *Picker
+	budget    *retrybudget.Budget
 	waiting   *waitingRoom
 	logger    log.Logger
 }
 
 // New returns a Forwarder.
 func New(state *fleet.State, transport Transport, picker *Picker, logger log.Logger) *Forwarder {
-	return &Forwarder{state: state, transport: transport, picker: picker, waiting: newWaitingRoom(), logger: logger}
+	budget := retrybudget.New(retrybudget.Params{Share: retryShare, Window: retryWindow, Reserve: retryReserve, RefillTime: retryRefill, Now: boottime.Now})
+	return &Forwarder{state: state, transport: transport, picker: picker, budget: budget, waiting: newWaitingRoom(budget, logger), logger: logger}
 }
 
+// Services returns what this process knows of the load of each service that it sent requests to.
+func (f *Forwarder) Services() []ServiceStatus { return f.waiting.statuses() }
+
 // job is one request on its way.
 type job struct {
 	*Forwarder
@@ -132,6 +163,10 @@
 	residency placement.Residency
 	started   time.Time
 	deadline  time.Time
+	// waitUntil is until when the request may wait for a full service.
+	waitUntil time.Time
+	// sends counts the attempts of which a byte left.
+	sends int
 	// tried are the engines that the request was sent to; several attempts at one engine count once.
 	tried map[string]struct{}
 	// mayHaveRun is true once an attempt was lost.
@@ -163,12 +198,13 @@
 		j.version, j.rank = routes.Version, routes.Rank(route, request.Tenant)
 		j.residency = placement.ResidencyOf(routes, route, request.Tenant)
 	}
-	defer f.waiting.leave(j)
 	if route.Timeout > 0 && j.started.Add(route.Timeout).Before(deadline) {
 		j.deadline = j.started.Add(route.Timeout)
 	}
+	j.waitUntil = j.started.Add(j.maxWait())
 	result := j.admitted(ctx)
 	result.FailedAttempts = j.failed
+	result.Sent = j.sends > 0
 	j.tellBegan(&result)
 	j.report(result)
 	return result
@@ -193,7 +229,6 @@
 }
 
 func (j *job) run(ctx context.Context) Result {
-	waitUntil := j.started.Add(j.maxWait())
 	for {
 		if boottime.Until(j.deadline) < minAttemptTime {
 			return j.giveUp(ReasonDeadline, true)
@@ -202,30 +237,30 @@
 			return j.giveUp(ReasonCallerLeft, true)
 		}
 		permitted := j.permitted()
-		engine := j.picker.Acquire(permitted, j.allowed)
-		if engine == nil {
+		candidates := j.candidates(permitted)
+		if len(candidates) == 0 {
 			return j.giveUp(j.reasonNoEngine(), false)
 		}
-		result, again := j.attempt(ctx, engine)
-		if !again {
-			return result
+		turn := j.nextTurn(ctx, candidates)
+		if turn.refusal != "" {
+			return j.giveUp(turn.refusal, false)
 		}
-		if j.mayHaveRun || j.last != nil {
-			if j.once || len(j.tried) >= j.route.MaxAttempts {
-				return j.giveUp(ReasonAttemptsUsed, false)
-			}
+		if turn.engine == nil {
 			continue
 		}
-		if len(j.tried) < j.route.MaxAttempts && len(j.tried) < len(permitted) {
-			continue
+		result, again := j.attempt(ctx, turn.engine, len(permitted))
+		if !again {
+			return result
 		}
-		if boottime.Now().After(waitUntil) {
-			return j.giveUp(j.reasonNotTaken(), false)
+		if j.begun() && (j.once || len(j.tried) >= j.route.MaxAttempts) {
+			return j.giveUp(ReasonAttemptsUsed, false)
 		}
-		j.awaitTurn(ctx, waitUntil)
 	}
 }
 
+// begun reports whether an engine may have executed the request.
+func (j *job) begun() bool { return j.mayHaveRun || j.last != nil }
+
 // permitted returns the engines that may run the request now.
 func (j *job) permitted() []*fleet.Engine {
 	return placement.NewFilter(j.state.View(), j.residency).Engines(j.service)
@@ -248,38 +283,23 @@
 	return ReasonEnginesFull
 }
 
-// awaitTurn waits until a full service may be asked again: after a pause, and once no more urgent request of this process waits for it.
-func (j *job) awaitTurn(ctx context.Context, until time.Time) {
-	j.waiting.enter(j, j.rank)
-	pause.For(ctx, busyPause)
-	for ctx.Err() == nil && boottime.Now().Before(until) && !j.waiting.isNext(j) {
-		pause.For(ctx, busyPause)
-	}
-}
-
 // maxWait is how long the request may wait while its service is full.
 func (j *job) maxWait() time.Duration {
+	if j.request.Patience > 0 {
+		return j.request.Patience
+	}
 	if j.route.LatencyObjective == 0 {
 		return defaultWait
 	}
 	return time.Duration(waitShare * float64(j.route.LatencyObjective))
 }
 
-// allowed keeps to the route's number of engines, and prefers those that have not been tried.
-func (j *job) allowed(engine *fleet.Engine) bool {
-	_, tried := j.tried[engine.ID]
-	if len(j.tried) >= j.route.MaxAttempts {
-		return tried
-	}
-	return !tried
-}
-
 // giveUp returns the result of a request that no engine completed.
 func (j *job) giveUp(reason Reason, timedOut bool) Result {
 	if j.last != nil {
 		return *j.last
 	}
-	result := Result{Outcome: NotRun, Reason: reason, TimedOut: timedOut, RetryAfter: retryAfter(reason)}
+	result := Result{Outcome: NotRun, Reason: reason, TimedOut: timedOut, RetryAfter: j.retryAfter(reason)}
 	if j.mayHaveRun {
 		result.Outcome = Unknown
 		result.RetryAfter = 0
@@ -288,14 +308,15 @@
 }
 
 // retryAfter returns when a request that was refused for a reason may come again.
-func retryAfter(reason Reason) time.Duration {
+func (j *job) retryAfter(reason Reason) time.Duration {
 	switch reason {
 	case ReasonNoEngine, Reason(placement.EvacuationsUnknown):
 		return emptyRetryAfter
 	case Reason(placement.EngineLeaving), Reason(placement.ZoneEvacuated), Reason(placement.RegionNotAllowed), Reason(placement.NoRegionAllowed):
 		return closedRetryAfter
 	}
-	return busyRetryAfter
+	turn := min(max(j.waiting.turnAfter(j.service, j.rank), busyRetryAfter), closedRetryAfter)
+	return time.Duration(float64(turn) * (1 + retryAfterSpread*rand.Float64()))
 }
 
 // report logs the decision. Requests that were completed as they should are told at the debug level.
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -241,7 +241,7 @@
 // judge calls until the text has a score or the call has failed as often as its route allows. The judgement is aborted if
 // ctx ends first.
 func (e *Executor) judge(ctx context.Context, reward *batch.Reward) Judgement {
-	failures := 0
+	failures, sent, arrived := 0, false, boottime.Now()
 	for ctx.Err() == nil {
 		route := e.State.View().Routes.Match(reward.Host, reward.Path)
 		deadline := e.judgeDeadline(boottime.Now())
@@ -256,9 +256,14 @@
 			Target: reward.Path,
 			Header: http.Header{},
 			Body:   reward.Body,
+			// A call that waits for a full service in here is not sent again and again, and keeps its place. What is left must do for the call.
+			Patience: boottime.Until(deadline) - minJudgeTime,
+			Arrived:  arrived,
+			Repeated: sent,
 		}
 		result := e.Forwarder.Do(ctx, route, request, deadline)
 		failures += result.FailedAttempts
+		sent = sent || result.Sent
 		if result.Outcome == forward.Completed && result.Status >= 200 && result.Status < 300 {
 			return Judgement{State: JudgementReached, Score: result.Signature, Failures: failures}
 		}
--- /dev/null
+++ b/internal/slidingcount/slidingcount.go
@@ -0,0 +1,53 @@
+// Package slidingcount counts events over a window of time that slides with the clock.
+//
+// Guarantees: a sum covers at least the window and at most one bucket more; it costs constant time and memory. A Counter is not safe for
+// concurrent use.
+package slidingcount
+
+import "time"
+
+// buckets is how many parts a window has: old events leave in steps of a tenth of the window.
+const buckets = 10
+
+// Counter counts events of the last window.
+type Counter struct {
+	bucket time.Duration
+	// newest is the number of the newest bucket since the zero time of origin.
+	newest int64
+	origin time.Time
+	counts [buckets + 1]int
+	sum    int
+}
+
+// New returns a Counter over a window that ends with the moments that it is asked for, none of which is before origin.
+func New(window time.Duration, origin time.Time) Counter {
+	return Counter{bucket: max(window/buckets, 1), origin: origin}
+}
+
+// Add counts events at a moment. A negative count takes back events that were counted just before.
+func (c *Counter) Add(now time.Time, count int) {
+	c.advance(now)
+	c.counts[c.newest%(buckets+1)] += count
+	c.sum += count
+}
+
+// Sum returns the events of the window that ends now.
+func (c *Counter) Sum(now time.Time) int {
+	c.advance(now)
+	return max(c.sum, 0)
+}
+
+// advance empties the buckets that have left the window.
+func (c *Counter) advance(now time.Time) {
+	number := int64(now.Sub(c.origin) / c.bucket)
+	if number-c.newest > buckets {
+		c.counts, c.sum, c.newest = [buckets + 1]int{}, 0, number
+		return
+	}
+	for c.newest < number {
+		c.newest++
+		slot := c.newest % (buckets + 1)
+		c.sum -= c.counts[slot]
+		c.counts[slot] = 0
+	}
+}
