forward, itemwork, fleetnode: patient retries probe twice a second at most; metrics of services' load; tests of turns and reward calls

Change: a patient request that was sent before probes a service only 500 ms after its last refusal; the reserve gets one back each 5 s, not 20 s.

--- /dev/null
+++ b/internal/fleetnode/load_metrics.go
@@ -0,0 +1,74 @@
+package fleetnode
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/covelink/covelink/internal/forward"
+)
+
+// loadMetrics tell what the load of services did to requests, and what this process takes each service for.
+type loadMetrics struct {
+	retries, retriesDenied, refusedAtOnce *prometheus.CounterVec
+	waits                                 *prometheus.HistogramVec
+	load, retryRatio, waiting             *prometheus.Desc
+	services                              func() []forward.ServiceStatus
+}
+
+// registerLoadMetrics registers the metrics of a forwarder's services, and has them told.
+func registerLoadMetrics(registry *prometheus.Registry, forwarder *forward.Forwarder) {
+	counter := func(name, help string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, []string{"service"})
+	}
+	gauge := func(name, help string) *prometheus.Desc {
+		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{"service"}, nil)
+	}
+	m := &loadMetrics{
+		retries:       counter("retries_total", "Sends of requests beyond their first."),
+		retriesDenied: counter("retries_denied_total", "Times that a request asked to be sent again and the budget of retries was used."),
+		refusedAtOnce: counter("requests_refused_at_once_total", "Requests that were refused because their turn would have come too late."),
+		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "service_wait_seconds", Help: "Time that requests waited for a service's room.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 13),
+		}, []string{"service"}),
+		load:       gauge("service_load", "What this process takes a service for: 0 well, 1 full, 2 down."),
+		retryRatio: gauge("service_retry_ratio", "Retries paid by the share, for each first send, of the last seconds."),
+		waiting:    gauge("service_waiting", "Requests that wait for a service's room."),
+		services:   forwarder.Services,
+	}
+	registry.MustRegister(m.retries, m.retriesDenied, m.refusedAtOnce, m.waits, m)
+	forwarder.LoadObserver = m
+}
+
+// Retried implements forward.LoadObserver.
+func (m *loadMetrics) Retried(service string) { m.retries.WithLabelValues(service).Inc() }
+
+// RetryDenied implements forward.LoadObserver.
+func (m *loadMetrics) RetryDenied(service string) { m.retriesDenied.WithLabelValues(service).Inc() }
+
+// Waited implements forward.LoadObserver.
+func (m *loadMetrics) Waited(service string, took time.Duration) {
+	m.waits.WithLabelValues(service).Observe(took.Seconds())
+}
+
+// RefusedAtOnce implements forward.LoadObserver.
+func (m *loadMetrics) RefusedAtOnce(service string) { m.refusedAtOnce.WithLabelValues(service).Inc() }
+
+// Describe implements prometheus.Collector.
+func (m *loadMetrics) Describe(descriptions chan<- *prometheus.Desc) {
+	descriptions <- m.load
+	descriptions <- m.retryRatio
+	descriptions <- m.waiting
+}
+
+// Collect implements prometheus.Collector.
+func (m *loadMetrics) Collect(values chan<- prometheus.Metric) {
+	for _, status := range m.services() {
+		gauge := func(description *prometheus.Desc, value float64) {
+			values <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value, status.Service)
+		}
+		gauge(m.load, float64(status.Load))
+		gauge(m.retryRatio, status.RetryRatio)
+		gauge(m.waiting, float64(status.Waiting))
+	}
+}
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -133,9 +133,10 @@
 }
 
 func newForwarder(state *fleet.State, transport forward.Transport, picker *forward.Picker, guard *quarantine.Guard, observed *metrics,
-	logger log.Logger) *forward.Forwarder {
+	registry *prometheus.Registry, logger log.Logger) *forward.Forwarder {
 	forwarder := forward.New(state, transport, picker, telemetry.For(logger, telemetry.PartForward))
 	forwarder.Observer = observed
+	registerLoadMetrics(registry, forwarder)
 	forwarder.Guard = guard
 	return forwarder
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -99,9 +99,10 @@
 	// than an engine's fall takes to be noticed, and short enough that a calm hour does not pay for a storm.
 	retryShare  = 0.2
 	retryWindow = 10 * time.Second
-	// retryReserve lets a process that rarely uses a service ask other engines; of hundreds of processes together the refill is a small load.
+	// retryReserve lets a process that rarely uses a service ask another engine or come again, at most once each retryRefill, which is more than
+	// the 3 s that a reward call may take and little beside an engine's start.
 	retryReserve = 3
-	retryRefill  = 20 * time.Second
+	retryRefill  = 5 * time.Second
 )
 
 // Observer is told of every request's end, for metrics.
@@ -325,7 +326,7 @@
 		j.Observer.RequestEnded(j.route.Kind, result.Outcome, len(j.tried), boottime.Since(j.started))
 	}
 	fields := []any{"msg", "request ended", "request", j.request.ID, "route", j.route.Name, "service", j.service, "outcome", result.Outcome,
-		"status", result.Status, "reason", result.Reason, "engines", len(j.tried), "failed", j.failed,
+		"status", result.Status, "reason", result.Reason, "engines", len(j.tried), "sends", j.sends, "failed", j.failed,
 		"took", boottime.Since(j.started).Round(time.Millisecond), "config", j.version}
 	if result.Outcome == Completed && result.Status < http.StatusInternalServerError && len(j.tried) == 1 {
 		_ = level.Debug(j.logger).Log(fields...)
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -11,13 +11,11 @@
 	// recently is how long an engine's refusal is news about its service.
 	recently = time.Second
 	// firstProbe and maxProbe bound the interval at which a full service is asked for room: about the length of a lookup at first, so that a
-	// moment's crowd costs its callers nothing. In the replay of an outage at 300 gateways a longest interval of 0.5 s made 18 engines fall and
-	// 1.41 to 1.44 sends for each request, one of 2 s 4 engines and 1.07 to 1.11 (three seeds each).
+	// moment's crowd costs its callers nothing, and twice a second from a process while an outage lasts.
 	firstProbe = 25 * time.Millisecond
-	maxProbe   = 2 * time.Second
-	// maxKnownFull bounds how long an engine that refused is left out for first tries, which are no retries and serve as probes as well.
-	maxKnownFull = 500 * time.Millisecond
-	// silence is how long answers that are due may be missing before a retry is spent on a probe.
+	maxProbe   = 500 * time.Millisecond
+	// silence is how long answers that are due may be missing before a retry is spent on a probe, and how long a patient retry leaves a service
+	// alone that refused: the budget pays for few of them.
 	silence = 500 * time.Millisecond
 	// probeJitter is the share by which an interval is longer or shorter, so that processes do not probe together.
 	probeJitter = 0.25
@@ -135,10 +133,11 @@
 	case now.Sub(s.cutAt) >= cutPause:
 		s.limit, s.cutAt = max(1, s.limit/2), now
 	}
-	if before != load {
-		s.become(now, load)
+	if before == load || (before != LoadWell && now.Sub(s.since) < wellAfter) {
+		return false
 	}
-	return before != load
+	s.become(now, load)
+	return true
 }
 
 func (s *serviceLoad) become(now time.Time, load Load) { s.load, s.since = load, now }
@@ -163,7 +162,7 @@
 // nextRefusal returns the refusal that follows an engine's last one.
 func (s *serviceLoad) nextRefusal(now time.Time, last refusal, unreachable bool) refusal {
 	if !unreachable {
-		return refusal{at: now, until: now.Add(min(max(busyBackoff, s.interval), maxKnownFull))}
+		return refusal{at: now, until: now.Add(max(busyBackoff, s.interval))}
 	}
 	life := min(firstUnreachable<<min(last.failures, 5), maxBackoff)
 	return refusal{at: now, until: now.Add(life), unreachable: true, failures: last.failures + 1}
@@ -186,9 +185,13 @@
 	return true
 }
 
-// silent reports whether no answer is to be expected that would show room, so that the budget of retries is worth a probe.
-func (s *serviceLoad) silent(now time.Time) bool {
-	return s.inFlight == 0 || now.Sub(s.servedAt) >= silence
+// mayProbeAgain reports whether a request that was sent before may be let out as a probe: only while no answer is to be expected that would
+// show room, and if it is patient only once nothing was refused for a while, as the budget pays for few of them.
+func (s *serviceLoad) mayProbeAgain(now time.Time, patient bool) bool {
+	if s.inFlight > 0 && now.Sub(s.servedAt) < silence {
+		return false
+	}
+	return !patient || now.Sub(s.refusedAt) >= silence
 }
 
 // roomShown reports whether an engine took a request after the last one that was refused, and less is in flight than that allows.
--- a/internal/forward/overload_test.go
+++ b/internal/forward/overload_test.go
@@ -28,6 +28,8 @@
 	rewardGiveUp   = 30 * time.Second
 	// wholeWithin is the time within which requests are answered when the service is well again.
 	wholeWithin = time.Second
+	// recoverWithin is the time from the crash in which all engines may fall once in the burst, come back, get warm and serve what waited.
+	recoverWithin = burstLength + fallAway + fallCold + 6*time.Second
 )
 
 // overloadFigures are what a play showed.
@@ -109,7 +111,6 @@
 
 // playOverload plays the load at a number of gateways.
 func playOverload(ctx context.Context, gateways int, seed uint64, prepare func(pool *fallPool, forwarder *Forwarder)) overloadFigures {
-	random := rand.New(rand.NewPCG(seed, 2))
 	target := []routing.Target{{Service: "s", Weight: 1}}
 	table := routing.NewTable(1, []routing.Route{
 		{Name: "lookup", Host: "h", Prefix: "/lookup", Kind: routing.KindIdempotent, Targets: target, MaxAttempts: 2, LatencyObjective: 150 * time.Millisecond},
@@ -123,12 +124,10 @@
 	}
 	var running sync.WaitGroup
 	time.AfterFunc(crashMoment, func() { p.pool.knock(0); p.pool.knock(1) })
-	come := func(perSecond int, do func(ctx context.Context, gateway *Forwarder)) {
+	come := func(random *rand.Rand, perSecond int, do func(ctx context.Context, gateway *Forwarder)) {
 		for time.Since(p.started) < overloadLength {
-			p.mu.Lock()
 			gateway := p.gateways[random.IntN(gateways)]
 			length := time.Duration(random.ExpFloat64() * float64(time.Second) / float64(perSecond))
-			p.mu.Unlock()
 			running.Go(func() { do(ctx, gateway) })
 			if after := time.Since(p.started) - crashMoment; after >= 0 && after < burstLength {
 				length /= burstFactor
@@ -136,15 +135,15 @@
 			pause.For(ctx, length)
 		}
 	}
-	running.Go(func() { come(overloadLookups, p.lookup) })
-	running.Go(func() { come(overloadRewards, p.reward) })
+	running.Go(func() { come(rand.New(rand.NewPCG(seed, 1)), overloadLookups, p.lookup) })
+	running.Go(func() { come(rand.New(rand.NewPCG(seed, 2)), overloadRewards, p.reward) })
 	running.Wait()
 	pause.For(ctx, fallAway+time.Second)
 	p.figures.poolFigures = p.pool.figures
 	return p.figures
 }
 
-// perTry returns the sends and the dials that failed for each request.
+// triesPerRequest returns the sends and the dials that failed for each request.
 func (f *overloadFigures) triesPerRequest() float64 {
 	return float64(f.sends+f.dials) / float64(f.requests)
 }
@@ -168,6 +167,9 @@
 				if figures.perRequest() > 1.2 {
 					t.Errorf("%s, seed %d: %.2f sends for each request", play.name, seed, figures.perRequest())
 				}
+				if play.quota && (figures.unscored > 0 || figures.recovered > recoverWithin) {
+					t.Errorf("%s, seed %d: %d reward calls unanswered, the last late request %v after the crash", play.name, seed, figures.unscored, figures.recovered)
+				}
 			})
 		}
 	}
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -154,7 +154,7 @@
 	if arrived.IsZero() {
 		arrived = j.started
 	}
-	return &waiter{rank: j.rank, arrived: arrived, retry: retry}
+	return &waiter{rank: j.rank, arrived: arrived, retry: retry, patient: j.request.Patience > 0}
 }
 
 // waitForEither waits for a warm engine's room and for a grant of a cold one, whichever comes first. A retry is granted already.
--- /dev/null
+++ b/internal/forward/turn_test.go
@@ -0,0 +1,269 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/covelink/covelink/internal/boottime"
+	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/routing"
+)
+
+// loadBench is a Forwarder to engines of a script, by one repeatable route with an objective of 200 ms.
+type loadBench struct {
+	*script
+	forwarder *Forwarder
+	state     *fleet.State
+}
+
+func newLoadBench(does map[string]action, engines ...string) *loadBench {
+	b := &loadBench{script: &script{does: does}, state: fleet.NewState()}
+	route := routing.Route{Host: "h", Prefix: "/", Kind: routing.KindIdempotent, Targets: []routing.Target{{Service: "s", Weight: 1}}, MaxAttempts: 4, LatencyObjective: 200 * time.Millisecond}
+	b.state.SetRoutes(routing.NewTable(1, []routing.Route{route}, nil, routing.Limits{}))
+	b.list(engines...)
+	b.forwarder = New(b.state, b.script, NewPicker(time.Now), log.NewNopLogger())
+	return b
+}
+
+func (b *loadBench) list(engines ...string) {
+	var listed []*fleet.Engine
+	for _, id := range engines {
+		listed = append(listed, &fleet.Engine{ID: id, Service: "s", Slots: 4, Ready: true})
+	}
+	b.state.SetEngines(listed)
+}
+
+func (b *loadBench) setDoes(id string, do action) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.does[id] = do
+}
+
+func (b *loadBench) sent() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.sends)
+}
+
+func (b *loadBench) do(ctx context.Context, request Request, deadline time.Duration) Result {
+	request.Method, request.Host, request.Target = http.MethodPost, "h", "/1"
+	return b.forwarder.Do(ctx, b.state.View().Routes.Match("h", "/1"), &request, boottime.Now().Add(deadline))
+}
+
+func TestTurnsOfAWellService(t *testing.T) {
+	for name, does := range map[string]map[string]action{
+		"all answer": {}, "one refuses": {"a": refused}, "one fails": {"a": failed}, "one loses": {"a": lost}, "one cannot be reached": {"a": notSent},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newLoadBench(does, "a", "b", "c")
+			started := time.Now()
+			for range 100 {
+				if result := b.do(t.Context(), Request{ID: "r"}, time.Second); result.Status != http.StatusOK || !result.Sent {
+					t.Fatalf("%s: ended %+v", name, result)
+				}
+			}
+			if took := time.Since(started); took != 0 {
+				t.Errorf("%s: requests waited %v", name, took)
+			}
+			if b.sent() > 120 {
+				t.Errorf("%s: %d sends for 100 requests", name, b.sent())
+			}
+		})
+	}
+}
+
+// A request that found a service full asked all of its engines every 15 ms.
+func TestTurnsOfAFullService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newLoadBench(map[string]action{"a": refused, "b": refused}, "a", "b")
+		for range 100 {
+			started := time.Now()
+			result := b.do(t.Context(), Request{ID: "r"}, time.Second)
+			if took := time.Since(started); result.Outcome != NotRun || took > 50*time.Millisecond {
+				t.Fatalf("ended %+v after %v, more than a quarter of the objective", result, took)
+			}
+			if result.RetryAfter < busyRetryAfter {
+				t.Fatalf("may come again after %v", result.RetryAfter)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if b.sent() > 120 {
+			t.Errorf("%d sends for 100 requests", b.sent())
+		}
+	})
+}
+
+func TestCallersAreSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newLoadBench(map[string]action{"a": refused}, "a")
+		told := make(map[time.Duration]bool)
+		for range 20 {
+			told[b.do(t.Context(), Request{ID: "r"}, time.Second).RetryAfter] = true
+		}
+		if len(told) < 10 {
+			t.Errorf("20 callers were told %d times to come again at", len(told))
+		}
+	})
+}
+
+func TestPatientRequestWaitsForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newLoadBench(map[string]action{"a": refused}, "a")
+		b.do(t.Context(), Request{ID: "lookup"}, time.Second)
+		time.AfterFunc(1500*time.Millisecond, func() { b.setDoes("a", nil) })
+		before := b.sent()
+		result := b.do(t.Context(), Request{ID: "reward", Patience: 10 * time.Second}, 12*time.Second)
+		if result.Status != http.StatusOK {
+			t.Errorf("ended %+v", result)
+		}
+		if sends := b.sent() - before; sends > 1+retryReserve {
+			t.Errorf("%d sends", sends)
+		}
+	})
+}
+
+func TestWaitingRequestIsNotSentOnceItsCallerHasLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newLoadBench(map[string]action{"a": refused}, "a")
+		b.do(t.Context(), Request{ID: "lookup"}, time.Second)
+		ctx, cancel := context.WithCancel(t.Context())
+		var result Result
+		var waiting sync.WaitGroup
+		waiting.Go(func() { result = b.do(ctx, Request{ID: "reward", Patience: 10 * time.Second}, 12*time.Second) })
+		synctest.Wait()
+		before := b.sent()
+		cancel()
+		waiting.Wait()
+		b.setDoes("a", nil)
+		time.Sleep(10 * time.Second)
+		if result.Outcome != NotRun || result.Sent || b.sent() != before {
+			t.Errorf("ended %+v, sent %d times", result, b.sent()-before)
+		}
+		if statuses := b.forwarder.Services(); statuses[0].Waiting != 0 || statuses[0].InFlight != 0 {
+			t.Errorf("left behind: %+v", statuses)
+		}
+	})
+}
+
+// A timer that was armed before a sleep fires late: the request whose time is over then must not be sent.
+func TestWaitingRequestIsNotSentOnceItsTimeIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newLoadBench(map[string]action{"a": refused}, "a")
+		b.do(t.Context(), Request{ID: "lookup"}, time.Second)
+		var result Result
+		var waiting sync.WaitGroup
+		waiting.Go(func() {
+			result = b.do(t.Context(), Request{ID: "reward", Patience: 2 * time.Second}, 2400*time.Millisecond)
+		})
+		synctest.Wait()
+		before := b.sent()
+		boottime.SimulateSuspension(5 * time.Second)
+		b.setDoes("a", nil)
+		waiting.Wait()
+		if result.Outcome != NotRun || !result.TimedOut || b.sent() != before {
+			t.Errorf("ended %+v, sent %d times", result, b.sent()-before)
+		}
+	})
+}
+
+// The engines that a request may go to are those of the moment at which it is let out.
+func TestWaitingRequestGoesToNoEngineThatIsLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newLoadBench(map[string]action{"a": refused}, "a")
+		b.do(t.Context(), Request{ID: "lookup"}, time.Second)
+		time.AfterFunc(time.Millisecond, func() { b.list("b"); b.setDoes("a", nil) })
+		result := b.do(t.Context(), Request{ID: "reward", Patience: 2 * time.Second}, 3*time.Second)
+		if string(result.Body) != "from b" {
+			t.Errorf("ended %+v", result)
+		}
+	})
+}
+
+func TestRetriesKeepToTheBudget(t *testing.T) {
+	for name, do := range map[string]action{"fail": failed, "lose answers": lost, "refuse": refused} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newLoadBench(map[string]action{"a": do, "b": do, "c": do, "d": do}, "a", "b", "c", "d")
+			for range 200 {
+				b.do(t.Context(), Request{ID: "r"}, time.Second)
+				time.Sleep(20 * time.Millisecond)
+			}
+			if most := 240 + retryReserve; b.sent() > most {
+				t.Errorf("engines that %s: %d sends for 200 requests", name, b.sent())
+			}
+		})
+	}
+}
+
+func TestRepeatedRoundsAreRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newLoadBench(map[string]action{}, "a")
+		answered := 0
+		for range 20 {
+			if b.do(t.Context(), Request{ID: "r", Repeated: true}, time.Second).Outcome == Completed {
+				answered++
+			}
+		}
+		if answered != retryReserve {
+			t.Errorf("%d rounds beyond the first were sent, without a first", answered)
+		}
+	})
+}
+
+// someQuota is a Quota that takes engines whose name it holds for cold, and grants as many sends as it is told.
+type someQuota struct {
+	cold   map[string]bool
+	grants atomic.Int64
+}
+
+// Cold implements Quota.
+func (q *someQuota) Cold(engine *fleet.Engine) bool { return q.cold[engine.ID] }
+
+// Acquire implements Quota.
+func (q *someQuota) Acquire(ctx context.Context, engines []*fleet.Engine, _ routing.Rank, until time.Time) *fleet.Engine {
+	if q.grants.Add(-1) >= 0 {
+		return engines[0]
+	}
+	return nil
+}
+
+func TestColdEngines(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		does   map[string]action
+		cold   map[string]bool
+		grants int64
+		body   string
+		left   int64
+	}{
+		{"a warm engine goes first", map[string]action{}, map[string]bool{"a": true}, 1, "from b", 1},
+		{"a full warm engine, and a grant", map[string]action{"b": refused}, map[string]bool{"a": true}, 1, "from a", 0},
+		{"a full warm engine, and no grant", map[string]action{"b": refused}, map[string]bool{"a": true}, 0, "", -1},
+		{"only cold engines, and a grant", map[string]action{}, map[string]bool{"a": true, "b": true}, 1, "from a", 0},
+		{"only cold engines, and no grant", map[string]action{}, map[string]bool{"a": true, "b": true}, 0, "", -1},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newLoadBench(c.does, "a", "b")
+			quota := &someQuota{cold: c.cold}
+			quota.grants.Store(c.grants)
+			b.forwarder.Quota = quota
+			started := time.Now()
+			result := b.do(t.Context(), Request{ID: "r"}, time.Second)
+			if string(result.Body) != c.body || (c.body == "") != (result.Outcome == NotRun) {
+				t.Errorf("%s: ended %+v", c.name, result)
+			}
+			if took := time.Since(started); took > 50*time.Millisecond {
+				t.Errorf("%s: took %v", c.name, took)
+			}
+			if left := quota.grants.Load(); (c.left >= 0 && left != c.left) || (c.left < 0 && left >= 0) {
+				t.Errorf("%s: %d grants left", c.name, left)
+			}
+		})
+	}
+}
--- a/internal/forward/waiting.go
+++ b/internal/forward/waiting.go
@@ -41,6 +41,8 @@
 	arrived time.Time
 	// retry is true if a send of the request needs a grant of the budget.
 	retry bool
+	// patient is true if the request's caller has said how long it may wait.
+	patient bool
 	// turn is closed when the request may be sent, once.
 	turn chan struct{}
 }
@@ -181,27 +183,32 @@
 // letOut gives turns to as many waiters as there is room for, or to one as a probe. The mutex must be held.
 func (w *waitingRoom) letOut(service string, room *serviceRoom) {
 	now := boottime.Now()
-	for len(room.queue) > 0 && room.load.roomShown() {
-		if !w.letOutOne(service, room, true) {
-			break
-		}
+	for room.load.roomShown() && w.letOutOne(service, room, func(*waiter) bool { return true }) {
 	}
 	if len(room.queue) > 0 && room.load.probeDue(now) {
-		if w.letOutOne(service, room, room.load.silent(now)) {
-			room.load.noteProbe(now)
-		} else {
-			room.load.postponeProbe(now)
-		}
+		w.probe(service, room, now)
 	}
 	if len(room.queue) > 0 {
 		w.arm(service, room, room.load.probeAt.Sub(now))
 	}
 }
 
-// letOutOne gives the turn to the first waiter that may be sent now, a retry only if retries may be. It reports false if there is none.
-func (w *waitingRoom) letOutOne(service string, room *serviceRoom, retries bool) bool {
+// probe gives the turn to the first waiter that may be sent to find out whether there is room.
+func (w *waitingRoom) probe(service string, room *serviceRoom, now time.Time) {
+	sent := w.letOutOne(service, room, func(waiting *waiter) bool {
+		return !waiting.retry || room.load.mayProbeAgain(now, waiting.patient)
+	})
+	if !sent {
+		room.load.postponeProbe(now)
+		return
+	}
+	room.load.noteProbe(now)
+}
+
+// letOutOne gives the turn to the first waiter that may be sent. It reports false if there is none.
+func (w *waitingRoom) letOutOne(service string, room *serviceRoom, may func(waiting *waiter) bool) bool {
 	for i, waiting := range room.queue {
-		if waiting.retry && (!retries || !w.budget.Take(service)) {
+		if !may(waiting) || waiting.retry && !w.budget.Take(service) {
 			continue
 		}
 		room.queue = slices.Delete(room.queue, i, i+1)
