--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -11,9 +11,12 @@
 	// recently is how long an engine's refusal is news about its service.
 	recently = time.Second
 	// firstProbe and maxProbe bound the interval at which a full service is asked for room: about the length of a lookup at first, so that a
-	// moment's crowd costs its callers nothing, and twice a second from a process while an outage lasts.
+	// moment's crowd costs its callers nothing. In the replay of a crash of all engines at 300 gateways a longest interval of 0.5 s kept the
+	// engines falling (20 falls in 25 s, 1.47 to 1.50 sends for each request), one of 2 s let them come back (4 falls, 1.01 to 1.04).
 	firstProbe = 25 * time.Millisecond
-	maxProbe   = 500 * time.Millisecond
+	maxProbe   = 2 * time.Second
+	// maxKnownFull bounds how long an engine that refused is left out for first tries, which are no retries and serve as probes as well.
+	maxKnownFull = 500 * time.Millisecond
 	// silence is how long answers that are due may be missing before a retry is spent on a probe, and how long a patient retry leaves a service
 	// alone that refused: the budget pays for few of them.
 	silence = 500 * time.Millisecond
@@ -162,7 +165,7 @@
 // nextRefusal returns the refusal that follows an engine's last one.
 func (s *serviceLoad) nextRefusal(now time.Time, last refusal, unreachable bool) refusal {
 	if !unreachable {
-		return refusal{at: now, until: now.Add(max(busyBackoff, s.interval))}
+		return refusal{at: now, until: now.Add(min(max(busyBackoff, s.interval), maxKnownFull))}
 	}
 	life := min(firstUnreachable<<min(last.failures, 5), maxBackoff)
 	return refusal{at: now, until: now.Add(life), unreachable: true, failures: last.failures + 1}
