--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -183,6 +183,7 @@
 // watchHolder asks the holder whether it lives, and challenges one that does not answer.
 func (e *Elector) watchHolder(ctx context.Context, lease Lease, changed <-chan struct{}) {
 	misses := 0
+	var replaceAfter time.Time
 	for misses < maxMisses {
 		if pause.Unless(ctx, changed, pingInterval) {
 			return
@@ -193,7 +194,7 @@
 			continue
 		}
 		misses = 0
-		replaces := e.replaces(lease)
+		replaces := e.replaces(lease) && time.Now().After(replaceAfter)
 		if unserved < unservedLimit && !replaces {
 			continue
 		}
@@ -202,8 +203,8 @@
 			return
 		}
 		e.succeed(ctx, lease)
-		if replaces && pause.Unless(ctx, changed, replacePause) {
-			return
+		if replaces {
+			replaceAfter = time.Now().Add(replacePause)
 		}
 	}
 	if pause.Unless(ctx, changed, e.turn(lease)) {
--- a/internal/election/home.go
+++ b/internal/election/home.go
@@ -82,6 +82,7 @@
 		return
 	}
 	h.known, h.regions, h.notBefore = true, regions, time.Time{}
+	level.Info(e.Logger).Log("msg", "home regions", "home", strings.Join(regions, ","), "region", e.region(e.Zone), "away", e.outside(e.Zone, regions))
 	if h.set != nil {
 		close(h.set)
 	}
@@ -99,7 +100,6 @@
 	if !e.store(ctx, lease, next, "home told") {
 		e.home.retry()
 	}
-	level.Info(e.Logger).Log("msg", "home regions", "home", strings.Join(regions, ","), "region", e.region(e.Zone), "away", e.outside(e.Zone, regions))
 	return true
 }
 
--- a/internal/election/home_test.go
+++ b/internal/election/home_test.go
@@ -143,6 +143,22 @@
 		So(len(g.history()), ShouldEqual, 1)
 		So(g.isLeading(first), ShouldBeTrue)
 	})
+	play("A holder away that is lost is replaced at home within 3 s, also by candidates whose requests it has just refused", nil, func(g *group) {
+		first, _ := g.leader()
+		away := otherRegion(regionOf(first))
+		for i := range 2 {
+			g.set(g.refused, fmt.Sprintf("%s%d", away, i), true)
+		}
+		g.setHome(away)
+		time.Sleep(2 * time.Second)
+		for i := range 2 {
+			g.set(g.refused, fmt.Sprintf("%s%d", away, i), false)
+		}
+		g.set(g.silent, first, true)
+		g.set(g.cut, first, true)
+		time.Sleep(3 * time.Second)
+		So(g.leaderRegion(), ShouldEqual, away)
+	})
 }
 
 // Each call of a holder to the store takes the way there and back: on two regions 20 ms apart 47 ms from the other one and 7 ms from its own.
