jobresidency: the coordinator stands where reward calls may be too

Cause: with a bound route that only reward calls take, all jobs that name it were refused for as long as the coordinator stood elsewhere: the table does not tell which routes are taken by reward calls. Change: gateways name the bound ones with a submission, or, without the body, with the question before a refusal; the holder counts them for its home. Trial on a scratch copy: without the names the new test fails.

--- a/internal/batchrpc/batchrpc.go
+++ b/internal/batchrpc/batchrpc.go
@@ -45,13 +45,19 @@
 }
 
 // SubmitRequest asks to take a job.
-type SubmitRequest struct{ Job batch.Job }
+type SubmitRequest struct {
+	Job batch.Job
+	// RewardRoutes are the names of the bound routes that its reward calls take.
+	RewardRoutes []string
+}
 
 // ReadRequest asks for results.
 type ReadRequest struct {
 	Job      batch.Ref
 	Position int
 	Wait     time.Duration
+	// RewardRoutes are those of the job if it was to be submitted and its body may not be sent; none for a reading.
+	RewardRoutes []string
 }
 
 // ReadReply answers a ReadRequest.
@@ -115,6 +121,8 @@
 	Standing(request PingRequest) PingReply
 	// YieldTo stops the term of a token.
 	YieldTo(ctx context.Context, instance string, token int64) error
+	// NoteRewardRoutes takes in the names of bound routes that reward calls of jobs take: the process should stand where they allow.
+	NoteRewardRoutes(names []string)
 }
 
 // Register makes the server answer for the service and the lease.
@@ -123,10 +131,14 @@
 		if !lease.Leading() {
 			return Reply{Code: codeNotLeading}, nil
 		}
+		lease.NoteRewardRoutes(request.RewardRoutes)
 		err := service.Submit(ctx, request.Job)
 		return Reply{Code: toCode(err), Excluded: errors.Is(err, batch.ErrExcluded)}, nil
 	})
 	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request ReadRequest) (ReadReply, error) {
+		if len(request.RewardRoutes) > 0 && lease.Leading() {
+			lease.NoteRewardRoutes(request.RewardRoutes)
+		}
 		reading, err := service.Read(ctx, request.Job, request.Position, request.Wait)
 		return ReadReply{Code: toCode(err), Reading: reading}, nil
 	})
--- a/internal/batchrpc/client.go
+++ b/internal/batchrpc/client.go
@@ -80,9 +80,18 @@
 	return err
 }
 
-// settleExcluded finds out, without the job's body, whether a job that was excluded was taken earlier: only one that was not is refused.
+// settleExcluded finds out, without the job's body, whether a job that was excluded was taken earlier: only one that was not is refused. It also
+// tells which routes the reward calls take, so that the coordinator moves where they allow.
 func (c *Client) settleExcluded(ctx context.Context, job *batch.Job) error {
-	_, err := c.Read(ctx, batch.Ref{ID: job.ID, Tenant: job.Tenant}, math.MaxInt32, 0)
+	request := ReadRequest{
+		Job:          batch.Ref{ID: job.ID, Tenant: job.Tenant},
+		Position:     math.MaxInt32,
+		RewardRoutes: jobresidency.RewardRoutes(c.State.View().Routes, job),
+	}
+	reply, err := call[ReadRequest, ReadReply](ctx, c, request, 0)
+	if err == nil {
+		err = codeErrors[reply.Code]
+	}
 	level.Warn(c.Logger).Log("msg", "job excluded from the coordinator's region", "request", job.ID, "tenant", job.Tenant,
 		"zone", c.Leader().Zone, "allowed", fmt.Sprint(c.residency(job).Sets()), "taken_earlier", err)
 	if errors.Is(err, batch.ErrNotFound) {
@@ -134,7 +143,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	reply, err := rpc.Call[SubmitRequest, Reply](ctx, c.Calls, leader.Address, SubmitRequest{Job: job})
+	reply, err := rpc.Call[SubmitRequest, Reply](ctx, c.Calls, leader.Address, SubmitRequest{
+		Job:          job,
+		RewardRoutes: jobresidency.RewardRoutes(c.State.View().Routes, &job),
+	})
 	if errors.Is(err, rpc.ErrNotSent) {
 		return batch.ErrRefused
 	}
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -117,6 +117,8 @@
 	elector  *election.Elector
 	// candidates are the other processes that ask this one whether it lives.
 	candidates *election.Candidates
+	// rewards are the routes of reward calls that jobs have taken.
+	rewards jobresidency.Rewards
 }
 
 func runCoordinator(hooks fx.Lifecycle, params coordinatorParams) {
@@ -206,6 +208,9 @@
 	return c.elector.YieldTo(ctx, instance, token)
 }
 
+// NoteRewardRoutes implements batchrpc.Lease.
+func (c *coordinator) NoteRewardRoutes(names []string) { c.rewards.Note(names) }
+
 // errNotLeading reports a process that answers but does not coordinate.
 var errNotLeading = errors.New("not coordinating")
 
@@ -255,11 +260,13 @@
 	}
 	for ctx.Err() == nil {
 		view, changed := c.State.Changed()
+		rewards, moreRewards := c.rewards.Known()
 		if view.Routes != nil {
-			c.elector.SetHome(jobresidency.Home(view.Routes, view.Topology))
+			c.elector.SetHome(jobresidency.Home(view.Routes, view.Topology, rewards))
 		}
 		select {
 		case <-changed:
+		case <-moreRewards:
 		case <-ctx.Done():
 		}
 	}
--- a/internal/jobresidency/deployment_test.go
+++ b/internal/jobresidency/deployment_test.go
@@ -29,6 +29,8 @@
 const (
 	host  = "host.example"
 	model = "model-a"
+	// judges is the name of the route of reward calls, the only one that is no batch route.
+	judges = "judges"
 )
 
 var topology = fleet.NewTopology(map[string]string{"n1": "north", "n2": "north", "s1": "south", "s2": "south"})
@@ -81,6 +83,9 @@
 		route := &routes[i]
 		route.Host, route.Prefix, route.Kind = host, "/"+route.Name+"/", routing.KindBatch
 		route.Targets = []routing.Target{{Service: "pool", Weight: 1}}
+		if route.Name == judges {
+			route.Kind = routing.KindIdempotent
+		}
 		route.MaxAttempts, route.MaxQueue, route.ResultDeadline = 3, time.Hour, 8*time.Second
 	}
 	return routing.NewTable(version, routes, []routing.Service{{Name: "pool"}}, routing.Limits{})
@@ -158,6 +163,7 @@
 	elector *election.Elector
 	outage  *metastore.Outage
 	runner  *batchrun.Runner
+	rewards jobresidency.Rewards
 	stop    func()
 }
 
@@ -167,6 +173,8 @@
 	return batchrpc.PingReply{Leading: request.Instance == c.elector.Instance() && c.Leading(), Unserved: c.outage.Length()}
 }
 
+func (c *coordinator) NoteRewardRoutes(names []string) { c.rewards.Note(names) }
+
 func (c *coordinator) YieldTo(ctx context.Context, instance string, token int64) error {
 	return c.elector.YieldTo(ctx, instance, token)
 }
@@ -210,7 +218,7 @@
 		Unserved: c.outage.Length, Served: c.outage.Served,
 		Lead: func(ctx context.Context, term election.Term) {
 			var leading sync.WaitGroup
-			leading.Go(func() { d.followHome(ctx, state, c.elector) })
+			leading.Go(func() { d.followHome(ctx, state, c) })
 			leading.Go(func() { c.runner.Lead(ctx, term.Token) })
 			leading.Wait()
 		},
@@ -237,12 +245,14 @@
 	d.coordinators[zone] = c
 }
 
-func (d *deployment) followHome(ctx context.Context, state *fleet.State, elector *election.Elector) {
+func (d *deployment) followHome(ctx context.Context, state *fleet.State, c *coordinator) {
 	for ctx.Err() == nil {
 		view, changed := state.Changed()
-		elector.SetHome(jobresidency.Home(view.Routes, view.Topology))
+		rewards, more := c.rewards.Known()
+		c.elector.SetHome(jobresidency.Home(view.Routes, view.Topology, rewards))
 		select {
 		case <-changed:
+		case <-more:
 		case <-ctx.Done():
 		}
 	}
--- a/internal/jobresidency/jobresidency.go
+++ b/internal/jobresidency/jobresidency.go
@@ -15,13 +15,14 @@
 )
 
 // Home returns the regions in which the process that coordinates batch jobs may stand so that every bound job may go there: those that all
-// bound batch routes and, as a tenant may submit to every batch route, all bound tenants allow. It returns nil if nothing is bound, and if no
-// region of the deployment is allowed by all: then no place serves every job, and none is better than another.
-func Home(table *routing.Table, topology fleet.Topology) []string {
+// bound batch routes, the routes of reward calls of the names and, as a tenant may submit to every batch route, all bound tenants allow. It
+// returns nil if nothing is bound, and if no region of the deployment is allowed by all: then no place serves every job, and none is better
+// than another.
+func Home(table *routing.Table, topology fleet.Topology, rewardRoutes []string) []string {
 	if table == nil || !topology.Regional() {
 		return nil
 	}
-	bound := placement.Residency{Accepted: jobSets(table)}
+	bound := placement.Residency{Accepted: jobSets(table, rewardRoutes)}
 	if !bound.Bounded() {
 		return nil
 	}
@@ -30,13 +31,13 @@
 	return regions
 }
 
-// jobSets returns the sets of regions of the batch routes and of the tenants that may submit to them.
-func jobSets(table *routing.Table) [][]string {
+// jobSets returns the sets of regions of the batch routes, of the named routes of reward calls, and of the tenants that may submit jobs.
+func jobSets(table *routing.Table, rewardRoutes []string) [][]string {
 	var sets [][]string
 	batches := false
 	for _, route := range table.Routes() {
-		if route.Kind == routing.KindBatch {
-			batches = true
+		batches = batches || route.Kind == routing.KindBatch
+		if route.Kind == routing.KindBatch || slices.Contains(rewardRoutes, route.Name) {
 			sets = append(sets, route.AllowedRegions)
 		}
 	}
@@ -61,6 +62,23 @@
 	}
 }
 
+// RewardRoutes returns the names of the bound routes that a job's reward calls take, sorted.
+func RewardRoutes(table *routing.Table, job *batch.Job) []string {
+	var names []string
+	for i := range job.Items {
+		reward := job.Items[i].Reward
+		if reward == nil {
+			continue
+		}
+		route := table.Match(reward.Host, reward.Path)
+		if route != nil && len(route.AllowedRegions) > 0 && !slices.Contains(names, route.Name) {
+			names = append(names, route.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // regionsOf returns the regions that the route of a path allows; none if there is no route.
 func regionsOf(table *routing.Table, host, path string) []string {
 	if route := table.Match(host, path); route != nil {
--- a/internal/jobresidency/jobresidency_test.go
+++ b/internal/jobresidency/jobresidency_test.go
@@ -54,11 +54,43 @@
 		{"no zones are known", tableOf(nil, batchRoute("a", "north")), fleet.Topology{}, nil},
 	} {
 		Convey("The home regions with "+c.name, t, func() {
-			So(Home(c.table, c.topology), ShouldResemble, c.home)
+			So(Home(c.table, c.topology, nil), ShouldResemble, c.home)
 		})
 	}
 }
 
+func TestHomeWithRewards(t *testing.T) {
+	judge := routing.Route{Name: "judge", Host: "h", Prefix: "/judge/", Kind: routing.KindIdempotent, AllowedRegions: []string{"south"}}
+	free := routing.Route{Name: "free", Host: "h", Prefix: "/free/", Kind: routing.KindIdempotent}
+	table := tableOf(nil, batchRoute("a"), judge, free)
+	job := &batch.Job{Host: "h", Path: "/a/1"}
+	for _, path := range []string{"/judge/1", "/free/1", "/judge/2", "/nowhere"} {
+		job.Items = append(job.Items, batch.Item{Reward: &batch.Reward{Host: "h", Path: path}})
+	}
+	job.Items = append(job.Items, batch.Item{})
+	Convey("A bound route that reward calls are known to take counts for the home", t, func() {
+		So(RewardRoutes(table, job), ShouldResemble, []string{"judge"})
+		So(Home(table, twoRegions, nil), ShouldBeNil)
+		So(Home(table, twoRegions, RewardRoutes(table, job)), ShouldResemble, []string{"south"})
+		So(Home(tableOf(nil, batchRoute("a", "north"), judge), twoRegions, []string{"judge"}), ShouldBeNil)
+	})
+	Convey("What is known of them grows, and tells so", t, func() {
+		var rewards Rewards
+		names, changed := rewards.Known()
+		So(names, ShouldBeEmpty)
+		rewards.Note([]string{"x", "y"})
+		<-changed
+		names, changed = rewards.Known()
+		So(names, ShouldResemble, []string{"x", "y"})
+		rewards.Note([]string{"y"})
+		select {
+		case <-changed:
+			So("changed", ShouldEqual, "unchanged")
+		default:
+		}
+	})
+}
+
 func TestJobBounds(t *testing.T) {
 	judge := routing.Route{Name: "judge", Host: "h", Prefix: "/judge/", Kind: routing.KindIdempotent, AllowedRegions: []string{"north", "south"}}
 	before := tableOf(map[string][]string{"t": {"north", "south"}}, batchRoute("a", "north"), judge)
--- a/internal/jobresidency/wired_test.go
+++ b/internal/jobresidency/wired_test.go
@@ -90,6 +90,35 @@
 	})
 }
 
+func TestBoundRewardCalls(t *testing.T) {
+	play(t, "The coordinator moves where the reward calls of jobs may be, once it is told of the first, and not for jobs without", []routing.Route{bound("free"), bound(judges)},
+		func(d *deployment) {
+			here := topology.Region(d.leads())
+			there := map[string]string{"north": "south", "south": "north"}[here]
+			d.configure(2, bound("free"), bound(judges, there))
+			judged := func(id string) error {
+				job := newJob(id, "free")
+				for i := range job.Items {
+					job.Items[i].Reward = &batch.Reward{ID: "reward-" + job.Items[i].ID, Host: host, Path: "/" + judges + "/1", Body: []byte("judge-" + id)}
+				}
+				return d.gateways["n1"].client.Submit(context.Background(), job)
+			}
+			So(d.submit("n1", "plain", "free"), ShouldBeNil)
+			time.Sleep(10 * time.Second)
+			So(topology.Region(d.leads()), ShouldEqual, here)
+			So(judged("first"), ShouldEqual, batch.ErrExcluded)
+			So(d.network.seen("judge-first"), ShouldBeEmpty)
+			time.Sleep(2 * time.Second)
+			So(topology.Region(d.leads()), ShouldEqual, there)
+			So(judged("second"), ShouldBeNil)
+			count, err := d.results("n2", "second")
+			So(err, ShouldBeNil)
+			So(count, ShouldEqual, 4)
+			So(d.network.seenIn(there, "judge-second"), ShouldNotBeEmpty)
+			So(d.network.seenIn(here, "judge-second"), ShouldBeEmpty)
+		})
+}
+
 func TestChangeOfRegionsUnderWay(t *testing.T) {
 	play(t, "A job whose regions change under way is read by no process that either set excludes, and goes on once one may have it",
 		[]routing.Route{bound("bound", "north"), bound("free")}, func(d *deployment) {
