itemwork: texts of bound runs are not told to a holder elsewhere, and outlive it

Cause: a worker told each new term all that it held; a holder that stands in for a home region got texts that it may not have, and ended the runs as unwanted. A desk whose term ends answers polls at once: they went on for up to 1 s, longer than the 400 ms for which the next term waits for runs to adopt, so that after a lease was yielded all items began anew (8 sends of 4 items in the test, 4 now).

--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/placement"
 	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
@@ -109,6 +110,10 @@
 		Report: func(ctx context.Context, address string, request itemwork.ReportRequest) (itemwork.ReportReply, error) {
 			return itemwork.SendReports(ctx, calls, address, request)
 		},
+		MayTell: func(address string, begunBy int64, residency placement.Residency) bool {
+			term := watcher.Term()
+			return !residency.Bounded() || term.Address == address && (term.Token == begunBy || residency.Allows(state.View().Topology.Region(term.Zone)))
+		},
 		Draining: stopping.Load,
 		Logger:   telemetry.For(logger, telemetry.PartBatch),
 	})
--- a/internal/itemwork/desk.go
+++ b/internal/itemwork/desk.go
@@ -91,6 +91,12 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for _, worker := range d.workers {
+		// A poll that went on waiting would learn of the next term later than that waits for runs to adopt.
+		if len(worker.orders) == 0 {
+			close(worker.ready)
+		}
+	}
 	d.handler, d.workers, d.carriers = nil, nil, nil
 }
 
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -11,6 +11,7 @@
 
 	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/pause"
+	"github.com/covelink/covelink/internal/placement"
 )
 
 const (
@@ -43,6 +44,9 @@
 	// Poll and Report call the process at an address.
 	Poll   func(ctx context.Context, address string, request PollRequest) (PollReply, error)
 	Report func(ctx context.Context, address string, request ReportRequest) (ReportReply, error)
+	// MayTell reports whether the process at an address may be told of a run that a term began; nil means always. One in a region that the run
+	// may not be in is told of the runs that it began itself: it does not know the jobs of others, and a later term may go on with them.
+	MayTell func(address string, term int64, residency placement.Residency) bool
 	// Draining is true once the process stops: nothing new is assigned then.
 	Draining func() bool
 	Logger   log.Logger
@@ -260,11 +264,11 @@
 
 // reportOnce reports what is new. It reports whether there is more.
 func (w *Worker) reportOnce(ctx context.Context) (more bool, err error) {
-	request, more := w.batch()
+	address := w.Coordinator()
+	request, more := w.batch(address)
 	if len(request.Reports) == 0 {
 		return false, nil
 	}
-	address := w.Coordinator()
 	if address == "" {
 		return true, errNotTaken
 	}
@@ -286,15 +290,27 @@
 	return more, nil
 }
 
-// batch returns what is new of the runs, as much as fits one call, and whether there is more.
-func (w *Worker) batch() (request ReportRequest, more bool) {
+// withholds reports whether the process at an address is told nothing of a run. One that has ended is kept for a later term as if it were told.
+// The mutex must be held.
+func (w *Worker) withholds(address string, run *workerRun) bool {
+	if w.MayTell == nil || w.MayTell(address, run.assignment.Run.Term, run.assignment.Residency) {
+		return false
+	}
+	if address != "" && run.over() && run.endReported.IsZero() {
+		run.endReported = time.Now()
+	}
+	return true
+}
+
+// batch returns what is new of the runs to the process at an address, as much as fits one call, and whether there is more.
+func (w *Worker) batch(address string) (request ReportRequest, more bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	request = ReportRequest{Worker: w.identity(), Term: w.term}
 	size := 0
 	for _, id := range w.order {
 		run := w.runs[id]
-		if run == nil || !run.news() {
+		if run == nil || !run.news() || w.withholds(address, run) {
 			continue
 		}
 		if size > maxReportBytes {
--- a/internal/jobresidency/deployment_test.go
+++ b/internal/jobresidency/deployment_test.go
@@ -22,6 +22,7 @@
 	"github.com/covelink/covelink/internal/jobresidency"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/metastore/metastoretest"
+	"github.com/covelink/covelink/internal/placement"
 	"github.com/covelink/covelink/internal/routing"
 	"github.com/covelink/covelink/internal/rpc"
 )
@@ -112,7 +113,7 @@
 }
 
 // Send implements forward.Transport: each engine makes one event.
-func (d *deployment) Send(ctx context.Context, _ *fleet.Engine, _ *forward.Request, _ forward.SendOptions) (*forward.Answer, error) {
+func (d *deployment) Send(ctx context.Context, _ *fleet.Engine, request *forward.Request, _ forward.SendOptions) (*forward.Answer, error) {
 	d.mu.Lock()
 	d.sends++
 	d.mu.Unlock()
@@ -129,7 +130,7 @@
 			return nil, ctx.Err()
 		}
 	}
-	body := io.NopCloser(strings.NewReader("id: 1\ndata: e1\n\n"))
+	body := io.NopCloser(strings.NewReader("id: 1\ndata: " + text(request.ID) + "\n\n"))
 	return &forward.Answer{Status: http.StatusOK, Valid: true, Signature: "signed", WeightVersion: 1, Header: http.Header{}, Body: body}, nil
 }
 
@@ -282,6 +283,10 @@
 		Report: func(ctx context.Context, address string, request itemwork.ReportRequest) (itemwork.ReportReply, error) {
 			return itemwork.SendReports(ctx, calls, address, request)
 		},
+		MayTell: func(address string, begunBy int64, residency placement.Residency) bool {
+			term := watcher.Term()
+			return !residency.Bounded() || term.Address == address && (term.Token == begunBy || residency.Allows(topology.Region(term.Zone)))
+		},
 		Draining: func() bool { return false },
 		Logger:   log.NewNopLogger(),
 	})
@@ -316,6 +321,9 @@
 	return ""
 }
 
+// text is what engines make of an item.
+func text(item string) string { return "text-of-" + item }
+
 // body is what the items of a job hold.
 func body(job string) string { return "body-of-" + job }
 
--- a/internal/jobresidency/wired_test.go
+++ b/internal/jobresidency/wired_test.go
@@ -224,19 +224,23 @@
 			So(d.readIn("south", "kept"), ShouldBeEmpty)
 			So(d.network.seen(body("new")), ShouldBeEmpty)
 		})
-	play(t, "Once the home region is back it leads, and the jobs that waited go on", []routing.Route{bound("bound", "north"), bound("free")}, func(d *deployment) {
+	play(t, "Once the home region is back it leads, and the jobs that waited go on with what their workers made meanwhile", []routing.Route{bound("bound", "north"), bound("free")}, func(d *deployment) {
 		d.setHold(true)
 		So(d.submit("s1", "job", "bound"), ShouldBeNil)
 		for _, zone := range []string{"n1", "n2"} {
 			d.coordinators[zone].stop()
 			delete(d.coordinators, zone)
 		}
+		// The engines answer while nobody leads.
+		d.setHold(false)
 		time.Sleep(7 * time.Second)
 		So(topology.Region(d.leads()), ShouldEqual, "south")
-		d.setHold(false)
+		So(d.network.seenIn("south", text("job-")), ShouldBeEmpty)
 		d.startCoordinator("n1")
 		time.Sleep(5 * time.Second)
 		So(d.leads(), ShouldEqual, "n1")
+		So(d.network.seenIn("south", text("job-")), ShouldBeEmpty)
+		So(d.countSends(), ShouldEqual, 4)
 		count, err := d.results("s2", "job")
 		So(err, ShouldBeNil)
 		So(count, ShouldEqual, 4)
