batchrun: a run placed while the term ends is not carried out by the process that led

Cause: TestLostHomeRegion ("Once the home region is back ...") counted 8 or 5 sends instead of 4 in 3 of 60 runs. The scheduler may be in the midst of a look when the term's context ends. Desk.Lead ends at the same moment and lets go of its workers, so Desk.AssignWithin finds none and Runner.carry fell back to running the items in the process itself, with a context that has ended: each such send comes to nothing and is made again by the next term. One to four items were placed after the desk's end, hence 5 to 8. A log of sends on a scratch copy showed it: in the failing runs the surplus sends all came from runHere at the moment of the stop, and no worker held a run ("coordinator changed ... runs=0").

Ruled out: late reports to the new term, adoptTime, MayTell, the worker's polls, the keeping of ended runs: there was nothing to tell.

Change: carry runs nothing here once the term has ended. The desk lets go of its workers only after that, so the check cannot come too early.

--- a/internal/batchrun/remote_test.go
+++ b/internal/batchrun/remote_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -106,6 +108,48 @@
 	}
 }
 
+// endingQuota ends the term while a run is placed.
+type endingQuota struct {
+	stop func()
+	desk *itemwork.Desk
+}
+
+func (q endingQuota) Cold(*fleet.Engine) bool               { return true }
+func (q endingQuota) Free(*fleet.Engine, routing.Rank) bool { return true }
+
+// Take returns once the desk has let go of its workers.
+func (q endingQuota) Take(*fleet.Engine, routing.Rank) bool {
+	go q.stop()
+	for q.desk.Workers() > 0 {
+		runtime.Gosched()
+	}
+	return true
+}
+
+func TestTermEndsWhilePlacing(t *testing.T) {
+	playDesk(t, "A run that is placed while the term ends is not carried out by the process that led, and the next term makes the text once", func(w *deskWorld) {
+		w.stop()
+		var ending endingQuota
+		w.quota = &ending
+		w.lead(2)
+		defer w.work("one")()
+		var ended sync.WaitGroup
+		ended.Add(1)
+		ending.desk = w.desk.Load()
+		ending.stop = func() {
+			w.stop()
+			ended.Done()
+		}
+		w.submit("j", 1)
+		ended.Wait()
+		So(w.engines.count(), ShouldEqual, 0)
+		w.quota = nil
+		w.lead(3)
+		w.shouldBeWhole(w.results("j", 3*time.Second), 1)
+		So(len(w.engines.of("j-0")), ShouldEqual, 1)
+	})
+}
+
 func TestWorkers(t *testing.T) {
 	playDesk(t, "Items that workers run get one whole result each, from one run", func(w *deskWorld) {
 		defer w.work("one")()
--- a/internal/batchrun/residency.go
+++ b/internal/batchrun/residency.go
@@ -95,7 +95,8 @@
 }
 
 // carry has an assignment carried out by the worker of an engine, or by this process, where the item's data may be. It returns false if neither
-// can. The mutex must be held.
+// can. The desk has no workers once the term has ended: this process, which lets go of all it makes then, would send what the next term sends
+// again. The mutex must be held.
 func (r *Runner) carry(begun *run, engine *fleet.Engine, assignment *itemwork.Assignment) bool {
 	residency := r.carriage(begun.item)
 	if r.Desk != nil {
@@ -104,7 +105,7 @@
 			return true
 		}
 	}
-	if !r.hosts(residency) {
+	if !r.leads() || !r.hosts(residency) {
 		return false
 	}
 	r.runHere(begun, assignment)
