lab/load: a request that net/http sent twice is not taken for one never sent

Cause: TestKeeperLosesItsDisk failed once in a whole race run: "not-run lies: meeting-rooms-2-000074: refused as not run, yet summ-lm-bne-stl-1 ran it". The requests of the load bear an Idempotency-Key. net/http sends such a request again by itself when an open connection that was used before breaks ahead of the answer. The node that was killed refuses the second connection, and the load's client took that "dial" failure for the proof that nothing was sent, though the first connection had carried the request. The node's answer was not wrong: it gave none.

Ruled out by reading: the public client (completions have no GetBody, so are not repeated), the node's calls to engines (a count of written bytes), claims (a claim is answered as not run only before dispatch). The logs of that run hold no line of the request, neither of the client nor of a node; the cause is shown by the mechanism, not by that log.

Change: "not run" needs a failed dial and no connection got before. The check of the promise is as it was.

--- a/internal/lab/load/client.go
+++ b/internal/lab/load/client.go
@@ -6,8 +6,10 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/openai/openai-go/v3"
@@ -39,6 +41,8 @@
 	finishReason   string
 	started, ended time.Time
 	firstToken     time.Time
+	// connected is true once the request had a connection on which it may have been sent.
+	connected atomic.Bool
 }
 
 // newClient returns an OpenAI client for one node. It never retries by itself, for every try is to be seen.
@@ -52,8 +56,9 @@
 }
 
 // ask sends a question as a stream and reads the whole answer.
-func ask(ctx context.Context, client openai.Client, config Config, question question) answer {
-	result := answer{started: time.Now()}
+func ask(ctx context.Context, client openai.Client, config Config, question question) *answer {
+	result := &answer{started: time.Now()}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { result.connected.Store(true) }})
 	stream := client.Completions.NewStreaming(ctx, openai.CompletionNewParams{
 		Model:     openai.CompletionNewParamsModel(config.Pool),
 		Prompt:    openai.CompletionNewParamsPromptUnion{OfString: openai.String(question.prompt)},
@@ -101,8 +106,10 @@
 		return statedOutcome(broken.Event.Data)
 	}
 	var failed *net.OpError
-	if errors.As(err, &failed) && failed.Op == "dial" {
-		return v1.OutcomeNotRun // without a connection nothing was sent
+	if errors.As(err, &failed) && failed.Op == "dial" && !a.connected.Load() {
+		// Without a connection nothing was sent. With one, the failure is that of a repeat: net/http sends a request with an idempotency key
+		// again when an open connection breaks before the answer.
+		return v1.OutcomeNotRun
 	}
 	return v1.OutcomeUnknown
 }
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -1,9 +1,12 @@
 package load
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -100,6 +103,53 @@
 	}
 }
 
+// dyingNode answers a first request and leaves the connection open. It takes in a second one on it and then ends: the connection breaks, and
+// new ones are refused.
+func dyingNode(t *testing.T) (url string, dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		requests := bufio.NewReader(conn)
+		take := func() {
+			request, err := http.ReadRequest(requests)
+			if err == nil {
+				_, err = io.Copy(io.Discard, request.Body)
+			}
+			if err != nil {
+				t.Error(err)
+			}
+		}
+		take()
+		body := chunk("a ", "") + chunk("", "stop") + "data: [DONE]\n\n"
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		take()
+		listener.Close()
+	}()
+	return "http://" + listener.Addr().String(), new(net.Dialer).DialContext
+}
+
+func TestLostRequestIsNotTakenForOneNeverSent(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	Convey("A request that was sent to a node that then ends is of unknown outcome, though new connections are refused", t, func() {
+		url, dial := dyingNode(t)
+		config := testConfig(url)
+		config.Dial = dial
+		load, err := New(config, nil, log.NewNopLogger())
+		So(err, ShouldBeNil)
+		defer load.transport.CloseIdleConnections()
+		for _, expected := range []v1.Outcome{v1.OutcomeCompleted, v1.OutcomeUnknown, v1.OutcomeNotRun} {
+			question := load.question(0)
+			So(ask(context.Background(), load.clients[0], config, question).outcome, ShouldEqual, expected)
+		}
+	})
+}
+
 func TestLoadRequests(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	Convey("Requests carry what the API asks for and are the same for the same seed", t, func() {
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -47,7 +47,7 @@
 	m.report.Shed++
 }
 
-func (m *meter) add(question question, answer answer, due time.Time) {
+func (m *meter) add(question question, answer *answer, due time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.report.Sent++
@@ -64,7 +64,7 @@
 	}
 }
 
-func (m *meter) countNotRepeatable(question question, answer answer) {
+func (m *meter) countNotRepeatable(question question, answer *answer) {
 	if !question.notRepeatable {
 		return
 	}
