--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -25,7 +25,7 @@
 		}
 	}()
 	sent := boottime.Now()
-	options := SendOptions{TimeLeft: boottime.Until(j.deadline)}
+	options := SendOptions{TimeLeft: boottime.Until(j.deadline), Once: !j.route.Repeatable()}
 	if !chosen.grantedAt.IsZero() {
 		options.LeaveBy = chosen.grantedAt.Add(GrantedSendTime)
 	}
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -24,6 +24,7 @@
 	engine   string
 	timeLeft time.Duration
 	leaveBy  time.Time
+	once     bool
 }
 
 // script says what each engine does; engines that it does not name answer 200.
@@ -39,7 +40,7 @@
 
 func (s *script) Send(ctx context.Context, engine *fleet.Engine, _ *Request, options SendOptions) (*Answer, error) {
 	s.mu.Lock()
-	s.sends = append(s.sends, sent{engine: engine.ID, timeLeft: options.TimeLeft, leaveBy: options.LeaveBy})
+	s.sends = append(s.sends, sent{engine: engine.ID, timeLeft: options.TimeLeft, leaveBy: options.LeaveBy, once: options.Once})
 	do := s.does[engine.ID]
 	s.mu.Unlock()
 	if do == nil {
@@ -120,6 +121,7 @@
 			So(string(result.Body), ShouldStartWith, "from ")
 			So(len(s.sends), ShouldEqual, 1)
 			So(s.sends[0].timeLeft, ShouldBeLessThanOrEqualTo, time.Second)
+			So(s.sends[0].once, ShouldEqual, kind == routing.KindAtMostOnce)
 		})
 		play(t, "A request that all engines refuse was not run, and is given back within a quarter of its objective ("+kind.String()+")", kind, both(refused),
 			func(result Result, _ *script, took time.Duration) {
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -47,6 +47,8 @@
 	// LeaveBy is the moment of boottime by which the request must leave; after it nothing is sent, and the error wraps ErrNotSent. Zero sets
 	// no bound.
 	LeaveBy time.Time
+	// Once is true if the request must not reach the engine twice: the transport sends it on no other connection once a byte of it has left.
+	Once bool
 	// Resume continues a stream after the event LastEventID.
 	Resume      bool
 	LastEventID int64
