itemwork: a run is told to a term that begins while a report is made

Cause: a report looks for the holder's address first and then at the runs. If a poll hears of a new term between the two, the address may still be the earlier holder's. What that one may not be told (a bound run) was withheld and noted as told, in the new term: the new holder never heard of it and made the text anew. Found by reading while tracing TestLostHomeRegion; it is not the cause of the failures seen there.

Change: a report whose term has changed since before the address was read is made anew, at once.

--- a/internal/itemwork/withheld_test.go
+++ b/internal/itemwork/withheld_test.go
@@ -194,3 +194,72 @@
 		})
 	})
 }
+
+func TestRunIsToldThoughTheTermBeginsDuringAReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{term: 1}
+		run := itemwork.RunID{Term: 1, Number: 1}
+		var holder atomic.Value
+		holder.Store("old")
+		var gate, changing atomic.Bool
+		release, heard := make(chan struct{}), make(chan struct{})
+		worker := itemwork.NewWorker(itemwork.WorkerParams{
+			Name:     "w",
+			Executor: &itemwork.Executor{State: fleet.NewState(), Transport: endlessEngine{}},
+			// The holder changes, and a poll hears of its term, between a report's look for the holder and what it makes of that.
+			Coordinator: func() string {
+				address := holder.Load().(string)
+				if changing.CompareAndSwap(true, false) {
+					holder.Store("new")
+					s.set(func() { s.term, s.orders = 2, nil })
+					close(release)
+					<-heard
+				}
+				return address
+			},
+			Poll: func(ctx context.Context, address string, request itemwork.PollRequest) (itemwork.PollReply, error) {
+				if gate.CompareAndSwap(true, false) {
+					<-release
+				}
+				if request.Term == 2 {
+					select {
+					case <-heard:
+					default:
+						close(heard)
+					}
+				}
+				return s.poll(ctx, address, request)
+			},
+			Report:   s.report,
+			MayTell:  func(address string, _ int64, _ placement.Residency) bool { return address == holder.Load() },
+			Draining: func() bool { return false },
+			Logger:   log.NewNopLogger(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			worker.Run(ctx)
+			close(done)
+		}()
+		defer func() {
+			cancel()
+			<-done
+		}()
+		Convey("A run that has ended is told to a term that begins while a report is made", t, func() {
+			s.set(func() { s.orders = []itemwork.Order{begin(1, run)} })
+			time.Sleep(time.Second)
+			s.set(func() { s.orders = []itemwork.Order{{Number: 2, Cancel: run}} })
+			time.Sleep(time.Second)
+			reports := s.told()
+			So(reports[len(reports)-1].End.Verdict, ShouldEqual, itemwork.VerdictCanceled)
+			gate.Store(true)
+			time.Sleep(100 * time.Millisecond)
+			changing.Store(true)
+			time.Sleep(2 * time.Second)
+			reports = s.told()
+			So(len(reports), ShouldEqual, 1)
+			So(reports[0].Run, ShouldResemble, run)
+			So(reports[0].From, ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -277,10 +277,13 @@
 
 // reportOnce reports what is new. It reports whether there is more.
 func (w *Worker) reportOnce(ctx context.Context) (more bool, err error) {
+	w.mu.Lock()
+	term := w.term
+	w.mu.Unlock()
 	address := w.Coordinator()
-	request, more := w.batch(address)
+	request, more := w.batch(address, term)
 	if len(request.Reports) == 0 {
-		return false, nil
+		return more, nil
 	}
 	if address == "" {
 		return true, errNotTaken
@@ -315,10 +318,15 @@
 	return true
 }
 
-// batch returns what is new of the runs to the process at an address, as much as fits one call, and whether there is more.
-func (w *Worker) batch(address string) (request ReportRequest, more bool) {
+// batch returns what is new of the runs to the process at an address, as much as fits one call, and whether there is more. term is the one that
+// was known before the address was: if a later one has begun since, the address may be that of the earlier holder, and what is withheld from
+// it would count as told to the later one.
+func (w *Worker) batch(address string, term int64) (request ReportRequest, more bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.term != term {
+		return ReportRequest{}, true
+	}
 	request = ReportRequest{Worker: w.identity(), Term: w.term}
 	size := 0
 	for _, id := range w.order {
