batchrun, weightorder, enginescale: plain names and comments, shorter Lead and streamEnded

Metaphors in names (stranded, patient, forced, room, closed) became terms of the glossary or what the value is; Lead and streamEnded did several jobs and are cut into one function each. Error text of an order that the placement filter forbids is now 'engine not permitted'; otherwise no behaviour changes.

--- a/internal/batchrun/emptying.go
+++ b/internal/batchrun/emptying.go
@@ -13,22 +13,22 @@
 )
 
 const (
-	// emptyShare is the part of the time to evacuate a zone in which this process empties it. The rest is for this process to learn of the
-	// evacuation: that takes one to three seconds, where operators wait for five.
+	// emptyShare is the share of EvacuateTime that this process spends on ending runs in the zone. The rest is for learning of the evacuation,
+	// which takes one to three seconds; operators expect the zone to be empty after five.
 	emptyShare = 0.4
-	// emptyInterval is the pause between two choices of runs to end.
+	// emptyInterval is the pause between two choices of runs to end: ten choices in the two seconds that operators' settings leave.
 	emptyInterval = 200 * time.Millisecond
-	// emptyMargin is how long before the end all runs are ended that are left: the next choice is an interval later, and a busy scheduler
-	// rests up to scheduleInterval in addition.
+	// emptyMargin is how long before the zone must be empty all remaining runs are ended: the next choice would come emptyInterval later, and
+	// a busy scheduler adds a pause of up to scheduleInterval.
 	emptyMargin = emptyInterval + scheduleInterval
 )
 
-// emptyingZones are the evacuated zones, with the moment from which on no run may be left in each.
+// emptyingZones holds the evacuated zones and, for each, when its last run must have ended.
 type emptyingZones struct {
-	// seen are the evacuations that were taken in last; nil while they are not known.
+	// seen are the evacuations of the last update; nil while they are not known.
 	seen  *fleet.Evacuations
 	zones map[string]emptyingZone
-	// chosenAt is when runs were last chosen, and left how many there were then that had not been ended.
+	// chosenAt is when runs to end were last chosen, and left is how many runs in evacuated zones were not chosen then.
 	chosenAt time.Time
 	left     int
 }
@@ -36,12 +36,12 @@
 type emptyingZone struct {
 	// since is the revision of the store at which the zone became evacuated.
 	since int64
-	// emptyBy is a moment of boottime: runs must not stay longer because this machine was suspended.
+	// emptyBy is measured by boottime, so that a suspension of this machine does not prolong the runs.
 	emptyBy time.Time
 }
 
-// update takes in the evacuations. A zone must be empty after the window, or at once if they were not known before: how long ago it became
-// evacuated is not known then.
+// update records the evacuations. A newly evacuated zone must be empty after the window. If no evacuations were known before, it must be empty at
+// once, as nobody knows how long ago it was evacuated.
 func (e *emptyingZones) update(evacuations *fleet.Evacuations, now time.Time, window time.Duration) {
 	if evacuations == e.seen {
 		return
@@ -66,58 +66,60 @@
 	e.zones = zones
 }
 
-// strandedRun is a run in an evacuated zone, with what decides whether it is ended from here.
-type strandedRun struct {
+// evacuatedRun is a run in an evacuated zone, with what decides whether and when it is ended.
+type evacuatedRun struct {
 	run *run
-	// timeLeft is how long its stream is expected to take, and untilEmpty how long it may.
+	// timeLeft is how much longer its stream is expected to take, and untilEmpty how much longer it may take.
 	timeLeft, untilEmpty time.Duration
-	// room counts the free places in which its item could go on. Runs that compete for the same places share it; nil if there is none.
-	room *int
-	// unwanted runs are those that no job waits for: they go on as long as they may.
+	// freePlaces counts the free places at which its item could continue. Runs that compete for the same places share the counter. Nil if no
+	// engine can take the item now.
+	freePlaces *int
+	// unwanted is true if no job waits for the run: it continues as long as it may.
 	unwanted bool
 }
 
-// forced reports whether the run must be ended now.
-func (s *strandedRun) forced() bool { return s.untilEmpty <= emptyMargin }
+// mustEnd reports whether the run must be ended now.
+func (s *evacuatedRun) mustEnd() bool { return s.untilEmpty <= emptyMargin }
 
-// patient reports whether the run had better stay: its stream is expected to end in time, or nobody waits for its item.
-func (s *strandedRun) patient() bool { return s.unwanted || s.timeLeft < s.untilEmpty-emptyMargin }
+// mayStay reports whether the run is left alone until mustEnd: its stream is expected to end in time, or no job waits for its item.
+func (s *evacuatedRun) mayStay() bool { return s.unwanted || s.timeLeft < s.untilEmpty-emptyMargin }
 
-// chooseToEnd returns the runs that are to be ended now: all for which the time is over, and of the others an even part for each interval that
-// is left, those with the longest rest first, as far as there is room elsewhere. An even part keeps their prompts from being read all at once.
-func chooseToEnd(stranded []strandedRun) []*run {
+// chooseToEnd returns the runs to end now: all whose time is over, and an equal share of the others for each interval that is left. Of these, the
+// runs with the most time left come first, and only as many as there are free places elsewhere. Equal shares spread the prefill of their prompts
+// over the intervals.
+func chooseToEnd(evacuated []evacuatedRun) []*run {
 	var chosen []*run
-	var optional []strandedRun
-	quota := 0.0
-	for _, candidate := range stranded {
+	var optional []evacuatedRun
+	share := 0.0
+	for _, candidate := range evacuated {
 		switch {
-		case candidate.forced():
+		case candidate.mustEnd():
 			chosen = append(chosen, candidate.run)
-		case !candidate.patient():
+		case !candidate.mayStay():
 			optional = append(optional, candidate)
-			quota += emptyInterval.Seconds() / (candidate.untilEmpty - emptyMargin).Seconds()
+			share += emptyInterval.Seconds() / (candidate.untilEmpty - emptyMargin).Seconds()
 		}
 	}
-	slices.SortFunc(optional, func(a, b strandedRun) int {
+	slices.SortFunc(optional, func(a, b evacuatedRun) int {
 		return cmp.Or(cmp.Compare(b.timeLeft, a.timeLeft), cmp.Compare(a.run.id.Number, b.run.id.Number))
 	})
-	left := int(math.Ceil(quota))
+	budget := int(math.Ceil(share))
 	for _, candidate := range optional {
-		if left == 0 {
+		if budget == 0 {
 			break
 		}
-		if candidate.room == nil || *candidate.room <= 0 {
+		if candidate.freePlaces == nil || *candidate.freePlaces <= 0 {
 			continue
 		}
-		*candidate.room--
-		left--
+		*candidate.freePlaces--
+		budget--
 		chosen = append(chosen, candidate.run)
 	}
 	return chosen
 }
 
-// emptyZones ends runs in evacuated zones, so that their items go on elsewhere and the zones are empty in time. It returns how long the next
-// choice may be put off; idleInterval if none is due. The mutex must be held.
+// emptyZones ends runs in evacuated zones, so that their items continue elsewhere and the zones are empty in time. It returns the longest pause
+// until the next call; idleInterval if no run is left to end. The mutex must be held.
 func (r *Runner) emptyZones(looked *look) (pause time.Duration) {
 	if r.EvacuateTime == 0 {
 		return idleInterval
@@ -131,16 +133,16 @@
 	if passed := now.Sub(emptying.chosenAt); passed < emptyInterval {
 		return emptying.pause(emptyInterval - passed)
 	}
-	stranded := r.strandedRuns(looked, now)
-	chosen := chooseToEnd(stranded)
+	evacuated := r.evacuatedRuns(looked, now)
+	chosen := chooseToEnd(evacuated)
 	for _, ended := range chosen {
-		r.endStranded(ended)
+		r.endEvacuated(ended)
 	}
-	emptying.chosenAt, emptying.left = now, len(stranded)-len(chosen)
+	emptying.chosenAt, emptying.left = now, len(evacuated)-len(chosen)
 	return emptying.pause(emptyInterval)
 }
 
-// pause returns how long the next choice may be put off, if it is due after a while for the runs that are left.
+// pause returns the longest pause until the next choice: due if runs are left, else idleInterval.
 func (e *emptyingZones) pause(due time.Duration) time.Duration {
 	if e.left == 0 {
 		return idleInterval
@@ -148,8 +150,8 @@
 	return due
 }
 
-// endStranded ends a run so that its item goes on elsewhere. The mutex must be held.
-func (r *Runner) endStranded(ended *run) {
+// endEvacuated ends a run in an evacuated zone so that its item continues elsewhere. The mutex must be held.
+func (r *Runner) endEvacuated(ended *run) {
 	it := ended.item
 	level.Info(r.Logger).Log("msg", "run ended in evacuated zone", "request", it.ID, "job", it.job.ID, "run", ended.id, "worker", ended.worker,
 		"engine", ended.engine, "zone", ended.zone, "evacuated_at", r.emptying.zones[ended.zone].since,
@@ -159,29 +161,29 @@
 	ended.cancel()
 }
 
-// strandedRuns returns the runs in evacuated zones that were not ended yet. The mutex must be held.
-func (r *Runner) strandedRuns(looked *look, now time.Time) []strandedRun {
+// evacuatedRuns returns the runs in evacuated zones that have not been told to end yet. The mutex must be held.
+func (r *Runner) evacuatedRuns(looked *look, now time.Time) []evacuatedRun {
 	if r.emptying.seen == nil {
 		return nil
 	}
-	var stranded []strandedRun
-	rooms := make(map[*pool]*int)
+	var found []evacuatedRun
+	freePlaces := make(map[*pool]*int)
 	for _, known := range r.runs {
 		if known.moving || !known.streaming {
 			continue
 		}
-		zone, evacuated := r.emptying.zones[r.zoneOf(known, looked.view)]
+		zone, emptying := r.emptying.zones[r.zoneOf(known, looked.view)]
 		detached := r.isDetached(known)
-		if !evacuated || (!detached && !known.current()) {
+		if !emptying || (!detached && !known.current()) {
 			continue
 		}
-		found := strandedRun{run: known, timeLeft: r.timeLeft(known.item), untilEmpty: zone.emptyBy.Sub(now), unwanted: detached}
-		if !found.forced() && !found.patient() {
-			found.room = r.roomFor(looked, known.item, rooms)
+		one := evacuatedRun{run: known, timeLeft: r.timeLeft(known.item), untilEmpty: zone.emptyBy.Sub(now), unwanted: detached}
+		if !one.mustEnd() && !one.mayStay() {
+			one.freePlaces = r.freePlacesFor(looked, known.item, freePlaces)
 		}
-		stranded = append(stranded, found)
+		found = append(found, one)
 	}
-	return stranded
+	return found
 }
 
 // zoneOf returns the zone of a run's engine; empty if it is not known. The mutex must be held.
@@ -194,9 +196,9 @@
 	return known.zone
 }
 
-// roomFor returns the count of free places of the pool in which an item could go on, or nil if no engine there may take it now. rooms are the
-// counts of pools that were asked for before. The mutex must be held.
-func (r *Runner) roomFor(looked *look, it *item, rooms map[*pool]*int) *int {
+// freePlacesFor returns the counter of free places in the pool where an item could continue, or nil if no engine of it can take the item now.
+// counted holds the counters of pools that were asked for before. The mutex must be held.
+func (r *Runner) freePlacesFor(looked *look, it *item, counted map[*pool]*int) *int {
 	if looked.view.Routes == nil {
 		return nil
 	}
@@ -208,13 +210,13 @@
 		return nil
 	}
 	target := looked.poolOf(route, it)
-	room, counted := rooms[target]
-	if !counted {
+	places, known := counted[target]
+	if !known {
 		free := target.free() - r.expectedAt(looked, target)
-		room = &free
-		rooms[target] = room
+		places = &free
+		counted[target] = places
 	}
-	return room
+	return places
 }
 
 // free returns the number of free places.
@@ -226,7 +228,7 @@
 	return free
 }
 
-// expectedAt counts the items that are about to take a place of a pool: those that wait, and those whose runs were ended so that they go on
+// expectedAt counts the items that will take a place in a pool soon: those that wait, and those whose runs were ended so that they continue
 // elsewhere. The mutex must be held.
 func (r *Runner) expectedAt(looked *look, target *pool) int {
 	count := 0
--- a/internal/batchrun/emptying_test.go
+++ b/internal/batchrun/emptying_test.go
@@ -59,34 +59,34 @@
 	room := func(count int) *int { return &count }
 	first, second, third := numbered(1), numbered(2), numbered(3)
 	for _, c := range []struct {
-		name     string
-		stranded []strandedRun
-		chosen   []*run
+		name      string
+		evacuated []evacuatedRun
+		chosen    []*run
 	}{
 		{
 			"The longest rest goes first, an even part an interval",
-			[]strandedRun{
-				{run: first, timeLeft: 3 * time.Second, untilEmpty: 2 * time.Second, room: room(8)},
-				{run: second, timeLeft: 5 * time.Second, untilEmpty: 2 * time.Second, room: room(8)},
+			[]evacuatedRun{
+				{run: first, timeLeft: 3 * time.Second, untilEmpty: 2 * time.Second, freePlaces: room(8)},
+				{run: second, timeLeft: 5 * time.Second, untilEmpty: 2 * time.Second, freePlaces: room(8)},
 			},
 			[]*run{second},
 		},
 		{
 			"A stream that is expected to end in time stays",
-			[]strandedRun{{run: first, timeLeft: time.Second, untilEmpty: 2 * time.Second, room: room(8)}},
+			[]evacuatedRun{{run: first, timeLeft: time.Second, untilEmpty: 2 * time.Second, freePlaces: room(8)}},
 			nil,
 		},
 		{
 			"One that is not stays while there is no room",
-			[]strandedRun{
+			[]evacuatedRun{
 				{run: first, timeLeft: 3 * time.Second, untilEmpty: 2 * time.Second},
-				{run: second, timeLeft: 3 * time.Second, untilEmpty: 2 * time.Second, room: room(0)},
+				{run: second, timeLeft: 3 * time.Second, untilEmpty: 2 * time.Second, freePlaces: room(0)},
 			},
 			nil,
 		},
 		{
 			"At the bound all are ended, room or none, wanted or not",
-			[]strandedRun{
+			[]evacuatedRun{
 				{run: first, timeLeft: 3 * time.Second, untilEmpty: emptyInterval},
 				{run: second, timeLeft: time.Millisecond, untilEmpty: 0},
 				{run: third, timeLeft: 3 * time.Second, untilEmpty: -time.Second, unwanted: true},
@@ -95,16 +95,16 @@
 		},
 		{
 			"An interval and the scheduler's longest rest before the bound the next choice may come too late",
-			[]strandedRun{{run: first, timeLeft: 3 * time.Second, untilEmpty: emptyInterval + scheduleInterval - time.Millisecond}},
+			[]evacuatedRun{{run: first, timeLeft: 3 * time.Second, untilEmpty: emptyInterval + scheduleInterval - time.Millisecond}},
 			[]*run{first},
 		},
 		{
 			"Those that nobody waits for stay until then",
-			[]strandedRun{{run: first, timeLeft: 9 * time.Second, untilEmpty: time.Second, room: room(8), unwanted: true}},
+			[]evacuatedRun{{run: first, timeLeft: 9 * time.Second, untilEmpty: time.Second, freePlaces: room(8), unwanted: true}},
 			nil,
 		},
 	} {
-		Convey(c.name, t, func() { So(chooseToEnd(c.stranded), ShouldResemble, c.chosen) })
+		Convey(c.name, t, func() { So(chooseToEnd(c.evacuated), ShouldResemble, c.chosen) })
 	}
 }
 
@@ -115,13 +115,13 @@
 		window := rapid.SampledFrom([]time.Duration{2 * time.Second, 400 * time.Millisecond, 100 * time.Millisecond}).Draw(t, "window")
 		room := rapid.IntRange(0, 60).Draw(t, "room")
 		initial := room
-		runs := make([]strandedRun, count)
+		runs := make([]evacuatedRun, count)
 		for i := range runs {
-			runs[i] = strandedRun{
-				run:      &run{id: itemwork.RunID{Number: uint64(i)}},
-				timeLeft: time.Duration(rapid.IntRange(0, 9000).Draw(t, "left")) * time.Millisecond,
-				unwanted: rapid.Bool().Draw(t, "unwanted"),
-				room:     &room,
+			runs[i] = evacuatedRun{
+				run:        &run{id: itemwork.RunID{Number: uint64(i)}},
+				timeLeft:   time.Duration(rapid.IntRange(0, 9000).Draw(t, "left")) * time.Millisecond,
+				unwanted:   rapid.Bool().Draw(t, "unwanted"),
+				freePlaces: &room,
 			}
 		}
 		early := 0
@@ -140,11 +140,11 @@
 				}
 				ended[one] = true
 			}
-			var left []strandedRun
-			for _, stranded := range runs {
-				if !ended[stranded.run] {
-					left = append(left, stranded)
-				} else if !stranded.forced() {
+			var left []evacuatedRun
+			for _, evacuated := range runs {
+				if !ended[evacuated.run] {
+					left = append(left, evacuated)
+				} else if !evacuated.mustEnd() {
 					early++
 				}
 			}
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -78,8 +78,8 @@
 	accepted time.Time
 	// runs are those of the job's items.
 	runs []itemwork.RunID
-	// stranded is true once it was told that no worker is in an allowed region.
-	stranded bool
+	// noWorkerLogged is true once a line was logged that no worker is in an allowed region: one line a job is enough.
+	noWorkerLogged bool
 	// ended is true once the end was asked for, and sealed once it is kept for good.
 	ended  bool
 	sealed bool
--- a/internal/batchrun/residency.go
+++ b/internal/batchrun/residency.go
@@ -14,19 +14,20 @@
 	"github.com/covelink/covelink/internal/placement"
 )
 
-// mayKeep reports whether a job's bodies and texts may be in this process's region.
+// mayKeep reports whether this process's region may hold a job's bodies and texts.
 func (r *Runner) mayKeep(j *batch.Job) bool {
 	view := r.State.View()
 	return jobresidency.Whole(view.Routes, j).Allows(view.Topology.Region(r.Zone))
 }
 
-// boundsUnknown reports whether a job may be bound without this process knowing it: without a route table, where there are regions.
+// boundsUnknown reports whether jobs may be bound to regions without this process knowing: the deployment has regions and no route table has
+// arrived yet.
 func (r *Runner) boundsUnknown() bool {
 	view := r.State.View()
 	return view.Routes == nil && view.Topology.Regional()
 }
 
-// awaitBounds waits until the bounds of jobs are known. It returns false if ctx ends first.
+// awaitBounds waits until the bounds of jobs are known. False if ctx ends first.
 func (r *Runner) awaitBounds(ctx context.Context) bool {
 	for {
 		_, changed := r.State.Changed()
@@ -41,14 +42,15 @@
 	}
 }
 
-// logExcluded tells why a job is not kept, or not read, by this process.
+// logExcluded logs why this process does not keep or read a job.
 func (r *Runner) logExcluded(message string, j *batch.Job) {
 	view := r.State.View()
 	level.Warn(r.Logger).Log("msg", message, "request", j.ID, "tenant", j.Tenant, "region", view.Topology.Region(r.Zone),
 		"allowed", fmt.Sprint(jobresidency.Whole(view.Routes, j).Sets()))
 }
 
-// readmit takes up jobs that were withheld when the term began as soon as a later route table lets this process read them, until ctx ends.
+// readmit reads jobs that were withheld when the term began, once a later route table allows this process to. It returns when none is left or ctx
+// ends.
 func (r *Runner) readmit(ctx context.Context, withheld []batch.Job) {
 	for ctx.Err() == nil && len(withheld) > 0 {
 		_, changed := r.State.Changed()
@@ -71,40 +73,40 @@
 	}
 }
 
-// carriage is where a process may stand that carries an item's run out, and its reward call.
-func (r *Runner) carriage(it *item) placement.Residency {
+// runResidency returns the residency of the process that carries out an item's run and its reward call.
+func (r *Runner) runResidency(it *item) placement.Residency {
 	return jobresidency.OfRun(r.State.View().Routes, &it.job.Job, &it.Item)
 }
 
-// hosts reports whether data of a residency may be in this process's region.
-func (r *Runner) hosts(residency placement.Residency) bool {
+// allowedHere reports whether a residency allows this process's region.
+func (r *Runner) allowedHere(residency placement.Residency) bool {
 	return residency.Allows(r.State.View().Topology.Region(r.Zone))
 }
 
-// canCarry reports whether there is a process that may carry an item's run out: a worker, or this one. The mutex must be held.
+// canCarry reports whether a worker or this process may carry out an item's run. The mutex must be held.
 func (r *Runner) canCarry(it *item) bool {
-	residency := r.carriage(it)
-	if r.hosts(residency) || r.Desk != nil && r.Desk.Reaches(residency) {
+	residency := r.runResidency(it)
+	if r.allowedHere(residency) || r.Desk != nil && r.Desk.Reaches(residency) {
 		return true
 	}
-	if !it.job.stranded {
-		it.job.stranded = true
+	if !it.job.noWorkerLogged {
+		it.job.noWorkerLogged = true
 		r.logExcluded("items wait, no worker is in an allowed region", &it.job.Job)
 	}
 	return false
 }
 
-// carry has an assignment carried out by the worker of an engine, or by this process, where the item's data may be. It returns false if neither
-// can. The mutex must be held.
+// carry hands an assignment to a worker near the engine, or to this process if there is none, where the item's residency allows. False if neither
+// may carry it out. The mutex must be held.
 func (r *Runner) carry(begun *run, engine *fleet.Engine, assignment *itemwork.Assignment) bool {
-	residency := r.carriage(begun.item)
+	residency := r.runResidency(begun.item)
 	if r.Desk != nil {
 		if worker, ok := r.Desk.AssignWithin(residency, engine, assignment); ok {
 			r.hand(begun, worker)
 			return true
 		}
 	}
-	if !r.hosts(residency) {
+	if !r.allowedHere(residency) {
 		return false
 	}
 	r.runHere(begun, assignment)
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -174,7 +174,7 @@
 	}
 	assignment := r.assignment(it, itemwork.Bounds{})
 	begun := r.newRun(assignment.Run, it, "")
-	if r.hosts(r.carriage(it)) {
+	if r.allowedHere(r.runResidency(it)) {
 		r.runHere(begun, assignment)
 		return
 	}
--- a/internal/batchrun/run_end.go
+++ b/internal/batchrun/run_end.go
@@ -9,19 +9,38 @@
 	"github.com/covelink/covelink/internal/itemwork"
 )
 
-// streamEnded decides what comes next for the item of a run whose stream has ended.
+// streamEnded frees the engine of a run whose stream has ended, and decides what comes next for the item. The mutex must be held.
 func (r *Runner) streamEnded(ended *run, report *itemwork.Report) {
 	it := ended.item
 	verdict := report.End.Verdict
-	now := r.now()
 	ended.streaming = false
 	if report.End.Withheld {
+		// The engine got nothing, so the verdict says nothing about it.
 		r.engine(ended.engine).running--
 	} else {
-		r.engine(ended.engine).end(verdict, now)
+		r.engine(ended.engine).end(verdict, r.now())
 	}
 	r.leaveEngine(ended)
 	r.Observer.AttemptEnded(verdict.String(), report.End.Took)
+	r.logStreamEnd(ended, report)
+	r.poke()
+	switch {
+	case r.isDetached(ended):
+		ended.over = true
+		it.text.Whole = verdict == itemwork.VerdictWhole
+		r.settle(ended)
+	case ended.current():
+		ended.over = verdict != itemwork.VerdictWhole
+		r.continueItem(ended, report.End)
+	default:
+		ended.over = true
+	}
+}
+
+// logStreamEnd logs the end of a stream; at level debug if there is nothing to look at.
+func (r *Runner) logStreamEnd(ended *run, report *itemwork.Report) {
+	it := ended.item
+	verdict := report.End.Verdict
 	line := level.Info(r.Logger)
 	if verdict == itemwork.VerdictWhole || verdict == itemwork.VerdictCanceled {
 		line = level.Debug(r.Logger)
@@ -29,19 +48,13 @@
 	line.Log("msg", "attempt ended", "request", it.ID, "job", it.job.ID, "run", ended.id, "worker", ended.worker, "engine", ended.engine,
 		"verdict", verdict, "version", report.Version, "text_events", it.text.Len(), "expected_tokens", it.ExpectedLength, "took", report.End.Took.Round(time.Millisecond),
 		"err", report.End.Cause)
-	r.poke()
-	if r.isDetached(ended) {
-		ended.over = true
-		it.text.Whole = verdict == itemwork.VerdictWhole
-		r.settle(ended)
-		return
-	}
-	if !ended.current() {
-		ended.over = true
-		return
-	}
-	ended.over = verdict != itemwork.VerdictWhole
-	switch verdict {
+}
+
+// continueItem decides by the end of a run's stream whether its item is judged, tried again or given up. The mutex must be held.
+func (r *Runner) continueItem(ended *run, end itemwork.End) {
+	it := ended.item
+	now := r.now()
+	switch end.Verdict {
 	case itemwork.VerdictWhole:
 		r.lengths.observe(it.ExpectedLength, it.text.Len())
 		it.text.Whole = true
@@ -66,13 +79,13 @@
 		}
 	default:
 		it.retry(now)
-		if report.End.Withheld {
+		if end.Withheld {
 			it.notBefore = now.Add(withheldPause)
 		}
 	}
 }
 
-// leaveEngine lets others that must run apart use the engine of a run whose stream has ended. The mutex must be held.
+// leaveEngine frees the engine of an ended run for other items that must run apart. The mutex must be held.
 func (r *Runner) leaveEngine(ended *run) {
 	if ended.apart {
 		ended.apart = false
@@ -80,7 +93,7 @@
 	}
 }
 
-// judged lists an item whose reward call has ended. A call that was broken off is made again from here.
+// judged lists an item whose reward call has ended. A call that broke off is made again. The mutex must be held.
 func (r *Runner) judged(ended *run, judgement itemwork.Judgement) {
 	it := ended.item
 	ended.over = true
@@ -108,7 +121,7 @@
 	r.poke()
 }
 
-// loseUnheard gives up the runs whose worker has told nothing of them for too long. The mutex must be held.
+// loseUnheard gives up the runs whose workers have not reported on them for maxUnheard. The mutex must be held.
 func (r *Runner) loseUnheard() {
 	now := r.now()
 	for _, known := range r.runs {
@@ -119,7 +132,7 @@
 	}
 }
 
-// lose gives a run up of which nothing more will be heard. The mutex must be held.
+// lose gives up a run on which no further report is expected. The mutex must be held.
 func (r *Runner) lose(lost *run) {
 	it := lost.item
 	lost.over = true
@@ -142,7 +155,7 @@
 	}
 }
 
-// maxAttempts returns how many answers of 500 an item may get.
+// maxAttempts returns how many times an engine may fail an item (status 500) before the item is given up.
 func (r *Runner) maxAttempts(it *item) int {
 	if route := r.route(it); route != nil {
 		return route.MaxAttempts
@@ -150,7 +163,7 @@
 	return 1
 }
 
-// retry makes the item wait for another engine.
+// retry makes the item wait for an engine again, after failurePause.
 func (it *item) retry(now time.Time) {
 	it.phase = phaseWaiting
 	it.notBefore = now.Add(failurePause)
@@ -167,7 +180,7 @@
 	r.list(it, batch.Result{ID: it.ID, State: batch.Dead})
 }
 
-// list hands an item's result to the committer, and lets go of its text unless a later job may use it. The mutex must be held.
+// list hands an item's result to the committer, and drops its text unless a later job may use it. The mutex must be held.
 func (r *Runner) list(it *item, result batch.Result) {
 	it.phase = phaseFinished
 	if result.State != batch.Done || !it.text.Fits(itemwork.Bounds{MinVersion: r.returnVersion(it.job)}) {
--- a/internal/batchrun/term.go
+++ b/internal/batchrun/term.go
@@ -12,7 +12,7 @@
 	"github.com/covelink/covelink/internal/pause"
 )
 
-// Lead runs the jobs of the store until ctx ends or a later term has begun. token is the term's.
+// Lead runs the jobs of the store until ctx ends or a later term has begun. token is the fencing token of the term.
 func (r *Runner) Lead(ctx context.Context, token int64) {
 	ctx, depose := context.WithCancel(ctx)
 	defer depose()
@@ -24,23 +24,11 @@
 		return
 	}
 	r.mu.Lock()
-	r.jobs = make(map[string]*job)
-	r.order = nil
-	r.engines = make(map[string]*engineRecord)
-	r.holders = make(map[string][]string)
-	r.runs = make(map[itemwork.RunID]*run)
-	r.token, r.runCount = token, 0
-	r.kept = newUnfinishedTexts()
-	r.detached, r.returnOffsets = make(map[string]*run), make(map[string]int64)
-	r.lengths, r.usual = newLengthModel(), usualPause{}
-	r.emptying = emptyingZones{}
-	r.ends = make(map[string]time.Time, len(opened.Sealed))
-	r.endedBytes = 0
-	r.submitted = make(map[string]submissions)
+	r.forgetTerm()
 	for _, id := range opened.Sealed {
 		r.ends[id] = r.now()
 	}
-	r.term, r.depose, r.log = ctx, depose, log
+	r.token, r.term, r.depose, r.log = token, ctx, depose, log
 	texts := r.openTexts()
 	for _, found := range opened.Jobs {
 		r.awaitAdoption(r.add(found))
@@ -68,7 +56,21 @@
 	level.Info(r.Logger).Log("msg", "no longer leading")
 }
 
-// awaitAdoption leaves the items of an earlier term to the workers that hold a run of them. The mutex must be held.
+// forgetTerm drops all that the runner knows from an earlier term. The mutex must be held.
+func (r *Runner) forgetTerm() {
+	r.jobs, r.order = make(map[string]*job), nil
+	r.ends, r.endedBytes = make(map[string]time.Time), 0
+	r.submitted = make(map[string]submissions)
+	r.runs, r.runCount = make(map[itemwork.RunID]*run), 0
+	r.detached, r.returnOffsets = make(map[string]*run), make(map[string]int64)
+	r.kept = newUnfinishedTexts()
+	r.engines = make(map[string]*engineRecord)
+	r.holders = make(map[string][]string)
+	r.lengths, r.usual = newLengthModel(), usualPause{}
+	r.emptying = emptyingZones{}
+}
+
+// awaitAdoption delays the items of an earlier term, so that workers which still run them can report first. The mutex must be held.
 func (r *Runner) awaitAdoption(j *job) {
 	if r.Desk == nil {
 		return
@@ -78,7 +80,7 @@
 	}
 }
 
-// readJobs reads the open jobs, as often as it takes, once their bounds are known.
+// readJobs reads the open jobs once their bounds are known, and repeats until the store answers. ok is false if ctx ends first.
 func (r *Runner) readJobs(ctx context.Context, log *batchlog.Store) (opened batchlog.Opened, ok bool) {
 	for r.awaitBounds(ctx) && ctx.Err() == nil {
 		opened, err := log.Open(ctx)
@@ -91,6 +93,7 @@
 	return batchlog.Opened{}, false
 }
 
+// recoverPause is the pause before the store is asked again for the open jobs: nothing is run until it answers.
 const recoverPause = 150 * time.Millisecond
 
 // leading returns the log of the term, or batch.ErrUnavailable.
--- a/internal/enginescale/manager.go
+++ b/internal/enginescale/manager.go
@@ -99,11 +99,11 @@
 // snapshot returns what the next plan is made from.
 func (m *Manager) snapshot(now time.Time) Snapshot {
 	view := m.State.View()
-	s := Snapshot{Now: now, Limits: limitsOf(view.Routes), Running: runningOf(view), Closed: make(map[string]bool)}
+	s := Snapshot{Now: now, Limits: limitsOf(view.Routes), Running: runningOf(view), Evacuated: make(map[string]bool)}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for subject, desired := range m.desired {
-		s.Closed[subject.Zone] = view.Evacuations == nil || view.Evacuations.Include(subject.Zone)
+		s.Evacuated[subject.Zone] = view.Evacuations == nil || view.Evacuations.Include(subject.Zone)
 		if s.Running[subject] >= desired {
 			delete(m.shortSince, subject)
 			continue
--- a/internal/enginescale/plan.go
+++ b/internal/enginescale/plan.go
@@ -70,8 +70,8 @@
 	ShortSince map[Subject]time.Time
 	// OrderedAt is when the platform last took an order.
 	OrderedAt map[Subject]time.Time
-	// Closed are the zones whose engines get no work now: what is lost there is ordered once they do.
-	Closed map[string]bool
+	// Evacuated are the evacuated zones; every zone while evacuations are not known. Engines lost there are replaced once the zone is restored.
+	Evacuated map[string]bool
 }
 
 // lossMargin is how much longer than a start an engine may be missing before it is replaced: one that was cut off from the store for a
@@ -89,7 +89,7 @@
 	}
 	for subject, desired := range s.Desired {
 		limits, scaled := s.Limits[subject.Service]
-		if !scaled || !s.overdue(subject, limits) || s.Closed[subject.Zone] {
+		if !scaled || !s.overdue(subject, limits) || s.Evacuated[subject.Zone] {
 			continue
 		}
 		orders = append(orders, Order{Subject: subject, Desired: limits.clamp(desired), Reason: ReasonLost, Running: s.Running[subject]})
--- a/internal/weightorder/evacuated_test.go
+++ b/internal/weightorder/evacuated_test.go
@@ -88,7 +88,7 @@
 		m.Engines = engines
 		target := move{engine: state.View().Engines["engine-000"], model: "a", version: 2}
 		err := m.load(t.Context(), election.Term{}, target, time.Now().Add(time.Minute))
-		So(err, ShouldWrap, errClosed)
+		So(err, ShouldWrap, errNotPermitted)
 		So(engines.orders, ShouldEqual, 0)
 	})
 }
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -3,8 +3,8 @@
 //
 // Guarantees: an order is given only within a short time after it was recorded in the store, which no process of an earlier
 // term can do any more; a new coordinator gives an engine none until the last order of another to it is a lease length old;
-// an order names the engine's start and its count of orders, so that one carried out late changes nothing; engines that package placement permits
-// nothing are given none.
+// an order names the engine's start and its count of orders, so that one carried out late changes nothing; engines to which package placement
+// permits nothing are given none.
 package weightorder
 
 import (
@@ -292,8 +292,8 @@
 	m.poke()
 }
 
-// errClosed reports an engine to which nothing may be sent any more since its move was planned.
-var errClosed = errors.New("weightorder: engine closed")
+// errNotPermitted reports an engine to which the placement filter forbids orders since its move was planned.
+var errNotPermitted = errors.New("weightorder: engine not permitted")
 
 // errNotLoaded reports a load that was not seen done.
 var errNotLoaded = errors.New("weightorder: load not seen done")
@@ -307,7 +307,7 @@
 		return nil
 	}
 	if reason := placement.NewFilter(m.State.View(), placement.Residency{}).Check(target.engine); reason != placement.Permitted {
-		return fmt.Errorf("%w: %s", errClosed, reason)
+		return fmt.Errorf("%w: %s", errNotPermitted, reason)
 	}
 	if !report.Busy {
 		if err := m.order(ctx, term, target, report, orderDeadline); err != nil {
--- a/internal/weightorder/plan.go
+++ b/internal/weightorder/plan.go
@@ -51,7 +51,7 @@
 	return chosen
 }
 
-// countLoading counts the engines that load. Those of evacuated zones are among them: they share what the loads share. The mutex must be held.
+// countLoading counts the engines that load. Those of evacuated zones count too: all loads share the window. The mutex must be held.
 func (m *Manager) countLoading(engines []*fleet.Engine) int {
 	loading := 0
 	for _, engine := range engines {
@@ -62,7 +62,8 @@
 	return loading
 }
 
-// planService chooses among the engines of a service to which something may be sent, of which so many load. The mutex must be held.
+// planService chooses among the permitted engines of a service. loading is how many engines of the service load now, permitted or not. The mutex must
+// be held.
 func (m *Manager) planService(engines []*fleet.Engine, loading int, service routing.Service, now time.Time) []move {
 	if len(engines) == 0 || len(service.Models) == 0 {
 		return nil
