--- a/internal/batchrpc/batchrpc.go
+++ b/internal/batchrpc/batchrpc.go
@@ -56,7 +56,7 @@
 	Job      batch.Ref
 	Position int
 	Wait     time.Duration
-	// RewardRoutes are those of the job if it was to be submitted and its body may not be sent; none for a reading.
+	// RewardRoutes are set if the request stands for a submission whose body may not be sent (see SubmitRequest); empty for a reading.
 	RewardRoutes []string
 }
 
@@ -84,7 +84,7 @@
 // Reply answers the other requests.
 type Reply struct {
 	Code code
-	// Excluded is true if a job was refused because it may not be in the region of the process.
+	// Excluded is true if a job was refused because its bounds exclude the region of the process.
 	Excluded bool
 }
 
@@ -121,7 +121,7 @@
 	Standing(request PingRequest) PingReply
 	// YieldTo stops the term of a token.
 	YieldTo(ctx context.Context, instance string, token int64) error
-	// NoteRewardRoutes takes in the names of bound routes that reward calls of jobs take: the process should stand where they allow.
+	// NoteRewardRoutes adds names of bound routes that reward calls of jobs take, which count for the home regions.
 	NoteRewardRoutes(names []string)
 }
 
--- a/internal/batchrpc/client.go
+++ b/internal/batchrpc/client.go
@@ -43,15 +43,15 @@
 	Calls *rpc.Client
 	// Leader returns the process that coordinates.
 	Leader func() Leader
-	// State knows the bounds of jobs and the regions of zones.
+	// State holds the route table, which bounds jobs, and the regions of zones.
 	State  *fleet.State
 	Logger log.Logger
 }
 
 // Client calls the coordinating process. It implements batch.Service.
 //
-// Guarantee: the body of a job goes to no process in a region that the job may not be in, by this process's route table; one whose zone is
-// not known gets no body that is bound.
+// Guarantee: a bound job's body is sent only to a process in a region that the job's own bounds and this process's route table allow, and to none whose
+// zone is unknown.
 type Client struct {
 	ClientParams
 	ender *ender
@@ -70,7 +70,7 @@
 func (c *Client) Close() { c.ender.close() }
 
 // Submit implements batch.Service. While no process coordinates it waits for one: taking a job twice has no effect. It returns
-// ErrRefused only if no attempt may have been taken, and ErrExcluded, at once, if the process that coordinates may not have the job either.
+// ErrRefused only if no attempt can have been taken, and ErrExcluded, at once, if in addition the coordinating process is in an excluded region.
 func (c *Client) Submit(ctx context.Context, job batch.Job) error {
 	jobresidency.Bind(c.State.View().Routes, &job)
 	err := submitUntilTaken(ctx, func(ctx context.Context) error { return c.submitOnce(ctx, job) })
@@ -80,11 +80,12 @@
 	return err
 }
 
-// settleExcluded finds out, without the job's body, whether a job that was excluded was taken earlier: only one that was not is refused. It also
-// tells which routes the reward calls take, so that the coordinator moves where they allow.
+// settleExcluded asks, without sending the body, whether an excluded job was taken earlier: only one that was not may be refused. The question also
+// names the routes of the job's reward calls, so that the home regions take them into account.
 func (c *Client) settleExcluded(ctx context.Context, job *batch.Job) error {
 	request := ReadRequest{
-		Job:          batch.Ref{ID: job.ID, Tenant: job.Tenant},
+		Job: batch.Ref{ID: job.ID, Tenant: job.Tenant},
+		// Behind every result: the answer tells only whether the job is known.
 		Position:     math.MaxInt32,
 		RewardRoutes: jobresidency.RewardRoutes(c.State.View().Routes, job),
 	}
@@ -100,13 +101,13 @@
 	return err
 }
 
-// residency is where a job may be, by the bounds that it bears and by this process's table.
+// residency returns where a job may be, by its own bounds and this process's route table.
 func (c *Client) residency(job *batch.Job) placement.Residency {
 	return jobresidency.Whole(c.State.View().Routes, job)
 }
 
-// submitUntilTaken repeats attempts that fail. once returns ErrUnavailable if the job may have been taken, and ErrExcluded if further attempts
-// are of no use.
+// submitUntilTaken repeats failed attempts for submitWait. once returns ErrUnavailable if the job may have been taken, and ErrExcluded if further
+// attempts are of no use.
 func submitUntilTaken(ctx context.Context, once func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, submitWait)
 	defer cancel()
--- a/internal/fleetnode/coldstart.go
+++ b/internal/fleetnode/coldstart.go
@@ -17,7 +17,7 @@
 	"github.com/covelink/covelink/internal/telemetry"
 )
 
-// newWarmth returns what knows which engines are cold, and has it take in every view from start to stop.
+// newWarmth returns the record of which engines are cold, which follows the state from start to stop.
 func newWarmth(hooks fx.Lifecycle, group *tasks, state *fleet.State, registry *prometheus.Registry, logger log.Logger) *coldstart.Warmth {
 	warmth := coldstart.NewWarmth(state, boottime.Now, telemetry.For(logger, telemetry.PartFleet))
 	registerGauge(registry, "cold_engines", "Engines that this process takes for cold.", warmth.Count)
@@ -28,7 +28,7 @@
 	return warmth
 }
 
-// askGrants has this process's requests to cold engines wait for grants.
+// askGrants makes this process's requests to cold engines wait for grants from ask.
 func askGrants(forwarder *forward.Forwarder, warmth *coldstart.Warmth, observed *metrics, logger log.Logger,
 	ask func(ctx context.Context, request coldstart.Request) (coldstart.Reply, error)) {
 	forwarder.Quota = coldstart.NewAsker(coldstart.AskerParams{
@@ -40,7 +40,7 @@
 	})
 }
 
-// askCoordinator has a gateway ask the process that coordinates.
+// askCoordinator makes a gateway ask the coordinating process for grants. While none is known, no grant is given.
 func askCoordinator(forwarder *forward.Forwarder, warmth *coldstart.Warmth, calls *rpc.Client, watcher *election.Watcher, observed *metrics,
 	logger log.Logger) {
 	askGrants(forwarder, warmth, observed, logger, func(ctx context.Context, request coldstart.Request) (coldstart.Reply, error) {
@@ -52,11 +52,12 @@
 	})
 }
 
-// newGrants returns what gives grants while this process coordinates, and has its own requests ask that.
+// newGrants returns the Keeper that gives grants while this process coordinates; requests of this process ask it directly.
 func newGrants(forwarder *forward.Forwarder, warmth *coldstart.Warmth, registry *prometheus.Registry, observed *metrics,
 	logger log.Logger) *coldstart.Keeper {
 	keeper := coldstart.NewKeeper(coldstart.KeeperParams{
-		Rate:    warmth.Rate,
+		Rate: warmth.Rate,
+		// The hub is made later; start replaces this.
 		ShownAt: func() time.Time { return time.Time{} },
 		Now:     boottime.Now,
 		Logger:  telemetry.For(logger, telemetry.PartFleet),
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -125,7 +125,7 @@
 	elector  *election.Elector
 	// candidates are the other processes that ask this one whether it lives.
 	candidates *election.Candidates
-	// rewards are the routes of reward calls that jobs have taken.
+	// rewards are the bound routes that reward calls of jobs take, as gateways have named them.
 	rewards jobresidency.Rewards
 }
 
@@ -265,8 +265,8 @@
 	leading.Wait()
 }
 
-// followHome tells the elector in which regions this process should stand, by each route table, until ctx ends. In a deployment of one region
-// that never matters.
+// followHome gives the elector the home regions, anew with each route table and each reward route, until ctx ends. It does nothing in a deployment
+// of one region.
 func (c *coordinator) followHome(ctx context.Context) {
 	if !c.State.View().Topology.Regional() {
 		return
--- a/internal/fleetnode/load_metrics.go
+++ b/internal/fleetnode/load_metrics.go
@@ -8,7 +8,8 @@
 	"github.com/covelink/covelink/internal/forward"
 )
 
-// loadMetrics tell what the load of services did to requests, and what this process takes each service for.
+// loadMetrics count what became of requests under the load of services, and export how this process judges each service. They implement
+// forward.LoadObserver and prometheus.Collector.
 type loadMetrics struct {
 	retries, retriesDenied, refusedAtOnce *prometheus.CounterVec
 	waits                                 *prometheus.HistogramVec
@@ -16,7 +17,7 @@
 	services                              func() []forward.ServiceStatus
 }
 
-// registerLoadMetrics registers the metrics of a forwarder's services, and has them told.
+// registerLoadMetrics registers the metrics of a forwarder's services and makes the forwarder report to them.
 func registerLoadMetrics(registry *prometheus.Registry, forwarder *forward.Forwarder) {
 	counter := func(name, help string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, []string{"service"})
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -53,9 +53,9 @@
 	attemptsBroke *prometheus.CounterVec
 	// guarded counts decisions on requests under which engines have ended.
 	guarded *prometheus.CounterVec
-	// refused counts requests that may run at no engine now, by reason.
+	// refused counts requests that no engine may run now, by reason.
 	refused *prometheus.CounterVec
-	// coldAnswers counts requests that needed a grant for a cold engine; all but the granted ones were not sent.
+	// coldAnswers counts attempts that needed a grant for a cold engine, by answer; only granted ones were sent.
 	coldAnswers *prometheus.CounterVec
 }
 
@@ -205,7 +205,7 @@
 	m.guarded.WithLabelValues(string(decision)).Inc()
 }
 
-// requestRefused counts a caller's request that was not run, if that is because of where it may run.
+// requestRefused counts a caller's request that was not run, if the placement filter is the reason.
 func (m *metrics) requestRefused(reason forward.Reason) {
 	switch where := placement.Reason(reason); where {
 	case placement.EngineLeaving, placement.ZoneEvacuated, placement.EvacuationsUnknown, placement.RegionNotAllowed, placement.NoRegionAllowed:
@@ -250,7 +250,7 @@
 	registry.MustRegister(prometheus.NewGaugeFunc(options, func() float64 { return float64(count()) }))
 }
 
-// registerCount tells a count that only grows and is read when it is asked for.
+// registerCount exports a count that only grows, read at each scrape.
 func registerCount(registry *prometheus.Registry, name, help string, count func() int64) {
 	options := prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}
 	registry.MustRegister(prometheus.NewCounterFunc(options, func() float64 { return float64(count()) }))
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -125,7 +125,7 @@
 	fx.Invoke(serveMetrics, tellStoreCalls, tellSuspensions),
 )
 
-// newState returns a state that knows the settings' zones, and waits for the evacuated ones where zones may be evacuated.
+// newState returns a state with the settings' zones. If zones may be evacuated, it permits nothing until the evacuations are known.
 func newState(config settings.Fleet) *fleet.State {
 	state := fleet.NewState()
 	state.SetTopology(fleet.NewTopology(config.Topology.Regions()))
--- a/internal/fleetnode/zones.go
+++ b/internal/fleetnode/zones.go
@@ -14,7 +14,7 @@
 	"github.com/covelink/covelink/platform"
 )
 
-// newZoneStatus returns what tells operators of zones, and takes their wishes where zones may be evacuated.
+// newZoneStatus returns the Status of this process. It writes to the store only if the settings let zones be evacuated.
 func newZoneStatus(config settings.Fleet, state *fleet.State, store metastore.Client, registry *prometheus.Registry,
 	logger log.Logger) *zonestatus.Status {
 	registry.MustRegister(newZoneMetrics(state))
@@ -25,12 +25,12 @@
 	return zonestatus.New(params)
 }
 
-// tellCoordinator lets the operators of a gateway know who coordinates.
+// tellCoordinator makes a gateway's zone list name the coordinating process.
 func tellCoordinator(status *zonestatus.Status, watcher *election.Watcher) {
 	status.SetSource(zonestatus.Source{Coordinator: func() zonestatus.Coordinator { return coordinatorOf(watcher) }})
 }
 
-// zoneSource is what a process that may coordinate knows.
+// zoneSource returns what a process that may coordinate knows of zones beside its state.
 func (c *coordinator) zoneSource(hub *storerelay.Hub) zonestatus.Source {
 	return zonestatus.Source{
 		Follows:     c.Leading,
@@ -45,13 +45,13 @@
 	return zonestatus.Coordinator{Name: watcher.HolderName(), Address: watcher.Holder()}
 }
 
-// zoneMetrics tells the zones of the state. It implements prometheus.Collector.
+// zoneMetrics exports the zones of the state. It implements prometheus.Collector.
 type zoneMetrics struct {
 	state                        *fleet.State
 	evacuated, revision, engines *prometheus.Desc
 }
 
-// otherZones stands for all zones that the settings do not name, so that the values of the label are bounded.
+// otherZones is the label of all zones that the settings do not name, so that the number of label values is bounded.
 const otherZones = "other"
 
 func newZoneMetrics(state *fleet.State) *zoneMetrics {
@@ -92,7 +92,7 @@
 	}
 }
 
-// boundedZones returns the counts of the settings' zones by name, and those of all others together.
+// boundedZones returns the counts of the settings' zones by name, and the sum of all others as otherZones.
 func boundedZones(view *fleet.View) map[string]zonestatus.Zone {
 	byName := make(map[string]zonestatus.Zone)
 	for _, zone := range zonestatus.ZonesOf(view) {
--- a/internal/jobresidency/jobresidency.go
+++ b/internal/jobresidency/jobresidency.go
@@ -1,8 +1,8 @@
-// Package jobresidency tells in which regions the bodies of batch jobs may be, from the route table and from the bounds under which a job was
-// accepted. It decides nothing that depends on time or on other processes.
+// Package jobresidency computes in which regions the bodies of batch jobs may be, from the route table and the bounds that were kept when a job was
+// accepted. It is pure: results depend on neither time nor other processes.
 //
-// Guarantees: a region that a bound route or tenant of the job excludes, by the table or by what the job was accepted under, is never
-// returned as allowed. A region that is not known is allowed only for jobs without bounds.
+// Guarantees: a region is never allowed if a route or the tenant of the job excludes it, in the table or in the kept bounds. An unknown region is
+// allowed only for jobs without bounds.
 package jobresidency
 
 import (
@@ -14,10 +14,9 @@
 	"github.com/covelink/covelink/internal/routing"
 )
 
-// Home returns the regions in which the process that coordinates batch jobs may stand so that every bound job may go there: those that all
-// bound batch routes, the routes of reward calls of the names and, as a tenant may submit to every batch route, all bound tenants allow. It
-// returns nil if nothing is bound, and if no region of the deployment is allowed by all: then no place serves every job, and none is better
-// than another.
+// Home returns the home regions: those in which the coordinating process may hold every bound job. All bound batch routes, the named routes of reward
+// calls and all bound tenants allow them; any tenant may submit to any batch route. It returns nil if nothing is bound. It also returns nil if no
+// region of the deployment is allowed by all, as then none serves every job.
 func Home(table *routing.Table, topology fleet.Topology, rewardRoutes []string) []string {
 	if table == nil || !topology.Regional() {
 		return nil
@@ -31,7 +30,7 @@
 	return regions
 }
 
-// jobSets returns the sets of regions of the batch routes, of the named routes of reward calls, and of the tenants that may submit jobs.
+// jobSets returns the allowed regions of batch routes, of the named routes of reward calls, and of tenants if there is a batch route.
 func jobSets(table *routing.Table, rewardRoutes []string) [][]string {
 	var sets [][]string
 	batches := false
@@ -47,7 +46,7 @@
 	return sets
 }
 
-// Bind adds the bounds that a table sets on a job to those that the job bears.
+// Bind adds the table's bounds on a job to the job's own. A nil table adds none.
 func Bind(table *routing.Table, job *batch.Job) {
 	if table == nil {
 		return
@@ -79,7 +78,7 @@
 	return names
 }
 
-// regionsOf returns the regions that the route of a path allows; none if there is no route.
+// regionsOf returns the allowed regions of a path's route; nil if there is no route or it is not bound.
 func regionsOf(table *routing.Table, host, path string) []string {
 	if route := table.Match(host, path); route != nil {
 		return route.AllowedRegions
@@ -87,7 +86,7 @@
 	return nil
 }
 
-// merge adds a set to others unless it is empty or among them. The sets handed in are not changed.
+// merge returns the sets with one more, unless that is empty or among them. It does not change its arguments.
 func merge(sets [][]string, set []string) [][]string {
 	if len(set) == 0 || slices.ContainsFunc(sets, func(known []string) bool { return slices.Equal(known, set) }) {
 		return sets
@@ -95,15 +94,15 @@
 	return append(slices.Clone(sets), set)
 }
 
-// Whole returns where all that belongs to a job may be, its reward calls included, by the bounds that the job bears and by the table's. It is
-// what binds a process that keeps the job.
+// Whole returns the residency of a process that keeps a job: the bounds of the job, its items and their reward calls, both the job's own and the
+// table's.
 func Whole(table *routing.Table, job *batch.Job) placement.Residency {
 	bound := batch.Job{Host: job.Host, Path: job.Path, Tenant: job.Tenant, Items: job.Items, Regions: job.Regions, RewardRegions: job.RewardRegions}
 	Bind(table, &bound)
 	return placement.Residency{Accepted: slices.Concat(bound.Regions, bound.RewardRegions)}
 }
 
-// OfItem returns where an item may run, by the bounds that its job bears and by the table's.
+// OfItem returns the residency of the engine that runs an item, by the job's own bounds and the table's.
 func OfItem(table *routing.Table, job *batch.Job, item *batch.Item) placement.Residency {
 	residency := placement.Residency{Accepted: job.Regions}
 	if table != nil {
@@ -113,7 +112,7 @@
 	return residency
 }
 
-// OfRun returns where a process may stand that carries an item's run out, its reward call included.
+// OfRun returns the residency of the process that carries out an item's run and its reward call.
 func OfRun(table *routing.Table, job *batch.Job, item *batch.Item) placement.Residency {
 	residency := OfItem(table, job, item)
 	if item.Reward == nil {
--- a/internal/jobresidency/rewards.go
+++ b/internal/jobresidency/rewards.go
@@ -8,15 +8,15 @@
 // maxKnownRewards bounds the names that Rewards keeps: a deployment has some ten routes.
 const maxKnownRewards = 256
 
-// Rewards knows which routes the reward calls of jobs take, as the route table does not tell. It is safe for concurrent use; the zero value
-// knows none.
+// Rewards collects the names of routes that reward calls of jobs take, which the route table does not show. The zero value is empty. It is safe for
+// concurrent use.
 type Rewards struct {
 	mu      sync.Mutex
 	names   []string
 	changed chan struct{}
 }
 
-// Note takes in names of routes that a job's reward calls take.
+// Note adds names of routes that reward calls take. Beyond maxKnownRewards, names are dropped: bounds are checked for each job anyway.
 func (r *Rewards) Note(names []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -32,7 +32,7 @@
 	}
 }
 
-// Known returns the names, which must not be changed, and a channel that is closed when there are more.
+// Known returns the names, which must not be changed, and a channel that is closed when more are added.
 func (r *Rewards) Known() (names []string, changed <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/zonestatus/handler.go
+++ b/internal/zonestatus/handler.go
@@ -19,27 +19,28 @@
 const (
 	// ListPath is where a process lists the zones, with GET.
 	ListPath = "/debug/zones"
-	// EvacuatePath and RestorePath are where an operator has a zone evacuated or restored, with POST: the zone's name follows.
+	// EvacuatePath and RestorePath, each followed by a zone's name, are where an operator evacuates or restores the zone, with POST.
 	EvacuatePath = "/debug/zones/evacuate/"
 	RestorePath  = "/debug/zones/restore/"
 	// zoneField names the part of the path.
 	zoneField = "zone"
-	// writeTimeout bounds a write to the store; it is below the time that covelinkctl waits for an answer.
+	// writeTimeout bounds a write to the store. covelinkctl waits longer for its answer, so that it learns of a write that was not confirmed.
 	writeTimeout = 4 * time.Second
 )
 
-// Written is the answer to a zone that was evacuated or restored.
+// Written is the answer to a request that was stored.
 type Written struct {
 	Zone string `json:"zone"`
-	// Revision is that of the store at which the zone became evacuated, also if it was so before; zero if it was restored.
+	// Revision is the store's revision at which the zone became evacuated, which is older than the request if it was evacuated already; zero if
+	// the zone was restored.
 	Revision int64 `json:"revision"`
 }
 
 // Writer changes which zones are evacuated, in the store.
 type Writer interface {
-	// Evacuate returns the revision at which the zone became evacuated. A zone that is so already stays so.
+	// Evacuate returns the revision at which the zone became evacuated. It does not change a zone that is evacuated already.
 	Evacuate(ctx context.Context, zone string) (int64, error)
-	// Restore makes a zone no longer evacuated. One that is not is left as it is.
+	// Restore ends the evacuation of a zone. It does not change a zone that is not evacuated.
 	Restore(ctx context.Context, zone string) error
 }
 
@@ -48,32 +49,32 @@
 	// Node is the name of the process.
 	Node  string
 	State *fleet.State
-	// Writer is nil where zones are not evacuated, as the settings say.
+	// Writer is nil if the settings do not let zones be evacuated.
 	Writer Writer
 	Logger log.Logger
 }
 
-// Source is what a role knows beside the state. Each may be nil for what it does not know.
+// Source is what a process knows beside the state, which depends on its role.
 type Source struct {
 	// Follows reports whether the state is kept up to date; nil means always.
 	Follows func() bool
-	// Coordinator returns who coordinates.
+	// Coordinator returns the coordinating process; nil if that is never known.
 	Coordinator func() Coordinator
-	// Spread tells how far the newest evacuations have come; false while the process does not coordinate.
+	// Spread returns which processes know the newest evacuations; false while the process does not coordinate. Nil if it never does.
 	Spread func() (storerelay.Spread, bool)
 }
 
-// Status answers operators. It is safe for concurrent use.
+// Status answers operators' requests about zones. It is safe for concurrent use.
 type Status struct {
 	Params
 	mu     sync.Mutex
 	source Source
 }
 
-// New returns a Status of a process that knows nothing beside its state.
+// New returns a Status without a Source: it shows the state alone until SetSource.
 func New(params Params) *Status { return &Status{Params: params} }
 
-// SetSource puts what the process's role knows in use.
+// SetSource replaces the Source.
 func (s *Status) SetSource(source Source) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -116,7 +117,7 @@
 	return progress
 }
 
-// Handle makes a server answer operators.
+// Handle registers the paths with a server.
 func (s *Status) Handle(routes *http.ServeMux) {
 	routes.HandleFunc("GET "+ListPath, func(w http.ResponseWriter, _ *http.Request) { answer(w, s.List()) })
 	routes.HandleFunc("POST "+EvacuatePath+"{"+zoneField+"}", func(w http.ResponseWriter, r *http.Request) {
@@ -127,8 +128,8 @@
 	})
 }
 
-// write carries an operator's wish out and answers.
-func (s *Status) write(w http.ResponseWriter, r *http.Request, wish string, act func(ctx context.Context, zone string) (int64, error)) {
+// write carries out an operator's request with store, and answers. wanted names in logs what was asked for.
+func (s *Status) write(w http.ResponseWriter, r *http.Request, wanted string, store func(ctx context.Context, zone string) (int64, error)) {
 	zone := r.PathValue(zoneField)
 	switch {
 	case s.Writer == nil:
@@ -140,9 +141,9 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), writeTimeout)
 	defer cancel()
-	revision, err := act(ctx, zone)
+	revision, err := store(ctx, zone)
 	if err != nil {
-		level.Warn(s.Logger).Log("msg", "operator's wish for a zone not stored", "zone", zone, "wish", wish, "err", err)
+		level.Warn(s.Logger).Log("msg", "operator's request for a zone not stored", "zone", zone, "wanted", wanted, "err", err)
 		status := http.StatusBadGateway
 		if errors.Is(err, context.DeadlineExceeded) {
 			status = http.StatusGatewayTimeout
@@ -150,11 +151,11 @@
 		http.Error(w, "not known to be stored, ask again: "+err.Error(), status)
 		return
 	}
-	level.Info(s.Logger).Log("msg", "operator's wish for a zone stored", "zone", zone, "wish", wish, "revision", revision)
+	level.Info(s.Logger).Log("msg", "operator's request for a zone stored", "zone", zone, "wanted", wanted, "revision", revision)
 	answer(w, Written{Zone: zone, Revision: revision})
 }
 
-// knows reports whether the settings name a zone, an engine is in it, or it is evacuated.
+// knows reports whether ZonesOf lists a zone.
 func (s *Status) knows(zone string) bool {
 	return slices.ContainsFunc(ZonesOf(s.State.View()), func(known Zone) bool { return known.Name == zone })
 }
@@ -166,6 +167,6 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	// A caller that has left needs no answer.
+	// The error means that the caller has left.
 	_, _ = w.Write(content)
 }
--- a/internal/zonestatus/zonestatus.go
+++ b/internal/zonestatus/zonestatus.go
@@ -1,9 +1,8 @@
-// Package zonestatus shows operators the zones of the deployment, takes their wish that a zone be evacuated or restored, and tells how far that
-// has come.
+// Package zonestatus lists the zones of the deployment for operators, takes requests to evacuate or restore a zone, and shows which processes have
+// applied them.
 //
-// Guarantees: a list tells what the asked process itself goes by, with the revision of it, and names the processes that do not hold the newest
-// evacuations only where it knows: at the coordinating process. A zone is written under its name, so that a wish that is repeated changes
-// nothing.
+// Guarantees: a list shows what the asked process itself applies, with its revision. Only the list of the coordinating process names the processes
+// that have not applied the newest evacuations, as no other knows them. A zone is written under its name, so that a repeated request changes nothing.
 package zonestatus
 
 import (
@@ -17,12 +16,12 @@
 type List struct {
 	// Node is the process that was asked.
 	Node string `json:"node"`
-	// Follows is false for a process that follows the deployment only while it coordinates, and does not now: zones and revision are then
-	// what its last term has left.
+	// Follows is false for a process that follows the deployment only while it coordinates, and does not coordinate now: zones and revision
+	// are then those of its last term.
 	Follows bool `json:"follows"`
-	// Known is false while the process does not know yet which zones are evacuated; it then sends requests to none.
+	// Known is false while the process does not know which zones are evacuated; it then sends no request to any zone.
 	Known bool `json:"known"`
-	// Revision is that of the evacuations that the process goes by.
+	// Revision is that of the evacuations that the process applies.
 	Revision int64 `json:"revision"`
 	// Coordinator is the process that coordinates and where others reach it; empty if it is not known.
 	Coordinator Coordinator `json:"coordinator"`
@@ -37,7 +36,7 @@
 	Address string `json:"address"`
 }
 
-// Zone is what a process knows of a zone.
+// Zone is one zone as a process knows it.
 type Zone struct {
 	Name string `json:"name"`
 	// Region is empty for a zone that the settings do not name.
@@ -50,14 +49,14 @@
 	EvacuatedSince int64 `json:"evacuatedSince"`
 }
 
-// Progress is how far the newest evacuations have come.
+// Progress is how many processes apply the newest evacuations.
 type Progress struct {
-	// Revision is that of the newest evacuations in the store that the coordinating process has learnt.
+	// Revision is that of the newest evacuations that the coordinating process has from the store.
 	Revision int64 `json:"revision"`
-	// Holding counts the processes that go by them, of those that poll the coordinating one.
+	// Polling counts the processes that poll the coordinating one, and Holding those of them that apply the newest evacuations.
 	Holding int `json:"holding"`
 	Polling int `json:"polling"`
-	// Behind are the first maxBehind of the others, in the order of their names.
+	// Behind are the processes that do not, at most maxBehind of them, sorted by name.
 	Behind []Behind `json:"behind"`
 }
 
@@ -71,7 +70,7 @@
 	PolledMillis int64 `json:"polledMillis"`
 }
 
-// maxBehind bounds the processes that are named one by one: what fits on an operator's screen.
+// maxBehind bounds the processes in Progress.Behind: as many as fit on an operator's screen.
 const maxBehind = 32
 
 // InForce reports whether evacuations of a revision are in force at the coordinating process and at all that poll it.
@@ -79,7 +78,7 @@
 	return l.Progress != nil && l.Known && l.Revision >= revision && l.Progress.Revision >= revision && l.Progress.Holding == l.Progress.Polling
 }
 
-// ZonesOf returns the zones of a view, those of the settings and those in which engines or evacuations are, in the order of their names.
+// ZonesOf returns the zones of a view, sorted by name: those that the settings name, and those of engines and evacuations.
 func ZonesOf(view *fleet.View) []Zone {
 	byName := make(map[string]*Zone)
 	named := func(name string) *Zone {
@@ -107,7 +106,7 @@
 	return zones
 }
 
-// count takes in one of the zone's engines.
+// count adds an engine to the zone's counts.
 func (z *Zone) count(engine *fleet.Engine) {
 	if !engine.Ready {
 		z.Leaving++
