--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -25,8 +25,8 @@
 	// Desired is how many whole groups the trainer waits for.
 	Desired int
 	Items   []Item
-	// Regions are the sets of regions to which the job was bound when it was accepted, each of which binds, and RewardRegions those of its
-	// reward calls. Empty sets are left out; none at all in jobs of versions that did not note them.
+	// Regions are the sets of regions to which the job was bound when it was accepted; a region must be in each of them. RewardRegions are those
+	// of its reward calls. Empty sets are left out. Both are empty in jobs that older versions accepted.
 	Regions       [][]string
 	RewardRegions [][]string
 }
@@ -94,7 +94,7 @@
 	ErrNotFound = errors.New("batch: not found")
 	// ErrRefused reports a call that was not carried out and never will be.
 	ErrRefused = errors.New("batch: refused")
-	// ErrExcluded is an ErrRefused: the job may not be in the region of the process that coordinates.
+	// ErrExcluded is an ErrRefused: the job's bounds exclude the region of the coordinating process.
 	ErrExcluded = fmt.Errorf("%w: region not allowed", ErrRefused)
 	// ErrUnavailable reports a call that cannot be answered for sure now.
 	ErrUnavailable = errors.New("batch: unavailable")
--- a/internal/batchlog/batchlog.go
+++ b/internal/batchlog/batchlog.go
@@ -61,7 +61,7 @@
 	token int64
 	// writer tells this writer's objects from others'.
 	writer string
-	// Permit reports whether this process may read what belongs to a job, whose items it is not handed; nil means always.
+	// Permit reports whether this process may read the items and results of a job, which is passed without them; nil means always.
 	Permit func(job *batch.Job) bool
 }
 
@@ -98,7 +98,7 @@
 }
 
 // Accept keeps a job for good. It returns the job as it is kept, which is another submission's if there was one. The error
-// is ErrWithheld if that is one that Permit excludes; it wraps metastore.ErrNotDone if the job is not kept and never will be, or
+// is ErrWithheld if Permit excludes that one; it wraps metastore.ErrNotDone if the job is not kept and never will be, or
 // metastore.ErrUnknown.
 func (s *Store) Accept(ctx context.Context, job batch.Job) (*Stored, error) {
 	names, err := s.writeItems(ctx, job)
@@ -182,7 +182,7 @@
 	return append(parts, list[begin:])
 }
 
-// Find takes a job over. metastore.ErrNotFound if there is none, ErrWithheld if Permit says so.
+// Find takes a job over. metastore.ErrNotFound if there is none, ErrWithheld if Permit excludes it.
 func (s *Store) Find(ctx context.Context, id string) (*Stored, error) {
 	object, err := s.read(ctx, kindJobs, id)
 	if err != nil {
@@ -191,7 +191,7 @@
 	return s.takeOverPermitted(ctx, object)
 }
 
-// takeOverPermitted takes a job over, or returns ErrWithheld.
+// takeOverPermitted takes a job over, or returns ErrWithheld if Permit excludes it.
 func (s *Store) takeOverPermitted(ctx context.Context, object metastore.Object) (*Stored, error) {
 	var found record
 	if err := json.Unmarshal(object.Spec, &found); err != nil {
@@ -203,7 +203,7 @@
 	return s.takeOver(ctx, object)
 }
 
-// permits reports whether this process may read what belongs to a job.
+// permits applies Permit to a job.
 func (s *Store) permits(found *record) bool { return s.Permit == nil || s.Permit(&found.Job) }
 
 const (
@@ -214,14 +214,14 @@
 	readTimeout = 1500 * time.Millisecond
 )
 
-// Opened is what a term finds when it begins.
+// Opened is what the store holds of jobs when a term begins.
 type Opened struct {
 	// Jobs are those that are not known to be sealed, taken over.
 	Jobs []*Stored
 	// Sealed are the IDs of those that are.
 	Sealed []string
-	// Withheld are the jobs, without their items, that are not known to be sealed and of which this process may read nothing else. Nothing was
-	// done to them.
+	// Withheld are the jobs, without their items, that are not known to be sealed and that Permit excludes. They were neither fenced nor
+	// changed.
 	Withheld []batch.Job
 }
 
--- a/internal/batchrun/candidates.go
+++ b/internal/batchrun/candidates.go
@@ -30,7 +30,7 @@
 	pools  map[poolKey]*pool
 }
 
-// poolKey names a pool. residency is the key of the residency of its items.
+// poolKey identifies a pool. residency is the Key of its items' residency.
 type poolKey struct{ service, model, residency string }
 
 // pool holds the engines of a service that have room, for the items of one model and residency.
@@ -66,7 +66,7 @@
 	return &look{runner: r, view: view, now: r.now(), pools: make(map[poolKey]*pool)}
 }
 
-// poolOf returns the engines with room that may run an item by its route.
+// poolOf returns the pool of an item: the permitted engines with room of the service that its route picks.
 func (l *look) poolOf(route *routing.Route, it *item) *pool {
 	residency := placement.ResidencyOf(l.view.Routes, route, it.job.Tenant)
 	residency.Accepted = it.job.Regions
--- a/internal/batchrun/report.go
+++ b/internal/batchrun/report.go
@@ -50,7 +50,7 @@
 	return true
 }
 
-// observe takes in what a report tells of its engine.
+// observe records the weight version and pauses that a report shows of its engine. The mutex must be held.
 func (r *Runner) observe(known *run, report *itemwork.Report) {
 	if known.engine == "" {
 		return
@@ -66,7 +66,7 @@
 	}
 }
 
-// adopt takes over a run that an earlier term began, or that was taken for lost. It returns nil if the run is of no use.
+// adopt takes over a run that an earlier term began or that was given up as lost. Nil if the run is of no use. The mutex must be held.
 func (r *Runner) adopt(worker string, report *itemwork.Report) *run {
 	it := r.reportedItem(report)
 	if it == nil || report.From > 0 || (it.phase != phaseWaiting && it.phase != phaseRunning) {
@@ -100,9 +100,9 @@
 	return adopted
 }
 
-// reportedItem returns the item that the text of a run is for; nil if there is none. A run that went on after the end of its job is for the
-// item of that name in a later job of the tenant: without this, a change of coordinator began the longest texts anew, which made a step of
-// 88 items last 12.4 s instead of 6 s.
+// reportedItem returns the item that the text of a run belongs to; nil if there is none. The text of a run that continued after the end of its job
+// belongs to the item of that name in a later job of the tenant. Otherwise a change of coordinator would begin the longest texts anew, which made a
+// step of 88 items last 12.4 s instead of 6 s.
 func (r *Runner) reportedItem(report *itemwork.Report) *item {
 	if j, ok := r.jobs[report.Job]; ok && !j.ended {
 		return j.byID[report.Item]
--- a/internal/batchrun/retention.go
+++ b/internal/batchrun/retention.go
@@ -112,7 +112,7 @@
 		return true
 	}
 	if errors.Is(err, batchlog.ErrWithheld) {
-		// Another term removes it, whose process may read it.
+		// A later term in an allowed region removes it.
 		level.Info(r.Logger).Log("msg", "job not removed", "request", id, "err", err)
 		return true
 	}
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -18,8 +18,8 @@
 	// adoptTime is how long the items of an earlier term wait for workers that hold a run of them: nine workers tell it some 110 ms
 	// after a term has begun, seventy within 400 ms.
 	adoptTime = 400 * time.Millisecond
-	// withheldPause is the pause before an item that a worker has withheld from its engine is placed again: what the worker knows is in force
-	// everywhere within one to three seconds, and until then the same engine may seem to be the best one.
+	// withheldPause is the pause before an item that a worker did not send to its engine, because the placement filter forbade it there, is placed
+	// again. This process learns what the worker knew within one to three seconds, and until then may choose the same engine again.
 	withheldPause = 250 * time.Millisecond
 	// lostVerdict is the name in logs and metrics of runs whose worker is not heard of any more.
 	lostVerdict = "lost"
@@ -62,11 +62,11 @@
 	return it.run == current && !it.job.ended && (it.phase == phaseRunning || it.phase == phaseJudging)
 }
 
-// placing is how a run is placed at an engine.
+// placing are the conditions under which a run is placed at an engine.
 type placing struct {
-	// apart is true if it shares the engine with no other such run.
+	// apart is true if the run shares the engine with no other run for which it is true.
 	apart bool
-	// within is how soon the run must be sent; zero sets no bound.
+	// within is how soon the run must be sent; zero for no bound.
 	within time.Duration
 }
 
@@ -160,8 +160,8 @@
 	})
 }
 
-// judgeHere makes the reward call of an item whose text is whole, and lists items that need none. Where the item's data may not be here, a
-// worker makes the call; the item waits for one. The mutex must be held.
+// judgeHere makes the reward call of an item whose text is whole, or lists the item if it needs none. If the item's residency excludes this process's
+// region, a worker makes the call; without such a worker the item waits. The mutex must be held.
 func (r *Runner) judgeHere(it *item) {
 	it.phase = phaseJudging
 	if it.Reward == nil {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -48,13 +48,13 @@
 	// Guard knows under which items engines have ended, and is told of runs of this process; nil holds none back.
 	Guard *quarantine.Guard
 	Store metastore.Client
-	// Zone is this process's: jobs that may not be in its region are neither taken nor read.
+	// Zone is this process's: jobs whose bounds exclude its region are neither accepted nor read.
 	Zone string
 	// Quota grants runs at engines that have just started; nil if no engine is cold.
 	Quota Quota
 	// Desk hands runs to workers; nil if this process carries out all of them.
 	Desk *itemwork.Desk
-	// EvacuateTime is within how long no request may reach a zone once its evacuation was acknowledged; zero if zones are not evacuated.
+	// EvacuateTime is how soon after the acknowledgement of its evacuation a zone gets no more requests; zero if zones are not evacuated.
 	EvacuateTime time.Duration
 	// Retention is how long a job is kept after its end; zero means DefaultRetention.
 	Retention time.Duration
@@ -101,7 +101,7 @@
 	detached map[string]*run
 	// returnOffsets is, by model, by how much the last job in which items came again demanded newer weights than their first.
 	returnOffsets map[string]int64
-	// emptying are the evacuated zones from which runs are ended.
+	// emptying holds the evacuated zones, in which runs are ended.
 	emptying emptyingZones
 	// kept is what ended jobs have left of items that may come again.
 	kept *unfinishedTexts
--- a/internal/ctl/zones.go
+++ b/internal/ctl/zones.go
@@ -91,7 +91,7 @@
 	return err
 }
 
-// standingOf tells by which evacuations the asked process goes, and who coordinates.
+// standingOf returns a line on the evacuations that the asked process applies and on the coordinating process.
 func standingOf(list zonestatus.List) string {
 	line := fmt.Sprintf("%s goes by the evacuations of revision %d", list.Node, list.Revision)
 	switch {
@@ -109,7 +109,7 @@
 	return fmt.Sprintf("%s; %s (%s) coordinates\n", line, list.Coordinator.Name, list.Coordinator.Address)
 }
 
-// progressLines tells how far the newest evacuations have come, if the asked process coordinates.
+// progressLines lists the processes that do not apply the newest evacuations; empty unless the asked process coordinates.
 func progressLines(list zonestatus.List) string {
 	if list.Progress == nil {
 		return ""
@@ -142,7 +142,7 @@
 	return err
 }
 
-// awaitEvacuation waits until all who poll the asked process, which must coordinate, go by evacuations of a revision.
+// awaitEvacuation waits until the asked process, which must coordinate, and all that poll it apply the evacuations of a revision.
 func awaitEvacuation(ctx context.Context, address string, revision int64, within time.Duration, out io.Writer) error {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
--- a/internal/election/handover.go
+++ b/internal/election/handover.go
@@ -31,8 +31,8 @@
 }
 
 // succeed takes the lease over from a holder that the store has not served while it has served this process: the holder stops first.
-// A store that serves nobody changes nothing, nor does one that is just back, and serves one before the other. A holder away from home is
-// succeeded by a candidate at home as soon as the store serves that.
+// Nothing happens if the store serves neither, or has just come back and serves one before the other. A candidate at home takes over from a holder
+// away from home as soon as the store serves the candidate.
 func (e *Elector) succeed(ctx context.Context, lease Lease) {
 	if e.Yield == nil {
 		return
@@ -72,10 +72,10 @@
 	return e.Unserved()
 }
 
-// YieldTo stops this process's term so that another may take the lease, if by its own account the store does not serve this process or it is
-// away from home. It returns once nothing of the term goes on.
+// YieldTo stops this process's term so that another may take the lease, if this process finds that the store does not serve it or that it is away from
+// home. It returns once nothing of the term runs any more.
 func (e *Elector) YieldTo(ctx context.Context, instance string, token int64) error {
-	if instance != e.instance || e.unserved() < unservedLimit && !e.strays() {
+	if instance != e.instance || e.unserved() < unservedLimit && !e.holderAway() {
 		return ErrNotYielded
 	}
 	request := yieldRequest{token: token, stopped: make(chan struct{})}
--- a/internal/election/lease.go
+++ b/internal/election/lease.go
@@ -3,9 +3,13 @@
 // The lease names its holder and bears a token that rises with every change of holder. It does not run out: a candidate that
 // does not reach the holder writes a challenge into the lease, and takes it over if the holder has not answered, by
 // removing the challenge, within a bounded time. The holder is judged by whether it reaches the store, not by whether one
-// candidate reaches it. Where the holder should stand in certain regions, its home, the lease names them: candidates elsewhere
-// wait until those there have had their turn, and a holder elsewhere stops for the first one there that the store serves. A holder learns of its loss by following the lease, which may take a while: what only a holder may do
-// is written to the store under the term's token, on the condition that no later one was there before.
+// candidate reaches it.
+//
+// The lease may name home regions, in which the holder should be. Candidates elsewhere wait until those at home have had their
+// chance, and a holder elsewhere stops for the first candidate at home that the store serves.
+//
+// A holder learns of its loss by following the lease, which may take a while: what only a holder may do is written to the store
+// under the term's token, on the condition that no later one was there before.
 //
 // Guarantee: of two terms the later one has the higher token.
 package election
@@ -37,9 +41,9 @@
 	Instance string `json:"instance"`
 	// Address is where the holder serves other nodes, as host:port.
 	Address string `json:"address"`
-	// Zone is the holder's; empty if it is not known, as in leases of versions that did not tell it.
+	// Zone is the holder's; empty if it is not known, as in leases that older versions wrote.
 	Zone string `json:"zone,omitempty"`
-	// Home are the regions in which the holder should stand, as the last holder knew them; empty if any will do.
+	// Home are the home regions, as the last holder knew them; empty if the holder may be anywhere.
 	Home []string `json:"home,omitempty"`
 	// Token rises with every change of holder.
 	Token int64 `json:"token"`
--- a/internal/fleetnode/coldstart.go
+++ b/internal/fleetnode/coldstart.go
@@ -40,7 +40,7 @@
 	})
 }
 
-// askCoordinator makes a gateway ask the coordinating process for grants. While none is known, no grant is given.
+// askCoordinator makes a gateway ask the coordinating process for grants. The zero Reply says that nobody coordinates.
 func askCoordinator(forwarder *forward.Forwarder, warmth *coldstart.Warmth, calls *rpc.Client, watcher *election.Watcher, observed *metrics,
 	logger log.Logger) {
 	askGrants(forwarder, warmth, observed, logger, func(ctx context.Context, request coldstart.Request) (coldstart.Reply, error) {
--- a/internal/metastore/calltimes.go
+++ b/internal/metastore/calltimes.go
@@ -5,16 +5,16 @@
 	"time"
 )
 
-// maxCallTimes is how many calls the usual time is taken from: enough that one slow call in three leaves it as it is, few enough that it
-// follows a link that becomes slow within some calls.
+// maxCallTimes is the number of calls that the median is taken of: enough that one slow call in three does not change it, and few enough that it
+// follows a link that becomes slow after five calls.
 const maxCallTimes = 9
 
-// callTimes are how long the last calls took. It is not safe for concurrent use.
+// callTimes holds how long the last maxCallTimes calls took. It is not safe for concurrent use.
 type callTimes struct {
 	taken []time.Duration
 }
 
-// note takes in how long a call took.
+// note adds a call's time and drops the oldest beyond maxCallTimes.
 func (c *callTimes) note(took time.Duration) {
 	if len(c.taken) == maxCallTimes {
 		c.taken = c.taken[1:]
@@ -22,7 +22,7 @@
 	c.taken = append(c.taken, took)
 }
 
-// median returns the middle one; zero if no call was noted.
+// median returns the median time; zero if there is none.
 func (c *callTimes) median() time.Duration {
 	if len(c.taken) == 0 {
 		return 0
@@ -30,8 +30,7 @@
 	return slices.Sorted(slices.Values(c.taken))[len(c.taken)/2]
 }
 
-// CallTime returns how long a call to the store usually takes, from this process's last calls that were answered and were no watches; zero if
-// there was none.
+// CallTime returns the median time of this process's last calls to the store that were answered, without watches; zero if there was none.
 func (o *Outage) CallTime() time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -62,9 +62,9 @@
 	// Confirmed takes each kind as the store has just shown it, changed or not; nil for nobody. It must be set before the first
 	// Follow.
 	Confirmed func(kind string, snapshot Snapshot)
-	// Shown takes each kind of which the store has answered a call, with the moment of boottime as of which the answer is: the present one, or
-	// that at which the call began if it took longer than the store may, because this process did not get to read the answer meanwhile. Nil
-	// for nobody. It must be set before the first Follow.
+	// Shown is told of each answered call about a kind, with the time, by boottime, at which the answer was certainly true. That is now. If the call
+	// took longer than the store may take, this process did not run meanwhile and the answer may be old: then it is when the call began. Nil for
+	// nobody. It must be set before the first Follow.
 	Shown func(kind string, at time.Time)
 	// Doubted takes each kind of which a call has failed; nil for nobody. It must be set before the first Follow.
 	Doubted func(kind string)
@@ -149,7 +149,8 @@
 	}
 }
 
-// succeeded takes in a call that was answered, with when it began and how long it may take. After failures, what the others began in the meantime may never be.
+// succeeded records a call that was answered, with when it began and the longest that it may take. After failures, calls that other followers began
+// meanwhile may never be answered, so their watches are ended.
 func (w *follower) succeeded(began time.Time, longest time.Duration) {
 	if w.failures > 0 {
 		w.group.endWatches(errDisturbed)
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -44,7 +44,7 @@
 
 	mu    sync.Mutex
 	kinds map[string]*relayedKind
-	// shown is as of when the store last answered a call about each kind, whether or not a call has failed since.
+	// shown is, by kind, the time as of which the store last answered a call, whether or not a call has failed since (metastore.Followers.Shown).
 	shown   map[string]time.Time
 	changed chan struct{}
 }
@@ -135,14 +135,14 @@
 	h.changed = make(chan struct{})
 }
 
-// ShownAt returns as of when, by boottime, the store last showed a kind to this process; zero if it never did.
+// ShownAt returns the time, by boottime, as of which the store last answered a call about a kind; zero if it never did.
 func (h *Hub) ShownAt(kind string) time.Time {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.shown[kind]
 }
 
-// noteShown takes in as of when the store has answered a call about a kind.
+// noteShown records that the store answered a call about a kind, as of a time.
 func (h *Hub) noteShown(kind string, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/storerelay/pollers.go
+++ b/internal/storerelay/pollers.go
@@ -12,47 +12,47 @@
 )
 
 const (
-	// pollerMemory is how long a process that has stopped polling is told of: long enough that operators see one that is cut off, and short
-	// enough that machines which were replaced do not add up.
+	// pollerMemory is how long a process that has stopped polling stays listed: long enough that operators see one that is cut off, and short
+	// enough that machines which were replaced do not pile up.
 	pollerMemory = 5 * time.Minute
-	// maxPollers bounds the processes that a hub remembers: three times the largest deployment.
+	// maxPollers bounds the processes that a hub remembers: some three times the largest deployment.
 	maxPollers = 1024
 )
 
 // Poller is a process that polls a hub.
 type Poller struct {
 	Name, Zone string
-	// Known is the revision up to which it knew a kind when it last polled; zero if it knew nothing of it.
+	// Known is the revision of the kind that it held when it last polled; zero for none.
 	Known metastore.Revision
 	// Age is how long ago it last polled.
 	Age time.Duration
 }
 
-// Spread tells how far the newest content of a kind has come.
+// Spread shows which processes hold the newest content of a kind.
 type Spread struct {
 	// Revision is that of the newest content; zero if the hub knows nothing of the kind.
 	Revision metastore.Revision
-	// Pollers are the processes that follow the kind and have polled within pollerMemory, in the order of their names.
+	// Pollers are the processes that follow the kind and have polled within pollerMemory, sorted by name.
 	Pollers []Poller
 }
 
-// Holds reports whether a process knew the newest content when it last polled.
+// Holds reports whether a process held the newest content when it last polled.
 func (s Spread) Holds(poller Poller) bool { return s.Revision > 0 && poller.Known >= s.Revision }
 
-// pollers remembers what each process knew when it last polled. It is safe for concurrent use.
+// pollers remembers which revisions each process held when it last polled. It is safe for concurrent use.
 type pollers struct {
 	mu   sync.Mutex
 	last map[string]poll
 }
 
-// poll is the last one of a process.
+// poll is a process's last poll.
 type poll struct {
 	zone  string
 	known map[string]metastore.Revision
 	at    time.Time
 }
 
-// note takes in a poll. The map must not be changed after that.
+// note records a poll. The map must not be changed afterwards.
 func (p *pollers) note(peer rpc.Peer, known map[string]metastore.Revision, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -95,12 +95,12 @@
 	return found
 }
 
-// NotePoll takes in which process has polled, and what it knew then.
+// NotePoll records which process has polled, and which revisions it held.
 func (h *Hub) NotePoll(peer rpc.Peer, request PollRequest) {
 	h.pollers.note(peer, request.Known, boottime.Now())
 }
 
-// Spread tells how far the newest content of a kind has come. What a process learns with a poll shows with its next one.
+// Spread shows which processes hold the newest content of a kind. What a process receives with a poll counts from its next poll on.
 func (h *Hub) Spread(kind string) Spread {
 	spread := Spread{Pollers: h.pollers.of(kind, boottime.Now())}
 	h.mu.Lock()
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -13,7 +13,7 @@
 // Polls also carry what the processes tell each other of requests under which engines have ended (package quarantine): it is news to all of
 // them, and they ask the coordinating process anyway.
 //
-// A hub remembers what each process knew when it last polled, so that operators see how far a change has come (Hub.Spread).
+// A hub remembers which revisions each process held when it last polled, so that operators see which processes have received a change (Hub.Spread).
 //
 // Guarantees: what a Client hands out for a kind never goes back to an earlier revision. A hub of which a call to the store has
 // failed, or that has not heard from it for maxAge, says so, and a poll that is not answered within pollWait and pollMargin counts as
