--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -121,7 +121,7 @@
 // New returns a Runner that does nothing until Lead.
 func New(params Params) *Runner {
 	if params.Observer == nil {
-		params.Observer = nobody{}
+		params.Observer = noObserver{}
 	}
 	if params.Retention == 0 {
 		params.Retention = DefaultRetention
