--- a/internal/batchrun/cold_test.go
+++ b/internal/batchrun/cold_test.go
@@ -21,7 +21,7 @@
 // coldRate is how many requests a second a cold engine of the test bears.
 const coldRate = 3.0
 
-// chill makes engine a cold for a length of time and hands runs to workers if there are any. Its former runner is stopped.
+// chill replaces the runner by one for which engine a is cold for a length of time, and which hands runs to workers if there are any.
 func (w *deskWorld) chill(ctx context.Context, length time.Duration) (ended *sync.WaitGroup) {
 	w.stop()
 	pool, judges := []routing.Target{{Service: "pool", Weight: 1}}, []routing.Target{{Service: "judges", Weight: 1}}
--- a/internal/batchrun/emptying_test.go
+++ b/internal/batchrun/emptying_test.go
@@ -108,7 +108,8 @@
 	}
 }
 
-// A choice each interval empties a zone in time whatever the lengths and the room, and ends no more than there is room for before the bound.
+// With one choice each interval a zone is empty in time, whatever the lengths and free places. Before the bound, no more runs are ended than there are
+// free places.
 func TestChooseToEndInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(1, 60).Draw(t, "runs")
--- a/internal/batchrun/evacuation_test.go
+++ b/internal/batchrun/evacuation_test.go
@@ -18,13 +18,13 @@
 
 const (
 	evacuateTime = 5 * time.Second
-	// emptyTime is within how long this process empties a zone of which it has learnt.
+	// emptyTime is how soon after it has learnt of the evacuation this process has emptied a zone.
 	emptyTime = 2 * time.Second
-	// orderTime is how long an order to end a run may take to the engine of the test.
+	// orderTime is how long a cancellation may take to reach the engine of the test.
 	orderTime = 50 * time.Millisecond
 )
 
-// zoned lists engine a in zone-a, engine b in zone-b with so many slots, and the judge in zone-b.
+// zoned lists engine a in zone-a, engine b in zone-b with a number of slots, and the judge in zone-b.
 func (w *world) zoned(slotsOfB int) {
 	w.state.SetEngines([]*fleet.Engine{
 		{ID: "a", Service: "pool", Zone: "zone-a", Slots: 8, Ready: true, Versions: map[string]int64{model: 1}},
@@ -33,7 +33,7 @@
 	})
 }
 
-// evacuate makes the zones the evacuated ones, each since the revision.
+// evacuate evacuates exactly these zones, from the revision on.
 func (w *world) evacuate(revision int64, zones ...string) {
 	since := make(map[string]int64)
 	for _, zone := range zones {
@@ -66,7 +66,7 @@
 	return count
 }
 
-// playEvacuation plays a scene with a runner of deployments that evacuate zones within so long.
+// playEvacuation plays a scene with a runner whose EvacuateTime is given.
 func playEvacuation(t *testing.T, name string, within time.Duration, scene func(w *world)) {
 	t.Helper()
 	play(t, name, func(w *world) {
@@ -78,7 +78,7 @@
 	})
 }
 
-// fillZoneA starts so many items of so many events, 20 ms each, all at engine a.
+// fillZoneA starts a number of items at engine a, each of a number of events that take 20 ms.
 func (w *world) fillZoneA(items, events int) {
 	w.engines.events = events
 	w.evacuate(1, "zone-b")
@@ -92,7 +92,7 @@
 	w.evacuate(2)
 }
 
-// shouldBeWholeJob checks that each item of a job has its whole text and was begun after what its runs before had made.
+// shouldBeWholeJob checks that each item of a job has its whole text, and that each run continued where the one before had ended.
 func (w *world) shouldBeWholeJob(id string, results []batch.Result, items int) {
 	So(results, ShouldHaveLength, items)
 	for _, result := range results {
--- a/internal/batchrun/main_test.go
+++ b/internal/batchrun/main_test.go
@@ -6,7 +6,7 @@
 	"testing"
 )
 
-// TestMain fixes what property tests draw, so that every run gives the same verdict; -rapid.seed draws others.
+// TestMain fixes the seed of property tests, so that every run gives the same verdict; -rapid.seed sets another.
 func TestMain(m *testing.M) {
 	flag.Parse()
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
--- a/internal/batchrun/paths_test.go
+++ b/internal/batchrun/paths_test.go
@@ -26,7 +26,7 @@
 	"github.com/covelink/covelink/internal/tenants"
 )
 
-// sends counts what was sent by path, over all that a property test has drawn, and what was withheld.
+// sends counts, over all cases of a property test, the sends by path and the runs that workers did not send.
 type sends struct {
 	mu       sync.Mutex
 	byPath   map[string]int
@@ -34,7 +34,7 @@
 	withheld int
 }
 
-// recorder is the transport of one process: it judges each send by what that process knows at the moment. It implements forward.Transport.
+// recorder is the transport of one process. It judges each send by what that process knows at that time. It implements forward.Transport.
 type recorder struct {
 	name    string
 	state   *fleet.State
@@ -58,7 +58,7 @@
 	return r.engines.Send(ctx, engine, request, options)
 }
 
-// forbidden returns why a view does not allow a send; empty if it does. It is written apart from the filter that it judges.
+// forbidden returns why a view does not allow a send; empty if it does. It shares no code with the placement filter, which it checks.
 func forbidden(view *fleet.View, engine *fleet.Engine, request *forward.Request) string {
 	if listed, ok := view.Engines[engine.ID]; ok {
 		engine = listed
@@ -84,7 +84,7 @@
 	return ""
 }
 
-// deployment is what the store holds; each process gets to know of it when a test says so.
+// deployment is what the store holds. A process learns of it when the test calls tell.
 type deployment struct {
 	revision  int64
 	evacuated map[string]int64
@@ -112,7 +112,8 @@
 	return table
 }
 
-// tell lets a process know the deployment as it is. Nothing runs while a part of it changes: a send is then judged by what it was decided by.
+// tell shows a process the current deployment. Nothing runs between the parts of the change, so that each send is judged by the view on which it was
+// decided.
 func (d *deployment) tell(state *fleet.State) {
 	synctest.Wait()
 	state.SetRoutes(d.table())
@@ -141,7 +142,7 @@
 	running   sync.WaitGroup
 }
 
-// process returns the executor of a process that knows nothing yet.
+// process returns the executor of a process that does not know the deployment yet.
 func (w *pathWorld) process(name string, topology fleet.Topology) *itemwork.Executor {
 	state := fleet.NewState()
 	state.FollowEvacuations()
@@ -198,7 +199,7 @@
 	})
 }
 
-// change changes the deployment, or what is asked of it.
+// change changes the deployment, or submits a job or lookup.
 func (w *pathWorld) change(t *rapid.T, zones []string) {
 	w.revision++
 	switch rapid.SampledFrom([]string{"evacuate", "restore", "leave", "restart", "regions", "submit", "submit", "lookup"}).Draw(t, "change") {
@@ -239,7 +240,7 @@
 	}
 }
 
-// mayTake reports whether the coordinating process may take a job, by what it knows.
+// mayTake reports whether the coordinating process may accept a job, by what it knows.
 func (w *pathWorld) mayTake(job *batch.Job) bool {
 	view := w.states[0].View()
 	if view.Routes == nil && view.Topology.Regional() {
@@ -259,8 +260,8 @@
 	w.running.Go(func() { w.forwarder.Do(context.Background(), route, request, boottime.Now().Add(2*time.Second)) })
 }
 
-// settle lets everybody know of a deployment without evacuations and bounds, and with engines where jobs may still be bound to by what they were
-// accepted under, and checks that every text becomes whole.
+// settle shows every process a deployment without evacuations and bounds, with engines wherever accepted jobs may still be bound, and checks that every
+// text becomes whole.
 func (w *pathWorld) settle(t *rapid.T, zones []string) {
 	w.revision++
 	w.evacuated, w.regions = map[string]int64{}, nil
@@ -287,7 +288,7 @@
 	}
 }
 
-// drawPaths plays one deployment.
+// drawPaths plays one drawn case.
 func drawPaths(t *rapid.T, sent *sends) {
 	topology := make(map[string]string)
 	var zones []string
@@ -332,7 +333,7 @@
 	}
 }
 
-// virtualTB is a test in virtual time, whose deadline must not be asked for.
+// virtualTB hides a *testing.T from rapid, which would ask it for its deadline: testing/synctest forbids that.
 type virtualTB struct{ *testing.T }
 
 // Whatever the topology, the configuration, the evacuations and the order in which the processes learn of them: no path sends what the filter
--- a/internal/batchrun/remote_test.go
+++ b/internal/batchrun/remote_test.go
@@ -26,7 +26,7 @@
 	cut atomic.Bool
 	// workerZone is that of the workers that are started.
 	workerZone string
-	// held is for how long answers to polls are on their way, in nanoseconds.
+	// held is how long answers to polls are delayed, in nanoseconds.
 	held atomic.Int64
 	// warmAt is when a cold engine becomes warm.
 	warmAt time.Time
--- a/internal/batchrun/residency_test.go
+++ b/internal/batchrun/residency_test.go
@@ -13,7 +13,7 @@
 	"github.com/covelink/covelink/internal/routing"
 )
 
-// playRegions plays with a coordinator in the north, engines in the south, and routes without bounds at first.
+// playRegions plays a scene with a coordinator in the north, engines in the south, and routes that are not bound at first.
 func playRegions(t *testing.T, name string, scene func(w *deskWorld)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -27,7 +27,7 @@
 	})
 }
 
-// bind puts a table in force that binds the items' route and the judges'.
+// bind sets the allowed regions of the items' route and of the judges' route.
 func (w *deskWorld) bind(items, judges []string) {
 	old := w.state.View().Routes
 	var routes []routing.Route
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -38,10 +38,10 @@
 	leading    map[string]bool
 	// writes counts the writes of all candidates, and yields the requests to yield.
 	writes, yields int
-	// regional is true if candidates know the regions of zones, their own being their names, and home is what holders are told of.
+	// regional is true if candidates know the regions of zones; each candidate's zone is its name. home are the regions given to SetHome.
 	regional bool
 	home     []string
-	// learnAfter is how long after the start of a term holders are told.
+	// learnAfter is how long after the start of a term SetHome is called.
 	learnAfter time.Duration
 	// distances are how long calls to the store take, by region; nil if candidates don't know.
 	distances map[string]time.Duration
