--- a/internal/batchrun/residency_test.go
+++ b/internal/batchrun/residency_test.go
@@ -51,34 +51,32 @@
 	})
 }
 
+// shouldRunInSouth checks that the three items of job j do not run while the only worker is in the north, and that a worker in the south runs them.
+func (w *deskWorld) shouldRunInSouth() {
+	w.listEngines()
+	w.workerZone = "n"
+	defer w.work("north")()
+	So(w.results("j", 5*time.Second), ShouldBeEmpty)
+	So(w.engines.count(), ShouldEqual, 0)
+	w.workerZone = "s"
+	defer w.work("south")()
+	w.shouldBeWhole(w.results("j", 5*time.Second), 3)
+}
+
 func TestResidencyOfRuns(t *testing.T) {
 	south := []string{"south"}
 	playRegions(t, "Items that this process may not run wait for a worker that may, and no worker elsewhere gets them", func(w *deskWorld) {
 		w.state.SetEngines(nil)
 		w.submit("j", 3)
 		w.bind(south, nil)
-		w.listEngines()
-		w.workerZone = "n"
-		defer w.work("north")()
-		So(w.results("j", 5*time.Second), ShouldBeEmpty)
-		So(w.engines.count(), ShouldEqual, 0)
-		w.workerZone = "s"
-		defer w.work("south")()
-		w.shouldBeWhole(w.results("j", 5*time.Second), 3)
+		w.shouldRunInSouth()
 		So(len(w.engines.of("j-0")), ShouldEqual, 1)
 	})
 	playRegions(t, "A reward's route binds who carries the run out as the item's does", func(w *deskWorld) {
 		w.state.SetEngines(nil)
 		w.submit("j", 3)
 		w.bind(nil, south)
-		w.listEngines()
-		w.workerZone = "n"
-		defer w.work("north")()
-		So(w.results("j", 5*time.Second), ShouldBeEmpty)
-		So(w.engines.count(), ShouldEqual, 0)
-		w.workerZone = "s"
-		defer w.work("south")()
-		w.shouldBeWhole(w.results("j", 5*time.Second), 3)
+		w.shouldRunInSouth()
 	})
 	playRegions(t, "A reward call that was broken off is made by a worker that may, not by this process", func(w *deskWorld) {
 		w.state.SetEngines(nil)
