forward: plain names and comments for load, queues and turns

waitingRoom is waitQueues, room is capacity, letOut is release: the field's words. noteRefused and endRefused take a refusedSend instead of two bare bools. Comments say what a constant is for and why. No behaviour changes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -12,8 +12,8 @@
 	"github.com/covelink/covelink/internal/fleet"
 )
 
-// attempt sends the request to the engine of a turn, one of so many that may run it, and ends the turn; soon after the send was granted if it
-// was. again is true if another attempt may be made.
+// attempt sends the request to the engine of a turn and ends the turn. A send that needed a grant leaves within GrantedSendTime of it. engines is
+// how many engines may run the request. again is true if another attempt may be made.
 func (j *job) attempt(ctx context.Context, chosen turn, engines int) (result Result, again bool) {
 	engine := chosen.engine
 	_, triedBefore := j.tried[engine.ID]
@@ -41,7 +41,8 @@
 	j.countSend()
 	if answer.NotRun {
 		j.unreachable = false
-		j.endRefused(engine, answer.Misdirected, engines)
+		// At a misdirected address another engine has started: the one that was meant is gone, which is no sign of a full service.
+		j.endRefused(refusedSend{engine: engine.ID, unreachable: answer.Misdirected, engines: engines})
 		j.picker.Release(engine, busyVerdict(answer), took)
 		return Result{}, true
 	}
@@ -73,7 +74,7 @@
 	broke bool
 	// repeated is true if the request had been sent to the engine before.
 	repeated bool
-	// engines is how many may run the request.
+	// engines is how many engines may run the request.
 	engines int
 }
 
@@ -87,17 +88,19 @@
 	}
 	j.picker.Release(engine, verdict, took)
 	if !attempt.repeated {
-		// A request that waits for engines that are gone dials them again and again: one line for each engine tells it.
+		// A request that waits for engines that are gone dials each of them many times: one line for each engine is enough.
 		level.Debug(j.logger).Log("msg", "attempt lost", "request", j.request.ID, "engine", engine.ID, "took", took, "err", err)
 	}
 	if errors.Is(err, ErrNotSent) {
 		j.unreachable = true
-		j.uncountSend()
-		j.endRefused(engine, true, attempt.engines)
+		// A send of which no byte left loads nobody: it is not counted.
+		j.returnRetry()
+		j.endRefused(refusedSend{engine: engine.ID, unreachable: true, engines: attempt.engines})
 		return Result{}, true
 	}
 	j.countSend()
-	j.waiting.ended(j.service, nil)
+	// A lost answer tells nothing about the service's capacity.
+	j.waiting.end(j.service, nil)
 	if attempt.broke && !j.Guard.Broke(j.request.ID, j.fingerprint(), engine) {
 		// Retries of one try are how a request that ends engines reaches the next one soonest: two ended 57 ms apart.
 		j.once = true
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -47,11 +47,11 @@
 	ReasonAnswerLost   Reason = "answer lost"
 	// ReasonUnreachable is given where no engine could be sent the request, rather than refused it.
 	ReasonUnreachable Reason = "engines unreachable"
-	// ReasonEnginesCold is given where only engines that have just started could run the request, and they bear no more now.
+	// ReasonEnginesCold is given where only cold engines may run the request, and none was granted in time.
 	ReasonEnginesCold Reason = "engines cold"
 	// ReasonHeld is given for requests under which too many engines have ended.
 	ReasonHeld Reason = "held"
-	// ReasonRetryBudget is given where another engine would have been asked but for the bound on retries.
+	// ReasonRetryBudget is given where the retry budget did not grant a send to another engine.
 	ReasonRetryBudget Reason = "retry budget used"
 )
 
@@ -73,7 +73,7 @@
 	TimedOut bool
 	// FailedAttempts counts the answers of 500 that engines gave.
 	FailedAttempts int
-	// Sent is true if an engine was sent the request, whatever came of it.
+	// Sent is true if a byte of the request left for an engine, whatever the outcome.
 	Sent bool
 }
 
@@ -93,16 +93,17 @@
 	// busyRetryAfter and emptyRetryAfter are what refused callers are told.
 	busyRetryAfter  = 100 * time.Millisecond
 	emptyRetryAfter = 300 * time.Millisecond
-	// closedRetryAfter is the same where only an operator, or engines that have yet to start, can change the answer.
+	// closedRetryAfter is what callers are told where only an operator, or engines that have yet to start, can change the answer, and the longest
+	// time told to callers of a full service, before the spread.
 	closedRetryAfter = time.Second
-	// retryAfterSpread is the share by which callers of a full service are told to wait longer at random, so that they do not come together.
+	// retryAfterSpread is the greatest random share added to what callers of a full service are told, so that they do not return together.
 	retryAfterSpread = 0.5
-	// retryShare is the most retries for each first send, so that an outage costs 1.2 times its load. It is taken over retryWindow: longer
-	// than an engine's fall takes to be noticed, and short enough that a calm hour does not pay for a storm.
+	// retryShare is the most retries for each first send, so that retries raise the load of an outage to at most 1.2 times. It holds over
+	// retryWindow: longer than it takes to notice that an engine has ended, and short enough that a calm hour does not pay for many retries at once.
 	retryShare  = 0.2
 	retryWindow = 10 * time.Second
-	// retryReserve lets a process that rarely uses a service ask another engine or come again, at most once each retryRefill, which is more than
-	// the 3 s that a reward call may take and little beside an engine's start.
+	// retryReserve is how many retries a process that rarely uses a service may make beyond the share; one more is granted each retryRefill. That
+	// is longer than the 3 s that a reward call may take, and short beside an engine's start.
 	retryReserve = 3
 	retryRefill  = 5 * time.Second
 )
@@ -112,14 +113,14 @@
 	RequestEnded(kind routing.Kind, outcome Outcome, engines int, took time.Duration)
 }
 
-// LoadObserver is told what a service's load did to requests, for metrics.
+// LoadObserver is told of retries and waits, for metrics.
 type LoadObserver interface {
-	// Retried counts a send beyond the first of a request, and RetryDenied one that the budget did not grant.
+	// Retried counts a send beyond the first of a request, and RetryDenied a retry that the budget did not grant.
 	Retried(service string)
 	RetryDenied(service string)
-	// Waited tells how long a request waited for room.
+	// Waited tells how long a request waited for capacity.
 	Waited(service string, took time.Duration)
-	// RefusedAtOnce counts a request that was refused because its turn would have come too late.
+	// RefusedAtOnce counts a request that was refused without a wait, because its turn would have come too late.
 	RefusedAtOnce(service string)
 }
 
@@ -134,20 +135,20 @@
 	Began func(tenant string, at time.Time)
 	// Guard refuses requests that end the engines that run them; nil admits all. It must be set before the first request.
 	Guard *quarantine.Guard
-	// Quota grants sends to engines that have just started; nil if no engine is cold. It must be set before the first request.
+	// Quota grants sends to cold engines; nil if no engine is ever cold. It must be set before the first request.
 	Quota     Quota
 	state     *fleet.State
 	transport Transport
 	picker    *Picker
 	budget    *retrybudget.Budget
-	waiting   *waitingRoom
+	waiting   *waitQueues
 	logger    log.Logger
 }
 
 // New returns a Forwarder.
 func New(state *fleet.State, transport Transport, picker *Picker, logger log.Logger) *Forwarder {
 	budget := retrybudget.New(retrybudget.Params{Share: retryShare, Window: retryWindow, Reserve: retryReserve, RefillTime: retryRefill, Now: boottime.Now})
-	return &Forwarder{state: state, transport: transport, picker: picker, budget: budget, waiting: newWaitingRoom(budget, logger), logger: logger}
+	return &Forwarder{state: state, transport: transport, picker: picker, budget: budget, waiting: newWaitQueues(budget, logger), logger: logger}
 }
 
 // Services returns what this process knows of the load of each service that it sent requests to.
@@ -166,9 +167,9 @@
 	residency placement.Residency
 	started   time.Time
 	deadline  time.Time
-	// waitUntil is until when the request may wait for a full service.
+	// waitUntil is the moment of boottime until which the request may wait for a full service.
 	waitUntil time.Time
-	// sends counts the attempts of which a byte left.
+	// sends counts the attempts of which a byte left; several at one engine count each.
 	sends int
 	// tried are the engines that the request was sent to; several attempts at one engine count once.
 	tried map[string]struct{}
@@ -310,7 +311,7 @@
 	return result
 }
 
-// retryAfter returns when a request that was refused for a reason may come again.
+// retryAfter returns how long the caller of a refused request is told to wait.
 func (j *job) retryAfter(reason Reason) time.Duration {
 	switch reason {
 	case ReasonNoEngine, Reason(placement.EvacuationsUnknown):
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -8,75 +8,79 @@
 )
 
 const (
-	// recently is how long an engine's refusal is news about its service.
+	// recently is how long a refusal counts toward its service's load: older ones say nothing about the load of now.
 	recently = time.Second
-	// firstProbe and maxProbe bound the interval at which a full service is asked for room: about the length of a lookup at first, so that a
-	// moment's crowd costs its callers nothing. In the replay of a crash of all engines at 300 gateways a longest interval of 0.5 s kept the
+	// firstProbe and maxProbe bound the interval at which a full service is probed for capacity. The first is about the length of a lookup, so
+	// that a short burst costs its callers nothing. In the replay of a crash of all engines at 300 gateways a longest interval of 0.5 s kept the
 	// engines falling (20 falls in 25 s, 1.47 to 1.50 sends for each request), one of 2 s let them come back (4 falls, 1.01 to 1.04).
 	firstProbe = 25 * time.Millisecond
 	maxProbe   = 2 * time.Second
-	// maxKnownFull bounds how long an engine that refused is left out for first tries, which are no retries and serve as probes as well.
+	// maxKnownFull bounds how long first tries avoid an engine that refused. First tries are not retries, and serve as probes too: a longer
+	// bound would find new capacity later.
 	maxKnownFull = 500 * time.Millisecond
-	// silence is how long answers that are due may be missing before a retry is spent on a probe, and how long a patient retry leaves a service
-	// alone that refused: the budget pays for few of them.
+	// silence is how long a service with requests in flight must not have answered before a retry may be spent on a probe, and how long a
+	// patient retry waits after a refusal before it may be one: the retry budget pays for few probes.
 	silence = 500 * time.Millisecond
 	// probeJitter is the share by which an interval is longer or shorter, so that processes do not probe together.
 	probeJitter = 0.25
-	// firstUnreachable is how long an engine that could not be reached is not dialled again at first, then twice as long each time: an engine that
-	// has ended comes back as another.
+	// firstUnreachable is how long an engine is not dialled again after the first failed connection; the time doubles with each further one. An
+	// engine that has ended does not come back: its next start has another ID.
 	firstUnreachable = 250 * time.Millisecond
-	// cutPause is the least time between two cuts of a limit: refusals within it are news of the same moment.
+	// cutPause is the least time between two cuts of a limit: refusals that arrive together report the same overload, and cut it once.
 	cutPause = 100 * time.Millisecond
-	// wellAfter is how long a service must have refused nothing to be taken for well: longer than a probe's interval, so that it does not flap.
+	// wellAfter is how long a service must refuse nothing before it counts as well again: longer than most intervals between probes, so that its
+	// load does not flap.
 	wellAfter = time.Second
-	// rampStep is what each round of answers adds to the limit while refusals are fresh: one round in five or six asks for more than was
-	// granted, so that the refusals that the ramp finds stay within the budget of retries.
+	// rampStep, in requests, is what each round of answers (as many as the limit) adds to the limit within wellAfter of a refusal. One round in
+	// five or six then sends one request more, so that the refusals which that provokes stay within the retry budget.
 	rampStep = 0.18
-	// rateWindow is the time over which the rates of a service are counted.
+	// rateWindow is the window of a service's counts of answers and refusals: long enough to estimate a wait from, short enough to follow a burst.
 	rateWindow = 2 * time.Second
 )
 
-// Load is what a process takes a service for.
+// Load is this process's estimate of a service's load.
 type Load int
 
 // The loads.
 const (
-	// LoadWell services are sent requests at once.
+	// LoadWell: requests are sent at once.
 	LoadWell Load = iota
-	// LoadFull services refuse.
+	// LoadFull: the service refuses requests, and new ones wait.
 	LoadFull
-	// LoadDown services cannot be reached.
+	// LoadDown: most of the engines that took nothing could not be reached.
 	LoadDown
 )
 
 // String returns the load's name in logs and metrics.
 func (l Load) String() string { return [...]string{"well", "full", "down"}[l] }
 
-// refusal is that an engine did not take a request.
+// refusal is the last time at which an engine did not take a request.
 type refusal struct {
 	at time.Time
-	// until is until when another try is no use.
+	// until is when the engine may be tried again.
 	until       time.Time
 	unreachable bool
-	// failures counts the tries in a row that could not reach the engine.
+	// failures counts the consecutive tries that could not reach the engine.
 	failures int
 }
 
-// serviceLoad is what this process has seen of a service's room. Its methods are given the time, and not safe for concurrent use.
+// serviceLoad estimates a service's load from this process's own attempts. Its methods take the time as an argument. It is not safe for
+// concurrent use.
 type serviceLoad struct {
 	load  Load
 	since time.Time
-	// inFlight are the requests that are at the service's engines, or about to be sent there, from here, and limit the most while not well.
+	// inFlight counts this process's requests that an engine of the service works on, or that are about to be sent.
 	inFlight int
-	limit    float64
-	// refusals are the last ones of engines that have not answered since.
+	// limit bounds inFlight while the load is not LoadWell. It is a fraction because rampStep is.
+	limit float64
+	// refusals maps the ID of each engine that has refused and not answered since to its last refusal.
 	refusals            map[string]refusal
 	refusedAt, servedAt time.Time
 	cutAt               time.Time
-	// interval is that of probes; the next may be made at probeAt.
+	// interval is the present pause between probes; the next may be made at probeAt.
 	interval time.Duration
 	probeAt  time.Time
-	// served and refused count the answers and refusals of late.
+	// served and refused count the answers and refusals of the last rateWindow.
 	served, refused slidingcount.Counter
 }
 
@@ -90,7 +94,7 @@
 	}
 }
 
-// noteServed takes in that an engine has taken a request. It reports whether the service is taken for well by that.
+// noteServed records that an engine took a request, while others wait. It reports whether the load became LoadWell.
 func (s *serviceLoad) noteServed(now time.Time, engine string, waiting int) bool {
 	delete(s.refusals, engine)
 	s.served.Add(now, 1)
@@ -112,17 +116,27 @@
 	return false
 }
 
-// noteRefused takes in that an engine, one of so many that may serve the request, did not take it. exhausted is true if no engine that the
-// request may be sent to takes it. It reports whether the service is taken for full, or down, by that.
-func (s *serviceLoad) noteRefused(now time.Time, engine string, unreachable, exhausted bool, engines int) bool {
-	s.refusals[engine] = s.nextRefusal(now, s.refusals[engine], unreachable)
+// refusedSend is one send that an engine did not take.
+type refusedSend struct {
+	engine string
+	// unreachable is true if the engine could not be reached, rather than refused.
+	unreachable bool
+	// exhausted is true if every engine that the request may be sent to has refused it.
+	exhausted bool
+	// engines is how many engines may run the request.
+	engines int
+}
+
+// noteRefused records that an engine did not take a request. It reports whether the load changed to LoadFull or LoadDown.
+func (s *serviceLoad) noteRefused(now time.Time, send refusedSend) bool {
+	s.refusals[send.engine] = s.nextRefusal(now, s.refusals[send.engine], send.unreachable)
 	s.refused.Add(now, 1)
 	s.refusedAt = now
 	if s.probeAt.Before(now) {
 		s.postponeProbe(now)
 	}
 	refusing, down := s.refusing(now)
-	if s.load == LoadWell && !exhausted && 2*refusing <= engines {
+	if s.load == LoadWell && !send.exhausted && 2*refusing <= send.engines {
 		return false
 	}
 	before := s.load
@@ -145,7 +159,8 @@
 
 func (s *serviceLoad) become(now time.Time, load Load) { s.load, s.since = load, now }
 
-// refusing counts the engines that refused lately, and those of them that could not be reached. It forgets the others.
+// refusing counts the engines that did not take a request within recently, and those of them that could not be reached. It drops records that
+// are older than staleAfter.
 func (s *serviceLoad) refusing(now time.Time) (all, unreachable int) {
 	for id, refusal := range s.refusals {
 		if now.Sub(refusal.at) > recently {
@@ -162,23 +177,23 @@
 	return all, unreachable
 }
 
-// nextRefusal returns the refusal that follows an engine's last one.
+// nextRefusal returns the record of an engine's new refusal, given its last one.
 func (s *serviceLoad) nextRefusal(now time.Time, last refusal, unreachable bool) refusal {
 	if !unreachable {
 		return refusal{at: now, until: now.Add(min(max(busyBackoff, s.interval), maxKnownFull))}
 	}
-	life := min(firstUnreachable<<min(last.failures, 5), maxBackoff)
-	return refusal{at: now, until: now.Add(life), unreachable: true, failures: last.failures + 1}
+	backoff := min(firstUnreachable<<min(last.failures, 5), maxBackoff)
+	return refusal{at: now, until: now.Add(backoff), unreachable: true, failures: last.failures + 1}
 }
 
-// knownFull reports whether an engine has refused so lately that another try is no use.
+// knownFull reports whether an engine refused so recently that it should not be tried yet.
 func (s *serviceLoad) knownFull(now time.Time, engine string) bool {
 	refusal, ok := s.refusals[engine]
 	return ok && now.Before(refusal.until)
 }
 
-// noteNoRoom takes in that no engine can be asked. It reports whether the service is taken for full by that.
-func (s *serviceLoad) noteNoRoom(now time.Time) bool {
+// noteNoCapacity records that there is no engine which may be sent a request now. It reports whether the load became LoadFull.
+func (s *serviceLoad) noteNoCapacity(now time.Time) bool {
 	s.refusedAt = now
 	if s.load != LoadWell {
 		return false
@@ -188,8 +203,8 @@
 	return true
 }
 
-// mayProbeAgain reports whether a request that was sent before may be let out as a probe: only while no answer is to be expected that would
-// show room, and if it is patient only once nothing was refused for a while, as the budget pays for few of them.
+// mayProbeAgain reports whether a retry may be sent as a probe. It may not while requests are in flight and answers arrive, as these answers show
+// capacity without a retry. A patient one must also wait for silence after the last refusal, as the retry budget pays for few probes.
 func (s *serviceLoad) mayProbeAgain(now time.Time, patient bool) bool {
 	if s.inFlight > 0 && now.Sub(s.servedAt) < silence {
 		return false
@@ -197,30 +212,30 @@
 	return !patient || now.Sub(s.refusedAt) >= silence
 }
 
-// roomShown reports whether an engine took a request after the last one that was refused, and less is in flight than that allows.
-func (s *serviceLoad) roomShown() bool {
+// hasCapacity reports whether the last outcome was an answer, not a refusal, and the limit allows another request in flight.
+func (s *serviceLoad) hasCapacity() bool {
 	if !s.servedAt.After(s.refusedAt) {
 		return false
 	}
 	return s.load == LoadWell || float64(s.inFlight+1) <= s.limit
 }
 
-// probeDue reports whether a request may be sent to find out whether there is room.
+// probeDue reports whether a request may be sent as a probe.
 func (s *serviceLoad) probeDue(now time.Time) bool { return !now.Before(s.probeAt) }
 
-// noteProbe makes the next probe wait twice as long, until an engine has answered.
+// noteProbe records that a probe is sent: the interval doubles up to maxProbe, until an engine answers.
 func (s *serviceLoad) noteProbe(now time.Time) {
 	s.interval = min(2*s.interval, maxProbe)
 	s.postponeProbe(now)
 }
 
-// postponeProbe makes the next probe wait for an interval.
+// postponeProbe sets the next probe one interval, with jitter, from now.
 func (s *serviceLoad) postponeProbe(now time.Time) {
 	s.probeAt = now.Add(time.Duration(float64(s.interval) * (1 + probeJitter*(2*rand.Float64()-1))))
 }
 
-// turnAfter returns how long a request waits until it is let out if so many go before it, from the rate of answers of late, or from the probes
-// if there were none.
+// turnAfter estimates how long a request waits with so many ahead of it: from the rate of answers, or from the probes if there were no
+// answers within rateWindow.
 func (s *serviceLoad) turnAfter(now time.Time, ahead int) time.Duration {
 	served := s.served.Sum(now)
 	if served > 0 {
--- a/internal/forward/load_test.go
+++ b/internal/forward/load_test.go
@@ -21,7 +21,7 @@
 
 func (c *loadClock) refuse(engines int, ids ...string) {
 	for _, id := range ids {
-		c.noteRefused(c.now, id, false, false, engines)
+		c.noteRefused(c.now, refusedSend{engine: id, engines: engines})
 	}
 }
 
@@ -36,8 +36,8 @@
 		{"most refuse", func(c *loadClock) { c.refuse(4, "a", "b", "c") }, LoadFull},
 		{"most refuse, but not lately", func(c *loadClock) { c.refuse(4, "a", "b"); c.pass(2 * recently); c.refuse(4, "c") }, LoadWell},
 		{"one of them answered since", func(c *loadClock) { c.refuse(4, "a", "b"); c.noteServed(c.now, "a", 0); c.refuse(4, "c") }, LoadWell},
-		{"all that a request may go to refuse", func(c *loadClock) { c.noteRefused(c.now, "a", false, true, 4) }, LoadFull},
-		{"none can be reached", func(c *loadClock) { c.noteRefused(c.now, "a", true, false, 1) }, LoadDown},
+		{"all that a request may go to refuse", func(c *loadClock) { c.noteRefused(c.now, refusedSend{engine: "a", exhausted: true, engines: 4}) }, LoadFull},
+		{"none can be reached", func(c *loadClock) { c.noteRefused(c.now, refusedSend{engine: "a", unreachable: true, engines: 1}) }, LoadDown},
 		{"answers without a refusal for a while", func(c *loadClock) {
 			c.refuse(1, "a")
 			c.pass(wellAfter)
@@ -53,7 +53,7 @@
 			c.pass(wellAfter)
 			c.noteServed(c.now, "a", 3)
 		}, LoadFull},
-		{"no engine can be asked", func(c *loadClock) { c.noteNoRoom(c.now) }, LoadFull},
+		{"no engine can be asked", func(c *loadClock) { c.noteNoCapacity(c.now) }, LoadFull},
 	} {
 		clock := newLoadClock()
 		c.play(clock)
@@ -84,14 +84,14 @@
 		clock.pass(time.Millisecond)
 		clock.noteServed(clock.now, "a", 1)
 	}
-	if clock.limit <= 4 || clock.limit > 5 || clock.roomShown() {
+	if clock.limit <= 4 || clock.limit > 5 || clock.hasCapacity() {
 		t.Errorf("limit %v after a round of answers", clock.limit)
 	}
 	clock.pass(wellAfter)
 	for range 4 {
 		clock.noteServed(clock.now, "a", 1)
 	}
-	if clock.limit < 8 || !clock.roomShown() {
+	if clock.limit < 8 || !clock.hasCapacity() {
 		t.Errorf("limit %v after a round of answers without refusals for a while", clock.limit)
 	}
 }
@@ -121,7 +121,7 @@
 	clock := newLoadClock()
 	var lives []string
 	for range 6 {
-		clock.noteRefused(clock.now, "a", true, false, 4)
+		clock.noteRefused(clock.now, refusedSend{engine: "a", unreachable: true, engines: 4})
 		began := clock.now
 		for clock.knownFull(clock.now, "a") {
 			clock.pass(10 * time.Millisecond)
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -27,11 +27,11 @@
 	Body   []byte
 	// Tenant names on whose behalf the request is made; empty for nobody's. The engine is told it, whatever the header says.
 	Tenant string
-	// Patience is how long the request may wait for a full service; zero for the share of its route's latency objective that lookups wait.
+	// Patience is how long the request may wait for a full service; zero for waitShare of its route's latency objective, as lookups wait.
 	Patience time.Duration
-	// Arrived is the moment of boottime since which the caller asks, by which requests that wait are ordered; zero for now.
+	// Arrived is the moment of boottime of the caller's first try, by which waiting requests of one rank are ordered; zero for now.
 	Arrived time.Time
-	// Repeated is true if an engine was sent the request in an earlier round: all its sends are retries then.
+	// Repeated is true if an engine was sent the request in an earlier call of Do: all its sends are retries then.
 	Repeated bool
 }
 
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -8,18 +8,18 @@
 	"github.com/covelink/covelink/internal/fleet"
 )
 
-// turn is what a request does next.
+// turn is the next step of a request: a send, a refusal, or, if it has neither, another look at the engines.
 type turn struct {
-	// engine is to be sent the request at once: it is counted as in flight, and as a retry if it is one.
+	// engine is to be sent the request at once. The send counts as in flight already, and its retry, if it is one, as granted.
 	engine *fleet.Engine
 	// grantedAt is when the send to a cold engine was granted, a moment of boottime; zero for a warm one.
 	grantedAt time.Time
-	// refusal ends the request. Without an engine and a refusal the request looks at the engines anew.
+	// refusal ends the request.
 	refusal Reason
 }
 
-// candidates returns those of the engines that the request may be sent to within its route's number of engines: untried ones first, and once
-// there is none left, those that refused it.
+// candidates returns the engines that the request may be sent to within its route's MaxAttempts: those that it was not sent to yet, or, once there
+// is none left, those that refused it.
 func (j *job) candidates(permitted []*fleet.Engine) []*fleet.Engine {
 	var untried, refusing []*fleet.Engine
 	for _, engine := range permitted {
@@ -33,13 +33,13 @@
 	case len(j.tried) < j.route.MaxAttempts && len(untried) > 0:
 		return untried
 	case j.begun():
-		// One of the tried engines may have run it.
+		// An engine that it was sent to may have run it: none of them is sent it twice.
 		return nil
 	}
 	return refusing
 }
 
-// nextTurn chooses an engine, and waits for one if the service is full.
+// nextTurn chooses one of the candidates, and waits first if the service is full.
 func (j *job) nextTurn(ctx context.Context, candidates []*fleet.Engine) turn {
 	warm, cold := j.split(candidates)
 	load, open := j.waiting.notFull(j.service, warm)
@@ -57,7 +57,7 @@
 	return j.wait(ctx, warm, cold)
 }
 
-// split tells engines that are sent requests freely from those that need a grant.
+// split separates the warm engines from the cold ones, which need a grant.
 func (j *job) split(engines []*fleet.Engine) (warm, cold []*fleet.Engine) {
 	if j.Quota == nil {
 		return engines, nil
@@ -72,8 +72,8 @@
 	return warm, cold
 }
 
-// mayTryNow reports whether the request may go to an engine that is not known to be full. While the service is not well that is for first tries
-// only, and not of those who can wait.
+// mayTryNow reports whether the request may skip the queue. While the service is not well only the first try of a request without patience may:
+// a person waits for it, and it serves as a probe.
 func (j *job) mayTryNow(load Load) bool {
 	return load == LoadWell || (!j.isRetry() && j.request.Patience == 0)
 }
@@ -81,7 +81,7 @@
 // isRetry reports whether the next send is one beyond the request's first.
 func (j *job) isRetry() bool { return j.sends > 0 || j.request.Repeated }
 
-// takeRetry asks the budget for a retry.
+// takeRetry reports whether the retry budget grants a retry.
 func (j *job) takeRetry() bool {
 	granted := j.budget.Take(j.service)
 	if !granted && j.LoadObserver != nil {
@@ -90,7 +90,7 @@
 	return granted
 }
 
-// anotherEngine asks another engine at once after a failure or a lost answer.
+// anotherEngine returns the turn of a request that an engine failed, or whose answer was lost. It does not wait in the queue.
 func (j *job) anotherEngine(ctx context.Context, warm, open, cold []*fleet.Engine) turn {
 	if !j.takeRetry() {
 		return turn{refusal: ReasonRetryBudget}
@@ -108,7 +108,7 @@
 	return turn{refusal: ReasonEnginesFull}
 }
 
-// sendTo takes the best of the engines.
+// sendTo returns a turn with the best of the engines, without waiting.
 func (j *job) sendTo(engines []*fleet.Engine) turn {
 	j.waiting.begin(j.service)
 	return turn{engine: j.pick(engines)}
@@ -118,7 +118,7 @@
 	return j.picker.Acquire(engines, func(*fleet.Engine) bool { return true })
 }
 
-// wait waits until a warm engine shows room or a cold one is granted.
+// wait waits for capacity of a warm engine or a grant of a cold one. It refuses a request whose turn would come too late.
 func (j *job) wait(ctx context.Context, warm, cold []*fleet.Engine) turn {
 	if !boottime.Now().Before(j.waitUntil) {
 		return turn{refusal: j.reasonNotTaken()}
@@ -136,11 +136,11 @@
 	if len(cold) > 0 && (!j.isRetry() || j.takeRetry()) {
 		return j.waitForEither(ctx, warm, cold)
 	}
-	return j.waitForRoom(ctx, warm)
+	return j.waitForCapacity(ctx, warm)
 }
 
-// waitForRoom waits until the waiting room lets the request out.
-func (j *job) waitForRoom(ctx context.Context, warm []*fleet.Engine) turn {
+// waitForCapacity waits in the service's queue.
+func (j *job) waitForCapacity(ctx context.Context, warm []*fleet.Engine) turn {
 	if len(warm) == 0 && j.request.Patience == 0 {
 		return turn{refusal: j.reasonNotTaken()}
 	}
@@ -150,7 +150,7 @@
 	return j.useTurn(ctx)
 }
 
-// waiter returns the request as one that waits.
+// waiter returns the request's place in the queue; retry is true if its send has yet to be granted by the retry budget.
 func (j *job) waiter(retry bool) *waiter {
 	arrived := j.request.Arrived
 	if arrived.IsZero() {
@@ -159,7 +159,8 @@
 	return &waiter{rank: j.rank, arrived: arrived, retry: retry, patient: j.request.Patience > 0}
 }
 
-// waitForEither waits for a warm engine's room and for a grant of a cold one, whichever comes first. A retry is granted already.
+// waitForEither waits for capacity of a warm engine or a grant of a cold one, whichever comes first. If the send is a retry, the retry budget
+// has granted it.
 func (j *job) waitForEither(ctx context.Context, warm, cold []*fleet.Engine) turn {
 	if len(warm) == 0 {
 		if granted := j.acquireGrant(ctx, cold); granted.engine != nil {
@@ -169,43 +170,43 @@
 		if j.request.Patience == 0 {
 			return turn{refusal: ReasonEnginesCold}
 		}
-		j.waiting.noRoom(j.service)
-		return j.waitForRoom(ctx, warm)
+		j.waiting.noCapacity(j.service)
+		return j.waitForCapacity(ctx, warm)
 	}
-	granted, shown := j.firstOf(ctx, cold)
+	granted, released := j.firstOf(ctx, cold)
 	switch {
 	case granted.engine != nil:
-		if shown {
-			j.waiting.unused(j.service)
+		if released {
+			j.waiting.endUnused(j.service)
 		}
 		return j.useGrant(ctx, granted)
-	case shown:
+	case released:
 		return j.useTurn(ctx)
 	}
 	j.returnRetry()
 	return turn{}
 }
 
-// firstOf waits until one of the cold engines is granted, or the waiting room gives the request its turn. It may be both at the same moment.
-func (j *job) firstOf(ctx context.Context, cold []*fleet.Engine) (first grant, shown bool) {
+// firstOf waits until a cold engine is granted or the queue releases the request. Both may happen at the same moment.
+func (j *job) firstOf(ctx context.Context, cold []*fleet.Engine) (first grant, released bool) {
 	quotaCtx, endQuota := context.WithCancel(ctx)
 	defer endQuota()
-	roomCtx, endRoom := context.WithCancel(ctx)
-	defer endRoom()
+	queueCtx, endQueue := context.WithCancel(ctx)
+	defer endQueue()
 	granted := make(chan grant, 1)
 	go func() {
 		acquired := j.acquireGrant(quotaCtx, cold)
 		if acquired.engine != nil {
-			endRoom()
+			endQueue()
 		}
 		granted <- acquired
 	}()
-	shown = j.waiting.wait(roomCtx, j.service, j.waiter(false), j.waitUntil)
+	released = j.waiting.wait(queueCtx, j.service, j.waiter(false), j.waitUntil)
 	endQuota()
-	return <-granted, shown
+	return <-granted, released
 }
 
-// grant is a send to a cold engine that was granted at a moment of boottime. The zero value is none.
+// grant permits one send to a cold engine. at is the moment of boottime at which it was received. The zero value is no grant.
 type grant struct {
 	engine *fleet.Engine
 	at     time.Time
@@ -217,7 +218,7 @@
 	return grant{engine: engine, at: boottime.Now()}
 }
 
-// useGrant sends the request to a cold engine unless that may not run it any more.
+// useGrant returns the turn of a granted send, unless the engine may no longer run the request.
 func (j *job) useGrant(ctx context.Context, granted grant) turn {
 	if j.mayStillRun(ctx) {
 		for _, permitted := range j.permitted() {
@@ -232,7 +233,8 @@
 	return turn{}
 }
 
-// useTurn sends the request that was let out to a warm engine as things are now: while it waited, engines may have come and gone.
+// useTurn returns the turn of a request that the queue released. It looks at the engines again: while the request waited, some may have come
+// or gone.
 func (j *job) useTurn(ctx context.Context) turn {
 	if j.mayStillRun(ctx) {
 		warm, _ := j.split(j.candidates(j.permitted()))
@@ -244,23 +246,23 @@
 		}
 	}
 	j.returnRetry()
-	j.waiting.unused(j.service)
+	j.waiting.endUnused(j.service)
 	return turn{}
 }
 
-// mayStillRun reports whether the caller is there and has time.
+// mayStillRun reports whether the caller still waits and enough time is left for an attempt.
 func (j *job) mayStillRun(ctx context.Context) bool {
 	return ctx.Err() == nil && boottime.Until(j.deadline) >= minAttemptTime
 }
 
-// returnRetry gives back the retry that was granted for a send which is not made.
+// returnRetry gives a granted retry back to the budget, for a send that was not made.
 func (j *job) returnRetry() {
 	if j.isRetry() {
 		j.budget.Return(j.service)
 	}
 }
 
-// countSend counts a send that reached an engine.
+// countSend counts a send of which a byte left.
 func (j *job) countSend() {
 	if !j.isRetry() {
 		j.budget.First(j.service)
@@ -270,21 +272,18 @@
 	j.sends++
 }
 
-// uncountSend takes back a send of which no byte left: it is no load to anybody.
-func (j *job) uncountSend() { j.returnRetry() }
-
 // endServed ends a turn in which an engine took the request.
 func (j *job) endServed(engine *fleet.Engine) {
-	j.waiting.ended(j.service, func(load *serviceLoad, now time.Time, waiting int) bool {
+	j.waiting.end(j.service, func(load *serviceLoad, now time.Time, waiting int) bool {
 		return load.noteServed(now, engine.ID, waiting)
 	})
 }
 
-// endRefused ends a turn in which an engine, one of so many, did not take the request.
-func (j *job) endRefused(engine *fleet.Engine, unreachable bool, engines int) {
-	// One refusal of one engine tells little of a service of many.
-	exhausted := !unreachable && len(j.tried) >= 2 && len(j.tried) >= min(j.route.MaxAttempts, engines)
-	j.waiting.ended(j.service, func(load *serviceLoad, now time.Time, _ int) bool {
-		return load.noteRefused(now, engine.ID, unreachable, exhausted, engines)
+// endRefused ends a turn in which an engine did not take the request. It sets whether all engines have refused.
+func (j *job) endRefused(send refusedSend) {
+	// A refusal by one engine alone says little about a service of many.
+	send.exhausted = !send.unreachable && len(j.tried) >= 2 && len(j.tried) >= min(j.route.MaxAttempts, send.engines)
+	j.waiting.end(j.service, func(load *serviceLoad, now time.Time, _ int) bool {
+		return load.noteRefused(now, send)
 	})
 }
--- a/internal/forward/waiting.go
+++ b/internal/forward/waiting.go
@@ -15,22 +15,23 @@
 	"github.com/covelink/covelink/internal/routing"
 )
 
-// waitingRoom holds the requests of this process that wait for a full service. It lets them out one by one, the most urgent first and of those
-// the one that came first, as engines show room, or else as probes at a rising interval that they share. It is safe for concurrent use.
+// waitQueues holds the requests of this process that wait for full services, one queue a service. A queue releases requests one by one, by rank
+// and then by arrival: while the service shows capacity, or else as probes at a rising interval that all its requests share. It is safe for
+// concurrent use.
 //
-// Guarantees: a retry is let out only with a grant of the budget; every turn that is given ends by one call of ended.
-type waitingRoom struct {
+// Guarantees: a retry is released only if the retry budget grants it; the caller ends each release, and each begin, by one call of end.
+type waitQueues struct {
 	budget   *retrybudget.Budget
 	logger   log.Logger
 	mu       sync.Mutex
-	services map[string]*serviceRoom
+	services map[string]*serviceQueue
 }
 
-// serviceRoom is the room of one service.
-type serviceRoom struct {
+// serviceQueue is the load of one service and the requests that wait for it.
+type serviceQueue struct {
 	load *serviceLoad
-	// queue is in the order in which the requests are let out.
-	queue []*waiter
+	// waiters are in the order in which they are released.
+	waiters []*waiter
 	// timer fires when a probe may be due; nil until one waits.
 	timer *time.Timer
 }
@@ -39,40 +40,40 @@
 type waiter struct {
 	rank    routing.Rank
 	arrived time.Time
-	// retry is true if a send of the request needs a grant of the budget.
+	// retry is true if the send has yet to be granted by the retry budget.
 	retry bool
-	// patient is true if the request's caller has said how long it may wait.
+	// patient is true if the request sets its own Patience.
 	patient bool
-	// turn is closed when the request may be sent, once.
-	turn chan struct{}
+	// released is closed when the request may be sent.
+	released chan struct{}
 }
 
-func newWaitingRoom(budget *retrybudget.Budget, logger log.Logger) *waitingRoom {
-	return &waitingRoom{budget: budget, logger: logger, services: make(map[string]*serviceRoom)}
+func newWaitQueues(budget *retrybudget.Budget, logger log.Logger) *waitQueues {
+	return &waitQueues{budget: budget, logger: logger, services: make(map[string]*serviceQueue)}
 }
 
-// of returns the room of a service. The mutex must be held.
-func (w *waitingRoom) of(service string) *serviceRoom {
-	room, ok := w.services[service]
+// queue returns the queue of a service. The mutex must be held.
+func (w *waitQueues) queue(service string) *serviceQueue {
+	queue, ok := w.services[service]
 	if !ok {
-		room = &serviceRoom{load: newServiceLoad(boottime.Now())}
-		w.services[service] = room
+		queue = &serviceQueue{load: newServiceLoad(boottime.Now())}
+		w.services[service] = queue
 	}
-	return room
+	return queue
 }
 
-// begin counts a request that is about to be sent without having waited.
-func (w *waitingRoom) begin(service string) {
+// begin counts as in flight a request that is sent without waiting here.
+func (w *waitQueues) begin(service string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.of(service).load.inFlight++
+	w.queue(service).load.inFlight++
 }
 
-// notFull returns what a service is taken for, and those of the engines that are not known to be full.
-func (w *waitingRoom) notFull(service string, engines []*fleet.Engine) (Load, []*fleet.Engine) {
+// notFull returns a service's load, and those of the engines that did not just refuse.
+func (w *waitQueues) notFull(service string, engines []*fleet.Engine) (Load, []*fleet.Engine) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	load, now := w.of(service).load, boottime.Now()
+	load, now := w.queue(service).load, boottime.Now()
 	if len(load.refusals) == 0 {
 		return load.load, engines
 	}
@@ -86,27 +87,27 @@
 }
 
 // turnAfter returns how long a request that enters now is expected to wait.
-func (w *waitingRoom) turnAfter(service string, rank routing.Rank) time.Duration {
+func (w *waitQueues) turnAfter(service string, rank routing.Rank) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	room, ahead := w.of(service), 0
-	for _, waiter := range room.queue {
+	queue, ahead := w.queue(service), 0
+	for _, waiter := range queue.waiters {
 		if waiter.rank.Compare(rank) <= 0 {
 			ahead++
 		}
 	}
-	return room.load.turnAfter(boottime.Now(), ahead)
+	return queue.load.turnAfter(boottime.Now(), ahead)
 }
 
-// wait waits until it is the waiter's turn, at most until a moment of boottime. It reports whether the request may be sent; that is counted as
-// in flight then, and its retry as granted.
-func (w *waitingRoom) wait(ctx context.Context, service string, waiting *waiter, until time.Time) bool {
-	waiting.turn = make(chan struct{})
+// wait waits until the request is released, at most until a moment of boottime. It reports whether the request may be sent: it then counts as in
+// flight, and its retry, if it is one, as granted.
+func (w *waitQueues) wait(ctx context.Context, service string, waiting *waiter, until time.Time) bool {
+	waiting.released = make(chan struct{})
 	w.enter(service, waiting)
 	timer := time.NewTimer(boottime.Until(until))
 	defer timer.Stop()
 	select {
-	case <-waiting.turn:
+	case <-waiting.released:
 		return true
 	case <-timer.C:
 	case <-ctx.Done():
@@ -114,11 +115,11 @@
 	return !w.leave(service, waiting)
 }
 
-func (w *waitingRoom) enter(service string, waiting *waiter) {
+func (w *waitQueues) enter(service string, waiting *waiter) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	room := w.of(service)
-	position, _ := slices.BinarySearchFunc(room.queue, waiting, func(other, own *waiter) int {
+	queue := w.queue(service)
+	position, _ := slices.BinarySearchFunc(queue.waiters, waiting, func(other, own *waiter) int {
 		if order := other.rank.Compare(own.rank); order != 0 {
 			return order
 		}
@@ -127,135 +128,136 @@
 		}
 		return -1
 	})
-	room.queue = slices.Insert(room.queue, position, waiting)
-	w.letOut(service, room)
+	queue.waiters = slices.Insert(queue.waiters, position, waiting)
+	w.release(service, queue)
 }
 
-// leave takes a waiter out of the queue. It reports false if that had its turn already.
-func (w *waitingRoom) leave(service string, waiting *waiter) bool {
+// leave takes a waiter out of the queue. It reports false if the waiter was released already.
+func (w *waitQueues) leave(service string, waiting *waiter) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	room := w.of(service)
-	position := slices.Index(room.queue, waiting)
+	queue := w.queue(service)
+	position := slices.Index(queue.waiters, waiting)
 	if position < 0 {
 		return false
 	}
-	room.queue = slices.Delete(room.queue, position, position+1)
+	queue.waiters = slices.Delete(queue.waiters, position, position+1)
 	return true
 }
 
-// unused ends a turn of which nothing was sent.
-func (w *waitingRoom) unused(service string) { w.ended(service, nil) }
+// endUnused ends a release after which nothing was sent.
+func (w *waitQueues) endUnused(service string) { w.end(service, nil) }
 
-// ended ends a turn. note takes in what the engine did; nil if that tells nothing of its room.
-func (w *waitingRoom) ended(service string, note func(load *serviceLoad, now time.Time, waiting int) (changed bool)) {
+// end ends a send that counted as in flight. note records its outcome, and reports whether the load changed; nil if the outcome says nothing
+// about the load.
+func (w *waitQueues) end(service string, note func(load *serviceLoad, now time.Time, waiting int) (changed bool)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	room, now := w.of(service), boottime.Now()
-	room.load.inFlight--
-	before, since := room.load.load, room.load.since
-	if note != nil && note(room.load, now, len(room.queue)) {
-		w.tell(service, room, before, now.Sub(since), now)
+	queue, now := w.queue(service), boottime.Now()
+	queue.load.inFlight--
+	before, since := queue.load.load, queue.load.since
+	if note != nil && note(queue.load, now, len(queue.waiters)) {
+		w.logChange(service, queue, before, now.Sub(since), now)
 	}
-	w.letOut(service, room)
+	w.release(service, queue)
 }
 
-// noRoom takes in that no cold engine bears a request.
-func (w *waitingRoom) noRoom(service string) {
+// noCapacity records that there are only cold engines, and no grant for any of them.
+func (w *waitQueues) noCapacity(service string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	room, now := w.of(service), boottime.Now()
-	before, since := room.load.load, room.load.since
-	if room.load.noteNoRoom(now) {
-		w.tell(service, room, before, now.Sub(since), now)
+	queue, now := w.queue(service), boottime.Now()
+	before, since := queue.load.load, queue.load.since
+	if queue.load.noteNoCapacity(now) {
+		w.logChange(service, queue, before, now.Sub(since), now)
 	}
 }
 
-// tell logs that a service is taken for something else than before.
-func (w *waitingRoom) tell(service string, room *serviceRoom, before Load, lasted time.Duration, now time.Time) {
-	load := room.load
+// logChange logs that a service's load changed.
+func (w *waitQueues) logChange(service string, queue *serviceQueue, before Load, lasted time.Duration, now time.Time) {
+	load := queue.load
 	refusing, unreachable := load.refusing(now)
 	level.Info(w.logger).Log("msg", "service load changed", "service", service, "load", load.load, "before", before, "lasted", lasted.Round(time.Millisecond),
 		"refused", load.refused.Sum(now), "served", load.served.Sum(now), "window", rateWindow, "engines_refusing", refusing, "engines_unreachable", unreachable,
-		"waiting", len(room.queue), "in_flight", load.inFlight, "limit", int(load.limit))
+		"waiting", len(queue.waiters), "in_flight", load.inFlight, "limit", int(load.limit))
 }
 
-// letOut gives turns to as many waiters as there is room for, or to one as a probe. The mutex must be held.
-func (w *waitingRoom) letOut(service string, room *serviceRoom) {
+// release releases as many waiters as the service has capacity for, or one as a probe if one is due. The mutex must be held.
+func (w *waitQueues) release(service string, queue *serviceQueue) {
 	now := boottime.Now()
-	for room.load.roomShown() && w.letOutOne(service, room, func(*waiter) bool { return true }) {
+	for queue.load.hasCapacity() && w.releaseOne(service, queue, func(*waiter) bool { return true }) {
 	}
-	if len(room.queue) > 0 && room.load.probeDue(now) {
-		w.probe(service, room, now)
+	if len(queue.waiters) > 0 && queue.load.probeDue(now) {
+		w.probe(service, queue, now)
 	}
-	if len(room.queue) > 0 {
-		w.arm(service, room, room.load.probeAt.Sub(now))
+	if len(queue.waiters) > 0 {
+		w.arm(service, queue, queue.load.probeAt.Sub(now))
 	}
 }
 
-// probe gives the turn to the first waiter that may be sent to find out whether there is room.
-func (w *waitingRoom) probe(service string, room *serviceRoom, now time.Time) {
-	sent := w.letOutOne(service, room, func(waiting *waiter) bool {
-		return !waiting.retry || room.load.mayProbeAgain(now, waiting.patient)
+// probe releases the first waiter that may be sent as a probe. The mutex must be held.
+func (w *waitQueues) probe(service string, queue *serviceQueue, now time.Time) {
+	sent := w.releaseOne(service, queue, func(waiting *waiter) bool {
+		return !waiting.retry || queue.load.mayProbeAgain(now, waiting.patient)
 	})
 	if !sent {
-		room.load.postponeProbe(now)
+		queue.load.postponeProbe(now)
 		return
 	}
-	room.load.noteProbe(now)
+	queue.load.noteProbe(now)
 }
 
-// letOutOne gives the turn to the first waiter that may be sent. It reports false if there is none.
-func (w *waitingRoom) letOutOne(service string, room *serviceRoom, may func(waiting *waiter) bool) bool {
-	for i, waiting := range room.queue {
+// releaseOne releases the first waiter that may be sent. It reports false if there is none. The mutex must be held.
+func (w *waitQueues) releaseOne(service string, queue *serviceQueue, may func(waiting *waiter) bool) bool {
+	for i, waiting := range queue.waiters {
 		if !may(waiting) || waiting.retry && !w.budget.Take(service) {
 			continue
 		}
-		room.queue = slices.Delete(room.queue, i, i+1)
-		room.load.inFlight++
-		close(waiting.turn)
+		queue.waiters = slices.Delete(queue.waiters, i, i+1)
+		queue.load.inFlight++
+		close(waiting.released)
 		return true
 	}
 	return false
 }
 
-// arm looks for who may be let out after a time.
-func (w *waitingRoom) arm(service string, room *serviceRoom, after time.Duration) {
-	if room.timer == nil {
-		room.timer = time.AfterFunc(after, func() {
+// arm calls release again after a time. The mutex must be held.
+func (w *waitQueues) arm(service string, queue *serviceQueue, after time.Duration) {
+	if queue.timer == nil {
+		queue.timer = time.AfterFunc(after, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			w.letOut(service, room)
+			w.release(service, queue)
 		})
 		return
 	}
-	room.timer.Reset(after)
+	queue.timer.Reset(after)
 }
 
-// ServiceStatus is what a process knows of a service's load.
+// ServiceStatus is this process's view of a service's load.
 type ServiceStatus struct {
 	Service string
 	Load    Load
-	// Since is when it was first taken for that, a moment of boottime.
+	// Since is the moment of boottime since which the load has been the same.
 	Since time.Time
 	// Waiting and InFlight count this process's requests.
 	Waiting, InFlight int
-	// RetryRatio is the retries for each first send of late.
+	// RetryRatio is the retries for each first send within the retry budget's window.
 	RetryRatio float64
 }
 
-// statuses returns what is known of all services that requests were sent to.
-func (w *waitingRoom) statuses() []ServiceStatus {
+// statuses returns the status of each service that a request came for.
+func (w *waitQueues) statuses() []ServiceStatus {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var all []ServiceStatus
-	for service, room := range w.services {
+	for service, queue := range w.services {
 		all = append(all, ServiceStatus{
 			Service:    service,
-			Load:       room.load.load,
-			Since:      room.load.since,
-			Waiting:    len(room.queue),
-			InFlight:   room.load.inFlight,
+			Load:       queue.load.load,
+			Since:      queue.load.since,
+			Waiting:    len(queue.waiters),
+			InFlight:   queue.load.inFlight,
 			RetryRatio: w.budget.Ratio(service),
 		})
 	}
