--- a/internal/coldstart/asker.go
+++ b/internal/coldstart/asker.go
@@ -15,29 +15,31 @@
 )
 
 const (
-	// grantReturn is how long the question and the answer may take on their way: two ways between regions, and what busy processes add.
+	// grantReturn is how long a Request and its Reply may be under way together: a round trip between regions, and what busy processes add. It
+	// is what GrantLife leaves once the send has its time.
 	grantReturn = GrantLife - forward.GrantedSendTime
-	// maxAsked bounds the engines of one question, and with them its size.
+	// maxAsked bounds the engines that one Request names, and so its size.
 	maxAsked = 16
-	// failedPause is how long nobody is asked after a question that nobody has answered.
+	// failedPause is how long no Request is made for a service and rank after one that failed: nobody may coordinate, and every request that waits
+	// would ask again at once.
 	failedPause = 100 * time.Millisecond
-	// lineInterval is the least time between two lines about questions that were not answered.
+	// lineInterval is the least time between two log lines about Requests that were not answered.
 	lineInterval = time.Second
 )
 
-// AskerParams are what an Asker works with.
+// AskerParams are the dependencies of an Asker. All but Observe must be set.
 type AskerParams struct {
 	Warmth *Warmth
-	// Ask asks the process that coordinates.
+	// Ask sends a Request to the coordinating process.
 	Ask func(ctx context.Context, request Request) (Reply, error)
 	// Now is a clock that counts suspensions of the machine.
 	Now func() time.Time
-	// Observe is told of each answer, for metrics; nil for nobody.
+	// Observe is told of each answer, for metrics; it may be nil.
 	Observe func(answer Answer)
 	Logger  log.Logger
 }
 
-// Answer is what became of a request that needed a grant.
+// Answer is the outcome of asking for a grant. Its value is a label of a metric.
 type Answer string
 
 // The answers.
@@ -46,20 +48,20 @@
 	AnswerGranted Answer = "granted"
 	// AnswerRefused: there was no grant in time; the request was not sent.
 	AnswerRefused Answer = "refused"
-	// AnswerLate: the grant came when its life was over; the request was not sent.
+	// AnswerLate: the grant arrived too late to be used; the request was not sent.
 	AnswerLate Answer = "late"
-	// AnswerSpared: the coordinating process was not asked again so soon; the request was not sent.
+	// AnswerSpared: the coordinating process was not asked, as it was known that there would be no grant; the request was not sent.
 	AnswerSpared Answer = "spared"
-	// AnswerFailed: nobody answered; the request was not sent.
+	// AnswerFailed: nobody that coordinates answered, or the caller stopped waiting; the request was not sent.
 	AnswerFailed Answer = "failed"
 )
 
-// Asker grants what the coordinating process grants. It implements forward.Quota.
+// Asker gets grants from the coordinating process. It implements forward.Quota.
 type Asker struct {
 	AskerParams
 
 	mu sync.Mutex
-	// spared are the services for which nobody is asked for now, by rank.
+	// spared maps services and ranks to the moment until which no Request is made for them.
 	spared map[spareKey]time.Time
 	toldAt time.Time
 }
@@ -109,7 +111,7 @@
 	switch {
 	case ctx.Err() == nil && (err != nil || !reply.Leading):
 		a.spare(key, now, failedPause)
-		a.tellFailed(key.service, now, err)
+		a.logFailed(key.service, now, err)
 		return nil, AnswerFailed
 	case err != nil || !reply.Leading:
 		return nil, AnswerFailed
@@ -122,11 +124,11 @@
 	return byID[reply.Engine], AnswerGranted
 }
 
-// late reports whether the life of a grant may be over a time after it was asked for: the answer was long on its way, or this process did not
-// get to run, and others may have been granted the time since.
+// late reports whether a grant may be used no more, given the time since it was asked for: the Reply took long, or this process was suspended, and
+// the Keeper may have granted others since.
 func (r Reply) late(took time.Duration) bool { return took > r.Held+grantReturn }
 
-// sample returns some of the engines by ID, as many as one question names.
+// sample returns up to maxAsked of the engines by ID, from a random one on.
 func sample(engines []*fleet.Engine) map[string]*fleet.Engine {
 	first := rand.IntN(len(engines))
 	found := make(map[string]*fleet.Engine, min(len(engines), maxAsked))
@@ -137,13 +139,14 @@
 	return found
 }
 
-// isSpared reports whether it is known that there will be no grant yet.
+// isSpared reports whether it is known that there will be no grant now.
 func (a *Asker) isSpared(key spareKey, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return now.Before(a.spared[key])
 }
 
+// spare stops Requests for a service and rank for a time.
 func (a *Asker) spare(key spareKey, now time.Time, length time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -155,8 +158,8 @@
 	a.spared[key] = now.Add(length)
 }
 
-// tellFailed logs a question that nobody answered, once a lineInterval.
-func (a *Asker) tellFailed(service string, now time.Time, err error) {
+// logFailed logs a Request that was not answered, at most once a lineInterval.
+func (a *Asker) logFailed(service string, now time.Time, err error) {
 	a.mu.Lock()
 	due := now.Sub(a.toldAt) >= lineInterval
 	if due {
--- a/internal/coldstart/bucket.go
+++ b/internal/coldstart/bucket.go
@@ -2,16 +2,16 @@
 
 import "time"
 
-// Depth is how many grants of an engine may follow each other at once.
+// Depth is the burst, in grants, of an engine's bucket: one, so that each grant more than the first costs its share of a second.
 const Depth = 1.0
 
-// bucket is a token bucket of depth Depth. Its clock is handed in.
+// bucket is a token bucket of depth Depth. Its methods take the time, and the rate in grants a second, as arguments.
 type bucket struct {
 	level float64
 	at    time.Time
 }
 
-// fill brings the bucket to a moment, at a rate a second.
+// fill adds the tokens of the time since the last call.
 func (b *bucket) fill(now time.Time, rate float64) {
 	if elapsed := now.Sub(b.at); elapsed > 0 {
 		b.level = min(Depth, b.level+elapsed.Seconds()*rate)
@@ -19,17 +19,17 @@
 	}
 }
 
-// full reports whether there is a grant.
+// full reports whether there is a token.
 func (b *bucket) full(now time.Time, rate float64) bool {
 	b.fill(now, rate)
-	// The rest is rounding of the time of a timer that was set to the very moment.
+	// A timer set to the exact moment may find a level that rounding has left just below one token.
 	return b.level >= 1-1e-6
 }
 
-// take takes a grant that is there.
+// take takes one token; there must be one.
 func (b *bucket) take() { b.level-- }
 
-// wait returns after which time there is a grant.
+// wait returns how long it takes until there is a token.
 func (b *bucket) wait(now time.Time, rate float64) time.Duration {
 	if b.full(now, rate) {
 		return 0
--- a/internal/coldstart/doc.go
+++ b/internal/coldstart/doc.go
@@ -1,10 +1,11 @@
-// Package coldstart bounds what is sent to engines that bear only a part of their load for some seconds after a start.
+// Package coldstart limits the rate of requests to cold engines: for some seconds after a start an engine serves only its service's cold rate,
+// and fails under more.
 //
-// A Warmth knows which engines of a process's view are cold. A Keeper, in the coordinating process, is the only one that grants sends to them,
-// from a token bucket for each engine; an Asker in every process asks it, and a send without a grant is not made.
+// A Warmth tells which engines of a process's view are cold. The Keeper of the coordinating process grants sends to cold engines, from one token
+// bucket an engine. The Asker of each process asks it; nothing is sent to a cold engine without a grant.
 //
-// Guarantees, for an engine that all senders know to be cold, whether or not processes reach each other: in any second at most Depth plus the
-// service's cold rate times (1 s + GrantLife) requests leave for it by the grants of the process that coordinates. One that coordinates no more
-// and cannot know adds at most StaleShare of that, for StaleLife. Together that is below the cold rate times 1.5 plus 5. Services without a
-// cold rate take no time and no messages.
+// Guarantees, for an engine that all senders know to be cold, whether or not processes reach each other: in any second, at most Depth plus the
+// cold rate times (1 s + GrantLife) requests leave for it by the grants of the present coordinating process. A former one that does not know
+// that it was replaced adds at most StaleShare of that, for StaleLife. The sum is below the cold rate times 1.5 plus 5. Services without a cold
+// rate cost no time and no messages.
 package coldstart
--- a/internal/coldstart/placer.go
+++ b/internal/coldstart/placer.go
@@ -5,7 +5,7 @@
 	"github.com/covelink/covelink/internal/routing"
 )
 
-// Placer gives grants to the requests of the coordinating process that are placed at once or not at all.
+// Placer grants sends to the items that the coordinating process places: at once or not at all.
 type Placer struct {
 	Warmth *Warmth
 	Keeper *Keeper
@@ -14,12 +14,12 @@
 // Cold reports whether a request to the engine needs a grant now.
 func (p Placer) Cold(engine *fleet.Engine) bool { return p.Warmth.Cold(engine) }
 
-// Free reports whether Take would give a grant.
+// Free reports whether Take would grant a send now.
 func (p Placer) Free(engine *fleet.Engine, rank routing.Rank) bool {
 	return p.Keeper.Free(engine.Service, engine.ID, rank)
 }
 
-// Take takes a grant for one request, if there is one now and no question as urgent waits for it.
+// Take takes a grant for one request. It reports false if there is none now, or a Request that is as urgent waits for it.
 func (p Placer) Take(engine *fleet.Engine, rank routing.Rank) bool {
 	return p.Keeper.Take(engine.Service, engine.ID, rank)
 }
