coldstart: wire messages beside their calls, plain comments

Request and Reply move to calls.go; a waiting Request is a waitingRequest, not a question. observeEngine looks up itself whether its service was listed before, instead of taking a bare bool. No behaviour changes.

--- a/internal/coldstart/keeper.go
+++ b/internal/coldstart/keeper.go
@@ -14,57 +14,39 @@
 )
 
 const (
-	// GrantLife is for how long after it was given a send may leave by a grant: grantReturn, and forward.GrantedSendTime from then on.
+	// GrantLife is how long after a grant was given its send may leave: grantReturn to reach the Asker, then forward.GrantedSendTime.
 	GrantLife = 250 * time.Millisecond
-	// quietTime is how long a new term gives no grants: the former holder may give some at its full rate until freshness after it last saw
-	// its lease, which was at least electionTime before the term began; they last GrantLife, and a second later none of them counts.
+	// quietTime is how long a new term gives no grants. The former holder of the lease may grant at the full rate until freshness after it last saw
+	// its lease, which was at least electionTime before the new term began. Those grants last GrantLife, and the bound on sends holds over a second.
 	quietTime = freshness + GrantLife + time.Second - electionTime
-	// electionTime is the least time between the last moment at which a holder may have seen its lease unchallenged and the next term: how
-	// long package election waits for the answer to a challenge.
+	// electionTime is the least time between the last moment at which a holder can have seen its lease unchallenged and the next term: as long as
+	// package election waits for the answer to a challenge.
 	electionTime = 1200 * time.Millisecond
-	// freshness is how long ago the store must have shown a holder its lease for it to grant at the full rate: the lease's watch answers each
-	// second, or breaks off 0.4 s later.
+	// freshness is how recently the store must have shown the holder its lease for it to grant at the full rate: the lease's watch answers at
+	// least once a second, or fails 0.4 s later.
 	freshness = 1500 * time.Millisecond
-	// StaleLife is for how long after that a holder grants at StaleShare of the rate. A store that is down for all looks the same to it, and
-	// changes no coordinator. Of two holders that were replaced one after the other without knowing, the first has stopped when the third
+	// StaleLife is how long after freshness a holder still grants, at StaleShare of the rate: the store may be down for all, and then no other
+	// process coordinates. It is short enough that, if two holders are replaced in turn without knowing it, the first has stopped when the third
 	// begins to grant.
 	StaleLife = 1500 * time.Millisecond
-	// StaleShare keeps the sum of a process that coordinates and one that does not know that it does no more below 1.5 times the rate:
-	// (1 + 0.2) * (1 s + GrantLife) is 1.5.
+	// StaleShare keeps the sum of the grants of a holder and of a former holder that does not know it within 1.5 times the rate:
+	// (1 + 0.2) * (1 s + GrantLife) is 1.5 s.
 	StaleShare = 0.2
-	// maxWaiting bounds the questions that wait for a grant: some 100 bytes and a waiting call each.
+	// maxWaiting bounds the Requests that wait for a grant, each of which holds some 100 bytes and an open call.
 	maxWaiting = 1024
-	// forgetBucket is how long an engine is remembered after the last grant: by then its bucket is full at any rate that matters.
+	// forgetBucket is how long an unused bucket is kept: by then it is full at any rate above 1 in 30 s.
 	forgetBucket = 30 * time.Second
-	// looseWait is the longest pause between two looks at buckets.
-	looseWait = 100 * time.Millisecond
+	// maxServePause is the longest pause between two rounds of grants while Requests wait: rates and the age of the lease change without notice.
+	maxServePause = 100 * time.Millisecond
+	// minRetry and maxRetry bound how long an Asker is told not to ask again: the lower bounds the calls of a gateway for a service and rank, the
+	// upper is how late a gateway learns that there are grants again.
+	minRetry = 20 * time.Millisecond
+	maxRetry = 300 * time.Millisecond
 )
 
-// Request asks for a grant.
-type Request struct {
-	Service string
-	// Engines are the cold engines that may be sent the request.
-	Engines []string
-	Rank    routing.Rank
-	// Wait is how long the question may wait.
-	Wait time.Duration
-}
-
-// Reply answers a Request.
-type Reply struct {
-	// Leading is false if the process does not coordinate; the rest is empty then.
-	Leading bool
-	// Engine is the one that may be sent the request; empty for none.
-	Engine string
-	// Held is how long the question waited here.
-	Held time.Duration
-	// RetryAfter is, without a grant, for how long no question of this rank or a later one for the service will be granted.
-	RetryAfter time.Duration
-}
-
-// KeeperParams are what a Keeper works with.
+// KeeperParams are the dependencies of a Keeper. All must be set.
 type KeeperParams struct {
-	// Rate returns how many requests a second a cold engine of a service bears; zero grants nothing.
+	// Rate returns the cold rate of a service, in requests a second for each engine; at zero nothing is granted.
 	Rate func(service string) float64
 	// ShownAt returns when, by the keeper's clock, the store last showed this process the lease.
 	ShownAt func() time.Time
@@ -73,7 +55,7 @@
 	Logger log.Logger
 }
 
-// Keeper gives the grants of the process that coordinates. It is safe for concurrent use.
+// Keeper gives the grants of the coordinating process. It is safe for concurrent use.
 type Keeper struct {
 	KeeperParams
 
@@ -82,26 +64,28 @@
 	leading    bool
 	grantsFrom time.Time
 	buckets    map[string]*bucket
-	// waiting are the questions, the most urgent first, in the order of their arrival among those of one rank.
-	waiting []*question
-	wake    chan struct{}
-	counts  Counts
-	stale   bool
+	// waiting are the Requests that wait, by rank and then by arrival.
+	waiting []*waitingRequest
+	// wake makes Lead look at once after a Request came.
+	wake   chan struct{}
+	counts Counts
+	// stale is true while the lease is older than freshness, as it was logged last.
+	stale bool
 }
 
-// Counts are what a Keeper has decided since it was made.
+// Counts are a Keeper's decisions since it was made.
 type Counts struct{ Granted, Refused int64 }
 
-// question is a Request that waits.
-type question struct {
+// waitingRequest is a Request that waits for a grant.
+type waitingRequest struct {
 	Request
 	until   time.Time
 	entered time.Time
-	// answer holds the grant, or one without an engine once there will be none.
+	// answer receives the grant, or the zero grant if there will be none. It has room for one, so that the Keeper never blocks.
 	answer chan grant
 }
 
-// grant lets one request be sent to an engine.
+// grant permits one send to an engine, and was given at a moment of the Keeper's clock. The zero value is no grant.
 type grant struct {
 	engine string
 	at     time.Time
@@ -112,7 +96,7 @@
 	return &Keeper{KeeperParams: params, buckets: make(map[string]*bucket), wake: make(chan struct{}, 1)}
 }
 
-// Lead gives grants until ctx ends, which is the end of the term.
+// Lead gives grants until the end of the term, which is that of ctx.
 func (k *Keeper) Lead(ctx context.Context) {
 	k.begin()
 	defer k.end()
@@ -146,7 +130,7 @@
 	k.waiting = nil
 }
 
-// Ask answers a Request once there is a grant, or there will be none in time.
+// Ask answers a Request as soon as it is granted, or it is known that it will not be in time.
 func (k *Keeper) Ask(ctx context.Context, request Request) Reply {
 	asked, refused := k.enter(request)
 	if refused != nil {
@@ -156,21 +140,21 @@
 	case given := <-asked.answer:
 		return k.reply(asked, given)
 	case <-ctx.Done():
-		// Nobody waits for the answer any more; one that came at the same moment is not used.
+		// The caller is gone. A grant that was given at the same moment stays unused.
 		k.leave(asked)
 		return Reply{Leading: true}
 	}
 }
 
-// enter queues a request, or returns the reply if it can be told at once that there will be no grant in time.
-func (k *Keeper) enter(request Request) (*question, *Reply) {
+// enter queues a Request, or returns the Reply if it is known at once that there will be no grant in time.
+func (k *Keeper) enter(request Request) (*waitingRequest, *Reply) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.Now()
 	if !k.leading {
 		return nil, &Reply{}
 	}
-	place, _ := slices.BinarySearchFunc(k.waiting, request.Rank, func(known *question, rank routing.Rank) int {
+	place, _ := slices.BinarySearchFunc(k.waiting, request.Rank, func(known *waitingRequest, rank routing.Rank) int {
 		if known.Rank.Compare(rank) > 0 {
 			return 1
 		}
@@ -180,7 +164,7 @@
 		k.counts.Refused++
 		return nil, &Reply{Leading: true, RetryAfter: min(max(late, minRetry), maxRetry)}
 	}
-	asked := &question{Request: request, until: now.Add(request.Wait), entered: now, answer: make(chan grant, 1)}
+	asked := &waitingRequest{Request: request, until: now.Add(request.Wait), entered: now, answer: make(chan grant, 1)}
 	k.waiting = slices.Insert(k.waiting, place, asked)
 	select {
 	case k.wake <- struct{}{}:
@@ -189,14 +173,8 @@
 	return asked, nil
 }
 
-const (
-	// minRetry and maxRetry bound for how long an asker is told to ask no more.
-	minRetry = 20 * time.Millisecond
-	maxRetry = 300 * time.Millisecond
-)
-
-// lateBy returns by how much the questions before a place in the queue, and this one, take longer than the request can wait; negative or zero if
-// they do not. The mutex must be held.
+// lateBy returns by how much a Request at a place in the queue would be granted too late; zero or less if it would be in time. The mutex must be
+// held.
 func (k *Keeper) lateBy(request Request, place int, now time.Time) time.Duration {
 	rate := k.rate(request.Service, now) * float64(len(request.Engines))
 	if rate <= 0 {
@@ -208,18 +186,18 @@
 			ahead++
 		}
 	}
-	ready := 0.0
+	tokens := 0.0
 	for _, engine := range request.Engines {
 		known := k.bucket(engine)
 		known.fill(now, k.rate(request.Service, now))
-		ready += known.level
+		tokens += known.level
 	}
-	takes := max(0, time.Duration((float64(ahead)+1-ready)/rate*float64(time.Second)))
+	takes := max(0, time.Duration((float64(ahead)+1-tokens)/rate*float64(time.Second)))
 	takes = max(takes, k.grantsFrom.Sub(now))
 	return takes - request.Wait
 }
 
-// rate returns how many grants a second an engine of a service may have now. The mutex must be held.
+// rate returns the grants a second for each engine of a service, reduced by the age of the lease. The mutex must be held.
 func (k *Keeper) rate(service string, now time.Time) float64 {
 	rate := k.Rate(service)
 	switch unseen := now.Sub(k.ShownAt()); {
@@ -231,7 +209,7 @@
 	return rate
 }
 
-// bucket returns an engine's. The mutex must be held.
+// bucket returns an engine's bucket, a full one if it has none yet. The mutex must be held.
 func (k *Keeper) bucket(engine string) *bucket {
 	known, ok := k.buckets[engine]
 	if !ok {
@@ -241,14 +219,14 @@
 	return known
 }
 
-// serve gives the grants that there are, and returns when to look again.
+// serve gives the grants that are due, and returns how long to pause before the next round.
 func (k *Keeper) serve() time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.Now()
 	k.noteStale(now)
-	next := looseWait
-	k.waiting = slices.DeleteFunc(k.waiting, func(known *question) bool {
+	pause := maxServePause
+	k.waiting = slices.DeleteFunc(k.waiting, func(known *waitingRequest) bool {
 		engine, wait := k.choose(known.Request, now)
 		if engine != "" {
 			k.bucket(engine).take()
@@ -261,7 +239,7 @@
 			known.answer <- grant{}
 			return true
 		}
-		next = max(min(next, wait, known.until.Sub(now)), time.Millisecond)
+		pause = max(min(pause, wait, known.until.Sub(now)), time.Millisecond)
 		return false
 	})
 	for id, known := range k.buckets {
@@ -270,22 +248,23 @@
 		}
 	}
 	if len(k.waiting) == 0 {
+		// Lead is woken by the next Request.
 		return time.Hour
 	}
-	return next
+	return pause
 }
 
-// choose returns an engine with a grant for a request, or after which time there may be one. The mutex must be held.
+// choose returns an engine that may be granted to a Request now, or after what time there may be one. It takes no token. The mutex must be held.
 func (k *Keeper) choose(request Request, now time.Time) (engine string, wait time.Duration) {
 	rate := k.rate(request.Service, now)
-	wait = looseWait
+	wait = maxServePause
 	if rate <= 0 {
 		return "", wait
 	}
 	if quiet := k.grantsFrom.Sub(now); quiet > 0 {
 		return "", quiet
 	}
-	// Engines are asked from a random one on: the first of a list would get all grants while few are asked for.
+	// The search begins at a random engine: otherwise the first of the list would get all grants while demand is low.
 	first := 0
 	if len(request.Engines) > 1 {
 		first = rand.IntN(len(request.Engines))
@@ -301,8 +280,9 @@
 	return "", wait
 }
 
-// reply tells when the grant was given, not when this is told: a coordinator that was suspended in between has granted others since.
-func (k *Keeper) reply(asked *question, given grant) Reply {
+// reply returns the Reply with a grant. Held ends when the grant was given, not now: a process that was suspended in between may have granted others
+// since.
+func (k *Keeper) reply(asked *waitingRequest, given grant) Reply {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if given.engine == "" {
@@ -311,20 +291,20 @@
 	return Reply{Leading: k.leading, Engine: given.engine, Held: given.at.Sub(asked.entered)}
 }
 
-func (k *Keeper) leave(asked *question) {
+func (k *Keeper) leave(asked *waitingRequest) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.waiting = slices.DeleteFunc(k.waiting, func(known *question) bool { return known == asked })
+	k.waiting = slices.DeleteFunc(k.waiting, func(known *waitingRequest) bool { return known == asked })
 }
 
-// Free reports whether Take would give a grant to a request of this process.
+// Free reports whether Take would grant a send now.
 func (k *Keeper) Free(service, engine string, rank routing.Rank) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.free(service, engine, rank)
 }
 
-// Take gives a grant to a request of this process, if there is one now and no question as urgent waits for it.
+// Take grants one send of this process to an engine. It reports false if there is no grant now, or a Request that is as urgent waits for it.
 func (k *Keeper) Take(service, engine string, rank routing.Rank) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -337,6 +317,7 @@
 	return true
 }
 
+// free is Free. The mutex must be held.
 func (k *Keeper) free(service, engine string, rank routing.Rank) bool {
 	if !k.leading {
 		return false
@@ -353,7 +334,7 @@
 	return granted != ""
 }
 
-// noteStale logs when the store stops, and begins again, to show the lease. The mutex must be held.
+// noteStale logs when grants begin or end to be reduced because of the lease's age. The mutex must be held.
 func (k *Keeper) noteStale(now time.Time) {
 	unseen := now.Sub(k.ShownAt())
 	if stale := unseen > freshness; stale != k.stale {
@@ -362,14 +343,14 @@
 	}
 }
 
-// Waiting returns the number of questions that wait.
+// Waiting returns the number of Requests that wait.
 func (k *Keeper) Waiting() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return len(k.waiting)
 }
 
-// Counts returns what was decided so far.
+// Counts returns the counts so far.
 func (k *Keeper) Counts() Counts {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/coldstart/schedules_test.go
+++ b/internal/coldstart/schedules_test.go
@@ -97,7 +97,7 @@
 	shownAt time.Time
 	// looks is the number of the keeper's next look: those that were set for later before it was woken are left out.
 	looks   int
-	pending map[*question]func(grant)
+	pending map[*waitingRequest]func(grant)
 }
 
 type schedule struct {
@@ -167,7 +167,7 @@
 
 // lead makes a new candidate coordinate.
 func (s *schedule) lead() {
-	p := &process{shownAt: s.now, pending: make(map[*question]func(grant))}
+	p := &process{shownAt: s.now, pending: make(map[*waitingRequest]func(grant))}
 	p.keeper = NewKeeper(KeeperParams{
 		Rate:    func(string) float64 { return s.rate },
 		ShownAt: func() time.Time { return p.shownAt },
--- a/internal/coldstart/warmth.go
+++ b/internal/coldstart/warmth.go
@@ -15,30 +15,31 @@
 )
 
 const (
-	// entryMargin is added to the rest that an entry tells: clocks of engine and process differ in pace, and a process looks at its view late.
+	// entryMargin is added to the remaining time of an entry: the clocks of engine and process run at different speeds, and a process looks at its
+	// view some time after it changed.
 	entryMargin = 200 * time.Millisecond
-	// entryDelay is how long an entry may take from its engine to this process: one that says warm and comes sooner after an event may be from
-	// before it.
+	// entryDelay is how long an entry may take from its engine to this process. An entry that says warm and arrives within this time of a start may
+	// have been written before it.
 	entryDelay = 2 * time.Second
-	// forgetAfter is how long an engine that is not listed any more is remembered: lists are incomplete for some seconds after a process has
-	// begun to follow the deployment anew, and an engine that returns to one has not started.
+	// forgetAfter is how long an engine that is no longer listed is remembered. Lists are incomplete for some seconds after a process begins to
+	// follow the deployment again; an engine that reappears in one has not started.
 	forgetAfter = 30 * time.Second
-	// sweepInterval is the pause between two looks for engines that have become warm, while there are cold ones.
+	// sweepInterval is the pause between two looks for engines that have become warm: how late a log line and the count of cold engines may be.
 	sweepInterval = 100 * time.Millisecond
 )
 
-// Cause is what decided that an engine is cold or warm, as logs tell it.
+// Cause is why an engine counts as cold or warm, as logged.
 type Cause string
 
 // The causes.
 const (
-	// CauseEntry: the engine's entry tells it.
+	// CauseEntry: the engine's entry says so.
 	CauseEntry Cause = "entry"
-	// CauseStart: the engine appeared among others of its service.
+	// CauseStart: the engine appeared in a service of which engines were listed before.
 	CauseStart Cause = "start"
-	// CauseRestored: its zone was evacuated until now.
+	// CauseRestored: the evacuation of its zone ended.
 	CauseRestored Cause = "zone restored"
-	// CauseTime: the time for which it was taken for cold is over.
+	// CauseTime: its cold time is over.
 	CauseTime Cause = "time over"
 )
 
@@ -47,40 +48,40 @@
 	state  *fleet.State
 	now    func() time.Time
 	logger log.Logger
-	// seen is the last view that was taken in.
+	// seen is the last view that was observed.
 	seen atomic.Pointer[fleet.View]
-	// cold maps the engines that are cold to until when; it is replaced as a whole.
+	// cold maps the IDs of cold engines to when each becomes warm. It is replaced as a whole, so that Cold takes no lock.
 	cold atomic.Pointer[map[string]time.Time]
 
 	mu      sync.Mutex
 	engines map[string]*warmthRecord
-	// started are the services of which engines were listed before.
-	started map[string]struct{}
-	// evacuated are the zones that were evacuated in the last view.
+	// listed are the services of which engines were listed in an earlier view.
+	listed map[string]struct{}
+	// evacuated are the zones that were evacuated in the last view that told evacuations.
 	evacuated map[string]struct{}
 }
 
-// warmthRecord is what is known of one start of an engine.
+// warmthRecord is what this process knows of one start of an engine.
 type warmthRecord struct {
-	// entry is the rest that its entry told last, and entryAt when this process first saw that.
+	// entry is the remaining cold time in the engine's last entry, and entryAt when this process first saw that value.
 	entry   time.Duration
 	entryAt time.Time
 	// until is when it becomes warm; zero or past for a warm one.
 	until time.Time
-	// believeFrom is from when on an entry that says warm is believed.
+	// believeFrom is the moment from which an entry that says warm is believed.
 	believeFrom time.Time
 	// listedAt is when it was last listed.
 	listedAt time.Time
 }
 
-// NewWarmth returns a Warmth of a state, by a clock that counts suspensions of the machine.
+// NewWarmth returns a Warmth of the engines of a state. now must be a clock that counts suspensions of the machine.
 func NewWarmth(state *fleet.State, now func() time.Time, logger log.Logger) *Warmth {
-	w := &Warmth{state: state, now: now, logger: logger, engines: make(map[string]*warmthRecord), started: make(map[string]struct{})}
+	w := &Warmth{state: state, now: now, logger: logger, engines: make(map[string]*warmthRecord), listed: make(map[string]struct{})}
 	w.cold.Store(&map[string]time.Time{})
 	return w
 }
 
-// Run takes in every view until ctx ends. What it misses is taken in when Cold is asked.
+// Run observes the views of the state until ctx ends. Cold observes a view that Run has not got to yet.
 func (w *Warmth) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		_, changed := w.state.Changed()
@@ -94,12 +95,12 @@
 	}
 }
 
-// Relist makes the engines of the next list count as not seen to start, unless they were known before: for a process that has not followed the
+// Relist makes the unknown engines of the next view count as listed before, not as just started. A process calls it when it has not followed the
 // deployment for a while.
 func (w *Warmth) Relist() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	clear(w.started)
+	clear(w.listed)
 }
 
 // Cold reports whether an engine is cold now.
@@ -114,12 +115,12 @@
 // Count returns the number of cold engines.
 func (w *Warmth) Count() int { return len(*w.cold.Load()) }
 
-// Rate returns how many requests a second a cold engine of a service bears; zero if its engines are never cold or it is not known.
+// Rate returns the cold rate of a service, in requests a second for each engine; zero if its engines are never cold or the service is unknown.
 func (w *Warmth) Rate(service string) float64 {
 	return coldService(w.state.View().Routes, service).ColdRate
 }
 
-// coldService returns a service whose engines may be cold, or the zero Service.
+// coldService returns a service if its engines may be cold, else the zero Service.
 func coldService(routes *routing.Table, name string) routing.Service {
 	if routes == nil || routes.Services[name].ColdRate <= 0 {
 		return routing.Service{}
@@ -127,7 +128,8 @@
 	return routes.Services[name]
 }
 
-// observe takes in the newest view, unless that was done. Views are never taken in out of their order: a zone would seem to be restored.
+// observe updates the records from the newest view, unless that was done. It reads the view under the mutex: an older view observed after a newer one
+// would make a zone seem restored.
 func (w *Warmth) observe() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -136,23 +138,23 @@
 		return
 	}
 	now := w.now()
-	listed := make(map[string]struct{})
+	services := make(map[string]struct{})
 	restored := w.restored(view.Evacuations)
 	for _, engine := range view.Engines {
 		service := coldService(view.Routes, engine.Service)
 		if service.ColdRate == 0 {
 			continue
 		}
-		listed[engine.Service] = struct{}{}
-		_, amongOthers := w.started[engine.Service]
-		w.observeEngine(engine, service.ColdStart, amongOthers, now)
+		services[engine.Service] = struct{}{}
+		w.observeEngine(engine, service.ColdStart, now)
 		if _, ok := restored[engine.Zone]; ok {
-			w.engines[engine.ID].event(now, service.ColdStart)
-			w.tell(engine.ID, CauseRestored, now)
+			w.engines[engine.ID].turnCold(now, service.ColdStart)
+			w.logChange(engine.ID, CauseRestored, now)
 		}
 	}
-	for service := range listed {
-		w.started[service] = struct{}{}
+	// Only now: the engines of a service's first view did not appear among others.
+	for service := range services {
+		w.listed[service] = struct{}{}
 	}
 	for id, record := range w.engines {
 		if now.Sub(record.listedAt) > forgetAfter {
@@ -163,7 +165,7 @@
 	w.seen.Store(view)
 }
 
-// restored returns the zones that are evacuated no longer.
+// restored returns the zones whose evacuation ended since the last view, and remembers those that are evacuated. The mutex must be held.
 func (w *Warmth) restored(evacuations *fleet.Evacuations) map[string]struct{} {
 	if evacuations == nil {
 		return nil
@@ -181,15 +183,15 @@
 	return gone
 }
 
-// observeEngine takes in an engine's entry. The mutex must be held.
-func (w *Warmth) observeEngine(engine *fleet.Engine, coldStart time.Duration, amongOthers bool, now time.Time) {
+// observeEngine updates an engine's record from its entry. The mutex must be held.
+func (w *Warmth) observeEngine(engine *fleet.Engine, coldStart time.Duration, now time.Time) {
 	record, known := w.engines[engine.ID]
 	if !known {
 		record = &warmthRecord{}
 		w.engines[engine.ID] = record
-		if amongOthers {
-			record.event(now, coldStart)
-			w.tell(engine.ID, CauseStart, now)
+		if _, listedBefore := w.listed[engine.Service]; listedBefore {
+			record.turnCold(now, coldStart)
+			w.logChange(engine.ID, CauseStart, now)
 		}
 	}
 	record.listedAt = now
@@ -198,20 +200,20 @@
 	}
 	record.entry, record.entryAt = engine.ColdRemaining, now
 	if record.takeEntry(now) {
-		w.tell(engine.ID, CauseEntry, now)
+		w.logChange(engine.ID, CauseEntry, now)
 	}
 }
 
-// event takes in that the engine has most likely turned cold.
-func (r *warmthRecord) event(now time.Time, coldStart time.Duration) {
+// turnCold records that the engine has probably become cold now: it started, or its zone was restored.
+func (r *warmthRecord) turnCold(now time.Time, coldStart time.Duration) {
 	if until := now.Add(coldStart); until.After(r.until) {
 		r.until = until
 	}
 	r.believeFrom = now.Add(entryDelay)
 }
 
-// takeEntry takes in a changed entry. It reports whether that decides. Its age is not known: it counts as if it had just been written, which
-// takes an engine for cold for longer than it is.
+// takeEntry applies a changed entry. It reports whether that changed until. The age of an entry is unknown: it counts as just written, so that an
+// engine counts as cold for too long rather than too short a time.
 func (r *warmthRecord) takeEntry(now time.Time) bool {
 	if r.entry <= 0 {
 		if now.Before(r.believeFrom) || !now.Before(r.until) {
@@ -220,27 +222,27 @@
 		r.until = now
 		return true
 	}
-	// It is from after the event: one that says warm from now on is newer still.
+	// The engine wrote this entry after it became cold: an entry that says warm is newer still, and is believed at once.
 	r.believeFrom = time.Time{}
 	r.until = now.Add(r.entry + entryMargin)
 	return true
 }
 
-// tell logs a decision: one line for each changed input of an engine. The mutex must be held.
-func (w *Warmth) tell(id string, cause Cause, now time.Time) {
+// logChange logs why an engine counts as cold or warm, one line for each input that changed. The mutex must be held.
+func (w *Warmth) logChange(id string, cause Cause, now time.Time) {
 	record := w.engines[id]
 	level.Info(w.logger).Log("msg", "engine warmth changed", "engine", id, "cold", now.Before(record.until), "cause", cause,
 		"for", max(record.until.Sub(now), 0).Round(time.Millisecond), "entry_rest", record.entry, "entry_age", now.Sub(record.entryAt).Round(time.Millisecond))
 }
 
-// sweep drops the engines that have become warm.
+// sweep removes the engines whose cold time is over from the set of cold engines.
 func (w *Warmth) sweep() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.now()
 	for id, until := range *w.cold.Load() {
 		if _, known := w.engines[id]; known && !now.Before(until) {
-			w.tell(id, CauseTime, now)
+			w.logChange(id, CauseTime, now)
 		}
 	}
 	w.publish(now)
