--- a/internal/fleet/evacuations.go
+++ b/internal/fleet/evacuations.go
@@ -5,19 +5,19 @@
 	"slices"
 )
 
-// Evacuations are the zones to whose engines nothing may be sent, as of one revision of the store. They are not changed once they are made.
+// Evacuations are the evacuated zones, to whose engines nothing may be sent, as of one revision of the store. They are immutable.
 type Evacuations struct {
 	revision int64
-	// since maps each evacuated zone to the revision at which it became so: a zone that was restored and is evacuated again has another.
+	// since maps each evacuated zone to the revision at which its evacuation began. A zone that was restored and evacuated again has a newer one.
 	since map[string]int64
 }
 
-// NewEvacuations returns the evacuations of a revision, from the evacuated zones and the revision at which each became so.
+// NewEvacuations returns the evacuations as of a revision. since maps each evacuated zone to the revision at which its evacuation began.
 func NewEvacuations(revision int64, since map[string]int64) *Evacuations {
 	return &Evacuations{revision: revision, since: maps.Clone(since)}
 }
 
-// Revision is that of the store at which they held.
+// Revision returns the revision of the store that they are as of.
 func (e *Evacuations) Revision() int64 { return e.revision }
 
 // Include reports whether a zone is evacuated.
@@ -26,7 +26,7 @@
 	return evacuated
 }
 
-// Since returns the revision at which a zone became evacuated; zero if it is not.
+// Since returns the revision at which a zone's evacuation began; zero if it is not evacuated.
 func (e *Evacuations) Since(zone string) int64 { return e.since[zone] }
 
 // Zones returns the evacuated zones in the order of their names.
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -22,8 +22,8 @@
 	Ready bool
 	// Versions maps each model that it holds to its weight version.
 	Versions map[string]int64
-	// ColdRemaining is how much longer the engine bears only a part of its load, as of the moment at which it wrote its entry; zero once it
-	// is warm.
+	// ColdRemaining is how much longer the engine is cold, and serves only its service's cold rate, as of when it wrote its entry; zero for a warm
+	// engine.
 	ColdRemaining time.Duration
 }
 
@@ -35,7 +35,7 @@
 	Engines map[string]*Engine
 	// Topology tells the region of each zone.
 	Topology Topology
-	// Evacuations are the zones that get no work; nil while they are not known, when no zone may get any.
+	// Evacuations are the evacuated zones; nil while they are not known, when nothing may be sent to any zone.
 	Evacuations *Evacuations
 	// ready maps a service to its engines that are not leaving, in the order of their IDs.
 	ready map[string][]*Engine
@@ -43,15 +43,14 @@
 	open map[string][]*Engine
 }
 
-// Ready returns the engines of a service that are not leaving, in the order of their IDs. Whether one may run a request is for package
-// placement to say.
+// Ready returns the engines of a service that are not leaving, in the order of their IDs. Package placement tells which of them may run a request.
 func (v *View) Ready(service string) []*Engine { return v.ready[service] }
 
 // Open returns the engines of a service that are not leaving and whose zones are known not to be evacuated, in the order of their IDs.
 func (v *View) Open(service string) []*Engine { return v.open[service] }
 
-// opened returns the ready engines whose zones are known not to be evacuated, by service.
-func (v *View) opened() map[string][]*Engine {
+// readyOutsideEvacuations returns the ready engines whose zones are known not to be evacuated, by service.
+func (v *View) readyOutsideEvacuations() map[string][]*Engine {
 	if v.Evacuations == nil {
 		return nil
 	}
@@ -74,7 +73,7 @@
 	mu      sync.RWMutex
 	view    *View
 	changed chan struct{}
-	// initial are the evacuations while none were learnt: nil where they are followed.
+	// initial are the evacuations before SetEvacuations: nil, for unknown, after FollowEvacuations, else none.
 	initial *Evacuations
 }
 
@@ -84,7 +83,8 @@
 	return &State{view: &View{Evacuations: none}, initial: none, changed: make(chan struct{})}
 }
 
-// FollowEvacuations makes the evacuations unknown until SetEvacuations. It must be called before the state is used.
+// FollowEvacuations makes the evacuations unknown until SetEvacuations, as for a process that follows them in the store. It must be called before
+// the state is used.
 func (s *State) FollowEvacuations() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,7 +94,7 @@
 	s.replace(&next)
 }
 
-// SetTopology puts the regions of the zones in force.
+// SetTopology replaces the topology.
 func (s *State) SetTopology(topology Topology) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -103,7 +103,7 @@
 	s.replace(&next)
 }
 
-// SetEvacuations puts evacuations in force. It reports false, and changes nothing, if they are older than those in force.
+// SetEvacuations replaces the evacuations. It reports false, and changes nothing, if the known ones are as of a later revision.
 func (s *State) SetEvacuations(evacuations *Evacuations) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,7 +130,7 @@
 	return s.view, s.changed
 }
 
-// Reset forgets everything but the topology, for a process that has not followed the deployment for a while.
+// Reset forgets everything but the topology, which comes from the settings: for a process that has not followed the deployment for a while.
 func (s *State) Reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,7 +167,7 @@
 }
 
 func (s *State) replace(next *View) {
-	next.open = next.opened()
+	next.open = next.readyOutsideEvacuations()
 	s.view = next
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/internal/fleet/topology.go
+++ b/internal/fleet/topology.go
@@ -5,7 +5,7 @@
 	"slices"
 )
 
-// Topology tells in which region each zone of the deployment lies. It is not changed once it is made; the zero value knows no zone.
+// Topology maps the zones of the deployment to their regions. It is immutable; the zero value knows no zone.
 type Topology struct {
 	regions map[string]string
 }
@@ -13,13 +13,13 @@
 // NewTopology returns the Topology of a map from zone to region.
 func NewTopology(regions map[string]string) Topology { return Topology{regions: maps.Clone(regions)} }
 
-// Region returns the region of a zone; empty if the zone is not known. Nothing that is bound to regions may go there then.
+// Region returns the region of a zone; empty if the zone is not known, where nothing that is bound to regions may go.
 func (t Topology) Region(zone string) string { return t.regions[zone] }
 
 // Zones returns the known zones in the order of their names.
 func (t Topology) Zones() []string { return slices.Sorted(maps.Keys(t.regions)) }
 
-// Regional reports whether the known zones lie in more than one region, so that it matters where something is.
+// Regional reports whether the known zones lie in more than one region.
 func (t Topology) Regional() bool {
 	first := ""
 	for _, region := range t.regions {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,9 +1,8 @@
-// Package placement decides where a request may run at all: one pure filter over the state of the deployment, which every path that sends a
-// request to an engine asks, lookups, reward calls and the items of batch jobs alike. Which of the permitted engines is best is for the
-// caller to say.
+// Package placement decides which engines may run a request. Its filter is a pure function of the state of the deployment, and every path that
+// sends a request to an engine uses it: lookups, reward calls and the items of batch jobs. The caller chooses among the permitted engines.
 //
-// Guarantees: an engine that the filter permits is not leaving, its zone is known not to be evacuated, and its region is one of those that the
-// request's route and its tenant allow. What is not known permits nothing.
+// Guarantees: an engine that the filter permits is not leaving, its zone is known not to be evacuated, and its region is allowed by both the
+// request's route and its tenant. Where that is unknown, nothing is permitted.
 package placement
 
 import (
@@ -14,35 +13,35 @@
 	"github.com/covelink/covelink/internal/routing"
 )
 
-// Reason is why an engine may not run a request, as logs and metrics tell it.
+// Reason is why an engine may not run a request. Its value stands in logs and metrics.
 type Reason string
 
 // The reasons.
 const (
 	// Permitted means that the engine may run the request.
 	Permitted Reason = ""
-	// EngineLeaving means that the engine is about to end.
+	// EngineLeaving means that the engine takes no new work before it ends.
 	EngineLeaving Reason = "engine leaving"
-	// ZoneEvacuated means that operators have asked that nothing be sent to the engine's zone.
+	// ZoneEvacuated means that operators have evacuated the engine's zone.
 	ZoneEvacuated Reason = "zone evacuated"
 	// EvacuationsUnknown means that this process does not know yet which zones are evacuated.
 	EvacuationsUnknown Reason = "evacuations unknown"
 	// RegionNotAllowed means that the request's data may not go to the engine's region.
 	RegionNotAllowed Reason = "region not allowed"
-	// NoRegionAllowed means that no region of the deployment is allowed by both the route and the tenant: no engine may ever run the request
-	// under this configuration.
+	// NoRegionAllowed means that no region of the deployment is allowed by both the route and the tenant: under this configuration no engine may
+	// run the request.
 	NoRegionAllowed Reason = "no region allowed"
 )
 
-// Residency is where the data of a request may be. The zero value sets no bound.
+// Residency is in which regions the data of a request may be. The zero value allows all.
 type Residency struct {
-	// Route and Tenant are the regions that each allows; empty for all. Both bind.
+	// Route and Tenant are the regions that the route and the tenant allow; empty for all. A region must be allowed by both.
 	Route, Tenant []string
-	// Accepted are sets of regions under which the data was accepted earlier; each binds beside the others.
+	// Accepted are the sets of regions that were in force when the data was accepted. A region must be allowed by each of them too.
 	Accepted [][]string
 }
 
-// ResidencyOf returns the residency of a tenant's requests by a route of the table.
+// ResidencyOf returns the residency of a tenant's requests that come by a route of the table.
 func ResidencyOf(table *routing.Table, route *routing.Route, tenant string) Residency {
 	residency := Residency{Route: route.AllowedRegions}
 	if table != nil && tenant != "" {
@@ -51,8 +50,8 @@
 	return residency
 }
 
-// Key returns what two residencies have in common only if they allow the same regions; empty without a bound. No region's name contains
-// one of the separators.
+// Key returns a key for maps: two residencies with the same key allow the same regions. It is empty if all are allowed. Names of regions contain
+// neither of its separators.
 func (r Residency) Key() string {
 	var key strings.Builder
 	for _, set := range r.Sets() {
@@ -62,12 +61,12 @@
 	return key.String()
 }
 
-// Bounded reports whether the residency excludes any region.
+// Bounded reports whether the residency may exclude a region.
 func (r Residency) Bounded() bool {
 	return len(r.Route) > 0 || len(r.Tenant) > 0 || slices.ContainsFunc(r.Accepted, func(set []string) bool { return len(set) > 0 })
 }
 
-// Allows reports whether the data may be in a region. An unknown region, the empty one, is allowed only without a bound.
+// Allows reports whether the data may be in a region. The empty name, for an unknown region, is allowed only if the residency is not bounded.
 func (r Residency) Allows(region string) bool {
 	for _, accepted := range r.Accepted {
 		if !allows(accepted, region) {
@@ -77,7 +76,7 @@
 	return allows(r.Route, region) && allows(r.Tenant, region)
 }
 
-// Sets returns the sets of regions that bind, each of them.
+// Sets returns the sets of regions that bound the residency. A region must be in all of them.
 func (r Residency) Sets() [][]string {
 	var sets [][]string
 	for _, set := range append([][]string{r.Route, r.Tenant}, r.Accepted...) {
@@ -92,7 +91,7 @@
 	return len(regions) == 0 || slices.Contains(regions, region)
 }
 
-// Regions returns the regions of the topology in which the data may be, in the order of their zones' names.
+// Regions returns the regions of the topology in which the data may be, in the order of the names of their first zones.
 func (r Residency) Regions(topology fleet.Topology) []string {
 	var regions []string
 	for _, zone := range topology.Zones() {
@@ -104,18 +103,18 @@
 	return regions
 }
 
-// Filter answers for one request over one view of the deployment.
+// Filter tells which engines of one view of the deployment may run a request.
 type Filter struct {
 	view      *fleet.View
 	residency Residency
 }
 
-// NewFilter returns the Filter of requests of a residency over a view.
+// NewFilter returns the Filter of a view for requests of a residency.
 func NewFilter(view *fleet.View, residency Residency) Filter {
 	return Filter{view: view, residency: residency}
 }
 
-// Check tells whether an engine may run the request now.
+// Check returns why an engine may not run the request now, or Permitted.
 func (f Filter) Check(engine *fleet.Engine) Reason {
 	switch {
 	case !engine.Ready:
@@ -130,8 +129,8 @@
 	return Permitted
 }
 
-// Engines returns the engines of a service that may run the request now, in the order of their IDs. Without a bound on regions it takes no
-// time for each engine. The result must not be changed.
+// Engines returns the engines of a service that may run the request now, in the order of their IDs. If the residency is not bounded it takes
+// constant time, however many engines there are. The result must not be changed.
 func (f Filter) Engines(service string) []*fleet.Engine {
 	open := f.view.Open(service)
 	if !f.residency.Bounded() {
@@ -146,7 +145,7 @@
 	return permitted
 }
 
-// Explain tells why Engines returns none for a service; Permitted if the service has no engine that is ready.
+// Explain returns why Engines is empty for a service, or Permitted if the service has no engine that is ready.
 func (f Filter) Explain(service string) Reason {
 	if f.residency.Bounded() && len(f.residency.Regions(f.view.Topology)) == 0 {
 		return NoRegionAllowed
@@ -155,7 +154,7 @@
 	for _, engine := range f.view.Ready(service) {
 		reason = f.Check(engine)
 		if reason == ZoneEvacuated && f.residency.Allows(f.view.Topology.Region(engine.Zone)) {
-			// The request could run there once the zone is restored.
+			// Operators can change this one by restoring the zone: it is the reason to tell.
 			return reason
 		}
 	}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -1,8 +1,7 @@
 // Package retrybudget bounds how much retries add to the load of each service, as Finagle's RetryBudget and Envoy's retry budgets do.
 //
-// Guarantees: of the retries that are asked for by Take, those granted in a window are at most Share of the first sends of that window, beside
-// those of a reserve, which is Reserve retries at first and fills up again by one each RefillTime. It costs constant time a request, and memory
-// by service only. A Budget is safe for concurrent use.
+// Guarantees: the retries granted within a window are at most Share of the first sends of that window, plus those of a reserve. The reserve holds
+// Reserve retries and is refilled by one each RefillTime. A call takes constant time, and memory grows with the number of services only. A Budget is safe for concurrent use.
 package retrybudget
 
 import (
@@ -16,17 +15,17 @@
 type Params struct {
 	// Share is the most retries for each first send.
 	Share float64
-	// Window is the time over which both are counted.
+	// Window is the time over which first sends and retries are counted.
 	Window time.Duration
 	// Reserve is how many retries are granted whatever the first sends, so that a rarely used service can be retried.
 	Reserve int
-	// RefillTime is how long it takes until one that was granted of the reserve may be granted again.
+	// RefillTime is how long it takes until a retry of the reserve that was used may be granted again.
 	RefillTime time.Duration
-	// Now reads the clock.
+	// Now reads a clock that does not go back.
 	Now func() time.Time
 }
 
-// Budget counts sends by service.
+// Budget counts first sends and retries by service.
 type Budget struct {
 	params   Params
 	origin   time.Time
@@ -34,18 +33,19 @@
 	services map[string]*counts
 }
 
-// counts are the sends of a window.
+// counts are those of one service.
 type counts struct {
-	// retries are those that the share paid for.
+	// first counts the first sends of the window, and retries those granted within Share.
 	first, retries slidingcount.Counter
-	// reserved are all that the reserve paid for, less those that it has got back by refilledAt.
-	reserved   int
-	refilledAt time.Time
-	// fromReserve is true if the reserve paid for the last one that was granted.
+	// reserveUsed is how many retries of the reserve were granted and not refilled by refilledAt.
+	reserveUsed int
+	refilledAt  time.Time
+	// fromReserve is true if the last retry that was asked for was beyond Share. Return uses it to choose which of the two counts to reduce; it
+	// may choose the other one where calls interleave.
 	fromReserve bool
 }
 
-// New returns a Budget of which nothing is used.
+// New returns an unused Budget.
 func New(params Params) *Budget {
 	return &Budget{params: params, origin: params.Now(), services: make(map[string]*counts)}
 }
@@ -68,31 +68,31 @@
 		return true
 	}
 	b.refill(counts, now)
-	if counts.reserved >= b.params.Reserve {
+	if counts.reserveUsed >= b.params.Reserve {
 		return false
 	}
-	counts.reserved++
+	counts.reserveUsed++
 	return true
 }
 
-// refill gives the reserve back what time has made good.
+// refill refills the reserve for the time since refilledAt.
 func (b *Budget) refill(counts *counts, now time.Time) {
 	back := int(now.Sub(counts.refilledAt) / b.params.RefillTime)
-	if back >= counts.reserved {
-		counts.reserved, counts.refilledAt = 0, now
+	if back >= counts.reserveUsed {
+		counts.reserveUsed, counts.refilledAt = 0, now
 		return
 	}
-	counts.reserved -= back
+	counts.reserveUsed -= back
 	counts.refilledAt = counts.refilledAt.Add(time.Duration(back) * b.params.RefillTime)
 }
 
-// Return takes back a retry that was granted and not sent.
+// Return gives back a retry that was granted and not sent.
 func (b *Budget) Return(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	counts := b.of(service)
-	if counts.fromReserve && counts.reserved > 0 {
-		counts.reserved--
+	if counts.fromReserve && counts.reserveUsed > 0 {
+		counts.reserveUsed--
 		return
 	}
 	if now := b.params.Now(); counts.retries.Sum(now) > 0 {
@@ -100,7 +100,7 @@
 	}
 }
 
-// Ratio returns the retries of the window for each first send to a service; zero if there was no first send.
+// Ratio returns the retries within Share for each first send to a service, over the window; zero without a first send.
 func (b *Budget) Ratio(service string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -112,6 +112,7 @@
 	return float64(counts.retries.Sum(now)) / float64(first)
 }
 
+// of returns the counts of a service. The mutex must be held.
 func (b *Budget) of(service string) *counts {
 	known, ok := b.services[service]
 	if !ok {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -62,7 +62,7 @@
 	SingleVersion bool
 	// Open routes serve callers without a key also where there are tenants.
 	Open bool
-	// AllowedRegions are those in which the route's requests may be served, cached and kept; empty for all.
+	// AllowedRegions are the regions in which the route's requests may be served, cached and stored; empty for all.
 	AllowedRegions []string
 }
 
@@ -103,8 +103,8 @@
 	TokenCapacity int
 	// Scaling is nil if the service's engines are not ordered by this system.
 	Scaling *Scaling
-	// ColdStart is for how long an engine is cold after a start, and ColdRate how many requests a second it bears then; zero for services
-	// whose engines bear their full load at once.
+	// ColdStart is how long an engine is cold after a start, and ColdRate how many requests a second it can serve meanwhile. Both are zero for
+	// services whose engines serve their full load at once.
 	ColdStart time.Duration
 	ColdRate  float64
 }
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -69,12 +69,12 @@
 	Seeds []string `koanf:"seeds" validate:"dive,hostname_port|tcp_addr"`
 }
 
-// FleetTopology is what is known of the deployment's zones.
+// FleetTopology lists the zones of the deployment, and says whether they can be evacuated.
 type FleetTopology struct {
-	// Zones are all zones of the deployment. Requests that are bound to regions run in no zone that is not named.
+	// Zones are all zones of the deployment. A request that is bound to regions never runs in a zone that is not listed.
 	Zones []FleetZone `koanf:"zones" validate:"dive"`
-	// EvacuateTime is within how long no request reaches an evacuated zone any more; zero if operators evacuate no zones, which then need not
-	// be followed in the store.
+	// EvacuateTime is how long after an evacuation requests may still reach the zone. Zero if operators never evacuate zones: evacuations are not
+	// followed in the store then.
 	EvacuateTime time.Duration `koanf:"evacuateTime" validate:"gte=0,lte=1h"`
 }
 
--- a/internal/slidingcount/slidingcount.go
+++ b/internal/slidingcount/slidingcount.go
@@ -1,25 +1,25 @@
 // Package slidingcount counts events over a window of time that slides with the clock.
 //
-// Guarantees: a sum covers at least the window and at most one bucket more; it costs constant time and memory. A Counter is not safe for
-// concurrent use.
+// Guarantees: a sum covers at least the window, and at most a tenth of it more. A call takes constant time and a Counter constant memory. A
+// Counter is not safe for concurrent use.
 package slidingcount
 
 import "time"
 
-// buckets is how many parts a window has: old events leave in steps of a tenth of the window.
+// buckets is how many parts a window has. More would make sums more exact and each Counter larger; rates and budgets need no more than a tenth.
 const buckets = 10
 
 // Counter counts events of the last window.
 type Counter struct {
 	bucket time.Duration
-	// newest is the number of the newest bucket since the zero time of origin.
+	// newest is the number of the newest bucket, counted from origin.
 	newest int64
 	origin time.Time
 	counts [buckets + 1]int
 	sum    int
 }
 
-// New returns a Counter over a window that ends with the moments that it is asked for, none of which is before origin.
+// New returns a Counter over a window. No moment that it is given may be before origin.
 func New(window time.Duration, origin time.Time) Counter {
 	return Counter{bucket: max(window/buckets, 1), origin: origin}
 }
--- a/internal/tenants/tenants.go
+++ b/internal/tenants/tenants.go
@@ -15,7 +15,7 @@
 	Name string
 	// Priority is the rank of the tenant's requests, 0 first. It goes before that of their route.
 	Priority int
-	// AllowedRegions are those in which the tenant's requests may be served, cached and kept; empty for all.
+	// AllowedRegions are the regions in which the tenant's requests may be served, cached and stored; empty for all.
 	AllowedRegions []string
 }
 
@@ -72,7 +72,7 @@
 	return 0
 }
 
-// AllowedRegions returns the regions to which the tenant of a name is bound; none for one that is not known, or not bound.
+// AllowedRegions returns the AllowedRegions of the tenant of a name; none if the tenant is not known.
 func (d *Directory) AllowedRegions(name string) []string {
 	if d == nil {
 		return nil
@@ -83,7 +83,7 @@
 	return nil
 }
 
-// Bounds returns the sets of regions to which tenants are bound, in the order of the tenants' names.
+// Bounds returns the AllowedRegions of each tenant that has any, in the order of the tenants' names.
 func (d *Directory) Bounds() [][]string {
 	if d == nil {
 		return nil
