itemwork: one Assign with a residency, no side effect in a predicate

Assign without a residency was used by tests only; AssignWithin takes its name. withholds changed the run that it judged: batch does that now, and says why. Comments in plain English.

--- a/internal/batchrun/residency.go
+++ b/internal/batchrun/residency.go
@@ -99,7 +99,7 @@
 func (r *Runner) carry(begun *run, engine *fleet.Engine, assignment *itemwork.Assignment) bool {
 	residency := r.carriage(begun.item)
 	if r.Desk != nil {
-		if worker, ok := r.Desk.AssignWithin(residency, engine, assignment); ok {
+		if worker, ok := r.Desk.Assign(residency, engine, assignment); ok {
 			r.hand(begun, worker)
 			return true
 		}
--- a/internal/itemwork/calls.go
+++ b/internal/itemwork/calls.go
@@ -43,8 +43,8 @@
 	Number uint64
 	// Start is the run to begin, or nil.
 	Start *Assignment
-	// LeaveWithin is what is left, when the poll is answered, of the time in which the run must be sent; zero sets no bound, and what is
-	// negative is over.
+	// LeaveWithin is the time, from the answer to the poll, within which the run must be sent. It is negative if that time is over; zero sets no
+	// bound.
 	LeaveWithin time.Duration
 	// Cancel is the run to end, if Start is nil.
 	Cancel RunID
--- a/internal/itemwork/desk.go
+++ b/internal/itemwork/desk.go
@@ -40,8 +40,8 @@
 
 // Desk hands assignments to workers. It is safe for concurrent use.
 type Desk struct {
-	// Region returns the region of a zone, empty if it is not known; nil knows none. What is bound to regions is handed to workers in those
-	// alone. It must be set before the desk is used.
+	// Region returns the region of a zone, empty if it is not known; nil knows none. An assignment that is bound to regions is handed only to
+	// workers in them. It must be set before the desk is used.
 	Region func(zone string) string
 	logger log.Logger
 
@@ -93,7 +93,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, worker := range d.workers {
-		// A poll that went on waiting would learn of the next term later than that waits for runs to adopt.
+		// Polls end at once: a worker that waited on would hear of the next term after that has stopped waiting for runs to adopt.
 		if len(worker.orders) == 0 {
 			close(worker.ready)
 		}
@@ -165,14 +165,9 @@
 	return worker, lost
 }
 
-// Assign hands an assignment without bounds to the worker that speaks with an engine. It returns false if there is none.
-func (d *Desk) Assign(engine *fleet.Engine, assignment *Assignment) (worker string, ok bool) {
-	return d.AssignWithin(placement.Residency{}, engine, assignment)
-}
-
-// AssignWithin hands an assignment to the worker that speaks with an engine, or, where its data may not be, to one where it may. It returns
-// false if there is none.
-func (d *Desk) AssignWithin(residency placement.Residency, engine *fleet.Engine, assignment *Assignment) (worker string, ok bool) {
+// Assign hands an assignment to the engine's usual worker, or, if the residency excludes that worker's region, to the next best one that it
+// allows. It returns false if there is none.
+func (d *Desk) Assign(residency placement.Residency, engine *fleet.Engine, assignment *Assignment) (worker string, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.handler == nil {
@@ -189,7 +184,7 @@
 	return carrier.key(), true
 }
 
-// Reaches reports whether there is a worker where data of a residency may be.
+// Reaches reports whether the residency allows the region of any worker.
 func (d *Desk) Reaches(residency placement.Residency) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -201,7 +196,7 @@
 	return false
 }
 
-// allows reports whether data of a residency may be at a worker.
+// allows reports whether a residency allows the region of a worker.
 func (d *Desk) allows(residency placement.Residency, worker *deskWorker) bool {
 	if !residency.Bounded() {
 		return true
@@ -209,7 +204,8 @@
 	return d.Region != nil && residency.Allows(d.Region(worker.Zone))
 }
 
-// usualCarrier returns the worker of an engine for what is not bound; nil if there is none. The mutex must be held.
+// usualCarrier returns the worker of an engine for assignments that are not bound to regions; nil if there is none. It remembers the choice. The
+// mutex must be held.
 func (d *Desk) usualCarrier(engine *fleet.Engine) *deskWorker {
 	carrier, ok := d.carriers[engine.ID]
 	if !ok {
@@ -222,8 +218,8 @@
 	return carrier
 }
 
-// carrier chooses the worker of an engine among those where data of a residency may be, of the engine's zone where there is one. The mutex
-// must be held.
+// carrier chooses the worker of an engine among those that a residency allows, preferring the engine's zone; nil if there is none. The mutex must
+// be held.
 func (d *Desk) carrier(engine *fleet.Engine, residency placement.Residency) *deskWorker {
 	key := rendezvous.Hash(engine.ID)
 	var best *deskWorker
@@ -320,27 +316,27 @@
 	}
 	now := boottime.Now()
 	reply.Held = now.Sub(started)
-	reply.Orders = ordersAt(worker.orders, now)
+	reply.Orders = forReply(worker.orders, now)
 	return reply
 }
 
-// ordersAt returns a copy of orders as they are told at a moment of boottime.
-func ordersAt(orders []Order, now time.Time) []Order {
-	told := slices.Clone(orders)
-	for i, order := range told {
+// forReply returns a copy of orders for a reply at a moment of boottime: LeaveBy, a moment of this machine's clock, becomes LeaveWithin.
+func forReply(orders []Order, now time.Time) []Order {
+	copied := slices.Clone(orders)
+	for i, order := range copied {
 		if order.Start == nil || order.Start.LeaveBy.IsZero() {
 			continue
 		}
 		start := *order.Start
-		told[i].LeaveWithin = start.LeaveBy.Sub(now)
-		if told[i].LeaveWithin == 0 {
-			// Zero would set no bound.
-			told[i].LeaveWithin = -1
+		copied[i].LeaveWithin = start.LeaveBy.Sub(now)
+		if copied[i].LeaveWithin == 0 {
+			// Zero means no bound; a negative time is over as well.
+			copied[i].LeaveWithin = -1
 		}
 		start.LeaveBy = time.Time{}
-		told[i].Start = &start
+		copied[i].Start = &start
 	}
-	return told
+	return copied
 }
 
 // awaitOrders waits until there are orders or the wait is over. It reports whether the caller has gone.
--- a/internal/itemwork/desk_residency_test.go
+++ b/internal/itemwork/desk_residency_test.go
@@ -36,7 +36,7 @@
 		meet("north2", false)
 		meet("south1", false)
 		assign := func(engineZone string, residency placement.Residency) string {
-			worker, _ := desk.AssignWithin(residency, &fleet.Engine{ID: "e-" + engineZone, Zone: engineZone}, &Assignment{})
+			worker, _ := desk.Assign(residency, &fleet.Engine{ID: "e-" + engineZone, Zone: engineZone}, &Assignment{})
 			return worker
 		}
 		south := placement.Residency{Route: []string{"south"}}
--- a/internal/itemwork/desk_test.go
+++ b/internal/itemwork/desk_test.go
@@ -11,6 +11,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/placement"
 )
 
 // lostWorkers is a Handler that notes which workers were lost.
@@ -58,7 +59,7 @@
 			meet("z1", "first")
 			meet("z2", "first")
 			for range 3 {
-				worker, ok := desk.Assign(&fleet.Engine{ID: "e", Zone: "z2"}, &Assignment{})
+				worker, ok := desk.Assign(placement.Residency{}, &fleet.Engine{ID: "e", Zone: "z2"}, &Assignment{})
 				So(ok, ShouldBeTrue)
 				So(worker, ShouldEqual, "w-z2/first")
 			}
@@ -69,7 +70,7 @@
 			So(lost.taken(), ShouldBeEmpty)
 			time.Sleep(3 * time.Second)
 			So(lost.taken(), ShouldHaveLength, 2)
-			_, ok := desk.Assign(&fleet.Engine{ID: "e", Zone: "z2"}, &Assignment{})
+			_, ok := desk.Assign(placement.Residency{}, &fleet.Engine{ID: "e", Zone: "z2"}, &Assignment{})
 			So(ok, ShouldBeFalse)
 		})
 		Convey("A worker that comes back as another process has lost the runs of the one before", t, func() {
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -30,7 +30,7 @@
 	judgePause = 100 * time.Millisecond
 )
 
-// errTooLate reports a run whose time to be sent was over: the engine bears no more than what was granted.
+// errTooLate reports a run that was not sent because its LeaveBy had passed: its grant for a cold engine was over.
 var errTooLate = errors.New("itemwork: the run came too late to be sent")
 
 // Event is one event of a stream.
@@ -116,13 +116,13 @@
 	return verdict, err
 }
 
-// withheldError reports a run that was not sent because its engine may not run it.
+// withheldError reports a run that was not sent because the placement filter refused its engine.
 type withheldError struct{ reason placement.Reason }
 
 func (e *withheldError) Error() string { return "itemwork: not sent: " + string(e.reason) }
 
-// check tells whether the engine may run the item now, by this process's own view. The residency that the coordinating process has told
-// binds as well as that of the tables known here: either may be the older one.
+// check returns why the engine may not run the item now, by this process's own view, or Permitted. Both the assignment's residency and that of
+// this process's tables must allow the engine, as either may be the older one.
 func (e *Executor) check(assignment *Assignment) placement.Reason {
 	view := e.State.View()
 	engine, listed := view.Engines[assignment.Engine.ID]
@@ -288,7 +288,8 @@
 			Target: reward.Path,
 			Header: http.Header{},
 			Body:   reward.Body,
-			// A call that waits for a full service in here is not sent again and again, and keeps its place. What is left must do for the call.
+			// The call waits for a full service in the forwarder's queue, and Arrived keeps its place there over rounds. minJudgeTime is left for the
+			// call itself.
 			Patience: boottime.Until(deadline) - minJudgeTime,
 			Arrived:  arrived,
 			Repeated: sent,
--- a/internal/itemwork/itemwork.go
+++ b/internal/itemwork/itemwork.go
@@ -8,7 +8,7 @@
 // at a time, the highest that it knows. What a run has made outlives the coordinating process: a worker tells everything it
 // holds to the next term, ended runs for keepEnded. No request of a worker's own, such as a reward call, runs later than
 // permitLife after it has heard from the coordinating process. No run is sent to an engine that the
-// placement filter refuses over the worker's own view, whatever the coordinating process knows.
+// placement filter refuses by the worker's own view, whatever the coordinating process knows.
 package itemwork
 
 import (
@@ -55,7 +55,7 @@
 	Path string
 	// Tenant names whose item it is; empty for nobody's.
 	Tenant string
-	// Residency is where the item's data may be, as the coordinating process knows it: the worker's own tables may be older.
+	// Residency is where the item's data may be by the coordinating process's tables, which may be newer than the worker's.
 	Residency placement.Residency
 	Header    map[string]string
 	Body      []byte
@@ -63,8 +63,8 @@
 	Bounds    Bounds
 	// TimeLeft is what the engine may take; zero sets no bound.
 	TimeLeft time.Duration
-	// LeaveBy is the moment of boottime of the process that holds the assignment by which the run must be sent; one that is not is refused.
-	// Zero sets no bound. Desk and worker carry it over as a length of time: their clocks differ.
+	// LeaveBy is the moment of this process's boottime by which the run must be sent, else it is refused. Zero sets no bound. From the desk to the
+	// worker it travels as Order.LeaveWithin, as their clocks differ.
 	LeaveBy time.Time
 	// Text is what earlier runs have made; the stream goes on after it.
 	Text   Text
@@ -82,7 +82,7 @@
 	VerdictWhole
 	// VerdictBroken: the stream broke off or never began; the item goes on elsewhere.
 	VerdictBroken
-	// VerdictRefused: the engine did not take the item, or it was withheld from the engine.
+	// VerdictRefused: the engine did not take the item, or the item was not sent to it.
 	VerdictRefused
 	// VerdictGone: the address belongs to another engine.
 	VerdictGone
@@ -106,8 +106,8 @@
 	Verdict Verdict
 	// Cause is the error that ended it, for logs.
 	Cause string
-	// Withheld is true if nothing was sent to the engine because the placement filter of whoever carried the run out permits it not, for a
-	// reason that is none of the engine itself.
+	// Withheld is true if the run was not sent because the placement filter of the process that carries it out refused the engine for a reason
+	// other than that the engine is leaving. It is no sign against the engine.
 	Withheld bool
 	// Took is the time from the start of the run to its end.
 	Took time.Duration
@@ -144,7 +144,7 @@
 	Item   string
 	Tenant string
 	Engine string
-	// Released is true if the run makes no reward call: its job has ended, and a later one may use the text.
+	// Released is true if the run makes no reward call, because its job has ended. A later job may use its text.
 	Released bool
 	// From is the number of events of the text that the receiver holds already.
 	From     int
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -44,8 +44,9 @@
 	// Poll and Report call the process at an address.
 	Poll   func(ctx context.Context, address string, request PollRequest) (PollReply, error)
 	Report func(ctx context.Context, address string, request ReportRequest) (ReportReply, error)
-	// MayTell reports whether the process at an address may be told of a run that a term began; nil means always. One in a region that the run
-	// may not be in is told of the runs that it began itself: it does not know the jobs of others, and a later term may go on with them.
+	// MayTell reports whether the process at an address may be told of a run that began in a term; nil means always. A process in a region that the
+	// run's residency excludes is told only of runs that it began itself: it does not know the jobs of the others, and a later term may continue
+	// them.
 	MayTell func(address string, term int64, residency placement.Residency) bool
 	// Draining is true once the process stops: nothing new is assigned then.
 	Draining func() bool
@@ -144,8 +145,8 @@
 	return reply, err
 }
 
-// setLeaveBy turns the lengths of a reply into moments of this machine, of a poll that began at a moment. The poll took at least Held to be
-// answered, so that none is too late.
+// setLeaveBy sets LeaveBy of a reply's assignments, as moments of this machine's boottime, from the time at which the poll began. The answer was
+// written at least Held after that, so that LeaveBy is never too late.
 func setLeaveBy(reply PollReply, started time.Time) {
 	for _, order := range reply.Orders {
 		if order.Start != nil && order.LeaveWithin != 0 {
@@ -154,7 +155,8 @@
 	}
 }
 
-// identity tells who calls. A worker that knows no evacuations yet would refuse every run, and takes none.
+// identity returns this worker's ID for calls. A worker that does not know the evacuations yet would refuse every run, and says that it is leaving
+// so that it gets none.
 func (w *Worker) identity() WorkerID {
 	unready := w.Executor.State.View().Evacuations == nil
 	return WorkerID{Name: w.Name, Zone: w.Zone, Instance: w.Instance, Leaving: w.Draining() || unready}
@@ -216,7 +218,7 @@
 	run := &workerRun{worker: w, assignment: assignment, text: assignment.Text, cancel: cancel, version: assignment.Engine.Version}
 	run.reported = run.text.Len()
 	if run.text.Whole {
-		// The stream has ended in an earlier run: only the reward call is left.
+		// An earlier run has read the whole stream: only the reward call is left.
 		run.end.Verdict, run.verdictReported = VerdictWhole, VerdictWhole
 	}
 	w.runs[assignment.Run] = run
@@ -303,19 +305,12 @@
 	return more, nil
 }
 
-// withholds reports whether the process at an address is told nothing of a run. One that has ended is kept for a later term as if it were told.
-// The mutex must be held.
-func (w *Worker) withholds(address string, run *workerRun) bool {
-	if w.MayTell == nil || w.MayTell(address, run.assignment.Run.Term, run.assignment.Residency) {
-		return false
-	}
-	if address != "" && run.over() && run.endReported.IsZero() {
-		run.endReported = time.Now()
-	}
-	return true
+// mayTell reports whether the process at an address may be told of a run.
+func (w *Worker) mayTell(address string, run *workerRun) bool {
+	return w.MayTell == nil || w.MayTell(address, run.assignment.Run.Term, run.assignment.Residency)
 }
 
-// batch returns what is new of the runs to the process at an address, as much as fits one call, and whether there is more.
+// batch returns the reports of what is new for the process at an address, as much as fits one call, and whether there is more.
 func (w *Worker) batch(address string) (request ReportRequest, more bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -323,7 +318,14 @@
 	size := 0
 	for _, id := range w.order {
 		run := w.runs[id]
-		if run == nil || !run.news() || w.withholds(address, run) {
+		if run == nil || !run.news() {
+			continue
+		}
+		if !w.mayTell(address, run) {
+			if address != "" && run.over() {
+				// Counts as reported, so that it is kept for a later term for keepEnded and no longer.
+				run.endReported = time.Now()
+			}
 			continue
 		}
 		if size > maxReportBytes {
