--- a/internal/coldstart/asker.go
+++ b/internal/coldstart/asker.go
@@ -104,16 +104,19 @@
 	for id := range byID {
 		request.Engines = append(request.Engines, id)
 	}
-	ctx, cancel := context.WithTimeout(ctx, request.Wait+grantReturn)
+	askCtx, cancel := context.WithTimeout(ctx, request.Wait+grantReturn)
 	defer cancel()
-	reply, err := a.Ask(ctx, request)
+	reply, err := a.Ask(askCtx, request)
 	now := a.Now()
 	switch {
-	case ctx.Err() == nil && (err != nil || !reply.Leading):
-		a.spare(key, now, failedPause)
-		a.logFailed(key.service, now, err)
-		return nil, AnswerFailed
 	case err != nil || !reply.Leading:
+		if ctx.Err() == nil {
+			a.logFailed(key.service, now, err)
+		}
+		if askCtx.Err() == nil {
+			// Without the pause each request that waits would ask again at once; one whose time is over does not.
+			a.spare(key, now, failedPause)
+		}
 		return nil, AnswerFailed
 	case reply.Engine == "":
 		a.spare(key, now, reply.RetryAfter)
