forward, coldstart, itemwork: shared test parts, plain test comments

One runWorker and one workOn instead of two copies each. Comments of tests say what must hold, not what was once wrong. Expectations of the other tests are unchanged. No behaviour changes.

--- a/internal/coldstart/keeper_test.go
+++ b/internal/coldstart/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -44,7 +45,7 @@
 	})
 }
 
-func oneQuestion(wait time.Duration) Request {
+func oneRequest(wait time.Duration) Request {
 	return Request{Service: "s", Engines: []string{"a"}, Wait: wait}
 }
 
@@ -52,10 +53,10 @@
 	ctx := context.Background()
 	playKeeper(t, "A new term gives no grant until those of the former are over", 10, func(k *Keeper, _ *time.Time) {
 		began := boottime.Now()
-		So(k.Ask(ctx, oneQuestion(100*time.Millisecond)).Engine, ShouldBeEmpty)
+		So(k.Ask(ctx, oneRequest(100*time.Millisecond)).Engine, ShouldBeEmpty)
 		So(boottime.Since(began), ShouldBeZeroValue)
 		So(k.Take("s", "a", routing.Rank{}), ShouldBeFalse)
-		reply := k.Ask(ctx, oneQuestion(3*time.Second))
+		reply := k.Ask(ctx, oneRequest(3*time.Second))
 		So(reply.Engine, ShouldEqual, "a")
 		So(boottime.Since(began), ShouldEqual, quietTime)
 		So(reply.Held, ShouldEqual, quietTime)
@@ -69,7 +70,7 @@
 		began := boottime.Now()
 		for number, rank := range []int{2, 1, 1, 0} {
 			asking.Go(func() {
-				request := oneQuestion(time.Second)
+				request := oneRequest(time.Second)
 				request.Rank = routing.Rank{Route: rank}
 				if k.Ask(ctx, request).Engine == "" {
 					return
@@ -89,11 +90,11 @@
 		time.Sleep(quietTime)
 		So(k.Take("s", "a", routing.Rank{}), ShouldBeTrue)
 		began := boottime.Now()
-		So(k.Ask(ctx, oneQuestion(400*time.Millisecond)).RetryAfter, ShouldBeGreaterThan, 0)
+		So(k.Ask(ctx, oneRequest(400*time.Millisecond)).RetryAfter, ShouldBeGreaterThan, 0)
 		So(boottime.Since(began), ShouldBeZeroValue)
 		leaving, leave := context.WithTimeout(ctx, 100*time.Millisecond)
 		defer leave()
-		So(k.Ask(leaving, oneQuestion(time.Second)).Engine, ShouldBeEmpty)
+		So(k.Ask(leaving, oneRequest(time.Second)).Engine, ShouldBeEmpty)
 		time.Sleep(400 * time.Millisecond)
 		So(k.Waiting(), ShouldEqual, 0)
 		So(k.Take("s", "a", routing.Rank{}), ShouldBeTrue)
@@ -119,7 +120,7 @@
 	playKeeper(t, "The queue is bounded", 1000, func(k *Keeper, _ *time.Time) {
 		var asking sync.WaitGroup
 		for range 2 * maxWaiting {
-			asking.Go(func() { k.Ask(ctx, oneQuestion(10*time.Second)) })
+			asking.Go(func() { k.Ask(ctx, oneRequest(10*time.Second)) })
 		}
 		synctest.Wait()
 		So(k.Waiting(), ShouldEqual, maxWaiting)
@@ -169,6 +170,31 @@
 		So(asked, ShouldEqual, 2)
 		So(*answers, ShouldResemble, []Answer{AnswerRefused, AnswerSpared, AnswerSpared, AnswerSpared, AnswerRefused})
 	})
+	for _, left := range []bool{false, true} {
+		name := "A request that nobody answers in time is logged"
+		if left {
+			name = "A request whose caller stops waiting is not logged"
+		}
+		synctest.Test(t, func(t *testing.T) {
+			Convey(name, t, func() {
+				var logged strings.Builder
+				asker := NewAsker(AskerParams{
+					Warmth: NewWarmth(fleet.NewState(), boottime.Now, log.NewNopLogger()), Now: boottime.Now, Logger: log.NewLogfmtLogger(&logged),
+					Ask: func(ctx context.Context, _ Request) (Reply, error) {
+						<-ctx.Done()
+						return Reply{}, ctx.Err()
+					},
+				})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if left {
+					time.AfterFunc(10*time.Millisecond, cancel)
+				}
+				So(asker.Acquire(ctx, []*fleet.Engine{engine}, routing.Rank{}, boottime.Now().Add(time.Second)), ShouldBeNil)
+				So(strings.Contains(logged.String(), "no grant for cold engines"), ShouldEqual, !left)
+			})
+		})
+	}
 	play("Nothing is sent while nobody coordinates", func(context.Context, Request) (Reply, error) { return Reply{}, nil },
 		func(a *Asker, answers *[]Answer) {
 			So(acquire(a, time.Second), ShouldBeNil)
--- a/internal/coldstart/schedules_test.go
+++ b/internal/coldstart/schedules_test.go
@@ -109,9 +109,9 @@
 	rate     float64
 	engines  []string
 	gateways []*process
-	// pause is the longest between two questions of a gateway: all together ask for some four times what the engines bear.
+	// pause is the longest between two Requests of a gateway: all together ask for some four times the engines' rate.
 	pause time.Duration
-	// stalled is until when answers of keepers are on their way, to arrive together.
+	// stalled is until when replies of keepers are held up, to arrive together.
 	stalled time.Time
 	leader  *process
 	sends   map[string][]time.Time
@@ -235,7 +235,7 @@
 	}
 }
 
-// ask is a gateway's question, and the next one some time later.
+// ask is a gateway's Request, and sets the next one.
 func (s *schedule) ask(gateway *process) {
 	if s.now.Sub(s.started) > scheduleLength {
 		return
--- a/internal/forward/crashing_test.go
+++ b/internal/forward/crashing_test.go
@@ -132,6 +132,11 @@
 	case "/reward":
 		work = rewardWork
 	}
+	return workOn(ctx, alive, work)
+}
+
+// workOn answers after the time that the work takes, unless the engine or the caller ends first.
+func workOn(ctx, alive context.Context, work time.Duration) (*Answer, error) {
 	timer := time.NewTimer(work)
 	defer timer.Stop()
 	select {
--- a/internal/forward/overload_pool_test.go
+++ b/internal/forward/overload_pool_test.go
@@ -13,18 +13,18 @@
 	"github.com/covelink/covelink/internal/routing"
 )
 
-// The engines of the overloaded pool: each works on slots requests at once, keeps queueLength more, and falls over under more sends a second,
-// refused ones included, than it bears.
+// The engines of the overloaded pool: each works on fallSlots requests at once, queues fallQueue more, and crashes under too many sends a second,
+// refused ones included.
 const (
 	fallEngines, fallSlots, fallQueue = 4, 6, 24
-	// fallAway is how long an engine that fell over is away, and fallCold how long it is cold then.
+	// fallAway is how long an engine that crashed is away, and fallCold how long it is cold then.
 	fallAway, fallCold = 3 * time.Second, 4 * time.Second
-	// coldBears is what a cold engine takes a second; it refuses what is above, and falls over at three times as much. warmFalls is twice what
-	// six slots serve of reward calls.
-	coldBears, coldFalls, warmFalls = 3, 9, 150
+	// coldRate is how many requests a second a cold engine serves. It refuses more, and crashes under more than coldFalls. A warm one crashes under
+	// more than warmFalls, twice the reward calls that six slots serve a second.
+	coldRate, coldFalls, warmFalls = 3, 9, 150
 )
 
-// fallPool is a Transport to engines that fall over.
+// fallPool is a Transport to engines that crash under load, and a Quota for them.
 type fallPool struct {
 	mu      sync.Mutex
 	engines []*fallEngine
@@ -78,15 +78,15 @@
 	}
 }
 
-// knock makes an engine fall over.
-func (p *fallPool) knock(number int) {
+// crashNumber crashes the engine of a number.
+func (p *fallPool) crashNumber(number int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.knockOver(p.engines[number])
+	p.crash(p.engines[number])
 }
 
-// knockOver makes an engine fall over, and starts it again later. The mutex must be held.
-func (p *fallPool) knockOver(engine *fallEngine) {
+// crash ends an engine, and starts it again later. The mutex must be held.
+func (p *fallPool) crash(engine *fallEngine) {
 	p.figures.falls++
 	engine.fall()
 	time.AfterFunc(fallAway, func() {
@@ -109,7 +109,7 @@
 	return engine.id() == listed.ID && time.Now().Before(engine.coldUntil)
 }
 
-// Acquire implements Quota: all gateways together get coldBears sends a second for each cold engine.
+// Acquire implements Quota: all gateways together get coldRate sends a second for each cold engine.
 func (p *fallPool) Acquire(ctx context.Context, engines []*fleet.Engine, _ routing.Rank, until time.Time) *fleet.Engine {
 	granted, at := p.reserve(engines, until)
 	if granted == nil {
@@ -138,7 +138,7 @@
 	if boottime.Now().Add(time.Until(at)).After(until) {
 		return nil, at
 	}
-	free.nextGrant = at.Add(time.Second / coldBears)
+	free.nextGrant = at.Add(time.Second / coldRate)
 	return granted, at
 }
 
@@ -152,7 +152,7 @@
 	panic("no such engine")
 }
 
-// arrive takes in a send; the answer or error is final if it is not nil, else the request is in the engine's queue.
+// arrive records a send. The request is in the engine's queue unless there is a refusal or an error.
 func (p *fallPool) arrive(listed *fleet.Engine) (engine *fallEngine, alive context.Context, refusal *Answer, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -167,10 +167,10 @@
 		return nil, nil, &Answer{NotRun: true, Misdirected: true, Body: http.NoBody}, nil
 	}
 	if p.overloads(engine) {
-		p.knockOver(engine)
+		p.crash(engine)
 		return nil, nil, nil, ErrBroken
 	}
-	tooCold := time.Now().Before(engine.coldUntil) && len(engine.arrivals) > coldBears
+	tooCold := time.Now().Before(engine.coldUntil) && len(engine.arrivals) > coldRate
 	if tooCold || engine.load >= fallSlots+fallQueue {
 		p.figures.refused++
 		return nil, nil, &Answer{Status: http.StatusServiceUnavailable, NotRun: true, Body: http.NoBody}, nil
@@ -179,7 +179,7 @@
 	return engine, engine.alive, nil, nil
 }
 
-// overloads counts a send, and reports whether the engine falls over under it.
+// overloads counts a send, and reports whether the engine crashes under it.
 func (p *fallPool) overloads(engine *fallEngine) bool {
 	now := time.Now()
 	engine.arrivals = append(engine.arrivals, now)
@@ -218,14 +218,5 @@
 	if request.Target == "/reward" {
 		work = rewardWork
 	}
-	timer := time.NewTimer(work)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return answer(http.StatusOK, "done"), nil
-	case <-alive.Done():
-		return nil, ErrBroken
-	case <-ctx.Done():
-		return nil, ErrLost
-	}
+	return workOn(ctx, alive, work)
 }
--- a/internal/forward/overload_test.go
+++ b/internal/forward/overload_test.go
@@ -19,7 +19,7 @@
 // The load of the overloaded pool, of all gateways together.
 const (
 	overloadLookups, overloadRewards = 12, 60
-	// crashMoment is when two engines fall over and the load rises to burstFactor times for burstLength.
+	// crashMoment is when engines crash and the load rises to burstFactor times for burstLength.
 	crashMoment = 5 * time.Second
 	burstLength = 2 * time.Second
 	burstFactor = 3
@@ -28,7 +28,8 @@
 	rewardGiveUp   = 30 * time.Second
 	// wholeWithin is the time within which requests are answered when the service is well again.
 	wholeWithin = time.Second
-	// recoverWithin is the time from the crash in which all engines may fall once in the burst, come back, get warm and serve what waited.
+	// recoverWithin is the time from the crash in which all engines may crash once in the burst, come back, become warm and serve the requests that
+	// waited.
 	recoverWithin = burstLength + fallAway + fallCold + 6*time.Second
 )
 
@@ -109,7 +110,7 @@
 	})
 }
 
-// playOverload plays the load at a number of gateways, of which so many engines crash.
+// playOverload plays the load at a number of gateways, with a number of engines that crash.
 func playOverload(ctx context.Context, gateways, crashed int, seed uint64, prepare func(pool *fallPool, forwarder *Forwarder)) overloadFigures {
 	target := []routing.Target{{Service: "s", Weight: 1}}
 	table := routing.NewTable(1, []routing.Route{
@@ -125,7 +126,7 @@
 	var running sync.WaitGroup
 	time.AfterFunc(crashMoment, func() {
 		for engine := range crashed {
-			p.pool.knock(engine)
+			p.pool.crashNumber(engine)
 		}
 	})
 	come := func(random *rand.Rand, perSecond int, do func(ctx context.Context, gateway *Forwarder)) {
@@ -152,7 +153,7 @@
 	return float64(f.sends+f.dials) / float64(f.requests)
 }
 
-// Each of 60 gateways asked each engine of a full service again every 15 ms for each request that waited, which kept the engines down.
+// The retries of many gateways must not keep the engines of a full service down.
 func TestOverloadedService(t *testing.T) {
 	plays := []struct {
 		name     string
--- a/internal/forward/turn_test.go
+++ b/internal/forward/turn_test.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// A request that found a service full asked all of its engines every 15 ms.
+// A full service is sent few probes, and refusals are given within a quarter of the objective.
 func TestTurnsOfAFullService(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newLoadBench(map[string]action{"a": refused, "b": refused}, "a", "b")
@@ -173,7 +173,7 @@
 	})
 }
 
-// The engines that a request may go to are those of the moment at which it is let out.
+// A request that the queue releases goes to an engine that is permitted at that moment.
 func TestWaitingRequestGoesToNoEngineThatIsLeaving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newLoadBench(map[string]action{"a": refused}, "a")
@@ -216,7 +216,7 @@
 	})
 }
 
-// someQuota is a Quota that takes engines whose name it holds for cold, and grants as many sends as it is told.
+// someQuota is a Quota with fixed cold engines and a number of grants.
 type someQuota struct {
 	cold   map[string]bool
 	grants atomic.Int64
--- a/internal/itemwork/judge_test.go
+++ b/internal/itemwork/judge_test.go
@@ -58,7 +58,7 @@
 	return &Executor{State: state, Transport: engines, Forwarder: forwarder}, engines, &batch.Reward{ID: "r", Host: "h", Path: "/judge"}
 }
 
-// A reward call that found its service full was sent to it every 15 ms, and again after 100 ms, for as long as it was full.
+// A reward call that finds its service full waits in the forwarder's queue: it is not sent again and again.
 func TestRewardCallWaitsForAFullService(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		executor, engines, reward := newJudge()
@@ -97,7 +97,7 @@
 	})
 }
 
-// What a worker may do ends while its reward call waits.
+// The worker's permission ends while its reward call waits.
 func TestRewardCallIsNotSentBeyondItsPermission(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		executor, engines, reward := newJudge()
--- a/internal/itemwork/withheld_test.go
+++ b/internal/itemwork/withheld_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/go-kit/log"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/covelink/covelink/internal/fleet"
@@ -147,7 +146,7 @@
 					So(transport.sent.Load(), ShouldEqual, 0)
 					So(sink.end.Verdict, ShouldEqual, itemwork.VerdictRefused)
 					So(sink.end.Cause, ShouldContainSubstring, string(c.reason))
-					// An engine that leaves is at fault itself: it is left alone as one that refuses.
+					// A leaving engine counts as one that refused: no other item should try it.
 					So(sink.end.Withheld, ShouldEqual, c.reason != placement.EngineLeaving)
 				})
 			})
@@ -160,31 +159,12 @@
 		state := fleet.NewState()
 		state.FollowEvacuations()
 		var leaving atomic.Bool
-		worker := itemwork.NewWorker(itemwork.WorkerParams{
-			Name:        "w",
-			Executor:    &itemwork.Executor{State: state, Transport: endlessEngine{}},
-			Coordinator: func() string { return "address" },
-			Poll: func(ctx context.Context, _ string, request itemwork.PollRequest) (itemwork.PollReply, error) {
-				leaving.Store(request.Worker.Leaving)
-				<-time.After(50 * time.Millisecond)
-				return itemwork.PollReply{Leading: true, Term: 1}, nil
-			},
-			Report: func(context.Context, string, itemwork.ReportRequest) (itemwork.ReportReply, error) {
-				return itemwork.ReportReply{Leading: true, Term: 1}, nil
-			},
-			Draining: func() bool { return false },
-			Logger:   log.NewNopLogger(),
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			worker.Run(ctx)
-			close(done)
-		}()
-		defer func() {
-			cancel()
-			<-done
-		}()
+		s := newScript()
+		poll := func(ctx context.Context, address string, request itemwork.PollRequest) (itemwork.PollReply, error) {
+			leaving.Store(request.Worker.Leaving)
+			return s.poll(ctx, address, request)
+		}
+		defer runWorker(t, state, poll, s.report)()
 		Convey("A worker takes no assignments until it knows the evacuations", t, func() {
 			time.Sleep(time.Second)
 			So(leaving.Load(), ShouldBeTrue)
--- a/internal/itemwork/worker_test.go
+++ b/internal/itemwork/worker_test.go
@@ -52,6 +52,8 @@
 	reports  []itemwork.Report
 }
 
+func newScript() *script { return &script{term: 1, unwanted: make(map[itemwork.RunID]bool)} }
+
 func (s *script) poll(ctx context.Context, _ string, _ itemwork.PollRequest) (itemwork.PollReply, error) {
 	select {
 	case <-time.After(50 * time.Millisecond):
@@ -102,30 +104,36 @@
 func playScript(t *testing.T, name string, scene func(s *script)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := &script{term: 1, unwanted: make(map[itemwork.RunID]bool)}
-		worker := itemwork.NewWorker(itemwork.WorkerParams{
-			Name:        "w",
-			Executor:    &itemwork.Executor{State: fleet.NewState(), Transport: endlessEngine{}},
-			Coordinator: func() string { return "address" },
-			Poll:        s.poll,
-			Report:      s.report,
-			Draining:    func() bool { return false },
-			Logger:      log.NewNopLogger(),
-		})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			worker.Run(ctx)
-			close(done)
-		}()
-		defer func() {
-			cancel()
-			<-done
-		}()
+		s := newScript()
+		defer runWorker(t, fleet.NewState(), s.poll, s.report)()
 		Convey(name, t, func() { scene(s) })
 	})
 }
 
+// runWorker runs a worker of a state, whose calls poll and report answer, and returns what ends it.
+func runWorker(t *testing.T, state *fleet.State, poll func(context.Context, string, itemwork.PollRequest) (itemwork.PollReply, error),
+	report func(context.Context, string, itemwork.ReportRequest) (itemwork.ReportReply, error)) (end func()) {
+	worker := itemwork.NewWorker(itemwork.WorkerParams{
+		Name:        "w",
+		Executor:    &itemwork.Executor{State: state, Transport: endlessEngine{}},
+		Coordinator: func() string { return "address" },
+		Poll:        poll,
+		Report:      report,
+		Draining:    func() bool { return false },
+		Logger:      log.NewNopLogger(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		worker.Run(ctx)
+		close(done)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 func TestWorker(t *testing.T) {
 	first := itemwork.RunID{Term: 1, Number: 1}
 	playScript(t, "An order that is told several times takes effect once", func(s *script) {
