--- a/internal/forward/quota_test.go
+++ b/internal/forward/quota_test.go
@@ -13,11 +13,11 @@
 	"github.com/covelink/covelink/internal/routing"
 )
 
-// coldQuota takes the engines that it names for cold, and grants as many sends as it has.
+// coldQuota is a Quota with fixed cold engines and a number of grants.
 type coldQuota struct {
 	cold   map[string]bool
 	grants int
-	// asked are the engines of the last question.
+	// asked are the engines of the last call of Acquire.
 	asked []string
 }
 
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -1,7 +1,8 @@
 // Package retrybudget bounds how much retries add to the load of each service, as Finagle's RetryBudget and Envoy's retry budgets do.
 //
 // Guarantees: the retries granted within a window are at most Share of the first sends of that window, plus those of a reserve. The reserve holds
-// Reserve retries and is refilled by one each RefillTime. A call takes constant time, and memory grows with the number of services only. A Budget is safe for concurrent use.
+// Reserve retries and is refilled by one each RefillTime. A call takes constant time, and memory grows with the number of services only. A Budget
+// is safe for concurrent use.
 package retrybudget
 
 import (
