--- a/internal/coldstart/schedules_test.go
+++ b/internal/coldstart/schedules_test.go
@@ -97,7 +97,7 @@
 	shownAt time.Time
 	// looks is the number of the keeper's next look: those that were set for later before it was woken are left out.
 	looks   int
-	pending map[*question]func(grant)
+	pending map[*waitingRequest]func(grant)
 }
 
 type schedule struct {
@@ -109,9 +109,9 @@
 	rate     float64
 	engines  []string
 	gateways []*process
-	// pause is the longest between two questions of a gateway: all together ask for some four times what the engines bear.
+	// pause is the longest between two Requests of a gateway: all together ask for some four times the engines' rate.
 	pause time.Duration
-	// stalled is until when answers of keepers are on their way, to arrive together.
+	// stalled is until when replies of keepers are held up, to arrive together.
 	stalled time.Time
 	leader  *process
 	sends   map[string][]time.Time
@@ -167,7 +167,7 @@
 
 // lead makes a new candidate coordinate.
 func (s *schedule) lead() {
-	p := &process{shownAt: s.now, pending: make(map[*question]func(grant))}
+	p := &process{shownAt: s.now, pending: make(map[*waitingRequest]func(grant))}
 	p.keeper = NewKeeper(KeeperParams{
 		Rate:    func(string) float64 { return s.rate },
 		ShownAt: func() time.Time { return p.shownAt },
@@ -235,7 +235,7 @@
 	}
 }
 
-// ask is a gateway's question, and the next one some time later.
+// ask is a gateway's Request, and sets the next one.
 func (s *schedule) ask(gateway *process) {
 	if s.now.Sub(s.started) > scheduleLength {
 		return
