itemwork, forward: a worker that the desk had lost tells everything again; a lapsed grant is no unreachable engine

Change: replies to polls number the meeting; another one makes the worker tell all its runs again, and the desk ends those that are not wanted. A change of term did that already.

--- a/internal/batchrun/remote_test.go
+++ b/internal/batchrun/remote_test.go
@@ -294,6 +294,28 @@
 	})
 }
 
+// A reward call reached an engine 3.3 s after the end of its job was acknowledged.
+func TestEndWhileWorkerIsLost(t *testing.T) {
+	playDesk(t, "A worker that was lost while a job ended makes no reward call for it once it is met again", func(w *deskWorld) {
+		defer w.work("one")()
+		w.engines.set("j", behaviour{hangs: true})
+		w.submit("j", 1)
+		time.Sleep(700 * time.Millisecond)
+		So(w.engines.of("reward-j-0"), ShouldHaveLength, 1)
+		w.cut.Store(true)
+		time.Sleep(3 * time.Second)
+		So(w.runner.End(context.Background(), batch.Ref{ID: "j"}), ShouldBeNil)
+		w.cut.Store(false)
+		time.Sleep(500 * time.Millisecond)
+		calls := len(w.engines.of("reward-j-0"))
+		time.Sleep(10 * time.Second)
+		So(w.engines.of("reward-j-0"), ShouldHaveLength, calls)
+		for _, call := range w.engines.of("reward-j-0") {
+			So(call.ended, ShouldNotBeZeroValue)
+		}
+	})
+}
+
 // handWorker is a worker whose calls the test makes.
 type handWorker struct {
 	desk  *itemwork.Desk
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -36,6 +36,7 @@
 	took := boottime.Since(sent)
 	if err != nil {
 		attempt := lostAttempt{engine: engine, err: err, sent: sent, broke: errors.Is(err, ErrBroken) && attemptCtx.Err() == nil, repeated: triedBefore, engines: engines}
+		attempt.withdrawn = ctx.Err() != nil || (!options.LeaveBy.IsZero() && !boottime.Now().Before(options.LeaveBy))
 		return j.lost(ctx, attempt)
 	}
 	j.countSend()
@@ -76,6 +77,8 @@
 	repeated bool
 	// engines is how many engines may run the request.
 	engines int
+	// withdrawn is true if the caller left or the send's grant lapsed: a send that was not made for that reason tells nothing of the engine.
+	withdrawn bool
 }
 
 // lost handles an attempt without a usable answer.
@@ -83,7 +86,7 @@
 	engine, err := attempt.engine, attempt.err
 	took := boottime.Since(attempt.sent)
 	verdict := VerdictFailed
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || (attempt.withdrawn && errors.Is(err, ErrNotSent)) {
 		verdict = VerdictCanceled
 	}
 	j.picker.Release(engine, verdict, took)
@@ -91,6 +94,11 @@
 		// A request that waits for engines that are gone dials each of them many times: one line for each engine is enough.
 		level.Debug(j.logger).Log("msg", "attempt lost", "request", j.request.ID, "engine", engine.ID, "took", took, "err", err)
 	}
+	if errors.Is(err, ErrNotSent) && attempt.withdrawn {
+		j.returnRetry()
+		j.waiting.end(j.service, nil)
+		return Result{}, true
+	}
 	if errors.Is(err, ErrNotSent) {
 		j.unreachable = true
 		// A send of which no byte left loads nobody: it is not counted.
--- a/internal/forward/quota_test.go
+++ b/internal/forward/quota_test.go
@@ -43,6 +43,9 @@
 				forwarder := guarded(s, routing.KindIdempotent)
 				forwarder.Quota = quota
 				check(do(t, forwarder, "r"), s)
+				if services := forwarder.Services(); len(services) > 0 {
+					So(services[0].Load, ShouldNotEqual, LoadDown)
+				}
 			})
 		})
 	}
@@ -68,6 +71,16 @@
 		So(result.Reason, ShouldEqual, ReasonEnginesCold)
 		So(result.RetryAfter, ShouldBeBetweenOrEqual, busyRetryAfter, time.Duration((1+retryAfterSpread)*float64(busyRetryAfter)))
 	})
+	lapsed := func(context.Context) (*Answer, error) {
+		time.Sleep(GrantedSendTime)
+		return nil, ErrNotSent
+	}
+	late := &coldQuota{cold: all, grants: 1}
+	play("A send whose grant lapsed before it left tells nothing of the engine: the service is not taken for down", late, map[string]action{"a": lapsed},
+		func(result Result, s *script) {
+			So(result.Outcome, ShouldEqual, NotRun)
+			So(result.Reason, ShouldNotEqual, ReasonUnreachable)
+		})
 	play("Each attempt at a cold engine needs a grant of its own", &coldQuota{cold: all, grants: 2},
 		map[string]action{"a": lost, "b": lost, "c": lost, "d": lost}, func(result Result, s *script) {
 			So(s.sends, ShouldHaveLength, 2)
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -105,7 +105,7 @@
 		return j.useGrant(ctx, granted)
 	}
 	j.budget.Return(j.service)
-	return turn{refusal: ReasonEnginesFull}
+	return turn{refusal: ReasonEnginesCold}
 }
 
 // sendTo returns a turn with the best of the engines, without waiting.
--- a/internal/itemwork/calls.go
+++ b/internal/itemwork/calls.go
@@ -31,6 +31,9 @@
 	// Leading is false if the process does not coordinate; the rest is empty then.
 	Leading bool
 	Term    int64
+	// Meeting numbers the times at which the desk has met workers. Another one than before tells the worker that the desk had lost it, and with it
+	// what the worker has told and the orders that it had not carried out.
+	Meeting uint64
 	// Held is how long the poll waited before it was answered.
 	Held time.Duration
 	// Orders are those that the worker is not known to have carried out.
--- a/internal/itemwork/desk.go
+++ b/internal/itemwork/desk.go
@@ -53,6 +53,8 @@
 	// orderCount is the number of the newest order of the term, of whichever worker: one that is met again has carried out
 	// earlier ones.
 	orderCount uint64
+	// meetings counts the times at which a worker was met.
+	meetings uint64
 	// carriers are the workers of engines, by the engine's ID.
 	carriers map[string]*deskWorker
 }
@@ -61,6 +63,9 @@
 type deskWorker struct {
 	WorkerID
 	hash uint64
+	// meeting is the number of the time at which the worker was met, and meetingTold is true once a reply has told it.
+	meeting     uint64
+	meetingTold bool
 	// deadline is when the worker counts as lost unless it calls.
 	deadline time.Time
 	// orders are those that it is not known to have carried out.
@@ -152,7 +157,8 @@
 		ok = false
 	}
 	if !ok {
-		worker = &deskWorker{WorkerID: id, hash: rendezvous.Hash(id.Name), ready: make(chan struct{})}
+		d.meetings++
+		worker = &deskWorker{WorkerID: id, hash: rendezvous.Hash(id.Name), meeting: d.meetings, ready: make(chan struct{})}
 		d.workers[id.Name] = worker
 		clear(d.carriers)
 		level.Info(d.logger).Log("msg", "worker met", "worker", id.Name, "zone", id.Zone)
@@ -289,14 +295,15 @@
 		worker.confirm(request.Taken)
 	}
 	worker.deadline = worker.deadline.Add(pollWait)
-	ready := worker.ready
+	ready, first := worker.ready, !worker.meetingTold
+	worker.meetingTold = true
 	d.mu.Unlock()
 	if lost != "" {
 		handler.WorkerLost(lost)
 	}
 	wait := pollWait
-	if request.Term != term {
-		// The worker learns of the term first.
+	if request.Term != term || first {
+		// The worker learns of the term, or that it was lost, first.
 		wait = 0
 	}
 	broken := awaitOrders(ctx, ready, wait)
@@ -305,7 +312,7 @@
 	if d.handler == nil || d.term != term {
 		return PollReply{}
 	}
-	reply := PollReply{Leading: true, Term: term}
+	reply := PollReply{Leading: true, Term: term, Meeting: worker.meeting}
 	if d.workers[request.Worker.Name] != worker {
 		// The worker was lost meanwhile: its runs go on elsewhere.
 		return reply
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -290,7 +290,7 @@
 			Body:   reward.Body,
 			// The call waits for a full service in the forwarder's queue, and Arrived keeps its place there over rounds. minJudgeTime is left for the
 			// call itself.
-			Patience: boottime.Until(deadline) - minJudgeTime,
+			Patience: max(boottime.Until(deadline)-minJudgeTime, time.Millisecond),
 			Arrived:  arrived,
 			Repeated: sent,
 		}
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -61,6 +61,8 @@
 	// term is the highest that is known, and taken the number of the last order of it.
 	term  int64
 	taken uint64
+	// meeting is that of the last reply of the term.
+	meeting uint64
 	// heard is when the call began that the coordinating process answered last.
 	heard    time.Time
 	interval time.Duration
@@ -140,6 +142,7 @@
 	reply, err := w.Poll(ctx, address, request)
 	if err == nil && reply.Leading {
 		w.hear(started, reply.Term)
+		w.noteMeeting(reply)
 		setLeaveBy(reply, started)
 	}
 	return reply, err
@@ -183,6 +186,21 @@
 	w.poke()
 }
 
+// noteMeeting takes in which meeting with the desk lasts. A desk that had lost the worker is told everything again, and ends what it does not
+// want: a reward call for a job that had ended meanwhile went on, and was repeated, until it was answered.
+func (w *Worker) noteMeeting(reply PollReply) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if reply.Term != w.term || reply.Meeting == w.meeting {
+		return
+	}
+	w.meeting = reply.Meeting
+	for _, run := range w.runs {
+		run.forgetReports()
+	}
+	w.poke()
+}
+
 // obey carries out the orders of a reply that are new. It returns false if the reply is of an earlier term.
 func (w *Worker) obey(reply PollReply) bool {
 	w.mu.Lock()
--- a/internal/tenants/tenants.go
+++ b/internal/tenants/tenants.go
@@ -37,7 +37,8 @@
 func NewDirectory(entries []Entry) *Directory {
 	directory := &Directory{byKey: secretindex.New[*Tenant](), byName: make(map[string]*Tenant, len(entries)), keyHashes: make(map[string][]string, len(entries))}
 	for _, entry := range entries {
-		tenant := &entry.Tenant
+		// A copy, which does not keep the entry's keys in memory.
+		tenant := &Tenant{Name: entry.Name, Priority: entry.Priority, AllowedRegions: entry.AllowedRegions}
 		if _, known := directory.byName[entry.Name]; !known {
 			directory.byName[entry.Name] = tenant
 		}
