--- a/internal/batchrun/emptying.go
+++ b/internal/batchrun/emptying.go
@@ -28,9 +28,8 @@
 	// seen are the evacuations of the last update; nil while they are not known.
 	seen  *fleet.Evacuations
 	zones map[string]emptyingZone
-	// chosenAt is when runs to end were last chosen, and left is how many runs in evacuated zones were not chosen then.
+	// chosenAt is when runs to end were last chosen.
 	chosenAt time.Time
-	left     int
 }
 
 type emptyingZone struct {
@@ -119,7 +118,7 @@
 }
 
 // emptyZones ends runs in evacuated zones, so that their items continue elsewhere and the zones are empty in time. It returns the longest pause
-// until the next call; idleInterval if no run is left to end. The mutex must be held.
+// until the next call; idleInterval if a choice has just left no run. The mutex must be held.
 func (r *Runner) emptyZones(looked *look) (pause time.Duration) {
 	if r.EvacuateTime == 0 {
 		return idleInterval
@@ -131,23 +130,19 @@
 		return idleInterval
 	}
 	if passed := now.Sub(emptying.chosenAt); passed < emptyInterval {
-		return emptying.pause(emptyInterval - passed)
+		// Runs may have been adopted since the last choice, even if it left none: after idleInterval they would be ended too late.
+		return emptyInterval - passed
 	}
 	evacuated := r.evacuatedRuns(looked, now)
 	chosen := chooseToEnd(evacuated)
 	for _, ended := range chosen {
 		r.endEvacuated(ended)
 	}
-	emptying.chosenAt, emptying.left = now, len(evacuated)-len(chosen)
-	return emptying.pause(emptyInterval)
-}
-
-// pause returns the longest pause until the next choice: due if runs are left, else idleInterval.
-func (e *emptyingZones) pause(due time.Duration) time.Duration {
-	if e.left == 0 {
+	emptying.chosenAt = now
+	if len(chosen) == len(evacuated) {
 		return idleInterval
 	}
-	return due
+	return emptyInterval
 }
 
 // endEvacuated ends a run in an evacuated zone so that its item continues elsewhere. The mutex must be held.
--- a/internal/batchrun/emptying_test.go
+++ b/internal/batchrun/emptying_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -54,6 +55,21 @@
 	})
 }
 
+func TestEmptyZonesPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A look before the next choice is followed by one when that is due, even if the last choice left no run", t, func() {
+			state := fleet.NewState()
+			state.SetEvacuations(evacuationsOf(1, map[string]int64{"z": 1}))
+			runner := New(Params{State: state, EvacuateTime: 5 * time.Second, Logger: log.NewNopLogger()})
+			runner.engines = make(map[string]*engineRecord)
+			looked := runner.newLook(state.View())
+			So(runner.emptyZones(looked), ShouldEqual, idleInterval)
+			time.Sleep(emptyInterval / 4)
+			So(runner.emptyZones(looked), ShouldEqual, emptyInterval-emptyInterval/4)
+		})
+	})
+}
+
 func TestChooseToEnd(t *testing.T) {
 	numbered := func(number uint64) *run { return &run{id: itemwork.RunID{Number: number}} }
 	room := func(count int) *int { return &count }
--- a/internal/batchrun/evacuation_test.go
+++ b/internal/batchrun/evacuation_test.go
@@ -304,21 +304,26 @@
 		w.shouldBeWholeJob("job", results, 6)
 		So(w.engines.of("job-0"), ShouldHaveLength, 2)
 	})
-	playDesk(t, "A later term ends at once what it takes over in a zone of which it does not know since when it is evacuated", func(w *deskWorld) {
-		w.stop()
-		w.evacuateTime = evacuateTime
-		w.zoned(8)
-		w.lead(2)
-		defer w.work("one")()
-		w.fillZoneA(4, 150)
-		w.stop()
-		// The worker's poll at the process before has to end.
-		time.Sleep(600 * time.Millisecond)
-		w.evacuate(3, "zone-a")
-		w.lead(3)
-		So(w.engines.under("a"), ShouldEqual, 0)
-		w.shouldBeWholeJob("job", w.results("job", 8*time.Second), 4)
-	})
+	// The worker asks every 150 ms for the next term, and tells of its runs some time later: before the first look that follows the term's first
+	// choice of runs to end, at it, or after it.
+	for _, pause := range []time.Duration{595 * time.Millisecond, 600 * time.Millisecond, 640 * time.Millisecond, 700 * time.Millisecond} {
+		name := "A later term ends at once what it takes over in a zone of which it does not know since when it is evacuated; it begins after "
+		playDesk(t, name+pause.String(), func(w *deskWorld) {
+			w.stop()
+			w.evacuateTime = evacuateTime
+			w.zoned(8)
+			w.lead(2)
+			defer w.work("one")()
+			w.fillZoneA(4, 150)
+			w.stop()
+			// The worker's poll at the process before has to end.
+			time.Sleep(pause)
+			w.evacuate(3, "zone-a")
+			w.lead(3)
+			So(w.engines.under("a"), ShouldEqual, 0)
+			w.shouldBeWholeJob("job", w.results("job", 8*time.Second), 4)
+		})
+	}
 }
 
 func TestEvacuationOrders(t *testing.T) {
