coldstart, election: the quiet time of a new term follows the length of a challenge

Cause, found on reading the whole change once more: the keeper's quiet time counts on the least time between two holders of the lease, which it held in a constant of its own (1.2 s) beside package election's. When the challenge became 0.9 s, a new term's grants began 0.3 s too early to keep a former holder's out of the same second. This changes behaviour: the quiet time is 1.85 s instead of 1.55 s.

Change: one constant, election.ChallengeTime.

--- a/internal/coldstart/keeper.go
+++ b/internal/coldstart/keeper.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/routing"
 )
 
@@ -21,7 +22,7 @@
 	quietTime = freshness + GrantLife + time.Second - electionTime
 	// electionTime is the least time between the last moment at which a holder can have seen its lease unchallenged and the next term: as long as
 	// package election waits for the answer to a challenge.
-	electionTime = 1200 * time.Millisecond
+	electionTime = election.ChallengeTime
 	// freshness is how recently the store must have shown the holder its lease for it to grant at the full rate: the lease's watch answers at
 	// least once a second, or fails 0.4 s later.
 	freshness = 1500 * time.Millisecond
--- a/internal/election/elector.go
+++ b/internal/election/elector.go
@@ -22,9 +22,9 @@
 	pingTimeout = 350 * time.Millisecond
 	// maxMisses is how many questions in a row may stay without answer before the holder is challenged.
 	maxMisses = 2
-	// challengeTime is how long the holder has to answer a challenge: it takes it two calls to the store, of 240 ms each where the store is
-	// sixty times slower than usual.
-	challengeTime = 900 * time.Millisecond
+	// ChallengeTime is how long the holder has to answer a challenge: it takes it two calls to the store, of 240 ms each where the store is
+	// sixty times slower than usual. A holder that shows no sign of life is succeeded no sooner than that after its lease was unchallenged.
+	ChallengeTime = 900 * time.Millisecond
 	// challengePause is how long a candidate leaves a holder in peace that has answered a challenge.
 	challengePause = 3 * time.Second
 	// namesakePause is the pause before the lease is taken from another process that bears this node's name.
@@ -250,7 +250,7 @@
 	if challenged.Instance != lease.Instance || challenged.Challenger == "" {
 		return true
 	}
-	patience := challengeTime
+	patience := ChallengeTime
 	if challenged.Challenger != e.instance {
 		// Who wrote the challenge goes first.
 		patience += maxJitter + e.turn(lease)
