itemwork: a takeover is told once

Cause, found on reading the whole change: a worker learned a new term from one reply and the desk's meeting from the next, and told all its runs, whole texts included, at each of them: twice to a coordinator that has just taken over. Change: one place takes in term and meeting together, also from replies to reports; reports of an earlier meeting count as not told, as those of an earlier term do.

--- a/internal/batchrun/remote_test.go
+++ b/internal/batchrun/remote_test.go
@@ -26,6 +26,8 @@
 	desk atomic.Pointer[itemwork.Desk]
 	// cut makes calls to the desk go unanswered.
 	cut atomic.Bool
+	// reports counts those that workers made.
+	reports atomic.Int64
 	// workerZone is that of the workers that are started.
 	workerZone string
 	// held is how long answers to polls are delayed, in nanoseconds.
@@ -78,6 +80,7 @@
 				<-ctx.Done()
 				return itemwork.ReportReply{}, ctx.Err()
 			}
+			w.reports.Add(int64(len(request.Reports)))
 			return w.desk.Load().Report(request), nil
 		},
 		Draining: func() bool { return false },
@@ -294,6 +297,22 @@
 	})
 }
 
+func TestTakeoverIsToldOnce(t *testing.T) {
+	playDesk(t, "A worker tells a later term once of a text that is whole and waits for its reward call", func(w *deskWorld) {
+		// The desks of the two terms meet the worker under different numbers.
+		w.work("first")()
+		defer w.work("one")()
+		w.engines.set("j", behaviour{hangs: true})
+		w.submit("j", 1)
+		time.Sleep(700 * time.Millisecond)
+		w.stop()
+		before := w.reports.Load()
+		w.lead(2)
+		time.Sleep(time.Second)
+		So(w.reports.Load()-before, ShouldEqual, 1)
+	})
+}
+
 // A reward call reached an engine 3.3 s after the end of its job was acknowledged.
 func TestEndWhileWorkerIsLost(t *testing.T) {
 	playDesk(t, "A worker that was lost while a job ended makes no reward call for it once it is met again", func(w *deskWorld) {
--- a/internal/itemwork/calls.go
+++ b/internal/itemwork/calls.go
@@ -61,12 +61,16 @@
 	// Term is the one whose coordinating process is taken to hold what was reported before.
 	Term    int64
 	Reports []Report
+	// Meeting is that of the last reply of the term, by which the receiver's knowledge of earlier reports is judged.
+	Meeting uint64
 }
 
 // ReportReply answers a ReportRequest. The reports were taken in if it leads and its term is the request's.
 type ReportReply struct {
 	Leading bool
 	Term    int64
+	// Meeting is as in PollReply.
+	Meeting uint64
 	// Unwanted are runs that the worker need not go on with or keep.
 	Unwanted []RunID
 	// Interval is the least time between two reports.
--- a/internal/itemwork/desk.go
+++ b/internal/itemwork/desk.go
@@ -368,7 +368,7 @@
 	}
 	handler, term := d.handler, d.term
 	worker, lost := d.meet(request.Worker)
-	reply := ReportReply{Leading: true, Term: term, Interval: minInterval + time.Duration(len(d.workers))*intervalPerWorker}
+	reply := ReportReply{Leading: true, Term: term, Meeting: worker.meeting, Interval: minInterval + time.Duration(len(d.workers))*intervalPerWorker}
 	key := worker.key()
 	d.mu.Unlock()
 	if lost != "" {
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -61,7 +61,7 @@
 	// term is the highest that is known, and taken the number of the last order of it.
 	term  int64
 	taken uint64
-	// meeting is that of the last reply of the term.
+	// meeting is that of the last reply of the term; zero before the first.
 	meeting uint64
 	// untold is true from a new term or meeting on until the coordinating process has been told of all runs that may make reward calls. What it does
 	// not want has ended by then: the job may have ended while nothing was heard.
@@ -144,8 +144,7 @@
 	started := boottime.Now()
 	reply, err := w.Poll(ctx, address, request)
 	if err == nil && reply.Leading {
-		w.noteMeeting(reply)
-		w.hear(started, reply.Term)
+		w.hear(started, reply.Term, reply.Meeting)
 		setLeaveBy(reply, started)
 	}
 	return reply, err
@@ -168,20 +167,24 @@
 	return WorkerID{Name: w.Name, Zone: w.Zone, Instance: w.Instance, Leaving: w.Draining() || unready}
 }
 
-// hear notes that the coordinating process of a term has answered a call. The holder of a new term is told everything.
-func (w *Worker) hear(started time.Time, term int64) {
+// hear notes that the coordinating process of a term has answered a call. The holder of a new term is told everything, and so is a desk that had lost
+// the worker, which shows by another meeting. It ends what it does not want: a reward call for a job that had ended meanwhile went on, and was
+// repeated, until it was answered.
+func (w *Worker) hear(started time.Time, term int64, meeting uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if term < w.term {
 		return
 	}
-	if term == w.term {
-		w.renewPermission(started)
-		return
+	changed := term > w.term || meeting != w.meeting
+	if term > w.term {
+		level.Info(w.Logger).Log("msg", "coordinator changed", "term", term, "before", w.term, "runs", len(w.runs))
+		w.term, w.taken = term, 0
+	}
+	if changed {
+		w.meeting = meeting
+		w.tellAll()
 	}
-	level.Info(w.Logger).Log("msg", "coordinator changed", "term", term, "before", w.term, "runs", len(w.runs))
-	w.term, w.taken = term, 0
-	w.tellAll()
 	w.renewPermission(started)
 }
 
@@ -210,18 +213,6 @@
 	}
 }
 
-// noteMeeting takes in which meeting with the desk lasts. A desk that had lost the worker is told everything again, and ends what it does not
-// want: a reward call for a job that had ended meanwhile went on, and was repeated, until it was answered.
-func (w *Worker) noteMeeting(reply PollReply) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if reply.Term != w.term || reply.Meeting == w.meeting {
-		return
-	}
-	w.meeting = reply.Meeting
-	w.tellAll()
-}
-
 // obey carries out the orders of a reply that are new. It returns false if the reply is of an earlier term.
 func (w *Worker) obey(reply PollReply) bool {
 	w.mu.Lock()
@@ -339,11 +330,10 @@
 	if !reply.Leading || reply.Term < request.Term {
 		return true, errNotTaken
 	}
-	w.hear(started, reply.Term)
-	if reply.Term != request.Term {
+	w.hear(started, reply.Term, reply.Meeting)
+	if !w.acknowledge(request, reply, started) {
 		return true, nil
 	}
-	w.acknowledge(request, reply, started)
 	return more, nil
 }
 
@@ -361,7 +351,7 @@
 	if w.term != term {
 		return ReportRequest{}, true
 	}
-	request = ReportRequest{Worker: w.identity(), Term: w.term}
+	request = ReportRequest{Worker: w.identity(), Term: w.term, Meeting: w.meeting}
 	defer w.noteTold()
 	size := 0
 	for _, id := range w.order {
@@ -388,12 +378,13 @@
 	return request, false
 }
 
-// acknowledge notes that the reports of a call, which began at a moment, were taken in.
-func (w *Worker) acknowledge(request ReportRequest, reply ReportReply, started time.Time) {
+// acknowledge notes that the reports of a call, which began at a moment, were taken in. It returns false if they belong to an earlier term or meeting:
+// all is told again then.
+func (w *Worker) acknowledge(request ReportRequest, reply ReportReply, started time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if request.Term != w.term {
-		return
+	if request.Term != w.term || request.Meeting != w.meeting {
+		return false
 	}
 	w.interval = reply.Interval
 	for i := range request.Reports {
@@ -406,6 +397,7 @@
 	}
 	w.noteTold()
 	w.renewPermission(started)
+	return true
 }
 
 // refuse ends a run that is not wanted. Its end is reported before it is forgotten. The mutex must be held.
