itemwork, batchrun: the answer to a report says which runs make no reward call

Cause: two ways by which a reward call left a worker after its job's end was acknowledged. (1) A run given up as lost, whose worker came back with the whole text, was answered as wanted; the end of the job cancelled only the item's newer run, and the call left whenever its service had room. (2) A run taken over by a later job was released by an order of the next poll, while the answer to the report had permitted calls already.

Change: Handler.Reported returns a Disposition (wanted, text only, unwanted), the answer carries the released runs, and the worker takes them in before it permits calls.

--- a/internal/batchrun/local_sink.go
+++ b/internal/batchrun/local_sink.go
@@ -36,8 +36,12 @@
 		End:     s.end,
 	}
 	change(report)
-	if !s.runner.Reported("", report) {
+	switch s.runner.Reported("", report) {
+	case itemwork.Unwanted:
 		s.cancel()
+	case itemwork.TextOnly:
+		s.released.Store(true)
+	case itemwork.Wanted:
 	}
 }
 
--- a/internal/batchrun/remote_test.go
+++ b/internal/batchrun/remote_test.go
@@ -378,6 +378,11 @@
 
 // report reports on a run with a text of one event, and returns the runs that are not wanted.
 func (h *handWorker) report(assignment *itemwork.Assignment, end itemwork.Verdict, judgement itemwork.Judgement) []itemwork.RunID {
+	return h.tell(assignment, end, judgement).Unwanted
+}
+
+// tell reports on a run with a text of one event, and returns the answer.
+func (h *handWorker) tell(assignment *itemwork.Assignment, end itemwork.Verdict, judgement itemwork.Judgement) itemwork.ReportReply {
 	reply := h.desk.Report(itemwork.ReportRequest{Worker: h.id, Term: h.term, Reports: []itemwork.Report{{
 		Run:       assignment.Run,
 		Job:       assignment.Job,
@@ -391,7 +396,7 @@
 		Judgement: judgement,
 	}}})
 	So(reply.Leading, ShouldBeTrue)
-	return reply.Unwanted
+	return reply
 }
 
 // A step of Cairnpath grown's quiet day waited for one item of 80: an order to move the item met the end of its stream, and the
--- a/internal/batchrun/report.go
+++ b/internal/batchrun/report.go
@@ -10,29 +10,28 @@
 )
 
 // Reported implements itemwork.Handler.
-func (r *Runner) Reported(worker string, report *itemwork.Report) bool {
+func (r *Runner) Reported(worker string, report *itemwork.Report) itemwork.Disposition {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.leads() {
-		return true
+		return itemwork.Wanted
 	}
 	known, ok := r.runs[report.Run]
 	if !ok {
 		known = r.adopt(worker, report)
 	}
 	if known == nil {
-		return false
+		return itemwork.Unwanted
 	}
 	if known.over {
-		// A stream that was given up need not go on.
-		return report.End.Verdict != itemwork.VerdictNone
+		return afterOver(report)
 	}
 	known.heard = r.now()
 	r.observe(known, report)
 	if (known.current() || r.isDetached(known)) && !known.item.text.Merge(report) {
 		level.Warn(r.Logger).Log("msg", "report does not fit", "request", known.item.ID, "run", known.id, "from", report.From)
 		r.lose(known)
-		return false
+		return itemwork.Unwanted
 	}
 	if known.streaming && report.End.Verdict != itemwork.VerdictNone {
 		r.streamEnded(known, report)
@@ -40,14 +39,28 @@
 	if known.current() && report.Judgement.State != itemwork.JudgementOpen {
 		r.judged(known, report.Judgement)
 	}
-	if r.isDetached(known) {
-		return true
-	}
-	if known.item.job.ended {
+	switch {
+	case r.isDetached(known):
+		return itemwork.TextOnly
+	case known.item.job.ended:
 		r.forgetRuns(known.item.job)
-		return false
+		return itemwork.Unwanted
+	case known.released:
+		return itemwork.TextOnly
 	}
-	return true
+	return itemwork.Wanted
+}
+
+// afterOver returns what a worker may do further with a run on which nothing relies any more. A stream need not go on, nor a reward call: the item
+// has another run, and nothing would end the call when its job ends. What has ended is kept, for a later term.
+func afterOver(report *itemwork.Report) itemwork.Disposition {
+	switch {
+	case report.End.Verdict == itemwork.VerdictNone:
+		return itemwork.Unwanted
+	case report.End.Verdict == itemwork.VerdictWhole && report.Judgement.State == itemwork.JudgementOpen:
+		return itemwork.TextOnly
+	}
+	return itemwork.Wanted
 }
 
 // observe records the weight version and pauses that a report shows of its engine. The mutex must be held.
--- a/internal/itemwork/calls.go
+++ b/internal/itemwork/calls.go
@@ -73,6 +73,9 @@
 	Meeting uint64
 	// Unwanted are runs that the worker need not go on with or keep.
 	Unwanted []RunID
+	// Released are runs whose texts are of use and that must make no reward call. The answer tells it, as it also permits such calls: an order of a
+	// poll may come later.
+	Released []RunID
 	// Interval is the least time between two reports.
 	Interval time.Duration
 }
--- a/internal/itemwork/desk.go
+++ b/internal/itemwork/desk.go
@@ -32,12 +32,25 @@
 
 // Handler takes in what becomes of runs.
 type Handler interface {
-	// Reported takes in a report. It returns false if the run is not wanted.
-	Reported(worker string, report *Report) bool
+	// Reported takes in a report. It returns what the worker may do further with the run.
+	Reported(worker string, report *Report) Disposition
 	// WorkerLost is told that the runs of a worker are not heard of any more.
 	WorkerLost(worker string)
 }
 
+// Disposition is what a worker may do further with a run that it has reported.
+type Disposition int
+
+// The dispositions.
+const (
+	// Wanted: the run goes on.
+	Wanted Disposition = iota
+	// TextOnly: the stream goes on and the text is kept, but no reward call is made.
+	TextOnly
+	// Unwanted: the run ends.
+	Unwanted
+)
+
 // Desk hands assignments to workers. It is safe for concurrent use.
 type Desk struct {
 	// Region returns the region of a zone, empty if it is not known; nil knows none. An assignment that is bound to regions is handed only to
@@ -378,8 +391,13 @@
 		return reply
 	}
 	for i := range request.Reports {
-		if !handler.Reported(key, &request.Reports[i]) {
-			reply.Unwanted = append(reply.Unwanted, request.Reports[i].Run)
+		report := &request.Reports[i]
+		switch handler.Reported(key, report) {
+		case Unwanted:
+			reply.Unwanted = append(reply.Unwanted, report.Run)
+		case TextOnly:
+			reply.Released = append(reply.Released, report.Run)
+		case Wanted:
 		}
 	}
 	return reply
--- a/internal/itemwork/worker_report.go
+++ b/internal/itemwork/worker_report.go
@@ -137,6 +137,12 @@
 	for _, id := range reply.Unwanted {
 		w.refuse(id)
 	}
+	// Before calls are permitted: the order that releases a run may come later than this answer, and a reward call of an ended job left in between.
+	for _, id := range reply.Released {
+		if run := w.runs[id]; run != nil {
+			run.release()
+		}
+	}
 	w.noteTold()
 	w.renewPermission(started)
 	return true
