storerelay, itemwork: relays answer gateways for the coordinator, and as many gateways run items as items need

Ruled out: fewer polls (the whole lists at the start remain), a gossip between gateways (each would hold what it may have to hand on, and age has no bound), the store's watch for a share of processes (each reads 50 pages at its start).

Change: a coordinator answers at most 64 gateways by itself and sends the others to the candidates, which they choose by rendezvous; a candidate that is asked follows the coordinator's hub, and the store while that does not answer. Answers tell as of when they are true, so that age adds up. Hubs keep a log of changes, so that telling one costs one. Workers are a share of the gateways by open items.

TestSpread bounds 4096 remembered processes instead of 1024, with more pollers, as 1024 is less than twice the fleet.

--- a/internal/batchrun/demand.go
+++ b/internal/batchrun/demand.go
@@ -54,3 +54,24 @@
 	}
 	return demands
 }
+
+// OpenItems returns how many items of jobs that have not ended have no result yet; zero while this process does not lead. It goes through all items.
+func (r *Runner) OpenItems() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.leads() {
+		return 0
+	}
+	open := 0
+	for _, j := range r.order {
+		if j.ended {
+			continue
+		}
+		for _, it := range j.items {
+			if it.phase != phaseFinished {
+				open++
+			}
+		}
+	}
+	return open
+}
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -25,6 +27,7 @@
 	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/jobresidency"
 	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
@@ -41,6 +44,10 @@
 	fx.Invoke(runCoordinator),
 )
 
+// maxDirectPollers is how many gateways the coordinating process answers by itself. Each costs it up to 0.2 MB, and a whole list of engines for a while
+// (0.6 MB at 10,000 engines); the others ask a relay. It does not grow with the fleet: relays do.
+const maxDirectPollers = 64
+
 func newDesk(registry *prometheus.Registry, state *fleet.State, logger log.Logger) *itemwork.Desk {
 	desk := itemwork.NewDesk(telemetry.For(logger, telemetry.PartBatch))
 	desk.Region = func(zone string) string { return state.View().Topology.Region(zone) }
@@ -127,6 +134,9 @@
 	candidates *election.Candidates
 	// rewards are the bound routes that reward calls of jobs take, as gateways have named them.
 	rewards jobresidency.Rewards
+	hub     *storerelay.Hub
+	// workerShare holds the bits of the share of the gateways that are to run items.
+	workerShare atomic.Uint64
 }
 
 func runCoordinator(hooks fx.Lifecycle, params coordinatorParams) {
@@ -162,20 +172,13 @@
 		params.Region, params.Distance = topology.Region, c.Outage.CallTime
 	}
 	c.elector = election.New(params)
-	hub := storerelay.NewHub(storerelay.HubParams{
-		Leading:    c.elector.Leading,
-		Essence:    platform.GatewayEssence,
-		Relays:     platform.GatewayFollows,
-		Quarantine: c.Held.Table,
-		Lease:      election.KindLeases,
-		Candidates: c.candidates.Addresses,
-		Logger:     telemetry.For(c.Logger, telemetry.PartFleet),
-	})
-	hub.Attach(c.Followers)
-	c.Zones.SetSource(c.zoneSource(hub))
-	c.Grants.ShownAt = func() time.Time { return hub.ShownAt(election.KindLeases) }
+	c.hub = c.newHub()
+	c.hub.Attach(c.Followers)
+	relay := c.newRelay(c.hub)
+	c.Zones.SetSource(c.zoneSource(c.hub))
+	c.Grants.ShownAt = func() time.Time { return c.hub.ShownAt(election.KindLeases) }
 	c.server = rpc.NewServer(c.Logger)
-	storerelay.Register(c.server, hub)
+	storerelay.Register(c.server, c.hub)
 	batchrpc.Register(c.server, c.Runner, c)
 	itemwork.Register(c.server, c.Desk)
 	c.Duties.register(c.server)
@@ -185,6 +188,7 @@
 	go c.serve()
 	c.Tasks.run(c.Outage.Run)
 	c.Tasks.run(c.elector.Run)
+	c.Tasks.run(relay.Run)
 	c.Tasks.run(func(ctx context.Context) {
 		platform.FollowRetirements(ctx, c.Followers, c.Leaving.SetRequests, c.logger)
 	})
@@ -192,6 +196,44 @@
 	return nil
 }
 
+// newHub returns what answers gateways and relays with what this process learns from the store.
+func (c *coordinator) newHub() *storerelay.Hub {
+	return storerelay.NewHub(storerelay.HubParams{
+		Leading:    c.elector.Leading,
+		Essence:    platform.GatewayEssence,
+		Relays:     platform.GatewayFollows,
+		Quarantine: c.Held.Table,
+		Lease:      election.KindLeases,
+		Candidates: c.candidates.Addresses,
+		MaxDirect:  maxDirectPollers,
+
+		WorkerShare: func() float64 { return math.Float64frombits(c.workerShare.Load()) },
+		Logger:      telemetry.For(c.Logger, telemetry.PartFleet),
+	})
+}
+
+// newRelay returns what keeps the hub up to date for gateways while another process coordinates.
+func (c *coordinator) newRelay(hub *storerelay.Hub) *storerelay.Relay {
+	logger := telemetry.For(c.Logger, telemetry.PartFleet)
+	return storerelay.NewRelay(storerelay.RelayParams{
+		Hub:    hub,
+		Direct: func() *metastore.Followers { return metastore.NewFollowers(c.Store) },
+		Kinds:  append(platform.GatewayKinds(c.Settings.Topology.EvacuateTime > 0), election.KindLeases),
+		Client: storerelay.ClientParams{
+			Name:        c.Settings.Node.Name,
+			Coordinator: c.elector.Holder,
+			Poll: func(ctx context.Context, address string, request storerelay.PollRequest) (storerelay.PollReply, error) {
+				return storerelay.Poll(ctx, c.Calls, address, request)
+			},
+			Quarantine: c.Held.Table,
+			Lease:      election.KindLeases,
+			Logger:     logger,
+		},
+		Now:    boottime.Now,
+		Logger: logger,
+	})
+}
+
 func (c *coordinator) serve() {
 	err := c.server.Serve(c.listener)
 	if err != nil && !errors.Is(err, net.ErrClosed) {
@@ -262,9 +304,34 @@
 	leading.Go(func() { c.Held.Lead(ctx) })
 	leading.Go(func() { c.Grants.Lead(ctx) })
 	leading.Go(func() { c.Duties.lead(ctx, term) })
+	leading.Go(func() { c.shareWorkers(ctx) })
 	leading.Wait()
 }
 
+// shareInterval is the pause between two decisions on how many gateways run items: a step's items come within some hundred milliseconds, and the
+// gateways that run the first of them take the others meanwhile.
+const shareInterval = 500 * time.Millisecond
+
+// shareWorkers decides how many gateways run items until ctx ends.
+func (c *coordinator) shareWorkers(ctx context.Context) {
+	var need itemwork.Need
+	logger := telemetry.For(c.Logger, telemetry.PartBatch)
+	told := 0.0
+	for ctx.Err() == nil {
+		open, processes := c.Runner.OpenItems(), c.hub.Processes()
+		share := need.Share(open, processes, boottime.Now())
+		c.workerShare.Store(math.Float64bits(share))
+		if math.Abs(share-told) > shareLogged {
+			level.Info(logger).Log("msg", "share of workers changed", "share", share, "processes", processes, "open_items", open)
+			told = share
+		}
+		pause.For(ctx, shareInterval)
+	}
+}
+
+// shareLogged is the least change of the share that is worth a line.
+const shareLogged = 0.05
+
 // followHome gives the elector the home regions, anew with each route table and each reward route, until ctx ends. It does nothing in a deployment
 // of one region.
 func (c *coordinator) followHome(ctx context.Context) {
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -55,6 +55,7 @@
 		Quarantine: suspects,
 		Lease:      election.KindLeases,
 		Patience:   storerelay.PatienceWithin(config.Timing.CatchUpTime),
+		Name:       config.Node.Name,
 		Logger:     telemetry.For(logger, telemetry.PartFleet),
 	})
 }
@@ -97,7 +98,8 @@
 
 // newWorker returns what runs batch items for the coordinating process.
 func newWorker(config settings.Fleet, state *fleet.State, transport forward.Transport, forwarder *forward.Forwarder,
-	guard *quarantine.Guard, calls *rpc.Client, watcher *election.Watcher, stopping *stopFlag, registry *prometheus.Registry, logger log.Logger) *itemwork.Worker {
+	guard *quarantine.Guard, calls *rpc.Client, watcher *election.Watcher, stopping *stopFlag, relay *storerelay.Client,
+	registry *prometheus.Registry, logger log.Logger) *itemwork.Worker {
 	worker := itemwork.NewWorker(itemwork.WorkerParams{
 		Name:        config.Node.Name,
 		Zone:        config.Node.Zone,
@@ -115,7 +117,11 @@
 			return !residency.Bounded() || term.Address == address && (term.Token == begunBy || residency.Allows(state.View().Topology.Region(term.Zone)))
 		},
 		Draining: stopping.Load,
-		Logger:   telemetry.For(logger, telemetry.PartBatch),
+		Called: func() bool {
+			share, known := relay.WorkerShare()
+			return known && itemwork.Chosen(config.Node.Name, share)
+		},
+		Logger: telemetry.For(logger, telemetry.PartBatch),
 	})
 	registerGauge(registry, "worker_runs", "Runs of batch items that this process carries out.", worker.Running)
 	return worker
--- /dev/null
+++ b/internal/itemwork/share.go
@@ -0,0 +1,53 @@
+package itemwork
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/covelink/covelink/coord/rendezvous"
+)
+
+const (
+	// runsPerWorker is how many open items each worker is expected to bear: their streams are some 1,000 events a second and a tenth of the processor
+	// of the smallest gateways.
+	runsPerWorker = 8
+	// minWorkers is the least number of gateways that run items: enough that the loss of one interrupts few runs, and that each zone has some.
+	minWorkers = 64
+	// workerStep is the step in which the number grows: a share that follows each item would have workers come and go.
+	workerStep = 16
+	// needLife is the time in which the most open items that are remembered fall to a part of 1/e: longer than the pauses between a trainer's jobs.
+	needLife = 30 * time.Second
+)
+
+// Need decides how many gateways run items, by the items that are open. It is safe for concurrent use. The zero value has seen none.
+type Need struct {
+	mu      sync.Mutex
+	most    float64
+	updated time.Time
+}
+
+// Share returns the share of the processes that are to run items, from 0 to 1; zero for all of them.
+func (n *Need) Share(open, processes int, now time.Time) float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	faded := n.most * math.Exp(-now.Sub(n.updated).Seconds()/needLife.Seconds())
+	n.most, n.updated = max(faded, float64(open)), now
+	steps := math.Ceil(n.most / runsPerWorker / workerStep)
+	wanted := max(minWorkers, workerStep*int(steps))
+	if processes <= wanted {
+		return 0
+	}
+	return float64(wanted) / float64(processes)
+}
+
+// Chosen reports whether the process of a name is among a share of all. A larger share includes a smaller one's processes, so that few change as it
+// changes. Zero includes all.
+func Chosen(name string, share float64) bool {
+	if share <= 0 || share >= 1 {
+		return true
+	}
+	// A key of its own keeps this choice apart from others by the hash of the name.
+	const key = 0x776f726b
+	return float64(rendezvous.Mix(key, rendezvous.Hash(name)))/math.MaxUint64 < share
+}
--- /dev/null
+++ b/internal/itemwork/share_test.go
@@ -0,0 +1,47 @@
+package itemwork
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func TestShare(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		open, processes, least, most int
+	}{{0, 50, 50, 50}, {5000, 60, 60, 60}, {0, 1000, 64, 64}, {1000, 1000, 128, 128}, {1000, 4000, 128, 128}, {9000, 1000, 1000, 1000}} {
+		var need Need
+		share := need.Share(c.open, c.processes, now)
+		if share == 0 {
+			share = 1
+		}
+		if workers := int(share*float64(c.processes) + 0.5); workers < c.least || workers > c.most {
+			t.Errorf("%d open items, %d processes: %d workers", c.open, c.processes, workers)
+		}
+	}
+	var need Need
+	need.Share(4000, 1000, now)
+	if share := need.Share(0, 1000, now.Add(4*time.Second)); share < 0.4 {
+		t.Errorf("4 s after 4,000 items the share is %v", share)
+	}
+}
+
+// Workers must grow with the items and not with the gateways: the desk waits for each, and each reports the later the more there are.
+func TestChosen(t *testing.T) {
+	for _, processes := range []int{1000, 10000} {
+		chosen, smaller := 0, 0
+		for n := range processes {
+			name := fmt.Sprintf("edge-bne-%d", n)
+			if Chosen(name, 100/float64(processes)) {
+				chosen++
+			}
+			if Chosen(name, 50/float64(processes)) && !Chosen(name, 100/float64(processes)) {
+				smaller++
+			}
+		}
+		if chosen < 70 || chosen > 130 || smaller > 0 {
+			t.Errorf("%d of %d processes are chosen for a share of 100, %d of a smaller share are not", chosen, processes, smaller)
+		}
+	}
+}
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -49,7 +49,9 @@
 	MayTell func(address string, term int64, residency placement.Residency) bool
 	// Draining is true once the process stops: nothing new is assigned then.
 	Draining func() bool
-	Logger   log.Logger
+	// Called reports whether the coordinating process wants this process to run items; nil means always.
+	Called func() bool
+	Logger log.Logger
 }
 
 // Worker carries out runs for the coordinating process. It is safe for concurrent use.
@@ -68,8 +70,10 @@
 	// heard is when the call began that the coordinating process answered last.
 	heard    time.Time
 	interval time.Duration
-	runs     map[RunID]*workerRun
-	order    []RunID
+	// offered is true while a desk may count on the worker: from a poll that offers itself until one that says that it is leaving was answered.
+	offered bool
+	runs    map[RunID]*workerRun
+	order   []RunID
 	// ended tells the reporter of runs that have ended.
 	ended   chan struct{}
 	running sync.WaitGroup
@@ -120,6 +124,10 @@
 // pollUntil fetches orders until ctx ends.
 func (w *Worker) pollUntil(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !w.takesPart() {
+			pause.For(ctx, retryPause)
+			continue
+		}
 		reply, err := w.pollOnce(ctx)
 		if ctx.Err() != nil {
 			return
@@ -130,6 +138,26 @@
 	}
 }
 
+// called reports whether the worker is to take new runs.
+func (w *Worker) called() bool { return w.Called == nil || w.Called() }
+
+// takesPart reports whether the worker has to poll: it is called, a desk may count on it, or it holds runs of which a later term must hear.
+func (w *Worker) takesPart() bool {
+	called := w.called()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return called || w.offered || len(w.runs) > 0
+}
+
+// noteOffer takes in that the desk has answered a poll.
+func (w *Worker) noteOffer(request PollRequest, reply PollReply) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if request.Worker.Leaving {
+		w.offered = w.offered && len(reply.Orders) > 0
+	}
+}
+
 func (w *Worker) pollOnce(ctx context.Context) (PollReply, error) {
 	address := w.Coordinator()
 	if address == "" {
@@ -139,11 +167,13 @@
 	defer cancel()
 	w.mu.Lock()
 	request := PollRequest{Worker: w.identity(), Term: w.term, Taken: w.taken}
+	w.offered = w.offered || !request.Worker.Leaving
 	w.mu.Unlock()
 	started := boottime.Now()
 	reply, err := w.Poll(ctx, address, request)
 	if err == nil && reply.Leading {
 		w.hear(started, reply.Term, reply.Meeting)
+		w.noteOffer(request, reply)
 		setLeaveBy(reply, started)
 	}
 	return reply, err
@@ -163,7 +193,7 @@
 // so that it gets none.
 func (w *Worker) identity() WorkerID {
 	unready := w.Executor.State.View().Evacuations == nil
-	return WorkerID{Name: w.Name, Zone: w.Zone, Instance: w.Instance, Leaving: w.Draining() || unready}
+	return WorkerID{Name: w.Name, Zone: w.Zone, Instance: w.Instance, Leaving: w.Draining() || unready || !w.called()}
 }
 
 // hear notes that the coordinating process of a term has answered a call. The holder of a new term is told everything, and so is a desk that had lost
--- a/internal/storerelay/candidates.go
+++ b/internal/storerelay/candidates.go
@@ -1,9 +1,12 @@
 package storerelay
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/covelink/covelink/coord/rendezvous"
 )
 
 // coordinatorTurn is in how many attempts, of a client that no hub serves, one goes to the process that coordinated last: most go to
@@ -13,8 +16,20 @@
 // quickFailure is below what a process that is cut off or frozen takes, and above what a busy one does.
 const quickFailure = 300 * time.Millisecond
 
-// candidates chooses whom a client asks, in a random order of its own. It belongs to one goroutine.
+// relayTries is how often a client asks one relay in vain before it asks the next: the first request makes a process begin to relay.
+const relayTries = 2
+
+// candidates chooses whom a client asks: in a random order of its own, or, once the coordinating process has sent it away, in the order of a rendezvous
+// hash of its name, by which clients spread over the relays without talking to each other. It belongs to one goroutine.
 type candidates struct {
+	// name is the client's own.
+	name string
+	// redirected is true once the coordinating process has sent the client to the relays, and relays are the peers in the client's own order.
+	redirected bool
+	relays     []string
+	// turn is the position of the relay to ask: a client stays with one that answers, also if that is not its first choice. waited counts the answers of
+	// that relay which were of no use yet.
+	turn, waited int
 	// seeds are known from the start, and peers were told by a hub.
 	seeds, peers []string
 	// order is the rotation over both, and next the position in it.
@@ -28,8 +43,8 @@
 	quick bool
 }
 
-func newCandidates(seeds []string) *candidates {
-	c := &candidates{seeds: slices.Clone(seeds)}
+func newCandidates(name string, seeds []string) *candidates {
+	c := &candidates{name: name, seeds: slices.Clone(seeds)}
 	c.shuffle()
 	return c
 }
@@ -41,6 +56,12 @@
 	}
 	c.peers = slices.Clone(peers)
 	c.shuffle()
+	key := rendezvous.Hash(c.name)
+	c.relays = slices.Clone(c.peers)
+	slices.SortFunc(c.relays, func(a, b string) int {
+		return cmp.Compare(rendezvous.Mix(key, rendezvous.Hash(b)), rendezvous.Mix(key, rendezvous.Hash(a)))
+	})
+	c.turn, c.waited = 0, 0
 }
 
 func (c *candidates) shuffle() {
@@ -51,11 +72,45 @@
 	c.next = 0
 }
 
-// choose returns whom to ask next; coordinator is the process that is believed to coordinate, or "". It returns "" if nobody is known.
-func (c *candidates) choose(coordinator string) string {
+// choose returns whom to ask next, and whether to ask it to relay; coordinator is the process that is believed to coordinate, or "". It returns "" if
+// nobody is known.
+func (c *candidates) choose(coordinator string) (address string, relay bool) {
 	if coordinator != c.coordinator {
 		c.coordinator, c.failures = coordinator, 0
 	}
+	if relay := c.relay(coordinator); relay != "" {
+		return relay, true
+	}
+	return c.anyone(coordinator), false
+}
+
+// relay returns the relay to ask next; "" if the client was not sent away, or if all relays were asked in vain: the coordinating process is asked
+// again then, and the relays after it.
+func (c *candidates) relay(coordinator string) string {
+	if !c.redirected {
+		return ""
+	}
+	for c.turn < len(c.relays) && c.relays[c.turn] == coordinator {
+		c.turn++
+	}
+	if c.turn >= len(c.relays) {
+		return ""
+	}
+	return c.relays[c.turn]
+}
+
+// relayFailed notes a relay that did not answer, or that answered what was of no use.
+func (c *candidates) relayFailed(answered bool) {
+	c.waited++
+	if answered && c.waited < relayTries {
+		return
+	}
+	c.turn++
+	c.waited = 0
+}
+
+// anyone returns the coordinating process, or another process that may know who coordinates.
+func (c *candidates) anyone(coordinator string) string {
 	if coordinator != "" && (c.failures%coordinatorTurn == 0 || c.failures == 1 && c.quick) {
 		return coordinator
 	}
@@ -69,8 +124,16 @@
 	return coordinator
 }
 
+// redirect notes that the coordinating process has sent the client to the relays. It reports whether there is one to ask at once: not if all were
+// asked in vain.
+func (c *candidates) redirect() bool {
+	first := !c.redirected
+	c.redirected, c.turn, c.waited = true, 0, 0
+	return first && len(c.relays) > 0
+}
+
 // answered notes that a hub has answered.
-func (c *candidates) answered() { c.failures = 0 }
+func (c *candidates) answered() { c.failures, c.waited = 0, 0 }
 
 // failed notes an attempt of no use, and how long it took.
 func (c *candidates) failed(took time.Duration) {
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -32,7 +32,16 @@
 	Lease string
 	// Patience is how long the client waits for a hub to answer again before it follows the store itself; zero means DefaultPatience.
 	Patience time.Duration
-	Logger   log.Logger
+	// Name is the process's, by which it chooses its relay.
+	Name string
+	// Relay is true if the client is that of a relay, and asks nobody but the coordinating process.
+	Relay bool
+	// Confirmed is told of each kind as it was known to be at a moment of boottime, Learned of each answer of the coordinating process, and Served
+	// returns the processes to tell it of. They are for relays; nil for nobody.
+	Confirmed func(kind string, snapshot metastore.Snapshot, at time.Time)
+	Learned   func(reply PollReply)
+	Served    func() []ServedProcess
+	Logger    log.Logger
 }
 
 // Client keeps copies of kinds of the store's objects, from the coordinating process where that answers. It implements
@@ -52,6 +61,12 @@
 	servedAt time.Time
 	// confirmed is up to when each kind is known to be as the store holds it.
 	confirmed map[string]time.Time
+	// crowded is when a hub last said that the fleet is large; zero for never.
+	crowded time.Time
+	// workerShare is the share of the gateways that are to run batch items, as a hub told it last; zero means all.
+	workerShare float64
+	// guided is true once a hub that is up to date has told it.
+	guided bool
 	// quarantined is up to where the last hub's table is known. It belongs to Run.
 	quarantined quarantine.Cursor
 }
@@ -65,9 +80,9 @@
 	}
 	c := &Client{ClientParams: params, kinds: make(map[string]*subscription), switched: make(chan struct{}), lostAt: time.Now()}
 	c.confirmed = make(map[string]time.Time)
-	params.Direct.Confirmed = func(kind string, _ metastore.Snapshot) {
+	params.Direct.Confirmed = func(kind string, snapshot metastore.Snapshot) {
 		c.noteServed(kind, true)
-		c.noteConfirmed(kind, boottime.Now())
+		c.noteConfirmed(kind, snapshot, boottime.Now())
 	}
 	params.Direct.Doubted = func(kind string) { c.noteServed(kind, false) }
 	params.Direct.MaxWait = c.maxWatchWait
@@ -189,6 +204,30 @@
 	return startPatience + rand.N(startJitter)
 }
 
+// crowdedLately reports whether a hub has lately said that the fleet is large. The mutex must be held.
+func (c *Client) crowdedLately() bool {
+	return !c.crowded.IsZero() && time.Since(c.crowded) < crowdedPatience
+}
+
+// learnGuidance takes in what a reply tells beside objects.
+func (c *Client) learnGuidance(reply PollReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if reply.Crowded {
+		c.crowded = time.Now()
+	}
+	if reply.Fresh {
+		c.workerShare, c.guided = reply.WorkerShare, true
+	}
+}
+
+// WorkerShare returns the share of the gateways that are to run batch items, from 0 to 1; zero means all. known is false until a hub has told it.
+func (c *Client) WorkerShare() (share float64, known bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.workerShare, c.guided
+}
+
 // hubReturns waits for a hub to answer. It returns false once a kind is to be followed in the store.
 func (c *Client) hubReturns(ctx context.Context, kind string, followed *subscription, switched <-chan struct{}) bool {
 	patience := c.patience(kind, followed)
@@ -210,6 +249,9 @@
 func (c *Client) overdue(kind string, known bool, patience time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !known && c.crowdedLately() {
+		patience = max(patience, crowdedPatience)
+	}
 	if time.Since(c.lostAt) < patience {
 		return false
 	}
@@ -229,7 +271,10 @@
 	return c.confirmed[kind]
 }
 
-func (c *Client) noteConfirmed(kind string, at time.Time) {
+func (c *Client) noteConfirmed(kind string, snapshot metastore.Snapshot, at time.Time) {
+	if c.Confirmed != nil {
+		c.Confirmed(kind, snapshot, at)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if at.After(c.confirmed[kind]) {
@@ -308,47 +353,89 @@
 	level.Info(c.Logger).Log("msg", message, "coordinator", address, "err", cause)
 }
 
-// Run polls the coordinating process until ctx ends, and looks for it among the candidates while it does not answer.
+// Run polls the coordinating process, or a relay of it, until ctx ends, and looks for one among the candidates while none answers.
 func (c *Client) Run(ctx context.Context) {
-	known := newCandidates(c.Seeds)
+	known := newCandidates(c.Name, c.Seeds)
 	for ctx.Err() == nil {
 		before := c.Coordinator()
-		address := known.choose(before)
+		address, relay := known.choose(before)
 		started := boottime.Now()
 		reply, err := PollReply{}, error(nil)
 		if address != "" {
-			reply, err = c.poll(ctx, address)
+			reply, err = c.poll(ctx, address, relay)
 		}
 		if err == nil {
-			known.learn(reply.Candidates)
-			c.learnQuarantine(reply.Quarantine)
-			err = c.apply(reply)
+			err = c.take(reply, known)
 		}
 		if ctx.Err() != nil {
 			return
 		}
 		if reply.Fresh && err == nil {
 			known.answered()
-			for kind := range reply.Revisions {
-				// The hub may have answered as early as it was asked.
-				c.noteConfirmed(kind, started.Add(-reply.Age))
-			}
+			c.confirm(reply, started)
 			c.setRelayed(true, address, nil)
 			continue
 		}
+		if reply.Redirect && err == nil {
+			// The relay is asked at once. Until it answers, what is known stays in use as after a loss.
+			if !known.redirect() {
+				pause.For(ctx, retryPause)
+			}
+			continue
+		}
 		c.setRelayed(false, address, err)
 		if found := c.Coordinator(); found != before && found != "" {
 			continue
 		}
-		known.failed(boottime.Since(started))
-		pause.For(ctx, retryPause)
+		if relay {
+			known.relayFailed(err == nil)
+		} else {
+			known.failed(boottime.Since(started))
+		}
+		if !relay || err == nil {
+			// A relay that does not answer is no sign that the next one will not: it is asked at once.
+			pause.For(ctx, retryPause)
+		}
 	}
 }
 
-func (c *Client) poll(ctx context.Context, address string) (PollReply, error) {
-	request := PollRequest{Known: c.known(), Quarantine: c.quarantined, Wait: pollWait}
+// take takes in all that a reply tells but how fresh it is.
+func (c *Client) take(reply PollReply, known *candidates) error {
+	if !c.Relay {
+		known.learn(reply.Candidates)
+	}
+	c.learnQuarantine(reply.Quarantine)
+	c.learnGuidance(reply)
+	if c.Learned != nil && reply.Fresh {
+		c.Learned(reply)
+	}
+	return c.apply(reply)
+}
+
+// confirm notes as of when a reply to a poll that began at a moment is true. The hub got the poll no earlier than it was sent, and answered Held later.
+func (c *Client) confirm(reply PollReply, started time.Time) {
+	at := started.Add(reply.Held - reply.Age)
+	kinds := c.subscriptions()
+	for kind := range reply.Revisions {
+		if followed, ok := kinds[kind]; ok {
+			c.noteConfirmed(kind, followed.current(), at)
+		}
+	}
+}
+
+// poll asks the hub of the process at an address. relay is true if the process is to answer for the coordinating process.
+func (c *Client) poll(ctx context.Context, address string, relay bool) (PollReply, error) {
+	request := PollRequest{Known: c.known(), Quarantine: c.quarantined, Wait: pollWait, Relay: c.Relay, Relayed: relay}
+	if c.Served != nil {
+		request.Served = c.Served()
+	}
 	relayed, _ := c.mode()
-	if !relayed {
+	switch {
+	case relayed:
+	case relay:
+		// The relay may have to ask the coordinating process first.
+		request.Wait = guideWait
+	default:
 		// The first poll only asks whether the hub is of use. One that is not may still wait for news of who coordinates.
 		request.Wait = time.Millisecond
 	}
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -1,6 +1,7 @@
 package storerelay
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"reflect"
@@ -16,6 +17,7 @@
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/quarantine"
+	"github.com/covelink/covelink/internal/rpc"
 )
 
 // HubParams are what a Hub works with.
@@ -33,6 +35,11 @@
 	Quarantine *quarantine.Table
 	// Candidates returns the internal addresses of other processes that may coordinate; nil if they are not known.
 	Candidates func() []string
+	// MaxDirect bounds the processes, beside relays, that the hub answers while its process coordinates; zero sets no bound. It has no effect while no
+	// candidates are known that could relay.
+	MaxDirect int
+	// WorkerShare returns the WorkerShare of answers; nil for all.
+	WorkerShare func() float64
 	// Logger may be nil.
 	Logger log.Logger
 }
@@ -41,6 +48,9 @@
 type Hub struct {
 	HubParams
 	pollers pollers
+	// direct are the processes that the hub answers while its process coordinates, and guided those that it tells whom to ask.
+	direct, guided recentNames
+	relaying       relaying
 
 	mu    sync.Mutex
 	kinds map[string]*relayedKind
@@ -58,9 +68,12 @@
 	entries map[string]entry
 	// confirmed is when the store was last heard from.
 	confirmed time.Time
-	// removals are the last objects that went, and floor is the revision after which they are complete.
-	removals []removal
+	// removals are the last objects that went, in the order of their revisions, and floor is the revision after which they and changes are complete.
+	removals []noted
 	floor    metastore.Revision
+	// changes are the last objects that changed for pollers, in the order of their revisions, so that telling k of them costs k and not the number of
+	// objects: 60 pollers that asked for each change of 10,000 engines cost a tenth of a core.
+	changes []noted
 	// packed are all objects of the snapshot whose content is that of packedRevision, for pollers; what they do not need of an object
 	// may be older.
 	packed         []byte
@@ -74,7 +87,8 @@
 	essence       string
 }
 
-type removal struct {
+// noted is an object that went or changed, and the revision of that.
+type noted struct {
 	name     string
 	revision metastore.Revision
 }
@@ -95,6 +109,11 @@
 
 // Confirm takes in a kind as the store has just shown it.
 func (h *Hub) Confirm(kind string, snapshot metastore.Snapshot) {
+	h.confirmAt(kind, snapshot, boottime.Now())
+}
+
+// confirmAt takes in a kind as it was known to be at a moment of boottime. A snapshot older than the known one changes nothing.
+func (h *Hub) confirmAt(kind string, snapshot metastore.Snapshot, at time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	known, ok := h.kinds[kind]
@@ -102,10 +121,12 @@
 		known = &relayedKind{floor: snapshot.Revision, entries: make(map[string]entry)}
 		h.kinds[kind] = known
 	}
-	known.confirmed = boottime.Now()
 	if snapshot.Revision < known.snapshot.Revision {
 		return
 	}
+	if at.After(known.confirmed) {
+		known.confirmed = at
+	}
 	differs := !ok
 	if !sameMap(known.snapshot.Objects, snapshot.Objects) {
 		removed := known.noteRemovals(snapshot)
@@ -122,8 +143,12 @@
 	}
 }
 
-// Doubt takes in that the store did not show a kind when it was asked.
+// Doubt takes in that the store did not show a kind when it was asked. A relay answers with what it was told, so that its own access to the store
+// says nothing.
 func (h *Hub) Doubt(kind string) {
+	if h.relaying.on() && !h.Leading() {
+		return
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	known, ok := h.kinds[kind]
@@ -177,6 +202,7 @@
 
 // noteChanges takes in the objects of the next snapshot. It reports whether one of them has changed for pollers.
 func (k *relayedKind) noteChanges(next metastore.Snapshot, essence func(metastore.Object) string) (changed bool) {
+	var batch []noted
 	for name, object := range next.Objects {
 		known, ok := k.entries[name]
 		if ok && known.seen == object.Revision {
@@ -186,38 +212,108 @@
 		if !ok || now.essence != known.essence {
 			now.changed = object.Revision
 			changed = true
+			batch = append(batch, noted{name: name, revision: object.Revision})
 		}
 		k.entries[name] = now
 	}
+	if k.snapshot.Revision == 0 || len(batch) > maxChanges {
+		// The first list, or one like it: whoever knows less needs all.
+		k.changes, k.floor = nil, max(k.floor, next.Revision)
+		return changed
+	}
+	slices.SortFunc(batch, func(a, b noted) int { return cmp.Compare(a.revision, b.revision) })
+	k.changes, k.floor = trimmed(append(k.changes, batch...), maxChanges, k.floor)
 	return changed
 }
 
+// trimmed returns the newest entries, and the revision after which they are complete.
+func trimmed(entries []noted, most int, floor metastore.Revision) ([]noted, metastore.Revision) {
+	excess := len(entries) - most
+	if excess <= 0 {
+		return entries, floor
+	}
+	return entries[excess:], max(floor, entries[excess-1].revision)
+}
+
+// after returns the entries of later revisions.
+func after(entries []noted, revision metastore.Revision) []noted {
+	first, _ := slices.BinarySearchFunc(entries, revision+1, func(entry noted, target metastore.Revision) int {
+		return cmp.Compare(entry.revision, target)
+	})
+	return entries[first:]
+}
+
 // noteRemovals takes in which objects the next snapshot lacks. It reports whether there are some.
 func (k *relayedKind) noteRemovals(next metastore.Snapshot) (removed bool) {
 	for name := range k.snapshot.Objects {
 		if _, kept := next.Objects[name]; !kept {
 			removed = true
 			delete(k.entries, name)
-			k.removals = append(k.removals, removal{name: name, revision: next.Revision})
+			k.removals = append(k.removals, noted{name: name, revision: next.Revision})
 		}
 	}
-	if excess := len(k.removals) - maxRemovals; excess > 0 {
-		k.floor = k.removals[excess-1].revision
-		k.removals = k.removals[excess:]
-	}
+	k.removals, k.floor = trimmed(k.removals, maxRemovals, k.floor)
 	return removed
 }
 
+// Answer answers a process's poll, or sends the process to a relay.
+func (h *Hub) Answer(ctx context.Context, peer rpc.Peer, request PollRequest) PollReply {
+	now := boottime.Now()
+	switch {
+	case request.Relay:
+		h.pollers.noteServed(peer.Name, request.Served, now)
+	case h.Leading() && h.redirects(peer.Name, now):
+		return h.redirect(request)
+	case request.Relayed:
+		h.relaying.ask(now)
+	case !h.Leading():
+		h.guided.note(peer.Name, now)
+	}
+	h.NotePoll(peer, request)
+	reply := h.Poll(ctx, request)
+	reply.Crowded = h.MaxDirect > 0 && h.guided.count(now) > h.MaxDirect
+	return reply
+}
+
+// redirects reports whether the process that coordinates sends another one to the relays. Those that it answers already stay.
+func (h *Hub) redirects(name string, now time.Time) bool {
+	if h.MaxDirect <= 0 || len(h.Candidates()) == 0 {
+		return false
+	}
+	return !h.direct.admit(name, now, h.MaxDirect)
+}
+
+// redirect answers a process that is to ask a relay.
+func (h *Hub) redirect(request PollRequest) PollReply {
+	reply := PollReply{Redirect: true, Crowded: true, Candidates: h.Candidates()}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	reply.Changes = h.leaseChange(request.Known)
+	return reply
+}
+
 // Poll returns what changed of the kinds that were asked for, as soon as there is something or the wait is over.
 func (h *Hub) Poll(ctx context.Context, request PollRequest) PollReply {
+	began := boottime.Now()
+	reply := h.await(ctx, request)
+	reply.Held = boottime.Since(began)
+	return reply
+}
+
+// serves reports whether the hub answers a request with what it knows, and not only with whom to ask.
+func (h *Hub) serves(request PollRequest) bool {
+	return h.Leading() || (request.Relayed && h.relaying.on())
+}
+
+func (h *Hub) await(ctx context.Context, request PollRequest) PollReply {
 	wait := request.Wait
-	if !h.Leading() {
+	if !h.serves(request) {
 		wait = guideWait
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
-		reply, changed := h.changes(request.Known)
+		reply, changed := h.changes(request)
 		news, found := h.found(request.Quarantine)
 		reply.Quarantine = news
 		if len(reply.Changes) > 0 || len(news.Records) > 0 || changed == nil {
@@ -228,7 +324,7 @@
 		case <-found:
 			pause.For(ctx, quarantineGather)
 		case <-ctx.Done():
-			reply, _ = h.changes(request.Known)
+			reply, _ = h.changes(request)
 			reply.Quarantine, _ = h.found(request.Quarantine)
 			return reply
 		}
@@ -248,22 +344,27 @@
 }
 
 // changes returns what there is to tell now, and a channel that is closed when that may be more; nil if waiting for it is of no use.
-func (h *Hub) changes(known map[string]metastore.Revision) (reply PollReply, changed <-chan struct{}) {
-	leading := h.Leading()
-	reply.Candidates = h.Candidates()
+func (h *Hub) changes(request PollRequest) (reply PollReply, changed <-chan struct{}) {
+	leading, serves := h.Leading(), h.serves(request)
+	reply.Candidates, reply.WorkerShare = h.guidance(leading)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !leading {
-		reply.Changes = h.leaseChange(known)
+	if !serves {
+		reply.Changes = h.leaseChange(request.Known)
 		return reply, h.changed
 	}
-	reply.Revisions = make(map[string]metastore.Revision, len(known))
+	reply.Revisions = make(map[string]metastore.Revision, len(request.Known))
 	// One reading for all kinds: it takes two system calls, and hundreds of clients ask several times a second.
 	now := boottime.Now()
-	for kind, revision := range known {
+	for kind, revision := range request.Known {
 		relayed, ok := h.kinds[kind]
 		if !ok || now.Sub(relayed.confirmed) > maxAge {
-			return PollReply{Changes: h.leaseChange(known), Candidates: reply.Candidates}, nil
+			unknown := PollReply{Changes: h.leaseChange(request.Known), Candidates: reply.Candidates}
+			if leading {
+				return unknown, nil
+			}
+			// The relay may just have begun.
+			return unknown, h.changed
 		}
 		reply.Revisions[kind] = relayed.snapshot.Revision
 		reply.Age = max(reply.Age, now.Sub(relayed.confirmed))
@@ -275,6 +376,18 @@
 	return reply, h.changed
 }
 
+// guidance returns the candidates and the share of workers that callers are told: a relay hands on what it was told.
+func (h *Hub) guidance(leading bool) (candidates []string, workerShare float64) {
+	if !leading && h.relaying.on() {
+		return h.relaying.guidance()
+	}
+	candidates = h.Candidates()
+	if leading && h.WorkerShare != nil {
+		workerShare = h.WorkerShare()
+	}
+	return candidates, workerShare
+}
+
 // leaseChange returns what the caller does not know of the lease; nil if nothing. The mutex must be held.
 func (h *Hub) leaseChange(known map[string]metastore.Revision) []Change {
 	revision, asked := known[h.Lease]
@@ -297,13 +410,17 @@
 		return h.whole(k, kind)
 	}
 	change := Change{Kind: kind, Revision: k.snapshot.Revision}
-	for name, object := range k.snapshot.Objects {
-		if k.entries[name].changed > revision {
-			change.Objects = append(change.Objects, object)
+	told := make(map[string]struct{})
+	for _, changed := range after(k.changes, revision) {
+		object, listed := k.snapshot.Objects[changed.name]
+		if _, twice := told[changed.name]; twice || !listed {
+			continue
 		}
+		told[changed.name] = struct{}{}
+		change.Objects = append(change.Objects, object)
 	}
-	for _, removed := range k.removals {
-		if _, back := k.snapshot.Objects[removed.name]; !back && removed.revision > revision {
+	for _, removed := range after(k.removals, revision) {
+		if _, back := k.snapshot.Objects[removed.name]; !back {
 			change.Removed = append(change.Removed, removed.name)
 		}
 	}
--- a/internal/storerelay/pollers.go
+++ b/internal/storerelay/pollers.go
@@ -15,8 +15,10 @@
 	// pollerMemory is how long a process that has stopped polling stays listed: long enough that operators see one that is cut off, and short
 	// enough that machines which were replaced do not pile up.
 	pollerMemory = 5 * time.Minute
-	// maxPollers bounds the processes that a hub remembers: some three times the largest deployment.
-	maxPollers = 1024
+	// maxPollers bounds the processes that a hub remembers, some 400 bytes each: four times the largest deployment.
+	maxPollers = 4096
+	// countedWithin is how lately a process must have polled to count: longer than relays leave between two lists of whom they answer.
+	countedWithin = 5 * time.Second
 )
 
 // Poller is a process that polls a hub.
@@ -26,6 +28,8 @@
 	Known metastore.Revision
 	// Age is how long ago it last polled.
 	Age time.Duration
+	// Relay names the process that answered it for the coordinating process; empty if that did so itself.
+	Relay string
 }
 
 // Spread shows which processes hold the newest content of a kind.
@@ -43,6 +47,8 @@
 type pollers struct {
 	mu   sync.Mutex
 	last map[string]poll
+	// servedAt is when served last returned the processes.
+	servedAt time.Time
 }
 
 // poll is a process's last poll.
@@ -50,19 +56,69 @@
 	zone  string
 	known map[string]metastore.Revision
 	at    time.Time
+	// relay names the process that answered it; empty for this one.
+	relay string
 }
 
 // note records a poll. The map must not be changed afterwards.
 func (p *pollers) note(peer rpc.Peer, known map[string]metastore.Revision, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.set(peer.Name, poll{zone: peer.Zone, known: known, at: now})
+}
+
+// set takes in a poll, unless a later one of the process is known. The mutex must be held.
+func (p *pollers) set(name string, made poll) {
 	if p.last == nil {
 		p.last = make(map[string]poll)
 	}
-	if _, listed := p.last[peer.Name]; !listed && len(p.last) >= maxPollers {
+	known, listed := p.last[name]
+	if listed && known.at.After(made.at) {
+		return
+	}
+	if !listed && len(p.last) >= maxPollers {
 		p.forgetOldest()
 	}
-	p.last[peer.Name] = poll{zone: peer.Zone, known: known, at: now}
+	p.last[name] = made
+}
+
+// noteServed takes in the processes that a relay answers.
+func (p *pollers) noteServed(relay string, served []ServedProcess, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, process := range served {
+		p.set(process.Name, poll{zone: process.Zone, known: process.Known, at: now.Add(-process.Age), relay: relay})
+	}
+}
+
+// served returns the processes that have polled within countedWithin, or nil if it returned them less than servedInterval ago.
+func (p *pollers) served(now time.Time) []ServedProcess {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.servedAt) < servedInterval {
+		return nil
+	}
+	p.servedAt = now
+	var processes []ServedProcess
+	for name, last := range p.last {
+		if age := now.Sub(last.at); age <= countedWithin {
+			processes = append(processes, ServedProcess{Name: name, Zone: last.zone, Known: last.known, Age: age})
+		}
+	}
+	return processes
+}
+
+// count returns how many processes have polled within countedWithin. It looks at all of them.
+func (p *pollers) count(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	counted := 0
+	for _, last := range p.last {
+		if now.Sub(last.at) <= countedWithin {
+			counted++
+		}
+	}
+	return counted
 }
 
 // forgetOldest makes room for one more process. The mutex must be held.
@@ -88,7 +144,7 @@
 			continue
 		}
 		if revision, follows := last.known[kind]; follows {
-			found = append(found, Poller{Name: name, Zone: last.zone, Known: revision, Age: age})
+			found = append(found, Poller{Name: name, Zone: last.zone, Known: revision, Age: age, Relay: last.relay})
 		}
 	}
 	slices.SortFunc(found, func(a, b Poller) int { return cmp.Compare(a.Name, b.Name) })
@@ -100,6 +156,9 @@
 	h.pollers.note(peer, request.Known, boottime.Now())
 }
 
+// Processes returns how many processes this hub and its relays have answered lately. It looks at each of them.
+func (h *Hub) Processes() int { return h.pollers.count(boottime.Now()) }
+
 // Spread shows which processes hold the newest content of a kind. What a process receives with a poll counts from its next poll on.
 func (h *Hub) Spread(kind string) Spread {
 	spread := Spread{Pollers: h.pollers.of(kind, boottime.Now())}
--- a/internal/storerelay/pollers_test.go
+++ b/internal/storerelay/pollers_test.go
@@ -47,12 +47,12 @@
 			So(hub.Spread(kind).Revision, ShouldEqual, 9)
 		})
 		Convey("It remembers a bounded number of processes, the last ones", func() {
-			for n := range 2000 {
+			for n := range 6000 {
 				hub.NotePoll(rpc.Peer{Name: fmt.Sprintf("p-%04d", n)}, pollOf(5))
 			}
 			found := hub.Spread(kind).Pollers
-			So(found, ShouldHaveLength, 1024)
-			So(found[len(found)-1].Name, ShouldEqual, "p-1999")
+			So(found, ShouldHaveLength, 4096)
+			So(found[len(found)-1].Name, ShouldEqual, "p-5999")
 		})
 	})
 }
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -7,6 +7,11 @@
 // A change that makes no difference to those who poll, such as the weight versions of an engine, is not told to them: the copy of
 // a Client may differ from the store in what its hub's essence leaves out.
 //
+// A hub answers a bounded number of processes for the coordinating process (HubParams.MaxDirect). It sends the others to the processes that may
+// coordinate: those follow the coordinating process's hub when they are asked to (Relay) and answer for it. What the coordinating process sends,
+// and the connections that it holds, then grow with the relays and not with the processes. Each answer tells as of when it is known to be true, so
+// that a relay adds its own delay and no more.
+//
 // A hub whose process does not coordinate tells callers who does, as far as it knows, so that hundreds of clients that look for the
 // coordinating process ask the other candidates and not the store.
 //
@@ -63,6 +68,9 @@
 	startPatience = time.Second
 	// startJitter spreads over time the clients that turn to the store at their start.
 	startJitter = time.Second
+	// crowdedPatience stands in for startPatience once a hub has said that the fleet is large: relays need the coordinating process's list first,
+	// and hundreds of whole lists read beside it would use up the store's rate.
+	crowdedPatience = 8 * time.Second
 	// guideWait is how long a poll waits, in a hub whose process does not coordinate, for news of who does.
 	guideWait = 400 * time.Millisecond
 	// retryPause is the pause between two polls while no hub answers.
@@ -70,8 +78,10 @@
 	// quarantineGather is how long news of requests under which engines have ended are gathered: one end is news of each request that the
 	// engine ran, and each of those that ends well at another is news again. Without it they would come one poll each, from every client.
 	quarantineGather = 50 * time.Millisecond
-	// maxRemovals bounds the removals of a kind that a hub remembers.
+	// maxRemovals and maxChanges bound the removals and the changes of a kind that a hub remembers: a poller that missed more is told the whole list,
+	// which then is not much longer.
 	maxRemovals = 1024
+	maxChanges  = 4096
 )
 
 // followMargin is what a client needs, once its patience is over, to learn from the store what it missed.
@@ -91,6 +101,21 @@
 	Quarantine quarantine.Cursor
 	// Wait bounds how long the hub waits for a change.
 	Wait time.Duration
+	// Relay is true if the caller asks in order to answer for the coordinating process, which always answers such a caller.
+	Relay bool
+	// Relayed is true if the caller was sent away by the coordinating process and asks another process to answer for it.
+	Relayed bool
+	// Served are the processes that a Relay answers; it leaves them out of most polls.
+	Served []ServedProcess
+}
+
+// ServedProcess is a process that a relay answers.
+type ServedProcess struct {
+	Name, Zone string
+	// Known is up to which revision the process knew each kind when it last polled.
+	Known map[string]metastore.Revision
+	// Age is how long before the relay's poll that was.
+	Age time.Duration
 }
 
 // PollReply answers a PollRequest.
@@ -107,6 +132,15 @@
 	Candidates []string
 	// Age is for how long the hub has not heard from the store of one of the kinds that were asked for, the longest of them.
 	Age time.Duration
+	// Held is how long the poll waited before it was answered. The answer is true as of Age before its end.
+	Held time.Duration
+	// Redirect is true if the coordinating process answers no more processes: the caller is to ask one of the Candidates to relay.
+	Redirect bool
+	// Crowded is true if more processes ask the hub than a coordinating process answers by itself. A caller that knows nothing yet then leaves
+	// the time of a start of the whole fleet to hubs, rather than read whole lists from the store beside all others.
+	Crowded bool
+	// WorkerShare is the share of the gateways that the coordinating process has run batch items, from 0 to 1; zero means all.
+	WorkerShare float64
 }
 
 // Change is what changed of a kind up to a revision.
@@ -126,8 +160,7 @@
 // Register makes a server answer polls of the hub.
 func Register(server *rpc.Server, hub *Hub) {
 	rpc.Handle(server, func(ctx context.Context, peer rpc.Peer, request PollRequest) (PollReply, error) {
-		hub.NotePoll(peer, request)
-		return hub.Poll(ctx, request), nil
+		return hub.Answer(ctx, peer, request), nil
 	})
 }
 
