batchrun: a look costs what its items need, not what the service has

Cause: each look of the scheduler went through all engines of a service for each model (E x models), 1.1 ms at 610 engines and three models.

Change: a service with more than some hundred engines is looked at through those with the newest weights and a stable share of the others; all of it when none of those can take an item.

--- a/internal/batchrun/candidates.go
+++ b/internal/batchrun/candidates.go
@@ -38,6 +38,9 @@
 	// byVersion groups them by the model's weight version.
 	byVersion map[int64]*candidateGroup
 	byID      map[string]*candidate
+	// key is the pool's, and whole is true if all permitted engines were looked at.
+	key   poolKey
+	whole bool
 	// best is the least pause between events of any of them.
 	best time.Duration
 }
@@ -66,11 +69,15 @@
 	return &look{runner: r, view: view, now: r.now(), pools: make(map[poolKey]*pool)}
 }
 
-// poolOf returns the pool of an item: the permitted engines with room of the service that its route picks.
+// poolOf returns the pool of an item: permitted engines with room of the service that its route picks.
 func (l *look) poolOf(route *routing.Route, it *item) *pool {
+	return l.pool(route.Pick(draw(it.ID)), it.job.Model, l.residencyOf(route, it))
+}
+
+func (l *look) residencyOf(route *routing.Route, it *item) placement.Residency {
 	residency := placement.ResidencyOf(l.view.Routes, route, it.job.Tenant)
 	residency.Accepted = it.job.Regions
-	return l.pool(route.Pick(draw(it.ID)), it.job.Model, residency)
+	return residency
 }
 
 // pool returns the engines of a service with room for a model's items, as far as the placement filter permits them for items of the
@@ -80,9 +87,28 @@
 	if known, ok := l.pools[key]; ok {
 		return known
 	}
-	made := &pool{byVersion: make(map[int64]*candidateGroup), byID: make(map[string]*candidate)}
+	permitted := placement.NewFilter(l.view, residency).Engines(service)
+	engines, whole := l.runner.focused(l.view, key, permitted)
+	made := l.newPool(key, engines)
+	made.whole = whole
+	return made
+}
+
+// widened returns the pool of all permitted engines in place of one that has none for an item, or nil if that was looked at lately or is the same.
+func (l *look) widened(narrow *pool, residency placement.Residency) *pool {
+	if narrow.whole || !l.runner.mayWiden(narrow.key, l.now) {
+		return nil
+	}
+	wide := l.newPool(narrow.key, placement.NewFilter(l.view, residency).Engines(narrow.key.service))
+	wide.whole = true
+	return wide
+}
+
+// newPool makes the pool of those of the engines that have room.
+func (l *look) newPool(key poolKey, engines []*fleet.Engine) *pool {
+	made := &pool{byVersion: make(map[int64]*candidateGroup), byID: make(map[string]*candidate), key: key}
 	l.pools[key] = made
-	for _, engine := range placement.NewFilter(l.view, residency).Engines(service) {
+	for _, engine := range engines {
 		record := l.runner.engine(engine.ID)
 		slots := engine.Slots
 		if slots <= 0 {
@@ -95,7 +121,7 @@
 			engine:  engine,
 			record:  record,
 			slots:   slots,
-			version: record.version(engine, model, l.now),
+			version: record.version(engine, key.model, l.now),
 			cost:    record.cost(slots, "", l.now),
 		})
 	}
@@ -139,6 +165,17 @@
 // weights are of the least version or newer.
 func (l *look) choose(route *routing.Route, it *item, least int64) (best *candidate, bestCost float64) {
 	from := l.poolOf(route, it)
+	if best, bestCost = l.chooseFrom(from, route, it, least); best != nil {
+		return best, bestCost
+	}
+	if wide := l.widened(from, l.residencyOf(route, it)); wide != nil {
+		return l.chooseFrom(wide, route, it, least)
+	}
+	return nil, 0
+}
+
+// chooseFrom is choose for the engines of one pool.
+func (l *look) chooseFrom(from *pool, route *routing.Route, it *item, least int64) (best *candidate, bestCost float64) {
 	for version, group := range from.byVersion {
 		if group.cheapest.Len() == 0 || version < least || !allows(route, it, version) {
 			continue
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -101,6 +101,8 @@
 	detached map[string]*run
 	// returnOffsets is, by model, by how much the last job in which items came again demanded newer weights than their first.
 	returnOffsets map[string]int64
+	// focus holds the engines among which items are placed.
+	focus focus
 	// emptying holds the evacuated zones, in which runs are ended.
 	emptying emptyingZones
 	// kept is what ended jobs have left of items that may come again.
@@ -130,7 +132,7 @@
 		params.MaxEndedBytes = DefaultMaxEndedBytes
 	}
 	executor := &itemwork.Executor{State: params.State, Transport: params.Transport, Forwarder: params.Forwarder, Guard: params.Guard}
-	return &Runner{Params: params, now: time.Now, executor: executor, wake: make(chan struct{}, 1)}
+	return &Runner{Params: params, now: time.Now, executor: executor, wake: make(chan struct{}, 1), focus: newFocus()}
 }
 
 // add begins to run a job. The mutex must be held and the term last.
@@ -174,6 +176,7 @@
 		return
 	}
 	r.engine(engineID).noteVersion(model, version, r.now())
+	r.noteFocus(engineID, model)
 	r.poke()
 }
 
--- a/internal/batchrun/term.go
+++ b/internal/batchrun/term.go
@@ -68,6 +68,7 @@
 	r.holders = make(map[string][]string)
 	r.lengths, r.usual = newLengthModel(), usualPause{}
 	r.emptying = emptyingZones{}
+	r.focus = newFocus()
 }
 
 // awaitAdoption delays the items of an earlier term, so that workers which still run them can report first. The mutex must be held.
