rpc: connections that carry no call are closed

Cause: a client kept a connection to each process that it had ever called, so that the coordinator's connections and their memory grew with the gateways, whatever relays answer.

Change: a connection without a call for 20 s is closed; a call that meets the closing opens another.

--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"net"
@@ -25,6 +26,8 @@
 type Client struct {
 	// MaxFrameBytes bounds a frame; zero means DefaultMaxFrameBytes.
 	MaxFrameBytes int
+	// IdleTime is how long a connection may carry no call before it is closed; zero means 20 s.
+	IdleTime time.Duration
 	// Observer may be nil.
 	Observer Observer
 
@@ -40,6 +43,8 @@
 	// retired are the links that no new call uses and that have not failed yet.
 	retired map[*link]struct{}
 	closed  bool
+	// sweptAt is when idle connections were last looked for.
+	sweptAt time.Time
 	running sync.WaitGroup // grows only while not closed
 }
 
@@ -66,6 +71,16 @@
 // for a frame is ErrNotSent and ErrFrameTooLarge. Call returns soon after ctx ends; the one call that is writing to a peer
 // that does not read may take two seconds longer.
 func Call[Req, Resp any](ctx context.Context, c *Client, address string, request Req) (Resp, error) {
+	c.closeIdle(time.Now())
+	response, err := callOnce[Req, Resp](ctx, c, address, request)
+	if errors.Is(err, errIdle) && errors.Is(err, ErrNotSent) {
+		// The connection was closed between being chosen and being used.
+		return callOnce[Req, Resp](ctx, c, address, request)
+	}
+	return response, err
+}
+
+func callOnce[Req, Resp any](ctx context.Context, c *Client, address string, request Req) (Resp, error) {
 	var response Resp
 	l, err := c.link(ctx, address)
 	if err != nil {
--- a/internal/rpc/link.go
+++ b/internal/rpc/link.go
@@ -32,6 +32,8 @@
 	nextID  uint64
 	pending map[uint64]*call
 	failed  error
+	// used is when the last call began.
+	used time.Time
 	// heard is when a reply last arrived, and retired is true once no new call uses the link.
 	heard   time.Time
 	retired bool
@@ -176,6 +178,7 @@
 		return 0, nil, errSilent
 	}
 	l.nextID++
+	l.used = time.Now()
 	waiting := &call{method: method, response: response, done: make(chan error, 1)}
 	l.pending[l.nextID] = waiting
 	return l.nextID, waiting, nil
