forward: a first try is chosen among few engines of a large service

Change: of more than 256 engines those used lately and 32 at random are looked at for the first send of a request while the service is well; all of them otherwise.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -241,11 +241,14 @@
 			return j.giveUp(ReasonCallerLeft, true)
 		}
 		permitted := j.permitted()
-		candidates := j.candidates(permitted)
-		if len(candidates) == 0 {
-			return j.giveUp(j.reasonNoEngine(), false)
+		turn := j.firstTry(permitted)
+		if turn.engine == nil {
+			candidates := j.candidates(permitted)
+			if len(candidates) == 0 {
+				return j.giveUp(j.reasonNoEngine(), false)
+			}
+			turn = j.nextTurn(ctx, candidates)
 		}
-		turn := j.nextTurn(ctx, candidates)
 		if turn.refusal != "" {
 			return j.giveUp(turn.refusal, false)
 		}
--- a/internal/forward/picker.go
+++ b/internal/forward/picker.go
@@ -46,6 +46,7 @@
 	now     func() time.Time
 	mu      sync.Mutex
 	records map[string]*engineRecord
+	recent  recentEngines
 	swept   time.Time
 }
 
@@ -84,6 +85,7 @@
 		record.inFlight++
 		record.connections = max(record.connections, record.inFlight)
 		record.used = now
+		p.recent.note(best.ID)
 	}
 	return best
 }
--- a/internal/forward/turn.go
+++ b/internal/forward/turn.go
@@ -39,6 +39,20 @@
 	return refusing
 }
 
+// firstTry chooses among few engines of a large service, for the first send of a request while the service is well. It returns the zero turn if that is
+// not the case, or if none of them is warm and open: all engines are looked at then, so that a subset is never why a request waits or is refused.
+func (j *job) firstTry(permitted []*fleet.Engine) turn {
+	if len(permitted) <= wholeService || len(j.tried) > 0 || j.route.MaxAttempts < 1 || j.isRetry() || j.begun() {
+		return turn{}
+	}
+	warm, _ := j.split(j.picker.Few(permitted))
+	load, open := j.waiting.notFull(j.service, warm)
+	if load != LoadWell || len(open) == 0 {
+		return turn{}
+	}
+	return j.sendTo(open)
+}
+
 // nextTurn chooses one of the candidates, and waits first if the service is full.
 func (j *job) nextTurn(ctx context.Context, candidates []*fleet.Engine) turn {
 	warm, cold := j.split(candidates)
