--- a/internal/coldstart/warmth.go
+++ b/internal/coldstart/warmth.go
@@ -128,6 +128,19 @@
 	return routes.Services[name]
 }
 
+// anyColdService reports whether engines of any service may be cold.
+func anyColdService(routes *routing.Table) bool {
+	if routes == nil {
+		return false
+	}
+	for _, service := range routes.Services {
+		if service.ColdRate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // observe updates the records from the newest view, unless that was done. It reads the view under the mutex: an older view observed after a newer one
 // would make a zone seem restored.
 func (w *Warmth) observe() {
@@ -140,6 +153,11 @@
 	now := w.now()
 	services := make(map[string]struct{})
 	restored := w.restored(view.Evacuations)
+	if !anyColdService(view.Routes) && len(w.engines) == 0 {
+		// Nothing to look at in any engine.
+		w.seen.Store(view)
+		return
+	}
 	for _, engine := range view.Engines {
 		service := coldService(view.Routes, engine.Service)
 		if service.ColdRate == 0 {
--- a/internal/itemwork/desk.go
+++ b/internal/itemwork/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -88,7 +89,10 @@
 }
 
 // key names a start of a worker.
-func (w WorkerID) key() string { return w.Name + "/" + w.Instance }
+func (w WorkerID) key() string { return w.Name + keySeparator + w.Instance }
+
+// keySeparator occurs in no Instance.
+const keySeparator = "/"
 
 // NewDesk returns a Desk that leads nothing.
 func NewDesk(logger log.Logger) *Desk { return &Desk{logger: logger} }
@@ -266,10 +270,10 @@
 func (d *Desk) tell(worker string, order Order) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, known := range d.workers {
-		if known.key() == worker {
-			d.add(known, order)
-		}
+	// Not a look at each worker: a step's end cancels and releases a run of each item.
+	name := worker[:max(strings.LastIndex(worker, keySeparator), 0)]
+	if known, ok := d.workers[name]; ok && known.key() == worker {
+		d.add(known, order)
 	}
 }
 
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -439,11 +439,25 @@
 		// The first poll only asks whether the hub is of use. One that is not may still wait for news of who coordinates.
 		request.Wait = time.Millisecond
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(request.Wait, guideWait)+pollMargin)
+	margin := pollMargin
+	if (relay || c.Relay) && c.knowsNothing() {
+		margin = listMargin
+	}
+	ctx, cancel := context.WithTimeout(ctx, max(request.Wait, guideWait)+margin)
 	defer cancel()
 	return c.Poll(ctx, address, request)
 }
 
+// knowsNothing reports whether a kind beside the lease is unknown.
+func (c *Client) knowsNothing() bool {
+	for kind, followed := range c.subscriptions() {
+		if kind != c.Lease && !followed.known() {
+			return true
+		}
+	}
+	return false
+}
+
 // learnQuarantine takes in what is new in a hub's table.
 func (c *Client) learnQuarantine(news quarantine.News) {
 	if c.Quarantine == nil || news.Cursor == (quarantine.Cursor{}) {
