fleetnode, zonestatus: relays, their age and whom they answer are shown

Metrics polling_processes, polls_redirected_total, relaying, config_confirmed_age_seconds; covelinkctl zones list at the coordinating process names the relays.

--- a/internal/ctl/zones.go
+++ b/internal/ctl/zones.go
@@ -122,6 +122,10 @@
 	if unnamed := list.Progress.Polling - list.Progress.Holding - len(list.Progress.Behind); unnamed > 0 {
 		lines += fmt.Sprintf("not yet at %d more\n", unnamed)
 	}
+	for _, relay := range list.Progress.Relays {
+		lines += fmt.Sprintf("relay %s answers %d processes, %d with the newest configuration, polled %s ago\n", relay.Name, relay.Processes, relay.Holding,
+			time.Duration(relay.PolledMillis)*time.Millisecond)
+	}
 	return lines
 }
 
--- a/internal/ctl/zones_test.go
+++ b/internal/ctl/zones_test.go
@@ -84,6 +84,12 @@
 			status.SetSource(elsewhere)
 			So(zones("list").out, ShouldContainSubstring, "; storage-1 (10.0.0.1:7720) coordinates\n")
 		})
+		Convey("list of the coordinating process shows who answers others for it", func() {
+			status.SetSource(zonestatus.Source{Spread: store.progress, Relays: func() []storerelay.RelayStatus {
+				return []storerelay.RelayStatus{{Name: "storage-2", Processes: 58, Holding: 57, Age: 20 * time.Millisecond}}
+			}})
+			So(zones("list").out, ShouldContainSubstring, "relay storage-2 answers 58 processes, 57 with the newest configuration, polled 20ms ago\n")
+		})
 		Convey("evacuate and restore say what was written", func() {
 			So(zones("evacuate", "zone-b"), ShouldResemble, result{out: "zone zone-b evacuated at revision 7\n"})
 			So(zones("list").out, ShouldContainSubstring, "zone-b  south   0      0     1        revision 7\n")
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -119,6 +119,7 @@
 	Warmth    *coldstart.Warmth
 	Grants    *coldstart.Keeper
 	Metrics   *metrics
+	Registry  *prometheus.Registry
 	Calls     *rpc.Client
 	Tasks     *tasks
 }
@@ -174,6 +175,7 @@
 	c.elector = election.New(params)
 	c.hub = c.newHub()
 	c.hub.Attach(c.Followers)
+	registerHubMetrics(c.Registry, c.hub)
 	relay := c.newRelay(c.hub)
 	c.Zones.SetSource(c.zoneSource(c.hub))
 	c.Grants.ShownAt = func() time.Time { return c.hub.ShownAt(election.KindLeases) }
@@ -201,7 +203,7 @@
 	return storerelay.NewHub(storerelay.HubParams{
 		Leading:    c.elector.Leading,
 		Essence:    platform.GatewayEssence,
-		Relays:     platform.GatewayFollows,
+		Relayed:    platform.GatewayFollows,
 		Quarantine: c.Held.Table,
 		Lease:      election.KindLeases,
 		Candidates: c.candidates.Addresses,
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -61,8 +61,9 @@
 }
 
 // runStoreRelay polls whoever coordinates.
-func runStoreRelay(hooks fx.Lifecycle, group *tasks, relay *storerelay.Client, watcher *election.Watcher) {
+func runStoreRelay(hooks fx.Lifecycle, group *tasks, relay *storerelay.Client, watcher *election.Watcher, registry *prometheus.Registry) {
 	relay.Coordinator = watcher.Holder
+	registerConfirmedAge(registry, func() time.Time { return relay.ConfirmedAt(platform.KindConfig) })
 	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
 		group.run(relay.Run)
 		return nil
--- a/internal/fleetnode/zones.go
+++ b/internal/fleetnode/zones.go
@@ -38,6 +38,7 @@
 		Spread: func() (storerelay.Spread, bool) {
 			return platform.SpreadOfEvacuations(hub), c.Leading()
 		},
+		Relays: func() []storerelay.RelayStatus { return hub.Relays(platform.KindConfig) },
 	}
 }
 
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -26,8 +27,8 @@
 	// Essence returns what pollers need of an object, such that equal strings mean that nothing has changed for them; nil means the
 	// whole object.
 	Essence func(kind string, object metastore.Object) string
-	// Relays reports whether pollers ask for a kind; nil means for every kind.
-	Relays func(kind string) bool
+	// Relayed reports whether pollers ask for a kind; nil means for every kind.
+	Relayed func(kind string) bool
 	// Lease is the kind that tells who coordinates. It is told also while the process does not coordinate.
 	Lease string
 	// Quarantine is the table that pollers learn from; nil for none.
@@ -50,6 +51,8 @@
 	// direct are the processes that the hub answers while its process coordinates, and guided those that it tells whom to ask.
 	direct, guided recentNames
 	relaying       relaying
+	// redirects counts the polls that were answered by sending the caller to a relay.
+	redirects atomic.Int64
 
 	mu    sync.Mutex
 	kinds map[string]*relayedKind
@@ -186,7 +189,7 @@
 		return 0
 	case kind == h.Lease:
 		return maxLeaseWait
-	case h.Relays != nil && !h.Relays(kind):
+	case h.Relayed != nil && !h.Relayed(kind):
 		return maxOtherWait
 	}
 	return maxWatchWait
@@ -249,7 +252,7 @@
 	switch {
 	case request.Relay:
 		h.pollers.noteServed(peer.Name, request.Served, now)
-	case h.Leading() && h.redirects(peer.Name, now):
+	case h.Leading() && h.sendsAway(peer.Name, now):
 		return h.redirect(request)
 	case request.Relayed:
 		h.relaying.ask(now)
@@ -262,8 +265,14 @@
 	return reply
 }
 
-// redirects reports whether the process that coordinates sends another one to the relays. Those that it answers already stay.
-func (h *Hub) redirects(name string, now time.Time) bool {
+// Redirects returns how many polls were answered by sending the caller to a relay.
+func (h *Hub) Redirects() int64 { return h.redirects.Load() }
+
+// Relaying reports whether the hub answers for the coordinating process.
+func (h *Hub) Relaying() bool { return h.relaying.on() }
+
+// sendsAway reports whether the process that coordinates sends another one to the relays. Those that it answers already stay.
+func (h *Hub) sendsAway(name string, now time.Time) bool {
 	if h.MaxDirect <= 0 || len(h.Candidates()) == 0 {
 		return false
 	}
@@ -272,6 +281,7 @@
 
 // redirect answers a process that is to ask a relay.
 func (h *Hub) redirect(request PollRequest) PollReply {
+	h.redirects.Add(1)
 	reply := PollReply{Redirect: true, Crowded: true, Candidates: h.Candidates()}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/storerelay/pollers.go
+++ b/internal/storerelay/pollers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -151,6 +152,46 @@
 	return found
 }
 
+// RelayStatus is a process that answers others for the coordinating process.
+type RelayStatus struct {
+	Name string
+	// Processes is how many it has answered lately, and Holding how many of those held the newest content of a kind when they last polled.
+	Processes, Holding int
+	// Age is how long ago the relay last polled.
+	Age time.Duration
+}
+
+// relays returns the processes that answer others, with how many of those hold a kind up to a revision, sorted by name.
+func (p *pollers) relays(kind string, revision metastore.Revision, now time.Time) []RelayStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := make(map[string]RelayStatus)
+	for _, last := range p.last {
+		if last.relay == "" || now.Sub(last.at) > countedWithin {
+			continue
+		}
+		status := found[last.relay]
+		status.Name, status.Age = last.relay, now.Sub(p.last[last.relay].at)
+		status.Processes++
+		if last.known[kind] >= revision {
+			status.Holding++
+		}
+		found[last.relay] = status
+	}
+	return slices.SortedFunc(maps.Values(found), func(a, b RelayStatus) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// Relays returns the processes that answer others for this one, and how many of those hold the newest content of a kind.
+func (h *Hub) Relays(kind string) []RelayStatus {
+	h.mu.Lock()
+	revision := metastore.Revision(0)
+	if known, ok := h.kinds[kind]; ok {
+		revision = known.contentRevision
+	}
+	h.mu.Unlock()
+	return h.pollers.relays(kind, revision, boottime.Now())
+}
+
 // NotePoll records which process has polled, and which revisions it held.
 func (h *Hub) NotePoll(peer rpc.Peer, request PollRequest) {
 	h.pollers.note(peer, request.Known, boottime.Now())
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -238,6 +238,7 @@
 				if whole := leader.whole.Load(); whole > 8+crowdDirect+1 {
 					t.Errorf("the coordinating process sent %d whole lists", whole)
 				}
+				c.shouldShowRelays(t, gateways)
 				before := leader.answers.Load()
 				c.put("a", kind, "two")
 				time.Sleep(100 * time.Millisecond)
@@ -260,6 +261,27 @@
 	}
 }
 
+// shouldShowRelays checks that the coordinating process knows how many processes there are, and by which relay each is answered.
+func (c *crowd) shouldShowRelays(t *testing.T, gateways int) {
+	t.Helper()
+	hub := c.leader.Load().hub
+	relays := hub.Relays(kind)
+	if processes := hub.Processes(); processes != gateways+len(relays) {
+		t.Errorf("%d processes are counted for %d gateways and %d relays", processes, gateways, len(relays))
+	}
+	answered, holding := 0, 0
+	for _, relay := range relays {
+		answered += relay.Processes
+		holding += relay.Holding
+	}
+	if answered != gateways-crowdDirect || holding != answered {
+		t.Errorf("relays answer %d of %d gateways, of which %d hold the newest content", answered, gateways, holding)
+	}
+	if spread := hub.Spread(kind); len(spread.Pollers) != gateways+len(relays) {
+		t.Errorf("the spread names %d processes", len(spread.Pollers))
+	}
+}
+
 // A lost relay costs its callers a question to another one, and no call to the store.
 func TestLostRelays(t *testing.T) {
 	playCrowd(t, 6, 60, func(t *testing.T, c *crowd) {
--- a/internal/zonestatus/handler.go
+++ b/internal/zonestatus/handler.go
@@ -62,6 +62,8 @@
 	Coordinator func() Coordinator
 	// Spread returns which processes know the newest evacuations; false while the process does not coordinate. Nil if it never does.
 	Spread func() (storerelay.Spread, bool)
+	// Relays returns the processes that answer others while this one coordinates; nil if it never does.
+	Relays func() []storerelay.RelayStatus
 }
 
 // Status answers operators' requests about zones. It is safe for concurrent use.
@@ -99,6 +101,9 @@
 	}
 	if spread, leading := source.Spread(); leading {
 		list.Progress = progressOf(spread)
+		if source.Relays != nil {
+			list.Progress.Relays = relaysOf(source.Relays())
+		}
 	}
 	return list
 }
@@ -117,6 +122,14 @@
 	return progress
 }
 
+func relaysOf(statuses []storerelay.RelayStatus) []Relay {
+	relays := make([]Relay, 0, len(statuses))
+	for _, status := range statuses {
+		relays = append(relays, Relay{Name: status.Name, Processes: status.Processes, Holding: status.Holding, PolledMillis: status.Age.Milliseconds()})
+	}
+	return relays
+}
+
 // Handle registers the paths with a server.
 func (s *Status) Handle(routes *http.ServeMux) {
 	routes.HandleFunc("GET "+ListPath, func(w http.ResponseWriter, _ *http.Request) { answer(w, s.List()) })
--- a/internal/zonestatus/zonestatus.go
+++ b/internal/zonestatus/zonestatus.go
@@ -58,6 +58,18 @@
 	Polling int `json:"polling"`
 	// Behind are the processes that do not, at most maxBehind of them, sorted by name.
 	Behind []Behind `json:"behind"`
+	// Relays are the processes that answer others for the coordinating one, sorted by name.
+	Relays []Relay `json:"relays,omitempty"`
+}
+
+// Relay is a process that answers others for the coordinating process.
+type Relay struct {
+	Name string `json:"name"`
+	// Processes counts those that it answers, and Holding those of them that hold the newest configuration.
+	Processes int `json:"processes"`
+	Holding   int `json:"holding"`
+	// PolledMillis is how long ago the relay last polled the coordinating process, in milliseconds.
+	PolledMillis int64 `json:"polledMillis"`
 }
 
 // Behind is a process that did not know the newest evacuations when it last polled.
