platform, storerelay: a heartbeat of an engine is not read

Change: two states of an entry that differ in the count of heartbeats alone are found alike by their bytes; lists and views without another change stay the same ones, and wake nobody.

--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -156,6 +156,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.view
+	if sharedmap.Same(before.Engines, engines) && before.ready != nil {
+		return
+	}
 	next := *before
 	next.Engines = engines
 	lists := newReadyLists(before.ready)
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -203,6 +203,7 @@
 	return storerelay.NewHub(storerelay.HubParams{
 		Leading:    c.elector.Leading,
 		Essence:    platform.GatewayEssence,
+		Alike:      platform.GatewayAlike,
 		Relayed:    platform.GatewayFollows,
 		Quarantine: c.Held.Table,
 		Lease:      election.KindLeases,
--- a/internal/sharedmap/sharedmap.go
+++ b/internal/sharedmap/sharedmap.go
@@ -106,7 +106,7 @@
 
 // Edit returns an Editor of a copy of the map.
 func (m Map[V]) Edit() *Editor[V] {
-	edit := &Editor[V]{size: m.size, owned: make(map[int]struct{})}
+	edit := &Editor[V]{from: m, size: m.size, owned: make(map[int]struct{})}
 	if m.shards != nil {
 		edit.shards = *m.shards
 	}
@@ -115,6 +115,7 @@
 
 // Editor changes a copy of a Map. It is not safe for concurrent use, and is of no more use after Map.
 type Editor[V any] struct {
+	from   Map[V]
 	shards [shardCount]*shard[V]
 	size   int
 	// owned are the parts that belong to this copy alone.
@@ -154,5 +155,10 @@
 	e.size--
 }
 
-// Map returns the changed copy.
-func (e *Editor[V]) Map() Map[V] { return Map[V]{shards: &e.shards, size: e.size} }
+// Map returns the changed copy, or the map itself if nothing was set or deleted.
+func (e *Editor[V]) Map() Map[V] {
+	if len(e.owned) == 0 {
+		return e.from
+	}
+	return Map[V]{shards: &e.shards, size: e.size}
+}
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -27,6 +27,9 @@
 	// Essence returns what pollers need of an object, such that equal strings mean that nothing has changed for them; nil means the
 	// whole object.
 	Essence func(kind string, object metastore.Object) string
+	// Alike reports, from two states of an object, that Essence is the same for both; it may say false for any. It spares the Essence of each object
+	// whose change is known to be none for pollers, such as a heartbeat. Nil for none.
+	Alike func(kind string, before, after metastore.Object) bool
 	// Relayed reports whether pollers ask for a kind; nil means for every kind.
 	Relayed func(kind string) bool
 	// Lease is the kind that tells who coordinates. It is told also while the process does not coordinate.
@@ -131,7 +134,7 @@
 	}
 	differs := !ok
 	if !sharedmap.Same(known.snapshot.Objects, snapshot.Objects) {
-		differs = known.noteDifference(snapshot, func(object metastore.Object) string { return h.Essence(kind, object) }) || differs
+		differs = h.noteDifference(kind, known, snapshot) || differs
 	}
 	if differs {
 		known.contentRevision = snapshot.Revision
@@ -195,15 +198,21 @@
 	return maxWatchWait
 }
 
-// noteDifference takes in which objects the next snapshot changes and which it lacks. It reports whether that makes a difference to pollers.
-func (k *relayedKind) noteDifference(next metastore.Snapshot, essence func(metastore.Object) string) bool {
+// noteDifference takes in which objects of a kind the next snapshot changes and which it lacks. It reports whether that makes a difference to pollers.
+// The mutex must be held.
+func (h *Hub) noteDifference(kind string, k *relayedKind, next metastore.Snapshot) bool {
 	var changed, removed []noted
 	sharedmap.Diff(k.snapshot.Objects, next.Objects, func(name string, object metastore.Object) {
 		known, ok := k.entries[name]
 		if ok && known.seen == object.Revision {
 			return
 		}
-		now := entry{seen: object.Revision, changed: known.changed, essence: essence(object)}
+		if before, listed := k.snapshot.Objects.Get(name); ok && listed && h.Alike != nil && h.Alike(kind, before, object) {
+			known.seen = object.Revision
+			k.entries[name] = known
+			return
+		}
+		now := entry{seen: object.Revision, changed: known.changed, essence: h.Essence(kind, object)}
 		if !ok || now.essence != known.essence {
 			now.changed = object.Revision
 			changed = append(changed, noted{name: name, revision: object.Revision})
