storerelay, fleetnode: many changes are encoded once, a new term keeps the share of workers

Change: a change of 16 objects or more is packed once for all who lack it; processes that were sent away count; a term begins with the share that the last one told.

TestManyChangesAreEncodedOnce.

--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -315,14 +315,21 @@
 // gateways that run the first of them take the others meanwhile.
 const shareInterval = 500 * time.Millisecond
 
+// shareSettled is how long after the begin of a term the share of the term before is kept, if it is known: relays tell whom they answer each 2 s, and
+// until then all gateways would be called, which is a connection, a call that waits and a line of each.
+const shareSettled = 3 * time.Second
+
 // shareWorkers decides how many gateways run items until ctx ends.
 func (c *coordinator) shareWorkers(ctx context.Context) {
 	var need itemwork.Need
 	logger := telemetry.For(c.Logger, telemetry.PartBatch)
-	told := 0.0
+	began, learned, told := boottime.Now(), c.hub.LearnedWorkerShare(), 0.0
 	for ctx.Err() == nil {
 		open, processes := c.Runner.OpenItems(), c.hub.Processes()
 		share := need.Share(open, processes, boottime.Now())
+		if learned > 0 && boottime.Since(began) < shareSettled {
+			share = learned
+		}
 		c.workerShare.Store(math.Float64bits(share))
 		if math.Abs(share-told) > shareLogged {
 			level.Info(logger).Log("msg", "share of workers changed", "share", share, "processes", processes, "open_items", open)
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -51,8 +51,9 @@
 type Hub struct {
 	HubParams
 	pollers pollers
-	// direct are the processes that the hub answers while its process coordinates, and guided those that it tells whom to ask.
-	direct, guided recentNames
+	// direct are the processes that the hub answers while its process coordinates, sentAway those that it sends to relays, and guided those that it
+	// tells who coordinates.
+	direct, sentAway, guided recentNames
 	relaying       relaying
 	// redirects counts the polls that were answered by sending the caller to a relay.
 	redirects atomic.Int64
@@ -83,8 +84,17 @@
 	// may be older.
 	packed         []byte
 	packedRevision metastore.Revision
+	// packedChange are the objects that changed from a revision of changes on, encoded once for the pollers that lack just those: nearly all do.
+	packedChange     []byte
+	packedChangeSpan revisionSpan
 }
 
+// revisionSpan names a run of changes by the revisions of its first and of the content that it leads to.
+type revisionSpan struct{ first, last metastore.Revision }
+
+// packFrom is the least number of changed objects that are encoded once for all who ask: fewer are cheaper to tell one by one.
+const packFrom = 16
+
 // entry is what pollers need of an object.
 type entry struct {
 	// seen is the object's revision that it was made of, and changed the one in which it last became another.
@@ -262,6 +272,7 @@
 	case request.Relay:
 		h.pollers.noteServed(peer.Name, request.Served, now)
 	case h.Leading() && h.sendsAway(peer.Name, now):
+		h.sentAway.note(peer.Name, now)
 		return h.redirect(request)
 	case request.Relayed:
 		h.relaying.ask(now)
@@ -277,6 +288,13 @@
 // Redirects returns how many polls were answered by sending the caller to a relay.
 func (h *Hub) Redirects() int64 { return h.redirects.Load() }
 
+// LearnedWorkerShare returns the WorkerShare that the coordinating process told while this one relayed last; zero if it never did. It stands in for this
+// process's own at the begin of a term, when it does not know yet how many processes there are.
+func (h *Hub) LearnedWorkerShare() float64 {
+	_, share := h.relaying.guidance()
+	return share
+}
+
 // Relaying reports whether the hub answers for the coordinating process.
 func (h *Hub) Relaying() bool { return h.relaying.on() }
 
@@ -416,8 +434,9 @@
 		return h.whole(k, kind)
 	}
 	change := Change{Kind: kind, Revision: k.snapshot.Revision}
-	told := make(map[string]struct{})
-	for _, changed := range after(k.changes, revision) {
+	changes := after(k.changes, revision)
+	told := make(map[string]struct{}, len(changes))
+	for _, changed := range changes {
 		object, listed := k.snapshot.Objects.Get(changed.name)
 		if _, twice := told[changed.name]; twice || !listed {
 			continue
@@ -430,6 +449,24 @@
 			change.Removed = append(change.Removed, removed.name)
 		}
 	}
+	return h.packedOnce(k, change, changes)
+}
+
+// packedOnce returns a change with its objects encoded, once for all who ask for the same ones, if they are many. The mutex must be held.
+func (h *Hub) packedOnce(k *relayedKind, change Change, changes []noted) Change {
+	if len(change.Objects) < packFrom {
+		return change
+	}
+	span := revisionSpan{first: changes[0].revision, last: k.contentRevision}
+	if span != k.packedChangeSpan {
+		packed, err := pack(change.Objects)
+		if err != nil {
+			level.Error(h.Logger).Log("msg", "change not compressed, told object by object", "kind", change.Kind, "objects", len(change.Objects), "err", err)
+			return change
+		}
+		k.packedChange, k.packedChangeSpan = packed, span
+	}
+	change.Packed, change.Objects = k.packedChange, nil
 	return change
 }
 
--- a/internal/storerelay/pollers.go
+++ b/internal/storerelay/pollers.go
@@ -197,8 +197,12 @@
 	h.pollers.note(peer, request.Known, boottime.Now())
 }
 
-// Processes returns how many processes this hub and its relays have answered lately. It looks at each of them.
-func (h *Hub) Processes() int { return h.pollers.count(boottime.Now()) }
+// Processes returns how many processes this hub and its relays have answered lately, or how many have asked it, if those are more, as at a start. It
+// looks at each of them.
+func (h *Hub) Processes() int {
+	now := boottime.Now()
+	return max(h.pollers.count(now), h.direct.count(now)+h.sentAway.count(now))
+}
 
 // Spread shows which processes hold the newest content of a kind. What a process receives with a poll counts from its next poll on.
 func (h *Hub) Spread(kind string) Spread {
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -391,3 +391,24 @@
 		t.Errorf("telling one change of 10,000 objects takes %d ns", took.NsPerOp())
 	}
 }
+
+// 500 engines that start in a second were encoded anew for each poller, and the coordinating process's answers came too late.
+func TestManyChangesAreEncodedOnce(t *testing.T) {
+	hub := storerelay.NewHub(storerelay.HubParams{Leading: func() bool { return true }, Lease: leaseKind})
+	snapshot := metastore.SnapshotOf(10, metastore.Object{Name: "first", Revision: 10})
+	hub.Confirm(kind, snapshot)
+	edit := snapshot.Objects.Edit()
+	for n := range 500 {
+		name := fmt.Sprintf("engine-%05d", n)
+		edit.Set(name, metastore.Object{Name: name, Revision: metastore.Revision(20 + n), Spec: []byte(`"new"`)})
+	}
+	hub.Confirm(kind, metastore.Snapshot{Revision: 600, Objects: edit.Map()})
+	one, other := hub.Poll(t.Context(), pollOf(10)).Changes[0], hub.Poll(t.Context(), pollOf(15)).Changes[0]
+	if len(one.Packed) == 0 || &one.Packed[0] != &other.Packed[0] || len(one.Objects) > 0 {
+		t.Errorf("500 changes were told as %d objects and %d bytes", len(one.Objects), len(one.Packed))
+	}
+	fewer := hub.Poll(t.Context(), pollOf(515)).Changes[0]
+	if len(fewer.Objects) != 4 || len(fewer.Packed) > 0 {
+		t.Errorf("4 changes were told as %d objects and %d bytes", len(fewer.Objects), len(fewer.Packed))
+	}
+}
