--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -54,7 +54,7 @@
 	// direct are the processes that the hub answers while its process coordinates, sentAway those that it sends to relays, and guided those that it
 	// tells who coordinates.
 	direct, sentAway, guided recentNames
-	relaying       relaying
+	relaying                 relaying
 	// redirects counts the polls that were answered by sending the caller to a relay.
 	redirects atomic.Int64
 
