--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -48,7 +48,6 @@
 			configFaultsCommand(streams),
 			plannedStopsCommand(streams),
 			soakCommand(streams),
-			surviveCommand(streams),
 		},
 	}
 	root.Commands = append(root.Commands, traceCommands(streams)...)
