platform, fleet: each start of an engine is an engine of its own

Cause: born was read nowhere; versions held, paces, order numbers, evidence and cold time of an earlier start under the same id were believed of the next.

Change: the ID of an engine is its entry's name and the time of its start, if the entry tells it, and everything is kept by ID; requests and orders name the platform's id.

--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -78,6 +78,7 @@
 	assignment := r.assignment(it, itemwork.Bounds{MinVersion: it.job.MinVersion, SingleVersion: route.SingleVersion})
 	assignment.Engine = itemwork.Target{
 		ID:      engine.ID,
+		Name:    engine.Name,
 		Service: engine.Service,
 		Address: engine.Address,
 		Zone:    engine.Zone,
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -10,9 +11,13 @@
 	"github.com/covelink/covelink/internal/sharedmap"
 )
 
-// Engine is one listed process that executes requests. Each start of it is another Engine with another ID.
+// Engine is one start of a listed process that executes requests. Another start of it is another Engine with another ID, so that nothing that is kept by
+// ID outlives a start: weight versions, paces, order numbers, evidence against it.
 type Engine struct {
-	ID      string
+	// ID identifies the start within the deployment.
+	ID string
+	// Name is what the platform calls the process, if that may start again under the same name; empty if the name is the ID.
+	Name    string
 	Service string
 	// Address is host:port.
 	Address string
@@ -28,6 +33,9 @@
 	ColdRemaining time.Duration
 }
 
+// PlatformName returns what the platform calls the process.
+func (e *Engine) PlatformName() string { return cmp.Or(e.Name, e.ID) }
+
 // View is one state of the deployment. It is not changed once it is handed out.
 type View struct {
 	// Routes is nil until the first table is known.
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -180,7 +180,7 @@
 
 // engine returns the engine of the run.
 func (a *Assignment) engine() *fleet.Engine {
-	return &fleet.Engine{ID: a.Engine.ID, Service: a.Engine.Service, Address: a.Engine.Address, Zone: a.Engine.Zone, Ready: true}
+	return &fleet.Engine{ID: a.Engine.ID, Name: a.Engine.Name, Service: a.Engine.Service, Address: a.Engine.Address, Zone: a.Engine.Zone, Ready: true}
 }
 
 // Fingerprint identifies the item among all that its tenant sends.
--- a/internal/itemwork/itemwork.go
+++ b/internal/itemwork/itemwork.go
@@ -38,7 +38,9 @@
 
 // Target is the engine of a run.
 type Target struct {
-	ID      string
+	ID string
+	// Name is fleet.Engine.Name.
+	Name    string
 	Service string
 	Address string
 	Zone    string
