--- a/internal/forward/picker.go
+++ b/internal/forward/picker.go
@@ -11,10 +11,7 @@
 const (
 	// latencyWeight is the share of the newest sample in the moving average.
 	latencyWeight = 0.2
-	// usualWeight is the share of the newest sample in a service's slow moving average: it must outlast the time in which an engine that turns slow is
-	// noticed, some ten requests.
-	usualWeight = 0.02
-	// assumedLatency stands for engines that have not answered yet, while none of the service's others has either.
+	// assumedLatency stands for engines that have not answered yet.
 	assumedLatency = 30 * time.Millisecond
 	// firstBackoff and maxBackoff bound how long an engine is left aside after failures in a row.
 	firstBackoff = 100 * time.Millisecond
@@ -49,15 +46,13 @@
 	now     func() time.Time
 	mu      sync.Mutex
 	records map[string]*engineRecord
-	// usual is the slow moving average of the latencies of each service's engines.
-	usual  map[string]time.Duration
-	recent recentEngines
-	swept  time.Time
+	recent  recentEngines
+	swept   time.Time
 }
 
 // NewPicker returns a Picker that reads the time from now.
 func NewPicker(now func() time.Time) *Picker {
-	return &Picker{now: now, records: make(map[string]*engineRecord), usual: make(map[string]time.Duration)}
+	return &Picker{now: now, records: make(map[string]*engineRecord)}
 }
 
 // Acquire returns the best engine that allowed takes and counts one request in flight there, until Release. It returns nil if
@@ -76,7 +71,7 @@
 		}
 		record := p.record(engine.ID)
 		aside := record.asideTil.After(now)
-		cost := record.cost(engine, p.usualLatency(engine.Service), now) * (1 + 0.1*rand.Float64())
+		cost := record.cost(engine, now) * (1 + 0.1*rand.Float64())
 		better := best == nil || (bestAside && !aside) || (aside == bestAside && cost < bestCost)
 		if better {
 			best, bestCost, bestAside = engine, cost, aside
@@ -95,29 +90,11 @@
 	return best
 }
 
-// usualLatency returns the slow moving average of a service's latencies. It stands for engines that have not answered yet: a service whose requests take
-// longer than assumedLatency was sent each of them to an engine that had never been tried, over a new connection. The mutex must be held.
-func (p *Picker) usualLatency(service string) time.Duration {
-	if usual, known := p.usual[service]; known {
-		return usual
-	}
-	return assumedLatency
-}
-
-// observeUsual takes a latency into a service's slow moving average. The mutex must be held.
-func (p *Picker) observeUsual(service string, took time.Duration) {
-	usual, known := p.usual[service]
-	if !known {
-		usual = took
-	}
-	p.usual[service] = usual + time.Duration(usualWeight*float64(took-usual))
-}
-
-// cost is the expected time until the engine has executed one more request. assumed is the latency of an engine that has not answered yet.
-func (r *engineRecord) cost(engine *fleet.Engine, assumed time.Duration, now time.Time) float64 {
+// cost is the expected time until the engine has executed one more request.
+func (r *engineRecord) cost(engine *fleet.Engine, now time.Time) float64 {
 	latency := r.latency
 	if latency == 0 {
-		latency = assumed
+		latency = assumedLatency
 	}
 	cost := latency.Seconds() * (1 + float64(r.inFlight)/float64(max(engine.Slots, 1)))
 	if r.disconnected(now) || r.inFlight >= r.connections {
@@ -162,7 +139,6 @@
 		record.answered = now
 		record.asideTil = time.Time{}
 		record.observe(took)
-		p.observeUsual(engine.Service, took)
 	case VerdictBusy:
 		record.asideTil = now.Add(busyBackoff)
 	case VerdictFailed:
