storerelay: gateways of an earlier version, and those whose relays fail, are answered by the coordinator

Cause: a gateway that does not know of relays would have been sent away for ever by a new coordinator; a gateway whose candidates cannot relay (an earlier version) or do not answer had nobody to ask. Found by reading for upgrades. At its start a client that had nobody to follow for yet took the first answer for a relayed one.

Change: callers say whether they may be sent away, not after all relays failed; a relay answers a first question once it is up to date; the first poll waits 20 ms.

--- a/internal/storerelay/candidates.go
+++ b/internal/storerelay/candidates.go
@@ -30,6 +30,8 @@
 	// turn is the position of the relay to ask: a client stays with one that answers, also if that is not its first choice. waited counts the answers of
 	// that relay which were of no use yet.
 	turn, waited int
+	// exhausted is true once all relays were asked in vain: the coordinating process is asked to answer itself then, until there are other relays.
+	exhausted bool
 	// seeds are known from the start, and peers were told by a hub.
 	seeds, peers []string
 	// order is the rotation over both, and next the position in it.
@@ -61,7 +63,7 @@
 	slices.SortFunc(c.relays, func(a, b string) int {
 		return cmp.Compare(rendezvous.Mix(key, rendezvous.Hash(b)), rendezvous.Mix(key, rendezvous.Hash(a)))
 	})
-	c.turn, c.waited = 0, 0
+	c.turn, c.waited, c.exhausted = 0, 0, false
 }
 
 func (c *candidates) shuffle() {
@@ -72,28 +74,37 @@
 	c.next = 0
 }
 
-// choose returns whom to ask next, and whether to ask it to relay; coordinator is the process that is believed to coordinate, or "". It returns "" if
+// manner is how a process is asked.
+type manner struct {
+	// relay is true if it is to answer for the coordinating process.
+	relay bool
+	// mayRedirect is true if it may send the client to a relay.
+	mayRedirect bool
+}
+
+// choose returns whom to ask next, and how; coordinator is the process that is believed to coordinate, or "". It returns "" if
 // nobody is known.
-func (c *candidates) choose(coordinator string) (address string, relay bool) {
+func (c *candidates) choose(coordinator string) (address string, how manner) {
 	if coordinator != c.coordinator {
 		c.coordinator, c.failures = coordinator, 0
 	}
 	if relay := c.relay(coordinator); relay != "" {
-		return relay, true
+		return relay, manner{relay: true, mayRedirect: true}
 	}
-	return c.anyone(coordinator), false
+	return c.anyone(coordinator), manner{mayRedirect: !c.exhausted}
 }
 
 // relay returns the relay to ask next; "" if the client was not sent away, or if all relays were asked in vain: the coordinating process is asked
 // again then, and the relays after it.
 func (c *candidates) relay(coordinator string) string {
-	if !c.redirected {
+	if !c.redirected || c.exhausted {
 		return ""
 	}
 	for c.turn < len(c.relays) && c.relays[c.turn] == coordinator {
 		c.turn++
 	}
 	if c.turn >= len(c.relays) {
+		c.exhausted = len(c.relays) > 0
 		return ""
 	}
 	return c.relays[c.turn]
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -357,14 +357,16 @@
 
 // Run polls the coordinating process, or a relay of it, until ctx ends, and looks for one among the candidates while none answers.
 func (c *Client) Run(ctx context.Context) {
+	// A hub is up to date for a client that asks for nothing: the answer would count as relayed, and the next one as a loss.
+	pause.For(ctx, firstPollPause)
 	known := newCandidates(c.Name, c.Seeds)
 	for ctx.Err() == nil {
 		before := c.Coordinator()
-		address, relay := known.choose(before)
+		address, how := known.choose(before)
 		started := boottime.Now()
 		reply, err := PollReply{}, error(nil)
 		if address != "" {
-			reply, err = c.poll(ctx, address, relay)
+			reply, err = c.poll(ctx, address, how)
 		}
 		if err == nil {
 			err = c.take(reply, known)
@@ -389,12 +391,12 @@
 		if found := c.Coordinator(); found != before && found != "" {
 			continue
 		}
-		if relay {
+		if how.relay {
 			known.relayFailed(err == nil)
 		} else {
 			known.failed(boottime.Since(started))
 		}
-		if !relay || err == nil {
+		if !how.relay || err == nil {
 			// A relay that does not answer is no sign that the next one will not: it is asked at once.
 			pause.For(ctx, retryPause)
 		}
@@ -425,27 +427,31 @@
 	}
 }
 
-// poll asks the hub of the process at an address. relay is true if the process is to answer for the coordinating process.
-func (c *Client) poll(ctx context.Context, address string, relay bool) (PollReply, error) {
-	request := PollRequest{Known: c.known(), Quarantine: c.quarantined, Wait: pollWait, Relay: c.Relay, Relayed: relay}
+// poll asks the hub of the process at an address.
+func (c *Client) poll(ctx context.Context, address string, how manner) (PollReply, error) {
+	request := PollRequest{Known: c.known(), Quarantine: c.quarantined, Wait: pollWait, Relay: c.Relay, Relayed: how.relay, MayRedirect: how.mayRedirect}
 	if c.Served != nil {
 		request.Served = c.Served()
 	}
 	relayed, _ := c.mode()
+	var limit time.Duration
 	switch {
 	case relayed:
-	case relay:
+		limit = request.Wait + pollMargin
+	case how.relay && !c.knowsNothing():
+		// Another relay in place of one that was lost: it has what is asked for, or gets it from the coordinating process meanwhile.
+		request.Wait, request.ReadyWait, limit = time.Millisecond, relayProbe, relayProbe+relayProbeMargin
+	case how.relay:
 		// The relay may have to ask the coordinating process first.
-		request.Wait = guideWait
+		request.Wait, request.ReadyWait, limit = time.Millisecond, guideWait, guideWait+listMargin
 	default:
 		// The first poll only asks whether the hub is of use. One that is not may still wait for news of who coordinates.
-		request.Wait = time.Millisecond
+		request.Wait, limit = time.Millisecond, guideWait+pollMargin
 	}
-	margin := pollMargin
-	if (relay || c.Relay) && c.knowsNothing() {
-		margin = listMargin
+	if c.Relay && c.knowsNothing() {
+		limit = guideWait + listMargin
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(request.Wait, guideWait)+margin)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return c.Poll(ctx, address, request)
 }
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -271,7 +271,7 @@
 	switch {
 	case request.Relay:
 		h.pollers.noteServed(peer.Name, request.Served, now)
-	case h.Leading() && h.sendsAway(peer.Name, now):
+	case h.Leading() && request.MayRedirect && h.sendsAway(peer.Name, now):
 		h.sentAway.note(peer.Name, now)
 		return h.redirect(request)
 	case request.Relayed:
@@ -329,32 +329,50 @@
 	return h.Leading() || (request.Relayed && h.relaying.on())
 }
 
+// await returns what there is to tell as soon as there is something, or once the hub is up to date and the wait is over.
 func (h *Hub) await(ctx context.Context, request PollRequest) PollReply {
-	wait := request.Wait
-	if !h.serves(request) {
-		wait = guideWait
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	for {
+	waits := time.NewTimer(h.waitOf(request))
+	defer waits.Stop()
+	ready := time.NewTimer(request.ReadyWait)
+	defer ready.Stop()
+	for over := false; ; {
 		reply, changed := h.changes(request)
 		news, found := h.found(request.Quarantine)
 		reply.Quarantine = news
-		if len(reply.Changes) > 0 || len(news.Records) > 0 || changed == nil {
+		if len(reply.Changes) > 0 || len(news.Records) > 0 || changed == nil || (over && (reply.Fresh || request.ReadyWait == 0)) {
 			return reply
 		}
 		select {
 		case <-changed:
 		case <-found:
 			pause.For(ctx, quarantineGather)
+		case <-waits.C:
+			over = true
+		case <-ready.C:
+			if request.ReadyWait > 0 {
+				return h.now(request)
+			}
 		case <-ctx.Done():
-			reply, _ = h.changes(request)
-			reply.Quarantine, _ = h.found(request.Quarantine)
-			return reply
+			return h.now(request)
 		}
 	}
 }
 
+// waitOf returns how long a poll waits for a change.
+func (h *Hub) waitOf(request PollRequest) time.Duration {
+	if !h.serves(request) && !request.Relayed {
+		return guideWait
+	}
+	return request.Wait
+}
+
+// now returns what there is to tell without a wait.
+func (h *Hub) now(request PollRequest) PollReply {
+	reply, _ := h.changes(request)
+	reply.Quarantine, _ = h.found(request.Quarantine)
+	return reply
+}
+
 // found returns what is new in the table, and a channel that is closed when there may be more; nil if there is no table.
 func (h *Hub) found(known quarantine.Cursor) (quarantine.News, <-chan struct{}) {
 	if h.Quarantine == nil {
--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -31,6 +31,8 @@
 	name    string
 	leading atomic.Bool
 	cut     atomic.Bool
+	// earlier makes it answer as an earlier version does, which cannot relay.
+	earlier atomic.Bool
 	hub     *storerelay.Hub
 	// answers counts the polls that it answered, and whole the whole lists among them.
 	answers, whole atomic.Int64
@@ -160,6 +162,7 @@
 				return storerelay.PollReply{}, errCut
 			}
 			c.delay()
+			request.Relayed = request.Relayed && !known.earlier.Load()
 			reply := known.hub.Answer(ctx, rpc.Peer{Name: name}, request)
 			c.delay()
 			known.answers.Add(1)
@@ -282,6 +285,28 @@
 	}
 }
 
+// While coordinators are replaced by this version one after the other, the others cannot relay, and gateways of the earlier version cannot be sent away.
+func TestEarlierVersions(t *testing.T) {
+	playCrowd(t, 4, 30, func(t *testing.T, c *crowd) {
+		for _, known := range c.candidates[1:] {
+			known.earlier.Store(true)
+		}
+		time.Sleep(20 * time.Second)
+		c.put("a", kind, "two")
+		time.Sleep(time.Second)
+		if holding := c.holding("two"); holding != len(c.gateways) {
+			t.Errorf("%d of %d gateways hold the change while no other process can relay", holding, len(c.gateways))
+		}
+		leader := c.leader.Load()
+		for n := range 3 * crowdDirect {
+			request := pollOf(0)
+			if reply := leader.hub.Answer(c.ctx, rpc.Peer{Name: fmt.Sprint("earlier-", n)}, request); reply.Redirect || !reply.Fresh {
+				t.Errorf("a gateway of the earlier version was answered %+v", reply)
+			}
+		}
+	})
+}
+
 // A lost relay costs its callers a question to another one, and no call to the store.
 func TestLostRelays(t *testing.T) {
 	playCrowd(t, 6, 60, func(t *testing.T, c *crowd) {
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -77,8 +77,14 @@
 	// listMargin is pollMargin for the answer to a client that knows nothing yet: a whole list of 10,000 engines is 0.6 MB, and all clients of a hub
 	// ask for it together.
 	listMargin = 2500 * time.Millisecond
+	// relayProbe is how long a relay may take to have what a client asks for that has lost another one, and relayProbeMargin how long its answer may
+	// take beyond that: two relays that were lost together then cost less than the client's patience.
+	relayProbe       = 250 * time.Millisecond
+	relayProbeMargin = 100 * time.Millisecond
 	// guideWait is how long a poll waits, in a hub whose process does not coordinate, for news of who does.
 	guideWait = 400 * time.Millisecond
+	// firstPollPause leaves those who follow kinds from the start the time to say so.
+	firstPollPause = 20 * time.Millisecond
 	// retryPause is the pause between two polls while no hub answers.
 	retryPause = 250 * time.Millisecond
 	// quarantineGather is how long news of requests under which engines have ended are gathered: one end is news of each request that the
@@ -107,8 +113,13 @@
 	Quarantine quarantine.Cursor
 	// Wait bounds how long the hub waits for a change.
 	Wait time.Duration
+	// ReadyWait bounds how long a hub that is asked to relay waits until it is up to date.
+	ReadyWait time.Duration
 	// Relay is true if the caller asks in order to answer for the coordinating process, which always answers such a caller.
 	Relay bool
+	// MayRedirect is true if the caller may be sent to a relay: not that of an earlier version, which would know nothing of it, nor one that has asked
+	// all relays in vain.
+	MayRedirect bool
 	// Relayed is true if the caller was sent away by the coordinating process and asks another process to answer for it.
 	Relayed bool
 	// Served are the processes that a Relay answers; it leaves them out of most polls.
