--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -1,24 +1,17 @@
 package storerelay_test
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/go-kit/log"
 
 	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/metastore"
-	"github.com/covelink/covelink/internal/metastore/metastoretest"
 	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/storerelay"
 )
