--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-
 	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/rpc"
