--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -44,10 +44,6 @@
 	fx.Invoke(runCoordinator),
 )
 
-// maxDirectPollers is how many gateways the coordinating process answers by itself. Each costs it up to 0.2 MB, and a whole list of engines for a while
-// (0.6 MB at 10,000 engines); the others ask a relay. It does not grow with the fleet: relays do.
-const maxDirectPollers = 64
-
 func newDesk(registry *prometheus.Registry, state *fleet.State, logger log.Logger) *itemwork.Desk {
 	desk := itemwork.NewDesk(telemetry.For(logger, telemetry.PartBatch))
 	desk.Region = func(zone string) string { return state.View().Topology.Region(zone) }
@@ -208,7 +204,7 @@
 		Quarantine: c.Held.Table,
 		Lease:      election.KindLeases,
 		Candidates: c.candidates.Addresses,
-		MaxDirect:  maxDirectPollers,
+		MaxDirect:  c.Settings.Coordinators.MaxDirect,
 
 		WorkerShare: func() float64 { return math.Float64frombits(c.workerShare.Load()) },
 		Logger:      telemetry.For(c.Logger, telemetry.PartFleet),
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -67,6 +67,9 @@
 	// Seeds are internal addresses of some coordinators, as host:port. They may be out of date, and are read at the start alone. Without
 	// any, a gateway reads from the store who coordinates.
 	Seeds []string `koanf:"seeds" validate:"dive,hostname_port|tcp_addr"`
+	// MaxDirect is how many gateways the coordinating process answers by itself; the others ask one of the processes that may coordinate to relay.
+	// Default 64. Each costs the process up to 0.2 MB, and the whole list of engines for a while (0.6 MB at 10,000 engines). Coordinators only.
+	MaxDirect int `koanf:"maxDirect" validate:"gte=1"`
 }
 
 // FleetTopology lists the zones of the deployment, and says whether they can be evacuated.
@@ -154,9 +157,11 @@
 			RevokeTime:     5 * time.Second,
 			BatchRetention: 2 * time.Minute,
 		},
-		Data:   FleetData{TextMegabytes: 32},
-		Duties: FleetDuties{UsageWindow: 5 * time.Second, UsageDue: 10 * time.Second},
-		Log:    Log{Level: "info", Format: "logfmt"},
+		Data: FleetData{TextMegabytes: 32},
+
+		Coordinators: FleetCoordinators{MaxDirect: 64},
+		Duties:       FleetDuties{UsageWindow: 5 * time.Second, UsageDue: 10 * time.Second},
+		Log:          Log{Level: "info", Format: "logfmt"},
 	}
 }
 
