--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -72,8 +72,6 @@
 	// hundreds of whole lists read beside it would use up the store's rate. It leaves some seconds of the 18 s in which a large deployment asks for
 	// service after all processes were lost.
 	crowdedPatience = 15 * time.Second
-	// crowdedFor is how long a hub's word that the fleet is large holds: longer than the pause between two polls of a client that looks for a hub.
-	crowdedFor = 3 * time.Second
 	// listMargin is pollMargin for the answer to a client that knows nothing yet: a whole list of 10,000 engines is 0.6 MB, and all clients of a hub
 	// ask for it together.
 	listMargin = 2500 * time.Millisecond
