--- a/internal/storerelay/storerelay_test.go
+++ b/internal/storerelay/storerelay_test.go
@@ -15,6 +15,7 @@
 	"github.com/go-kit/log"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/metastore/metastoretest"
 	"github.com/covelink/covelink/internal/storerelay"
@@ -263,7 +264,7 @@
 		}
 	}
 	play(t, "A client knows up to when a kind is confirmed, through a hub, from the store, and while neither answers", 1, func(w *world) {
-		age := func() time.Duration { return time.Since(w.relays[0].ConfirmedAt(kind)) }
+		age := func() time.Duration { return boottime.Since(w.relays[0].ConfirmedAt(kind)) }
 		time.Sleep(3 * time.Second)
 		So(age(), ShouldBeLessThan, 3500*time.Millisecond)
 		w.cut.Store(true)
