storerelay, decay, rendezvous, fleet: one piece where the change had written two

Found by reading the whole change again; behaviour stays. - A fading number stood three times (open items of a model, submitted items, need for workers): decay.Value. Need's mutex guarded what one goroutine uses. - The share of IDs below a hash stood twice: rendezvous.Fraction. - Finding an engine by ID in an ordered list stood twice: fleet.Find. - OpenItems repeated the count of Demands; a hub's newest revision of a kind, the lateness of a poll, and what there is to tell now stood two or three times. - entry.changed was written and not read any more; a hub's wait asked twice whether it was asked to relay; a comment on relays told the earlier fallback. - The benchmark and the test of a change of one engine share their loop.

Ruled out: the pairs of import blocks, and recentNames with metastore's attention, which share a shape and no logic.

--- a/coord/rendezvous/rendezvous.go
+++ b/coord/rendezvous/rendezvous.go
@@ -45,6 +45,10 @@
 	return -weightOf(member) / math.Log(uniform)
 }
 
+// Fraction returns a number from 0 to 1 that a key and a member's ID determine: those of many IDs are spread evenly, so that the members whose number is
+// below a share are about that share of all, and a larger share has the members of a smaller one.
+func Fraction(key, id uint64) float64 { return float64(Mix(key, id)) / math.MaxUint64 }
+
 // Rank returns the indexes of the members in the order of their scores for the key, the highest first.
 // It appends to into[:0], which may be nil. Members of the same score keep the order of their IDs.
 func Rank(key uint64, members []Member, into []int) []int {
--- a/internal/batchrun/demand.go
+++ b/internal/batchrun/demand.go
@@ -1,40 +1,34 @@
 package batchrun
 
 import (
-	"math"
 	"time"
 
+	"github.com/covelink/covelink/internal/decay"
 	"github.com/covelink/covelink/internal/weightorder"
 )
 
 // demandLife is the time in which the sum of the submitted items falls to a part of 1/e.
 const demandLife = 20 * time.Second
 
-// submissions is a decaying sum of the items that were submitted for a model.
-type submissions struct {
-	items   float64
-	updated time.Time
-}
-
-// at returns the sum at a time.
-func (s submissions) at(now time.Time) float64 {
-	return s.items * math.Exp(-now.Sub(s.updated).Seconds()/demandLife.Seconds())
-}
-
 // noteSubmitted counts the items of a job. The mutex must be held.
 func (r *Runner) noteSubmitted(j *job) {
 	now := r.now()
-	r.submitted[j.Model] = submissions{items: r.submitted[j.Model].at(now) + float64(len(j.items)), updated: now}
+	r.submitted[j.Model] = decay.Of(r.submitted[j.Model].At(now, demandLife)+float64(len(j.items)), now)
 }
 
 // Demands returns the work for each model.
 func (r *Runner) Demands() map[string]weightorder.Demand {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.demands()
+}
+
+// demands is Demands. The mutex must be held.
+func (r *Runner) demands() map[string]weightorder.Demand {
 	now := r.now()
 	demands := make(map[string]weightorder.Demand, len(r.submitted))
 	for model, sum := range r.submitted {
-		demands[model] = weightorder.Demand{Items: sum.at(now)}
+		demands[model] = weightorder.Demand{Items: sum.At(now, demandLife)}
 	}
 	for _, j := range r.order {
 		if j.ended {
@@ -63,15 +57,8 @@
 		return 0
 	}
 	open := 0
-	for _, j := range r.order {
-		if j.ended {
-			continue
-		}
-		for _, it := range j.items {
-			if it.phase != phaseFinished {
-				open++
-			}
-		}
+	for _, demand := range r.demands() {
+		open += demand.Open
 	}
 	return open
 }
--- a/internal/batchrun/focus.go
+++ b/internal/batchrun/focus.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -85,7 +84,7 @@
 		if versions[i] < least {
 			continue
 		}
-		if versions[i] > least || float64(rendezvous.Mix(key, rendezvous.Hash(engine.ID)))/math.MaxUint64 < share {
+		if versions[i] > least || rendezvous.Fraction(key, rendezvous.Hash(engine.ID)) < share {
 			set.add(engine)
 		}
 	}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -12,6 +12,7 @@
 
 	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/batchlog"
+	"github.com/covelink/covelink/internal/decay"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/itemwork"
@@ -110,7 +111,7 @@
 	// ends are the jobs whose end is kept for good, with the time when this process learnt of it.
 	ends map[string]time.Time
 	// submitted is the work that came in lately, by model.
-	submitted map[string]submissions
+	submitted map[string]decay.Value
 	// endedBytes is the size of the results of ended jobs in memory.
 	endedBytes int
 	// running are the goroutines of the term; it grows only while the term lasts.
--- a/internal/batchrun/term.go
+++ b/internal/batchrun/term.go
@@ -8,6 +8,7 @@
 
 	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/batchlog"
+	"github.com/covelink/covelink/internal/decay"
 	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/pause"
 )
@@ -60,7 +61,7 @@
 func (r *Runner) forgetTerm() {
 	r.jobs, r.order = make(map[string]*job), nil
 	r.ends, r.endedBytes = make(map[string]time.Time), 0
-	r.submitted = make(map[string]submissions)
+	r.submitted = make(map[string]decay.Value)
 	r.runs, r.runCount = make(map[itemwork.RunID]*run), 0
 	r.detached, r.returnOffsets = make(map[string]*run), make(map[string]int64)
 	r.kept = newUnfinishedTexts()
--- a/internal/fleet/ready_lists.go
+++ b/internal/fleet/ready_lists.go
@@ -48,10 +48,9 @@
 	slices.SortFunc(engines, func(a, b *Engine) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// find returns the place of an ID in a list.
-func find(list []*Engine, id string) int {
-	place, _ := slices.BinarySearchFunc(list, id, func(engine *Engine, id string) int { return cmp.Compare(engine.ID, id) })
-	return place
+// Find returns the place of an ID in a list of engines in the order of IDs, and whether it is there; else the place is where it would be.
+func Find(list []*Engine, id string) (place int, listed bool) {
+	return slices.BinarySearchFunc(list, id, func(engine *Engine, id string) int { return cmp.Compare(engine.ID, id) })
 }
 
 // without returns a copy of a list without some of its engines, in whole runs between them.
@@ -59,9 +58,9 @@
 	left := make([]*Engine, 0, len(list)-len(gone))
 	from := 0
 	for _, engine := range gone {
-		place := from + find(list[from:], engine.ID)
-		left = append(left, list[from:place]...)
-		from = place + 1
+		offset, _ := Find(list[from:], engine.ID)
+		left = append(left, list[from:from+offset]...)
+		from += offset + 1
 	}
 	return append(left, list[from:]...)
 }
@@ -71,10 +70,10 @@
 	joined := make([]*Engine, 0, len(list)+len(come))
 	from := 0
 	for _, engine := range come {
-		place := from + find(list[from:], engine.ID)
-		joined = append(joined, list[from:place]...)
+		offset, _ := Find(list[from:], engine.ID)
+		joined = append(joined, list[from:from+offset]...)
 		joined = append(joined, engine)
-		from = place
+		from += offset
 	}
 	return append(joined, list[from:]...)
 }
--- a/internal/fleet/state_test.go
+++ b/internal/fleet/state_test.go
@@ -49,47 +49,36 @@
 	}
 }
 
+// changeOneEngine changes one engine of so many, over and over.
+func changeOneEngine(b *testing.B, count int) {
+	state, all := NewState(), sharedmap.Map[*Engine]{}.Edit()
+	for number := range count {
+		engine := numberedEngine(number, true)
+		all.Set(engine.ID, engine)
+	}
+	engines := all.Map()
+	state.SetEngines(engines)
+	b.ReportAllocs()
+	for number := 0; b.Loop(); number++ {
+		edit := engines.Edit()
+		edit.Set("engine-00007", numberedEngine(7, number%2 == 0))
+		engines = edit.Map()
+		state.SetEngines(engines)
+	}
+}
+
 // BenchmarkChangeOfOneEngine measures a change of one engine: at 10,000 engines it takes at most ten times what it takes at 100. Each change made maps of
 // all engines anew.
 func BenchmarkChangeOfOneEngine(b *testing.B) {
 	for _, count := range []int{100, 1000, 10000} {
-		b.Run(fmt.Sprint(count), func(b *testing.B) {
-			state, all := NewState(), sharedmap.Map[*Engine]{}.Edit()
-			for number := range count {
-				engine := numberedEngine(number, true)
-				all.Set(engine.ID, engine)
-			}
-			engines := all.Map()
-			state.SetEngines(engines)
-			b.ReportAllocs()
-			for number := 0; b.Loop(); number++ {
-				edit := engines.Edit()
-				edit.Set("engine-00007", numberedEngine(7, number%2 == 0))
-				engines = edit.Map()
-				state.SetEngines(engines)
-			}
-		})
+		b.Run(fmt.Sprint(count), func(b *testing.B) { changeOneEngine(b, count) })
 	}
 }
 
 // What a change of one engine allocates must not grow as the engines do, but for the copy of its service's list, a pointer an engine.
 func TestAChangeOfOneEngineAllocatesLittle(t *testing.T) {
 	allocated := func(count int) int64 {
-		return testing.Benchmark(func(b *testing.B) {
-			state, all := NewState(), sharedmap.Map[*Engine]{}.Edit()
-			for number := range count {
-				engine := numberedEngine(number, true)
-				all.Set(engine.ID, engine)
-			}
-			engines := all.Map()
-			state.SetEngines(engines)
-			for number := 0; b.Loop(); number++ {
-				edit := engines.Edit()
-				edit.Set("engine-00007", numberedEngine(7, number%2 == 0))
-				engines = edit.Map()
-				state.SetEngines(engines)
-			}
-		}).AllocedBytesPerOp()
+		return testing.Benchmark(func(b *testing.B) { changeOneEngine(b, count) }).AllocedBytesPerOp()
 	}
 	const pointer = 8
 	small, large := allocated(100), allocated(10000)
--- a/internal/forward/few.go
+++ b/internal/forward/few.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -44,7 +43,7 @@
 	now := p.now()
 	few := make([]*fleet.Engine, 0, fewRandom+len(p.recent.ids))
 	for _, id := range p.recent.ids {
-		place, listed := slices.BinarySearchFunc(engines, id, func(engine *fleet.Engine, id string) int { return cmp.Compare(engine.ID, id) })
+		place, listed := fleet.Find(engines, id)
 		if listed && !p.aside(id, now) {
 			few = append(few, engines[place])
 		}
--- a/internal/itemwork/share.go
+++ b/internal/itemwork/share.go
@@ -2,10 +2,10 @@
 
 import (
 	"math"
-	"sync"
 	"time"
 
 	"github.com/covelink/covelink/coord/rendezvous"
+	"github.com/covelink/covelink/internal/decay"
 )
 
 const (
@@ -20,20 +20,17 @@
 	needLife = 30 * time.Second
 )
 
-// Need decides how many gateways run items, by the items that are open. It is safe for concurrent use. The zero value has seen none.
+// Need decides how many gateways run items, by the items that are open. It belongs to one goroutine. The zero value has seen none.
 type Need struct {
-	mu      sync.Mutex
-	most    float64
-	updated time.Time
+	// most is the most items that were open, as it fades.
+	most decay.Value
 }
 
 // Share returns the share of the processes that are to run items, from 0 to 1; zero for all of them.
 func (n *Need) Share(open, processes int, now time.Time) float64 {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	faded := n.most * math.Exp(-now.Sub(n.updated).Seconds()/needLife.Seconds())
-	n.most, n.updated = max(faded, float64(open)), now
-	steps := math.Ceil(n.most / runsPerWorker / workerStep)
+	most := max(n.most.At(now, needLife), float64(open))
+	n.most = decay.Of(most, now)
+	steps := math.Ceil(most / runsPerWorker / workerStep)
 	wanted := max(minWorkers, workerStep*int(steps))
 	if processes <= wanted {
 		return 0
@@ -49,5 +46,5 @@
 	}
 	// A key of its own keeps this choice apart from others by the hash of the name.
 	const key = 0x776f726b
-	return float64(rendezvous.Mix(key, rendezvous.Hash(name)))/math.MaxUint64 < share
+	return rendezvous.Fraction(key, rendezvous.Hash(name)) < share
 }
--- a/internal/storerelay/candidates.go
+++ b/internal/storerelay/candidates.go
@@ -95,7 +95,7 @@
 }
 
 // relay returns the relay to ask next; "" if the client was not sent away, or if all relays were asked in vain: the coordinating process is asked
-// again then, and the relays after it.
+// to answer itself then.
 func (c *candidates) relay(coordinator string) string {
 	if !c.redirected || c.exhausted {
 		return ""
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -241,10 +241,8 @@
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
-		reply, changed := h.changes(request)
-		news, found := h.found(request.Quarantine)
-		reply.Quarantine = news
-		if len(reply.Changes) > 0 || len(news.Records) > 0 || changed == nil || (untilFresh && reply.Fresh) {
+		reply, changed, found := h.now(request)
+		if len(reply.Changes) > 0 || len(reply.Quarantine.Records) > 0 || changed == nil || (untilFresh && reply.Fresh) {
 			return reply
 		}
 		select {
@@ -252,24 +250,25 @@
 		case <-found:
 			pause.For(ctx, quarantineGather)
 		case <-ctx.Done():
-			return h.now(request)
+			reply, _, _ = h.now(request)
+			return reply
 		}
 	}
 }
 
 // waitOf returns how long a poll waits for a change.
 func (h *Hub) waitOf(request PollRequest) time.Duration {
-	if !h.serves(request) && !request.Relayed {
-		return guideWait
+	if h.Leading() || request.Relayed {
+		return request.Wait
 	}
-	return request.Wait
+	return guideWait
 }
 
-// now returns what there is to tell without a wait.
-func (h *Hub) now(request PollRequest) PollReply {
-	reply, _ := h.changes(request)
-	reply.Quarantine, _ = h.found(request.Quarantine)
-	return reply
+// now returns what there is to tell without a wait, and the channels that are closed when there may be more: that of changes, and found.
+func (h *Hub) now(request PollRequest) (reply PollReply, changed, found <-chan struct{}) {
+	reply, changed = h.changes(request)
+	reply.Quarantine, found = h.found(request.Quarantine)
+	return reply, changed, found
 }
 
 // found returns what is new in the table, and a channel that is closed when there may be more; nil if there is no table.
--- a/internal/storerelay/pollers.go
+++ b/internal/storerelay/pollers.go
@@ -61,6 +61,9 @@
 	relay string
 }
 
+// counts reports whether the poll was within countedWithin.
+func (p poll) counts(now time.Time) bool { return now.Sub(p.at) <= countedWithin }
+
 // note records a poll. The map must not be changed afterwards.
 func (p *pollers) note(peer rpc.Peer, known map[string]metastore.Revision, now time.Time) {
 	p.mu.Lock()
@@ -102,8 +105,8 @@
 	p.servedAt = now
 	var processes []ServedProcess
 	for name, last := range p.last {
-		if age := now.Sub(last.at); age <= countedWithin {
-			processes = append(processes, ServedProcess{Name: name, Zone: last.zone, Known: last.known, Age: age})
+		if last.counts(now) {
+			processes = append(processes, ServedProcess{Name: name, Zone: last.zone, Known: last.known, Age: now.Sub(last.at)})
 		}
 	}
 	return processes
@@ -115,7 +118,7 @@
 	defer p.mu.Unlock()
 	counted := 0
 	for _, last := range p.last {
-		if now.Sub(last.at) <= countedWithin {
+		if last.counts(now) {
 			counted++
 		}
 	}
@@ -167,7 +170,7 @@
 	defer p.mu.Unlock()
 	found := make(map[string]RelayStatus)
 	for _, last := range p.last {
-		if last.relay == "" || now.Sub(last.at) > countedWithin {
+		if last.relay == "" || !last.counts(now) {
 			continue
 		}
 		status := found[last.relay]
@@ -183,13 +186,7 @@
 
 // Relays returns the processes that answer others for this one, and how many of those hold the newest content of a kind.
 func (h *Hub) Relays(kind string) []RelayStatus {
-	h.mu.Lock()
-	revision := metastore.Revision(0)
-	if known, ok := h.kinds[kind]; ok {
-		revision = known.contentRevision
-	}
-	h.mu.Unlock()
-	return h.pollers.relays(kind, revision, boottime.Now())
+	return h.pollers.relays(kind, h.contentRevision(kind), boottime.Now())
 }
 
 // NotePoll records which process has polled, and which revisions it held.
@@ -206,11 +203,16 @@
 
 // Spread shows which processes hold the newest content of a kind. What a process receives with a poll counts from its next poll on.
 func (h *Hub) Spread(kind string) Spread {
-	spread := Spread{Pollers: h.pollers.of(kind, boottime.Now())}
+	return Spread{Pollers: h.pollers.of(kind, boottime.Now()), Revision: h.contentRevision(kind)}
+}
+
+// contentRevision returns the revision of a kind's newest content; zero if the hub knows nothing of the kind.
+func (h *Hub) contentRevision(kind string) metastore.Revision {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if known, ok := h.kinds[kind]; ok {
-		spread.Revision = known.contentRevision
+	known, ok := h.kinds[kind]
+	if !ok {
+		return 0
 	}
-	return spread
+	return known.contentRevision
 }
--- a/internal/storerelay/relayed_kind.go
+++ b/internal/storerelay/relayed_kind.go
@@ -43,9 +43,9 @@
 
 // entry is what pollers need of an object.
 type entry struct {
-	// seen is the object's revision that it was made of, and changed the one in which it last became another.
-	seen, changed metastore.Revision
-	essence       string
+	// seen is the object's revision that it was made of.
+	seen    metastore.Revision
+	essence string
 }
 
 // noted is an object that went or changed, and the revision of that.
@@ -68,9 +68,8 @@
 			k.entries[name] = known
 			return
 		}
-		now := entry{seen: object.Revision, changed: known.changed, essence: h.Essence(kind, object)}
+		now := entry{seen: object.Revision, essence: h.Essence(kind, object)}
 		if !ok || now.essence != known.essence {
-			now.changed = object.Revision
 			changed = append(changed, noted{name: name, revision: object.Revision})
 		}
 		k.entries[name] = now
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -20,6 +20,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/covelink/covelink/internal/boottime"
+	"github.com/covelink/covelink/internal/decay"
 	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/metastore"
@@ -152,7 +153,7 @@
 	// window bounds the loads at once by how long they take.
 	window *loadWindow
 	// open is the most items that each model has had open lately.
-	open map[string]openItems
+	open map[string]decay.Value
 }
 
 // New returns a Manager that does nothing until Lead.
@@ -166,7 +167,7 @@
 		asideTil: make(map[string]time.Time),
 		assigned: make(map[string]string),
 		largest:  make(map[string]int),
-		open:     make(map[string]openItems),
+		open:     make(map[string]decay.Value),
 		replicas: make(map[string]replicas),
 		window:   newLoadWindow(),
 	}
--- a/internal/weightorder/spare.go
+++ b/internal/weightorder/spare.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/covelink/covelink/internal/decay"
 	"github.com/covelink/covelink/internal/fleet"
 )
 
@@ -24,25 +25,11 @@
 	assumedSlots = 4
 )
 
-// openItems is the most items that a model has had open, as it fades.
-type openItems struct {
-	most    float64
-	updated time.Time
-}
-
-// at returns the count as it has faded at a time.
-func (o openItems) at(now time.Time) float64 {
-	if o.updated.IsZero() {
-		return 0
-	}
-	return o.most * math.Exp(-now.Sub(o.updated).Seconds()/openLife.Seconds())
-}
-
 // noteOpen takes in how many items are open. The mutex must be held.
 func (m *Manager) noteOpen(now time.Time) {
 	for model, demand := range m.demand {
-		most := max(m.open[model].at(now), float64(demand.Open), itemsShare*demand.Items)
-		m.open[model] = openItems{most: most, updated: now}
+		most := max(m.open[model].At(now, openLife), float64(demand.Open), itemsShare*demand.Items)
+		m.open[model] = decay.Of(most, now)
 	}
 }
 
@@ -84,5 +71,5 @@
 		slots += cmp.Or(engine.Slots, assumedSlots)
 	}
 	perEngine := fill * float64(slots) / float64(max(len(engines), 1))
-	return minKept + int(math.Ceil(m.open[model].at(now)/perEngine))
+	return minKept + int(math.Ceil(m.open[model].At(now, openLife)/perEngine))
 }
