--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -40,7 +40,7 @@
 
 // coordinatorParts are those of a process that may coordinate.
 var coordinatorParts = fx.Options(
-	fx.Provide(newDispatcher, newRunner, newOrders, newDecommission, newConsensus, newDuties, newQuarantineCoordinator, newColdLimiter),
+	fx.Provide(ownListAge, newDispatcher, newRunner, newOrders, newDecommission, newConsensus, newDuties, newQuarantineCoordinator, newColdLimiter),
 	fx.Invoke(runCoordinator),
 )
 
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -29,7 +29,7 @@
 
 // gatewayParts are those of a process that takes callers' requests.
 var gatewayParts = fx.Options(
-	fx.Provide(newStoreRelay, newLeaseWatcher, newBatchClient, newWorker, newUsageClock, newMeter, func() *stopFlag { return &stopFlag{} }),
+	fx.Provide(newStoreRelay, relayedListAge, newLeaseWatcher, newBatchClient, newWorker, newUsageClock, newMeter, func() *stopFlag { return &stopFlag{} }),
 	fx.Invoke(alwaysFollowFleet, runStoreRelay, tellCoordinator, shareQuarantine, setRemoteColdQuota, runWorker, meterRequests, runGateway),
 )
 
@@ -63,7 +63,7 @@
 // runStoreRelay polls whoever coordinates.
 func runStoreRelay(hooks fx.Lifecycle, group *tasks, relay *storerelay.Client, watcher *election.Watcher, registry *prometheus.Registry) {
 	relay.Coordinator = watcher.Holder
-	registerConfirmedAge(registry, func() time.Time { return relay.ConfirmedAt(platform.KindConfig) })
+	registerConfirmedAge(registry, "config", "configuration", func() time.Time { return relay.ConfirmedAt(platform.KindConfig) })
 	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
 		group.run(relay.Run)
 		return nil
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -112,7 +112,7 @@
 		},
 		metastore.NewFollowers,
 		platform.NewEngines,
-		func(engines *platform.Engines) forward.Transport { return engines },
+		newTransport,
 		newCalls,
 		func() *forward.Picker { return forward.NewPicker(time.Now) },
 		func() *quarantine.Table { return quarantine.NewTable(boottime.Now) },
--- a/internal/fleetnode/relay_metrics.go
+++ b/internal/fleetnode/relay_metrics.go
@@ -21,12 +21,12 @@
 	})
 }
 
-// registerConfirmedAge exports how old a gateway's knowledge of the configuration may be.
-func registerConfirmedAge(registry *prometheus.Registry, confirmedAt func() time.Time) {
+// registerConfirmedAge exports how old a process's copy of a part of the store may be.
+func registerConfirmedAge(registry *prometheus.Registry, name, description string, confirmedAt func() time.Time) {
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: namespace,
-		Name:      "config_confirmed_age_seconds",
-		Help:      "Time since the configuration was last known to be the store's; -1 before that.",
+		Name:      name + "_confirmed_age_seconds",
+		Help:      "Time since the " + description + " was last known to be the store's; -1 before that.",
 	}, func() float64 {
 		at := confirmedAt()
 		if at.IsZero() {
--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -83,6 +83,8 @@
 
 	client Client
 	mu     sync.Mutex
+	// confirmedAt is the boottime as of which each kind was last confirmed.
+	confirmedAt map[string]time.Time
 	// present ends, with its cause, when watches that wait are not to be relied on any more.
 	present context.Context
 	end     context.CancelCauseFunc
@@ -93,11 +95,26 @@
 
 // NewFollowers returns Followers of the store.
 func NewFollowers(client Client) *Followers {
-	f := &Followers{client: client}
+	f := &Followers{client: client, confirmedAt: make(map[string]time.Time)}
 	f.present, f.end = context.WithCancelCause(context.Background())
 	return f
 }
 
+// ConfirmedAt returns the boottime as of which the copy of a kind is known to be current; zero if it never was.
+func (f *Followers) ConfirmedAt(kind string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmedAt[kind]
+}
+
+func (f *Followers) recordConfirmed(kind string, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.confirmedAt[kind]) {
+		f.confirmedAt[kind] = at
+	}
+}
+
 func (f *Followers) current() context.Context {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -165,11 +182,12 @@
 		w.group.endWatches(errDisturbed)
 	}
 	w.failures = 0
+	at := boottime.Now()
+	if at.Sub(began) > longest {
+		at = began
+	}
+	w.group.recordConfirmed(w.kind, at)
 	if w.group.Shown != nil {
-		at := boottime.Now()
-		if at.Sub(began) > longest {
-			at = began
-		}
 		w.group.Shown(w.kind, at)
 	}
 	if w.group.Confirmed != nil {
--- a/internal/storerelay/client_poll.go
+++ b/internal/storerelay/client_poll.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"maps"
+	"strings"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/pause"
@@ -24,12 +27,13 @@
 		if address != "" {
 			reply, err = c.poll(ctx, address, mode)
 		}
-		if err == nil {
-			err = c.applyReply(reply, targets)
-		}
 		if ctx.Err() != nil {
 			return
 		}
+		c.logPoll(address, reply, boottime.Since(started), err)
+		if err == nil {
+			err = c.applyReply(reply, targets)
+		}
 		if reply.Fresh && err == nil {
 			targets.recordSuccess()
 			c.recordConfirmations(reply, started)
@@ -59,6 +63,25 @@
 	}
 }
 
+// slowReply is the time beyond the hub's wait from which a reply is logged although it has no changes.
+const slowReply = 300 * time.Millisecond
+
+// logPoll writes a line for a poll that failed, was slow or brought changes.
+func (c *Client) logPoll(address string, reply PollReply, took time.Duration, err error) {
+	switch {
+	case address == "":
+	case err != nil:
+		level.Info(c.Logger).Log("msg", "poll failed", "hub", address, "took", took.Round(time.Millisecond), "err", err)
+	case len(reply.Changes) > 0 || took-reply.Held > slowReply:
+		kinds, size := make([]string, 0, len(reply.Changes)), 0
+		for _, change := range reply.Changes {
+			kinds, size = append(kinds, change.Kind), size+change.size()
+		}
+		level.Debug(c.Logger).Log("msg", "poll answered", "hub", address, "kinds", strings.Join(kinds, ","), "bytes", size, "took", took.Round(time.Millisecond),
+			"held", reply.Held.Round(time.Millisecond), "age", reply.Age.Round(time.Millisecond))
+	}
+}
+
 // applyReply applies everything in a reply except its freshness.
 func (c *Client) applyReply(reply PollReply, targets *targetSelector) error {
 	if !c.Relay {
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/metastore"
@@ -104,6 +105,8 @@
 	}
 	cached.snapshot = snapshot
 	if contentChanged {
+		level.Debug(h.Logger).Log("msg", "change published", "kind", kind, "revision", snapshot.Revision, "objects", snapshot.Objects.Len(),
+			"age", boottime.Since(at).Round(time.Millisecond))
 		close(h.changed)
 		h.changed = make(chan struct{})
 	}
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -142,6 +142,18 @@
 	Removed []string
 }
 
+// size returns the approximate number of bytes that the change takes in a reply.
+func (c Change) size() int {
+	size := len(c.Packed)
+	for _, object := range c.Objects {
+		size += len(object.Name) + len(object.Spec) + len(object.Status)
+	}
+	for _, name := range c.Removed {
+		size += len(name)
+	}
+	return size
+}
+
 // Register registers the hub's poll handler with a server.
 func Register(server *rpc.Server, hub *Hub) {
 	rpc.Handle(server, func(ctx context.Context, peer rpc.Peer, request PollRequest) (PollReply, error) {
