metastore: hand a change out before the pause that follows it

Cause: Followers called Confirmed, from which the coordinator's hub takes a change, only after the pause (0.9 s for engines) that collects later changes, so that a drain could wait for two pauses. Evidence: on the untouched code the coordinator lists revision 240 at 9.691 s and gateways at 10.597 s, 344 at 13.332 and 14.234. Change: the change is confirmed first; the pause delays only the next watch. Result: TestChangeHandedOutBeforeThePause failed before and passes.

--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -48,7 +48,8 @@
 	Wait time.Duration
 	// From is a copy that the caller has already: it is followed from its revision on, without a list. Zero means none.
 	From Snapshot
-	// Pause is kept between a change and the next watch, so that changes in quick succession cost one call; zero means none.
+	// Pause is kept between a change and the next watch, so that changes in quick succession cost one call; zero means none. The change
+	// itself is handed out before it.
 	Pause time.Duration
 	// RetryPause is the least pause after a call that failed; zero means retryPause, growing with each failure in a row.
 	RetryPause time.Duration
@@ -156,10 +157,11 @@
 	listed := w.snapshot.Revision > 0
 	for ctx.Err() == nil {
 		var err error
+		changed := false
 		began, longest := boottime.Now(), stalledAfter
 		if listed {
 			longest += w.wait()
-			err = w.watch(ctx)
+			changed, err = w.watch(ctx)
 		} else {
 			err = w.list(ctx)
 			listed = err == nil
@@ -167,6 +169,9 @@
 		switch {
 		case err == nil:
 			w.succeeded(began, longest)
+			if changed && w.options.Pause > 0 {
+				pause.For(ctx, w.options.Pause)
+			}
 		case errors.Is(err, ErrCompacted):
 			listed = false
 		case !errors.Is(err, errDisturbed):
@@ -222,8 +227,8 @@
 	return nil
 }
 
-// watch waits for changes once and applies them.
-func (w *follower) watch(ctx context.Context) error {
+// watch waits for changes once and applies them. It reports whether there were any.
+func (w *follower) watch(ctx context.Context) (changed bool, err error) {
 	present := w.group.current()
 	wait := w.wait()
 	ctx, cancel := context.WithTimeout(ctx, wait+stalledAfter)
@@ -233,19 +238,16 @@
 	events, err := w.group.client.Watch(ctx, w.kind, w.snapshot.Revision, wait)
 	if errors.Is(err, ErrCompacted) {
 		w.group.endWatches(ErrCompacted)
-		return err
+		return false, err
 	}
 	if err != nil && present.Err() != nil {
-		return context.Cause(present)
+		return false, context.Cause(present)
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	w.apply(events)
-	if len(events.Events) > 0 && w.options.Pause > 0 {
-		pause.For(ctx, w.options.Pause)
-	}
-	return nil
+	return len(events.Events) > 0, nil
 }
 
 // wait returns how long the next watch waits in the store.
--- a/internal/metastore/follower_test.go
+++ b/internal/metastore/follower_test.go
@@ -250,3 +250,26 @@
 		})
 	})
 }
+
+func TestChangeHandedOutBeforeThePause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A change is handed out and confirmed as it arrives, not after the pause that collects later ones", t, func() {
+			store := metastoretest.New()
+			put(t, store.Client(), "engines", "e", `"ready"`)
+			followers := metastore.NewFollowers(store.Client())
+			var confirmed seen
+			followers.Confirmed = func(_ string, snapshot metastore.Snapshot) { confirmed.take(snapshot) }
+			ctx, cancel := context.WithCancel(t.Context())
+			var running sync.WaitGroup
+			running.Go(func() {
+				followers.Follow(ctx, "engines", metastore.FollowOptions{Wait: time.Second, Pause: time.Minute, Changed: func(metastore.Snapshot) {}})
+			})
+			synctest.Wait()
+			put(t, store.Client(), "engines", "e", `"draining"`)
+			synctest.Wait()
+			So(confirmed.spec("e"), ShouldEqual, `"draining"`)
+			cancel()
+			running.Wait()
+		})
+	})
+}
