storerelay: compress a large object once for all pollers

Cause: a change was compressed from 16 objects on; the configuration is one object. Each of 57 gateways was sent 0.95 MB, 54 MB in all through a link of 75 MB/s, and asked for nothing else meanwhile. An answer that takes longer than a poll's 1.1 s is discarded and sent again. Result: TestLargeObjectCompressedOnce failed before (unpacked) and passes, at a quarter of the size or less.

--- a/internal/storerelay/relay_test.go
+++ b/internal/storerelay/relay_test.go
@@ -193,3 +193,21 @@
 		t.Errorf("4 changes were sent as %d objects and %d packed bytes, want 4 objects", len(fewer.Objects), len(fewer.Packed))
 	}
 }
+
+// Guards against sending a large object in full to each poller, behind which changes of other kinds wait.
+func TestLargeObjectCompressedOnce(t *testing.T) {
+	hub := storerelay.NewHub(storerelay.HubParams{Leading: func() bool { return true }, Lease: leaseKind})
+	hub.Confirm(kind, metastore.SnapshotOf(10, metastore.Object{Name: "routes", Revision: 10, Spec: []byte(`[]`)}))
+	var spec strings.Builder
+	for n := range 4000 {
+		fmt.Fprintf(&spec, `{"name":"route-%d","hostname":"host-%d.example","path-prefix":"/idle/","service":"lookups","max-attempts":2},`, n*7919, n)
+	}
+	hub.Confirm(kind, metastore.SnapshotOf(20, metastore.Object{Name: "routes", Revision: 20, Spec: []byte(spec.String())}))
+	one, other := hub.Poll(t.Context(), pollRequestAt(10)).Changes[0], hub.Poll(t.Context(), pollRequestAt(11)).Changes[0]
+	if len(one.Objects) > 0 || len(one.Packed) == 0 || len(one.Packed) > spec.Len()/4 {
+		t.Errorf("an object of %d bytes was sent as %d objects and %d packed bytes, want at most a quarter, packed", spec.Len(), len(one.Objects), len(one.Packed))
+	}
+	if len(one.Packed) > 0 && len(other.Packed) > 0 && &one.Packed[0] != &other.Packed[0] {
+		t.Error("the object was compressed for each poller, want once")
+	}
+}
--- a/internal/storerelay/relayed_kind.go
+++ b/internal/storerelay/relayed_kind.go
@@ -38,8 +38,11 @@
 // revisionSpan identifies a range of changes by the revision of the first and the resulting content revision.
 type revisionSpan struct{ first, last metastore.Revision }
 
-// minPackedObjects is the number of objects from which a change is encoded once for all callers. Smaller changes are cheaper to send unpacked.
-const minPackedObjects = 16
+// A change of minPackedObjects or minPackedBytes is encoded and compressed once for all callers. Smaller changes are cheaper to send unpacked.
+const (
+	minPackedObjects = 16
+	minPackedBytes   = 16 << 10
+)
 
 // entry is the content of an object for pollers.
 type entry struct {
@@ -139,10 +142,10 @@
 	return h.packShared(k, change, changes)
 }
 
-// packShared returns a change with its objects encoded if there are many, reusing the encoding for callers that lack the same changes. The
+// packShared returns a change with its objects encoded if they are many or large, reusing the encoding for callers that lack the same changes. The
 // mutex must be held.
 func (h *Hub) packShared(k *relayedKind, change Change, changes []historyEntry) Change {
-	if len(change.Objects) < minPackedObjects {
+	if len(change.Objects) < minPackedObjects && change.size() < minPackedBytes {
 		return change
 	}
 	span := revisionSpan{first: changes[0].revision, last: k.contentRevision}
