storerelay, metastore: bound the age of a gateway's copy of the engine list

Callers' requests reached draining engines up to 3.5 s after the acknowledgement, while gateways' polls were not answered in time. Cause: a gateway asked the store itself only once no hub had answered for the failover timeout (1.45 s after a poll that took 1.1 s), and not at all while a hub answered with old data; and a copy counted as current from when a slow answer arrived. Why: age adds up from the store's answer through hub and poll, so a copy is at most as old as it says; the direct read begins before the bound, whatever is slow.

--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -226,6 +226,7 @@
 			},
 			Quarantine: c.Quarantine.Table,
 			Lease:      election.KindLeases,
+			MaxAge:     maxAges(c.Settings, relayAgeShare),
 			Logger:     logger,
 		},
 		Now:    boottime.Now,
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -55,6 +55,7 @@
 		Quarantine:      suspects,
 		Lease:           election.KindLeases,
 		FailoverTimeout: storerelay.FailoverTimeoutWithin(config.Timing.CatchUpTime),
+		MaxAge:          maxAges(config, gatewayAgeShare),
 		Name:            config.Node.Name,
 		Logger:          telemetry.For(logger, telemetry.PartFleet),
 	})
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -244,7 +244,7 @@
 	logger = telemetry.For(logger, telemetry.PartFleet)
 	var following sync.WaitGroup
 	following.Go(func() { platform.FollowConfig(ctx, followers, state, observed.configRefused.Inc, logger) })
-	following.Go(func() { platform.FollowEngines(ctx, followers, state, logger) })
+	following.Go(func() { platform.FollowEngines(ctx, followers, state, config.Timing.DrainTime, logger) })
 	if config.Topology.EvacuateTime > 0 {
 		following.Go(func() { platform.FollowEvacuations(ctx, followers, state, logger) })
 	}
--- a/internal/fleetnode/sendguard.go
+++ b/internal/fleetnode/sendguard.go
@@ -9,6 +9,7 @@
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/sendguard"
+	"github.com/covelink/covelink/internal/settings"
 	"github.com/covelink/covelink/internal/storerelay"
 	"github.com/covelink/covelink/internal/telemetry"
 	"github.com/covelink/covelink/platform"
@@ -27,6 +28,18 @@
 	return func() time.Time { return followers.ConfirmedAt(platform.KindEngines) }
 }
 
+const (
+	// gatewayAgeShare and relayAgeShare are the shares of the drain time after which gateways and relays follow the engines in the store, whatever
+	// hubs answer. A relay is earlier, as its callers add the age of their own copies.
+	gatewayAgeShare = 0.7
+	relayAgeShare   = 0.5
+)
+
+// maxAges returns the MaxAge of the client of a gateway or relay.
+func maxAges(config settings.Fleet, share float64) map[string]time.Duration {
+	return map[string]time.Duration{platform.KindEngines: time.Duration(share * float64(config.Timing.DrainTime))}
+}
+
 // newTransport returns the transport of all requests to engines.
 func newTransport(engines *platform.Engines, confirmedAt listConfirmedAt, registry *prometheus.Registry, logger log.Logger) forward.Transport {
 	registerConfirmedAge(registry, "engines", "engine list", confirmedAt)
--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -20,6 +20,8 @@
 	// probeWait is how long a watch waits after a failure: one that began while the store was silent is not answered once it is back,
 	// and would be waited for in full.
 	probeWait = 50 * time.Millisecond
+	// settleWait is the wait of a watch that follows a change or continues from a copy: its answer shows soon that the copy is current.
+	settleWait = 50 * time.Millisecond
 	// stalledAfter is how long a watch may outlast its wait before it is given up.
 	stalledAfter = 400 * time.Millisecond
 	// listTimeout bounds one page of a list.
@@ -51,6 +53,10 @@
 	// Pause is kept between a change and the next watch, so that changes in quick succession cost one call; zero means none. The change
 	// itself is handed out before it.
 	Pause time.Duration
+	// Exact makes confirmations count from a moment at which the store has certainly read the objects, however long the answer was on its way.
+	// A change is followed by a short watch, so that its copy is soon confirmed. Otherwise an answer counts from when it was read, unless it
+	// took longer than the store may take.
+	Exact bool
 	// RetryPause is the least pause after a call that failed; zero means retryPause, growing with each failure in a row.
 	RetryPause time.Duration
 	// Changed takes every new snapshot.
@@ -69,9 +75,9 @@
 // for the same reason: once the store has dropped its history, all list their kinds again, and once the store answers again after a
 // failure, all begin new watches.
 type Followers struct {
-	// Confirmed takes each kind as the store has just shown it, changed or not; nil for nobody. It must be set before the first
-	// Follow.
-	Confirmed func(kind string, snapshot Snapshot)
+	// Confirmed takes each kind as the store has just shown it, changed or not, and the boottime as of which that is current (FollowOptions.Exact);
+	// nil for nobody. It must be set before the first Follow.
+	Confirmed func(kind string, snapshot Snapshot, at time.Time)
 	// Shown is told of each answered call about a kind, with the time, by boottime, at which the answer was certainly true. That is now. If the call
 	// took longer than the store may take, this process did not run meanwhile and the answer may be old: then it is when the call began. Nil for
 	// nobody. It must be set before the first Follow.
@@ -151,24 +157,28 @@
 	snapshot Snapshot
 	// failures counts the calls in a row that failed.
 	failures int
+	// settling is true until a watch has shown that the copy is current.
+	settling bool
 }
 
 func (w *follower) run(ctx context.Context) {
 	listed := w.snapshot.Revision > 0
+	w.settling = listed && w.options.Exact
 	for ctx.Err() == nil {
 		var err error
 		changed := false
-		began, longest := boottime.Now(), stalledAfter
+		began, wait := boottime.Now(), time.Duration(0)
 		if listed {
-			longest += w.wait()
-			changed, err = w.watch(ctx)
+			wait = w.wait()
+			changed, err = w.watch(ctx, wait)
 		} else {
 			err = w.list(ctx)
 			listed = err == nil
 		}
 		switch {
 		case err == nil:
-			w.succeeded(began, longest)
+			w.succeeded(began, wait, changed)
+			w.settling = changed && w.options.Exact
 			if changed && w.options.Pause > 0 {
 				pause.For(ctx, w.options.Pause)
 			}
@@ -180,24 +190,40 @@
 	}
 }
 
-// succeeded records a call that was answered, with when it began and the longest that it may take. After failures, calls that other followers began
-// meanwhile may never be answered, so their watches are ended.
-func (w *follower) succeeded(began time.Time, longest time.Duration) {
+// succeeded records a call that was answered: when it began, how long it was to wait in the store, and whether it brought changes. After failures,
+// calls that other followers began meanwhile may never be answered, so their watches are ended.
+func (w *follower) succeeded(began time.Time, wait time.Duration, changed bool) {
 	if w.failures > 0 {
 		w.group.endWatches(errDisturbed)
 	}
 	w.failures = 0
-	at := boottime.Now()
-	if at.Sub(began) > longest {
+	now := boottime.Now()
+	at := now
+	if at.Sub(began) > wait+stalledAfter {
 		at = began
 	}
-	w.group.recordConfirmed(w.kind, at)
 	if w.group.Shown != nil {
 		w.group.Shown(w.kind, at)
 	}
+	if w.options.Exact {
+		at = currentAsOf(began, now, wait, changed)
+	}
+	w.group.recordConfirmed(w.kind, at)
 	if w.group.Confirmed != nil {
-		w.group.Confirmed(w.kind, w.snapshot)
+		w.group.Confirmed(w.kind, w.snapshot, at)
+	}
+}
+
+// currentAsOf returns the moment as of which an answer that is read now is certainly current, however long it was on its way. The store has read
+// the objects after the call began, and an answer without changes only once the wait was over.
+func currentAsOf(began, now time.Time, wait time.Duration, changed bool) time.Time {
+	if changed || wait == 0 {
+		return began
 	}
+	if waited := began.Add(wait); waited.Before(now) {
+		return waited
+	}
+	return now
 }
 
 // failed takes in a call that failed, and waits before the next.
@@ -227,10 +253,9 @@
 	return nil
 }
 
-// watch waits for changes once and applies them. It reports whether there were any.
-func (w *follower) watch(ctx context.Context) (changed bool, err error) {
+// watch waits in the store for changes, once, and applies them. It reports whether there were any.
+func (w *follower) watch(ctx context.Context, wait time.Duration) (changed bool, err error) {
 	present := w.group.current()
-	wait := w.wait()
 	ctx, cancel := context.WithTimeout(ctx, wait+stalledAfter)
 	defer cancel()
 	stop := context.AfterFunc(present, cancel)
@@ -255,6 +280,9 @@
 	if w.failures > 0 {
 		return probeWait
 	}
+	if w.settling {
+		return settleWait
+	}
 	if w.group.MaxWait == nil {
 		return w.options.Wait
 	}
--- a/internal/metastore/follower_test.go
+++ b/internal/metastore/follower_test.go
@@ -258,7 +258,7 @@
 			put(t, store.Client(), "engines", "e", `"ready"`)
 			followers := metastore.NewFollowers(store.Client())
 			var confirmed seen
-			followers.Confirmed = func(_ string, snapshot metastore.Snapshot) { confirmed.take(snapshot) }
+			followers.Confirmed = func(_ string, snapshot metastore.Snapshot, _ time.Time) { confirmed.take(snapshot) }
 			ctx, cancel := context.WithCancel(t.Context())
 			var running sync.WaitGroup
 			running.Go(func() {
--- a/internal/metastore/shown_test.go
+++ b/internal/metastore/shown_test.go
@@ -56,3 +56,63 @@
 		})
 	})
 }
+
+// delayedClient is a client whose answers are on their way for a while after the store has read the objects.
+type delayedClient struct {
+	metastore.Client
+	delay time.Duration
+}
+
+func (c *delayedClient) Watch(ctx context.Context, kind string, after metastore.Revision, wait time.Duration) (metastore.Events, error) {
+	events, err := c.Client.Watch(ctx, kind, after, wait)
+	time.Sleep(c.delay)
+	return events, err
+}
+
+// Guards against a copy that counts as current from when a slow answer arrives: it lacks what the store took in meanwhile.
+func TestConfirmedAsOfASlowAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A confirmation never counts from after a change that its copy lacks, and is as young as the answers allow", t, func() {
+			const delay, wait = 300 * time.Millisecond, 500 * time.Millisecond
+			store := metastoretest.New()
+			put(t, store.Client(), "engines", "e", "0")
+			followers := metastore.NewFollowers(&delayedClient{Client: store.Client(), delay: delay})
+			written := map[string]time.Time{"0": boottime.Now()}
+			var mu sync.Mutex
+			var failures []string
+			followers.Confirmed = func(_ string, snapshot metastore.Snapshot, at time.Time) {
+				mu.Lock()
+				defer mu.Unlock()
+				object, _ := snapshot.Objects.Get("e")
+				for spec, when := range written {
+					if string(object.Spec) < spec && when.Before(at) {
+						failures = append(failures, "confirmed "+string(object.Spec)+" as of "+at.Sub(when).String()+" after "+spec)
+					}
+				}
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			var running sync.WaitGroup
+			running.Go(func() {
+				followers.Follow(ctx, "engines", metastore.FollowOptions{Wait: wait, Pause: 200 * time.Millisecond, Exact: true, Changed: func(metastore.Snapshot) {}})
+			})
+			time.Sleep(time.Second)
+			oldest := time.Duration(0)
+			for n := range 400 {
+				if n%13 == 0 {
+					mu.Lock()
+					spec := string(rune('1' + n/13))
+					put(t, store.Client(), "engines", "e", spec)
+					written[spec] = boottime.Now()
+					mu.Unlock()
+				}
+				time.Sleep(7 * time.Millisecond)
+				oldest = max(oldest, boottime.Since(followers.ConfirmedAt("engines")))
+			}
+			cancel()
+			running.Wait()
+			So(failures, ShouldBeEmpty)
+			// A watch with its delay, the pause, and the short watch that follows a change.
+			So(oldest, ShouldBeLessThan, wait+2*delay+200*time.Millisecond+100*time.Millisecond)
+		})
+	})
+}
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -138,6 +138,8 @@
 	// CatchUpTime is within how long a gateway must know of a change in the store that serves it, even if the coordinating process is
 	// lost at the same moment. Default 2s.
 	CatchUpTime time.Duration `koanf:"catchUpTime" validate:"gte=1s,lte=1m"`
+	// DrainTime is within how long after the store's acknowledgement that an engine drains requests may still reach it. Default 3s.
+	DrainTime time.Duration `koanf:"drainTime" validate:"gte=1s,lte=1m"`
 	// RevokeTime is how long a gateway that hears of the configuration from nobody goes on serving callers by their keys, if StrictRevoke is
 	// true: a key may have been withdrawn since. Default 5s.
 	RevokeTime time.Duration `koanf:"revokeTime" validate:"gte=1s,lte=1h"`
@@ -154,6 +156,7 @@
 			StopTimeout:    8 * time.Second,
 			LeaseLength:    3 * time.Second,
 			CatchUpTime:    2 * time.Second,
+			DrainTime:      3 * time.Second,
 			RevokeTime:     5 * time.Second,
 			BatchRetention: 2 * time.Minute,
 		},
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -31,6 +31,9 @@
 	// FailoverTimeout is how long the client waits for a hub after losing one before it follows the store directly; zero means
 	// DefaultFailoverTimeout.
 	FailoverTimeout time.Duration
+	// MaxAge is the age from which a kind's copy is followed in the store even if a hub answers; no entry for no bound. The age is that of
+	// ConfirmedAt.
+	MaxAge map[string]time.Duration
 	// Name is the process name, from which the relay is selected.
 	Name string
 	// Relay is set for the client of a relay, which polls the coordinator only.
@@ -57,8 +60,8 @@
 	hubLostAt time.Time
 	// leaseObservedAt is since when the lease can be read from the store; zero while it cannot.
 	leaseObservedAt time.Time
-	// confirmedAt is the boottime as of which each kind is known to be current.
-	confirmedAt map[string]time.Time
+	// confirmedAt is the boottime as of which each kind is known to be current, and hubConfirmedAt that by the replies of hubs alone.
+	confirmedAt, hubConfirmedAt map[string]time.Time
 	// crowdedAt is when a hub last reported a large fleet; zero for never.
 	crowdedAt time.Time
 	// workerShare is the last received fraction of gateways that run batch items; zero means all.
@@ -77,10 +80,10 @@
 		params.FailoverTimeout = DefaultFailoverTimeout
 	}
 	c := &Client{ClientParams: params, kinds: make(map[string]*subscription), modeChanged: make(chan struct{}), hubLostAt: time.Now()}
-	c.confirmedAt = make(map[string]time.Time)
-	params.Direct.Confirmed = func(kind string, snapshot metastore.Snapshot) {
+	c.confirmedAt, c.hubConfirmedAt = make(map[string]time.Time), make(map[string]time.Time)
+	params.Direct.Confirmed = func(kind string, snapshot metastore.Snapshot, at time.Time) {
 		c.recordLeaseObserved(kind, true)
-		c.recordConfirmed(kind, snapshot, boottime.Now())
+		c.recordConfirmed(kind, snapshot, at)
 	}
 	params.Direct.Doubted = func(kind string) { c.recordLeaseObserved(kind, false) }
 	params.Direct.MaxWait = c.maxWatchWait
@@ -101,11 +104,13 @@
 	}()
 	for ctx.Err() == nil {
 		relayed, modeChanged := c.mode()
+		var direct bool
 		if relayed {
-			waitFor(ctx, modeChanged)
-			continue
+			direct = c.waitForAge(ctx, kind, modeChanged)
+		} else {
+			direct = !c.waitForHub(ctx, kind, sub, modeChanged)
 		}
-		if c.waitForHub(ctx, kind, sub, modeChanged) {
+		if !direct {
 			continue
 		}
 		options.From = sub.current()
@@ -113,6 +118,40 @@
 	}
 }
 
+// tooOld reports whether the copy of a kind has reached its MaxAge.
+func (c *Client) tooOld(kind string) bool {
+	limit, bounded := c.MaxAge[kind]
+	confirmedAt := c.ConfirmedAt(kind)
+	return bounded && !confirmedAt.IsZero() && boottime.Since(confirmedAt) >= limit
+}
+
+// waitForAge waits while a hub answers. It returns true once the copy of the kind has reached its MaxAge, and false once no hub answers or ctx ends.
+func (c *Client) waitForAge(ctx context.Context, kind string, modeChanged <-chan struct{}) bool {
+	if _, bounded := c.MaxAge[kind]; !bounded {
+		waitFor(ctx, modeChanged)
+		return false
+	}
+	ticker := time.NewTicker(failoverCheckInterval)
+	defer ticker.Stop()
+	for !c.tooOld(kind) {
+		select {
+		case <-modeChanged:
+			return false
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
+// hubKeepsUp reports whether a hub answers and has lately confirmed a kind, so that it need not be followed in the store.
+func (c *Client) hubKeepsUp(kind string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.relayed && boottime.Since(c.hubConfirmedAt[kind]) < c.MaxAge[kind]/2
+}
+
 // hubTimeout returns how long a kind waits for a hub before the store is followed directly.
 func (c *Client) hubTimeout(kind string, sub *subscription) time.Duration {
 	switch {
@@ -154,7 +193,7 @@
 	timeout := c.hubTimeout(kind, sub)
 	ticker := time.NewTicker(failoverCheckInterval)
 	defer ticker.Stop()
-	for !c.hubOverdue(kind, sub.known(), timeout) {
+	for !c.hubOverdue(kind, sub.known(), timeout) && !c.tooOld(kind) {
 		select {
 		case <-modeChanged:
 			return true
@@ -233,15 +272,36 @@
 func (c *Client) followDirectly(ctx context.Context, kind string, options metastore.FollowOptions, modeChanged <-chan struct{}) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	level.Info(c.Logger).Log("msg", "following kind directly in the store", "kind", kind, "revision", options.From.Revision)
+	relayed, _ := c.mode()
+	level.Info(c.Logger).Log("msg", "following kind directly in the store", "kind", kind, "revision", options.From.Revision, "hub_answers", relayed,
+		"age", boottime.Since(c.ConfirmedAt(kind)).Round(time.Millisecond))
 	go func() {
-		waitFor(ctx, modeChanged)
-		cancel()
+		defer cancel()
+		if !relayed {
+			waitFor(ctx, modeChanged)
+			return
+		}
+		c.waitForHubToKeepUp(ctx, kind, modeChanged)
 	}()
 	options.RetryPause = directRetryPause
 	c.Direct.Follow(ctx, kind, options)
 }
 
+// waitForHubToKeepUp waits until hubKeepsUp, no hub answers or ctx ends.
+func (c *Client) waitForHubToKeepUp(ctx context.Context, kind string, modeChanged <-chan struct{}) {
+	ticker := time.NewTicker(failoverCheckInterval)
+	defer ticker.Stop()
+	for !c.hubKeepsUp(kind) {
+		select {
+		case <-modeChanged:
+			return
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 func waitFor(ctx context.Context, done <-chan struct{}) {
 	select {
 	case <-done:
--- a/internal/storerelay/client_poll.go
+++ b/internal/storerelay/client_poll.go
@@ -101,13 +101,31 @@
 	kinds := c.subscriptions()
 	for kind := range reply.Revisions {
 		if sub, ok := kinds[kind]; ok {
+			c.recordHubConfirmed(kind, at)
 			c.recordConfirmed(kind, sub.current(), at)
 		}
 	}
 }
 
+func (c *Client) recordHubConfirmed(kind string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at.After(c.hubConfirmedAt[kind]) {
+		c.hubConfirmedAt[kind] = at
+	}
+}
+
+// pollWait returns how long polls wait in the hub: short enough that several fit into each MaxAge.
+func (c *Client) pollWait() time.Duration {
+	wait := pollWait
+	for _, limit := range c.MaxAge {
+		wait = min(wait, limit/pollsPerMaxAge)
+	}
+	return wait
+}
+
 func (c *Client) poll(ctx context.Context, address string, mode pollMode) (PollReply, error) {
-	request := PollRequest{Known: c.knownRevisions(), Quarantine: c.quarantineCursor, Wait: pollWait, Relay: c.Relay, Relayed: mode.relay, MayRedirect: mode.mayRedirect}
+	request := PollRequest{Known: c.knownRevisions(), Quarantine: c.quarantineCursor, Wait: c.pollWait(), Relay: c.Relay, Relayed: mode.relay, MayRedirect: mode.mayRedirect}
 	if c.ServedProcesses != nil {
 		request.Served = c.ServedProcesses()
 	}
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -145,7 +145,7 @@
 
 // Attach subscribes the hub to the snapshots of followers. It must be called before the first Follow.
 func (h *Hub) Attach(followers *metastore.Followers) {
-	followers.Confirmed = h.Confirm
+	followers.Confirmed = h.confirmAt
 	followers.Shown = h.recordResponse
 	followers.Doubted = h.MarkStale
 	followers.MaxWait = h.maxWait
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -15,6 +15,8 @@
 const (
 	// pollWait is how long a poll waits in the hub for a change. Together with pollMargin it bounds the time to detect an unreachable hub.
 	pollWait = 600 * time.Millisecond
+	// pollsPerMaxAge is how many polls without changes fit into the MaxAge of a kind.
+	pollsPerMaxAge = 4
 	// pollMargin is how long a reply may take beyond the wait of its poll.
 	pollMargin = 500 * time.Millisecond
 	// maxWatchWait bounds the store watches of a hub, and thereby the time to detect a lost connection to the store.
--- a/internal/storerelay/storerelay_test.go
+++ b/internal/storerelay/storerelay_test.go
@@ -39,6 +39,8 @@
 	leading     atomic.Bool
 	// unreachable makes polls fail, and unresponsive leaves them unanswered.
 	unreachable, unresponsive atomic.Bool
+	// slowReplies makes replies that have changes arrive after the poll's timeout.
+	slowReplies atomic.Bool
 	// storeRefuses makes the store refuse the clients' calls.
 	storeRefuses atomic.Bool
 	hub          *storerelay.Hub
@@ -153,6 +155,9 @@
 		return storerelay.PollReply{}, ctx.Err()
 	}
 	reply := w.hub.Poll(ctx, request)
+	if w.slowReplies.Load() && len(reply.Changes) > 0 {
+		return storerelay.PollReply{}, slowReply(ctx)
+	}
 	for _, change := range reply.Changes {
 		w.relayed.Add(int64(len(change.Objects) + len(change.Packed)))
 	}
