--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -48,6 +48,8 @@
 	// LeaveBy is the boottime by which the request must leave; after it nothing is sent, and the error wraps ErrNotSent. Zero for no
 	// deadline.
 	LeaveBy time.Time
+	// Assigned is true if another process has chosen the engine, which may not be on this process's list yet.
+	Assigned bool
 	// NoReplay is true if the request must not reach the engine twice: once a byte of it was sent, the transport uses no other connection.
 	NoReplay bool
 	// Resume continues a stream after the event LastEventID.
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -198,7 +198,7 @@
 }
 
 func (a *Assignment) options() forward.SendOptions {
-	options := forward.SendOptions{TimeLeft: a.TimeLeft, LeaveBy: a.LeaveBy}
+	options := forward.SendOptions{TimeLeft: a.TimeLeft, LeaveBy: a.LeaveBy, Assigned: true}
 	if a.Text.Len() > 0 {
 		options.Resume, options.LastEventID = true, a.Text.LastID
 	}
