storerelay: tell the age of each kind of a reply

Cause: a reply told the age of the oldest of its kinds, so that the engine list counted as old as the lease, whose watches wait 1 s: with a drain time of 2 s gateways could read the store themselves although nothing was slow. Change: PollReply.Ages; a reply of an earlier version, without it, counts by Age. Result: TestConfirmedAtOfEachKind passes.

--- a/internal/storerelay/client_poll.go
+++ b/internal/storerelay/client_poll.go
@@ -95,12 +95,12 @@
 	return c.applyChanges(reply)
 }
 
-// recordConfirmations records the time as of which a reply is current. The hub received the poll after started, and answered Held later.
+// recordConfirmations records the time as of which each kind of a reply is current. The hub received the poll after started, and answered Held later.
 func (c *Client) recordConfirmations(reply PollReply, started time.Time) {
-	at := started.Add(reply.Held - reply.Age)
 	kinds := c.subscriptions()
 	for kind := range reply.Revisions {
 		if sub, ok := kinds[kind]; ok {
+			at := started.Add(reply.Held - reply.age(kind))
 			c.recordHubConfirmed(kind, at)
 			c.recordConfirmed(kind, sub.current(), at)
 		}
--- a/internal/storerelay/hub.go
+++ b/internal/storerelay/hub.go
@@ -297,6 +297,7 @@
 		return reply, h.changed
 	}
 	reply.Revisions = make(map[string]metastore.Revision, len(request.Known))
+	reply.Ages = make(map[string]time.Duration, len(request.Known))
 	// Read the clock once for all kinds: it takes two system calls.
 	now := boottime.Now()
 	for kind, revision := range request.Known {
@@ -310,7 +311,8 @@
 			return stale, h.changed
 		}
 		reply.Revisions[kind] = relayed.snapshot.Revision
-		reply.Age = max(reply.Age, now.Sub(relayed.confirmed))
+		reply.Ages[kind] = now.Sub(relayed.confirmed)
+		reply.Age = max(reply.Age, reply.Ages[kind])
 		if relayed.hasChangesSince(revision) {
 			reply.Changes = append(reply.Changes, h.changeSince(relayed, kind, revision))
 		}
--- a/internal/storerelay/max_age_test.go
+++ b/internal/storerelay/max_age_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-kit/log"
@@ -10,6 +12,7 @@
 
 	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/metastore"
+	"github.com/covelink/covelink/internal/metastore/metastoretest"
 	"github.com/covelink/covelink/internal/storerelay"
 )
 
@@ -90,3 +93,45 @@
 	<-ctx.Done()
 	return ctx.Err()
 }
+
+// Guards against a kind that counts as old because another kind of the same reply is.
+func TestConfirmedAtOfEachKind(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			Convey("A kind counts as current by its own age, or by the oldest if the hub tells that alone", t, func() {
+				ctx, cancel := context.WithCancel(t.Context())
+				reply := storerelay.PollReply{Fresh: true, Age: time.Second, Held: 100 * time.Millisecond,
+					Changes:   []storerelay.Change{{Kind: kind, Revision: 1, Whole: true}, {Kind: leaseKind, Revision: 1, Whole: true}},
+					Revisions: map[string]metastore.Revision{kind: 1, leaseKind: 1}}
+				if told {
+					reply.Ages = map[string]time.Duration{kind: 300 * time.Millisecond, leaseKind: time.Second}
+				}
+				client := storerelay.NewClient(storerelay.ClientParams{
+					Direct: metastore.NewFollowers(metastoretest.New().Client()),
+					Poll: func(ctx context.Context, _ string, _ storerelay.PollRequest) (storerelay.PollReply, error) {
+						time.Sleep(reply.Held)
+						return reply, nil
+					},
+					Coordinator: func() string { return "coordinator" },
+					Seeds:       []string{"coordinator"},
+					Lease:       leaseKind,
+					Logger:      log.NewNopLogger(),
+				})
+				var running sync.WaitGroup
+				running.Go(func() { client.Run(ctx) })
+				for _, followed := range []string{kind, leaseKind} {
+					running.Go(func() { client.Follow(ctx, followed, metastore.FollowOptions{Changed: func(metastore.Snapshot) {}}) })
+				}
+				time.Sleep(time.Second)
+				difference := client.ConfirmedAt(kind).Sub(client.ConfirmedAt(leaseKind))
+				cancel()
+				running.Wait()
+				if told {
+					So(difference, ShouldEqual, 700*time.Millisecond)
+				} else {
+					So(difference, ShouldEqual, 0)
+				}
+			})
+		})
+	}
+}
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -119,7 +119,9 @@
 	Candidates []string
 	// Age is the time since the least recently confirmed requested kind was known to be current.
 	Age time.Duration
-	// Held is how long the poll waited in the hub. The reply is current as of Age before the end of the wait.
+	// Ages are the times since each requested kind was known to be current; nil from versions that send Age alone.
+	Ages map[string]time.Duration
+	// Held is how long the poll waited in the hub. The reply is current as of Age, and a kind as of its entry in Ages, before the end of the wait.
 	Held time.Duration
 	// Redirect tells the caller to poll one of the Candidates as a relay, because the coordinator is at its MaxDirect bound.
 	Redirect bool
@@ -130,6 +132,14 @@
 	WorkerShare float64
 }
 
+// age returns the time since a kind was known to be current.
+func (r PollReply) age(kind string) time.Duration {
+	if age, known := r.Ages[kind]; known {
+		return age
+	}
+	return r.Age
+}
+
 // Change holds the changes of a kind up to a revision.
 type Change struct {
 	Kind     string
