fleetnode, metastore: gateways read the engine list at intervals while no hub keeps up

Change: FollowOptions.Interval, a call each 0.45 of the drain time. The coordinating process waits a sixth in a watch and pauses a quarter.

--- a/internal/fleetnode/sendguard.go
+++ b/internal/fleetnode/sendguard.go
@@ -23,6 +23,8 @@
 	// hubs answer. A relay is earlier, as its callers add the age of their own copies.
 	gatewayAgeShare = 0.7
 	relayAgeShare   = 0.5
+	// directIntervalShare is the share of the drain time between two reads of the store by a gateway.
+	directIntervalShare = 0.45
 )
 
 // listConfirmedAt returns the boottime as of which this process's engine list is known to be current; zero if it never was.
@@ -47,6 +49,17 @@
 	return time.Duration(share * float64(whole))
 }
 
+// coordinatorEngineTiming is for the process from which all gateways learn of drains.
+func coordinatorEngineTiming(config settings.Fleet) platform.EngineTiming {
+	return platform.EngineTiming{Wait: config.Timing.DrainTime / 6, Pause: config.Timing.DrainTime / 4}
+}
+
+// gatewayEngineTiming is for the time in which a gateway follows the engines in the store itself. All gateways may do so at once, so their calls
+// do not grow with the changes.
+func gatewayEngineTiming(config settings.Fleet) platform.EngineTiming {
+	return platform.EngineTiming{Interval: shareOf(config.Timing.DrainTime, directIntervalShare)}
+}
+
 // newTransport returns the transport of all requests to engines.
 func newTransport(config settings.Fleet, state *fleet.State, engines *platform.Engines, confirmedAt listConfirmedAt, registry *prometheus.Registry,
 	logger log.Logger) forward.Transport {
--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -53,6 +53,8 @@
 	// Pause is kept between a change and the next watch, so that changes in quick succession cost one call; zero means none. The change
 	// itself is handed out before it.
 	Pause time.Duration
+	// Interval, if set, is kept after each watch, which waits for settleWait only: a call an interval, however often objects change.
+	Interval time.Duration
 	// Exact makes confirmations count from a moment at which the store has certainly read the objects, however long the answer was on its way.
 	// A change is followed by a short watch, so that its copy is soon confirmed. Otherwise an answer counts from when it was read, unless it
 	// took longer than the store may take.
@@ -179,9 +181,7 @@
 		case err == nil:
 			w.succeeded(began, wait, changed)
 			w.settling = changed && w.options.Exact
-			if changed && w.options.Pause > 0 {
-				pause.For(ctx, w.options.Pause)
-			}
+			pause.For(ctx, w.pauseAfter(changed))
 		case errors.Is(err, ErrCompacted):
 			listed = false
 		case !errors.Is(err, errDisturbed):
@@ -275,12 +275,23 @@
 	return len(events.Events) > 0, nil
 }
 
+// pauseAfter returns the pause after a call that was answered.
+func (w *follower) pauseAfter(changed bool) time.Duration {
+	switch {
+	case w.options.Interval > 0:
+		return w.options.Interval
+	case changed:
+		return w.options.Pause
+	}
+	return 0
+}
+
 // wait returns how long the next watch waits in the store.
 func (w *follower) wait() time.Duration {
 	if w.failures > 0 {
 		return probeWait
 	}
-	if w.settling {
+	if w.settling || w.options.Interval > 0 {
 		return settleWait
 	}
 	if w.group.MaxWait == nil {
