resourceapi: check references against the store before refusing them

Cause: a write waits at most 2 s until the node's reads show it, and is then confirmed all the same; the next write's references were checked against those reads alone. Evidence: by reading; a backend whose reads show no write gives the same answer for the same sequence of writes (422). Change: a reference that reads do not show is looked up in the store, through the zone's coordinator, before the write is refused. Result: TestReferenceThatReadsDoNotShowYet failed before (422, want 201) and passes.

--- a/internal/configsync/backend.go
+++ b/internal/configsync/backend.go
@@ -62,6 +62,14 @@
 	return nil, errNotFound(kind, name)
 }
 
+// Stored implements resourceapi.Backend through the zone's coordinator.
+func (m *Manager) Stored(ctx context.Context, kind v1.Kind, name string) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, m.params.Timing.RequestTimeout)
+	defer cancel()
+	reply, err := m.askReadBack(ctx, writeRequest{Object: v1.RawObject{Kind: kind, Metadata: v1.ObjectMeta{Name: name}}})
+	return reply.Found, err
+}
+
 // Create implements resourceapi.Backend through the zone's coordinator.
 func (m *Manager) Create(ctx context.Context, object v1.Object) (v1.Object, error) {
 	return m.writeObject(ctx, OperationCreate, object)
--- a/internal/resourceapi/backend.go
+++ b/internal/resourceapi/backend.go
@@ -31,6 +31,8 @@
 	// List returns the resources of a kind, sorted by name, and the revision they are from.
 	List(ctx context.Context, kind v1.Kind) ([]v1.Object, uint64, error)
 	Get(ctx context.Context, kind v1.Kind, name string) (v1.Object, error)
+	// Stored reports whether the store holds a resource, also one that List and Get do not show yet.
+	Stored(ctx context.Context, kind v1.Kind, name string) (bool, error)
 	// Create stores a new resource and returns it as stored.
 	Create(ctx context.Context, object v1.Object) (v1.Object, error)
 	// Update stores a changed spec if the object's resourceVersion is the current one.
--- a/internal/resourceapi/backendtest/memory.go
+++ b/internal/resourceapi/backendtest/memory.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"sort"
 	"strconv"
 	"sync"
@@ -97,6 +98,16 @@
 	return clone(object), nil
 }
 
+// Stored implements resourceapi.Backend.
+func (m *MemoryBackend) Stored(ctx context.Context, kind v1.Kind, name string) (bool, error) {
+	_, err := m.Get(ctx, kind, name)
+	var typed *v1.Error
+	if errors.As(err, &typed) && typed.Code == v1.CodeNotFound {
+		return false, nil
+	}
+	return err == nil, err
+}
+
 // Create implements resourceapi.Backend.
 func (m *MemoryBackend) Create(_ context.Context, object v1.Object) (v1.Object, error) {
 	m.mu.Lock()
--- a/internal/resourceapi/lag_test.go
+++ b/internal/resourceapi/lag_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	"github.com/gin-gonic/gin"
 	"github.com/go-kit/log"
@@ -238,3 +239,28 @@
 	}
 	return usable
 }
+
+// staleBackend shows no write to reads.
+type staleBackend struct{ *backendtest.MemoryBackend }
+
+func (s *staleBackend) List(context.Context, v1.Kind) ([]v1.Object, uint64, error) {
+	return nil, 0, nil
+}
+
+func (s *staleBackend) Get(context.Context, v1.Kind, string) (v1.Object, error) {
+	return nil, v1.Errorf(v1.CodeNotFound, "not found")
+}
+
+// Guards against a resource that is refused because the node has not yet seen what it refers to.
+func TestReferenceThatReadsDoNotShowYet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A resource may refer to one that the store holds, although reads do not show it; not to one that is nowhere", t, func() {
+			router := newRouter(&staleBackend{MemoryBackend: backendtest.New()})
+			So(serve(router, http.MethodPost, "zones", zoneBody("a", "")).Code, ShouldEqual, 201)
+			So(serve(router, http.MethodPost, "pools", poolBody("p", "", `"a"`)).Code, ShouldEqual, 201)
+			refused := serve(router, http.MethodPost, "pools", poolBody("q", "", `"nowhere"`))
+			So(refused.Code, ShouldEqual, 422)
+			So(refused.Body.String(), ShouldContainSubstring, "does not exist")
+		})
+	})
+}
--- a/internal/resourceapi/plan.go
+++ b/internal/resourceapi/plan.go
@@ -38,7 +38,27 @@
 	if err != nil {
 		return planned, err
 	}
-	return planned, v1.ValidateAgainst(object, resources.exists).Err()
+	return planned, a.checkReferences(ctx, object, resources)
+}
+
+// checkReferences refuses an object that refers to a resource which neither the reads show nor the store holds.
+func (a *API) checkReferences(ctx context.Context, object v1.Object, resources *resourceSet) error {
+	if len(v1.ValidateAgainst(object, resources.exists)) == 0 {
+		return nil
+	}
+	var failed error
+	faults := v1.ValidateAgainst(object, func(kind v1.Kind, name string) bool {
+		if resources.exists(kind, name) {
+			return true
+		}
+		stored, err := a.backend.Stored(ctx, kind, name)
+		failed = errors.Join(failed, err)
+		return stored
+	})
+	if failed != nil {
+		return v1.NotRun(v1.CodeUnavailable, 0, "references cannot be checked: %s", failed)
+	}
+	return faults.Err()
 }
 
 // planUpdate checks a changed resource against those that exist.
@@ -53,7 +73,7 @@
 	if err != nil {
 		return planned, err
 	}
-	if err := v1.ValidateAgainst(object, resources.exists).Err(); err != nil {
+	if err := a.checkReferences(ctx, object, resources); err != nil {
 		return planned, err
 	}
 	return planned, r.checkHarm(resources, resources.with(object))
