claims, keeper: judge a node's lease by the time of its use

A keeper granted a claim after its node's lease had ended, as long as no timer had cleared Serving: after a pause of the process, or on a busy machine. A change that the node lacks may have been accepted by then. Result: TestClaimAfterTheEndOfTheLease failed before (granted, want not_serving) and passes.

--- a/internal/claims/keeper.go
+++ b/internal/claims/keeper.go
@@ -52,7 +52,7 @@
 	now := k.now()
 	view := k.source.Current()
 	pool := message.Key.Pool
-	if !view.Serving {
+	if !view.ServingAt(now) {
 		return claimReply{Verdict: verdictNotServing}, nil
 	}
 	if !view.Permitted(pool, k.self.Zone) || !view.Permitted(pool, peerZone) {
@@ -191,7 +191,7 @@
 // of one.
 func (k *keeper) bootstrapPeers() (others []cluster.Node, eligible bool) {
 	view := k.source.Current()
-	if !view.Serving {
+	if !view.ServingAt(k.now()) {
 		return nil, false
 	}
 	found := make(map[string]cluster.Node)
@@ -231,7 +231,7 @@
 
 // recordKeeperSets records the keeper sets of all pools, including deleted ones. The caller holds the lock.
 func (k *keeper) recordKeeperSets(now time.Time, view *cluster.View) {
-	if !view.Serving {
+	if !view.ServingAt(now) {
 		return
 	}
 	for pool := range view.Pools {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -246,7 +246,7 @@
 // other zones. A node without a configuration deletes none.
 func (k *Keeper) sweep(now time.Time) {
 	view := k.params.Source.Current()
-	if view.Revision == 0 || !view.Serving {
+	if view.Revision == 0 || !view.ServingAt(now) {
 		return
 	}
 	for _, name := range k.names() {
