configsync: TestOneZone judges a lease as those who start work do

Cause: the test read View.Serving, which a timer clears, at the moment at which a change was accepted. The promise is that of View.ServingAt, by which work is started. Change: ServingAt must be false, with the reason, at that moment, and Serving must follow: as strict on what decides, and the flag is still checked.

--- a/internal/configsync/manager_test.go
+++ b/internal/configsync/manager_test.go
@@ -215,9 +215,14 @@
 				seen, err := leader.Get(ctx, v1.KindZone, "z")
 				return err == nil && seen.Meta().ResourceVersion == "2" && leader.accepted(ctx, "z")()
 			})
+			// Serving is cleared by a timer, which may be late; whoever starts work asks ServingAt.
 			view := follower.params.Holder.Current()
-			So(view.Serving, ShouldBeFalse)
-			So(view.NotServingReason, ShouldEqual, reasonLeaseExpired)
+			So(view.ServingAt(follower.now()), ShouldBeFalse)
+			So(view.WhyNotServing(), ShouldEqual, reasonLeaseExpired)
+			eventually("the view to say so", func() bool {
+				view := follower.params.Holder.Current()
+				return !view.Serving && view.NotServingReason == reasonLeaseExpired
+			})
 			c.setCut(follower.node.Address, false)
 			eventually("serves the new revision", func() bool { return follower.serves(2) })
 		})
