leadership: TestLeaseElector judges the end of a term by its context

Cause: the test took a term as held until its own goroutine, woken by the end of the context, had cleared the leader. The promise is that Err of the context tells the end, whenever a goroutine runs. Change: two terms overlap if the earlier one's Err is nil as the later begins; a lower token counts as before.

--- a/internal/leadership/elector_test.go
+++ b/internal/leadership/elector_test.go
@@ -38,9 +38,11 @@
 
 // testCluster runs several members, and records the leader and whether two terms overlapped.
 type testCluster struct {
-	mu      sync.Mutex
-	leader  string
-	token   uint64
+	mu     sync.Mutex
+	leader string
+	token  uint64
+	// term is the context of the last term. Its Err tells whether the holder may still act, before any timer has fired.
+	term    context.Context
 	overlap bool
 	members map[string]*member
 }
@@ -87,13 +89,15 @@
 func (e *testCluster) lead(name string) func(context.Context, Term) {
 	return func(ctx context.Context, term Term) {
 		e.mu.Lock()
-		e.overlap = e.overlap || e.leader != "" || term.Token <= e.token
-		e.leader, e.token = name, term.Token
+		e.overlap = e.overlap || (e.term != nil && e.term.Err() == nil) || term.Token <= e.token
+		e.leader, e.token, e.term = name, term.Token, ctx
 		e.mu.Unlock()
 		<-ctx.Done()
 		e.mu.Lock()
-		e.leader = ""
-		e.mu.Unlock()
+		defer e.mu.Unlock()
+		if e.token == term.Token {
+			e.leader = ""
+		}
 	}
 }
 
