storerelay: a kind with a MaxAge is read at intervals, by relays too

Cause: a relay that followed the engines beside a coordinator which answered late had watches of 50 ms without a pause, 20 calls a second, as the wait of the first watch holds until the lease is read from the store; found by reading, not seen on a deployment. Change: the client itself reads a kind that is older than its MaxAge at intervals of 0.6 of that; the platform's adapter and the wiring have no interval of their own any more.

--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -38,7 +38,7 @@
 	observed *metrics, logger log.Logger) {
 	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
 		group.run(func(ctx context.Context) {
-			followFleet(ctx, config, followers, state, gatewayEngineTiming(config), observed, logger)
+			followFleet(ctx, config, followers, state, observed, logger)
 		})
 		return nil
 	}})
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -239,12 +239,12 @@
 }
 
 // followFleet keeps the state at what the store holds until ctx ends.
-func followFleet(ctx context.Context, config settings.Fleet, followers metastore.Follower, state *fleet.State, engines platform.EngineTiming,
-	observed *metrics, logger log.Logger) {
+func followFleet(ctx context.Context, config settings.Fleet, followers metastore.Follower, state *fleet.State, observed *metrics,
+	logger log.Logger) {
 	logger = telemetry.For(logger, telemetry.PartFleet)
 	var following sync.WaitGroup
 	following.Go(func() { platform.FollowConfig(ctx, followers, state, observed.configRefused.Inc, logger) })
-	following.Go(func() { platform.FollowEngines(ctx, followers, state, engines, logger) })
+	following.Go(func() { platform.FollowEngines(ctx, followers, state, engineTiming(config), logger) })
 	if config.Topology.EvacuateTime > 0 {
 		following.Go(func() { platform.FollowEvacuations(ctx, followers, state, logger) })
 	}
--- a/internal/fleetnode/sendguard.go
+++ b/internal/fleetnode/sendguard.go
@@ -23,8 +23,9 @@
 	// hubs answer. A relay is earlier, as its callers add the age of their own copies.
 	gatewayAgeShare = 0.7
 	relayAgeShare   = 0.5
-	// directIntervalShare is the share of the drain time between two reads of the store by a gateway.
-	directIntervalShare = 0.45
+	// watchShare and pauseShare are the shares of the drain time that a watch of the engines and the pause after a change may take.
+	watchShare = 1.0 / 6
+	pauseShare = 0.25
 )
 
 // listConfirmedAt returns the boottime as of which this process's engine list is known to be current; zero if it never was.
@@ -49,15 +50,10 @@
 	return time.Duration(share * float64(whole))
 }
 
-// coordinatorEngineTiming is for the process from which all gateways learn of drains.
-func coordinatorEngineTiming(config settings.Fleet) platform.EngineTiming {
-	return platform.EngineTiming{Wait: config.Timing.DrainTime / 6, Pause: config.Timing.DrainTime / 4}
-}
-
-// gatewayEngineTiming is for the time in which a gateway follows the engines in the store itself. All gateways may do so at once, so their calls
-// do not grow with the changes.
-func gatewayEngineTiming(config settings.Fleet) platform.EngineTiming {
-	return platform.EngineTiming{Interval: shareOf(config.Timing.DrainTime, directIntervalShare)}
+// engineTiming returns how closely a process follows the engines in the store. A gateway that does so beside a hub reads them at intervals instead
+// (storerelay.ClientParams.MaxAge).
+func engineTiming(config settings.Fleet) platform.EngineTiming {
+	return platform.EngineTiming{Wait: shareOf(config.Timing.DrainTime, watchShare), Pause: shareOf(config.Timing.DrainTime, pauseShare)}
 }
 
 // newTransport returns the transport of all requests to engines.
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -31,8 +31,8 @@
 	// FailoverTimeout is how long the client waits for a hub after losing one before it follows the store directly; zero means
 	// DefaultFailoverTimeout.
 	FailoverTimeout time.Duration
-	// MaxAge is the age from which a kind's copy is followed in the store even if a hub answers; no entry for no bound. The age is that of
-	// ConfirmedAt.
+	// MaxAge is the age from which a kind's copy is read in the store even if a hub answers; no entry for no bound. The age is that of
+	// ConfirmedAt. The store is then read at intervals, since all clients may do so at once.
 	MaxAge map[string]time.Duration
 	// Name is the process name, from which the relay is selected.
 	Name string
@@ -284,6 +284,9 @@
 		c.waitForHubToKeepUp(ctx, kind, modeChanged)
 	}()
 	options.RetryPause = directRetryPause
+	if limit, bounded := c.MaxAge[kind]; bounded {
+		options.Interval, options.Exact = time.Duration(directIntervalShare*float64(limit)), true
+	}
 	c.Direct.Follow(ctx, kind, options)
 }
 
--- a/internal/storerelay/storerelay.go
+++ b/internal/storerelay/storerelay.go
@@ -34,6 +34,8 @@
 	// directRetryPause is the pause after a failed call to the store by a client that follows it directly, as hundreds of clients may do so at
 	// once.
 	directRetryPause = 2500 * time.Millisecond
+	// directIntervalShare is the interval between two reads of the store as a share of a kind's MaxAge.
+	directIntervalShare = 0.6
 	// firstWatchWait is the wait of a client's first store watch.
 	firstWatchWait = 50 * time.Millisecond
 	// leaseHeadStart is how long, after the lease was read from the store, a client waits for the coordinator to provide kinds without a
