--- a/internal/metastore/follower.go
+++ b/internal/metastore/follower.go
@@ -181,7 +181,9 @@
 		case err == nil:
 			w.succeeded(began, wait, changed)
 			w.settling = changed && w.options.Exact
-			pause.For(ctx, w.pauseAfter(changed))
+			if length := w.pauseAfter(changed); length > 0 {
+				pause.For(ctx, length)
+			}
 		case errors.Is(err, ErrCompacted):
 			listed = false
 		case !errors.Is(err, errDisturbed):
