--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -293,9 +293,7 @@
 	c.State.Reset()
 	c.ColdTracker.Relist()
 	var leading sync.WaitGroup
-	leading.Go(func() {
-		followFleet(ctx, c.Settings, c.Followers, c.State, c.Metrics, c.Logger)
-	})
+	leading.Go(func() { followFleet(ctx, c.Settings, c.Followers, c.State, c.Metrics, c.Logger) })
 	leading.Go(func() {
 		platform.FollowVersions(ctx, c.Followers, c.Orders.SetTargets, telemetry.For(c.Logger, telemetry.PartOrders))
 	})
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -37,9 +37,7 @@
 func alwaysFollowFleet(hooks fx.Lifecycle, group *tasks, config settings.Fleet, followers *storerelay.Client, state *fleet.State,
 	observed *metrics, logger log.Logger) {
 	hooks.Append(fx.Hook{OnStart: func(context.Context) error {
-		group.run(func(ctx context.Context) {
-			followFleet(ctx, config, followers, state, observed, logger)
-		})
+		group.run(func(ctx context.Context) { followFleet(ctx, config, followers, state, observed, logger) })
 		return nil
 	}})
 }
--- a/internal/storerelay/client.go
+++ b/internal/storerelay/client.go
@@ -131,18 +131,7 @@
 		waitFor(ctx, modeChanged)
 		return false
 	}
-	ticker := time.NewTicker(failoverCheckInterval)
-	defer ticker.Stop()
-	for !c.tooOld(kind) {
-		select {
-		case <-modeChanged:
-			return false
-		case <-ctx.Done():
-			return false
-		case <-ticker.C:
-		}
-	}
-	return true
+	return c.waitUntil(ctx, modeChanged, func() bool { return c.tooOld(kind) })
 }
 
 // hubKeepsUp reports whether a hub answers and has lately confirmed a kind, so that it need not be followed in the store.
@@ -191,18 +180,7 @@
 // waitForHub waits until a hub answers or ctx ends. It returns false if the kind must be followed in the store instead.
 func (c *Client) waitForHub(ctx context.Context, kind string, sub *subscription, modeChanged <-chan struct{}) bool {
 	timeout := c.hubTimeout(kind, sub)
-	ticker := time.NewTicker(failoverCheckInterval)
-	defer ticker.Stop()
-	for !c.hubOverdue(kind, sub.known(), timeout) && !c.tooOld(kind) {
-		select {
-		case <-modeChanged:
-			return true
-		case <-ctx.Done():
-			return true
-		case <-ticker.C:
-		}
-	}
-	return false
+	return !c.waitUntil(ctx, modeChanged, func() bool { return c.hubOverdue(kind, sub.known(), timeout) || c.tooOld(kind) })
 }
 
 // hubOverdue reports whether no hub has answered within the timeout. While the lease is followed, other kinds wait until it can be read from
@@ -281,7 +259,7 @@
 			waitFor(ctx, modeChanged)
 			return
 		}
-		c.waitForHubToKeepUp(ctx, kind, modeChanged)
+		c.waitUntil(ctx, modeChanged, func() bool { return c.hubKeepsUp(kind) })
 	}()
 	options.RetryPause = directRetryPause
 	if limit, bounded := c.MaxAge[kind]; bounded {
@@ -290,19 +268,20 @@
 	c.Direct.Follow(ctx, kind, options)
 }
 
-// waitForHubToKeepUp waits until hubKeepsUp, no hub answers or ctx ends.
-func (c *Client) waitForHubToKeepUp(ctx context.Context, kind string, modeChanged <-chan struct{}) {
+// waitUntil waits until a condition holds. It returns false if relayed changes or ctx ends before.
+func (c *Client) waitUntil(ctx context.Context, modeChanged <-chan struct{}, holds func() bool) bool {
 	ticker := time.NewTicker(failoverCheckInterval)
 	defer ticker.Stop()
-	for !c.hubKeepsUp(kind) {
+	for !holds() {
 		select {
 		case <-modeChanged:
-			return
+			return false
 		case <-ctx.Done():
-			return
+			return false
 		case <-ticker.C:
 		}
 	}
+	return true
 }
 
 func waitFor(ctx context.Context, done <-chan struct{}) {
