weightorder, batchrun: demand tells engine time, age of jobs and runs by engine

Cause: shares of engines and orders of engines can follow only the number of items, which says little where texts differ by 17 times in length. Result: tests of batchrun and weightorder pass; no decision changes.

--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -100,8 +100,10 @@
 	unfinished *unfinishedTexts
 	// endedAt holds the time at which this process recorded the durable end of each job.
 	endedAt map[string]time.Time
-	// submitted is the decayed sum of recently submitted items, by model.
-	submitted map[string]decay.Value
+	// submitted is the decayed sum of recently submitted items, by model, and submittedTime that of the expected durations of their texts, in seconds.
+	submitted, submittedTime map[string]decay.Value
+	// firstSubmitted is when the first job of the term was added; zero before.
+	firstSubmitted time.Time
 	// endedBytes is the size of the results of ended jobs in memory.
 	endedBytes int
 	// goroutines tracks the goroutines of the term. Goroutines are added only during the term.
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -84,6 +84,7 @@
 		OnLoading:     runner.SetLoading,
 		EventInterval: runner.EventInterval,
 		Demands:       runner.Demands,
+		Runs:          runner.EngineRuns,
 		OnMoved:       observed.engineMoved,
 		Logger:        telemetry.For(logger, telemetry.PartOrders),
 	})
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -72,6 +72,19 @@
 	Items float64
 	// Open counts the items of unfinished jobs.
 	Open int
+	// WaitingTime is the time that engines are expected to spend on the waiting items.
+	WaitingTime time.Duration
+	// SubmittedTime is a moving sum of the time that engines were expected to spend on submitted items.
+	SubmittedTime time.Duration
+	// OldestOpen is the age of the oldest unfinished job; zero if there is none.
+	OldestOpen time.Duration
+}
+
+// EngineRuns is the work in progress at an engine.
+type EngineRuns struct {
+	// Running counts the runs in progress, and TimeLeft is the expected time until the last of them ends.
+	Running  int
+	TimeLeft time.Duration
 }
 
 // Engines sends calls to engines.
@@ -117,6 +130,8 @@
 	OnVersion func(engineID, model string, version int64)
 	// Demands returns the work for each model; may be nil.
 	Demands func() map[string]Demand
+	// Runs returns the work in progress at each engine that has any; may be nil.
+	Runs func() map[string]EngineRuns
 	// EventInterval returns the expected interval between two events of an engine's stream; may be nil.
 	EventInterval func(engineID string) time.Duration
 	// OnLoading is called when an engine starts to load, during which it accepts no work, and when that ends; may be nil.
