enginescale: order engines by the offered load

Cause: the first deployment's items wait 1.5 to 3.4 s at the median on the 26 engines found at the start, while its operator allows 26 engines in each of three zones. Only lost engines were ordered.

Change: Plan also orders what a pure decision (Demand) requires: 40% of the slots that do not load, the zones with the fewest engines first, then the cheapest; fewer after a minute, one zone at a time, never below what was found. The stored object has the found engines; objects without them take the ordered ones. The platform is called at most every 2 s for a zone; an order without an answer is repeated with the same number; a zone without engines to order is left out for 10 s. Orders of one plan are sent at the same time, and stored together. A failed write is repeated until it succeeds.

Result: go test -race -count=30 ./internal/enginescale passes.

--- a/internal/enginescale/manager.go
+++ b/internal/enginescale/manager.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"maps"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +16,6 @@
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/permits"
-	"github.com/covelink/covelink/internal/routing"
 )
 
 const (
@@ -49,19 +46,59 @@
 	Platform Platform
 	Store    metastore.Client
 	Logger   log.Logger
+	// OfferedLoad returns how many engine slots the items of some models occupy on average; ok is false while that is not known. Nil if engines
+	// are not ordered by demand.
+	OfferedLoad func(models []string) (slots float64, ok bool)
+	// Loading reports whether an engine loads weights; may be nil.
+	Loading func(engineID string) bool
+	// Zones are the deployment's zones, in the order in which the configuration lists their prices.
+	Zones []string
+}
+
+// ServiceDemand is the demand for engines of a service as of the last plan.
+type ServiceDemand struct {
+	Service string
+	// Offered is the offered load in slots, and LoadingShare the share of time that an engine spends on loads of weights.
+	Offered, LoadingShare float64
+	// Needed is the number of engines that the load requires, without limits.
+	Needed int
 }
 
 // Manager sends orders while it leads.
 type Manager struct {
 	Params
-	mu         sync.Mutex
-	desired    map[Subject]int
-	shortSince map[Subject]time.Time
-	orderedAt  map[Subject]time.Time
+	mu sync.Mutex
+	// orders is the state of the orders, and demands the services with a known load, by name.
+	orders  orderState
+	demands map[string]ServiceDemand
+	// observed and lowerSince describe the load of each service. Only Lead uses them.
+	observed   map[string]*observedLoad
+	lowerSince map[string]time.Time
+	// unsaved is true if orders changed since they were last stored. Only Lead uses it.
+	unsaved bool
 	// revision is that of the stored object; zero if it has not been read. Only Lead uses it.
 	revision metastore.Revision
 }
 
+// orderState holds what was ordered. Its fields are those of Snapshot.
+type orderState struct {
+	desired, found                                    map[Subject]int
+	shortSince, orderedAt, calledAt, unavailableSince map[Subject]time.Time
+	unanswered                                        map[Subject]Order
+}
+
+func newOrderState() orderState {
+	return orderState{
+		desired:          make(map[Subject]int),
+		found:            make(map[Subject]int),
+		shortSince:       make(map[Subject]time.Time),
+		orderedAt:        make(map[Subject]time.Time),
+		calledAt:         make(map[Subject]time.Time),
+		unavailableSince: make(map[Subject]time.Time),
+		unanswered:       make(map[Subject]Order),
+	}
+}
+
 // New returns a Manager that sends nothing until Lead.
 func New(params Params) *Manager { return &Manager{Params: params} }
 
@@ -70,204 +107,113 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	total := 0
-	for _, count := range m.desired {
+	for _, count := range m.orders.desired {
 		total += count
 	}
 	return total
 }
 
+// Demands returns the demand of the services whose load is known, while this process leads.
+func (m *Manager) Demands() []ServiceDemand {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Values(m.demands))
+}
+
 // Lead sends orders until ctx ends or a later term is found. duties records the calls.
 func (m *Manager) Lead(ctx context.Context, duties *duty.Executor) {
 	m.mu.Lock()
-	m.desired, m.shortSince, m.orderedAt = make(map[Subject]int), make(map[Subject]time.Time), make(map[Subject]time.Time)
-	m.revision = 0
+	m.orders = newOrderState()
 	m.mu.Unlock()
+	m.observed, m.lowerSince = make(map[string]*observedLoad), make(map[string]time.Time)
+	m.revision, m.unsaved = 0, false
+	defer m.setDemands(nil)
 	if !m.loadOrders(ctx, duties.Stamp.Token) {
 		return
 	}
 	pause.For(ctx, settleTime)
 	for ctx.Err() == nil {
-		for _, order := range Plan(m.snapshot(time.Now())) {
-			if errors.Is(m.send(ctx, duties, order), permits.ErrSuperseded) {
-				return
-			}
+		if errors.Is(m.step(ctx, duties), permits.ErrSuperseded) {
+			return
 		}
 		pause.For(ctx, planInterval)
 	}
 }
 
-// snapshot returns the input of the next plan.
-func (m *Manager) snapshot(now time.Time) Snapshot {
-	view := m.State.View()
-	s := Snapshot{Now: now, Limits: limitsOf(view.Routes), Running: runningOf(view), Evacuated: make(map[string]bool)}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for subject, desired := range m.desired {
-		s.Evacuated[subject.Zone] = view.Evacuations == nil || view.Evacuations.Contains(subject.Zone)
-		if s.Running[subject] >= desired {
-			delete(m.shortSince, subject)
-			continue
-		}
-		if _, exists := m.shortSince[subject]; !exists {
-			m.shortSince[subject] = now
-		}
-	}
-	s.Desired, s.ShortSince, s.OrderedAt = maps.Clone(m.desired), maps.Clone(m.shortSince), maps.Clone(m.orderedAt)
-	return s
-}
-
-// limitsOf returns the limits of the services with scaling.
-func limitsOf(routes *routing.Table) map[string]Limits {
-	limits := make(map[string]Limits)
-	if routes == nil {
-		return limits
-	}
-	for name, service := range routes.Services {
-		if scaling := service.Scaling; scaling != nil {
-			limits[name] = Limits{Min: scaling.Min, Max: scaling.Max, StartTime: scaling.StartTime}
-		}
-	}
-	return limits
-}
-
-// runningOf counts the ready engines. A subject without ready engines is listed with zero.
-func runningOf(view *fleet.View) map[Subject]int {
-	running := make(map[Subject]int)
-	for _, engine := range view.Engines.All() {
-		subject := Subject{Service: engine.Service, Zone: engine.Zone}
-		running[subject] += 0
-		if engine.Ready {
-			running[subject]++
+// step makes one plan, sends its orders and stores what was accepted. It returns permits.ErrSuperseded if a later term leads.
+func (m *Manager) step(ctx context.Context, duties *duty.Executor) error {
+	orders := Plan(m.snapshot(time.Now()))
+	errs := make([]error, len(orders))
+	var sending sync.WaitGroup
+	for i, order := range orders {
+		sending.Go(func() { errs[i] = m.send(ctx, duties, order) })
+	}
+	sending.Wait()
+	for i, order := range orders {
+		m.record(order, errs[i], time.Now())
+	}
+	if m.unsaved {
+		err := m.persist(ctx, duties.Stamp.Token)
+		if err != nil {
+			level.Warn(m.Logger).Log("msg", "failed to persist ordered engines", "err", err)
 		}
+		m.unsaved = err != nil
+		errs = append(errs, err)
 	}
-	return running
+	return errors.Join(errs...)
 }
 
-// send sends an order and persists the desired number once the platform has accepted it.
+// send sends an order.
 func (m *Manager) send(ctx context.Context, duties *duty.Executor, order Order) error {
 	err := duties.Do(ctx, order.Subject.String(), func(ctx context.Context, stamp duty.Stamp, leaveBy time.Time) error {
 		return m.Platform.OrderEngines(ctx, stamp, leaveBy, order)
 	})
-	level.Info(m.Logger).Log("msg", "engines ordered", "service", order.Subject.Service, "zone", order.Subject.Zone, "desired", order.Desired,
-		"running", order.Running, "reason", string(order.Reason), "token", duties.Stamp.Token, "err", err)
-	if err != nil {
-		return err
-	}
 	m.mu.Lock()
-	m.orderedAt[order.Subject] = time.Now()
-	changed := m.desired[order.Subject] != order.Desired
-	m.desired[order.Subject] = order.Desired
+	ordered, demand := m.orders.desired[order.Subject], m.demands[order.Subject.Service]
 	m.mu.Unlock()
-	if !changed {
-		return nil
-	}
-	if err := m.persist(ctx, duties.Stamp.Token); err != nil {
-		level.Warn(m.Logger).Log("msg", "failed to persist ordered engines", "err", err)
-		return err
-	}
-	return nil
-}
-
-// ordersSpec is the content of the stored object.
-type ordersSpec struct {
-	// Token is that of the term that wrote the object.
-	Token int64 `json:"token"`
-	// Desired is keyed by Subject.String.
-	Desired map[string]int `json:"desired"`
-}
-
-// loadOrders reads the orders of earlier terms, retrying until the store answers. It returns false if a later term leads or ctx ends.
-func (m *Manager) loadOrders(ctx context.Context, token int64) bool {
-	for ctx.Err() == nil {
-		err := m.readOrders(ctx, token)
-		if err == nil {
-			return true
-		}
-		level.Warn(m.Logger).Log("msg", "failed to read ordered engines", "err", err)
-		if errors.Is(err, permits.ErrSuperseded) {
-			return false
-		}
-		pause.For(ctx, retryDelay)
-	}
-	return false
+	level.Info(m.Logger).Log("msg", "engines ordered", "service", order.Subject.Service, "zone", order.Subject.Zone, "desired", order.Desired,
+		"running", order.Running, "ordered", ordered, "offered", demand.Offered, "loading_share", demand.LoadingShare, "needed", demand.Needed,
+		"reason", string(order.Reason), "token", duties.Stamp.Token, "err", err)
+	return err
 }
 
-func (m *Manager) readOrders(ctx context.Context, token int64) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	object, err := m.Store.Get(ctx, KindOrders, ordersName)
-	if errors.Is(err, metastore.ErrNotFound) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	var spec ordersSpec
-	if err := json.Unmarshal(object.Spec, &spec); err != nil {
-		return fmt.Errorf("enginescale: decode orders: %w", err)
-	}
-	if spec.Token > token {
-		return permits.ErrSuperseded
-	}
+// record records the result of sending an order.
+func (m *Manager) record(order Order, err error, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for name, desired := range spec.Desired {
-		if subject, ok := parseSubject(name); ok {
-			m.desired[subject] = desired
+	state, subject := &m.orders, order.Subject
+	var refused *duty.RefusedError
+	switch {
+	case err == nil:
+		m.accepted(order, now)
+	case errors.Is(err, duty.ErrUnanswered):
+		// The platform may have carried it out: another number would reverse that, and cost a second order.
+		if order.Reason != ReasonLost {
+			state.unanswered[subject] = order
 		}
+	case errors.Is(err, duty.ErrNoneAvailable):
+		state.unavailableSince[subject] = now
+		delete(state.unanswered, subject)
+	case !errors.As(err, &refused):
+		// The platform was not called.
+		return
 	}
-	m.revision = object.Revision
-	return nil
-}
-
-// parseSubject parses the result of Subject.String.
-func parseSubject(name string) (subject Subject, ok bool) {
-	parts := strings.Split(name, "/")
-	if len(parts) != 3 {
-		return Subject{}, false
-	}
-	return Subject{Service: parts[1], Zone: parts[2]}, true
-}
-
-// persist writes the orders on the condition that no other process has written them.
-func (m *Manager) persist(ctx context.Context, token int64) error {
-	m.mu.Lock()
-	spec := ordersSpec{Token: token, Desired: make(map[string]int, len(m.desired))}
-	for subject, desired := range m.desired {
-		spec.Desired[subject.String()] = desired
-	}
-	m.mu.Unlock()
-	content, err := json.Marshal(spec)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	write := m.Store.Replace
-	if m.revision == 0 {
-		write = m.Store.Create
-	}
-	stored, err := write(ctx, KindOrders, metastore.Object{Name: ordersName, Spec: content, Revision: m.revision})
-	var conflict *metastore.ConflictError
-	if errors.As(err, &conflict) {
-		return m.resolveConflict(conflict.Current, token)
-	}
-	if err != nil {
-		return err
-	}
-	m.revision = stored.Revision
-	return nil
+	state.calledAt[subject] = now
 }
 
-// resolveConflict handles an object that was written in the meantime, possibly by this process in a write whose reply was lost.
-func (m *Manager) resolveConflict(current metastore.Object, token int64) error {
-	var spec ordersSpec
-	if err := json.Unmarshal(current.Spec, &spec); err != nil {
-		return fmt.Errorf("enginescale: decode orders: %w", err)
-	}
-	if spec.Token > token {
-		return permits.ErrSuperseded
-	}
-	m.revision = current.Revision
-	return nil
+// accepted records an order that the platform has accepted. The mutex must be held.
+func (m *Manager) accepted(order Order, now time.Time) {
+	state, subject := &m.orders, order.Subject
+	before, exists := state.desired[subject]
+	state.desired[subject], state.orderedAt[subject] = order.Desired, now
+	delete(state.unanswered, subject)
+	delete(state.unavailableSince, subject)
+	if !exists {
+		state.found[subject] = order.Desired
+	}
+	if order.Desired < before {
+		// The next zone gets fewer engines after the load was observed with this number.
+		delete(m.lowerSince, subject.Service)
+	}
+	m.unsaved = m.unsaved || !exists || order.Desired != before
 }
