fleetnode: wire engine orders to the load of batch jobs

The duty autoscale reads the offered load from batchrun and the engines that load weights from weightorder's OnLoading.

--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -21,6 +21,7 @@
 	"github.com/covelink/covelink/internal/coldstart"
 	"github.com/covelink/covelink/internal/decommission"
 	"github.com/covelink/covelink/internal/election"
+	"github.com/covelink/covelink/internal/enginescale"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/fleettime"
 	"github.com/covelink/covelink/internal/forward"
@@ -40,7 +41,7 @@
 
 // coordinatorParts are those of a process that may coordinate.
 var coordinatorParts = fx.Options(
-	fx.Provide(ownListAge, newDispatcher, newRunner, newOrders, newDecommission, newConsensus, newDuties, newQuarantineCoordinator, newColdLimiter),
+	fx.Provide(ownListAge, newDispatcher, newRunner, newOrders, newDecommission, newConsensus, enginescale.NewLoadingSet, newDuties, newQuarantineCoordinator, newColdLimiter),
 	fx.Invoke(runCoordinator),
 )
 
@@ -73,7 +74,14 @@
 }
 
 func newOrders(config settings.Fleet, state *fleet.State, engines *platform.Engines, store metastore.Client, runner *batchrun.Runner,
-	observed *metrics, logger log.Logger) *weightorder.Manager {
+	loading *enginescale.LoadingSet, observed *metrics, logger log.Logger) *weightorder.Manager {
+	onLoading := runner.SetLoading
+	if config.Duties.Include(settings.DutyAutoscale) {
+		onLoading = func(engineID string, loads bool) {
+			runner.SetLoading(engineID, loads)
+			loading.Set(engineID, loads)
+		}
+	}
 	return weightorder.New(weightorder.Params{
 		State:         state,
 		Engines:       engines,
@@ -81,7 +89,7 @@
 		Holder:        config.Node.Name,
 		LeaseLength:   config.Timing.LeaseLength,
 		OnVersion:     runner.RecordVersion,
-		OnLoading:     runner.SetLoading,
+		OnLoading:     onLoading,
 		EventInterval: runner.EventInterval,
 		Demands:       runner.Demands,
 		Runs:          runner.EngineRuns,
--- a/internal/fleetnode/duties.go
+++ b/internal/fleetnode/duties.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 
+	"github.com/covelink/covelink/internal/batchrun"
 	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/duty"
 	"github.com/covelink/covelink/internal/election"
@@ -44,8 +45,8 @@
 	engines *enginescale.Manager
 }
 
-func newDuties(config settings.Fleet, state *fleet.State, store metastore.Client, clock *fleettime.Consensus, observed *metrics,
-	registry *prometheus.Registry, logger log.Logger) *duties {
+func newDuties(config settings.Fleet, state *fleet.State, store metastore.Client, clock *fleettime.Consensus, runner *batchrun.Runner,
+	loading *enginescale.LoadingSet, observed *metrics, registry *prometheus.Registry, logger log.Logger) *duties {
 	d := &duties{config: config, store: store, observe: observed.dutyCalled, logger: telemetry.For(logger, telemetry.PartDuties)}
 	calls := platform.NewDuties(config.Duties.Address)
 	if config.Duties.Include(settings.DutyUsage) {
@@ -60,8 +61,17 @@
 		})
 	}
 	if config.Duties.Include(settings.DutyAutoscale) {
-		d.engines = enginescale.New(enginescale.Params{State: state, Platform: calls, Store: store, Logger: d.logger})
+		d.engines = enginescale.New(enginescale.Params{
+			State:       state,
+			Platform:    calls,
+			Store:       store,
+			Logger:      d.logger,
+			OfferedLoad: runner.OfferedLoad,
+			Loading:     loading.Contains,
+			Zones:       zoneNames(config.Topology),
+		})
 		registerGauge(registry, "engines_ordered", "Engines that this process has ordered in all, as it coordinates.", d.engines.Desired)
+		registry.MustRegister(newDemandMetrics(d.engines.Demands))
 	}
 	return d
 }
