--- a/internal/enginescale/demand_manager_test.go
+++ b/internal/enginescale/demand_manager_test.go
@@ -38,6 +38,8 @@
 	answer func(order Order) (err error, carriedOut bool)
 	// offered returns the offered load.
 	offered func(now time.Time) (slots float64, ok bool)
+	// loading are the engines that load weights.
+	loading *LoadingSet
 }
 
 func newDemandFixture() *demandFixture {
@@ -46,6 +48,7 @@
 		state:   fleet.NewState(),
 		running: map[string]int{"a": 7, "b": 8, "c": 11},
 		lost:    make(map[string]bool),
+		loading: NewLoadingSet(),
 		answer:  func(Order) (error, bool) { return nil, true },
 		offered: func(time.Time) (float64, bool) { return 0, false },
 	}
@@ -111,7 +114,7 @@
 func (f *demandFixture) lead(name string, token int64) (manager *Manager, stop func()) {
 	client := f.store.Client()
 	manager = New(Params{
-		State: f.state, Platform: f, Store: client, Logger: log.NewNopLogger(), Zones: []string{"a", "b", "c"},
+		State: f.state, Platform: f, Store: client, Logger: log.NewNopLogger(), Zones: []string{"a", "b", "c"}, Loading: f.loading.Contains,
 		OfferedLoad: func(models []string) (float64, bool) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -178,6 +181,18 @@
 		f.taken()
 		So(manager.Desired(), ShouldEqual, 26)
 	})
+	runDemandTest(t, "Engines that load weights raise the need", func(f *demandFixture) {
+		f.load(30)
+		for i := range 6 {
+			f.loading.Set(fmt.Sprint("c", i), true)
+		}
+		manager, stop := f.lead("first", 1)
+		defer stop()
+		time.Sleep(9500 * time.Millisecond)
+		So(manager.Demands()[0].LoadingShare, ShouldAlmostEqual, 6.0/26, 0.001)
+		So(manager.Demands()[0].Needed, ShouldEqual, 39)
+		So(manager.Desired(), ShouldEqual, 39)
+	})
 	runDemandTest(t, "An order without an answer is repeated with the same number, though the need grows", func(f *demandFixture) {
 		_, stop := f.lead("first", 1)
 		defer stop()
