enginescale, batchrun: the load is known after 6 s, without the jobs with which a term begins

Cause: the rate counted the first jobs of a term as if they came each interval (37% too high at the first order), and to make up for it the least estimate of 4 s decided, 12 s after the first job. Change: jobs added within 1 s of a model's first one mark the start of the observation; the mean of the last step interval decides, from 2 s of history on. Prices of zones are read by zone name alone, the form in which configurations have them.

--- a/internal/batchrun/demand.go
+++ b/internal/batchrun/demand.go
@@ -11,10 +11,41 @@
 const (
 	// demandDecay is the time constant of the exponentially decayed sums of submitted items.
 	demandDecay = 20 * time.Second
-	// minObservedLoad is how long jobs must have been submitted in a term before their rate is known. Trainers submit a job every few seconds.
-	minObservedLoad = 8 * time.Second
+	// minObservedLoad is how long jobs of a model must have been submitted in a term before their rate is known. Trainers submit a job every few seconds.
+	minObservedLoad = 4 * time.Second
+	// termStartWindow is how long after a model's first job of a term further jobs count as submitted before the term: the open jobs of the previous
+	// term, and those that trainers submit ahead.
+	termStartWindow = time.Second
 )
 
+// offeredLoad estimates the rate at which work for a model is submitted.
+type offeredLoad struct {
+	// since is when the model's first job of the term was added. Jobs added within termStartWindow of it mark the start of the observation, and are
+	// not part of the rate.
+	since time.Time
+	// seconds is the decayed sum of the expected durations of the texts submitted after that.
+	seconds decay.Value
+}
+
+// add adds the expected duration of a job's texts.
+func (o *offeredLoad) add(now time.Time, duration time.Duration) {
+	if now.Sub(o.since) <= termStartWindow {
+		return
+	}
+	o.seconds = decay.New(o.seconds.At(now, demandDecay)+duration.Seconds(), now)
+}
+
+// slots returns how many engine slots the submitted texts occupy on average. ok is false until jobs were submitted for minObservedLoad.
+func (o *offeredLoad) slots(now time.Time) (slots float64, ok bool) {
+	age := now.Sub(o.since)
+	if age < minObservedLoad {
+		return 0, false
+	}
+	// The sum began at zero with the observation.
+	window := demandDecay.Seconds() * (1 - math.Exp(-age.Seconds()/demandDecay.Seconds()))
+	return o.seconds.At(now, demandDecay) / window, true
+}
+
 // addSubmitted adds the items of a job to the decayed sums. The mutex must be held.
 func (r *Runner) addSubmitted(j *job) {
 	now := r.now()
@@ -24,26 +55,30 @@
 		duration += r.timeLeft(it)
 	}
 	r.submittedTime[j.Model] = decay.New(r.submittedTime[j.Model].At(now, demandDecay)+duration.Seconds(), now)
-	if r.firstSubmitted.IsZero() {
-		r.firstSubmitted = now
+	if r.offered[j.Model] == nil {
+		r.offered[j.Model] = &offeredLoad{since: now}
 	}
+	r.offered[j.Model].add(now, duration)
 }
 
-// OfferedLoad returns how many engine slots the recently submitted items of some models occupy on average. ok is false until jobs were submitted
-// for minObservedLoad in this term.
+// OfferedLoad returns how many engine slots the recently submitted items of some models occupy on average. ok is false until the load of one of
+// them is known in this term.
 func (r *Runner) OfferedLoad(models []string) (slots float64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
-	if !r.leads() || r.firstSubmitted.IsZero() || now.Sub(r.firstSubmitted) < minObservedLoad {
+	if !r.leads() {
 		return 0, false
 	}
-	// The sums began at zero with the term.
-	window := demandDecay.Seconds() * (1 - math.Exp(-now.Sub(r.firstSubmitted).Seconds()/demandDecay.Seconds()))
 	for _, model := range models {
-		slots += r.submittedTime[model].At(now, demandDecay) / window
+		load, submitted := r.offered[model]
+		if !submitted {
+			continue
+		}
+		if offered, known := load.slots(r.now()); known {
+			slots, ok = slots+offered, true
+		}
 	}
-	return slots, true
+	return slots, ok
 }
 
 // EngineRuns returns the work in progress at each engine that has any.
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -102,8 +102,8 @@
 	endedAt map[string]time.Time
 	// submitted is the decayed sum of recently submitted items, by model, and submittedTime that of the expected durations of their texts, in seconds.
 	submitted, submittedTime map[string]decay.Value
-	// firstSubmitted is when the first job of the term was added; zero before.
-	firstSubmitted time.Time
+	// offered is the load of each model as submitted in this term.
+	offered map[string]*offeredLoad
 	// endedBytes is the size of the results of ended jobs in memory.
 	endedBytes int
 	// goroutines tracks the goroutines of the term. Goroutines are added only during the term.
--- a/internal/batchrun/term.go
+++ b/internal/batchrun/term.go
@@ -61,7 +61,8 @@
 func (r *Runner) resetState() {
 	r.jobs, r.order = make(map[string]*job), nil
 	r.endedAt, r.endedBytes = make(map[string]time.Time), 0
-	r.submitted, r.submittedTime, r.firstSubmitted = make(map[string]decay.Value), make(map[string]decay.Value), time.Time{}
+	r.submitted, r.submittedTime = make(map[string]decay.Value), make(map[string]decay.Value)
+	r.offered = make(map[string]*offeredLoad)
 	r.runs, r.runCount = make(map[itemwork.RunID]*run), 0
 	r.detached, r.carryOverOffsets = make(map[string]*run), make(map[string]int64)
 	r.unfinished = newUnfinishedTexts()
--- a/internal/enginescale/demand.go
+++ b/internal/enginescale/demand.go
@@ -23,8 +23,8 @@
 
 // Load is the load of a service.
 type Load struct {
-	// Lasting is the least offered load within loadHold, and Peak the highest within fallDelay, in slots.
-	Lasting, Peak float64
+	// Recent is the mean offered load within recentWindow, and Peak the highest within fallDelay, in slots.
+	Recent, Peak float64
 	// Slots is the number of requests that an engine processes concurrently; at least 1.
 	Slots int
 	// LoadingShare is the share of time that an engine spends on loads of weights.
@@ -77,7 +77,7 @@
 // Desired returns the number of engines to order in each zone whose number changes: any number of zones if more engines are needed, one if fewer
 // are. The numbers are within the limits.
 func (d Demand) Desired() map[string]int {
-	if missing := d.Load.needed(d.Load.Lasting) - d.expected(); worthOrder(missing, d.expected()) {
+	if missing := d.Load.needed(d.Load.Recent) - d.expected(); worthOrder(missing, d.expected()) {
 		return d.grow(missing)
 	}
 	if d.LowerFor >= fallDelay && d.hasSurplus() {
--- a/internal/enginescale/manager.go
+++ b/internal/enginescale/manager.go
@@ -51,8 +51,6 @@
 	OfferedLoad func(models []string) (slots float64, ok bool)
 	// Loading reports whether an engine loads weights; may be nil.
 	Loading func(engineID string) bool
-	// Zones are the deployment's zones, in the order in which the configuration lists their prices.
-	Zones []string
 }
 
 // ServiceDemand is the demand for engines of a service as of the last plan.
--- a/internal/enginescale/observed.go
+++ b/internal/enginescale/observed.go
@@ -8,9 +8,11 @@
 )
 
 const (
-	// loadHold is how long the offered load must require more engines before they are ordered: one interval between two steps of a trainer. The
-	// estimate jumps with each submitted job, and at the start of a term, when trainers submit two jobs each, to twice the rate.
-	loadHold = 4 * time.Second
+	// recentWindow is the time over which the offered load is averaged before more engines are ordered: one interval between two steps of a trainer,
+	// since the estimate jumps with each submitted job.
+	recentWindow = 4 * time.Second
+	// minHistory is how long the load must have been known before it counts.
+	minHistory = 2 * time.Second
 	// loadingDecay is the time constant of the mean share of loading engines: several loads of each engine.
 	loadingDecay = 20 * time.Second
 )
@@ -32,18 +34,19 @@
 	o.samples = append(o.samples, loadSample{at: now, slots: slots})
 }
 
-// lasting returns the least load within loadHold. ok is false if the load was not known for that long.
-func (o *observedLoad) lasting(now time.Time) (slots float64, ok bool) {
-	if len(o.samples) == 0 || now.Sub(o.samples[0].at) < loadHold {
+// recent returns the mean load within recentWindow. ok is false if the load was not known for minHistory.
+func (o *observedLoad) recent(now time.Time) (slots float64, ok bool) {
+	if len(o.samples) == 0 || now.Sub(o.samples[0].at) < minHistory {
 		return 0, false
 	}
-	slots = math.Inf(1)
+	count := 0
 	for _, sample := range o.samples {
-		if now.Sub(sample.at) <= loadHold {
-			slots = min(slots, sample.slots)
+		if now.Sub(sample.at) <= recentWindow {
+			slots += sample.slots
+			count++
 		}
 	}
-	return slots, true
+	return slots / float64(max(count, 1)), count > 0
 }
 
 // peak returns the highest known load within fallDelay.
--- a/internal/enginescale/snapshot.go
+++ b/internal/enginescale/snapshot.go
@@ -29,7 +29,7 @@
 	s.ShortSince, s.OrderedAt = maps.Clone(state.shortSince), maps.Clone(state.orderedAt)
 	s.CalledAt, s.UnavailableSince = maps.Clone(state.calledAt), maps.Clone(state.unavailableSince)
 	m.mu.Unlock()
-	s.Prices = pricesOf(view.Routes, s.Desired, m.Zones)
+	s.Prices = pricesOf(view.Routes, s.Desired)
 	m.trackSurplus(s)
 	s.LowerSince = maps.Clone(m.lowerSince)
 	return s
@@ -57,9 +57,9 @@
 		}
 		observed.add(now, offered)
 		load := Load{Peak: observed.peak(), Slots: service.Slots, LoadingShare: observed.loading.value()}
-		if load.Lasting, ok = observed.lasting(now); ok {
+		if load.Recent, ok = observed.recent(now); ok {
 			loads[name] = load
-			demands[name] = ServiceDemand{Service: name, Offered: load.Lasting, LoadingShare: load.LoadingShare, Needed: load.needed(load.Lasting)}
+			demands[name] = ServiceDemand{Service: name, Offered: load.Recent, LoadingShare: load.LoadingShare, Needed: load.needed(load.Recent)}
 		}
 	}
 	m.setDemands(demands)
@@ -115,14 +115,14 @@
 }
 
 // pricesOf returns the price of an engine of each ordered subject whose service has scaling.
-func pricesOf(routes *routing.Table, desired map[Subject]int, zones []string) map[Subject]float64 {
+func pricesOf(routes *routing.Table, desired map[Subject]int) map[Subject]float64 {
 	prices := make(map[Subject]float64, len(desired))
 	if routes == nil {
 		return prices
 	}
 	for subject := range desired {
 		if scaling := routes.Services[subject.Service].Scaling; scaling != nil {
-			prices[subject] = scaling.ZonePrices.Price(subject.Zone, zones)
+			prices[subject] = scaling.ZonePrice(subject.Zone)
 		}
 	}
 	return prices
--- a/internal/fleetnode/demand_metrics.go
+++ b/internal/fleetnode/demand_metrics.go
@@ -4,7 +4,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/covelink/covelink/internal/enginescale"
-	"github.com/covelink/covelink/internal/settings"
 )
 
 // demandMetrics exports the demand for engines of each service while this process coordinates. It implements prometheus.Collector.
@@ -43,12 +42,3 @@
 		gauge(m.loadingShare, demand.LoadingShare)
 	}
 }
-
-// zoneNames returns the zones in the order of the settings.
-func zoneNames(topology settings.FleetTopology) []string {
-	names := make([]string, 0, len(topology.Zones))
-	for _, zone := range topology.Zones {
-		names = append(names, zone.Name)
-	}
-	return names
-}
--- a/internal/fleetnode/duties.go
+++ b/internal/fleetnode/duties.go
@@ -68,7 +68,6 @@
 			Logger:      d.logger,
 			OfferedLoad: runner.OfferedLoad,
 			Loading:     loading.Contains,
-			Zones:       zoneNames(config.Topology),
 		})
 		registerGauge(registry, "engines_ordered", "Engines that this process has ordered in all, as it coordinates.", d.engines.Desired)
 		registry.MustRegister(newDemandMetrics(d.engines.Demands))
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -2,7 +2,6 @@
 package routing
 
 import (
-	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -117,25 +116,15 @@
 	StartTime time.Duration
 	// SpotPrice is the price of a preemptible engine relative to an ordinary one; zero if the service has none.
 	SpotPrice float64
-	// ZonePrices are the prices of an ordinary engine in each zone.
-	ZonePrices ZonePrices
+	// ZonePrices are the prices of an ordinary engine by zone, in the operator's unit.
+	ZonePrices map[string]float64
 }
 
-// ZonePrices are prices by zone, in the operator's unit. The zero value has no prices.
-type ZonePrices struct {
-	ByZone map[string]float64
-	// InOrder are prices in the order in which the deployment lists its zones; nil if the prices are keyed by zone.
-	InOrder []float64
-}
-
-// Price returns the price of a zone, given the zones in the deployment's order. It is 1 for a zone without a price.
-func (p ZonePrices) Price(zone string, zones []string) float64 {
-	if price, ok := p.ByZone[zone]; ok {
+// ZonePrice returns the price of an ordinary engine in a zone. It is 1 for a zone without a price.
+func (s *Scaling) ZonePrice(zone string) float64 {
+	if price, ok := s.ZonePrices[zone]; ok {
 		return price
 	}
-	if i := slices.Index(zones, zone); i >= 0 && i < len(p.InOrder) {
-		return p.InOrder[i]
-	}
 	return 1
 }
 
