--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -114,6 +114,18 @@
 	Min, Max int
 	// StartTime is the time from ordering an engine until it serves.
 	StartTime time.Duration
+	// SpotPrice is the price of a preemptible engine relative to an ordinary one; zero if the service has none.
+	SpotPrice float64
+	// ZonePrices are the prices of an ordinary engine by zone, in the operator's unit.
+	ZonePrices map[string]float64
+}
+
+// ZonePrice returns the price of an ordinary engine in a zone. It is 1 for a zone without a price.
+func (s *Scaling) ZonePrice(zone string) float64 {
+	if price, ok := s.ZonePrices[zone]; ok {
+		return price
+	}
+	return 1
 }
 
 // Limits bound the requests of callers.
