weightorder, batchrun: demand tells the newest open job and the version that open jobs require

Cause: MinVersion covers waiting items only, so an engine that running items need again after a move or a loss looks unneeded; and it cannot be told whether the step of a version that was just named has been submitted. Change: Demand gains NewestOpen and OpenMinVersion. The time constant of its sums is weightorder.DemandDecay, so that weightorder can turn sums into rates.

--- a/internal/batchrun/demand.go
+++ b/internal/batchrun/demand.go
@@ -10,7 +10,7 @@
 
 const (
 	// demandDecay is the time constant of the exponentially decayed sums of submitted items.
-	demandDecay = 20 * time.Second
+	demandDecay = weightorder.DemandDecay
 	// minObservedLoad is how long jobs must have been submitted in a term before their rate is known. Trainers submit a job every few seconds.
 	minObservedLoad = 8 * time.Second
 )
@@ -86,7 +86,12 @@
 			continue
 		}
 		demand := demands[j.Model]
-		demand.OldestOpen = max(demand.OldestOpen, now.Sub(j.accepted))
+		age := now.Sub(j.accepted)
+		if demand.Open == 0 {
+			demand.NewestOpen = age
+		}
+		demand.OldestOpen, demand.NewestOpen = max(demand.OldestOpen, age), min(demand.NewestOpen, age)
+		demand.OpenMinVersion = max(demand.OpenMinVersion, j.MinVersion)
 		for _, it := range j.items {
 			if it.phase != phaseFinished {
 				demand.Open++
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -68,18 +68,23 @@
 	// Waiting counts the items that wait for an engine, and MinVersion is the newest version that any of them requires.
 	Waiting    int
 	MinVersion int64
-	// Items is a moving sum of submitted items.
+	// Items is a moving sum of submitted items, exponentially decayed with DemandDecay.
 	Items float64
 	// Open counts the items of unfinished jobs.
 	Open int
 	// WaitingTime is the time that engines are expected to spend on the waiting items.
 	WaitingTime time.Duration
-	// SubmittedTime is a moving sum of the time that engines were expected to spend on submitted items.
+	// SubmittedTime is such a sum of the time that engines were expected to spend on submitted items.
 	SubmittedTime time.Duration
-	// OldestOpen is the age of the oldest unfinished job; zero if there is none.
-	OldestOpen time.Duration
+	// OldestOpen and NewestOpen are the ages of the oldest and the newest unfinished job; zero if there is none.
+	OldestOpen, NewestOpen time.Duration
+	// OpenMinVersion is the newest version that an unfinished job requires.
+	OpenMinVersion int64
 }
 
+// DemandDecay is the time constant of the moving sums in Demand.
+const DemandDecay = 20 * time.Second
+
 // EngineRuns is the work in progress at an engine.
 type EngineRuns struct {
 	// Running counts the runs in progress, and TimeLeft is the expected time until the last of them ends.
