weightorder: engines divided and loads ordered by demand, concurrent loads learned by service

Cause: on a deployment of 38 engines of which 26 run, the fixed fifth allowed 5 loads at once although 8 took no longer than one, and engines with a usable version loaded while items waited for the model. Loads in advance are dropped if items begin to wait while the store records them. A window for each service begins at a fifth of the engines, eight at most, and is no longer capped there: it grows by one per load that takes no longer than the shortest of its model (then by one per window), only while it is in use, and shrinks at 1.3 times that. Loads that failed are left out; those that timed out count, bounded.

--- a/internal/weightorder/plan.go
+++ b/internal/weightorder/plan.go
@@ -12,15 +12,11 @@
 )
 
 const (
-	// minConcurrentLoads is the least number of a service's engines that may load at once.
-	minConcurrentLoads = 2
-	// enginesPerConcurrentLoad is the number of engines per concurrent load: more loads at once slow each other down.
-	enginesPerConcurrentLoad = 5
 	// minEnginesPerModel is the average number of engines per model from which on engines are divided among the models. With fewer, every
 	// engine loads every model.
 	minEnginesPerModel = 2
-	// baseItems is added to the items of each model, so that shares are even without work.
-	baseItems = 8
+	// stepDelay is how long after the naming of a version its step is expected. Trainers submit it within some 100 ms.
+	stepDelay = time.Second
 )
 
 // move is the load of a version by an engine.
@@ -28,6 +24,11 @@
 	engine  *fleet.Engine
 	model   string
 	version int64
+	reason  loadReason
+	// concurrent is the number of the service's loads when it was planned, with itself, and window the number allowed.
+	concurrent, window int
+	// usableSlots are the slots that can run the model's waiting items; -1 if they were not counted.
+	usableSlots int
 }
 
 // plan selects the engines that load next, the most outdated first, and marks them as loading.
@@ -42,7 +43,12 @@
 	if m.Demands != nil {
 		m.demand = m.Demands()
 		m.updateOpenItems(now)
+		m.observeDemand(now)
 	}
+	if m.Runs != nil {
+		m.runs = m.Runs()
+	}
+	m.postponed = false
 	var chosen []move
 	for _, name := range slices.Sorted(maps.Keys(view.Routes.Services)) {
 		engines := placement.NewFilter(view, placement.Residency{}).Engines(name)
@@ -63,49 +69,88 @@
 	return loading
 }
 
+// observeDemand records when work was first observed. The mutex must be held.
+func (m *Manager) observeDemand(now time.Time) {
+	if !m.demandSince.IsZero() {
+		return
+	}
+	for _, demand := range m.demand {
+		if demand.SubmittedTime > 0 {
+			m.demandSince = now
+		}
+	}
+}
+
 // planService selects among the permitted engines of a service. The mutex must be held.
 func (m *Manager) planService(view *fleet.View, permitted []*fleet.Engine, service routing.Service, now time.Time) []move {
 	if len(permitted) == 0 || len(service.Models) == 0 {
 		return nil
 	}
+	window := m.windowOf(service.Name)
+	window.fit(len(permitted))
+	loading := m.countLoading(view, service.Name)
+	available := max(window.size()-loading, 0)
 	engines, selected := m.selectReplicas(view, service.Name, permitted, service.Models, now)
-	var surplus map[string]struct{}
-	if !selected {
-		engines = permitted
-		m.assign(engines, service.Models)
-		surplus = m.surplus(engines, service.Models, now)
+	var chosen []move
+	switch {
+	case selected:
+		chosen = m.planUndivided(engines, service.Models, nil, available, now)
+	case divides(len(permitted), len(service.Models)):
+		chosen = m.planDivided(permitted, service, available, now)
+	default:
+		for _, engine := range permitted {
+			delete(m.assigned, engine.ID)
+		}
+		chosen = m.planUndivided(permitted, service.Models, m.surplus(permitted, service.Models, now), available, now)
 	}
+	for i := range chosen {
+		m.loading[chosen[i].engine.ID] = chosen[i].model
+		chosen[i].concurrent, chosen[i].window = loading+len(chosen), window.size()
+	}
+	return chosen
+}
+
+// divides reports whether the engines of a service are divided among its models, so that each engine loads one model only.
+func divides(engines, models int) bool { return models >= 2 && engines >= minEnginesPerModel*models }
+
+// windowOf returns the window of a service's loads. The mutex must be held.
+func (m *Manager) windowOf(service string) *loadWindow {
+	window, ok := m.windows[service]
+	if !ok {
+		window = newLoadWindow()
+		m.windows[service] = window
+	}
+	return window
+}
+
+// mayLoad reports whether an engine may receive an order. The mutex must be held.
+func (m *Manager) mayLoad(engine string, now time.Time) bool {
+	_, loading := m.loading[engine]
+	return !loading && !m.backoffUntil[engine].After(now) && (m.mayOrder == nil || m.mayOrder(engine, now))
+}
+
+// planUndivided selects among engines that keep all models up to date, or those of replica sets. The mutex must be held.
+func (m *Manager) planUndivided(engines []*fleet.Engine, models []string, surplus map[string]struct{}, available int, now time.Time) []move {
 	var candidates []move
 	for _, engine := range engines {
-		if _, busy := m.loading[engine.ID]; busy {
-			continue
-		}
-		if _, skip := surplus[engine.ID]; skip {
+		if _, skip := surplus[engine.ID]; skip || !m.mayLoad(engine.ID, now) {
 			continue
 		}
-		if m.backoffUntil[engine.ID].After(now) || (m.mayOrder != nil && !m.mayOrder(engine.ID, now)) {
-			continue
-		}
-		if next, ok := m.outdated(engine, service.Models); ok {
+		if next, ok := m.outdated(engine, models); ok {
 			candidates = append(candidates, next)
 		}
 	}
 	slices.SortStableFunc(candidates, m.byUrgency)
-	available := max(m.maxConcurrentLoads(service.Name, len(permitted))-m.countLoading(view, service.Name), 0)
 	chosen := candidates[:min(available, len(candidates))]
-	for _, next := range chosen {
-		m.loading[next.engine.ID] = struct{}{}
+	for i := range chosen {
+		chosen[i].usableSlots = -1
+		if chosen[i].reason = reasonBehind; m.tooOldForWaiting(chosen[i]) {
+			chosen[i].reason = reasonWaiting
+		}
 	}
 	return chosen
 }
 
-// maxConcurrentLoads returns how many engines of a service may load at once. It is based on the most engines that the service has had, as
-// the bandwidth that loads share does not shrink when engines leave. The mutex must be held.
-func (m *Manager) maxConcurrentLoads(service string, engines int) int {
-	m.maxEngines[service] = max(m.maxEngines[service], engines)
-	return min(max(minConcurrentLoads, (m.maxEngines[service]+enginesPerConcurrentLoad/2)/enginesPerConcurrentLoad), m.window.size())
-}
-
 // byUrgency orders moves: engines too old for waiting items first, then the most outdated, then the fastest.
 func (m *Manager) byUrgency(a, b move) int {
 	if x, y := m.tooOldForWaiting(a), m.tooOldForWaiting(b); x != y {
@@ -158,70 +203,6 @@
 	return max(engine.Versions[model], m.reported[engine.ID][model])
 }
 
-// assign divides the engines of a service among its models, so that each engine loads one model only. An engine keeps its model while the
-// shares allow it.
-func (m *Manager) assign(engines []*fleet.Engine, models []string) {
-	if len(models) < 2 || len(engines) < minEnginesPerModel*len(models) {
-		for _, engine := range engines {
-			delete(m.assigned, engine.ID)
-		}
-		return
-	}
-	shares := m.shares(len(engines), models)
-	counts := make(map[string]int, len(models))
-	var free []*fleet.Engine
-	for _, engine := range engines {
-		model, ok := m.assigned[engine.ID]
-		if ok && counts[model] < shares[model] {
-			counts[model]++
-			continue
-		}
-		free = append(free, engine)
-	}
-	for _, engine := range free {
-		model := m.leastServed(engine, models, shares, counts)
-		m.assigned[engine.ID] = model
-		counts[model]++
-	}
-}
-
-// shares returns the number of engines for each model: in proportion to recently submitted items, at least one.
-func (m *Manager) shares(engines int, models []string) map[string]int {
-	weights := make(map[string]float64, len(models))
-	total := 0.0
-	for _, model := range models {
-		weights[model] = m.demand[model].Items + baseItems
-		total += weights[model]
-	}
-	shares := make(map[string]int, len(models))
-	remaining := engines
-	for _, model := range models {
-		shares[model] = max(1, int(float64(engines)*weights[model]/total))
-		remaining -= shares[model]
-	}
-	// Rounding differences go to the models with the fewest engines per weight, or come from those with the most.
-	perWeight := func(a, b string) int {
-		return cmp.Compare(float64(shares[a])/weights[a], float64(shares[b])/weights[b])
-	}
-	for ; remaining > 0; remaining-- {
-		shares[slices.MinFunc(models, perWeight)]++
-	}
-	for ; remaining < 0; remaining++ {
-		shares[slices.MaxFunc(models, perWeight)]--
-	}
-	return shares
-}
-
-// leastServed returns the model that is furthest below its share; among equals, the one with the least lag at the engine.
-func (m *Manager) leastServed(engine *fleet.Engine, models []string, shares, counts map[string]int) string {
-	return slices.MinFunc(models, func(a, b string) int {
-		if x, y := counts[a]-shares[a], counts[b]-shares[b]; x != y {
-			return x - y
-		}
-		return int(m.lag(engine, a) - m.lag(engine, b))
-	})
-}
-
 // dropUnlisted drops the state of engines that are no longer listed. The mutex must be held.
 func (m *Manager) dropUnlisted(view *fleet.View) {
 	unlisted := func(id string) bool {
--- a/internal/weightorder/replicas.go
+++ b/internal/weightorder/replicas.go
@@ -32,8 +32,9 @@
 func (m *Manager) selectReplicas(view *fleet.View, service string, engines []*fleet.Engine, models []string, now time.Time) (selected []*fleet.Engine, ok bool) {
 	needed := make(map[string]int, len(models))
 	total := 0
+	slots := slotsPerEngine(engines)
 	for _, model := range models {
-		needed[model] = m.neededEngines(engines, model, now)
+		needed[model] = m.neededOf(slots, model, now)
 		total += needed[model]
 	}
 	if m.Demands == nil || len(engines) <= replicaSetFactor*int(replicaHeadroom*float64(total)) {
--- a/internal/weightorder/surplus.go
+++ b/internal/weightorder/surplus.go
@@ -66,10 +66,19 @@
 
 // neededEngines returns how many of the engines suffice for the work of a model.
 func (m *Manager) neededEngines(engines []*fleet.Engine, model string, now time.Time) int {
+	return m.neededOf(slotsPerEngine(engines), model, now)
+}
+
+// neededOf is neededEngines for engines with the given mean number of slots.
+func (m *Manager) neededOf(slots float64, model string, now time.Time) int {
+	return minUpToDate + int(math.Ceil(m.openItems[model].At(now, openItemsDecay)/(targetOccupancy*slots)))
+}
+
+// slotsPerEngine returns the mean number of slots.
+func slotsPerEngine(engines []*fleet.Engine) float64 {
 	slots := 0
 	for _, engine := range engines {
 		slots += cmp.Or(engine.Slots, defaultSlots)
 	}
-	perEngine := targetOccupancy * float64(slots) / float64(max(len(engines), 1))
-	return minUpToDate + int(math.Ceil(m.openItems[model].At(now, openItemsDecay)/perEngine))
+	return float64(slots) / float64(max(len(engines), 1))
 }
--- a/internal/weightorder/window.go
+++ b/internal/weightorder/window.go
@@ -6,57 +6,144 @@
 )
 
 const (
-	// minWindow is the initial and the least number of concurrent loads.
-	minWindow = 8
+	// minConcurrentLoads is the least number of a service's engines that may load at once.
+	minConcurrentLoads = 2
+	// enginesPerConcurrentLoad is the number of engines per concurrent load at first, up to maxInitialWindow loads: a service of thousands would
+	// otherwise begin with hundreds, none of which ends in time.
+	enginesPerConcurrentLoad = 5
+	maxInitialWindow         = 8
+	// fastLoadFactor is the average load duration, relative to the shortest, up to which the window grows: 10%, and 5% because the end of a load is
+	// seen up to loadPollInterval late.
+	fastLoadFactor = 1.15
 	// slowLoadFactor is the average load duration, relative to the shortest, above which the window shrinks.
-	slowLoadFactor = 1.5
-	// windowShrinkFactor is applied to the window when loads are slow, at most once per average load duration.
-	windowShrinkFactor = 0.6
-	// averageWeight is the weight of the newest load in the moving average.
-	averageWeight = 0.1
+	slowLoadFactor = 1.3
+	// windowShrinkFactor is applied to the window when loads are slow, at most once per load duration.
+	windowShrinkFactor = 0.75
+	// slownessWeight is the weight of the newest load in the average of all models, and maxSlowness bounds it, so that one engine that is stuck
+	// does not shrink the window.
+	slownessWeight = 0.1
+	maxSlowness    = 2
+	// durationWeight is the weight of the newest load in the averages of its model. The shortest average is taken from minDurations loads on: single
+	// loads are seen up to a seventh earlier than others.
+	durationWeight = 0.2
+	minDurations   = 5
+	// minWindowUse is the part of the window that must have been in use for a fast load to let it grow. Loads that run alone say nothing about the
+	// bandwidth.
+	minWindowUse = 0.5
 )
 
-// loadWindow bounds concurrent loads like a congestion window: it grows by one per fast load until loads first become slow (slow start),
-// then by one per load duration, and shrinks whenever loads are slow.
+// loadWindow bounds the concurrent loads of a service like a congestion window, as loads share a bandwidth. It grows by one per fast load until
+// loads first become slow (slow start), then by one per window of loads, and shrinks whenever loads are slow.
 type loadWindow struct {
 	limit float64
-	// shortest is the shortest observed load, and average a moving average.
-	shortest, average time.Duration
+	// engines is the highest number of engines that the service has had; the bandwidth does not shrink when engines leave.
+	engines int
+	// durations holds the durations of loads by model, as models differ in size.
+	durations map[string]*loadDurations
+	// slowness is the moving average of load durations relative to the shortest of their model; zero before the first load.
+	slowness float64
 	// slowStart is true until loads become slow for the first time.
 	slowStart  bool
 	lastShrink time.Time
 }
 
-func newLoadWindow() *loadWindow { return &loadWindow{limit: minWindow, slowStart: true} }
+// loadDurations holds the moving average of a model's load durations, and the shortest that it has been.
+type loadDurations struct {
+	count             int
+	average, shortest time.Duration
+}
+
+// finishedLoad is a load that ended or timed out.
+type finishedLoad struct {
+	model string
+	took  time.Duration
+	// timedOut is true if the end was not observed in time.
+	timedOut bool
+	// concurrent is the number of the service's loads when it began, with itself.
+	concurrent int
+}
+
+func newLoadWindow() *loadWindow {
+	return &loadWindow{durations: make(map[string]*loadDurations), slowStart: true}
+}
+
+// initialWindow returns the number of loads that begin at once in a service whose loads were not observed.
+func initialWindow(engines int) int {
+	return max(minConcurrentLoads, min((engines+enginesPerConcurrentLoad/2)/enginesPerConcurrentLoad, maxInitialWindow))
+}
+
+// fit adapts the window to the number of engines that the service has.
+func (w *loadWindow) fit(engines int) {
+	w.engines = max(w.engines, engines)
+	if w.slowStart {
+		w.limit = math.Max(w.limit, float64(initialWindow(w.engines)))
+	}
+}
 
 // size returns the number of loads that may run at once.
 func (w *loadWindow) size() int { return int(w.limit) }
 
-// observe adjusts the window to a finished load. done is false if its completion was not observed in time.
-func (w *loadWindow) observe(now time.Time, duration time.Duration, done bool) {
-	if done && (w.shortest == 0 || duration < w.shortest) {
-		w.shortest = duration
+// leastSize returns the size below which the window does not shrink.
+func (w *loadWindow) leastSize() float64 {
+	return math.Max(minConcurrentLoads, float64(initialWindow(w.engines)/2))
+}
+
+// usualDuration returns the average duration of a model's loads; otherwise is returned if none was observed.
+func (w *loadWindow) usualDuration(model string, otherwise time.Duration) time.Duration {
+	if durations, ok := w.durations[model]; ok {
+		return durations.average
 	}
-	if w.average == 0 {
-		w.average = duration
+	return otherwise
+}
+
+// observe adjusts the window to a load.
+func (w *loadWindow) observe(now time.Time, load finishedLoad) {
+	durations, ok := w.durations[load.model]
+	if !ok {
+		durations = &loadDurations{average: load.took, shortest: load.took}
+		w.durations[load.model] = durations
+	}
+	slowness := float64(maxSlowness)
+	if !load.timedOut {
+		// So few loads do not slow each other down, so that they also show that the model has become larger, or the store slower.
+		durations.add(load.took, float64(load.concurrent) <= w.leastSize())
+		slowness = math.Min(maxSlowness, float64(load.took)/float64(durations.shortest))
 	}
-	w.average += time.Duration(averageWeight * float64(duration-w.average))
-	if float64(w.average) <= slowLoadFactor*float64(w.shortest) {
+	if w.slowness == 0 {
+		w.slowness = slowness
+	}
+	w.slowness += slownessWeight * (slowness - w.slowness)
+	switch {
+	case w.slowness <= fastLoadFactor && float64(load.concurrent) >= minWindowUse*w.limit:
 		w.grow()
-		return
+	case w.slowness > slowLoadFactor && now.Sub(w.lastShrink) >= durations.average:
+		w.shrink(now)
 	}
-	if now.Sub(w.lastShrink) < w.average {
-		return
+}
+
+// add adds the duration of a load. alone is true if other loads cannot have slowed it down.
+func (d *loadDurations) add(took time.Duration, alone bool) {
+	d.count++
+	d.average += time.Duration(durationWeight * float64(took-d.average))
+	switch {
+	case d.count <= minDurations || d.average < d.shortest:
+		d.shortest = d.average
+	case alone:
+		d.shortest += time.Duration(durationWeight * float64(took-d.shortest))
 	}
-	w.slowStart = false
-	w.lastShrink = now
-	w.limit = math.Max(minWindow, w.limit*windowShrinkFactor)
 }
 
 func (w *loadWindow) grow() {
 	if w.slowStart {
 		w.limit++
-		return
+	} else {
+		w.limit += 1 / w.limit
 	}
-	w.limit += 1 / w.limit
+	w.limit = math.Min(w.limit, math.Max(minConcurrentLoads, float64(w.engines)))
+}
+
+func (w *loadWindow) shrink(now time.Time) {
+	w.slowStart = false
+	w.lastShrink = now
+	w.limit = math.Max(w.leastSize(), w.limit*windowShrinkFactor)
 }
