fleetnode: gauges of engines by model, loads in progress and window

Cause: whether a model's engines keep up, and whether loads are limited by the window, was visible in log lines only. Change: loadStats exports Manager.Stats at each scrape; series by model and service only while the process coordinates. Result: TestLoadStats passes.

--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -73,8 +73,8 @@
 }
 
 func newOrders(config settings.Fleet, state *fleet.State, engines *platform.Engines, store metastore.Client, runner *batchrun.Runner,
-	observed *metrics, logger log.Logger) *weightorder.Manager {
-	return weightorder.New(weightorder.Params{
+	observed *metrics, registry *prometheus.Registry, logger log.Logger) *weightorder.Manager {
+	orders := weightorder.New(weightorder.Params{
 		State:         state,
 		Engines:       engines,
 		Store:         store,
@@ -88,6 +88,8 @@
 		OnMoved:       observed.engineMoved,
 		Logger:        telemetry.For(logger, telemetry.PartOrders),
 	})
+	registry.MustRegister(newLoadStats(orders.Stats))
+	return orders
 }
 
 func newDecommission(config settings.Fleet, store metastore.Client, logger log.Logger) *decommission.Manager {
