--- a/internal/weightorder/window_test.go
+++ b/internal/weightorder/window_test.go
@@ -34,6 +34,14 @@
 		So(window.size(), ShouldBeBetween, 15, 45)
 		So(done, ShouldBeGreaterThan, 60*20*2/3)
 	})
+	Convey("Among 26 engines that always have loads to do, the window settles at about the eight that do not slow each other down", t, func() {
+		window := newLoadWindow()
+		done, largest := simulateLoads(window, 8, 26, 60)
+		// Slow start at most doubles the first size that is too large, ten, before the loads of that size have ended.
+		So(largest, ShouldBeLessThanOrEqualTo, 2*10)
+		So(window.size(), ShouldBeBetweenOrEqual, 8, 11)
+		So(done, ShouldBeGreaterThan, 60*8*9/10)
+	})
 	Convey("The window reaches the bound within a few loads if they do not slow each other down", t, func() {
 		_, largest := simulateLoads(newLoadWindow(), 1000, 600, 10)
 		So(largest, ShouldEqual, 600)
