--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -74,7 +74,7 @@
 }
 
 func newOrders(config settings.Fleet, state *fleet.State, engines *platform.Engines, store metastore.Client, runner *batchrun.Runner,
-	loading *enginescale.LoadingSet, observed *metrics, logger log.Logger) *weightorder.Manager {
+	loading *enginescale.LoadingSet, observed *metrics, registry *prometheus.Registry, logger log.Logger) *weightorder.Manager {
 	onLoading := runner.SetLoading
 	if config.Duties.Include(settings.DutyAutoscale) {
 		onLoading = func(engineID string, loads bool) {
@@ -82,7 +82,7 @@
 			loading.Set(engineID, loads)
 		}
 	}
-	return weightorder.New(weightorder.Params{
+	orders := weightorder.New(weightorder.Params{
 		State:         state,
 		Engines:       engines,
 		Store:         store,
@@ -96,6 +96,8 @@
 		OnMoved:       observed.engineMoved,
 		Logger:        telemetry.For(logger, telemetry.PartOrders),
 	})
+	registry.MustRegister(newLoadStats(orders.Stats))
+	return orders
 }
 
 func newDecommission(config settings.Fleet, store metastore.Client, logger log.Logger) *decommission.Manager {
