weightorder: loads in advance follow the expected time of the next version; the window grows only if it was used

Cause: with at most half of a model's engines loading in advance, the second half was still loading when the next step came. Change: the usual time between two versions of a model is observed; while the next one is further off than 1.25 loads, all engines that are one version behind may load. A fast load lets the window grow only if nine tenths of it were in use as it began. TestStepFindsEngines holds to half of the engines at the first step, where no interval is known, as the rule has changed for later ones; that a step finds no engine of its model loading is checked at each step as before.

--- a/internal/weightorder/divided.go
+++ b/internal/weightorder/divided.go
@@ -51,7 +51,7 @@
 	}
 	slots, window := slotsPerEngine(engines), m.windowOf(service.Name)
 	for _, name := range service.Models {
-		model := modelState{name: name, target: m.targets[name], demand: m.demand[name], expectsStep: m.expectsStep(name, now)}
+		model := modelState{name: name, target: m.targets[name], demand: m.demand[name], expectsStep: m.expectsStep(name, now), nextStep: m.nextStep(name, now)}
 		if m.Demands != nil && len(engines) > minUpToDate {
 			model.maxUpToDate = m.neededOf(slots, name, now)
 		}
--- a/internal/weightorder/faults_test.go
+++ b/internal/weightorder/faults_test.go
@@ -274,8 +274,11 @@
 			f.setDemand("a", idle)
 			time.Sleep(5 * time.Second)
 			So(f.engines.holding("a", step+1), ShouldEqual, 6)
+			if step == 1 {
+				// The interval between versions is not known yet.
+				So(f.engines.most, ShouldEqual, 3)
+			}
 		}
-		So(f.engines.most, ShouldEqual, 3)
 	})
 	runFault(t, "Loads in advance are dropped if items begin to wait before the store has recorded them", func(f *faultFixture) {
 		m, stop := f.lead("node-1", 1)
--- a/internal/weightorder/load.go
+++ b/internal/weightorder/load.go
@@ -78,7 +78,7 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.windowOf(target.engine.Service).observe(time.Now(), finishedLoad{
-			model: target.model, took: time.Since(ordered), timedOut: err != nil, concurrent: target.concurrent,
+			model: target.model, took: time.Since(ordered), timedOut: err != nil, concurrent: target.concurrent, window: target.window,
 		})
 	}()
 	if !joined {
--- a/internal/weightorder/loadorder.go
+++ b/internal/weightorder/loadorder.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"slices"
+	"time"
 )
 
 // maxUsableLag is by how many versions an engine may be behind and not load because it is usable for waiting items. Without a bound, a model whose
@@ -36,7 +37,7 @@
 	for i := range models {
 		m := &models[i]
 		candidates += len(m.waiting) + len(m.open) + len(m.advance) + len(m.busy) + len(m.stale) + m.deferred
-		m.limit(s)
+		m.limit(s, s.models[i].nextStep)
 	}
 	for _, reason := range []loadReason{reasonWaiting, reasonOpen, reasonAdvance} {
 		chosen = chooseByNeed(s, models, reason, chosen)
@@ -104,9 +105,13 @@
 	}
 }
 
+// stepMargin is by how many load durations the next step must be further off for more than half of a model's engines to load in advance.
+const stepMargin = 1.25
+
 // limit reduces the loads in advance, and those of stale engines, to half of the model's usable engines, so that a step that comes early finds
-// the other half. In advance, an engine with a long run loads only if there is no other and none is up to date.
-func (m *modelLoads) limit(s *snapshot) {
+// the other half. While the next step is expected later than the loads end, all may load in advance: the second half would otherwise load when the
+// step is there. In advance, an engine with a long run loads only if there is no other and none is up to date.
+func (m *modelLoads) limit(s *snapshot, nextStep time.Duration) {
 	if len(m.advance) == 0 && !m.upToDate && m.loading == 0 {
 		m.advance = m.busy
 	}
@@ -118,7 +123,9 @@
 		return chosen
 	}
 	m.open = append(m.open, first(m.stale)...)
-	m.advance = first(m.advance)
+	if float64(nextStep) <= stepMargin*float64(s.loadTime) {
+		m.advance = first(m.advance)
+	}
 }
 
 // surplusEngines marks the engines beyond those that their model needs, the most outdated ones; nil if there are none.
--- a/internal/weightorder/loadplan.go
+++ b/internal/weightorder/loadplan.go
@@ -39,6 +39,8 @@
 	demand Demand
 	// expectsStep is true from the naming of a version until the step that follows it has been submitted.
 	expectsStep bool
+	// nextStep is the expected time until the next version is named; zero if that is unknown or overdue.
+	nextStep time.Duration
 	// maxUpToDate bounds the engines that are kept up to date; zero for no bound.
 	maxUpToDate int
 }
--- a/internal/weightorder/loadplan_test.go
+++ b/internal/weightorder/loadplan_test.go
@@ -119,6 +119,12 @@
 			two(Demand{}, Demand{}), 9,
 			[]string{"3 a " + string(reasonAdvance), "4 a " + string(reasonAdvance)},
 		},
+		{
+			"in advance, all may load while the next step is expected after the loads end",
+			[]engineState{idleEngine("1", 2), idleEngine("2", 2), idleEngine("3", 2).running(1, 5*time.Second), idleEngine("4", 3).on("b")},
+			[]modelState{{name: "a", target: 3, nextStep: 2 * time.Second}, {name: "b", target: 3}}, 9,
+			[]string{"1 a " + string(reasonAdvance), "2 a " + string(reasonAdvance)},
+		},
 		{
 			"loads in progress count towards that half",
 			[]engineState{idleEngine("1", 2).nowLoading(), idleEngine("2", 2).nowLoading(), idleEngine("3", 2), idleEngine("4", 2), idleEngine("5", 3).on("b")},
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -164,8 +164,9 @@
 	runs   map[string]EngineRuns
 	// demandSince is when work was first observed in this term; zero before.
 	demandSince time.Time
-	// namedAt is when the target of each model was named.
-	namedAt map[string]time.Time
+	// namedAt is when the target of each model was named, and namingInterval the moving average of the time between two namings.
+	namedAt        map[string]time.Time
+	namingInterval map[string]time.Duration
 	// postponed is true if the last plan left engines for later.
 	postponed bool
 	// replicaSets holds the replica sets of services that have many more engines than needed.
@@ -189,9 +190,12 @@
 		backoffUntil: make(map[string]time.Time),
 		assigned:     make(map[string]string),
 		namedAt:      make(map[string]time.Time),
-		openItems:    make(map[string]decay.Value),
-		replicaSets:  make(map[string]replicaSets),
-		windows:      make(map[string]*loadWindow),
+
+		namingInterval: make(map[string]time.Duration),
+
+		openItems:   make(map[string]decay.Value),
+		replicaSets: make(map[string]replicaSets),
+		windows:     make(map[string]*loadWindow),
 	}
 }
 
@@ -200,7 +204,7 @@
 	m.mu.Lock()
 	for model, version := range named {
 		if version > m.targets[model] {
-			m.namedAt[model] = time.Now()
+			m.observeNaming(model, version, time.Now())
 			level.Info(m.Logger).Log("msg", "weight version named", "model", model, "version", version)
 		}
 	}
@@ -209,6 +213,25 @@
 	m.wake()
 }
 
+// observeNaming records when a model's next version was named. The mutex must be held.
+func (m *Manager) observeNaming(model string, version int64, now time.Time) {
+	before, known := m.namedAt[model]
+	m.namedAt[model] = now
+	if !known || version != m.targets[model]+1 {
+		return
+	}
+	interval := now.Sub(before)
+	if average, ok := m.namingInterval[model]; ok {
+		interval = average + time.Duration(namingWeight*float64(interval-average))
+	}
+	m.namingInterval[model] = interval
+}
+
+// nextStep returns the expected time until a model's next version is named; zero if that is unknown or overdue. The mutex must be held.
+func (m *Manager) nextStep(model string, now time.Time) time.Duration {
+	return max(m.namingInterval[model]-now.Sub(m.namedAt[model]), 0)
+}
+
 func (m *Manager) wake() {
 	select {
 	case m.changed <- struct{}{}:
--- a/internal/weightorder/plan.go
+++ b/internal/weightorder/plan.go
@@ -17,6 +17,8 @@
 	minEnginesPerModel = 2
 	// stepDelay is how long after the naming of a version its step is expected. Trainers submit it within some 100 ms.
 	stepDelay = time.Second
+	// namingWeight is the weight of the newest interval in the average time between two versions of a model.
+	namingWeight = 0.3
 )
 
 // move is the load of a version by an engine.
--- a/internal/weightorder/plan_test.go
+++ b/internal/weightorder/plan_test.go
@@ -157,3 +157,25 @@
 		So(m.plan(time.Now()), ShouldHaveLength, 7)
 	})
 }
+
+// TestNextStep guards against loads in advance that are planned by the interval of versions that were not seen one by one.
+func TestNextStep(t *testing.T) {
+	start := time.Now()
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	Convey("The next version is expected after the usual interval, and not at all while that is unknown or over", t, func() {
+		m := New(Params{Logger: log.NewNopLogger()})
+		name := func(version int64, second int) {
+			m.observeNaming("a", version, at(second))
+			m.targets["a"] = version
+		}
+		name(5, 0)
+		So(m.nextStep("a", at(1)), ShouldEqual, 0)
+		name(9, 1)
+		So(m.nextStep("a", at(2)), ShouldEqual, 0)
+		name(10, 5)
+		So(m.nextStep("a", at(6)), ShouldEqual, 3*time.Second)
+		name(11, 19)
+		So(m.nextStep("a", at(20)), ShouldEqual, 6*time.Second)
+		So(m.nextStep("a", at(60)), ShouldEqual, 0)
+	})
+}
--- a/internal/weightorder/window.go
+++ b/internal/weightorder/window.go
@@ -27,9 +27,9 @@
 	// loads are seen up to a seventh earlier than others.
 	durationWeight = 0.2
 	minDurations   = 5
-	// minWindowUse is the part of the window that must have been in use for a fast load to let it grow. Loads that run alone say nothing about the
-	// bandwidth.
-	minWindowUse = 0.5
+	// minWindowUse is the part of the window that must have been in use when a load began for its end to let the window grow. Fewer loads say nothing
+	// about the bandwidth that the whole window takes.
+	minWindowUse = 0.9
 )
 
 // loadWindow bounds the concurrent loads of a service like a congestion window, as loads share a bandwidth. It grows by one per fast load until
@@ -59,8 +59,8 @@
 	took  time.Duration
 	// timedOut is true if the end was not observed in time.
 	timedOut bool
-	// concurrent is the number of the service's loads when it began, with itself.
-	concurrent int
+	// concurrent is the number of the service's loads when it began, with itself, and window the number that was allowed then.
+	concurrent, window int
 }
 
 func newLoadWindow() *loadWindow {
@@ -114,7 +114,7 @@
 	}
 	w.slowness += slownessWeight * (slowness - w.slowness)
 	switch {
-	case w.slowness <= fastLoadFactor && float64(load.concurrent) >= minWindowUse*w.limit:
+	case w.slowness <= fastLoadFactor && float64(load.concurrent) >= minWindowUse*float64(load.window):
 		w.grow()
 	case w.slowness > slowLoadFactor && now.Sub(w.lastShrink) >= durations.average:
 		w.shrink(now)
