--- a/internal/batchlog/batchlog.go
+++ b/internal/batchlog/batchlog.go
@@ -21,7 +21,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/metastore"
@@ -206,92 +205,9 @@
 // permits applies Permit to a job.
 func (s *Store) permits(found *record) bool { return s.Permit == nil || s.Permit(&found.Job) }
 
-const (
-	// maxConcurrent is how many jobs are taken over at once.
-	maxConcurrent = 4
-	// readTimeout bounds a read of one object: a store that is slow answers within some hundred milliseconds, and one whose answer was
-	// lost never does.
-	readTimeout = 1500 * time.Millisecond
-)
-
-// Opened is what the store holds of jobs when a term begins.
-type Opened struct {
-	// Jobs are those that are not known to be sealed, taken over.
-	Jobs []*Stored
-	// Sealed are the IDs of those that are.
-	Sealed []string
-	// Withheld are the jobs, without their items, that are not known to be sealed and that Permit excludes. They were neither fenced nor
-	// changed.
-	Withheld []batch.Job
-}
-
-// Open takes over the jobs that are not known to be sealed, as far as Permit allows.
-func (s *Store) Open(ctx context.Context) (Opened, error) {
-	var opened Opened
-	objects, _, err := metastore.ListAll(ctx, s.client, kindJobs, "")
-	if err != nil {
-		return opened, err
-	}
-	var open []metastore.Object
-	for _, object := range objects {
-		var found record
-		if json.Unmarshal(object.Spec, &found) != nil {
-			continue
-		}
-		if found.Sealed {
-			opened.Sealed = append(opened.Sealed, object.Name)
-			continue
-		}
-		if !s.permits(&found) {
-			opened.Withheld = append(opened.Withheld, found.Job)
-			continue
-		}
-		open = append(open, object)
-	}
-	opened.Jobs = make([]*Stored, len(open))
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(maxConcurrent)
-	for i, object := range open {
-		group.Go(func() error {
-			var err error
-			opened.Jobs[i], err = s.takeOver(ctx, object)
-			return err
-		})
-	}
-	return opened, group.Wait()
-}
-
-// takeOver reads a job with its log, and fences the log unless it is sealed.
-func (s *Store) takeOver(ctx context.Context, object metastore.Object) (*Stored, error) {
-	job, err := s.load(ctx, object)
-	if err != nil {
-		return nil, err
-	}
-	if err := job.Fence(ctx); err != nil {
-		return nil, err
-	}
-	return job, nil
-}
-
-// load reads a job's log and, unless the job has ended, its items.
-func (s *Store) load(ctx context.Context, object metastore.Object) (*Stored, error) {
-	job := &Stored{store: s}
-	if err := job.take(object); err != nil {
-		return nil, err
-	}
-	if err := job.Refresh(ctx); err != nil {
-		return nil, err
-	}
-	job.ItemCount = job.record.ItemCount
-	if job.Sealed && job.ItemCount > 0 {
-		return job, nil
-	}
-	if err := s.loadItems(ctx, job); err != nil {
-		return nil, err
-	}
-	job.ItemCount = len(job.Job.Items)
-	return job, nil
-}
+// readTimeout bounds a read of one object: a store that is slow answers within some hundred milliseconds, and one whose answer was lost
+// never does.
+const readTimeout = 1500 * time.Millisecond
 
 // read returns an object.
 func (s *Store) read(ctx context.Context, kind, name string) (metastore.Object, error) {
@@ -300,26 +216,6 @@
 	return s.client.Get(ctx, kind, name)
 }
 
-// loadItems reads a job's items.
-func (s *Store) loadItems(ctx context.Context, job *Stored) error {
-	for _, name := range job.record.Parts {
-		found, err := s.read(ctx, kindItems, name)
-		if err != nil {
-			return fmt.Errorf("batchlog: items of %s: %w", job.Job.ID, err)
-		}
-		var content part
-		if err := json.Unmarshal(found.Spec, &content); err != nil {
-			return fmt.Errorf("batchlog: items of %s: %w", job.Job.ID, err)
-		}
-		var items []batch.Item
-		if err := decodeGob(content.Items, &items); err != nil {
-			return fmt.Errorf("batchlog: items of %s: %w", job.Job.ID, err)
-		}
-		job.Job.Items = append(job.Job.Items, items...)
-	}
-	return nil
-}
-
 func encodeObject(name string, content any) (metastore.Object, error) {
 	spec, err := json.Marshal(content)
 	if err != nil {
--- a/internal/batchlog/batchlog_test.go
+++ b/internal/batchlog/batchlog_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,10 +86,10 @@
 			So(err, ShouldBeNil)
 			for _, lost := range []string{"batches", "batch-items", "batch-results.a"} {
 				client := store.Client()
-				silent := true
+				// Parts of the items are read at once.
+				var lostOne atomic.Bool
 				client.Fault = func(_, kind string, write bool) metastoretest.Fault {
-					if kind == lost && !write && silent {
-						silent = false
+					if kind == lost && !write && lostOne.CompareAndSwap(false, true) {
 						return metastoretest.Silent
 					}
 					return metastoretest.None
