itemwork, batchrpc, election: calls of a replaced coordinator end at once

Cause: a gateway's poll, report or submission to a lost coordinator waited for its time-out (0.5 to 1.7 s) after the gateway knew the next one. Change: election.Watcher.WhileHolder gives a context that ends when the lease moves to another address. Workers' polls and reports and gateways' submissions run under it. A submission that was cut is repeated at the next coordinator, which finds the job if the first had accepted it.

--- a/internal/batchrpc/client.go
+++ b/internal/batchrpc/client.go
@@ -41,6 +41,9 @@
 	Calls *rpc.Client
 	// Coordinator returns the location of the current coordinator.
 	Coordinator func() Coordinator
+	// WhileCoordinator returns a context that ends with ctx, and once the coordinator is at another address; nil if submissions to a replaced
+	// coordinator are not ended.
+	WhileCoordinator func(ctx context.Context, address string) (context.Context, context.CancelFunc)
 	// State provides the route table, which bounds jobs, and the topology.
 	State  *fleet.State
 	Logger log.Logger
@@ -141,6 +144,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
+	if c.WhileCoordinator != nil {
+		// The submission is repeated at the next coordinator, which knows the job if this one has accepted it.
+		var stop context.CancelFunc
+		ctx, stop = c.WhileCoordinator(ctx, leader.Address)
+		defer stop()
+	}
 	reply, err := rpc.Call[SubmitRequest, Reply](ctx, c.Calls, leader.Address, SubmitRequest{
 		Job:          job,
 		RewardRoutes: jobresidency.RewardRoutes(c.State.View().Routes, &job),
--- a/internal/election/watcher.go
+++ b/internal/election/watcher.go
@@ -47,6 +47,27 @@
 	return lease.Address
 }
 
+// WhileHolder returns a context that ends with ctx, and once the holder is known to be at another address than this one. It is for calls to the
+// holder: one that was lost may leave them without an answer until they time out. The cancel function must be called.
+func (w *Watcher) WhileHolder(ctx context.Context, address string) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		for {
+			lease, _, changed := w.current()
+			if lease.Address != address {
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // HolderName returns the name of the holder, or "" if there is none or it is not known.
 func (w *Watcher) HolderName() string {
 	lease, _, _ := w.current()
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -88,6 +88,8 @@
 			term := watcher.Term()
 			return batchrpc.Coordinator{Address: term.Address, Zone: term.Zone}
 		},
+		WhileCoordinator: watcher.WhileHolder,
+
 		State:  state,
 		Logger: telemetry.For(logger, telemetry.PartBatch),
 	})
@@ -108,6 +110,8 @@
 		Instance:    uuid.NewString(),
 		Executor:    &itemwork.Executor{State: state, Transport: transport, Forwarder: forwarder, Guard: guard},
 		Coordinator: watcher.Holder,
+
+		WhileCoordinator: watcher.WhileHolder,
 		Poll: func(ctx context.Context, address string, request itemwork.PollRequest) (itemwork.PollReply, error) {
 			return itemwork.Poll(ctx, calls, address, request)
 		},
--- a/internal/itemwork/worker.go
+++ b/internal/itemwork/worker.go
@@ -37,6 +37,9 @@
 	Executor             *Executor
 	// Coordinator returns the internal address of the coordinator, or "" if it is unknown.
 	Coordinator func() string
+	// WhileCoordinator returns a context that ends with ctx, and once the coordinator is at another address; nil if calls of a replaced coordinator
+	// are not ended.
+	WhileCoordinator func(ctx context.Context, address string) (context.Context, context.CancelFunc)
 	// Poll and Report call the dispatcher at an address.
 	Poll   func(ctx context.Context, address string, request PollRequest) (PollReply, error)
 	Report func(ctx context.Context, address string, request ReportRequest) (ReportReply, error)
@@ -124,14 +127,27 @@
 			pause.For(ctx, retryPause)
 			continue
 		}
-		reply, err := w.pollOnce(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil || !reply.Leading || !w.applyOrders(reply) {
-			pause.For(ctx, retryPause)
-		}
+		w.pollCoordinator(ctx)
+	}
+}
+
+// pollCoordinator polls the coordinator once, and pauses if it gave no orders. Both end at once when the coordinator is replaced, so that the next
+// one need not wait for the call of a lost one to time out.
+func (w *Worker) pollCoordinator(ctx context.Context) {
+	address := w.Coordinator()
+	ctx, cancel := w.whileCoordinator(ctx, address)
+	defer cancel()
+	reply, err := w.pollOnce(ctx, address)
+	if ctx.Err() == nil && (err != nil || !reply.Leading || !w.applyOrders(reply)) {
+		pause.For(ctx, retryPause)
+	}
+}
+
+func (w *Worker) whileCoordinator(ctx context.Context, address string) (context.Context, context.CancelFunc) {
+	if w.WhileCoordinator == nil {
+		return context.WithCancel(ctx)
 	}
+	return w.WhileCoordinator(ctx, address)
 }
 
 // selected reports whether the worker should accept new runs.
@@ -154,8 +170,7 @@
 	}
 }
 
-func (w *Worker) pollOnce(ctx context.Context) (PollReply, error) {
-	address := w.Coordinator()
+func (w *Worker) pollOnce(ctx context.Context, address string) (PollReply, error) {
 	if address == "" {
 		return PollReply{}, nil
 	}
--- a/internal/itemwork/worker_report.go
+++ b/internal/itemwork/worker_report.go
@@ -61,8 +61,10 @@
 	if address == "" {
 		return true, errReportsNotAccepted
 	}
-	ctx, cancel := context.WithTimeout(ctx, callMargin)
+	ctx, cancel := w.whileCoordinator(ctx, address)
 	defer cancel()
+	ctx, stop := context.WithTimeout(ctx, callMargin)
+	defer stop()
 	started := boottime.Now()
 	reply, err := w.Report(ctx, address, request)
 	if err != nil {
