batchrun, itemwork: a term accepts jobs and registers workers while it reads

Cause: between the lease and the end of the reads of open jobs a term refused submissions, which gateways repeat each 100 ms, and answered no worker, so that the wait of items for workers that still run them (400 ms) began only then. Change: a term serves workers from its start; their reports are held until the jobs are known (Dispatcher.LeadOnceReady). It accepts jobs as soon as the routes that bound them are known. Such jobs are added after those of earlier terms, in their order. The adoption wait counts from the start of the term, and lasts at least 250 ms beyond the reads. The list of jobs is read while routes are, checkpoints are read beside the jobs. A failed read repeats only what is left. Why it is safe: accepting writes only the new job, under an ID that the store decides on. No item is placed before all jobs were read and fenced, since the items may carry on those of earlier jobs. A store of an earlier term of this process adds no job to a later one. Tests for a term that ends while it reads, overlapping terms, failed reads and a repeated submission.

--- a/internal/batchlog/batchlog.go
+++ b/internal/batchlog/batchlog.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Stored{store: s, object: created, record: kept, Job: job, ItemCount: len(job.Items)}, nil
+	return &Stored{store: s, object: created, record: kept, Job: job, ItemCount: len(job.Items), Created: true}, nil
 }
 
 // writeItems writes the items under names that no other submission uses.
--- a/internal/batchlog/stored.go
+++ b/internal/batchlog/stored.go
@@ -24,7 +24,9 @@
 	Results []batch.Result
 	// Sealed is true once nothing is appended any more.
 	Sealed bool
-	chunks int
+	// Created is true if Accept created the job, and false if it was found.
+	Created bool
+	chunks  int
 	// token is the highest of the log's chunks.
 	token int64
 }
--- a/internal/batchrun/checkpoint.go
+++ b/internal/batchrun/checkpoint.go
@@ -21,19 +21,27 @@
 	minCheckpointEvents = 10
 )
 
-// restoreTexts loads the checkpoints of earlier terms from this process's disk, so that unfinished and carried-over items resume from them. It
-// returns the log of this term, or nil if no disk is configured or it is not writable. The mutex must be held.
-func (r *Runner) restoreTexts() *textlog.Log {
+// readTexts reads the checkpoints of earlier terms from this process's disk, so that unfinished and carried-over items resume from them.
+func (r *Runner) readTexts() textlog.Restored {
 	if r.TextFolder == "" {
-		return nil
+		return textlog.Restored{}
 	}
 	started := r.now()
 	restored, err := textlog.Read(r.TextFolder)
+	level.Info(r.Logger).Log("msg", "texts restored", "texts", len(restored.Texts), "records", restored.Records, "damaged_files", restored.Damaged,
+		"took", r.now().Sub(started).Round(time.Microsecond), "err", err)
+	return restored
+}
+
+// takeTexts keeps the texts that were read for the term's items. It returns the log of this term, or nil if no disk is configured or it is not
+// writable. The mutex must be held.
+func (r *Runner) takeTexts(restored textlog.Restored) *textlog.Log {
+	if r.TextFolder == "" {
+		return nil
+	}
 	for key, text := range restored.Texts {
 		r.unfinished.put(unfinishedText{key: key, model: text.Model, text: text.Text})
 	}
-	level.Info(r.Logger).Log("msg", "texts restored", "texts", len(restored.Texts), "records", restored.Records, "damaged_files", restored.Damaged,
-		"took", r.now().Sub(started).Round(time.Microsecond), "err", err)
 	log, err := textlog.Open(r.TextFolder, r.TextLimit)
 	if err != nil {
 		level.Error(r.Logger).Log("msg", "failed to open checkpoint log; unfinished texts are not written to disk", "err", err)
--- a/internal/batchrun/harness_test.go
+++ b/internal/batchrun/harness_test.go
@@ -163,6 +163,8 @@
 	zone       string
 	// quota is nil if no engine is cold.
 	quota batchrun.Quota
+	// storeFault chooses the faults of the runners' store calls; nil for none.
+	storeFault func(operation, kind string, write bool) metastoretest.Fault
 }
 
 func newHarness(route routing.Route) *harness {
@@ -184,14 +186,23 @@
 	return h
 }
 
-// startTerm starts a runner that leads with the given token.
+// startTerm starts a runner that leads with the given token, and waits until it leads.
 func (h *harness) startTerm(token int64) (*batchrun.Runner, func()) {
+	runner, stop := h.beginTerm(token)
+	time.Sleep(time.Second)
+	return runner, stop
+}
+
+// beginTerm starts a runner that leads with the given token.
+func (h *harness) beginTerm(token int64) (*batchrun.Runner, func()) {
+	client := h.store.Client()
+	client.Fault = h.storeFault
 	forwarder := forward.New(h.state, h.engines, forward.NewPicker(time.Now), log.NewNopLogger())
 	runner := batchrun.New(batchrun.Params{
 		State:         h.state,
 		Transport:     h.engines,
 		Forwarder:     forwarder,
-		Store:         h.store.Client(),
+		Store:         client,
 		MaxEndedBytes: h.maxEndedBytes,
 		Dispatcher:    h.dispatcher,
 		Zone:          h.zone,
@@ -207,7 +218,6 @@
 		runner.Lead(ctx, token)
 		close(done)
 	}()
-	time.Sleep(time.Second)
 	return runner, func() {
 		cancel()
 		<-done
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -15,8 +15,14 @@
 const (
 	// retryDelay is the delay before an item is placed again after a failed run.
 	retryDelay = 50 * time.Millisecond
-	// adoptionWait is how long items of an earlier term wait for workers that still run them to report.
+	// adoptionWait is how long after the begin of a term, from which on workers register, items of an earlier term wait for workers that still run
+	// them to report.
 	adoptionWait = 400 * time.Millisecond
+	// reportWait is how long such items wait at least after the jobs were read. A worker whose report was refused until then repeats it after 150 ms.
+	reportWait = 250 * time.Millisecond
+	// heldReportWait is how long items of a new job wait for the reports that the dispatcher held while the jobs were read: they may carry on texts
+	// of these items.
+	heldReportWait = 20 * time.Millisecond
 	// withheldRetryDelay is the delay before an item is placed again after a worker's placement filter refused its engine. Until this process has
 	// received the worker's newer view, it may choose the same engine again.
 	withheldRetryDelay = 250 * time.Millisecond
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -82,10 +82,15 @@
 	// term is the context of the current term; nil while this process does not lead.
 	term    context.Context
 	endTerm context.CancelFunc
-	log     *batchlog.Store
-	jobs    map[string]*job
-	order   []*job
-	engines map[string]*engineRecord
+	// opened is true once the jobs of earlier terms were read, and began is when the term began.
+	opened bool
+	began  time.Time
+	// accepted are the jobs that were accepted before that, in their order.
+	accepted []*batchlog.Stored
+	log      *batchlog.Store
+	jobs     map[string]*job
+	order    []*job
+	engines  map[string]*engineRecord
 	// prefixHolders lists, by prompt prefix, the engines that were recently sent it.
 	prefixHolders map[string][]string
 	lengths       *lengthModel
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -12,9 +12,10 @@
 	"github.com/covelink/covelink/internal/metastore"
 )
 
-// Submit implements batch.Service.
+// Submit implements batch.Service. A job is accepted from the start of the term, since the store decides whether its ID is new and writes no log
+// of another job. It runs once the jobs of earlier terms were read, whose items it may carry on.
 func (r *Runner) Submit(ctx context.Context, submitted batch.Job) error {
-	log, err := r.termLog()
+	log, err := r.acceptingLog()
 	if err != nil {
 		return batch.ErrRefused
 	}
@@ -44,12 +45,15 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.leads() {
-		// The process that leads now loads the job from the store.
-		return nil
+	switch {
+	case !r.termLasts() || r.log != log:
+		// The term that has begun since, here or elsewhere, loads the job from the store.
+	case !r.opened:
+		r.accepted = append(r.accepted, stored)
+	default:
+		r.add(stored)
+		r.unfinished.dropOutdated(submitted.Model, submitted.MinVersion)
 	}
-	r.add(stored)
-	r.unfinished.dropOutdated(submitted.Model, submitted.MinVersion)
 	return nil
 }
 
@@ -101,7 +105,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.leads() {
+	if !r.leads() || r.log != log {
 		return nil, batch.ErrUnavailable
 	}
 	return r.add(stored), nil
--- a/internal/itemwork/dispatcher.go
+++ b/internal/itemwork/dispatcher.go
@@ -13,7 +13,6 @@
 	"github.com/covelink/covelink/coord/rendezvous"
 	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
-	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/placement"
 )
 
@@ -60,9 +59,10 @@
 	logger log.Logger
 
 	mu sync.Mutex
-	// term and handler belong to the current term; handler is nil outside a term.
+	// term, handler and ready belong to the current term; handler is nil outside a term. Reports wait until ready is closed.
 	term    int64
 	handler Handler
+	ready   <-chan struct{}
 	workers map[string]*workerState
 	// orderCount is the number of the newest order of the term across all workers. It is not counted for each worker, as a worker that registers
 	// again would skip new orders as already carried out.
@@ -96,32 +96,6 @@
 // NewDispatcher returns a Dispatcher that serves no term.
 func NewDispatcher(logger log.Logger) *Dispatcher { return &Dispatcher{logger: logger} }
 
-// Lead serves workers for a term until ctx ends.
-func (d *Dispatcher) Lead(ctx context.Context, term int64, handler Handler) {
-	d.mu.Lock()
-	d.term, d.handler, d.orderCount = term, handler, 0
-	d.workers = make(map[string]*workerState)
-	d.workerByEngine = make(map[string]*workerState)
-	d.mu.Unlock()
-	for ctx.Err() == nil {
-		sleepStart := time.Now()
-		pause.For(ctx, expiryInterval)
-		d.extendDeadlines(time.Since(sleepStart) - expiryInterval)
-		for _, lost := range d.removeExpired() {
-			handler.WorkerLost(lost)
-		}
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, worker := range d.workers {
-		// Polls must return now: a worker that kept waiting would receive the next term only after that term has stopped adopting runs.
-		if len(worker.orders) == 0 {
-			close(worker.ready)
-		}
-	}
-	d.handler, d.workers, d.workerByEngine = nil, nil, nil
-}
-
 // Workers returns the number of registered workers.
 func (d *Dispatcher) Workers() int {
 	d.mu.Lock()
@@ -129,35 +103,6 @@
 	return len(d.workers)
 }
 
-// extendDeadlines extends all deadlines by the time for which this process was stalled and could not receive calls.
-func (d *Dispatcher) extendDeadlines(stall time.Duration) {
-	if stall < expiryInterval {
-		return
-	}
-	level.Info(d.logger).Log("msg", "process stalled, worker deadlines extended", "for", stall.Round(time.Millisecond))
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, worker := range d.workers {
-		worker.deadline = worker.deadline.Add(stall)
-	}
-}
-
-// removeExpired removes the workers whose deadline has passed and returns their keys.
-func (d *Dispatcher) removeExpired() []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var lost []string
-	for name, worker := range d.workers {
-		if time.Now().Before(worker.deadline) {
-			continue
-		}
-		level.Info(d.logger).Log("msg", "worker lost", "worker", name, "orders", len(worker.orders))
-		d.remove(worker)
-		lost = append(lost, worker.key())
-	}
-	return lost
-}
-
 // remove drops a worker. The mutex must be held.
 func (d *Dispatcher) remove(worker *workerState) {
 	delete(d.workers, worker.Name)
@@ -375,8 +320,11 @@
 	return false
 }
 
-// Report passes a worker's reports to the handler of the term.
+// Report passes a worker's reports to the handler of the term, once it is ready.
 func (d *Dispatcher) Report(request ReportRequest) ReportReply {
+	if !d.awaitReady() {
+		return ReportReply{}
+	}
 	d.mu.Lock()
 	if d.handler == nil {
 		d.mu.Unlock()
