drains: the planned stops leave a majority of the voters

Cause of TestPlannedStopsCutNothing: after two of three nodes had stopped, the last one had no majority for the lease of the zone's coordinator, lost that lease after 0.6 s, and rightly refused requests once its own lease had lapsed (3 s, NodeLeaseLength): "lease from the zone's coordinator has expired". A normal machine sends the last requests within that time; an overloaded one does not. Change: the deployment has five nodes, of which the same three stop.

--- a/internal/lab/drains/drains.go
+++ b/internal/lab/drains/drains.go
@@ -30,7 +30,9 @@
 type Config struct {
 	Requests int
 	// Workers is the number of requests in flight.
-	Workers  int
+	Workers int
+	// Pace is how long a worker waits before each request, as if the machine were slow; zero for no wait.
+	Pace     time.Duration
 	NewNode  deployment.NodeFactory
 	DataRoot string
 	Logger   log.Logger
@@ -66,7 +68,7 @@
 // PlannedStops sends the requests while two nodes and two engines stop as planned, one after the other, and the node that
 // coordinates the zone last, while the last requests are under way.
 func PlannedStops(ctx context.Context, config Config) (Report, error) {
-	started, err := startDeployment(ctx, config.NewNode, config.DataRoot, config.Logger)
+	started, err := startDeployment(ctx, stopsNodeCount, config.NewNode, config.DataRoot, config.Logger)
 	if started == nil {
 		return Report{}, err
 	}
@@ -156,6 +158,7 @@
 		if number > r.config.Requests {
 			return
 		}
+		time.Sleep(r.config.Pace)
 		r.request(number)
 	}
 }
