weightorder, enginescale: engines and loads no longer drive each other up

Cause: a load that began while few others ran counted as undisturbed, though dozens joined it, and raised the measure of an undisturbed load; so the window never shrank. Slow loads raised the share of time spent on loads, which raised the number of engines, whose loads were slower still. Change: the shortest duration of a model's loads is the measure; it rises only when no load was as short for 15 s, and the window then shrinks to show whether fewer loads are faster. The share of time on loads counts up to a quarter; the target occupancy is a half, at which the loss of a zone leaves 0.75 of the slots taken.

--- a/internal/enginescale/demand.go
+++ b/internal/enginescale/demand.go
@@ -8,12 +8,12 @@
 )
 
 const (
-	// targetOccupancy is the share of the slots, loads left out, that the offered load takes. Steps arrive as bursts: at 0.4 their items start
-	// within 0.5 s. The loss of one of three zones makes it 0.6.
-	targetOccupancy = 0.4
+	// targetOccupancy is the share of the slots, loads left out, that the offered load takes. Steps arrive as bursts whose items are to start within
+	// 0.5 s, and the loss of one of three zones makes it 0.75.
+	targetOccupancy = 0.5
 	// maxLoadingShare bounds the share of time spent on loads. An engine that loads each version takes 0.9 to 1.15 s of every 4 s; more is seen only
-	// while all engines catch up, which more engines do not shorten.
-	maxLoadingShare = 0.5
+	// while loads share too little bandwidth, which more engines make worse.
+	maxLoadingShare = 0.25
 	// orderThreshold and orderShare are the least difference between the needed and the expected engines that is worth an order.
 	orderThreshold = 2
 	orderShare     = 0.1
--- a/internal/weightorder/window.go
+++ b/internal/weightorder/window.go
@@ -23,10 +23,12 @@
 	// does not shrink the window.
 	slownessWeight = 0.1
 	maxSlowness    = 2
-	// durationWeight is the weight of the newest load in the averages of its model. The shortest average is taken from minDurations loads on: single
-	// loads are seen up to a seventh earlier than others.
+	// durationWeight is the weight of the newest load in the average of its model.
 	durationWeight = 0.2
-	minDurations   = 5
+	// probeInterval is how long loads may stay longer than fastLoadFactor times the shortest one. The window then shrinks, which shows whether fewer
+	// loads are faster, and the shortest rises by shortestRise, since a model or a store may have become slower for good.
+	probeInterval = 15 * time.Second
+	shortestRise  = 1.1
 	// minWindowUse is the part of the window that must have been in use when a load began for its end to let the window grow. Fewer loads say nothing
 	// about the bandwidth that the whole window takes.
 	minWindowUse = 0.9
@@ -47,10 +49,11 @@
 	lastShrink time.Time
 }
 
-// loadDurations holds the moving average of a model's load durations, and the shortest that it has been.
+// loadDurations holds the moving average of a model's load durations, and the shortest of the recent ones.
 type loadDurations struct {
-	count             int
 	average, shortest time.Duration
+	// fastAt is when a load last took about as long as the shortest.
+	fastAt time.Time
 }
 
 // finishedLoad is a load that ended or timed out.
@@ -100,13 +103,14 @@
 func (w *loadWindow) observe(now time.Time, load finishedLoad) {
 	durations, ok := w.durations[load.model]
 	if !ok {
-		durations = &loadDurations{average: load.took, shortest: load.took}
+		durations = &loadDurations{average: load.took, shortest: load.took, fastAt: now}
 		w.durations[load.model] = durations
 	}
 	slowness := float64(maxSlowness)
 	if !load.timedOut {
-		// So few loads do not slow each other down, so that they also show that the model has become larger, or the store slower.
-		durations.add(load.took, float64(load.concurrent) <= w.leastSize())
+		if durations.add(now, load.took) {
+			w.shrink(now)
+		}
 		slowness = math.Min(maxSlowness, float64(load.took)/float64(durations.shortest))
 	}
 	if w.slowness == 0 {
@@ -121,16 +125,20 @@
 	}
 }
 
-// add adds the duration of a load. alone is true if other loads cannot have slowed it down.
-func (d *loadDurations) add(took time.Duration, alone bool) {
-	d.count++
+// add adds the duration of a load. It reports whether fewer loads are to show if they are faster.
+func (d *loadDurations) add(now time.Time, took time.Duration) (probe bool) {
 	d.average += time.Duration(durationWeight * float64(took-d.average))
-	switch {
-	case d.count <= minDurations || d.average < d.shortest:
-		d.shortest = d.average
-	case alone:
-		d.shortest += time.Duration(durationWeight * float64(took-d.shortest))
+	d.shortest = min(d.shortest, took)
+	if float64(took) <= fastLoadFactor*float64(d.shortest) {
+		d.fastAt = now
+		return false
+	}
+	if now.Sub(d.fastAt) < probeInterval {
+		return false
 	}
+	d.fastAt = now
+	d.shortest = time.Duration(shortestRise * float64(d.shortest))
+	return true
 }
 
 func (w *loadWindow) grow() {
--- a/internal/weightorder/window_test.go
+++ b/internal/weightorder/window_test.go
@@ -106,6 +106,21 @@
 		}
 		So(window.size(), ShouldEqual, 26)
 	})
+	Convey("Loads that began alone, and were joined by many, do not hide that many are slow", t, func() {
+		window := newLoadWindow()
+		window.fit(72)
+		now := time.Unix(0, 0)
+		for range 400 {
+			loads := window.size()
+			took := max(time.Second, time.Second*time.Duration(loads)/8)
+			now = now.Add(took)
+			for joined := range loads {
+				window.observe(now, finishedLoad{model: "a", took: took, concurrent: joined + 1, window: loads})
+			}
+			So(window.size(), ShouldBeLessThanOrEqualTo, 16)
+		}
+		So(window.size(), ShouldBeBetweenOrEqual, 6, 11)
+	})
 	Convey("Loads that have become slower for good are the new measure", t, func() {
 		window := newLoadWindow()
 		window.fit(26)
