--- a/internal/forward/picker.go
+++ b/internal/forward/picker.go
@@ -76,7 +76,7 @@
 		rank := selectionRank{
 			inBackoff: record.backoffUntil.After(now),
 			preferred: preferenceOf(p.reports.byEngine[engine.ID], reportNow),
-			cost:      record.cost(engine, now) * (1 + 0.1*rand.Float64()),
+			cost:      record.cost(engine, now, p.reports.byEngine[engine.ID].inProgress(reportNow)) * (1 + 0.1*rand.Float64()),
 		}
 		if best == nil || rank.precedes(bestRank) {
 			best, bestRank = engine, rank
@@ -118,7 +118,11 @@
 func (p *Picker) ReportLoad(engine *fleet.Engine, load EngineLoad, answered bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reports.record(boottime.Now(), engine.ID, load, answered)
+	own := 0
+	if record := p.records[engine.ID]; record != nil {
+		own = record.inFlight
+	}
+	p.reports.record(boottime.Now(), engine.ID, load, answered, own)
 }
 
 // recordRefused records that an engine did not accept a request: it counts as full until it answers one, whatever it reports.
@@ -136,12 +140,12 @@
 }
 
 // cost estimates the time, in seconds, until the engine has executed one more request.
-func (r *engineRecord) cost(engine *fleet.Engine, now time.Time) float64 {
+func (r *engineRecord) cost(engine *fleet.Engine, now time.Time, inProgress int) float64 {
 	latency := r.latency
 	if latency == 0 {
 		latency = defaultLatency
 	}
-	cost := latency.Seconds() * (1 + float64(r.inFlight)/float64(max(engine.Slots, 1)))
+	cost := latency.Seconds() * (1 + float64(max(r.inFlight, inProgress))/float64(max(engine.Slots, 1)))
 	if r.disconnected(now) || r.inFlight >= r.connections {
 		cost *= connectCostFactor
 	}
--- a/internal/forward/reports.go
+++ b/internal/forward/reports.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/covelink/covelink/internal/fleet"
@@ -25,6 +26,8 @@
 	refused bool
 	// sent counts this process's sends to the engine since the report.
 	sent int
+	// share is this process's share of the reported free slots, rounded at random. Other processes take the rest.
+	share int
 }
 
 func (r *loadReport) young(now time.Time) bool { return now.Sub(r.at) < reportMaxAge }
@@ -42,6 +45,31 @@
 	return max(free-r.sent, 0)
 }
 
+// inProgress returns the number of requests that the engine runs and queues; zero without a young report.
+func (r *loadReport) inProgress(now time.Time) int {
+	if r == nil || !r.young(now) {
+		return 0
+	}
+	return r.Running + r.Waiting + r.sent
+}
+
+// usable returns the number of free slots that this process may use, so that the processes that know of the same free slots do not all send to them:
+// its share of them, and at least the slot of the request that was just answered.
+func (r *loadReport) usable() int {
+	usable := r.share
+	if r.answered && r.Waiting == 0 {
+		usable = max(usable, 1)
+	}
+	return min(max(usable-r.sent, 0), r.free())
+}
+
+// shareOf returns how many of an engine's free slots a process takes that has a number of the engine's running requests. draw is uniform in [0, 1).
+func shareOf(load EngineLoad, own int, draw float64) int {
+	free := max(load.Slots-load.Running-load.Waiting, 0)
+	own = max(own, 1)
+	return int(float64(free)*float64(own)/float64(max(load.Running, own)) + draw)
+}
+
 // preference orders engines by their reported loads; the lowest is selected first.
 type preference int
 
@@ -70,8 +98,10 @@
 type capacity struct {
 	// known is true if at least half of the engines have a young report.
 	known bool
-	// free is the sum of the free slots of the reporting engines.
-	free int
+	// free is the sum of the free slots of the reporting engines, and usable the part of them that this process may use.
+	free, usable int
+	// slots is the sum of the slots of the reporting engines.
+	slots int
 	// reporting counts the engines with a young report.
 	reporting int
 	// until is when the oldest young report ceases to count.
@@ -86,7 +116,9 @@
 			continue
 		}
 		sum.reporting++
+		sum.slots += report.Slots
 		sum.free += report.free()
+		sum.usable += report.usable()
 		if until := report.at.Add(reportMaxAge); sum.until.IsZero() || until.Before(sum.until) {
 			sum.until = until
 		}
@@ -95,18 +127,24 @@
 	return sum
 }
 
+// full reports whether the engines are known to have no free slot.
+func (c capacity) full() bool { return c.known && c.free == 0 }
+
+// hasHeadroom reports whether more than headroom of the slots would be free beside a number of requests.
+func (c capacity) hasHeadroom(requests int) bool {
+	return float64(c.free-requests) > headroom*float64(c.slots)
+}
+
 // judge combines a learned load with the reported capacity, which decides where it is known. overtakes is true if requests already wait: only the
 // queue may then send to free slots, in its order.
 func (c capacity) judge(learned Load, overtakes bool) Load {
 	switch {
 	case !c.known:
 		return learned
-	case c.free == 0 && learned == LoadNormal:
-		return LoadFull
-	case c.free > 0 && !overtakes:
+	case c.usable > 0 && !overtakes:
 		return LoadNormal
 	}
-	return learned
+	return max(learned, LoadFull)
 }
 
 // loadReports holds the newest report of each engine. Reports that are too old to count are dropped, and with them those of engines that left, so
@@ -116,15 +154,16 @@
 	sweptAt  time.Time
 }
 
-// record stores an engine's report. answered is true if it came with the whole answer of a request that the engine executed.
-func (r *loadReports) record(now time.Time, engine string, load EngineLoad, answered bool) {
+// record stores an engine's report. answered is true if it came with the whole answer of a request that the engine executed,
+// and own is the number of this process's requests in progress there, that one included.
+func (r *loadReports) record(now time.Time, engine string, load EngineLoad, answered bool, own int) {
 	r.sweep(now)
 	report, ok := r.byEngine[engine]
 	if !ok {
 		report = &loadReport{}
 		r.byEngine[engine] = report
 	}
-	*report = loadReport{EngineLoad: load, at: now, answered: answered, refused: report.refused && !answered}
+	*report = loadReport{EngineLoad: load, at: now, answered: answered, refused: report.refused && !answered, share: shareOf(load, own, rand.Float64())}
 }
 
 // recordRefused records that an engine did not accept a request.
--- a/internal/forward/reports_test.go
+++ b/internal/forward/reports_test.go
@@ -45,7 +45,7 @@
 func TestCapacityOfReports(t *testing.T) {
 	now := time.Unix(1000, 0)
 	report := func(running int, age time.Duration) *loadReport {
-		return &loadReport{EngineLoad: EngineLoad{Running: running, Slots: 6}, at: now.Add(-age)}
+		return &loadReport{EngineLoad: EngineLoad{Running: running, Slots: 6}, at: now.Add(-age), share: max(6-running, 0)}
 	}
 	for _, c := range []struct {
 		name    string
@@ -77,7 +77,7 @@
 	reports := loadReports{byEngine: make(map[string]*loadReport)}
 	for i := range 10000 {
 		id := fmt.Sprint(i)
-		reports.record(now, id, EngineLoad{Slots: 6}, false)
+		reports.record(now, id, EngineLoad{Slots: 6}, false, 0)
 		if i%100 == 0 {
 			reports.recordRefused(id)
 		}
