weightorder: the number of loads grows by one per round beyond a fifth of the engines

Cause: slow start doubled the window in a round, and the average followed a tenth of each load. A load halts the runs of its engine, so that slow loads prolong the longest texts, which end the step. Change: slow start ends at a fifth of the engines, which were loaded at once before; beyond it the window grows by one per round. The average follows a quarter of each load.

--- a/internal/weightorder/window.go
+++ b/internal/weightorder/window.go
@@ -21,7 +21,7 @@
 	windowShrinkFactor = 0.75
 	// slownessWeight is the weight of the newest load in the average of all models, and maxSlowness bounds it, so that one engine that is stuck
 	// does not shrink the window.
-	slownessWeight = 0.1
+	slownessWeight = 0.25
 	maxSlowness    = 2
 	// durationWeight is the weight of the newest load in the average of its model.
 	durationWeight = 0.2
@@ -34,8 +34,9 @@
 	minWindowUse = 0.9
 )
 
-// loadWindow bounds the concurrent loads of a service like a congestion window, as loads share a bandwidth. It grows by one per fast load until
-// loads first become slow (slow start), then by one per window of loads, and shrinks whenever loads are slow.
+// loadWindow bounds the concurrent loads of a service like a congestion window, as loads share a bandwidth. It grows by one per fast load up to a fifth
+// of the engines, unless loads become slow before (slow start), then by one per window of loads, and shrinks whenever loads are slow. A load also halts
+// the runs of its engine, so that many slow loads are worse than few fast ones at the same rate.
 type loadWindow struct {
 	limit float64
 	// engines is the highest number of engines that the service has had; the bandwidth does not shrink when engines leave.
@@ -71,8 +72,11 @@
 }
 
 // initialWindow returns the number of loads that begin at once in a service whose loads were not observed.
-func initialWindow(engines int) int {
-	return max(minConcurrentLoads, min((engines+enginesPerConcurrentLoad/2)/enginesPerConcurrentLoad, maxInitialWindow))
+func initialWindow(engines int) int { return min(slowStartLimit(engines), maxInitialWindow) }
+
+// slowStartLimit returns the number of loads up to which the window grows by one per fast load.
+func slowStartLimit(engines int) int {
+	return max(minConcurrentLoads, (engines+enginesPerConcurrentLoad/2)/enginesPerConcurrentLoad)
 }
 
 // fit adapts the window to the number of engines that the service has.
@@ -142,7 +146,7 @@
 }
 
 func (w *loadWindow) grow() {
-	if w.slowStart {
+	if w.slowStart && w.limit < float64(slowStartLimit(w.engines)) {
 		w.limit++
 	} else {
 		w.limit += 1 / w.limit
