batchrun: upper bound of a text's remaining length

The number of further events of a text was known only as a mean. Where an item is placed on a slow engine because it has time, a text that becomes longer than the mean ends its job late.

remainingAtMost returns the bound that nine of ten texts keep, from the variance that the length model already estimates. Nothing uses it yet.

--- a/internal/batchrun/lengths.go
+++ b/internal/batchrun/lengths.go
@@ -11,6 +11,10 @@
 	assumedLengthError = 0.5
 	// minLengthError is the minimum standard deviation assumed for estimates.
 	minLengthError = 0.2
+	// unestimatedLengthError is the standard deviation assumed for the logarithm of the length of texts without an estimate.
+	unestimatedLengthError = 1.0
+	// lengthQuantile is the share of texts that are not longer than remainingAtMost.
+	lengthQuantile = 0.9
 	// minLengthSmoothing is the minimum smoothing factor of the moving averages, which are updated once per text.
 	minLengthSmoothing = 0.005
 	// tailGrowth is the expected remaining length of a text far beyond its estimate, relative to its current length. It is used where the conditional
@@ -66,16 +70,30 @@
 
 // remaining returns the expected number of further events of a text, at least 1, also for a text beyond its estimate.
 func (m *lengthModel) remaining(expectedTokens, produced int) float64 {
-	logMean, logDeviation := m.unestimatedLog, 1.0
-	if expectedTokens > 0 {
-		logMean = math.Log(float64(expectedTokens)) + m.logRatio
-		logDeviation = max(math.Sqrt(m.variance), minLengthError)
+	logMean, logDeviation := m.distribution(expectedTokens)
+	return m.further(conditionalMean(logMean, logDeviation, float64(produced)), produced)
+}
+
+// remainingAtMost returns the number of further events that a text exceeds with a probability of 1 - lengthQuantile, at least 1.
+func (m *lengthModel) remainingAtMost(expectedTokens, produced int) float64 {
+	logMean, logDeviation := m.distribution(expectedTokens)
+	return m.further(conditionalQuantile(logMean, logDeviation, float64(produced)), produced)
+}
+
+// distribution returns the parameters of a text's length, before any of it is produced.
+func (m *lengthModel) distribution(expectedTokens int) (logMean, logDeviation float64) {
+	if expectedTokens <= 0 {
+		return m.unestimatedLog, unestimatedLengthError
 	}
-	expected := conditionalMean(logMean, logDeviation, float64(produced))
+	return math.Log(float64(expectedTokens)) + m.logRatio, max(math.Sqrt(m.variance), minLengthError)
+}
+
+// further returns the events beyond those produced. A text is not expected to be longer than the longest completed one.
+func (m *lengthModel) further(length float64, produced int) float64 {
 	if m.longest > produced {
-		expected = min(expected, float64(m.longest))
+		length = min(length, float64(m.longest))
 	}
-	return max(expected-float64(produced), 1)
+	return max(length-float64(produced), 1)
 }
 
 // conditionalMean returns the mean of a log-normal variable, given that it exceeds a bound.
@@ -92,5 +110,18 @@
 	return mean * normalCDF(distance+logDeviation) / tail
 }
 
+// conditionalQuantile returns the quantile lengthQuantile of a log-normal variable, given that it exceeds a bound.
+func conditionalQuantile(logMean, logDeviation, bound float64) float64 {
+	below := 0.0
+	if bound > 0 {
+		below = normalCDF((math.Log(bound) - logMean) / logDeviation)
+	}
+	if 1-below < 1e-6 {
+		return bound * (1 + tailGrowth)
+	}
+	share := below + lengthQuantile*(1-below)
+	return math.Exp(logMean + logDeviation*math.Sqrt2*math.Erfinv(2*share-1))
+}
+
 // normalCDF is the distribution function of the standard normal distribution.
 func normalCDF(x float64) float64 { return math.Erfc(-x/math.Sqrt2) / 2 }
--- a/internal/batchrun/lengths_test.go
+++ b/internal/batchrun/lengths_test.go
@@ -53,4 +53,34 @@
 			So(m.remaining(0, produced), ShouldBeGreaterThanOrEqualTo, 1)
 		}
 	})
+	// Guards against uncertain texts on slow engines, where they would end their job.
+	Convey("The margin covers nine of ten texts, and is larger for uncertain ones", t, func() {
+		m := newLengthModel()
+		factors := []float64{0.5, 0.7, 0.85, 1, 1, 1.15, 1.3, 1.6, 0.9, 1.1}
+		for range 50 {
+			for _, factor := range factors {
+				m.observe(1000, int(20*factor))
+				m.observe(4000, int(80*factor))
+			}
+		}
+		bound, longer := m.remainingAtMost(1000, 0), 0
+		for _, factor := range factors {
+			if 20*factor > bound {
+				longer++
+			}
+		}
+		So(longer, ShouldBeLessThanOrEqualTo, 1)
+		So(bound, ShouldBeBetween, m.remaining(1000, 0), 2*m.remaining(1000, 0))
+		So(m.remainingAtMost(0, 0)/m.remaining(0, 0), ShouldBeGreaterThan, bound/m.remaining(1000, 0))
+	})
+	Convey("The margin holds for texts in progress and beyond their estimate", t, func() {
+		m := newLengthModel()
+		for _, produced := range []int{0, 1, 20, 60, 1000, 100000} {
+			for _, tokens := range []int{0, 500, 5000} {
+				So(math.IsNaN(m.remainingAtMost(tokens, produced)), ShouldBeFalse)
+				So(math.IsInf(m.remainingAtMost(tokens, produced), 0), ShouldBeFalse)
+				So(m.remainingAtMost(tokens, produced), ShouldBeGreaterThanOrEqualTo, 1)
+			}
+		}
+	})
 }
