--- a/internal/batchrun/observer.go
+++ b/internal/batchrun/observer.go
@@ -11,8 +11,10 @@
 
 // Reasons for a hand-over.
 const (
-	// HandOverSlow means that the item was moved from a slow engine and resumes at another.
+	// HandOverSlow means that the item was moved from a slow engine and resumes at another, because it was expected to end its job.
 	HandOverSlow HandOver = "slow_engine"
+	// HandOverDue means that the item was moved from a slow engine and resumes at another, because it would have missed its due time.
+	HandOverDue HandOver = "slow_engine_due"
 	// HandOverRenewed means that the item is restarted with newer weights for the later job into which it will be carried over.
 	HandOverRenewed HandOver = "renewed"
 	// HandOverDetached means that the run continues after the end of its job.
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -25,16 +25,8 @@
 	defaultSlots = 4
 	// moveInterval is the delay between two checks for items that would end sooner at another engine.
 	moveInterval = 200 * time.Millisecond
-	// minMoveAge is how long a run must have lasted before its item may be moved.
-	minMoveAge = 400 * time.Millisecond
 	// slackShare is the share of the remaining time of a job's longest group that an item's text may take at a slower engine.
 	slackShare = 0.5
-	// maxMoveBackoff bounds how often minMoveAge doubles with each move, so that items do not alternate between similar engines.
-	maxMoveBackoff = 2
-	// minMoveSpeedup is how many times slower than another engine an item's engine must be before the item is moved.
-	minMoveSpeedup = 1.15
-	// minMoveGain is the minimum expected time saved by a move. It covers the cost of a move and estimation errors.
-	minMoveGain = 300 * time.Millisecond
 )
 
 // scheduleUntil runs scheduling passes until ctx ends.
@@ -139,7 +131,7 @@
 	slices.SortStableFunc(candidates, func(a, b runningItem) int { return cmp.Compare(b.timeLeft, a.timeLeft) })
 	moved := make(map[string]struct{})
 	for _, candidate := range candidates {
-		if candidate.timeLeft < minMoveGain {
+		if candidate.timeLeft < moveCost {
 			break
 		}
 		if _, done := moved[candidate.item.run.engine]; !done && r.moveIfFaster(pass, candidate) {
@@ -170,7 +162,7 @@
 	return found
 }
 
-// moveIfFaster moves an item if another engine is expected to end it sooner by at least minMoveGain.
+// moveIfFaster moves an item if another engine is expected to end it sooner by at least moveCost.
 func (r *Runner) moveIfFaster(pass *schedulingPass, candidate runningItem) bool {
 	it := candidate.item
 	if it.run.moving || pass.now.Sub(it.run.started) < minMoveAge<<min(it.moves, maxMoveBackoff) {
@@ -186,7 +178,7 @@
 		return false
 	}
 	gain := time.Duration(float64(candidate.timeLeft) * (1 - otherInterval/ownInterval.Seconds()))
-	if gain < minMoveGain {
+	if gain < moveCost {
 		return false
 	}
 	level.Info(r.Logger).Log("msg", "item moved", "request", it.ID, "job", it.job.ID, "from", it.run.engine, "to", other.engine.ID,
