batchrun: speed profile of engines, placement by its lasting part

An engine's speed was a moving average over about eight events. Pauses at the start of a step made an engine slow, and a few seconds without events made slow hardware usual.

A profile now has a passing part (the average as before) and a lasting part (the median of the averages of up to 32 seconds, without the first six events of each run). With few recent events the estimate tends to the lasting part, and without that to the fleet's pace; both lose weight with time. Speed classes follow the lasting part. An item with slack goes to the slowest class at which the upper bound of its length ends in time; before, only the slowest engine was tried. An item that was moved goes to an engine that was observed lately, because one that was idle may be as slow as the one that it left.

A scheduling pass stays linear in the engines plus the items.

--- a/internal/batchrun/candidates.go
+++ b/internal/batchrun/candidates.go
@@ -1,7 +1,6 @@
 package batchrun
 
 import (
-	"container/heap"
 	"math"
 	"slices"
 	"time"
@@ -41,12 +40,6 @@
 	minInterval time.Duration
 }
 
-// candidateGroup holds the engines of one weight version: cheapest first for urgent items, slowest first for items with slack.
-type candidateGroup struct {
-	cheapest candidateHeap
-	slowest  candidateHeap
-}
-
 // candidate is an engine with free slots.
 type candidate struct {
 	engine  *fleet.Engine
@@ -55,8 +48,12 @@
 	version int64
 	// cost is the cost of one more item whose prompt prefix the engine does not hold.
 	cost float64
+	// settled is the event interval by the lasting part of the engine's profile.
+	settled time.Duration
 	// speedClass is 0 for the fastest engines and grows by 1 for each speedClassFactor by which the engine is slower.
 	speedClass int
+	// observed is true if the engine's pace is known from recent observations.
+	observed bool
 	// heapIndexes holds the candidate's index in each heap, by heapOrder.
 	heapIndexes [heapOrders]int
 }
@@ -102,14 +99,12 @@
 
 // newPool builds a pool of the engines that have free slots.
 func (s *schedulingPass) newPool(key poolKey, engines []*fleet.Engine) *pool {
-	created := &pool{byVersion: make(map[int64]*candidateGroup), byID: make(map[string]*candidate), key: key}
+	created := &pool{byVersion: make(map[int64]*candidateGroup), byID: make(map[string]*candidate, len(engines)), key: key}
 	s.pools[key] = created
 	for _, engine := range engines {
 		record := s.runner.recordOf(engine.ID)
-		slots := engine.Slots
-		if slots <= 0 {
-			slots = defaultSlots
-		}
+		slots := slotsOf(engine)
+		record.slots = slots
 		if record.running >= slots || record.loading || record.backoffUntil.After(s.now) || !s.runner.hasColdCapacity(engine) {
 			continue
 		}
@@ -118,26 +113,38 @@
 			record:  record,
 			slots:   slots,
 			version: record.version(engine, key.model, s.now),
-			cost:    record.cost(slots, "", s.now),
+			cost:    record.cost("", s.now),
+			settled: record.settledInterval(s.now),
+
+			observed: record.profile.recentWeight(s.now) >= minMoveEvents,
 		})
 	}
-	created.rank(s.now)
+	created.rank()
 	return created
 }
 
-// rank computes speed classes and orders the engines of each version.
-func (p *pool) rank(now time.Time) {
+// slotsOf returns the number of runs that an engine takes at a time.
+func slotsOf(engine *fleet.Engine) int {
+	if engine.Slots <= 0 {
+		return defaultSlots
+	}
+	return engine.Slots
+}
+
+// rank computes speed classes and orders the engines of each version. Classes follow from the lasting part of the engines' profiles, so that short
+// noise does not attract short items or repel long ones.
+func (p *pool) rank() {
 	for _, c := range p.byID {
-		if interval := c.record.eventInterval(now); p.minInterval == 0 || interval < p.minInterval {
-			p.minInterval = interval
+		if p.minInterval == 0 || c.settled < p.minInterval {
+			p.minInterval = c.settled
 		}
 	}
 	for _, c := range p.byID {
-		c.speedClass = speedClassOf(c.record.eventInterval(now), p.minInterval)
+		c.speedClass = speedClassOf(c.settled, p.minInterval)
+		p.byVersion[c.version].add(c)
 	}
 	for _, group := range p.byVersion {
-		heap.Init(&group.cheapest)
-		heap.Init(&group.slowest)
+		group.init()
 	}
 }
 
@@ -147,13 +154,9 @@
 }
 
 func (p *pool) add(added *candidate) {
-	group, ok := p.byVersion[added.version]
-	if !ok {
-		group = &candidateGroup{cheapest: candidateHeap{order: orderCheapest}, slowest: candidateHeap{order: orderSlowest}}
-		p.byVersion[added.version] = group
+	if _, ok := p.byVersion[added.version]; !ok {
+		p.byVersion[added.version] = newCandidateGroup()
 	}
-	group.cheapest.Push(added)
-	group.slowest.Push(added)
 	p.byID[added.engine.ID] = added
 }
 
@@ -186,30 +189,59 @@
 		if !ok || holder.version < minVersion || !versionAllowed(route, it, holder.version) {
 			continue
 		}
-		if cost := holder.record.cost(holder.slots, it.Prefix, s.now); best == nil || cost < bestCost {
+		if cost := holder.record.cost(it.Prefix, s.now); best == nil || cost < bestCost {
 			best, bestCost = holder, cost
 		}
 	}
 	return best, bestCost
 }
 
-// chooseWithSlack returns the slowest engine that is expected to produce the item's text within the limit, to keep faster engines free for long
-// texts. It falls back to choose.
-func (s *schedulingPass) chooseWithSlack(route *routing.Route, it *item, minVersion int64, events float64, limit time.Duration) *candidate {
-	from := s.poolOf(route, it)
-	var best *candidate
-	for version, group := range from.byVersion {
-		if group.slowest.Len() == 0 || version < minVersion || !versionAllowed(route, it, version) {
+// chooseForMoved returns the engine for an item that was moved, or nil if none can take it now.
+func (s *schedulingPass) chooseForMoved(route *routing.Route, it *item, minVersion int64) *candidate {
+	best, cost := s.choose(route, it, minVersion)
+	if best == nil || best.observed {
+		return best
+	}
+	if observed := s.chooseObserved(route, it, minVersion); observed != nil && observed.cost < minMoveSpeedup*cost {
+		return observed
+	}
+	return best
+}
+
+// chooseObserved is choose among the engines whose pace is known from recent observations, regardless of prompt prefixes. An item that was moved goes
+// to such an engine, because an engine that was idle may have become as slow as the one that the item left.
+func (s *schedulingPass) chooseObserved(route *routing.Route, it *item, minVersion int64) (best *candidate) {
+	for version, group := range s.poolOf(route, it).byVersion {
+		if group.observed.Len() == 0 || version < minVersion || !versionAllowed(route, it, version) {
 			continue
 		}
-		if slowest := group.slowest.candidates[0]; best == nil || slowest.slowerThan(best) {
-			best = slowest
+		if cheapest := group.observed.candidates[0]; best == nil || cheapest.cheaperThan(best) {
+			best = cheapest
 		}
 	}
-	if best != nil && best.speedClass > 0 && best.speedClass <= maxSpeedClass && events*best.cost <= limit.Seconds() {
-		return best
+	return best
+}
+
+// chooseWithSlack returns an engine of the slowest speed class that is expected to produce the item's text within the limit, to keep faster engines free
+// for long texts. events is the length of the text with a margin for its uncertainty. It falls back to choose.
+func (s *schedulingPass) chooseWithSlack(route *routing.Route, it *item, minVersion int64, events float64, limit time.Duration) *candidate {
+	from := s.poolOf(route, it)
+	for class := maxSpeedClass; class > 0; class-- {
+		var best *candidate
+		for version, group := range from.byVersion {
+			members := &group.classes[class]
+			if members.Len() == 0 || version < minVersion || !versionAllowed(route, it, version) {
+				continue
+			}
+			if first := members.candidates[0]; events*first.cost <= limit.Seconds() && (best == nil || first.freerThan(best)) {
+				best = first
+			}
+		}
+		if best != nil {
+			return best
+		}
 	}
-	best, _ = s.choose(route, it, minVersion)
+	best, _ := s.choose(route, it, minVersion)
 	return best
 }
 
@@ -245,14 +277,12 @@
 		}
 		group := p.byVersion[entry.version]
 		if entry.record.running >= entry.slots || !s.runner.hasColdCapacity(entry.engine) {
-			heap.Remove(&group.cheapest, entry.heapIndexes[orderCheapest])
-			heap.Remove(&group.slowest, entry.heapIndexes[orderSlowest])
+			group.remove(entry)
 			delete(p.byID, entry.engine.ID)
 			continue
 		}
-		entry.cost = entry.record.cost(entry.slots, "", s.now)
-		heap.Fix(&group.cheapest, entry.heapIndexes[orderCheapest])
-		heap.Fix(&group.slowest, entry.heapIndexes[orderSlowest])
+		entry.cost = entry.record.cost("", s.now)
+		group.fix(entry)
 	}
 }
 
@@ -290,78 +320,3 @@
 		r.prefixHolders[prefix] = holders
 	}
 }
-
-type heapOrder int
-
-const (
-	// orderCheapest sorts by the expected cost of one more item.
-	orderCheapest heapOrder = iota
-	// orderSlowest sorts by speed class, slowest first, then by the most free slots.
-	orderSlowest
-	heapOrders
-)
-
-// candidateHeap orders candidates. It implements heap.Interface.
-type candidateHeap struct {
-	order      heapOrder
-	candidates []*candidate
-}
-
-// cheaperThan orders candidates by cost. Engine IDs break ties, so that decisions are deterministic.
-func (c *candidate) cheaperThan(other *candidate) bool {
-	if c.cost != other.cost {
-		return c.cost < other.cost
-	}
-	return c.engine.ID < other.engine.ID
-}
-
-// slowerThan orders candidates by speed class, then by free slots.
-func (c *candidate) slowerThan(other *candidate) bool {
-	// Classes beyond maxSpeedClass sort last.
-	x, y := c.speedClass, other.speedClass
-	if x > maxSpeedClass {
-		x = -1
-	}
-	if y > maxSpeedClass {
-		y = -1
-	}
-	if x != y {
-		return x > y
-	}
-	if taken, otherTaken := c.record.running*other.slots, other.record.running*c.slots; taken != otherTaken {
-		return taken < otherTaken
-	}
-	return c.engine.ID < other.engine.ID
-}
-
-// Len implements heap.Interface.
-func (h *candidateHeap) Len() int { return len(h.candidates) }
-
-// Less implements heap.Interface.
-func (h *candidateHeap) Less(a, b int) bool {
-	if h.order == orderSlowest {
-		return h.candidates[a].slowerThan(h.candidates[b])
-	}
-	return h.candidates[a].cheaperThan(h.candidates[b])
-}
-
-// Swap implements heap.Interface.
-func (h *candidateHeap) Swap(a, b int) {
-	h.candidates[a], h.candidates[b] = h.candidates[b], h.candidates[a]
-	h.candidates[a].heapIndexes[h.order], h.candidates[b].heapIndexes[h.order] = a, b
-}
-
-// Push implements heap.Interface.
-func (h *candidateHeap) Push(added any) {
-	c := added.(*candidate)
-	c.heapIndexes[h.order] = len(h.candidates)
-	h.candidates = append(h.candidates, c)
-}
-
-// Pop implements heap.Interface.
-func (h *candidateHeap) Pop() any {
-	last := len(h.candidates) - 1
-	c := h.candidates[last]
-	h.candidates = h.candidates[:last]
-	return c
-}
--- a/internal/batchrun/engine_record.go
+++ b/internal/batchrun/engine_record.go
@@ -1,7 +1,6 @@
 package batchrun
 
 import (
-	"math"
 	"time"
 
 	"github.com/covelink/covelink/internal/fleet"
@@ -9,25 +8,10 @@
 )
 
 const (
-	// defaultEventInterval is the assumed interval between two events until one is observed.
-	defaultEventInterval = 40 * time.Millisecond
-	// intervalSmoothing is the smoothing factor of an engine's moving average of event intervals.
-	intervalSmoothing = 0.12
-	// minFleetSmoothing is the minimum smoothing factor of the fleet average, which is updated once per report.
-	minFleetSmoothing = 0.01
-	// maxIntervalFactor caps an observed interval at this multiple of the average, because a single long interval, for example while weights are
-	// loaded, does not mean that the engine is slow.
-	maxIntervalFactor = 4
-	// intervalTTL is how long after an engine's last event its average is used without a cap.
-	intervalTTL = 3 * time.Second
-	// maxStaleFactor caps a stale average at this multiple of the fleet average: slower hardware stays slow, but a temporary fault may be over.
-	maxStaleFactor = 1.4
 	// reportedVersionTTL is how long a version reported by an engine takes precedence over the engine list.
 	reportedVersionTTL = 1500 * time.Millisecond
 	// affinityFactor is the cost of an engine that holds the item's prompt prefix, relative to one that does not.
 	affinityFactor = 0.95
-	// loadFactor is the relative increase in the event interval of a full engine over an idle one.
-	loadFactor = 0.1
 	// The backoff after n consecutive failures is minBackoff * 2^n, at most maxBackoff.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 2 * time.Second
@@ -49,10 +33,11 @@
 	failures int
 	// loading is true while the engine loads weights.
 	loading bool
-	// averageInterval is the moving average of the interval between two events, and observedAt the time of its last update.
-	averageInterval time.Duration
-	observedAt      time.Time
-	fleetInterval   *fleetInterval
+	// slots is the engine's number of slots; zero until the engine is first considered or used.
+	slots         int
+	profile       speedProfile
+	company       companyAverages
+	fleetInterval *fleetInterval
 	// refusals counts consecutive refusals.
 	refusals int
 	// versions holds the last reported weight version of each model; versionsAt is when the last one was reported.
@@ -91,56 +76,46 @@
 	clear(e.prefixes)
 }
 
-// observeInterval updates the average with the mean of count intervals between events, and resets the refusal count.
-func (e *engineRecord) observeInterval(interval time.Duration, count int, now time.Time) {
-	average := e.eventInterval(now)
-	interval = min(interval, maxIntervalFactor*average)
+// observeInterval updates the profile with the mean of count intervals between events, and resets the refusal count. starting is true for the first
+// intervals of a run.
+func (e *engineRecord) observeInterval(interval time.Duration, count int, starting bool, now time.Time) {
 	e.refusals = 0
-	smoothing := 1 - math.Pow(1-intervalSmoothing, float64(count))
-	e.averageInterval = average + time.Duration(smoothing*float64(interval-average))
-	e.observedAt = now
+	company, load := e.companyOf(e.running-1), &e.fleetInterval.company
+	e.profile.observe(time.Duration(float64(interval)/load.slowdown(company)), count, starting, e.fleetInterval.alone(), now)
+	if !starting {
+		load.observe(&e.company, interval.Seconds(), company, count)
+	}
 }
 
-// eventInterval returns the expected interval between two events of a run.
-func (e *engineRecord) eventInterval(now time.Time) time.Duration {
-	switch {
-	case e.averageInterval == 0:
-		return e.fleetInterval.value()
-	case now.Sub(e.observedAt) > intervalTTL:
-		return min(e.averageInterval, time.Duration(maxStaleFactor*float64(e.fleetInterval.value())))
+// companyOf returns the share of the engine's slots that a number of runs take.
+func (e *engineRecord) companyOf(runs int) float64 {
+	slots := e.slots
+	if slots <= 0 {
+		slots = defaultSlots
 	}
-	return e.averageInterval
+	return min(float64(max(runs, 0))/float64(slots), 1)
 }
 
-// fleetInterval is the moving average of the interval between two events over all engines.
-type fleetInterval struct {
-	average time.Duration
-	count   int
+// eventInterval returns the expected interval between two events of a run, beside the other runs in progress.
+func (e *engineRecord) eventInterval(now time.Time) time.Duration {
+	return e.intervalBeside(e.running-1, now)
 }
 
-// value returns the average, or defaultEventInterval if there is none.
-func (f *fleetInterval) value() time.Duration {
-	if f.count == 0 {
-		return defaultEventInterval
-	}
-	return f.average
+// intervalBeside returns the expected interval between two events of a run beside a number of others.
+func (e *engineRecord) intervalBeside(others int, now time.Time) time.Duration {
+	alone := e.profile.estimate(e.fleetInterval.alone(), now)
+	return time.Duration(float64(alone) * e.fleetInterval.company.slowdown(e.companyOf(others)))
 }
 
-// observe updates the average with the mean interval of a report.
-func (f *fleetInterval) observe(interval time.Duration) {
-	f.count++
-	if f.count == 1 {
-		f.average = interval
-		return
-	}
-	interval = min(interval, maxIntervalFactor*f.average)
-	f.average += time.Duration(max(1/float64(f.count), minFleetSmoothing) * float64(interval-f.average))
+// settledInterval returns the interval of a run that is alone at the engine, without regard to recent changes.
+func (e *engineRecord) settledInterval(now time.Time) time.Duration {
+	return e.profile.settled(e.fleetInterval.alone(), now)
 }
 
 // cost returns the expected event interval, in seconds, if one more item is sent; lower if the engine holds the prompt prefix, and multiplied by
 // 1 + consecutive refusals.
-func (e *engineRecord) cost(slots int, prefix string, now time.Time) float64 {
-	cost := e.eventInterval(now).Seconds() * (1 + loadFactor*float64(e.running)/float64(slots))
+func (e *engineRecord) cost(prefix string, now time.Time) float64 {
+	cost := e.intervalBeside(e.running, now).Seconds()
 	if _, held := e.prefixes[prefix]; held && prefix != "" {
 		cost *= affinityFactor
 	}
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -117,7 +117,11 @@
 	if isolated {
 		return pass.chooseIsolated(waiting.route, it, minVersion)
 	}
-	events := r.lengths.remaining(it.ExpectedLength, it.text.Len())
+	if it.moves > 0 {
+		// The job waits for an item that was moved.
+		return pass.chooseForMoved(waiting.route, it, minVersion)
+	}
+	events := r.lengths.remainingAtMost(it.ExpectedLength, it.text.Len())
 	return pass.chooseWithSlack(waiting.route, it, minVersion, events, time.Duration(slackShare*float64(it.job.longest)))
 }
 
--- a/internal/batchrun/policy_test.go
+++ b/internal/batchrun/policy_test.go
@@ -169,6 +169,35 @@
 	})
 }
 
+// Guards against profiles of an earlier term, which may be hours old when this process leads again.
+func TestProfilesOfTerm(t *testing.T) {
+	runScenario(t, "Profiles begin anew with each term of a process", func(h *harness) {
+		h.engines.events = 100
+		h.engines.setBehavior("b", engineBehavior{pause: 60 * time.Millisecond})
+		h.submitJob(newStep("one", 0, 1, 0, 5000, 5000, 5000, 5000))
+		time.Sleep(3 * time.Second)
+		So(h.runner.EventInterval("b"), ShouldBeGreaterThan, 50*time.Millisecond)
+		h.stop()
+		unobserved := h.runner.EventInterval("none")
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			h.runner.Lead(ctx, 2)
+			close(done)
+		}()
+		h.stop = func() {
+			cancel()
+			<-done
+		}
+		h.engines.setBehavior("b", engineBehavior{pause: 20 * time.Millisecond})
+		time.Sleep(5 * time.Millisecond)
+		So(h.runner.EventInterval("b"), ShouldEqual, unobserved)
+		h.submitJob(newStep("two", 1, 1, 0, 5000, 5000, 5000, 5000))
+		time.Sleep(2 * time.Second)
+		So(h.runner.EventInterval("b"), ShouldBeLessThan, 30*time.Millisecond)
+	})
+}
+
 func TestCheckpoints(t *testing.T) {
 	runInterruptedTerm := func(h *harness, route routing.Route) {
 		h.stop()
--- a/internal/batchrun/report.go
+++ b/internal/batchrun/report.go
@@ -73,10 +73,14 @@
 	if report.Version > 0 {
 		record.setVersion(rn.item.job.Model, report.Version, r.now())
 	}
+	if len(report.Segments) > 0 {
+		rn.pace.lastEvent = r.now()
+	}
 	if report.PauseCount > 0 {
 		interval := report.Pauses / time.Duration(report.PauseCount)
-		record.observeInterval(interval, report.PauseCount, r.now())
-		r.fleetInterval.observe(interval)
+		record.observeInterval(interval, report.PauseCount, rn.pace.starting(), r.now())
+		r.fleetInterval.observe(interval, record.companyOf(record.running-1))
+		rn.pace.observe(interval, report.PauseCount)
 	}
 }
 
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -46,6 +46,8 @@
 	started    time.Time
 	// lastReport is when the run was last reported.
 	lastReport time.Time
+	// pace holds the recent intervals between the run's events.
+	pace runPace
 	// streaming is true until the stream has ended. finished is true once neither a stream nor a reward call is left.
 	streaming bool
 	finished  bool
@@ -73,6 +75,7 @@
 func (r *Runner) start(it *item, route *routing.Route, engine *fleet.Engine, options startOptions) {
 	record := r.recordOf(engine.ID)
 	record.running++
+	record.slots = slotsOf(engine)
 	r.addPrefixHolder(it.Prefix, engine.ID, record)
 	assignment := r.assignment(it, itemwork.Bounds{MinVersion: it.job.MinVersion, SingleVersion: route.SingleVersion})
 	assignment.Engine = itemwork.Target{
