batchrun: move an item only if its job ends sooner

Items were moved to any engine whose average was 1.15 times faster, so that most moves followed noise and saved their step no time.

moveFromSlowEngines now asks decideMove. What else the job waits for is computed once per job and check. An item stays if only an engine without recent observations is faster. The line "item moved" tells the reason and the inputs, a debug line why an item stays, and moves by due time are counted apart (slow_engine_due). A check may move two items of an engine, because a run's pace must now be certain, which takes three events more.

--- a/internal/batchrun/harness_test.go
+++ b/internal/batchrun/harness_test.go
@@ -59,6 +59,9 @@
 	behaviors  map[string]engineBehavior
 	executions []*execution
 	events     int
+	// eventsOf overrides events for one item, and pauseOf the behavior's pause before an event of an execution; both may be nil.
+	eventsOf func(id string) int
+	pauseOf  func(r *execution, number int64) time.Duration
 }
 
 func (e *fakeEngines) setBehavior(id string, b engineBehavior) {
@@ -115,7 +118,7 @@
 	reader, writer := io.Pipe()
 	answer.Body = reader
 	go func() {
-		err := e.stream(ctx, writer, b, options.LastEventID)
+		err := e.stream(ctx, writer, b, r)
 		e.mu.Lock()
 		r.ended = time.Now()
 		e.mu.Unlock()
@@ -124,10 +127,16 @@
 	return answer, nil
 }
 
-func (e *fakeEngines) stream(ctx context.Context, writer *io.PipeWriter, b engineBehavior, after int64) error {
-	sent := 0
-	for number := after + 1; number <= int64(e.events); number++ {
+func (e *fakeEngines) stream(ctx context.Context, writer *io.PipeWriter, b engineBehavior, r *execution) error {
+	sent, events := 0, e.events
+	if e.eventsOf != nil {
+		events = e.eventsOf(r.id)
+	}
+	for number := r.from + 1; number <= int64(events); number++ {
 		pause := b.pause
+		if e.pauseOf != nil {
+			pause = e.pauseOf(r, number)
+		}
 		if b.silent {
 			pause = time.Hour
 		}
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -1,13 +1,9 @@
 package batchrun
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"github.com/covelink/covelink/coord/rendezvous"
 	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/quarantine"
@@ -125,76 +121,6 @@
 	return pass.chooseWithSlack(waiting.route, it, minVersion, events, time.Duration(slackShare*float64(it.job.longest)))
 }
 
-// moveFromSlowEngines cancels runs on engines that are slower than another engine with free slots, so that their items resume there. Items with the
-// most time left come first, at most one per engine. It returns the number of running items. The mutex must be held.
-func (r *Runner) moveFromSlowEngines(pass *schedulingPass) (running int) {
-	if pass.view.Routes == nil {
-		return 0
-	}
-	candidates := r.runningItems()
-	slices.SortStableFunc(candidates, func(a, b runningItem) int { return cmp.Compare(b.timeLeft, a.timeLeft) })
-	moved := make(map[string]struct{})
-	for _, candidate := range candidates {
-		if candidate.timeLeft < moveCost {
-			break
-		}
-		if _, done := moved[candidate.item.run.engine]; !done && r.moveIfFaster(pass, candidate) {
-			moved[candidate.item.run.engine] = struct{}{}
-		}
-	}
-	return len(candidates)
-}
-
-// runningItem is an item with a run in progress, and its expected remaining time there.
-type runningItem struct {
-	item     *item
-	timeLeft time.Duration
-}
-
-func (r *Runner) runningItems() []runningItem {
-	var found []runningItem
-	for _, j := range r.order {
-		if j.ended {
-			continue
-		}
-		for _, it := range j.items {
-			if it.phase == phaseRunning {
-				found = append(found, runningItem{item: it, timeLeft: r.timeLeft(it)})
-			}
-		}
-	}
-	return found
-}
-
-// moveIfFaster moves an item if another engine is expected to end it sooner by at least moveCost.
-func (r *Runner) moveIfFaster(pass *schedulingPass, candidate runningItem) bool {
-	it := candidate.item
-	if it.run.moving || pass.now.Sub(it.run.started) < minMoveAge<<min(it.moves, maxMoveBackoff) {
-		return false
-	}
-	route := pass.view.Routes.Match(it.job.Host, it.Path)
-	if route == nil {
-		return false
-	}
-	ownInterval := r.recordOf(it.run.engine).eventInterval(pass.now)
-	other, otherInterval := pass.choose(route, it, r.preferredVersion(pass, route, it))
-	if other == nil || other.engine.ID == it.run.engine || r.isCold(other.engine) || ownInterval.Seconds() < minMoveSpeedup*otherInterval {
-		return false
-	}
-	gain := time.Duration(float64(candidate.timeLeft) * (1 - otherInterval/ownInterval.Seconds()))
-	if gain < moveCost {
-		return false
-	}
-	level.Info(r.Logger).Log("msg", "item moved", "request", it.ID, "job", it.job.ID, "from", it.run.engine, "to", other.engine.ID,
-		"pause", ownInterval.Round(time.Millisecond), "other_pause", time.Duration(otherInterval*float64(time.Second)).Round(time.Millisecond),
-		"gain", gain.Round(time.Millisecond), "text_events", it.text.Len())
-	r.Observer.HandedOver(HandOverSlow)
-	it.moves++
-	it.run.moving = true
-	it.run.cancel()
-	return true
-}
-
 // hashFraction maps item IDs uniformly to [0, 1).
 func hashFraction(id string) float64 {
 	return float64(rendezvous.Hash(id)>>11) / (1 << 53)
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -46,8 +46,9 @@
 	started    time.Time
 	// lastReport is when the run was last reported.
 	lastReport time.Time
-	// pace holds the recent intervals between the run's events.
-	pace runPace
+	// pace holds the recent intervals between the run's events, and stayed the last reason why the run was not moved, for the log.
+	pace   runPace
+	stayed moveReason
 	// streaming is true until the stream has ended. finished is true once neither a stream nor a reward call is left.
 	streaming bool
 	finished  bool
