batchrun: pace of a run from reports of several events

Workers report progress every 0.3 s, so that a run's pace was a quantile of few means, and one pause of 140 ms could double the only mean in the window. A run that was silent for 0.3 s could also be one whose report was due.

The window leaves out the first six events of a run and holds at least two reports; a pause in progress counts from 0.5 s.

--- a/internal/batchrun/run_pace.go
+++ b/internal/batchrun/run_pace.go
@@ -7,32 +7,33 @@
 )
 
 const (
-	// startingEvents is the number of events at the start of a run that do not tell the speed of the engine. Pauses of 56 to 140 ms were seen among them
-	// at engines that produce an event in 24 ms.
-	startingEvents = 6
+	// startingEvents is the weight, in events, of the start of a run that does not tell the speed of the engine. Pauses of 56 to 140 ms were seen among
+	// the first six events at engines that produce an event in 24 ms.
+	startingEvents = 6.0
 	// paceWindow is the weight, in events, of the recent observations that tell the pace of a run. With paceQuantile, two long pauses among them do not
 	// change the pace. A run that becomes three times slower than 24 ms is recognized after three events, in 0.2 s.
 	paceWindow = 4.0
+	// minPaceSamples is the minimum number of samples in the window. A worker reports the events of up to 0.3 s as one sample, which one pause can spoil.
+	minPaceSamples = 2
 	// paceQuantile is the share of these observations that may be shorter than the pace that counts as certain.
 	paceQuantile = 1.0 / 3
 	// longPause is a pause that counts as one event. Longer pauses count with the square of the ratio, so that a slow run is recognized in a similar
 	// time at any speed.
 	longPause = 120 * time.Millisecond
-	// minPaceWeight is the weight of the events of a run from which its pace is certain. Six pauses at the start of a step weigh 5 to 7 on average, and
-	// at least two later events are needed to outweigh them in the window.
-	minPaceWeight = 8.0
+	// minPaceWeight is the weight of the events of a run from which its pace is certain: two more than those of its start.
+	minPaceWeight = startingEvents + 2
 	// minPaceTime is the time over which events must have been observed.
 	minPaceTime = 350 * time.Millisecond
-	// minSilence is the time without events from which the pause in progress counts. It exceeds the time between two reports of a worker.
-	minSilence = 300 * time.Millisecond
+	// minSilence is the time without events from which the pause in progress counts. A worker reports progress every 0.3 s, and
+	// less often while there are many workers.
+	minSilence = 500 * time.Millisecond
 )
 
 // runPace holds the recent pauses of one run. It is not safe for concurrent use.
 type runPace struct {
 	recent []paceSample
-	// weight, events and time are the sums over all observations of the run.
+	// weight and time are the sums over all observations of the run.
 	weight float64
-	events int
 	time   time.Duration
 	// lastEvent is when the last event was reported; zero before the first.
 	lastEvent time.Time
@@ -65,13 +66,19 @@
 // observe adds the mean of count intervals.
 func (p *runPace) observe(interval time.Duration, count int) {
 	sample, weight := newPaceSample(interval, count)
+	if !p.starting() {
+		p.recent = append(p.recent, sample)
+		p.trim()
+	}
 	p.weight += weight
-	p.events += count
 	p.time += interval * time.Duration(count)
-	p.recent = append(p.recent, sample)
+}
+
+// trim drops the samples before the window.
+func (p *runPace) trim() {
 	total := 0.0
 	for i, recent := range slices.Backward(p.recent) {
-		if total >= paceWindow {
+		if total >= paceWindow && len(p.recent)-1-i >= minPaceSamples {
 			p.recent = slices.Delete(p.recent, 0, i+1)
 			return
 		}
@@ -79,8 +86,8 @@
 	}
 }
 
-// starting reports whether fewer than startingEvents intervals were observed.
-func (p *runPace) starting() bool { return p.events < startingEvents }
+// starting reports whether the intervals observed so far are those of the start of the run, with a weight below startingEvents.
+func (p *runPace) starting() bool { return p.weight < startingEvents }
 
 // certain reports whether the run was observed long enough to tell its pace. A long pause in progress counts.
 func (p *runPace) certain(now time.Time) bool {
