--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -1,13 +1,9 @@
 package batchrun
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"github.com/covelink/covelink/coord/rendezvous"
 	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/quarantine"
@@ -25,16 +21,8 @@
 	defaultSlots = 4
 	// moveInterval is the delay between two checks for items that would end sooner at another engine.
 	moveInterval = 200 * time.Millisecond
-	// minMoveAge is how long a run must have lasted before its item may be moved.
-	minMoveAge = 400 * time.Millisecond
 	// slackShare is the share of the remaining time of a job's longest group that an item's text may take at a slower engine.
 	slackShare = 0.5
-	// maxMoveBackoff bounds how often minMoveAge doubles with each move, so that items do not alternate between similar engines.
-	maxMoveBackoff = 2
-	// minMoveSpeedup is how many times slower than another engine an item's engine must be before the item is moved.
-	minMoveSpeedup = 1.15
-	// minMoveGain is the minimum expected time saved by a move. It covers the cost of a move and estimation errors.
-	minMoveGain = 300 * time.Millisecond
 )
 
 // scheduleUntil runs scheduling passes until ctx ends.
@@ -125,78 +113,12 @@
 	if isolated {
 		return pass.chooseIsolated(waiting.route, it, minVersion)
 	}
-	events := r.lengths.remaining(it.ExpectedLength, it.text.Len())
-	return pass.chooseWithSlack(waiting.route, it, minVersion, events, time.Duration(slackShare*float64(it.job.longest)))
-}
-
-// moveFromSlowEngines cancels runs on engines that are slower than another engine with free slots, so that their items resume there. Items with the
-// most time left come first, at most one per engine. It returns the number of running items. The mutex must be held.
-func (r *Runner) moveFromSlowEngines(pass *schedulingPass) (running int) {
-	if pass.view.Routes == nil {
-		return 0
-	}
-	candidates := r.runningItems()
-	slices.SortStableFunc(candidates, func(a, b runningItem) int { return cmp.Compare(b.timeLeft, a.timeLeft) })
-	moved := make(map[string]struct{})
-	for _, candidate := range candidates {
-		if candidate.timeLeft < minMoveGain {
-			break
-		}
-		if _, done := moved[candidate.item.run.engine]; !done && r.moveIfFaster(pass, candidate) {
-			moved[candidate.item.run.engine] = struct{}{}
-		}
-	}
-	return len(candidates)
-}
-
-// runningItem is an item with a run in progress, and its expected remaining time there.
-type runningItem struct {
-	item     *item
-	timeLeft time.Duration
-}
-
-func (r *Runner) runningItems() []runningItem {
-	var found []runningItem
-	for _, j := range r.order {
-		if j.ended {
-			continue
-		}
-		for _, it := range j.items {
-			if it.phase == phaseRunning {
-				found = append(found, runningItem{item: it, timeLeft: r.timeLeft(it)})
-			}
-		}
-	}
-	return found
-}
-
-// moveIfFaster moves an item if another engine is expected to end it sooner by at least minMoveGain.
-func (r *Runner) moveIfFaster(pass *schedulingPass, candidate runningItem) bool {
-	it := candidate.item
-	if it.run.moving || pass.now.Sub(it.run.started) < minMoveAge<<min(it.moves, maxMoveBackoff) {
-		return false
-	}
-	route := pass.view.Routes.Match(it.job.Host, it.Path)
-	if route == nil {
-		return false
+	if it.moves > 0 {
+		// The job waits for an item that was moved.
+		return pass.chooseForMoved(waiting.route, it, minVersion)
 	}
-	ownInterval := r.recordOf(it.run.engine).eventInterval(pass.now)
-	other, otherInterval := pass.choose(route, it, r.preferredVersion(pass, route, it))
-	if other == nil || other.engine.ID == it.run.engine || r.isCold(other.engine) || ownInterval.Seconds() < minMoveSpeedup*otherInterval {
-		return false
-	}
-	gain := time.Duration(float64(candidate.timeLeft) * (1 - otherInterval/ownInterval.Seconds()))
-	if gain < minMoveGain {
-		return false
-	}
-	level.Info(r.Logger).Log("msg", "item moved", "request", it.ID, "job", it.job.ID, "from", it.run.engine, "to", other.engine.ID,
-		"pause", ownInterval.Round(time.Millisecond), "other_pause", time.Duration(otherInterval*float64(time.Second)).Round(time.Millisecond),
-		"gain", gain.Round(time.Millisecond), "text_events", it.text.Len())
-	r.Observer.HandedOver(HandOverSlow)
-	it.moves++
-	it.run.moving = true
-	it.run.cancel()
-	return true
+	events := r.lengths.remainingAtMost(it.ExpectedLength, it.text.Len())
+	return pass.chooseWithSlack(waiting.route, it, minVersion, events, time.Duration(slackShare*float64(it.job.longest)))
 }
 
 // hashFraction maps item IDs uniformly to [0, 1).
