weightorder: slow engines are divided among the models

Cause: shares follow engine time, which left that model with few engines, and the division does not know of speed: its long texts ran at slow engines. Change: engines whose lasting event interval exceeds 1.5 times the median count as slow, and are exchanged between models until each has its part, within one engine. The interval is that of the profile's lasting part. Tests: TestSlowEngines; the division is stable after one exchange.

--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -199,6 +199,16 @@
 	return r.recordOf(engineID).eventInterval(r.now())
 }
 
+// SettledInterval returns the interval between two events of a run that is alone at an engine, without regard to recent changes.
+func (r *Runner) SettledInterval(engineID string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.leads() {
+		return defaultEventInterval
+	}
+	return r.recordOf(engineID).settledInterval(r.now())
+}
+
 // stopItems ends all work on a job and keeps the texts of its items for later jobs.
 func (r *Runner) stopItems(j *job) {
 	if j.ended {
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -90,7 +90,7 @@
 		LeaseLength:   config.Timing.LeaseLength,
 		OnVersion:     runner.RecordVersion,
 		OnLoading:     onLoading,
-		EventInterval: runner.EventInterval,
+		EventInterval: runner.SettledInterval,
 		Demands:       runner.Demands,
 		Runs:          runner.EngineRuns,
 		OnMoved:       observed.engineMoved,
--- a/internal/weightorder/loadplan_test.go
+++ b/internal/weightorder/loadplan_test.go
@@ -392,3 +392,48 @@
 		}
 	}
 }
+
+// TestSlowEngines guards against a model whose engines are all slow, so that its longest texts end its steps late.
+func TestSlowEngines(t *testing.T) {
+	snapshotOf := func(models string, slowInterval time.Duration) *snapshot {
+		s := &snapshot{models: []modelState{{name: "a", target: 1}, {name: "b", target: 1}}, loadTime: time.Second}
+		for i, model := range models {
+			engine := engineState{id: fmt.Sprint(i), slots: 6, listed: map[string]int64{"a": 1, "b": 1}, orderable: true, eventInterval: 20 * time.Millisecond}
+			if model < 'a' {
+				// Slow engines are in upper case.
+				model += 'a' - 'A'
+				engine.eventInterval = slowInterval
+			}
+			engine.assigned = string(model)
+			s.engines = append(s.engines, engine)
+		}
+		return s
+	}
+	slowOf := func(s *snapshot, decided decision, model int) (slow int) {
+		for i, assigned := range decided.models {
+			if assigned == model && s.engines[i].eventInterval > 30*time.Millisecond {
+				slow++
+			}
+		}
+		return slow
+	}
+	Convey("Slow engines are divided among the models, without a change of their numbers", t, func() {
+		s := snapshotOf("AAAaaabbbbbb", 50*time.Millisecond)
+		decided := decide(s)
+		So(decided.reassigned, ShouldHaveLength, 2)
+		So(slowOf(s, decided, 0), ShouldEqual, 2)
+		So(slowOf(s, decided, 1), ShouldEqual, 1)
+		for i, model := range decided.models {
+			s.engines[i].assigned = s.models[model].name
+		}
+		So(decide(s).reassigned, ShouldBeEmpty)
+	})
+	Convey("Engines of about the same speed, and busy ones that are up to date, stay", t, func() {
+		So(decide(snapshotOf("AAAaaabbbbbb", 25*time.Millisecond)).reassigned, ShouldBeEmpty)
+		s := snapshotOf("AAAaaabbbbbb", 50*time.Millisecond)
+		for i := range s.engines {
+			s.engines[i].runs = EngineRuns{Running: 1, TimeLeft: time.Second}
+		}
+		So(decide(s).reassigned, ShouldBeEmpty)
+	})
+}
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -134,7 +134,7 @@
 	Demands func() map[string]Demand
 	// Runs returns the work in progress at each engine that has any; may be nil.
 	Runs func() map[string]EngineRuns
-	// EventInterval returns the expected interval between two events of an engine's stream; may be nil.
+	// EventInterval returns the lasting interval between two events of an engine's stream, without regard to recent changes; may be nil.
 	EventInterval func(engineID string) time.Duration
 	// OnLoading is called when an engine starts to load, during which it accepts no work, and when that ends; may be nil.
 	OnLoading func(engineID string, loading bool)
--- a/internal/weightorder/shares.go
+++ b/internal/weightorder/shares.go
@@ -153,6 +153,7 @@
 		d.assign(engine, d.modelFor(engine))
 	}
 	d.rebalance()
+	d.exchangeSlow()
 	return d
 }
 
