itemwork: reward calls leave the queue while there is time for the call

One reward call of 0.3 s was sent six times by a gateway whose service was full, each time after the queue with 90 to 250 ms left, and cut. Cause: a call queued until 250 ms before its deadline, which a permission that is a second old leaves early. Change: the queue timeout reserves the route's latency objective for the call, up to half of the time that is left. Tests: TestRewardQueueTimeout.

--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -288,9 +288,8 @@
 			Target: reward.Path,
 			Header: http.Header{},
 			Body:   reward.Body,
-			// Waits in the forwarder's queue while the service is at capacity; Arrived keeps the place in the queue over retries. Reserves
-			// minRewardCallTime for the call itself.
-			QueueTimeout: max(boottime.Until(deadline)-minRewardCallTime, time.Millisecond),
+			// Waits in the forwarder's queue while the service is at capacity; Arrived keeps the place in the queue over retries.
+			QueueTimeout: rewardQueueTimeout(boottime.Until(deadline), route.LatencyObjective),
 			Arrived:      arrived,
 			Repeated:     sent,
 		}
@@ -308,6 +307,13 @@
 	return Judgement{State: JudgementAborted, Failures: failures}
 }
 
+// rewardQueueTimeout returns how long a reward call may queue of the time that it has left. It reserves the latency objective for the call itself, up to
+// half of the time: a call of 0.3 s that was sent after the queue with minRewardCallTime left failed for 9 s, and its step waited.
+func rewardQueueTimeout(left, objective time.Duration) time.Duration {
+	reserved := max(minRewardCallTime, min(objective, left/2))
+	return max(left-reserved, time.Millisecond)
+}
+
 // rewardDeadline returns the deadline of a reward call that starts at a moment.
 func (e *Executor) rewardDeadline(now time.Time) time.Time {
 	deadline := now.Add(rewardCallTimeout)
--- a/internal/itemwork/reward_test.go
+++ b/internal/itemwork/reward_test.go
@@ -129,3 +129,18 @@
 		}
 	})
 }
+
+// TestRewardQueueTimeout guards against reward calls that queue until too little time is left for the call itself.
+func TestRewardQueueTimeout(t *testing.T) {
+	for _, c := range []struct{ left, objective, want time.Duration }{
+		{3 * time.Second, 800 * time.Millisecond, 2200 * time.Millisecond},
+		{time.Second, 800 * time.Millisecond, 500 * time.Millisecond},
+		{time.Second, 0, 750 * time.Millisecond},
+		{400 * time.Millisecond, 800 * time.Millisecond, 150 * time.Millisecond},
+		{200 * time.Millisecond, 800 * time.Millisecond, time.Millisecond},
+	} {
+		if got := rewardQueueTimeout(c.left, c.objective); got != c.want {
+			t.Errorf("%v left, objective %v: queue timeout %v, want %v", c.left, c.objective, got, c.want)
+		}
+	}
+}
