weightorder: services whose engines are not divided keep the bound of a fifth

Change: for these services the window counts up to a fifth of the engines. Tests: TestUndividedServiceKeepsItsBound.

--- a/internal/weightorder/plan.go
+++ b/internal/weightorder/plan.go
@@ -91,13 +91,19 @@
 	window := m.windowOf(service.Name)
 	window.fit(len(permitted))
 	loading := m.countLoading(view, service.Name)
-	available := max(window.size()-loading, 0)
+	divided := divides(len(permitted), len(service.Models))
+	allowed := window.size()
+	if !divided {
+		// All engines of such a service serve the same items, so that a load beyond a fifth of them costs more than it brings.
+		allowed = min(allowed, slowStartLimit(window.engines))
+	}
+	available := max(allowed-loading, 0)
 	engines, selected := m.selectReplicas(view, service.Name, permitted, service.Models, now)
 	var chosen []move
 	switch {
 	case selected:
 		chosen = m.planUndivided(engines, service.Models, nil, available, now)
-	case divides(len(permitted), len(service.Models)):
+	case divided:
 		chosen = m.planDivided(permitted, service, available, now)
 	default:
 		for _, engine := range permitted {
@@ -107,7 +113,7 @@
 	}
 	for i := range chosen {
 		m.loading[chosen[i].engine.ID] = chosen[i].model
-		chosen[i].concurrent, chosen[i].window = loading+len(chosen), window.size()
+		chosen[i].concurrent, chosen[i].window = loading+len(chosen), allowed
 	}
 	return chosen
 }
--- a/internal/weightorder/plan_test.go
+++ b/internal/weightorder/plan_test.go
@@ -179,3 +179,15 @@
 		So(m.nextStep("a", at(60)), ShouldEqual, 0)
 	})
 }
+
+// TestUndividedServiceKeepsItsBound guards against services of one model that load more engines at once than the others can stand in for.
+func TestUndividedServiceKeepsItsBound(t *testing.T) {
+	Convey("A service of one model loads a fifth of its engines at once, however large the window has grown", t, func() {
+		m, _ := newPlanManager(10, "a")
+		m.SetTargets(map[string]int64{"a": 2})
+		window := m.windowOf("pool")
+		window.fit(10)
+		window.limit = 10
+		So(m.plan(time.Now()), ShouldHaveLength, 2)
+	})
+}
