--- a/internal/forward/fairqueue.go
+++ b/internal/forward/fairqueue.go
@@ -213,10 +213,10 @@
 	return longest
 }
 
-// hopeless returns a waiter that is expected to be served too late because other tenants go before it: the last one of the tenant with the most
+// lateWaiter returns a waiter that is expected to be served too late because other tenants go before it: the last one of the tenant with the most
 // waiting of some rank. tooLate tells of a waiter with a number of others ahead whether that is so. It returns nil if there is none, and for ranks in
 // which one tenant waits.
-func (q *fairQueue) hopeless(tooLate func(entry *waiter, ahead int) bool) *waiter {
+func (q *fairQueue) lateWaiter(tooLate func(entry *waiter, ahead int) bool) *waiter {
 	before := 0
 	for _, lane := range q.lanes {
 		flow := lane.longest()
--- a/internal/forward/fairqueue_test.go
+++ b/internal/forward/fairqueue_test.go
@@ -108,17 +108,17 @@
 	after := func(place int) func(*waiter, int) bool {
 		return func(_ *waiter, ahead int) bool { return ahead >= place }
 	}
-	if got := queue.hopeless(after(5)); got != entries[5] {
+	if got := queue.lateWaiter(after(5)); got != entries[5] {
 		t.Errorf("refused as too late: %+v, want the last of a", got)
 	}
-	if got := queue.hopeless(after(6)); got != nil {
+	if got := queue.lateWaiter(after(6)); got != nil {
 		t.Errorf("refused although it is in time: %+v", got)
 	}
 	alone := &fairQueue{}
 	for _, entry := range arrivals("a a a") {
 		alone.push(entry)
 	}
-	if got := alone.hopeless(after(0)); got != nil {
+	if got := alone.lateWaiter(after(0)); got != nil {
 		t.Errorf("a tenant alone is refused: %+v", got)
 	}
 }
--- a/internal/forward/waiting.go
+++ b/internal/forward/waiting.go
@@ -185,7 +185,7 @@
 	tooLate := func(entry *waiter, ahead int) bool {
 		return now.Add(q.load.expectedWait(now, ahead)).After(entry.until)
 	}
-	for entry := q.waiters.hopeless(tooLate); entry != nil; entry = q.waiters.hopeless(tooLate) {
+	for entry := q.waiters.lateWaiter(tooLate); entry != nil; entry = q.waiters.lateWaiter(tooLate) {
 		q.refuse(entry, CauseDisplaced)
 	}
 }
