itemwork: reward calls that a worker may not repeat are handed back

Cause: a call whose first send timed out is a retry. A gateway with few first sends has a retry each 5 s for all its calls. Change: after 2 s of refusals a worker reports such a call as not made, and the coordinator makes it, which has calls of its own to earn retries. A call that engines failed stays, so that its failures are counted. Retry budgets are as they were. Tests: TestRewardCallIsHandedBack, for a worker and for the coordinator, which goes on.

--- a/internal/batchrun/run_end.go
+++ b/internal/batchrun/run_end.go
@@ -105,6 +105,7 @@
 			"call", it.Reward.ID, "failures", judgement.Failures)
 		r.listResult(it, batch.Result{ID: it.ID, State: batch.Dead})
 	default:
+		level.Info(r.Logger).Log("msg", "reward call not made by worker; repeated", "request", it.ID, "job", it.job.ID, "call", it.Reward.ID, "worker", ended.worker)
 		r.startRewardCall(it)
 	}
 }
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -27,6 +27,9 @@
 	minRewardCallTime = 250 * time.Millisecond
 	// rewardRetryPause is the minimum pause between two attempts of a reward call.
 	rewardRetryPause = 100 * time.Millisecond
+	// rewardHandBackTime is how long a worker tries a reward call whose first send was lost before the coordinator makes it. As a retry the call needs
+	// the worker's retry budget, which a worker with few calls refills once in 5 s, while the whole step waits for the call.
+	rewardHandBackTime = 2 * time.Second
 )
 
 // errSendDeadline reports a run that was not sent because LeaveBy, the end of its grant for a cold engine, had passed.
@@ -271,7 +274,7 @@
 }
 
 // callReward makes the reward call, with retries, until it returns a score or has failed as often as its route allows. The judgement is aborted if
-// ctx ends first.
+// ctx ends first, or if a worker should hand the call back to the coordinator.
 func (e *Executor) callReward(ctx context.Context, reward *batch.Reward) Judgement {
 	failures, sent, arrived := 0, false, boottime.Now()
 	for ctx.Err() == nil {
@@ -302,11 +305,18 @@
 		if failures >= route.MaxAttempts {
 			return Judgement{State: JudgementFailed, Failures: failures}
 		}
+		// A call that engines failed stays here, so that its failures are counted.
+		if sent && failures == 0 && result.Outcome == forward.NotRun && e.isWorker() && boottime.Since(arrived) >= rewardHandBackTime {
+			break
+		}
 		pause.For(ctx, max(rewardRetryPause, result.RetryAfter))
 	}
 	return Judgement{State: JudgementAborted, Failures: failures}
 }
 
+// isWorker reports whether the executor runs assignments of another process, which permits its reward calls.
+func (e *Executor) isWorker() bool { return e.PermittedUntil != nil }
+
 // rewardQueueTimeout returns how long a reward call may queue of the time that it has left. It reserves the latency objective for the call itself, up to
 // half of the time: a call of 0.3 s that was sent after the queue with minRewardCallTime left failed for 9 s, and its step waited.
 func rewardQueueTimeout(left, objective time.Duration) time.Duration {
--- a/internal/itemwork/reward_test.go
+++ b/internal/itemwork/reward_test.go
@@ -144,3 +144,47 @@
 		}
 	}
 }
+
+// losingEngines are engines that lose the answer to the first send, and refuse all others.
+type losingEngines struct {
+	rewardEngines
+	lost bool
+}
+
+// Send implements forward.Transport.
+func (j *losingEngines) Send(ctx context.Context, engine *fleet.Engine, request *forward.Request, options forward.SendOptions) (*forward.Answer, error) {
+	j.mu.Lock()
+	first := !j.lost
+	j.lost = true
+	j.mu.Unlock()
+	if first {
+		return nil, forward.ErrConnectionBroken
+	}
+	return j.rewardEngines.Send(ctx, engine, request, options)
+}
+
+// TestRewardCallIsHandedBack guards against a step that waits for one reward call, which its worker may not repeat for want of retry budget.
+func TestRewardCallIsHandedBack(t *testing.T) {
+	call := func(t *testing.T, worker bool) (judgement Judgement, took time.Duration) {
+		synctest.Test(t, func(t *testing.T) {
+			executor, _, reward := newRewardExecutor()
+			engines := &losingEngines{rewardEngines: rewardEngines{status: http.StatusServiceUnavailable, notRun: true}}
+			executor.Forwarder = forward.New(executor.State, engines, forward.NewPicker(time.Now), log.NewNopLogger())
+			if worker {
+				executor.PermittedUntil = func() time.Time { return boottime.Now().Add(permissionTTL) }
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			began := time.Now()
+			judgement = executor.callReward(ctx, reward)
+			took = time.Since(began)
+		})
+		return judgement, took
+	}
+	if judgement, took := call(t, true); judgement.State != JudgementAborted || took < rewardHandBackTime || took > 3*rewardHandBackTime {
+		t.Errorf("a worker gave %+v after %v, want it to hand the call back after %v", judgement, took, rewardHandBackTime)
+	}
+	if judgement, took := call(t, false); judgement.State != JudgementAborted || took < 30*time.Second {
+		t.Errorf("the coordinator gave %+v after %v, want it to go on", judgement, took)
+	}
+}
