forward, platform: part C, admission at a small service, is taken out

The engines of the soak report untrue loads in a third of their answers. Cause: such a tenant must queue as long as reports do not show free slots, and what queues was released by reports alone. The soak's engines go on reporting loads.

--- a/internal/fleetnode/load_metrics.go
+++ b/internal/fleetnode/load_metrics.go
@@ -12,12 +12,9 @@
 // forward.LoadObserver and prometheus.Collector.
 type loadMetrics struct {
 	retries, retriesDenied, refusedAtOnce *prometheus.CounterVec
-	// refused counts requests that were not run, by service and cause.
-	refused                   *prometheus.CounterVec
-	waits                     *prometheus.HistogramVec
-	load, retryRatio, waiting *prometheus.Desc
-	reporting, freeSlots      *prometheus.Desc
-	services                  func() []forward.ServiceStatus
+	waits                                 *prometheus.HistogramVec
+	load, retryRatio, waiting             *prometheus.Desc
+	services                              func() []forward.ServiceStatus
 }
 
 // registerLoadMetrics registers the metrics of a forwarder's services and makes the forwarder report to them.
@@ -32,20 +29,15 @@
 		retries:       counter("retries_total", "Sends of requests beyond their first."),
 		retriesDenied: counter("retries_denied_total", "Times that a request asked to be sent again and the budget of retries was used."),
 		refusedAtOnce: counter("requests_refused_at_once_total", "Requests that were refused because their turn would have come too late."),
-		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: namespace, Name: "service_refusals_total", Help: "Requests to a service that were not run, by cause.",
-		}, []string{"service", "cause"}),
 		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "service_wait_seconds", Help: "Time that requests waited for a service's room.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 13),
 		}, []string{"service"}),
 		load:       gauge("service_load", "What this process takes a service for: 0 well, 1 full, 2 down."),
 		retryRatio: gauge("service_retry_ratio", "Retries paid by the share, for each first send, of the last seconds."),
 		waiting:    gauge("service_waiting", "Requests that wait for a service's room."),
-		reporting:  gauge("service_reporting_engines", "Engines of a service whose reported load is young enough to count."),
-		freeSlots:  gauge("service_free_slots", "Free slots of the engines whose reported load counts."),
 		services:   forwarder.Services,
 	}
-	registry.MustRegister(m.retries, m.retriesDenied, m.refusedAtOnce, m.refused, m.waits, m)
+	registry.MustRegister(m.retries, m.retriesDenied, m.refusedAtOnce, m.waits, m)
 	forwarder.LoadObserver = m
 }
 
@@ -63,18 +55,11 @@
 // RefusedAtOnce implements forward.LoadObserver.
 func (m *loadMetrics) RefusedAtOnce(service string) { m.refusedAtOnce.WithLabelValues(service).Inc() }
 
-// Refused implements forward.LoadObserver.
-func (m *loadMetrics) Refused(service string, cause forward.Cause) {
-	m.refused.WithLabelValues(service, string(cause)).Inc()
-}
-
 // Describe implements prometheus.Collector.
 func (m *loadMetrics) Describe(descriptions chan<- *prometheus.Desc) {
 	descriptions <- m.load
 	descriptions <- m.retryRatio
 	descriptions <- m.waiting
-	descriptions <- m.reporting
-	descriptions <- m.freeSlots
 }
 
 // Collect implements prometheus.Collector.
@@ -86,7 +71,5 @@
 		gauge(m.load, float64(status.Load))
 		gauge(m.retryRatio, status.RetryRatio)
 		gauge(m.waiting, float64(status.Waiting))
-		gauge(m.reporting, float64(status.ReportingEngines))
-		gauge(m.freeSlots, float64(status.FreeSlots))
 	}
 }
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -135,11 +135,10 @@
 	return state
 }
 
-func newForwarder(state *fleet.State, transport forward.Transport, engines *platform.Engines, picker *forward.Picker, guard *quarantine.Guard, observed *metrics,
+func newForwarder(state *fleet.State, transport forward.Transport, picker *forward.Picker, guard *quarantine.Guard, observed *metrics,
 	registry *prometheus.Registry, logger log.Logger) *forward.Forwarder {
 	forwarder := forward.New(state, transport, picker, telemetry.For(logger, telemetry.PartForward))
 	forwarder.Observer = observed
-	engines.OnLoad = func(engine *fleet.Engine, load forward.EngineLoad) { picker.ReportLoad(engine, load, false) }
 	registerLoadMetrics(registry, forwarder)
 	forwarder.Guard = guard
 	return forwarder
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -40,13 +40,9 @@
 		return j.handleLost(ctx, attempt)
 	}
 	j.countSend()
-	if answer.Load != nil && !answer.Misdirected {
-		j.picker.ReportLoad(engine, *answer.Load, !answer.NotRun && result.Stream == nil)
-	}
 	if answer.NotRun {
 		j.unreachable = false
 		// A misdirected response means that the intended engine has ended and another listens at its address, not that the service is full.
-		j.picker.recordRefused(engine)
 		j.endRefused(refusedSend{engine: engine.ID, unreachable: answer.Misdirected, engines: engines})
 		j.picker.Release(engine, refusalVerdict(answer), took)
 		return Result{}, true
@@ -106,7 +102,6 @@
 		j.unreachable = true
 		// Nothing was sent, so the retry does not count against the budget.
 		j.returnRetry()
-		j.picker.recordRefused(engine)
 		j.endRefused(refusedSend{engine: engine.ID, unreachable: true, engines: attempt.engines})
 		return Result{}, true
 	}
--- a/internal/forward/decision.go
+++ b/internal/forward/decision.go
@@ -46,54 +46,31 @@
 		return decision{}
 	}
 	warm, _ := j.partitionCold(j.picker.Sample(permitted))
-	known := j.waiting.available(j.service, j.request.Tenant, warm, j.picker.capacity(warm))
-	if known.load != LoadNormal || known.mustQueue || len(known.open) == 0 {
+	load, open := j.waiting.availableEngines(j.service, warm)
+	if load != LoadNormal || len(open) == 0 {
 		return decision{}
 	}
-	return j.sendTo(known.open)
+	return j.sendTo(open)
 }
 
 // nextDecision selects one of the candidates, and queues first if the service is full.
 func (j *job) nextDecision(ctx context.Context, candidates []*fleet.Engine) decision {
 	warm, cold := j.partitionCold(candidates)
-	known := j.waiting.available(j.service, j.request.Tenant, warm, j.picker.capacity(warm))
+	load, open := j.waiting.availableEngines(j.service, warm)
 	if j.mayHaveExecuted() {
-		return j.failover(ctx, warm, known.open, cold)
+		return j.failover(ctx, warm, open, cold)
 	}
-	if len(known.open) > 0 && j.maySkipQueue(known) {
+	if len(open) > 0 && j.maySkipQueue(load) {
 		if !j.isRetry() {
-			return j.sendTo(known.open)
+			return j.sendTo(open)
 		}
 		if j.takeRetry() {
-			return j.sendTo(known.open)
+			return j.sendTo(open)
 		}
 	}
-	if known.slotsFollow && !known.mustQueue && len(cold) == 0 && j.mayProbe() && !j.hasAwaitedSlot {
-		return j.awaitSlot(ctx)
-	}
 	return j.wait(ctx, warm, cold)
 }
 
-// awaitSlot waits for a slot at a service that has just reported to be full, for a part of the time that the request may queue. If none becomes free, or
-// the wait is expected to be longer, the request is sent next as if nothing was reported: reports alone refuse no request that may be sent.
-func (j *job) awaitSlot(ctx context.Context) decision {
-	j.hasAwaitedSlot = true
-	limit := time.Duration(slotWaitShare * float64(boottime.Until(j.queueDeadline)))
-	if j.waiting.position(j.service, j.rank, j.request.Tenant).expectedWait > limit {
-		return decision{}
-	}
-	entry := j.newWaiter(false)
-	entry.until = boottime.Now().Add(limit)
-	began := boottime.Now()
-	if j.LoadObserver != nil {
-		defer func() { j.LoadObserver.Waited(j.service, boottime.Since(began)) }()
-	}
-	if !j.waiting.wait(ctx, j.service, entry) {
-		return decision{}
-	}
-	return j.sendReleased(ctx)
-}
-
 // partitionCold separates the warm engines from the cold ones, which need a grant.
 func (j *job) partitionCold(engines []*fleet.Engine) (warm, cold []*fleet.Engine) {
 	if j.Quota == nil {
@@ -110,18 +87,11 @@
 }
 
 // maySkipQueue reports whether the request may be sent without queueing. If the load is not normal, only the first send of an interactive request
-// may, one without its own queue timeout; it also serves as a probe. Where answers will tell of free slots, it waits for them first. Those of a surging
-// tenant would take the slots that the others need.
-func (j *job) maySkipQueue(known availability) bool {
-	if known.mustQueue {
-		return false
-	}
-	return known.load == LoadNormal || (j.mayProbe() && (!known.slotsFollow || j.hasAwaitedSlot))
+// may, one without its own queue timeout; it also serves as a probe.
+func (j *job) maySkipQueue(load Load) bool {
+	return load == LoadNormal || (!j.isRetry() && j.request.QueueTimeout == 0)
 }
 
-// mayProbe reports whether the request may be sent to a service that is not normal: the first send of an interactive request.
-func (j *job) mayProbe() bool { return !j.isRetry() && j.request.QueueTimeout == 0 }
-
 func (j *job) isRetry() bool { return j.sends > 0 || j.request.Repeated }
 
 func (j *job) takeRetry() bool {
@@ -160,17 +130,16 @@
 	return j.picker.Acquire(engines, func(*fleet.Engine) bool { return true })
 }
 
-// wait waits for capacity of a warm engine or for a grant of a cold one. It refuses a request whose expected wait exceeds its queue timeout or its
-// deadline.
+// wait waits for capacity of a warm engine or for a grant of a cold one. It refuses a request whose expected wait exceeds its queue timeout.
 func (j *job) wait(ctx context.Context, warm, cold []*fleet.Engine) decision {
 	if !boottime.Now().Before(j.queueDeadline) {
-		return j.refuse(CauseQueueTimeout)
+		return decision{refusal: j.notAcceptedReason()}
 	}
-	if len(warm) > 0 && len(cold) == 0 && j.wouldWaitTooLong() {
+	if len(warm) > 0 && len(cold) == 0 && j.request.QueueTimeout == 0 && j.waiting.expectedWait(j.service, j.rank) > boottime.Until(j.queueDeadline) {
 		if j.LoadObserver != nil {
 			j.LoadObserver.RefusedAtOnce(j.service)
 		}
-		return j.refuse(CauseExpectedWait)
+		return decision{refusal: j.notAcceptedReason()}
 	}
 	began := boottime.Now()
 	if j.LoadObserver != nil {
@@ -184,29 +153,12 @@
 
 func (j *job) waitForCapacity(ctx context.Context, warm []*fleet.Engine) decision {
 	if len(warm) == 0 && j.request.QueueTimeout == 0 {
-		return j.refuse(CauseNoCapacity)
-	}
-	entry := j.newWaiter(j.isRetry())
-	if !j.waiting.wait(ctx, j.service, entry) {
-		return j.refuse(entry.refused)
+		return decision{refusal: j.notAcceptedReason()}
 	}
-	return j.sendReleased(ctx)
-}
-
-// wouldWaitTooLong reports whether the request, if queued now, is expected to wait beyond its queue deadline. A request with its own queue timeout has
-// time to wait for a service that recovers, so that only a rate of enough responses counts against it.
-func (j *job) wouldWaitTooLong() bool {
-	position := j.waiting.position(j.service, j.rank, j.request.Tenant)
-	return (j.request.QueueTimeout == 0 || position.observed) && position.expectedWait > boottime.Until(j.queueDeadline)
-}
-
-// refuse returns the decision to refuse the request for a cause; the zero decision if there is none.
-func (j *job) refuse(cause Cause) decision {
-	if cause == "" {
+	if !j.waiting.wait(ctx, j.service, j.newWaiter(j.isRetry()), j.queueDeadline) {
 		return decision{}
 	}
-	j.cause = cause
-	return decision{refusal: j.notAcceptedReason()}
+	return j.sendReleased(ctx)
 }
 
 // newWaiter returns the request's queue entry. retry is true if the retry budget has yet to grant the send.
@@ -215,10 +167,7 @@
 	if arrived.IsZero() {
 		arrived = j.started
 	}
-	return &waiter{
-		rank: j.rank, tenant: j.request.Tenant, arrived: arrived, until: j.queueDeadline,
-		needsRetryBudget: retry, hasQueueTimeout: j.request.QueueTimeout > 0,
-	}
+	return &waiter{rank: j.rank, arrived: arrived, needsRetryBudget: retry, hasQueueTimeout: j.request.QueueTimeout > 0}
 }
 
 // waitForCapacityOrGrant waits for capacity of a warm engine or for a grant of a cold one, whichever comes first. If the send is a retry, the
@@ -235,8 +184,7 @@
 		j.waiting.noCapacity(j.service)
 		return j.waitForCapacity(ctx, warm)
 	}
-	entry := j.newWaiter(false)
-	granted, released := j.awaitFirst(ctx, entry, cold)
+	granted, released := j.awaitFirst(ctx, cold)
 	switch {
 	case granted.engine != nil:
 		if released {
@@ -247,11 +195,11 @@
 		return j.sendReleased(ctx)
 	}
 	j.returnRetry()
-	return j.refuse(entry.refused)
+	return decision{}
 }
 
-// awaitFirst waits until a cold engine is granted or the queue releases or refuses the request. A grant and a release may come at the same time.
-func (j *job) awaitFirst(ctx context.Context, entry *waiter, cold []*fleet.Engine) (first grant, released bool) {
+// awaitFirst waits until a cold engine is granted or the queue releases the request. Both may happen at the same time.
+func (j *job) awaitFirst(ctx context.Context, cold []*fleet.Engine) (first grant, released bool) {
 	quotaCtx, endQuota := context.WithCancel(ctx)
 	defer endQuota()
 	queueCtx, endQueue := context.WithCancel(ctx)
@@ -264,7 +212,7 @@
 		}
 		granted <- acquired
 	}()
-	released = j.waiting.wait(queueCtx, j.service, entry)
+	released = j.waiting.wait(queueCtx, j.service, j.newWaiter(false), j.queueDeadline)
 	endQuota()
 	return <-granted, released
 }
@@ -299,11 +247,10 @@
 func (j *job) sendReleased(ctx context.Context) decision {
 	if j.canStillSend(ctx) {
 		warm, _ := j.partitionCold(j.candidates(j.permitted()))
-		if open := j.waiting.available(j.service, j.request.Tenant, warm, capacity{}).open; len(open) > 0 {
+		if _, open := j.waiting.availableEngines(j.service, warm); len(open) > 0 {
 			warm = open
 		}
 		if engine := j.pick(warm); engine != nil {
-			j.waiting.engineSelected(j.service)
 			return decision{engine: engine}
 		}
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -88,9 +88,6 @@
 	attemptTimeoutFactor = 1.5
 	// queueTimeoutShare is the share of the latency objective for which a request may queue.
 	queueTimeoutShare = 0.22
-	// slotWaitShare is the share of its queue time for which a first send waits for a slot of a service that reports to be full. The rest is left for a
-	// wait after the engine's own refusal.
-	slotWaitShare = 0.5
 	// defaultQueueTimeout applies to routes without a latency objective.
 	defaultQueueTimeout = 50 * time.Millisecond
 	// busyRetryAfter and emptyRetryAfter are the retry delays returned for a busy service and for one without engines.
@@ -124,8 +121,6 @@
 	Waited(service string, took time.Duration)
 	// RefusedAtOnce counts a request refused without queueing because its expected wait was too long.
 	RefusedAtOnce(service string)
-	// Refused counts a request that was not run, by its cause.
-	Refused(service string, cause Cause)
 }
 
 // Forwarder forwards requests. It is safe for concurrent use.
@@ -152,8 +147,7 @@
 // New returns a Forwarder.
 func New(state *fleet.State, transport Transport, picker *Picker, logger log.Logger) *Forwarder {
 	budget := retrybudget.New(retrybudget.Params{Share: retryShare, Window: retryWindow, Reserve: retryReserve, RefillTime: retryRefill, Now: boottime.Now})
-	reported := func(service string) capacity { return picker.capacity(state.View().Dispatchable(service)) }
-	return &Forwarder{state: state, transport: transport, picker: picker, budget: budget, waiting: newWaitQueues(budget, reported, logger), logger: logger}
+	return &Forwarder{state: state, transport: transport, picker: picker, budget: budget, waiting: newWaitQueues(budget, logger), logger: logger}
 }
 
 // Services returns this process's view of the load of each service that it has handled requests for.
@@ -183,11 +177,7 @@
 	// unreachable is true if the last engine that did not accept the request could not be reached.
 	unreachable bool
 	// executedAt is when the first attempt that ran or may have run was sent; zero if there was none.
-	executedAt time.Time
-	// hasAwaitedSlot is true once the request has waited for a slot of a service that reported to be full.
-	hasAwaitedSlot bool
-	// cause is why the request was refused while its service was full; empty if it was not.
-	cause          Cause
+	executedAt     time.Time
 	failedAttempts int
 	lastFailure    *Result
 	// noFailover is true if the request must not go to another engine after one that may have run it.
@@ -215,10 +205,6 @@
 		j.deadline = j.started.Add(route.Timeout)
 	}
 	j.queueDeadline = j.started.Add(j.queueTimeout())
-	if last := j.deadline.Add(-minAttemptTime); last.Before(j.queueDeadline) {
-		j.queueDeadline = last
-	}
-	j.waiting.arrived(j.service, request.Tenant)
 	result := j.admitAndRun(ctx)
 	result.FailedAttempts = j.failedAttempts
 	result.Sent = j.sends > 0
@@ -332,7 +318,7 @@
 	case Reason(placement.EngineDraining), Reason(placement.ZoneEvacuated), Reason(placement.RegionNotAllowed), Reason(placement.NoRegionAllowed):
 		return closedRetryAfter
 	}
-	delay := min(max(j.waiting.position(j.service, j.rank, j.request.Tenant).expectedWait, busyRetryAfter), closedRetryAfter)
+	delay := min(max(j.waiting.expectedWait(j.service, j.rank), busyRetryAfter), closedRetryAfter)
 	return time.Duration(float64(delay) * (1 + retryAfterSpread*rand.Float64()))
 }
 
@@ -348,8 +334,5 @@
 		_ = level.Debug(j.logger).Log(fields...)
 		return
 	}
-	if result.Outcome == NotRun {
-		fields = append(fields, j.reportRefusal(result)...)
-	}
 	_ = level.Info(j.logger).Log(append(fields, "fingerprint", j.fingerprint().Short())...)
 }
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -36,9 +36,6 @@
 	limitRampStep = 0.18
 	// rateWindow is the window of a service's counts of responses and refusals.
 	rateWindow = 2 * time.Second
-	// minRateResponses is the number of responses within rateWindow from which the rate is good enough to refuse requests that have time to wait. With
-	// fewer, reward calls of 60 gateways were late for 16 to 18 s after a crash of all engines, in place of 9 s: the rate was that of cold engines.
-	minRateResponses = 8
 )
 
 // Load is this process's estimate of a service's load.
@@ -234,9 +231,6 @@
 	s.probeAt = now.Add(time.Duration(float64(s.interval) * (1 + probeJitter*(2*rand.Float64()-1))))
 }
 
-// rateKnown reports whether the response rate follows from enough responses.
-func (s *serviceLoad) rateKnown(now time.Time) bool { return s.served.Sum(now) >= minRateResponses }
-
 // expectedWait estimates how long a request waits behind the given number of others: from the response rate, or from the probe interval if there
 // was no response within rateWindow.
 func (s *serviceLoad) expectedWait(now time.Time, ahead int) time.Duration {
--- a/internal/forward/picker.go
+++ b/internal/forward/picker.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
 )
 
@@ -41,45 +40,40 @@
 	connections int
 }
 
-// Picker selects an engine of a service by the loads that engines report, by this process's requests in flight, and by recent latencies and failures.
-// It is safe for concurrent use.
+// Picker selects an engine of a service by this process's requests in flight and by recent latencies and failures. It is safe for concurrent use.
 type Picker struct {
 	now     func() time.Time
 	mu      sync.Mutex
 	records map[string]*engineRecord
-	// reports are kept by boottime, as a report's age includes the time in which the machine was suspended.
-	reports loadReports
 	recent  recentEngines
 	sweptAt time.Time
 }
 
 // NewPicker returns a Picker that reads the time from now.
 func NewPicker(now func() time.Time) *Picker {
-	return &Picker{now: now, records: make(map[string]*engineRecord), reports: loadReports{byEngine: make(map[string]*loadReport)}}
+	return &Picker{now: now, records: make(map[string]*engineRecord)}
 }
 
 // Acquire selects the engine of least cost that allowed accepts, and counts a request in flight there until Release. It returns nil if there is
-// none. Engines in backoff are selected only if there is no other. Among the rest, engines that report a free slot and a good pace go first, and
-// those that report to be slow or full last; where no engine reports its load, cost decides alone.
+// none. Engines in backoff are selected only if there is no other.
 func (p *Picker) Acquire(engines []*fleet.Engine, allowed func(*fleet.Engine) bool) *fleet.Engine {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now, reportNow := p.now(), boottime.Now()
+	now := p.now()
 	p.sweep(now)
 	var best *fleet.Engine
-	var bestRank selectionRank
+	var bestCost float64
+	bestInBackoff := false
 	for _, engine := range engines {
 		if !allowed(engine) {
 			continue
 		}
 		record := p.record(engine.ID)
-		rank := selectionRank{
-			inBackoff: record.backoffUntil.After(now),
-			preferred: preferenceOf(p.reports.byEngine[engine.ID], reportNow),
-			cost:      record.cost(engine, now, p.reports.byEngine[engine.ID].inProgress(reportNow)) * (1 + 0.1*rand.Float64()),
-		}
-		if best == nil || rank.precedes(bestRank) {
-			best, bestRank = engine, rank
+		inBackoff := record.backoffUntil.After(now)
+		cost := record.cost(engine, now) * (1 + 0.1*rand.Float64())
+		better := best == nil || (bestInBackoff && !inBackoff) || (inBackoff == bestInBackoff && cost < bestCost)
+		if better {
+			best, bestCost, bestInBackoff = engine, cost, inBackoff
 		}
 	}
 	if best != nil {
@@ -91,61 +85,17 @@
 		record.connections = max(record.connections, record.inFlight)
 		record.usedAt = now
 		p.recent.add(best.ID)
-		p.reports.recordSent(best.ID)
 	}
 	return best
 }
 
-// selectionRank orders engines for a selection.
-type selectionRank struct {
-	inBackoff bool
-	preferred preference
-	cost      float64
-}
-
-func (r selectionRank) precedes(other selectionRank) bool {
-	switch {
-	case r.inBackoff != other.inBackoff:
-		return other.inBackoff
-	case r.preferred != other.preferred:
-		return r.preferred < other.preferred
-	}
-	return r.cost < other.cost
-}
-
-// ReportLoad records the load that an engine reported now. answered is true if the report came with the whole answer of a request that the engine
-// executed, false for other answers and for its health.
-func (p *Picker) ReportLoad(engine *fleet.Engine, load EngineLoad, answered bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	own := 0
-	if record := p.records[engine.ID]; record != nil {
-		own = record.inFlight
-	}
-	p.reports.record(boottime.Now(), engine.ID, load, answered, own)
-}
-
-// recordRefused records that an engine did not accept a request: it counts as full until it answers one, whatever it reports.
-func (p *Picker) recordRefused(engine *fleet.Engine) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reports.recordRefused(engine.ID)
-}
-
-// capacity returns the capacity that some engines of a service report.
-func (p *Picker) capacity(engines []*fleet.Engine) capacity {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.reports.capacity(boottime.Now(), engines)
-}
-
 // cost estimates the time, in seconds, until the engine has executed one more request.
-func (r *engineRecord) cost(engine *fleet.Engine, now time.Time, inProgress int) float64 {
+func (r *engineRecord) cost(engine *fleet.Engine, now time.Time) float64 {
 	latency := r.latency
 	if latency == 0 {
 		latency = defaultLatency
 	}
-	cost := latency.Seconds() * (1 + float64(max(r.inFlight, inProgress))/float64(max(engine.Slots, 1)))
+	cost := latency.Seconds() * (1 + float64(r.inFlight)/float64(max(engine.Slots, 1)))
 	if r.disconnected(now) || r.inFlight >= r.connections {
 		cost *= connectCostFactor
 	}
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -57,14 +57,6 @@
 	LastEventID int64
 }
 
-// EngineLoad is the load that an engine reports of itself.
-type EngineLoad struct {
-	// Running, Waiting and Slots count its requests in progress, its queued requests, and the requests that it can process at once.
-	Running, Waiting, Slots int
-	// Pace is how long work takes at the engine now, in percent of the usual time: 200 is half as fast as usual. It is zero if not reported.
-	Pace float64
-}
-
 // Answer is the head of an engine's response. The caller must close Body.
 type Answer struct {
 	Status int
@@ -80,10 +72,8 @@
 	WeightVersion int64
 	// VersionField is the name of the event field that announces a change of the weight version.
 	VersionField string
-	// Load is the load that the engine reports; nil if it reports none.
-	Load   *EngineLoad
-	Header http.Header
-	Body   io.ReadCloser
+	Header       http.Header
+	Body         io.ReadCloser
 }
 
 var (
--- a/internal/logtrace/trace.go
+++ b/internal/logtrace/trace.go
@@ -129,13 +129,7 @@
 	if reason == "" {
 		reason = "the engine's own status " + status
 	}
-	detail := ""
-	if cause := line.Get("cause"); cause != "" && cause != strings.ReplaceAll(reason, " ", "_") {
-		detail = fmt.Sprintf("; %s: tenant %q had %s of %s waiting requests, a wait of %s was expected", cause, line.Get("tenant"), line.Get("tenant_waiting"),
-			line.Get("waiting"), line.Get("expected_wait"))
-	}
-	t.cause("request %s ended %s: %s (engines asked: %s, configuration %s)%s", line.Get(fieldRequest), outcome, reason, line.Get("engines"), line.Get("config"),
-		detail)
+	t.cause("request %s ended %s: %s (engines asked: %s, configuration %s)", line.Get(fieldRequest), outcome, reason, line.Get("engines"), line.Get("config"))
 }
 
 func (t *Trace) cause(format string, values ...any) {
