fleetnode: one description and one send for gauges read at each scrape

Cause: the two collectors added for the demand for engines and for weight loads each described and sent their gauges by themselves, as the collectors of services and of zones already did: four copies with small variations.

Change: newGaugeDesc and sendGauge serve all four. Names, help texts, labels and values are unchanged.

Result: the tests of the package pass as they were.

--- a/internal/fleetnode/demand_metrics.go
+++ b/internal/fleetnode/demand_metrics.go
@@ -13,13 +13,10 @@
 }
 
 func newDemandMetrics(demands func() []enginescale.ServiceDemand) *demandMetrics {
-	gauge := func(name, help string) *prometheus.Desc {
-		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{"service"}, nil)
-	}
 	return &demandMetrics{
-		offered:      gauge("engine_slots_offered", "Engine slots that the submitted batch items of a service occupy on average."),
-		needed:       gauge("engines_needed", "Engines of a service that the offered load requires, without limits."),
-		loadingShare: gauge("engine_loading_ratio", "Share of time that engines of a service spend on loads of weights."),
+		offered:      newGaugeDesc("engine_slots_offered", "Engine slots that the submitted batch items of a service occupy on average.", "service"),
+		needed:       newGaugeDesc("engines_needed", "Engines of a service that the offered load requires, without limits.", "service"),
+		loadingShare: newGaugeDesc("engine_loading_ratio", "Share of time that engines of a service spend on loads of weights.", "service"),
 		demands:      demands,
 	}
 }
@@ -34,11 +31,8 @@
 // Collect implements prometheus.Collector.
 func (m *demandMetrics) Collect(values chan<- prometheus.Metric) {
 	for _, demand := range m.demands() {
-		gauge := func(description *prometheus.Desc, value float64) {
-			values <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value, demand.Service)
-		}
-		gauge(m.offered, demand.Offered)
-		gauge(m.needed, float64(demand.Needed))
-		gauge(m.loadingShare, demand.LoadingShare)
+		sendGauge(values, m.offered, demand.Offered, demand.Service)
+		sendGauge(values, m.needed, float64(demand.Needed), demand.Service)
+		sendGauge(values, m.loadingShare, demand.LoadingShare, demand.Service)
 	}
 }
--- a/internal/fleetnode/load_metrics.go
+++ b/internal/fleetnode/load_metrics.go
@@ -22,9 +22,6 @@
 	counter := func(name, help string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, []string{"service"})
 	}
-	gauge := func(name, help string) *prometheus.Desc {
-		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, []string{"service"}, nil)
-	}
 	m := &loadMetrics{
 		retries:       counter("retries_total", "Sends of requests beyond their first."),
 		retriesDenied: counter("retries_denied_total", "Times that a request asked to be sent again and the budget of retries was used."),
@@ -32,9 +29,9 @@
 		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "service_wait_seconds", Help: "Time that requests waited for a service's room.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 13),
 		}, []string{"service"}),
-		load:       gauge("service_load", "What this process takes a service for: 0 well, 1 full, 2 down."),
-		retryRatio: gauge("service_retry_ratio", "Retries paid by the share, for each first send, of the last seconds."),
-		waiting:    gauge("service_waiting", "Requests that wait for a service's room."),
+		load:       newGaugeDesc("service_load", "What this process takes a service for: 0 well, 1 full, 2 down.", "service"),
+		retryRatio: newGaugeDesc("service_retry_ratio", "Retries paid by the share, for each first send, of the last seconds.", "service"),
+		waiting:    newGaugeDesc("service_waiting", "Requests that wait for a service's room.", "service"),
 		services:   forwarder.Services,
 	}
 	registry.MustRegister(m.retries, m.retriesDenied, m.refusedAtOnce, m.waits, m)
@@ -65,11 +62,8 @@
 // Collect implements prometheus.Collector.
 func (m *loadMetrics) Collect(values chan<- prometheus.Metric) {
 	for _, status := range m.services() {
-		gauge := func(description *prometheus.Desc, value float64) {
-			values <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value, status.Service)
-		}
-		gauge(m.load, float64(status.Load))
-		gauge(m.retryRatio, status.RetryRatio)
-		gauge(m.waiting, float64(status.Waiting))
+		sendGauge(values, m.load, float64(status.Load), status.Service)
+		sendGauge(values, m.retryRatio, status.RetryRatio, status.Service)
+		sendGauge(values, m.waiting, float64(status.Waiting), status.Service)
 	}
 }
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -244,6 +244,16 @@
 	return prometheus.NewCounterFunc(options, func() float64 { return float64(lines.Dropped()) })
 }
 
+// newGaugeDesc describes a gauge whose values are read at each scrape.
+func newGaugeDesc(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
+}
+
+// sendGauge sends a value of a gauge with the values of its labels to a scrape.
+func sendGauge(metrics chan<- prometheus.Metric, gauge *prometheus.Desc, value float64, labels ...string) {
+	metrics <- prometheus.MustNewConstMetric(gauge, prometheus.GaugeValue, value, labels...)
+}
+
 // registerGauge tells a count that is read when it is asked for.
 func registerGauge(registry *prometheus.Registry, name, help string, count func() int) {
 	options := prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}
--- a/internal/fleetnode/weight_metrics.go
+++ b/internal/fleetnode/weight_metrics.go
@@ -14,15 +14,12 @@
 }
 
 func newLoadStats(stats func() weightorder.Stats) *loadStats {
-	describe := func(name, help string, labels ...string) *prometheus.Desc {
-		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
-	}
 	return &loadStats{
 		stats:    stats,
-		engines:  describe("model_engines", "Engines that keep a model up to date.", "model"),
-		upToDate: describe("model_engines_up_to_date", "Engines of those that hold the model's newest weight version.", "model"),
-		loads:    describe("weight_loads", "Loads of weights in progress."),
-		windows:  describe("weight_load_window", "Loads of weights that may run at once in a service.", "service"),
+		engines:  newGaugeDesc("model_engines", "Engines that keep a model up to date.", "model"),
+		upToDate: newGaugeDesc("model_engines_up_to_date", "Engines of those that hold the model's newest weight version.", "model"),
+		loads:    newGaugeDesc("weight_loads", "Loads of weights in progress."),
+		windows:  newGaugeDesc("weight_load_window", "Loads of weights that may run at once in a service.", "service"),
 	}
 }
 
@@ -37,15 +34,12 @@
 // Collect implements prometheus.Collector.
 func (l *loadStats) Collect(out chan<- prometheus.Metric) {
 	stats := l.stats()
-	export := func(desc *prometheus.Desc, value int, labels ...string) {
-		out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(value), labels...)
-	}
 	for model, engines := range stats.Engines {
-		export(l.engines, engines, model)
-		export(l.upToDate, stats.UpToDate[model], model)
+		sendGauge(out, l.engines, float64(engines), model)
+		sendGauge(out, l.upToDate, float64(stats.UpToDate[model]), model)
 	}
-	export(l.loads, stats.Loads)
+	sendGauge(out, l.loads, float64(stats.Loads))
 	for service, window := range stats.Windows {
-		export(l.windows, window, service)
+		sendGauge(out, l.windows, float64(window), service)
 	}
 }
--- a/internal/fleetnode/zones.go
+++ b/internal/fleetnode/zones.go
@@ -56,14 +56,11 @@
 const otherZones = "other"
 
 func newZoneMetrics(state *fleet.State) *zoneMetrics {
-	describe := func(name, help string, labels ...string) *prometheus.Desc {
-		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
-	}
 	return &zoneMetrics{
 		state:     state,
-		evacuated: describe("zones_evacuated", "Zones that are evacuated, as far as this process knows."),
-		revision:  describe("evacuations_revision", "Revision of the evacuations that this process goes by; 0 for none."),
-		engines:   describe("zone_engines", "Engines by zone; cold ones are also ready.", "zone", "state"),
+		evacuated: newGaugeDesc("zones_evacuated", "Zones that are evacuated, as far as this process knows."),
+		revision:  newGaugeDesc("evacuations_revision", "Revision of the evacuations that this process goes by; 0 for none."),
+		engines:   newGaugeDesc("zone_engines", "Engines by zone; cold ones are also ready.", "zone", "state"),
 	}
 }
 
@@ -77,19 +74,16 @@
 // Collect implements prometheus.Collector.
 func (m *zoneMetrics) Collect(metrics chan<- prometheus.Metric) {
 	view := m.state.View()
-	gauge := func(description *prometheus.Desc, value float64, labels ...string) {
-		metrics <- prometheus.MustNewConstMetric(description, prometheus.GaugeValue, value, labels...)
-	}
 	evacuated, revision := 0, int64(0)
 	if view.Evacuations != nil {
 		evacuated, revision = len(view.Evacuations.Zones()), view.Evacuations.Revision()
 	}
-	gauge(m.evacuated, float64(evacuated))
-	gauge(m.revision, float64(revision))
+	sendGauge(metrics, m.evacuated, float64(evacuated))
+	sendGauge(metrics, m.revision, float64(revision))
 	for name, zone := range boundedZones(view) {
-		gauge(m.engines, float64(zone.Ready), name, "ready")
-		gauge(m.engines, float64(zone.Leaving), name, "leaving")
-		gauge(m.engines, float64(zone.Cold), name, "cold")
+		sendGauge(metrics, m.engines, float64(zone.Ready), name, "ready")
+		sendGauge(metrics, m.engines, float64(zone.Leaving), name, "leaving")
+		sendGauge(metrics, m.engines, float64(zone.Cold), name, "cold")
 	}
 }
 
