--- a/internal/batchrun/candidate_heap.go
+++ b/internal/batchrun/candidate_heap.go
@@ -93,7 +93,7 @@
 
 // freerThan orders candidates by the share of their slots that is free.
 func (c *candidate) freerThan(other *candidate) bool {
-	if taken, otherTaken := c.record.running*other.slots, other.record.running*c.slots; taken != otherTaken {
+	if taken, otherTaken := c.record.running*other.record.slots, other.record.running*c.record.slots; taken != otherTaken {
 		return taken < otherTaken
 	}
 	return c.engine.ID < other.engine.ID
--- a/internal/batchrun/candidates.go
+++ b/internal/batchrun/candidates.go
@@ -45,7 +45,6 @@
 type candidate struct {
 	engine  *fleet.Engine
 	record  *engineRecord
-	slots   int
 	version int64
 	// cost is the cost of one more item whose prompt prefix the engine does not hold.
 	cost float64
@@ -104,15 +103,13 @@
 	s.pools[key] = created
 	for _, engine := range engines {
 		record := s.runner.recordOf(engine.ID)
-		slots := slotsOf(engine)
-		record.slots = slots
-		if record.running >= slots || record.loading || record.backoffUntil.After(s.now) || !s.runner.hasColdCapacity(engine) {
+		record.slots = engine.SlotCount()
+		if record.running >= record.slots || record.loading || record.backoffUntil.After(s.now) || !s.runner.hasColdCapacity(engine) {
 			continue
 		}
 		created.add(&candidate{
 			engine:  engine,
 			record:  record,
-			slots:   slots,
 			version: record.version(engine, key.model, s.now),
 			cost:    record.cost("", s.now),
 			settled: record.settledInterval(s.now),
@@ -124,14 +121,6 @@
 	return created
 }
 
-// slotsOf returns the number of runs that an engine takes at a time.
-func slotsOf(engine *fleet.Engine) int {
-	if engine.Slots <= 0 {
-		return defaultSlots
-	}
-	return engine.Slots
-}
-
 // rank computes speed classes and orders the engines of each version. Classes follow from the lasting part of the engines' profiles, so that short
 // noise does not attract short items or repel long ones.
 func (p *pool) rank() {
@@ -277,7 +266,7 @@
 			continue
 		}
 		group := p.byVersion[entry.version]
-		if entry.record.running >= entry.slots || !s.runner.hasColdCapacity(entry.engine) {
+		if entry.record.running >= entry.record.slots || !s.runner.hasColdCapacity(entry.engine) {
 			group.remove(entry)
 			delete(p.byID, entry.engine.ID)
 			continue
--- a/internal/batchrun/draining.go
+++ b/internal/batchrun/draining.go
@@ -213,7 +213,7 @@
 func (p *pool) freeSlots() int {
 	free := 0
 	for _, c := range p.byID {
-		free += c.slots - c.record.running
+		free += c.record.slots - c.record.running
 	}
 	return free
 }
--- a/internal/batchrun/engine_record.go
+++ b/internal/batchrun/engine_record.go
@@ -33,7 +33,7 @@
 	failures int
 	// loading is true while the engine loads weights.
 	loading bool
-	// slots is the engine's number of slots; zero until the engine is first considered or used.
+	// slots is the engine's number of slots; fleet.DefaultSlots until the engine is first considered or used.
 	slots         int
 	profile       speedProfile
 	company       companyAverages
@@ -50,7 +50,9 @@
 func (r *Runner) recordOf(id string) *engineRecord {
 	record, ok := r.engines[id]
 	if !ok {
-		record = &engineRecord{versions: make(map[string]int64), prefixes: make(map[string]struct{}), fleetInterval: &r.fleetInterval}
+		record = &engineRecord{
+			slots: fleet.DefaultSlots, versions: make(map[string]int64), prefixes: make(map[string]struct{}), fleetInterval: &r.fleetInterval,
+		}
 		r.engines[id] = record
 	}
 	return record
@@ -89,11 +91,7 @@
 
 // companyOf returns the share of the engine's slots that a number of runs take.
 func (e *engineRecord) companyOf(runs int) float64 {
-	slots := e.slots
-	if slots <= 0 {
-		slots = defaultSlots
-	}
-	return min(float64(max(runs, 0))/float64(slots), 1)
+	return min(float64(max(runs, 0))/float64(e.slots), 1)
 }
 
 // eventInterval returns the expected interval between two events of a run, beside the other runs in progress.
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -17,8 +17,6 @@
 	schedulePauseFactor = 4
 	// idleInterval is the longest delay between two scheduling passes while no items wait.
 	idleInterval = time.Second
-	// defaultSlots applies to engines that report no slot count.
-	defaultSlots = 4
 	// moveInterval is the delay between two checks for items that would end sooner at another engine.
 	moveInterval = 200 * time.Millisecond
 	// slackShare is the share of the remaining time of a job's longest group that an item's text may take at a slower engine. It is well below 1
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -82,7 +82,7 @@
 func (r *Runner) start(it *item, route *routing.Route, engine *fleet.Engine, options startOptions) {
 	record := r.recordOf(engine.ID)
 	record.running++
-	record.slots = slotsOf(engine)
+	record.slots = engine.SlotCount()
 	r.addPrefixHolder(it.Prefix, engine.ID, record)
 	assignment := r.assignment(it, itemwork.Bounds{MinVersion: it.job.MinVersion, SingleVersion: route.SingleVersion})
 	assignment.Engine = itemwork.Target{
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -36,6 +36,17 @@
 // PlatformName returns the platform's name of the process.
 func (e *Engine) PlatformName() string { return cmp.Or(e.Name, e.ID) }
 
+// DefaultSlots is the number of slots assumed of an engine that reports none.
+const DefaultSlots = 4
+
+// SlotCount returns the number of requests that the engine executes concurrently, or DefaultSlots if it reports none.
+func (e *Engine) SlotCount() int {
+	if e.Slots <= 0 {
+		return DefaultSlots
+	}
+	return e.Slots
+}
+
 // View is an immutable snapshot of the deployment.
 type View struct {
 	// Routes is nil until the first table is known.
