batchrun: the versions that an item may run on are walked in one place

Cause: the choices of the cheapest engine, of the cheapest observed one and of one with slack each repeated the walk over the weight versions of a pool, with its three conditions.

Change: pool.firsts yields the first candidate of one heap of each permitted version, and pool.cheapest the cheapest of these.

--- a/internal/batchrun/candidates.go
+++ b/internal/batchrun/candidates.go
@@ -1,6 +1,7 @@
 package batchrun
 
 import (
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -108,12 +109,11 @@
 			continue
 		}
 		created.add(&candidate{
-			engine:  engine,
-			record:  record,
-			version: record.version(engine, key.model, s.now),
-			cost:    record.cost("", s.now),
-			settled: record.settledInterval(s.now),
-
+			engine:   engine,
+			record:   record,
+			version:  record.version(engine, key.model, s.now),
+			cost:     record.cost("", s.now),
+			settled:  record.settledInterval(s.now),
 			observed: record.profile.recentWeight(s.now) >= minMoveEvents,
 		})
 	}
@@ -163,17 +163,36 @@
 	return nil, 0
 }
 
-// chooseFrom is choose for the engines of one pool.
-func (s *schedulingPass) chooseFrom(from *pool, route *routing.Route, it *item, minVersion int64) (best *candidate, bestCost float64) {
-	for version, group := range from.byVersion {
-		if group.cheapest.Len() == 0 || version < minVersion || !versionAllowed(route, it, version) {
-			continue
+// firsts yields the first candidate of one heap of each weight version, for the versions that an item may run on.
+func (p *pool) firsts(route *routing.Route, it *item, minVersion int64, heapOf func(*candidateGroup) *candidateHeap) iter.Seq[*candidate] {
+	return func(yield func(*candidate) bool) {
+		for version, group := range p.byVersion {
+			members := heapOf(group)
+			if members.Len() == 0 || version < minVersion || !versionAllowed(route, it, version) {
+				continue
+			}
+			if !yield(members.candidates[0]) {
+				return
+			}
 		}
-		cheapest := group.cheapest.candidates[0]
-		if best == nil || cheapest.cheaperThan(best) {
-			best, bestCost = cheapest, cheapest.cost
+	}
+}
+
+// cheapest returns the cheapest of firsts, or nil if there are none.
+func (p *pool) cheapest(route *routing.Route, it *item, minVersion int64, heapOf func(*candidateGroup) *candidateHeap) (best *candidate) {
+	for first := range p.firsts(route, it, minVersion, heapOf) {
+		if best == nil || first.cheaperThan(best) {
+			best = first
 		}
 	}
+	return best
+}
+
+// chooseFrom is choose for the engines of one pool.
+func (s *schedulingPass) chooseFrom(from *pool, route *routing.Route, it *item, minVersion int64) (best *candidate, bestCost float64) {
+	if best = from.cheapest(route, it, minVersion, func(group *candidateGroup) *candidateHeap { return &group.cheapest }); best != nil {
+		bestCost = best.cost
+	}
 	for _, id := range s.runner.prefixHolders[it.Prefix] {
 		holder, ok := from.byID[id]
 		if !ok || holder.version < minVersion || !versionAllowed(route, it, holder.version) {
@@ -200,16 +219,8 @@
 
 // chooseObserved is choose among the engines whose pace is known from recent observations, regardless of prompt prefixes. An item that was moved goes
 // to such an engine, because an engine that was idle may have become as slow as the one that the item left.
-func (s *schedulingPass) chooseObserved(route *routing.Route, it *item, minVersion int64) (best *candidate) {
-	for version, group := range s.poolOf(route, it).byVersion {
-		if group.observed.Len() == 0 || version < minVersion || !versionAllowed(route, it, version) {
-			continue
-		}
-		if cheapest := group.observed.candidates[0]; best == nil || cheapest.cheaperThan(best) {
-			best = cheapest
-		}
-	}
-	return best
+func (s *schedulingPass) chooseObserved(route *routing.Route, it *item, minVersion int64) *candidate {
+	return s.poolOf(route, it).cheapest(route, it, minVersion, func(group *candidateGroup) *candidateHeap { return &group.observed })
 }
 
 // chooseWithSlack returns an engine of the slowest speed class that is expected to produce the item's text within the limit, to keep faster engines free
@@ -218,12 +229,8 @@
 	from := s.poolOf(route, it)
 	for class := maxSpeedClass; class > 0; class-- {
 		var best *candidate
-		for version, group := range from.byVersion {
-			members := &group.classes[class]
-			if members.Len() == 0 || version < minVersion || !versionAllowed(route, it, version) {
-				continue
-			}
-			if first := members.candidates[0]; events*first.cost <= limit.Seconds() && (best == nil || first.freerThan(best)) {
+		for first := range from.firsts(route, it, minVersion, func(group *candidateGroup) *candidateHeap { return &group.classes[class] }) {
+			if events*first.cost <= limit.Seconds() && (best == nil || first.freerThan(best)) {
 				best = first
 			}
 		}
