weightorder: a dead branch, two copies and a heap less

Cause: since divided services have a plan of their own, Manager.surplus is called only for services whose engines have no assigned model: its branch for these was dead. The new plan repeated the order of surplus engines, the lag of an engine, the mean number of slots and the default number of slots. Its queues of loads were a heap, with five methods, of a handful of models.

Change: surplus handles the one case that is left and shares beyondNeed with the plan of divided services; lagOf, newestVersion, meanSlots and fleet.Engine.SlotCount serve both plans. Each load goes to the first of the queues in the same order, found by comparing them.

Result: the tests of the package pass as they were.

--- a/internal/weightorder/divided.go
+++ b/internal/weightorder/divided.go
@@ -1,7 +1,6 @@
 package weightorder
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -49,7 +48,7 @@
 	for _, engine := range engines {
 		s.engines = append(s.engines, m.engineState(engine, now))
 	}
-	slots, window := slotsPerEngine(engines), m.windowOf(service.Name)
+	slots, window := s.slotsPerEngine(), m.windowOf(service.Name)
 	for _, name := range service.Models {
 		model := modelState{name: name, target: m.targets[name], demand: m.demand[name], expectsStep: m.expectsStep(name, now), nextStep: m.nextStep(name, now)}
 		if m.Demands != nil && len(engines) > minUpToDate {
@@ -64,7 +63,7 @@
 func (m *Manager) engineState(engine *fleet.Engine, now time.Time) engineState {
 	state := engineState{
 		id:        engine.ID,
-		slots:     cmp.Or(engine.Slots, defaultSlots),
+		slots:     engine.SlotCount(),
 		listed:    engine.Versions,
 		reported:  m.reported[engine.ID],
 		assigned:  m.assigned[engine.ID],
--- a/internal/weightorder/loadorder.go
+++ b/internal/weightorder/loadorder.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"slices"
 	"time"
 )
@@ -128,28 +127,21 @@
 	}
 }
 
-// surplusEngines marks the engines beyond those that their model needs, the most outdated ones; nil if there are none.
-func surplusEngines(s *snapshot, modelOf []int) map[int]bool {
-	counts := make([]int, len(s.models))
-	for _, model := range modelOf {
-		counts[model]++
-	}
-	surplus := make(map[int]bool)
+// surplusEngines marks the engines beyond those that their model needs, the most outdated ones.
+func surplusEngines(s *snapshot, modelOf []int) []bool {
 	byModel := make([][]int, len(s.models))
 	for engine, model := range modelOf {
-		if most := s.models[model].maxUpToDate; most > 0 && counts[model] > most {
+		if s.models[model].maxUpToDate > 0 {
 			byModel[model] = append(byModel[model], engine)
 		}
 	}
-	for model, engines := range byModel {
-		if len(engines) == 0 {
-			continue
-		}
-		slices.SortFunc(engines, func(a, b int) int {
+	surplus := make([]bool, len(s.engines))
+	for i, engines := range byModel {
+		model := &s.models[i]
+		for _, engine := range beyondNeed(engines, model.maxUpToDate, func(a, b int) int {
 			x, y := &s.engines[a], &s.engines[b]
-			return cmp.Or(cmp.Compare(x.lag(&s.models[model]), y.lag(&s.models[model])), cmp.Compare(x.id, y.id))
-		})
-		for _, engine := range engines[s.models[model].maxUpToDate:] {
+			return cmp.Or(cmp.Compare(x.lag(model), y.lag(model)), cmp.Compare(x.id, y.id))
+		}) {
 			surplus[engine] = true
 		}
 	}
@@ -163,7 +155,7 @@
 // chooseByNeed appends the loads for one reason while more may begin. Each goes to the model with the most work per slot that is or will be
 // usable for it; the model's next engine is the one whose runs end first.
 func chooseByNeed(s *snapshot, models []modelLoads, reason loadReason, chosen []plannedLoad) []plannedLoad {
-	var queues loadQueues
+	var queues []*loadQueue
 	for i := range models {
 		if queue := models[i].queue(&s.models[i], reason); len(queue.engines) > 0 {
 			queue.model = i
@@ -171,17 +163,13 @@
 			queues = append(queues, queue)
 		}
 	}
-	heap.Init(&queues)
 	for len(queues) > 0 && len(chosen) < s.loads {
-		next := queues[0]
+		next := slices.MinFunc(queues, (*loadQueue).byNeed)
 		chosen = append(chosen, plannedLoad{engine: next.engines[0], model: next.model, usableSlots: models[next.model].usableSlots, reason: reason})
 		next.slots += s.engines[next.engines[0]].slots
-		next.engines = next.engines[1:]
-		if len(next.engines) == 0 {
-			heap.Pop(&queues)
-			continue
+		if next.engines = next.engines[1:]; len(next.engines) == 0 {
+			queues = slices.DeleteFunc(queues, func(queue *loadQueue) bool { return queue == next })
 		}
-		heap.Fix(&queues, 0)
 	}
 	return chosen
 }
@@ -210,27 +198,7 @@
 // perSlot returns the work per slot. A model without slots counts as having half of one, as it can run nothing.
 func (q *loadQueue) perSlot() float64 { return q.work / max(float64(q.slots), 0.5) }
 
-// loadQueues orders models by work per slot. It implements heap.Interface.
-type loadQueues []*loadQueue
-
-// Len implements heap.Interface.
-func (q loadQueues) Len() int { return len(q) }
-
-// Less implements heap.Interface.
-func (q loadQueues) Less(a, b int) bool {
-	return cmp.Or(cmp.Compare(q[b].perSlot(), q[a].perSlot()), cmp.Compare(q[a].model, q[b].model)) < 0
-}
-
-// Swap implements heap.Interface.
-func (q loadQueues) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
-
-// Push implements heap.Interface.
-func (q *loadQueues) Push(added any) { *q = append(*q, added.(*loadQueue)) }
-
-// Pop implements heap.Interface.
-func (q *loadQueues) Pop() any {
-	last := len(*q) - 1
-	popped := (*q)[last]
-	*q = (*q)[:last]
-	return popped
+// byNeed orders models by work per slot, the most first.
+func (q *loadQueue) byNeed(other *loadQueue) int {
+	return cmp.Or(cmp.Compare(other.perSlot(), q.perSlot()), cmp.Compare(q.model, other.model))
 }
--- a/internal/weightorder/loadplan.go
+++ b/internal/weightorder/loadplan.go
@@ -82,7 +82,7 @@
 	postponed int
 }
 
-// decide computes a plan. The cost is linear in engines plus models, except that an engine without a model is compared with every model.
+// decide computes a plan. The cost is linear in engines plus models, except that each load and each engine without a model compare all models.
 func decide(s *snapshot) decision {
 	divided := divide(s)
 	chosen := decision{models: divided.modelOf, shares: divided.shares, reassigned: divided.changed}
@@ -91,17 +91,14 @@
 }
 
 // version returns the newest version of a model that the engine is known to hold.
-func (e *engineState) version(model string) int64 { return max(e.listed[model], e.reported[model]) }
+func (e *engineState) version(model string) int64 { return newestVersion(e.listed, e.reported, model) }
 
 // lag returns by how many versions the engine is behind the model's target; zero if it does not hold the model.
 func (e *engineState) lag(model *modelState) int64 { return e.lagOr(model, 0) }
 
 // lagOr is lag with another value for an engine that does not hold the model.
 func (e *engineState) lagOr(model *modelState, notHeld int64) int64 {
-	if _, ok := e.listed[model.name]; !ok {
-		return notHeld
-	}
-	return max(model.target-e.version(model.name), 0)
+	return lagOf(e.listed, e.reported, model.name, model.target, notHeld)
 }
 
 // idle reports whether the engine has no runs.
@@ -120,9 +117,5 @@
 
 // slotsPerEngine returns the mean number of slots.
 func (s *snapshot) slotsPerEngine() float64 {
-	slots := 0
-	for i := range s.engines {
-		slots += s.engines[i].slots
-	}
-	return float64(slots) / float64(max(len(s.engines), 1))
+	return meanSlots(s.engines, func(engine engineState) int { return engine.slots })
 }
--- a/internal/weightorder/plan.go
+++ b/internal/weightorder/plan.go
@@ -200,15 +200,25 @@
 
 // lag returns by how many versions an engine is behind the target of a model; zero if it does not hold the model.
 func (m *Manager) lag(engine *fleet.Engine, model string) int64 {
-	if _, ok := engine.Versions[model]; !ok {
-		return 0
-	}
-	return max(m.targets[model]-m.version(engine, model), 0)
+	return lagOf(engine.Versions, m.reported[engine.ID], model, m.targets[model], 0)
 }
 
 // version returns the newest version of a model that an engine is known to hold.
 func (m *Manager) version(engine *fleet.Engine, model string) int64 {
-	return max(engine.Versions[model], m.reported[engine.ID][model])
+	return newestVersion(engine.Versions, m.reported[engine.ID], model)
+}
+
+// newestVersion returns the newer of an engine's listed and reported versions of a model.
+func newestVersion(listed, reported map[string]int64, model string) int64 {
+	return max(listed[model], reported[model])
+}
+
+// lagOf returns by how many versions an engine is behind a model's target, or notHeld if its list lacks the model.
+func lagOf(listed, reported map[string]int64, model string, target, notHeld int64) int64 {
+	if _, ok := listed[model]; !ok {
+		return notHeld
+	}
+	return max(target-newestVersion(listed, reported, model), 0)
 }
 
 // dropUnlisted drops the state of engines that are no longer listed. The mutex must be held.
--- a/internal/weightorder/replicas.go
+++ b/internal/weightorder/replicas.go
@@ -32,7 +32,7 @@
 func (m *Manager) selectReplicas(view *fleet.View, service string, engines []*fleet.Engine, models []string, now time.Time) (selected []*fleet.Engine, ok bool) {
 	needed := make(map[string]int, len(models))
 	total := 0
-	slots := slotsPerEngine(engines)
+	slots := meanSlots(engines, (*fleet.Engine).SlotCount)
 	for _, model := range models {
 		needed[model] = m.neededOf(slots, model, now)
 		total += needed[model]
--- a/internal/weightorder/surplus.go
+++ b/internal/weightorder/surplus.go
@@ -21,8 +21,6 @@
 	openItemsShare = 0.2
 	// minUpToDate is the least number of engines that keep a model up to date.
 	minUpToDate = 16
-	// defaultSlots is assumed of engines that report no slots.
-	defaultSlots = 4
 )
 
 // updateOpenItems updates the decaying maximum of open items. The mutex must be held.
@@ -33,40 +31,33 @@
 	}
 }
 
-// surplus returns the engines that need not load, as others suffice for their model's work. The engines with the least lag are kept up to
-// date. The mutex must be held.
+// surplus returns the engines of an undivided service that need not load, as others suffice for the work of its only model; none if it has
+// several models, which every engine then keeps up to date. The mutex must be held.
 func (m *Manager) surplus(engines []*fleet.Engine, models []string, now time.Time) map[string]struct{} {
-	if m.Demands == nil || len(engines) <= minUpToDate {
+	if m.Demands == nil || len(engines) <= minUpToDate || len(models) != 1 {
 		return nil
 	}
-	byModel := make(map[string][]*fleet.Engine, len(models))
-	for _, engine := range engines {
-		if model, ok := m.assigned[engine.ID]; ok {
-			byModel[model] = append(byModel[model], engine)
-		}
-	}
-	if len(models) == 1 {
-		byModel[models[0]] = slices.Clone(engines)
-	}
+	model := models[0]
 	surplus := make(map[string]struct{})
-	for model, candidates := range byModel {
-		count := m.neededEngines(candidates, model, now)
-		if len(candidates) <= count {
-			continue
-		}
-		slices.SortFunc(candidates, func(a, b *fleet.Engine) int {
-			return cmp.Or(cmp.Compare(m.lag(a, model), m.lag(b, model)), cmp.Compare(a.ID, b.ID))
-		})
-		for _, engine := range candidates[count:] {
-			surplus[engine.ID] = struct{}{}
-		}
+	for _, engine := range beyondNeed(engines, m.neededEngines(engines, model, now), func(a, b *fleet.Engine) int {
+		return cmp.Or(cmp.Compare(m.lag(a, model), m.lag(b, model)), cmp.Compare(a.ID, b.ID))
+	}) {
+		surplus[engine.ID] = struct{}{}
 	}
 	return surplus
 }
 
+// beyondNeed returns the engines that need not load if a number of them suffices: the first ones in the order are kept up to date.
+func beyondNeed[E any](engines []E, needed int, order func(a, b E) int) []E {
+	if len(engines) <= needed {
+		return nil
+	}
+	return slices.SortedFunc(slices.Values(engines), order)[needed:]
+}
+
 // neededEngines returns how many of the engines suffice for the work of a model.
 func (m *Manager) neededEngines(engines []*fleet.Engine, model string, now time.Time) int {
-	return m.neededOf(slotsPerEngine(engines), model, now)
+	return m.neededOf(meanSlots(engines, (*fleet.Engine).SlotCount), model, now)
 }
 
 // neededOf is neededEngines for engines with the given mean number of slots.
@@ -74,11 +65,11 @@
 	return minUpToDate + int(math.Ceil(m.openItems[model].At(now, openItemsDecay)/(targetOccupancy*slots)))
 }
 
-// slotsPerEngine returns the mean number of slots.
-func slotsPerEngine(engines []*fleet.Engine) float64 {
-	slots := 0
+// meanSlots returns the mean number of slots.
+func meanSlots[E any](engines []E, slots func(E) int) float64 {
+	sum := 0
 	for _, engine := range engines {
-		slots += cmp.Or(engine.Slots, defaultSlots)
+		sum += slots(engine)
 	}
-	return float64(slots) / float64(max(len(engines), 1))
+	return float64(sum) / float64(max(len(engines), 1))
 }
