batchrun: decayed weights and sums by package decay, the work of a model in one place

Cause: the speed profile decayed its two weights by a function of its own, though package decay does the same and the file next to it uses it. What was submitted for a model was spread over three maps that are always written together.

Change: the profile holds decay.Value; decay.Value.Plus is the addition that was written out at each sum; one map of submittedWork replaces the three.

Result: the tests of batchrun, decay and weightorder pass as they were, with one more for Plus.

--- a/internal/batchrun/demand.go
+++ b/internal/batchrun/demand.go
@@ -18,6 +18,13 @@
 	termStartWindow = time.Second
 )
 
+// submittedWork is the work for a model that was submitted in the term.
+type submittedWork struct {
+	// items is the decayed sum of recently submitted items, and seconds that of the expected durations of their texts.
+	items, seconds decay.Value
+	offered        offeredLoad
+}
+
 // offeredLoad estimates the rate at which work for a model is submitted.
 type offeredLoad struct {
 	// since is when the model's first job of the term was added. Jobs added within termStartWindow of it mark the start of the observation, and are
@@ -32,7 +39,7 @@
 	if now.Sub(o.since) <= termStartWindow {
 		return
 	}
-	o.seconds = decay.New(o.seconds.At(now, demandDecay)+duration.Seconds(), now)
+	o.seconds = o.seconds.Plus(duration.Seconds(), now, demandDecay)
 }
 
 // slots returns how many engine slots the submitted texts occupy on average. ok is false until jobs were submitted for minObservedLoad.
@@ -49,16 +56,18 @@
 // addSubmitted adds the items of a job to the decayed sums. The mutex must be held.
 func (r *Runner) addSubmitted(j *job) {
 	now := r.now()
-	r.submitted[j.Model] = decay.New(r.submitted[j.Model].At(now, demandDecay)+float64(len(j.items)), now)
 	duration := time.Duration(0)
 	for _, it := range j.items {
 		duration += r.timeLeft(it)
 	}
-	r.submittedTime[j.Model] = decay.New(r.submittedTime[j.Model].At(now, demandDecay)+duration.Seconds(), now)
-	if r.offered[j.Model] == nil {
-		r.offered[j.Model] = &offeredLoad{since: now}
+	work := r.submitted[j.Model]
+	if work == nil {
+		work = &submittedWork{offered: offeredLoad{since: now}}
+		r.submitted[j.Model] = work
 	}
-	r.offered[j.Model].add(now, duration)
+	work.items = work.items.Plus(float64(len(j.items)), now, demandDecay)
+	work.seconds = work.seconds.Plus(duration.Seconds(), now, demandDecay)
+	work.offered.add(now, duration)
 }
 
 // OfferedLoad returns how many engine slots the recently submitted items of some models occupy on average. ok is false until the load of one of
@@ -70,11 +79,11 @@
 		return 0, false
 	}
 	for _, model := range models {
-		load, submitted := r.offered[model]
+		work, submitted := r.submitted[model]
 		if !submitted {
 			continue
 		}
-		if offered, known := load.slots(r.now()); known {
+		if offered, known := work.offered.slots(r.now()); known {
 			slots, ok = slots+offered, true
 		}
 	}
@@ -110,10 +119,10 @@
 func (r *Runner) demands() map[string]weightorder.Demand {
 	now := r.now()
 	demands := make(map[string]weightorder.Demand, len(r.submitted))
-	for model, sum := range r.submitted {
+	for model, work := range r.submitted {
 		demands[model] = weightorder.Demand{
-			Items:         sum.At(now, demandDecay),
-			SubmittedTime: time.Duration(r.submittedTime[model].At(now, demandDecay) * float64(time.Second)),
+			Items:         work.items.At(now, demandDecay),
+			SubmittedTime: time.Duration(work.seconds.At(now, demandDecay) * float64(time.Second)),
 		}
 	}
 	for _, j := range r.order {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -11,7 +11,6 @@
 
 	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/batchlog"
-	"github.com/covelink/covelink/internal/decay"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/itemwork"
@@ -105,10 +104,8 @@
 	unfinished *unfinishedTexts
 	// endedAt holds the time at which this process recorded the durable end of each job.
 	endedAt map[string]time.Time
-	// submitted is the decayed sum of recently submitted items, by model, and submittedTime that of the expected durations of their texts, in seconds.
-	submitted, submittedTime map[string]decay.Value
-	// offered is the load of each model as submitted in this term.
-	offered map[string]*offeredLoad
+	// submitted is the work that was submitted in the term, by model.
+	submitted map[string]*submittedWork
 	// endedBytes is the size of the results of ended jobs in memory.
 	endedBytes int
 	// goroutines tracks the goroutines of the term. Goroutines are added only during the term.
--- a/internal/batchrun/speed_profile.go
+++ b/internal/batchrun/speed_profile.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/covelink/covelink/internal/decay"
 )
 
 const (
@@ -37,12 +39,11 @@
 // fleet's pace. It is not safe for concurrent use.
 type speedProfile struct {
 	passing       time.Duration
-	passingWeight float64
-	observedAt    time.Time
+	passingWeight decay.Value
 
-	lasting       time.Duration
-	lastingWeight float64
-	lastingAt     time.Time
+	lasting time.Duration
+	// lastingWeight is the zero Value until the first period ends.
+	lastingWeight decay.Value
 	periods       []profileSample
 	current       profileSample
 }
@@ -64,7 +65,7 @@
 	events := float64(count)
 	smoothing := max(1-math.Pow(1-intervalSmoothing, events), events/(weight+events))
 	p.passing += time.Duration(smoothing * float64(interval-p.passing))
-	p.passingWeight, p.observedAt = min(weight+events, maxPassingWeight), now
+	p.passingWeight = decay.New(min(weight+events, maxPassingWeight), now)
 	if starting {
 		return
 	}
@@ -97,17 +98,17 @@
 	slices.Sort(means)
 	// With an even number the shorter of the two middle values is used, so that noise needs more than half of the periods to count.
 	p.lasting = means[(len(means)-1)/2]
-	p.lastingWeight, p.lastingAt = min(float64(events), maxLastingWeight), now
+	p.lastingWeight = decay.New(min(float64(events), maxLastingWeight), now)
 }
 
 // recentWeight returns the weight of the passing part, in events.
 func (p *speedProfile) recentWeight(now time.Time) float64 {
-	return decayed(p.passingWeight, now.Sub(p.observedAt), passingDecay)
+	return p.passingWeight.At(now, passingDecay)
 }
 
 // settledWeight returns the weight of the lasting part, in events.
 func (p *speedProfile) settledWeight(now time.Time) float64 {
-	return decayed(p.lastingWeight, now.Sub(p.lastingAt), lastingDecay)
+	return p.lastingWeight.At(now, lastingDecay)
 }
 
 // weight returns the number of events behind the estimate, less with time.
@@ -117,7 +118,7 @@
 
 // settled returns the estimate without the passing part. Until the first period ends, its average so far is used.
 func (p *speedProfile) settled(usual time.Duration, now time.Time) time.Duration {
-	if p.lastingWeight == 0 && p.current.count > 0 {
+	if p.lastingWeight == (decay.Value{}) && p.current.count > 0 {
 		return weightedMean(p.current.mean(), float64(p.current.count), usual, lastingPrior)
 	}
 	return weightedMean(p.lasting, p.settledWeight(now), usual, lastingPrior)
@@ -131,11 +132,3 @@
 func weightedMean(x time.Duration, xWeight float64, y time.Duration, yWeight float64) time.Duration {
 	return time.Duration((xWeight*float64(x) + yWeight*float64(y)) / (xWeight + yWeight))
 }
-
-// decayed returns what is left of a weight after a time.
-func decayed(weight float64, elapsed, constant time.Duration) float64 {
-	if weight == 0 || elapsed <= 0 {
-		return weight
-	}
-	return weight * math.Exp(-elapsed.Seconds()/constant.Seconds())
-}
--- a/internal/batchrun/term.go
+++ b/internal/batchrun/term.go
@@ -9,7 +9,6 @@
 
 	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/batchlog"
-	"github.com/covelink/covelink/internal/decay"
 	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/pause"
 	"github.com/covelink/covelink/internal/textlog"
@@ -118,8 +117,7 @@
 func (r *Runner) resetState() {
 	r.jobs, r.order = make(map[string]*job), nil
 	r.endedAt, r.endedBytes = make(map[string]time.Time), 0
-	r.submitted, r.submittedTime = make(map[string]decay.Value), make(map[string]decay.Value)
-	r.offered = make(map[string]*offeredLoad)
+	r.submitted = make(map[string]*submittedWork)
 	r.runs, r.runCount = make(map[itemwork.RunID]*run), 0
 	r.detached, r.carryOverOffsets = make(map[string]*run), make(map[string]int64)
 	r.unfinished = newUnfinishedTexts()
--- a/internal/decay/decay_test.go
+++ b/internal/decay/decay_test.go
@@ -21,3 +21,14 @@
 		t.Errorf("amount %v of the zero value, want 0", left)
 	}
 }
+
+// Guards against sums whose earlier part does not decay before an amount is added.
+func TestPlus(t *testing.T) {
+	now := time.Now()
+	sum := (Value{}).Plus(100, now, 10*time.Second).Plus(50, now.Add(10*time.Second), 10*time.Second)
+	for after, want := range map[time.Duration]float64{10 * time.Second: 100/math.E + 50, 20 * time.Second: (100/math.E + 50) / math.E} {
+		if left := sum.At(now.Add(after), 10*time.Second); math.Abs(left-want) > 1e-9 {
+			t.Errorf("sum %v after %v, want %v", left, after, want)
+		}
+	}
+}
--- a/internal/weightorder/replay_test.go
+++ b/internal/weightorder/replay_test.go
@@ -139,8 +139,8 @@
 		total += it.duration
 		r.waiting = append(r.waiting, it)
 	}
-	r.items[model] = decay.New(r.items[model].At(r.at(), DemandDecay)+float64(j.items), r.at())
-	r.times[model] = decay.New(r.times[model].At(r.at(), DemandDecay)+total.Seconds(), r.at())
+	r.items[model] = r.items[model].Plus(float64(j.items), r.at(), DemandDecay)
+	r.times[model] = r.times[model].Plus(total.Seconds(), r.at(), DemandDecay)
 	slices.SortStableFunc(r.waiting, func(a, b *replayItem) int { return cmp.Compare(b.duration, a.duration) })
 	r.steps++
 }
