--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -89,9 +89,8 @@
 			return batchrpc.Coordinator{Address: term.Address, Zone: term.Zone}
 		},
 		WhileCoordinator: watcher.WhileHolder,
-
-		State:  state,
-		Logger: telemetry.For(logger, telemetry.PartBatch),
+		State:            state,
+		Logger:           telemetry.For(logger, telemetry.PartBatch),
 	})
 	hooks.Append(fx.Hook{OnStop: func(context.Context) error {
 		client.Close()
@@ -105,12 +104,11 @@
 	guard *quarantine.Guard, calls *rpc.Client, watcher *election.Watcher, stopping *stopFlag, relay *storerelay.Client,
 	registry *prometheus.Registry, logger log.Logger) *itemwork.Worker {
 	worker := itemwork.NewWorker(itemwork.WorkerParams{
-		Name:        config.Node.Name,
-		Zone:        config.Node.Zone,
-		Instance:    uuid.NewString(),
-		Executor:    &itemwork.Executor{State: state, Transport: transport, Forwarder: forwarder, Guard: guard},
-		Coordinator: watcher.Holder,
-
+		Name:             config.Node.Name,
+		Zone:             config.Node.Zone,
+		Instance:         uuid.NewString(),
+		Executor:         &itemwork.Executor{State: state, Transport: transport, Forwarder: forwarder, Guard: guard},
+		Coordinator:      watcher.Holder,
 		WhileCoordinator: watcher.WhileHolder,
 		Poll: func(ctx context.Context, address string, request itemwork.PollRequest) (itemwork.PollReply, error) {
 			return itemwork.Poll(ctx, calls, address, request)
--- a/internal/weightorder/manager.go
+++ b/internal/weightorder/manager.go
@@ -182,20 +182,18 @@
 // New returns a Manager that sends nothing until Lead.
 func New(params Params) *Manager {
 	return &Manager{
-		Params:       params,
-		changed:      make(chan struct{}, 1),
-		targets:      make(map[string]int64),
-		reported:     make(map[string]map[string]int64),
-		loading:      make(map[string]string),
-		backoffUntil: make(map[string]time.Time),
-		assigned:     make(map[string]string),
-		namedAt:      make(map[string]time.Time),
-
+		Params:         params,
+		changed:        make(chan struct{}, 1),
+		targets:        make(map[string]int64),
+		reported:       make(map[string]map[string]int64),
+		loading:        make(map[string]string),
+		backoffUntil:   make(map[string]time.Time),
+		assigned:       make(map[string]string),
+		namedAt:        make(map[string]time.Time),
 		namingInterval: make(map[string]time.Duration),
-
-		openItems:   make(map[string]decay.Value),
-		replicaSets: make(map[string]replicaSets),
-		windows:     make(map[string]*loadWindow),
+		openItems:      make(map[string]decay.Value),
+		replicaSets:    make(map[string]replicaSets),
+		windows:        make(map[string]*loadWindow),
 	}
 }
 
