enginescale: the tests start a term in one place

Cause: the fixture for demand repeated the start and end of a term from the fixture of the manager.

Change: both call lead. Cases and assertions are unchanged.

--- a/internal/enginescale/demand_manager_test.go
+++ b/internal/enginescale/demand_manager_test.go
@@ -18,7 +18,6 @@
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/metastore/metastoretest"
-	"github.com/covelink/covelink/internal/permits"
 	"github.com/covelink/covelink/internal/routing"
 )
 
@@ -112,30 +111,15 @@
 
 // lead starts a term and returns its manager and a function that ends it.
 func (f *demandFixture) lead(name string, token int64) (manager *Manager, stop func()) {
-	client := f.store.Client()
 	manager = New(Params{
-		State: f.state, Platform: f, Store: client, Logger: log.NewNopLogger(), Loading: f.loading.Contains,
+		State: f.state, Platform: f, Store: f.store.Client(), Logger: log.NewNopLogger(), Loading: f.loading.Contains,
 		OfferedLoad: func(models []string) (float64, bool) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			return f.offered(time.Now())
 		},
 	})
-	performer := &duty.Executor{
-		Stamp:   duty.Stamp{Holder: name, Token: token},
-		Journal: permits.New(permits.Params{Store: client, Name: "duties", Holder: name, Token: token, LeaseLength: leaseLength}),
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		performer.TakeOver(ctx)
-		manager.Lead(ctx, performer)
-	}()
-	return manager, func() {
-		cancel()
-		<-done
-	}
+	return manager, lead(manager, name, token)
 }
 
 func runDemandTest(t *testing.T, name string, run func(f *demandFixture)) {
--- a/internal/enginescale/manager_test.go
+++ b/internal/enginescale/manager_test.go
@@ -81,11 +81,14 @@
 
 // lead starts a term and returns a function that ends it.
 func (f *fixture) lead(name string, token int64) (stop func()) {
-	client := f.store.Client()
-	manager := New(Params{State: f.state, Platform: &f.platform, Store: client, Logger: log.NewNopLogger()})
+	return lead(New(Params{State: f.state, Platform: &f.platform, Store: f.store.Client(), Logger: log.NewNopLogger()}), name, token)
+}
+
+// lead starts a term of a manager and returns a function that ends it.
+func lead(manager *Manager, name string, token int64) (stop func()) {
 	performer := &duty.Executor{
 		Stamp:   duty.Stamp{Holder: name, Token: token},
-		Journal: permits.New(permits.Params{Store: client, Name: "duties", Holder: name, Token: token, LeaseLength: leaseLength}),
+		Journal: permits.New(permits.Params{Store: manager.Store, Name: "duties", Holder: name, Token: token, LeaseLength: leaseLength}),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
