batchlog, batchrun, itemwork: what only tests call leaves the product

Cause: Store.Open, Runner.EventInterval and the form of Dispatcher.Lead without a ready channel lost their last callers in the product when the term began to read in steps and loads to be planned by settled intervals.

Lead takes the ready channel, and the tests that need none pass a closed one.

Result: the tests of the three packages pass; calls changed, no assertion.

--- a/internal/batchlog/opening.go
+++ b/internal/batchlog/opening.go
@@ -33,15 +33,6 @@
 	Withheld []batch.Job
 }
 
-// Open takes over the jobs that are not known to be sealed, as far as Permit allows.
-func (s *Store) Open(ctx context.Context) (Opened, error) {
-	opening := s.Opening()
-	if err := opening.List(ctx); err != nil {
-		return Opened{}, err
-	}
-	return opening.TakeOver(ctx)
-}
-
 // Opening takes over the jobs that are not known to be sealed, in two steps that may be repeated after an error: List and TakeOver. Jobs that
 // were taken over before the error are not read again. It is not safe for concurrent use.
 type Opening struct {
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -186,16 +186,6 @@
 	r.wakeScheduler()
 }
 
-// EventInterval returns the expected interval between two events at an engine.
-func (r *Runner) EventInterval(engineID string) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.leads() {
-		return defaultEventInterval
-	}
-	return r.recordOf(engineID).eventInterval(r.now())
-}
-
 // SettledInterval returns the interval between two events of a run that is alone at an engine, without regard to recent changes.
 func (r *Runner) SettledInterval(engineID string) time.Duration {
 	r.mu.Lock()
--- a/internal/batchrun/term.go
+++ b/internal/batchrun/term.go
@@ -22,7 +22,7 @@
 	log := r.beginTerm(ctx, endTerm, token)
 	opened := make(chan struct{})
 	if r.Dispatcher != nil {
-		r.goroutines.Go(func() { r.Dispatcher.LeadOnceReady(ctx, token, r, opened) })
+		r.goroutines.Go(func() { r.Dispatcher.Lead(ctx, token, r, opened) })
 	}
 	if found, ok := r.readTerm(ctx, log); ok {
 		r.openTerm(ctx, &found)
--- a/internal/itemwork/dispatcher_residency_test.go
+++ b/internal/itemwork/dispatcher_residency_test.go
@@ -22,7 +22,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			dispatcher.Lead(ctx, 7, &lostWorkers{})
+			dispatcher.Lead(ctx, 7, &lostWorkers{}, alwaysReady)
 		}()
 		defer func() {
 			cancel()
--- a/internal/itemwork/dispatcher_term.go
+++ b/internal/itemwork/dispatcher_term.go
@@ -12,21 +12,9 @@
 // reportHold bounds how long a report waits for the handler, well within the callMargin of workers.
 const reportHold = callMargin / 2
 
-// alwaysReady is closed.
-var alwaysReady = func() <-chan struct{} {
-	ready := make(chan struct{})
-	close(ready)
-	return ready
-}()
-
-// Lead serves workers for a term until ctx ends.
-func (d *Dispatcher) Lead(ctx context.Context, term int64, handler Handler) {
-	d.LeadOnceReady(ctx, term, handler, alwaysReady)
-}
-
-// LeadOnceReady serves workers for a term until ctx ends. Workers register at once, and the handler is told of lost ones, but it gets no report
+// Lead serves workers for a term until ctx ends. Workers register at once, and the handler is told of lost ones, but it gets no report
 // before ready is closed: until then reports are held, up to reportHold, and refused.
-func (d *Dispatcher) LeadOnceReady(ctx context.Context, term int64, handler Handler, ready <-chan struct{}) {
+func (d *Dispatcher) Lead(ctx context.Context, term int64, handler Handler, ready <-chan struct{}) {
 	d.mu.Lock()
 	d.term, d.handler, d.ready, d.orderCount = term, handler, ready, 0
 	d.workers = make(map[string]*workerState)
@@ -83,11 +71,11 @@
 // awaitReady waits until the handler of the term takes reports, if there is a term. It returns false after reportHold.
 func (d *Dispatcher) awaitReady() bool {
 	d.mu.Lock()
-	ready := d.ready
-	if d.handler == nil {
-		ready = alwaysReady
-	}
+	leading, ready := d.handler != nil, d.ready
 	d.mu.Unlock()
+	if !leading {
+		return true
+	}
 	timer := time.NewTimer(reportHold)
 	defer timer.Stop()
 	select {
--- a/internal/itemwork/dispatcher_term_test.go
+++ b/internal/itemwork/dispatcher_term_test.go
@@ -11,6 +11,13 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
+// alwaysReady is closed: a handler that takes reports from the start.
+var alwaysReady = func() <-chan struct{} {
+	ready := make(chan struct{})
+	close(ready)
+	return ready
+}()
+
 // countingHandler counts reports.
 type countingHandler struct {
 	lostWorkers
@@ -39,7 +46,7 @@
 		handler := &countingHandler{}
 		ready := make(chan struct{})
 		var leading sync.WaitGroup
-		leading.Go(func() { dispatcher.LeadOnceReady(ctx, 7, handler, ready) })
+		leading.Go(func() { dispatcher.Lead(ctx, 7, handler, ready) })
 		defer func() {
 			cancel()
 			leading.Wait()
--- a/internal/itemwork/dispatcher_test.go
+++ b/internal/itemwork/dispatcher_test.go
@@ -44,7 +44,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			dispatcher.Lead(ctx, 7, lost)
+			dispatcher.Lead(ctx, 7, lost, alwaysReady)
 		}()
 		defer func() {
 			cancel()
