batchrun: the time until which items wait for reports is given, not encoded

Cause: awaitAdoption took a wait of which only two values occurred, and zero stood for a third constant.

Change: addFound computes both times, and awaitReports applies the one given.

--- a/internal/batchrun/term.go
+++ b/internal/batchrun/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -94,20 +95,23 @@
 	for _, stored := range r.accepted {
 		created[stored.Job.ID] = created[stored.Job.ID] || stored.Created
 	}
+	now := r.now()
+	// Workers could register from the begin of the term; those whose report was refused since repeat it after the jobs were read.
+	adoptedBy := slices.MaxFunc([]time.Time{r.began.Add(adoptionWait), now.Add(reportWait)}, time.Time.Compare)
 	for _, found := range jobs {
 		if !created[found.Job.ID] {
-			r.awaitAdoption(r.add(found), adoptionWait)
+			r.awaitReports(r.add(found), adoptedBy)
 		}
 	}
 	for _, stored := range r.accepted {
 		if r.jobs[stored.Job.ID] != nil {
 			continue
 		}
-		wait := adoptionWait
+		until := adoptedBy
 		if stored.Created && (r.Dispatcher == nil || r.Dispatcher.Workers() > 0) {
-			wait = 0
+			until = now.Add(heldReportWait)
 		}
-		r.awaitAdoption(r.add(stored), wait)
+		r.awaitReports(r.add(stored), until)
 		r.unfinished.dropOutdated(stored.Job.Model, stored.Job.MinVersion)
 	}
 	r.accepted = nil
@@ -128,23 +132,16 @@
 	r.subsets = newEngineSubsets()
 }
 
-// awaitAdoption delays the items of a job, so that workers that still run them can report first: until the given time after workers could first
-// register in the term, and until the reports that wait for the jobs have arrived. The mutex must be held.
-func (r *Runner) awaitAdoption(j *job, wait time.Duration) {
+// awaitReports delays the items of a job until a time, so that workers that still run them can report first. The mutex must be held.
+func (r *Runner) awaitReports(j *job, until time.Time) {
 	if r.Dispatcher == nil {
 		return
 	}
-	notBefore := r.now().Add(reportWait)
-	if wait == 0 {
-		notBefore = r.now().Add(heldReportWait)
-	} else if registered := r.began.Add(wait); registered.After(notBefore) {
-		notBefore = registered
-	}
 	for _, it := range j.items {
-		it.notBefore = notBefore
+		it.notBefore = until
 	}
 	// The next scheduling pass may be later.
-	time.AfterFunc(notBefore.Sub(r.now()), r.wakeScheduler)
+	time.AfterFunc(until.Sub(r.now()), r.wakeScheduler)
 }
 
 // readJobs reads the open jobs, and retries until the store answers. What jobs there are is read before their allowed regions are known, the jobs
