--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,7 +13,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/covelink/covelink/platform/platformtest"
@@ -81,6 +81,7 @@
 // process is one covelinkd.
 type process struct {
 	name    string
+	zone    string
 	command *exec.Cmd
 	ended   chan struct{}
 	// http, ready and internal are the addresses that the process serves.
@@ -99,10 +100,21 @@
 	coordinators []*process
 	gateways     []*process
 
-	mu      sync.Mutex
-	started []*process
+	mu sync.Mutex
+	// started are all starts of processes.
+	started []started
+	closed  bool
 }
 
+// started is one start of a process.
+type started struct {
+	command *exec.Cmd
+	ended   chan struct{}
+}
+
+// errClosed reports a deployment that has ended.
+var errClosed = errors.New("the deployment has ended")
+
 func newDeployment(program, folder string, record *recorder) *deployment {
 	store := platformtest.NewStore()
 	return &deployment{program: program, folder: folder, record: record, store: store, storeAddress: store.Address()}
@@ -131,8 +143,8 @@
 	return list.String()
 }
 
-// start starts coordinators and gateways and waits until all gateways are ready.
-func (d *deployment) start(coordinators, gateways int) error {
+// start starts coordinators, one gateway in each of the zones, and waits until all gateways are ready.
+func (d *deployment) start(coordinators int, gatewayZones ...string) error {
 	var seeds []string
 	for i := range coordinators {
 		address, err := freeAddress()
@@ -152,8 +164,8 @@
 		d.coordinators = append(d.coordinators, p)
 		seeds = append(seeds, `"`+address+`"`)
 	}
-	for i := range gateways {
-		p := &process{name: fmt.Sprintf("edge-%d", i+1)}
+	for i, zone := range gatewayZones {
+		p := &process{name: fmt.Sprintf("edge-%d", i+1), zone: zone}
 		var err error
 		if p.http, err = freeAddress(); err != nil {
 			return err
@@ -161,7 +173,7 @@
 		if p.ready, err = freeAddress(); err != nil {
 			return err
 		}
-		settings := fmt.Sprintf(gatewaySettings, p.name, zones[i%len(zones)], p.http, p.ready, d.storeAddress, strings.Join(seeds, ", "), zoneList())
+		settings := fmt.Sprintf(gatewaySettings, p.name, zone, p.http, p.ready, d.storeAddress, strings.Join(seeds, ", "), zoneList())
 		if err := d.launch(p, settings); err != nil {
 			return err
 		}
@@ -190,6 +202,11 @@
 
 // run starts a process whose settings are written.
 func (d *deployment) run(p *process) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return errClosed
+	}
 	p.command = exec.Command(d.program, "run", "--config", filepath.Join(d.folder, p.name+".yaml"))
 	output, err := p.command.StdoutPipe()
 	if err != nil {
@@ -212,9 +229,7 @@
 		_ = command.Wait()
 		close(ended)
 	}()
-	d.mu.Lock()
-	d.started = append(d.started, p)
-	d.mu.Unlock()
+	d.started = append(d.started, started{command: command, ended: ended})
 	return nil
 }
 
@@ -231,10 +246,9 @@
 // close ends everything that the deployment started.
 func (d *deployment) close() {
 	d.mu.Lock()
-	started := d.started
+	d.closed = true
 	d.mu.Unlock()
-	for _, p := range started {
-		_ = p.command.Process.Signal(syscall.SIGCONT)
+	for _, p := range d.started {
 		_ = p.command.Process.Kill()
 		<-p.ended
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,7 +24,8 @@
 type scenario func(d *deployment, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"stream": playStream,
+	"restart": playRestart,
+	"stream":  playStream,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin/stream.go
+++ b/review/standin/stream.go
@@ -57,7 +57,7 @@
 			return false, err
 		}
 	}
-	if err := d.start(3, 3); err != nil {
+	if err := d.start(3, zones...); err != nil {
 		return false, err
 	}
 	// No request is sent within contact-ms of the start.
