--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -53,13 +55,20 @@
 	defer os.RemoveAll(folder)
 	d := newDeployment(program, folder, record)
 	defer d.close()
-	overdue := time.AfterFunc(longestPlay, func() {
-		record.note("the case did not end within %v", longestPlay)
+	giveUp := func(reason string) {
+		record.note("the case could not run: %s", reason)
 		d.close()
 		os.RemoveAll(folder)
 		os.Exit(exitNotRun)
-	})
+	}
+	overdue := time.AfterFunc(longestPlay, func() { giveUp("it did not end in time") })
 	defer overdue.Stop()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		giveUp("stopped by a signal")
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	broken, err := scenarios[os.Args[1]](d, trouble)
 	if err != nil {
