--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -14,8 +13,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"github.com/covelink/covelink/platform/platformtest"
 )
 
 // zones of the deployment, all in one region.
@@ -93,7 +90,7 @@
 	program string
 	folder  string
 	record  *recorder
-	store   *platformtest.Store
+	store   *store
 	// storeAddress is where the processes reach the store.
 	storeAddress string
 	engines      []*engine
@@ -116,13 +113,13 @@
 var errClosed = errors.New("the deployment has ended")
 
 func newDeployment(program, folder string, record *recorder) *deployment {
-	store := platformtest.NewStore()
-	return &deployment{program: program, folder: folder, record: record, store: store, storeAddress: store.Address()}
+	s := newStore()
+	return &deployment{program: program, folder: folder, record: record, store: s, storeAddress: s.Listener.Addr().String()}
 }
 
 // put writes an object of the operator.
 func (d *deployment) put(kind, name string, spec any) error {
-	return platformtest.Put(context.Background(), d.store, kind, name, spec)
+	return d.store.put(kind, name, spec)
 }
 
 // freeAddress returns a loopback address that nothing listens on.
