quarantine: the answers to requests for a trial, and the runs that are trials, are logged

Held items left no line: neither why a trial was not granted, nor what a trial came to, could be told. The coordinator logs each answer with the request's record and the last trial, counts them (quarantine_trials_total), and "attempt ended" tells isolated runs and trials.

--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -97,8 +97,9 @@
 			left++
 			continue
 		}
+		options := startOptions{isolated: isolated, trial: waiting.item.trial == trialGranted, sendWithin: sendWithin}
 		waiting.item.trial = trialNone
-		r.start(waiting.item, waiting.route, chosen.engine, startOptions{isolated: isolated, sendWithin: sendWithin})
+		r.start(waiting.item, waiting.route, chosen.engine, options)
 		pass.refresh(chosen)
 	}
 	return left
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -60,6 +60,8 @@
 	finished  bool
 	// isolated is true if the run shares no engine with other isolated runs.
 	isolated bool
+	// trial is true if the run is the trial of a held item.
+	trial bool
 	// moving is true once the run was canceled so that its item resumes elsewhere, or because its detachedTTL passed.
 	moving bool
 }
@@ -74,6 +76,8 @@
 type startOptions struct {
 	// isolated is true if the run must not share the engine with other isolated runs.
 	isolated bool
+	// trial is true if the run is the trial of a held item.
+	trial bool
 	// sendWithin is the time limit for sending the run; zero for none.
 	sendWithin time.Duration
 }
@@ -97,7 +101,7 @@
 		assignment.TimeLeft = max(route.MaxQueue-r.now().Sub(it.job.accepted), time.Second)
 	}
 	newRun := r.addRun(assignment.Run, it, engine.ID)
-	newRun.streaming, newRun.zone = true, engine.Zone
+	newRun.streaming, newRun.zone, newRun.trial = true, engine.Zone, options.trial
 	if options.isolated {
 		newRun.isolated = true
 		record.isolated++
--- a/internal/batchrun/run_end.go
+++ b/internal/batchrun/run_end.go
@@ -20,9 +20,9 @@
 	} else {
 		r.recordOf(ended.engine).runEnded(verdict, r.now())
 	}
-	r.endIsolation(ended)
+	isolated := r.endIsolation(ended)
 	r.Observer.AttemptEnded(verdict.String(), report.End.Took)
-	r.logStreamEnd(ended, report)
+	r.logStreamEnd(ended, report, isolated)
 	r.wakeScheduler()
 	switch {
 	case r.isDetached(ended):
@@ -37,16 +37,16 @@
 	}
 }
 
-// logStreamEnd logs the end of a stream, at debug level if it is complete or canceled.
-func (r *Runner) logStreamEnd(ended *run, report *itemwork.Report) {
+// logStreamEnd logs the end of a stream, at debug level if it is complete or canceled, unless it was a trial.
+func (r *Runner) logStreamEnd(ended *run, report *itemwork.Report, isolated bool) {
 	it := ended.item
 	verdict := report.End.Verdict
 	line := level.Info(r.Logger)
-	if verdict == itemwork.VerdictComplete || verdict == itemwork.VerdictCanceled {
+	if !ended.trial && (verdict == itemwork.VerdictComplete || verdict == itemwork.VerdictCanceled) {
 		line = level.Debug(r.Logger)
 	}
 	line.Log("msg", "attempt ended", "request", it.ID, "job", it.job.ID, "run", ended.id, "worker", ended.worker, "engine", ended.engine,
-		"verdict", verdict, "version", report.Version, "text_events", it.text.Len(), "expected_tokens", it.ExpectedLength, "took", report.End.Took.Round(time.Millisecond),
+		"verdict", verdict, "isolated", isolated, "trial", ended.trial, "version", report.Version, "text_events", it.text.Len(), "expected_tokens", it.ExpectedLength, "took", report.End.Took.Round(time.Millisecond),
 		"err", report.End.Cause)
 }
 
@@ -85,12 +85,14 @@
 	}
 }
 
-// endIsolation frees the engine of an ended run for other isolated items. The mutex must be held.
-func (r *Runner) endIsolation(ended *run) {
-	if ended.isolated {
+// endIsolation frees the engine of an ended run for other isolated items, and reports whether the run was isolated. The mutex must be held.
+func (r *Runner) endIsolation(ended *run) (isolated bool) {
+	isolated = ended.isolated
+	if isolated {
 		ended.isolated = false
 		r.recordOf(ended.engine).isolated--
 	}
+	return isolated
 }
 
 // rewardCallEnded lists the result of an item whose reward call has ended. An aborted call is repeated. The mutex must be held.
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -53,6 +53,8 @@
 	attemptsDisconnected *prometheus.CounterVec
 	// guarded counts decisions on requests under which engines have ended.
 	guarded *prometheus.CounterVec
+	// trials counts answers to requests for a trial run of a held request.
+	trials *prometheus.CounterVec
 	// refused counts requests that no engine may run now, by reason.
 	refused *prometheus.CounterVec
 	// coldAnswers counts attempts that needed a grant for a cold engine, by answer; only granted ones were sent.
@@ -83,6 +85,7 @@
 	m.dutyCalls = counter("duty_calls_total", "Calls to the deployment's platform, by duty and result.", "duty", "result")
 	m.attemptsDisconnected = counter("attempts_broken_total", "Attempts at engines whose connection broke, by whether the engine had ended.", "evidence")
 	m.guarded = counter("quarantine_decisions_total", "Decisions on requests under which engines have ended.", "decision")
+	m.trials = counter("quarantine_trials_total", "Answers to requests for a trial run of a held request.", "answer")
 	m.refused = counter("requests_refused_total", "Callers' requests that were refused because they may run at no engine, by reason.", "reason")
 	m.coldAnswers = counter("cold_requests_total", "Attempts of requests that only cold engines could run, by what became of them; all but the granted ones were not sent.", "answer")
 	m.engines = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_engines_total", Help: "Engines that requests were sent to."})
@@ -107,7 +110,7 @@
 		return 0
 	})
 	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.handOvers, jobTime, m.textsRestored, m.eventsRestored, m.checkpoints, m.checkpointFailures, m.results,
-		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, m.usageReports, m.usageLost, m.dutyCalls, m.attemptsDisconnected, m.guarded, m.refused,
+		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, m.usageReports, m.usageLost, m.dutyCalls, m.attemptsDisconnected, m.guarded, m.trials, m.refused,
 		m.coldAnswers,
 		newLinesDropped(lines))
 	return m
@@ -205,6 +208,11 @@
 	m.guarded.WithLabelValues(string(decision)).Inc()
 }
 
+// trialAnswered counts an answer to a request for a trial run.
+func (m *metrics) trialAnswered(answer quarantine.TrialAnswer) {
+	m.trials.WithLabelValues(string(answer)).Inc()
+}
+
 // requestRefused counts a caller's request that was not run, if the placement filter is the reason.
 func (m *metrics) requestRefused(reason forward.Reason) {
 	switch where := placement.Reason(reason); where {
--- a/internal/fleetnode/quarantine.go
+++ b/internal/fleetnode/quarantine.go
@@ -36,11 +36,13 @@
 }
 
 // newQuarantineCoordinator returns the coordinator of quarantined requests, from which the guard of this process requests its trials.
-func newQuarantineCoordinator(table *quarantine.Table, guard *quarantine.Guard, store metastore.Client, logger log.Logger) *quarantine.Coordinator {
+func newQuarantineCoordinator(table *quarantine.Table, guard *quarantine.Guard, store metastore.Client, observed *metrics,
+	logger log.Logger) *quarantine.Coordinator {
 	coordinator := quarantine.NewCoordinator(quarantine.CoordinatorParams{
-		Table:  table,
-		Store:  store,
-		Logger: telemetry.For(logger, telemetry.PartQuarantine),
+		Table:   table,
+		Store:   store,
+		Observe: observed.trialAnswered,
+		Logger:  telemetry.For(logger, telemetry.PartQuarantine),
 	})
 	guard.RequestTrial = func(ctx context.Context, known quarantine.Record) (quarantine.TrialReply, error) {
 		return coordinator.HandleTrial(ctx, known), nil
--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -42,9 +42,28 @@
 	Store metastore.Client
 	// Leading reports whether the process is the coordinator.
 	Leading func() bool
+	// Observe receives each answer to a request for a trial, for metrics; may be nil.
+	Observe func(answer TrialAnswer)
 	Logger  log.Logger
 }
 
+// TrialAnswer is the coordinator's answer to a request for a trial, used as a metric label.
+type TrialAnswer string
+
+// TrialAnswer values.
+const (
+	// TrialGranted means that the request may run once.
+	TrialGranted TrialAnswer = "granted"
+	// TrialNotNeeded means that the request is not held any more.
+	TrialNotNeeded TrialAnswer = "not held"
+	// TrialBackoff means that the time since the request's last crash or trial is too short.
+	TrialBackoff TrialAnswer = "backoff"
+	// TrialBusy means that another trial is running.
+	TrialBusy TrialAnswer = "another trial running"
+	// TrialStoreFailed means that the trial could not be recorded in the store.
+	TrialStoreFailed TrialAnswer = "store failed"
+)
+
 // Coordinator merges the records reported by other processes, grants trials, and persists held requests in the store. A trial is written
 // there before it is granted, with a conditional write: of two processes that both act as the leader, only one can grant it.
 type Coordinator struct {
@@ -183,16 +202,22 @@
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
 	reply := TrialReply{Leading: true}
+	answer := TrialStoreFailed
 	err := c.asWriter(ctx, func(ctx context.Context) error {
 		if err := c.ensureLoaded(ctx); err != nil {
 			return err
 		}
 		status := c.Table.Status(fingerprint)
 		if status.State != Held {
-			reply.Granted = true
+			answer, reply.Granted = TrialNotNeeded, true
 			return nil
 		}
-		if reply.Wait = max(status.Wait, c.runningTrialWait()); reply.Wait > 0 {
+		busy := c.runningTrialWait()
+		if reply.Wait = max(status.Wait, busy); reply.Wait > 0 {
+			answer = TrialBackoff
+			if busy > 0 {
+				answer = TrialBusy
+			}
 			return nil
 		}
 		if err := c.write(ctx, c.withTrial(fingerprint)); err != nil {
@@ -200,16 +225,37 @@
 		}
 		c.Table.RecordTrial(fingerprint)
 		c.trial = grantedTrial{record: c.Table.Record(fingerprint), grantedAt: c.Table.now()}
-		reply.Granted = true
+		answer, reply.Granted = TrialGranted, true
 		return nil
 	})
 	if err != nil {
-		level.Info(c.Logger).Log("msg", "trial not granted", "fingerprint", fingerprint.Short(), "err", err)
 		reply.Wait = unavailableRetryAfter
 	}
+	c.logAnswer(fingerprint, answer, reply, err)
 	return reply
 }
 
+// logAnswer logs the answer to a request for a trial: at debug level if the request only has to wait.
+func (c *Coordinator) logAnswer(fingerprint Fingerprint, answer TrialAnswer, reply TrialReply, err error) {
+	if c.Observe != nil {
+		c.Observe(answer)
+	}
+	line := level.Info(c.Logger)
+	if answer == TrialBackoff || answer == TrialBusy {
+		line = level.Debug(c.Logger)
+	}
+	record := c.Table.Record(fingerprint)
+	line.Log("msg", "trial requested", "fingerprint", fingerprint.Short(), "answer", answer, "engines_ended", len(record.Engines), "trials", record.Trials,
+		"wait", reply.Wait.Round(time.Millisecond), "last_trial", c.lastTrial().Short(), "err", err)
+}
+
+// lastTrial returns the request whose trial was granted last.
+func (c *Coordinator) lastTrial() Fingerprint {
+	c.writer <- struct{}{}
+	defer func() { <-c.writer }()
+	return c.trial.record.Fingerprint
+}
+
 // withTrial returns the held records with one more trial of a request.
 func (c *Coordinator) withTrial(fingerprint Fingerprint) []storedRecord {
 	records := c.heldRecords()
