quarantine: trials that come to no outcome are returned

Cause: a trial of a held request was spent when it was granted. If its run then reached no engine (refused connection, 421, 503 not run, placement filter, full engines), or was canceled with its job, nothing gave it back: the request waited for the backoff of a crash, 30 s, and every other held request for trialTimeout, 10 s, as neither a crash nor a success followed. Trials ran one after another in the whole deployment, 0.6 to 2.2 s each.

Fix: a trial is identified (Trial) and returned by its holder when its run shows nothing about the request: End.NoOutcome of items, an outcome "not run" or a connection to a running engine for requests, the end of an item that still holds a grant, a call whose answer was lost. A returned trial counts for nobody's backoff, in all tables (Record.Returned). Two trials start 0.5 s apart at least while the first has no outcome: held items share no engine, so that a crash is charged to the one that ran there. A trial whose holder is lost stays counted.

--- a/internal/batchrun/detached.go
+++ b/internal/batchrun/detached.go
@@ -57,6 +57,7 @@
 		"text_events", text.Len())
 	r.Observer.HandedOver(HandOverAttached)
 	it.text = text
+	r.returnUnusedTrial(it)
 	it.run, it.phase = detached, phaseRunning
 	detached.item = it
 	it.job.runs = append(it.job.runs, detached.id)
--- a/internal/batchrun/harness_test.go
+++ b/internal/batchrun/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/covelink/covelink/internal/forward"
 	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/metastore/metastoretest"
+	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/routing"
 )
 
@@ -172,6 +173,8 @@
 	zone       string
 	// quota is nil if no engine is cold.
 	quota batchrun.Quota
+	// guard is nil if requests are not put under quarantine.
+	guard *quarantine.Guard
 	// storeFault chooses the faults of the runners' store calls; nil for none.
 	storeFault func(operation, kind string, write bool) metastoretest.Fault
 }
@@ -211,6 +214,7 @@
 		State:         h.state,
 		Transport:     h.engines,
 		Forwarder:     forwarder,
+		Guard:         h.guard,
 		Store:         client,
 		MaxEndedBytes: h.maxEndedBytes,
 		Dispatcher:    h.dispatcher,
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -50,6 +50,8 @@
 	// cachedFingerprint is the fingerprint of the item's request, or nil until it is first needed.
 	cachedFingerprint *quarantine.Fingerprint
 	trial             trial
+	// trialRun is the granted trial, in state trialGranted.
+	trialRun quarantine.TrialRun
 }
 
 // textKey returns the key of the item's text for later jobs, in memory and on disk. It includes the tenant, so that no tenant gets another's text.
--- a/internal/batchrun/place.go
+++ b/internal/batchrun/place.go
@@ -97,9 +97,7 @@
 			left++
 			continue
 		}
-		options := startOptions{isolated: isolated, trial: waiting.item.trial == trialGranted, sendWithin: sendWithin}
-		waiting.item.trial = trialNone
-		r.start(waiting.item, waiting.route, chosen.engine, options)
+		r.start(waiting.item, waiting.route, chosen.engine, startOptions{isolated: isolated, trial: waiting.item.takeTrial(), sendWithin: sendWithin})
 		pass.refresh(chosen)
 	}
 	return left
--- a/internal/batchrun/quarantine.go
+++ b/internal/batchrun/quarantine.go
@@ -58,14 +58,30 @@
 
 // requestTrial asks the guard whether a held item may run once.
 func (r *Runner) requestTrial(term context.Context, it *item) {
-	reply, err := r.Guard.RequestTrial(term, r.Guard.Table.Record(it.fingerprint()))
+	run, reply, err := r.Guard.RequestTrial(term, it.fingerprint())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	it.trial = trialNone
-	if err == nil && reply.Granted {
-		it.trial = trialGranted
-	} else {
+	switch {
+	case err != nil || !reply.Granted:
 		it.notBefore = r.now().Add(min(max(reply.Wait, retryDelay), heldPollInterval))
+	case it.job.ended || it.phase != phaseWaiting || term.Err() != nil:
+		r.Guard.ReturnTrial(run)
+	default:
+		it.trial, it.trialRun = trialGranted, run
 	}
 	r.wakeScheduler()
 }
+
+// returnUnusedTrial returns the granted trial of an item that does not need it any more. The mutex must be held.
+func (r *Runner) returnUnusedTrial(it *item) { r.Guard.ReturnTrial(it.takeTrial()) }
+
+// takeTrial returns the item's granted trial, for its next run or for its return.
+func (it *item) takeTrial() quarantine.TrialRun {
+	run := it.trialRun
+	it.trialRun = quarantine.TrialRun{}
+	if it.trial == trialGranted {
+		it.trial = trialNone
+	}
+	return run
+}
--- a/internal/batchrun/report.go
+++ b/internal/batchrun/report.go
@@ -105,6 +105,7 @@
 		"events", text.Len(), "verdict", report.End.Verdict)
 	r.Observer.HandedOver(HandOverAdopted)
 	it.stop()
+	r.returnUnusedTrial(it)
 	it.text = text
 	adopted := r.addRun(report.Run, it, report.Engine)
 	r.assignWorker(adopted, worker)
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -9,6 +9,7 @@
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/jobresidency"
+	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/routing"
 )
 
@@ -60,8 +61,8 @@
 	finished  bool
 	// isolated is true if the run shares no engine with other isolated runs.
 	isolated bool
-	// trial is true if the run is the trial of a held item.
-	trial bool
+	// trial is the trial that the run is, if its item is held.
+	trial quarantine.TrialRun
 	// moving is true once the run was canceled so that its item resumes elsewhere, or because its detachedTTL passed.
 	moving bool
 }
@@ -76,8 +77,8 @@
 type startOptions struct {
 	// isolated is true if the run must not share the engine with other isolated runs.
 	isolated bool
-	// trial is true if the run is the trial of a held item.
-	trial bool
+	// trial is the trial that the run is, if its item is held.
+	trial quarantine.TrialRun
 	// sendWithin is the time limit for sending the run; zero for none.
 	sendWithin time.Duration
 }
@@ -111,6 +112,7 @@
 		assignment.LeaveBy = boottime.Now().Add(options.sendWithin)
 	}
 	if !r.dispatch(newRun, engine, assignment) {
+		r.Guard.ReturnTrial(newRun.trial)
 		r.markLost(newRun)
 	}
 }
--- a/internal/batchrun/run_end.go
+++ b/internal/batchrun/run_end.go
@@ -21,6 +21,9 @@
 		r.recordOf(ended.engine).runEnded(verdict, r.now())
 	}
 	isolated := r.endIsolation(ended)
+	if report.End.NoOutcome {
+		r.Guard.ReturnTrial(ended.trial)
+	}
 	r.Observer.AttemptEnded(verdict.String(), report.End.Took)
 	r.logStreamEnd(ended, report, isolated)
 	r.wakeScheduler()
@@ -42,11 +45,11 @@
 	it := ended.item
 	verdict := report.End.Verdict
 	line := level.Info(r.Logger)
-	if !ended.trial && (verdict == itemwork.VerdictComplete || verdict == itemwork.VerdictCanceled) {
+	if !ended.trial.Granted() && (verdict == itemwork.VerdictComplete || verdict == itemwork.VerdictCanceled) {
 		line = level.Debug(r.Logger)
 	}
 	line.Log("msg", "attempt ended", "request", it.ID, "job", it.job.ID, "run", ended.id, "worker", ended.worker, "engine", ended.engine,
-		"verdict", verdict, "isolated", isolated, "trial", ended.trial, "version", report.Version, "text_events", it.text.Len(), "expected_tokens", it.ExpectedLength, "took", report.End.Took.Round(time.Millisecond),
+		"verdict", verdict, "isolated", isolated, "trial", ended.trial.Number, "version", report.Version, "text_events", it.text.Len(), "expected_tokens", it.ExpectedLength, "took", report.End.Took.Round(time.Millisecond),
 		"err", report.End.Cause)
 }
 
@@ -186,6 +189,7 @@
 // listResult passes an item's result to the committer, and drops the item's text unless a later job may use it. The mutex must be held.
 func (r *Runner) listResult(it *item, result batch.Result) {
 	it.phase = phaseFinished
+	r.returnUnusedTrial(it)
 	if result.State != batch.Done || !it.text.Fits(itemwork.Bounds{MinVersion: r.carryOverVersion(it.job)}) {
 		it.text = itemwork.Text{}
 	}
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -203,6 +203,7 @@
 	}
 	j.ended = true
 	for _, it := range j.items {
+		r.returnUnusedTrial(it)
 		if r.detach(it) {
 			continue
 		}
--- a/internal/fleetnode/quarantine.go
+++ b/internal/fleetnode/quarantine.go
@@ -15,7 +15,7 @@
 	"github.com/covelink/covelink/platform"
 )
 
-// newGuard returns the guard against requests that crash engines. The process's role sets RequestTrial.
+// newGuard returns the guard against requests that crash engines. The process's role sets CallTrial and CallReturn.
 func newGuard(engines *platform.Engines, table *quarantine.Table, observed *metrics, registry *prometheus.Registry,
 	logger log.Logger) *quarantine.Guard {
 	logger = telemetry.For(logger, telemetry.PartQuarantine)
@@ -44,8 +44,11 @@
 		Observe: observed.trialAnswered,
 		Logger:  telemetry.For(logger, telemetry.PartQuarantine),
 	})
-	guard.RequestTrial = func(ctx context.Context, known quarantine.Record) (quarantine.TrialReply, error) {
-		return coordinator.HandleTrial(ctx, known), nil
+	guard.CallTrial = func(ctx context.Context, request quarantine.TrialRequest) (quarantine.TrialReply, error) {
+		return coordinator.HandleTrial(ctx, request), nil
+	}
+	guard.CallReturn = func(_ context.Context, request quarantine.ReturnRequest) (quarantine.ReturnReply, error) {
+		return coordinator.HandleReturn(request), nil
 	}
 	return coordinator
 }
@@ -53,12 +56,19 @@
 // shareQuarantine reports the records of this gateway to the coordinator, from which the gateway's guard requests its trials.
 func shareQuarantine(hooks fx.Lifecycle, group *tasks, table *quarantine.Table, guard *quarantine.Guard, calls *rpc.Client,
 	watcher *election.Watcher, logger log.Logger) {
-	guard.RequestTrial = func(ctx context.Context, known quarantine.Record) (quarantine.TrialReply, error) {
+	guard.CallTrial = func(ctx context.Context, request quarantine.TrialRequest) (quarantine.TrialReply, error) {
 		address := watcher.Holder()
 		if address == "" {
 			return quarantine.TrialReply{}, nil
 		}
-		return quarantine.RequestTrial(ctx, calls, address, quarantine.TrialRequest{Known: known})
+		return quarantine.RequestTrial(ctx, calls, address, request)
+	}
+	guard.CallReturn = func(ctx context.Context, request quarantine.ReturnRequest) (quarantine.ReturnReply, error) {
+		address := watcher.Holder()
+		if address == "" {
+			return quarantine.ReturnReply{}, nil
+		}
+		return quarantine.ReturnTrial(ctx, calls, address, request)
 	}
 	reporter := quarantine.NewReporter(quarantine.ReporterParams{
 		Table:       table,
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -108,9 +108,11 @@
 	j.countSend()
 	// A lost response is no evidence of the service's capacity.
 	j.waiting.end(j.service, nil)
-	if attempt.broke && !j.Guard.ConnectionLost(j.request.ID, j.fingerprint(), engine) {
+	if attempt.broke {
+		var retry bool
+		retry, j.engineRuns = j.Guard.ConnectionLost(j.request.ID, j.fingerprint(), engine)
 		// Failover would take a request that crashes engines to the next engine.
-		j.noFailover = true
+		j.noFailover = j.noFailover || !retry
 	}
 	j.attemptLost = true
 	j.recordExecution(attempt.sent)
--- a/internal/forward/crashing_test.go
+++ b/internal/forward/crashing_test.go
@@ -211,10 +211,10 @@
 		table := quarantine.NewTable(time.Now)
 		if mode != guardNone {
 			forwarder.Guard = quarantine.NewGuard(quarantine.GuardParams{
-				Table:        table,
-				Detector:     quarantine.NewDetector(quarantine.DetectorParams{Prober: pool, Logger: log.NewNopLogger()}),
-				RequestTrial: grantFrom(table),
-				Logger:       log.NewNopLogger(),
+				Table:     table,
+				Detector:  quarantine.NewDetector(quarantine.DetectorParams{Prober: pool, Logger: log.NewNopLogger()}),
+				CallTrial: grantFrom(table),
+				Logger:    log.NewNopLogger(),
 			})
 		}
 		gateways, tables = append(gateways, forwarder), append(tables, table)
@@ -289,11 +289,11 @@
 }
 
 // grantFrom grants trials from one table, as the coordinator does from its own.
-func grantFrom(table *quarantine.Table) func(context.Context, quarantine.Record) (quarantine.TrialReply, error) {
-	return func(_ context.Context, known quarantine.Record) (quarantine.TrialReply, error) {
-		wait := table.Status(known.Fingerprint).Wait
+func grantFrom(table *quarantine.Table) func(context.Context, quarantine.TrialRequest) (quarantine.TrialReply, error) {
+	return func(_ context.Context, request quarantine.TrialRequest) (quarantine.TrialReply, error) {
+		wait := table.Status(request.Known.Fingerprint).Wait
 		if wait == 0 {
-			table.RecordTrial(known.Fingerprint)
+			table.RecordTrial(request.Known.Fingerprint)
 		}
 		return quarantine.TrialReply{Leading: true, Granted: wait == 0, Wait: wait}, nil
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -180,6 +180,8 @@
 	executedAt     time.Time
 	failedAttempts int
 	lastFailure    *Result
+	// engineRuns is true if the connection of the last attempt broke while its engine kept running.
+	engineRuns bool
 	// noFailover is true if the request must not go to another engine after one that may have run it.
 	noFailover bool
 	// cachedFingerprint is computed on first use.
@@ -220,7 +222,11 @@
 		return Result{Outcome: NotRun, Reason: ReasonHeld, RetryAfter: admission.RetryAfter}
 	}
 	j.noFailover = admission.Isolated
-	return j.run(ctx)
+	result := j.run(ctx)
+	if result.Outcome == NotRun || j.engineRuns {
+		j.Guard.ReturnTrial(admission.Trial)
+	}
+	return result
 }
 
 func (j *job) fingerprint() quarantine.Fingerprint {
--- a/internal/forward/quarantine_test.go
+++ b/internal/forward/quarantine_test.go
@@ -41,7 +41,7 @@
 	forwarder.Guard = quarantine.NewGuard(quarantine.GuardParams{
 		Table:    quarantine.NewTable(time.Now),
 		Detector: quarantine.NewDetector(quarantine.DetectorParams{Prober: allEnginesEnded{}, Logger: log.NewNopLogger()}),
-		RequestTrial: func(context.Context, quarantine.Record) (quarantine.TrialReply, error) {
+		CallTrial: func(context.Context, quarantine.TrialRequest) (quarantine.TrialReply, error) {
 			return quarantine.TrialReply{Leading: true, Wait: time.Second}, nil
 		},
 		Logger: log.NewNopLogger(),
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -78,11 +78,11 @@
 func (e *Executor) Run(ctx context.Context, assignment *Assignment, sink Sink) {
 	if !assignment.Text.Whole {
 		started := time.Now()
-		verdict, err := e.stream(ctx, assignment, sink)
+		verdict, engineRuns, err := e.stream(ctx, assignment, sink)
 		if ctx.Err() != nil && verdict != VerdictComplete && verdict != VerdictOutdated {
 			verdict = VerdictCanceled
 		}
-		end := End{Verdict: verdict, Took: time.Since(started)}
+		end := End{Verdict: verdict, NoOutcome: engineRuns || noOutcome(verdict, err), Took: time.Since(started)}
 		if err != nil {
 			end.Cause = err.Error()
 		}
@@ -99,23 +99,32 @@
 	sink.RewardCallEnded(e.callReward(ctx, assignment.Reward))
 }
 
-func (e *Executor) stream(ctx context.Context, assignment *Assignment, sink Sink) (Verdict, error) {
+// noOutcome reports whether a run with this verdict and error shows nothing about whether its item crashes engines.
+func noOutcome(verdict Verdict, err error) bool {
+	switch verdict {
+	case VerdictRefused, VerdictMisdirected, VerdictCanceled, VerdictOutdated:
+		return true
+	}
+	return errors.Is(err, forward.ErrNotSent)
+}
+
+// stream sends a run to its engine and reads the stream. engineRuns is true if the connection broke while the engine kept running.
+func (e *Executor) stream(ctx context.Context, assignment *Assignment, sink Sink) (verdict Verdict, engineRuns bool, err error) {
 	if reason := e.check(assignment); reason != placement.Permitted {
-		return VerdictRefused, &withheldError{reason: reason}
+		return VerdictRefused, false, &withheldError{reason: reason}
 	}
 	if leaveBy := assignment.LeaveBy; !leaveBy.IsZero() && !boottime.Now().Before(leaveBy) {
-		return VerdictRefused, errSendDeadline
+		return VerdictRefused, false, errSendDeadline
 	}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	eventTimer := time.AfterFunc(eventTimeout, cancel)
 	defer eventTimer.Stop()
-	verdict, err := e.send(attemptCtx, assignment, eventTimer, sink)
+	verdict, err = e.send(attemptCtx, assignment, eventTimer, sink)
 	if err != nil && !eventTimer.Stop() {
-		return VerdictBroken, errEventTimeout
+		return VerdictBroken, false, errEventTimeout
 	}
-	e.updateGuard(ctx, assignment, verdict, err)
-	return verdict, err
+	return verdict, e.updateGuard(ctx, assignment, verdict, err), err
 }
 
 // withheldError reports a run that was not sent because the placement filter refused its engine.
@@ -144,14 +153,15 @@
 }
 
 // updateGuard records in the guard whether the run completed or may have crashed its engine. If ctx has ended, the run was aborted locally and a
-// broken stream is not counted.
-func (e *Executor) updateGuard(ctx context.Context, assignment *Assignment, verdict Verdict, err error) {
+// broken stream is not counted. It reports whether the connection broke while the engine kept running.
+func (e *Executor) updateGuard(ctx context.Context, assignment *Assignment, verdict Verdict, err error) (engineRuns bool) {
 	switch {
 	case verdict == VerdictComplete || verdict == VerdictImpossible:
 		e.Guard.Completed(assignment.Item, assignment.Fingerprint)
 	case errors.Is(err, forward.ErrConnectionBroken) && ctx.Err() == nil:
-		e.Guard.ConnectionLost(assignment.Item, assignment.Fingerprint(), assignment.engine())
+		_, engineRuns = e.Guard.ConnectionLost(assignment.Item, assignment.Fingerprint(), assignment.engine())
 	}
+	return engineRuns
 }
 
 func (e *Executor) send(ctx context.Context, assignment *Assignment, eventTimer *time.Timer, sink Sink) (Verdict, error) {
--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -27,10 +28,11 @@
 	storeRetryDelay = time.Second
 	// persistDelay batches changes before a write: one engine's exit is reported by every gateway that had sent it requests.
 	persistDelay = 50 * time.Millisecond
-	// trialTimeout is the time after which a trial without an outcome no longer blocks the next one.
-	trialTimeout = 10 * time.Second
-	// trialRetryAfter bounds the wait returned while another trial is running.
-	trialRetryAfter = 300 * time.Millisecond
+	// trialSpacing is the least time between the starts of two trials while the first has no outcome. A request that crashes engines mostly does so
+	// soon after its start, and the next trial then starts with its crash known.
+	trialSpacing = 500 * time.Millisecond
+	// grantMemory is how long a grant is remembered by the ID of its request.
+	grantMemory = time.Minute
 	// grantTimeout bounds a grant including the store write. It is below trialRequestTimeout, so that no trial is granted to a caller that
 	// has given up.
 	grantTimeout = 200 * time.Millisecond
@@ -73,8 +75,9 @@
 	// cell is the stored object, and written its content while that is known.
 	cell    *metastore.Cell
 	written []storedRecord
-	// trial is the trial granted last.
-	trial grantedTrial
+	// trial is the trial granted last, and grants are the recent ones by the ID of their request. Guarded by writer.
+	trial  grantedTrial
+	grants map[string]grantedTrial
 
 	mu sync.Mutex
 	// ready is true while the process leads and has loaded the records of earlier terms. Guarded by mu.
@@ -87,6 +90,7 @@
 	Epoch       int      `json:"epoch"`
 	Engines     []string `json:"engines"`
 	Trials      int      `json:"trials"`
+	Returned    int      `json:"returned,omitempty"`
 	// IdleMillis is the time from the record's last update to the write, in milliseconds. Readers count it from the time of reading.
 	IdleMillis int64 `json:"idleMillis"`
 }
@@ -99,7 +103,7 @@
 // NewCoordinator returns a Coordinator that grants no trials until Lead.
 func NewCoordinator(params CoordinatorParams) *Coordinator {
 	cell := metastore.NewCell(params.Store, KindHeld, heldName, storeTimeout)
-	return &Coordinator{CoordinatorParams: params, writer: make(chan struct{}, 1), cell: cell}
+	return &Coordinator{CoordinatorParams: params, writer: make(chan struct{}, 1), cell: cell, grants: make(map[string]grantedTrial)}
 }
 
 // Receive merges the records reported by a process.
@@ -171,31 +175,59 @@
 	return do(ctx)
 }
 
-// grantedTrial is a trial with the record at the time of the grant.
+// grantedTrial is a trial with the number of crashes at the time of the grant.
 type grantedTrial struct {
-	record    Record
+	trial     Trial
+	crashes   int
 	grantedAt time.Time
 }
 
-// runningTrialWait returns how long the next trial has to wait for the outcome of the last one; zero if that is known. Trials run one at a
-// time, since of two concurrent ones each would be charged with a crash that the other caused. The caller must be the writer.
+// runningTrialWait returns how long the next trial has to wait for the outcome of the last one; zero if that is known, or if the last one has
+// run for trialSpacing. The caller must be the writer.
 func (c *Coordinator) runningTrialWait() time.Duration {
-	left := trialTimeout - c.Table.now().Sub(c.trial.grantedAt)
-	current := c.Table.Record(c.trial.record.Fingerprint)
-	if left <= 0 || current.Epoch != c.trial.record.Epoch || len(current.Engines) != len(c.trial.record.Engines) {
+	left := trialSpacing - c.Table.now().Sub(c.trial.grantedAt)
+	current := c.Table.Record(c.trial.trial.Fingerprint)
+	if left <= 0 || current.lastTrial() != c.trial.trial || len(current.Engines) != c.trial.crashes {
 		return 0
 	}
-	return min(left, trialRetryAfter)
+	return left
 }
 
 // HandleTrial merges the caller's record, which may be newer, and then calls GrantTrial.
-func (c *Coordinator) HandleTrial(ctx context.Context, known Record) TrialReply {
-	c.Table.Merge([]Record{known})
-	return c.GrantTrial(ctx, known.Fingerprint)
+func (c *Coordinator) HandleTrial(ctx context.Context, request TrialRequest) TrialReply {
+	c.Table.Merge([]Record{request.Known})
+	return c.GrantTrial(ctx, request.Known.Fingerprint, request.ID)
 }
 
-// GrantTrial decides whether a held request may run once.
-func (c *Coordinator) GrantTrial(ctx context.Context, fingerprint Fingerprint) TrialReply {
+// HandleReturn records that a trial ended without an outcome. It identifies the trial by its request if it granted that, else by the trial's
+// number, since the grant may be an earlier coordinator's.
+func (c *Coordinator) HandleReturn(request ReturnRequest) ReturnReply {
+	if !c.canGrant() {
+		return ReturnReply{}
+	}
+	c.writer <- struct{}{}
+	granted, known := c.grants[request.ID]
+	delete(c.grants, request.ID)
+	<-c.writer
+	trial := request.Trial
+	if known {
+		trial = granted.trial
+	}
+	returned := c.Table.ReturnTrial(trial)
+	level.Info(c.Logger).Log("msg", "trial returned", "fingerprint", trial.Fingerprint.Short(), "trial", trial.Number, "counted", !returned)
+	return ReturnReply{Known: known || returned}
+}
+
+// remember records a grant. The caller must be the writer.
+func (c *Coordinator) remember(id string, granted grantedTrial) {
+	maps.DeleteFunc(c.grants, func(_ string, earlier grantedTrial) bool {
+		return granted.grantedAt.Sub(earlier.grantedAt) > grantMemory
+	})
+	c.trial, c.grants[id] = granted, granted
+}
+
+// GrantTrial decides whether a held request may run once. id identifies the request for the trial.
+func (c *Coordinator) GrantTrial(ctx context.Context, fingerprint Fingerprint, id string) TrialReply {
 	if !c.canGrant() {
 		return TrialReply{}
 	}
@@ -223,8 +255,8 @@
 		if err := c.write(ctx, c.withTrial(fingerprint)); err != nil {
 			return err
 		}
-		c.Table.RecordTrial(fingerprint)
-		c.trial = grantedTrial{record: c.Table.Record(fingerprint), grantedAt: c.Table.now()}
+		reply.Trial = c.Table.RecordTrial(fingerprint)
+		c.remember(id, grantedTrial{trial: reply.Trial, crashes: status.Crashes, grantedAt: c.Table.now()})
 		answer, reply.Granted = TrialGranted, true
 		return nil
 	})
@@ -246,14 +278,7 @@
 	}
 	record := c.Table.Record(fingerprint)
 	line.Log("msg", "trial requested", "fingerprint", fingerprint.Short(), "answer", answer, "engines_ended", len(record.Engines), "trials", record.Trials,
-		"wait", reply.Wait.Round(time.Millisecond), "last_trial", c.lastTrial().Short(), "err", err)
-}
-
-// lastTrial returns the request whose trial was granted last.
-func (c *Coordinator) lastTrial() Fingerprint {
-	c.writer <- struct{}{}
-	defer func() { <-c.writer }()
-	return c.trial.record.Fingerprint
+		"returned", record.Returned, "wait", reply.Wait.Round(time.Millisecond), "err", err)
 }
 
 // withTrial returns the held records with one more trial of a request.
@@ -281,6 +306,7 @@
 			Epoch:       record.Epoch,
 			Engines:     record.Engines,
 			Trials:      record.Trials,
+			Returned:    record.Returned,
 			IdleMillis:  record.Idle.Milliseconds(),
 		})
 	}
@@ -301,7 +327,7 @@
 	})
 }
 
-// sameExceptIdle reports whether two records are equal except for their idle time.
+// sameExceptIdle reports whether two records are equal except for their idle time and their returned trials, which alone are not worth a write.
 func (r storedRecord) sameExceptIdle(other storedRecord) bool {
 	return r.Fingerprint == other.Fingerprint && r.Epoch == other.Epoch && r.Trials == other.Trials && slices.Equal(r.Engines, other.Engines)
 }
@@ -342,6 +368,7 @@
 			Epoch:       r.Epoch,
 			Engines:     r.Engines,
 			Trials:      r.Trials,
+			Returned:    r.Returned,
 			Idle:        time.Duration(r.IdleMillis) * time.Millisecond,
 		})
 	}
--- a/internal/quarantine/coordinator_test.go
+++ b/internal/quarantine/coordinator_test.go
@@ -63,7 +63,7 @@
 			first := lead(store.Client())
 			first.hold(bad)
 			time.Sleep(3 * time.Second)
-			if reply := first.GrantTrial(t.Context(), bad); !reply.Granted {
+			if reply := first.GrantTrial(t.Context(), bad, ""); !reply.Granted {
 				t.Errorf("no trial after 3 s: %+v", reply)
 			}
 			first.end()
@@ -84,7 +84,7 @@
 			time.Sleep(3 * time.Second)
 			granted := 0
 			for range 7 {
-				if leader.HandleTrial(t.Context(), leader.Table.Record(bad)).Granted {
+				if leader.HandleTrial(t.Context(), quarantine.TrialRequest{Known: leader.Table.Record(bad)}).Granted {
 					granted++
 				}
 			}
@@ -100,25 +100,77 @@
 			leader.hold(bad)
 			leader.hold(other)
 			time.Sleep(3 * time.Second)
-			if !leader.GrantTrial(t.Context(), bad).Granted {
+			if !leader.GrantTrial(t.Context(), bad, "").Granted {
 				t.Error("no trial for the first request")
 			}
-			if reply := leader.GrantTrial(t.Context(), other); reply.Granted || reply.Wait <= 0 {
+			if reply := leader.GrantTrial(t.Context(), other, ""); reply.Granted || reply.Wait <= 0 {
 				t.Errorf("trial granted while the first was running: %+v", reply)
 			}
 			leader.Table.RecordCrash(bad, "engine-3")
-			if !leader.GrantTrial(t.Context(), other).Granted {
+			if !leader.GrantTrial(t.Context(), other, "").Granted {
 				t.Error("no trial after the first had its outcome")
 			}
 		})
 	})
+	t.Run("a trial that runs on without an outcome does not delay that of another request beyond the spacing", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			leader := lead(metastoretest.New().Client())
+			defer leader.end()
+			leader.hold(bad)
+			leader.hold(other)
+			time.Sleep(3 * time.Second)
+			leader.GrantTrial(t.Context(), bad, "")
+			time.Sleep(500 * time.Millisecond)
+			if !leader.GrantTrial(t.Context(), other, "").Granted {
+				t.Error("no trial for the other request")
+			}
+		})
+	})
+	t.Run("a trial whose grant did not reach its caller is returned by the ID of the call", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			leader := lead(metastoretest.New().Client())
+			defer leader.end()
+			leader.hold(bad)
+			time.Sleep(3 * time.Second)
+			call := quarantine.TrialRequest{Known: leader.Table.Record(bad), ID: "call"}
+			if leader.HandleReturn(quarantine.ReturnRequest{ID: call.ID}).Known {
+				t.Error("a call that has not arrived is known")
+			}
+			leader.HandleTrial(t.Context(), call)
+			if !leader.HandleReturn(quarantine.ReturnRequest{ID: call.ID}).Known {
+				t.Error("the call is unknown")
+			}
+			if wait := leader.Table.Status(bad).Wait; wait > time.Second {
+				t.Errorf("next trial after %v", wait)
+			}
+		})
+	})
+	t.Run("a trial is returned to the coordinator of the next term", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			store := metastoretest.New()
+			first := lead(store.Client())
+			first.hold(bad)
+			time.Sleep(3 * time.Second)
+			granted := first.GrantTrial(t.Context(), bad, "call")
+			first.end()
+			second := lead(store.Client())
+			defer second.end()
+			time.Sleep(time.Second)
+			if !second.HandleReturn(quarantine.ReturnRequest{ID: "call", Trial: granted.Trial}).Known {
+				t.Error("the trial is unknown")
+			}
+			if wait := second.Table.Status(bad).Wait; wait > 2*time.Second {
+				t.Errorf("next trial after %v", wait)
+			}
+		})
+	})
 	t.Run("a trial that the store does not record is neither granted nor counted", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			leader := lead(unwritable{metastoretest.New().Client()})
 			defer leader.end()
 			leader.hold(bad)
 			time.Sleep(3 * time.Second)
-			if leader.GrantTrial(t.Context(), bad).Granted {
+			if leader.GrantTrial(t.Context(), bad, "").Granted {
 				t.Error("granted")
 			}
 			if record := leader.Table.Record(bad); record.Trials != 0 {
@@ -132,7 +184,7 @@
 			leader.hold(bad)
 			time.Sleep(3 * time.Second)
 			leader.end()
-			if reply := leader.GrantTrial(t.Context(), bad); reply.Granted || reply.Leading {
+			if reply := leader.GrantTrial(t.Context(), bad, ""); reply.Granted || reply.Leading {
 				t.Errorf("%+v", reply)
 			}
 		})
@@ -149,7 +201,7 @@
 			time.Sleep(2 * time.Second)
 			granted := 0
 			for _, leader := range []*term{first, second, first, second} {
-				if leader.GrantTrial(t.Context(), bad).Granted {
+				if leader.GrantTrial(t.Context(), bad, "").Granted {
 					granted++
 				}
 			}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
 
 	"github.com/covelink/covelink/internal/fleet"
 )
@@ -13,6 +14,9 @@
 const (
 	// trialRequestTimeout bounds the call to the coordinator, during which the caller of a held request waits.
 	trialRequestTimeout = 250 * time.Millisecond
+	// returnAttempts is how often a trial is returned. The call for a trial whose grant was lost may arrive after the first of them.
+	returnAttempts   = 4
+	returnRetryDelay = 300 * time.Millisecond
 	// unavailableRetryAfter is the Retry-After of a held request while no coordinator grants trials.
 	unavailableRetryAfter = time.Second
 )
@@ -25,14 +29,23 @@
 	RetryAfter time.Duration
 	// Isolated is true if the request may run at one engine only, and not beside other isolated requests.
 	Isolated bool
+	// Trial is the trial that the request runs in, if it is held.
+	Trial TrialRun
+}
+
+// TrialRun is a granted trial together with the ID of the request for it. The zero value stands for none.
+type TrialRun struct {
+	Trial
+	RequestID string
 }
 
 // GuardParams configures a Guard.
 type GuardParams struct {
 	Table    *Table
 	Detector *Detector
-	// RequestTrial asks the coordinator for a trial run of the request with this record.
-	RequestTrial func(ctx context.Context, known Record) (TrialReply, error)
+	// CallTrial asks the coordinator for a trial run, and CallReturn returns one.
+	CallTrial  func(ctx context.Context, request TrialRequest) (TrialReply, error)
+	CallReturn func(ctx context.Context, request ReturnRequest) (ReturnReply, error)
 	// Observe receives each decision for metrics; may be nil.
 	Observe func(decision Decision)
 	Logger  log.Logger
@@ -82,11 +95,13 @@
 
 // admitHeld requests a trial run unless the backoff has not passed.
 func (g *Guard) admitHeld(ctx context.Context, request string, fingerprint Fingerprint, status Status) Admission {
-	granted, wait, err := false, status.Wait, error(nil)
+	reply, wait, err := TrialReply{}, status.Wait, error(nil)
+	run := TrialRun{}
 	if wait == 0 {
-		granted, wait, err = g.requestTrial(ctx, fingerprint)
+		run, reply, err = g.RequestTrial(ctx, fingerprint)
+		wait = reply.Wait
 	}
-	if !granted {
+	if !reply.Granted {
 		g.observe(DecisionRefused)
 		level.Info(g.Logger).Log("msg", "held request refused", "request", request, "fingerprint", fingerprint.Short(), "engines_ended", status.Crashes,
 			"retry_after", wait.Round(time.Millisecond), "err", err)
@@ -94,30 +109,63 @@
 	}
 	g.observe(DecisionTrial)
 	level.Info(g.Logger).Log("msg", "trial run of held request started", "request", request, "fingerprint", fingerprint.Short())
-	return Admission{Isolated: true}
+	return Admission{Isolated: true, Trial: run}
 }
 
-func (g *Guard) requestTrial(ctx context.Context, fingerprint Fingerprint) (granted bool, wait time.Duration, err error) {
+// RequestTrial asks the coordinator for a trial run of a held request. A trial that does not come to an outcome must be returned with
+// ReturnTrial. After an error, a trial that the coordinator may have granted is returned.
+func (g *Guard) RequestTrial(ctx context.Context, fingerprint Fingerprint) (TrialRun, TrialReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, trialRequestTimeout)
 	defer cancel()
-	reply, err := g.RequestTrial(ctx, g.Table.Record(fingerprint))
+	request := TrialRequest{Known: g.Table.Record(fingerprint), ID: uuid.NewString()}
+	reply, err := g.CallTrial(ctx, request)
+	if err != nil {
+		g.ReturnTrial(TrialRun{RequestID: request.ID})
+	}
 	if err != nil || !reply.Leading {
-		return false, unavailableRetryAfter, err
+		return TrialRun{}, TrialReply{Wait: unavailableRetryAfter}, err
+	}
+	return TrialRun{Trial: reply.Trial, RequestID: request.ID}, reply, nil
+}
+
+// ReturnTrial returns a trial that ended without an outcome: the request reached no engine, or its run was ended while its engine was sound.
+// It does not block. If the coordinator cannot be reached, the trial counts as one with an outcome.
+func (g *Guard) ReturnTrial(run TrialRun) {
+	if g == nil || run.RequestID == "" || g.CallReturn == nil {
+		return
+	}
+	go g.returnTrial(run)
+}
+
+func (g *Guard) returnTrial(run TrialRun) {
+	var err error
+	for range returnAttempts {
+		var reply ReturnReply
+		ctx, cancel := context.WithTimeout(context.Background(), trialRequestTimeout)
+		reply, err = g.CallReturn(ctx, ReturnRequest{ID: run.RequestID, Trial: run.Trial})
+		cancel()
+		if err == nil && reply.Known {
+			return
+		}
+		time.Sleep(returnRetryDelay)
+	}
+	if run.Granted() {
+		level.Info(g.Logger).Log("msg", "trial not returned", "fingerprint", run.Fingerprint.Short(), "err", err)
 	}
-	return reply.Granted, reply.Wait, nil
 }
 
 // ConnectionLost handles a connection that broke during an attempt without a local cause. It reports whether the request may be sent to
-// another engine.
-func (g *Guard) ConnectionLost(request string, fingerprint Fingerprint, engine *fleet.Engine) (retry bool) {
+// another engine, and whether the engine is known to be running still.
+func (g *Guard) ConnectionLost(request string, fingerprint Fingerprint, engine *fleet.Engine) (retry, engineRuns bool) {
 	if g == nil {
-		return true
+		return true, false
 	}
 	recordCrash := func() State { return g.recordCrash(request, fingerprint, engine) }
-	if g.Detector.CheckEngine(request, fingerprint, engine, func() { recordCrash() }) != EngineExited {
-		return true
+	evidence := g.Detector.CheckEngine(request, fingerprint, engine, func() { recordCrash() })
+	if evidence != EngineExited {
+		return true, evidence == EngineListening
 	}
-	return recordCrash() < Isolated
+	return recordCrash() < Isolated, false
 }
 
 // recordCrash records that an engine exited while running a request.
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -20,10 +20,25 @@
 	maxEngines = 16
 )
 
-// trialBackoff is the delay before each trial, counted from the last crash or trial. After the last trial the request stays held until
-// heldTTL.
+// returnedTrialDelay is the delay after a trial that was returned, so that a request that cannot reach an engine does not write to the store at
+// each try.
+const returnedTrialDelay = 300 * time.Millisecond
+
+// trialBackoff is the delay before each trial, counted from the last crash or trial that was not returned. After the last trial the request
+// stays held until heldTTL.
 var trialBackoff = [...]time.Duration{2 * time.Second, 30 * time.Second}
 
+// Trial identifies a granted trial run. The zero value stands for none.
+type Trial struct {
+	Fingerprint Fingerprint
+	Epoch       int
+	// Number is that of the trial in its epoch, from 1, and Returned the number of trials that had been returned when it was granted.
+	Number, Returned int
+}
+
+// Granted reports whether t stands for a trial.
+func (t Trial) Granted() bool { return t.Number > 0 }
+
 // Record holds the crashes and trials of one request.
 type Record struct {
 	Fingerprint Fingerprint
@@ -31,8 +46,9 @@
 	Epoch int
 	// Engines are the engine starts that exited under the request in this epoch, sorted.
 	Engines []string
-	// Trials counts the trial runs granted since the request was held.
-	Trials int
+	// Trials counts the trial runs granted since the request was held, and Returned those of them that ended without an outcome.
+	Trials   int
+	Returned int
 	// Idle is the time since the record's last update, as of when it was sent.
 	Idle time.Duration
 }
@@ -61,9 +77,17 @@
 // clear starts the next epoch.
 func (r *Record) clear() {
 	r.Epoch++
-	r.Engines, r.Trials = nil, 0
+	r.Engines, r.Trials, r.Returned = nil, 0, 0
 }
 
+// lastTrial returns the trial granted last.
+func (r *Record) lastTrial() Trial {
+	return Trial{Fingerprint: r.Fingerprint, Epoch: r.Epoch, Number: r.Trials, Returned: r.Returned}
+}
+
+// spentTrials returns the number of trials that count for the backoff.
+func (r *Record) spentTrials() int { return max(r.Trials-r.Returned, 0) }
+
 // merge merges another record of the same request. It reports whether the record changed.
 func (r *Record) merge(other *Record) bool {
 	if other.Epoch < r.Epoch {
@@ -71,7 +95,7 @@
 	}
 	changed := other.Epoch > r.Epoch
 	if changed {
-		r.Epoch, r.Engines, r.Trials = other.Epoch, nil, 0
+		r.Epoch, r.Engines, r.Trials, r.Returned = other.Epoch, nil, 0, 0
 	}
 	for _, engine := range other.Engines {
 		changed = r.add(engine) || changed
@@ -80,13 +104,17 @@
 		r.Trials = other.Trials
 		changed = true
 	}
+	if other.Returned > r.Returned {
+		r.Returned = other.Returned
+		changed = true
+	}
 	return changed
 }
 
 // nextTrialDelay returns the delay before the next trial; false if no trial is left.
 func (r *Record) nextTrialDelay() (time.Duration, bool) {
-	if r.Trials >= len(trialBackoff) {
+	if r.spentTrials() >= len(trialBackoff) {
 		return 0, false
 	}
-	return trialBackoff[r.Trials], true
+	return trialBackoff[r.spentTrials()], true
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -55,6 +55,9 @@
 	record Record
 	// updated is when the record was last updated by any process.
 	updated time.Time
+	// backoffFrom is when the request's last crash or trial was, leaving out returned trials. beforeTrial is its value before the last trial, and
+	// returnedAt is when the last trial was returned.
+	backoffFrom, beforeTrial, returnedAt time.Time
 	// revision is that of the entry's last change in this table, and localRevision that of its last change found by this process.
 	revision, localRevision uint64
 }
@@ -126,6 +129,7 @@
 	defer t.mu.Unlock()
 	e := t.getOrCreate(fingerprint)
 	if e.record.add(engine) {
+		e.backoffFrom = t.now()
 		t.markLocalChange(e)
 	}
 	return e.state(), len(e.record.Engines)
@@ -144,16 +148,62 @@
 	return true
 }
 
-// RecordTrial records that a held request was granted a trial run.
-func (t *Table) RecordTrial(fingerprint Fingerprint) {
+// RecordTrial records that a held request was granted a trial run, and returns the trial; none if the request is not held.
+func (t *Table) RecordTrial(fingerprint Fingerprint) Trial {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.lookup(fingerprint)
 	if e == nil || !e.record.held() {
-		return
+		return Trial{}
 	}
 	e.record.Trials++
+	e.beforeTrial, e.backoffFrom = e.backoffFrom, t.now()
 	t.markLocalChange(e)
+	return e.record.lastTrial()
+}
+
+// ReturnTrial records that a trial ended without an outcome, so that it does not count for the backoff. It reports whether that changed the
+// record: only the last trial of a request can be returned, and only once.
+func (t *Table) ReturnTrial(trial Trial) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.lookup(trial.Fingerprint)
+	if e == nil || !trial.Granted() || e.record.lastTrial() != trial {
+		return false
+	}
+	e.record.Returned++
+	e.trialReturned(t.now())
+	t.markLocalChange(e)
+	return true
+}
+
+// trialReturned restores the backoff that preceded the last trial.
+func (e *entry) trialReturned(at time.Time) {
+	e.returnedAt = at
+	if !e.beforeTrial.IsZero() {
+		e.backoffFrom, e.beforeTrial = e.beforeTrial, time.Time{}
+	}
+}
+
+// merged updates the times of the backoff after a merge that changed the record. before is the record as it was, and at the time of the change.
+func (e *entry) merged(before *Record, at time.Time) {
+	sameEpoch := before.Epoch == e.record.Epoch
+	if !sameEpoch || len(e.record.Engines) > len(before.Engines) {
+		e.backoffFrom = latest(e.backoffFrom, at)
+	}
+	switch {
+	case e.record.spentTrials() > before.spentTrials():
+		e.beforeTrial, e.backoffFrom = e.backoffFrom, latest(e.backoffFrom, at)
+	case sameEpoch && e.record.Returned > before.Returned:
+		e.trialReturned(at)
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // wait returns the time until a held request may be tried.
@@ -162,7 +212,7 @@
 	if !ok {
 		delay = heldTTL
 	}
-	return max(delay-now.Sub(e.updated), 0)
+	return max(delay-now.Sub(e.backoffFrom), returnedTrialDelay-now.Sub(e.returnedAt), 0)
 }
 
 // Merge merges the records of another process.
@@ -175,12 +225,13 @@
 			continue
 		}
 		e := t.getOrCreate(received.Fingerprint)
+		before := e.record
 		if !e.record.merge(received) {
 			continue
 		}
-		if at := t.now().Add(-received.Idle); at.After(e.updated) {
-			e.updated = at
-		}
+		at := t.now().Add(-received.Idle)
+		e.updated = latest(e.updated, at)
+		e.merged(&before, at)
 		t.markChange(e)
 	}
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -94,6 +94,43 @@
 	})
 }
 
+// Guards against trials without an outcome that delay the next trial as a crash would, and against trials that are returned twice.
+func TestReturnedTrials(t *testing.T) {
+	bad := fingerprint("bad")
+	Convey("A held request whose trial is granted", t, func() {
+		clock := newClock()
+		table, other := quarantine.NewTable(clock.now), quarantine.NewTable(clock.now)
+		for i := range 3 {
+			table.RecordCrash(bad, fmt.Sprint("engine-", i))
+		}
+		other.Merge(table.List())
+		clock.advance(2 * time.Second)
+		trial := table.RecordTrial(bad)
+		So(trial.Granted(), ShouldBeTrue)
+		So(table.Status(bad).Wait, ShouldEqual, 30*time.Second)
+		Convey("may be tried again shortly after the trial is returned, in all tables", func() {
+			other.Merge(table.List())
+			clock.advance(time.Second)
+			So(table.ReturnTrial(trial), ShouldBeTrue)
+			other.Merge(table.List())
+			clock.advance(300 * time.Millisecond)
+			So(table.Status(bad).Wait, ShouldBeZeroValue)
+			So(other.Status(bad).Wait, ShouldBeZeroValue)
+			Convey("but a trial is returned only once, and not after the next one", func() {
+				So(table.ReturnTrial(trial), ShouldBeFalse)
+				next := table.RecordTrial(bad)
+				So(table.ReturnTrial(trial), ShouldBeFalse)
+				So(table.Status(bad).Wait, ShouldEqual, 30*time.Second)
+				So(other.ReturnTrial(next), ShouldBeFalse)
+			})
+		})
+		Convey("waits for the backoff of a spent trial if an engine has crashed in it", func() {
+			table.RecordCrash(bad, "engine-3")
+			So(table.Status(bad).Wait, ShouldEqual, 30*time.Second)
+		})
+	})
+}
+
 // TestTablesConverge merges tables in random order, late, repeatedly and through others, and checks that they end up equal.
 func TestTablesConverge(t *testing.T) {
 	const schedules = 2000
@@ -106,7 +143,7 @@
 		for range 40 {
 			clock.advance(time.Duration(random.IntN(50)) * time.Millisecond)
 			table, request := tables[random.IntN(len(tables))], requests[random.IntN(len(requests))]
-			switch random.IntN(6) {
+			switch random.IntN(7) {
 			case 0, 1:
 				table.RecordCrash(request, fmt.Sprint("engine-", random.IntN(6)))
 			case 2:
@@ -119,6 +156,9 @@
 				if len(delayed) > 0 {
 					table.Merge(delayed[random.IntN(len(delayed))])
 				}
+			case 6:
+				record := table.Record(request)
+				table.ReturnTrial(quarantine.Trial{Fingerprint: request, Epoch: record.Epoch, Number: record.Trials, Returned: record.Returned})
 			}
 		}
 		for range 2 {
@@ -132,7 +172,7 @@
 			first := tables[0].Record(request)
 			for _, table := range tables[1:] {
 				found := table.Record(request)
-				if found.Epoch != first.Epoch || found.Trials != first.Trials || !slices.Equal(found.Engines, first.Engines) {
+				if found.Epoch != first.Epoch || found.Trials != first.Trials || found.Returned != first.Returned || !slices.Equal(found.Engines, first.Engines) {
 					t.Fatalf("seed %d: %+v and %+v", seed, first, found)
 				}
 			}
