quarantine: exits of many engines at the same time are charged to a request by the share that it explains

Cause: every exit of an engine was charged in full to every request that it ran. After three waves in which all engines of a pool exit, each request that ran through them is held, although a request runs at one engine at a time and cannot be what eight engines that exit together have in common.

Fix: tables keep the times of exits (exitLog), records the number of exits near their crashes (Record.Exits, merged by the maximum). A request is held at a third of these, between three and eight crashes, and isolated at one less. A request that crashes engines alone, or one of three that do so at once, is held after three as before.

--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -91,6 +91,7 @@
 	Engines     []string `json:"engines"`
 	Trials      int      `json:"trials"`
 	Returned    int      `json:"returned,omitempty"`
+	Exits       int      `json:"exits,omitempty"`
 	// IdleMillis is the time from the record's last update to the write, in milliseconds. Readers count it from the time of reading.
 	IdleMillis int64 `json:"idleMillis"`
 }
@@ -277,7 +278,7 @@
 		line = level.Debug(c.Logger)
 	}
 	record := c.Table.Record(fingerprint)
-	line.Log("msg", "trial requested", "fingerprint", fingerprint.Short(), "answer", answer, "engines_ended", len(record.Engines), "trials", record.Trials,
+	line.Log("msg", "trial requested", "fingerprint", fingerprint.Short(), "answer", answer, "engines_ended", len(record.Engines), "exits", record.Exits, "trials", record.Trials,
 		"returned", record.Returned, "wait", reply.Wait.Round(time.Millisecond), "err", err)
 }
 
@@ -307,6 +308,7 @@
 			Engines:     record.Engines,
 			Trials:      record.Trials,
 			Returned:    record.Returned,
+			Exits:       record.Exits,
 			IdleMillis:  record.Idle.Milliseconds(),
 		})
 	}
@@ -369,6 +371,7 @@
 			Engines:     r.Engines,
 			Trials:      r.Trials,
 			Returned:    r.Returned,
+			Exits:       r.Exits,
 			Idle:        time.Duration(r.IdleMillis) * time.Millisecond,
 		})
 	}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -172,7 +172,7 @@
 func (g *Guard) recordCrash(request string, fingerprint Fingerprint, engine *fleet.Engine) State {
 	state, crashes := g.Table.RecordCrash(fingerprint, engine.ID)
 	level.Info(g.Logger).Log("msg", "engine exited while running request", "request", request, "fingerprint", fingerprint.Short(), "engine", engine.ID,
-		"engines_ended", crashes, "standing", state)
+		"engines_ended", crashes, "exits", g.Table.Record(fingerprint).Exits, "standing", state)
 	if state == Held {
 		g.observe(DecisionHeld)
 	}
--- a/internal/quarantine/listing.go
+++ b/internal/quarantine/listing.go
@@ -26,6 +26,8 @@
 	State       string `json:"standing"`
 	// Engines are the engine starts that exited while running the request.
 	Engines []string `json:"engines"`
+	// Exits is the number of engines that exited at about the same times, these included. Many exits raise the number at which a request is held.
+	Exits int `json:"exits"`
 	// Trials counts the trial runs granted since the request was held.
 	Trials int `json:"trials"`
 	// IdleMillis is the time since the last crash or granted trial, in milliseconds.
@@ -46,6 +48,7 @@
 			Fingerprint: record.Fingerprint.String(),
 			State:       status.State.String(),
 			Engines:     record.Engines,
+			Exits:       record.Exits,
 			Trials:      record.Trials,
 			IdleMillis:  record.Idle.Milliseconds(),
 			WaitMillis:  status.Wait.Round(time.Millisecond).Milliseconds(),
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -6,12 +6,14 @@
 )
 
 const (
-	// holdThreshold is the number of crashes at which a request is held. An innocent request reaches it only if it ran beside the cause
-	// each time.
-	holdThreshold = 3
-	// isolateThreshold is the number of crashes at which a request runs apart from other isolated ones, and at one engine per try of its
-	// caller.
-	isolateThreshold = 2
+	// minHoldCrashes is the number of crashes at which a request is held, unless many other engines exited at the same times.
+	minHoldCrashes = 3
+	// exitsPerCrash is how many engine exits near a request's crashes raise the number of crashes at which it is held by one: a request that ran
+	// at fewer than one in exitsPerCrash of the engines that exited together is not what they have in common.
+	exitsPerCrash = 3
+	// maxHoldCrashes is the number of crashes at which a request is held in any case, so that requests that crash many engines together are
+	// held too.
+	maxHoldCrashes = 8
 	// suspectTTL is how long after its last crash a request stays suspect.
 	suspectTTL = 10 * time.Minute
 	// heldTTL is how long after its last crash or trial a request stays held.
@@ -49,12 +51,23 @@
 	// Trials counts the trial runs granted since the request was held, and Returned those of them that ended without an outcome.
 	Trials   int
 	Returned int
+	// Exits is the largest number of engines known to have exited within exitWindow of a crash of this request in this epoch, its own included.
+	Exits int
 	// Idle is the time since the record's last update, as of when it was sent.
 	Idle time.Duration
 }
 
+// holdCrashes returns the number of crashes at which the request is held.
+func (r *Record) holdCrashes() int {
+	explained := (r.Exits + exitsPerCrash - 1) / exitsPerCrash
+	return min(max(minHoldCrashes, explained), maxHoldCrashes)
+}
+
 // held reports whether the request may run in trials only.
-func (r *Record) held() bool { return len(r.Engines) >= holdThreshold }
+func (r *Record) held() bool { return len(r.Engines) >= r.holdCrashes() }
+
+// isolated reports whether the request runs apart from other isolated ones, and at one engine per try of its caller.
+func (r *Record) isolated() bool { return len(r.Engines) >= r.holdCrashes()-1 }
 
 // ttl returns how long the record is valid after its last update.
 func (r *Record) ttl() time.Duration {
@@ -77,7 +90,7 @@
 // clear starts the next epoch.
 func (r *Record) clear() {
 	r.Epoch++
-	r.Engines, r.Trials, r.Returned = nil, 0, 0
+	r.Engines, r.Trials, r.Returned, r.Exits = nil, 0, 0, 0
 }
 
 // lastTrial returns the trial granted last.
@@ -95,8 +108,10 @@
 	}
 	changed := other.Epoch > r.Epoch
 	if changed {
-		r.Epoch, r.Engines, r.Trials, r.Returned = other.Epoch, nil, 0, 0
+		r.clear()
+		r.Epoch = other.Epoch
 	}
+	r.Exits = max(r.Exits, other.Exits)
 	for _, engine := range other.Engines {
 		changed = r.add(engine) || changed
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -69,6 +69,7 @@
 
 	mu        sync.Mutex
 	entries   map[Fingerprint]*entry
+	exits     exitLog
 	revision  uint64
 	changed   chan struct{}
 	lastSweep time.Time
@@ -104,18 +105,20 @@
 	if e == nil {
 		return Status{}
 	}
-	status := Status{State: e.state(), Crashes: len(e.record.Engines)}
+	status := Status{State: t.stateOf(e), Crashes: len(e.record.Engines)}
 	if status.State == Held {
 		status.Wait = e.wait(now)
 	}
 	return status
 }
 
-func (e *entry) state() State {
+// stateOf returns the state of a request by the exits known now. The mutex must be held.
+func (t *Table) stateOf(e *entry) State {
+	t.exits.update(&e.record)
 	switch {
 	case e.record.held():
 		return Held
-	case len(e.record.Engines) >= isolateThreshold:
+	case e.record.isolated():
 		return Isolated
 	case len(e.record.Engines) > 0:
 		return Suspect
@@ -129,10 +132,11 @@
 	defer t.mu.Unlock()
 	e := t.getOrCreate(fingerprint)
 	if e.record.add(engine) {
+		t.exits.add(engine, t.now())
 		e.backoffFrom = t.now()
 		t.markLocalChange(e)
 	}
-	return e.state(), len(e.record.Engines)
+	return t.stateOf(e), len(e.record.Engines)
 }
 
 // Release clears a request. It reports whether the request was suspect, isolated or held.
@@ -140,7 +144,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.lookup(fingerprint)
-	if e == nil || e.state() == Clear {
+	if e == nil || t.stateOf(e) == Clear {
 		return false
 	}
 	e.record.clear()
@@ -153,7 +157,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.lookup(fingerprint)
-	if e == nil || !e.record.held() {
+	if e == nil || t.stateOf(e) != Held {
 		return Trial{}
 	}
 	e.record.Trials++
@@ -230,6 +234,9 @@
 			continue
 		}
 		at := t.now().Add(-received.Idle)
+		for _, engine := range received.Engines {
+			t.exits.add(engine, at)
+		}
 		e.updated = latest(e.updated, at)
 		e.merged(&before, at)
 		t.markChange(e)
@@ -314,6 +321,7 @@
 
 // recordOf returns an entry's record with its idle time set. The mutex must be held.
 func (t *Table) recordOf(e *entry) Record {
+	t.exits.update(&e.record)
 	record := e.record
 	record.Idle = t.now().Sub(e.updated)
 	return record
@@ -366,6 +374,7 @@
 		return
 	}
 	t.lastSweep = now
+	t.exits.dropBefore(now.Add(-suspectTTL))
 	for fingerprint, e := range t.entries {
 		if now.Sub(e.updated) > e.record.ttl() {
 			delete(t.entries, fingerprint)
