quarantine: innocent requests are released in rounds, and isolated items do not wait for an engine of their own for long

Cause: (1) of a pool of three samplers that all exit twice, all items are isolated, and one isolated item an engine leaves 3 of 24 slots; (2) after a series of more exits than any limit, all items are held and trials of one per half second take half a minute; (3) a trial that meets another exit of the series costs 30 s; (4) the window of a second was shorter than the time until an exit is found and reported.

Fix: a request is suspected if it ran at half of the engines that exited within 2.5 s of its last three crashes; only then it is isolated or held before its eighth crash. Trials start in rounds that double without a crash (trialRounds). The backoff of a request that is held because of the limit only doubles from 2 s. An isolated item shares an engine after a second (isolationWait).

Three requests that crash engines at the same time are now held after eight crashes each instead of three: a pool of three that exits as a whole cannot be told from them.

--- a/internal/batchrun/candidates.go
+++ b/internal/batchrun/candidates.go
@@ -19,6 +19,8 @@
 	speedClassFactor = 1.2
 	// maxSpeedClass is the slowest speed class that items with slack are placed in. A slower engine is probably faulty.
 	maxSpeedClass = 4
+	// isolationWait bounds how long an isolated item waits for an engine without another isolated run while engines have free slots.
+	isolationWait = time.Second
 )
 
 // schedulingPass caches the candidate engines of one scheduler pass in heaps, so that the cost per item does not grow with the number of engines.
@@ -242,18 +244,28 @@
 	return best
 }
 
-// chooseIsolated returns the cheapest engine without an isolated run, or nil if there is none.
+// chooseIsolated returns the cheapest engine without an isolated run. An item that has waited for one since isolatedSince gets the engine with the
+// fewest isolated runs after isolationWait. It returns nil if no engine can take the item now.
 func (s *schedulingPass) chooseIsolated(route *routing.Route, it *item, minVersion int64) *candidate {
 	from := s.poolOf(route, it)
 	var best *candidate
 	for _, c := range from.byID {
-		if c.record.isolated > 0 || c.version < minVersion || !versionAllowed(route, it, c.version) {
+		if c.version < minVersion || !versionAllowed(route, it, c.version) {
 			continue
 		}
-		if best == nil || c.cheaperThan(best) {
+		if best == nil || c.record.isolated < best.record.isolated || (c.record.isolated == best.record.isolated && c.cheaperThan(best)) {
 			best = c
 		}
 	}
+	if best == nil || best.record.isolated == 0 {
+		return best
+	}
+	if it.isolatedSince.IsZero() {
+		it.isolatedSince = s.now
+	}
+	if s.now.Sub(it.isolatedSince) < isolationWait {
+		return nil
+	}
 	return best
 }
 
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -50,6 +50,8 @@
 	// cachedFingerprint is the fingerprint of the item's request, or nil until it is first needed.
 	cachedFingerprint *quarantine.Fingerprint
 	trial             trial
+	// isolatedSince is when the isolated item began to wait for an engine without another isolated run; zero if it does not.
+	isolatedSince time.Time
 	// trialRun is the granted trial, in state trialGranted.
 	trialRun quarantine.TrialRun
 }
--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -103,6 +103,7 @@
 	}
 	newRun := r.addRun(assignment.Run, it, engine.ID)
 	newRun.streaming, newRun.zone, newRun.trial = true, engine.Zone, options.trial
+	it.isolatedSince = time.Time{}
 	if options.isolated {
 		newRun.isolated = true
 		record.isolated++
--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -28,9 +28,13 @@
 	storeRetryDelay = time.Second
 	// persistDelay batches changes before a write: one engine's exit is reported by every gateway that had sent it requests.
 	persistDelay = 50 * time.Millisecond
-	// trialSpacing is the least time between the starts of two trials while the first has no outcome. A request that crashes engines mostly does so
-	// soon after its start, and the next trial then starts with its crash known.
-	trialSpacing = 500 * time.Millisecond
+	// trialRound is the length of a round of trials. A request that crashes engines mostly does so soon after its start, and the next round then
+	// begins with its crash known.
+	trialRound = 500 * time.Millisecond
+	// trialRoundsMemory is the time without a trial after which rounds begin with one trial again.
+	trialRoundsMemory = 5 * time.Second
+	// maxTrialsPerRound bounds the trials of a round.
+	maxTrialsPerRound = 64
 	// grantMemory is how long a grant is remembered by the ID of its request.
 	grantMemory = time.Minute
 	// grantTimeout bounds a grant including the store write. It is below trialRequestTimeout, so that no trial is granted to a caller that
@@ -60,8 +64,8 @@
 	TrialNotNeeded TrialAnswer = "not held"
 	// TrialBackoff means that the time since the request's last crash or trial is too short.
 	TrialBackoff TrialAnswer = "backoff"
-	// TrialBusy means that another trial is running.
-	TrialBusy TrialAnswer = "another trial running"
+	// TrialBusy means that as many trials are running as the current round allows.
+	TrialBusy TrialAnswer = "other trials running"
 	// TrialStoreFailed means that the trial could not be recorded in the store.
 	TrialStoreFailed TrialAnswer = "store failed"
 )
@@ -75,8 +79,8 @@
 	// cell is the stored object, and written its content while that is known.
 	cell    *metastore.Cell
 	written []storedRecord
-	// trial is the trial granted last, and grants are the recent ones by the ID of their request. Guarded by writer.
-	trial  grantedTrial
+	// round is the current round of trials, and grants are the recent trials by the ID of their request. Guarded by writer.
+	round  trialRounds
 	grants map[string]grantedTrial
 
 	mu sync.Mutex
@@ -176,22 +180,20 @@
 	return do(ctx)
 }
 
-// grantedTrial is a trial with the number of crashes at the time of the grant.
-type grantedTrial struct {
-	trial     Trial
-	crashes   int
-	grantedAt time.Time
-}
-
-// runningTrialWait returns how long the next trial has to wait for the outcome of the last one; zero if that is known, or if the last one has
-// run for trialSpacing. The caller must be the writer.
-func (c *Coordinator) runningTrialWait() time.Duration {
-	left := trialSpacing - c.Table.now().Sub(c.trial.grantedAt)
-	current := c.Table.Record(c.trial.trial.Fingerprint)
-	if left <= 0 || current.lastTrial() != c.trial.trial || len(current.Engines) != c.trial.crashes {
-		return 0
-	}
-	return left
+// trialWait returns how long the next trial has to wait for those of the current round. The caller must be the writer.
+func (c *Coordinator) trialWait() time.Duration {
+	return c.round.wait(c.Table.now(), func(granted grantedTrial) trialOutcome {
+		current := c.Table.Record(granted.trial.Fingerprint)
+		switch {
+		case current.Epoch == granted.trial.Epoch && len(current.Engines) > granted.crashes:
+			return outcomeCrashed
+		case current.Epoch == granted.trial.Epoch && current.Returned > granted.trial.Returned:
+			return outcomeReturned
+		case current.lastTrial() != granted.trial:
+			return outcomeSound
+		}
+		return outcomeNone
+	})
 }
 
 // HandleTrial merges the caller's record, which may be newer, and then calls GrantTrial.
@@ -224,7 +226,8 @@
 	maps.DeleteFunc(c.grants, func(_ string, earlier grantedTrial) bool {
 		return granted.grantedAt.Sub(earlier.grantedAt) > grantMemory
 	})
-	c.trial, c.grants[id] = granted, granted
+	c.round.add(granted)
+	c.grants[id] = granted
 }
 
 // GrantTrial decides whether a held request may run once. id identifies the request for the trial.
@@ -245,7 +248,7 @@
 			answer, reply.Granted = TrialNotNeeded, true
 			return nil
 		}
-		busy := c.runningTrialWait()
+		busy := c.trialWait()
 		if reply.Wait = max(status.Wait, busy); reply.Wait > 0 {
 			answer = TrialBackoff
 			if busy > 0 {
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -5,13 +5,13 @@
 // is refused, except for a few trial runs that the coordinator grants one at a time with backoff, so that a request that merely ran beside
 // the cause is released. A trial that comes to no outcome is returned and does not count for the backoff.
 //
-// A request runs at one engine at a time, so it cannot be what many engines that exit together have in common. The number of crashes at which it is
-// held grows with the number of engines that exited at the times of its crashes, up to maxHoldCrashes (Record.Exits).
+// A request runs at one engine at a time, so it cannot be what many engines that exit together have in common. One that ran at fewer than half of the
+// engines that exited at the times of its last crashes (Record.Exits) is neither isolated nor held before it has maxHoldCrashes.
 //
 // Tables converge: a Record is a grow-only set of engine starts, merged by union within an epoch that each clearing increments. Gateways
 // send their findings to the coordinator with a Reporter and receive the others' through their polls.
 //
 // Guarantees, while processes reach the coordinator: a request that crashes every engine crashes at most minHoldCrashes of them, plus those
-// already running it at the last of these, plus one per trial; at most maxHoldCrashes while other engines exit beside it. The number of records is bounded, and none outlives heldTTL after its last
-// crash or trial.
+// already running it at the last of these, plus one per trial; at most maxHoldCrashes while other engines exit beside it. The number of records is
+// bounded, and none outlives heldTTL after its last crash or trial.
 package quarantine
--- a/internal/quarantine/exits.go
+++ b/internal/quarantine/exits.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// exitWindow is the time within which the exits of several engines may have a common cause.
-	exitWindow = time.Second
+	// exitWindow is the time within which the exits of several engines may have a common cause. It covers the time until an exit is found by the
+	// last probe, and reported.
+	exitWindow = 2500 * time.Millisecond
 	// maxExits bounds the exits of an exitLog.
 	maxExits = 4096
 )
@@ -44,15 +45,14 @@
 	}
 }
 
-// update raises a record's Exits to the number of exits within exitWindow of its crashes. Records below the least number of crashes that matters
-// are left alone.
+// update raises a record's Exits to the number of exits that the log has. Records below the least number of crashes that matters are left alone.
 func (l *exitLog) update(record *Record) {
-	if len(record.Engines) >= minHoldCrashes-1 {
+	if len(record.Engines) >= isolateCrashes {
 		record.Exits = max(record.Exits, l.near(record.Engines))
 	}
 }
 
-// near returns the number of exits within exitWindow of those of the engine starts.
+// near returns the number of exits within exitWindow of the last minHoldCrashes exits of the engine starts.
 func (l *exitLog) near(engines []string) int {
 	own := make([]time.Time, 0, len(engines))
 	for _, engine := range engines {
@@ -61,6 +61,7 @@
 		}
 	}
 	slices.SortFunc(own, time.Time.Compare)
+	own = own[max(len(own)-minHoldCrashes, 0):]
 	count, counted := 0, 0
 	for _, at := range own {
 		from, _ := slices.BinarySearchFunc(l.times, at.Add(-exitWindow), time.Time.Compare)
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -6,13 +6,12 @@
 )
 
 const (
-	// minHoldCrashes is the number of crashes at which a request is held, unless many other engines exited at the same times.
+	// isolateCrashes and minHoldCrashes are the numbers of crashes at which a request is isolated and held, unless it ran at fewer than half of the
+	// engines that exited at the times of the last ones: then it is not what those exits have in common.
+	isolateCrashes = 2
 	minHoldCrashes = 3
-	// exitsPerCrash is how many engine exits near a request's crashes raise the number of crashes at which it is held by one: a request that ran
-	// at fewer than one in exitsPerCrash of the engines that exited together is not what they have in common.
-	exitsPerCrash = 3
-	// maxHoldCrashes is the number of crashes at which a request is held in any case, so that requests that crash many engines together are
-	// held too.
+	// maxHoldCrashes is the number of crashes at which a request is held in any case, so that several requests that crash engines at the same
+	// time are held too.
 	maxHoldCrashes = 8
 	// suspectTTL is how long after its last crash a request stays suspect.
 	suspectTTL = 10 * time.Minute
@@ -20,6 +19,8 @@
 	heldTTL = time.Hour
 	// maxEngines bounds the engine starts of a record.
 	maxEngines = 16
+	// maxBackoffDoublings bounds the shift in nextTrialDelay; it exceeds heldTTL.
+	maxBackoffDoublings = 12
 )
 
 // returnedTrialDelay is the delay after a trial that was returned, so that a request that cannot reach an engine does not write to the store at
@@ -51,23 +52,23 @@
 	// Trials counts the trial runs granted since the request was held, and Returned those of them that ended without an outcome.
 	Trials   int
 	Returned int
-	// Exits is the largest number of engines known to have exited within exitWindow of a crash of this request in this epoch, its own included.
+	// Exits is the number of engines known to have exited within exitWindow of the last minHoldCrashes crashes of this request, its own included.
 	Exits int
 	// Idle is the time since the record's last update, as of when it was sent.
 	Idle time.Duration
 }
 
-// holdCrashes returns the number of crashes at which the request is held.
-func (r *Record) holdCrashes() int {
-	explained := (r.Exits + exitsPerCrash - 1) / exitsPerCrash
-	return min(max(minHoldCrashes, explained), maxHoldCrashes)
-}
+// suspected reports whether the request ran at half of the engines or more that exited at the times of its last crashes.
+func (r *Record) suspected() bool { return 2*min(len(r.Engines), minHoldCrashes) >= r.Exits }
 
 // held reports whether the request may run in trials only.
-func (r *Record) held() bool { return len(r.Engines) >= r.holdCrashes() }
+func (r *Record) held() bool {
+	crashes := len(r.Engines)
+	return crashes >= maxHoldCrashes || (crashes >= minHoldCrashes && r.suspected())
+}
 
 // isolated reports whether the request runs apart from other isolated ones, and at one engine per try of its caller.
-func (r *Record) isolated() bool { return len(r.Engines) >= r.holdCrashes()-1 }
+func (r *Record) isolated() bool { return len(r.Engines) >= isolateCrashes && r.suspected() }
 
 // ttl returns how long the record is valid after its last update.
 func (r *Record) ttl() time.Duration {
@@ -84,6 +85,7 @@
 		return false
 	}
 	r.Engines = slices.Insert(slices.Clone(r.Engines), index, engine)
+	r.Exits = 0
 	return true
 }
 
@@ -111,10 +113,12 @@
 		r.clear()
 		r.Epoch = other.Epoch
 	}
-	r.Exits = max(r.Exits, other.Exits)
 	for _, engine := range other.Engines {
 		changed = r.add(engine) || changed
 	}
+	if slices.Equal(r.Engines, other.Engines) {
+		r.Exits = max(r.Exits, other.Exits)
+	}
 	if other.Trials > r.Trials {
 		r.Trials = other.Trials
 		changed = true
@@ -126,8 +130,12 @@
 	return changed
 }
 
-// nextTrialDelay returns the delay before the next trial; false if no trial is left.
+// nextTrialDelay returns the delay before the next trial; false if no trial is left. That of a request which is held because of maxHoldCrashes only
+// doubles with each trial, as its crashes are most likely the engines' own.
 func (r *Record) nextTrialDelay() (time.Duration, bool) {
+	if !r.suspected() {
+		return min(trialBackoff[0]<<min(r.spentTrials(), maxBackoffDoublings), heldTTL), true
+	}
 	if r.spentTrials() >= len(trialBackoff) {
 		return 0, false
 	}
