--- a/internal/quarantine/exits_test.go
+++ b/internal/quarantine/exits_test.go
@@ -114,7 +114,7 @@
 	for ; length > 0; length -= poolStep {
 		time.Sleep(poolStep)
 		for i, request := range p.requests {
-			if request.engine != nil && time.Now().Sub(request.since) >= runTime {
+			if request.engine != nil && time.Since(request.since) >= runTime {
 				p.Table.Release(request.identity)
 				p.requests[i] = p.newRequest()
 			}
