netdial: closing a connection discards what its peer has not acknowledged

Cause: a call that is given up closes its connection, which was an ordinary close: the kernel goes on retransmitting the request, and it arrives when the link is back. TCP_USER_TIMEOUT was relied on to end that after 2 s, but the connection is closed after 0.23 s.

Fix: connections of netdial have a linger time of zero, so that closing one resets it, and so does the end of the process. All calls of ours use it: to engines, the store, the platform's interface and other processes, and now also those of the earlier kind of node.

The fault proxy can keep bytes as a partition does (Held).

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/covelink/covelink/api/enginev1"
+	"github.com/covelink/covelink/internal/netdial"
 )
 
 // The defaults of Config.
@@ -109,12 +110,11 @@
 	return c
 }
 
-// DialTCP opens a plain connection that finds a dead machine soon.
+var engineDialer = netdial.New(netdial.Options{ProbeIdle: keepAliveIdle, ProbeInterval: keepAliveInterval, ProbeCount: keepAliveCount})
+
+// DialTCP opens a plain connection that finds a dead machine soon. Closing it resets it.
 func DialTCP(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-	}}
-	return dialer.DialContext(ctx, network, address)
+	return engineDialer.DialContext(ctx, network, address)
 }
 
 func countingDial(config Config) func(context.Context, string, string) (net.Conn, error) {
--- a/internal/lab/faultproxy/faults.go
+++ b/internal/lab/faultproxy/faults.go
@@ -26,6 +26,9 @@
 	Blackhole bool
 	// Frozen holds bytes back without taking them in; they flow on once the fault ends.
 	Frozen bool
+	// Held takes bytes in and keeps them, as the buffers on both sides of a partition do; they flow on once the fault ends. If the sender resets
+	// the connection meanwhile they are lost, and if it closes the connection they arrive all the same.
+	Held bool
 	// BytesPerSecond limits the bandwidth; 0 means no limit.
 	BytesPerSecond int
 	// CutAfterBytes resets, once, the connection that carries the last of so many more bytes in this direction, be it
--- a/internal/lab/faultproxy/link.go
+++ b/internal/lab/faultproxy/link.go
@@ -196,7 +196,7 @@
 		if err := p.waitDue(next.due); err != nil {
 			return err
 		}
-		if err := p.waitThawed(); err != nil {
+		if err := p.waitWhile(func(faults Faults) bool { return faults.Frozen || faults.Held }); err != nil {
 			return err
 		}
 		if err := p.write(next.bytes); err != nil {
@@ -231,9 +231,14 @@
 }
 
 func (p *pipe) waitThawed() error {
+	return p.waitWhile(func(faults Faults) bool { return faults.Frozen })
+}
+
+// waitWhile waits until the direction's faults do not match, or the link ends.
+func (p *pipe) waitWhile(match func(faults Faults) bool) error {
 	for {
 		faults, changed := p.state.get()
-		if !faults.Frozen {
+		if !match(faults) {
 			return nil
 		}
 		select {
--- a/internal/netdial/user_timeout_linux.go
+++ b/internal/netdial/user_timeout_linux.go
@@ -11,6 +11,9 @@
 // the kernel gives the connection up. Without it, a connection that a partition has cut comes back only after minutes of
 // retransmission pauses.
 func controlUserTimeout(timeout time.Duration) func(_, _ string, raw syscall.RawConn) error {
+	if timeout == 0 {
+		return nil
+	}
 	return func(_, _ string, raw syscall.RawConn) error {
 		var setErr error
 		err := raw.Control(func(descriptor uintptr) {
