forward: the timeout of an attempt ends with the wait for a response

An idempotent request whose response came slowly was given up and asked for again, or answered 502.

Cause: each attempt ran under a context with the attempt's deadline, which is to bound the wait for a response. The body of a stream is read under the same context after the attempt has returned.

Fix: the attempt's context ends with the request's deadline, and a timer ends the attempt at an engine that does not respond. It stops at the head of a stream, and begins anew with each part of a buffered body. A stream that breaks is logged ("stream broke").

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -3,17 +3,20 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/routing"
 )
 
 // readAnswer reads an engine's response. The attempt's context stays open until the body of a streamed response is closed.
-func (j *job) readAnswer(ctx context.Context, engine *fleet.Engine, answer *Answer, cancel context.CancelFunc) (Result, error) {
+func (j *job) readAnswer(ctx context.Context, engine *fleet.Engine, answer *Answer, timer *answerTimer, cancel context.CancelFunc) (Result, error) {
 	result := Result{Outcome: Completed, Status: answer.Status, Header: answer.Header, Signature: answer.Signature}
 	success := answer.Status >= 200 && answer.Status < 300
 	if success && !answer.Valid {
@@ -21,11 +24,16 @@
 		return Result{}, ErrLost
 	}
 	if success && j.route.Kind == routing.KindStream {
+		if !timer.stop() {
+			answer.Body.Close()
+			return Result{}, fmt.Errorf("%w: %w", ErrLost, errAnswerTimeout)
+		}
 		result.Stream = &streamBody{ReadCloser: answer.Body, cancel: cancel, onEnd: func(err error) { j.streamEnded(ctx, engine, err) }}
 		return result, nil
 	}
 	defer answer.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	timer.restart()
+	content, err := io.ReadAll(io.LimitReader(&timedReader{Reader: answer.Body, timer: timer}, maxAnswerBytes))
 	if err != nil {
 		return Result{}, errors.Join(ErrConnectionBroken, err)
 	}
@@ -36,12 +44,15 @@
 	return result, nil
 }
 
-// streamEnded reports to the guard how a streamed response ended.
+// streamEnded reports to the guard how a streamed response ended, and logs one that broke.
 func (j *job) streamEnded(ctx context.Context, engine *fleet.Engine, err error) {
-	switch {
-	case errors.Is(err, io.EOF):
+	if errors.Is(err, io.EOF) {
 		j.Guard.Completed(j.request.ID, j.fingerprint)
-	case ctx.Err() == nil:
+		return
+	}
+	level.Info(j.logger).Log("msg", "stream broke", "request", j.request.ID, "route", j.route.Name, "engine", engine.ID,
+		"took", boottime.Since(j.started).Round(time.Millisecond), "ended_here", context.Cause(ctx), "err", err)
+	if ctx.Err() == nil {
 		j.Guard.ConnectionLost(j.request.ID, j.fingerprint(), engine)
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -18,10 +18,12 @@
 	engine := chosen.engine
 	_, triedBefore := j.tried[engine.ID]
 	j.tried[engine.ID] = struct{}{}
-	attemptCtx, cancel := context.WithTimeout(ctx, boottime.Until(j.attemptDeadline()))
+	attemptCtx, cancel := j.attemptContext(ctx)
+	timer := startAnswerTimer(j.attemptTimeout(), func() { cancel(errAnswerTimeout) })
 	defer func() {
+		timer.stop()
 		if result.Stream == nil {
-			cancel()
+			cancel(nil)
 		}
 	}()
 	sent := boottime.Now()
@@ -31,7 +33,7 @@
 	}
 	answer, err := j.transport.Send(attemptCtx, engine, j.request, options)
 	if err == nil {
-		result, err = j.readAnswer(attemptCtx, engine, answer, cancel)
+		result, err = j.readAnswer(attemptCtx, engine, answer, timer, func() { cancel(nil) })
 	}
 	took := boottime.Since(sent)
 	if err != nil {
@@ -122,12 +124,21 @@
 	return Result{}, true
 }
 
-// attemptDeadline returns the deadline of the next attempt. If a later attempt is possible, it leaves time for one.
-func (j *job) attemptDeadline() time.Time {
+// attemptContext returns the context of an attempt, which ends with the request's deadline.
+func (j *job) attemptContext(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	bounded, release := context.WithTimeout(ctx, boottime.Until(j.deadline))
+	attemptCtx, cancel := context.WithCancelCause(bounded)
+	return attemptCtx, func(cause error) {
+		cancel(cause)
+		release()
+	}
+}
+
+// attemptTimeout returns how long the next attempt waits for a response; zero for as long as the request has. It leaves time for a later attempt.
+func (j *job) attemptTimeout() time.Duration {
 	if !j.route.Repeatable() || len(j.tried) >= j.route.MaxAttempts || len(j.permitted()) < 2 {
-		return j.deadline
+		return 0
 	}
 	timeout := max(minAttemptTimeout, time.Duration(attemptTimeoutFactor*float64(j.route.LatencyObjective)))
-	timeout = min(timeout, boottime.Until(j.deadline)/2)
-	return boottime.Now().Add(timeout)
+	return max(min(timeout, boottime.Until(j.deadline)/2), time.Nanosecond)
 }
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -113,6 +113,79 @@
 	})
 }
 
+// answersInParts responds at once, with a body of so many parts that come at intervals.
+func answersInParts(parts int, interval time.Duration) action {
+	return func(ctx context.Context) (*Answer, error) {
+		reader, writer := io.Pipe()
+		go func() {
+			for range parts {
+				select {
+				case <-time.After(interval):
+					_, _ = writer.Write([]byte("part "))
+				case <-ctx.Done():
+					writer.CloseWithError(ctx.Err())
+					return
+				}
+			}
+			writer.Close()
+		}()
+		a := answer(http.StatusOK, "")
+		a.Body = reader
+		return a, nil
+	}
+}
+
+// forwardSlowly forwards one request with a deadline of 3 s, of a route whose attempts are given up after 300 ms, to engines that respond in parts.
+func forwardSlowly(t *testing.T, name string, route routing.Route, do action, check func(result Result, s *scriptedTransport)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedTransport{actions: map[string]action{"a": do, "b": do}}
+		state := fleet.NewState()
+		route.Host, route.Prefix, route.MaxAttempts, route.LatencyObjective = "h", "/", 3, 200*time.Millisecond
+		route.Targets = []routing.Target{{Service: "s", Weight: 1}}
+		state.SetRoutes(routing.NewTable(1, []routing.Route{route}, nil, routing.Limits{}))
+		state.SetEngineList([]*fleet.Engine{{ID: "a", Service: "s", Slots: 4, Ready: true}, {ID: "b", Service: "s", Slots: 4, Ready: true}})
+		forwarder := New(state, s, NewPicker(time.Now), log.NewNopLogger())
+		Convey(name, t, func() {
+			check(forwarder.Do(t.Context(), state.View().Routes.Match("h", "/1"), &Request{ID: "r"}, boottime.Now().Add(3*time.Second)), s)
+		})
+	})
+}
+
+// Guards against responses that are cut because the timeout of the attempt, which bounds the wait for a response, goes on once it has begun.
+func TestAttemptTimeoutEndsWithTheWaitForAResponse(t *testing.T) {
+	stream := routing.Route{Kind: routing.KindStream, Resumable: true}
+	const parts, interval = 15, 100 * time.Millisecond
+	whole := strings.Repeat("part ", parts)
+	forwardSlowly(t, "A resumable stream is passed on for longer than the timeout", stream, answersInParts(parts, interval), func(result Result, _ *scriptedTransport) {
+		content, err := io.ReadAll(result.Stream)
+		So(err, ShouldBeNil)
+		So(string(content), ShouldEqual, whole)
+		So(result.Stream.Close(), ShouldBeNil)
+	})
+	forwardSlowly(t, "So is one that pauses for longer than the timeout", stream, answersInParts(2, time.Second), func(result Result, _ *scriptedTransport) {
+		content, err := io.ReadAll(result.Stream)
+		So(err, ShouldBeNil)
+		So(string(content), ShouldEqual, "part part ")
+		So(result.Stream.Close(), ShouldBeNil)
+	})
+	forwardSlowly(t, "A stream ends at the deadline of its request", stream, answersInParts(100, interval), func(result Result, _ *scriptedTransport) {
+		_, err := io.ReadAll(result.Stream)
+		So(err, ShouldNotBeNil)
+		So(result.Stream.Close(), ShouldBeNil)
+	})
+	idempotent := routing.Route{Kind: routing.KindIdempotent}
+	forwardSlowly(t, "A buffered response that arrives in parts is not asked for again", idempotent, answersInParts(parts, interval), func(result Result, s *scriptedTransport) {
+		So(result.Outcome, ShouldEqual, Completed)
+		So(string(result.Body), ShouldEqual, whole)
+		So(len(s.sends), ShouldEqual, 1)
+	})
+	forwardSlowly(t, "One that stops in its middle is asked for at another engine", idempotent, answersInParts(2, time.Hour), func(result Result, s *scriptedTransport) {
+		So(result.Outcome, ShouldEqual, Unknown)
+		So(len(s.sends), ShouldEqual, 2)
+	})
+}
+
 func TestOutcomes(t *testing.T) {
 	both := func(do action) map[string]action { return map[string]action{"a": do, "b": do} }
 	for _, kind := range []routing.Kind{routing.KindIdempotent, routing.KindAtMostOnce} {
