quarantine: failures that engines answer, and answers of other engines, are no outcome of a trial

A trial whose engine answered with a failure, or at whose address another engine answered, was still counted as one that may have crashed its engine. A return is no longer sent for a request that needed no trial.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -223,7 +223,8 @@
 	}
 	j.noFailover = admission.Isolated
 	result := j.run(ctx)
-	if result.Outcome == NotRun || j.engineRuns {
+	failed := result.Outcome == Completed && result.Status >= http.StatusInternalServerError
+	if result.Outcome == NotRun || failed || j.engineRuns {
 		j.Guard.ReturnTrial(admission.Trial)
 	}
 	return result
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -99,13 +99,16 @@
 	sink.RewardCallEnded(e.callReward(ctx, assignment.Reward))
 }
 
-// noOutcome reports whether a run with this verdict and error shows nothing about whether its item crashes engines.
+// noOutcome reports whether a run with this verdict and error shows nothing about whether its item crashes engines: it did not complete, and neither
+// broke its connection nor fell silent.
 func noOutcome(verdict Verdict, err error) bool {
 	switch verdict {
-	case VerdictRefused, VerdictMisdirected, VerdictCanceled, VerdictOutdated:
-		return true
+	case VerdictComplete, VerdictImpossible:
+		return false
+	case VerdictBroken:
+		return !errors.Is(err, forward.ErrConnectionBroken) && !errors.Is(err, errEventTimeout)
 	}
-	return errors.Is(err, forward.ErrNotSent)
+	return true
 }
 
 // stream sends a run to its engine and reads the stream. engineRuns is true if the connection broke while the engine kept running.
--- a/internal/itemwork/itemwork.go
+++ b/internal/itemwork/itemwork.go
@@ -109,8 +109,8 @@
 	// Withheld is true if the executing process's placement filter refused the engine for a reason other than that the engine is leaving. It does
 	// not count against the engine.
 	Withheld bool
-	// NoOutcome is true if the run shows nothing about whether its item crashes engines: no engine ran it, it was canceled, or its connection broke
-	// while the engine kept running.
+	// NoOutcome is true if the run shows nothing about whether its item crashes engines: no engine ran it, it was canceled, the engine answered with
+	// a failure, or its connection broke while the engine kept running.
 	NoOutcome bool
 	// Took is the duration of the run.
 	Took time.Duration
--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -217,7 +217,9 @@
 		trial = granted.trial
 	}
 	returned := c.Table.ReturnTrial(trial)
-	level.Info(c.Logger).Log("msg", "trial returned", "fingerprint", trial.Fingerprint.Short(), "trial", trial.Number, "counted", !returned)
+	if trial.Granted() {
+		level.Info(c.Logger).Log("msg", "trial returned", "fingerprint", trial.Fingerprint.Short(), "trial", trial.Number, "accepted", returned)
+	}
 	return ReturnReply{Known: known || returned}
 }
 
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -125,6 +125,10 @@
 	if err != nil || !reply.Leading {
 		return TrialRun{}, TrialReply{Wait: unavailableRetryAfter}, err
 	}
+	if !reply.Trial.Granted() {
+		// The request has to wait, or is not held any more.
+		return TrialRun{}, reply, nil
+	}
 	return TrialRun{Trial: reply.Trial, RequestID: request.ID}, reply, nil
 }
 
