quarantine: requests that wait for their backoff do not touch the round of trials

A request for a trial that is not due began a new round, which kept the length of rounds from falling back to one trial after a pause.

--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -250,12 +250,12 @@
 			answer, reply.Granted = TrialNotNeeded, true
 			return nil
 		}
-		busy := c.trialWait()
-		if reply.Wait = max(status.Wait, busy); reply.Wait > 0 {
+		if reply.Wait = status.Wait; reply.Wait > 0 {
 			answer = TrialBackoff
-			if busy > 0 {
-				answer = TrialBusy
-			}
+			return nil
+		}
+		if reply.Wait = c.trialWait(); reply.Wait > 0 {
+			answer = TrialBusy
 			return nil
 		}
 		if err := c.write(ctx, c.withTrial(fingerprint)); err != nil {
