--- a/internal/batchrun/run_end.go
+++ b/internal/batchrun/run_end.go
@@ -49,8 +49,8 @@
 		line = level.Debug(r.Logger)
 	}
 	line.Log("msg", "attempt ended", "request", it.ID, "job", it.job.ID, "run", ended.id, "worker", ended.worker, "engine", ended.engine,
-		"verdict", verdict, "isolated", isolated, "trial", ended.trial.Number, "version", report.Version, "text_events", it.text.Len(), "expected_tokens", it.ExpectedLength, "took", report.End.Took.Round(time.Millisecond),
-		"err", report.End.Cause)
+		"verdict", verdict, "isolated", isolated, "trial", ended.trial.Number, "version", report.Version, "text_events", it.text.Len(),
+		"expected_tokens", it.ExpectedLength, "took", report.End.Took.Round(time.Millisecond), "err", report.End.Cause)
 }
 
 // continueItem starts the reward call of an item, retries the item or gives it up, after its run's stream has ended. The mutex must be held.
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -2,8 +2,8 @@
 //
 // A request is identified by its Fingerprint. When an attempt's connection breaks, a Detector probes the engine; if it exited, the crash is
 // recorded in the Table for every request that it ran. A successful run clears a request. A request with minHoldCrashes crashes is held: it
-// is refused, except for a few trial runs that the coordinator grants one at a time with backoff, so that a request that merely ran beside
-// the cause is released. A trial that comes to no outcome is returned and does not count for the backoff.
+// is refused, except for a few trial runs that the coordinator grants with backoff, few at a time, so that a request that merely ran beside the
+// cause is released. A trial that comes to no outcome is returned and does not count for the backoff.
 //
 // A request runs at one engine at a time, so it cannot be what many engines that exit together have in common. One that ran at fewer than half of the
 // engines that exited at the times of its last crashes (Record.Exits) is neither isolated nor held before it has maxHoldCrashes.
