--- a/internal/batchrun/run_end.go
+++ b/internal/batchrun/run_end.go
@@ -20,12 +20,12 @@
 	} else {
 		r.recordOf(ended.engine).runEnded(verdict, r.now())
 	}
-	isolated := r.endIsolation(ended)
+	r.logStreamEnd(ended, report)
+	r.endIsolation(ended)
 	if report.End.NoOutcome {
 		r.Guard.ReturnTrial(ended.trial)
 	}
 	r.Observer.AttemptEnded(verdict.String(), report.End.Took)
-	r.logStreamEnd(ended, report, isolated)
 	r.wakeScheduler()
 	switch {
 	case r.isDetached(ended):
@@ -41,7 +41,7 @@
 }
 
 // logStreamEnd logs the end of a stream, at debug level if it is complete or canceled, unless it was a trial.
-func (r *Runner) logStreamEnd(ended *run, report *itemwork.Report, isolated bool) {
+func (r *Runner) logStreamEnd(ended *run, report *itemwork.Report) {
 	it := ended.item
 	verdict := report.End.Verdict
 	line := level.Info(r.Logger)
@@ -49,7 +49,7 @@
 		line = level.Debug(r.Logger)
 	}
 	line.Log("msg", "attempt ended", "request", it.ID, "job", it.job.ID, "run", ended.id, "worker", ended.worker, "engine", ended.engine,
-		"verdict", verdict, "isolated", isolated, "trial", ended.trial.Number, "version", report.Version, "text_events", it.text.Len(),
+		"verdict", verdict, "isolated", ended.isolated, "trial", ended.trial.Number, "version", report.Version, "text_events", it.text.Len(),
 		"expected_tokens", it.ExpectedLength, "took", report.End.Took.Round(time.Millisecond), "err", report.End.Cause)
 }
 
@@ -88,14 +88,12 @@
 	}
 }
 
-// endIsolation frees the engine of an ended run for other isolated items, and reports whether the run was isolated. The mutex must be held.
-func (r *Runner) endIsolation(ended *run) (isolated bool) {
-	isolated = ended.isolated
-	if isolated {
+// endIsolation frees the engine of an ended run for other isolated items. The mutex must be held.
+func (r *Runner) endIsolation(ended *run) {
+	if ended.isolated {
 		ended.isolated = false
 		r.recordOf(ended.engine).isolated--
 	}
-	return isolated
 }
 
 // rewardCallEnded lists the result of an item whose reward call has ended. An aborted call is repeated. The mutex must be held.
--- a/internal/quarantine/listing.go
+++ b/internal/quarantine/listing.go
@@ -26,7 +26,7 @@
 	State       string `json:"standing"`
 	// Engines are the engine starts that exited while running the request.
 	Engines []string `json:"engines"`
-	// Exits is the number of engines that exited at about the same times, these included. Many exits raise the number at which a request is held.
+	// Exits is the number of engines that exited at about the same times, these included.
 	Exits int `json:"exits"`
 	// Trials counts the trial runs granted since the request was held.
 	Trials int `json:"trials"`
