fleetnode: listeners bound heads and connections by the limits of the configuration

What callers saw: beside a crowd of heads above the limit or without end a gateway took 227 and 246 MB of 144 (434 at its listeners of probes and metrics, the coordinator 389 of 270), and 800 connections that say nothing or stop within a short body took all 400 descriptors, after which no ordinary request was answered.

Cause: max-header-bytes, header-timeout-ms and idle-timeout-ms were decoded and used by no server; net/http allows 1 MB a head, and the number of connections was bounded by descriptors alone.

Change: each listener has an intake.Pool, the one that operators call one of its own. Connections are served under the limits of the configuration in force when they were accepted; those with other limits have a server of their own, since net/http reads its limits without synchronization. Callers may have as many connections as a fifth of their memory allows at 16 KB each, and half of the descriptors; the one that has waited longest for its client gives way. Heads beyond 4 KB count as memory. The settings callers.megabytes (256) and callers.connections (4096) are upper bounds where memory is not known.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,10 +103,10 @@
 // loaded are the checked settings of a process, and how to build it.
 type loaded struct {
 	name, zone string
-	// memory is what the machine allows the process, in bytes; zero if that is not known.
-	memory int64
-	log    settings.Log
-	build  func(logger log.Logger, lines *telemetry.AsyncWriter) (process, error)
+	// heapBytes is what the heap may take; zero if that is not known.
+	heapBytes int64
+	log       settings.Log
+	build     func(logger log.Logger, lines *telemetry.AsyncWriter) (process, error)
 	// reload hands changed settings to a process that was built; nil if it takes none.
 	reload func(p process) error
 }
@@ -147,12 +147,12 @@
 		return p.(*fleetnode.Node).Reload(changed)
 	}
 	return loaded{
-		name:   config.Node.Name,
-		zone:   config.Node.Zone,
-		memory: config.Node.MemoryMegabytes << 20,
-		log:    config.Log,
-		build:  build,
-		reload: reload,
+		name:      config.Node.Name,
+		zone:      config.Node.Zone,
+		heapBytes: config.Node.HeapBytes(),
+		log:       config.Log,
+		build:     build,
+		reload:    reload,
 	}, nil
 }
 
@@ -177,7 +177,7 @@
 	if err != nil {
 		return err
 	}
-	limitMemory(config.memory)
+	limitHeap(config.heapBytes)
 	lines := telemetry.NewAsyncWriter(c.out)
 	logger := telemetry.NewLogger(lines, config.log.Level, config.log.Format)
 	process, err := config.build(log.With(logger, "node", config.name), lines)
@@ -205,14 +205,10 @@
 	return nil
 }
 
-// heapShare is the share of the allowed memory that the runtime is told to stay within; the rest is for the program's text, for
-// buffers of the kernel and for what is allocated while garbage is collected.
-const heapShare = 0.7
-
-// limitMemory makes the runtime collect garbage more often when the process comes near what it is allowed.
-func limitMemory(allowed int64) {
-	if allowed > 0 {
-		debug.SetMemoryLimit(int64(heapShare * float64(allowed)))
+// limitHeap makes the runtime collect garbage more often when the heap comes near what it may take.
+func limitHeap(bytes int64) {
+	if bytes > 0 {
+		debug.SetMemoryLimit(bytes)
 	}
 }
 
--- a/internal/fleetnode/gateway.go
+++ b/internal/fleetnode/gateway.go
@@ -1,6 +1,7 @@
 package fleetnode
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -16,10 +17,12 @@
 	"github.com/covelink/covelink/internal/election"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/intake"
 	"github.com/covelink/covelink/internal/itemwork"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/placement"
 	"github.com/covelink/covelink/internal/quarantine"
+	"github.com/covelink/covelink/internal/routing"
 	"github.com/covelink/covelink/internal/rpc"
 	"github.com/covelink/covelink/internal/settings"
 	"github.com/covelink/covelink/internal/storerelay"
@@ -168,6 +171,7 @@
 	Stopping  *stopFlag
 	Relay     *storerelay.Client
 	Metrics   *metrics
+	Registry  *prometheus.Registry
 }
 
 // gateway serves callers.
@@ -195,18 +199,51 @@
 		Unconfirmed: g.unconfirmed,
 	})
 	var err error
-	if g.callers, err = listenHTTP(ctx, g.Settings.Listen.HTTP, ingress); err != nil {
+	if g.callers, err = listenHTTP(ctx, g.Settings.Listen.HTTP, ingress, g.callerListener(), g.logger); err != nil {
 		return err
 	}
-	if g.probes, err = listenHTTP(ctx, g.Settings.Listen.Ready, platform.NewReadiness(g.ready)); err != nil {
+	if g.probes, err = listenHTTP(ctx, g.Settings.Listen.Ready, platform.NewReadiness(g.ready), operatorListener(g.logger), g.logger); err != nil {
 		return err
 	}
-	go g.callers.serve(g.logger)
-	go g.probes.serve(g.logger)
+	go g.callers.serve()
+	go g.probes.serve()
 	level.Info(g.logger).Log("msg", "started", "http", g.callers.listener.Addr(), "ready", g.probes.listener.Addr())
 	return nil
 }
 
+// callerListener returns the bounds of the callers' listener.
+func (g *gateway) callerListener() listenerOptions {
+	limits := callerLimitsOf(g.Settings)
+	pool := intake.NewPool(intake.Params{
+		MaxBytes:       limits.bytes,
+		MaxConnections: limits.maxConnections,
+		OnLimit:        g.Metrics.callerLimitMet,
+		Logger:         g.logger,
+	})
+	registerGauge(g.Registry, "caller_connections", "Open connections of callers.", func() int {
+		connections, _ := pool.Usage()
+		return connections
+	})
+	registerGauge(g.Registry, "caller_bytes", "Bytes of callers' requests and answers that are held.", func() int {
+		_, bytes := pool.Usage()
+		return int(bytes)
+	})
+	return listenerOptions{pool: pool, limits: g.limits}
+}
+
+// limits returns the limits of the configuration in force; those that it does not set are generous.
+func (g *gateway) limits() routing.Limits {
+	limits := defaultLimits
+	routes := g.State.View().Routes
+	if routes == nil {
+		return limits
+	}
+	limits.MaxHeaderBytes = cmp.Or(routes.Limits.MaxHeaderBytes, limits.MaxHeaderBytes)
+	limits.HeaderTimeout = cmp.Or(routes.Limits.HeaderTimeout, limits.HeaderTimeout)
+	limits.IdleTimeout = cmp.Or(routes.Limits.IdleTimeout, limits.IdleTimeout)
+	return limits
+}
+
 // unconfirmed reports that nobody has confirmed the configuration for longer than keys may be withdrawn unnoticed.
 func (g *gateway) unconfirmed() bool {
 	timing := g.Timing.current.Load()
@@ -232,7 +269,7 @@
 	limit, cancel := context.WithDeadline(ctx, started.Add(timeout-stopMargin))
 	defer cancel()
 	err := g.callers.drain(limit)
-	g.probes.server.Close()
+	g.probes.close()
 	level.Info(g.logger).Log("msg", "stopped", "took", time.Since(started), "err", err)
 	return nil
 }
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -12,6 +12,7 @@
 	"github.com/covelink/covelink/internal/coldstart"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
+	"github.com/covelink/covelink/internal/intake"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/placement"
 	"github.com/covelink/covelink/internal/quarantine"
@@ -59,6 +60,8 @@
 	refused *prometheus.CounterVec
 	// coldAnswers counts attempts that needed a grant for a cold engine, by answer; only granted ones were sent.
 	coldAnswers *prometheus.CounterVec
+	// callerLimits counts the limits that callers met, by limit.
+	callerLimits *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry, state *fleet.State, lines *telemetry.AsyncWriter) *metrics {
@@ -88,6 +91,7 @@
 	m.trials = counter("quarantine_trials_total", "Answers to requests for a trial run of a held request.", "answer")
 	m.refused = counter("requests_refused_total", "Callers' requests that were refused because they may run at no engine, by reason.", "reason")
 	m.coldAnswers = counter("cold_requests_total", "Attempts of requests that only cold engines could run, by what became of them; all but the granted ones were not sent.", "answer")
+	m.callerLimits = counter("caller_limits_total", "Callers' connections that were closed and requests that were refused because of a limit, by limit.", "reason")
 	m.engines = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_engines_total", Help: "Engines that requests were sent to."})
 	m.textsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "texts_restored_total", Help: "Batch items that go on after a text which an ended job or an earlier process has left."})
 	m.eventsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "text_events_restored_total", Help: "Events of such texts, which engines need not make again."})
@@ -111,7 +115,7 @@
 	})
 	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.handOvers, jobTime, m.textsRestored, m.eventsRestored, m.checkpoints, m.checkpointFailures, m.results,
 		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, m.usageReports, m.usageLost, m.dutyCalls, m.attemptsDisconnected, m.guarded, m.trials, m.refused,
-		m.coldAnswers,
+		m.coldAnswers, m.callerLimits,
 		newLinesDropped(lines))
 	return m
 }
@@ -123,6 +127,11 @@
 	m.engines.Add(float64(engines))
 }
 
+// callerLimitMet counts a limit that a caller met.
+func (m *metrics) callerLimitMet(reason intake.Reason) {
+	m.callerLimits.WithLabelValues(string(reason)).Inc()
+}
+
 // AttemptEnded implements batchrun.Observer.
 func (m *metrics) AttemptEnded(verdict string, took time.Duration) {
 	m.itemAttempts.WithLabelValues(verdict).Inc()
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -22,7 +22,6 @@
 	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/forward"
-	"github.com/covelink/covelink/internal/httpdrain"
 	"github.com/covelink/covelink/internal/metastore"
 	"github.com/covelink/covelink/internal/netdial"
 	"github.com/covelink/covelink/internal/quarantine"
@@ -167,14 +166,17 @@
 	hooks.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			var err error
-			if server, err = listenHTTP(ctx, config.Listen.Metrics, routes); err != nil {
+			if server, err = listenHTTP(ctx, config.Listen.Metrics, routes, operatorListener(logger), telemetry.For(logger, telemetry.PartNode)); err != nil {
 				return err
 			}
-			go server.serve(logger)
+			go server.serve()
 			level.Info(telemetry.For(logger, telemetry.PartNode)).Log("msg", "metrics served", "metrics", server.listener.Addr())
 			return nil
 		},
-		OnStop: func(context.Context) error { return server.server.Close() },
+		OnStop: func(context.Context) error {
+			server.close()
+			return nil
+		},
 	})
 }
 
@@ -251,49 +253,5 @@
 	following.Wait()
 }
 
-// httpServer is a listener with its server.
-type httpServer struct {
-	listener *watchedListener
-	server   *http.Server
-	open     *httpdrain.Connections
-}
-
-func listenHTTP(ctx context.Context, address string, handler http.Handler) (*httpServer, error) {
-	var config net.ListenConfig
-	listener, err := config.Listen(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	open := httpdrain.New()
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: open.Note}
-	return &httpServer{listener: &watchedListener{Listener: listener}, server: server, open: open}, nil
-}
-
-// drain waits until callers open no more connections, closes the listener and finishes the requests that are on their way.
-// The end of ctx cuts off what is left.
-func (s *httpServer) drain(ctx context.Context) error {
-	s.open.AwaitLeft(ctx)
-	s.listener.Close()
-	s.open.AwaitQuiet(ctx)
-	err := s.server.Shutdown(ctx)
-	if err != nil {
-		s.server.Close()
-	}
-	return err
-}
-
-const (
-	// headerTimeout and idleTimeout are generous: callers' own limits are shorter.
-	headerTimeout = 30 * time.Second
-	idleTimeout   = 5 * time.Minute
-)
-
-func (s *httpServer) serve(logger log.Logger) {
-	err := s.server.Serve(s.listener)
-	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-		level.Error(logger).Log("msg", "listener ended", "address", s.listener.Addr(), "err", err)
-	}
-}
-
 // stopFlag tells whether the process is stopping.
 type stopFlag struct{ atomic.Bool }
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -26,6 +26,7 @@
 	Timing FleetTiming `koanf:"timing"`
 	// Coordinators tells gateways where to look for the coordinating process.
 	Coordinators FleetCoordinators `koanf:"coordinators"`
+	Callers      FleetCallers      `koanf:"callers"`
 	Data         FleetData         `koanf:"data"`
 	Topology     FleetTopology     `koanf:"topology"`
 	Duties       FleetDuties       `koanf:"duties"`
@@ -42,6 +43,22 @@
 	MemoryMegabytes int64 `koanf:"memoryMegabytes" validate:"gte=0"`
 }
 
+// heapShare is the share of the allowed memory that the runtime is told to stay within; the rest is for the program's text, for
+// buffers of the kernel and for what is allocated while garbage is collected.
+const heapShare = 0.7
+
+// HeapBytes is what the heap may take of the memory that the machine allows, in bytes; zero if that is not known.
+func (n FleetNode) HeapBytes() int64 { return int64(heapShare * float64(n.MemoryMegabytes<<20)) }
+
+// FleetCallers bounds what callers hold of the process. The bounds that follow from its memory and its descriptors go before these if they are lower.
+type FleetCallers struct {
+	// Megabytes bounds the bytes of callers' requests and answers that a gateway holds, and those of the batch jobs that a coordinator holds.
+	// Default 256.
+	Megabytes int64 `koanf:"megabytes" validate:"gte=8,lte=65536"`
+	// Connections bounds the callers' open connections; gateways only. Default 4096.
+	Connections int `koanf:"connections" validate:"gte=16"`
+}
+
 // FleetListen holds the addresses the process listens on, as host:port. Port 0 takes a free port.
 type FleetListen struct {
 	// HTTP serves callers; gateways only.
@@ -160,7 +177,8 @@
 			RevokeTime:     5 * time.Second,
 			BatchRetention: 2 * time.Minute,
 		},
-		Data: FleetData{TextMegabytes: 32},
+		Callers: FleetCallers{Megabytes: 256, Connections: 4096},
+		Data:    FleetData{TextMegabytes: 32},
 
 		Coordinators: FleetCoordinators{MaxDirect: 64},
 		Duties:       FleetDuties{UsageWindow: 5 * time.Second, UsageDue: 10 * time.Second},
