forward: responses are buffered within the memory that callers have

What callers saw: beside 60 clients that ask for 8 MB each and read nothing a gateway took 738 MB of 144.

Cause: each response was buffered whole, at most 64 MB, and held until its client had read it.

Change: what is buffered beyond 4 KB takes room of the caller's connection. A response without room, and one above 64 MB, which was cut off at that size and looked whole, is passed on as it arrives; a retry at another engine is not possible from then on.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -18,32 +20,87 @@
 // readAnswer reads an engine's response. The attempt's context stays open until the body of a streamed response is closed.
 func (j *job) readAnswer(ctx context.Context, engine *fleet.Engine, answer *Answer, timer *answerTimer, cancel context.CancelFunc) (Result, error) {
 	result := Result{Outcome: Completed, Status: answer.Status, Header: answer.Header, Signature: answer.Signature}
+	// passOn makes the rest of the response a stream, which is passed on as it arrives.
+	passOn := func(content io.ReadCloser) (Result, error) {
+		if !timer.stop() {
+			answer.Body.Close()
+			return Result{}, fmt.Errorf("%w: %w", ErrLost, errAnswerTimeout)
+		}
+		result.Stream = &streamBody{ReadCloser: content, cancel: cancel, onEnd: func(err error) { j.streamEnded(ctx, engine, err) }}
+		return result, nil
+	}
 	success := answer.Status >= 200 && answer.Status < 300
 	if success && !answer.Valid {
 		answer.Body.Close()
 		return Result{}, ErrLost
 	}
 	if success && j.route.Kind == routing.KindStream {
-		if !timer.stop() {
-			answer.Body.Close()
-			return Result{}, fmt.Errorf("%w: %w", ErrLost, errAnswerTimeout)
-		}
-		result.Stream = &streamBody{ReadCloser: answer.Body, cancel: cancel, onEnd: func(err error) { j.streamEnded(ctx, engine, err) }}
-		return result, nil
+		return passOn(answer.Body)
 	}
-	defer answer.Body.Close()
 	timer.restart()
-	content, err := io.ReadAll(io.LimitReader(&timedReader{Reader: answer.Body, timer: timer}, maxAnswerBytes))
+	content, whole, err := j.buffer(&timedReader{Reader: answer.Body, timer: timer})
 	if err != nil {
+		answer.Body.Close()
 		return Result{}, errors.Join(ErrConnectionBroken, err)
 	}
+	if answer.NotRun {
+		answer.Body.Close()
+		return result, nil
+	}
+	if !whole && j.request.Memory != nil && answer.Status < http.StatusInternalServerError {
+		return passOn(&resumedBody{Reader: io.MultiReader(bytes.NewReader(content), answer.Body), Closer: answer.Body})
+	}
+	answer.Body.Close()
+	if !whole {
+		return Result{}, fmt.Errorf("%w: no room for the response", ErrLost)
+	}
 	result.Body = content
-	if !answer.NotRun && answer.Status < http.StatusInternalServerError {
+	if answer.Status < http.StatusInternalServerError {
 		j.Guard.Completed(j.request.ID, j.fingerprint)
 	}
 	return result, nil
 }
 
+// buffer reads a response as far as there is room for it. whole is true if that is all of it.
+func (j *job) buffer(body io.Reader) (content []byte, whole bool, err error) {
+	content = make([]byte, 0, ownAnswerBytes)
+	for {
+		if len(content) == cap(content) {
+			size := 2 * cap(content)
+			if size > maxAnswerBytes || !j.grow(size) {
+				return content, false, nil
+			}
+			j.release(cap(content))
+			content = slices.Grow(content, size-len(content))
+		}
+		n, err := body.Read(content[len(content):cap(content)])
+		content = content[:len(content)+n]
+		if errors.Is(err, io.EOF) {
+			return content, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+}
+
+// grow takes room for a buffer of a size, and release gives it back.
+func (j *job) grow(size int) bool {
+	return j.request.Memory == nil || j.request.Memory.Grow(int64(size))
+}
+
+func (j *job) release(size int) {
+	if j.request.Memory != nil && size > ownAnswerBytes {
+		j.request.Memory.Release(int64(size))
+	}
+}
+
+// resumedBody is a response whose first part was buffered.
+type resumedBody struct {
+	io.Reader
+	io.Closer
+}
+
 // streamEnded reports to the guard how a streamed response ended, and logs one that broke.
 func (j *job) streamEnded(ctx context.Context, engine *fleet.Engine, err error) {
 	if errors.Is(err, io.EOF) {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -80,6 +80,8 @@
 const (
 	// maxAnswerBytes bounds a response body that is buffered in memory.
 	maxAnswerBytes = 64 << 20
+	// ownAnswerBytes is the part of a response that is buffered without asking for room.
+	ownAnswerBytes = 4 << 10
 	// minAttemptTime is the least remaining time at which another attempt is made.
 	minAttemptTime = 5 * time.Millisecond
 	// minAttemptTimeout is the shortest time given to an attempt before failover to another engine.
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -34,6 +34,16 @@
 	Arrived time.Time
 	// Repeated is true if an earlier call of Do sent the request to an engine: all its sends count as retries.
 	Repeated bool
+	// Memory grants room for the response while it is buffered; nil grants it always.
+	Memory Memory
+}
+
+// Memory grants room for bytes that are buffered for a caller.
+type Memory interface {
+	// Grow returns false if there is no room for more bytes.
+	Grow(bytes int64) bool
+	// Release gives room back.
+	Release(bytes int64)
 }
 
 // Fingerprint identifies the request across all attempts of its caller.
