forward: a response that can be passed on is buffered up to 8 MB

What is buffered beyond that would only serve a retry at another engine, and takes room from other callers.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -67,7 +67,7 @@
 	for {
 		if len(content) == cap(content) {
 			size := 2 * cap(content)
-			if size > maxAnswerBytes || !j.grow(size) {
+			if !j.grow(size) {
 				return content, false, nil
 			}
 			j.release(cap(content))
@@ -84,9 +84,12 @@
 	}
 }
 
-// grow takes room for a buffer of a size, and release gives it back.
+// grow takes room for a buffer of a size, and release gives it back. grow returns false if there is none.
 func (j *job) grow(size int) bool {
-	return j.request.Memory == nil || j.request.Memory.Grow(int64(size))
+	if j.request.Memory == nil {
+		return size <= maxAnswerBytes
+	}
+	return size <= maxBufferedBytes && j.request.Memory.Grow(int64(size))
 }
 
 func (j *job) release(size int) {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -78,8 +78,9 @@
 }
 
 const (
-	// maxAnswerBytes bounds a response body that is buffered in memory.
-	maxAnswerBytes = 64 << 20
+	// maxAnswerBytes bounds a response body that is buffered whole, and maxBufferedBytes the part of one that can be passed on as it arrives.
+	maxAnswerBytes   = 64 << 20
+	maxBufferedBytes = 8 << 20
 	// ownAnswerBytes is the part of a response that is buffered without asking for room.
 	ownAnswerBytes = 4 << 10
 	// minAttemptTime is the least remaining time at which another attempt is made.
