batchrpc, batchrun, platform: large batch jobs are passed on in parts and kept within the memory of the coordinator

What callers saw: 60 batch jobs of 8 MB took a gateway to 672 MB of 144 and the coordinator to 526 of 270; four jobs of the smallest items, 8 MB each, took 2197 and 1284 MB.

Cause: a job was held encoded, decoded and encoded again for the coordinator, several times its size; a message above 16 MB cannot be sent, and was tried for 6 s; the coordinator held whatever arrived and all open jobs. An item takes 500 bytes and more, however short.

Bodies of items of jobs whose results are all listed give way first, so that a job that is never ended does not hold its room. Jobs of earlier terms are loaded regardless.

batchrpc.Register takes the bound on staged items; the test of jobresidency that calls it names one.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -94,6 +94,8 @@
 	ErrNotFound = errors.New("batch: no such job or item")
 	// ErrRefused reports a call that was not carried out and never will be.
 	ErrRefused = errors.New("batch: call refused")
+	// ErrFull is an ErrRefused: there is no room for the job until another has ended.
+	ErrFull = fmt.Errorf("%w: no room for the job", ErrRefused)
 	// ErrExcluded is an ErrRefused: the job's bounds exclude the region of the coordinator.
 	ErrExcluded = fmt.Errorf("%w: job excludes the coordinator's region", ErrRefused)
 	// ErrUnavailable reports a call whose outcome is unknown or that cannot be answered now.
@@ -122,3 +124,27 @@
 
 // VisibleTo reports whether a caller of a tenant may see the job. To other callers it is ErrNotFound.
 func (j *Job) VisibleTo(tenant string) bool { return j.Tenant == "" || j.Tenant == tenant }
+
+// itemBytes is what an item takes in memory beyond its content.
+const itemBytes = 1 << 10
+
+// Size returns about what an item takes in memory, in bytes.
+func (i *Item) Size() int64 {
+	size := itemBytes + len(i.Body) + len(i.Path) + len(i.Prefix)
+	for name, value := range i.Header {
+		size += len(name) + len(value)
+	}
+	if i.Reward != nil {
+		size += len(i.Reward.Body) + len(i.Reward.Path)
+	}
+	return int64(size)
+}
+
+// SizeOf returns about what items take in memory, in bytes.
+func SizeOf(items []Item) int64 {
+	size := int64(0)
+	for i := range items {
+		size += items[i].Size()
+	}
+	return size
+}
--- a/internal/batchrpc/batchrpc.go
+++ b/internal/batchrpc/batchrpc.go
@@ -19,8 +19,15 @@
 	codeUnavailable
 	// codeNotLeading: the process is not the coordinator; the call had no effect.
 	codeNotLeading
+	// codeFull: there is no room for the job; the call had no effect.
+	codeFull
+	// codeNotStaged: staged items are missing; the call had no effect.
+	codeNotStaged
 )
 
+// errNotStaged reports a job whose items were not all staged at this process.
+var errNotStaged = errors.New("batchrpc: items not staged")
+
 var errNotLeading = errors.New("batchrpc: process is not the coordinator")
 
 var codeErrors = map[code]error{
@@ -28,6 +35,8 @@
 	codeRefused:     batch.ErrRefused,
 	codeUnavailable: batch.ErrUnavailable,
 	codeNotLeading:  errNotLeading,
+	codeFull:        batch.ErrFull,
+	codeNotStaged:   errNotStaged,
 }
 
 func toCode(err error) code {
@@ -36,6 +45,10 @@
 		return codeOK
 	case errors.Is(err, batch.ErrNotFound):
 		return codeNotFound
+	case errors.Is(err, batch.ErrFull):
+		return codeFull
+	case errors.Is(err, errNotStaged):
+		return codeNotStaged
 	case errors.Is(err, batch.ErrRefused):
 		return codeRefused
 	}
@@ -47,6 +60,18 @@
 	Job batch.Job
 	// RewardRoutes are the names of the bound routes that the job's reward calls use.
 	RewardRoutes []string
+	// Upload names the items that were staged for the job, and Parts is how many parts they have. They stand before those of the job itself.
+	Upload string
+	Parts  int
+}
+
+// StageRequest stages a part of the items of a job that is too large for one message. Without items, it drops what was staged.
+type StageRequest struct {
+	// Upload identifies the submission.
+	Upload string
+	// Part counts the parts of the submission from 0. A part that is not the next one is refused.
+	Part  int
+	Items []batch.Item
 }
 
 // ReadRequest requests results.
@@ -124,13 +149,24 @@
 }
 
 // Register registers the handlers of a service and a lease with a server.
-func Register(server *rpc.Server, service batch.Service, lease Lease) {
+// maxStagedBytes bounds the items that are staged at the process.
+func Register(server *rpc.Server, service batch.Service, lease Lease, maxStagedBytes int64) {
+	staging := newStaging(maxStagedBytes)
+	rpc.Handle(server, func(_ context.Context, _ rpc.Peer, request StageRequest) (Reply, error) {
+		if !lease.Leading() {
+			return Reply{Code: codeNotLeading}, nil
+		}
+		return Reply{Code: toCode(staging.add(request))}, nil
+	})
 	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request SubmitRequest) (Reply, error) {
 		if !lease.Leading() {
 			return Reply{Code: codeNotLeading}, nil
 		}
 		lease.AddRewardRoutes(request.RewardRoutes)
-		err := service.Submit(ctx, request.Job)
+		err := staging.complete(&request)
+		if err == nil {
+			err = service.Submit(ctx, request.Job)
+		}
 		return Reply{Code: toCode(err), Excluded: errors.Is(err, batch.ErrExcluded)}, nil
 	})
 	rpc.Handle(server, func(ctx context.Context, _ rpc.Peer, request ReadRequest) (ReadReply, error) {
--- a/internal/batchrpc/client.go
+++ b/internal/batchrpc/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
 
 	"github.com/covelink/covelink/internal/batch"
 	"github.com/covelink/covelink/internal/fleet"
@@ -122,6 +123,8 @@
 				return refusal
 			}
 			return batch.ErrExcluded
+		case errors.Is(err, batch.ErrFull) && refusal != batch.ErrUnavailable:
+			return err
 		case errors.Is(err, batch.ErrUnavailable):
 			// The attempt may have been accepted.
 			refusal = batch.ErrUnavailable
@@ -150,10 +153,11 @@
 		ctx, stop = c.WhileCoordinator(ctx, leader.Address)
 		defer stop()
 	}
-	reply, err := rpc.Call[SubmitRequest, Reply](ctx, c.Calls, leader.Address, SubmitRequest{
-		Job:          job,
-		RewardRoutes: jobresidency.RewardRoutes(c.State.View().Routes, &job),
-	})
+	request := SubmitRequest{Job: job, RewardRoutes: jobresidency.RewardRoutes(c.State.View().Routes, &job)}
+	if err := c.stage(ctx, leader.Address, &request); err != nil {
+		return err
+	}
+	reply, err := rpc.Call[SubmitRequest, Reply](ctx, c.Calls, leader.Address, request)
 	if errors.Is(err, rpc.ErrNotSent) {
 		return batch.ErrRefused
 	}
@@ -166,6 +170,25 @@
 	return codeErrors[reply.Code]
 }
 
+// stage sends the items that are too large for one message ahead of their job. Nothing of the job has been accepted if it fails.
+func (c *Client) stage(ctx context.Context, address string, request *SubmitRequest) error {
+	parts, rest := split(request.Job.Items)
+	if len(parts) == 0 {
+		return nil
+	}
+	request.Upload, request.Parts, request.Job.Items = uuid.NewString(), len(parts), rest
+	for number, items := range parts {
+		reply, err := rpc.Call[StageRequest, Reply](ctx, c.Calls, address, StageRequest{Upload: request.Upload, Part: number, Items: items})
+		if err != nil {
+			return fmt.Errorf("%w: %w", batch.ErrRefused, err)
+		}
+		if err := codeErrors[reply.Code]; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Read implements batch.Service.
 func (c *Client) Read(ctx context.Context, ref batch.Ref, position int, wait time.Duration) (batch.ResultPage, error) {
 	request := ReadRequest{Job: ref, Position: position, Wait: wait}
--- a/internal/batchrun/commit.go
+++ b/internal/batchrun/commit.go
@@ -111,7 +111,9 @@
 	}
 	j.pending = j.pending[appended:]
 	j.pendingSince = r.now()
+	held := j.bytes
 	j.publish(j.stored.Results, j.stored.Sealed)
+	r.openBytes -= held - j.bytes
 	level.Debug(r.Logger).Log("msg", "results listed", "request", j.ID, "listed", len(j.listed), "items", len(j.items), "sealed", j.sealed)
 	return !j.sealed && (len(j.pending) > 0 || j.ended)
 }
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -72,6 +72,9 @@
 	byID   map[string]*item
 	// dead counts the items that were given up.
 	dead int
+	// bytes is the size of the items in memory; zero once their bodies were released. released is true if that was before the end of the job.
+	bytes    int64
+	released bool
 	// longest is the expected remaining time of the longest group that the trainer waits for, as of the last scheduling pass.
 	longest time.Duration
 	// accepted is when this process started to run the job.
@@ -122,6 +125,7 @@
 			it.finish()
 		}
 	}
+	j.bytes = batch.SizeOf(stored.Job.Items)
 	// The items are held in j.items; release the stored copies.
 	j.Job.Items, stored.Job.Items = nil, nil
 	if j.sealed {
@@ -135,6 +139,24 @@
 	for _, it := range j.items {
 		it.Item = batch.Item{ID: it.ID}
 	}
+	j.bytes = 0
+}
+
+// releaseListed releases the bodies of the items of a job whose results are all listed, and returns their size: nothing asks for them any more, while
+// the job may stay open for as long as its caller likes.
+func (j *job) releaseListed() int64 {
+	if len(j.listed) < j.total || j.bytes == 0 {
+		return 0
+	}
+	for _, it := range j.items {
+		it.Body = nil
+		if it.Reward != nil {
+			it.Reward = &batch.Reward{ID: it.Reward.ID, Host: it.Reward.Host, Path: it.Reward.Path}
+		}
+	}
+	released := j.bytes
+	j.bytes, j.released = 0, true
+	return released
 }
 
 // wakeCommitter signals pending work to the committer.
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -57,6 +57,8 @@
 	Retention time.Duration
 	// MaxEndedBytes bounds the results of ended jobs in memory; other results are read from the store on demand. Zero means DefaultMaxEndedBytes.
 	MaxEndedBytes int
+	// MaxOpenBytes bounds the items of open jobs in memory: jobs beyond it are refused. Jobs of earlier terms are loaded regardless. Zero means no bound.
+	MaxOpenBytes int64
 	// TextFolder is the directory for checkpoints of unfinished texts; empty disables them. Checkpoints take up to TextLimit bytes, and
 	// up to twice as much during a rewrite.
 	TextFolder string
@@ -106,6 +108,8 @@
 	endedAt map[string]time.Time
 	// submitted is the work that was submitted in the term, by model.
 	submitted map[string]*submittedWork
+	// openBytes is the size of the items of open jobs, and storingBytes that of jobs that are being stored.
+	openBytes, storingBytes int64
 	// endedBytes is the size of the results of ended jobs in memory.
 	endedBytes int
 	// goroutines tracks the goroutines of the term. Goroutines are added only during the term.
@@ -142,6 +146,7 @@
 		r.recordEnd(j)
 		return j
 	}
+	r.openBytes += j.bytes
 	r.addSubmitted(j)
 	for _, it := range j.items {
 		r.reuse(it)
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -27,6 +27,12 @@
 		r.logExcluded("job refused: residency excludes this region", &submitted)
 		return batch.ErrExcluded
 	}
+	size := batch.SizeOf(submitted.Items)
+	if !r.reserve(size) {
+		level.Warn(r.Logger).Log("msg", "job refused: no room in memory", "request", submitted.ID, "items", len(submitted.Items), "bytes", size)
+		return batch.ErrFull
+	}
+	defer r.unreserve(size)
 	// The job must be stored or refused even if the caller disconnects.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), acceptTimeout)
 	defer cancel()
@@ -57,6 +63,44 @@
 	return nil
 }
 
+// reserve takes room for a job until it is stored. It returns false if there is none.
+func (r *Runner) reserve(bytes int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := r.openBytes + r.storingBytes
+	for _, stored := range r.accepted {
+		held += batch.SizeOf(stored.Job.Items)
+	}
+	if r.MaxOpenBytes > 0 {
+		held -= r.releaseListed(held + bytes - r.MaxOpenBytes)
+	}
+	if r.MaxOpenBytes > 0 && held+bytes > r.MaxOpenBytes {
+		return false
+	}
+	r.storingBytes += bytes
+	return true
+}
+
+// releaseListed releases bodies of jobs whose results are all listed, the oldest first, until that makes up for missing bytes. It returns how much it
+// has released. The mutex must be held.
+func (r *Runner) releaseListed(missing int64) int64 {
+	released := int64(0)
+	for _, j := range r.order {
+		if released >= missing {
+			break
+		}
+		released += j.releaseListed()
+	}
+	r.openBytes -= released
+	return released
+}
+
+func (r *Runner) unreserve(bytes int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.storingBytes -= bytes
+}
+
 // resubmitted returns the reply to a submission whose ID is already that of a stored job.
 func (r *Runner) resubmitted(submitted batch.Job, owner string) error {
 	if owner == submitted.Tenant {
@@ -172,7 +216,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	it, ok := j.byID[name]
-	if !ok || j.sealed {
+	if !ok || j.sealed || j.released {
 		return nil, batch.ErrNotFound
 	}
 	return it.Item.Body, nil
--- a/internal/batchrun/term.go
+++ b/internal/batchrun/term.go
@@ -122,6 +122,7 @@
 	r.jobs, r.order = make(map[string]*job), nil
 	r.endedAt, r.endedBytes = make(map[string]time.Time), 0
 	r.submitted = make(map[string]*submittedWork)
+	r.openBytes = 0
 	r.runs, r.runCount = make(map[itemwork.RunID]*run), 0
 	r.detached, r.carryOverOffsets = make(map[string]*run), make(map[string]int64)
 	r.unfinished = newUnfinishedTexts()
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -66,6 +66,7 @@
 		Dispatcher:   dispatcher,
 		EvacuateTime: config.Topology.EvacuateTime,
 		Retention:    config.Timing.BatchRetention,
+		MaxOpenBytes: callerMemory(config) / openJobShare,
 		TextFolder:   config.Data.Folder,
 		TextLimit:    config.Data.TextMegabytes << 20,
 		Observer:     observed,
@@ -73,6 +74,12 @@
 	})
 }
 
+// Shares of the callers' memory, as divisors, for the items of open jobs and for those of jobs that are being submitted.
+const (
+	openJobShare   = 2
+	stagedJobShare = 4
+)
+
 func newOrders(config settings.Fleet, state *fleet.State, engines *platform.Engines, store metastore.Client, runner *batchrun.Runner,
 	loading *enginescale.LoadingSet, observed *metrics, registry *prometheus.Registry, logger log.Logger) *weightorder.Manager {
 	onLoading := runner.SetLoading
@@ -188,7 +195,7 @@
 	c.ColdLimiter.LeaseConfirmedAt = func() time.Time { return c.hub.LastResponseAt(election.KindLeases) }
 	c.server = rpc.NewServer(c.Logger)
 	storerelay.Register(c.server, c.hub)
-	batchrpc.Register(c.server, c.Runner, c)
+	batchrpc.Register(c.server, c.Runner, c, callerMemory(c.Settings)/stagedJobShare)
 	itemwork.Register(c.server, c.Dispatcher)
 	c.Duties.register(c.server)
 	c.Quarantine.Leading = c.elector.Leading
--- a/internal/jobresidency/deployment_test.go
+++ b/internal/jobresidency/deployment_test.go
@@ -226,7 +226,8 @@
 		Logger: log.NewNopLogger(),
 	})
 	server := rpc.NewServer(log.NewNopLogger())
-	batchrpc.Register(server, c.runner, c)
+	const maxStagedBytes = 64 << 20
+	batchrpc.Register(server, c.runner, c, maxStagedBytes)
 	itemwork.Register(server, dispatcher)
 	incoming := &listener{address: name, conns: make(chan net.Conn), closed: make(chan struct{})}
 	d.network.mu.Lock()
