rpc: connections whose peer is not known take half of the descriptors at most

800 connections that say nothing took all 400 descriptors of a coordinator, until the 5 s for their greeting were over. Beyond half of the descriptors the oldest of them is closed.

--- a/internal/fleetnode/callerlimits.go
+++ b/internal/fleetnode/callerlimits.go
@@ -37,10 +37,7 @@
 	// bytes bounds the bytes of requests and answers.
 	bytes       int64
 	connections int
-
-	mu          sync.Mutex
-	descriptors int
-	readAt      time.Time
+	descriptors descriptorLimit
 }
 
 func callerLimitsOf(config settings.Fleet) *callerLimits {
@@ -53,22 +50,31 @@
 }
 
 // maxConnections returns how many connections may be open.
-func (l *callerLimits) maxConnections() int {
-	return min(l.connections, l.descriptorLimit()/descriptorShare)
+func (l *callerLimits) maxConnections() int { return min(l.connections, l.descriptors.share()) }
+
+// descriptorLimit knows how many descriptors the process may open. The zero value is ready to use.
+type descriptorLimit struct {
+	mu     sync.Mutex
+	count  int
+	readAt time.Time
 }
 
-// descriptorLimit returns how many descriptors the process may open.
-func (l *callerLimits) descriptorLimit() int {
+// share returns how many descriptors the clients of a listener may take.
+func (l *descriptorLimit) share() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.descriptors > 0 && time.Since(l.readAt) < descriptorInterval {
-		return l.descriptors
+	if l.count == 0 || time.Since(l.readAt) >= descriptorInterval {
+		l.count, l.readAt = descriptorCount(), time.Now()
 	}
+	return l.count / descriptorShare
+}
+
+// descriptorCount reads how many descriptors the process may open.
+func descriptorCount() int {
 	const unlimited = 1 << 30
-	l.descriptors, l.readAt = unlimited, time.Now()
 	var limit syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil {
-		l.descriptors = int(min(limit.Cur, unlimited))
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return unlimited
 	}
-	return l.descriptors
+	return int(min(limit.Cur, unlimited))
 }
--- a/internal/fleetnode/coordinator.go
+++ b/internal/fleetnode/coordinator.go
@@ -152,6 +152,7 @@
 	hub     *storerelay.Hub
 	// workerShare holds the bits of the share of the gateways that are to run items.
 	workerShare atomic.Uint64
+	descriptors descriptorLimit
 }
 
 func runCoordinator(hooks fx.Lifecycle, params coordinatorParams) {
@@ -194,6 +195,7 @@
 	c.Zones.SetSource(c.zoneSource(c.hub))
 	c.ColdLimiter.LeaseConfirmedAt = func() time.Time { return c.hub.LastResponseAt(election.KindLeases) }
 	c.server = rpc.NewServer(c.Logger)
+	c.server.MaxGreetings = c.descriptors.share
 	storerelay.Register(c.server, c.hub)
 	batchrpc.Register(c.server, c.Runner, c, callerMemory(c.Settings)/stagedJobShare)
 	itemwork.Register(c.server, c.Dispatcher)
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"reflect"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -23,6 +24,7 @@
 	defaultMaxConcurrency = 1024
 	acceptRetryDelay      = 50 * time.Millisecond
 	overloadedRetryAfter  = 100 * time.Millisecond
+	defaultMaxGreetings   = 1024
 	// maxHelloBytes bounds the first frame, which is read before the peer is known.
 	maxHelloBytes = 4 << 10
 )
@@ -50,6 +52,8 @@
 	MaxFrameBytes int
 	// MaxConcurrency bounds the requests served at once on one connection; zero means 1024.
 	MaxConcurrency int
+	// MaxGreetings returns how many connections may be open whose peer is not known yet; beyond it the oldest of them is closed. Nil means 1024.
+	MaxGreetings func() int
 	// Observer may be nil.
 	Observer Observer
 	Logger   log.Logger
@@ -57,10 +61,12 @@
 	mu       sync.Mutex
 	handlers map[string]handler
 	conns    map[net.Conn]struct{}
-	closed   bool
-	requests int             // being served
-	idle     []chan struct{} // closed when requests falls to zero
-	running  sync.WaitGroup
+	// greetings are the connections whose peer is not known yet, the oldest first.
+	greetings []net.Conn
+	closed    bool
+	requests  int             // being served
+	idle      []chan struct{} // closed when requests falls to zero
+	running   sync.WaitGroup
 }
 
 // NewServer returns a Server without handlers.
@@ -179,6 +185,10 @@
 }
 
 func (s *Server) track(conn net.Conn) bool {
+	limit := defaultMaxGreetings
+	if s.MaxGreetings != nil {
+		limit = s.MaxGreetings()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -186,9 +196,24 @@
 	}
 	s.conns[conn] = struct{}{}
 	s.running.Add(1)
+	s.greetings = append(s.greetings, conn)
+	for len(s.greetings) > max(limit, 1) {
+		// Its own goroutine ends it for good.
+		s.greetings[0].Close()
+		s.greetings = slices.Delete(s.greetings, 0, 1)
+	}
 	return true
 }
 
+// greeted notes that the peer of a connection is known, or never will be.
+func (s *Server) greeted(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.greetings, conn); i >= 0 {
+		s.greetings = slices.Delete(s.greetings, i, i+1)
+	}
+}
+
 func (s *Server) untrack(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -220,6 +245,7 @@
 func (s *Server) serveConn(conn net.Conn) {
 	reader := newFrameReader(conn, maxHelloBytes)
 	peer, err := s.receiveHello(conn, reader)
+	s.greeted(conn)
 	if err != nil {
 		level.Warn(s.Logger).Log("msg", "connection refused", "remote", conn.RemoteAddr(), "err", err)
 		return
