intake: single bytes do not keep a body's room

A client that sends a byte now and then counted as making progress and could hold the room of a large body until its own deadline, which it chooses. A connection now makes progress by 4 KB, or by the begin or the end of a request. TestPool fails before.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -16,6 +16,8 @@
 	headCost = 3
 	// writePieceBytes is what a client must take within the idle timeout for its answer to go on.
 	writePieceBytes = 64 << 10
+	// progressBytes is what a client must send for its connection to count as making progress, so that single bytes do not keep its room.
+	progressBytes = 4 << 10
 	// receiveBufferBytes bounds what the kernel holds for a connection that is not read.
 	receiveBufferBytes = 32 << 10
 	// discardTime is how long what is left of a body is read and dropped after its request was answered. A connection that is closed with unread bytes
@@ -57,8 +59,10 @@
 	accepted time.Time
 	// begun is true once a byte has arrived.
 	begun atomic.Bool
-	// progressed is when bytes were last received or sent, in nanoseconds since 1970.
+	// progressed is when progressBytes were last received, a piece was last sent or a request began or ended, in nanoseconds since 1970, and unnoted
+	// counts the bytes that were received since.
 	progressed atomic.Int64
+	unnoted    atomic.Int64
 	// writing is true while bytes are being sent.
 	writing atomic.Bool
 	// receivingHead is true while the phase is phaseHead, and headBytes counts the bytes of the head.
@@ -88,7 +92,10 @@
 	return c, true
 }
 
-func (c *Conn) progress() { c.progressed.Store(c.pool.Now().UnixNano()) }
+func (c *Conn) progress() {
+	c.unnoted.Store(0)
+	c.progressed.Store(c.pool.Now().UnixNano())
+}
 
 func (c *Conn) progressedAt() time.Time { return time.Unix(0, c.progressed.Load()) }
 
@@ -103,7 +110,9 @@
 	if n == 0 {
 		return n, err
 	}
-	c.progress()
+	if c.unnoted.Add(int64(n)) >= progressBytes {
+		c.progress()
+	}
 	if c.begun.CompareAndSwap(false, true) {
 		if deadlineErr := c.Conn.SetReadDeadline(c.pool.Now().Add(c.timeouts.Header)); deadlineErr != nil {
 			return n, deadlineErr
@@ -194,6 +203,7 @@
 func (c *Conn) begin(hasBody bool) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
+	c.progress()
 	c.receivingHead.Store(false)
 	c.phase = phaseServing
 	if hasBody {
@@ -224,6 +234,7 @@
 		_ = c.Conn.SetReadDeadline(c.pool.Now().Add(discardTime))
 	}
 	c.pool.release(c, c.held)
+	c.progress()
 	c.phase = phaseHead
 	c.headBytes.Store(0)
 	c.receivingHead.Store(true)
--- a/internal/intake/pool_test.go
+++ b/internal/intake/pool_test.go
@@ -17,6 +17,8 @@
 	interrupted bool
 }
 
+func (f *fakeConn) Read(into []byte) (int, error) { return len(into), nil }
+
 func (f *fakeConn) Close() error {
 	f.closed = true
 	return nil
@@ -70,6 +72,24 @@
 		So(stalled.Grow(1), ShouldBeFalse)
 		So(stalled.received(), ShouldBeFalse)
 	})
+	Convey("Single bytes do not keep a body's room, and pieces do", t, func() {
+		for _, piece := range []struct {
+			size    int
+			granted bool
+		}{{1, true}, {progressBytes, false}} {
+			w := newWorld(room, 10)
+			slow, _ := w.connect()
+			slow.begin(true)
+			So(slow.Grow(room*3/4), ShouldBeTrue)
+			for range 10 {
+				w.now = w.now.Add(minStall / 5)
+				_, err := slow.Read(make([]byte, piece.size))
+				So(err, ShouldBeNil)
+			}
+			sender, _ := w.connect()
+			So(sender.Grow(room/2), ShouldEqual, piece.granted)
+		}
+	})
 	Convey("A request that is being served keeps its room, unless its client reads nothing", t, func() {
 		w := newWorld(room, 10)
 		served, servedConn := w.connect()
