batchrpc: a job for which there is no room is refused at once, unless it was accepted before

An earlier attempt of the job may have been accepted at another gateway; a refusal promises that none of it runs. The gateway asks the coordinator for the job without its body, as it does for jobs that are excluded from the coordinator's region.

--- a/internal/batchrpc/client.go
+++ b/internal/batchrpc/client.go
@@ -72,33 +72,40 @@
 func (c *Client) Close() { c.endRetrier.close() }
 
 // Submit implements batch.Service. It retries while there is no coordinator; repeated submissions are idempotent. It returns ErrRefused only if no
-// attempt can have been accepted, and ErrExcluded, without further attempts, if in addition the coordinator is in an excluded region.
+// attempt can have been accepted, and ErrExcluded or ErrFull, without further attempts, if in addition the coordinator is in an excluded region or has
+// no room for the job.
 func (c *Client) Submit(ctx context.Context, job batch.Job) error {
 	jobresidency.Bind(c.State.View().Routes, &job)
 	err := submitUntilAccepted(ctx, func(ctx context.Context) error { return c.submitOnce(ctx, job) })
-	if errors.Is(err, batch.ErrExcluded) {
-		return c.resolveExcluded(ctx, &job)
+	switch {
+	case errors.Is(err, batch.ErrExcluded):
+		err = c.resolveRefused(ctx, &job, batch.ErrExcluded)
+		level.Warn(c.Logger).Log("msg", "job excluded from the coordinator's region", "request", job.ID, "tenant", job.Tenant,
+			"zone", c.Coordinator().Zone, "allowed", fmt.Sprint(c.residency(&job).RegionSets()), "taken_earlier", err)
+	case errors.Is(err, batch.ErrFull):
+		err = c.resolveRefused(ctx, &job, batch.ErrFull)
+		level.Warn(c.Logger).Log("msg", "no room for the job at the coordinator", "request", job.ID, "tenant", job.Tenant, "taken_earlier", err)
 	}
 	return err
 }
 
-// resolveExcluded asks the coordinator, without sending the body, whether an excluded job was accepted earlier; only one that was not may be
-// refused. The request also carries the routes of the job's reward calls for the choice of home regions.
-func (c *Client) resolveExcluded(ctx context.Context, job *batch.Job) error {
+// resolveRefused asks the coordinator, without sending the body, whether a refused job was accepted earlier; only for one that was not it returns the
+// refusal. The request for an excluded job also carries the routes of its reward calls for the choice of home regions.
+func (c *Client) resolveRefused(ctx context.Context, job *batch.Job, refusal error) error {
 	request := ReadRequest{
 		Job: batch.Ref{ID: job.ID, Tenant: job.Tenant},
 		// A position past all results: the reply only tells whether the job exists.
-		Position:     math.MaxInt32,
-		RewardRoutes: jobresidency.RewardRoutes(c.State.View().Routes, job),
+		Position: math.MaxInt32,
+	}
+	if errors.Is(refusal, batch.ErrExcluded) {
+		request.RewardRoutes = jobresidency.RewardRoutes(c.State.View().Routes, job)
 	}
 	reply, err := call[ReadRequest, ReadReply](ctx, c, request, 0)
 	if err == nil {
 		err = codeErrors[reply.Code]
 	}
-	level.Warn(c.Logger).Log("msg", "job excluded from the coordinator's region", "request", job.ID, "tenant", job.Tenant,
-		"zone", c.Coordinator().Zone, "allowed", fmt.Sprint(c.residency(job).RegionSets()), "taken_earlier", err)
 	if errors.Is(err, batch.ErrNotFound) {
-		return batch.ErrExcluded
+		return refusal
 	}
 	return err
 }
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -72,10 +72,10 @@
 		held += batch.SizeOf(stored.Job.Items)
 	}
 	if r.MaxOpenBytes > 0 {
-		held -= r.releaseListed(held + bytes - r.MaxOpenBytes)
-	}
-	if r.MaxOpenBytes > 0 && held+bytes > r.MaxOpenBytes {
-		return false
+		missing := max(held+bytes-r.MaxOpenBytes, 0)
+		if r.releaseListed(missing) < missing {
+			return false
+		}
 	}
 	r.storingBytes += bytes
 	return true
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -32,7 +32,7 @@
 	err := read()
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
-		c.Note(ReasonTimeout)
+		c.noteTimeout()
 		return ErrTimeout
 	}
 	if err != nil {
@@ -44,6 +44,15 @@
 	return c.Conn.SetReadDeadline(time.Time{})
 }
 
+// noteTimeout counts a body that did not arrive in time, unless it was interrupted because the connection has lost its room.
+func (c *Conn) noteTimeout() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if !c.evicted {
+		c.pool.note(ReasonTimeout)
+	}
+}
+
 // extend sets the deadline of the body, unless the connection has lost its room.
 func (c *Conn) extend(deadline time.Time) error {
 	c.pool.mu.Lock()
