itemwork: the assignments of one reply are bounded to 1 MB

What callers saw: a batch job of 29 MB with items of 700 KB took the coordinator to 909 MB of 270 and 41 s, or did not end in a minute.

Cause: a poll was answered with all orders of the worker; a reply above 16 MB was encoded, found too large and refused, again at each poll, and the replies of other calls waited behind it.

Change: a reply holds the first orders up to 1 MB, at least one; the next poll returns the others at once.

Evidence: TestCrowdOfOneJobWithLargeItems waits in vain for all results before, and passes in 2.4 s with 91 MB at the coordinator.

--- a/internal/itemwork/dispatcher.go
+++ b/internal/itemwork/dispatcher.go
@@ -284,10 +284,40 @@
 	}
 	now := boottime.Now()
 	reply.Held = now.Sub(started)
-	reply.Orders = ordersForReply(worker.orders, now)
+	reply.Orders = ordersForReply(firstOf(worker.orders), now)
 	return reply
 }
 
+// maxReplyBytes bounds the assignments of one reply, unless the first alone is larger. The next poll returns the orders that are left.
+const maxReplyBytes = 1 << 20
+
+// size returns about how many bytes an assignment takes in a reply.
+func (a *Assignment) size() int {
+	const fixed = 512
+	size := fixed + len(a.Body)
+	for name, value := range a.Header {
+		size += len(name) + len(value)
+	}
+	if a.Reward != nil {
+		size += len(a.Reward.Body)
+	}
+	return size
+}
+
+// firstOf returns the first orders, up to maxReplyBytes.
+func firstOf(orders []Order) []Order {
+	size := 0
+	for i, order := range orders {
+		if order.Start != nil {
+			size += order.Start.size()
+		}
+		if i > 0 && size > maxReplyBytes {
+			return orders[:i]
+		}
+	}
+	return orders
+}
+
 // ordersForReply returns a copy of orders in which LeaveBy, a moment of this machine's boottime, is replaced by LeaveWithin.
 func ordersForReply(orders []Order, now time.Time) []Order {
 	copied := slices.Clone(orders)
