rpc, fleetnode: greetings have a file of their own, and the current server is derived

Read-through, no change of behaviour: what bounds connections without a greeting moves out of server.go, and serverFor finds the server of the limits in force in its list in place of remembering it.

--- a/internal/fleetnode/httpserver.go
+++ b/internal/fleetnode/httpserver.go
@@ -60,7 +60,6 @@
 	logger   log.Logger
 
 	mu      sync.Mutex
-	current *limitedServer
 	servers []*limitedServer
 	closed  bool
 }
@@ -106,21 +105,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limits.MaxBodyBytes = 0
-	if s.current != nil && s.current.limits == limits {
-		return s.current
-	}
 	for _, known := range s.servers {
 		if known.limits == limits {
-			s.current = known
 			return known
 		}
 	}
-	s.current = s.newLimitedServer(limits)
-	s.servers = append(s.servers, s.current)
+	server := s.newLimitedServer(limits)
+	s.servers = append(s.servers, server)
 	if s.closed {
-		s.current.Close()
+		server.Close()
 	}
-	return s.current
+	return server
 }
 
 // drain waits until callers open no more connections, closes the listener and finishes the requests that are on their way.
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"reflect"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -185,10 +184,7 @@
 }
 
 func (s *Server) track(conn net.Conn) bool {
-	limit := defaultMaxGreetings
-	if s.MaxGreetings != nil {
-		limit = s.MaxGreetings()
-	}
+	limit := s.greetingLimit()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -196,24 +192,10 @@
 	}
 	s.conns[conn] = struct{}{}
 	s.running.Add(1)
-	s.greetings = append(s.greetings, conn)
-	for len(s.greetings) > max(limit, 1) {
-		// Its own goroutine ends it for good.
-		s.greetings[0].Close()
-		s.greetings = slices.Delete(s.greetings, 0, 1)
-	}
+	s.greet(conn, limit)
 	return true
 }
 
-// greeted notes that the peer of a connection is known, or never will be.
-func (s *Server) greeted(conn net.Conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if i := slices.Index(s.greetings, conn); i >= 0 {
-		s.greetings = slices.Delete(s.greetings, i, i+1)
-	}
-}
-
 func (s *Server) untrack(conn net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
