--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -24,6 +24,7 @@
 	"surplus-refusal": playSurplusRefusal,
 	"stop-late":       playLateStop,
 	"checkpoint":      playCheckpoint,
+	"stop-limits":     playStopAfterLimits,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-2/play.go
+++ b/review/standin-2/play.go
@@ -105,9 +105,14 @@
 
 // configure writes the operator's configuration.
 func (p *play) configure(version int, routes, services []map[string]any) error {
+	return p.configureWith(version, 15000, routes, services)
+}
+
+// configureWith is configure with an idle time-out, in milliseconds.
+func (p *play) configureWith(version, idle int, routes, services []map[string]any) error {
 	return platformtest.Put(p.ctx, p.store, "config", "main", map[string]any{
 		"version": version, "routes": routes, "services": services,
-		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 33554432, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 33554432, "header-timeout-ms": 3000, "idle-timeout-ms": idle},
 	})
 }
 
--- a/review/standin-2/stop.go
+++ b/review/standin-2/stop.go
@@ -78,7 +78,7 @@
 		})
 	}
 	clients.Wait()
-	return p.judgeStop(calls, samplers, stopped), nil
+	return p.judgeStop(calls, samplers, stopped, stopStream), nil
 }
 
 // readStreams makes a client's calls on one connection until the gateway closes it or says that it will, or the time is over.
@@ -106,8 +106,8 @@
 }
 
 // judgeStop counts the calls that a sampler has begun to run and whose connection was closed without a complete answer, without those that the rule
-// excuses: sent no later than lateAfter after the SIGTERM, with the sampler at work in the last sixth of the grace.
-func (p *play) judgeStop(calls []streamCall, samplers []*sampler, stopped time.Time) (held bool) {
+// excuses: sent no later than lateAfter after the SIGTERM, with the sampler at work in the last sixth of the grace. work is what a request takes.
+func (p *play) judgeStop(calls []streamCall, samplers []*sampler, stopped time.Time, work time.Duration) (held bool) {
 	lost, excused := 0, 0
 	for _, made := range calls {
 		runs := 0
@@ -124,8 +124,8 @@
 		}
 		lost++
 		p.note("LOST: %s was sent %.3f s after the SIGTERM, passed on, and cut %.3f s after it; its sampler would have ended it after %.3f s", made.id, sent.Seconds(),
-			cut.Seconds(), (sent + stopStream).Seconds())
+			cut.Seconds(), (sent + work).Seconds())
 	}
-	p.note("%d streams asked for, %d lost, %d cut with an excuse", len(calls), lost, excused)
+	p.note("%d requests, %d lost, %d cut with an excuse", len(calls), lost, excused)
 	return lost == 0
 }
