--- a/review/standin-2/limits.go
+++ b/review/standin-2/limits.go
@@ -59,7 +59,7 @@
 	stopped := time.Now().Add(limitsSettle)
 	var clients sync.WaitGroup
 	var mu sync.Mutex
-	var calls []streamCall
+	var calls []keptCall
 	for n := range limitsConns {
 		clients.Go(func() {
 			made := p.keepLooking(stopping, n, stopped.Add(stopGrace))
@@ -97,14 +97,14 @@
 }
 
 // keepLooking makes a client's lookups on one connection that it keeps, until the gateway closes it or says that it will, or the time is over.
-func (p *play) keepLooking(gateway *daemon, client int, over time.Time) []streamCall {
+func (p *play) keepLooking(gateway *daemon, client int, over time.Time) []keptCall {
 	c, err := connect(gateway.http)
 	if err != nil {
 		p.note("no connection to %s: %v", gateway.name, err)
 		return nil
 	}
 	defer c.Close()
-	var made []streamCall
+	var made []keptCall
 	for number := 0; time.Now().Before(over); number++ {
 		if number > 0 {
 			p.pause(time.Duration(rand.Int64N(int64(limitsRest))))
@@ -115,7 +115,7 @@
 		began := time.Now()
 		got := c.do(call{id: id, path: "/lookup/" + id, deadline: 1500 * time.Millisecond})
 		p.note("%s, sent at %.3f, is answered %d (whole %v, close %v, err %v)", id, began.Sub(p.began).Seconds(), got.status, got.whole, got.close, got.err)
-		made = append(made, streamCall{id: id, sent: began, took: time.Since(began), got: got, complete: got.whole})
+		made = append(made, keptCall{id: id, sent: began, took: time.Since(began), got: got, complete: got.whole})
 		if got.close {
 			return made
 		}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,9 +22,10 @@
 // cases maps the name of a case to what plays it. It returns whether the rule held.
 var cases = map[string]func(p *play) (held bool, err error){
 	"surplus-refusal": playSurplusRefusal,
-	"stop-late":       playLateStop,
 	"checkpoint":      playCheckpoint,
 	"stop-limits":     playStopAfterLimits,
+	"removal":         playRemoval,
+	"unframed":        playUnframed,
 }
 
 func main() { os.Exit(run()) }
@@ -34,7 +35,12 @@
 	program := flag.String("program", "target/covelinkd", "the daemon")
 	recordFile := flag.String("record", "record.txt", "where to write what was sent, answered and run")
 	calm := flag.Bool("calm", false, "leave the disruption out")
+	samplerAddress := flag.String("sampler", "", "be a sampler that listens at an address, and play no case")
+	samplerID := flag.String("id", "", "the sampler's id")
 	flag.Parse()
+	if *samplerAddress != "" {
+		return runSampler(*samplerAddress, *samplerID)
+	}
 	body, known := cases[*name]
 	if !known {
 		fmt.Fprintln(os.Stderr, "no such case:", *name)
--- a/review/standin-2/play.go
+++ b/review/standin-2/play.go
@@ -5,17 +5,19 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/covelink/covelink/platform/platformtest"
 )
 
 const (
@@ -23,6 +25,8 @@
 	host = "review.example"
 	// heartbeatInterval is heartbeat-ms of the settings of a small deployment.
 	heartbeatInterval = 1200 * time.Millisecond
+	// defaultRetention is status-s of the sites, in seconds.
+	defaultRetention = 120
 	// startPatience bounds the wait for the processes to be ready.
 	startPatience = 20 * time.Second
 	// stopPatience bounds the wait for a process to end after it was killed.
@@ -40,8 +44,10 @@
 	began   time.Time
 	ctx     context.Context
 	cancel  context.CancelFunc
-	store   *platformtest.Store
+	store   *storeServer
 	running sync.WaitGroup
+	// retention is status-s of the settings, in seconds.
+	retention int
 
 	mu       sync.Mutex
 	record   *bufio.Writer
@@ -69,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &play{program: program, calm: calm, folder: folder, began: time.Now(), file: file, record: bufio.NewWriter(file), store: platformtest.NewStore()}
+	p := &play{program: program, calm: calm, folder: folder, began: time.Now(), file: file, record: bufio.NewWriter(file), store: newStoreServer(), retention: defaultRetention}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	if calm {
 		p.note("without the disruption")
@@ -110,20 +116,33 @@
 
 // configureWith is configure with an idle time-out, in milliseconds.
 func (p *play) configureWith(version, idle int, routes, services []map[string]any) error {
-	return platformtest.Put(p.ctx, p.store, "config", "main", map[string]any{
+	return p.store.write(p.ctx, "config", "main", map[string]any{
 		"version": version, "routes": routes, "services": services,
 		"limits": map[string]any{"max-header-bytes": 16384, "max-body-bytes": 33554432, "header-timeout-ms": 3000, "idle-timeout-ms": idle},
 	})
 }
 
+const (
+	// firstPort and portCount are the ports that a play chooses from: below those that the kernel gives to outgoing connections, one of which could take
+	// a port before the process that is to listen there has started.
+	firstPort = 20000
+	portCount = 12000
+	portTries = 100
+)
+
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var failure error
+	for range portTries {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		if err != nil {
+			failure = err
+			continue
+		}
+		defer listener.Close()
+		return listener.Addr().String(), nil
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", failure
 }
 
 // startDaemons starts one coordinator a zone and some gateways, in turn by zone, with the settings of the deploy file's templates, and waits until the
@@ -183,7 +202,7 @@
 		return nil, err
 	}
 	settings := fmt.Sprintf("node:\n  name: %s\n  zone: %s\n  role: %s\n  memoryMegabytes: 284\nlisten:\n%sstore:\n  address: %q\n%s", name, zone, role,
-		listen, p.store.Address(), more)
+		listen, p.store.address(), more)
 	if role == "coordinator" {
 		settings += fmt.Sprintf("data:\n  folder: %q\n", data)
 	}
@@ -195,7 +214,7 @@
 	if role == "gateway" {
 		settings += "  catchUpTime: 2000ms\n"
 	} else {
-		settings += "  batchRetention: 120s\n"
+		settings += fmt.Sprintf("  batchRetention: %ds\n", p.retention)
 	}
 	settings += "log:\n  level: debug\n"
 	file := filepath.Join(p.folder, name+".yaml")
@@ -232,15 +251,42 @@
 	return d.start(d.command.Path)
 }
 
-// leaderOf returns the process that coordinates, as its log tells; nil if there is none.
+// termField finds the terms that a process has led, in its log.
+var termField = regexp.MustCompile(`msg=leading token=(\d+)`)
+
+// leaderOf returns the process that coordinates, as the logs tell; nil if there is none.
 func (p *play) leaderOf(coordinators []*daemon) *daemon {
+	var leader *daemon
+	newest := 0
 	for _, d := range coordinators {
 		content, err := os.ReadFile(d.log.Name())
-		if err == nil && strings.Contains(string(content), "msg=leading") {
-			return d
+		if err != nil {
+			continue
+		}
+		for _, found := range termField.FindAllSubmatch(content, -1) {
+			if term, err := strconv.Atoi(string(found[1])); err == nil && term > newest {
+				leader, newest = d, term
+			}
+		}
+	}
+	return leader
+}
+
+// noteLog notes the newest line with a text in the log of the process that coordinates last.
+func (p *play) noteLog(daemons []*daemon, text string) {
+	for _, d := range daemons {
+		content, err := os.ReadFile(d.log.Name())
+		if err != nil {
+			continue
+		}
+		lines := strings.Split(string(content), "\n")
+		for _, line := range slices.Backward(lines) {
+			if strings.Contains(line, text) {
+				p.note("log of %s: %s", d.name, line)
+				break
+			}
 		}
 	}
-	return nil
 }
 
 func (d *daemon) signal(signal syscall.Signal) error {
--- a/review/standin-2/sampler.go
+++ b/review/standin-2/sampler.go
@@ -11,8 +11,6 @@
 	"strconv"
 	"sync"
 	"time"
-
-	"github.com/covelink/covelink/platform/platformtest"
 )
 
 // sampler is a server of a service, as the pages describe it. It serves one request at a time on a connection.
@@ -77,7 +75,7 @@
 	if s.model != "" {
 		entry["stage"], entry["models"] = "both", s.models()
 	}
-	return platformtest.Put(s.play.ctx, s.play.store, "servers", s.id, entry)
+	return s.play.store.write(s.play.ctx, "servers", s.id, entry)
 }
 
 // models is what the sampler says of its models.
