--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 [ -x target/covelinkd ] && [ -x target/review-2/standin-2 ] || { echo "build first" >&2; exit 2; }
 calm=()
 if [ "${TROUBLE:-1}" = 0 ]; then calm=(-calm); fi
-exec target/review-2/standin-2 -case stop-limits -program target/covelinkd -record review/7/record.txt "${calm[@]}"
+exec target/review-2/standin-2 -case unframed -program target/covelinkd -record review/7/record.txt "${calm[@]}"
