batchrun, textlog: a checkpoint continues only the text that it began

Cause: the number of events in the checkpoint was kept for the item. A text that replaced another, adopted from a worker that reported late, was continued on disk at that number. A rewrite also counted texts as written that are too short to be written.

Change: text and progress are one value (checkpointedText), and an entry names the entry that began its text.

--- a/internal/batchrun/checkpoint.go
+++ b/internal/batchrun/checkpoint.go
@@ -98,16 +98,10 @@
 func (r *Runner) changedTexts() []textlog.Entry {
 	var entries []textlog.Entry
 	for _, it := range r.unfinishedItems() {
-		length := it.text.Len()
-		if length < it.checkpointed {
-			// The text was restarted.
-			it.checkpointed = 0
-		}
-		if length < minCheckpointEvents || length == it.checkpointed && it.text.Whole == it.checkpointedWhole {
+		if it.text.Len() < minCheckpointEvents || !it.text.unwritten() {
 			continue
 		}
-		entries = append(entries, checkpointEntry(it.textKey(), it.job.Model, &it.text, it.checkpointed))
-		it.checkpointed, it.checkpointedWhole = length, it.text.Whole
+		entries = append(entries, r.itemEntry(it))
 	}
 	return entries
 }
@@ -117,13 +111,13 @@
 	var entries []textlog.Entry
 	r.unfinished.each(func(kept *unfinishedText) {
 		if kept.text.Len() >= minCheckpointEvents {
-			entries = append(entries, checkpointEntry(kept.key, kept.model, &kept.text, 0))
+			entries = append(entries, checkpointEntry(kept.key, kept.model, &kept.text, 0, r.nextTextStart()))
 		}
 	})
 	for _, it := range r.unfinishedItems() {
-		it.checkpointed, it.checkpointedWhole = it.text.Len(), it.text.Whole
-		if it.checkpointed >= minCheckpointEvents {
-			entries = append(entries, checkpointEntry(it.textKey(), it.job.Model, &it.text, 0))
+		it.text.markUnwritten()
+		if it.text.Len() >= minCheckpointEvents {
+			entries = append(entries, r.itemEntry(it))
 		}
 	}
 	return entries
@@ -148,6 +142,22 @@
 	return found
 }
 
-func checkpointEntry(key, model string, text *itemwork.Text, from int) textlog.Entry {
-	return textlog.Entry{Item: key, Model: model, From: from, Segments: text.After(from), LastID: text.LastID, Whole: text.Whole}
+// itemEntry returns an entry with what the checkpoint lacks of an item's text, and counts it as written. The mutex must be held.
+func (r *Runner) itemEntry(it *item) textlog.Entry {
+	if it.text.checkpointed == 0 {
+		it.text.start = r.nextTextStart()
+	}
+	entry := checkpointEntry(it.textKey(), it.job.Model, &it.text.Text, it.text.checkpointed, it.text.start)
+	it.text.markWritten()
+	return entry
+}
+
+// nextTextStart returns a number for an entry that begins a text. The mutex must be held.
+func (r *Runner) nextTextStart() uint64 {
+	r.textStarts++
+	return r.textStarts
+}
+
+func checkpointEntry(key, model string, text *itemwork.Text, from int, start uint64) textlog.Entry {
+	return textlog.Entry{Item: key, Model: model, From: from, Start: start, Segments: text.After(from), LastID: text.LastID, Whole: text.Whole}
 }
--- a/internal/batchrun/detached.go
+++ b/internal/batchrun/detached.go
@@ -45,7 +45,7 @@
 // held.
 func (r *Runner) attach(detached *run, it *item) {
 	delete(r.detached, it.textKey())
-	text := detached.item.text
+	text := detached.item.text.Text
 	if !text.Fits(itemwork.Bounds{MinVersion: it.job.MinVersion, SingleVersion: r.singleVersion(it)}) {
 		// The ended job drops the run once its stream has ended.
 		ended := detached.item.job
@@ -56,7 +56,7 @@
 	level.Debug(r.Logger).Log("msg", "detached run attached to a later job", "request", it.ID, "job", it.job.ID, "before", detached.item.job.ID, "run", detached.id,
 		"text_events", text.Len())
 	r.Observer.HandedOver(HandOverAttached)
-	it.text = text
+	it.text = newText(text)
 	r.returnUnusedTrial(it)
 	it.run, it.phase = detached, phaseRunning
 	detached.item = it
@@ -87,8 +87,8 @@
 	if it.text.Len() == 0 {
 		return
 	}
-	r.unfinished.put(unfinishedText{key: it.textKey(), model: it.job.Model, text: it.text})
-	it.text = itemwork.Text{}
+	r.unfinished.put(unfinishedText{key: it.textKey(), model: it.job.Model, text: it.text.Text})
+	it.text = checkpointedText{}
 }
 
 // recordCarryOver records the increase in the required weight version of a carried-over item.
--- a/internal/batchrun/job.go
+++ b/internal/batchrun/job.go
@@ -28,7 +28,7 @@
 	job   *job
 	group *itemGroup
 	phase phase
-	text  itemwork.Text
+	text  checkpointedText
 	// failures counts responses with status 500 from engines.
 	failures int
 	// carriedOver is true if an earlier job had the item too.
@@ -37,9 +37,6 @@
 	notBefore time.Time
 	// moves counts the moves to faster engines.
 	moves int
-	// checkpointed is the number of events in the checkpoint on disk. checkpointedWhole is true if the checkpoint marks the text as complete.
-	checkpointed      int
-	checkpointedWhole bool
 	// renewing is true while the item's run is being canceled to restart the item from scratch.
 	renewing bool
 	// preferVersion is the oldest weight version preferred for the next run, until preferUntil.
--- a/internal/batchrun/report.go
+++ b/internal/batchrun/report.go
@@ -106,7 +106,7 @@
 	r.Observer.HandedOver(HandOverAdopted)
 	it.stop()
 	r.returnUnusedTrial(it)
-	it.text = text
+	it.text = newText(text)
 	adopted := r.addRun(report.Run, it, report.Engine)
 	r.assignWorker(adopted, worker)
 	adopted.streaming, adopted.noRewardCall = true, report.Released
--- a/internal/batchrun/reuse.go
+++ b/internal/batchrun/reuse.go
@@ -22,7 +22,7 @@
 		return
 	}
 	if kept.Fits(itemwork.Bounds{MinVersion: it.job.MinVersion, SingleVersion: r.singleVersion(it)}) {
-		it.text = kept
+		it.text = newText(kept)
 		r.Observer.Restored(kept.Len())
 	}
 }
--- a/internal/batchrun/run_end.go
+++ b/internal/batchrun/run_end.go
@@ -78,7 +78,7 @@
 	case itemwork.VerdictCanceled:
 		it.phase = phaseWaiting
 		if it.renewing {
-			it.renewing, it.text = false, itemwork.Text{}
+			it.renewing, it.text = false, checkpointedText{}
 		}
 	default:
 		it.retry(now)
@@ -189,7 +189,7 @@
 	it.phase = phaseFinished
 	r.returnUnusedTrial(it)
 	if result.State != batch.Done || !it.text.Fits(itemwork.Bounds{MinVersion: r.carryOverVersion(it.job)}) {
-		it.text = itemwork.Text{}
+		it.text = checkpointedText{}
 	}
 	if result.State == batch.Dead {
 		it.job.dead++
--- a/internal/batchrun/runner.go
+++ b/internal/batchrun/runner.go
@@ -104,6 +104,8 @@
 	draining         drainingZones
 	// unfinished holds the texts that ended jobs left for later jobs.
 	unfinished *unfinishedTexts
+	// textStarts counts the texts that checkpoints began. It is not reset between terms.
+	textStarts uint64
 	// endedAt holds the time at which this process recorded the durable end of each job.
 	endedAt map[string]time.Time
 	// submitted is the work that was submitted in the term, by model.
--- a/internal/textlog/textlog.go
+++ b/internal/textlog/textlog.go
@@ -43,7 +43,10 @@
 	// Model is the one whose weights make the text.
 	Model string
 	// From is the number of events that the text had before; an entry from zero starts it anew.
-	From     int
+	From int
+	// Start is the number of the entry from zero that this one continues, or its own. A process numbers them without repeats, so that an entry does
+	// not continue the text of another run that happens to have as many events.
+	Start    uint64
 	Segments []itemwork.Segment
 	// LastID is the ID of the text's last event.
 	LastID int64
@@ -198,11 +201,13 @@
 	// Records is the number of records that were read, and Damaged that of files that end in the middle of one, or in one whose
 	// checksum does not hold.
 	Records, Damaged int
+	// starts are the starts of the texts by item.
+	starts map[string]uint64
 }
 
 // Read returns the texts that are kept in a folder. Of a damaged file it returns what comes before the damage.
 func Read(folder string) (Restored, error) {
-	restored := Restored{Texts: make(map[string]Text)}
+	restored := Restored{Texts: make(map[string]Text), starts: make(map[string]uint64)}
 	numbers, err := fileNumbers(folder)
 	if err != nil {
 		return restored, err
@@ -267,13 +272,14 @@
 	return entries, nil
 }
 
-// take adds an entry to its text. One that does not continue it makes the text unknown: part of it is missing.
+// take adds an entry to its text. One that does not continue it makes the text unknown: part of it is missing, or it is of another run.
 func (r *Restored) take(entry Entry) {
 	text := r.Texts[entry.Item]
 	if entry.From == 0 {
 		text = Text{Model: entry.Model}
+		r.starts[entry.Item] = entry.Start
 	}
-	if entry.From != text.Len() || text.Whole {
+	if entry.From != text.Len() || entry.Start != r.starts[entry.Item] || text.Whole {
 		delete(r.Texts, entry.Item)
 		return
 	}
--- a/internal/textlog/textlog_test.go
+++ b/internal/textlog/textlog_test.go
@@ -63,6 +63,16 @@
 		So(log.Append([]textlog.Entry{{Item: "a", Segments: events(2, "n"), LastID: 1}, {Item: "b", From: 5, Segments: events(1, "y"), LastID: 6}}), ShouldBeNil)
 		So(read(folder).Texts, ShouldResemble, map[string]textlog.Text{"a": {Text: itemwork.Text{Segments: events(2, "n"), LastID: 1}}})
 	})
+	Convey("An entry of another text that has as many events does not continue a text, so that the texts of two runs are never joined", t, func() {
+		folder := t.TempDir()
+		log := open(folder)
+		So(log.Append([]textlog.Entry{{Item: "a", Start: 1, Segments: events(1, "x", "y"), LastID: 2}}), ShouldBeNil)
+		So(log.Append([]textlog.Entry{{Item: "a", Start: 2, Segments: events(1, "v", "w"), LastID: 2}}), ShouldBeNil)
+		So(log.Append([]textlog.Entry{{Item: "a", Start: 1, From: 2, Segments: events(1, "z"), LastID: 3}}), ShouldBeNil)
+		So(read(folder).Texts, ShouldBeEmpty)
+		So(log.Append([]textlog.Entry{{Item: "a", Start: 3, Segments: events(1, "x"), LastID: 1}, {Item: "a", Start: 3, From: 1, Segments: events(1, "y"), LastID: 2}}), ShouldBeNil)
+		So(read(folder).Texts, ShouldResemble, map[string]textlog.Text{"a": {Text: itemwork.Text{Segments: events(1, "x", "y"), LastID: 2}}})
+	})
 	Convey("Rewrite drops what was before, in files of earlier processes too, and leaves other files alone", t, func() {
 		folder := t.TempDir()
 		foreign := filepath.Join(folder, "texts-backup.log")
