batchlog: a job that is half removed or damaged keeps no term from opening

Cause: a removal deletes chunks, items and the job's object one after another, and nothing said so; a log without its first chunk was an error that the term repeated for all jobs. An empty one looked like that of a new job.

A job that is being removed or can't be decoded is left out of the term, and reported.

--- a/internal/batchlog/batchlog.go
+++ b/internal/batchlog/batchlog.go
@@ -79,6 +79,8 @@
 	Job       batch.Job `json:"job"`
 	// Sealed is true once the log is known to be sealed; the log itself decides.
 	Sealed bool `json:"sealed"`
+	// Removing is true once the job's chunks and items may be missing.
+	Removing bool `json:"removing,omitempty"`
 }
 
 // part holds items of a job.
@@ -97,7 +99,7 @@
 }
 
 // Accept keeps a job for good. It returns the job as it is kept, which is another submission's if there was one. The error
-// is ErrWithheld if Permit excludes that one; it wraps metastore.ErrNotDone if the job is not kept and never will be, or
+// is ErrWithheld if Permit excludes that one, or ErrRemoving; it wraps metastore.ErrNotDone if the job is not kept and never will be, or
 // metastore.ErrUnknown.
 func (s *Store) Accept(ctx context.Context, job batch.Job) (*Stored, error) {
 	names, err := s.writeItems(ctx, job)
@@ -181,7 +183,7 @@
 	return append(parts, list[begin:])
 }
 
-// Find takes a job over. metastore.ErrNotFound if there is none, ErrWithheld if Permit excludes it.
+// Find takes a job over. metastore.ErrNotFound if there is none, ErrWithheld if Permit excludes it, ErrRemoving or ErrDamaged if it can't be read.
 func (s *Store) Find(ctx context.Context, id string) (*Stored, error) {
 	object, err := s.read(ctx, kindJobs, id)
 	if err != nil {
@@ -194,7 +196,7 @@
 func (s *Store) takeOverPermitted(ctx context.Context, object metastore.Object) (*Stored, error) {
 	var found record
 	if err := json.Unmarshal(object.Spec, &found); err != nil {
-		return nil, fmt.Errorf("batchlog: %s: %w", object.Name, err)
+		return nil, fmt.Errorf("%w: %s: %w", ErrDamaged, object.Name, err)
 	}
 	if !s.permits(&found) {
 		return nil, ErrWithheld
--- a/internal/batchlog/opening.go
+++ b/internal/batchlog/opening.go
@@ -31,6 +31,8 @@
 	// Withheld are the jobs, without their items, that are not known to be sealed and that Permit excludes. They were neither fenced nor
 	// changed.
 	Withheld []batch.Job
+	// Damaged are the jobs that can't be read, and why. They were not changed.
+	Damaged map[string]error
 }
 
 // Opening takes over the jobs that are not known to be sealed, in two steps that may be repeated after an error: List and TakeOver. Jobs that
@@ -40,10 +42,14 @@
 	listed []metastore.Object
 	// taken are the jobs that were taken over, by ID.
 	taken map[string]*Stored
+	// unreadable holds ErrRemoving or ErrDamaged, by the ID of the job.
+	unreadable map[string]error
 }
 
 // Opening returns an Opening for the term of the store.
-func (s *Store) Opening() *Opening { return &Opening{store: s, taken: make(map[string]*Stored)} }
+func (s *Store) Opening() *Opening {
+	return &Opening{store: s, taken: make(map[string]*Stored), unreadable: make(map[string]error)}
+}
 
 // List reads which jobs there are, without their items and results. Permit is not called.
 func (o *Opening) List(ctx context.Context) error {
@@ -55,17 +61,19 @@
 	return nil
 }
 
-// TakeOver takes over the jobs of the last List, as far as Permit allows. Every job that it returns was fenced after it was listed.
+// TakeOver takes over the jobs of the last List, as far as Permit allows. Every job that it returns was fenced after it was listed. A job that can't be
+// read, or is being removed, does not keep the others from being taken over.
 func (o *Opening) TakeOver(ctx context.Context) (Opened, error) {
-	var opened Opened
+	opened := Opened{Damaged: make(map[string]error)}
 	var open []metastore.Object
 	for _, object := range o.listed {
 		var found record
-		if json.Unmarshal(object.Spec, &found) != nil {
+		if err := json.Unmarshal(object.Spec, &found); err != nil {
+			opened.Damaged[object.Name] = err
 			continue
 		}
 		switch {
-		case found.Sealed:
+		case found.Sealed, found.Removing:
 			opened.Sealed = append(opened.Sealed, object.Name)
 		case !o.store.permits(&found):
 			opened.Withheld = append(opened.Withheld, found.Job)
@@ -77,14 +85,23 @@
 		return Opened{}, err
 	}
 	for _, object := range open {
-		opened.Jobs = append(opened.Jobs, o.taken[object.Name])
+		switch err := o.unreadable[object.Name]; {
+		case errors.Is(err, ErrRemoving):
+			opened.Sealed = append(opened.Sealed, object.Name)
+		case err != nil:
+			opened.Damaged[object.Name] = err
+		default:
+			opened.Jobs = append(opened.Jobs, o.taken[object.Name])
+		}
 	}
 	return opened, nil
 }
 
 // takeOver takes over the jobs that are left. A failure of one job does not end the others, whose reads would have to be repeated.
 func (o *Opening) takeOver(ctx context.Context, open []metastore.Object) error {
-	left := slices.DeleteFunc(slices.Clone(open), func(object metastore.Object) bool { return o.taken[object.Name] != nil })
+	left := slices.DeleteFunc(slices.Clone(open), func(object metastore.Object) bool {
+		return o.taken[object.Name] != nil || o.unreadable[object.Name] != nil
+	})
 	var mu sync.Mutex
 	var failures []error
 	var group errgroup.Group
@@ -94,11 +111,14 @@
 			job, err := o.store.takeOver(ctx, object)
 			mu.Lock()
 			defer mu.Unlock()
-			if err != nil {
+			switch {
+			case errors.Is(err, ErrRemoving), errors.Is(err, ErrDamaged):
+				o.unreadable[object.Name] = err
+			case err != nil:
 				failures = append(failures, err)
-				return nil
+			default:
+				o.taken[object.Name] = job
 			}
-			o.taken[object.Name] = job
 			return nil
 		})
 	}
@@ -112,7 +132,20 @@
 	if err != nil {
 		return nil, err
 	}
+	if job.chunks > 0 {
+		return job, job.Fence(ctx)
+	}
+	var group errgroup.Group
+	group.Go(func() error { return s.checkNotRemoving(ctx, job.Job.ID) })
 	if err := job.Fence(ctx); err != nil {
+		_ = group.Wait()
+		return nil, err
+	}
+	if err := group.Wait(); err != nil {
+		if errors.Is(err, ErrRemoving) {
+			// The fence would be left for good if the removal is already done.
+			err = errors.Join(err, s.removeChunks(ctx, job.Job.ID))
+		}
 		return nil, err
 	}
 	return job, nil
@@ -125,6 +158,9 @@
 	if err := job.take(object); err != nil {
 		return nil, err
 	}
+	if err := job.removing(); err != nil {
+		return nil, err
+	}
 	job.ItemCount = job.record.ItemCount
 	reading, cancel := context.WithCancel(ctx)
 	var itemsRead sync.WaitGroup
@@ -150,6 +186,13 @@
 		readItems()
 	}
 	itemsRead.Wait()
+	if errors.Is(itemsErr, metastore.ErrNotFound) && (job.chunks == 0 || job.Sealed) {
+		// Items are written before the job and deleted after its log.
+		return nil, fmt.Errorf("%w: %w", ErrRemoving, itemsErr)
+	}
+	if errors.Is(itemsErr, metastore.ErrNotFound) {
+		return nil, fmt.Errorf("%w: %w", ErrDamaged, itemsErr)
+	}
 	if itemsErr != nil {
 		return nil, itemsErr
 	}
@@ -188,9 +231,11 @@
 	}
 	var content part
 	if err := json.Unmarshal(found.Spec, &content); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: part %s: %w", ErrDamaged, name, err)
 	}
 	var items []batch.Item
-	err = decodeGob(content.Items, &items)
-	return items, err
+	if err := decodeGob(content.Items, &items); err != nil {
+		return nil, fmt.Errorf("%w: part %s: %w", ErrDamaged, name, err)
+	}
+	return items, nil
 }
--- a/internal/batchlog/stored.go
+++ b/internal/batchlog/stored.go
@@ -35,7 +35,7 @@
 func (j *Stored) take(object metastore.Object) error {
 	var found record
 	if err := json.Unmarshal(object.Spec, &found); err != nil {
-		return fmt.Errorf("batchlog: %s: %w", object.Name, err)
+		return fmt.Errorf("%w: %s: %w", ErrDamaged, object.Name, err)
 	}
 	items := j.Job.Items
 	j.object, j.record, j.Job = object, found, found.Job
@@ -53,9 +53,9 @@
 	if err != nil {
 		return err
 	}
-	for _, object := range objects {
+	for i, object := range objects {
 		if object.Name != chunkName(j.chunks) {
-			return fmt.Errorf("batchlog: %s: chunk %d is missing", j.Job.ID, j.chunks)
+			return j.gap(objects[i:])
 		}
 		if err := j.add(object); err != nil {
 			return err
@@ -68,12 +68,12 @@
 func (j *Stored) add(object metastore.Object) error {
 	var found chunk
 	if err := json.Unmarshal(object.Spec, &found); err != nil {
-		return fmt.Errorf("batchlog: %s: %w", object.Name, err)
+		return fmt.Errorf("%w: chunk %s of %s: %w", ErrDamaged, object.Name, j.Job.ID, err)
 	}
 	var results []batch.Result
 	if len(found.Results) > 0 {
 		if err := decodeGob(found.Results, &results); err != nil {
-			return fmt.Errorf("batchlog: %s: %w", object.Name, err)
+			return fmt.Errorf("%w: chunk %s of %s: %w", ErrDamaged, object.Name, j.Job.ID, err)
 		}
 	}
 	j.Results = append(j.Results, results...)
@@ -215,29 +215,5 @@
 	}
 }
 
-// Remove deletes a sealed job and all that belongs to it, the job's object last, so that a removal which was cut short can be
-// done again.
-func (j *Stored) Remove(ctx context.Context) error {
-	for i := range j.chunks {
-		if err := j.remove(ctx, kindResults(j.Job.ID), chunkName(i)); err != nil {
-			return err
-		}
-	}
-	for _, name := range j.record.Parts {
-		if err := j.remove(ctx, kindItems, name); err != nil {
-			return err
-		}
-	}
-	return j.remove(ctx, kindJobs, j.Job.ID)
-}
-
-func (j *Stored) remove(ctx context.Context, kind, name string) error {
-	err := j.store.client.Delete(ctx, kind, name, 0)
-	if errors.Is(err, metastore.ErrNotFound) {
-		return nil
-	}
-	return err
-}
-
 // chunkName names a chunk so that chunks are listed in their order.
 func chunkName(number int) string { return fmt.Sprintf("%08d", number) }
--- a/internal/batchrun/retention.go
+++ b/internal/batchrun/retention.go
@@ -105,7 +105,7 @@
 		r.evict(known)
 	}
 	r.mu.Unlock()
-	stored, err := log.Find(ctx, id)
+	err := log.Remove(ctx, id)
 	if errors.Is(err, metastore.ErrNotFound) {
 		return true
 	}
@@ -114,9 +114,6 @@
 		level.Info(r.Logger).Log("msg", "job not removed: residency excludes this region", "request", id, "err", err)
 		return true
 	}
-	if err == nil {
-		err = stored.Remove(ctx)
-	}
 	level.Info(r.Logger).Log("msg", "job removal finished", "request", id, "err", err)
 	return err == nil
 }
--- a/internal/batchrun/service.go
+++ b/internal/batchrun/service.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/covelink/covelink/internal/batch"
+	"github.com/covelink/covelink/internal/batchlog"
 	"github.com/covelink/covelink/internal/jobresidency"
 	"github.com/covelink/covelink/internal/metastore"
 )
@@ -40,7 +41,7 @@
 	stored, err := log.Accept(ctx, submitted)
 	level.Info(r.Logger).Log("msg", "job submitted", "request", submitted.ID, "items", len(submitted.Items), "model", submitted.Model, "step", submitted.Step,
 		"min_version", submitted.MinVersion, "took", r.now().Sub(started), "err", err)
-	if errors.Is(err, metastore.ErrNotDone) || errors.Is(err, metastore.ErrInvalid) {
+	if errors.Is(err, metastore.ErrNotDone) || errors.Is(err, metastore.ErrInvalid) || errors.Is(err, batchlog.ErrRemoving) {
 		return batch.ErrRefused
 	}
 	if err != nil {
@@ -141,10 +142,11 @@
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	stored, err := log.Find(ctx, id)
-	if errors.Is(err, metastore.ErrNotFound) {
+	if errors.Is(err, metastore.ErrNotFound) || errors.Is(err, batchlog.ErrRemoving) {
 		return nil, batch.ErrNotFound
 	}
 	if err != nil {
+		level.Warn(r.Logger).Log("msg", "job not read", "request", id, "err", err)
 		return nil, batch.ErrUnavailable
 	}
 	r.mu.Lock()
--- a/internal/batchrun/term.go
+++ b/internal/batchrun/term.go
@@ -77,6 +77,9 @@
 	r.mu.Unlock()
 	level.Info(r.Logger).Log("msg", "leading", "token", r.token, "jobs", len(found.Jobs), "accepted_meanwhile", accepted, "withheld", len(found.Withheld),
 		"took", r.now().Sub(r.began).Round(time.Millisecond))
+	for id, err := range found.Damaged {
+		level.Error(r.Logger).Log("msg", "job can't be read; the others are served without it", "request", id, "err", err)
+	}
 	for i := range found.Withheld {
 		r.logExcluded("job not read", &found.Withheld[i])
 	}
