answercheck: answers are checked where they are read, and belong to the request that waits

Cause: an answer was matched by the request's ID alone, on connections that carried the same ID again; health checks, reports and orders were not matched at all. net/http accepts heads that the protocol does not allow, of up to 10 MB each.

Change: connections to engines, the store and the duties' endpoint check heads as they arrive and bound them, each and together. A connection carries no request twice, and an answer that came before its request is refused. Calls without an ID close their connection. One parser has both faults, so that they are mended together.

--- a/internal/fleetnode/duties.go
+++ b/internal/fleetnode/duties.go
@@ -49,6 +49,7 @@
 	loading *enginescale.LoadingSet, observed *metrics, registry *prometheus.Registry, logger log.Logger) *duties {
 	d := &duties{config: config, store: store, observe: observed.dutyCalled, logger: telemetry.For(logger, telemetry.PartDuties)}
 	calls := platform.NewDuties(config.Duties.Address)
+	reportRefused(calls.Answers, fromDuties, observed, logger)
 	if config.Duties.Include(settings.DutyUsage) {
 		d.usage = usage.NewReporter(usage.ReporterParams{
 			Platform: calls,
--- a/internal/fleetnode/metrics.go
+++ b/internal/fleetnode/metrics.go
@@ -62,6 +62,8 @@
 	coldAnswers *prometheus.CounterVec
 	// callerLimits counts the limits that callers met, by limit.
 	callerLimits *prometheus.CounterVec
+	// answersRefused counts answers that could not be used, by sender and reason.
+	answersRefused *prometheus.CounterVec
 }
 
 func newMetrics(registry *prometheus.Registry, state *fleet.State, lines *telemetry.AsyncWriter) *metrics {
@@ -92,6 +94,7 @@
 	m.refused = counter("requests_refused_total", "Callers' requests that were refused because they may run at no engine, by reason.", "reason")
 	m.coldAnswers = counter("cold_requests_total", "Attempts of requests that only cold engines could run, by what became of them; all but the granted ones were not sent.", "answer")
 	m.callerLimits = counter("caller_limits_total", "Callers' connections that were closed and requests that were refused because of a limit, by limit.", "reason")
+	m.answersRefused = counter("answers_refused_total", "Answers of other processes that could not be used, by sender and reason.", "sender", "reason")
 	m.engines = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "request_engines_total", Help: "Engines that requests were sent to."})
 	m.textsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "texts_restored_total", Help: "Batch items that go on after a text which an ended job or an earlier process has left."})
 	m.eventsRestored = prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: "text_events_restored_total", Help: "Events of such texts, which engines need not make again."})
@@ -115,7 +118,7 @@
 	})
 	registry.MustRegister(m.requests, m.requestTime, m.engines, m.storeCalls, m.storeTime, m.itemAttempts, itemTime, m.handOvers, jobTime, m.textsRestored, m.eventsRestored, m.checkpoints, m.checkpointFailures, m.results,
 		commitTime, m.orders, orderTime, m.leadingTerms, m.configRefused, m.configVersion, m.usageReports, m.usageLost, m.dutyCalls, m.attemptsDisconnected, m.guarded, m.trials, m.refused,
-		m.coldAnswers, m.callerLimits,
+		m.coldAnswers, m.callerLimits, m.answersRefused,
 		newLinesDropped(lines))
 	return m
 }
--- a/internal/fleetnode/node.go
+++ b/internal/fleetnode/node.go
@@ -106,11 +106,11 @@
 		telemetry.NewRegistry,
 		newMetrics,
 		metastore.NewOutage,
-		func(config settings.Fleet, observed *metrics, outage *metastore.Outage) metastore.Client {
-			return metastore.Watched(platform.NewStore(config.Store.Address, observed.storeCalled), outage)
+		func(config settings.Fleet, observed *metrics, outage *metastore.Outage, logger log.Logger) metastore.Client {
+			return metastore.Watched(newStore(config, observed, logger), outage)
 		},
 		metastore.NewFollowers,
-		platform.NewEngines,
+		newEngines,
 		newTransport,
 		newCalls,
 		func() *forward.Picker { return forward.NewPicker(time.Now) },
