answercheck: an answer that is reset during the upload is not complete

What callers saw: part of a body as a complete answer (MIXED), when an engine answered a long upload without a length and reset the connection while the upload was being written.

Cause: the kernel reports a reset once. The write got it, and the read of the body saw an ordinary end.

Change: a read that ends is compared with failed writes of the connection, and with the state of the socket, since the write may not have returned yet.

--- a/internal/answercheck/answercheck.go
+++ b/internal/answercheck/answercheck.go
@@ -1,7 +1,8 @@
 // Package answercheck checks what other processes send as HTTP/1.1 answers, below and above net/http, which accepts more than the protocol allows.
 //
 // Guarantees for an answer that RoundTrip returns: its head has a status from 200 to 599, no malformed line and no ambiguous framing, and it was read
-// after its request was given to the connection, which carried no earlier request of the same identity. Heads of one exchange, interim ones included, take at most MaxHeadBytes, and those of all exchanges
+// after its request was given to the connection, which carried no earlier request of the same identity. A body without a length ends with io.EOF only
+// if the connection was closed in order. Heads of one exchange, interim ones included, take at most MaxHeadBytes, and those of all exchanges
 // together a bounded amount beyond the first bytes of each.
 package answercheck
 
@@ -39,6 +40,8 @@
 	ReasonUnasked Reason = "answer to no request"
 	// ReasonOtherRequest means that the answer names another request than the one it was taken for.
 	ReasonOtherRequest Reason = "answer to another request"
+	// ReasonReset means that the connection was reset before the end of an answer that ends with its connection.
+	ReasonReset Reason = "connection reset"
 )
 
 // RefusedError reports an answer that can't be used. The request may have been carried out.
--- a/internal/answercheck/answercheck_test.go
+++ b/internal/answercheck/answercheck_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 )
@@ -107,6 +108,36 @@
 	})
 }
 
+// Guards against a reset that a write has got and that a read takes for an ordinary end.
+func TestResetIsNoEnd(t *testing.T) {
+	Convey("The body of an answer that is reset during a write does not end with io.EOF", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer listener.Close()
+		near, err := net.Dial("tcp", listener.Addr().String())
+		So(err, ShouldBeNil)
+		far, err := listener.Accept()
+		So(err, ShouldBeNil)
+		checked := (&Checker{}).Wrap(near)
+		defer checked.Close()
+		checked.begin("r")
+		_, err = checked.Write([]byte("request"))
+		So(err, ShouldBeNil)
+		_, err = io.WriteString(far, "HTTP/1.1 200 OK\r\n\r\npart")
+		So(err, ShouldBeNil)
+		read, err := io.ReadAtLeast(checked, make([]byte, 100), len("HTTP/1.1 200 OK\r\n\r\npart"))
+		So(err, ShouldBeNil)
+		So(read, ShouldEqual, len("HTTP/1.1 200 OK\r\n\r\npart"))
+		So(far.(*net.TCPConn).SetLinger(0), ShouldBeNil)
+		So(far.Close(), ShouldBeNil)
+		// The first write that fails takes the reset away from the read.
+		for err = nil; err == nil; time.Sleep(time.Millisecond) {
+			_, err = near.Write([]byte("upload"))
+		}
+		So(refusal(checked), ShouldEqual, ReasonReset)
+	})
+}
+
 // FuzzHead checks that what a head is taken for does not depend on the pieces in which it arrives.
 func FuzzHead(f *testing.F) {
 	f.Add("HTTP/1.1 200 OK\r\nA: b\r\n\r\nbody", 3)
--- a/internal/answercheck/conn.go
+++ b/internal/answercheck/conn.go
@@ -1,7 +1,9 @@
 package answercheck
 
 import (
+	"errors"
 	"hash/maphash"
+	"io"
 	"net"
 	"slices"
 	"sync"
@@ -20,7 +22,8 @@
 
 	written atomic.Int64
 	// sealed is why nothing more may be written; nil if it may.
-	sealed atomic.Pointer[error]
+	sealed      atomic.Pointer[error]
+	writeFailed atomic.Bool
 
 	mu   sync.Mutex
 	head headScanner
@@ -67,6 +70,9 @@
 	if reason := c.check(into[:n]); reason != "" {
 		return 0, &RefusedError{Reason: reason}
 	}
+	if errors.Is(err, io.EOF) && c.cutOff() {
+		return n, &RefusedError{Reason: ReasonReset}
+	}
 	return n, err
 }
 
@@ -111,6 +117,15 @@
 	c.shared = 0
 }
 
+// cutOff reports whether the connection ended by a reset, which the kernel tells only once: to whichever of a read and a write comes first. The other
+// one then sees an ordinary end.
+func (c *Conn) cutOff() bool {
+	c.mu.Lock()
+	inBody := c.head.done()
+	c.mu.Unlock()
+	return inBody && (c.writeFailed.Load() || wasReset(c.Conn))
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(data []byte) (int, error) {
 	if reason := c.sealed.Load(); reason != nil {
@@ -120,6 +135,9 @@
 	c.written.Add(int64(len(data)))
 	n, err := c.Conn.Write(data)
 	c.written.Add(int64(n - len(data)))
+	if err != nil {
+		c.writeFailed.Store(true)
+	}
 	return n, err
 }
 
