eventstream, forward: a stream that ends within an event does not look complete

Cause: the end of an answer without a length is that of its connection, which the kernel closes in order when a process is killed; the gateway did not look at the events. An item whose engine ended before the first event was complete with an empty text.

Change: such a stream must end between two events and have one, or it breaks off.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/covelink/covelink/internal/boottime"
+	"github.com/covelink/covelink/internal/eventstream"
 	"github.com/covelink/covelink/internal/fleet"
 	"github.com/covelink/covelink/internal/routing"
 )
@@ -34,6 +35,9 @@
 		answer.Body.Close()
 		return Result{}, ErrLost
 	}
+	if success && j.route.Kind == routing.KindStream && answer.UntilClose {
+		return passOn(&eventstream.WholeBody{ReadCloser: answer.Body})
+	}
 	if success && j.route.Kind == routing.KindStream {
 		return passOn(answer.Body)
 	}
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -84,6 +84,8 @@
 	VersionField string
 	Header       http.Header
 	Body         io.ReadCloser
+	// UntilClose is true if the body has no length of its own and ends with its connection.
+	UntilClose bool
 }
 
 var (
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -237,6 +237,9 @@
 	var last time.Time
 	for {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && answer.UntilClose && !r.hasEvents {
+			err = eventstream.ErrCutOff
+		}
 		if errors.Is(err, io.EOF) {
 			return VerdictComplete, nil
 		}
