fleetnode: the servers of all limits shut down at the same time

Cause: connections under each set of limits have a server of their own, and these were shut down one after another. While the first waited for a long stream, the idle connections of the others stayed open until the end of the stop.

Change: all shut down at once.

--- a/internal/fleetnode/httpserver.go
+++ b/internal/fleetnode/httpserver.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/covelink/covelink/internal/httpdrain"
 	"github.com/covelink/covelink/internal/intake"
@@ -124,15 +125,18 @@
 	s.open.AwaitLeft(ctx)
 	s.listener.Close()
 	s.open.AwaitQuiet(ctx)
-	var errs []error
+	// All servers shut down at once: each closes connections as they become idle, while one of them may wait for a long request.
+	var group errgroup.Group
 	for _, server := range s.endIntake() {
-		err := server.Shutdown(ctx)
-		if err != nil {
-			server.Close()
-		}
-		errs = append(errs, err)
+		group.Go(func() error {
+			err := server.Shutdown(ctx)
+			if err != nil {
+				server.Close()
+			}
+			return err
+		})
 	}
-	return errors.Join(errs...)
+	return group.Wait()
 }
 
 // close cuts off all connections.
--- a/internal/fleetnode/httpserver_test.go
+++ b/internal/fleetnode/httpserver_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -65,6 +66,64 @@
 	})
 }
 
+// Guards against a stop in which the servers of different limits shut down one after another: connections of the later ones stayed open, and short
+// requests on them were cut at the end.
+func TestStopClosesIdleConnectionsOfAllLimits(t *testing.T) {
+	var limit atomic.Int64
+	limit.Store(4 << 10)
+	options := listenerOptions{
+		pool: intake.NewPool(intake.Params{MaxBytes: 8 << 20, MaxConnections: func() int { return 10 }, Logger: log.NewNopLogger()}),
+		limits: func() routing.Limits {
+			return routing.Limits{MaxHeaderBytes: int(limit.Load()), HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+		},
+	}
+	release := make(chan struct{})
+	begun := make(chan struct{})
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/long" {
+			close(begun)
+			<-release
+		}
+	})
+	server, err := listenHTTP(t.Context(), "127.0.0.1:0", handler, options, log.NewNopLogger())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go server.serve()
+	t.Cleanup(server.close)
+	Convey("Idle connections are closed although a request of a server with other limits goes on", t, func() {
+		dial := func() net.Conn {
+			connection, err := net.Dial("tcp", server.listener.Addr().String())
+			So(err, ShouldBeNil)
+			Reset(func() { connection.Close() })
+			return connection
+		}
+		long := dial()
+		_, err := fmt.Fprint(long, "GET /long HTTP/1.1\r\nHost: x\r\n\r\n")
+		So(err, ShouldBeNil)
+		<-begun
+		var idle []net.Conn
+		for range 3 {
+			limit.Add(1)
+			connection := dial()
+			So(statusOf(connection, 0), ShouldEqual, http.StatusOK)
+			idle = append(idle, connection)
+		}
+		drained := make(chan error)
+		go func() { drained <- server.drain(t.Context()) }()
+		for _, connection := range idle {
+			So(connection.SetReadDeadline(time.Now().Add(20*time.Second)), ShouldBeNil)
+			_, err := connection.Read(make([]byte, 1))
+			So(err, ShouldEqual, io.EOF)
+		}
+		close(release)
+		response, err := http.ReadResponse(bufio.NewReader(long), nil)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, http.StatusOK)
+		So(<-drained, ShouldBeNil)
+	})
+}
+
 func TestCallerLimits(t *testing.T) {
 	Convey("What callers may hold follows from the memory of the process, and from the settings if that is not known", t, func() {
 		config := settings.DefaultFleet()
