eventstream, itemwork, forward: answers without end take a bounded amount of memory

Lines of an event took a gateway to 1,278 MB and the coordinator to 1,746 MB; a body of a reward call was buffered up to 64 MB.

Cause: lines were bounded and events were not, nor the texts of items; what has no caller counted against no memory; buffers that were outgrown counted as free before they were collected.

Change: bounds on events, texts, failures and the bodies of reward calls, which are dropped; outgrown buffers keep their room.

--- a/internal/batchrun/run.go
+++ b/internal/batchrun/run.go
@@ -133,6 +133,8 @@
 		Bounds: bounds,
 		Text:   it.text.Clone(),
 		Reward: it.Reward,
+		// An event holds one token or more.
+		MaxEvents: it.Tokens,
 
 		Residency: jobresidency.OfItem(r.State.View().Routes, &it.job.Job, &it.Item),
 	}
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -10,14 +10,16 @@
 	"strings"
 )
 
-// maxLineBytes bounds a line.
-const maxLineBytes = 1 << 20
+// maxEventBytes bounds an event with all its lines, and a line that belongs to none.
+const maxEventBytes = 256 << 10
 
 var (
 	// ErrCutOff reports a stream that ends within an event.
 	ErrCutOff = errors.New("eventstream: ends within an event")
 	// ErrMalformed reports a line that belongs to no event.
 	ErrMalformed = errors.New("eventstream: malformed line")
+	// ErrTooLong reports an event or a line of more than 256 KB.
+	ErrTooLong = errors.New("eventstream: event too long")
 )
 
 // Event is one event.
@@ -41,7 +43,7 @@
 // NewReader returns a Reader. extra is the name of a field beyond id and data that is taken in; it may be empty.
 func NewReader(source io.Reader, extra string) *Reader {
 	lines := bufio.NewScanner(source)
-	lines.Buffer(make([]byte, 0, 4<<10), maxLineBytes)
+	lines.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
 	lines.Split(splitLines)
 	return &Reader{lines: lines, extra: extra}
 }
@@ -64,16 +66,24 @@
 	var event Event
 	var data []string
 	begun := false
+	size := 0
 	for r.lines.Scan() {
+		if size += len(r.lines.Bytes()); begun && size > maxEventBytes {
+			return Event{}, ErrTooLong
+		}
 		line := strings.TrimSuffix(r.lines.Text(), "\r")
 		if line == "" {
 			if !begun {
+				size = 0
 				continue
 			}
 			event.Data = strings.Join(data, "\n")
 			return event, nil
 		}
 		if strings.HasPrefix(line, ":") {
+			if !begun {
+				size = 0
+			}
 			continue
 		}
 		begun = true
@@ -95,6 +105,9 @@
 			event.Extra = value
 		}
 	}
+	if errors.Is(r.lines.Err(), bufio.ErrTooLong) {
+		return Event{}, ErrTooLong
+	}
 	if err := r.lines.Err(); err != nil {
 		return Event{}, err
 	}
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -42,7 +42,11 @@
 		return passOn(answer.Body)
 	}
 	timer.restart()
-	content, whole, err := j.buffer(&timedReader{Reader: answer.Body, timer: timer})
+	limit := maxAnswerBytes
+	if answer.Status >= http.StatusInternalServerError {
+		limit = maxFailureBytes
+	}
+	content, whole, err := j.buffer(&timedReader{Reader: answer.Body, timer: timer}, limit)
 	if err != nil {
 		answer.Body.Close()
 		return Result{}, errors.Join(ErrConnectionBroken, err)
@@ -65,16 +69,28 @@
 	return result, nil
 }
 
-// buffer reads a response as far as there is room for it. whole is true if that is all of it.
-func (j *job) buffer(body io.Reader) (content []byte, whole bool, err error) {
+// buffer reads a response as far as there is room for it, up to a limit. whole is true if that is all of it.
+func (j *job) buffer(body io.Reader, limit int) (content []byte, whole bool, err error) {
+	if j.request.BodyUnused {
+		_, err := io.CopyN(io.Discard, body, maxUnusedBytes)
+		if errors.Is(err, io.EOF) {
+			return nil, true, nil
+		}
+		return nil, false, err
+	}
 	content = make([]byte, 0, ownAnswerBytes)
+	// Buffers that were replaced keep their room until the end, since they take memory until they are collected.
+	replaced := 0
+	defer func() { j.release(replaced) }()
 	for {
 		if len(content) == cap(content) {
 			size := 2 * cap(content)
-			if !j.grow(size) {
+			if size > limit || !j.grow(size) {
 				return content, false, nil
 			}
-			j.release(cap(content))
+			if cap(content) > ownAnswerBytes {
+				replaced += cap(content)
+			}
 			content = slices.Grow(content, size-len(content))
 		}
 		n, err := body.Read(content[len(content):cap(content)])
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -83,6 +83,10 @@
 	// maxAnswerBytes bounds a response body that is buffered whole, and maxBufferedBytes the part of one that can be passed on as it arrives.
 	maxAnswerBytes   = 64 << 20
 	maxBufferedBytes = 8 << 20
+	// maxFailureBytes bounds the body of a response with status 500 or above.
+	maxFailureBytes = 1 << 20
+	// maxUnusedBytes bounds a response body that is dropped.
+	maxUnusedBytes = 1 << 20
 	// ownAnswerBytes is the part of a response that is buffered without asking for room.
 	ownAnswerBytes = 4 << 10
 	// minAttemptTime is the least remaining time at which another attempt is made.
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -36,6 +36,8 @@
 	Repeated bool
 	// Memory grants room for the response while it is buffered; nil grants it always.
 	Memory Memory
+	// BodyUnused means that the body of the response is read to its end, up to maxUnusedBytes, and dropped.
+	BodyUnused bool
 }
 
 // Memory grants room for bytes that are buffered for a caller.
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -185,7 +185,15 @@
 	case answer.Status != http.StatusOK || !answer.Valid:
 		return VerdictBroken, nil
 	}
-	reader := streamReader{sink: sink, bounds: assignment.Bounds, version: assignment.Engine.Version, lastID: assignment.Text.LastID}
+	reader := streamReader{
+		sink:      sink,
+		bounds:    assignment.Bounds,
+		version:   assignment.Engine.Version,
+		lastID:    assignment.Text.LastID,
+		events:    assignment.Text.Len(),
+		bytes:     assignment.Text.Size(),
+		maxEvents: assignment.MaxEvents,
+	}
 	if segments := assignment.Text.Segments; len(segments) > 0 {
 		reader.hasEvents, reader.firstVersion = true, segments[0].Version
 	}
@@ -230,8 +238,13 @@
 	// hasEvents is true once the text has an event; lastID is the ID of the last one.
 	hasEvents bool
 	lastID    int64
+	// events and bytes are the size of the text, and maxEvents is the bound of the assignment.
+	events, bytes, maxEvents int
 }
 
+// errTextTooLong reports a text beyond the bounds of its item. None of it can be used.
+var errTextTooLong = errors.New("itemwork: text too long")
+
 func (r *streamReader) read(answer *forward.Answer, eventTimer *time.Timer) (Verdict, error) {
 	events := eventstream.NewReader(answer.Body, answer.VersionField)
 	var last time.Time
@@ -281,6 +294,12 @@
 	if !event.HasID || (r.hasEvents && event.ID != r.lastID+1) {
 		return VerdictBroken, nil
 	}
+	r.events++
+	r.bytes += len(event.Data)
+	if r.bytes > MaxTextBytes || r.maxEvents > 0 && r.events > r.maxEvents {
+		r.sink.Restarted()
+		return VerdictBroken, fmt.Errorf("%w: %d events, %d bytes", errTextTooLong, r.events, r.bytes)
+	}
 	if !r.hasEvents {
 		r.hasEvents, r.firstVersion = true, r.version
 	}
@@ -311,6 +330,7 @@
 			QueueTimeout: rewardQueueTimeout(boottime.Until(deadline), route.LatencyObjective),
 			Arrived:      arrived,
 			Repeated:     sent,
+			BodyUnused:   true,
 		}
 		result := e.Forwarder.Do(ctx, route, request, deadline)
 		failures += result.FailedAttempts
--- a/internal/itemwork/itemwork.go
+++ b/internal/itemwork/itemwork.go
@@ -69,6 +69,8 @@
 	// Text is the output of earlier runs, which the stream continues.
 	Text   Text
 	Reward *batch.Reward
+	// MaxEvents is the most events that the whole text may have; zero sets no bound.
+	MaxEvents int
 }
 
 // Verdict is how the stream of a run ended.
--- a/internal/itemwork/text.go
+++ b/internal/itemwork/text.go
@@ -5,6 +5,9 @@
 	"strings"
 )
 
+// MaxTextBytes is the size of the largest text: its result must fit one object of the store.
+const MaxTextBytes = 600 << 10
+
 // Segment is a sequence of events that one weight version produced.
 type Segment struct {
 	Version int64
