quarantine: items under which engines crashed are tried again until they are done

What users reported: after a burst of crashes, a sound item was never placed again though the servers had room.

Cause: a held request gets two trials, after 2 and 30 s; if engines exit under both, it stays held for an hour. That is meant for requests whose callers come again, and was applied to items and reward calls, which are owed.

Change: the record of deferred work says so, also in the store, and its trials come 2 s after the last crash or trial, without an end.

--- a/internal/batchrun/quarantine_test.go
+++ b/internal/batchrun/quarantine_test.go
@@ -104,3 +104,27 @@
 		So(h.results("next", trialsTime), ShouldHaveLength, heldItems)
 	})
 }
+
+// Guards against an item that is never run again because engines crashed under it in series, its trials included: it is owed, and harmed none of them.
+func TestItemUnderWhichEnginesCrashedIsRunAgain(t *testing.T) {
+	for _, crashes := range []int{3, 5, 9, 20} {
+		runScenario(t, fmt.Sprint("An item under which ", crashes, " engines have crashed, each beside it alone, runs within seconds of calm"), func(h *harness) {
+			table, end := h.startQuarantine()
+			defer end()
+			job := newJob("job", 1)
+			fingerprint := quarantine.FingerprintOf("", http.MethodPost, host, job.Items[0].Path, job.Items[0].Body)
+			for crash := range crashes {
+				if table.Status(fingerprint).State == quarantine.Held {
+					time.Sleep(table.Status(fingerprint).Wait)
+					So(table.RecordTrial(fingerprint).Granted(), ShouldBeTrue)
+				}
+				table.RecordDeferredCrash(fingerprint, fmt.Sprint("exited-", crash))
+				time.Sleep(500 * time.Millisecond)
+			}
+			So(h.runner.Submit(context.Background(), job), ShouldBeNil)
+			results := h.results("job", trialsDelay+2*time.Second)
+			So(results, ShouldHaveLength, 1)
+			So(results[0].State, ShouldEqual, batch.Done)
+		})
+	}
+}
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -15,6 +15,7 @@
 	"github.com/covelink/covelink/internal/boottime"
 	"github.com/covelink/covelink/internal/eventstream"
 	"github.com/covelink/covelink/internal/fleet"
+	"github.com/covelink/covelink/internal/quarantine"
 	"github.com/covelink/covelink/internal/routing"
 )
 
@@ -69,6 +70,11 @@
 	return result, nil
 }
 
+// loss describes a connection that broke during an attempt at an engine.
+func (j *job) loss(engine *fleet.Engine) quarantine.Loss {
+	return quarantine.Loss{Request: j.request.ID, Fingerprint: j.fingerprint(), Engine: engine, Deferred: j.request.Deferred}
+}
+
 // buffer reads a response as far as there is room for it, up to a limit. whole is true if that is all of it.
 func (j *job) buffer(body io.Reader, limit int) (content []byte, whole bool, err error) {
 	if j.request.BodyUnused {
@@ -133,7 +139,7 @@
 	level.Info(j.logger).Log("msg", "stream broke", "request", j.request.ID, "route", j.route.Name, "engine", engine.ID,
 		"took", boottime.Since(j.started).Round(time.Millisecond), "ended_here", context.Cause(ctx), "err", err)
 	if ctx.Err() == nil {
-		j.Guard.ConnectionLost(j.request.ID, j.fingerprint(), engine)
+		j.Guard.ConnectionLost(j.loss(engine))
 	}
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -112,7 +112,7 @@
 	j.waiting.end(j.service, nil)
 	if attempt.broke {
 		var retry bool
-		retry, j.engineRuns = j.Guard.ConnectionLost(j.request.ID, j.fingerprint(), engine)
+		retry, j.engineRuns = j.Guard.ConnectionLost(j.loss(engine))
 		// Failover would take a request that crashes engines to the next engine.
 		j.noFailover = j.noFailover || !retry
 	}
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -38,6 +38,8 @@
 	Memory Memory
 	// BodyUnused means that the body of the response is read to its end, up to maxUnusedBytes, and dropped.
 	BodyUnused bool
+	// Deferred is true for work that is owed however many engines crash while they run it.
+	Deferred bool
 }
 
 // Memory grants room for bytes that are buffered for a caller.
--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -162,7 +162,8 @@
 	case verdict == VerdictComplete || verdict == VerdictImpossible:
 		e.Guard.Completed(assignment.Item, assignment.Fingerprint)
 	case errors.Is(err, forward.ErrConnectionBroken) && ctx.Err() == nil:
-		_, engineRuns = e.Guard.ConnectionLost(assignment.Item, assignment.Fingerprint(), assignment.engine())
+		lost := quarantine.Loss{Request: assignment.Item, Fingerprint: assignment.Fingerprint(), Engine: assignment.engine(), Deferred: true}
+		_, engineRuns = e.Guard.ConnectionLost(lost)
 	}
 	return engineRuns
 }
@@ -331,6 +332,7 @@
 			Arrived:      arrived,
 			Repeated:     sent,
 			BodyUnused:   true,
+			Deferred:     true,
 		}
 		result := e.Forwarder.Do(ctx, route, request, deadline)
 		failures += result.FailedAttempts
--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -96,6 +96,7 @@
 	Trials      int      `json:"trials"`
 	Returned    int      `json:"returned,omitempty"`
 	Exits       int      `json:"exits,omitempty"`
+	Deferred    bool     `json:"deferred,omitempty"`
 	// IdleMillis is the time from the record's last update to the write, in milliseconds. Readers count it from the time of reading.
 	IdleMillis int64 `json:"idleMillis"`
 }
@@ -314,6 +315,7 @@
 			Trials:      record.Trials,
 			Returned:    record.Returned,
 			Exits:       record.Exits,
+			Deferred:    record.Deferred,
 			IdleMillis:  record.Idle.Milliseconds(),
 		})
 	}
@@ -336,7 +338,7 @@
 
 // sameExceptIdle reports whether two records are equal except for their idle time and their returned trials, which alone are not worth a write.
 func (r storedRecord) sameExceptIdle(other storedRecord) bool {
-	return r.Fingerprint == other.Fingerprint && r.Epoch == other.Epoch && r.Trials == other.Trials && slices.Equal(r.Engines, other.Engines)
+	return r.Fingerprint == other.Fingerprint && r.Epoch == other.Epoch && r.Trials == other.Trials && r.Deferred == other.Deferred && slices.Equal(r.Engines, other.Engines)
 }
 
 // ensureLoaded merges the stored records unless the store's content is known. The caller must be the writer.
@@ -377,6 +379,7 @@
 			Trials:      r.Trials,
 			Returned:    r.Returned,
 			Exits:       r.Exits,
+			Deferred:    r.Deferred,
 			Idle:        time.Duration(r.IdleMillis) * time.Millisecond,
 		})
 	}
--- a/internal/quarantine/guard.go
+++ b/internal/quarantine/guard.go
@@ -158,14 +158,23 @@
 	}
 }
 
-// ConnectionLost handles a connection that broke during an attempt without a local cause. It reports whether the request may be sent to
-// another engine, and whether the engine is known to be running still.
-func (g *Guard) ConnectionLost(request string, fingerprint Fingerprint, engine *fleet.Engine) (retry, engineRuns bool) {
+// Loss is a connection to an engine that broke during an attempt of a request without a local cause.
+type Loss struct {
+	Request     string
+	Fingerprint Fingerprint
+	Engine      *fleet.Engine
+	// Deferred is true for a batch item or its reward call.
+	Deferred bool
+}
+
+// ConnectionLost handles a lost connection. It reports whether the request may be sent to another engine, and whether the engine is known to be running
+// still.
+func (g *Guard) ConnectionLost(lost Loss) (retry, engineRuns bool) {
 	if g == nil {
 		return true, false
 	}
-	recordCrash := func() State { return g.recordCrash(request, fingerprint, engine) }
-	evidence := g.Detector.CheckEngine(request, fingerprint, engine, func() { recordCrash() })
+	recordCrash := func() State { return g.recordCrash(lost) }
+	evidence := g.Detector.CheckEngine(lost.Request, lost.Fingerprint, lost.Engine, func() { recordCrash() })
 	if evidence != EngineExited {
 		return true, evidence == EngineListening
 	}
@@ -173,10 +182,14 @@
 }
 
 // recordCrash records that an engine exited while running a request.
-func (g *Guard) recordCrash(request string, fingerprint Fingerprint, engine *fleet.Engine) State {
-	state, crashes := g.Table.RecordCrash(fingerprint, engine.ID)
-	level.Info(g.Logger).Log("msg", "engine exited while running request", "request", request, "fingerprint", fingerprint.Short(), "engine", engine.ID,
-		"engines_ended", crashes, "exits", g.Table.Record(fingerprint).Exits, "standing", state)
+func (g *Guard) recordCrash(lost Loss) State {
+	record := g.Table.RecordCrash
+	if lost.Deferred {
+		record = g.Table.RecordDeferredCrash
+	}
+	state, crashes := record(lost.Fingerprint, lost.Engine.ID)
+	level.Info(g.Logger).Log("msg", "engine exited while running request", "request", lost.Request, "fingerprint", lost.Fingerprint.Short(), "engine", lost.Engine.ID,
+		"engines_ended", crashes, "exits", g.Table.Record(lost.Fingerprint).Exits, "standing", state)
 	if state == Held {
 		g.observe(DecisionHeld)
 	}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -31,6 +31,10 @@
 // stays held until heldTTL.
 var trialBackoff = [...]time.Duration{2 * time.Second, 30 * time.Second}
 
+// deferredTrialDelay is the delay before each trial of deferred work, however many have ended in a crash. A step waits for its items, and fails if one is at
+// no engine for some seconds.
+const deferredTrialDelay = 2 * time.Second
+
 // Trial identifies a granted trial run. The zero value stands for none.
 type Trial struct {
 	Fingerprint Fingerprint
@@ -54,6 +58,8 @@
 	Returned int
 	// Exits is the number of engines known to have exited within exitWindow of the last minHoldCrashes crashes of this request, its own included.
 	Exits int
+	// Deferred is true for a batch item or its reward call. These are owed: they are tried again until they complete or are given up.
+	Deferred bool
 	// Idle is the time since the record's last update, as of when it was sent.
 	Idle time.Duration
 }
@@ -113,6 +119,10 @@
 		r.clear()
 		r.Epoch = other.Epoch
 	}
+	if other.Deferred && !r.Deferred {
+		r.Deferred = true
+		changed = true
+	}
 	for _, engine := range other.Engines {
 		changed = r.add(engine) || changed
 	}
@@ -133,6 +143,9 @@
 // nextTrialDelay returns the delay before the next trial; false if no trial is left. That of a request which is held because of maxHoldCrashes only
 // doubles with each trial, as its crashes are most likely the engines' own.
 func (r *Record) nextTrialDelay() (time.Duration, bool) {
+	if r.Deferred {
+		return deferredTrialDelay, true
+	}
 	if !r.suspected() {
 		return min(trialBackoff[0]<<min(r.spentTrials(), maxBackoffDoublings), heldTTL), true
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -128,9 +128,19 @@
 
 // RecordCrash records that an engine exited under a request, and returns the request's new state.
 func (t *Table) RecordCrash(fingerprint Fingerprint, engine string) (state State, crashes int) {
+	return t.recordCrash(fingerprint, engine, false)
+}
+
+// RecordDeferredCrash is RecordCrash for a batch item or its reward call.
+func (t *Table) RecordDeferredCrash(fingerprint Fingerprint, engine string) (state State, crashes int) {
+	return t.recordCrash(fingerprint, engine, true)
+}
+
+func (t *Table) recordCrash(fingerprint Fingerprint, engine string, deferred bool) (state State, crashes int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.getOrCreate(fingerprint)
+	e.record.Deferred = e.record.Deferred || deferred
 	if e.record.add(engine) {
 		t.exits.add(engine, t.now())
 		e.backoffFrom = t.now()
