answercheck, platform: reports may follow other calls without an ID

Change: health checks and orders keep the rule; a report, which is old anyway and whose orders name the sequence that they follow from, may be one call old. Connections stay in the pool for requests.

--- a/internal/answercheck/answercheck.go
+++ b/internal/answercheck/answercheck.go
@@ -53,6 +53,15 @@
 // errCarriedBefore reports a connection that has carried a request of the same identity. Nothing was written to it.
 var errCarriedBefore = errors.New("answercheck: the connection has carried this request before")
 
+// The identities of calls whose answers name no request.
+const (
+	// Unnamed calls do not follow another call without a name on a connection: between them comes a request whose answer names it, in whose place a second
+	// answer to the earlier call would have shown.
+	Unnamed = "unnamed"
+	// Snapshot calls may follow any other: they ask for a state, and may get one that is one call old.
+	Snapshot = "snapshot"
+)
+
 // Checker checks the answers that a process receives. It is safe for concurrent use.
 type Checker struct {
 	// Refused is told of each refused answer; it may be nil. It must be set before the first call.
@@ -79,8 +88,8 @@
 func (c *Checker) Wrap(connection net.Conn) *Conn { return &Conn{Conn: connection, checker: c} }
 
 // RoundTrip sends a request by a transport whose connections were made by Dial or Wrap. identity names the request among those that a connection may
-// carry: an answer that arrives twice could be taken for that to the same request sent again, so that this is sent on another connection. An empty
-// identity names none.
+// carry: an answer that arrives twice could be taken for that to the same request sent again, so that this is sent on another connection. Unnamed and
+// Snapshot stand for calls without an ID; the empty identity allows everything.
 func (c *Checker) RoundTrip(transport http.RoundTripper, request *http.Request, identity string) (*http.Response, error) {
 	var connection atomic.Pointer[Conn]
 	var exchange atomic.Uint64
--- a/internal/answercheck/answercheck_test.go
+++ b/internal/answercheck/answercheck_test.go
@@ -100,6 +100,13 @@
 		So(carries(""), ShouldBeTrue)
 		So(carries(""), ShouldBeTrue)
 		So(carries("a"), ShouldBeFalse)
+		So(carries(Unnamed), ShouldBeTrue)
+		So(carries(Unnamed), ShouldBeFalse)
+		So(carries(Snapshot), ShouldBeTrue)
+		So(carries(Snapshot), ShouldBeTrue)
+		So(carries(Unnamed), ShouldBeFalse)
+		So(carries("between"), ShouldBeTrue)
+		So(carries(Unnamed), ShouldBeTrue)
 		for i := range rememberedRequests {
 			So(carries(strings.Repeat("b", i+1)), ShouldBeTrue)
 		}
