itemwork: reward calls that were lost together are repeated soon

Cause: each repeat counted as a retry, and a process that makes few first sends refills its retry budget once in 5 s.

Change: 2 s after its last send a reward call counts as a first send. It still needs a free engine; each call is sent once in 2 s at most.

--- a/internal/itemwork/executor.go
+++ b/internal/itemwork/executor.go
@@ -30,6 +30,9 @@
 	// rewardHandBackTime is how long a worker tries a reward call whose first send was lost before the coordinator makes it. As a retry the call needs
 	// the worker's retry budget, which a worker with few calls refills once in 5 s, while the whole step waits for the call.
 	rewardHandBackTime = 2 * time.Second
+	// rewardRepeatTime is how long after its last send a reward call counts as a retry. Later it counts as a first send, which needs a free engine but no
+	// retry budget: a process that makes few calls refills its budget once in 5 s, while engines that exit together lose many calls at once.
+	rewardRepeatTime = 2 * time.Second
 )
 
 // errSendDeadline reports a run that was not sent because LeaveBy, the end of its grant for a cold engine, had passed.
@@ -313,6 +316,7 @@
 // ctx ends first, or if a worker should hand the call back to the coordinator.
 func (e *Executor) callReward(ctx context.Context, reward *batch.Reward) Judgement {
 	failures, sent, arrived := 0, false, boottime.Now()
+	var lastSent time.Time
 	for ctx.Err() == nil {
 		route := e.State.View().Routes.Match(reward.Host, reward.Path)
 		deadline := e.rewardDeadline(boottime.Now())
@@ -330,13 +334,15 @@
 			// Waits in the forwarder's queue while the service is at capacity; Arrived keeps the place in the queue over retries.
 			QueueTimeout: rewardQueueTimeout(boottime.Until(deadline), route.LatencyObjective),
 			Arrived:      arrived,
-			Repeated:     sent,
+			Repeated:     sent && boottime.Since(lastSent) < rewardRepeatTime,
 			BodyUnused:   true,
 			Deferred:     true,
 		}
 		result := e.Forwarder.Do(ctx, route, request, deadline)
 		failures += result.FailedAttempts
-		sent = sent || result.Sent
+		if result.Sent {
+			sent, lastSent = true, boottime.Now()
+		}
 		if result.Outcome == forward.Completed && result.Status >= 200 && result.Status < 300 {
 			return Judgement{State: JudgementScored, Score: result.Signature, Failures: failures}
 		}
--- a/internal/itemwork/reward_test.go
+++ b/internal/itemwork/reward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -188,3 +189,42 @@
 		t.Errorf("the coordinator gave %+v after %v, want it to go on", judgement, took)
 	}
 }
+
+// lossyEngines lose the answers to the first send of each call, as engines that exit together do, and serve all others.
+type lossyEngines struct {
+	rewardEngines
+	seen sync.Map
+}
+
+// Send implements forward.Transport.
+func (j *lossyEngines) Send(ctx context.Context, engine *fleet.Engine, request *forward.Request, options forward.SendOptions) (*forward.Answer, error) {
+	if _, again := j.seen.LoadOrStore(request.ID, true); !again {
+		return nil, forward.ErrConnectionBroken
+	}
+	return j.rewardEngines.Send(ctx, engine, request, options)
+}
+
+// Guards against reward calls that wait for the retry budget one after the other, once engines have exited under many of them.
+func TestRewardCallsLostTogetherAreRepeatedSoon(t *testing.T) {
+	const calls = 30
+	synctest.Test(t, func(t *testing.T) {
+		executor, _, reward := newRewardExecutor()
+		engines := &lossyEngines{rewardEngines: rewardEngines{status: http.StatusOK}}
+		executor.Forwarder = forward.New(executor.State, engines, forward.NewPicker(time.Now), log.NewNopLogger())
+		began := time.Now()
+		var calling sync.WaitGroup
+		for n := range calls {
+			calling.Go(func() {
+				own := *reward
+				own.ID = fmt.Sprint("r", n)
+				if judgement := executor.callReward(t.Context(), &own); judgement.State != JudgementScored {
+					t.Errorf("judgement %+v", judgement)
+				}
+			})
+		}
+		calling.Wait()
+		if took := time.Since(began); took > 6*time.Second {
+			t.Errorf("%d calls took %v", calls, took)
+		}
+	})
+}
