answercheck: a head that is read as its connection closes keeps no room

Found in the last reading of the change: Close gives back what a head holds of the shared room, and a read that returned just before could take some again, which nothing gave back. In the end all long heads would have been refused for want of room.

--- a/internal/answercheck/answercheck_test.go
+++ b/internal/answercheck/answercheck_test.go
@@ -69,6 +69,13 @@
 		So(refusal(long()), ShouldEqual, Reason(""))
 		So(checker.shared.Load(), ShouldEqual, 0)
 	})
+	Convey("Bytes that are read as their connection is closed take no room for good", t, func() {
+		checker := &Checker{}
+		checked, _ := pipe(checker)
+		checked.Close()
+		So(checked.check([]byte("HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", MaxHeadBytes/2))), ShouldEqual, Reason(""))
+		So(checker.shared.Load(), ShouldEqual, 0)
+	})
 	Convey("A head without end is refused at the limit", t, func() {
 		checked, peer := pipe(&Checker{})
 		go func() {
--- a/internal/answercheck/conn.go
+++ b/internal/answercheck/conn.go
@@ -31,8 +31,9 @@
 	exchange, answered uint64
 	// writtenBefore is what was written before the current request.
 	writtenBefore int64
-	// shared is what the head takes of the checker's shared bytes.
+	// shared is what the head takes of the checker's shared bytes. After Close it takes none.
 	shared int64
+	closed bool
 	// carried holds hashes of the identities of the last requests, and afterUnnamed is true if the last one had no name.
 	carried      []uint64
 	afterUnnamed bool
@@ -105,7 +106,7 @@
 
 // growShared counts the part of a head that is shared with other heads. The mutex must be held.
 func (c *Conn) growShared(size int64) Reason {
-	if size <= c.shared {
+	if c.closed || size <= c.shared {
 		return ""
 	}
 	if c.checker.shared.Add(size-c.shared) > maxSharedHeadBytes {
@@ -155,6 +156,7 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.mu.Lock()
+	c.closed = true
 	c.releaseShared()
 	c.mu.Unlock()
 	return c.Conn.Close()
